Set up the workspace, the shared words and the interfaces

Cause: nothing stood yet. Ruled out: one crate for all decisions; small crates with one job each build and test apart. Conclusion: the parts can be written side by side against these types.

--- /dev/null
+++ b/crates/verbenaslip-base/src/hash.rs
@@ -0,0 +1,19 @@
+//! The stable hash that every instance computes alike.
+
+use siphasher::sip128::{Hasher128, SipHasher13};
+use std::hash::Hasher;
+
+/// Hashes parts, each with its length, to 128 bits.
+pub fn wide(parts: &[&[u8]]) -> u128 {
+    let mut hasher = SipHasher13::new();
+    for part in parts {
+        hasher.write_u64(part.len() as u64);
+        hasher.write(part);
+    }
+    hasher.finish128().as_u128()
+}
+
+/// Hashes parts to 64 bits.
+pub fn narrow(parts: &[&[u8]]) -> u64 {
+    wide(parts) as u64
+}
--- /dev/null
+++ b/crates/verbenaslip-base/src/name.rs
@@ -0,0 +1,62 @@
+//! Names of instances, availability zones, teams, request classes, upstreams and models.
+
+use std::borrow::Borrow;
+use std::fmt;
+use std::sync::Arc;
+
+use crate::data;
+
+macro_rules! names {
+    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+        $(#[$doc])*
+        #[data(ord, hash)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Takes the name as it is written.
+            pub fn new(name: impl Into<Arc<str>>) -> Self {
+                Self(name.into())
+            }
+
+            /// Shows the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(name: &str) -> Self {
+                Self::new(name)
+            }
+        }
+
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    )*};
+}
+
+names! {
+    /// Names one instance of verbenaslip, unique in the deployment.
+    Instance;
+    /// Names a part of a region that can be lost as a whole.
+    AvailabilityZone;
+    /// Names a group of callers that shares keys and limits.
+    Team;
+    /// Names a request class of a team; with the team it selects one row of the table.
+    Class;
+    /// Names one back end: a model engine or a plain service.
+    Upstream;
+    /// Names a model or plain service that upstreams offer and requests ask for.
+    Model;
+    /// Names a person or program that edits the table.
+    Operator;
+}
--- /dev/null
+++ b/crates/verbenaslip-cli/src/bin/verbenaslip.rs
@@ -0,0 +1,3 @@
+//! Starts later.
+
+fn main() {}
--- /dev/null
+++ b/crates/verbenaslip-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon and the operators' command.
--- /dev/null
+++ b/crates/verbenaslip-disk/src/lib.rs
@@ -0,0 +1,1 @@
+//! The replicated log's files: checksummed, synced, safe against torn tails.
--- /dev/null
+++ b/crates/verbenaslip-gossip/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership between instances and the registry of upstreams.
--- /dev/null
+++ b/crates/verbenaslip-node/src/lib.rs
@@ -0,0 +1,1 @@
+//! All decisions of one instance composed to one state machine.
--- /dev/null
+++ b/crates/verbenaslip-policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions under load: admission, limits, retries, routing, capacity.
--- /dev/null
+++ b/crates/verbenaslip-replica/src/lib.rs
@@ -0,0 +1,1 @@
+//! The replicated log: terms, quorum, leader lease, snapshots, voters.
--- /dev/null
+++ b/crates/verbenaslip-table/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' table: rows, edits, checks, differences, CSV.
--- /dev/null
+++ b/crates/verbenaslip/src/lib.rs
@@ -0,0 +1,1 @@
+//! Adapters, settings, log events and threads around the decisions.
