Read settings and bearer keys into checked values

Cause: every other part is configured by settings and asks whose key a caller shows; both must be typed before the adapters are built on them. Ruled out: serde_ini (not kept up); falling back to defaults for what can't be read, because a slip would start an instance with other values than meant; comparing key texts, because the time of an answer would tell a key's bytes. Change: Settings reads one INI file, lists all problems at once with file, section, key, value and what is allowed; Keys answers from a file that only its owner may read, by salted digests compared in constant time, and takes up changes.

Conclusion: adapters can build on Settings::read and keys::ring::Ring::open.

--- a/crates/verbenaslip/src/lib.rs
+++ b/crates/verbenaslip/src/lib.rs
@@ -1,1 +1,4 @@
 //! Adapters, settings, log events and threads around the decisions.
+
+pub mod keys;
+pub mod settings;
