Add stand-ins for engines, services, cloud and weight store

Cause: the whole path and the failure tests need back ends whose answers can be verified whole and whose runs are counted outside the product. Change: an engine with a batch, a prefix cache, resume, rejoin, cancel, KV export and import, orders, late events and faults; a plain service; a cloud; a weight store. Answers are a function of the prompt, so that one assembled over any number of moves can be checked.

--- /dev/null
+++ b/crates/verbenaslip-lab/src/engine/state.rs
@@ -0,0 +1,361 @@
+//! The engine's state: what waits, what runs in the batch, and what both have cost.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use tokio::sync::watch;
+use verbenaslip_base::announce::Load;
+use verbenaslip_base::name::Model;
+
+use super::announce::Stage;
+use super::cache::Cache;
+use super::fault::{Faults, Flaw};
+use super::kv::{Block, Shelf};
+use super::order::Book;
+use super::run::{Key, Phase, Progress, Run};
+use super::setup::Setup;
+use super::truth::{self, End, Start, Truth};
+use crate::text;
+
+/// Holds everything that an engine knows; all its time is handed in.
+pub(crate) struct State {
+    pub(crate) setup: Setup,
+    pub(crate) runs: BTreeMap<Key, Run>,
+    pub(crate) cache: Cache,
+    pub(crate) faults: Faults,
+    pub(crate) book: Book,
+    pub(crate) shelf: Shelf,
+    pub(crate) leaving: Option<Leaving>,
+    pub(crate) leaving_ms: Option<u64>,
+    pub(crate) refused: u64,
+    past: Vec<truth::Run>,
+    loads: VecDeque<(Duration, Load)>,
+    accepted: u64,
+    next_token: Duration,
+}
+
+/// Says when an engine that leaves will be gone; none when it leaves once its runs have ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Leaving {
+    pub(crate) until: Option<Duration>,
+}
+
+/// Asks for a run.
+pub(crate) struct Order {
+    pub(crate) key: Key,
+    pub(crate) model: String,
+    pub(crate) prompt: String,
+    pub(crate) limit: u32,
+    pub(crate) priority: i32,
+    pub(crate) resume: Option<Resume>,
+    pub(crate) handle: Option<String>,
+}
+
+/// Holds the answer so far.
+pub(crate) struct Resume {
+    pub(crate) text: String,
+    pub(crate) tokens: u32,
+}
+
+/// Says why a run was not accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Refused {
+    /// The model is not loaded.
+    Model,
+    /// The KV cache is not here.
+    Handle,
+    /// The attempt is known already.
+    Known,
+    /// The engine is gone to requests.
+    Leaving,
+}
+
+impl State {
+    /// Returns the state of an engine that starts now.
+    pub(crate) fn new(setup: Setup) -> Self {
+        Self {
+            cache: Cache::new(setup.cache),
+            book: Book::new(setup.fenced, &setup.models),
+            faults: Faults::default(),
+            shelf: Shelf::default(),
+            runs: BTreeMap::new(),
+            leaving: None,
+            leaving_ms: None,
+            refused: 0,
+            past: Vec::new(),
+            loads: VecDeque::new(),
+            accepted: 0,
+            next_token: Duration::ZERO,
+            setup,
+        }
+    }
+
+    /// Accepts a run into the queue.
+    pub(crate) fn accept(&mut self, now: Duration, unix: u64, order: Order) -> Result<(), Refused> {
+        let model = Model::from(order.model.as_str());
+        if !self.book.models(millis(now)).contains(&model) {
+            return Err(Refused::Model);
+        }
+        if self.leaving.is_some_and(|leaving| leaving.until.is_none()) {
+            return Err(Refused::Leaving);
+        }
+        if self.runs.contains_key(&order.key) {
+            return Err(Refused::Known);
+        }
+        let block = match &order.handle {
+            None => None,
+            Some(handle) => Some(self.shelf.get(handle).cloned().ok_or(Refused::Handle)?),
+        };
+        self.accepted += 1;
+        let key = order.key;
+        let run = self.run(now, unix, order, block.as_ref());
+        self.runs.insert(key, run);
+        Ok(())
+    }
+
+    fn run(&mut self, now: Duration, unix: u64, order: Order, block: Option<&Block>) -> Run {
+        let seed = text::seed(&order.prompt);
+        let imported = block.map(|block| block.position);
+        let start = match (&imported, &order.resume) {
+            (Some(_), _) => Start::Import,
+            (None, Some(_)) => Start::Resume,
+            (None, None) => Start::Fresh,
+        };
+        let from = order.resume.as_ref().map(|resume| resume.tokens).or(imported).unwrap_or(0);
+        let answer = order.resume.map(|resume| resume.text).unwrap_or_default();
+        let matches = (answer.is_empty() || answer == text::span(seed, 0, from))
+            && block.is_none_or(|block| block.seed == seed);
+        // An engine goes on from the text it is given: a wrong text gives a wrong answer.
+        let seed_used = if matches { seed } else { !seed };
+        let truth = truth::Run {
+            request: format!("{:032x}", order.key.0),
+            attempt: order.key.1,
+            seed,
+            accepted_ms: unix,
+            began_ms: None,
+            ended_ms: None,
+            start,
+            prompt: text::tokens(order.prompt.len()),
+            computed: 0,
+            replayed: 0,
+            from,
+            position: from,
+            end: None,
+            matches,
+        };
+        let prompt_bytes = order.prompt.len();
+        let flaw = self.faults.flaw();
+        Run {
+            truth,
+            seed: seed_used,
+            text: (order.prompt + &answer).into(),
+            prompt_bytes,
+            limit: order.limit,
+            imported,
+            priority: order.priority,
+            order: self.accepted,
+            model: order.model,
+            phase: Phase::Waiting,
+            deaf: flaw == Some(Flaw::Deaf),
+            flaw,
+            readers: 0,
+            left: now,
+            progress: watch::Sender::new(Progress { position: from, end: None }),
+        }
+    }
+
+    /// Does what is due; returns when something is due next.
+    pub(crate) fn step(&mut self, now: Duration, unix: u64) -> Option<Duration> {
+        if now < self.faults.frozen {
+            return Some(self.faults.frozen);
+        }
+        self.abandon(now, unix);
+        self.admit(now, unix);
+        self.start_decoding(now);
+        self.generate(now, unix);
+        self.admit(now, unix);
+        self.next(now)
+    }
+
+    /// Ends a run; says whether it was still going on.
+    pub(crate) fn end(&mut self, now: Duration, unix: u64, key: Key, end: End) -> bool {
+        let Some(run) = self.runs.get_mut(&key) else { return false };
+        if run.ended() {
+            return false;
+        }
+        run.end(now, unix, end);
+        if run.truth.began_ms.is_some() {
+            let text = format!(
+                "{}{}",
+                &run.text[..run.prompt_bytes],
+                text::span(run.seed, 0, run.truth.position)
+            );
+            let blocks = text::blocks(&text);
+            self.cache.store(now, &blocks);
+        }
+        true
+    }
+
+    /// Ends a run and keeps its KV cache to be handed on.
+    pub(crate) fn export(&mut self, now: Duration, unix: u64, key: Key) -> Option<Block> {
+        let run = self.runs.get(&key)?;
+        if run.ended() || run.truth.began_ms.is_none() || run.phase != Phase::Decode {
+            return None;
+        }
+        let block = Block {
+            handle: format!("{:032x}-{}", key.0, key.1),
+            seed: run.seed,
+            prompt: run.truth.prompt,
+            position: run.truth.position,
+        };
+        self.shelf.put(block.clone());
+        self.end(now, unix, key, End::Exported);
+        Some(block)
+    }
+
+    /// Tells what was done.
+    pub(crate) fn truth(&self) -> Truth {
+        let mut runs = self.past.clone();
+        runs.extend(self.runs.values().map(|run| run.truth.clone()));
+        Truth {
+            name: self.setup.upstream.to_string(),
+            leaving_ms: self.leaving_ms,
+            refused: self.refused,
+            runs,
+        }
+    }
+
+    /// Returns how many runs have not ended.
+    pub(crate) fn open(&self) -> usize {
+        self.runs.values().filter(|run| !run.ended()).count()
+    }
+
+    /// Measures the load.
+    pub(crate) fn sample(&mut self, now: Duration) {
+        let running = self.runs.values().filter(|run| run.running()).count();
+        let waiting = self.runs.values().filter(|run| run.phase == Phase::Waiting).count();
+        let load = Load {
+            running: u32::try_from(running).unwrap_or(u32::MAX),
+            waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
+            memory: self.cache.share(),
+            age: 0,
+        };
+        self.loads.push_back((now, load));
+        let lag = self.setup.pace.lag;
+        while self.loads.get(1).is_some_and(|(at, _)| *at + lag <= now) {
+            self.loads.pop_front();
+        }
+    }
+
+    /// Reports the load as it was a lag ago.
+    pub(crate) fn load(&self, now: Duration) -> Load {
+        let Some((at, load)) = self.loads.front() else { return Load::default() };
+        let age = now.saturating_sub(*at).as_millis();
+        Load { age: u32::try_from(age).unwrap_or(u32::MAX), ..*load }
+    }
+
+    /// Returns the phase to announce.
+    pub(crate) fn stage(&self, now: Duration) -> Stage {
+        match self.leaving {
+            Some(leaving) => Stage::Leaving(leaving.until),
+            None if now < self.setup.warm => Stage::Warming,
+            None => Stage::Ready,
+        }
+    }
+
+    fn abandon(&mut self, now: Duration, unix: u64) {
+        let grace = self.setup.grace;
+        let unread = |run: &Run| !run.ended() && run.readers == 0 && run.left + grace <= now;
+        let keys: Vec<Key> =
+            self.runs.iter().filter(|(_, run)| unread(run)).map(|(key, _)| *key).collect();
+        for key in keys {
+            self.end(now, unix, key, End::Abandoned);
+        }
+        let keep = self.setup.keep;
+        let old = |run: &Run| matches!(run.phase, Phase::Ended(at) if at + keep <= now);
+        let keys: Vec<Key> =
+            self.runs.iter().filter(|(_, run)| old(run)).map(|(key, _)| *key).collect();
+        for key in keys {
+            self.past.extend(self.runs.remove(&key).map(|run| run.truth));
+        }
+    }
+
+    fn admit(&mut self, now: Duration, unix: u64) {
+        let mut running = self.runs.values().filter(|run| run.running()).count();
+        while running < self.setup.slots as usize {
+            let waiting = self.runs.iter().filter(|(_, run)| run.phase == Phase::Waiting);
+            let first = waiting.min_by_key(|(_, run)| (-i64::from(run.priority), run.order));
+            let Some((key, _)) = first else { return };
+            let key = *key;
+            self.begin(now, unix, key);
+            running += 1;
+        }
+    }
+
+    fn begin(&mut self, now: Duration, unix: u64, key: Key) {
+        let Some(run) = self.runs.get_mut(&key) else { return };
+        let blocks = text::blocks(&run.text);
+        let cached = self.cache.hit(&blocks) * text::BLOCK;
+        let cold = run.begin(unix, cached);
+        let time = self.faults.stretch(now, self.setup.pace.prefill * cold);
+        run.phase = Phase::Prefill(now + time);
+    }
+
+    fn start_decoding(&mut self, now: Duration) {
+        for run in self.runs.values_mut() {
+            if matches!(run.phase, Phase::Prefill(until) if until <= now) {
+                run.phase = Phase::Decode;
+                if run.imported.is_none() {
+                    self.cache.store(now, &text::blocks(&run.text));
+                }
+            }
+        }
+    }
+
+    fn generate(&mut self, now: Duration, unix: u64) {
+        if now < self.next_token {
+            return;
+        }
+        let decoding: Vec<Key> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.phase == Phase::Decode)
+            .map(|(key, _)| *key)
+            .collect();
+        let Some(more) = u32::try_from(decoding.len()).ok().and_then(|count| count.checked_sub(1))
+        else {
+            return;
+        };
+        for key in decoding {
+            let Some(run) = self.runs.get_mut(&key) else { continue };
+            if run.truth.position >= run.limit || run.generate() {
+                self.end(now, unix, key, End::Done);
+            }
+        }
+        let pace = self.setup.pace;
+        let step = self.faults.stretch(now, pace.token + pace.batch * more);
+        self.next_token += step;
+        // An engine that was idle or frozen does not make up for it with a burst.
+        if self.next_token <= now {
+            self.next_token = now + step;
+        }
+    }
+
+    fn next(&self, now: Duration) -> Option<Duration> {
+        let token = || self.next_token.max(now);
+        self.runs
+            .values()
+            .filter_map(|run| match run.phase {
+                Phase::Prefill(until) => Some(until),
+                Phase::Decode => Some(token()),
+                Phase::Waiting if run.readers == 0 => Some(run.left + self.setup.grace),
+                Phase::Waiting | Phase::Ended(_) => None,
+            })
+            .min()
+    }
+}
+
+/// Returns a time in whole milliseconds.
+pub(crate) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/verbenaslip-lab/src/http/line.rs
@@ -0,0 +1,92 @@
+//! Connections that can be made to go silent.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Silences connections of one listener.
+#[derive(Default)]
+pub(crate) struct Switch {
+    born: AtomicU64,
+    silent_before: AtomicU64,
+    mute: AtomicU32,
+}
+
+impl Switch {
+    /// Silences all connections that are open now; new ones work.
+    pub(crate) fn silence(&self) {
+        self.silent_before.store(self.born.load(Ordering::SeqCst) + 1, Ordering::SeqCst);
+    }
+
+    /// Silences the next connections from their start: they are accepted, and then nothing.
+    pub(crate) fn mute(&self, count: u32) {
+        self.mute.store(count, Ordering::SeqCst);
+    }
+
+    /// Wraps an accepted connection.
+    pub(crate) fn wrap(self: &Arc<Self>, stream: TcpStream) -> Line {
+        let born = self.born.fetch_add(1, Ordering::SeqCst) + 1;
+        let muted =
+            self.mute.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| left.checked_sub(1));
+        Line { stream, born, muted: muted.is_ok(), switch: self.clone() }
+    }
+}
+
+/// Carries one accepted connection, which stays open but passes nothing once it is silenced.
+pub(crate) struct Line {
+    stream: TcpStream,
+    born: u64,
+    muted: bool,
+    switch: Arc<Switch>,
+}
+
+impl Line {
+    fn silent(&self) -> bool {
+        self.muted || self.born < self.switch.silent_before.load(Ordering::SeqCst)
+    }
+}
+
+impl AsyncRead for Line {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.silent() {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for Line {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.silent() {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.silent() {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.silent() {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/verbenaslip-lab/src/lib.rs
+++ b/crates/verbenaslip-lab/src/lib.rs
@@ -1,1 +1,15 @@
 //! Stand-ins for engines, services, cloud and weight store, and the callers' load tool.
+//!
+//! [`text`] makes the answers, known in advance to whoever knows the prompt. [`engine`] is a model
+//! engine, [`service`] a plain service, [`cloud`] the cloud that starts and takes machines,
+//! [`weights`] the weight store. Each runs on a thread of its own, takes faults while it runs and
+//! tells what it really did. [`load`] calls verbenaslip as many callers would and compares every
+//! answer with the expected text, and with the back ends' truth. [`demo`] shows all of it at work.
+
+pub mod cloud;
+pub mod engine;
+pub mod service;
+pub mod text;
+pub mod weights;
+
+pub(crate) mod http;
