Add the replicated log's decisions and its public types

Cause: the instances need one agreed sequence of commands that survives lost disks, cuts and freezes. Ruled out: single-step voter changes alone, since replacing a lost voter of three would pass through a set of four that needs all three living ones; a joint configuration does not.

--- /dev/null
+++ b/crates/verbenaslip-replica/src/receive.rs
@@ -0,0 +1,72 @@
+//! Takes messages in, and turns away those that are meant for somebody else.
+
+use verbenaslip_base::name::Instance;
+
+use crate::message::{Body, Message};
+use crate::output::Output;
+use crate::replica::{Replica, State};
+use crate::voter::Voter;
+
+impl Replica {
+    /// Takes a message.
+    pub(crate) fn receive(&mut self, from: &Instance, message: Message) {
+        if !self.admits(from, &message) {
+            return;
+        }
+        match &message.body {
+            Body::PreVote { last } => self.pre_vote(from, &message, *last),
+            Body::PreVoted { granted } => self.pre_voted(&message, *granted),
+            Body::Vote { last, transfer } => self.vote(from, &message, *last, *transfer),
+            Body::Voted { granted } => self.voted(&message, *granted),
+            Body::Append { .. } | Body::Chunk { .. } => self.lead_by(from, message),
+            Body::Appended { .. } | Body::Diverged { .. } | Body::Chunked { .. } => {
+                self.answered(&message);
+            }
+            Body::Campaign => self.asked_to_campaign(&message),
+            Body::Found => self.asked_to_found(from, message.sender),
+            Body::Fresh => self.told_fresh(from, message.sender),
+            Body::Stranger => self.told_stranger(from, &message),
+        }
+    }
+
+    /// Tells whether a message is for this folder and from its group.
+    fn admits(&mut self, from: &Instance, message: &Message) -> bool {
+        if matches!(message.body, Body::Found | Body::Fresh | Body::Stranger) {
+            return message.target.is_none_or(|target| target == self.identity);
+        }
+        let Some(group) = message.group else { return false };
+        if self.hard.group.is_some_and(|own| own != group) {
+            return false;
+        }
+        if message.target != Some(self.identity) {
+            // A leader that still counts on a folder that was lost here would wait forever for its
+            // acknowledgements. It learns of the new folder, and an operator or a plan replaces it.
+            if matches!(message.body, Body::Append { .. } | Body::Chunk { .. }) {
+                let answer = self.message(Some(message.sender), Body::Stranger);
+                self.send(from, answer);
+            }
+            return false;
+        }
+        let joins =
+            matches!(message.body, Body::Vote { .. } | Body::Append { .. } | Body::Chunk { .. });
+        if self.hard.group.is_none() && joins {
+            self.hard.group = Some(group);
+            self.unsaved = true;
+        }
+        true
+    }
+
+    /// Takes the news that a voter's instance runs another folder.
+    fn told_stranger(&mut self, from: &Instance, message: &Message) {
+        let voter = Voter { instance: from.clone(), identity: message.sender };
+        let config = self.log.config();
+        let counts = config.members().any(|member| member.instance == *from);
+        let State::Leader(leading) = &mut self.state else { return };
+        if !counts || config.contains(voter.identity) {
+            return;
+        }
+        if leading.strangers.insert(from.clone(), voter.identity) != Some(voter.identity) {
+            self.out.push(Output::Stranger(voter));
+        }
+    }
+}
