--- a/crates/verbenaslip/src/event.rs
+++ b/crates/verbenaslip/src/event.rs
@@ -15,6 +15,7 @@
 
 use log::{Level, Record};
 
+pub(crate) use self::field::kebab;
 pub use self::list::{CATALOGUE, Entry, Event};
 use self::throttle::{Throttle, Verdict};
 
@@ -28,14 +29,13 @@
     /// Writes the event to the log, unless too many of its number came within this second.
     pub fn log(&self) {
         let entry = self.entry();
-        if !log::log_enabled!(target: TARGET, entry.level) {
-            return;
-        }
-        let now = Instant::now();
         let verdict = {
             let mut throttle = THROTTLE.lock().unwrap_or_else(PoisonError::into_inner);
-            throttle.admit(entry.number, now)
+            throttle.admit(entry.number, Instant::now())
         };
+        if !log::log_enabled!(target: TARGET, entry.level) {
+            return;
+        }
         match verdict {
             Verdict::Write => self.write(),
             Verdict::Drop => {}
@@ -66,6 +66,11 @@
     }
 }
 
+/// Returns how many events of each number this process has had, written or left out.
+pub(crate) fn totals() -> Vec<(u16, u64)> {
+    THROTTLE.lock().unwrap_or_else(PoisonError::into_inner).totals()
+}
+
 impl fmt::Display for Event {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let fields = self.fields();
--- a/crates/verbenaslip/src/event/field.rs
+++ b/crates/verbenaslip/src/event/field.rs
@@ -83,7 +83,7 @@
 names!(AvailabilityZone, Class, Instance, Model, Operator, Team, Upstream);
 
 /// Writes a variant's name in lower case with hyphens, as answers to callers do.
-fn kebab(value: &impl Debug) -> String {
+pub(crate) fn kebab(value: &impl Debug) -> String {
     let mut text = String::new();
     for c in format!("{value:?}").chars() {
         if c.is_uppercase() && !text.is_empty() {
--- a/crates/verbenaslip/src/event/throttle.rs
+++ b/crates/verbenaslip/src/event/throttle.rs
@@ -22,6 +22,7 @@
 struct Window {
     since: Instant,
     count: u64,
+    total: u64,
 }
 
 /// Says what to do with one event.
@@ -46,10 +47,12 @@
 
     /// Counts one event and decides whether it is written.
     pub fn admit(&mut self, number: u16, now: Instant) -> Verdict {
-        let window = self.windows.entry(number).or_insert(Window { since: now, count: 0 });
+        let window =
+            self.windows.entry(number).or_insert(Window { since: now, count: 0, total: 0 });
+        window.total += 1;
         let left_out = window.count.saturating_sub(MOST);
         if now.saturating_duration_since(window.since) >= WINDOW {
-            *window = Window { since: now, count: 1 };
+            (window.since, window.count) = (now, 1);
             return if left_out > 0 {
                 Verdict::WriteAfter { count: left_out }
             } else {
@@ -59,4 +62,9 @@
         window.count += 1;
         if window.count > MOST { Verdict::Drop } else { Verdict::Write }
     }
+
+    /// Returns all events counted, by number.
+    pub(crate) fn totals(&self) -> Vec<(u16, u64)> {
+        self.windows.iter().map(|(number, window)| (*number, window.total)).collect()
+    }
 }
--- a/crates/verbenaslip/src/lib.rs
+++ b/crates/verbenaslip/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod event;
 pub mod keys;
+pub mod metric;
 pub mod settings;
