--- /dev/null
+++ b/crates/verbenaslip-state/src/audit.rs
@@ -0,0 +1,226 @@
+//! The audit trail: who asked for what, when, from which base, and what was answered.
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::sync::Arc;
+
+use verbenaslip_base::attempt::Attempt;
+use verbenaslip_base::data;
+use verbenaslip_base::fence::Fence;
+use verbenaslip_base::name::{Instance, Upstream};
+use verbenaslip_table::edit::Id;
+use verbenaslip_table::{Key, Revision};
+
+use crate::claim::Ending;
+use crate::command::{Command, Swap};
+use crate::history::{MAX_NAMED, keep_newest};
+use crate::order::{Result, Task};
+use crate::outcome::Outcome;
+
+/// Bounds the entries kept of edits, orders, drains and voter changes.
+pub const MAX_ENTRIES: usize = 4_096;
+
+/// Bounds the entries kept of claims, which are many and would push out all others.
+pub const MAX_CLAIM_ENTRIES: usize = 512;
+
+/// Bounds one page.
+pub const MAX_PAGE: usize = 256;
+
+/// Notes one command.
+#[data]
+pub struct Entry {
+    /// Counts the entries from 1.
+    pub number: u64,
+    /// The command's position in the log.
+    pub position: Fence,
+    /// When it was proposed, in Unix milliseconds.
+    pub at: u64,
+    /// The operator or instance that asked.
+    pub by: Arc<str>,
+    /// What was asked.
+    pub action: Action,
+    /// The revision from which an edit was made.
+    pub base: Option<Revision>,
+    /// Whether it was accepted.
+    pub accepted: bool,
+    /// What was answered; a refusal says why.
+    pub answer: Arc<str>,
+}
+
+impl fmt::Display for Entry {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {} {}: {}", self.number, self.at, self.by, self.action)?;
+        if let Some(base) = self.base {
+            write!(f, " from revision {base}")?;
+        }
+        let word = if self.accepted { "accepted" } else { "refused" };
+        write!(f, "; {word}: {}", self.answer)
+    }
+}
+
+/// Says what was asked.
+#[data]
+pub enum Action {
+    /// An edit of the table.
+    Edit {
+        /// Its identity.
+        id: Id,
+        /// The rows, the first [`MAX_NAMED`].
+        rows: Vec<Key>,
+    },
+    /// A claim of a non-idempotent request.
+    Claim(Attempt),
+    /// The end of a claimed run.
+    Settle(Attempt, Ending),
+    /// A claim given back.
+    Release(Attempt),
+    /// An order to an upstream.
+    Order(Upstream, Task),
+    /// What became of an order.
+    Ordered(Upstream, Fence, Result),
+    /// A graceful stop.
+    Drain(Instance),
+    /// A change of the voter set.
+    Voters(Swap),
+}
+
+impl fmt::Display for Action {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Edit { id, rows } => {
+                let rows: Vec<String> = rows.iter().map(Key::to_string).collect();
+                write!(f, "edit {id} of {}", rows.join(", "))
+            }
+            Self::Claim(attempt) => write!(f, "claim {} {}", attempt.request, attempt.number),
+            Self::Settle(attempt, ending) => {
+                let ending = match ending {
+                    Ending::Done { .. } => "done",
+                    Ending::NotRun => "not run",
+                    Ending::Unknown(_) => "unknown",
+                };
+                write!(f, "settle {} {} as {ending}", attempt.request, attempt.number)
+            }
+            Self::Release(attempt) => write!(f, "release {} {}", attempt.request, attempt.number),
+            Self::Order(upstream, task) => write!(f, "order {upstream} to {task}"),
+            Self::Ordered(upstream, fence, result) => {
+                write!(f, "order {}.{} to {upstream} ended: {result}", fence.term, fence.index)
+            }
+            Self::Drain(instance) => write!(f, "drain {instance}"),
+            Self::Voters(Swap::Add(new)) => write!(f, "add voter {new}"),
+            Self::Voters(Swap::Remove(old)) => write!(f, "remove voter {old}"),
+            Self::Voters(Swap::Replace { old, new }) => write!(f, "replace voter {old} by {new}"),
+        }
+    }
+}
+
+/// Holds some entries and where to go on.
+#[data]
+pub struct Page {
+    /// The number from which the next page starts.
+    pub next: u64,
+    /// The entries in order; numbers that are no longer kept are missing.
+    pub entries: Vec<Entry>,
+}
+
+/// Keeps the newest entries.
+#[data(default)]
+pub(crate) struct Trail {
+    count: u64,
+    claims: VecDeque<Entry>,
+    others: VecDeque<Entry>,
+}
+
+impl Trail {
+    /// Notes a command and its answer.
+    pub(crate) fn note(&mut self, position: Fence, command: &Command, outcome: &Outcome) {
+        self.count += 1;
+        let mut answer = outcome.to_string();
+        if answer.len() > MAX_ANSWER {
+            let cut = (0..=MAX_ANSWER).rev().find(|at| answer.is_char_boundary(*at));
+            answer.truncate(cut.unwrap_or_default());
+            answer.push('…');
+        }
+        let entry = Entry {
+            number: self.count,
+            position,
+            at: command.at(),
+            by: by(command),
+            action: action(command),
+            base: base(command),
+            accepted: outcome.accepted(),
+            answer: answer.into(),
+        };
+        let (ring, most) = match command {
+            Command::Claim(_) | Command::Settle(_) | Command::Release(_) => {
+                (&mut self.claims, MAX_CLAIM_ENTRIES)
+            }
+            _ => (&mut self.others, MAX_ENTRIES),
+        };
+        ring.push_back(entry);
+        keep_newest(ring, most);
+    }
+
+    /// Returns entries from a number on.
+    pub(crate) fn page(&self, since: u64, most: usize) -> Page {
+        let from = |ring: &VecDeque<Entry>| {
+            let start = ring.partition_point(|entry| entry.number < since);
+            ring.iter().skip(start).take(MAX_PAGE).cloned().collect::<Vec<_>>()
+        };
+        let mut entries = from(&self.claims);
+        entries.extend(from(&self.others));
+        entries.sort_by_key(|entry| entry.number);
+        entries.truncate(most.min(MAX_PAGE));
+        let next = entries.last().map_or(since.max(1), |entry| entry.number + 1);
+        Page { next, entries }
+    }
+
+    pub(crate) fn is_whole(&self) -> bool {
+        let rising = |ring: &VecDeque<Entry>| {
+            let mut pairs = ring.iter().zip(ring.iter().skip(1));
+            let known = ring.back().is_none_or(|entry| entry.number <= self.count);
+            known && pairs.all(|(older, newer)| older.number < newer.number)
+        };
+        let bounded = self.claims.len() <= MAX_CLAIM_ENTRIES && self.others.len() <= MAX_ENTRIES;
+        bounded && rising(&self.claims) && rising(&self.others)
+    }
+}
+
+/// Bounds an answer's text, in bytes.
+const MAX_ANSWER: usize = 400;
+
+fn by(command: &Command) -> Arc<str> {
+    match command {
+        Command::Edit(edit) => edit.by.as_str(),
+        Command::Claim(claim) => claim.instance.as_str(),
+        Command::Settle(settle) => settle.by.as_str(),
+        Command::Release(release) => release.claim.instance.as_str(),
+        Command::Order(order) => order.by.as_str(),
+        Command::Ordered(ordered) => ordered.by.as_str(),
+        Command::Drain(drain) => drain.by.as_str(),
+        Command::Voters(voters) => voters.by.as_str(),
+    }
+    .into()
+}
+
+fn base(command: &Command) -> Option<Revision> {
+    let Command::Edit(edit) = command else { return None };
+    Some(edit.base)
+}
+
+fn action(command: &Command) -> Action {
+    match command {
+        Command::Edit(edit) => Action::Edit {
+            id: edit.id.clone(),
+            rows: edit.changes.iter().map(|change| change.key()).take(MAX_NAMED).collect(),
+        },
+        Command::Claim(claim) => Action::Claim(claim.attempt),
+        Command::Settle(settle) => Action::Settle(settle.attempt, settle.ending.clone()),
+        Command::Release(release) => Action::Release(release.claim.attempt),
+        Command::Order(order) => Action::Order(order.upstream.clone(), order.task.clone()),
+        Command::Ordered(ordered) => {
+            Action::Ordered(ordered.upstream.clone(), ordered.fence, ordered.result)
+        }
+        Command::Drain(drain) => Action::Drain(drain.instance.clone()),
+        Command::Voters(voters) => Action::Voters(voters.change.clone()),
+    }
+}
--- /dev/null
+++ b/crates/verbenaslip-state/src/command.rs
@@ -0,0 +1,131 @@
+//! What the replicated log carries.
+
+use verbenaslip_base::data;
+use verbenaslip_base::name::{Instance, Operator};
+use verbenaslip_table::Edit;
+
+use crate::claim::{Claim, Release, SKEW_MS, Settle};
+use crate::order::{Order, Ordered};
+
+/// Changes the replicated state.
+///
+/// Each carries `at`, the Unix milliseconds at which it was proposed. The leader proposes only what
+/// is [`in_time`](Self::in_time) by its own clock: one wrong clock would otherwise push the state's
+/// clock, which never falls, far ahead, and every key would count as expired.
+#[data]
+pub enum Command {
+    /// Changes the table.
+    Edit(Edit),
+    /// Asks to be the one run of a non-idempotent request.
+    Claim(Claim),
+    /// Tells how a claimed run ended.
+    Settle(Settle),
+    /// Gives a claim back before anything was sent.
+    Release(Release),
+    /// Numbers an order to an upstream.
+    Order(Order),
+    /// Tells what became of an order.
+    Ordered(Ordered),
+    /// Stops an instance gracefully.
+    Drain(Drain),
+    /// Notes a change of the voter set.
+    Voters(Voters),
+}
+
+impl Command {
+    /// Returns when the command was proposed, in Unix milliseconds.
+    pub fn at(&self) -> u64 {
+        match self {
+            Self::Edit(edit) => edit.at,
+            Self::Claim(claim) => claim.at,
+            Self::Settle(settle) => settle.at,
+            Self::Release(release) => release.at,
+            Self::Order(order) => order.at,
+            Self::Ordered(ordered) => ordered.at,
+            Self::Drain(drain) => drain.at,
+            Self::Voters(voters) => voters.at,
+        }
+    }
+
+    /// Says whether the command's time is near enough to the leader's own, in Unix milliseconds.
+    pub fn in_time(&self, now: u64) -> bool {
+        self.at().abs_diff(now) <= SKEW_MS
+    }
+
+    /// Names the first text that is too long to be kept.
+    pub(crate) fn overlong(&self) -> Option<&'static str> {
+        let texts: &[(&'static str, &str)] = match self {
+            Self::Edit(edit) => &[("operator", edit.by.as_str()), ("edit id", edit.id.as_str())],
+            Self::Claim(claim) => &claim.texts(),
+            Self::Release(release) => &release.claim.texts(),
+            Self::Settle(settle) => &[("instance", settle.by.as_str())],
+            Self::Order(order) => &order.texts(),
+            Self::Ordered(ordered) => {
+                &[("instance", ordered.by.as_str()), ("upstream", ordered.upstream.as_str())]
+            }
+            Self::Drain(drain) => {
+                &[("operator", drain.by.as_str()), ("instance", drain.instance.as_str())]
+            }
+            Self::Voters(voters) => return voters.overlong(),
+        };
+        first_overlong(texts)
+    }
+}
+
+/// Asks an instance to stop gracefully.
+#[data]
+pub struct Drain {
+    /// Who asks.
+    pub by: Operator,
+    /// Which instance.
+    pub instance: Instance,
+    /// When, in Unix milliseconds.
+    pub at: u64,
+}
+
+/// Notes a change of the voter set, which the log itself carries out.
+#[data]
+pub struct Voters {
+    /// Who asks.
+    pub by: Operator,
+    /// What is changed.
+    pub change: Swap,
+    /// When, in Unix milliseconds.
+    pub at: u64,
+}
+
+impl Voters {
+    fn overlong(&self) -> Option<&'static str> {
+        let by = ("operator", self.by.as_str());
+        match &self.change {
+            Swap::Add(new) => first_overlong(&[by, ("instance", new.as_str())]),
+            Swap::Remove(old) => first_overlong(&[by, ("instance", old.as_str())]),
+            Swap::Replace { old, new } => {
+                first_overlong(&[by, ("instance", old.as_str()), ("instance", new.as_str())])
+            }
+        }
+    }
+}
+
+/// Says which voter comes and which goes.
+#[data]
+pub enum Swap {
+    /// A voter comes.
+    Add(Instance),
+    /// A voter goes.
+    Remove(Instance),
+    /// A voter takes another's place.
+    Replace {
+        /// The voter that goes.
+        old: Instance,
+        /// The voter that comes.
+        new: Instance,
+    },
+}
+
+/// Bounds every name in a command, in bytes.
+pub const MAX_TEXT: usize = 128;
+
+fn first_overlong(texts: &[(&'static str, &str)]) -> Option<&'static str> {
+    texts.iter().find(|(_, text)| text.len() > MAX_TEXT).map(|(what, _)| *what)
+}
--- /dev/null
+++ b/crates/verbenaslip-state/src/history.rs
@@ -0,0 +1,240 @@
+//! The table, its revisions and who made them.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::fmt;
+use std::sync::Arc;
+
+use verbenaslip_base::data;
+use verbenaslip_base::hash;
+use verbenaslip_base::name::Operator;
+use verbenaslip_table::change::apply;
+use verbenaslip_table::edit::Id;
+use verbenaslip_table::{Change, Edit, Key, Problems, Revision, Table};
+
+/// Bounds the edits whose answers are kept for resends, and the history.
+pub const MAX_HISTORY: usize = 4_096;
+
+/// Bounds the rows that one history entry or answer names.
+pub const MAX_NAMED: usize = 64;
+
+/// Answers an edit.
+#[data]
+pub enum Verdict {
+    /// The edit is the given revision; so it is for a resend.
+    Accepted {
+        /// The revision that the edit made.
+        revision: Revision,
+    },
+    /// The table was so already; no revision was made.
+    Unchanged {
+        /// The newest revision then.
+        revision: Revision,
+    },
+    /// Another edit came first, or the base was never a revision.
+    Stale(Newest),
+    /// The identity was used for other changes before.
+    Reused,
+    /// A changed row is not allowed.
+    Bad(Problems),
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Accepted { revision } => write!(f, "accepted as revision {revision}"),
+            Self::Unchanged { revision } => write!(f, "unchanged at revision {revision}"),
+            Self::Stale(newest) => write!(f, "stale: {newest}"),
+            Self::Reused => f.write_str("the edit id was used for other changes; draw a new one"),
+            Self::Bad(problems) => problems.fmt(f),
+        }
+    }
+}
+
+/// Tells an operator whose base is stale what the newest revision is.
+#[data]
+pub struct Newest {
+    /// The newest revision.
+    pub revision: Revision,
+    /// Who made it; none before the first.
+    pub by: Option<Operator>,
+    /// The rows changed since the operator's base, in order, the first [`MAX_NAMED`].
+    pub differs: Vec<Key>,
+    /// Whether more rows may have changed than are named.
+    pub more: bool,
+}
+
+impl fmt::Display for Newest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "revision {} is the newest", self.revision)?;
+        if let Some(by) = &self.by {
+            write!(f, ", by {by}")?;
+        }
+        let rows: Vec<String> = self.differs.iter().map(Key::to_string).collect();
+        write!(f, "; changed since: {}", rows.join(", "))?;
+        if self.more { f.write_str(" and maybe more") } else { Ok(()) }
+    }
+}
+
+/// Notes one accepted edit.
+#[data]
+pub struct Entry {
+    /// The revision that it made.
+    pub revision: Revision,
+    /// Its identity.
+    pub edit: Id,
+    /// Who made it.
+    pub by: Operator,
+    /// When, in Unix milliseconds.
+    pub at: u64,
+    /// From which revision.
+    pub base: Revision,
+    /// The rows that it changed, in order, the first [`MAX_NAMED`].
+    pub rows: Vec<Key>,
+    /// How many rows it changed.
+    pub count: u32,
+}
+
+/// Holds the table and the accepted edits.
+#[data(default)]
+pub(crate) struct History {
+    revision: Revision,
+    table: Arc<Table>,
+    entries: VecDeque<Entry>,
+    answers: VecDeque<Answer>,
+}
+
+impl History {
+    pub(crate) fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    pub(crate) fn table(&self) -> &Arc<Table> {
+        &self.table
+    }
+
+    pub(crate) fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.iter()
+    }
+
+    /// Decides an edit.
+    pub(crate) fn edit(&mut self, edit: &Edit) -> Verdict {
+        let digest = digest(edit);
+        if let Some(answer) = self.answers.iter().find(|answer| answer.edit == edit.id) {
+            // The operator lost the answer and sends the edit again. Deciding it anew would call it
+            // stale, because its own first copy has moved the table on.
+            let same = answer.digest == digest;
+            return if same { self.again(edit, &answer.kind) } else { Verdict::Reused };
+        }
+        let verdict = self.decide(edit);
+        let kind = match &verdict {
+            Verdict::Accepted { revision } => Kind::Accepted(*revision),
+            Verdict::Unchanged { revision } => Kind::Unchanged(*revision),
+            // A base that is no revision yet becomes one later, and a late copy would be accepted
+            // after its operator was told that it was refused.
+            Verdict::Stale(_) if edit.base > self.revision => Kind::Refused,
+            _ => return verdict,
+        };
+        self.answers.push_back(Answer { edit: edit.id.clone(), digest, kind });
+        keep_newest(&mut self.answers, MAX_HISTORY);
+        verdict
+    }
+
+    /// Says whether the parts fit together.
+    pub(crate) fn is_whole(&self) -> bool {
+        let last = self.entries.back().map(|entry| entry.revision).unwrap_or_default();
+        let mut pairs = self.entries.iter().zip(self.entries.iter().skip(1));
+        let rising = pairs.all(|(older, newer)| older.revision.next() == newer.revision);
+        let bounded = self.entries.len().max(self.answers.len()) <= MAX_HISTORY;
+        last == self.revision && rising && bounded
+    }
+
+    fn again(&self, edit: &Edit, kind: &Kind) -> Verdict {
+        match *kind {
+            Kind::Accepted(revision) => Verdict::Accepted { revision },
+            Kind::Unchanged(revision) => Verdict::Unchanged { revision },
+            Kind::Refused => Verdict::Stale(self.newest(edit.base)),
+        }
+    }
+
+    fn decide(&mut self, edit: &Edit) -> Verdict {
+        if edit.base != self.revision {
+            return Verdict::Stale(self.newest(edit.base));
+        }
+        let table = match apply(&self.table, &edit.changes) {
+            Ok(table) => table,
+            Err(problems) => return Verdict::Bad(problems),
+        };
+        if table == *self.table {
+            return Verdict::Unchanged { revision: self.revision };
+        }
+        self.revision = self.revision.next();
+        self.table = Arc::new(table);
+        self.entries.push_back(Entry::of(edit, self.revision));
+        keep_newest(&mut self.entries, MAX_HISTORY);
+        Verdict::Accepted { revision: self.revision }
+    }
+
+    fn newest(&self, base: Revision) -> Newest {
+        let since = self.entries.iter().filter(|entry| entry.revision > base);
+        let mut keys = BTreeSet::new();
+        let mut cut = false;
+        for entry in since {
+            keys.extend(&entry.rows);
+            cut |= entry.count as usize > entry.rows.len();
+        }
+        let reaches = self.entries.front().is_none_or(|entry| entry.revision <= base.next());
+        Newest {
+            revision: self.revision,
+            by: self.entries.back().map(|entry| entry.by.clone()),
+            more: cut || !reaches || keys.len() > MAX_NAMED,
+            differs: keys.into_iter().take(MAX_NAMED).cloned().collect(),
+        }
+    }
+}
+
+impl Entry {
+    fn of(edit: &Edit, revision: Revision) -> Self {
+        let mut rows: Vec<Key> = edit.changes.iter().map(Change::key).collect();
+        rows.sort();
+        rows.truncate(MAX_NAMED);
+        Self {
+            revision,
+            edit: edit.id.clone(),
+            by: edit.by.clone(),
+            at: edit.at,
+            base: edit.base,
+            rows,
+            count: u32::try_from(edit.changes.len()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+/// Keeps what an edit was answered, for its resends.
+#[data]
+struct Answer {
+    edit: Id,
+    digest: u128,
+    kind: Kind,
+}
+
+#[data(copy)]
+enum Kind {
+    Accepted(Revision),
+    Unchanged(Revision),
+    Refused,
+}
+
+/// Drops the oldest of what has grown beyond its bound.
+pub(crate) fn keep_newest<T>(ring: &mut VecDeque<T>, most: usize) {
+    let excess = ring.len().saturating_sub(most);
+    ring.drain(..excess);
+}
+
+/// Returns what tells edits apart that share an identity.
+fn digest(edit: &Edit) -> u128 {
+    let changes: BTreeMap<Key, &Change> =
+        edit.changes.iter().map(|change| (change.key(), change)).collect();
+    // Encoding to memory fails for no value of these types.
+    let bytes = postcard::to_stdvec(&(edit.base, changes)).unwrap_or_default();
+    hash::wide(&[&bytes])
+}
--- /dev/null
+++ b/crates/verbenaslip-state/src/outcome.rs
@@ -0,0 +1,75 @@
+//! What a command did.
+
+use std::fmt;
+
+use verbenaslip_base::data;
+
+use crate::{claim, history, order};
+
+/// Answers a command; the same on every voter.
+#[data]
+pub enum Outcome {
+    /// Answers an edit.
+    Edit(history::Verdict),
+    /// Answers a claim.
+    Claim(claim::Verdict),
+    /// Answers a settlement or a release.
+    Closed(claim::Closing),
+    /// Answers an order.
+    Order(order::Verdict),
+    /// The note is in the audit trail.
+    Noted,
+    /// The order that it tells of is not waiting for its end.
+    Unasked,
+    /// The command was applied before; its position is not above the last one.
+    Replayed,
+    /// The command holds something too long to be kept; nothing changed.
+    Overlong(Overlong),
+}
+
+impl Outcome {
+    /// Says whether the command did what it asked for, now or when it first came.
+    pub fn accepted(&self) -> bool {
+        match self {
+            Self::Edit(verdict) => matches!(
+                verdict,
+                history::Verdict::Accepted { .. } | history::Verdict::Unchanged { .. }
+            ),
+            Self::Claim(verdict) => matches!(verdict, claim::Verdict::Granted),
+            Self::Closed(closing) => {
+                matches!(closing, claim::Closing::Kept | claim::Closing::Freed)
+            }
+            Self::Order(verdict) => matches!(verdict, order::Verdict::Numbered(_)),
+            Self::Noted => true,
+            Self::Unasked | Self::Replayed | Self::Overlong(_) => false,
+        }
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Edit(verdict) => verdict.fmt(f),
+            Self::Claim(verdict) => verdict.fmt(f),
+            Self::Closed(closing) => closing.fmt(f),
+            Self::Order(verdict) => verdict.fmt(f),
+            Self::Noted => f.write_str("noted"),
+            Self::Unasked => f.write_str("no such order is waiting for its end"),
+            Self::Replayed => f.write_str("applied before"),
+            Self::Overlong(overlong) => overlong.fmt(f),
+        }
+    }
+}
+
+/// Names what was too long to be kept.
+#[data]
+pub struct Overlong {
+    /// What it was, such as `instance`.
+    pub what: String,
+}
+
+impl fmt::Display for Overlong {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the {} is longer than {} bytes", self.what, crate::command::MAX_TEXT)
+    }
+}
--- /dev/null
+++ b/crates/verbenaslip-state/src/state.rs
@@ -0,0 +1,105 @@
+//! The replicated state as a whole.
+
+use std::sync::Arc;
+
+use verbenaslip_base::fence::Fence;
+use verbenaslip_table::{Revision, Table};
+
+use crate::audit::{Page, Trail};
+use crate::claim::{Claims, Limit};
+use crate::command::Command;
+use crate::history::{self, History};
+use crate::order::{Book, Pending};
+use crate::outcome::{Outcome, Overlong};
+
+/// Holds what every voter agrees on; the same commands in the same order make the same state.
+#[derive(Clone, Debug, PartialEq, Eq, Default)]
+pub struct State {
+    pub(crate) position: Fence,
+    pub(crate) clock: u64,
+    pub(crate) history: History,
+    pub(crate) claims: Claims,
+    pub(crate) orders: Book,
+    pub(crate) trail: Trail,
+}
+
+impl State {
+    /// Starts empty, with the given bounds on claims; all voters need the same.
+    pub fn new(limit: Limit) -> Self {
+        Self { claims: Claims::restore(limit, Vec::new()), ..Self::default() }
+    }
+
+    /// Applies one committed command.
+    ///
+    /// Positions rise; a command at or below the last position was applied before and does nothing.
+    pub fn apply(&mut self, position: Fence, command: &Command) -> Outcome {
+        if position.index <= self.position.index || position < self.position {
+            return Outcome::Replayed;
+        }
+        self.position = position;
+        if let Some(what) = command.overlong() {
+            return Outcome::Overlong(Overlong { what: what.to_owned() });
+        }
+        // The clock never falls: a slow instance's command must not make an expired key new again.
+        self.clock = self.clock.max(command.at());
+        self.claims.sweep(self.clock);
+        let outcome = self.decide(position, command);
+        self.trail.note(position, command, &outcome);
+        outcome
+    }
+
+    /// Returns the position of the last command applied.
+    pub fn position(&self) -> Fence {
+        self.position
+    }
+
+    /// Returns the greatest time of any command, in Unix milliseconds.
+    pub fn clock(&self) -> u64 {
+        self.clock
+    }
+
+    /// Returns the newest revision of the table.
+    pub fn revision(&self) -> Revision {
+        self.history.revision()
+    }
+
+    /// Returns the table at the newest revision.
+    pub fn table(&self) -> &Arc<Table> {
+        self.history.table()
+    }
+
+    /// Returns the accepted edits still kept, oldest first.
+    pub fn history(&self) -> impl Iterator<Item = &history::Entry> {
+        self.history.entries()
+    }
+
+    /// Returns how many claims are kept.
+    pub fn claims(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Returns the orders that have not ended, by upstream.
+    pub fn orders(&self) -> impl Iterator<Item = &Pending> {
+        self.orders.pending()
+    }
+
+    /// Returns entries of the audit trail from a number on, at most so many.
+    pub fn audit(&self, since: u64, most: usize) -> Page {
+        self.trail.page(since, most)
+    }
+
+    fn decide(&mut self, position: Fence, command: &Command) -> Outcome {
+        match command {
+            Command::Edit(edit) => Outcome::Edit(self.history.edit(edit)),
+            Command::Claim(claim) => Outcome::Claim(self.claims.claim(self.clock, claim)),
+            Command::Settle(settle) => Outcome::Closed(self.claims.settle(settle)),
+            Command::Release(release) => {
+                Outcome::Closed(self.claims.release(self.clock, &release.claim))
+            }
+            Command::Order(order) => Outcome::Order(self.orders.order(position, order)),
+            Command::Ordered(ordered) if self.orders.end(ordered) => Outcome::Noted,
+            Command::Ordered(_) => Outcome::Unasked,
+            Command::Drain(_) | Command::Voters(_) => Outcome::Noted,
+        }
+    }
+}
