--- a/crates/verbenaslip-state/tests/edits.rs
+++ b/crates/verbenaslip-state/tests/edits.rs
@@ -8,7 +8,10 @@
 /// One step of a case: the command and what it is answered.
 type Step = (Command, &'static str);
 
-fn run(cases: &[(&str, Vec<Step>)]) {
+/// A name and its steps.
+type Case = (&'static str, Vec<Step>);
+
+fn run(cases: &[Case]) {
     for (case, steps) in cases {
         let mut log = Log::default();
         for (number, (command, said)) in steps.iter().enumerate() {
