Make what a voter's folder showed at its opening durable

Cause: after a process died without a power loss, the files show writes that were never synced; the voter would acknowledge them and a power loss would take them away. Change: opening syncs the last log file and the folder.

--- a/crates/verbenaslip-disk/src/load.rs
+++ b/crates/verbenaslip-disk/src/load.rs
@@ -33,6 +33,7 @@
         if recovered.entries.is_empty() && (count > 0 || !self.segments.is_empty()) {
             self.drop_log()?;
         }
+        self.keep()?;
         self.next =
             recovered.entries.last().map_or(end, |entry| entry.position.index).checked_add(1);
         Ok(recovered)
