Add the callers' load tool and the stand-ins' command line

Cause: the stand-ins have to run as processes of their own, and what callers get has to be checked from outside against what back ends did.

--- a/crates/verbenaslip-lab/src/http/client.rs
+++ b/crates/verbenaslip-lab/src/http/client.rs
@@ -119,7 +119,17 @@
     call: &Call,
     limit: Duration,
 ) -> Result<Flow, Failure> {
-    let connected = timeout(limit, TcpStream::connect(address)).await;
+    open_within(address, call, limit, limit).await
+}
+
+/// Does the same with a limit of its own for the connection.
+pub(crate) async fn open_within(
+    address: SocketAddr,
+    call: &Call,
+    connect: Duration,
+    limit: Duration,
+) -> Result<Flow, Failure> {
+    let connected = timeout(connect, TcpStream::connect(address)).await;
     let stream = connected.map_err(|_| Failure::Refused)?.map_err(|_| Failure::Refused)?;
     stream.set_nodelay(true).ok();
     let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
--- a/crates/verbenaslip-lab/src/main.rs
+++ b/crates/verbenaslip-lab/src/main.rs
@@ -1,3 +1,7 @@
-//! Starts later.
+//! The command line of the stand-ins and the load tool.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    verbenaslip_lab::command::run(&argh::from_env())
+}
