--- /dev/null
+++ b/crates/verbenaslip-policy/src/estimate.rs
@@ -0,0 +1,83 @@
+//! Small estimators that forget: a mean and a straight line.
+
+use verbenaslip_base::data;
+
+/// Keeps an exponentially weighted mean.
+#[data(copy, float)]
+pub struct Mean {
+    value: f64,
+    gain: f64,
+}
+
+impl Mean {
+    /// Starts at a prior value; `gain` is the part of each new sample, between 0 and 1.
+    pub fn new(value: f64, gain: f64) -> Self {
+        Self { value, gain: gain.clamp(0.0, 1.0) }
+    }
+
+    /// Takes a sample; one that is not a finite number is dropped.
+    pub fn add(&mut self, sample: f64) {
+        if sample.is_finite() {
+            self.value += self.gain * (sample - self.value);
+        }
+    }
+
+    /// Returns the mean.
+    pub fn get(&self) -> f64 {
+        self.value
+    }
+}
+
+/// Fits `y = base + slope * x` to samples, the newer ones weighing more.
+///
+/// A prior with the weight of a few samples keeps the line sane when all samples have the same x.
+#[data(copy, float)]
+pub struct Line {
+    keep: f64,
+    weight: f64,
+    x: f64,
+    y: f64,
+    xx: f64,
+    xy: f64,
+}
+
+impl Line {
+    /// Starts from a prior line, held by two points `span` apart that each weigh as four samples.
+    pub fn new(base: f64, slope: f64, span: f64) -> Self {
+        let mut line = Self { keep: 1.0, weight: 0.0, x: 0.0, y: 0.0, xx: 0.0, xy: 0.0 };
+        for _ in 0..4 {
+            line.add(0.0, base);
+            line.add(span, base + slope * span);
+        }
+        line.keep = 0.98;
+        line
+    }
+
+    /// Takes a sample; one that is not a pair of finite numbers is dropped.
+    pub fn add(&mut self, x: f64, y: f64) {
+        if !(x.is_finite() && y.is_finite()) {
+            return;
+        }
+        self.weight = self.weight * self.keep + 1.0;
+        self.x = self.x * self.keep + x;
+        self.y = self.y * self.keep + y;
+        self.xx = self.xx * self.keep + x * x;
+        self.xy = self.xy * self.keep + x * y;
+    }
+
+    /// Returns the slope, never below zero.
+    pub fn slope(&self) -> f64 {
+        let spread = self.weight * self.xx - self.x * self.x;
+        // With nearly equal x the division would turn noise into a huge slope.
+        if spread <= 1e-9 * self.weight * self.xx.max(1.0) {
+            return 0.0;
+        }
+        ((self.weight * self.xy - self.x * self.y) / spread).max(0.0)
+    }
+
+    /// Returns the line's value at x, never below zero.
+    pub fn at(&self, x: f64) -> f64 {
+        let mean = self.x / self.weight;
+        (self.y / self.weight + self.slope() * (x - mean)).max(0.0)
+    }
+}
