--- a/crates/verbenaslip-policy/src/admit.rs
+++ b/crates/verbenaslip-policy/src/admit.rs
@@ -9,5 +9,5 @@
 mod queue;
 mod returns;
 
-pub use self::queue::{Admission, Item, Queue, Given};
+pub use self::queue::{Admission, Given, Item, Queue};
 pub use self::returns::Returns;
--- a/crates/verbenaslip-policy/src/admit/queue.rs
+++ b/crates/verbenaslip-policy/src/admit/queue.rs
@@ -7,12 +7,14 @@
 use verbenaslip_base::attempt::Request;
 use verbenaslip_base::data;
 use verbenaslip_base::head::Head;
+use verbenaslip_base::name::Upstream;
 use verbenaslip_base::refusal::{Reason, Refusal};
+use verbenaslip_table::Key;
 
 use crate::admit::Returns;
 use crate::admit::lane::{Lane, Waiting};
 use crate::pool::Pool;
-use crate::row::{Key, Terms};
+use crate::row::Terms;
 
 /// The most requests that wait for one model at one instance; bounds memory.
 const MOST_WAITING: usize = 8192;
@@ -26,12 +28,16 @@
 pub struct Item {
     /// The request.
     pub head: Head,
+    /// The row of the table that it falls under; its class may be the fallback.
+    pub key: Key,
     /// When it arrived.
     pub arrived: Duration,
     /// The terms of its row.
     pub terms: Terms,
     /// Prompt tokens that some upstream is expected to have cached.
     pub cached: u32,
+    /// Upstreams that it must not run on again.
+    pub avoid: Vec<Upstream>,
 }
 
 /// Decides what becomes of an offered request.
@@ -98,15 +104,11 @@
     /// Returns the request that should go next and takes it out, if one may go.
     ///
     /// `may` says whether a row's limits allow one more run.
-    pub fn next(
-        &mut self,
-        pool: &Pool,
-        mut may: impl FnMut(&Key, &Item) -> bool,
-    ) -> Option<Item> {
+    pub fn next(&mut self, pool: &Pool, mut may: impl FnMut(&Key, &Item) -> bool) -> Option<Item> {
         if pool.free == 0 {
             return None;
         }
-        let key = self.pick(pool, &mut may)?;
+        let key = self.pick(&mut may)?;
         let lane = self.lanes.get_mut(&key)?;
         let request = lane.first()?.item.head.request;
         let waiting = lane.remove(request)?;
@@ -179,7 +181,7 @@
     }
 
     fn insert(&mut self, item: Item, cost: f64) {
-        let key = Key::of(&item.head);
+        let key = item.key.clone();
         self.remove(item.head.request);
         let floor = self.floor(item.terms.priority);
         let terms = item.terms;
@@ -208,15 +210,11 @@
     }
 
     /// Chooses the lane that goes next.
-    fn pick(
-        &mut self,
-        pool: &Pool,
-        may: &mut impl FnMut(&Key, &Item) -> bool,
-    ) -> Option<Key> {
+    fn pick(&mut self, may: &mut impl FnMut(&Key, &Item) -> bool) -> Option<Key> {
         let mut best: BTreeMap<u8, (f64, Key)> = BTreeMap::new();
         for (key, lane) in &self.lanes {
             let Some(first) = lane.first() else { continue };
-            if !room(pool, lane.terms.priority, &self.lanes) || !may(key, &first.item) {
+            if !may(key, &first.item) {
                 continue;
             }
             let entry = best.entry(lane.terms.priority);
@@ -244,18 +242,18 @@
 
     /// Predicts the seconds that a request would wait for a slot.
     fn wait(&self, item: &Item, pool: &Pool) -> f64 {
-        let key = Key::of(&item.head);
+        let key = &item.key;
         let same = |lane: &&Lane| lane.terms.priority == item.terms.priority;
         let higher = |lane: &&Lane| lane.terms.priority > item.terms.priority;
         let above: f64 = self.lanes.values().filter(higher).map(|lane| lane.work).sum();
-        let own = self.lanes.get(&key).map_or(0.0, |lane| lane.work_before(item.head.deadline));
+        let own = self.lanes.get(key).map_or(0.0, |lane| lane.work_before(item.head.deadline));
         let weight = f64::from(item.terms.weight.max(1));
         // While this lane is served its own work ahead, each other lane has had at most its weight's
         // part beside it, and no more than it has waiting.
         let others: f64 = self
             .lanes
             .iter()
-            .filter(|(other, lane)| **other != key && same(lane))
+            .filter(|(other, lane)| *other != key && same(lane))
             .map(|(_, lane)| lane.work.min(own * f64::from(lane.terms.weight.max(1)) / weight))
             .sum();
         let ahead = above + own + others;
@@ -300,14 +298,6 @@
     }
 }
 
-/// Returns whether slots are left for a priority beside those reserved for higher ones.
-fn room(pool: &Pool, priority: u8, lanes: &BTreeMap<Key, Lane>) -> bool {
-    let higher = lanes.values().filter(|lane| lane.terms.priority > priority);
-    let percent: u32 = higher.map(|lane| lane.terms.reserve.min(100)).sum();
-    let reserved = u64::from(pool.slots) * u64::from(percent.min(90)) / 100;
-    u64::from(pool.free) > reserved
-}
-
 /// Returns the seconds that a request takes from dispatch to its whole answer.
 fn cost(item: &Item, pool: &Pool) -> f64 {
     let computed = item.head.prompt.saturating_sub(item.cached);
--- a/crates/verbenaslip-policy/src/limit/limiter.rs
+++ b/crates/verbenaslip-policy/src/limit/limiter.rs
@@ -5,12 +5,13 @@
 
 use verbenaslip_base::data;
 use verbenaslip_base::name::Instance;
+use verbenaslip_table::Key;
 
 use crate::limit::bucket::Bucket;
 use crate::limit::part::{FLOOR, HOLD, Part};
 use crate::limit::peers::Peers;
 use crate::limit::report::{Entry, MOST_ENTRIES, Report, WHOLE};
-use crate::row::{Key, Terms};
+use crate::row::{self, Terms};
 
 /// Seconds over which demand is remembered.
 const DEMAND: f64 = 4.0;
@@ -156,10 +157,10 @@
         row.wait(now, floor, ahead, tokens)
     }
 
-    /// Returns how many of a row may run at once here, if that is limited.
+    /// Returns how many of a row may run at once here; none for a row that the table lacks.
     pub fn concurrency(&self, now: Duration, key: &Key) -> Option<u32> {
         let floor = self.floor(now);
-        self.rows.get(key)?.concurrency(floor)
+        Some(self.rows.get(key)?.concurrency(floor))
     }
 
     /// Returns the requests a second that a row may start here, if that is limited.
@@ -236,7 +237,9 @@
         self.sequence = self.sequence.saturating_add(1);
         let listed = |row: &&Row| row.part.announced > 0.0 || row.demand > IDLE;
         let mut rows: Vec<&Row> = self.rows.values().filter(listed).collect();
-        rows.sort_by_key(|row| std::cmp::Reverse((part(row.part.announced), Entry::scaled(row.demand))));
+        rows.sort_by_key(|row| {
+            std::cmp::Reverse((part(row.part.announced), Entry::scaled(row.demand)))
+        });
         let entries = rows.into_iter().take(MOST_ENTRIES).map(Row::entry).collect();
         Report { incarnation: self.incarnation, sequence: self.sequence, entries }
     }
@@ -251,7 +254,7 @@
 impl Row {
     fn new(now: Duration, key: &Key, terms: Terms) -> Self {
         Self {
-            digest: key.digest(),
+            digest: row::digest(key),
             terms,
             part: Part::default(),
             rate: Bucket::new(now),
@@ -268,23 +271,22 @@
     }
 
     /// Returns how many may run at once.
-    fn concurrency(&self, floor: Floor) -> Option<u32> {
+    fn concurrency(&self, floor: Floor) -> u32 {
         const ROUNDING: f64 = 1e-6;
-        let limit = f64::from(self.terms.concurrency?);
+        let limit = f64::from(self.terms.concurrency);
         // An even part below one would be lost to rounding at every instance, so all is by demand.
         let share = if self.indivisible(floor) { self.part.used } else { self.share(floor) };
-        Some((limit * share + ROUNDING) as u32)
+        (limit * share + ROUNDING) as u32
     }
 
     /// Returns whether an even part of the concurrency would be less than one.
     fn indivisible(&self, floor: Floor) -> bool {
-        self.terms.concurrency.is_some_and(|limit| f64::from(limit) * floor.part < 1.0)
+        f64::from(self.terms.concurrency) * floor.part < 1.0
     }
 
     /// Returns the part that running requests keep from being given up.
     fn least(&self) -> f64 {
-        let Some(limit) = self.terms.concurrency else { return 0.0 };
-        f64::from(self.running) / f64::from(limit.max(1))
+        f64::from(self.running) / f64::from(self.terms.concurrency.max(1))
     }
 
     fn fill(&mut self, now: Duration, floor: Floor) {
@@ -302,7 +304,7 @@
     fn check(&mut self, now: Duration, floor: Floor, tokens: u32) -> Result<(), Refused> {
         self.fill(now, floor);
         let share = self.share(floor);
-        if self.concurrency(floor).is_some_and(|limit| self.running >= limit) {
+        if self.running >= self.concurrency(floor) {
             return Err(Refused { what: What::Concurrency, after: HOLD });
         }
         if let Some(rate) = self.terms.rate {
@@ -364,7 +366,7 @@
         return row.part.used;
     }
     let even = mine / total;
-    let Some(limit) = row.terms.concurrency else { return even };
+    let limit = row.terms.concurrency;
     let contenders = 1 + others.iter().filter(|(_, demand)| *demand > IDLE).count();
     if limit as usize >= contenders * 4 {
         return even;
--- a/crates/verbenaslip-policy/src/limit/report.rs
+++ b/crates/verbenaslip-policy/src/limit/report.rs
@@ -21,7 +21,7 @@
 /// Tells what one instance holds of one row's limits.
 #[data(copy, ord)]
 pub struct Entry {
-    /// The row's short name, as [`crate::row::Key::digest`] gives it.
+    /// A short hash of the row's key.
     pub row: u32,
     /// Demand on a logarithmic scale.
     pub demand: u16,
--- a/crates/verbenaslip-policy/src/retry.rs
+++ b/crates/verbenaslip-policy/src/retry.rs
@@ -6,8 +6,7 @@
 use rand::{Rng, RngExt};
 use verbenaslip_base::data;
 use verbenaslip_base::name::Upstream;
-
-use crate::row::Key;
+use verbenaslip_table::Key;
 
 /// The most retries that a budget saves up.
 const SAVED: f64 = 20.0;
--- a/crates/verbenaslip-policy/src/row.rs
+++ b/crates/verbenaslip-policy/src/row.rs
@@ -4,55 +4,21 @@
 
 use verbenaslip_base::data;
 use verbenaslip_base::hash;
-use verbenaslip_base::head::Head;
-use verbenaslip_base::name::{Class, Team};
-
-/// Identifies a row of the table.
-#[data(ord, hash)]
-pub struct Key {
-    /// The team.
-    pub team: Team,
-    /// The request class.
-    pub class: Class,
-}
-
-impl Key {
-    /// Returns the key of the row that a request falls under.
-    pub fn of(head: &Head) -> Self {
-        Self { team: head.team.clone(), class: head.class.clone() }
-    }
-
-    /// Returns a short name that every instance computes alike.
-    pub fn digest(&self) -> u32 {
-        hash::narrow(&[self.team.as_str().as_bytes(), self.class.as_str().as_bytes()]) as u32
-    }
-}
-
-/// Names what a row would rather have when not all can be had.
-#[data(copy, ord, hash, default)]
-pub enum Prefer {
-    /// The lowest price at which the deadline is met.
-    #[default]
-    Cost,
-    /// The earliest first token.
-    Latency,
-    /// The fewest tokens computed again.
-    Cache,
-}
+use verbenaslip_table::{Key, Preference, Row};
 
 /// Holds a row's terms in the units that decisions use.
 #[data(copy)]
 pub struct Terms {
-    /// The row's part of the capacity, beside the weights of the other rows.
+    /// The row's part of the capacity, beside the weights of the other rows of its priority.
     pub weight: u32,
     /// Which rows go first: a higher one before a lower one, 0 to 9.
     pub priority: u8,
     /// Requests a second; none is without limit.
     pub rate: Option<u32>,
-    /// How many requests may come at once above the rate.
+    /// How many requests may come at once before the rate counts.
     pub burst: u32,
-    /// Requests that run at once; none is without limit.
-    pub concurrency: Option<u32>,
+    /// Requests that run at once.
+    pub concurrency: u32,
     /// Prompt and answer tokens a second; none is without limit.
     pub tokens: Option<u32>,
     /// How long after arrival the whole answer is due when the caller did not say.
@@ -65,28 +31,37 @@
     pub wait: Duration,
     /// Retries for a hundred successes.
     pub retries: u32,
-    /// Part of the slots, in hundredths, that lower priorities leave free for this row.
+    /// Part of the capacity that is kept on on-demand instances, in hundredths.
     pub reserve: u32,
-    /// What it would rather have.
-    pub prefer: Prefer,
+    /// What to spare when both can't be had.
+    pub prefer: Preference,
 }
 
-impl Default for Terms {
-    fn default() -> Self {
+impl From<&Row> for Terms {
+    fn from(row: &Row) -> Self {
         Self {
-            weight: 1,
-            priority: 5,
-            rate: None,
-            burst: 1,
-            concurrency: None,
-            tokens: None,
-            deadline: Duration::from_secs(60),
-            first_token: Duration::from_secs(5),
-            output: 1024,
-            wait: Duration::from_secs(30),
-            retries: 10,
-            reserve: 0,
-            prefer: Prefer::Cost,
+            weight: row.weight.max(1),
+            priority: row.priority.min(9) as u8,
+            rate: row.rate,
+            burst: row.burst,
+            concurrency: row.concurrency,
+            tokens: row.tokens_per_s,
+            deadline: millis(row.deadline_ms),
+            first_token: millis(row.first_token_ms),
+            output: row.max_output_tokens,
+            wait: millis(row.max_wait_ms),
+            retries: row.retries_percent,
+            reserve: row.reserve_percent,
+            prefer: row.prefer,
         }
     }
 }
+
+/// Returns a short name of a row that every instance computes alike.
+pub(crate) fn digest(key: &Key) -> u32 {
+    hash::narrow(&[key.team.as_str().as_bytes(), key.class.as_str().as_bytes()]) as u32
+}
+
+fn millis(value: u32) -> Duration {
+    Duration::from_millis(u64::from(value))
+}
--- a/crates/verbenaslip-policy/src/wave.rs
+++ b/crates/verbenaslip-policy/src/wave.rs
@@ -17,7 +17,7 @@
 /// Remembers the recent losses of each availability zone.
 #[derive(Debug, Default)]
 pub struct Wave {
-    losses: BTreeMap<AvailabilityZone, VecDeque<(Duration, Upstream)>>,
+    losses: BTreeMap<AvailabilityZone, VecDeque<Lost>>,
     until: BTreeMap<AvailabilityZone, Duration>,
 }
 
@@ -25,10 +25,10 @@
     /// Notes that an upstream was lost or told to leave, out of so many in its zone.
     pub fn lost(&mut self, now: Duration, zone: &AvailabilityZone, upstream: &Upstream, of: usize) {
         let losses = self.losses.entry(zone.clone()).or_default();
-        losses.retain(|(at, _)| now.saturating_sub(*at) <= WINDOW);
+        losses.retain(|lost| now.saturating_sub(lost.at) <= WINDOW);
         // The same upstream is reported by its notice, its announcement and its connections.
-        if losses.iter().all(|(_, known)| known != upstream) && losses.len() < MOST {
-            losses.push_back((now, upstream.clone()));
+        if losses.iter().all(|lost| lost.upstream != *upstream) && losses.len() < MOST {
+            losses.push_back(Lost { at: now, upstream: upstream.clone() });
         }
         if losses.len() >= FEWEST && losses.len() * 2 >= of {
             self.until.insert(zone.clone(), now.saturating_add(AFTER));
@@ -45,3 +45,10 @@
         self.until.values().any(|until| now < *until)
     }
 }
+
+/// Remembers one loss.
+#[derive(Debug)]
+struct Lost {
+    at: Duration,
+    upstream: Upstream,
+}
--- /dev/null
+++ b/crates/verbenaslip-policy/tests/common/mod.rs
@@ -0,0 +1,97 @@
+//! Values that the tests of several modules start from.
+
+#![allow(dead_code)]
+
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use verbenaslip_base::announce::{Announcement, Kind, Load, Market, Phase};
+use verbenaslip_base::attempt::Request;
+use verbenaslip_base::head::Head;
+use verbenaslip_base::name::{Instance, Model};
+use verbenaslip_policy::admit::Item;
+use verbenaslip_policy::pool::Pool;
+use verbenaslip_policy::row::Terms;
+use verbenaslip_table::{Key, Row};
+
+/// Returns a generator with a fixed seed.
+pub fn rng(seed: u64) -> Pcg64Mcg {
+    Pcg64Mcg::seed_from_u64(seed)
+}
+
+/// Returns a time in milliseconds.
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Returns a row's key.
+pub fn key(team: &str, class: &str) -> Key {
+    Key { team: team.into(), class: class.into() }
+}
+
+/// Returns the terms of a usual row, changed.
+pub fn terms(change: impl FnOnce(&mut Row)) -> Terms {
+    let mut row = Row::new("team", "class");
+    change(&mut row);
+    Terms::from(&row)
+}
+
+/// Returns a small request that is due 30 s from zero.
+pub fn head(id: u128, team: &str) -> Head {
+    Head {
+        request: Request(id),
+        team: team.into(),
+        class: "class".into(),
+        model: Model::from("model"),
+        idempotent: true,
+        keyed: true,
+        issued: None,
+        deadline: Duration::from_secs(30),
+        prompt: 400,
+        output: 100,
+        prefix: Vec::new(),
+    }
+}
+
+/// Returns an offered request.
+pub fn item(id: u128, team: &str, terms: Terms) -> Item {
+    Item {
+        head: head(id, team),
+        key: key(team, "class"),
+        arrived: Duration::ZERO,
+        terms,
+        cached: 0,
+        avoid: Vec::new(),
+    }
+}
+
+/// Returns a pool with slots, of which some are free.
+pub fn pool(slots: u32, free: u32) -> Pool {
+    let share = f64::from(slots);
+    Pool { upstreams: 1, slots, free, share, running: 4.0, ..Pool::default() }
+}
+
+/// Returns an announcement of a ready engine.
+pub fn engine(name: &str, zone: &str, sequence: u64) -> Announcement {
+    Announcement {
+        upstream: name.into(),
+        address: ([127, 0, 0, 1], 9).into(),
+        zone: zone.into(),
+        kind: Kind::Engine,
+        incarnation: 1,
+        sequence,
+        phase: Phase::Ready,
+        models: vec![Model::from("model")],
+        market: Market::Reclaimable,
+        price: 1_000_000,
+        fenced: false,
+        slots: 8,
+        load: Load::default(),
+    }
+}
+
+/// Returns the names of so many instances.
+pub fn instances(count: usize) -> Vec<Instance> {
+    (0..count).map(|index| Instance::new(format!("instance-{index:03}"))).collect()
+}
