Add the adapters for callers, upstreams, instances and operators

Cause: the decisions need ends that speak with callers, engines, plain services, operators, the cloud, the weight store and other instances.

Change: `traffic` serves callers with hyper and drives runs, one connection a run and no silent retry; answers are put together from the live run's pieces only. `peers` carries datagrams and frames with heartbeats both ways. `admin` and `cloud` use oxhttp, whose client and server are now switched on.

Ruled out: oxhttp for callers, because it holds chunks back until its buffer is full.

--- a/crates/verbenaslip/src/lib.rs
+++ b/crates/verbenaslip/src/lib.rs
@@ -1,6 +1,10 @@
 //! Adapters, settings, log events and threads around the decisions.
 
+pub mod admin;
+pub mod cloud;
 pub mod event;
 pub mod keys;
 pub mod metric;
+pub mod peers;
 pub mod settings;
+pub mod traffic;
--- /dev/null
+++ b/crates/verbenaslip/src/peers/inbound.rs
@@ -0,0 +1,120 @@
+//! Datagrams and connections from other instances.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::time::{sleep, timeout};
+
+use crate::peers::link::SILENT;
+use crate::peers::wire::{DATAGRAM_MAX, Datagram, Frame, Purpose, Stamp};
+use crate::peers::{Report, Shared, count};
+
+/// The most connections from others at once.
+const CONNECTIONS_MAX: usize = 2048;
+
+/// How long the listener rests when the system has no connection to give.
+const REST: Duration = Duration::from_millis(20);
+
+/// Receives datagrams.
+pub(crate) async fn datagrams(shared: Arc<Shared>, socket: UdpSocket) {
+    let mut buffer = vec![0; DATAGRAM_MAX + 1];
+    loop {
+        // An error tells of an earlier datagram that nobody took; the socket goes on.
+        let Ok((length, source)) = socket.recv_from(&mut buffer).await else {
+            tokio::task::yield_now().await;
+            continue;
+        };
+        match Datagram::decode(&buffer[..length]) {
+            Ok(datagram) if known(&shared, &datagram.stamp, source) => {
+                let Stamp { from, incarnation, .. } = datagram.stamp;
+                shared.tell(Report { from, incarnation, bytes: datagram.bytes });
+            }
+            Ok(_) => {}
+            Err(error) => refuse(&shared, source, &error),
+        }
+    }
+}
+
+/// Takes connections.
+pub(crate) async fn accept(shared: Arc<Shared>, listener: TcpListener) {
+    let open = Arc::new(AtomicUsize::new(0));
+    loop {
+        let Ok((stream, source)) = listener.accept().await else {
+            sleep(REST).await;
+            continue;
+        };
+        if open.load(Ordering::Relaxed) >= CONNECTIONS_MAX {
+            count(&shared.counts.refused);
+            continue;
+        }
+        open.fetch_add(1, Ordering::Relaxed);
+        let (shared, open) = (shared.clone(), open.clone());
+        tokio::spawn(async move {
+            if let Err(error) = serve(&shared, stream, source).await {
+                match error.kind() {
+                    io::ErrorKind::InvalidData => refuse(&shared, source, &error),
+                    _ => log::debug!("connection from {source} ended: {error}"),
+                }
+            }
+            open.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+}
+
+/// Serves one connection until it ends or is silent.
+async fn serve(shared: &Shared, mut stream: TcpStream, source: SocketAddr) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let Frame::Hello { stamp, purpose } = timeout(SILENT, Frame::read(&mut stream)).await?? else {
+        return Err(io::Error::new(io::ErrorKind::InvalidData, "the first frame is no greeting"));
+    };
+    if !known(shared, &stamp, source) {
+        return Ok(());
+    }
+    match purpose {
+        Purpose::Messages => messages(shared, stream, &stamp).await,
+        Purpose::Answers => {
+            shared.answers.adopt(stream.into_std()?);
+            Ok(())
+        }
+    }
+}
+
+/// Passes on messages and answers heartbeats.
+async fn messages(shared: &Shared, mut stream: TcpStream, stamp: &Stamp) -> io::Result<()> {
+    loop {
+        match timeout(SILENT, Frame::read(&mut stream)).await?? {
+            Frame::Heartbeat => {
+                let beat = Frame::Heartbeat;
+                timeout(SILENT, beat.write(&mut stream)).await??;
+            }
+            Frame::Message(bytes) => {
+                let Stamp { from, incarnation, .. } = stamp.clone();
+                shared.tell(Report { from, incarnation, bytes });
+            }
+            _ => return Err(io::Error::new(io::ErrorKind::InvalidData, "the frame is no message")),
+        }
+    }
+}
+
+/// Says whether a sender is of this deployment.
+fn known(shared: &Shared, stamp: &Stamp, source: SocketAddr) -> bool {
+    let known = stamp.deployment == shared.stamp.deployment;
+    if !known {
+        count(&shared.counts.refused);
+        let from = &stamp.from;
+        log::warn!(
+            "refused {from} at {source}: it is of another deployment, or its secret differs; check \
+             the cluster name and secret in its settings"
+        );
+    }
+    known
+}
+
+fn refuse(shared: &Shared, source: SocketAddr, error: &dyn std::error::Error) {
+    count(&shared.counts.refused);
+    log::warn!("refused bytes from {source}: {error}");
+}
--- /dev/null
+++ b/crates/verbenaslip/src/peers/wire.rs
@@ -0,0 +1,226 @@
+//! Frames and datagrams between instances.
+
+use std::io;
+use std::sync::Arc;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use verbenaslip_base::attempt::{Attempt, Request};
+use verbenaslip_base::data;
+use verbenaslip_base::name::Instance;
+
+/// The bytes before a frame's content: its length and its CRC-32, both little-endian.
+const HEAD: usize = 8;
+
+/// The bytes before a datagram's content: its CRC-32, little-endian.
+const SUM: usize = 4;
+
+/// The most bytes of a frame's content.
+pub const FRAME_MAX: usize = 8 << 20;
+
+/// The most bytes of a datagram.
+pub const DATAGRAM_MAX: usize = 60_000;
+
+/// Marks who sends and in which deployment.
+#[data]
+pub struct Stamp {
+    /// Hash of the deployment's name and secret.
+    pub deployment: u64,
+    /// The sender.
+    pub from: Instance,
+    /// The sender's start.
+    pub incarnation: u64,
+}
+
+/// Says what a connection is for.
+#[data(copy, ord)]
+pub enum Purpose {
+    /// For messages of the decisions.
+    Messages,
+    /// For answers.
+    Answers,
+}
+
+/// Holds one frame of a connection.
+#[data]
+pub enum Frame {
+    /// Opens the connection.
+    Hello {
+        /// Who opens it.
+        stamp: Stamp,
+        /// What it is for.
+        purpose: Purpose,
+    },
+    /// Shows that the connection still carries something.
+    Heartbeat,
+    /// Carries a message of the decisions.
+    Message(Vec<u8>),
+    /// Asks for an answer from after a position.
+    Fetch {
+        /// The request.
+        request: Request,
+        /// The last position that is held already.
+        after: u32,
+    },
+    /// Brings a copy of an answer.
+    Copy {
+        /// The request.
+        request: Request,
+    },
+    /// Carries a piece of an answer.
+    Piece {
+        /// The run that it came from.
+        attempt: Attempt,
+        /// The position of its last token.
+        position: u32,
+        /// How many tokens it holds.
+        tokens: u32,
+        /// Their text.
+        text: Arc<str>,
+    },
+    /// Ends a model's answer.
+    Finish {
+        /// The run that it came from.
+        attempt: Attempt,
+        /// Why it ended.
+        reason: Arc<str>,
+    },
+    /// Carries a plain service's whole answer.
+    Whole {
+        /// The run that it came from.
+        attempt: Attempt,
+        /// The status.
+        status: u16,
+        /// The content type.
+        content: Arc<str>,
+        /// The body.
+        bytes: Vec<u8>,
+    },
+    /// Says how far a copy is.
+    Held {
+        /// The last position held.
+        position: u32,
+        /// Whether the end is held as well.
+        whole: bool,
+    },
+    /// Says that there is no such answer, or that its copy is not taken.
+    Declined,
+}
+
+/// Holds one datagram.
+#[data]
+pub struct Datagram {
+    /// Who sent it.
+    pub stamp: Stamp,
+    /// The message.
+    pub bytes: Vec<u8>,
+}
+
+/// Holds a frame and the bytes that it took; none when more must come first.
+pub type Decoded = Option<(Frame, usize)>;
+
+/// Says what is wrong with received bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum Error {
+    /// the frame is larger than allowed
+    Large,
+    /// the checksum does not match: the bytes were damaged or are not ours
+    Damaged,
+    /// the content is no frame of this version
+    Unreadable,
+}
+
+impl std::error::Error for Error {}
+
+impl From<Error> for io::Error {
+    fn from(error: Error) -> Self {
+        Self::new(io::ErrorKind::InvalidData, error)
+    }
+}
+
+impl Frame {
+    /// Returns the frame's bytes with length and checksum; none when it is too large.
+    pub fn encode(&self) -> Option<Vec<u8>> {
+        let content = pack(self).filter(|content| content.len() <= FRAME_MAX)?;
+        let mut bytes = Vec::with_capacity(HEAD + content.len());
+        bytes.extend_from_slice(&u32::try_from(content.len()).ok()?.to_le_bytes());
+        bytes.extend_from_slice(&crc32fast::hash(&content).to_le_bytes());
+        bytes.extend_from_slice(&content);
+        Some(bytes)
+    }
+
+    /// Reads a frame from bytes and says how many it took; none when more must come first.
+    pub fn decode(bytes: &[u8]) -> Result<Decoded, Error> {
+        let Some((head, rest)) = bytes.split_first_chunk::<HEAD>() else {
+            return Ok(None);
+        };
+        let (length, sum) = split(*head);
+        if length > FRAME_MAX {
+            return Err(Error::Large);
+        }
+        let Some(content) = rest.get(..length) else {
+            return Ok(None);
+        };
+        Ok(Some((check(content, sum)?, HEAD + length)))
+    }
+
+    /// Reads the next frame of a connection, and not a byte after it.
+    pub(crate) async fn read(stream: &mut (impl AsyncRead + Unpin)) -> io::Result<Self> {
+        let mut head = [0; HEAD];
+        stream.read_exact(&mut head).await?;
+        let (length, sum) = split(head);
+        if length > FRAME_MAX {
+            return Err(Error::Large.into());
+        }
+        // The memory grows with the bytes that came, not with the length that was claimed.
+        let mut content = Vec::new();
+        let read = stream.take(length as u64).read_to_end(&mut content).await?;
+        if read < length {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        Ok(check(&content, sum)?)
+    }
+
+    /// Writes the frame and returns how many bytes it took.
+    pub(crate) async fn write(&self, stream: &mut (impl AsyncWrite + Unpin)) -> io::Result<usize> {
+        let bytes = self.encode().ok_or(Error::Large)?;
+        stream.write_all(&bytes).await?;
+        Ok(bytes.len())
+    }
+}
+
+impl Datagram {
+    /// Returns the datagram's bytes with its checksum; none when it is too large.
+    pub fn encode(&self) -> Option<Vec<u8>> {
+        let content = pack(self).filter(|content| content.len() + SUM <= DATAGRAM_MAX)?;
+        let mut bytes = crc32fast::hash(&content).to_le_bytes().to_vec();
+        bytes.extend_from_slice(&content);
+        Some(bytes)
+    }
+
+    /// Reads a datagram from its bytes.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        let Some((sum, content)) = bytes.split_first_chunk::<SUM>() else {
+            return Err(Error::Unreadable);
+        };
+        check(content, u32::from_le_bytes(*sum))
+    }
+}
+
+fn split(head: [u8; HEAD]) -> (usize, u32) {
+    let [a, b, c, d, e, f, g, h] = head;
+    (u32::from_le_bytes([a, b, c, d]) as usize, u32::from_le_bytes([e, f, g, h]))
+}
+
+fn pack(value: &impl Serialize) -> Option<Vec<u8>> {
+    postcard::to_stdvec(value).ok()
+}
+
+fn check<T: DeserializeOwned>(content: &[u8], sum: u32) -> Result<T, Error> {
+    if crc32fast::hash(content) != sum {
+        return Err(Error::Damaged);
+    }
+    let (value, rest) = postcard::take_from_bytes(content).map_err(|_| Error::Unreadable)?;
+    if rest.is_empty() { Ok(value) } else { Err(Error::Unreadable) }
+}
