Add membership between instances and the registry of upstreams

Cause: the instances need to know each other, and the upstreams announce themselves about once a second to whichever instance the balancer picks.

Weighed: passing each renewal on to everybody (cost grows with upstreams times copies), an unversioned freshness mark (can't tell which set it covers), and homes by rendezvous that vouch for a versioned set with one mark a second. The last one was built: a renewal costs one small entry in a datagram to each of two homes in two availability zones.

--- a/crates/verbenaslip-base/src/name.rs
+++ b/crates/verbenaslip-base/src/name.rs
@@ -1,4 +1,4 @@
-//! Names of instances, availability zones, teams, request classes, upstreams and models.
+//! Names of instances, regions, availability zones, teams, request classes, upstreams and models.
 
 use std::borrow::Borrow;
 use std::fmt;
@@ -47,6 +47,8 @@
 names! {
     /// Names one instance of verbenaslip, unique in the deployment.
     Instance;
+    /// Names a group of availability zones that are near each other.
+    Region;
     /// Names a part of a region that can be lost as a whole.
     AvailabilityZone;
     /// Names a group of callers that shares keys and limits.
--- /dev/null
+++ b/crates/verbenaslip-gossip/src/frame.rs
@@ -0,0 +1,307 @@
+//! The datagrams between instances.
+
+use std::time::Duration;
+
+use verbenaslip_base::announce::{Announcement, Load};
+use verbenaslip_base::name::Upstream;
+use verbenaslip_base::{data, hash};
+
+use crate::member::{Area, Handle, Rumor};
+use crate::time::Age;
+
+/// The most bytes that a frame takes, so that with its envelope it fits 1,200 bytes.
+pub const MAX_FRAME: usize = 1_180;
+
+/// One datagram.
+#[data]
+pub struct Frame {
+    /// Who sends it.
+    pub from: Handle,
+    /// What it says.
+    pub body: Body,
+}
+
+impl Frame {
+    /// Reads a frame; none when the bytes are not exactly one.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        let (frame, rest) = postcard::take_from_bytes(bytes).ok()?;
+        rest.is_empty().then_some(frame)
+    }
+
+    /// Writes the frame; none when it does not fit a datagram.
+    pub fn encode(&self) -> Option<Vec<u8>> {
+        let bytes = postcard::to_stdvec(self).ok()?;
+        (bytes.len() <= MAX_FRAME).then_some(bytes)
+    }
+}
+
+/// What a datagram says.
+#[data]
+pub enum Body {
+    /// Introduces the sender to an address that may not know it.
+    Join(Rumor),
+    /// Asks the target to answer.
+    Ping {
+        /// Who is meant; another one that lives at the address now introduces itself instead.
+        target: Handle,
+        /// Comes back in the answer.
+        probe: u32,
+    },
+    /// Answers a ping.
+    Ack {
+        /// The ping's number.
+        probe: u32,
+    },
+    /// Asks the receiver to ping the target in the sender's place.
+    Relay {
+        /// Who is to answer.
+        target: Handle,
+        /// Comes back in the answer.
+        probe: u32,
+    },
+    /// Passes on news.
+    Spread(Spread),
+    /// Compares what the sender holds with what the receiver holds.
+    Sync(Sync),
+    /// Lists the members of one region, after a comparison had differed.
+    Roster(Roster),
+    /// Asks for what the sender found that it lacks.
+    Pull(Pull),
+    /// Passes renewals on to an instance that vouches for the upstreams.
+    Renewals(Vec<Renewal>),
+    /// Carries the sender's own report.
+    Report(Report),
+}
+
+/// News of all kinds; the receiver passes on what was new to it.
+#[data(default)]
+pub struct Spread {
+    /// Upstreams that take no new work.
+    pub leaving: Vec<Leaving>,
+    /// Changes of what instances vouch for.
+    pub deltas: Vec<Delta>,
+    /// Freshness marks.
+    pub marks: Vec<Mark>,
+    /// Changes of members.
+    pub members: Vec<Rumor>,
+    /// New or changed upstreams.
+    pub sheets: Vec<Sheet>,
+    /// Changed loads of upstreams.
+    pub loads: Vec<Gauge>,
+}
+
+impl Spread {
+    /// Tells whether there is no news.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.leaving.is_empty()
+            && self.deltas.is_empty()
+            && self.marks.is_empty()
+            && self.members.is_empty()
+            && self.sheets.is_empty()
+            && self.loads.is_empty()
+    }
+}
+
+/// Stands for an upstream in datagrams.
+///
+/// A new upstream whose name gives a key in use by another name is refused when it announces.
+#[data(copy, ord, hash)]
+pub struct Key(pub [u8; 6]);
+
+impl Key {
+    /// Derives it from the upstream's name.
+    pub(crate) fn of(upstream: &Upstream) -> Self {
+        let [a, b, c, d, e, f, ..] = hash::narrow(&[upstream.as_str().as_bytes()]).to_le_bytes();
+        Self([a, b, c, d, e, f])
+    }
+}
+
+/// Tells one content of an announcement from another; sequence and load are no part of it.
+#[data(copy, ord, hash)]
+pub struct Check(pub [u8; 3]);
+
+/// Says that an upstream takes no new work.
+#[data(copy)]
+pub struct Leaving {
+    /// The upstream.
+    pub key: Key,
+    /// The incarnation for which this is final.
+    pub incarnation: u64,
+    /// The sequence at which it said so.
+    pub sequence: u64,
+    /// Milliseconds that are left until it is taken away.
+    pub notice: Option<u32>,
+}
+
+/// Passes on an announcement.
+#[data]
+pub struct Sheet {
+    /// The announcement.
+    pub announcement: Announcement,
+    /// How long ago it was made.
+    pub age: Age,
+    /// How old its load report is, in milliseconds.
+    pub load_age: u32,
+}
+
+/// Passes on the load of an upstream.
+#[data(copy)]
+pub struct Gauge {
+    /// The upstream.
+    pub key: Key,
+    /// The low bits of the incarnation.
+    pub incarnation: u8,
+    /// The sequence of the announcement that said so.
+    pub sequence: u64,
+    /// The load; its age covers all of its way.
+    pub load: Load,
+}
+
+/// Changes what one instance vouches for.
+#[data]
+pub struct Delta {
+    /// The instance that vouches.
+    pub voucher: Handle,
+    /// The version that it changes; zero replaces all.
+    pub base: u32,
+    /// The version that it leads to.
+    pub version: u32,
+    /// The newest version that the sender holds; marks do not count until it is reached.
+    pub head: u32,
+    /// The changes.
+    pub entries: Vec<Entry>,
+}
+
+/// Changes what an instance vouches for about one upstream.
+#[data(copy)]
+pub struct Entry {
+    /// The upstream.
+    pub key: Key,
+    /// The content that it vouches for; none when it no longer does.
+    pub check: Option<Check>,
+}
+
+/// Says that all upstreams that an instance vouches for were renewed not longer ago than an age.
+#[data(copy)]
+pub struct Mark {
+    /// The instance that vouches.
+    pub voucher: Handle,
+    /// Rises with each mark of the voucher.
+    pub tick: u32,
+    /// The version of what it vouches for.
+    pub version: u32,
+    /// The age of the oldest renewal among them.
+    pub age: Age,
+}
+
+/// Compares what two instances hold.
+#[data(default)]
+pub struct Sync {
+    /// A checksum over the members of each region.
+    pub rosters: Vec<Sum>,
+    /// How long ago each other region was last heard.
+    pub areas: Vec<Heard>,
+    /// All freshness marks, when both are in one region.
+    pub marks: Vec<Mark>,
+}
+
+/// A checksum over the members of one region.
+#[data(copy)]
+pub struct Sum {
+    /// The region.
+    pub area: Area,
+    /// Covers all who are present.
+    pub sum: u64,
+}
+
+/// Says how long ago a region was heard by anybody of the sender's region.
+#[data(copy)]
+pub struct Heard {
+    /// The region.
+    pub area: Area,
+    /// Tenths of a second.
+    pub age: u16,
+}
+
+impl Heard {
+    /// Measures how long ago a region was heard.
+    pub(crate) fn of(area: Area, now: Duration, then: Duration) -> Self {
+        let tenths = now.saturating_sub(then).as_millis() / 100 + 1;
+        Self { area, age: u16::try_from(tenths).unwrap_or(u16::MAX) }
+    }
+}
+
+/// Lists members of one region whose handles lie in a range.
+#[data]
+pub struct Roster {
+    /// The region.
+    pub area: Area,
+    /// The first handle of the range.
+    pub first: Handle,
+    /// The first handle after the range; none when it has no end.
+    pub next: Option<Handle>,
+    /// All of them who are present, by handle.
+    pub seats: Vec<Seat>,
+}
+
+/// Lists one member.
+#[data(copy)]
+pub struct Seat {
+    /// The member.
+    pub handle: Handle,
+    /// How often it has refuted a suspicion.
+    pub refutation: u32,
+    /// What is believed of it.
+    pub state: crate::member::State,
+}
+
+/// Asks for what the sender lacks.
+#[data(default)]
+pub struct Pull {
+    /// What instances vouch for, from a version on.
+    pub streams: Vec<Since>,
+    /// Announcements.
+    pub sheets: Vec<Key>,
+    /// Members.
+    pub members: Vec<Handle>,
+}
+
+impl Pull {
+    /// Tells whether nothing is asked.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.streams.is_empty() && self.sheets.is_empty() && self.members.is_empty()
+    }
+}
+
+/// Names the version of a stream that the sender holds.
+#[data(copy)]
+pub struct Since {
+    /// The instance that vouches.
+    pub voucher: Handle,
+    /// The version held; zero for nothing.
+    pub version: u32,
+}
+
+/// Passes on that an upstream has announced itself with unchanged content.
+#[data(copy)]
+pub struct Renewal {
+    /// The upstream.
+    pub key: Key,
+    /// The content it announced.
+    pub check: Check,
+    /// The sequence of the announcement.
+    pub sequence: u64,
+    /// How long ago that was.
+    pub age: Age,
+}
+
+/// Carries an opaque report of its sender.
+#[data]
+pub struct Report {
+    /// Rises with each report of the sender's incarnation.
+    pub version: u64,
+    /// How long ago it was made.
+    pub age: Age,
+    /// What it says.
+    pub bytes: Vec<u8>,
+}
--- a/crates/verbenaslip-gossip/src/lib.rs
+++ b/crates/verbenaslip-gossip/src/lib.rs
@@ -1,1 +1,59 @@
 //! Membership between instances and the registry of upstreams.
+//!
+//! [`Gossip`] composes both as one machine without sockets, threads or a clock. A driver hands it
+//! what happens as [`Input`] with the time, sends what it puts out as [`Output::Send`], and calls
+//! it again at [`Gossip::wake`]. Same inputs and same seed give the same outputs.
+//!
+//! The parts follow each other like this:
+//!
+//! - `time` gives every piece of news an age that travels with it, because instances share no
+//!   clock, and notices when the process was frozen, because what waited meanwhile is older than it
+//!   says.
+//! - `member` and `roster` hold who takes part, merged from what all say of each other: a higher
+//!   incarnation overrides, then a final state, then a higher refutation. `probe` finds out who
+//!   does not answer, by one neighbour a period, directly and then through others. Only the own
+//!   region is probed; contacts compare the members of whole regions.
+//! - `rank` gives each key two homes in two availability zones, alike at all instances.
+//! - `record` and `registry` hold the upstreams. Whoever receives an announcement passes a renewal
+//!   of a few bytes on to the upstream's two homes. Each home vouches for its upstreams in a
+//!   `stream`: a versioned set that changes seldom, and one freshness mark a second that renews all
+//!   of the set everywhere. A record is usable while own evidence or such a mark is younger than
+//!   the lease.
+//! - `queue` and `pack` choose what goes into the datagrams of a round, most urgent first; each
+//!   receiver to which it was news passes it on a fixed number of times. Comparisons (`Sync`) and
+//!   questions (`Pull`) mend what was lost. Leaving upstreams do not wait for a round.
+//! - `report` carries opaque reports between neighbours, at a bounded rate.
+//!
+//! Bounds: every instance sends a fixed number of datagrams a second whatever the size of its
+//! region, but for the renewals of the upstreams that announce themselves to it. No datagram is
+//! longer than [`MAX_FRAME`]. Members, upstreams, streams and everything that waits have caps.
+
+mod frame;
+mod gossip;
+mod member;
+mod pack;
+mod probe;
+mod queue;
+mod rank;
+mod receive;
+mod record;
+mod registry;
+mod report;
+mod roster;
+mod setup;
+mod stream;
+mod time;
+
+pub use frame::{
+    Body, Check, Delta, Entry, Frame, Gauge, Heard, Key, Leaving, MAX_FRAME, Mark, Pull, Renewal,
+    Report, Roster, Seat, Sheet, Since, Spread, Sum, Sync,
+};
+pub use gossip::{Gossip, Input, Output, Reported};
+pub use member::{Area, Event as MemberEvent, Handle, Peer, Rumor, State};
+pub use rank::Homes;
+pub use record::{Record, Standing};
+pub use registry::{Answer, Event as UpstreamEvent, Fault};
+pub use report::MAX_REPORT;
+pub use roster::Member;
+pub use setup::{LEASE, Setup};
+pub use time::Age;
--- /dev/null
+++ b/crates/verbenaslip-gossip/src/pack.rs
@@ -0,0 +1,233 @@
+//! Filling datagrams with news, the most urgent first.
+
+use std::time::Duration;
+
+use crate::frame::{Delta, Leaving, Mark, Pull, Sheet, Spread, Sync};
+use crate::member::Rumor;
+use crate::queue::{Queue, Subject};
+use crate::registry::Registry;
+use crate::roster::Roster;
+
+/// How many bytes of news fit a datagram: what a frame may take without its own head.
+const ROOM: usize = crate::frame::MAX_FRAME - 32;
+
+/// How many bytes of loads go into one datagram, so that they never crowd out the rest.
+const GAUGE_ROOM: usize = 160;
+
+/// The most bytes that a freshness mark takes.
+const MARK: usize = 15;
+
+/// The most bytes that the news of a leaving upstream takes.
+const LEAVING: usize = 33;
+
+/// The most bytes that a load takes.
+const GAUGE: usize = 36;
+
+/// The most bytes that one change of a stream takes.
+const ENTRY: usize = 10;
+
+/// The most bytes that a delta takes besides its changes.
+const DELTA: usize = 24;
+
+/// The most bytes that a rumor takes besides its names.
+const RUMOR: usize = 44;
+
+/// The most bytes that the checksum of a region takes.
+const SUM: usize = 14;
+
+/// The most bytes that the silence of a region takes.
+const HEARD: usize = 7;
+
+/// Fills one datagram.
+struct Parcel {
+    spread: Spread,
+    room: usize,
+    gauges: usize,
+}
+
+impl Parcel {
+    fn empty() -> Self {
+        Self { spread: Spread::default(), room: ROOM, gauges: GAUGE_ROOM }
+    }
+
+    fn take(&mut self, size: usize) -> bool {
+        let fits = size <= self.room;
+        if fits {
+            self.room -= size;
+        }
+        fits
+    }
+
+    fn add(&mut self, subject: &Subject, from: &Source<'_>) -> Added {
+        match subject {
+            Subject::Leaving(key) => self.add_leaving(from.registry.leaving(*key, from.now)),
+            Subject::Mark(voucher) => self.add_mark(from.registry.marked(*voucher, from.now)),
+            Subject::Member(name) => self.add_member(from.roster.rumor(name)),
+            Subject::Delta(voucher, version) => {
+                let covered = |it: &Delta| it.voucher == *voucher && it.version >= *version;
+                if self.spread.deltas.iter().any(covered) {
+                    return Added::Yes;
+                }
+                self.add_delta(from.registry.delta(*voucher, *version))
+            }
+            Subject::Sheet(key) => self.add_sheet(from.registry.said(*key, from.now)),
+            Subject::Gauge(key) => {
+                let Some(gauge) = from.registry.gauged(*key, from.now) else { return Added::Gone };
+                if self.gauges < GAUGE || !self.take(GAUGE) {
+                    return Added::Full;
+                }
+                self.gauges -= GAUGE;
+                self.spread.loads.push(gauge);
+                Added::Yes
+            }
+        }
+    }
+
+    fn add_leaving(&mut self, leaving: Option<Leaving>) -> Added {
+        let Some(leaving) = leaving else { return Added::Gone };
+        if !self.take(LEAVING) {
+            return Added::Full;
+        }
+        self.spread.leaving.push(leaving);
+        Added::Yes
+    }
+
+    fn add_mark(&mut self, mark: Option<Mark>) -> Added {
+        let Some(mark) = mark else { return Added::Gone };
+        if !self.take(MARK) {
+            return Added::Full;
+        }
+        self.spread.marks.push(mark);
+        Added::Yes
+    }
+
+    fn add_member(&mut self, rumor: Option<&Rumor>) -> Added {
+        let Some(rumor) = rumor else { return Added::Gone };
+        if !self.take(rumor_size(rumor)) {
+            return Added::Full;
+        }
+        self.spread.members.push(rumor.clone());
+        Added::Yes
+    }
+
+    fn add_delta(&mut self, delta: Option<Delta>) -> Added {
+        let Some(delta) = delta else { return Added::Gone };
+        if !self.take(DELTA + ENTRY * delta.entries.len()) {
+            return Added::Full;
+        }
+        self.spread.deltas.push(delta);
+        Added::Yes
+    }
+
+    fn add_sheet(&mut self, sheet: Option<Sheet>) -> Added {
+        let Some(sheet) = sheet else { return Added::Gone };
+        let size = postcard::to_stdvec(&sheet).map_or(usize::MAX, |bytes| bytes.len());
+        if !self.take(size) {
+            return Added::Full;
+        }
+        self.spread.sheets.push(sheet);
+        Added::Yes
+    }
+}
+
+/// Says whether something went into a datagram.
+enum Added {
+    Yes,
+    Full,
+    Gone,
+}
+
+/// Knows what the news say.
+pub(crate) struct Source<'a> {
+    /// The members.
+    pub(crate) roster: &'a Roster,
+    /// The upstreams.
+    pub(crate) registry: &'a Registry,
+    /// The time.
+    pub(crate) now: Duration,
+}
+
+impl Source<'_> {
+    /// Takes the most urgent news for one datagram.
+    pub(crate) fn news(&self, queue: &mut Queue, wanted: impl Fn(&Subject) -> bool) -> Spread {
+        let mut parcel = Parcel::empty();
+        for subject in queue.subjects().iter().filter(|subject| wanted(subject)) {
+            match parcel.add(subject, self) {
+                Added::Yes => queue.sent(subject),
+                Added::Gone => queue.drop(subject),
+                Added::Full => {}
+            }
+        }
+        parcel.spread
+    }
+
+    /// Answers what another instance lacks, in as many datagrams as it takes.
+    pub(crate) fn answer(&self, pull: &Pull) -> Vec<Spread> {
+        let mut parcels = Parcels::default();
+        for handle in &pull.members {
+            let rumor = self.roster.named(*handle);
+            parcels.add(|parcel| parcel.add_member(rumor));
+        }
+        for key in &pull.sheets {
+            parcels.add(|parcel| parcel.add_sheet(self.registry.said(*key, self.now)));
+        }
+        for delta in pull.streams.iter().flat_map(|since| self.registry.since(since)) {
+            parcels.add(|parcel| parcel.add_delta(Some(delta.clone())));
+        }
+        parcels.done()
+    }
+
+    /// Puts rumors into as many datagrams as it takes.
+    pub(crate) fn tell(&self, rumors: &[Rumor]) -> Vec<Spread> {
+        let mut parcels = Parcels::default();
+        for rumor in rumors {
+            parcels.add(|parcel| parcel.add_member(Some(rumor)));
+        }
+        parcels.done()
+    }
+
+    /// Puts marks into as many datagrams as it takes.
+    pub(crate) fn show(&self, marks: Vec<Mark>) -> Vec<Spread> {
+        let mut parcels = Parcels::default();
+        for mark in marks {
+            parcels.add(|parcel| parcel.add_mark(Some(mark)));
+        }
+        parcels.done()
+    }
+}
+
+/// Fills datagrams one after the other.
+#[derive(Default)]
+struct Parcels {
+    full: Vec<Spread>,
+    open: Option<Parcel>,
+}
+
+impl Parcels {
+    fn add(&mut self, add: impl Fn(&mut Parcel) -> Added) {
+        let parcel = self.open.get_or_insert_with(Parcel::empty);
+        if !matches!(add(parcel), Added::Full) {
+            return;
+        }
+        self.full.push(std::mem::take(&mut parcel.spread));
+        *parcel = Parcel::empty();
+        add(parcel);
+    }
+
+    fn done(mut self) -> Vec<Spread> {
+        self.full.extend(self.open.map(|parcel| parcel.spread));
+        self.full.retain(|spread| !spread.is_empty());
+        self.full
+    }
+}
+
+/// Returns how many marks fit a comparison beside the rest of it.
+pub(crate) fn marks_beside(sync: &Sync) -> usize {
+    ROOM.saturating_sub(SUM * sync.rosters.len() + HEARD * sync.areas.len()) / MARK
+}
+
+fn rumor_size(rumor: &Rumor) -> usize {
+    let peer = &rumor.peer;
+    let names = [peer.instance.as_str(), peer.zone.as_str(), peer.region.as_str()];
+    RUMOR + names.iter().map(|name| name.len()).sum::<usize>()
+}
--- /dev/null
+++ b/crates/verbenaslip-gossip/src/rank.rs
@@ -0,0 +1,103 @@
+//! Rendezvous hashing over availability zones and their instances.
+
+use std::collections::BTreeMap;
+
+use verbenaslip_base::name::{AvailabilityZone, Instance, Region};
+use verbenaslip_base::{data, hash};
+
+use crate::member::Peer;
+
+/// Names the two instances that share a duty, in different availability zones where there are two.
+#[data]
+pub struct Homes {
+    /// The top-ranked instance of the top-ranked availability zone; none when nobody is alive.
+    pub first: Option<Instance>,
+    /// The top-ranked instance of the next availability zone, or the next one of the only zone.
+    pub second: Option<Instance>,
+}
+
+impl Homes {
+    /// Goes through the homes, the first one first.
+    pub fn iter(&self) -> impl Iterator<Item = &Instance> {
+        self.first.iter().chain(self.second.iter())
+    }
+}
+
+/// Ranks the live instances of each region for any key.
+///
+/// All instances that see the same members rank alike, whatever the order in which they came to
+/// know them. A change of one instance moves only the keys that it is a home of.
+#[derive(Default)]
+pub(crate) struct Board {
+    regions: BTreeMap<Region, Vec<Zone>>,
+}
+
+struct Zone {
+    name: AvailabilityZone,
+    weight: u64,
+    seats: Vec<Seat>,
+}
+
+impl Zone {
+    fn of(name: AvailabilityZone, seat: Seat) -> Self {
+        let weight = hash::narrow(&[b"zone", name.as_str().as_bytes()]);
+        Self { name, weight, seats: vec![seat] }
+    }
+}
+
+struct Seat {
+    weight: u64,
+    instance: Instance,
+}
+
+impl Board {
+    /// Takes the instances that are alive, in the order of their names.
+    pub(crate) fn of<'a>(alive: impl Iterator<Item = &'a Peer>) -> Self {
+        let mut board = Self::default();
+        for peer in alive {
+            let weight = hash::narrow(&[peer.instance.as_str().as_bytes()]);
+            let seat = Seat { weight, instance: peer.instance.clone() };
+            let zones = board.regions.entry(peer.region.clone()).or_default();
+            match zones.iter_mut().find(|zone| zone.name == peer.zone) {
+                Some(zone) => zone.seats.push(seat),
+                None => zones.push(Zone::of(peer.zone.clone(), seat)),
+            }
+        }
+        board
+    }
+
+    /// Returns the homes of a key in a region.
+    pub(crate) fn rank(&self, region: &Region, key: u128) -> Homes {
+        let zones = self.regions.get(region).map_or(&[][..], Vec::as_slice);
+        let (first, second) = top(zones, key, |zone| zone.weight);
+        let Some(zone) = first else {
+            return Homes { first: None, second: None };
+        };
+        let (seat, spare) = top(&zone.seats, key, |seat| seat.weight);
+        let other = second.and_then(|zone| top(&zone.seats, key, |seat| seat.weight).0);
+        let name = |seat: &Seat| seat.instance.clone();
+        Homes { first: seat.map(name), second: other.or(spare).map(name) }
+    }
+}
+
+/// Returns the two with the highest weight for a key.
+fn top<T>(items: &[T], key: u128, weight: impl Fn(&T) -> u64) -> (Option<&T>, Option<&T>) {
+    let (mut first, mut second) = (None, None);
+    for item in items {
+        let score = mix(weight(item) ^ mix(key as u64 ^ mix((key >> 64) as u64)));
+        if first.is_none_or(|(best, _)| score > best) {
+            second = first;
+            first = Some((score, item));
+        } else if second.is_none_or(|(best, _)| score > best) {
+            second = Some((score, item));
+        }
+    }
+    (first.map(|(_, item)| item), second.map(|(_, item)| item))
+}
+
+/// Spreads the bits of a word (the finalizer of splitmix64).
+fn mix(word: u64) -> u64 {
+    let word = (word ^ (word >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let word = (word ^ (word >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    word ^ (word >> 31)
+}
