Take keys through the common port and lay modules out alike

Cause: the key ring landed beside the adapters' own key traits, so the same port stood twice; the adapters' modules were laid out in another way than their neighbours.

Change: callers' and admin keys come from `keys`; `mod.rs` files moved beside their folders. No behaviour changed; no test has run against the adapters yet.

--- a/crates/verbenaslip/src/admin/mod.rs
+++ b/crates/verbenaslip/src/admin.rs
@@ -15,26 +15,17 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use crossbeam::channel::Sender;
-use verbenaslip_base::name::Operator;
-
 pub use crate::admin::call::{Call, Report, Voters};
 pub use crate::admin::reply::Reply;
-
-/// Tells who a key on the admin address names.
-pub trait Keys: Send + Sync {
-    /// Returns the operator that the bearer key names; none when no operator has it.
-    fn operator(&self, bearer: &str) -> Option<Operator>;
-    /// Says whether the bearer key is the upstreams'.
-    fn upstream(&self, bearer: &str) -> bool;
-}
+use crate::keys::ring::Ring;
+use crossbeam::channel::Sender;
 
 /// Sets up the admin address.
 pub struct Setup {
     /// The address; port 0 takes a free one.
     pub address: SocketAddr,
     /// Names operators and upstreams by their keys.
-    pub keys: Arc<dyn Keys>,
+    pub keys: Ring,
     /// How long a call waits for its reply; an edit that waits for all instances gets its own time
     /// on top.
     pub reply_time: Duration,
@@ -54,7 +45,7 @@
 
 impl Admin {
     /// Binds the address and starts to serve it; calls go out on the channel.
-    #[allow(clippy::needless_pass_by_value)]
+    #[expect(clippy::needless_pass_by_value, reason = "handles are given away for good")]
     pub fn spawn(setup: Setup, calls: Sender<Report>) -> io::Result<Self> {
         let closed = Arc::new(AtomicBool::new(false));
         let address = server::spawn(setup, &calls, &closed)?;
--- a/crates/verbenaslip/src/admin/read.rs
+++ b/crates/verbenaslip/src/admin/read.rs
@@ -7,9 +7,9 @@
 use verbenaslip_base::announce::{Announcement, Kind, Load, Market, Phase};
 use verbenaslip_base::name::{AvailabilityZone, Instance, Model, Operator, Upstream};
 
-use crate::admin::Keys;
 use crate::admin::call::{Call, Voters};
 use crate::admin::write::Problem;
+use crate::keys::ring::Ring;
 
 /// The most characters of a name.
 const NAME_MAX: usize = 200;
@@ -35,7 +35,7 @@
 }
 
 /// Turns a request into a call.
-pub(crate) fn call(request: &Request<'_>, keys: &dyn Keys) -> Result<Call, Problem> {
+pub(crate) fn call(request: &Request<'_>, keys: &Ring) -> Result<Call, Problem> {
     let method = match request.path {
         "/readyz" | "/metrics" | "/v1/history" | "/v1/audit" | "/v1/status" => "GET",
         "/v1/table" if request.method == "GET" => "GET",
@@ -49,14 +49,15 @@
         "/readyz" => return Ok(Call::Ready),
         "/metrics" => return Ok(Call::Metrics),
         "/v1/upstreams" => {
-            if !keys.upstream(request.bearer) {
+            if keys.upstreams.owner(request.bearer).is_none() {
                 return Err(Problem::key("the upstreams'"));
             }
             return announcement(&Fields::read(request.body)?).map(Call::Announce);
         }
         _ => {}
     }
-    let operator = keys.operator(request.bearer).ok_or_else(|| Problem::key("an operator's"))?;
+    let operator = keys.operators.owner(request.bearer).map(Operator::new);
+    let operator = operator.ok_or_else(|| Problem::key("an operator's"))?;
     match (request.method, request.path) {
         ("GET", "/v1/table") => Ok(Call::Table { revision: number(request.query, "revision")? }),
         ("POST", "/v1/table") => apply(request, operator),
--- a/crates/verbenaslip/src/admin/server.rs
+++ b/crates/verbenaslip/src/admin/server.rs
@@ -10,10 +10,11 @@
 use oxhttp::model::header::{AUTHORIZATION, CONTENT_TYPE};
 use oxhttp::model::{Body, Request, Response};
 
+use crate::admin::Setup;
 use crate::admin::call::{Call, Report};
 use crate::admin::read;
 use crate::admin::write::{self, Answer, Problem};
-use crate::admin::{Keys, Setup};
+use crate::keys::ring::Ring;
 
 /// The most bytes of a body; a table of many thousand rows fits.
 const BODY_MAX: u64 = 8 << 20;
@@ -69,13 +70,13 @@
     if closed.load(Ordering::Acquire) {
         return Problem::unanswered(false).answer();
     }
-    match read(request, &*setup.keys) {
+    match read(request, &setup.keys) {
         Ok(call) => exchange(call, setup, calls),
         Err(problem) => problem.answer(),
     }
 }
 
-fn read(request: &mut Request<Body>, keys: &dyn Keys) -> Result<Call, Problem> {
+fn read(request: &mut Request<Body>, keys: &Ring) -> Result<Call, Problem> {
     let mut body = Vec::new();
     let read = request.body_mut().take(BODY_MAX + 1).read_to_end(&mut body);
     read.map_err(|_| Problem::unreadable())?;
--- a/crates/verbenaslip/src/traffic/mod.rs
+++ b/crates/verbenaslip/src/traffic.rs
@@ -37,21 +37,16 @@
 use crossbeam::channel::Sender;
 use verbenaslip_base::attempt::{Attempt, Request};
 use verbenaslip_base::data;
-use verbenaslip_base::name::{Instance, Team};
+use verbenaslip_base::name::Instance;
 use verbenaslip_request::caller::{Ticket, Verdict};
 use verbenaslip_request::run::Run;
 
+use crate::keys::Keys;
 pub use crate::traffic::limit::Limits;
 pub use crate::traffic::prefix::blocks;
 pub use crate::traffic::report::Report;
 use crate::traffic::shared::Shared;
 
-/// Tells which team a caller's key names.
-pub trait Keys: Send + Sync {
-    /// Returns the team that the bearer key names; none when no team has it.
-    fn team(&self, bearer: &str) -> Option<Team>;
-}
-
 /// Sets up the traffic threads.
 pub struct Setup {
     /// The address callers connect to; port 0 takes a free one.
--- a/crates/verbenaslip/src/traffic/parse.rs
+++ b/crates/verbenaslip/src/traffic/parse.rs
@@ -11,9 +11,10 @@
 use verbenaslip_base::name::{Class, Model, Team};
 use verbenaslip_request::caller::{Arrival, Body, Ticket};
 
+use crate::keys::Keys;
+use crate::traffic::Limits;
 use crate::traffic::error::Problem;
 use crate::traffic::prefix;
-use crate::traffic::{Keys, Limits};
 
 const CHAT: &str = "/v1/chat/completions";
 const SERVICES: &str = "/v1/services/";
@@ -184,7 +185,7 @@
     let value = single(headers, AUTHORIZATION.as_str()).map_err(|_| unknown())?;
     let value = value.and_then(|value| value.split_once(' ')).ok_or_else(unknown)?;
     let bearer = Some(value.1.trim()).filter(|_| value.0.eq_ignore_ascii_case("bearer"));
-    bearer.and_then(|bearer| keys.team(bearer)).ok_or_else(unknown)
+    bearer.and_then(|bearer| keys.owner(bearer)).map(Team::new).ok_or_else(unknown)
 }
 
 fn key(headers: &HeaderMap) -> Result<Option<String>, Problem> {
--- a/crates/verbenaslip/src/traffic/shared.rs
+++ b/crates/verbenaslip/src/traffic/shared.rs
@@ -14,10 +14,11 @@
 use verbenaslip_base::hash;
 use verbenaslip_base::name::Instance;
 
+use crate::keys::Keys;
 use crate::peers::Identity;
 use crate::traffic::shelf::Shelves;
 use crate::traffic::ticket::Tickets;
-use crate::traffic::{Keys, Limits, Report, Stats};
+use crate::traffic::{Limits, Report, Stats};
 
 /// Locks, also after another thread has panicked with the lock: the values stay whole by themselves.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
