Let new folders answer pre-votes, and step replicas through a network in tests

Cause: a founder never got its first pre-vote: the others answered without a group, and such answers are dropped. Change: a folder joins the group that addresses it with a pre-vote as well.

--- a/crates/verbenaslip-replica/src/receive.rs
+++ b/crates/verbenaslip-replica/src/receive.rs
@@ -47,8 +47,11 @@
             }
             return false;
         }
-        let joins =
-            matches!(message.body, Body::Vote { .. } | Body::Append { .. } | Body::Chunk { .. });
+        // A group that addresses this very folder counts it among its members, or is about to.
+        let joins = matches!(
+            message.body,
+            Body::PreVote { .. } | Body::Vote { .. } | Body::Append { .. } | Body::Chunk { .. }
+        );
         if self.hard.group.is_none() && joins {
             self.hard.group = Some(group);
             self.unsaved = true;
--- /dev/null
+++ b/crates/verbenaslip-replica/tests/world/disk.rs
@@ -0,0 +1,35 @@
+//! What a folder holds, as a model: only synced writes are in it.
+
+use verbenaslip_replica::storage::{Recovered, Write};
+use verbenaslip_replica::voter::Identity;
+
+/// Holds the durable content of one folder.
+#[derive(Clone, Debug)]
+pub struct Disk {
+    pub content: Recovered,
+}
+
+impl Disk {
+    /// Creates a new folder.
+    pub fn new(identity: u128) -> Self {
+        Self { content: Recovered::fresh(Identity(identity)) }
+    }
+
+    /// Keeps one write.
+    pub fn keep(&mut self, write: Write) {
+        let entries = &mut self.content.entries;
+        match write {
+            Write::Hard(hard) => self.content.hard = hard,
+            Write::Append(more) => entries.extend(more),
+            Write::Truncate { from } => entries.retain(|entry| entry.position.index < from),
+            Write::Compact { snapshot, first } => {
+                entries.retain(|entry| entry.position.index >= first);
+                self.content.snapshot = Some(snapshot);
+            }
+            Write::Install(snapshot) => {
+                entries.clear();
+                self.content.snapshot = Some(snapshot);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/verbenaslip-replica/tests/world/mod.rs
@@ -0,0 +1,519 @@
+//! Steps several replicas through an in-memory network, and checks after every step what must
+//! always hold.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+mod disk;
+mod monitor;
+mod node;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use verbenaslip_base::name::Instance;
+use verbenaslip_replica::Replica;
+use verbenaslip_replica::config::Change;
+use verbenaslip_replica::input::Input;
+use verbenaslip_replica::message::{Body, Message};
+use verbenaslip_replica::output::{Answer, Output};
+use verbenaslip_replica::setup::{Setup, Size, Timing};
+
+pub use self::disk::Disk;
+pub use self::monitor::Monitor;
+pub use self::node::{Clock, Node};
+
+/// Returns milliseconds.
+pub fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// Sets how the network and the disks behave.
+#[derive(Clone, Copy, Debug)]
+pub struct Weather {
+    /// Messages lost, in a thousand.
+    pub loss: u32,
+    /// Messages doubled, in a thousand.
+    pub double: u32,
+    /// The shortest and longest time on the way, in microseconds.
+    pub delay: (u64, u64),
+    /// Messages that take up to a hundred times as long, in a thousand.
+    pub stray: u32,
+    /// The shortest and longest time of a sync, in microseconds.
+    pub sync: (u64, u64),
+}
+
+impl Weather {
+    /// Nothing is lost and all is fast.
+    pub const CALM: Self =
+        Self { loss: 0, double: 0, delay: (500, 500), stray: 0, sync: (200, 200) };
+}
+
+/// Something that will happen.
+#[derive(Debug, PartialEq, Eq)]
+enum Event {
+    Deliver { from: usize, to: usize, message: Box<Message> },
+    Timer { node: usize },
+    Synced { node: usize, life: u32, mark: u64 },
+    Snapshot { node: usize, life: u32 },
+}
+
+#[derive(Debug, PartialEq, Eq)]
+struct Due {
+    at: Duration,
+    sequence: u64,
+    event: Event,
+}
+
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.sequence).cmp(&(other.at, other.sequence))
+    }
+}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+/// Counts what was sent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    pub messages: u64,
+    pub bytes: u64,
+}
+
+/// Holds the replicas, the network between them and the true time.
+pub struct World {
+    pub now: Duration,
+    pub nodes: Vec<Node>,
+    pub weather: Weather,
+    pub monitor: Monitor,
+    pub traffic: Traffic,
+    /// The largest message sent.
+    pub largest: u64,
+    pub random: Pcg64Mcg,
+    pub steps: u64,
+    pub size: Size,
+    /// The kinds of message that are held up instead of sent.
+    pub snare: Option<fn(&Message) -> bool>,
+    pub snared: Vec<(usize, usize, Message)>,
+    cuts: BTreeSet<(usize, usize)>,
+    events: BinaryHeap<Reverse<Due>>,
+    sequence: u64,
+    tokens: u64,
+    /// The answers to proposals and changes.
+    pub answers: BTreeMap<u64, Answer>,
+    /// The indices at which reads were confirmed; none when refused.
+    pub reads: BTreeMap<u64, Option<u64>>,
+    founders: usize,
+}
+
+/// The name of a node's instance.
+pub fn instance(node: usize) -> Instance {
+    Instance::from(format!("n{node}").as_str())
+}
+
+impl World {
+    /// Starts founders with new folders.
+    pub fn new(founders: usize, seed: u64) -> Self {
+        let size = Size { entries: 40, tail: 10, message: 512, window: 3, ..Size::default() };
+        Self::with(founders, seed, size)
+    }
+
+    /// Starts founders with new folders and given sizes.
+    pub fn with(founders: usize, seed: u64, size: Size) -> Self {
+        let mut world = Self {
+            now: Duration::ZERO,
+            nodes: Vec::new(),
+            weather: Weather::CALM,
+            monitor: Monitor::default(),
+            traffic: Traffic::default(),
+            largest: 0,
+            random: Pcg64Mcg::seed_from_u64(seed),
+            steps: 0,
+            size,
+            snare: None,
+            snared: Vec::new(),
+            cuts: BTreeSet::new(),
+            events: BinaryHeap::new(),
+            sequence: 0,
+            tokens: 0,
+            answers: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            founders,
+        };
+        for _ in 0..founders {
+            world.join();
+        }
+        world
+    }
+
+    /// Starts founders and waits until they have a leader with a lease.
+    pub fn formed(founders: usize, seed: u64) -> Self {
+        let mut world = Self::new(founders, seed);
+        world.settle();
+        world
+    }
+
+    /// Adds a node with a new folder, and returns its number.
+    pub fn join(&mut self) -> usize {
+        let node = self.nodes.len();
+        let identity = self.random.random();
+        self.nodes.push(Node::new(identity, Clock { offset: ms(node as u64 * 977), rate: 1000 }));
+        self.start(node);
+        node
+    }
+
+    /// Sets a node's clock rate in thousandths of the true one; before it has run.
+    pub fn set_rate(&mut self, node: usize, rate: u32) {
+        // The local time must not jump, so the offset takes up the difference.
+        let local = self.nodes[node].clock.local(self.now);
+        let scaled = self.now * rate / 1000;
+        self.nodes[node].clock = Clock { offset: local.saturating_sub(scaled), rate };
+    }
+
+    /// Runs until a time has passed.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.peek().is_some_and(|at| at <= end) {
+            self.next();
+        }
+        self.now = end;
+        self.check();
+    }
+
+    /// Runs until a condition holds; false when it does not within the time.
+    pub fn until(&mut self, limit: Duration, done: impl Fn(&Self) -> bool) -> bool {
+        let end = self.now + limit;
+        loop {
+            if done(self) {
+                return true;
+            }
+            if self.peek().is_none_or(|at| at > end) {
+                self.now = end;
+                return done(self);
+            }
+            self.next();
+        }
+    }
+
+    /// Waits for a leader with a lease, and returns it.
+    pub fn settle(&mut self) -> usize {
+        let found = self.until(ms(30_000), |world| world.leased().is_some());
+        assert!(found, "no leader with a lease came within 30 s: {:?}", self.summary());
+        self.leased().expect("was just found")
+    }
+
+    /// Returns the node that holds a valid lease.
+    pub fn leased(&self) -> Option<usize> {
+        (0..self.nodes.len()).find(|&node| self.holds_lease(node) && !self.nodes[node].frozen)
+    }
+
+    /// Tells whether a node holds a lease that is valid by its own clock.
+    pub fn holds_lease(&self, node: usize) -> bool {
+        let Some(replica) = &self.nodes[node].replica else { return false };
+        replica.lease_until(self.nodes[node].clock.local(self.now)).is_some()
+    }
+
+    /// Returns a running replica.
+    pub fn replica(&self, node: usize) -> &Replica {
+        self.nodes[node].replica.as_ref().expect("the node runs")
+    }
+
+    /// Proposes a command of a size at a node, and returns its token.
+    pub fn propose_sized(&mut self, node: usize, size: usize) -> u64 {
+        let token = self.token();
+        let mut command = token.to_le_bytes().to_vec();
+        command.resize(size.max(8), 7);
+        self.monitor.proposed(token);
+        self.step(node, Input::Propose { token, command: command.into() });
+        token
+    }
+
+    /// Proposes a small command at a node, and returns its token.
+    pub fn propose(&mut self, node: usize) -> u64 {
+        self.propose_sized(node, 8)
+    }
+
+    /// Asks a node to confirm a read, and returns the token.
+    pub fn confirm(&mut self, node: usize) -> u64 {
+        let token = self.token();
+        self.monitor.asked(token);
+        self.step(node, Input::Confirm { token });
+        token
+    }
+
+    /// Asks a node for another voter set, and returns the token.
+    pub fn change(&mut self, node: usize, change: Change) -> u64 {
+        let token = self.token();
+        self.step(node, Input::Change { token, change });
+        token
+    }
+
+    /// Asks a node to hand over.
+    pub fn transfer(&mut self, node: usize) {
+        self.step(node, Input::Transfer);
+    }
+
+    /// Proposes at whoever leads until one command is committed, and returns its index.
+    pub fn commit_one(&mut self) -> u64 {
+        for _ in 0..20 {
+            let leader = self.settle();
+            let token = self.propose(leader);
+            self.until(ms(5_000), |world| world.answers.contains_key(&token));
+            if let Some(Answer::Committed(position)) = self.answers.get(&token) {
+                return position.index;
+            }
+        }
+        panic!("nothing could be committed: {:?}", self.summary());
+    }
+
+    /// Commits several commands and returns the last one's index.
+    pub fn commit_many(&mut self, count: usize) -> u64 {
+        (0..count).map(|_| self.commit_one()).last().expect("asked for at least one")
+    }
+
+    /// Drops all messages from one node to another.
+    pub fn cut_one_way(&mut self, from: usize, to: usize) {
+        self.cuts.insert((from, to));
+    }
+
+    /// Drops all messages between a node and all others.
+    pub fn isolate(&mut self, node: usize) {
+        for other in 0..self.nodes.len() {
+            self.cut_one_way(node, other);
+            self.cut_one_way(other, node);
+        }
+    }
+
+    /// Heals all cuts.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    /// Stops a node's process for a while; its clock goes on.
+    pub fn freeze(&mut self, node: usize) {
+        self.nodes[node].frozen = true;
+    }
+
+    /// Lets a frozen node go on with what has come meanwhile.
+    pub fn thaw(&mut self, node: usize) {
+        self.nodes[node].frozen = false;
+        for input in std::mem::take(&mut self.nodes[node].inbox) {
+            self.step(node, input);
+        }
+        self.step(node, Input::Tick);
+    }
+
+    /// Kills a node with the power: a part of what was not synced is lost.
+    pub fn crash(&mut self, node: usize) {
+        let kept = self.random.random_range(0..=self.nodes[node].pending.len());
+        self.nodes[node].crash(kept);
+    }
+
+    /// Starts a node again on its folder.
+    pub fn restart(&mut self, node: usize) {
+        if self.nodes[node].replica.is_none() {
+            self.start(node);
+        }
+    }
+
+    /// Loses a node's disk; it comes back with a new folder.
+    pub fn lose_disk(&mut self, node: usize) {
+        self.nodes[node].crash(0);
+        let identity = self.random.random();
+        self.nodes[node].disk = Disk::new(identity);
+        self.start(node);
+    }
+
+    /// Gives a node an input, and does what it wants done.
+    pub fn step(&mut self, node: usize, input: Input) {
+        if self.nodes[node].frozen {
+            self.nodes[node].inbox.push(input);
+            return;
+        }
+        let local = self.nodes[node].clock.local(self.now);
+        let Some(replica) = &mut self.nodes[node].replica else { return };
+        let mut out = Vec::new();
+        replica.step(local, input, &mut out);
+        self.steps += 1;
+        for output in out {
+            self.perform(node, output);
+        }
+        self.schedule(node);
+        self.check();
+    }
+
+    /// Sends the snared messages on.
+    pub fn release(&mut self) {
+        for (from, to, message) in std::mem::take(&mut self.snared) {
+            self.push(ms(1), Event::Deliver { from, to, message: Box::new(message) });
+        }
+    }
+
+    /// Describes the nodes in one line each.
+    pub fn summary(&self) -> Vec<String> {
+        self.nodes.iter().map(|node| node.summary(self.now)).collect()
+    }
+
+    fn token(&mut self) -> u64 {
+        self.tokens += 1;
+        self.tokens
+    }
+
+    fn start(&mut self, node: usize) {
+        let founders = (0..self.founders).map(instance).collect();
+        let mut setup = Setup::new(instance(node), founders, self.random.random());
+        setup.size = self.size;
+        setup.timing = Timing { change: ms(20_000), ..Timing::default() };
+        let now = self.now;
+        self.nodes[node].start(setup, now);
+        self.monitor.started(node);
+        self.step(node, Input::Tick);
+    }
+
+    fn peek(&self) -> Option<Duration> {
+        self.events.peek().map(|due| due.0.at)
+    }
+
+    /// Lets the next event happen.
+    pub fn next(&mut self) {
+        let Some(Reverse(due)) = self.events.pop() else { return };
+        self.now = self.now.max(due.at);
+        match due.event {
+            Event::Deliver { from, to, message } => {
+                if !self.cuts.contains(&(from, to)) {
+                    self.step(to, Input::Message { from: instance(from), message: *message });
+                }
+            }
+            Event::Timer { node } => {
+                self.nodes[node].timer = None;
+                if !self.nodes[node].frozen {
+                    self.step(node, Input::Tick);
+                }
+            }
+            Event::Synced { node, life, mark } => {
+                if self.nodes[node].life == life {
+                    self.nodes[node].sync(mark);
+                    self.step(node, Input::Stored { mark });
+                }
+            }
+            Event::Snapshot { node, life } => {
+                if self.nodes[node].life == life {
+                    let input = self.nodes[node].snapshot();
+                    self.step(node, input);
+                }
+            }
+        }
+    }
+
+    fn perform(&mut self, node: usize, output: Output) {
+        match output {
+            Output::Send { to, message } => self.send(node, &to, message),
+            Output::Store { mark, write } => {
+                self.nodes[node].pending.push((mark, write));
+                let delay = self.between(self.weather.sync);
+                let life = self.nodes[node].life;
+                self.push(delay, Event::Synced { node, life, mark });
+            }
+            Output::Apply { position, command } => {
+                self.nodes[node].apply(position, &command);
+                let chain = self.nodes[node].chain;
+                self.monitor.applied(node, position, &command, chain);
+            }
+            Output::Install(snapshot) => {
+                self.nodes[node].install(&snapshot);
+                let chain = self.nodes[node].chain;
+                self.monitor.installed(node, snapshot.position, chain);
+            }
+            Output::WantSnapshot { .. } => {
+                let life = self.nodes[node].life;
+                self.push(ms(1), Event::Snapshot { node, life });
+            }
+            Output::Answer { token, answer } => {
+                self.monitor.answered(token, &answer);
+                let before = self.answers.insert(token, answer);
+                assert_eq!(before, None, "proposal {token} was answered twice");
+            }
+            Output::Confirmed { token, index } => {
+                self.monitor.confirmed(token, index);
+                assert_eq!(self.reads.insert(token, Some(index)), None, "a read answered twice");
+            }
+            Output::Unconfirmed { token, .. } => {
+                assert_eq!(self.reads.insert(token, None), None, "a read answered twice");
+            }
+            Output::Role(role) => self.nodes[node].roles.push(role),
+            Output::Stranger(voter) => self.nodes[node].strangers.push(voter),
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &Instance, message: Message) {
+        let Some(to) = (0..self.nodes.len()).find(|&node| instance(node) == *to) else { return };
+        let bytes = postcard::to_stdvec(&message).expect("messages can be encoded").len() as u64;
+        self.traffic.messages += 1;
+        self.traffic.bytes += bytes;
+        self.largest = self.largest.max(bytes);
+        if self.snare.is_some_and(|snare| snare(&message)) {
+            self.snared.push((from, to, message));
+            return;
+        }
+        let weather = self.weather;
+        if self.cuts.contains(&(from, to)) || self.chance(weather.loss) {
+            return;
+        }
+        let copies = 1 + u32::from(self.chance(weather.double));
+        for _ in 0..copies {
+            let mut delay = self.between(weather.delay);
+            if self.chance(weather.stray) {
+                delay *= self.random.random_range(1..100);
+            }
+            self.push(delay, Event::Deliver { from, to, message: Box::new(message.clone()) });
+        }
+    }
+
+    /// Makes sure that a node is woken when its next timer is due.
+    fn schedule(&mut self, node: usize) {
+        let Some(replica) = &self.nodes[node].replica else { return };
+        let at = self.nodes[node].clock.due(replica.wake()).max(self.now);
+        if self.nodes[node].timer.is_none_or(|timer| at < timer) {
+            self.nodes[node].timer = Some(at);
+            self.push(at - self.now, Event::Timer { node });
+        }
+    }
+
+    fn push(&mut self, delay: Duration, event: Event) {
+        self.sequence += 1;
+        let at = self.now + delay;
+        self.events.push(Reverse(Due { at, sequence: self.sequence, event }));
+    }
+
+    /// Draws whether something happens that happens so often in a thousand.
+    pub fn chance(&mut self, mille: u32) -> bool {
+        mille > 0 && self.random.random_range(0..1000) < mille
+    }
+
+    fn between(&mut self, (least, most): (u64, u64)) -> Duration {
+        Duration::from_micros(self.random.random_range(least..=most))
+    }
+
+    /// Checks what must hold after every step.
+    fn check(&mut self) {
+        let mut leases = 0;
+        for number in 0..self.nodes.len() {
+            let node = &self.nodes[number];
+            let Some(replica) = &node.replica else { continue };
+            self.monitor.check(number, replica);
+            leases += u32::from(self.holds_lease(number));
+        }
+        assert!(leases <= 1, "{leases} valid leases at one time: {:?}", self.summary());
+    }
+}
+
+/// Tells whether a message is one that a leader sends to a follower.
+pub fn is_leaders(message: &Message) -> bool {
+    matches!(message.body, Body::Append { .. } | Body::Chunk { .. })
+}
