Found again after a power loss between founding's two writes

Cause: the founder's term was durable and its first entry was not; the group existed without voters, so nobody campaigned and nobody was asked again. Ruled out: writing the entry first, since a log without a term reads as damage. Change: such a folder counts as new, and pre-votes wait until founding is durable, so that nobody has heard of it. A second find, schedule 313: a replaced leader still called itself leading when a late answer confirmed its first round; it now needs a valid lease for that.

--- a/crates/verbenaslip-replica/src/election.rs
+++ b/crates/verbenaslip-replica/src/election.rs
@@ -43,7 +43,7 @@
         for voter in self.others() {
             let mut message = self.message(Some(voter.identity), Body::PreVote { last });
             message.term = term;
-            self.send(&voter.instance, message);
+            self.hold(&voter.instance, message);
         }
         self.count();
     }
--- a/crates/verbenaslip-replica/src/lead.rs
+++ b/crates/verbenaslip-replica/src/lead.rs
@@ -42,6 +42,8 @@
     pub(crate) transfer: Option<Transfer>,
     /// Whether a lease may be held; not again in this term once an election was asked for.
     pub(crate) lease: bool,
+    /// Whether a lease was held in this term.
+    pub(crate) ready: bool,
     /// The other folders seen at voters' instances.
     pub(crate) strangers: BTreeMap<Instance, Identity>,
 }
@@ -70,6 +72,7 @@
             change: None,
             transfer: None,
             lease: true,
+            ready: false,
             strangers: BTreeMap::new(),
         }
     }
@@ -173,6 +176,16 @@
         }
     }
 
+    /// Notes that the first lease has begun.
+    ///
+    /// An answer that comes late may confirm a first round that is older than a lease, when others
+    /// already have a newer leader; only a valid lease shows that this one's state is current.
+    pub(crate) fn note_ready(&mut self) {
+        let leased = self.lease_until(self.now).is_some();
+        let State::Leader(leading) = &mut self.state else { return };
+        leading.ready |= leased;
+    }
+
     /// Answers the confirmations whose round, or the lease, allows it.
     pub(crate) fn answer_confirms(&mut self) {
         let leased = self.lease_until(self.now).is_some();
--- a/crates/verbenaslip-replica/src/output.rs
+++ b/crates/verbenaslip-replica/src/output.rs
@@ -130,8 +130,8 @@
     Follower,
     /// Asks for votes.
     Candidate,
-    /// Was elected, and has not yet committed an entry of its term or confirmed a lease.
+    /// Was elected, and has not yet committed an entry of its term and held a lease.
     Elected,
-    /// Leads: its commit index covers everything committed before, and the first lease began.
+    /// Leads: its first lease has begun, and its commit index covers everything committed before.
     Leader,
 }
--- a/crates/verbenaslip-replica/src/replica.rs
+++ b/crates/verbenaslip-replica/src/replica.rs
@@ -73,6 +73,7 @@
     pub fn open(setup: Setup, recovered: Recovered, now: Duration) -> Self {
         let recovered = recovered.settled();
         let (base, config) = base(&recovered);
+        let hard = if is_half_founded(&recovered) { Hard::default() } else { recovered.hard };
         let mut log = Log::new(base, config);
         for entry in recovered.entries {
             if entry.position.index == log.last().index + 1 {
@@ -80,7 +81,6 @@
             }
         }
         let mut generator = Pcg32::seed_from_u64(setup.seed);
-        let hard = recovered.hard;
         let commit = recovered.snapshot.as_ref().map_or(base.index, |s| s.position.index);
         // The voter may have acknowledged a leader just before it stopped, and that leader counts on
         // it for its lease. Granting a vote now would allow two valid leases, noticed as two leaders
@@ -232,6 +232,7 @@
     /// Commits, applies, answers and sends what the last input made possible.
     fn advance(&mut self) {
         self.acknowledge();
+        self.note_ready();
         self.advance_change();
         self.save();
         self.apply();
@@ -342,10 +343,8 @@
         match &self.state {
             State::Follower => Duty::Follower,
             State::Candidate(_) => Duty::Candidate,
-            State::Leader(leading) => {
-                let ready = self.commit >= leading.start && leading.rounds.confirmed().is_some();
-                if ready { Duty::Leader } else { Duty::Elected }
-            }
+            State::Leader(leading) if leading.ready => Duty::Leader,
+            State::Leader(_) => Duty::Elected,
         }
     }
 
@@ -400,6 +399,17 @@
     (base.unwrap_or(snapshot.position), snapshot.config.clone())
 }
 
+/// Tells whether the power failed between the two writes that found a group.
+///
+/// Then the term says that there is a group, and the log does not say who is in it: no founder would
+/// ever campaign, nor ask the others again. Nobody else has heard of that group, since no message
+/// leaves before both writes are durable; so the folder counts as new.
+fn is_half_founded(recovered: &Recovered) -> bool {
+    let own = Some(Group(recovered.identity.0));
+    let empty = recovered.entries.is_empty() && recovered.snapshot.is_none();
+    empty && recovered.hard.group == own && recovered.hard.term == 1
+}
+
 /// Draws an election timeout between once and twice the shortest one.
 fn timeout(setup: &Setup, generator: &mut Pcg32) -> Duration {
     let shortest = setup.timing.election;
--- a/crates/verbenaslip-replica/tests/world/mod.rs
+++ b/crates/verbenaslip-replica/tests/world/mod.rs
@@ -79,6 +79,9 @@
     }
 }
 
+/// Picks messages.
+pub type Snare = fn(&Message) -> bool;
+
 /// Counts what was sent.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Traffic {
@@ -99,7 +102,7 @@
     pub steps: u64,
     pub size: Size,
     /// The kinds of message that are held up instead of sent.
-    pub snare: Option<fn(&Message) -> bool>,
+    pub snare: Option<Snare>,
     pub snared: Vec<(usize, usize, Message)>,
     cuts: BTreeSet<(usize, usize)>,
     events: BinaryHeap<Reverse<Due>>,
@@ -312,6 +315,11 @@
     /// Kills a node with the power: a part of what was not synced is lost.
     pub fn crash(&mut self, node: usize) {
         let kept = self.random.random_range(0..=self.nodes[node].pending.len());
+        self.crash_keeping(node, kept);
+    }
+
+    /// Kills a node with the power; the first few writes on their way became durable.
+    pub fn crash_keeping(&mut self, node: usize, kept: usize) {
         self.nodes[node].crash(kept);
     }
 
