--- /dev/null
+++ b/crates/verbenaslip-request/src/answer.rs
@@ -0,0 +1,274 @@
+//! Assembles one answer, whole and once, from whatever runs and copies deliver.
+
+use std::sync::Arc;
+
+use verbenaslip_base::attempt::Attempt;
+use verbenaslip_base::data;
+
+/// Holds one request's answer as far as it has come.
+///
+/// Only the next position of the live attempt is taken, so tokens of an earlier run, duplicates and
+/// an answer cut off can neither be mixed in nor pass for whole. It ends only by an end mark.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    epoch: u16,
+    number: u32,
+    pieces: Vec<Piece>,
+    whole: Option<Whole>,
+    end: Option<End>,
+    position: u32,
+    bytes: usize,
+    limit: usize,
+    mirrored: Option<u32>,
+}
+
+/// Holds the tokens of one event.
+#[data]
+pub struct Piece {
+    /// The position of its last token, from 1.
+    pub position: u32,
+    /// How many tokens it holds.
+    pub count: u32,
+    /// Their text.
+    pub text: Arc<str>,
+}
+
+/// Holds the answer of a plain service.
+#[data]
+pub struct Whole {
+    /// The status.
+    pub status: u16,
+    /// The content type.
+    pub content: Arc<str>,
+    /// The bytes.
+    pub bytes: Arc<[u8]>,
+}
+
+/// Marks the end of a whole answer.
+#[data]
+pub struct End {
+    /// Tokens in the answer.
+    pub position: u32,
+    /// Why the engine stopped, as it said.
+    pub reason: Arc<str>,
+}
+
+/// Says what became of something delivered.
+#[data(copy)]
+pub enum Added {
+    /// It was the next and is taken.
+    Appended,
+    /// It is of an attempt or epoch that no longer counts, or came after the end.
+    Late,
+    /// It is there already.
+    Duplicate,
+    /// Something before it is missing; nothing was taken.
+    Gap {
+        /// The position that was expected next.
+        expected: u32,
+    },
+    /// The answer is larger than its limit; nothing was taken.
+    Full,
+}
+
+impl Answer {
+    /// Opens an empty answer that takes at most `limit` bytes.
+    pub fn open(limit: usize) -> Self {
+        Self {
+            epoch: 0,
+            number: 0,
+            pieces: Vec::new(),
+            whole: None,
+            end: None,
+            position: 0,
+            bytes: 0,
+            limit,
+            mirrored: None,
+        }
+    }
+
+    /// Makes an attempt the live one; those before it are late from now on.
+    pub fn begin(&mut self, attempt: Attempt) {
+        self.number = self.number.max(attempt.number);
+    }
+
+    /// Makes this instance the owner in an epoch; copies of earlier epochs are late from now on.
+    pub fn own(&mut self, epoch: u16) {
+        self.epoch = self.epoch.max(epoch);
+    }
+
+    /// Takes tokens from a run: `count` of them, the last one at `position`.
+    pub fn append(&mut self, attempt: Attempt, position: u32, count: u32, text: &str) -> Added {
+        if attempt.number != self.number {
+            return Added::Late;
+        }
+        self.push(position, count, text)
+    }
+
+    /// Takes tokens that the owner of an epoch has mirrored here.
+    ///
+    /// An answer of a later epoch may differ after the position at which the new owner took over.
+    /// One would notice a sentence that changes halfway; so a later epoch starts from nothing.
+    pub fn copy(&mut self, epoch: u16, position: u32, count: u32, text: &str) -> Added {
+        match self.renew(epoch) {
+            true => self.push(position, count, text),
+            false => Added::Late,
+        }
+    }
+
+    /// Takes the end mark of a run.
+    pub fn end(&mut self, attempt: Attempt, position: u32, reason: &str) -> Added {
+        if attempt.number != self.number {
+            return Added::Late;
+        }
+        self.finish(position, reason)
+    }
+
+    /// Takes the end mark that the owner of an epoch has mirrored here.
+    pub fn copy_end(&mut self, epoch: u16, position: u32, reason: &str) -> Added {
+        match self.renew(epoch) {
+            true => self.finish(position, reason),
+            false => Added::Late,
+        }
+    }
+
+    /// Takes the whole answer of a plain service from a run.
+    pub fn fill(&mut self, attempt: Attempt, whole: Whole) -> Added {
+        if attempt.number != self.number {
+            return Added::Late;
+        }
+        self.store(whole)
+    }
+
+    /// Takes the whole answer of a plain service that the owner of an epoch has mirrored here.
+    pub fn copy_fill(&mut self, epoch: u16, whole: Whole) -> Added {
+        match self.renew(epoch) {
+            true => self.store(whole),
+            false => Added::Late,
+        }
+    }
+
+    /// Says whether callers must wait for the second holder: from `Mirror` to an instance on.
+    ///
+    /// A token that the caller has and the second holder lacks could come out otherwise when that
+    /// one takes over, and the caller would have halves of two answers.
+    pub fn mirror(&mut self, on: bool) {
+        self.mirrored = on.then_some(0);
+    }
+
+    /// Notes how far the second holder has got.
+    pub fn mirrored(&mut self, position: u32) {
+        if let Some(mirrored) = &mut self.mirrored {
+            *mirrored = position.max(*mirrored);
+        }
+    }
+
+    /// Returns the events after a position that a caller may have, oldest first.
+    pub fn events(&self, after: u32) -> impl Iterator<Item = &Piece> {
+        let start = self.pieces.partition_point(|piece| piece.position <= after);
+        let until = self.released();
+        self.pieces[start..].iter().take_while(move |piece| piece.position <= until)
+    }
+
+    /// Returns the pieces after a position, also those that callers may not have yet.
+    pub fn pieces(&self, after: u32) -> &[Piece] {
+        let start = self.pieces.partition_point(|piece| piece.position <= after);
+        &self.pieces[start..]
+    }
+
+    /// Returns the end mark, once every token before it may be given to callers.
+    pub fn ended(&self) -> Option<&End> {
+        self.end.as_ref().filter(|end| end.position <= self.released())
+    }
+
+    /// Returns a plain service's answer.
+    pub fn filled(&self) -> Option<&Whole> {
+        self.whole.as_ref()
+    }
+
+    /// Returns the last position held.
+    pub fn position(&self) -> u32 {
+        self.position
+    }
+
+    /// Returns the last position that callers may have.
+    pub fn released(&self) -> u32 {
+        self.mirrored.map_or(self.position, |mirrored| mirrored.min(self.position))
+    }
+
+    /// Returns the epoch of the owner whose answer it is.
+    pub fn epoch(&self) -> u16 {
+        self.epoch
+    }
+
+    /// Returns the bytes held.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Returns the text so far, from which an engine can go on.
+    pub fn text(&self) -> String {
+        self.pieces.iter().map(|piece| piece.text.as_ref()).collect()
+    }
+
+    fn renew(&mut self, epoch: u16) -> bool {
+        if epoch > self.epoch {
+            let limit = self.limit;
+            *self = Self { epoch, ..Self::open(limit) };
+        }
+        epoch == self.epoch
+    }
+
+    fn push(&mut self, position: u32, count: u32, text: &str) -> Added {
+        if self.end.is_some() || self.whole.is_some() {
+            return Added::Late;
+        }
+        if position <= self.position {
+            return Added::Duplicate;
+        }
+        let first = position.checked_sub(count);
+        if count == 0 || first != Some(self.position) {
+            return Added::Gap { expected: self.position.saturating_add(1) };
+        }
+        let Some(bytes) = self.room(text.len()) else {
+            return Added::Full;
+        };
+        self.bytes = bytes;
+        self.position = position;
+        self.pieces.push(Piece { position, count, text: text.into() });
+        Added::Appended
+    }
+
+    fn finish(&mut self, position: u32, reason: &str) -> Added {
+        if self.whole.is_some() {
+            return Added::Late;
+        }
+        if self.end.is_some() {
+            return Added::Duplicate;
+        }
+        if position != self.position {
+            return Added::Gap { expected: self.position.saturating_add(1) };
+        }
+        self.end = Some(End { position, reason: reason.into() });
+        Added::Appended
+    }
+
+    fn store(&mut self, whole: Whole) -> Added {
+        if self.whole.is_some() {
+            return Added::Duplicate;
+        }
+        if self.position > 0 || self.end.is_some() {
+            return Added::Late;
+        }
+        let Some(bytes) = self.room(whole.bytes.len()) else {
+            return Added::Full;
+        };
+        self.bytes = bytes;
+        self.whole = Some(whole);
+        Added::Appended
+    }
+
+    fn room(&self, bytes: usize) -> Option<usize> {
+        self.bytes.checked_add(bytes).filter(|sum| *sum <= self.limit)
+    }
+}
--- /dev/null
+++ b/crates/verbenaslip-request/src/entry.rs
@@ -0,0 +1,343 @@
+//! One request that this instance owns.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use verbenaslip_base::announce::Kind;
+use verbenaslip_base::attempt::{Attempt, Request};
+use verbenaslip_base::hash;
+use verbenaslip_base::head::Head;
+use verbenaslip_base::name::{Instance, Upstream};
+use verbenaslip_base::refusal::Refusal;
+
+use crate::caller::{Body, Ticket};
+use crate::hold::Held;
+use crate::input::Place;
+use crate::message::{Found, Live, Note};
+use crate::output::Outcome;
+
+/// Bits of an attempt's number that count the runs of one owner.
+const RUN_BITS: u32 = 16;
+/// Bits of these that count, below those that tell apart two owners of the same epoch.
+const COUNT_BITS: u32 = 8;
+
+/// Holds one request that this instance owns, or is finding out whether it may.
+#[derive(Clone, Debug)]
+pub(crate) struct Entry {
+    /// The request.
+    pub(crate) head: Head,
+    /// What is sent to the upstream; freed when the request is finished.
+    pub(crate) body: Option<Arc<Body>>,
+    /// The digest of the body.
+    pub(crate) digest: u128,
+    /// The owner's epoch; zero while the key is looked up.
+    pub(crate) epoch: u16,
+    /// Who waits for the answer.
+    pub(crate) callers: BTreeMap<Ticket, Caller>,
+    /// What is being done.
+    pub(crate) phase: Phase,
+    /// When the phase must be looked at again.
+    pub(crate) due: Option<Duration>,
+    /// The second holder.
+    pub(crate) holder: Option<Holder>,
+    /// Earlier second holders, which must forget it.
+    pub(crate) stale: BTreeSet<Instance>,
+    /// Instances that had no room or did not answer.
+    pub(crate) tried: BTreeSet<Instance>,
+    /// Homes that know the key.
+    pub(crate) informed: BTreeSet<Instance>,
+    /// Whether every home has said that it did not know the key.
+    pub(crate) complete: bool,
+    /// The sequence of the newest note.
+    pub(crate) sequence: u32,
+    /// The number of the newest attempt.
+    pub(crate) number: u32,
+    /// Whether any attempt may have run, apart from the live one.
+    pub(crate) ran: bool,
+    /// The run that goes on.
+    pub(crate) flight: Option<Flight>,
+    /// The newest run, also after its end.
+    pub(crate) last: Option<Live>,
+    /// The last position assembled.
+    pub(crate) position: u32,
+    /// The last position that the second holder has.
+    pub(crate) mirrored: u32,
+    /// The claim, when one was asked for.
+    pub(crate) claimant: Option<u128>,
+    /// Upstreams that failed it.
+    pub(crate) without: BTreeSet<Upstream>,
+    /// Whether callers have been told that they are served.
+    pub(crate) served: bool,
+    /// When it is given up for want of a caller.
+    pub(crate) absent: Option<Duration>,
+    /// Times that a relay of its callers was lost.
+    pub(crate) losses: u32,
+    /// The copy that it was taken over from, until it is sure that it may be.
+    pub(crate) former: Option<Box<Held>>,
+    /// The former owner that has not yet given it up.
+    pub(crate) ousted: Option<Ousted>,
+}
+
+/// Waits for an answer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Caller {
+    /// The last position that it has.
+    pub(crate) after: u32,
+    /// Whether it is another instance that passes the answer on.
+    pub(crate) subscriber: bool,
+}
+
+/// Names what is being done with a request.
+#[derive(Clone, Debug)]
+pub(crate) enum Phase {
+    /// Asks the homes whether they know the key.
+    Lookup(Lookup),
+    /// Waits for the policy.
+    Admit,
+    /// Waits for a second holder.
+    Journal {
+        /// Until when.
+        until: Duration,
+    },
+    /// Waits for the quorum.
+    Claim {
+        /// Until when.
+        until: Duration,
+        /// Whether the claim may have been granted.
+        unsure: bool,
+    },
+    /// Waits before it asks the router again.
+    Pause,
+    /// Waits for the router.
+    Place,
+    /// Waits for the retry budget.
+    Budget,
+    /// Runs at an upstream.
+    Run,
+    /// Waits until the second holder has forgotten it, before the caller is told that it was not
+    /// run.
+    Close {
+        /// What the caller will be told.
+        refusal: Refusal,
+        /// Until when.
+        until: Duration,
+    },
+    /// Has ended.
+    Finished {
+        /// How.
+        outcome: Outcome,
+        /// When its retention ends.
+        until: Duration,
+    },
+}
+
+/// Holds what the homes have said of a key.
+#[derive(Clone, Debug)]
+pub(crate) struct Lookup {
+    /// What each has said.
+    pub(crate) asked: BTreeMap<Instance, Option<Found>>,
+    /// How often they were asked.
+    pub(crate) tries: u32,
+    /// Until when they are asked.
+    pub(crate) until: Duration,
+}
+
+/// Tells of the second holder.
+#[derive(Clone, Debug)]
+pub(crate) struct Holder {
+    /// The instance.
+    pub(crate) instance: Instance,
+    /// The newest note that it holds; none before it has the request.
+    pub(crate) acked: Option<u32>,
+    /// How often the newest was sent.
+    pub(crate) tries: u32,
+    /// When it is sent again.
+    pub(crate) due: Option<Duration>,
+}
+
+/// Tells of a former owner that must give the request up.
+#[derive(Clone, Debug)]
+pub(crate) struct Ousted {
+    /// The instance.
+    pub(crate) instance: Instance,
+    /// How often it was told.
+    pub(crate) tries: u32,
+    /// When it is told again.
+    pub(crate) due: Option<Duration>,
+}
+
+/// Follows one run.
+#[derive(Clone, Debug)]
+pub(crate) struct Flight {
+    /// The run.
+    pub(crate) live: Live,
+    /// How it began.
+    pub(crate) begun: Begun,
+    /// New connections to the same run since it last made progress.
+    pub(crate) rejoins: u32,
+    /// When and where its first tokens came.
+    pub(crate) first: Option<(Duration, u32)>,
+    /// The last time that something came.
+    pub(crate) heard: Duration,
+    /// What is being done about its upstream's leaving.
+    pub(crate) moving: Moving,
+}
+
+/// Says how a run began.
+#[derive(Clone, Debug)]
+pub(crate) enum Begun {
+    /// From prompt and tokens.
+    Anew,
+    /// On a new connection to a run that went on.
+    Rejoined,
+    /// From a KV cache exported at another run.
+    Imported {
+        /// Where it was exported.
+        from: Live,
+        /// Where it is imported.
+        place: Place,
+    },
+}
+
+/// Says what is being done about an upstream's leaving.
+#[derive(Clone, Debug)]
+pub(crate) enum Moving {
+    /// Nothing.
+    Still,
+    /// It should end in time; is looked at again then.
+    Watched {
+        /// When.
+        at: Duration,
+    },
+    /// The router is asked for another upstream.
+    Asked,
+    /// The router had none; is asked again.
+    Paused {
+        /// When.
+        at: Duration,
+    },
+    /// It can't be moved, and stays to the end.
+    Bound,
+}
+
+impl Entry {
+    /// Opens a request that a caller has sent.
+    pub(crate) fn open(head: Head, body: Option<Arc<Body>>, digest: u128) -> Self {
+        Self {
+            head,
+            body,
+            digest,
+            epoch: 0,
+            callers: BTreeMap::new(),
+            phase: Phase::Admit,
+            due: None,
+            holder: None,
+            stale: BTreeSet::new(),
+            tried: BTreeSet::new(),
+            informed: BTreeSet::new(),
+            complete: false,
+            sequence: 0,
+            number: 0,
+            ran: false,
+            flight: None,
+            last: None,
+            position: 0,
+            mirrored: 0,
+            claimant: None,
+            without: BTreeSet::new(),
+            served: false,
+            absent: None,
+            losses: 0,
+            former: None,
+            ousted: None,
+        }
+    }
+
+    /// Returns the request.
+    pub(crate) fn request(&self) -> Request {
+        self.head.request
+    }
+
+    /// Returns whether it has ended.
+    pub(crate) fn finished(&self) -> bool {
+        matches!(self.phase, Phase::Finished { .. })
+    }
+
+    /// Returns whether any attempt may have run.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.ran || self.flight.is_some()
+    }
+
+    /// Returns the second holder, once it has the request.
+    pub(crate) fn kept(&self) -> Option<&Instance> {
+        self.holder.as_ref().filter(|holder| holder.acked.is_some()).map(|holder| &holder.instance)
+    }
+
+    /// Returns the upstream at which it runs.
+    pub(crate) fn upstream(&self) -> Option<&Upstream> {
+        self.flight.as_ref().map(|flight| &flight.live.upstream)
+    }
+
+    /// Returns whether it runs at a model engine.
+    pub(crate) fn flight_is_engine(&self) -> bool {
+        self.flight.as_ref().is_some_and(|flight| flight.live.kind == Kind::Engine)
+    }
+
+    /// Returns how far it has got, for the second holder.
+    pub(crate) fn note(&self) -> Note {
+        let outcome = match &self.phase {
+            Phase::Finished { outcome, .. } => Some(outcome.clone()),
+            Phase::Close { refusal, .. } => Some(Outcome::Refused(refusal.clone())),
+            _ => None,
+        };
+        Note {
+            request: self.request(),
+            epoch: self.epoch,
+            sequence: self.sequence,
+            live: self.last.clone(),
+            number: self.number,
+            ran: self.may_have_run(),
+            outcome,
+        }
+    }
+
+    /// Returns the next attempt; none when the numbers of this owner are used up.
+    ///
+    /// Two second holders can take a request over under the same epoch, when one of them was
+    /// believed lost. An engine that got the same attempt from both would give one the other's
+    /// stream; so the count starts elsewhere at each instance.
+    pub(crate) fn next_attempt(&mut self, own: &Instance) -> Option<Attempt> {
+        let salt = match self.epoch {
+            0 | 1 => 0,
+            _ => (hash::narrow(&[own.as_str().as_bytes()]) as u32 & 0x7f) << COUNT_BITS,
+        };
+        let base = u32::from(self.epoch) << RUN_BITS | salt;
+        let next = self.number.max(base).checked_add(1)?;
+        (next < base + (1 << COUNT_BITS)).then_some(())?;
+        self.number = next;
+        Some(Attempt { request: self.request(), number: next })
+    }
+
+    /// Returns the next moment at which it must be looked at.
+    pub(crate) fn next(&self) -> Option<Duration> {
+        let deadline = match &self.phase {
+            Phase::Finished { until, .. } | Phase::Close { until, .. } => *until,
+            _ => self.head.deadline,
+        };
+        let moving = self.flight.as_ref().and_then(|flight| flight.next());
+        let holder = self.holder.as_ref().and_then(|holder| holder.due);
+        let ousted = self.ousted.as_ref().and_then(|ousted| ousted.due);
+        let parts = [Some(deadline), self.due, moving, holder, ousted, self.absent];
+        parts.into_iter().flatten().min()
+    }
+}
+
+impl Flight {
+    fn next(&self) -> Option<Duration> {
+        match self.moving {
+            Moving::Watched { at } | Moving::Paused { at } => Some(at),
+            Moving::Still | Moving::Asked | Moving::Bound => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/verbenaslip-request/src/hold.rs
@@ -0,0 +1,449 @@
+//! What this instance holds for other owners: reserved keys and copies.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use verbenaslip_base::attempt::Request;
+use verbenaslip_base::head::Head;
+use verbenaslip_base::name::Instance;
+use verbenaslip_base::refusal::Unknown;
+
+use crate::arrive::Relay;
+use crate::caller::{Body, Ticket, Verdict};
+use crate::message::{Copy, Found, Kept, Message, Note, Reserve, Taken};
+use crate::output::{Outcome, Output};
+use crate::requests::{Requests, Turn};
+use crate::timer::Timer;
+
+/// How long a reservation stands after the request's deadline.
+const RESERVATION: Duration = Duration::from_secs(10);
+
+/// Holds the second copy of a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Held {
+    /// The request, with its deadline on this instance's clock.
+    pub(crate) head: Head,
+    /// What is sent to the upstream.
+    pub(crate) body: Option<Arc<Body>>,
+    /// The digest of the body.
+    pub(crate) digest: u128,
+    /// The owner.
+    pub(crate) owner: Instance,
+    /// The owner's start.
+    pub(crate) boot: u64,
+    /// How far the owner has got.
+    pub(crate) note: Note,
+    /// The last position held here.
+    pub(crate) mirrored: u32,
+    /// When the owner was lost.
+    pub(crate) lost: Option<Duration>,
+    /// When it is taken over, or dropped when nobody can come back for it.
+    pub(crate) due: Option<Duration>,
+    /// When it need not be kept any more.
+    pub(crate) until: Duration,
+    /// Whether it can't be taken over: it may have run, and must not run again.
+    pub(crate) barred: bool,
+    /// Callers that wait for the take-over.
+    pub(crate) waiting: BTreeMap<Ticket, Relay>,
+}
+
+/// Holds a key that an instance has asked about.
+#[derive(Clone, Debug)]
+pub(crate) struct Reservation {
+    /// The instance.
+    pub(crate) owner: Instance,
+    /// Its start.
+    pub(crate) boot: u64,
+    /// Its epoch; zero while it only asks.
+    pub(crate) epoch: u16,
+    /// The digest of the body.
+    pub(crate) digest: u128,
+    /// Whether an instance that is lost since had reserved it before.
+    pub(crate) doubtful: bool,
+    /// Whether its owner is lost.
+    pub(crate) lost: bool,
+}
+
+impl Held {
+    /// Returns whether the owner has told that the request is accepted.
+    ///
+    /// An owner that finds no second holder refuses the request as not run. A copy that it had sent
+    /// out and given up on must then never run, also when the owner is lost later: so a copy counts
+    /// only from the first note on.
+    pub(crate) fn active(&self) -> bool {
+        self.note.sequence > 0
+    }
+
+    /// Returns whether the request has ended.
+    pub(crate) fn finished(&self) -> bool {
+        self.note.outcome.is_some()
+    }
+
+    /// Returns the next moment at which it must be looked at.
+    pub(crate) fn next(&self) -> Option<Duration> {
+        Some(self.due.map_or(self.until, |due| due.min(self.until)))
+    }
+}
+
+impl Requests {
+    /// Answers an instance that asks about a key.
+    pub(crate) fn reserve(&mut self, turn: &mut Turn<'_>, from: &Instance, reserve: &Reserve) {
+        self.rebooted(turn, from, reserve.boot);
+        let found = self.find(turn.now, from, reserve);
+        let request = reserve.request;
+        turn.send(from, Message::Reserved { request, found });
+    }
+
+    /// Returns what is known of a key, and reserves it if that is nothing.
+    pub(crate) fn find(&mut self, now: Duration, asker: &Instance, reserve: &Reserve) -> Found {
+        let request = reserve.request;
+        if let Some(entry) = self.entries.get(&request) {
+            let owner = self.setup.instance.clone();
+            return Found::Held { owner, epoch: entry.epoch, digest: entry.digest };
+        }
+        let mut doubtful = false;
+        if let Some(copy) = self.copies.get(&request) {
+            let (owner, digest) = (copy.owner.clone(), copy.digest);
+            if copy.lost.is_none() {
+                let epoch = copy.note.epoch;
+                return Found::Held { owner, epoch, digest };
+            }
+            if copy.active() {
+                return Found::Between { digest };
+            }
+            doubtful = true;
+        }
+        self.reserve_for(now, asker, reserve, doubtful)
+    }
+
+    fn reserve_for(
+        &mut self,
+        now: Duration,
+        asker: &Instance,
+        reserve: &Reserve,
+        mut doubtful: bool,
+    ) -> Found {
+        let request = reserve.request;
+        let known = self.reservations.get(&request);
+        if let Some(known) = known {
+            let same = known.owner == *asker && known.boot == reserve.boot;
+            doubtful |= known.doubtful || (known.lost && !same);
+            if !same && !known.lost && reserve.epoch <= known.epoch {
+                let (owner, epoch) = (known.owner.clone(), known.epoch);
+                return Found::Held { owner, epoch, digest: known.digest };
+            }
+        } else if self.reservations.len() >= self.setup.limit.reservations {
+            return Found::Full;
+        }
+        let reservation = Reservation {
+            owner: asker.clone(),
+            boot: reserve.boot,
+            epoch: reserve.epoch,
+            digest: reserve.digest,
+            doubtful,
+            lost: false,
+        };
+        self.reservations.insert(request, reservation);
+        let until = now.saturating_add(reserve.remaining).saturating_add(RESERVATION);
+        self.timers.set(Timer::Reserved(request), Some(until));
+        if doubtful { Found::Doubtful } else { Found::Free }
+    }
+
+    /// Forgets a reserved key.
+    pub(crate) fn unreserve(&mut self, request: Request, owner: &Instance) {
+        if self.reservations.get(&request).is_some_and(|known| known.owner == *owner) {
+            self.reservations.remove(&request);
+            self.timers.set(Timer::Reserved(request), None);
+        }
+    }
+
+    /// Takes a copy to hold.
+    pub(crate) fn keep(&mut self, turn: &mut Turn<'_>, from: &Instance, copy: Copy) {
+        self.rebooted(turn, from, copy.boot);
+        let request = copy.head.request;
+        if copy.note.request != request || !self.admits(turn, from, &copy) {
+            return;
+        }
+        let known = self.copies.remove(&request);
+        let same = known.as_ref().is_some_and(|known| {
+            known.owner == *from && known.note.epoch == copy.note.epoch && known.boot == copy.boot
+        });
+        if let Some(mut known) = known {
+            if same {
+                known.lost = None;
+                known.due = None;
+                self.copies.insert(request, known);
+                self.noted(turn, from, copy.note);
+                return;
+            }
+            self.release(known.body.take());
+            self.copies.insert(request, known);
+        }
+        let fits = copy.body.as_ref().is_none_or(|body| self.charge(body));
+        let room = self.copies.len() < self.setup.limit.copies + self.retention.copied();
+        let waiting = self.copies.remove(&request).map(|known| known.waiting).unwrap_or_default();
+        if !fits || !room {
+            if fits {
+                self.release(copy.body);
+            }
+            self.timers.set(Timer::Copied(request), None);
+            self.resume_waiting(turn, waiting);
+            turn.send(from, Message::Full { request, epoch: copy.note.epoch });
+            return;
+        }
+        self.hold(turn, from, copy);
+        self.resume_waiting(turn, waiting);
+    }
+
+    /// Returns whether a copy may be held here; answers its owner if not.
+    fn admits(&mut self, turn: &mut Turn<'_>, from: &Instance, copy: &Copy) -> bool {
+        let (request, epoch) = (copy.head.request, copy.note.epoch);
+        let full = Message::Full { request, epoch };
+        if self.stopping.is_some() {
+            turn.send(from, full);
+            return false;
+        }
+        if let Some(entry) = self.entries.get(&request) {
+            if entry.epoch == 0 {
+                let Some(entry) = self.take(request) else {
+                    return false;
+                };
+                self.timers.set(Timer::Owned(request), None);
+                self.join(turn, entry, from, copy.digest);
+                return true;
+            }
+            if entry.epoch == epoch {
+                turn.send(from, full);
+                return false;
+            }
+            if entry.epoch > epoch {
+                self.oust(turn, request, from);
+                return false;
+            }
+            let taken = Taken { request, owner: from.clone(), epoch, attempt: None };
+            let attempt = copy.note.live.as_ref().map(|live| live.attempt);
+            self.taken(turn, from, &Taken { attempt, ..taken });
+            return !self.entries.contains_key(&request);
+        }
+        let Some(known) = self.copies.get(&request) else {
+            return true;
+        };
+        if known.note.epoch > epoch {
+            let attempt = known.note.live.as_ref().map(|live| live.attempt);
+            let (owner, epoch) = (known.owner.clone(), known.note.epoch);
+            turn.send(from, Message::Taken(Taken { request, owner, epoch, attempt }));
+            return false;
+        }
+        if known.note.epoch == epoch && known.owner != *from && known.lost.is_none() {
+            turn.send(from, full);
+            return false;
+        }
+        true
+    }
+
+    fn hold(&mut self, turn: &mut Turn<'_>, from: &Instance, copy: Copy) {
+        let request = copy.head.request;
+        let (epoch, sequence) = (copy.note.epoch, copy.note.sequence);
+        let mut head = copy.head;
+        head.deadline = turn.now.saturating_add(head.deadline);
+        let until = head.deadline.saturating_add(self.setup.timing.retention);
+        self.unreserve(request, from);
+        let held = Held {
+            head,
+            body: copy.body,
+            digest: copy.digest,
+            owner: from.clone(),
+            boot: copy.boot,
+            note: copy.note,
+            mirrored: 0,
+            lost: None,
+            due: None,
+            until,
+            barred: false,
+            waiting: BTreeMap::new(),
+        };
+        self.copies.insert(request, held);
+        self.arm_copy(request);
+        turn.send(from, Message::Kept(Kept { request, epoch, sequence }));
+    }
+
+    /// Takes a note of how far an owner has got.
+    pub(crate) fn noted(&mut self, turn: &mut Turn<'_>, from: &Instance, note: Note) {
+        let (request, epoch) = (note.request, note.epoch);
+        let refused = matches!(note.outcome, Some(Outcome::Refused(_)));
+        if let Some(entry) = self.entries.get(&request) {
+            if entry.epoch > epoch && entry.former.is_none() {
+                self.oust(turn, request, from);
+            }
+            return;
+        }
+        let Some(copy) = self.copies.get_mut(&request) else {
+            match refused || matches!(note.outcome, Some(Outcome::Abandoned)) {
+                true => {
+                    let sequence = note.sequence;
+                    turn.send(from, Message::Kept(Kept { request, epoch, sequence }));
+                }
+                false => turn.send(from, Message::Full { request, epoch }),
+            }
+            return;
+        };
+        if copy.note.epoch > epoch {
+            let attempt = copy.note.live.as_ref().map(|live| live.attempt);
+            let (owner, epoch) = (copy.owner.clone(), copy.note.epoch);
+            turn.send(from, Message::Taken(Taken { request, owner, epoch, attempt }));
+            return;
+        }
+        if copy.owner != *from || copy.note.epoch != epoch {
+            turn.send(from, Message::Full { request, epoch });
+            return;
+        }
+        if note.sequence > copy.note.sequence {
+            copy.note = note;
+        }
+        let sequence = copy.note.sequence;
+        turn.send(from, Message::Kept(Kept { request, epoch, sequence }));
+        self.settle_copy(turn, request);
+    }
+
+    /// Frees what a finished copy no longer needs.
+    fn settle_copy(&mut self, turn: &mut Turn<'_>, request: Request) {
+        let Some(copy) = self.copies.get_mut(&request) else {
+            return;
+        };
+        match &copy.note.outcome {
+            None => return,
+            Some(Outcome::Refused(_) | Outcome::Abandoned | Outcome::Moved { .. }) => {
+                self.drop_copy(turn, request);
+                return;
+            }
+            Some(Outcome::Whole { position }) if copy.mirrored < *position => {}
+            Some(Outcome::Whole { .. } | Outcome::Unknown(_)) => {
+                let body = copy.body.take();
+                self.release(body);
+            }
+        }
+        let until = turn.now + self.setup.timing.retention;
+        if let Some(copy) = self.copies.get_mut(&request) {
+            copy.until = copy.until.min(until);
+            self.retention.add(request, copy.until, copy.mirrored, true);
+        }
+        self.arm_copy(request);
+    }
+
+    /// Forgets a copy; its waiting callers look again.
+    pub(crate) fn drop_copy(&mut self, turn: &mut Turn<'_>, request: Request) {
+        let Some(copy) = self.copies.remove(&request) else {
+            return;
+        };
+        self.retention.remove(request);
+        self.timers.set(Timer::Copied(request), None);
+        self.release(copy.body);
+        turn.out.push(Output::Forget { request, epoch: copy.note.epoch });
+        self.resume_waiting(turn, copy.waiting);
+    }
+
+    /// Forgets what an owner wants forgotten.
+    pub(crate) fn dropped(
+        &mut self,
+        turn: &mut Turn<'_>,
+        from: &Instance,
+        request: Request,
+        epoch: u16,
+    ) {
+        self.unreserve(request, from);
+        let Some(copy) = self.copies.get(&request) else {
+            return;
+        };
+        if copy.owner == *from && copy.note.epoch <= epoch {
+            self.drop_copy(turn, request);
+        }
+    }
+
+    /// Notes how far the second holder has got, at either end.
+    pub(crate) fn mirrored(&mut self, request: Request, position: u32) {
+        if let Some(entry) = self.entries.get_mut(&request) {
+            entry.mirrored = entry.mirrored.max(position);
+            return;
+        }
+        let Some(copy) = self.copies.get_mut(&request) else {
+            return;
+        };
+        copy.mirrored = copy.mirrored.max(position);
+        let whole = match copy.note.outcome {
+            Some(Outcome::Whole { position }) => copy.mirrored >= position,
+            _ => false,
+        };
+        if whole {
+            let body = copy.body.take();
+            self.release(body);
+        }
+    }
+
+    /// Lets a caller in whose request this instance holds a copy of.
+    pub(crate) fn attach_copy(
+        &mut self,
+        turn: &mut Turn<'_>,
+        ticket: Ticket,
+        mut relay: Relay,
+        body: Arc<Body>,
+    ) {
+        let request = relay.head.request;
+        let Some(copy) = self.copies.get(&request) else {
+            return;
+        };
+        if copy.digest != relay.digest {
+            turn.tell(ticket, Verdict::Conflict);
+            return;
+        }
+        if copy.barred {
+            turn.tell(ticket, Verdict::Unknown(Unknown::InstanceLost));
+            return;
+        }
+        relay.owner = copy.owner.clone();
+        let lost = copy.lost.is_some();
+        relay.body = self.charge(&body).then_some(body);
+        if !lost {
+            self.relay(turn, ticket, relay);
+            return;
+        }
+        self.tickets.insert(ticket, request);
+        let ready = copy_ready(turn.now, self.copies.get(&request));
+        if let Some(copy) = self.copies.get_mut(&request) {
+            copy.waiting.insert(ticket, relay);
+        }
+        if ready {
+            self.take_over(turn, request, false);
+        }
+    }
+
+    /// Lets callers look again for the owner of their request.
+    pub(crate) fn resume_waiting(&mut self, turn: &mut Turn<'_>, waiting: BTreeMap<Ticket, Relay>) {
+        for (ticket, relay) in waiting {
+            self.tickets.remove(&ticket);
+            let after = relay.after;
+            self.relays.insert(ticket, relay);
+            self.relay_lost(turn, ticket, after);
+        }
+    }
+
+    /// Takes a copy over or drops it when its time has come.
+    pub(crate) fn tick_copy(&mut self, turn: &mut Turn<'_>, request: Request) {
+        let Some(copy) = self.copies.get(&request) else {
+            return;
+        };
+        if turn.now >= copy.until {
+            self.drop_copy(turn, request);
+            return;
+        }
+        if copy_ready(turn.now, Some(copy)) {
+            self.take_over(turn, request, false);
+        } else {
+            self.arm_copy(request);
+        }
+    }
+}
+
+fn copy_ready(now: Duration, copy: Option<&Held>) -> bool {
+    copy.and_then(|copy| copy.due).is_some_and(|due| now >= due)
+}
