Add the watch with its table lease, the force tracker and the order dispatcher

Cause: instances without the log need the table, and the leader needs to know when a revision is in force everywhere and when an order can't be overtaken. Ruled out: every instance asking a voter (320 followers at 5 voters), so leases and changes pass along a tree of bounded fan-out; telling holders apart by name alone, since a restarted one forgets whom it passed leases on to. Change: watch::Hub with Follower, Publisher and Window, lease, force::Tracker, order::Dispatcher.

--- /dev/null
+++ b/crates/verbenaslip-state/src/force.rs
@@ -0,0 +1,129 @@
+//! Whether a revision is in force everywhere.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use verbenaslip_base::data;
+use verbenaslip_base::name::Instance;
+use verbenaslip_table::Revision;
+
+use crate::lease::{DURATION, Grant, with_margin};
+
+/// Answers whether a revision is in force everywhere.
+#[data]
+pub struct Force {
+    /// The instances that may still serve by an older table, or that pass leases on to such.
+    pub awaited: Vec<Instance>,
+    /// The time until the leases of earlier leaders have run out; none when they have.
+    pub settling: Option<Duration>,
+}
+
+impl Force {
+    /// Says whether every instance that takes work has the revision.
+    pub fn everywhere(&self) -> bool {
+        self.awaited.is_empty() && self.settling.is_none()
+    }
+}
+
+/// Keeps who holds a lease and which revision each has, at the leader and wherever leases are
+/// passed on.
+///
+/// A holder that passes leases on reports the lowest revision by which it or any holder below it may
+/// serve, its floor. Floors only rise: whoever passes a lease on names its own newest revision in
+/// it, and that lease counts only once the revision is applied.
+#[derive(Clone, Debug, Default)]
+pub struct Tracker {
+    holders: BTreeMap<Holder, Held>,
+    settled: Duration,
+}
+
+impl Tracker {
+    /// Begins as the leader's: the leases that earlier leaders granted are not known.
+    ///
+    /// Without the wait, an instance that an earlier leader granted a lease, and that is cut off
+    /// since, would serve by an old table while the new leader says that the edit is in force.
+    pub fn lead(&mut self, now: Duration) {
+        self.settled = now.saturating_add(with_margin(DURATION));
+    }
+
+    /// Notes the floor that a holder reports; an older report that comes late changes nothing.
+    pub fn hear(&mut self, holder: &Holder, floor: Revision) {
+        if let Some(held) = self.holders.get_mut(holder) {
+            held.floor = held.floor.max(floor);
+        }
+    }
+
+    /// Notes that a holder is granted a lease.
+    pub fn grant(&mut self, now: Duration, holder: Holder, revision: Revision, duration: Duration) {
+        self.holders.retain(|_, held| held.keep(now));
+        let until = now.saturating_add(with_margin(duration));
+        let held = self.holders.entry(holder).or_default();
+        held.add(Grant { revision, until });
+    }
+
+    /// Returns the lowest revision by which any holder may serve; none when there is no holder.
+    pub fn floor(&self, now: Duration) -> Option<Revision> {
+        self.holders.values().filter_map(|held| held.floor(now)).min()
+    }
+
+    /// Says whether a revision is in force everywhere, as far as this tracker's holders go.
+    pub fn force(&self, now: Duration, revision: Revision) -> Force {
+        let late = |held: &Held| held.floor(now).is_some_and(|floor| floor < revision);
+        let late = self.holders.iter().filter(|(_, held)| late(held));
+        let mut awaited: Vec<Instance> = late.map(|(holder, _)| holder.instance.clone()).collect();
+        awaited.dedup();
+        let settling = self.settled.checked_sub(now).filter(|wait| !wait.is_zero());
+        Force { awaited, settling }
+    }
+}
+
+/// Names one start of an instance: after a restart it has forgotten to whom it passed leases on,
+/// so the floor that it reports then says nothing of the time before.
+#[data(ord, hash)]
+pub struct Holder {
+    /// The instance.
+    pub instance: Instance,
+    /// Drawn at each start of its process.
+    pub boot: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Held {
+    floor: Revision,
+    grants: Vec<Grant>,
+}
+
+impl Held {
+    /// Drops the grants that have run out; says whether any is left.
+    fn keep(&mut self, now: Duration) -> bool {
+        self.grants.retain(|grant| grant.until > now);
+        !self.grants.is_empty()
+    }
+
+    fn add(&mut self, grant: Grant) {
+        // A later grant of the same revision, and the oldest where there are many, stand for both:
+        // the lower revision for the longer time waits rather too long than too short.
+        if let Some(last) = self.grants.last_mut()
+            && (last.revision == grant.revision)
+        {
+            last.until = last.until.max(grant.until);
+            return;
+        }
+        if self.grants.len() >= MAX_GRANTS {
+            let oldest = self.grants.remove(0);
+            if let Some(second) = self.grants.first_mut() {
+                second.revision = second.revision.min(oldest.revision);
+                second.until = second.until.max(oldest.until);
+            }
+        }
+        self.grants.push(grant);
+    }
+
+    fn floor(&self, now: Duration) -> Option<Revision> {
+        let live = self.grants.iter().filter(|grant| grant.until > now);
+        live.map(|grant| grant.revision.max(self.floor)).min()
+    }
+}
+
+/// Bounds the grants kept for each holder.
+const MAX_GRANTS: usize = 16;
--- a/crates/verbenaslip-state/src/order.rs
+++ b/crates/verbenaslip-state/src/order.rs
@@ -1,6 +1,7 @@
 //! Orders to upstreams: what is ordered, its number, and what became of it.
 
 mod book;
+pub mod dispatcher;
 
 use std::fmt;
 
@@ -9,6 +10,7 @@
 use verbenaslip_base::name::{Instance, Model, Operator, Upstream};
 
 pub(crate) use book::Book;
+pub use dispatcher::{Dispatcher, Input, Output};
 
 /// The longest time for which an order may be carried out, in milliseconds.
 pub const MAX_LIFETIME_MS: u64 = 10_000;
--- /dev/null
+++ b/crates/verbenaslip-state/src/watch/publisher.rs
@@ -0,0 +1,204 @@
+//! The side that publishes the table and grants leases.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use verbenaslip_base::name::Instance;
+use verbenaslip_table::Revision;
+
+use super::hub::Output;
+use super::message::{Away, Fetch, Granted, Message, Peer, Renew, Step};
+use super::window::Window;
+use crate::force::{Force, Holder, Tracker};
+use crate::lease::DURATION;
+
+/// The most followers of one publisher, besides voters.
+pub const FAN_OUT: usize = 16;
+
+/// The most instances through which a lease passes, the leader included.
+pub const MAX_DEPTH: usize = 5;
+
+/// How long a follower that is silent keeps its place.
+const PLACE: Duration = Duration::from_secs(3);
+
+/// How long sent changes may be on their way before they are sent again.
+const RESEND: Duration = Duration::from_millis(400);
+
+/// What lets a publisher grant leases.
+#[derive(Clone, Debug)]
+pub struct Authority {
+    /// When it ends; the leader's own lease, or the table lease of one that passes it on.
+    pub until: Duration,
+    /// Whether it is the leader's own, so that leases have their full duration.
+    pub leader: bool,
+    /// The instances through which it came, this one excluded.
+    pub path: Vec<Instance>,
+}
+
+/// Publishes the table to followers and grants them leases.
+#[derive(Clone, Debug)]
+pub struct Publisher {
+    me: Instance,
+    voters: BTreeSet<Instance>,
+    followers: BTreeMap<Instance, Place>,
+    tracker: Tracker,
+    pub(crate) window: Window,
+}
+
+impl Publisher {
+    pub(crate) fn new(me: Instance) -> Self {
+        Self {
+            me,
+            voters: BTreeSet::new(),
+            followers: BTreeMap::new(),
+            tracker: Tracker::default(),
+            window: Window::default(),
+        }
+    }
+
+    pub(crate) fn lead(&mut self, now: Duration) {
+        self.tracker.lead(now);
+    }
+
+    pub(crate) fn peers(&mut self, peers: &[Peer]) {
+        let voters = peers.iter().filter(|peer| peer.voter);
+        self.voters = voters.map(|peer| peer.instance.clone()).collect();
+    }
+
+    /// Says whether any follower is being served.
+    pub(crate) fn serves(&self) -> bool {
+        !self.followers.is_empty()
+    }
+
+    /// Returns the lowest revision by which any follower may serve.
+    pub(crate) fn floor(&self, now: Duration) -> Option<Revision> {
+        self.tracker.floor(now)
+    }
+
+    pub(crate) fn force(&self, now: Duration, revision: Revision) -> Force {
+        self.tracker.force(now, revision)
+    }
+
+    pub(crate) fn tick(&mut self, now: Duration) {
+        self.followers.retain(|_, place| now < place.seen.saturating_add(PLACE));
+    }
+
+    /// Answers a request for a lease.
+    pub(crate) fn renew(
+        &mut self,
+        now: Duration,
+        from: &Instance,
+        renew: &Renew,
+        authority: Option<&Authority>,
+        out: &mut Vec<Output>,
+    ) {
+        let holder = Holder { instance: from.clone(), boot: renew.nonce.boot };
+        self.tracker.hear(&holder, renew.floor);
+        let answer = match authority {
+            Some(authority) if authority.until > now => authority,
+            _ => return self.refuse(from, renew, Vec::new(), out),
+        };
+        // An instance that asks one below itself would be granted the rest of its own lease.
+        if answer.path.contains(from) || answer.path.len() + 1 >= MAX_DEPTH {
+            return self.refuse(from, renew, Vec::new(), out);
+        }
+        if !self.admits(from) {
+            let others = self.followers.keys().filter(|name| !self.voters.contains(*name));
+            return self.refuse(from, renew, others.cloned().collect(), out);
+        }
+        let rest = answer.until.saturating_sub(now);
+        let duration = if answer.leader { DURATION } else { rest.min(DURATION) };
+        let duration_ms = u32::try_from(duration.as_millis()).unwrap_or_default();
+        let revision = self.window.revision();
+        self.tracker.grant(now, holder, revision, duration);
+        let mut path = answer.path.clone();
+        path.push(self.me.clone());
+        let granted = Granted { nonce: renew.nonce, revision, duration_ms, path };
+        send(out, from, Message::Granted(granted));
+        self.catch_up(now, from, renew.applied, out);
+    }
+
+    /// Sends a part of a snapshot, or offers another when it asks for one that is gone.
+    pub(crate) fn fetch(&mut self, from: &Instance, fetch: Fetch, out: &mut Vec<Output>) {
+        if !self.followers.contains_key(from) {
+            return;
+        }
+        let message = match self.window.part(fetch.revision, fetch.part) {
+            Some(part) => Message::Part(part),
+            None => Message::Offer(self.window.offer(fetch.revision)),
+        };
+        send(out, from, message);
+    }
+
+    /// Sends the changes of the newest revision to every follower that has the one before.
+    pub(crate) fn push(&mut self, now: Duration, step: &Step, out: &mut Vec<Output>) {
+        let due = self.window.after(Revision(step.revision.0.saturating_sub(1)));
+        for (name, place) in &mut self.followers {
+            if self.voters.contains(name) || place.sent.next() != step.revision {
+                continue;
+            }
+            place.sent = step.revision;
+            place.sent_at = now;
+            let message = match &due {
+                Some(_) => Message::Changes(vec![step.clone()]),
+                None => Message::Offer(self.window.offer(step.revision)),
+            };
+            send(out, name, message);
+        }
+    }
+
+    /// Sends what a follower lacks, unless it is on its way already.
+    fn catch_up(
+        &mut self,
+        now: Duration,
+        from: &Instance,
+        applied: Revision,
+        out: &mut Vec<Output>,
+    ) {
+        let fresh = Place { seen: now, sent: applied, sent_at: Duration::ZERO };
+        let place = self.followers.entry(from.clone()).or_insert(fresh);
+        place.seen = now;
+        let on_its_way = place.sent > applied && now < place.sent_at.saturating_add(RESEND);
+        if on_its_way || applied >= self.window.revision() || self.voters.contains(from) {
+            place.sent = place.sent.max(applied);
+            return;
+        }
+        place.sent = self.window.revision();
+        place.sent_at = now;
+        match self.window.after(applied) {
+            Some(messages) => {
+                messages.into_iter().for_each(|steps| send(out, from, Message::Changes(steps)));
+            }
+            None => send(out, from, Message::Offer(self.window.offer(applied.next()))),
+        }
+    }
+
+    /// Says whether an instance is, or may become, a follower.
+    fn admits(&self, from: &Instance) -> bool {
+        let others = self.followers.keys().filter(|name| !self.voters.contains(*name)).count();
+        self.followers.contains_key(from) || self.voters.contains(from) || others < FAN_OUT
+    }
+
+    fn refuse(
+        &mut self,
+        from: &Instance,
+        renew: &Renew,
+        others: Vec<Instance>,
+        out: &mut Vec<Output>,
+    ) {
+        self.followers.remove(from);
+        send(out, from, Message::Away(Away { nonce: renew.nonce, others }));
+    }
+}
+
+/// Holds what is known of one follower.
+#[derive(Clone, Debug)]
+struct Place {
+    seen: Duration,
+    sent: Revision,
+    sent_at: Duration,
+}
+
+fn send(out: &mut Vec<Output>, to: &Instance, message: Message) {
+    out.push(Output::Send { to: to.clone(), message });
+}
