--- a/crates/verbenaslip-lab/src/lib.rs
+++ b/crates/verbenaslip-lab/src/lib.rs
@@ -4,10 +4,12 @@
 //! engine, [`service`] a plain service, [`cloud`] the cloud that starts and takes machines,
 //! [`weights`] the weight store. Each runs on a thread of its own, takes faults while it runs and
 //! tells what it really did. [`load`] calls verbenaslip as many callers would and compares every
-//! answer with the expected text, and with the back ends' truth. [`command`] is the command line.
+//! answer with the expected text, and with the back ends' truth. [`contract`] holds the cases
+//! that each interface must meet. [`command`] is the command line.
 
 pub mod cloud;
 pub mod command;
+pub mod contract;
 pub mod engine;
 pub mod load;
 pub mod service;
