--- a/crates/verbenaslip-lab/src/contract/case.rs
+++ b/crates/verbenaslip-lab/src/contract/case.rs
@@ -67,7 +67,7 @@
 
     /// Gives the question a body.
     #[must_use]
-    pub fn body(mut self, body: impl ToString) -> Self {
+    pub fn body(mut self, body: &impl ToString) -> Self {
         self.body = body.to_string();
         self
     }
--- a/crates/verbenaslip-lab/src/contract/cloud.rs
+++ b/crates/verbenaslip-lab/src/contract/cloud.rs
@@ -15,18 +15,18 @@
             .kind("/prices/0/price", "number")
             .is("/prices/1/market", "on_demand"),
         Case::new("a machine is started", "POST", MACHINES, 201)
-            .body(order(1, "reclaimable"))
+            .body(&order(1, "reclaimable"))
             .is("/name", "north-standard-1"),
         Case::new("the same order is the same machine", "POST", MACHINES, 201)
-            .body(order(1, "reclaimable"))
+            .body(&order(1, "reclaimable"))
             .is("/name", "north-standard-1"),
         Case::new("a start without capacity is refused", "POST", MACHINES, 409)
-            .body(order(2, "reclaimable"))
+            .body(&order(2, "reclaimable"))
             .is("/refused", "capacity"),
         Case::new("the other market has its own capacity", "POST", MACHINES, 201)
-            .body(order(3, "on_demand"))
+            .body(&order(3, "on_demand"))
             .is("/name", "north-standard-2"),
-        Case::new("an unknown market", "POST", MACHINES, 400).body(order(4, "gift")),
+        Case::new("an unknown market", "POST", MACHINES, 400).body(&order(4, "gift")),
         Case::new("machines are listed", "GET", MACHINES, 200)
             .is("/machines/1/name", "north-standard-1")
             .is("/machines/1/zone", "north")
@@ -37,7 +37,7 @@
         Case::new("giving back again is no error", "DELETE", "/v1/machines/north-standard-1", 204),
         Case::new("giving back what is not known is no error", "DELETE", "/v1/machines/x", 204),
         Case::new("its place can be sold again", "POST", MACHINES, 201)
-            .body(order(5, "reclaimable"))
+            .body(&order(5, "reclaimable"))
             .is("/name", "north-standard-3"),
         Case::new("notices name what is taken", "GET", "/v1/notices?since=0", 200)
             .is("/next", 2)
--- a/crates/verbenaslip-lab/src/contract/engine.rs
+++ b/crates/verbenaslip-lab/src/contract/engine.rs
@@ -59,10 +59,10 @@
             .header("verbenaslip-outcome", "not-run")
             .is("/error/type", "not_run"),
         Case::new("a run without its request's name is not understood", "POST", CHAT, 400)
-            .body(prompt("hello", 1))
+            .body(&prompt("hello", 1))
             .kind("/error/message", "string"),
         chat("a body that is no JSON is not understood", "a3", 1, 400, &Value::Null)
-            .body("{")
+            .body(&"{")
             .kind("/error/message", "string"),
     ]
 }
@@ -85,9 +85,9 @@
         chat("an unknown KV cache is not run", "c2", 1, 503, &import)
             .header("verbenaslip-outcome", "not-run"),
         Case::new("an unknown run is not exported", "POST", "/v1/kv/export", 404)
-            .body(json!({"request": "ff", "attempt": 1})),
+            .body(&json!({"request": "ff", "attempt": 1})),
         Case::new("a source that does not answer is not imported", "POST", "/v1/kv/import", 502)
-            .body(json!({"handle": "none", "source": "127.0.0.1:9"})),
+            .body(&json!({"handle": "none", "source": "127.0.0.1:9"})),
     ]
 }
 
@@ -143,12 +143,12 @@
         .with("verbenaslip-request", &format!("{request:0>32}"))
         .with("verbenaslip-attempt", &attempt.to_string())
         .with("verbenaslip-priority", "5")
-        .body(body)
+        .body(&body)
 }
 
 fn order(name: &'static str, fence: (u64, u64), expires: u64, order: &Value, status: u16) -> Case {
     let body = json!({"term": fence.0, "index": fence.1, "expires_ms": expires, "order": order});
-    Case::new(name, "POST", "/v1/orders", status).body(body)
+    Case::new(name, "POST", "/v1/orders", status).body(&body)
 }
 
 fn prompt(content: &str, tokens: u32) -> Value {
--- a/crates/verbenaslip-lab/src/contract/service.rs
+++ b/crates/verbenaslip-lab/src/contract/service.rs
@@ -10,7 +10,7 @@
             .with("verbenaslip-request", "a1")
             .with("verbenaslip-attempt", "1")
             .with("content-type", "application/json")
-            .body(body)
+            .body(&body)
     };
     vec![
         ask("a refused request was not run", "{}", 503)
