--- a/crates/verbenaslip-replica/src/lead.rs
+++ b/crates/verbenaslip-replica/src/lead.rs
@@ -32,8 +32,10 @@
     pub(crate) beat: Duration,
     /// Whether a message must go to every follower in this step.
     pub(crate) beating: bool,
-    /// Tokens of proposals that wait for a quorum, by index.
-    pub(crate) proposals: BTreeMap<u64, u64>,
+    /// Proposals that wait for a quorum, by index.
+    pub(crate) proposals: BTreeMap<u64, Proposal>,
+    /// The bytes of these proposals.
+    pub(crate) waiting: usize,
     /// Confirmations that wait for a round.
     pub(crate) confirms: Vec<Confirm>,
     /// The change of the voter set that was asked for in this term.
@@ -48,6 +50,13 @@
     pub(crate) strangers: BTreeMap<Instance, Identity>,
 }
 
+/// Holds one proposal that waits.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Proposal {
+    pub(crate) token: u64,
+    pub(crate) size: usize,
+}
+
 /// Holds one confirmation that waits.
 #[derive(Debug)]
 pub(crate) struct Confirm {
@@ -68,6 +77,7 @@
             beat: now,
             beating: false,
             proposals: BTreeMap::new(),
+            waiting: 0,
             confirms: Vec::new(),
             change: None,
             transfer: None,
@@ -99,9 +109,11 @@
             self.out.push(Output::Answer { token, answer: Answer::Rejected(rejection) });
             return;
         }
+        let size = command.len();
         let index = self.append_own(Payload::Command(command));
         let State::Leader(leading) = &mut self.state else { return };
-        leading.proposals.insert(index, token);
+        leading.waiting += size;
+        leading.proposals.insert(index, Proposal { token, size });
     }
 
     /// Takes the question whether this is still the leader.
@@ -264,7 +276,7 @@
     /// Ends a leadership: whoever waits is answered.
     pub(crate) fn resign(&mut self, leading: Leading) {
         self.rest();
-        for token in leading.proposals.into_values() {
+        for Proposal { token, .. } in leading.proposals.into_values() {
             self.out.push(Output::Answer { token, answer: Answer::Unknown });
         }
         for confirm in leading.confirms {
@@ -289,7 +301,8 @@
             return Err(Rejection::TooLarge { size: size as u64, limit: limit as u64 });
         }
         let pending = leading.proposals.len();
-        if pending >= self.setup.size.pending {
+        let full = leading.waiting + size > self.setup.size.waiting;
+        if pending >= self.setup.size.pending || (full && pending > 0) {
             return Err(Rejection::Busy { pending: pending as u64 });
         }
         Ok(())
--- a/crates/verbenaslip-replica/src/log.rs
+++ b/crates/verbenaslip-replica/src/log.rs
@@ -81,6 +81,22 @@
         self.configs.drain(..newest);
     }
 
+    /// Returns the index before the tail that ends at an index and has at most so many entries and
+    /// bytes.
+    pub(crate) fn before_tail(&self, end: u64, entries: u64, bytes: usize) -> u64 {
+        let least = end.saturating_sub(entries).max(self.base.index);
+        let mut index = end;
+        let mut size = 0;
+        while index > least {
+            size += self.entry(index).map_or(0, Entry::size);
+            if size > bytes {
+                break;
+            }
+            index -= 1;
+        }
+        index
+    }
+
     /// Returns the voter set in force, committed or not.
     pub(crate) fn config(&self) -> &Config {
         &self.placed().config
--- a/crates/verbenaslip-replica/src/replica.rs
+++ b/crates/verbenaslip-replica/src/replica.rs
@@ -224,9 +224,21 @@
     fn tick(&mut self) {
         match self.state {
             State::Leader(_) => self.tick_leader(),
-            _ if self.may_campaign() && self.now >= self.election => self.campaign(),
-            _ => self.tick_founding(),
+            _ if self.may_campaign() => {
+                if self.now >= self.election {
+                    self.campaign();
+                }
+            }
+            _ => self.tick_outsider(),
+        }
+    }
+
+    /// Runs the timers of a replica that is no voter: new, catching up, or removed.
+    fn tick_outsider(&mut self) {
+        if self.now >= self.election {
+            self.leader = None;
         }
+        self.tick_founding();
     }
 
     /// Commits, applies, answers and sends what the last input made possible.
@@ -268,8 +280,10 @@
     /// Answers the proposal at a position that is now committed and applied.
     fn settle(&mut self, position: Position) {
         let State::Leader(leading) = &mut self.state else { return };
-        let Some(token) = leading.proposals.remove(&position.index) else { return };
-        self.out.push(Output::Answer { token, answer: Answer::Committed(position) });
+        let Some(proposal) = leading.proposals.remove(&position.index) else { return };
+        leading.waiting -= proposal.size;
+        let answer = Answer::Committed(position);
+        self.out.push(Output::Answer { token: proposal.token, answer });
     }
 
     /// Takes up a term, newer or the same, as a follower.
--- a/crates/verbenaslip-replica/src/setup.rs
+++ b/crates/verbenaslip-replica/src/setup.rs
@@ -82,14 +82,18 @@
     pub message: usize,
     /// How many appends may be on the way to one voter.
     pub window: usize,
-    /// How many proposals may wait for a quorum.
+    /// How many proposals may wait for a quorum,
     pub pending: usize,
+    /// and how many bytes they may have together.
+    pub waiting: usize,
     /// A snapshot is asked for after this many entries,
     pub entries: u64,
     /// or after this many bytes of entries.
     pub bytes: usize,
-    /// Entries before a snapshot that are kept for followers that lag.
+    /// Entries before a snapshot that are kept for followers that lag,
     pub tail: u64,
+    /// and the most bytes that they may have together.
+    pub tail_bytes: usize,
     /// The largest snapshot.
     pub snapshot: u64,
 }
@@ -101,9 +105,11 @@
             message: 64 << 10,
             window: 4,
             pending: 16 << 10,
+            waiting: 8 << 20,
             entries: 8 << 10,
             bytes: 8 << 20,
             tail: 1 << 10,
+            tail_bytes: 2 << 20,
             snapshot: 64 << 20,
         }
     }
--- a/crates/verbenaslip-replica/src/snapshot.rs
+++ b/crates/verbenaslip-replica/src/snapshot.rs
@@ -44,7 +44,7 @@
         let Some(term) = self.log.term(index) else { return };
         let Some(config) = self.log.config_at(index).cloned() else { return };
         let snapshot = Arc::new(Snapshot { position: Position { term, index }, config, state });
-        let through = index.saturating_sub(self.setup.size.tail).max(self.log.base().index);
+        let through = self.log.before_tail(index, self.setup.size.tail, self.setup.size.tail_bytes);
         self.save();
         self.log.compact(through);
         self.snapshot = Some(snapshot.clone());
@@ -108,6 +108,10 @@
             }
             return;
         }
+        // A follower that was away would first get the snapshot from when it left, and then another.
+        if let Some(newest) = self.snapshot.as_ref().filter(|_| *offset == 0) {
+            *snapshot = newest.clone();
+        }
         *sent = Some(self.now);
         let total = snapshot.state.len();
         let from = usize::try_from(*offset).map_or(total, |offset| offset.min(total));
--- a/crates/verbenaslip-replica/tests/world/mod.rs
+++ b/crates/verbenaslip-replica/tests/world/mod.rs
@@ -525,3 +525,50 @@
 pub fn is_leaders(message: &Message) -> bool {
     matches!(message.body, Body::Append { .. } | Body::Chunk { .. })
 }
+
+impl World {
+    /// Lists the nodes other than one.
+    pub fn others(&self, node: usize) -> Vec<usize> {
+        (0..self.nodes.len()).filter(|other| *other != node).collect()
+    }
+
+    /// Drops all messages between two nodes.
+    pub fn cut(&mut self, one: usize, other: usize) {
+        self.cut_one_way(one, other);
+        self.cut_one_way(other, one);
+    }
+
+    /// Replaces the voter of a node whose disk was lost by the folder that is there now.
+    pub fn repair(&mut self, node: usize) {
+        let new = self.replica(node).voter();
+        let change = Change::Replace { old: new.instance.clone(), new };
+        let leader = self.settle();
+        let token = self.change(leader, change);
+        assert!(self.until(ms(20_000), |world| world.answers.contains_key(&token)));
+        let answer = &self.answers[&token];
+        assert!(matches!(answer, Answer::Committed(_)), "the repair ended with {answer:?}");
+    }
+
+    /// Ends all faults, commits once more, and checks that every voter has everything.
+    pub fn recover(&mut self) {
+        self.heal();
+        self.snare = None;
+        self.weather = Weather::CALM;
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].frozen {
+                self.thaw(node);
+            }
+            self.restart(node);
+        }
+        self.run(ms(5_000));
+        let index = self.commit_one();
+        self.run(ms(5_000));
+        let leader = self.settle();
+        let config = self.replica(leader).voters().clone();
+        for node in 0..self.nodes.len() {
+            let replica = self.replica(node);
+            let behind = config.contains(replica.identity()) && replica.applied() < index;
+            assert!(!behind, "node {node} stays behind {index}: {:?}", self.summary());
+        }
+    }
+}
