Add the operators' command

Cause: operators drive the system by editing one table from files under version control, and by draining instances and changing voters. Ruled out: a new identity for each try, because an edit whose answer was lost would meet itself as a conflict; the newest revision as base of a fetched file, because an apply would silently take back a colleague's edit; sending a change of voters again, because twice is not the same as once. Change: verbenaslip with status, table show|check|diff|apply|history, audit, drain and voters. FILE.base keeps the fetched revision. Conclusion: exit codes 0 to 6 tell done, refused, usage, input, unreachable, unknown and not in force in time apart.

--- /dev/null
+++ b/crates/verbenaslip-cli/src/client/key.rs
@@ -0,0 +1,31 @@
+//! The operator's own key.
+
+use std::fs::File;
+use std::os::unix::fs::PermissionsExt;
+use std::path::Path;
+
+/// Permission bits of group and others.
+const OTHERS: u32 = 0o077;
+
+/// Returns the key in a file that only its owner may read: the last word of its first line that is
+/// no comment, so that a line of the instances' own file of keys serves too.
+pub(super) fn read(path: &Path) -> Result<String, String> {
+    let unread = |error: std::io::Error| format!("the key can't be read: {error}");
+    let file = File::open(path).map_err(unread)?;
+    let mode = file.metadata().map_err(unread)?.permissions().mode() & 0o777;
+    if mode & OTHERS != 0 {
+        let path = path.display();
+        return Err(format!(
+            "is readable by group or others (mode {mode:03o}); run `chmod 600 {path}`"
+        ));
+    }
+    let text = std::io::read_to_string(file).map_err(unread)?;
+    let mut lines = text.lines().map(str::trim);
+    let line = lines.find(|line| !line.is_empty() && !line.starts_with('#'));
+    let key = line.and_then(|line| line.split_ascii_whitespace().last());
+    let key = key.ok_or("holds no key; write it on a line of its own")?;
+    if !key.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err("the key must be visible ASCII characters".into());
+    }
+    Ok(key.to_owned())
+}
--- /dev/null
+++ b/crates/verbenaslip-cli/src/command.rs
@@ -0,0 +1,10 @@
+//! The commands of `verbenaslip`.
+
+pub mod audit;
+pub mod drain;
+pub mod status;
+pub mod table;
+pub mod voters;
+
+mod columns;
+mod time;
--- /dev/null
+++ b/crates/verbenaslip-cli/src/command/audit.rs
@@ -0,0 +1,53 @@
+//! `verbenaslip audit`.
+
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::value::RawValue;
+
+use verbenaslip_state::audit::Entry;
+
+use super::time;
+use crate::args::Audit;
+use crate::client::{Call, Client};
+use crate::error::Error;
+use crate::exit::Exit;
+use crate::terminal::Terminal;
+
+/// Holds a part of the trail; entries stay text, since some numbers in them have 128 bits.
+#[derive(Deserialize)]
+struct Page {
+    next: u64,
+    entries: Vec<Box<RawValue>>,
+}
+
+/// Reads the trail page by page to its end.
+pub(crate) fn run(
+    args: &Audit,
+    client: &mut Client,
+    terminal: &mut Terminal<'_>,
+) -> Result<Exit, Error> {
+    let mut since = args.since;
+    loop {
+        let page: Page = client.call(&Call::get(format!("/v1/audit?since={since}")))?.json()?;
+        for entry in &page.entries {
+            let line = if terminal.wants_json() { entry.get().to_owned() } else { show(entry) };
+            terminal.text(&format!("{line}\n"))?;
+        }
+        // A page that does not get on is the last one.
+        if page.entries.is_empty() || page.next <= since {
+            return Ok(Exit::Done);
+        }
+        since = page.next;
+    }
+}
+
+fn show(entry: &RawValue) -> String {
+    let Ok(entry) = serde_json::from_str::<Entry>(entry.get()) else {
+        // An instance of a later version notes what this one does not know.
+        return serde_json::from_str::<Value>(entry.get()).unwrap_or_default().to_string();
+    };
+    let base = entry.base.map(|base| format!(" from revision {base}")).unwrap_or_default();
+    let word = if entry.accepted { "accepted" } else { "REFUSED" };
+    let (number, at, by) = (entry.number, time::show(entry.at), &entry.by);
+    format!("{number} {at} {by}: {}{base}; {word}: {}", entry.action, entry.answer)
+}
--- /dev/null
+++ b/crates/verbenaslip-cli/src/command/drain.rs
@@ -0,0 +1,56 @@
+//! `verbenaslip drain`.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use super::status;
+use crate::args::Drain;
+use crate::client::{Call, Client};
+use crate::error::Error;
+use crate::exit::Exit;
+use crate::terminal::Terminal;
+
+/// How to find out after a lost answer.
+const HINT: &str = "\nRun it again: draining twice is the same as once.";
+/// The time between two looks whether the instance has left.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// Orders the stop, and waits for it if asked to.
+pub(crate) fn run(
+    args: &Drain,
+    client: &mut Client,
+    terminal: &mut Terminal<'_>,
+) -> Result<Exit, Error> {
+    let name = &args.instance;
+    let body = json!({ "instance": name }).to_string().into_bytes();
+    client.call(&Call::post("/v1/drain", body, HINT).again_for(Duration::ZERO))?;
+    if !args.wait {
+        let text = format!("{name} drains; `verbenaslip status` shows when it has left");
+        terminal.result(&json!({ "draining": name, "left": false }), &text)?;
+        return Ok(Exit::Done);
+    }
+    terminal.remark(&format!("{name} drains; waiting until it has left"));
+    let end = Instant::now() + args.timeout;
+    while Instant::now() < end {
+        if has_left(name, client) {
+            terminal
+                .result(&json!({ "draining": name, "left": true }), &format!("{name} has left"))?;
+            return Ok(Exit::Done);
+        }
+        thread::sleep(LOOK);
+    }
+    terminal
+        .result(&json!({ "draining": name, "left": false }), &format!("{name} still drains"))?;
+    Ok(Exit::NotInForce)
+}
+
+/// Asks the others whether the instance is gone; no answer says nothing.
+fn has_left(name: &str, client: &mut Client) -> bool {
+    let Ok(status) = status::fetch(client) else { return false };
+    let member = status.members.iter().find(|member| member.name == name);
+    // The instance itself answers until its end.
+    let gone = member.is_none_or(|member| matches!(member.state.as_str(), "left" | "lost"));
+    status.instance.name != name && gone
+}
--- /dev/null
+++ b/crates/verbenaslip-cli/src/command/table/apply.rs
@@ -0,0 +1,179 @@
+//! `verbenaslip table apply`.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use verbenaslip_base::hash;
+use verbenaslip_table::edit::Id;
+use verbenaslip_table::{Problems, Table};
+
+use super::file;
+use super::read::{differences, fetch, lines};
+use crate::answer::{Applied, Conflict, Faulty};
+use crate::args::Apply;
+use crate::client::{Call, Client, PAUSE, Reply, encode};
+use crate::error::Error;
+use crate::exit::Exit;
+use crate::terminal::Terminal;
+
+/// How long one call waits at the instance before it says whom it waits for.
+const WAIT: Duration = Duration::from_secs(1);
+/// How to find out after a lost answer.
+const HINT: &str = "\nRun the same command again: it is the same edit and is made once.";
+/// Statuses that say what became of the edit.
+const VERDICTS: &[u16] = &[409, 422];
+
+/// Puts a file in force.
+pub(super) fn run(
+    args: &Apply,
+    client: &mut Client,
+    terminal: &mut Terminal<'_>,
+) -> Result<Exit, Error> {
+    let table = file::read(&args.file)?;
+    let end = Instant::now() + args.timeout;
+    let newest = fetch(client, None)?;
+    let same = newest.table == table;
+    if same && !args.wait {
+        let applied = Applied {
+            revision: newest.revision,
+            unchanged: true,
+            in_force: false,
+            waiting: vec![],
+        };
+        return finish(args, &applied, terminal);
+    }
+    let base = match args.base.map_or_else(|| file::base(&args.file), |base| Ok(Some(base)))? {
+        Some(base) => base,
+        None => {
+            terminal.remark(&format!("base is the newest revision, {}", newest.revision));
+            newest.revision
+        }
+    };
+    let edit = Edit::new(args, base, &table)?;
+    if base == newest.revision {
+        let differences = differences(&newest.table, &table);
+        terminal.remark(&format!("edit {} on base {base}:\n{}", edit.id, lines(&differences)));
+    } else {
+        terminal.remark(&format!("edit {} on base {base}; newest is {}", edit.id, newest.revision));
+    }
+    let applied = edit.send(args, end, client, terminal)?;
+    finish(args, &applied, terminal)
+}
+
+/// Holds what is sent, and sent again after a lost answer.
+struct Edit {
+    id: Id,
+    base: u64,
+    csv: String,
+}
+
+impl Edit {
+    fn new(args: &Apply, base: u64, table: &Table) -> Result<Self, Error> {
+        let csv = table.print();
+        let id = match &args.edit {
+            Some(id) => Id::new(id),
+            // The same file on the same base is the same edit, also from another terminal after
+            // the answer to the first was lost.
+            None => {
+                Id::new(&format!("{:032x}", hash::wide(&[&base.to_le_bytes(), csv.as_bytes()])))
+            }
+        };
+        let wrong = || Error::Usage("--edit must be 1 to 64 visible ASCII characters".into());
+        Ok(Self { id: id.ok_or_else(wrong)?, base, csv })
+    }
+
+    /// Sends the edit until it is decided, and with `--wait` until it is in force or time is over.
+    fn send(
+        &self,
+        args: &Apply,
+        end: Instant,
+        client: &mut Client,
+        terminal: &mut Terminal<'_>,
+    ) -> Result<Applied, Error> {
+        let mut applied = self.once(args, end, client)?;
+        let mut told = Vec::new();
+        while args.wait && !args.dry && !applied.in_force && Instant::now() < end {
+            if applied.waiting != told {
+                let names = applied.waiting.join(", ");
+                terminal.remark(&format!("revision {}: waiting for {names}", applied.revision));
+                told = applied.waiting.clone();
+            }
+            thread::sleep(PAUSE.min(end.saturating_duration_since(Instant::now())));
+            match self.once(args, end, client) {
+                Ok(newer) => applied = newer,
+                // The edit is accepted and stays so; only whether it is in force is not known.
+                Err(error) => {
+                    terminal.remark(&error.to_string());
+                    break;
+                }
+            }
+        }
+        Ok(applied)
+    }
+
+    /// Sends the edit once, or again where the answer was lost.
+    fn once(&self, args: &Apply, end: Instant, client: &mut Client) -> Result<Applied, Error> {
+        let left = end.saturating_duration_since(Instant::now());
+        let wait = if args.wait { WAIT.min(left) } else { Duration::ZERO };
+        let (id, millis) = (encode(self.id.as_str()), wait.as_millis());
+        let dry = if args.dry { "&dry=true" } else { "" };
+        let path = format!("/v1/table?base={}&edit={id}&wait_ms={millis}{dry}", self.base);
+        let call = Call::post(path, self.csv.clone().into_bytes(), HINT).csv();
+        let call = call.again_for(left).waiting(wait).expecting(VERDICTS);
+        let reply = client.call(&call)?;
+        match reply.status {
+            409 => Err(self.conflict(&reply)),
+            422 => Err(faulty(args, &reply)),
+            _ => reply.json(),
+        }
+    }
+
+    fn conflict(&self, reply: &Reply) -> Error {
+        let Ok(conflict) = reply.json::<Conflict>() else { return reply.refused() };
+        Error::Conflict {
+            base: self.base,
+            newest: conflict.newest,
+            by: conflict.by.unwrap_or_else(|| "somebody".into()),
+            differs: conflict.differs.join(", "),
+        }
+    }
+}
+
+fn faulty(args: &Apply, reply: &Reply) -> Error {
+    match reply.json::<Faulty>() {
+        Ok(Faulty { problems }) => {
+            let file = args.file.display().to_string();
+            Error::Table { file, problems: Problems(problems) }
+        }
+        Err(error) => error,
+    }
+}
+
+/// Says what became of the edit.
+fn finish(args: &Apply, applied: &Applied, terminal: &mut Terminal<'_>) -> Result<Exit, Error> {
+    let Applied { revision, unchanged, in_force, waiting } = applied;
+    let names = waiting.join(", ");
+    let what = match (args.dry, unchanged) {
+        (true, _) => format!("would be accepted after revision {revision}"),
+        (false, true) => format!("no edit: revision {revision} is the same table"),
+        (false, false) => format!("accepted as revision {revision}"),
+    };
+    let force = match (args.wait && !args.dry, in_force) {
+        (_, true) => ", in force everywhere".into(),
+        (true, false) => format!(", NOT YET in force at {names}"),
+        (false, false) if waiting.is_empty() => String::new(),
+        (false, false) => format!(", not yet confirmed by {names}"),
+    };
+    if !args.dry {
+        file::advance(&args.file, *revision)?;
+    }
+    let object = json!({
+        "revision": revision, "unchanged": unchanged, "in_force": in_force, "waiting": waiting,
+        "dry": args.dry,
+    });
+    terminal.result(&object, &(what + &force))?;
+    let late = args.wait && !args.dry && !in_force;
+    Ok(if late { Exit::NotInForce } else { Exit::Done })
+}
--- /dev/null
+++ b/crates/verbenaslip-cli/src/command/table/file.rs
@@ -0,0 +1,57 @@
+//! Table files and the revisions that they were made from.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use verbenaslip_table::Table;
+
+use crate::error::Error;
+
+/// Reads and checks a table file.
+pub(super) fn read(path: &Path) -> Result<Table, Error> {
+    let bytes = fs::read(path).map_err(|error| wrong(path, format!("can't be read: {error}")))?;
+    Table::parse(&bytes)
+        .map_err(|problems| Error::Table { file: path.display().to_string(), problems })
+}
+
+/// Writes a table file and beside it the revision that it holds.
+pub(super) fn write(path: &Path, text: &str, revision: u64) -> Result<(), Error> {
+    let failed = |path: &Path| {
+        let path = path.to_path_buf();
+        move |error: std::io::Error| wrong(&path, format!("can't be written: {error}"))
+    };
+    fs::write(path, text).map_err(failed(path))?;
+    let base = base_path(path);
+    fs::write(&base, format!("{revision}\n")).map_err(failed(&base))
+}
+
+/// Returns the revision that a file was made from; none if nothing says so.
+pub(super) fn base(path: &Path) -> Result<Option<u64>, Error> {
+    let base = base_path(path);
+    let Ok(text) = fs::read_to_string(&base) else { return Ok(None) };
+    match text.trim().parse() {
+        Ok(revision) => Ok(Some(revision)),
+        Err(_) => Err(wrong(&base, "must hold one revision number; or give --base".into())),
+    }
+}
+
+/// Notes that a file is now what a revision holds, if it was noted before.
+pub(super) fn advance(path: &Path, revision: u64) -> Result<(), Error> {
+    let base = base_path(path);
+    if !base.exists() {
+        return Ok(());
+    }
+    fs::write(&base, format!("{revision}\n"))
+        .map_err(|error| wrong(&base, format!("can't be written: {error}")))
+}
+
+/// Returns `FILE.base` for `FILE`.
+fn base_path(path: &Path) -> PathBuf {
+    let mut name = path.as_os_str().to_owned();
+    name.push(".base");
+    name.into()
+}
+
+fn wrong(path: &Path, cause: String) -> Error {
+    Error::File { file: path.display().to_string(), cause }
+}
--- /dev/null
+++ b/crates/verbenaslip-cli/src/command/voters.rs
@@ -0,0 +1,37 @@
+//! `verbenaslip voters`.
+
+use serde_json::json;
+
+use crate::args::{Voters, VotersAction};
+use crate::client::{Call, Client};
+use crate::error::Error;
+use crate::exit::Exit;
+use crate::terminal::Terminal;
+
+/// How to find out after a lost answer.
+const HINT: &str = "\n`verbenaslip status` shows whether the voters have changed.";
+
+/// Orders the change and says when it is committed.
+pub(crate) fn run(
+    args: &Voters,
+    client: &mut Client,
+    terminal: &mut Terminal<'_>,
+) -> Result<Exit, Error> {
+    let (change, text) = match &args.action {
+        VotersAction::Add(add) => {
+            (json!({ "add": add.instance }), format!("{} is a voter", add.instance))
+        }
+        VotersAction::Remove(remove) => {
+            (json!({ "remove": remove.instance }), format!("{} is no voter", remove.instance))
+        }
+        VotersAction::Replace(replace) => {
+            let (old, new) = (&replace.old, &replace.new);
+            let change = json!({ "replace": { "old": old, "new": new } });
+            (change, format!("{new} is a voter in place of {old}"))
+        }
+    };
+    let body = change.to_string().into_bytes();
+    client.call(&Call::post("/v1/voters", body, HINT))?;
+    terminal.result(&json!({ "committed": change }), &format!("committed: {text}"))?;
+    Ok(Exit::Done)
+}
--- /dev/null
+++ b/crates/verbenaslip-cli/src/daemon.rs
@@ -0,0 +1,1 @@
+//! `verbenaslipd`: one instance as a process.
--- /dev/null
+++ b/crates/verbenaslip-cli/tests/operator.rs
@@ -0,0 +1,432 @@
+//! The operators' command against scripted instances.
+
+mod stand_in;
+
+use std::fs::{self, Permissions};
+use std::net::SocketAddr;
+use std::os::unix::fs::PermissionsExt;
+use std::path::PathBuf;
+use std::sync::OnceLock;
+
+use argh::FromArgs;
+
+use verbenaslip_cli::args::Operator;
+use verbenaslip_cli::exit::Exit;
+use verbenaslip_cli::run;
+use verbenaslip_cli::terminal::Terminal;
+use verbenaslip_table::{Row, Table};
+
+use stand_in::{StandIn, Step, json, nobody, table};
+
+const ACCEPTED: &str = r#"{"revision":6,"unchanged":false,"in_force":true,"waiting":[]}"#;
+const NO_QUORUM_NOT_RUN: &str = r#"{"error":{"message":"There is no quorum. The change was not made.","type":"not_run","code":"no_quorum","hint":"Send it again later."}}"#;
+const NO_QUORUM_UNKNOWN: &str = r#"{"error":{"message":"There is no quorum. Whether the change was made is unknown.","type":"outcome_unknown","code":"no_quorum","hint":""}}"#;
+const CONFLICT: &str = r#"{"error":{"message":"berit has made revision 6 since.","type":"edit_conflict","code":"stale_base","hint":"Read the newest."},"newest":6,"by":"berit","differs":["owners/draft","charterers/*"]}"#;
+const REUSED: &str = r#"{"error":{"message":"The edit id was used for other changes.","type":"invalid_request_error","code":"state","hint":"Draw a new one."}}"#;
+const WRONG_KEY: &str = r#"{"error":{"message":"The bearer key is missing or not the one needed here.","type":"invalid_request_error","code":"key","hint":"Send an operator's key."}}"#;
+
+/// What a command did.
+struct Done {
+    exit: Exit,
+    out: String,
+    remarks: String,
+}
+
+impl Done {
+    /// Shows exit code and both streams, without what differs from run to run.
+    fn shown(&self, names: &[(String, &str)]) -> String {
+        let mut text =
+            format!("exit {}\n--- out\n{}--- remarks\n{}", self.exit as u8, self.out, self.remarks);
+        for (value, name) in names {
+            text = text.replace(value, name);
+        }
+        text
+    }
+}
+
+/// Returns a file of this test program.
+fn path(name: &str) -> PathBuf {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("operator");
+    fs::create_dir_all(&folder).expect("the folder can be made");
+    folder.join(name)
+}
+
+/// Returns the good key, written once, since the tests run beside each other.
+fn good_key() -> &'static str {
+    static KEY: OnceLock<String> = OnceLock::new();
+    KEY.get_or_init(|| key(0o600).display().to_string())
+}
+
+fn key(mode: u32) -> PathBuf {
+    let path = path(&format!("key-{mode:o}"));
+    fs::write(&path, "# mine\nanna key-of-anna-00001\n").expect("the key can be written");
+    fs::set_permissions(&path, Permissions::from_mode(mode)).expect("the mode can be set");
+    path
+}
+
+/// Runs one command line at the given instances.
+fn at(admins: &[SocketAddr], words: &[&str]) -> Done {
+    let admins: Vec<String> = admins.iter().map(SocketAddr::to_string).collect();
+    let admins = admins.join(",");
+    let mut line = vec!["--admin", &admins, "--key-file", good_key()];
+    line.extend(words);
+    raw(&line)
+}
+
+fn raw(words: &[&str]) -> Done {
+    let args = Operator::from_args(&["verbenaslip"], words).expect("the line can be read");
+    let (mut out, mut remarks) = (Vec::new(), Vec::new());
+    let exit = run(&args, &mut Terminal::new(&mut out, &mut remarks, args.json));
+    let text = |bytes| String::from_utf8(bytes).expect("output is UTF-8");
+    Done { exit, out: text(out), remarks: text(remarks) }
+}
+
+fn rows(weight: u32) -> Table {
+    let owners = Row { weight, ..Row::new("owners", "draft") };
+    Table::new([owners, Row::new("charterers", "*")]).expect("the rows are allowed")
+}
+
+/// Writes a table file without a note of its base and returns its path.
+fn sheet(name: &str, table: &Table) -> String {
+    let path = path(name);
+    fs::write(&path, table.print()).expect("the table can be written");
+    let _ = fs::remove_file(self::path(&format!("{name}.base")));
+    path.display().to_string()
+}
+
+/// Returns the identity of the edit in a request.
+fn edit(request: &str) -> &str {
+    let (_, rest) = request.split_once("edit=").expect("the request names an edit");
+    rest.split(['&', ' ']).next().expect("the identity ends")
+}
+
+#[test]
+fn file_is_applied_on_the_newest_revision() {
+    let instance = StandIn::spawn([table(5, &rows(100).print()), json(200, ACCEPTED)]);
+    let file = sheet("plain.csv", &rows(300));
+    let done = at(&[instance.address], &["table", "apply", &file]);
+    let seen = instance.seen();
+    let id = edit(&seen[1]).to_owned();
+    assert!(seen[1].starts_with("POST /v1/table?base=5&edit="), "{}", seen[1]);
+    assert!(seen[1].ends_with(&format!("with key {}", rows(300).print().trim_end())));
+    insta::assert_snapshot!(done.shown(&[(id, "ID")]));
+}
+
+/// Symptom: an edit is made twice, or a command says "conflict" with its own edit. Sequence: the
+/// instance commits the edit and dies before it answers; the command asks the next instance, or the
+/// operator runs it again. Cause: a new identity for each try.
+#[test]
+fn lost_answer_is_asked_for_again_under_the_same_identity() {
+    let tables = || table(5, &rows(100).print());
+    let cases = [
+        ("closed without an answer", Step::HangUp),
+        ("cut off in its body", Step::Cut),
+        ("504", json(504, NO_QUORUM_UNKNOWN)),
+        ("503, unknown", json(503, NO_QUORUM_UNKNOWN)),
+        ("503, not run", json(503, NO_QUORUM_NOT_RUN)),
+        ("502 of something between", Step::Answer(502, "", "<html>".into())),
+    ];
+    for (name, lost) in cases {
+        let first = StandIn::spawn([tables(), lost]);
+        let second = StandIn::spawn([json(200, ACCEPTED), tables(), json(200, ACCEPTED)]);
+        let file = sheet("lost.csv", &rows(300));
+        let done = at(&[first.address, second.address], &["table", "apply", &file]);
+        assert_eq!(done.exit, Exit::Done, "{name}: {}", done.remarks);
+        let again = at(&[second.address], &["table", "apply", &file, "--base", "5"]);
+        assert_eq!(again.exit, Exit::Done, "{name}: {}", again.remarks);
+        let (first, second) = (first.seen(), second.seen());
+        assert_eq!(edit(&first[1]), edit(&second[0]), "{name}: next instance");
+        assert_eq!(edit(&first[1]), edit(&second[2]), "{name}: next run");
+    }
+}
+
+#[test]
+fn another_base_or_content_is_another_edit() {
+    let mut identities = std::collections::BTreeSet::new();
+    for (base, weight) in [("5", 300), ("4", 300), ("5", 301)] {
+        let instance = StandIn::spawn([table(5, &rows(100).print()), json(200, ACCEPTED)]);
+        let file = sheet("other.csv", &rows(weight));
+        at(&[instance.address], &["table", "apply", &file, "--base", base]);
+        identities.insert(edit(&instance.seen()[1]).to_owned());
+    }
+    assert_eq!(identities.len(), 3);
+}
+
+/// Symptom: a script that reads "nothing was changed" makes the change a second way, or one that
+/// reads "unknown" never ends. Sequence: instances fail at each step of an apply. Cause: failures
+/// before and after the request was sent are told alike.
+#[test]
+fn each_failure_of_apply_says_what_is_known() {
+    let newest = || table(5, &rows(100).print());
+    let cases = [
+        ("no table", vec![], Exit::Unreachable),
+        ("lost for good", vec![newest()], Exit::Unknown),
+        ("unknown for good", vec![newest(), json(504, NO_QUORUM_UNKNOWN)], Exit::Unknown),
+        ("conflict", vec![newest(), json(409, CONFLICT)], Exit::Refused),
+        ("identity reused", vec![newest(), json(409, REUSED)], Exit::Refused),
+        ("wrong key", vec![json(401, WRONG_KEY)], Exit::Refused),
+        ("lost, then wrong key", vec![newest(), Step::HangUp, json(401, WRONG_KEY)], Exit::Unknown),
+        ("no JSON", vec![newest(), json(200, "done")], Exit::Unknown),
+        ("table without revision", vec![json(200, "team")], Exit::Unknown),
+    ];
+    let mut report = String::new();
+    for (name, steps, exit) in cases {
+        let instance = StandIn::spawn(steps);
+        let file = sheet("failing.csv", &rows(300));
+        let done = at(&[instance.address], &["table", "apply", &file, "--timeout", "500ms"]);
+        assert_eq!(done.exit, exit, "{name}: {}", done.remarks);
+        let posts: Vec<String> = instance.seen();
+        let id = posts.get(1).map_or("no edit", |post| edit(post)).to_owned();
+        let names = [(instance.address.to_string(), "ADMIN"), (id, "ID"), (file, "FILE")];
+        report += &format!("# {name}\n{}\n", done.shown(&names));
+    }
+    insta::assert_snapshot!(report);
+}
+
+#[test]
+fn without_quorum_not_run_is_told_as_nothing_changed() {
+    let steps: Vec<Step> = vec![json(503, NO_QUORUM_NOT_RUN); 100];
+    let newest = table(5, &rows(100).print());
+    let instance = StandIn::spawn([vec![newest], steps].concat());
+    let file = sheet("quorum.csv", &rows(300));
+    let done = at(&[instance.address], &["table", "apply", &file, "--timeout", "700ms"]);
+    assert_eq!(done.exit, Exit::Unreachable, "{}", done.remarks);
+    assert!(instance.seen().len() > 2, "it is tried until the time is over");
+}
+
+#[test]
+fn unreachable_instances_are_named_with_their_step() {
+    let addresses = [nobody(), nobody()];
+    let done = at(&addresses, &["status"]);
+    let names = [(addresses[0].to_string(), "FIRST"), (addresses[1].to_string(), "SECOND")];
+    insta::assert_snapshot!(done.shown(&names));
+}
+
+/// Symptom: two voters are added where one was wanted. Sequence: the answer to a change of the
+/// voters is lost and the command asks the next instance. Cause: a change that is not the same when
+/// made twice is sent again.
+#[test]
+fn lost_change_of_voters_is_not_sent_again() {
+    let (first, second) = (StandIn::spawn([Step::HangUp]), StandIn::spawn([]));
+    let done = at(&[first.address, second.address], &["voters", "replace", "entry-3", "entry-4"]);
+    assert_eq!(done.exit, Exit::Unknown);
+    assert_eq!(first.seen().len(), 1);
+    assert!(second.seen().is_empty(), "{:?}", second.seen());
+    let names = [(first.address.to_string(), "ADMIN")];
+    insta::assert_snapshot!(format!("{}\n{}", first.seen()[0], done.shown(&names)));
+}
+
+#[test]
+fn changes_of_voters_go_to_the_first_instance_that_listens() {
+    let committed = || json(200, r#"{"committed":true}"#);
+    let cases: [&[&str]; 3] = [
+        &["voters", "add", "entry-4"],
+        &["voters", "remove", "entry-3"],
+        &["--json", "voters", "replace", "entry-3", "entry-4"],
+    ];
+    let mut report = String::new();
+    for words in cases {
+        let instance = StandIn::spawn([committed()]);
+        let done = at(&[nobody(), instance.address], words);
+        report += &format!("{}\n{}\n", instance.seen()[0], done.shown(&[]));
+    }
+    insta::assert_snapshot!(report);
+}
+
+#[test]
+fn unchanged_file_is_no_edit() {
+    let instance = StandIn::spawn([table(5, &rows(100).print())]);
+    let file = sheet("same.csv", &rows(100));
+    let done = at(&[instance.address], &["table", "apply", &file]);
+    assert_eq!(done.exit, Exit::Done);
+    assert_eq!(done.out, "no edit: revision 5 is the same table\n");
+    assert_eq!(instance.seen().len(), 1, "nothing is posted");
+}
+
+#[test]
+fn apply_with_wait_says_what_it_waits_for() {
+    let waiting = |names: &str| {
+        let body = r#"{"revision":6,"unchanged":false,"in_force":false,"waiting":[NAMES]}"#;
+        json(200, &body.replace("NAMES", names))
+    };
+    let both = || waiting(r#""entry-2","entry-3""#);
+    let newest = table(5, &rows(100).print());
+    let steps = [newest.clone(), both(), both(), waiting(r#""entry-3""#), json(200, ACCEPTED)];
+    let instance = StandIn::spawn(steps);
+    let file = sheet("wait.csv", &rows(300));
+    let done = at(&[instance.address], &["table", "apply", &file, "--wait"]);
+    let seen = instance.seen();
+    assert!(seen[1..].iter().all(|post| post == &seen[1]), "each call is the same edit: {seen:?}");
+    insta::assert_snapshot!(done.shown(&[(edit(&seen[1]).to_owned(), "ID")]));
+}
+
+/// Symptom: `apply --wait` says that an accepted edit may or may not have been made, or floods the
+/// instance with calls. Sequence: the edit is accepted, then the instance answers at once that it
+/// waits, or does not answer any more, until the time is over. Cause: the last answer counts alone.
+#[test]
+fn accepted_edit_stays_accepted_when_the_wait_ends_badly() {
+    let body = r#"{"revision":6,"unchanged":false,"in_force":false,"waiting":["entry-2"]}"#;
+    let file = sheet("late.csv", &rows(300));
+    let newest = table(5, &rows(100).print());
+    let many = vec![json(200, body); 50];
+    let lost = vec![json(200, body), Step::HangUp];
+    for (name, steps) in [("still waiting", many), ("answers lost", lost)] {
+        let instance = StandIn::spawn([vec![newest.clone()], steps].concat());
+        let words = ["table", "apply", &file, "--wait", "--timeout", "700ms"];
+        let done = at(&[instance.address], &words);
+        assert_eq!(done.exit, Exit::NotInForce, "{name}: {}", done.remarks);
+        let expected = "accepted as revision 6, NOT YET in force at entry-2\n";
+        assert_eq!(done.out, expected, "{name}");
+        assert!(instance.seen().len() < 10, "{name}: {} calls", instance.seen().len());
+    }
+}
+
+/// Symptom: an operator's apply silently takes back a colleague's edit. Sequence: both fetch
+/// revision 5, one applies, the other applies an hour later. Cause: the base is taken to be the
+/// newest revision when it is applied, not the one that was fetched.
+#[test]
+fn base_is_the_revision_that_was_fetched() {
+    let file = sheet("fetched.csv", &rows(100));
+    let instance = StandIn::spawn([
+        table(5, &rows(100).print()),
+        table(6, &rows(200).print()),
+        json(409, CONFLICT),
+    ]);
+    let shown = at(&[instance.address], &["table", "show", "--to", &file]);
+    assert_eq!(shown.exit, Exit::Done, "{}", shown.remarks);
+    fs::write(&file, rows(300).print()).expect("the table can be written");
+    let done = at(&[instance.address], &["table", "apply", &file]);
+    assert_eq!(done.exit, Exit::Refused, "{}", done.remarks);
+    assert!(instance.seen()[2].contains("?base=5&"), "{:?}", instance.seen());
+}
+
+#[test]
+fn base_of_a_file_goes_on_with_its_edits() {
+    let file = sheet("advanced.csv", &rows(300));
+    fs::write(format!("{file}.base"), "5\n").expect("the base can be written");
+    let instance = StandIn::spawn([table(5, &rows(100).print()), json(200, ACCEPTED)]);
+    at(&[instance.address], &["table", "apply", &file]);
+    let base = fs::read_to_string(format!("{file}.base")).expect("the base can be read");
+    assert_eq!(base, "6\n");
+    fs::write(format!("{file}.base"), "six\n").expect("the base can be written");
+    let instance = StandIn::spawn([table(6, &rows(100).print())]);
+    let done = at(&[instance.address], &["table", "apply", &file]);
+    assert_eq!(done.exit, Exit::Input, "{}", done.remarks);
+}
+
+#[test]
+fn bad_files_are_found_without_an_instance() {
+    let cases = [
+        ("good.csv", rows(100).print()),
+        ("value.csv", rows(100).print().replace(",100,5,", ",none,5,")),
+        ("header.csv", rows(100).print().replace("weight", "wait")),
+        ("empty.csv", String::new()),
+    ];
+    let mut report = String::new();
+    for (name, text) in cases {
+        let file = sheet(name, &rows(100));
+        fs::write(&file, text).expect("the table can be written");
+        let done = raw(&["table", "check", &file]);
+        report += &format!("# {name}\n{}\n", done.shown(&[(file, "FILE")]));
+    }
+    let done = raw(&["table", "check", "/nowhere/table.csv"]);
+    report += &format!("# missing\n{}\n", done.shown(&[]));
+    insta::assert_snapshot!(report);
+}
+
+#[test]
+fn faults_that_an_instance_finds_are_listed() {
+    let body = r#"{"error":{"message":"m","type":"invalid_request_error","code":"table","hint":"h"},"problems":[{"row":2,"column":"weight","value":"0","allowed":"a whole number from 1 to 1000"}]}"#;
+    let instance = StandIn::spawn([table(5, &rows(100).print()), json(422, body)]);
+    let file = sheet("faulty.csv", &rows(300));
+    let done = at(&[instance.address], &["table", "apply", &file]);
+    assert_eq!(done.exit, Exit::Input);
+    assert!(done.remarks.contains("row 2, column weight"), "{}", done.remarks);
+}
+
+#[test]
+fn diff_shows_rows_and_cells() {
+    let file = sheet("diff.csv", &rows(300));
+    let newest = || StandIn::spawn([table(5, &rows(100).print())]);
+    let text = at(&[newest().address], &["table", "diff", &file, "--exit-code"]);
+    assert_eq!(text.exit, Exit::Refused);
+    let json = at(&[newest().address], &["--json", "table", "diff", &file]);
+    assert_eq!(json.exit, Exit::Done);
+    let same = sheet("diff.csv", &rows(100));
+    let same = at(&[newest().address], &["table", "diff", &same, "--exit-code"]);
+    insta::assert_snapshot!([text, json, same].map(|done| done.shown(&[])).join("\n"));
+}
+
+#[test]
+fn history_and_audit_are_readable() {
+    let history = r#"{"edits":[{"revision":5,"edit":"a1b2","by":"anna","at":1767225600000,"base":4,"rows":2}]}"#;
+    let instance = StandIn::spawn([json(200, history)]);
+    let history = at(&[instance.address], &["table", "history"]);
+    let entry = r#"{"number":7,"position":{"term":2,"index":30},"at":1767225600000,"by":"anna","action":{"Drain":"entry-2"},"base":null,"accepted":true,"answer":"drained"}"#;
+    let claim = r#"{"number":8,"position":{"term":2,"index":31},"at":1767225601000,"by":"entry-1","action":{"Claim":{"request":340282366920938463463374607431768211455,"number":1}},"base":null,"accepted":false,"answer":"held"}"#;
+    let later = r#"{"number":9,"action":{"Unheard":1}}"#;
+    let pages = [
+        format!(r#"{{"next":9,"entries":[{entry},{claim}]}}"#),
+        format!(r#"{{"next":10,"entries":[{later}]}}"#),
+        r#"{"next":10,"entries":[]}"#.to_owned(),
+    ];
+    let steps = || pages.iter().map(|page| json(200, page)).collect::<Vec<_>>();
+    let instance = StandIn::spawn(steps());
+    let audit = at(&[instance.address], &["audit", "--since", "7"]);
+    let paths = instance.seen();
+    let instance = StandIn::spawn(steps());
+    let json = at(&[instance.address], &["--json", "audit"]);
+    let shown = [history, audit, json].map(|done| done.shown(&[])).join("\n");
+    insta::assert_snapshot!(format!("{}\n{shown}", paths.join("\n")));
+}
+
+#[test]
+fn status_shows_who_is_behind() {
+    let status = include_str!("status.json");
+    let instance = StandIn::spawn([json(200, status), json(200, "{}"), json(200, "{}")]);
+    let full = at(&[instance.address], &["status"]);
+    let empty = at(&[instance.address], &["status"]);
+    let script = at(&[instance.address], &["--json", "status"]);
+    insta::assert_snapshot!([full, empty, script].map(|done| done.shown(&[])).join("\n"));
+}
+
+#[test]
+fn drain_waits_until_the_others_say_that_it_has_left() {
+    let seen_by = |name: &str, state: &str| {
+        let body = r#"{"instance":{"name":"BY"},"members":[{"name":"entry-2","state":"STATE"}]}"#;
+        json(200, &body.replace("BY", name).replace("STATE", state))
+    };
+    let draining = json(202, r#"{"draining":true}"#);
+    let steps = [draining, seen_by("entry-1", "draining"), seen_by("entry-1", "left")];
+    let instance = StandIn::spawn(steps);
+    let done = at(&[instance.address], &["drain", "entry-2", "--wait"]);
+    assert_eq!((done.exit, done.out.as_str()), (Exit::Done, "entry-2 has left\n"));
+    assert!(instance.seen()[0].ends_with(r#"{"instance":"entry-2"}"#));
+}
+
+/// Symptom: a key is read by another user, or stands in a terminal's history or a log. Sequence:
+/// the key file has the usual mode, or something goes wrong with it. Cause: nobody looked at the
+/// mode, or an error shows what it could not use.
+#[test]
+fn key_file_must_be_private_and_is_never_shown() {
+    let admin = nobody().to_string();
+    let bad = path("bad-key");
+    fs::write(&bad, "anna key-öf-anna-00001\n").expect("the key can be written");
+    fs::set_permissions(&bad, Permissions::from_mode(0o600)).expect("the mode can be set");
+    let cases = [key(0o644), key(0o640), bad, PathBuf::from("/nowhere/key")];
+    for path in cases {
+        let path = path.display().to_string();
+        let done = raw(&["--admin", &admin, "--key-file", &path, "status"]);
+        let shown = done.shown(&[]);
+        assert_eq!(done.exit, Exit::Input, "{shown}");
+        assert!(shown.contains(&path), "{shown}");
+        assert!(!shown.contains("-anna-0"), "{shown}");
+    }
+}
+
+#[test]
+fn errors_come_as_json_too() {
+    let done = raw(&["--json", "--admin", "entry-1", "status"]);
+    assert_eq!(done.exit, Exit::Usage);
+    insta::assert_snapshot!(done.shown(&[]));
+}
