--- a/crates/verbenaslip-policy/src/limit/limiter.rs
+++ b/crates/verbenaslip-policy/src/limit/limiter.rs
@@ -8,15 +8,17 @@
 use verbenaslip_table::Key;
 
 use crate::limit::bucket::Bucket;
-use crate::limit::part::{FLOOR, HOLD, Part};
+use crate::limit::part::{Aim, FLOOR, HOLD, Part};
 use crate::limit::peers::Peers;
 use crate::limit::report::{Entry, MOST_ENTRIES, Report, WHOLE};
 use crate::row::{self, Terms};
 
 /// Seconds over which demand is remembered.
-const DEMAND: f64 = 4.0;
+const DEMAND: f64 = 2.0;
 /// The demand below which a row counts as idle.
 const IDLE: f64 = 0.05;
+/// The most slots that are split into whole ones; its square must be below [`WHOLE`].
+const FEW: u32 = 120;
 /// The longest time between two steps that is no freeze.
 const FREEZE: Duration = HOLD;
 
@@ -212,11 +214,12 @@
                 row.part.drop_to(0.0);
                 continue;
             }
-            let target = target(&self.me, row, &self.peers);
+            let mut aim = aim(&self.me, row, &self.peers);
             // A raise is only safe when all were heard; giving up is safe at any time.
-            let target = if settled && complete { target } else { target.min(row.part.used) };
-            let least = row.least();
-            row.part.step(now, target, self.peers.held(row.digest), least);
+            if !(settled && complete) {
+                aim.target = aim.target.min(row.part.used);
+            }
+            row.part.step(now, &aim);
         }
         self.bound_rows();
     }
@@ -267,7 +270,16 @@
 
     /// Returns this instance's part of a limit that can be cut as finely as one likes.
     fn share(&self, floor: Floor) -> f64 {
-        floor.part + (1.0 - FLOOR) * self.part.used
+        floor.part + (1.0 - FLOOR) * self.part.used / (1.0 + self.slack())
+    }
+
+    /// Returns what parts may add up to above 1, so that few slots can be split into whole ones.
+    ///
+    /// A third of a limit of three must count as one in spite of the report's rounding. With a
+    /// limit of `l` the slots are rounded down to at most `l + l * l / WHOLE`, so below `l + 1`.
+    fn slack(&self) -> f64 {
+        let few = (self.terms.concurrency <= FEW).then_some(self.terms.concurrency);
+        f64::from(few.unwrap_or(0)) / f64::from(WHOLE)
     }
 
     /// Returns how many may run at once.
@@ -344,49 +356,80 @@
         self.demand *= (-passed / DEMAND).exp();
     }
 
-    /// Returns the demand with what runs, in the coarse steps that reports use.
-    fn wanted(&self) -> f64 {
-        self.entry().demand()
-    }
-
     fn entry(&self) -> Entry {
         let demand = self.demand + f64::from(self.running);
         Entry { row: self.digest, demand: Entry::scaled(demand), part: part(self.part.announced) }
     }
 }
 
-/// Returns the part of the shared rest that demand gives to this instance.
-fn target(me: &Instance, row: &Row, peers: &Peers) -> f64 {
-    let mine = row.wanted();
-    let others: Vec<(&Instance, f64)> =
-        peers.entries(row.digest).map(|(name, entry)| (name, entry.demand())).collect();
-    let total = mine + others.iter().map(|(_, demand)| demand).sum::<f64>();
+/// Returns where demand moves a row's part.
+fn aim(me: &Instance, row: &Row, peers: &Peers) -> Aim {
+    let mut claims: Vec<Claim> = peers.entries(row.digest).map(Claim::of).collect();
+    let own = claims.len();
+    claims.push(Claim::of((me, &row.entry())));
+    let total: f64 = claims.iter().map(|claim| claim.demand).sum();
+    let others = peers.held(row.digest);
+    let whole = 1.0 + row.slack();
+    let idle = Aim { target: row.part.used, whole, others, lacking: 0.0, least: row.least() };
     // While nobody asks, all keep what they had: the next hour starts like the last one.
     if total <= IDLE {
-        return row.part.used;
+        return idle;
+    }
+    let contenders = claims.iter().filter(|claim| claim.demand > IDLE).count();
+    let units = row.terms.concurrency;
+    if (units as usize) < contenders * 4 {
+        whole_units(&mut claims, units);
+    } else {
+        // Less than a report can tell is nothing, or many idle instances would hold a lot together.
+        let told = |part: f64| (part * f64::from(WHOLE)).floor() / f64::from(WHOLE);
+        claims.iter_mut().for_each(|claim| claim.target = told(claim.demand / total));
+    }
+    let target = claims[own].target;
+    let lacking = claims[..own].iter().map(|claim| (claim.target - claim.part).max(0.0)).sum();
+    Aim { target, lacking, ..idle }
+}
+
+/// Holds one instance's demand for a row, and what it is given.
+struct Claim<'a> {
+    name: &'a Instance,
+    demand: f64,
+    part: f64,
+    target: f64,
+}
+
+impl<'a> Claim<'a> {
+    fn of((name, entry): (&'a Instance, &Entry)) -> Self {
+        let part = f64::from(entry.part) / f64::from(WHOLE);
+        Self { name, demand: entry.demand(), part, target: 0.0 }
     }
-    let even = mine / total;
-    let limit = row.terms.concurrency;
-    let contenders = 1 + others.iter().filter(|(_, demand)| *demand > IDLE).count();
-    if limit as usize >= contenders * 4 {
-        return even;
+
+    /// Returns the demand by which few slots are split.
+    ///
+    /// Who holds one counts more: a slot that changed hands with each small change of demand would
+    /// be on its way most of the time.
+    fn weight(&self) -> f64 {
+        const HOLDER: f64 = 8.0;
+        if self.part > 0.0 { self.demand * HOLDER } else { self.demand }
     }
-    whole_units(me, mine, &others, limit) / f64::from(limit.max(1))
 }
 
 /// Splits few slots into whole ones by demand, the largest remainders first, then by name.
-fn whole_units(me: &Instance, mine: f64, others: &[(&Instance, f64)], units: u32) -> f64 {
-    let total = mine + others.iter().map(|(_, demand)| demand).sum::<f64>();
-    let quota = |demand: f64| f64::from(units) * demand / total;
-    let given: f64 = others.iter().map(|(_, demand)| quota(*demand).floor()).sum();
-    let own = quota(mine).floor();
-    let left = f64::from(units) - given - own;
-    let remainder = quota(mine).fract();
-    let before = others.iter().filter(|(name, demand)| {
-        let theirs = quota(*demand).fract();
-        theirs > remainder || (theirs == remainder && *name < me)
-    });
-    if (before.count() as f64) < left { own + 1.0 } else { own }
+fn whole_units(claims: &mut [Claim], units: u32) {
+    let total: f64 = claims.iter().map(Claim::weight).sum();
+    let units = f64::from(units.max(1));
+    let quota = |claim: &Claim| units * claim.weight() / total;
+    let remainders: Vec<(f64, Instance)> =
+        claims.iter().map(|claim| (quota(claim).fract(), claim.name.clone())).collect();
+    let left = units - claims.iter().map(|claim| quota(claim).floor()).sum::<f64>();
+    for claim in claims {
+        let own = quota(claim);
+        let first = |(theirs, name): &&(f64, Instance)| {
+            *theirs > own.fract() || (*theirs == own.fract() && name < claim.name)
+        };
+        let before = remainders.iter().filter(first).count() as f64;
+        let given = own.floor() + f64::from(u8::from(before < left));
+        claim.target = (given * f64::from(WHOLE) / units).ceil() / f64::from(WHOLE);
+    }
 }
 
 /// Puts a part on the scale of a report, rounded up so that it never hides what is held.
--- a/crates/verbenaslip-policy/src/limit/part.rs
+++ b/crates/verbenaslip-policy/src/limit/part.rs
@@ -21,26 +21,25 @@
 }
 
 impl Part {
-    /// Moves towards a target, with so much held by others and so little that can't be given up.
-    pub(crate) fn step(&mut self, now: Duration, target: f64, others: f64, least: f64) {
-        let left = (1.0 - others).max(0.0);
+    /// Moves towards what demand gives it.
+    pub(crate) fn step(&mut self, now: Duration, aim: &Aim) {
+        let left = (aim.whole - aim.others).max(0.0);
         if self.announced > self.used {
             self.settle(now, left);
             return;
         }
-        let near = (target - self.used).abs() <= HYSTERESIS * self.used;
-        if near {
+        if (aim.target - self.used).abs() <= HYSTERESIS * self.used {
             return;
         }
-        if target < self.used {
+        if aim.target < self.used {
             // What runs now can't be taken back, so it stays announced until it has ended.
-            self.used = target.max(least).min(self.used);
+            self.used = aim.target.max(aim.least).min(self.used);
             self.announced = self.used;
             return;
         }
-        let wanted = target.min(left);
-        if wanted > self.used {
-            self.announced = wanted;
+        let raise = aim.raise(self.used, (left - self.used).max(0.0));
+        if raise > 0.0 {
+            self.announced = self.used + raise;
             self.since = now;
         }
     }
@@ -61,3 +60,30 @@
         self.announced = self.used;
     }
 }
+
+/// Says where a part should move, and what bounds the move.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Aim {
+    /// The part that demand gives to this instance.
+    pub(crate) target: f64,
+    /// What may be held in all: 1, and a little for the rounding of few whole slots.
+    pub(crate) whole: f64,
+    /// What all others hold.
+    pub(crate) others: f64,
+    /// What all others lack beside their own targets.
+    pub(crate) lacking: f64,
+    /// What can't be given up, because it runs.
+    pub(crate) least: f64,
+}
+
+impl Aim {
+    /// Returns how much to announce above the part in use, out of what is left.
+    ///
+    /// All who lack something see the same rest. If each announced it whole, each would find the
+    /// others' announcements when it looks again, and none would get anything.
+    fn raise(&self, used: f64, left: f64) -> f64 {
+        let lack = self.target - used;
+        let all = lack + self.lacking;
+        if all <= left { lack } else { left * lack / all }
+    }
+}
