--- a/crates/verbenaslip-lab/tests/common/mod.rs
+++ b/crates/verbenaslip-lab/tests/common/mod.rs
@@ -1,5 +1,9 @@
 //! A raw reader of streams, which sees what a connection really carries.
 
+#![allow(dead_code, reason = "each test uses a part")]
+
+pub mod entry;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
--- /dev/null
+++ b/crates/verbenaslip-lab/tests/load.rs
@@ -0,0 +1,207 @@
+//! What the load tool notices, with entry instances that fail by a script.
+
+mod common;
+
+use std::time::Duration;
+
+use common::entry::{self, Step, header};
+use verbenaslip_lab::engine::truth::{Run, Start, Truth};
+use verbenaslip_lab::load::outcome::{End, Outcome};
+use verbenaslip_lab::load::plan::{Plan, Work};
+use verbenaslip_lab::load::report::Report;
+use verbenaslip_lab::load::verdict::Verdict;
+use verbenaslip_lab::load::{self, plot};
+
+/// Plans so that about one request arrives.
+fn plan(entry: std::net::SocketAddr, work: Work) -> Plan {
+    Plan {
+        rate: 50.0,
+        time: Duration::from_millis(20),
+        hour: Duration::from_millis(20),
+        burst: 1.0,
+        seed: 3,
+        tries: 4,
+        patience: Duration::from_secs(2),
+        ..Plan::new(vec![entry], vec![work])
+    }
+}
+
+fn one(steps: &'static [Step], work: Work) -> (Outcome, Vec<String>) {
+    let (address, heads) = entry::spawn(steps);
+    let report = load::run(plan(address, work)).expect("the load tool runs");
+    let outcome = report.outcomes.first().expect("the seed gives a request").clone();
+    assert_eq!(report.outcomes.len(), 1, "the seed gives one request");
+    let heads = heads.lock().expect("no holder panics").clone();
+    (outcome, heads)
+}
+
+fn work() -> Work {
+    Work { output: 6, ..Work::new("small", "key", "assistant") }
+}
+
+#[test]
+fn ends_are_told_apart() {
+    // Each row: what the entry instance does, the end, and how often the request was sent, refused,
+    // broken, cut and got an event again.
+    type Row = (&'static [Step], End, [u32; 5]);
+    let rows: [Row; 10] = [
+        (&[Step::Whole], End::Whole, [1, 0, 0, 0, 0]),
+        (&[Step::Cut(2), Step::Whole], End::Whole, [2, 0, 1, 1, 0]),
+        (&[Step::Close, Step::Cut(3), Step::Whole], End::Whole, [3, 0, 2, 1, 0]),
+        (&[Step::Refuse, Step::Refuse, Step::Whole], End::Whole, [3, 2, 0, 0, 0]),
+        (&[Step::RefuseForGood], End::Refused, [1, 1, 0, 0, 0]),
+        (&[Step::Unknown], End::Unknown, [1, 0, 0, 0, 0]),
+        (&[Step::UnknownAfter(2)], End::Unknown, [1, 0, 0, 0, 0]),
+        (&[Step::Error], End::Error, [1, 0, 0, 0, 0]),
+        (&[Step::Cut(2)], End::Cut, [4, 0, 4, 4, 0]),
+        (&[Step::Close], End::Lost, [4, 0, 4, 0, 0]),
+    ];
+    for (steps, end, counts) in rows {
+        let (seen, _) = one(steps, work());
+        let found = [seen.sent, seen.refused, seen.broken, seen.cut, seen.doubled];
+        assert_eq!((seen.end, found, seen.mixed), (end, counts, false), "{steps:?}");
+    }
+}
+
+#[test]
+fn doubled_and_mixed_answers_are_noticed() {
+    // Symptom: a charterer reads a sentence twice, or another's letter. Sequence: an old attempt
+    // sends on after the move, or two streams are swapped. Cause: positions were not checked.
+    let (doubled, _) = one(&[Step::Double(3)], work());
+    assert_eq!((doubled.end, doubled.doubled, doubled.mixed), (End::Whole, 1, false));
+    let (mixed, _) = one(&[Step::Mixed], work());
+    assert!(mixed.mixed);
+    let (mixed, _) = one(&[Step::Cut(2), Step::Mixed], work());
+    assert!(mixed.mixed);
+}
+
+#[test]
+fn caller_comes_back_with_the_same_key_and_its_last_event() {
+    let (_, heads) = one(&[Step::Cut(2), Step::Cut(4), Step::Whole], work());
+    let keys: Vec<_> = heads.iter().map(|head| header(head, "idempotency-key")).collect();
+    assert!(keys[0].is_some());
+    assert!(keys.iter().all(|key| *key == keys[0]), "{keys:?}");
+    let issued: Vec<_> = heads.iter().map(|head| header(head, "idempotency-key-issued")).collect();
+    assert!(issued.iter().all(|one| *one == issued[0]), "{issued:?}");
+    let last: Vec<_> = heads.iter().map(|head| header(head, "last-event-id")).collect();
+    assert_eq!(last, [None, Some("2".to_owned()), Some("4".to_owned())]);
+}
+
+#[test]
+fn caller_without_a_key_does_not_come_back_after_a_break() {
+    // Symptom: a request runs twice. Sequence: its connection breaks, and it is sent again without a
+    // key. Cause: without a key a resend is another request.
+    let (outcome, heads) = one(&[Step::Cut(2)], Work { keyed: false, ..work() });
+    assert_eq!((outcome.end, heads.len()), (End::Cut, 1));
+    assert_eq!(header(&heads[0], "idempotency-key"), None);
+}
+
+#[test]
+fn refused_connection_picks_another_entry() {
+    let (address, _) = entry::spawn(&[Step::Whole]);
+    let mut plan = plan(address, work());
+    plan.entries.insert(0, "127.0.0.1:9".parse().expect("an address"));
+    let report = load::run(plan).expect("the load tool runs");
+    assert_eq!((report.requests, report.whole), (1, 1));
+}
+
+#[test]
+fn arrivals_follow_the_seed_and_the_hour() {
+    let (address, _) = entry::spawn(&[Step::RefuseForGood]);
+    let plan = Plan {
+        rate: 400.0,
+        time: Duration::from_millis(500),
+        hour: Duration::from_millis(500),
+        burst: 4.0,
+        ..plan(address, work())
+    };
+    let first = load::run(plan.clone()).expect("the load tool runs");
+    let again = load::run(plan).expect("the load tool runs");
+    let times = |report: &Report| -> Vec<(u64, u64)> {
+        report.outcomes.iter().map(|outcome| (outcome.at_us, outcome.seed)).collect()
+    };
+    assert_eq!(times(&first), times(&again));
+    let early = first.outcomes.iter().filter(|outcome| outcome.at_us < 50_000).count();
+    let late = first.outcomes.iter().filter(|outcome| outcome.at_us > 450_000).count();
+    assert!(early > 2 * late, "{early} in the first tenth, {late} in the last");
+    assert_eq!(first.refused, first.requests);
+}
+
+#[test]
+fn report_is_drawn_and_read_again() {
+    let (address, _) = entry::spawn(&[Step::Whole]);
+    let report = load::run(plan(address, work())).expect("the load tool runs");
+    let text = serde_json::to_string(&report).expect("a report is JSON");
+    let again: Report = serde_json::from_str(&text).expect("a report can be read");
+    assert_eq!(again, report);
+    let svg = plot::svg(&report);
+    assert!(svg.starts_with("<svg") && svg.ends_with("</svg>\n"));
+    assert_eq!(svg.matches("<polyline").count(), 7);
+    assert!(!svg.contains("NaN") && !svg.contains("inf"));
+}
+
+#[test]
+fn verdict_compares_with_the_truth() {
+    // Each row: the end for the caller, whether its connection had broken, whether it may run twice,
+    // the runs that the back ends counted, and what must show: doubled, not run but ran, the same
+    // after a break, unknown though idempotent, whole without a run; and whether all holds.
+    type Row = (End, bool, bool, usize, [u64; 5], bool);
+    let rows: [Row; 10] = [
+        (End::Whole, false, true, 1, [0, 0, 0, 0, 0], true),
+        (End::Whole, false, true, 2, [0, 0, 0, 0, 0], true),
+        (End::Whole, false, false, 1, [0, 0, 0, 0, 0], true),
+        (End::Whole, false, false, 2, [1, 0, 0, 0, 0], false),
+        (End::Whole, false, true, 0, [0, 0, 0, 0, 1], true),
+        (End::Refused, false, true, 0, [0, 0, 0, 0, 0], true),
+        (End::Refused, false, true, 1, [0, 1, 0, 0, 0], false),
+        (End::Refused, true, true, 1, [0, 0, 1, 0, 0], true),
+        (End::Unknown, false, true, 1, [0, 0, 0, 1, 0], true),
+        (End::Unknown, false, false, 1, [0, 0, 0, 0, 0], true),
+    ];
+    let (template, _) = one(&[Step::Whole], work());
+    for (end, broken, idempotent, runs, counts, holds) in rows {
+        let broken = u32::from(broken);
+        let outcome = Outcome { end, broken, idempotent, ..template.clone() };
+        let truth = Truth { runs: vec![ran(template.seed); runs], ..Truth::default() };
+        let verdict = Verdict::new(&Report::new(vec![outcome.clone()]), &[truth]);
+        let found = [
+            verdict.doubled,
+            verdict.not_run_but_ran,
+            verdict.not_run_after_break,
+            verdict.unknown_idempotent,
+            verdict.whole_without_run,
+        ];
+        assert_eq!((found, verdict.holds()), (counts, holds), "{end:?} {broken} {runs}");
+    }
+}
+
+#[test]
+fn late_work_to_a_leaving_back_end_shows() {
+    let report = Report::new(Vec::new());
+    let truth = |accepted_ms| Truth {
+        leaving_ms: Some(1_000),
+        runs: vec![Run { accepted_ms, ..ran(1) }],
+        ..Truth::default()
+    };
+    assert_eq!(Verdict::new(&report, &[truth(2_000)]).late_to_leaving, 0);
+    assert_eq!(Verdict::new(&report, &[truth(9_000)]).late_to_leaving, 1);
+}
+
+fn ran(seed: u64) -> Run {
+    Run {
+        request: String::new(),
+        attempt: 1,
+        seed,
+        accepted_ms: 0,
+        began_ms: Some(0),
+        ended_ms: None,
+        start: Start::Fresh,
+        prompt: 1,
+        computed: 1,
+        replayed: 0,
+        from: 0,
+        position: 1,
+        end: None,
+        matches: true,
+    }
+}
