Keep only the settings that decisions take

Cause: a key that nothing reads looks like a promise. The leader's lease follows from the election timeout, the table lease is fixed for all instances, retries stand in the table, and connections have no time to rest. Ruled out: keeping the keys until something reads them. Change: removed leader_lease, table_lease, idle_timeout and [policy]; added absence, retention and second_holder, which requests take; defaults and bounds come from the decisions themselves. An election timeout whose longest draw reaches the table lease is refused. Conclusion: each key of a settings file has one reader.

--- a/crates/verbenaslip/src/event/field.rs
+++ b/crates/verbenaslip/src/event/field.rs
@@ -7,7 +7,9 @@
 
 use verbenaslip_base::attempt::Request;
 use verbenaslip_base::fence::Fence;
-use verbenaslip_base::name::{AvailabilityZone, Class, Instance, Model, Operator, Team, Upstream};
+use verbenaslip_base::name::{
+    AvailabilityZone, Class, Instance, Model, Operator, Region, Team, Upstream,
+};
 use verbenaslip_base::refusal::{Reason, Unknown};
 
 /// The longest value written, in characters.
@@ -80,7 +82,7 @@
     )*};
 }
 
-names!(AvailabilityZone, Class, Instance, Model, Operator, Team, Upstream);
+names!(AvailabilityZone, Class, Instance, Model, Operator, Region, Team, Upstream);
 
 /// Writes a variant's name in lower case with hyphens, as answers to callers do.
 pub(crate) fn kebab(value: &impl Debug) -> String {
--- a/crates/verbenaslip/src/event/list.rs
+++ b/crates/verbenaslip/src/event/list.rs
@@ -11,7 +11,9 @@
 
 use verbenaslip_base::attempt::Request;
 use verbenaslip_base::fence::Fence;
-use verbenaslip_base::name::{AvailabilityZone, Class, Instance, Model, Operator, Team, Upstream};
+use verbenaslip_base::name::{
+    AvailabilityZone, Class, Instance, Model, Operator, Region, Team, Upstream,
+};
 use verbenaslip_base::refusal::{Reason, Unknown};
 
 use super::field::Field;
@@ -90,7 +92,7 @@
 events! {
     // Start and stop.
     /// The daemon has read its settings and begins to work.
-    1001 Info Starting "instance {instance} of {zone} in {region} starts, version {version}" { instance: Instance, zone: AvailabilityZone, region: Arc<str>, version: Arc<str> }
+    1001 Info Starting "instance {instance} of {zone} in {region} starts, version {version}" { instance: Instance, zone: AvailabilityZone, region: Region, version: Arc<str> }
     /// One of the three addresses takes connections.
     1002 Info Listening "{listener} listens on {address}" { listener: Arc<str>, address: SocketAddr }
     /// The instance accepts work; `/readyz` says 200.
--- a/crates/verbenaslip/src/settings.rs
+++ b/crates/verbenaslip/src/settings.rs
@@ -17,7 +17,7 @@
 
 pub use self::problem::{Invalid, Problem};
 use self::reader::Reader;
-use self::section::{Cloud, Cluster, Files, Instance, Limits, Log, Policy, Timing, Weights};
+use self::section::{Cloud, Cluster, Files, Instance, Limits, Log, Timing, Weights};
 
 /// Holds all settings of one instance, checked.
 ///
@@ -41,8 +41,6 @@
     pub cloud: Option<Cloud>,
     /// The weight store, if there is one.
     pub weights: Option<Weights>,
-    /// The few parameters of the policy that are not in the table.
-    pub policy: Policy,
 }
 
 impl Settings {
@@ -94,7 +92,6 @@
             timing: reader.section(Timing::take),
             cloud: reader.optional("cloud", Cloud::take),
             weights: reader.optional("weights", Weights::take),
-            policy: reader.section(Policy::take),
         };
         reader.finish();
         settings
--- a/crates/verbenaslip/src/settings/check.rs
+++ b/crates/verbenaslip/src/settings/check.rs
@@ -4,6 +4,8 @@
 use std::path::Path;
 use std::time::Duration;
 
+use verbenaslip_state::lease;
+
 use super::Settings;
 use super::problem::Problem;
 use super::value::Time;
@@ -35,16 +37,11 @@
             let allowed = format!("at least three times heartbeat ({})", Time(timing.heartbeat));
             self.time("election", timing.election, &allowed);
         }
-        // A leader that answers for longer than the others wait could answer beside its successor,
-        // which shows as two instances that confirm different newest tables.
-        if timing.leader_lease >= timing.election {
-            let allowed = format!("less than election ({})", Time(timing.election));
-            self.time("leader_lease", timing.leader_lease, &allowed);
-        }
-        // Every change of leader would make all instances refuse work for a moment.
-        if timing.table_lease <= timing.election {
-            let allowed = format!("more than election ({})", Time(timing.election));
-            self.time("table_lease", timing.table_lease, &allowed);
+        // Instances would refuse all work at each change of leader, because their table lease would
+        // end before the new leader can renew it.
+        if timing.election * 2 >= lease::DURATION {
+            let allowed = format!("less than half of the table lease ({})", Time(lease::DURATION));
+            self.time("election", timing.election, &allowed);
         }
     }
 
--- a/crates/verbenaslip/src/settings/section.rs
+++ b/crates/verbenaslip/src/settings/section.rs
@@ -7,7 +7,8 @@
 
 use log::LevelFilter;
 
-use verbenaslip_base::name::{self, AvailabilityZone};
+use verbenaslip_base::name::{self, AvailabilityZone, Region};
+use verbenaslip_request::setup::Journal;
 
 use super::reader::{Place, Reader};
 use super::value::{Format, Size, Voter};
@@ -28,7 +29,7 @@
     /// The availability zone in which it runs.
     pub zone: AvailabilityZone,
     /// The region of that zone.
-    pub region: Arc<str>,
+    pub region: Region,
     /// Where callers reach it.
     pub callers: SocketAddr,
     /// Where operators, upstreams, health checks and metrics reach it.
@@ -77,13 +78,21 @@
     pub seeds: Vec<SocketAddr>,
     /// The voters with which an empty log begins; the same on all of them, and unused afterwards.
     pub voters: Vec<Voter>,
-    /// A file whose content instances of the cluster share.
+    /// A file with a word that instances of the cluster share; it guards against mistakes.
     pub secret: Option<PathBuf>,
+    /// Where a request must be held, beside here, before it counts as accepted.
+    pub second_holder: Journal,
 }
 
 impl Default for Cluster {
     fn default() -> Self {
-        Self { name: "cluster".into(), seeds: Vec::new(), voters: Vec::new(), secret: None }
+        Self {
+            name: "cluster".into(),
+            seeds: Vec::new(),
+            voters: Vec::new(),
+            secret: None,
+            second_holder: Journal::OtherZone,
+        }
     }
 }
 
@@ -95,6 +104,7 @@
         reader.list(place("seeds"), &mut section.seeds);
         reader.list(place("voters"), &mut section.voters);
         reader.path(place("secret"), &mut section.secret);
+        reader.take(place("second_holder"), &mut section.second_holder);
         section
     }
 }
@@ -165,8 +175,6 @@
     pub body_timeout: Duration,
     /// The longest time that a caller may take no byte of its answer.
     pub write_timeout: Duration,
-    /// The longest time that a connection may rest between requests.
-    pub idle_timeout: Duration,
     /// The memory for requests and answers held here and for other instances.
     pub journal: Size,
 }
@@ -179,7 +187,6 @@
             head_timeout: ms(10_000),
             body_timeout: ms(30_000),
             write_timeout: ms(30_000),
-            idle_timeout: ms(75_000),
             journal: Size(64 << 20),
         }
     }
@@ -194,8 +201,7 @@
         reader.within(place("connections"), &mut section.connections, 1..=1_000_000);
         reader.within(place("head_timeout"), &mut section.head_timeout, patience.clone());
         reader.within(place("body_timeout"), &mut section.body_timeout, patience.clone());
-        reader.within(place("write_timeout"), &mut section.write_timeout, patience.clone());
-        reader.within(place("idle_timeout"), &mut section.idle_timeout, patience);
+        reader.within(place("write_timeout"), &mut section.write_timeout, patience);
         reader.within(place("journal"), &mut section.journal, Size(1 << 20)..=Size(1 << 40));
         section
     }
@@ -204,31 +210,34 @@
 /// Holds `[timing]`: how long this instance waits for what; the same on all instances.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Timing {
-    /// Time between heartbeats to other instances, and of the leader to the other voters.
+    /// Time between two rounds of heartbeats of the voters' leader.
     pub heartbeat: Duration,
-    /// The shortest time without a leader after which a voter stands for election.
+    /// The shortest time without a leader after which a voter stands for election; the leader's own
+    /// lease is a little shorter.
     pub election: Duration,
-    /// How long a leader answers on its own after a quorum has confirmed it.
-    pub leader_lease: Duration,
-    /// How long an instance accepts work after the leader has confirmed its table.
-    pub table_lease: Duration,
     /// How long an upstream takes new work after its last announcement.
     pub upstream_lease: Duration,
     /// The longest silence of an upstream's stream.
     pub stall: Duration,
+    /// How long a request with a key runs on after its caller's connection broke.
+    pub absence: Duration,
+    /// How long a finished answer is kept for callers that come back.
+    pub retention: Duration,
     /// The longest time that a planned stop waits for requests in progress.
     pub drain: Duration,
 }
 
 impl Default for Timing {
     fn default() -> Self {
+        let log = verbenaslip_replica::setup::Timing::default();
+        let request = verbenaslip_request::setup::Timing::default();
         Self {
-            heartbeat: ms(250),
-            election: ms(1_500),
-            leader_lease: ms(1_000),
-            table_lease: ms(4_000),
-            upstream_lease: ms(3_000),
-            stall: ms(2_000),
+            heartbeat: log.heartbeat,
+            election: log.election,
+            upstream_lease: verbenaslip_gossip::LEASE,
+            stall: request.stall,
+            absence: request.absence,
+            retention: request.retention,
             drain: ms(25_000),
         }
     }
@@ -238,12 +247,13 @@
     pub(super) fn take(reader: &mut Reader<'_>) -> Self {
         let place = |key| Place("timing", key);
         let mut section = Self::default();
-        reader.within(place("heartbeat"), &mut section.heartbeat, ms(10)..=ms(2_000));
-        reader.within(place("election"), &mut section.election, ms(50)..=ms(20_000));
-        reader.within(place("leader_lease"), &mut section.leader_lease, ms(20)..=ms(20_000));
-        reader.within(place("table_lease"), &mut section.table_lease, ms(200)..=ms(6_000));
-        reader.within(place("upstream_lease"), &mut section.upstream_lease, ms(200)..=ms(10_000));
+        let lease = ms(500)..=verbenaslip_gossip::LEASE;
+        reader.within(place("heartbeat"), &mut section.heartbeat, ms(10)..=ms(1_000));
+        reader.within(place("election"), &mut section.election, ms(50)..=ms(5_000));
+        reader.within(place("upstream_lease"), &mut section.upstream_lease, lease);
         reader.within(place("stall"), &mut section.stall, ms(50)..=ms(60_000));
+        reader.within(place("absence"), &mut section.absence, ms(0)..=ms(600_000));
+        reader.within(place("retention"), &mut section.retention, ms(1_000)..=ms(86_400_000));
         reader.within(place("drain"), &mut section.drain, ms(100)..=ms(3_600_000));
         section
     }
@@ -294,31 +304,3 @@
         section
     }
 }
-
-/// Holds `[policy]`: parameters of the policy that do not differ between rows of the table.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Policy {
-    /// The most requests that may wait at this instance.
-    pub queue: u32,
-    /// Retries allowed for each hundred requests.
-    pub retry_percent: u32,
-    /// The time over which hints to come back are spread.
-    pub hint_spread: Duration,
-}
-
-impl Default for Policy {
-    fn default() -> Self {
-        Self { queue: 10_000, retry_percent: 10, hint_spread: ms(5_000) }
-    }
-}
-
-impl Policy {
-    pub(super) fn take(reader: &mut Reader<'_>) -> Self {
-        let place = |key| Place("policy", key);
-        let mut section = Self::default();
-        reader.within(place("queue"), &mut section.queue, 1..=1_000_000);
-        reader.within(place("retry_percent"), &mut section.retry_percent, 0..=100);
-        reader.within(place("hint_spread"), &mut section.hint_spread, ms(0)..=ms(600_000));
-        section
-    }
-}
--- a/crates/verbenaslip/src/settings/value.rs
+++ b/crates/verbenaslip/src/settings/value.rs
@@ -3,11 +3,13 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 use log::LevelFilter;
 
-use verbenaslip_base::name::{AvailabilityZone, Instance};
+use verbenaslip_base::name::{AvailabilityZone, Instance, Region};
+use verbenaslip_request::setup::Journal;
 
 /// The longest name, in bytes.
 const NAME_MAX: usize = 64;
@@ -69,29 +71,19 @@
     }
 }
 
-impl Value for Instance {
-    const ALLOWED: &'static str = "a name of 1 to 64 letters, digits, `-`, `_` or `.`";
+macro_rules! names {
+    ($($name:ty),*) => {$(
+        impl Value for $name {
+            const ALLOWED: &'static str = "a name of 1 to 64 letters, digits, `-`, `_` or `.`";
 
-    fn read(text: &str) -> Option<Self> {
-        is_name(text).then(|| Self::new(text))
-    }
-}
-
-impl Value for AvailabilityZone {
-    const ALLOWED: &'static str = Instance::ALLOWED;
-
-    fn read(text: &str) -> Option<Self> {
-        is_name(text).then(|| Self::new(text))
-    }
+            fn read(text: &str) -> Option<Self> {
+                is_name(text).then(|| text.into())
+            }
+        }
+    )*};
 }
 
-impl Value for std::sync::Arc<str> {
-    const ALLOWED: &'static str = Instance::ALLOWED;
-
-    fn read(text: &str) -> Option<Self> {
-        is_name(text).then(|| text.into())
-    }
-}
+names!(Arc<str>, AvailabilityZone, Instance, Region);
 
 impl Value for SocketAddr {
     const ALLOWED: &'static str = "an IP number and a port, such as 10.0.0.7:7400";
@@ -139,6 +131,19 @@
     }
 }
 
+impl Value for Journal {
+    const ALLOWED: &'static str = "one of other-zone, other-instance, alone";
+
+    fn read(text: &str) -> Option<Self> {
+        match text {
+            "other-zone" => Some(Self::OtherZone),
+            "other-instance" => Some(Self::OtherInstance),
+            "alone" => Some(Self::Alone),
+            _ => None,
+        }
+    }
+}
+
 /// Names an initial voter and where its peers reach it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Voter {
