Compose all decisions of one instance

Cause: the machines stood apart; nothing led a request or an edit through all of them. Ruled out: machines that call each other directly (a loop of calls could not be stepped and would hide the order); a second queue for moved requests beside the policy's. Change: crate verbenaslip-node: membership and registry, log and watch, requests and policy, operators' calls, planned stop. The policy adopts requests that were begun elsewhere and gives such up by their deadline only; before, a moved request could be refused for having waited too long. Conclusion: a driver can run an instance through node::Node alone.

--- /dev/null
+++ b/crates/verbenaslip-node/src/input.rs
@@ -0,0 +1,107 @@
+//! What an instance is told.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use verbenaslip_base::announce::Announcement;
+use verbenaslip_base::attempt::{Attempt, Request};
+use verbenaslip_base::name::{Instance, Upstream};
+use verbenaslip_gossip::Frame;
+use verbenaslip_request::caller::{Arrival, Ticket};
+use verbenaslip_request::run;
+
+use crate::message::Message;
+use crate::operator;
+
+/// Tells of one thing that happened.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// Only time has passed.
+    Tick,
+    /// The wall clock shows this, in Unix milliseconds.
+    Clock(u64),
+    /// Another instance's message has come.
+    Peer {
+        /// The instance.
+        from: Instance,
+        /// The message.
+        message: Message,
+    },
+    /// A datagram has come.
+    Datagram {
+        /// The address it came from.
+        from: SocketAddr,
+        /// What it says.
+        frame: Box<Frame>,
+    },
+    /// A caller has sent a whole request.
+    Arrived {
+        /// The request; its deadline is not looked at.
+        arrival: Arrival,
+        /// How long after arrival the caller wants the whole answer; none leaves it to the row.
+        due: Option<Duration>,
+    },
+    /// A caller's, or subscriber's, connection is closed or its answer ended.
+    Gone(Ticket),
+    /// Another instance wants to pass on this instance's answer to its caller.
+    Subscribed {
+        /// Stands for the other instance's connection.
+        ticket: Ticket,
+        /// The request.
+        request: Request,
+        /// The last position that the caller has.
+        after: u32,
+    },
+    /// The instance that a caller was relayed to does not own the request, or can't be reached.
+    RelayLost {
+        /// The caller.
+        ticket: Ticket,
+        /// The last position that the caller has by now.
+        after: u32,
+    },
+    /// Something became of a run.
+    Ran {
+        /// The run.
+        attempt: Attempt,
+        /// What became of it.
+        event: run::Event,
+    },
+    /// The second holder has the answer up to here: told at both ends.
+    Mirrored {
+        /// The request.
+        request: Request,
+        /// The last position held there.
+        position: u32,
+    },
+    /// An upstream has announced itself here; answered by a reply.
+    Announced {
+        /// Names the call in the reply.
+        call: operator::Id,
+        /// What it says.
+        announcement: Box<Announcement>,
+    },
+    /// An operator or a probe asks for something; answered by a reply.
+    Called {
+        /// Names the call in the reply.
+        call: operator::Id,
+        /// What is asked.
+        ask: operator::Ask,
+    },
+    /// The cloud takes an upstream away.
+    Reclaimed {
+        /// The upstream.
+        upstream: Upstream,
+        /// In how long.
+        notice: Duration,
+    },
+    /// All writes up to a mark are durable.
+    Stored {
+        /// The mark of the last one.
+        mark: u64,
+    },
+    /// This instance stops within the time given.
+    Stop {
+        /// Time until it must be gone.
+        remaining: Duration,
+    },
+}
--- a/crates/verbenaslip-node/src/lib.rs
+++ b/crates/verbenaslip-node/src/lib.rs
@@ -1,1 +1,40 @@
-//! All decisions of one instance composed to one state machine.
+//! All decisions of one instance, composed to one state machine.
+//!
+//! [`Node`] holds the parts and hands on what one says to the others; it is the single public face
+//! of the decisions. A driver gives it the time and an [`input::Input`] and carries out its
+//! [`output::Output`]s; any driver will do, a daemon or a test that steps several instances by hand.
+//!
+//! The parts follow each other like this:
+//!
+//! - `members` has the membership and the registry of upstreams tell requests, policy and watch who
+//!   is there.
+//! - `lead` has the replicated log (`voter`) commit commands of every instance (`proposal`), and
+//!   the watch publish the table that they lead to.
+//! - `serve` leads one request through admission, journal, claim, routing, retries and moves.
+//! - `calls` answers operators, also for what only voters hold; `status` is what they are shown.
+//! - `stop` ends the instance without cutting off anything.
+//! - `share` is what an instance tells its neighbours once a second.
+
+pub mod input;
+pub mod message;
+pub mod notice;
+pub mod operator;
+pub mod output;
+pub mod setup;
+pub mod status;
+
+mod calls;
+mod lead;
+mod members;
+mod node;
+mod proposal;
+mod serve;
+mod share;
+mod stop;
+mod voter;
+
+pub use input::Input;
+pub use message::Message;
+pub use node::Node;
+pub use output::Output;
+pub use setup::Setup;
--- /dev/null
+++ b/crates/verbenaslip-node/src/members.rs
@@ -0,0 +1,211 @@
+//! Membership and the registry of upstreams, as the other parts need them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use verbenaslip_base::announce::Phase;
+use verbenaslip_base::name::{Instance, Upstream};
+use verbenaslip_gossip::{self as gossip, MemberEvent, State, UpstreamEvent};
+use verbenaslip_request::input as request;
+use verbenaslip_state::watch;
+
+use crate::message::Message;
+use crate::node::{Node, Todo};
+use crate::notice::Notice;
+use crate::operator::{Id, Reply};
+use crate::output::Output;
+use crate::share::Share;
+
+impl Node {
+    pub(crate) fn step_gossip(&mut self, input: gossip::Input) {
+        let mut outputs = Vec::new();
+        self.gossip.step(self.now, input, &mut outputs);
+        for output in outputs {
+            match output {
+                gossip::Output::Send { to, frame } => {
+                    self.out.push(Output::Datagram { to, frame });
+                }
+                // Announcements are answered where they are made.
+                gossip::Output::Answer(_) => {}
+                gossip::Output::Member(event) => self.member(event),
+                gossip::Output::Upstream(event) => self.upstream(event),
+                gossip::Output::Reported(instance) => self.reported(&instance),
+                gossip::Output::Isolated(isolated) => self.isolated(isolated),
+            }
+        }
+    }
+
+    /// Takes an upstream's announcement and answers it.
+    pub(crate) fn announced(
+        &mut self,
+        call: Id,
+        announcement: Box<verbenaslip_base::announce::Announcement>,
+    ) {
+        let mut outputs = Vec::new();
+        self.gossip.step(self.now, gossip::Input::Announced(announcement), &mut outputs);
+        for output in outputs {
+            match output {
+                gossip::Output::Answer(answer) => {
+                    let reply = Reply::Announced(answer);
+                    self.out.push(Output::Reply { call, reply });
+                }
+                gossip::Output::Send { to, frame } => {
+                    self.out.push(Output::Datagram { to, frame });
+                }
+                gossip::Output::Member(event) => self.member(event),
+                gossip::Output::Upstream(event) => self.upstream(event),
+                gossip::Output::Reported(instance) => self.reported(&instance),
+                gossip::Output::Isolated(isolated) => self.isolated(isolated),
+            }
+        }
+    }
+
+    /// Passes the live instances on to the parts that share work between them.
+    pub(crate) fn tell_members(&mut self) {
+        let own = self.gossip.own().clone();
+        let alive =
+            |member: &&gossip::Member| matches!(member.state(), State::Alive | State::Suspect);
+        let others: Vec<gossip::Peer> =
+            self.gossip.members().filter(alive).map(|member| member.peer().clone()).collect();
+        let here = others.iter().filter(|peer| peer.region == own.region);
+        let mut instances: Vec<Instance> = here.map(|peer| peer.instance.clone()).collect();
+        instances.push(own.instance);
+        instances.sort();
+        self.dispatcher.members(self.now, &instances);
+        self.tell_publishers(&others);
+        let addresses: Vec<(Instance, SocketAddr)> =
+            others.into_iter().map(|peer| (peer.instance, peer.address)).collect();
+        self.out.push(Output::Addresses(addresses));
+    }
+
+    /// Tells the neighbours about this instance.
+    pub(crate) fn share(&mut self) {
+        let limits = self.dispatcher.report(self.now);
+        let voter = self.is_voter();
+        let leads = self.leads();
+        let share = Share { voter, leads, limits };
+        self.push(Todo::Gossip(gossip::Input::Report(share.encode())));
+    }
+
+    /// Takes over the newest loads of all usable upstreams.
+    pub(crate) fn refresh_loads(&mut self) {
+        let now = self.now;
+        for record in self.gossip.usable(now) {
+            let load = record.load(now);
+            let heard = now.saturating_sub(Duration::from_millis(u64::from(load.age)));
+            let mut announcement = record.announcement().clone();
+            announcement.load = load;
+            self.dispatcher.announce(heard, &announcement);
+        }
+    }
+
+    fn tell_publishers(&mut self, others: &[gossip::Peer]) {
+        let peer = |peer: &gossip::Peer| watch::Peer {
+            instance: peer.instance.clone(),
+            zone: peer.zone.clone(),
+            voter: self.voters.contains(&peer.instance),
+        };
+        let peers = others.iter().map(peer).collect();
+        self.push(Todo::Watch(watch::Input::Peers(peers)));
+    }
+
+    fn member(&mut self, event: MemberEvent) {
+        match event {
+            MemberEvent::Joined(peer) => {
+                let member = request::Member {
+                    instance: peer.instance.clone(),
+                    zone: peer.zone,
+                    boot: peer.incarnation,
+                };
+                self.push(Todo::Request(request::Input::Joined(member)));
+                self.note(Notice::Joined(peer.instance));
+            }
+            MemberEvent::Suspected(instance) => self.note(Notice::Suspected(instance)),
+            MemberEvent::Cleared(_) => {}
+            MemberEvent::Leaving(instance) | MemberEvent::Left(instance) => {
+                self.push(Todo::Request(request::Input::Left(instance.clone())));
+                self.note(Notice::Left(instance));
+            }
+            MemberEvent::Lost(instance) => {
+                self.push(Todo::Request(request::Input::Lost(instance.clone())));
+                self.note(Notice::Lost(instance));
+            }
+            MemberEvent::ZoneLost(zone) => self.note(Notice::ZoneLost(zone)),
+            MemberEvent::ZoneBack(_)
+            | MemberEvent::RegionSilent(_)
+            | MemberEvent::RegionBack(_) => {}
+            MemberEvent::Replaced { .. } => {
+                self.note(Notice::Replaced);
+                self.out.push(Output::Drain);
+            }
+        }
+        self.tell_members();
+    }
+
+    fn upstream(&mut self, event: UpstreamEvent) {
+        match event {
+            UpstreamEvent::Appeared(upstream) => {
+                self.usable(&upstream);
+                self.note(Notice::Appeared(upstream));
+            }
+            UpstreamEvent::Changed(upstream) => self.usable(&upstream),
+            UpstreamEvent::Leaving { upstream, notice } => {
+                if let Some(record) = self.gossip.record(&upstream) {
+                    self.dispatcher.announce(self.now, record.announcement());
+                }
+                let leaving = request::Input::Leaving { upstream: upstream.clone(), notice };
+                self.push(Todo::Request(leaving));
+                self.note(Notice::Leaving { upstream, notice });
+            }
+            UpstreamEvent::Lapsed(upstream) => {
+                // What ran there is told to the policy one by one, when the requests ask to retry.
+                let _ = self.dispatcher.lost(self.now, &upstream);
+                self.push(Todo::Request(request::Input::Lapsed(upstream.clone())));
+                self.note(Notice::Lapsed(upstream));
+            }
+            UpstreamEvent::Doubted(zone) => self.note(Notice::Doubted(zone)),
+            UpstreamEvent::Cleared(_) => {}
+        }
+    }
+
+    fn usable(&mut self, upstream: &Upstream) {
+        let Some(record) = self.gossip.record(upstream) else { return };
+        let announcement = record.announcement();
+        self.dispatcher.announce(self.now, announcement);
+        if announcement.phase == Phase::Ready {
+            self.push(Todo::Request(request::Input::Ready(upstream.clone())));
+        }
+    }
+
+    fn reported(&mut self, instance: &Instance) {
+        let reports = self.gossip.reports(self.now);
+        let found = reports.into_iter().find(|report| report.instance == instance);
+        let Some(share) = found.and_then(|report| Share::decode(report.bytes)) else { return };
+        self.dispatcher.heard(self.now, instance, &share.limits);
+        if share.leads {
+            self.leader = Some(instance.clone());
+        }
+        let known = self.voters.contains(instance);
+        if share.voter && !known {
+            self.voters.insert(instance.clone());
+        }
+        if !share.voter && known {
+            self.voters.remove(instance);
+        }
+        if share.voter != known {
+            self.tell_members();
+        }
+    }
+
+    fn isolated(&mut self, isolated: bool) {
+        if isolated {
+            self.dispatcher.doubt(self.now);
+        }
+        self.note(Notice::Isolated(isolated));
+    }
+
+    /// Passes a request's message on.
+    pub(crate) fn say(&mut self, to: &Instance, message: verbenaslip_request::message::Message) {
+        self.send(to, Message::Request(message));
+    }
+}
--- /dev/null
+++ b/crates/verbenaslip-node/src/proposal.rs
@@ -0,0 +1,118 @@
+//! Commands on their way to the leader and back, from any instance.
+//!
+//! A command is sent again until it is answered or its patience ends. That is safe because every
+//! command is idempotent: an edit by its identity, a claim by its claimant, the rest by what they
+//! say. A command that was ever sent without an answer may be committed later, so it is then given
+//! up as unknown and never as not done.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use verbenaslip_base::attempt::Request;
+use verbenaslip_base::name::{Instance, Operator};
+use verbenaslip_replica::config::Change;
+use verbenaslip_state::{Command, claim};
+use verbenaslip_table::Revision;
+
+use crate::operator;
+
+/// Between two sendings of an unanswered proposal.
+pub(crate) const RESEND: Duration = Duration::from_millis(400);
+
+/// Before a proposal goes to the next voter after one that does not lead.
+pub(crate) const NEXT: Duration = Duration::from_millis(50);
+
+/// Says what is proposed.
+#[derive(Clone, Debug)]
+pub(crate) enum Work {
+    /// A command of the replicated state.
+    Command(Box<Command>),
+    /// Another voter set.
+    Change(Change),
+}
+
+/// Says who waits for the answer.
+#[derive(Clone, Debug)]
+pub(crate) enum Purpose {
+    /// An operator's edit.
+    Edit { call: operator::Id, by: Operator, wait: Duration },
+    /// The claim of a non-idempotent request, as it was proposed.
+    Claim { request: Request, claimant: u128, claim: Box<claim::Claim> },
+    /// An operator's drain of an instance.
+    Drain { call: operator::Id, instance: Instance, by: Operator },
+    /// An operator's change of the voter set.
+    Voters { call: operator::Id },
+    /// Another instance's proposal.
+    Forwarded { from: Instance, token: u64 },
+    /// Nobody; it matters only that it is done.
+    Nobody,
+}
+
+/// Holds one proposal on its way.
+#[derive(Clone, Debug)]
+pub(crate) struct Proposal {
+    pub(crate) work: Work,
+    pub(crate) purpose: Purpose,
+    /// When it is given up.
+    pub(crate) deadline: Duration,
+    /// When it is sent again.
+    pub(crate) due: Duration,
+    /// Whether it was sent and not answered yet.
+    pub(crate) sent: bool,
+    /// Whether a voter may have taken it without answering.
+    pub(crate) doubtful: bool,
+    /// How many voters were tried.
+    pub(crate) tries: u32,
+}
+
+/// Holds the proposals on their way.
+#[derive(Debug, Default)]
+pub(crate) struct Proposals {
+    open: BTreeMap<u64, Proposal>,
+    last: u64,
+}
+
+impl Proposals {
+    /// Takes a proposal and returns its token.
+    pub(crate) fn insert(&mut self, proposal: Proposal) -> u64 {
+        self.last += 1;
+        self.open.insert(self.last, proposal);
+        self.last
+    }
+
+    /// Finds a proposal.
+    pub(crate) fn get_mut(&mut self, token: u64) -> Option<&mut Proposal> {
+        self.open.get_mut(&token)
+    }
+
+    /// Ends a proposal.
+    pub(crate) fn remove(&mut self, token: u64) -> Option<Proposal> {
+        self.open.remove(&token)
+    }
+
+    /// Returns the proposals that are due to be sent again or given up.
+    pub(crate) fn due(&self, now: Duration) -> Vec<u64> {
+        let due = |proposal: &Proposal| proposal.due.min(proposal.deadline) <= now;
+        self.open.iter().filter(|(_, it)| due(it)).map(|(token, _)| *token).collect()
+    }
+
+    /// Returns when the next one is due.
+    pub(crate) fn wake(&self) -> Option<Duration> {
+        self.open.values().map(|proposal| proposal.due.min(proposal.deadline)).min()
+    }
+
+    /// Returns how many wait.
+    pub(crate) fn len(&self) -> usize {
+        self.open.len()
+    }
+}
+
+/// Waits until an accepted edit is in force everywhere.
+#[derive(Clone, Debug)]
+pub(crate) struct Wait {
+    pub(crate) call: operator::Id,
+    pub(crate) revision: Revision,
+    pub(crate) deadline: Duration,
+    pub(crate) due: Duration,
+    pub(crate) awaited: Vec<Instance>,
+}
--- /dev/null
+++ b/crates/verbenaslip-node/src/stop.rs
@@ -0,0 +1,67 @@
+//! The planned stop of an instance.
+//!
+//! New work is refused at once, what runs ends or is handed over, a leader hands over the log, and
+//! only then does the instance leave the membership. So nothing in progress is cut off, and nobody
+//! waits for an election.
+
+use std::time::Duration;
+
+use verbenaslip_gossip as gossip;
+use verbenaslip_replica::input as log;
+use verbenaslip_request::input as request;
+
+use crate::node::{Node, Todo};
+use crate::output::Output;
+
+/// Between two tries to hand over the log.
+const TRANSFER: Duration = Duration::from_millis(200);
+
+/// How long a leader tries to hand over the log after its requests are done.
+const PATIENCE: Duration = Duration::from_secs(3);
+
+/// Holds how far a stop has got.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Stop {
+    /// When the log is handed over next.
+    transfer: Duration,
+    /// When the requests were done.
+    idle: Option<Duration>,
+    /// Whether the instance has left.
+    left: bool,
+}
+
+impl Node {
+    pub(crate) fn begin_stop(&mut self, remaining: Duration) {
+        if self.stop.is_none() {
+            self.stop = Some(Stop { transfer: self.now, idle: None, left: false });
+            self.push(Todo::Gossip(gossip::Input::Leave));
+        }
+        self.push(Todo::Request(request::Input::Stop { remaining }));
+    }
+
+    pub(crate) fn requests_drained(&mut self) {
+        let now = self.now;
+        if let Some(stop) = &mut self.stop {
+            stop.idle.get_or_insert(now);
+        }
+    }
+
+    /// Goes on with a stop.
+    pub(crate) fn drive_stop(&mut self) {
+        let Some(mut stop) = self.stop else { return };
+        let leads = self.voter.as_ref().is_some_and(|voter| voter.replica().is_leader());
+        if leads && self.now >= stop.transfer {
+            stop.transfer = self.now + TRANSFER;
+            self.push(Todo::Log(log::Input::Transfer));
+        }
+        let handed = stop.idle.is_some_and(|idle| !leads || self.now >= idle + PATIENCE);
+        let settled = self.proposals.len() == 0;
+        let waited = stop.idle.is_some_and(|idle| self.now >= idle + PATIENCE);
+        if handed && (settled || waited) && !stop.left {
+            stop.left = true;
+            self.push(Todo::Gossip(gossip::Input::Stop));
+            self.out.push(Output::Drained);
+        }
+        self.stop = Some(stop);
+    }
+}
--- /dev/null
+++ b/crates/verbenaslip-node/src/voter.rs
@@ -0,0 +1,228 @@
+//! The replicated log and the state that it leads to, on an instance with a data folder.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use verbenaslip_base::fence::Fence;
+use verbenaslip_base::name::Instance;
+use verbenaslip_replica::config::Change;
+use verbenaslip_replica::entry::Position;
+use verbenaslip_replica::output::{self as log, Role};
+use verbenaslip_replica::setup::Setup;
+use verbenaslip_replica::storage::{Recovered, Snapshot, Write};
+use verbenaslip_replica::voter;
+use verbenaslip_replica::{Replica, input, message};
+use verbenaslip_state::claim::Limit;
+use verbenaslip_state::{Command, Outcome, State};
+use verbenaslip_table::{Revision, Table};
+
+use crate::message::Answer;
+
+/// Bounds the outcomes kept until their proposals are answered.
+const OUTCOMES: usize = 4_096;
+
+/// Tells what a voter's step led to.
+pub(crate) enum Event {
+    /// Sends a message to another voter.
+    Send { to: Instance, message: message::Message },
+    /// Writes and syncs.
+    Store { mark: u64, write: Write },
+    /// An edit was committed.
+    Committed { revision: Revision, command: Command, table: Arc<Table> },
+    /// The state was replaced as a whole.
+    Restored { revision: Revision, table: Arc<Table> },
+    /// A proposal or change was answered.
+    Answered { token: u64, answer: Answer },
+    /// The role, term or known leader has changed.
+    Role(Role),
+    /// A voter's instance runs another folder.
+    Stranger(voter::Voter),
+    /// The state could not be read.
+    Unreadable(String),
+}
+
+/// Runs the log and applies it.
+pub(crate) struct Voter {
+    replica: Replica,
+    state: State,
+    applied: u64,
+    changes: BTreeSet<u64>,
+    outcomes: BTreeMap<u64, Outcome>,
+    waiting: BTreeMap<u64, u64>,
+    outputs: Vec<log::Output>,
+    broken: bool,
+}
+
+impl Voter {
+    /// Starts from what the data folder held.
+    pub(crate) fn open(
+        setup: Setup,
+        recovered: Recovered,
+        now: Duration,
+        out: &mut Vec<Event>,
+    ) -> Self {
+        let snapshot = recovered.snapshot.clone();
+        let mut voter = Self {
+            replica: Replica::open(setup, recovered, now),
+            state: State::new(Limit::default()),
+            applied: 0,
+            changes: BTreeSet::new(),
+            outcomes: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            outputs: Vec::new(),
+            broken: false,
+        };
+        if let Some(snapshot) = snapshot {
+            voter.install(&snapshot, out);
+        }
+        voter
+    }
+
+    /// Takes what happened.
+    pub(crate) fn step(&mut self, now: Duration, input: input::Input, out: &mut Vec<Event>) {
+        // A state that can't be read must not vote on: it would acknowledge what it can't apply.
+        if self.broken {
+            return;
+        }
+        if let input::Input::Change { token, .. } = &input {
+            self.changes.insert(*token);
+        }
+        let mut outputs = std::mem::take(&mut self.outputs);
+        self.replica.step(now, input, &mut outputs);
+        for output in outputs.drain(..) {
+            self.take(now, output, out);
+        }
+        self.outputs = outputs;
+    }
+
+    /// Proposes a command.
+    pub(crate) fn propose(
+        &mut self,
+        now: Duration,
+        token: u64,
+        command: &Command,
+        out: &mut Vec<Event>,
+    ) {
+        let Ok(bytes) = postcard::to_stdvec(command) else {
+            let answer = Answer::Refused("the command can't be written".into());
+            return out.push(Event::Answered { token, answer });
+        };
+        self.step(now, input::Input::Propose { token, command: bytes.into() }, out);
+    }
+
+    /// Proposes another voter set.
+    pub(crate) fn change(
+        &mut self,
+        now: Duration,
+        token: u64,
+        change: Change,
+        out: &mut Vec<Event>,
+    ) {
+        self.step(now, input::Input::Change { token, change }, out);
+    }
+
+    /// Returns when the next tick is due.
+    pub(crate) fn wake(&self) -> Duration {
+        self.replica.wake()
+    }
+
+    /// Returns the log, for its status.
+    pub(crate) fn replica(&self) -> &Replica {
+        &self.replica
+    }
+
+    /// Returns the state.
+    pub(crate) fn state(&self) -> &State {
+        &self.state
+    }
+
+    fn take(&mut self, now: Duration, output: log::Output, out: &mut Vec<Event>) {
+        match output {
+            log::Output::Send { to, message } => out.push(Event::Send { to, message }),
+            log::Output::Store { mark, write } => out.push(Event::Store { mark, write }),
+            log::Output::Apply { position, command } => self.apply(position, &command, out),
+            log::Output::Install(snapshot) => self.install(&snapshot, out),
+            log::Output::Answer { token, answer } => self.answer(token, answer, out),
+            log::Output::Role(role) => out.push(Event::Role(role)),
+            log::Output::WantSnapshot { .. } => self.compact(now, out),
+            log::Output::Stranger(voter) => out.push(Event::Stranger(voter)),
+            log::Output::Confirmed { .. } | log::Output::Unconfirmed { .. } => {}
+        }
+    }
+
+    fn apply(&mut self, position: Position, bytes: &[u8], out: &mut Vec<Event>) {
+        self.applied = position.index;
+        let Ok(command) = postcard::from_bytes::<Command>(bytes) else {
+            // Skipping it would let this voter's state differ from the others' without a sign.
+            self.broken = true;
+            let what = format!("entry {} can't be read by this version", position.index);
+            return out.push(Event::Unreadable(what));
+        };
+        let before = self.state.revision();
+        let at = Fence { term: position.term, index: position.index };
+        let outcome = self.state.apply(at, &command);
+        let revision = self.state.revision();
+        if revision > before {
+            let table = self.state.table().clone();
+            out.push(Event::Committed { revision, command, table });
+        }
+        if let Some(token) = self.waiting.remove(&position.index) {
+            return out.push(Event::Answered { token, answer: Answer::Done(outcome) });
+        }
+        if self.replica.is_leader() {
+            self.outcomes.insert(position.index, outcome);
+        }
+        while self.outcomes.len() > OUTCOMES {
+            self.outcomes.pop_first();
+        }
+    }
+
+    fn install(&mut self, snapshot: &Snapshot, out: &mut Vec<Event>) {
+        self.applied = snapshot.position.index;
+        match State::restore(&snapshot.state) {
+            Ok(state) => {
+                self.state = state;
+                let (revision, table) = (self.state.revision(), self.state.table().clone());
+                out.push(Event::Restored { revision, table });
+            }
+            Err(error) => {
+                self.broken = true;
+                out.push(Event::Unreadable(format!("snapshot at {}: {error}", self.applied)));
+            }
+        }
+    }
+
+    fn compact(&mut self, now: Duration, out: &mut Vec<Event>) {
+        let (index, state) = (self.applied, self.state.snapshot().into());
+        let mut outputs = Vec::new();
+        self.replica.step(now, input::Input::Snapshot { index, state }, &mut outputs);
+        for output in outputs {
+            self.take(now, output, out);
+        }
+    }
+
+    fn answer(&mut self, token: u64, answer: log::Answer, out: &mut Vec<Event>) {
+        let change = self.changes.remove(&token);
+        let answer = match answer {
+            log::Answer::Committed(_) if change => Answer::Changed,
+            log::Answer::Committed(position) => match self.outcomes.remove(&position.index) {
+                Some(outcome) => Answer::Done(outcome),
+                None if position.index > self.applied => {
+                    self.waiting.insert(position.index, token);
+                    return;
+                }
+                None => Answer::Unknown,
+            },
+            log::Answer::Rejected(log::Rejection::NotLeader { leader }) => {
+                Answer::Elsewhere { leader }
+            }
+            log::Answer::Rejected(log::Rejection::Transferring | log::Rejection::Busy { .. }) => {
+                Answer::Elsewhere { leader: None }
+            }
+            log::Answer::Rejected(rejection) => Answer::Refused(rejection.to_string().into()),
+            log::Answer::Unknown => Answer::Unknown,
+        };
+        out.push(Event::Answered { token, answer });
+    }
+}
--- a/crates/verbenaslip-policy/src/admit/queue.rs
+++ b/crates/verbenaslip-policy/src/admit/queue.rs
@@ -38,6 +38,8 @@
     pub cached: u32,
     /// Upstreams that it must not run on again.
     pub avoid: Vec<Upstream>,
+    /// Whether it may have run already, so that it is never again refused as not run.
+    pub begun: bool,
 }
 
 /// Decides what becomes of an offered request.
@@ -317,6 +319,11 @@
 /// Returns why a waiting request can't be served any more, if so.
 fn doom(now: Duration, waiting: &Waiting, pool: &Pool) -> Option<Reason> {
     let left = waiting.item.head.deadline.saturating_sub(now).as_secs_f64();
+    // An accepted request that was moved has waited before and holds tokens that an estimate does
+    // not count; giving it up by either would lose it although it could still be on time.
+    if waiting.item.begun {
+        return (left <= 0.0).then_some(Reason::Deadline);
+    }
     if cost(&waiting.item, pool) > left {
         return Some(Reason::Deadline);
     }
--- a/crates/verbenaslip-policy/src/dispatch.rs
+++ b/crates/verbenaslip-policy/src/dispatch.rs
@@ -10,7 +10,7 @@
 use verbenaslip_base::head::Head;
 use verbenaslip_base::name::{AvailabilityZone, Instance, Model, Upstream};
 use verbenaslip_base::refusal::{Reason, Refusal};
-use verbenaslip_table::{Key, Table};
+use verbenaslip_table::{Key, Row, Table};
 
 use crate::admit::{Admission, Given, Item, Queue, Returns};
 use crate::limit::{Limiter, Report};
@@ -142,7 +142,7 @@
         };
         let (key, terms) = (row.key(), Terms::from(row));
         let cached = self.router.best_cached(now, &head);
-        let item = Item { head, key, arrived, terms, cached, avoid: Vec::new() };
+        let item = Item { head, key, arrived, terms, cached, avoid: Vec::new(), begun: false };
         self.limiter.asked(now, &item.key);
         let pool = self.router.pool(now, &item.head.model);
         if let Some(refusal) = self.limited(now, &item, &pool, rng) {
@@ -152,6 +152,23 @@
         queue.offer(now, item, &pool, rng)
     }
 
+    /// Takes over a request that another instance, or an earlier run here, has begun.
+    ///
+    /// It was let in before, so it is not held against limits and deadlines again; it runs when a
+    /// slot is free.
+    pub fn adopt(&mut self, now: Duration, head: Head, arrived: Duration, avoid: &[Upstream]) {
+        self.cancel(now, head.request);
+        let row = self.table.row(&head.team, &head.class);
+        // The row may be gone by now; what was accepted under it is still answered.
+        let fallback = Row::new(head.team.clone(), head.class.clone());
+        let row = row.unwrap_or(&fallback);
+        let (key, terms) = (row.key(), Terms::from(row));
+        let cached = self.router.best_cached(now, &head);
+        let item = Item { head, key, arrived, terms, cached, avoid: avoid.to_vec(), begun: true };
+        let pool = self.router.pool(now, &item.head.model);
+        self.queues.entry(item.head.model.clone()).or_default().put_back(item, &pool);
+    }
+
     /// Allows a request that was taken in to run: it is journalled, and claimed where it must be.
     pub fn ready(&mut self, request: Request) -> bool {
         self.queues.values_mut().any(|queue| queue.ready(request))
@@ -218,6 +235,7 @@
         let verdict = self.retries.ask(now, &ask, rng);
         if let Verdict::After(delay) = verdict {
             let mut item = running.item;
+            item.begun = true;
             item.avoid.retain(|avoided| avoided != upstream);
             item.avoid.push(upstream.clone());
             self.delayed.insert((now.saturating_add(delay), request), item);
--- a/crates/verbenaslip-policy/tests/common/mod.rs
+++ b/crates/verbenaslip-policy/tests/common/mod.rs
@@ -63,6 +63,7 @@
         terms,
         cached: 0,
         avoid: Vec::new(),
+        begun: false,
     }
 }
 
