Count an order's expiry from its sending

Cause: the stand-in read expires_ms as a Unix time, the adapter sends the time left; every order would have been refused as expired. Ruled out: a Unix time on both sides, because the instances' and engines' clocks need not agree. Change: the engine counts from when the order arrived, also while frozen. The new test of a frozen engine shows that a late order is refused.

--- a/crates/verbenaslip-lab/src/contract/engine.rs
+++ b/crates/verbenaslip-lab/src/contract/engine.rs
@@ -5,8 +5,8 @@
 use super::case::Case;
 use crate::text;
 
-/// An expiry that does not come, in Unix milliseconds.
-const NEVER: u64 = 9_999_999_999_999;
+/// An expiry that does not come, in milliseconds.
+const NEVER: u64 = 600_000;
 
 /// Returns the cases; `fenced` says whether the engine checks fencing numbers.
 pub fn cases(fenced: bool) -> Vec<Case> {
@@ -119,7 +119,7 @@
         order("the same order again", (2, 3), NEVER, &load("large"), 200).is("/applied", true),
         equal,
         old,
-        order("an order that has expired", (9, 9), 1, &load("late"), 410),
+        order("an order that has expired", (9, 9), 0, &load("late"), 410),
         order("a role", (3, 1), NEVER, &json!({"role": "decode"}), 200).is("/applied", true),
         order("giving up a model", (3, 2), NEVER, &json!({"unload": "assistant"}), 200),
         order("an order that is none", (3, 3), NEVER, &json!({"dance": "x"}), 400),
--- a/crates/verbenaslip-lab/src/engine/order.rs
+++ b/crates/verbenaslip-lab/src/engine/order.rs
@@ -48,7 +48,7 @@
     pub term: u64,
     /// The log index at which it was committed.
     pub index: u64,
-    /// Unix milliseconds after which it must not be obeyed.
+    /// Milliseconds from its sending after which it must not be obeyed.
     pub expires_ms: u64,
     /// What is ordered.
     pub order: Order,
@@ -90,9 +90,10 @@
         }
     }
 
-    /// Obeys or refuses an order; a model ordered counts as loaded from `ready`.
-    pub(crate) fn apply(&mut self, unix: u64, ready: u64, sheet: &Sheet) -> Outcome {
-        if sheet.expires_ms < unix {
+    /// Obeys or refuses an order that waited for some milliseconds; a model ordered counts as loaded
+    /// from `ready`.
+    pub(crate) fn apply(&mut self, waited: u64, ready: u64, sheet: &Sheet) -> Outcome {
+        if sheet.expires_ms <= waited {
             return Outcome::Expired;
         }
         let fence = Fence { term: sheet.term, index: sheet.index };
--- a/crates/verbenaslip-lab/src/engine/serve.rs
+++ b/crates/verbenaslip-lab/src/engine/serve.rs
@@ -164,7 +164,8 @@
     fn order(self: &Arc<Self>, ask: &Ask) -> Result<Reply, Reply> {
         let sheet: Sheet = ask.json()?;
         let ready = self.millis() + super::state::millis(self.state().setup.pace.load);
-        let outcome = self.state().book.apply(unix(), ready, &sheet);
+        let waited = super::state::millis(ask.arrival.elapsed());
+        let outcome = self.state().book.apply(waited, ready, &sheet);
         match outcome {
             Outcome::Applied => {
                 weights::fetch(self, &sheet.order);
--- a/crates/verbenaslip-lab/src/http/server.rs
+++ b/crates/verbenaslip-lab/src/http/server.rs
@@ -4,6 +4,7 @@
 use std::future::Future;
 use std::io;
 use std::sync::Arc;
+use std::time::Instant;
 
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Bytes, Incoming};
@@ -25,6 +26,7 @@
 
 /// Holds a request that has been read whole.
 pub(crate) struct Ask {
+    pub(crate) arrival: Instant,
     pub(crate) method: Method,
     pub(crate) path: String,
     pub(crate) query: String,
@@ -153,6 +155,7 @@
         );
     };
     let ask = Ask {
+        arrival: Instant::now(),
         method: head.method,
         path: head.uri.path().to_owned(),
         query: head.uri.query().unwrap_or_default().to_owned(),
--- a/crates/verbenaslip-lab/tests/engine.rs
+++ b/crates/verbenaslip-lab/tests/engine.rs
@@ -264,6 +264,18 @@
     assert_eq!(before.text + &rest.text, text::expect(&prompt("freeze"), 60));
 }
 
+#[test]
+fn order_that_waited_in_a_frozen_engine_has_expired() {
+    // Symptom: an engine carries out what an old leader ordered. Sequence: the order arrives, the
+    // engine freezes past the expiry and goes on. Cause: the order was checked before it was late.
+    let engine = engine(|_| ());
+    engine.fault(Fault::Freeze { ms: 200 });
+    let order = json!({"term": 1, "index": 1, "expires_ms": 50, "order": {"load": "late"}});
+    let answer = Stream::open(engine.address(), "POST", "/v1/orders", "", &order.to_string());
+    assert_eq!(answer.status, 410);
+    assert_eq!(get(engine.address(), "/v1/orders")["held"], json!({"term": 0, "index": 0}));
+}
+
 #[test]
 fn higher_priority_runs_first() {
     let engine = engine(|setup| setup.slots = 1);
