--- a/crates/verbenaslip-request/src/answer.rs
+++ b/crates/verbenaslip-request/src/answer.rs
@@ -19,7 +19,14 @@
     position: u32,
     bytes: usize,
     limit: usize,
-    mirrored: Option<u32>,
+    mirrored: Option<Mirrored>,
+}
+
+/// Says what the second holder has.
+#[derive(Clone, Copy, Debug, Default)]
+struct Mirrored {
+    position: u32,
+    ended: bool,
 }
 
 /// Holds the tokens of one event.
@@ -153,16 +160,24 @@
     /// A token that the caller has and the second holder lacks could come out otherwise when that
     /// one takes over, and the caller would have halves of two answers.
     pub fn mirror(&mut self, on: bool) {
-        self.mirrored = on.then_some(0);
+        self.mirrored = on.then(Mirrored::default);
     }
 
-    /// Notes how far the second holder has got.
-    pub fn mirrored(&mut self, position: u32) {
+    /// Notes how far the second holder has got, and whether it has the end as well.
+    pub fn mirrored(&mut self, position: u32, ended: bool) {
         if let Some(mirrored) = &mut self.mirrored {
-            *mirrored = position.max(*mirrored);
+            mirrored.position = position.max(mirrored.position);
+            mirrored.ended |= ended;
         }
     }
 
+    /// Returns whether there is a second holder that lacks something.
+    pub fn unmirrored(&self) -> bool {
+        let whole = self.end.is_some() || self.whole.is_some();
+        self.mirrored
+            .is_some_and(|mirrored| mirrored.position < self.position || (whole && !mirrored.ended))
+    }
+
     /// Returns the events after a position that a caller may have, oldest first.
     pub fn events(&self, after: u32) -> impl Iterator<Item = &Piece> {
         let start = self.pieces.partition_point(|piece| piece.position <= after);
@@ -181,6 +196,11 @@
         self.end.as_ref().filter(|end| end.position <= self.released())
     }
 
+    /// Returns the end mark, also when callers may not have it yet.
+    pub fn end_mark(&self) -> Option<&End> {
+        self.end.as_ref()
+    }
+
     /// Returns a plain service's answer.
     pub fn filled(&self) -> Option<&Whole> {
         self.whole.as_ref()
@@ -193,7 +213,7 @@
 
     /// Returns the last position that callers may have.
     pub fn released(&self) -> u32 {
-        self.mirrored.map_or(self.position, |mirrored| mirrored.min(self.position))
+        self.mirrored.map_or(self.position, |mirrored| mirrored.position.min(self.position))
     }
 
     /// Returns the epoch of the owner whose answer it is.
--- a/crates/verbenaslip-request/src/arrive.rs
+++ b/crates/verbenaslip-request/src/arrive.rs
@@ -14,13 +14,11 @@
 use crate::message::{Found, Message, Reserve};
 use crate::output::{Outcome, Output};
 use crate::requests::{Requests, Turn};
+use crate::timer::Timer;
 
 /// After how many lost relays a mere reservation of another instance no longer counts.
 const LOSSES: u32 = 3;
 
-/// After how many lost relays a caller is given up.
-const RELAYS: u32 = 16;
-
 /// Holds a caller whose answer another instance assembles.
 #[derive(Clone, Debug)]
 pub(crate) struct Relay {
@@ -117,10 +115,30 @@
         let Some(mut relay) = self.relays.remove(&ticket) else {
             return;
         };
+        self.timers.set(Timer::Parked(ticket), None);
         relay.after = relay.after.max(after);
         relay.losses += 1;
-        let body = relay.body.take().filter(|_| relay.losses < RELAYS);
-        let Some(body) = body else {
+        // An owner that has just died is named until the others notice it. Asked at once each time,
+        // they would be asked a thousand times a second by every caller that it had.
+        let wait = match relay.losses {
+            0 | 1 => Duration::ZERO,
+            _ => self.setup.timing.resend,
+        };
+        self.relays.insert(ticket, relay);
+        if wait.is_zero() {
+            self.seek_owner(turn, ticket);
+        } else {
+            self.timers.set(Timer::Parked(ticket), Some(turn.now + wait));
+        }
+    }
+
+    /// Lets a caller in anew whose relay was lost.
+    pub(crate) fn seek_owner(&mut self, turn: &mut Turn<'_>, ticket: Ticket) {
+        self.timers.set(Timer::Parked(ticket), None);
+        let Some(mut relay) = self.relays.remove(&ticket) else {
+            return;
+        };
+        let Some(body) = relay.body.take() else {
             turn.tell(ticket, Verdict::Unknown(Unknown::InstanceLost));
             return;
         };
--- a/crates/verbenaslip-request/src/drain.rs
+++ b/crates/verbenaslip-request/src/drain.rs
@@ -77,7 +77,9 @@
             let Some(mut entry) = self.take(request) else {
                 continue;
             };
-            if !can_hand_over(&entry) {
+            let again = turn.now.saturating_sub(self.setup.timing.resend);
+            let fresh = entry.handed.is_some_and(|at| at > again);
+            if fresh || !can_hand_over(&entry) {
                 self.put(entry);
                 continue;
             }
@@ -90,6 +92,9 @@
                 continue;
             };
             entry.sequence += 1;
+            entry.handed = Some(turn.now);
+            // The second holder may run it from now on, so "not run" can't be said any more.
+            entry.complete = false;
             turn.send(&holder, Message::HandOver(entry.note()));
             self.put(entry);
         }
--- a/crates/verbenaslip-request/src/entry.rs
+++ b/crates/verbenaslip-request/src/entry.rs
@@ -65,6 +65,10 @@
     pub(crate) mirrored: u32,
     /// The claim, when one was asked for.
     pub(crate) claimant: Option<u128>,
+    /// Whether the second holder also has its end.
+    pub(crate) ended: bool,
+    /// When it was last handed over to the second holder, which may run it from then on.
+    pub(crate) handed: Option<Duration>,
     /// Upstreams that failed it.
     pub(crate) without: BTreeSet<Upstream>,
     /// Whether callers have been told that they are served.
@@ -245,6 +249,8 @@
             position: 0,
             mirrored: 0,
             claimant: None,
+            ended: false,
+            handed: None,
             without: BTreeSet::new(),
             served: false,
             absent: None,
--- a/crates/verbenaslip-request/src/finish.rs
+++ b/crates/verbenaslip-request/src/finish.rs
@@ -141,8 +141,11 @@
             return;
         }
         self.done(turn, &entry, outcome.clone());
+        let told = entry.served && matches!(outcome, Outcome::Whole { .. });
         self.settle(turn, &mut entry, outcome);
-        self.welcome_all(turn, &mut entry);
+        if !told {
+            self.welcome_all(turn, &mut entry);
+        }
         self.put(entry);
         self.sweep(turn);
     }
@@ -171,12 +174,8 @@
         self.note(turn, entry);
     }
 
-    /// Tells all callers of a request that has just ended.
+    /// Tells all callers of a request that has ended.
     pub(crate) fn welcome_all(&mut self, turn: &mut Turn<'_>, entry: &mut Entry) {
-        let whole = matches!(entry.phase, Phase::Finished { outcome: Outcome::Whole { .. }, .. });
-        if whole && entry.served {
-            return;
-        }
         entry.served = true;
         let tickets: Vec<_> = entry.callers.keys().copied().collect();
         for ticket in tickets {
@@ -220,6 +219,7 @@
     /// Takes it that a caller's connection is closed.
     pub(crate) fn gone(&mut self, turn: &mut Turn<'_>, ticket: Ticket) {
         if let Some(relay) = self.relays.remove(&ticket) {
+            self.timers.set(Timer::Parked(ticket), None);
             self.release(relay.body);
             return;
         }
--- a/crates/verbenaslip-request/src/hold.rs
+++ b/crates/verbenaslip-request/src/hold.rs
@@ -36,6 +36,8 @@
     pub(crate) note: Note,
     /// The last position held here.
     pub(crate) mirrored: u32,
+    /// Whether the end is held here as well.
+    pub(crate) ended: bool,
     /// When the owner was lost.
     pub(crate) lost: Option<Duration>,
     /// When it is taken over, or dropped when nobody can come back for it.
@@ -257,6 +259,7 @@
             boot: copy.boot,
             note: copy.note,
             mirrored: 0,
+            ended: false,
             lost: None,
             due: None,
             until,
@@ -317,7 +320,7 @@
                 self.drop_copy(turn, request);
                 return;
             }
-            Some(Outcome::Whole { position }) if copy.mirrored < *position => {}
+            Some(Outcome::Whole { .. }) if !copy.ended => {}
             Some(Outcome::Whole { .. } | Outcome::Unknown(_)) => {
                 let body = copy.body.take();
                 self.release(body);
@@ -366,15 +369,22 @@
             entry.mirrored = entry.mirrored.max(position);
             return;
         }
+        if let Some(copy) = self.copies.get_mut(&request) {
+            copy.mirrored = copy.mirrored.max(position);
+        }
+    }
+
+    /// Notes that the second holder has the end as well, at either end.
+    pub(crate) fn mirror_ended(&mut self, request: Request) {
+        if let Some(entry) = self.entries.get_mut(&request) {
+            entry.ended = true;
+            return;
+        }
         let Some(copy) = self.copies.get_mut(&request) else {
             return;
         };
-        copy.mirrored = copy.mirrored.max(position);
-        let whole = match copy.note.outcome {
-            Some(Outcome::Whole { position }) => copy.mirrored >= position,
-            _ => false,
-        };
-        if whole {
+        copy.ended = true;
+        if copy.finished() {
             let body = copy.body.take();
             self.release(body);
         }
@@ -421,9 +431,8 @@
     pub(crate) fn resume_waiting(&mut self, turn: &mut Turn<'_>, waiting: BTreeMap<Ticket, Relay>) {
         for (ticket, relay) in waiting {
             self.tickets.remove(&ticket);
-            let after = relay.after;
             self.relays.insert(ticket, relay);
-            self.relay_lost(turn, ticket, after);
+            self.seek_owner(turn, ticket);
         }
     }
 
--- a/crates/verbenaslip-request/src/input.rs
+++ b/crates/verbenaslip-request/src/input.rs
@@ -100,6 +100,9 @@
         /// The last position held at the second holder.
         position: u32,
     },
+    /// The second holder also has the end mark, or a plain service's whole answer: told at both
+    /// ends.
+    MirrorEnded(Request),
     /// An upstream leaves.
     Leaving {
         /// The upstream.
--- a/crates/verbenaslip-request/src/journal.rs
+++ b/crates/verbenaslip-request/src/journal.rs
@@ -74,6 +74,7 @@
         entry.stale.remove(&instance);
         entry.holder = Some(Holder { instance, acked: None, tries: 0, due: None });
         entry.mirrored = 0;
+        entry.ended = false;
         self.send_put(turn, entry);
     }
 
@@ -290,10 +291,7 @@
         let Some(holder) = &entry.holder else {
             return true;
         };
-        let position = match &entry.phase {
-            Phase::Finished { outcome: Outcome::Whole { position }, .. } => *position,
-            _ => 0,
-        };
-        holder.acked >= Some(entry.sequence) && entry.mirrored >= position
+        let whole = matches!(entry.phase, Phase::Finished { outcome: Outcome::Whole { .. }, .. });
+        holder.acked >= Some(entry.sequence) && (entry.ended || !whole)
     }
 }
--- a/crates/verbenaslip-request/src/launch.rs
+++ b/crates/verbenaslip-request/src/launch.rs
@@ -16,6 +16,7 @@
 use crate::output::{Outcome, Output, Wanted};
 use crate::requests::{Requests, Turn};
 use crate::run::{Run, Start};
+use crate::timer::Timer;
 
 impl Requests {
     /// Asks the quorum for the right to run a non-idempotent request.
@@ -184,6 +185,8 @@
         let moving =
             entry.flight.as_ref().is_some_and(|flight| matches!(flight.moving, Moving::Asked));
         match entry.phase {
+            // The second holder runs it now; a run here would be a second one.
+            Phase::Place if entry.handed.is_some() => self.put(entry),
             Phase::Place if self.leaving.contains_key(&place.upstream) => {
                 // The router may not have heard of the notice yet; work sent there now would be
                 // new work for an upstream that leaves.
@@ -248,6 +251,10 @@
         turn.out.push(Output::Run(run));
         self.serve(turn, entry);
         self.note(turn, entry);
+        if self.stopping.is_some() {
+            // What starts this late is handed over like the rest, if it does not end in time.
+            self.timers.set(Timer::Stop, Some(turn.now));
+        }
         self.consider(turn, entry);
     }
 
--- a/crates/verbenaslip-request/src/requests.rs
+++ b/crates/verbenaslip-request/src/requests.rs
@@ -160,6 +160,7 @@
                 Event::Failed(failure) => self.failed(turn, attempt, &failure),
             },
             Input::Mirrored { request, position } => self.mirrored(request, position),
+            Input::MirrorEnded(request) => self.mirror_ended(request),
             Input::Leaving { upstream, notice } => self.leaving(turn, &upstream, notice),
             Input::Lapsed(upstream) => self.lapsed(turn, &upstream),
             Input::Ready(upstream) => {
@@ -211,6 +212,7 @@
                 Timer::Reserved(request) => {
                     self.reservations.remove(&request);
                 }
+                Timer::Parked(ticket) => self.seek_owner(turn, ticket),
                 Timer::Stop => self.stop_due(turn),
             }
         }
--- a/crates/verbenaslip-request/src/takeover.rs
+++ b/crates/verbenaslip-request/src/takeover.rs
@@ -40,14 +40,10 @@
         }
         self.replace_everywhere(turn, instance);
         self.orphan(turn, instance, grace);
-        let lost: Vec<_> = self
-            .relays
-            .iter()
-            .filter(|(_, relay)| relay.owner == *instance)
-            .map(|(ticket, relay)| (*ticket, relay.after))
-            .collect();
-        for (ticket, after) in lost {
-            self.relay_lost(turn, ticket, after);
+        let relays = self.relays.iter().filter(|(_, relay)| relay.owner == *instance);
+        let lost: Vec<_> = relays.map(|(ticket, _)| *ticket).collect();
+        for ticket in lost {
+            self.seek_owner(turn, ticket);
         }
     }
 
@@ -242,7 +238,7 @@
     fn succeed(&mut self, turn: &mut Turn<'_>, mut entry: Entry, copy: Held) {
         let (request, epoch) = (entry.request(), entry.epoch);
         let whole = match &copy.note.outcome {
-            Some(Outcome::Whole { position }) => copy.mirrored >= *position,
+            Some(Outcome::Whole { .. }) => copy.ended,
             Some(Outcome::Unknown(_)) => true,
             _ => false,
         };
--- a/crates/verbenaslip-request/src/timer.rs
+++ b/crates/verbenaslip-request/src/timer.rs
@@ -6,6 +6,8 @@
 use verbenaslip_base::attempt::Request;
 use verbenaslip_base::data;
 
+use crate::caller::Ticket;
+
 /// Names what is looked at.
 #[data(copy, ord)]
 pub(crate) enum Timer {
@@ -15,6 +17,8 @@
     Copied(Request),
     /// A reserved key.
     Reserved(Request),
+    /// A caller whose relay was lost.
+    Parked(Ticket),
     /// The end of this instance's own stop.
     Stop,
 }
