Write the operators' page, the glossary and the examples

Cause: an operator needs to install, steer and mend the system without reading code. Ruled out: a way to force a log without its quorum, because no such mechanism is built; the page says how a new log begins and what is lost with it. Change: docs/OPERATIONS.md, docs/GLOSSARY.md, examples of settings, table and keys; tests hold the reference of settings and the examples to the code. A cluster's shared word is read with the same care as keys.

--- a/crates/verbenaslip/src/keys/file.rs
+++ b/crates/verbenaslip/src/keys/file.rs
@@ -139,7 +139,7 @@
         /// What is allowed there.
         allowed: &'static str,
     },
-    /// {path}: holds no key; write one `name key` a line
+    /// {path}: holds nothing but comments; write the key on a line
     Empty {
         /// The file.
         path: String,
@@ -154,17 +154,41 @@
     Event::KeysLoaded { file, keys: keys as u64 }.log();
 }
 
+/// Reads the word of a file that only its owner may read: its only line that is no comment.
+///
+/// # Errors
+///
+/// Says what is wrong with the file, never showing the word.
+pub fn word(path: impl AsRef<Path>) -> Result<Arc<str>, Error> {
+    let path = path.as_ref();
+    let text = text(path)?;
+    let is_content = |line: &&str| !line.is_empty() && !line.starts_with('#');
+    let mut lines = text.lines().map(str::trim).filter(is_content);
+    let shown = || path.display().to_string();
+    let word = lines.next().ok_or_else(|| Error::Empty { path: shown() })?;
+    if lines.next().is_some() {
+        let allowed = "one line that is no comment";
+        return Err(Error::Line { path: shown(), line: text.lines().count(), allowed });
+    }
+    Ok(word.into())
+}
+
 /// Reads all keys of a file that only its owner may read.
 fn read(path: &Path, salt: &Salt) -> Result<Vec<Secret>, Error> {
+    let shown = path.display().to_string();
+    let secrets = parse(&text(path)?, &shown, salt)?;
+    if secrets.is_empty() { Err(Error::Empty { path: shown }) } else { Ok(secrets) }
+}
+
+/// Reads the text of a file that only its owner may read.
+fn text(path: &Path) -> Result<String, Error> {
     let shown = path.display().to_string();
     let unread =
         |error: std::io::Error| Error::Read { path: shown.clone(), cause: error.to_string() };
     let file = fs::File::open(path).map_err(unread)?;
     // The opened file is checked and not its path, which could be exchanged in between.
     check(&file.metadata().map_err(unread)?, &shown)?;
-    let text = std::io::read_to_string(file).map_err(unread)?;
-    let secrets = parse(&text, &shown, salt)?;
-    if secrets.is_empty() { Err(Error::Empty { path: shown }) } else { Ok(secrets) }
+    std::io::read_to_string(file).map_err(unread)
 }
 
 /// Refuses a file that others may read or write.
--- a/crates/verbenaslip/tests/keys.rs
+++ b/crates/verbenaslip/tests/keys.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 
 use verbenaslip::keys::Keys;
-use verbenaslip::keys::file::{Error, File};
+use verbenaslip::keys::file::{Error, File, word};
 use verbenaslip::keys::fixed::Fixed;
 
 const GOOD: &str = "# teams\nowners  key-of-owners-0001\n\ncharterers key-of-charterers-01\n";
@@ -102,3 +102,31 @@
     assert!(shown.contains("owners: (hidden)"));
     assert!(!shown.contains("key-of"));
 }
+
+#[test]
+fn examples_are_good_once_they_are_private() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples");
+    for name in ["teams.keys", "operators.keys", "upstreams.keys"] {
+        let text = fs::read_to_string(format!("{folder}/{name}")).expect("it can be read");
+        File::open(write(name, &text, 0o600)).expect("it is good");
+    }
+    let mine = fs::read_to_string(format!("{folder}/operator.key")).expect("it can be read");
+    let operators =
+        File::open(self::write("ops", include_str!("../../../examples/operators.keys"), 0o600));
+    let key = mine.lines().last().expect("it holds a key");
+    assert_eq!(operators.expect("it is good").owner(key).as_deref(), Some("anna"));
+}
+
+#[test]
+fn word_is_the_only_line_of_a_private_file() {
+    let cases = [
+        ("word", "# shared\n  claims-in-gbg \n", 0o600, Some("claims-in-gbg")),
+        ("word-open", "claims-in-gbg\n", 0o640, None),
+        ("word-two", "claims\nin-gbg\n", 0o600, None),
+        ("word-none", "# shared\n", 0o600, None),
+    ];
+    for (name, text, mode, expected) in cases {
+        let word = word(write(name, text, mode)).ok();
+        assert_eq!(word.as_deref(), expected, "{name}");
+    }
+}
--- a/crates/verbenaslip/tests/settings.rs
+++ b/crates/verbenaslip/tests/settings.rs
@@ -152,3 +152,43 @@
     let invalid = Settings::read("/nowhere/a.ini").expect_err("there is no such file");
     assert!(invalid.to_string().starts_with("/nowhere/a.ini: it can't be read: "));
 }
+
+/// Returns the keys of a section, which the error for an unknown one lists.
+fn keys_of(section: &str) -> Vec<String> {
+    let text = format!("[{section}]\nunknown-key = 1\n");
+    let invalid = Settings::parse(&text, "a.ini").expect_err("the key is unknown");
+    let unknown = invalid.problems.iter().find(|p| p.key.as_deref() == Some("unknown-key"));
+    let allowed = &unknown.expect("the key is named").allowed;
+    let (_, keys) = allowed.split_once("there are ").expect("the keys are listed");
+    keys.split(", ").map(str::to_owned).collect()
+}
+
+#[test]
+fn docs_explain_each_key() {
+    let docs = include_str!("../../../docs/OPERATIONS.md");
+    let sections = ["instance", "cluster", "files", "log", "limits", "timing", "cloud", "weights"];
+    for section in sections {
+        let head = format!("| key of `[{section}]` |");
+        let (_, table) = docs.split_once(&head).expect("the section has a table");
+        let table = table.split("\n\n").next().unwrap_or_default();
+        let rows = table.lines().filter_map(|line| line.strip_prefix("| `"));
+        let mut documented: Vec<&str> = rows.filter_map(|row| row.split('`').next()).collect();
+        documented.sort_unstable();
+        assert_eq!(documented, keys_of(section), "[{section}]");
+    }
+}
+
+#[test]
+fn examples_are_good() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples");
+    let mut voters = Vec::new();
+    for name in ["entry-1", "entry-2", "entry-3", "entry-4"] {
+        let settings = Settings::read(format!("{folder}/{name}.ini")).expect("it is good");
+        assert_eq!(settings.instance.name.as_str(), name);
+        voters.push(settings.cluster.voters);
+    }
+    assert!(voters[0].len() == 3 && voters[0] == voters[1] && voters[1] == voters[2]);
+    let table = std::fs::read(format!("{folder}/table.csv")).expect("it can be read");
+    let table = verbenaslip_table::Table::parse(&table).expect("it is good");
+    assert!(table.rows().len() > 5);
+}
