--- a/crates/verbenaslip-disk/src/folder.rs
+++ b/crates/verbenaslip-disk/src/folder.rs
@@ -12,9 +12,18 @@
 use crate::files::{Files, LOCK, System};
 use crate::{checked, name, segment};
 
-/// Bytes after which a new log file is begun.
+/// Bytes after which a new log file is begun, where nothing else is said.
 const SEGMENT: u64 = 4 << 20;
 
+/// Says how a folder is opened on given files.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// The identity that a new folder gets.
+    pub fresh: Identity,
+    /// Bytes after which a new log file is begun.
+    pub segment: u64,
+}
+
 /// Keeps one voter's state in a folder that is open here and nowhere else.
 pub struct Folder {
     pub(crate) files: Box<dyn Files>,
@@ -26,6 +35,8 @@
     pub(crate) next: Option<u64>,
     /// The index at which the kept snapshot ends.
     pub(crate) snapshot: Option<u64>,
+    /// Bytes after which a new log file is begun.
+    limit: u64,
     /// Whether the last log file has content that is not durable.
     unsynced: bool,
     /// Whether an earlier write or sync failed.
@@ -65,25 +76,26 @@
             }
             _ => failure(Step::Open, &path.display().to_string(), &error),
         })?;
-        Self::open_on(files, draw(path))
+        Self::open_on(files, Options { fresh: draw(path), segment: SEGMENT })
     }
 
-    /// Opens a folder on given files; a new one gets the given identity.
+    /// Opens a folder on given files.
     ///
     /// # Errors
     ///
     /// Returns an error when the folder can't be read or is damaged.
     pub fn open_on(
         files: impl Files + 'static,
-        fresh: Identity,
+        options: Options,
     ) -> Result<(Self, Recovered), Error> {
         let mut folder = Self {
             files: Box::new(files),
-            identity: fresh,
+            identity: options.fresh,
             segments: Vec::new(),
             buffer: Vec::new(),
             next: None,
             snapshot: None,
+            limit: options.segment,
             unsynced: false,
             stopped: false,
         };
@@ -115,7 +127,7 @@
             let what = format!("entry {index} comes where {:?} is due", self.next);
             return Err(Error::Order { what: what.into() });
         }
-        if self.segments.last().is_none_or(|last| last.size >= SEGMENT) {
+        if self.segments.last().is_none_or(|last| last.size >= self.limit) {
             self.begin(index)?;
         }
         let Some(last) = self.segments.last_mut() else { return Ok(()) };
@@ -129,7 +141,7 @@
 
     /// Begins a log file; the one before it is durable first, so that only the last can be torn.
     fn begin(&mut self, first: u64) -> Result<(), Error> {
-        self.settle()?;
+        self.close_last()?;
         let name = name::log(first);
         self.io(Step::Write, &name, |files, name| files.create(name))?;
         let header = segment::header(first);
@@ -238,25 +250,41 @@
         self.io(Step::Write, &name, |files, name| files.append(name, &bytes))
     }
 
-    /// Makes the last log file durable.
+    /// Makes the last log file durable, with its seal, before another one follows it.
+    ///
+    /// A seal that is torn off by a power loss would look like damage in a file that is not the last.
+    fn close_last(&mut self) -> Result<(), Error> {
+        self.flush()?;
+        self.sync_last()
+    }
+
+    /// Makes the last log file durable if it is not, and seals it.
     fn settle(&mut self) -> Result<(), Error> {
         self.flush()?;
         if !self.unsynced {
             return Ok(());
         }
-        let Some(last) = self.segments.last() else { return Ok(()) };
-        let name = last.name.clone();
-        self.io(Step::Sync, &name, |files, name| files.sync(name))?;
-        self.unsynced = false;
+        self.sync_last()?;
         let Some(last) = self.segments.last_mut() else { return Ok(()) };
-        last.durable = last.size;
         // The seal needs no sync of its own: it only has to reach the disk before the disk decays.
         let mut seal = Vec::new();
         segment::put_seal(last.durable, &mut seal);
         last.size += seal.len() as u64;
+        let name = last.name.clone();
         self.io(Step::Write, &name, |files, name| files.append(name, &seal))
     }
 
+    /// Syncs the last log file.
+    fn sync_last(&mut self) -> Result<(), Error> {
+        let Some(last) = self.segments.last() else { return Ok(()) };
+        let name = last.name.clone();
+        self.io(Step::Sync, &name, |files, name| files.sync(name))?;
+        self.unsynced = false;
+        let Some(last) = self.segments.last_mut() else { return Ok(()) };
+        last.durable = last.size;
+        Ok(())
+    }
+
     /// Does one thing with a file.
     pub(crate) fn io<T>(
         &mut self,
--- a/crates/verbenaslip-disk/src/lib.rs
+++ b/crates/verbenaslip-disk/src/lib.rs
@@ -29,4 +29,4 @@
 mod load;
 mod name;
 
-pub use folder::Folder;
+pub use folder::{Folder, Options};
--- a/crates/verbenaslip-replica/src/storage.rs
+++ b/crates/verbenaslip-replica/src/storage.rs
@@ -41,7 +41,8 @@
     Hard(Hard),
     /// Adds entries, which follow the last one kept.
     Append(Vec<Entry>),
-    /// Drops the entry at `from` and all after it.
+    /// Drops the entry at `from` and all after it; a power loss may leave a part of them. The term
+    /// of the leader that asked for it is durable before, and that leader drops the rest again.
     Truncate {
         /// The first index to drop.
         from: u64,
