--- a/crates/verbenaslip-disk/tests/power.rs
+++ b/crates/verbenaslip-disk/tests/power.rs
@@ -174,8 +174,8 @@
 fn is_between(acknowledged: &Model, model: &Model, recovered: &Recovered) -> bool {
     // The term and snapshot files are durable at once, the log's records only with the sync.
     let hard = [acknowledged.hard, model.hard].contains(&recovered.hard);
-    hard && Model { hard: recovered.hard, ..model.clone() }.is_in(recovered)
-        || (hard && holds_committed(acknowledged, model, recovered))
+    let same = Model { hard: recovered.hard, ..model.clone() };
+    hard && (same.is_in(recovered) || holds_committed(acknowledged, model, recovered))
 }
 
 /// Tells whether a newer snapshot is there while the records after it were lost: the log then ends
--- a/crates/verbenaslip-replica/src/lead.rs
+++ b/crates/verbenaslip-replica/src/lead.rs
@@ -374,7 +374,7 @@
 /// Tells whether a divergence is about the last thing sent, not about something long settled.
 fn is_current(peer: &Peer, previous: u64) -> bool {
     let sent = match &peer.flow {
-        Flow::Probe { .. } => previous + 1 == peer.next,
+        Flow::Probe { .. } => previous == peer.next - 1,
         Flow::Stream { .. } => previous < peer.next,
         Flow::Snapshot { .. } => false,
     };
--- a/crates/verbenaslip-replica/src/receive.rs
+++ b/crates/verbenaslip-replica/src/receive.rs
@@ -7,10 +7,16 @@
 use crate::replica::{Replica, State};
 use crate::voter::Voter;
 
+/// The first term or index that no group ever reaches.
+///
+/// A broken message with a number near the end of its range would leave no later term or index, and
+/// the group could never elect or append again.
+const UNREACHED: u64 = 1 << 60;
+
 impl Replica {
     /// Takes a message.
     pub(crate) fn receive(&mut self, from: &Instance, message: Message) {
-        if !self.admits(from, &message) {
+        if !is_plausible(&message) || !self.admits(from, &message) {
             return;
         }
         match &message.body {
@@ -73,3 +79,13 @@
         }
     }
 }
+
+/// Tells whether a message's numbers are such as a group may reach.
+fn is_plausible(message: &Message) -> bool {
+    let chunk = match &message.body {
+        Body::Chunk { head, .. } => Some(head.position),
+        _ => None,
+    };
+    message.term < UNREACHED
+        && chunk.is_none_or(|end| end.index < UNREACHED && end.term <= message.term)
+}
--- /dev/null
+++ b/crates/verbenaslip-replica/tests/rule.rs
@@ -0,0 +1,232 @@
+//! Single rules, shown on one replica that is handed its messages.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use verbenaslip_base::name::Instance;
+use verbenaslip_replica::Replica;
+use verbenaslip_replica::config::Config;
+use verbenaslip_replica::entry::{Entry, Payload, Position};
+use verbenaslip_replica::input::Input;
+use verbenaslip_replica::message::{Body, Head, Message};
+use verbenaslip_replica::output::{Answer, Output};
+use verbenaslip_replica::setup::{Setup, Timing};
+use verbenaslip_replica::storage::{Hard, Recovered};
+use verbenaslip_replica::voter::{Group, Identity, Voter};
+
+const GROUP: Group = Group(1);
+
+/// Holds voter 0 of several and what it has put out.
+struct Bench {
+    replica: Replica,
+    now: Duration,
+    mark: u64,
+}
+
+fn voter(number: u128) -> Voter {
+    let instance = Instance::from(format!("n{number}").as_str());
+    Voter { instance, identity: Identity(number + 1) }
+}
+
+fn position(term: u64, index: u64) -> Position {
+    Position { term, index }
+}
+
+fn command(term: u64, index: u64) -> Entry {
+    let payload = Payload::Command(Arc::from([7].as_slice()));
+    Entry { position: position(term, index), payload }
+}
+
+impl Bench {
+    /// Opens voter 0 of so many, in a term, with entries after the first configuration.
+    fn open(voters: u128, term: u64, entries: Vec<Entry>) -> Self {
+        let config = Config::of((0..voters).map(voter).collect());
+        let first = Entry { position: position(1, 1), payload: Payload::Config(config) };
+        let hard = Hard { group: Some(GROUP), term, voted: None };
+        let entries = [vec![first], entries].concat();
+        let recovered = Recovered { hard, entries, ..Recovered::fresh(Identity(1)) };
+        let replica = Replica::open(Setup::new("n0", Vec::new(), 1), recovered, Duration::ZERO);
+        let now = Timing::default().election * 3;
+        Self { replica, now, mark: 0 }
+    }
+
+    /// Opens voter 0 and has it elected.
+    fn elected(voters: u128, term: u64, entries: Vec<Entry>) -> Self {
+        let mut bench = Self::open(voters, term - 1, entries);
+        bench.step(Input::Tick);
+        for number in 1..voters {
+            bench.hear(number, term, Body::PreVoted { granted: true });
+        }
+        bench.stored();
+        for number in 1..voters {
+            bench.hear(number, term, Body::Voted { granted: true });
+        }
+        assert!(bench.replica.is_leader());
+        bench
+    }
+
+    fn step(&mut self, input: Input) -> Vec<Output> {
+        let mut out = Vec::new();
+        self.replica.step(self.now, input, &mut out);
+        for output in &out {
+            if let Output::Store { mark, .. } = output {
+                self.mark = *mark;
+            }
+        }
+        out
+    }
+
+    fn hear(&mut self, from: u128, term: u64, body: Body) -> Vec<Output> {
+        let Voter { instance, identity: sender } = voter(from);
+        let target = Some(Identity(1));
+        let message = Message { group: Some(GROUP), sender, target, term, body };
+        self.step(Input::Message { from: instance, message })
+    }
+
+    fn stored(&mut self) -> Vec<Output> {
+        self.step(Input::Stored { mark: self.mark })
+    }
+}
+
+fn sends(out: &[Output]) -> usize {
+    out.iter().filter(|output| matches!(output, Output::Send { .. })).count()
+}
+
+fn stores(out: &[Output]) -> usize {
+    out.iter().filter(|output| matches!(output, Output::Store { .. })).count()
+}
+
+// Symptom: two leaders in a term, or an edit gone, after a power loss. Sequence: a vote or an
+// acknowledgement leaves, then the power fails before its write is durable. Cause: not waiting.
+#[test]
+fn what_promises_something_waits_for_the_disk() {
+    let append = |entries: Vec<Entry>| Body::Append {
+        previous: position(1, 1),
+        entries,
+        commit: 1,
+        round: 1,
+    };
+    let config = Config::of((0..3).map(voter).collect());
+    let head = Head { position: position(4, 50), config, total: 3 };
+    let chunk = Body::Chunk { head, offset: 0, bytes: Arc::from([1, 2, 3].as_slice()), round: 1 };
+    let cases = [
+        ("vote", Body::Vote { last: position(1, 1), transfer: false }),
+        ("entries", append(vec![command(4, 2)])),
+        ("heartbeat of a new term", append(Vec::new())),
+        ("entries in place of others", append(vec![command(4, 2), command(4, 3)])),
+        ("last part of a snapshot", chunk),
+    ];
+    for (name, body) in cases {
+        let mut bench = Bench::open(3, 2, vec![command(2, 2)]);
+        if name == "vote" {
+            bench = Bench::open(3, 2, Vec::new());
+        }
+        let out = bench.hear(1, 4, body);
+        assert_eq!(sends(&out), 0, "{name}: an answer left before the write was durable");
+        assert!(stores(&out) > 0, "{name}: nothing is written");
+        let early = bench.step(Input::Stored { mark: bench.mark - 1 });
+        assert_eq!(sends(&early), 0, "{name}: an answer left before its last write was durable");
+        assert_eq!(sends(&bench.stored()), 1, "{name}: no answer came");
+    }
+}
+
+// Symptom: an old leader commits an edit that is gone. Sequence: a follower stores entries of term 3,
+// learns of term 4 before the disk is done, and drops the entries; then the answer for term 3 leaves.
+// Cause: answers that are kept over a change of term.
+#[test]
+fn answers_of_an_older_term_never_leave() {
+    let mut bench = Bench::open(3, 2, Vec::new());
+    let append = |entries, previous| Body::Append { previous, entries, commit: 1, round: 1 };
+    bench.hear(1, 3, append(vec![command(3, 2)], position(1, 1)));
+    bench.hear(2, 4, append(vec![command(4, 2)], position(1, 1)));
+    let out = bench.stored();
+    let terms = out.iter().filter_map(|output| match output {
+        Output::Send { message, .. } => Some(message.term),
+        _ => None,
+    });
+    assert_eq!(terms.collect::<Vec<_>>(), [4]);
+}
+
+// Symptom: an edit answered as committed is replaced. Sequence: a leader of term 4 finds its entry of
+// term 2 on a quorum; it dies, and a voter with an entry of term 3 is elected. Cause: counting copies
+// of older terms.
+#[test]
+fn an_entry_of_an_older_term_commits_only_with_one_of_the_own() {
+    let mut bench = Bench::elected(5, 4, vec![command(2, 2)]);
+    bench.stored();
+    for number in 1..4 {
+        bench.hear(number, 4, Body::Appended { matched: 2, round: 1 });
+    }
+    assert_eq!(bench.replica.commit(), 0, "an entry of term 2 was committed by counting copies");
+    for number in 1..3 {
+        bench.hear(number, 4, Body::Appended { matched: 3, round: 1 });
+    }
+    assert_eq!(bench.replica.commit(), 3);
+}
+
+// Symptom: an edit answered as committed is gone after the leader and one follower lost power.
+// Sequence: the leader counts itself before its own disk is done. Cause: own copy taken for stored.
+#[test]
+fn the_own_copy_counts_once_it_is_stored() {
+    let mut bench = Bench::elected(3, 4, Vec::new());
+    let out = bench.step(Input::Propose { token: 5, command: Arc::from([1].as_slice()) });
+    assert_eq!(stores(&out), 1);
+    bench.hear(1, 4, Body::Appended { matched: 3, round: 1 });
+    assert_eq!(bench.replica.commit(), 0, "one durable copy of three is no quorum");
+    let out = bench.stored();
+    let answer = Output::Answer { token: 5, answer: Answer::Committed(position(4, 3)) };
+    assert!(out.contains(&answer), "{out:?}");
+}
+
+// Symptom: a panic, or a committed entry changed, on a message from a broken or hostile peer.
+// Sequence: any of these messages. Cause: numbers taken on trust.
+#[test]
+fn broken_messages_change_nothing_committed() {
+    let far = position(u64::MAX, u64::MAX);
+    let config = Config::of((0..3).map(voter).collect());
+    let head = Head { position: far, config, total: u64::MAX };
+    let append = |previous, entries| Body::Append { previous, entries, commit: u64::MAX, round: 9 };
+    let bodies = [
+        append(position(1, 1), vec![command(1, 2), command(9, 4)]),
+        append(position(0, 0), vec![command(4, 1)]),
+        append(far, vec![command(9, 1)]),
+        append(far, Vec::new()),
+        append(position(4, 2), vec![command(3, 3)]),
+        Body::Appended { matched: u64::MAX, round: u64::MAX },
+        Body::Diverged { previous: u64::MAX, hint: far, round: u64::MAX },
+        Body::Diverged { previous: 0, hint: position(0, 0), round: 0 },
+        Body::Chunk { head, offset: u64::MAX, bytes: Arc::from([].as_slice()), round: 1 },
+        Body::Chunked { position: far, received: u64::MAX, round: u64::MAX },
+        Body::Voted { granted: true },
+        Body::PreVoted { granted: true },
+        Body::Campaign,
+        Body::Fresh,
+        Body::Found,
+        Body::Stranger,
+    ];
+    for terms in [[4, 4], [4, u64::MAX], [u64::MAX, u64::MAX], [0, 4]] {
+        for body in &bodies {
+            let mut bench = Bench::elected(3, 4, vec![command(2, 2)]);
+            bench.stored();
+            bench.hear(1, 4, Body::Appended { matched: 3, round: 1 });
+            assert_eq!(bench.replica.commit(), 3);
+            for term in terms {
+                bench.hear(2, term, body.clone());
+                bench.now += Duration::from_secs(5);
+                bench.step(Input::Tick);
+                bench.stored();
+            }
+            assert_eq!(bench.replica.commit(), 3, "{body:?}");
+            assert!(bench.replica.applied() <= bench.replica.commit());
+        }
+    }
+}
+
+#[test]
+fn a_lease_is_shorter_than_a_refusal_by_the_drift_of_two_clocks() {
+    let timing = Timing::default();
+    let slow = timing.lease() * 1000 / (1000 - timing.drift);
+    let fast = timing.election * 1000 / (1000 + timing.drift);
+    assert!(slow <= fast, "a lease of {slow:?} true time, a refusal of {fast:?}");
+    assert!(timing.lease() > timing.heartbeat * 3);
+}
