Run one instance: control thread, disk, cloud notices, admin calls

Cause: decisions and adapters stood, and nothing carried between them. Ruled out: syncing the log on the control thread (a sync of milliseconds would hold up every stream's start); decisions inside the adapters. Change: verbenaslip::Server, the control thread, a disk thread that shares one sync between all gathered writes, a thread that polls the cloud's notices, log events and metrics of notices. Peers' reports tell source and way, since membership answers datagrams of unknown senders. Conclusion: an instance can be opened from settings.

--- a/crates/verbenaslip-node/src/calls.rs
+++ b/crates/verbenaslip-node/src/calls.rs
@@ -108,12 +108,12 @@
         } else {
             self.send(instance, Message::Drain { by });
         }
-        self.reply(call, Reply::Done);
+        self.reply(call, Reply::Draining);
     }
 
     /// Takes what became of an operator's change of the voter set.
     pub(crate) fn voted(&mut self, call: Id, answer: &Answer) {
-        let reply = if matches!(answer, Answer::Changed) { Reply::Done } else { failure(answer) };
+        let reply = if matches!(answer, Answer::Changed) { Reply::Voted } else { failure(answer) };
         self.reply(call, reply);
     }
 
--- a/crates/verbenaslip-node/src/operator.rs
+++ b/crates/verbenaslip-node/src/operator.rs
@@ -85,8 +85,10 @@
     Status(Box<Status>),
     /// Why this instance takes no new work; empty when it does.
     Ready(Vec<Arc<str>>),
-    /// What was asked is committed.
-    Done,
+    /// The instance drains from now on.
+    Draining,
+    /// The change of the voter set is committed.
+    Voted,
     /// What was asked was surely not done.
     Refused(Arc<str>),
     /// There is no quorum; it was surely not done.
--- /dev/null
+++ b/crates/verbenaslip/src/control.rs
@@ -0,0 +1,285 @@
+//! The control thread: it owns the decisions and carries between them and all other threads.
+//!
+//! One loop waits for whatever comes first of callers' and upstreams' reports, other instances'
+//! messages, calls on the admin address, orders of the process, and the decisions' own next time.
+//! [`carry`] does what the decisions want done, [`call`] translates operators' calls, [`notice`]
+//! makes log events and metrics of what happened. [`disk`] and [`cloud`] are threads of their own,
+//! because they wait for a disk and for another system.
+
+mod call;
+mod carry;
+pub(crate) mod cloud;
+pub(crate) mod disk;
+mod notice;
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::{Receiver, Sender};
+use crossbeam::select;
+use verbenaslip_base::name::{Instance, Upstream};
+use verbenaslip_gossip::Frame;
+use verbenaslip_node::operator::Id;
+use verbenaslip_node::{Input, Message, Node, Output, Setup};
+
+use crate::admin::{self, Admin, Reply};
+use crate::control::cloud::Poller;
+use crate::control::disk::Disk;
+use crate::event::Event;
+use crate::metric::Metric;
+use crate::peers::{self, Peers, Via};
+use crate::server::{Ended, unix};
+use crate::traffic::{self, Traffic};
+
+/// Between two looks at the wall clock.
+const CLOCK: Duration = Duration::from_secs(1);
+
+/// Between two summaries of the metrics.
+const UPKEEP: Duration = Duration::from_secs(5);
+
+/// The most inputs taken before the clock is looked at again.
+const BATCH: usize = 256;
+
+/// How long datagrams that tell of the leaving get on their way before the sockets close.
+const FAREWELL: Duration = Duration::from_millis(100);
+
+/// Tells the control thread what other threads of the process want or have done.
+#[derive(Debug)]
+pub(crate) enum Order {
+    /// Stop gracefully within the time given.
+    Stop(Duration),
+    /// Stop at once.
+    Abandon,
+    /// Writes up to a mark are durable.
+    Stored(u64),
+    /// The data folder can't be written.
+    DiskFailed(verbenaslip_replica::storage::Error),
+    /// The cloud takes a machine away.
+    Reclaim {
+        /// The instance's or upstream's name.
+        name: Arc<str>,
+        /// In how long.
+        notice: Duration,
+    },
+}
+
+/// Holds the channels on which other threads reach the control thread.
+pub(crate) struct Inbox {
+    pub(crate) traffic: Receiver<traffic::Report>,
+    pub(crate) messages: Receiver<peers::Report>,
+    pub(crate) calls: Receiver<admin::Report>,
+    pub(crate) orders: Receiver<Order>,
+}
+
+/// Holds what the control thread works with.
+pub(crate) struct Control {
+    pub(crate) origin: Instant,
+    pub(crate) inbox: Inbox,
+    pub(crate) traffic: Arc<Traffic>,
+    pub(crate) peers: Peers,
+    pub(crate) admin: Admin,
+    pub(crate) disk: Option<Disk>,
+    pub(crate) notices: Option<Poller>,
+    pub(crate) metric: Metric,
+    pub(crate) ended: Sender<Ended>,
+}
+
+impl Control {
+    /// Starts the thread.
+    pub(crate) fn spawn(self, setup: Setup, unix: u64) -> io::Result<JoinHandle<()>> {
+        thread::Builder::new().name("control".into()).spawn(move || {
+            let own = setup.instance.clone();
+            let node = Node::open(setup, self.origin.elapsed(), unix);
+            let mut running = Running {
+                node,
+                own,
+                control: self,
+                calls: BTreeMap::new(),
+                last_call: 0,
+                outputs: Vec::new(),
+                clock: Duration::ZERO,
+                upkeep: Duration::ZERO,
+                deadline: None,
+                ended: None,
+            };
+            let ended = running.run();
+            running.farewell(ended);
+        })
+    }
+}
+
+/// Runs the loop of the control thread.
+struct Running {
+    node: Node,
+    own: Instance,
+    control: Control,
+    calls: BTreeMap<Id, Sender<Reply>>,
+    last_call: u64,
+    outputs: Vec<Output>,
+    clock: Duration,
+    upkeep: Duration,
+    deadline: Option<Duration>,
+    ended: Option<Ended>,
+}
+
+/// Holds whatever came first.
+enum Came {
+    Traffic(traffic::Report),
+    Message(peers::Report),
+    Call(admin::Report),
+    Order(Order),
+    Nothing,
+}
+
+impl Running {
+    fn run(&mut self) -> Ended {
+        self.step(Input::Tick);
+        loop {
+            if let Some(ended) = self.ended {
+                return ended;
+            }
+            let wait = self.node.wake().saturating_sub(self.now());
+            let mut came = self.receive(wait);
+            for _ in 0..BATCH {
+                if matches!(came, Came::Nothing) {
+                    break;
+                }
+                self.take(came);
+                came = self.receive(Duration::ZERO);
+            }
+            self.take(came);
+            self.tick();
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.control.origin.elapsed()
+    }
+
+    fn receive(&self, wait: Duration) -> Came {
+        let inbox = &self.control.inbox;
+        select! {
+            recv(inbox.orders) -> order => order.map_or(Came::Nothing, Came::Order),
+            recv(inbox.traffic) -> report => report.map_or(Came::Nothing, Came::Traffic),
+            recv(inbox.messages) -> report => report.map_or(Came::Nothing, Came::Message),
+            recv(inbox.calls) -> report => report.map_or(Came::Nothing, Came::Call),
+            default(wait) => Came::Nothing,
+        }
+    }
+
+    fn take(&mut self, came: Came) {
+        match came {
+            Came::Traffic(report) => self.reported(report),
+            Came::Message(report) => self.message(&report),
+            Came::Call(report) => self.call(report),
+            Came::Order(order) => self.order(order),
+            Came::Nothing => {}
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.now();
+        if now >= self.clock {
+            self.clock = now + CLOCK;
+            self.step(Input::Clock(unix()));
+        }
+        if now >= self.upkeep {
+            self.upkeep = now + UPKEEP;
+            self.control.metric.upkeep();
+        }
+        if now >= self.node.wake() {
+            self.step(Input::Tick);
+        }
+        if self.deadline.is_some_and(|deadline| now >= deadline) {
+            self.ended.get_or_insert(Ended::TimedOut);
+        }
+    }
+
+    /// Gives the decisions one input and does what they want done.
+    fn step(&mut self, input: Input) {
+        let mut outputs = std::mem::take(&mut self.outputs);
+        self.node.step(self.now(), input, &mut outputs);
+        for output in outputs.drain(..) {
+            self.carry(output);
+        }
+        self.outputs = outputs;
+    }
+
+    fn reported(&mut self, report: traffic::Report) {
+        if let Some(input) = carry::input(report) {
+            self.step(input);
+        }
+    }
+
+    fn message(&mut self, report: &peers::Report) {
+        let input = match report.via {
+            Via::Datagram => Frame::decode(&report.bytes)
+                .map(|frame| Input::Datagram { from: report.source, frame: Box::new(frame) }),
+            Via::Stream => {
+                let message = postcard::from_bytes::<Message>(&report.bytes).ok();
+                message.map(|message| Input::Peer { from: report.from.clone(), message })
+            }
+        };
+        let Some(input) = input else {
+            let cause = "it can't be read by this version".into();
+            return Event::FrameRefused { address: report.source, cause }.log();
+        };
+        self.step(input);
+    }
+
+    fn order(&mut self, order: Order) {
+        match order {
+            Order::Stop(drain) => self.stop("a signal", drain),
+            Order::Abandon => {
+                self.ended.get_or_insert(Ended::TimedOut);
+            }
+            Order::Stored(mark) => self.step(Input::Stored { mark }),
+            Order::DiskFailed(error) => {
+                Event::DiskFailed {
+                    step: "write".into(),
+                    file: "data folder".into(),
+                    cause: error.to_string().into(),
+                }
+                .log();
+                self.ended.get_or_insert(Ended::DiskFailed);
+            }
+            Order::Reclaim { name, notice } => self.reclaim(name, notice),
+        }
+    }
+
+    fn reclaim(&mut self, name: Arc<str>, notice: Duration) {
+        Event::ReclaimNotice { name: name.clone(), left: notice }.log();
+        if *name == *self.own.as_str() {
+            return self.stop("the cloud's notice", notice);
+        }
+        self.step(Input::Reclaimed { upstream: Upstream::new(name), notice });
+    }
+
+    /// Begins the planned stop; a shorter time than before counts.
+    fn stop(&mut self, cause: &str, limit: Duration) {
+        let deadline = self.now() + limit;
+        if self.deadline.is_none() {
+            let requests = self.control.traffic.stats().callers;
+            Event::Draining { cause: cause.into(), requests, limit }.log();
+        }
+        self.deadline = Some(self.deadline.map_or(deadline, |held| held.min(deadline)));
+        self.control.traffic.stop_accepting();
+        self.step(Input::Stop { remaining: limit });
+    }
+
+    fn farewell(self, ended: Ended) {
+        thread::sleep(FAREWELL);
+        match ended {
+            Ended::Drained => Event::Stopped { ran: self.now() }.log(),
+            Ended::TimedOut | Ended::DiskFailed => {
+                Event::DrainTimedOut { left: self.control.traffic.stats().callers }.log();
+            }
+        }
+        let Control { notices, disk, peers, admin, ended: told, .. } = self.control;
+        drop((notices, admin, peers, disk));
+        let _ = told.send(ended);
+    }
+}
--- /dev/null
+++ b/crates/verbenaslip/src/control/carry.rs
@@ -0,0 +1,75 @@
+//! What the decisions want done, done; and what traffic reports, as inputs.
+
+use verbenaslip_node::{Input, Output};
+
+use crate::control::{Running, call};
+use crate::peers::Via;
+use crate::server::Ended;
+use crate::traffic::Report;
+
+/// The time that a drain ordered by an operator may take.
+const DRAIN: std::time::Duration = std::time::Duration::from_secs(60);
+
+impl Running {
+    pub(super) fn carry(&mut self, output: Output) {
+        let traffic = &self.control.traffic;
+        match output {
+            Output::Send { address, message, .. } => {
+                if let Ok(bytes) = postcard::to_stdvec(&message) {
+                    self.control.peers.send(address, Via::Stream, bytes);
+                }
+            }
+            Output::Datagram { to, frame } => {
+                if let Some(bytes) = frame.encode() {
+                    self.control.peers.send(to, Via::Datagram, bytes);
+                }
+            }
+            Output::Store { mark, write } => {
+                if let Some(disk) = &self.control.disk {
+                    disk.write(mark, write);
+                }
+            }
+            Output::Verdict { ticket, verdict } => traffic.verdict(ticket, verdict),
+            Output::Absent(_) => {}
+            Output::Run(run) => traffic.run(run),
+            Output::Cancel(live) => traffic.cancel(live.attempt, live.address),
+            Output::Mirror { request, epoch: _, to } => {
+                if let Some(to) = to {
+                    traffic.mirror(request, to);
+                }
+            }
+            Output::Own { .. } => {}
+            Output::Forget { request, .. } => traffic.forget(request),
+            Output::Reply { call, reply } => self.reply(call, reply),
+            Output::Addresses(addresses) => traffic.peers(addresses.into_iter().collect()),
+            Output::Notice(notice) => self.notice(notice),
+            Output::Drain => self.stop("an operator", DRAIN),
+            Output::Drained => {
+                self.ended.get_or_insert(Ended::Drained);
+            }
+        }
+    }
+
+    fn reply(
+        &mut self,
+        call: verbenaslip_node::operator::Id,
+        reply: verbenaslip_node::operator::Reply,
+    ) {
+        if let Some(sender) = self.calls.remove(&call) {
+            // The caller may have given up; then nobody takes the reply.
+            let _ = sender.try_send(call::reply(reply));
+        }
+    }
+}
+
+/// Translates what the traffic threads report; none for what decisions need not know.
+pub(super) fn input(report: Report) -> Option<Input> {
+    Some(match report {
+        Report::Arrived { arrival, due } => Input::Arrived { arrival, due },
+        Report::Gone { ticket } | Report::Served { ticket } => Input::Gone(ticket),
+        Report::Run { attempt, event } => Input::Ran { attempt, event },
+        Report::RelayLost { ticket, after, .. } => Input::RelayLost { ticket, after },
+        Report::Mirrored { request, position, .. } => Input::Mirrored { request, position },
+        Report::MirrorLost { .. } => return None,
+    })
+}
--- a/crates/verbenaslip/src/peers.rs
+++ b/crates/verbenaslip/src/peers.rs
@@ -97,6 +97,10 @@
     pub from: Instance,
     /// The sender's start.
     pub incarnation: u64,
+    /// The address it came from; for a connection that is not where the sender listens.
+    pub source: SocketAddr,
+    /// How it came.
+    pub via: Via,
     /// The message.
     pub bytes: Vec<u8>,
 }
--- a/crates/verbenaslip/src/peers/inbound.rs
+++ b/crates/verbenaslip/src/peers/inbound.rs
@@ -11,7 +11,7 @@
 
 use crate::peers::link::SILENT;
 use crate::peers::wire::{DATAGRAM_MAX, Datagram, Frame, Purpose, Stamp};
-use crate::peers::{Report, Shared, count};
+use crate::peers::{Report, Shared, Via, count};
 
 /// The most connections from others at once.
 const CONNECTIONS_MAX: usize = 2048;
@@ -31,7 +31,8 @@
         match Datagram::decode(&buffer[..length]) {
             Ok(datagram) if known(&shared, &datagram.stamp, source) => {
                 let Stamp { from, incarnation, .. } = datagram.stamp;
-                shared.tell(Report { from, incarnation, bytes: datagram.bytes });
+                let (via, bytes) = (Via::Datagram, datagram.bytes);
+                shared.tell(Report { from, incarnation, source, via, bytes });
             }
             Ok(_) => {}
             Err(error) => refuse(&shared, source, &error),
@@ -75,7 +76,7 @@
         return Ok(());
     }
     match purpose {
-        Purpose::Messages => messages(shared, stream, &stamp).await,
+        Purpose::Messages => messages(shared, stream, &stamp, source).await,
         Purpose::Answers => {
             shared.answers.adopt(stream.into_std()?);
             Ok(())
@@ -84,7 +85,12 @@
 }
 
 /// Passes on messages and answers heartbeats.
-async fn messages(shared: &Shared, mut stream: TcpStream, stamp: &Stamp) -> io::Result<()> {
+async fn messages(
+    shared: &Shared,
+    mut stream: TcpStream,
+    stamp: &Stamp,
+    source: SocketAddr,
+) -> io::Result<()> {
     loop {
         match timeout(SILENT, Frame::read(&mut stream)).await?? {
             Frame::Heartbeat => {
@@ -93,7 +99,8 @@
             }
             Frame::Message(bytes) => {
                 let Stamp { from, incarnation, .. } = stamp.clone();
-                shared.tell(Report { from, incarnation, bytes });
+                let via = Via::Stream;
+                shared.tell(Report { from, incarnation, source, via, bytes });
             }
             _ => return Err(io::Error::new(io::ErrorKind::InvalidData, "the frame is no message")),
         }
