Show the status that instances give

Cause: the command read a status of its own invention; instances answer with the one that the decisions keep. Ruled out: copying the type, which would drift; passing it through a JSON value for scripts, which can't hold the 128 bits of a folder's identity. Conclusion: load by row is not in the status; metrics have it.

--- a/crates/verbenaslip-cli/src/client.rs
+++ b/crates/verbenaslip-cli/src/client.rs
@@ -223,6 +223,11 @@
         serde_json::from_slice(&self.body).map_err(|error| self.odd(&error.to_string()))
     }
 
+    /// Returns the body as text: a value of JSON may hold numbers that only its own type can.
+    pub(crate) fn text(&self) -> Result<String, Error> {
+        String::from_utf8(self.body.clone()).map_err(|_| self.odd("not UTF-8"))
+    }
+
     /// Says that the answer is not understood.
     pub(crate) fn odd(&self, cause: &str) -> Error {
         Error::Answer { peer: self.peer, cause: format!("status {}, {cause}", self.status) }
--- a/crates/verbenaslip-cli/src/command/drain.rs
+++ b/crates/verbenaslip-cli/src/command/drain.rs
@@ -5,6 +5,8 @@
 
 use serde_json::json;
 
+use verbenaslip_gossip::State;
+
 use super::status;
 use crate::args::Drain;
 use crate::client::{Call, Client};
@@ -49,8 +51,8 @@
 /// Asks the others whether the instance is gone; no answer says nothing.
 fn has_left(name: &str, client: &mut Client) -> bool {
     let Ok(status) = status::fetch(client) else { return false };
-    let member = status.members.iter().find(|member| member.name == name);
+    let peer = status.peers.iter().find(|peer| peer.instance.as_str() == name);
     // The instance itself answers until its end.
-    let gone = member.is_none_or(|member| matches!(member.state.as_str(), "left" | "lost"));
-    status.instance.name != name && gone
+    let gone = peer.is_none_or(|peer| matches!(peer.state, State::Left | State::Dead));
+    status.instance.as_str() != name && gone
 }
--- a/crates/verbenaslip-cli/src/command/status.rs
+++ b/crates/verbenaslip-cli/src/command/status.rs
@@ -1,11 +1,13 @@
 //! `verbenaslip status`.
 
-use std::collections::BTreeMap;
+use std::time::Duration;
 
-use serde_json::Value;
+use verbenaslip_base::announce::{Announcement, Market, Phase};
+use verbenaslip_gossip::State;
+use verbenaslip_node::status::{Standing, Status, Upstream};
+use verbenaslip_replica::status::{Progress, Status as Log};
 
 use super::columns::Columns;
-use crate::answer::Status;
 use crate::client::{Call, Client};
 use crate::error::Error;
 use crate::exit::Exit;
@@ -14,12 +16,8 @@
 /// Shows what one instance knows of the deployment.
 pub(crate) fn run(client: &mut Client, terminal: &mut Terminal<'_>) -> Result<Exit, Error> {
     let reply = client.call(&Call::get("/v1/status"))?;
-    if terminal.wants_json() {
-        terminal.result(&reply.json::<Value>()?, "")?;
-        return Ok(Exit::Done);
-    }
-    let status: Status = reply.json()?;
-    terminal.text(&show(&status))?;
+    let text = if terminal.wants_json() { reply.text()? } else { show(&reply.json()?) };
+    terminal.text(&(text + "\n"))?;
     Ok(Exit::Done)
 }
 
@@ -31,12 +29,12 @@
 fn show(status: &Status) -> String {
     let parts = [
         head(status),
-        part("voters", &voters(status)),
-        part("instances", &members(status)),
-        part("upstreams", &upstreams(status)),
-        part("rows (at this instance)", &rows(status)),
+        log(status),
+        behind(status),
+        instances(status),
+        upstreams(&status.upstreams),
     ];
-    parts.join("\n") + "\n"
+    parts.join("\n")
 }
 
 fn part(title: &str, lines: &str) -> String {
@@ -45,83 +43,119 @@
 }
 
 fn head(status: &Status) -> String {
-    let own = &status.instance;
-    let ready =
-        if own.ready { "ready".into() } else { format!("NOT READY: {}", own.because.join(", ")) };
-    let table = &status.table;
-    let behind = table.newest.saturating_sub(table.revision);
-    let behind = if behind > 0 { format!(", {behind} BEHIND") } else { String::new() };
-    let confirmed = table
-        .confirmed_ms
-        .map_or("never confirmed".into(), |age| format!("confirmed {age} ms ago"));
+    let reasons: Vec<&str> = status.not_ready.iter().map(|reason| &**reason).collect();
+    let ready = if reasons.is_empty() {
+        "ready".to_owned()
+    } else {
+        format!("NOT READY: {}", reasons.join(", "))
+    };
+    let isolated = if status.isolated { ", ISOLATED" } else { "" };
+    let lease = status.lease.map_or("NO LEASE".into(), |left| format!("lease {}", time(left)));
+    let work = &status.work;
     format!(
-        "instance  {} in {}, version {}, {ready}\ntable     revision {}{behind}, {confirmed}\nleader    {}",
-        own.name, own.zone, own.version, table.revision, status.leader
+        "instance  {} in {}, {ready}{isolated}\ntable     revision {}, {} rows, {lease}\n\
+        requests  {} waiting, {} running, {} copies held for others, {} finished answers kept",
+        status.instance,
+        status.zone,
+        status.revision,
+        status.rows,
+        work.waiting,
+        work.running,
+        work.copies,
+        work.finished
     )
 }
 
-fn voters(status: &Status) -> String {
-    let mut columns = Columns::new(&["name", "state", "behind"]);
-    for voter in &status.voters {
-        let state = if voter.alive { "heard" } else { "SILENT" };
-        let behind = voter.behind.map_or("?".into(), |entries| format!("{entries} entries"));
-        columns.push([voter.name.clone(), state.into(), behind]);
+/// Shows leader and voters, which only voters know.
+fn log(status: &Status) -> String {
+    let Some(log) = &status.log else {
+        let follows = status.follows.as_ref().map_or("nobody", |instance| instance.as_str());
+        return part("voters", &format!("not known here (follows {follows}): ask a voter"));
+    };
+    let leader = log.leader.as_ref().map_or("NO LEADER", |leader| leader.as_str());
+    let change = if log.joint { ", the voters are being changed" } else { "" };
+    let head = format!("leader {leader}, term {}, committed to {}{change}", log.term, log.commit);
+    let mut columns = Columns::new(&["name", "vote", "behind", "answered"]);
+    for progress in &log.voters {
+        columns.push(voter(progress, log));
     }
-    columns.show("none known")
+    part("voters", &format!("{head}\n{}", columns.show("none known")))
 }
 
-fn members(status: &Status) -> String {
-    let mut columns = Columns::new(&["name", "zone", "state", "table", "behind"]);
-    for member in &status.members {
-        let state = match member.state.as_str() {
-            "alive" | "left" => member.state.clone(),
-            other => other.to_uppercase(),
-        };
-        let revision = member.revision.map_or("?".into(), |revision| revision.to_string());
-        let behind = member.revision.map(|revision| status.table.newest.saturating_sub(revision));
-        let behind = match behind {
-            Some(0) => String::new(),
-            Some(behind) => format!("{behind} revisions"),
-            None => "?".into(),
+fn voter(progress: &Progress, log: &Log) -> [String; 4] {
+    let vote = if progress.votes { "yes" } else { "not yet" };
+    let behind = match progress.matched.map(|matched| log.last.saturating_sub(matched)) {
+        Some(0) => "-".into(),
+        Some(entries) => format!("{entries} entries"),
+        None => "?".into(),
+    };
+    let silent = progress.silent.map_or("?".into(), |silent| format!("{} ago", time(silent)));
+    [progress.voter.instance.to_string(), vote.into(), behind, silent]
+}
+
+/// Shows who may still serve by an older table, which only the leader knows.
+fn behind(status: &Status) -> String {
+    let text = match &status.behind {
+        None => "not known here: ask the leader".to_owned(),
+        Some(names) if names.is_empty() => "nobody".to_owned(),
+        Some(names) => names.iter().map(ToString::to_string).collect::<Vec<_>>().join(", "),
+    };
+    part("behind the newest table", &text)
+}
+
+fn instances(status: &Status) -> String {
+    let mut columns = Columns::new(&["name", "zone", "state"]);
+    columns.push([status.instance.to_string(), status.zone.to_string(), "this one".into()]);
+    for peer in &status.peers {
+        let state = match peer.state {
+            State::Alive => "alive",
+            State::Suspect => "SUSPECTED",
+            State::Dead => "LOST",
+            State::Leaving => "draining",
+            State::Left => "left",
         };
-        columns.push([member.name.clone(), member.zone.clone(), state, revision, behind]);
+        columns.push([peer.instance.to_string(), peer.zone.to_string(), state.into()]);
     }
-    columns.show("none known")
+    part("instances", &columns.show("none known"))
 }
 
-fn upstreams(status: &Status) -> String {
-    let names =
-        ["name", "zone", "phase", "running", "slots", "market", "price/h", "seen", "models"];
+fn upstreams(upstreams: &[Upstream]) -> String {
+    let names = ["name", "zone", "phase", "running", "slots", "market", "price/h", "models"];
     let mut columns = Columns::new(&names);
-    for upstream in &status.upstreams {
-        columns.push([
-            upstream.name.clone(),
-            upstream.zone.clone(),
-            upstream.phase.clone(),
-            upstream.running.to_string(),
-            upstream.slots.to_string(),
-            upstream.market.clone(),
-            price(upstream.price),
-            format!("{} ms ago", upstream.age_ms),
-            upstream.models.join(" "),
-        ]);
-    }
-    let mut phases: BTreeMap<&str, usize> = BTreeMap::new();
-    for upstream in &status.upstreams {
-        *phases.entry(&upstream.phase).or_default() += 1;
+    for upstream in upstreams {
+        columns.push(line(&upstream.announcement, upstream.standing));
     }
-    let counts: Vec<String> = phases.iter().map(|(phase, n)| format!("{n} {phase}")).collect();
-    let lines = columns.show("none has announced itself");
-    if counts.is_empty() { lines } else { format!("{lines}\n({})", counts.join(", ")) }
+    part("upstreams", &columns.show("none has announced itself"))
 }
 
-fn rows(status: &Status) -> String {
-    let mut columns = Columns::new(&["team", "class", "waiting", "in progress"]);
-    for row in &status.rows {
-        let counts = [row.waiting.to_string(), row.running.to_string()];
-        columns.push([row.team.clone(), row.class.clone()].into_iter().chain(counts));
-    }
-    columns.show("the table has none")
+fn line(announcement: &Announcement, standing: Standing) -> [String; 8] {
+    let phase = match (standing, announcement.phase) {
+        (Standing::Lapsed, _) => "LAPSED".into(),
+        (Standing::Doubtful, _) => "IN DOUBT".into(),
+        (_, Phase::Warming) => "warming".into(),
+        (_, Phase::Ready) => "ready".into(),
+        (_, Phase::Leaving { notice: None }) => "leaving".into(),
+        (_, Phase::Leaving { notice: Some(millis) }) => format!("leaving in {millis} ms"),
+    };
+    let market = match announcement.market {
+        Market::Reclaimable => "reclaimable",
+        Market::OnDemand => "on demand",
+    };
+    let models: Vec<&str> = announcement.models.iter().map(|model| model.as_str()).collect();
+    [
+        announcement.upstream.to_string(),
+        announcement.zone.to_string(),
+        phase,
+        announcement.load.running.to_string(),
+        announcement.slots.to_string(),
+        market.into(),
+        price(announcement.price),
+        models.join(" "),
+    ]
+}
+
+fn time(time: Duration) -> String {
+    format!("{} ms", time.as_millis())
 }
 
 /// Shows millionths of the currency unit.
--- a/crates/verbenaslip-cli/src/command/table/read.rs
+++ b/crates/verbenaslip-cli/src/command/table/read.rs
@@ -1,6 +1,6 @@
 //! Commands that change nothing.
 
-use serde_json::{Value, json};
+use serde_json::json;
 
 use verbenaslip_table::Table;
 use verbenaslip_table::change::{Change, Difference, diff as changes};
@@ -27,7 +27,7 @@
     let query = revision.map(|revision| format!("?revision={revision}")).unwrap_or_default();
     let reply = client.call(&Call::get(format!("/v1/table{query}")))?;
     let revision = reply.revision.ok_or_else(|| reply.odd("without a revision"))?;
-    let text = String::from_utf8(reply.body.clone()).map_err(|_| reply.odd("not UTF-8"))?;
+    let text = reply.text()?;
     let table = Table::parse(text.as_bytes()).map_err(|error| reply.odd(&error.to_string()))?;
     Ok(Fetched { revision, table, text })
 }
@@ -96,7 +96,7 @@
 pub(super) fn history(client: &mut Client, terminal: &mut Terminal<'_>) -> Result<Exit, Error> {
     let reply = client.call(&Call::get("/v1/history"))?;
     if terminal.wants_json() {
-        terminal.result(&reply.json::<Value>()?, "")?;
+        terminal.text(&(reply.text()? + "\n"))?;
         return Ok(Exit::Done);
     }
     let mut columns = Columns::new(&["revision", "at", "by", "base", "rows", "edit"]);
