Measure the policy beside three baselines

Cause: nothing was measured yet. Change: a deterministic bench of six instances of the decisions with fakes of engines and callers, two workloads, a calm hour and one with a zone reclaimed at its top.

--- /dev/null
+++ b/crates/verbenaslip-policy/benches/bench/measure.rs
@@ -0,0 +1,188 @@
+//! What is counted when a run is over.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::workload::{Caller, TOP, Workload};
+use super::world::World;
+
+/// How a caller fared in the end.
+#[derive(Clone, Copy, Debug)]
+pub enum Outcome {
+    /// The answer came whole.
+    Whole { late: bool, slow: bool, took: Duration },
+    /// It was refused and did not come back in time.
+    Refused { hinted: bool },
+    /// The run was lost and not run again.
+    Lost,
+}
+
+/// Sums up one run.
+#[derive(Clone, Debug, Default)]
+pub struct Measures {
+    /// Share of callers with a whole answer on time, by team and class.
+    pub rows: BTreeMap<(String, String), Share>,
+    /// Price of the machines for one answer at the latency target, in millionths: whole on time,
+    /// and its first token within the row's aim.
+    pub cost: f64,
+    /// Price of the machines' busy time for one answer at the latency target, in millionths.
+    pub busy: f64,
+    /// Prompt tokens computed again, for a thousand that had to be computed.
+    pub again: f64,
+    /// Weighted fairness between teams in the two minutes after the top of the hour.
+    pub jain: f64,
+    /// Callers who came back when told to and were then served on time.
+    pub good: u32,
+    /// Callers who came back when told to and were refused again or late.
+    pub bad: u32,
+    /// Callers who were refused and were not told when to come back.
+    pub unhinted: u32,
+    /// Runs lost that may have run.
+    pub lost: u32,
+}
+
+/// Counts callers and those served on time.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Share {
+    pub all: u32,
+    pub on_time: u32,
+    pub late: u32,
+    pub slow: u32,
+    pub on_target: u32,
+}
+
+impl Share {
+    /// Returns the share at the latency target, the first token counted.
+    pub fn target(&self) -> f64 {
+        100.0 * f64::from(self.on_target) / f64::from(self.all.max(1))
+    }
+
+    pub fn percent(&self) -> f64 {
+        100.0 * f64::from(self.on_time) / f64::from(self.all.max(1))
+    }
+
+    fn add(&mut self, outcome: Option<Outcome>) {
+        self.all += 1;
+        if let Some(Outcome::Whole { late, slow, .. }) = outcome {
+            self.on_time += u32::from(!late);
+            self.late += u32::from(late);
+            self.slow += u32::from(slow);
+            self.on_target += u32::from(!late && !slow);
+        }
+    }
+}
+
+impl Measures {
+    /// Returns the share on time of all callers.
+    pub fn total(&self) -> Share {
+        self.sum(|_, _| true)
+    }
+
+    /// Returns the share on time of one class.
+    pub fn class(&self, class: &str) -> Share {
+        self.sum(|_, name| name == class)
+    }
+
+    /// Returns the share on time of the worst row.
+    pub fn worst(&self) -> f64 {
+        self.rows.values().map(Share::percent).fold(100.0, f64::min)
+    }
+
+    fn sum(&self, fits: impl Fn(&str, &str) -> bool) -> Share {
+        let rows = self.rows.iter().filter(|((team, class), _)| fits(team, class));
+        rows.fold(Share::default(), |sum, (_, share)| Share {
+            all: sum.all + share.all,
+            on_time: sum.on_time + share.on_time,
+            late: sum.late + share.late,
+            slow: sum.slow + share.slow,
+            on_target: sum.on_target + share.on_target,
+        })
+    }
+}
+
+impl Workload {
+    /// Returns the milliseconds in which a caller's first token is aimed at.
+    pub fn first(&self, caller: &Caller) -> u64 {
+        let row = self.table.row(&caller.head.team, &caller.head.class);
+        u64::from(row.map_or(1_400, |row| row.first_token_ms))
+    }
+}
+
+/// Counts everything of a run.
+pub fn measure(world: &World, workload: &Workload) -> Measures {
+    let mut measures = Measures::default();
+    for fate in world.fates() {
+        let head = &fate.caller.head;
+        let row = (head.team.to_string(), head.class.to_string());
+        measures.rows.entry(row).or_default().add(fate.outcome);
+        match fate.outcome {
+            Some(Outcome::Refused { hinted: false }) => measures.unhinted += 1,
+            Some(Outcome::Lost) => measures.lost += 1,
+            _ => {}
+        }
+    }
+    let on_target = f64::from(measures.total().on_target.max(1));
+    measures.cost = world.price / on_target;
+    measures.busy = world.busy_price / on_target;
+    measures.again = 1000.0 * world.again as f64 / world.least.max(1) as f64;
+    measures.jain = jain(world, workload);
+    measures.good = world.good;
+    measures.bad = world.bad;
+    measures
+}
+
+/// Returns Jain's index of what each team got on time beside what its weight entitled it to.
+fn jain(world: &World, workload: &Workload) -> f64 {
+    let mut teams: BTreeMap<&str, Claim> = BTreeMap::new();
+    for fate in world.fates() {
+        let at = fate.caller.at.as_secs_f64();
+        if !(TOP..TOP + 120.0).contains(&at) {
+            continue;
+        }
+        let head = &fate.caller.head;
+        let work = f64::from(head.prompt) / 8000.0 + f64::from(fate.caller.tokens) * 0.0024;
+        let row = workload.table.row(&head.team, &head.class);
+        let team = teams.entry(head.team.as_str()).or_default();
+        team.weight = f64::from(row.map_or(1, |row| row.weight));
+        team.demand += work;
+        if matches!(fate.outcome, Some(Outcome::Whole { late: false, .. })) {
+            team.served += work;
+        }
+    }
+    let claims: Vec<Claim> = teams.into_values().collect();
+    let entitled = fill(&claims, claims.iter().map(|claim| claim.served).sum());
+    let ratios: Vec<f64> =
+        claims.iter().zip(entitled).map(|(claim, due)| claim.served / due.max(1e-9)).collect();
+    let (sum, squares) =
+        ratios.iter().fold((0.0, 0.0), |(sum, squares), x| (sum + x, squares + x * x));
+    if squares == 0.0 { 0.0 } else { sum * sum / (ratios.len() as f64 * squares) }
+}
+
+/// Holds what a team's weight is, what it asked for and what it got on time.
+#[derive(Default)]
+struct Claim {
+    weight: f64,
+    demand: f64,
+    served: f64,
+}
+
+/// Shares a total by weight, none above its demand.
+fn fill(claims: &[Claim], total: f64) -> Vec<f64> {
+    let mut given = vec![0.0; claims.len()];
+    let mut left = total;
+    for _ in 0..claims.len() {
+        let open: Vec<usize> =
+            (0..claims.len()).filter(|i| given[*i] < claims[*i].demand - 1e-9).collect();
+        let weights: f64 = open.iter().map(|i| claims[*i].weight).sum();
+        if open.is_empty() || left <= 1e-9 {
+            break;
+        }
+        let each = left / weights;
+        for index in open {
+            let add = (each * claims[index].weight).min(claims[index].demand - given[index]);
+            given[index] += add;
+            left -= add;
+        }
+    }
+    given
+}
--- /dev/null
+++ b/crates/verbenaslip-policy/benches/bench/workload.rs
@@ -0,0 +1,246 @@
+//! The two users' workloads, drawn from a seed.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use verbenaslip_base::attempt::Request;
+use verbenaslip_base::hash;
+use verbenaslip_base::head::Head;
+use verbenaslip_table::{Row, Table};
+
+/// The top of the hour, in seconds from the start.
+pub const TOP: f64 = 120.0;
+/// How long arrivals come.
+pub const SPAN: f64 = 480.0;
+
+/// One request as its caller knows it.
+#[derive(Clone)]
+pub struct Caller {
+    pub at: Duration,
+    pub head: Head,
+    /// How long after it was sent the whole answer is due.
+    pub due: Duration,
+    /// Until when the caller comes back after refusals.
+    pub patience: Duration,
+    /// Tokens that the answer will have.
+    pub tokens: u32,
+}
+
+/// A user's table and requests.
+pub struct Workload {
+    pub name: &'static str,
+    pub table: Table,
+    pub callers: Vec<Caller>,
+    pub zones: [&'static str; 3],
+    pub model: &'static str,
+    pub service: &'static str,
+}
+
+/// Describes a class of requests.
+struct Class {
+    name: &'static str,
+    priority: u32,
+    due: u64,
+    first: u64,
+    service: bool,
+}
+
+/// Draws Kajlinjen's hour: few large drafting jobs with long dossiers, many small checks.
+pub fn kajlinjen(seed: u64) -> Workload {
+    let classes = [
+        Class { name: "draft", priority: 5, due: 90_000, first: 15_000, service: false },
+        Class { name: "check", priority: 7, due: 10_000, first: 1_400, service: false },
+        Class { name: "explain", priority: 6, due: 15_000, first: 1_400, service: false },
+        Class { name: "record", priority: 7, due: 5_000, first: 2_000, service: true },
+    ];
+    let teams =
+        [("agent-a", 300), ("agent-b", 300), ("agent-c", 150), ("agent-d", 150), ("desk", 100)];
+    let demand = [0.34, 0.30, 0.16, 0.12, 0.08];
+    let mut draw = Draw::new(seed, "laytime");
+    for (team, part) in teams.iter().map(|team| team.0).zip(demand) {
+        draw.each(part * 0.55, |draw, at| {
+            let dossier = draw.text(4_000, 14_000);
+            let tokens = draw.rng.random_range(500..1_100);
+            draw.push(at, (team, &classes[0]), &dossier, tokens, 1_500);
+            // A third of the letters are drafted again from the same dossier.
+            if draw.rng.random_range(0..3) == 0 {
+                let again = at + draw.rng.random_range(30.0..90.0);
+                let revised = draw.extend(&dossier, 200);
+                draw.push(again, (team, &classes[0]), &revised, tokens, 1_500);
+            }
+        });
+        draw.each(part * 9.0, |draw, at| {
+            let text = draw.shared("check", 400, 100, 600);
+            let tokens = draw.rng.random_range(30..100);
+            draw.push(at, (team, &classes[1]), &text, tokens, 160);
+        });
+        draw.each(part * 4.0, |draw, at| {
+            let text = draw.shared("explain", 300, 100, 500);
+            let tokens = draw.rng.random_range(80..220);
+            draw.push(at, (team, &classes[2]), &text, tokens, 300);
+        });
+        draw.each(part * 3.0, |draw, at| {
+            let text = draw.text(50, 200);
+            draw.push(at, (team, &classes[3]), &text, 1, 1);
+        });
+    }
+    let table = table(&teams, &classes);
+    let zones = ["arendal", "skarvik", "torshamn"];
+    Workload {
+        name: "kajlinjen",
+        table,
+        callers: draw.done(),
+        zones,
+        model: "laytime",
+        service: "claims-record",
+    }
+}
+
+/// Draws the Office's hour: threads that are resent as they grow, lookups, confirmations.
+pub fn office(seed: u64) -> Workload {
+    let classes = [
+        Class { name: "review", priority: 5, due: 30_000, first: 4_000, service: false },
+        Class { name: "thread", priority: 6, due: 30_000, first: 3_000, service: false },
+        Class { name: "lookup", priority: 7, due: 8_000, first: 1_400, service: false },
+        Class { name: "confirm", priority: 8, due: 5_000, first: 2_000, service: true },
+    ];
+    let teams = [("millinery", 300), ("bridal", 250), ("felt", 150), ("straw", 150), ("trim", 150)];
+    let demand = [0.36, 0.28, 0.16, 0.12, 0.08];
+    let mut draw = Draw::new(seed, "assistant");
+    for (team, part) in teams.iter().map(|team| team.0).zip(demand) {
+        for (class, rate, turns) in [(&classes[0], 0.5, 3), (&classes[1], 0.9, 6)] {
+            draw.each(part * rate, |draw, start| {
+                let mut text = draw.shared(class.name, 600, 1_000, 3_000);
+                let mut at = start;
+                for _ in 0..draw.rng.random_range(1..=turns) {
+                    let tokens = draw.rng.random_range(100..350);
+                    draw.push(at, (team, class), &text, tokens, 500);
+                    text = draw.extend(&text, tokens + 250);
+                    at += draw.rng.random_range(20.0..60.0);
+                }
+            });
+        }
+        draw.each(part * 8.0, |draw, at| {
+            let text = draw.shared("lookup", 700, 20, 120);
+            let tokens = draw.rng.random_range(20..80);
+            draw.push(at, (team, &classes[2]), &text, tokens, 120);
+        });
+        draw.each(part * 3.0, |draw, at| {
+            let text = draw.text(40, 120);
+            draw.push(at, (team, &classes[3]), &text, 1, 1);
+        });
+    }
+    let table = table(&teams, &classes);
+    let zones = ["newtown", "braamfontein", "midrand"];
+    Workload {
+        name: "office",
+        table,
+        callers: draw.done(),
+        zones,
+        model: "assistant",
+        service: "stock-orders",
+    }
+}
+
+fn table(teams: &[(&str, u32)], classes: &[Class]) -> Table {
+    let rows = teams.iter().flat_map(|(team, weight)| {
+        classes.iter().map(move |class| Row {
+            weight: *weight,
+            priority: class.priority,
+            deadline_ms: class.due as u32,
+            first_token_ms: class.first as u32,
+            max_wait_ms: (class.due / 2) as u32,
+            ..Row::new(*team, class.name)
+        })
+    });
+    Table::new(rows).expect("the bench's rows are allowed")
+}
+
+/// Draws requests.
+struct Draw {
+    rng: Pcg64Mcg,
+    callers: Vec<Caller>,
+    model: &'static str,
+    next: u128,
+}
+
+impl Draw {
+    fn new(seed: u64, model: &'static str) -> Self {
+        Self { rng: Pcg64Mcg::seed_from_u64(seed), callers: Vec::new(), model, next: 1 }
+    }
+
+    /// Draws arrivals at a rate that rises fourfold at the top of the hour and falls again.
+    fn each(&mut self, rate: f64, mut make: impl FnMut(&mut Self, f64)) {
+        let mut at = 0.0;
+        loop {
+            at += -(1.0 - self.rng.random_range(0.0..1.0_f64)).ln() / (rate * WAVE);
+            if at >= SPAN {
+                return;
+            }
+            let now = if at < TOP { 1.0 } else { 1.0 + (WAVE - 1.0) * (-(at - TOP) / 60.0).exp() };
+            if self.rng.random_range(0.0..WAVE) < now {
+                make(self, at);
+            }
+        }
+    }
+
+    fn text(&mut self, least: u32, most: u32) -> Vec<u64> {
+        let tokens = self.rng.random_range(least..most);
+        self.extend(&[], tokens)
+    }
+
+    /// Draws a text that begins like all others of a kind.
+    fn shared(&mut self, kind: &str, common: u32, least: u32, most: u32) -> Vec<u64> {
+        let mut blocks = Vec::new();
+        for index in 0..common / 16 {
+            blocks.push(hash::narrow(&[kind.as_bytes(), &index.to_le_bytes()]));
+        }
+        let tokens = self.rng.random_range(least..most);
+        self.extend(&blocks, tokens)
+    }
+
+    fn extend(&mut self, blocks: &[u64], tokens: u32) -> Vec<u64> {
+        let mut blocks = blocks.to_vec();
+        for _ in 0..tokens / 16 {
+            blocks.push(self.rng.next_u64());
+        }
+        blocks
+    }
+
+    fn push(
+        &mut self,
+        at: f64,
+        (team, class): (&str, &Class),
+        text: &[u64],
+        tokens: u32,
+        most: u32,
+    ) {
+        self.next += 1;
+        let due = Duration::from_millis(class.due);
+        let model = if class.service { "service" } else { self.model };
+        let head = Head {
+            request: Request(self.next),
+            team: team.into(),
+            class: class.name.into(),
+            model: model.into(),
+            idempotent: !class.service,
+            keyed: true,
+            issued: None,
+            deadline: Duration::ZERO,
+            prompt: text.len() as u32 * 16 + 8,
+            output: most,
+            prefix: text.to_vec(),
+        };
+        let at = Duration::from_secs_f64(at);
+        self.callers.push(Caller { at, head, due, patience: due * 4, tokens });
+    }
+
+    fn done(mut self) -> Vec<Caller> {
+        self.callers.sort_by_key(|caller| (caller.at, caller.head.request));
+        self.callers
+    }
+}
+
+/// By how much arrivals rise at the top of the hour.
+const WAVE: f64 = 4.0;
--- /dev/null
+++ b/crates/verbenaslip-policy/benches/policy.rs
@@ -0,0 +1,58 @@
+//! Prints the measures of the policy beside its baselines, and how long the decisions take.
+
+mod bench;
+
+use std::time::Instant;
+
+use bench::workload::{Workload, kajlinjen, office};
+use bench::world::Fault;
+
+/// The seed of the printed workloads.
+const SEED: u64 = 1;
+
+fn main() {
+    for workload in [kajlinjen(SEED), office(SEED)] {
+        for fault in [Fault::Calm, Fault::Reclaim] {
+            print(&workload, fault);
+        }
+    }
+}
+
+fn print(workload: &Workload, fault: Fault) {
+    println!("\n{} {fault:?}, {} requests", workload.name, workload.callers.len());
+    println!(
+        "| policy | on time % | at target % | worst row % | cost | busy cost | again ‰ | Jain | good/bad hints | none | lost | by class % (at target %) | run s |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+    let mut classes: Vec<String> =
+        workload.callers.iter().map(|caller| caller.head.class.to_string()).collect();
+    classes.sort();
+    classes.dedup();
+    for name in bench::POLICIES {
+        let start = Instant::now();
+        let m = bench::run(workload, name, fault);
+        let by: Vec<String> = classes
+            .iter()
+            .map(|class| {
+                let share = m.class(class);
+                format!("{class} {:.1} ({:.1})", share.percent(), share.target())
+            })
+            .collect();
+        println!(
+            "| {name} | {:.2} | {:.2} | {:.1} | {:.0} | {:.0} | {:.0} | {:.3} | {}/{} | {} | {} | {} | {:.2} |",
+            m.total().percent(),
+            m.total().target(),
+            m.worst(),
+            m.cost,
+            m.busy,
+            m.again,
+            m.jain,
+            m.good,
+            m.bad,
+            m.unhinted,
+            m.lost,
+            by.join(", "),
+            start.elapsed().as_secs_f64(),
+        );
+    }
+}
--- a/crates/verbenaslip-policy/src/dispatch.rs
+++ b/crates/verbenaslip-policy/src/dispatch.rs
@@ -177,7 +177,8 @@
     /// Returns all runs that can start now.
     pub fn next(&mut self, now: Duration, rng: &mut impl Rng) -> Vec<Dispatch> {
         self.requeue(now);
-        let models: Vec<Model> = self.queues.keys().cloned().collect();
+        let busy = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
+        let models: Vec<Model> = busy.map(|(model, _)| model.clone()).collect();
         let mut dispatches = Vec::new();
         for model in models {
             while let Some(dispatch) = self.next_of(now, &model, rng) {
@@ -190,7 +191,7 @@
     /// Gives up what waits in vain; their callers get the answers at once.
     pub fn expire(&mut self, now: Duration, rng: &mut impl Rng) -> Vec<Given> {
         let mut given = Vec::new();
-        for (model, queue) in &mut self.queues {
+        for (model, queue) in self.queues.iter_mut().filter(|(_, queue)| !queue.is_empty()) {
             let pool = self.router.pool(now, model);
             given.extend(queue.expire(now, &pool, rng));
         }
