Count only unanswered questions against a home

Cause: a home that answered 'between owners' five times counted as one that does not answer, and the asker went on without it, a moment before the takeover.

--- a/crates/verbenaslip-request/src/arrive.rs
+++ b/crates/verbenaslip-request/src/arrive.rs
@@ -291,6 +291,7 @@
         if let Phase::Lookup(lookup) = &mut entry.phase {
             if let Some(answer) = lookup.asked.get_mut(from) {
                 *answer = Some(found);
+                lookup.tries = 0;
             }
             self.conclude(turn, entry);
             return;
