--- /dev/null
+++ b/crates/verbenaslip/tests/traffic/main.rs
@@ -0,0 +1,7 @@
+//! The traffic threads between scripted callers, scripted upstreams and a scripted control thread.
+
+mod bench;
+mod caller;
+mod script;
+mod stream;
+mod upstream;
