--- a/crates/verbenaslip/src/peers/wire.rs
+++ b/crates/verbenaslip/src/peers/wire.rs
@@ -1,14 +1,15 @@
 //! Frames and datagrams between instances.
 
 use std::io;
-use std::sync::Arc;
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use verbenaslip_base::attempt::{Attempt, Request};
+use verbenaslip_base::attempt::Request;
 use verbenaslip_base::data;
 use verbenaslip_base::name::Instance;
+use verbenaslip_request::answer::{End, Piece, Whole};
+use verbenaslip_request::caller::Verdict;
 
 /// The bytes before a frame's content: its length and its CRC-32, both little-endian.
 const HEAD: usize = 8;
@@ -67,36 +68,17 @@
     Copy {
         /// The request.
         request: Request,
+        /// The epoch of its owner.
+        epoch: u16,
     },
     /// Carries a piece of an answer.
-    Piece {
-        /// The run that it came from.
-        attempt: Attempt,
-        /// The position of its last token.
-        position: u32,
-        /// How many tokens it holds.
-        tokens: u32,
-        /// Their text.
-        text: Arc<str>,
-    },
+    Piece(Piece),
     /// Ends a model's answer.
-    Finish {
-        /// The run that it came from.
-        attempt: Attempt,
-        /// Why it ended.
-        reason: Arc<str>,
-    },
+    End(End),
     /// Carries a plain service's whole answer.
-    Whole {
-        /// The run that it came from.
-        attempt: Attempt,
-        /// The status.
-        status: u16,
-        /// The content type.
-        content: Arc<str>,
-        /// The body.
-        bytes: Vec<u8>,
-    },
+    Whole(Whole),
+    /// Says what the caller gets in place of the answer.
+    Verdict(Verdict),
     /// Says how far a copy is.
     Held {
         /// The last position held.
--- a/crates/verbenaslip/src/traffic.rs
+++ b/crates/verbenaslip/src/traffic.rs
@@ -6,7 +6,7 @@
 //! reads a shelf of another instance and [`mirror`] copies one there. Token text stays here: the
 //! control thread sees counts only. Nothing here decides where or whether a request runs.
 
-mod answer;
+mod chunk;
 mod client;
 mod dial;
 pub mod engine;
@@ -14,8 +14,10 @@
 mod limit;
 mod mirror;
 mod parse;
+mod payload;
 mod plane;
 mod prefix;
+mod reader;
 mod relay;
 mod report;
 mod server;
@@ -35,10 +37,11 @@
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::Sender;
-use verbenaslip_base::attempt::{Attempt, Request};
+use verbenaslip_base::attempt::Request;
 use verbenaslip_base::data;
 use verbenaslip_base::name::Instance;
 use verbenaslip_request::caller::{Ticket, Verdict};
+use verbenaslip_request::message::Live;
 use verbenaslip_request::run::Run;
 
 use crate::keys::Keys;
@@ -46,6 +49,7 @@
 pub use crate::traffic::prefix::blocks;
 pub use crate::traffic::report::Report;
 use crate::traffic::shared::Shared;
+use crate::traffic::ticket::Word;
 
 /// Sets up the traffic threads.
 pub struct Setup {
@@ -110,7 +114,12 @@
 
     /// Gives a waiting caller its verdict, or a new one in place of an earlier one.
     pub fn verdict(&self, ticket: Ticket, verdict: Verdict) {
-        self.shared.tickets.give(ticket, verdict);
+        self.shared.tickets.give(ticket, Word::Verdict(verdict));
+    }
+
+    /// Tells another instance that asked for an answer that this one does not own it.
+    pub fn absent(&self, ticket: Ticket) {
+        self.shared.tickets.give(ticket, Word::Absent);
     }
 
     /// Starts a run; its events come as reports.
@@ -119,26 +128,26 @@
     }
 
     /// Ends a run and tells its upstream; no more events of it come from here on.
-    pub fn cancel(&self, attempt: Attempt, upstream: SocketAddr) {
-        client::cancel(&self.shared, attempt, upstream);
+    pub fn cancel(&self, live: &Live) {
+        client::cancel(&self.shared, live);
     }
 
-    /// Drops a request's answer and what still feeds it.
-    pub fn forget(&self, request: Request) {
-        self.shared.forget(request);
+    /// Makes a request's answer this instance's own in an epoch; copies of earlier ones are late.
+    pub fn own(&self, request: Request, epoch: u16) {
+        self.shared.shelves.open(request, self.shared.limits.answer).own(epoch);
     }
 
-    /// Copies a request's answer to another instance's peer address as it grows, until it is whole.
-    ///
-    /// Reports say how far the copy is, and when it was lost. A second call for the same request
-    /// and address replaces the first.
-    pub fn mirror(&self, request: Request, to: SocketAddr) {
-        mirror::start(&self.shared, request, to);
+    /// Drops a request's answer and what still feeds it, unless it is of a later epoch.
+    pub fn forget(&self, request: Request, epoch: u16) {
+        self.shared.forget(request, epoch);
     }
 
-    /// Ends the copying of a request's answer to that address.
-    pub fn unmirror(&self, request: Request, to: SocketAddr) {
-        self.shared.mirrors.stop(&(request, to));
+    /// Copies a request's answer to the second holder as it grows, until it is whole; none ends it.
+    ///
+    /// While there is a second holder, callers get only what it has. A lost connection is made
+    /// again; reports say how far the copy is.
+    pub fn mirror(&self, request: Request, epoch: u16, to: Option<Instance>) {
+        mirror::set(&self.shared, request, epoch, to);
     }
 
     /// Says where other instances take frames, so that answers can be fetched from them.
--- a/crates/verbenaslip/src/traffic/client.rs
+++ b/crates/verbenaslip/src/traffic/client.rs
@@ -13,10 +13,11 @@
 use serde_json::{Value, json};
 use verbenaslip_base::announce::Kind;
 use verbenaslip_base::attempt::Attempt;
+use verbenaslip_request::answer::{Added, Piece, Whole};
+use verbenaslip_request::message::Live;
 use verbenaslip_request::run::{Cause, Event, Failure, Run, Start, Step};
 
 use crate::traffic::Report;
-use crate::traffic::answer::{End, Outcome, Piece, Plain};
 use crate::traffic::dial;
 use crate::traffic::engine::{Engine, Http};
 use crate::traffic::error::{NOT_RUN, OUTCOME};
@@ -48,10 +49,15 @@
 }
 
 /// Ends a run and tells its upstream.
-pub(crate) fn cancel(shared: &Arc<Shared>, attempt: Attempt, upstream: SocketAddr) {
+pub(crate) fn cancel(shared: &Arc<Shared>, live: &Live) {
+    let Live { attempt, address, kind, .. } = *live;
     shared.runs.stop(&attempt);
+    if kind == Kind::Service {
+        // A plain service has no call for it, and any path may mean something there.
+        return;
+    }
     shared.handle().spawn(async move {
-        let engine = Http::new(upstream, CANCEL);
+        let engine = Http::new(address, CANCEL);
         for _ in 0..CANCELS {
             // Cancelling is idempotent, so that a lost answer is asked for again.
             if !matches!(engine.cancel(attempt).await, Err(Cause::Closed | Cause::Silent)) {
@@ -119,9 +125,7 @@
             _ => None,
         };
         self.step = Step::Connect;
-        if !self.shelf.begin(self.run.attempt) {
-            return Err(Cause::Forgotten.into());
-        }
+        self.shelf.begin(self.run.attempt);
         let mut link = dial::open(self.run.address, self.shared.limits.connect_time).await?;
         self.step = Step::Write;
         let (request, body) = self.request(handle);
@@ -241,7 +245,7 @@
         }
         let (text, finish) = chunk.content();
         if let Some(piece) = chunk.piece(text) {
-            self.piece(piece)?;
+            self.piece(&piece)?;
         }
         if let Some(finish) = finish {
             if chunk.position.is_some_and(|position| position > self.shelf.position()) {
@@ -252,28 +256,28 @@
         Ok(false)
     }
 
-    fn piece(&mut self, piece: Piece) -> Result<(), Halt> {
+    fn piece(&mut self, piece: &Piece) -> Result<(), Halt> {
         match self.shelf.add(self.run.attempt, piece) {
-            Outcome::Added => {
+            Added::Appended => {
                 self.tell_position();
                 Ok(())
             }
-            Outcome::Dropped => {
+            Added::Late | Added::Duplicate => {
                 self.shared.dropped.fetch_add(1, Ordering::Relaxed);
                 Ok(())
             }
-            Outcome::Gap => Err(Cause::Gap.into()),
-            Outcome::Full => Err(Cause::Error.into()),
+            Added::Gap { .. } => Err(Cause::Gap.into()),
+            Added::Full => Err(Cause::Error.into()),
         }
     }
 
     /// Ends the answer; an end mark without a reason before it does not count.
     fn end(&mut self, reason: Option<String>) -> Result<u32, Halt> {
         let reason = reason.ok_or(Cause::Cut)?;
-        if !self.shelf.finish(self.run.attempt, End::Finish(reason.into())) {
-            return Err(Cause::Forgotten.into());
+        match self.shelf.end(self.run.attempt, &reason) {
+            Added::Appended | Added::Duplicate => Ok(self.shelf.position()),
+            _ => Err(Cause::Forgotten.into()),
         }
-        Ok(self.shelf.position())
     }
 
     /// Reads a plain service's answer whole.
@@ -295,11 +299,12 @@
             }
             bytes.extend_from_slice(&data);
         }
-        let plain = Plain { status: status.as_u16(), content, bytes: bytes.into() };
-        if !self.shelf.finish(self.run.attempt, End::Whole(plain)) {
-            return Err(Cause::Forgotten.into());
+        let whole = Whole { status: status.as_u16(), content, bytes: bytes.into() };
+        match self.shelf.fill(self.run.attempt, whole) {
+            Added::Appended | Added::Duplicate => Ok(0),
+            Added::Full => Err(Cause::Error.into()),
+            Added::Late | Added::Gap { .. } => Err(Cause::Forgotten.into()),
         }
-        Ok(0)
     }
 
     /// Reports the position at the first token, and then not more often than the pace.
@@ -381,8 +386,8 @@
     }
 
     fn piece(&self, text: &str) -> Option<Piece> {
-        let (position, tokens) =
-            (self.position?, self.tokens.unwrap_or(u32::from(!text.is_empty())));
-        (tokens > 0).then(|| Piece { position, tokens, text: text.into() })
+        let count = self.tokens.unwrap_or(u32::from(!text.is_empty()));
+        let position = self.position?;
+        (count > 0).then(|| Piece { position, count, text: text.into() })
     }
 }
--- a/crates/verbenaslip/src/traffic/dial.rs
+++ b/crates/verbenaslip/src/traffic/dial.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 use verbenaslip_request::run::Cause;
 
-use crate::traffic::stream::Stopper;
+use crate::traffic::reader::Stopper;
 
 /// Holds one open connection to an upstream.
 pub(crate) struct Link {
--- a/crates/verbenaslip/src/traffic/error.rs
+++ b/crates/verbenaslip/src/traffic/error.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 use verbenaslip_base::refusal::{Reason, Refusal, Unknown};
 
-use crate::traffic::stream::Payload;
+use crate::traffic::payload::Payload;
 
 /// The header that says whether a request may have run.
 pub(crate) const OUTCOME: &str = "verbenaslip-outcome";
--- a/crates/verbenaslip/src/traffic/mirror.rs
+++ b/crates/verbenaslip/src/traffic/mirror.rs
@@ -1,7 +1,6 @@
-//! Copying an answer to another instance as it grows.
+//! Copying an answer to the second holder as it grows.
 
 use std::io;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,6 +8,7 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use verbenaslip_base::attempt::Request;
+use verbenaslip_base::name::Instance;
 
 use crate::peers::wire::Frame;
 use crate::traffic::Report;
@@ -16,38 +16,34 @@
 use crate::traffic::shared::Shared;
 use crate::traffic::shelf::Shelf;
 
-/// The least time between two batches, so that single tokens do not each cost a packet.
-const BATCH: Duration = Duration::from_millis(20);
+/// The shortest and the longest wait before the next try.
+const WAIT_MIN: Duration = Duration::from_millis(50);
+const WAIT_MAX: Duration = Duration::from_secs(1);
 
-/// Starts to copy an answer.
-pub(crate) fn start(shared: &Arc<Shared>, request: Request, to: SocketAddr) {
+/// Starts to copy an answer to a second holder in place of an earlier one; none ends it.
+pub(crate) fn set(shared: &Arc<Shared>, request: Request, epoch: u16, to: Option<Instance>) {
+    let shelf = shared.shelves.open(request, shared.limits.answer);
+    shelf.mirror(to.is_some());
+    let Some(to) = to else {
+        return shared.mirrors.stop(&request);
+    };
     let owner = shared.clone();
-    let key = (request, to);
-    shared.mirrors.start(shared.handle(), key, |number| {
+    shared.mirrors.start(shared.handle(), request, |number| {
         Box::pin(async move {
-            let copied = run(&owner, request, to).await;
-            if owner.mirrors.done(&key, number) && copied.is_err() {
-                owner.tell(Report::MirrorLost { request, to });
-            }
+            let mirror = Mirror { shared: owner, shelf, request, epoch, to };
+            mirror.run().await;
+            mirror.shared.mirrors.done(&request, number);
         })
     });
 }
 
-async fn run(shared: &Shared, request: Request, to: SocketAddr) -> io::Result<()> {
-    let shelf = shared.shelves.open(request, shared.limits.answer);
-    let mut changed = shelf.watch();
-    let mut stream = plane::open(shared, to).await?;
-    plane::send(&mut stream, &Frame::Copy { request }).await?;
-    let mut held = acknowledged(&mut stream).await?;
-    loop {
-        let Held { position, whole } = held;
-        shared.tell(Report::Mirrored { request, to, position, whole });
-        if whole {
-            return Ok(());
-        }
-        held = advance(&mut stream, &shelf, &mut changed, position).await?;
-        sleep(BATCH).await;
-    }
+/// Copies one answer to one instance.
+struct Mirror {
+    shared: Arc<Shared>,
+    shelf: Arc<Shelf>,
+    request: Request,
+    epoch: u16,
+    to: Instance,
 }
 
 /// Says how far the copy is.
@@ -57,26 +53,59 @@
     whole: bool,
 }
 
-/// Sends what there is after a position, once there is something, and waits for it to be held.
-async fn advance(
-    stream: &mut TcpStream,
-    shelf: &Shelf,
-    changed: &mut watch::Receiver<()>,
-    position: u32,
-) -> io::Result<Held> {
-    loop {
-        let rest = shelf.after(position).ok_or_else(plane::declined)?;
-        if !rest.pieces.is_empty() || rest.end.is_some() {
-            let ended = plane::send_rest(stream, rest).await?;
-            // The end is acknowledged by itself; pieces are when the heartbeat after them came.
-            if !ended {
-                plane::send(stream, &Frame::Heartbeat).await?;
+impl Mirror {
+    /// Copies until the end, over a new connection whenever one is lost.
+    async fn run(&self) {
+        let mut wait = WAIT_MIN;
+        loop {
+            let Err(error) = self.copy().await else { return };
+            let Self { request, to, .. } = self;
+            log::debug!("copying {request} to {to} ended: {error}");
+            self.shared.tell(Report::MirrorLost { request: *request, to: to.clone() });
+            sleep(wait).await;
+            wait = (wait * 2).min(WAIT_MAX);
+        }
+    }
+
+    /// Copies over one connection.
+    async fn copy(&self) -> io::Result<()> {
+        let mut changed = self.shelf.watch();
+        let mut stream = plane::open(&self.shared, self.shared.address(&self.to)?).await?;
+        let Self { request, epoch, .. } = *self;
+        plane::send(&mut stream, &Frame::Copy { request, epoch }).await?;
+        let mut held = acknowledged(&mut stream).await?;
+        loop {
+            let Held { position, whole } = held;
+            self.shelf.mirrored(position);
+            let to = self.to.clone();
+            self.shared.tell(Report::Mirrored { request, to, position, whole });
+            if whole {
+                return Ok(());
             }
-            return acknowledged(stream).await;
+            held = self.advance(&mut stream, &mut changed, position).await?;
         }
-        if timeout(BEAT, changed.changed()).await.is_err() {
-            plane::send(stream, &Frame::Heartbeat).await?;
-            acknowledged(stream).await?;
+    }
+
+    /// Sends what there is after a position, once there is something, and waits until it is held.
+    async fn advance(
+        &self,
+        stream: &mut TcpStream,
+        changed: &mut watch::Receiver<()>,
+        position: u32,
+    ) -> io::Result<Held> {
+        loop {
+            let rest = self.shelf.missing(position);
+            if !rest.is_empty() {
+                // The end is acknowledged by itself; pieces are when the heartbeat after them came.
+                if !plane::send_rest(stream, rest).await? {
+                    plane::send(stream, &Frame::Heartbeat).await?;
+                }
+                return acknowledged(stream).await;
+            }
+            if timeout(BEAT, changed.changed()).await.is_err() {
+                plane::send(stream, &Frame::Heartbeat).await?;
+                acknowledged(stream).await?;
+            }
         }
     }
 }
--- a/crates/verbenaslip/src/traffic/plane.rs
+++ b/crates/verbenaslip/src/traffic/plane.rs
@@ -3,16 +3,19 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use verbenaslip_base::attempt::{Attempt, Request};
+use verbenaslip_base::attempt::Request;
+use verbenaslip_request::answer::Added;
 
 use crate::peers::wire::{Frame, Purpose};
-use crate::traffic::answer::{End, Outcome, Piece, Plain};
+use crate::traffic::Report;
+use crate::traffic::reader::{Reader, Stop};
 use crate::traffic::shared::Shared;
 use crate::traffic::shelf::{Rest, Shelf};
+use crate::traffic::ticket::Waiter;
 
 /// How often something goes over a connection that has nothing to say.
 pub(crate) const BEAT: Duration = Duration::from_millis(500);
@@ -20,6 +23,9 @@
 /// The silence after which a connection is given up.
 pub(crate) const SILENT: Duration = Duration::from_millis(1800);
 
+/// The least time between two reports of how far a copy is.
+const PACE: Duration = Duration::from_millis(50);
+
 /// Takes over a connection from another instance.
 pub(crate) fn adopt(shared: &Arc<Shared>, stream: std::net::TcpStream) {
     let shared = shared.clone();
@@ -52,106 +58,144 @@
 
 /// Sends what a shelf holds; true when that was its end.
 pub(crate) async fn send_rest(stream: &mut TcpStream, rest: Rest) -> io::Result<bool> {
-    let Some(attempt) = rest.source else {
-        return Ok(false);
-    };
     for piece in rest.pieces {
-        let Piece { position, tokens, text } = piece;
-        send(stream, &Frame::Piece { attempt, position, tokens, text }).await?;
+        send(stream, &Frame::Piece(piece)).await?;
     }
-    let Some(end) = rest.end else {
+    let end = rest.end.map(Frame::End).or(rest.whole.map(Frame::Whole));
+    let Some(end) = end else {
         return Ok(false);
     };
-    let frame = match end {
-        End::Finish(reason) => Frame::Finish { attempt, reason },
-        End::Whole(Plain { status, content, bytes }) => {
-            Frame::Whole { attempt, status, content, bytes: bytes.to_vec() }
-        }
-    };
-    send(stream, &frame).await.map(|()| true)
-}
-
-/// Puts a received frame on a shelf; an error when the shelf does not take it.
-pub(crate) fn take(shelf: &Shelf, frame: Frame) -> io::Result<()> {
-    match frame {
-        Frame::Piece { attempt, position, tokens, text } => {
-            match shelf.copy(attempt, Piece { position, tokens, text }) {
-                Outcome::Added => Ok(()),
-                Outcome::Dropped if position <= shelf.position() => Ok(()),
-                _ => Err(declined()),
-            }
-        }
-        Frame::Finish { attempt, reason } => finish(shelf, attempt, End::Finish(reason)),
-        Frame::Whole { attempt, status, content, bytes } => {
-            let plain = Plain { status, content, bytes: bytes.into() };
-            finish(shelf, attempt, End::Whole(plain))
-        }
-        Frame::Heartbeat => Ok(()),
-        _ => Err(declined()),
-    }
+    send(stream, &end).await.map(|()| true)
 }
 
-fn finish(shelf: &Shelf, attempt: Attempt, end: End) -> io::Result<()> {
-    if shelf.finish_copy(attempt, end) || shelf.whole() { Ok(()) } else { Err(declined()) }
-}
-
-/// Returns the error for a piece that does not fit.
+/// Returns the error for a frame that does not fit.
 pub(crate) fn declined() -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, "the answer there does not fit the one here")
 }
 
+/// Passes what was taken, and an error for what was not.
+pub(crate) fn taken(added: Added) -> io::Result<()> {
+    match added {
+        Added::Appended | Added::Duplicate => Ok(()),
+        Added::Late | Added::Gap { .. } | Added::Full => Err(declined()),
+    }
+}
+
 async fn serve(shared: &Arc<Shared>, stream: std::net::TcpStream) -> io::Result<()> {
     let mut stream = TcpStream::from_std(stream)?;
     match receive(&mut stream).await? {
         Frame::Fetch { request, after } => give(shared, &mut stream, request, after).await,
-        Frame::Copy { request } => keep(shared, &mut stream, request).await,
+        Frame::Copy { request, epoch } => keep(shared, &mut stream, request, epoch).await,
         _ => Err(declined()),
     }
 }
 
-/// Gives another instance an answer from after a position, until its end.
+/// Gives another instance an answer from after a position, as the control thread says.
 async fn give(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     stream: &mut TcpStream,
     request: Request,
-    mut after: u32,
+    after: u32,
 ) -> io::Result<()> {
-    let Some(shelf) = shared.shelves.find(request) else {
-        return send(stream, &Frame::Declined).await;
-    };
-    let mut changed = shelf.watch();
+    let waiter = Waiter::new(shared);
+    let ticket = waiter.ticket;
+    let mut reader = Reader::new(shared, waiter, after);
+    shared.tell(Report::Subscribed { ticket, request, after });
     loop {
-        let Some(rest) = shelf.after(after) else {
-            return send(stream, &Frame::Declined).await;
+        // The other end counts silence as loss, so that waiting must show itself.
+        let Ok(next) = timeout(BEAT, reader.next()).await else {
+            send(stream, &Frame::Heartbeat).await?;
+            continue;
         };
-        after = rest.pieces.last().map_or(after, |piece| piece.position);
-        if send_rest(stream, rest).await? {
+        let ended = match next {
+            Ok(rest) => send_rest(stream, rest).await?,
+            Err(Stop::Final(verdict)) => {
+                send(stream, &Frame::Verdict(verdict)).await?;
+                true
+            }
+            Err(Stop::Misaligned(_) | Stop::Absent) => {
+                send(stream, &Frame::Declined).await?;
+                true
+            }
+        };
+        if ended {
+            reader.release().served();
             return Ok(());
         }
-        if timeout(BEAT, changed.changed()).await.is_err() {
-            send(stream, &Frame::Heartbeat).await?;
-        }
     }
 }
 
 /// Keeps a copy of another instance's answer, and says how far it is.
-async fn keep(shared: &Shared, stream: &mut TcpStream, request: Request) -> io::Result<()> {
+async fn keep(
+    shared: &Shared,
+    stream: &mut TcpStream,
+    request: Request,
+    epoch: u16,
+) -> io::Result<()> {
     let shelf = shared.shelves.open(request, shared.limits.answer);
+    let mut copy = Copy { shared, shelf, request, epoch, told: None };
+    if copy.shelf.epoch() > epoch {
+        return send(stream, &Frame::Declined).await;
+    }
     loop {
-        let (position, whole) = (shelf.position(), shelf.whole());
+        let (position, whole) = copy.held();
         send(stream, &Frame::Held { position, whole }).await?;
+        copy.tell(position, whole);
         if whole {
             return Ok(());
         }
-        while !shelf.whole() {
-            let frame = receive(stream).await?;
-            let asked = frame == Frame::Heartbeat;
-            if take(&shelf, frame).is_err() {
-                return send(stream, &Frame::Declined).await;
+        if !copy.fill(stream).await? {
+            return send(stream, &Frame::Declined).await;
+        }
+    }
+}
+
+/// Takes one copy.
+struct Copy<'a> {
+    shared: &'a Shared,
+    shelf: Arc<Shelf>,
+    request: Request,
+    epoch: u16,
+    told: Option<(u32, bool, Instant)>,
+}
+
+impl Copy<'_> {
+    /// Returns how far the copy is; an earlier epoch's does not count.
+    fn held(&self) -> (u32, bool) {
+        if self.shelf.epoch() < self.epoch {
+            return (0, false);
+        }
+        (self.shelf.position(), self.shelf.ended())
+    }
+
+    /// Reads until the other end wants to know, or the end; false when a frame was not taken.
+    async fn fill(&self, stream: &mut TcpStream) -> io::Result<bool> {
+        loop {
+            let added = match receive(stream).await? {
+                Frame::Heartbeat => return Ok(true),
+                Frame::Piece(piece) => self.shelf.copy(self.epoch, &piece),
+                Frame::End(end) => self.shelf.copy_end(self.epoch, &end),
+                Frame::Whole(whole) => self.shelf.copy_whole(self.epoch, whole),
+                _ => return Ok(false),
+            };
+            if taken(added).is_err() {
+                return Ok(false);
             }
-            if asked {
-                break;
+            if self.shelf.ended() {
+                return Ok(true);
             }
         }
     }
+
+    /// Reports how far the copy is, at its end and otherwise not more often than the pace.
+    fn tell(&mut self, position: u32, whole: bool) {
+        let due = self.told.is_none_or(|(told, ended, at)| {
+            (whole && !ended) || (position > told && at.elapsed() >= PACE)
+        });
+        if due {
+            self.told = Some((position, whole, Instant::now()));
+            let Self { request, epoch, .. } = *self;
+            self.shared.tell(Report::Copied { request, epoch, position, whole });
+        }
+    }
 }
--- a/crates/verbenaslip/src/traffic/report.rs
+++ b/crates/verbenaslip/src/traffic/report.rs
@@ -1,10 +1,10 @@
 //! What the traffic threads tell the control thread.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use verbenaslip_base::attempt::{Attempt, Request};
 use verbenaslip_base::data;
+use verbenaslip_base::name::Instance;
 use verbenaslip_request::caller::{Arrival, Ticket};
 use verbenaslip_request::run::Event;
 
@@ -44,22 +44,42 @@
         /// The last position that was fetched.
         after: u32,
     },
-    /// Another instance holds a copy of an answer up to a position.
+    /// Another instance wants to pass on this instance's answer to its caller.
+    Subscribed {
+        /// Stands for the other instance's connection until it is served or gone.
+        ticket: Ticket,
+        /// The request.
+        request: Request,
+        /// The last position that the caller has.
+        after: u32,
+    },
+    /// The second holder holds a copy of an answer up to a position.
     Mirrored {
         /// The request.
         request: Request,
-        /// The other instance's peer address.
-        to: SocketAddr,
+        /// The second holder.
+        to: Instance,
         /// The last position it holds.
         position: u32,
         /// Whether it holds the answer's end as well.
         whole: bool,
     },
-    /// The copying of an answer to another instance has ended before the answer's end.
+    /// The second holder can't be reached, or does not take the copy; it is tried again.
     MirrorLost {
         /// The request.
         request: Request,
-        /// The other instance's peer address.
-        to: SocketAddr,
+        /// The second holder.
+        to: Instance,
+    },
+    /// This instance, as second holder, holds a copy of an answer up to a position.
+    Copied {
+        /// The request.
+        request: Request,
+        /// The owner's epoch.
+        epoch: u16,
+        /// The last position held.
+        position: u32,
+        /// Whether the answer's end is held as well.
+        whole: bool,
     },
 }
--- a/crates/verbenaslip/src/traffic/server.rs
+++ b/crates/verbenaslip/src/traffic/server.rs
@@ -25,9 +25,10 @@
 
 use crate::traffic::error::Problem;
 use crate::traffic::parse::{Asked, Preface};
+use crate::traffic::payload::Payload;
 use crate::traffic::shared::Shared;
 use crate::traffic::steady::{self, Steady};
-use crate::traffic::stream::{self, Payload};
+use crate::traffic::stream;
 use crate::traffic::{Report, Setup, Traffic};
 
 /// How long a connection is read on after its last answer, so that the answer is not lost.
--- a/crates/verbenaslip/src/traffic/shared.rs
+++ b/crates/verbenaslip/src/traffic/shared.rs
@@ -1,6 +1,7 @@
 //! What the traffic threads and the handle share.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -41,7 +42,7 @@
     pub tickets: Tickets,
     pub shelves: Shelves,
     pub runs: Tasks<Attempt>,
-    pub mirrors: Tasks<(Request, SocketAddr)>,
+    pub mirrors: Tasks<Request>,
     pub addresses: Mutex<BTreeMap<Instance, SocketAddr>>,
     pub connections: AtomicU64,
     pub rejected: AtomicU64,
@@ -66,6 +67,12 @@
         &self.handles[turn % self.handles.len()]
     }
 
+    /// Returns where another instance takes frames.
+    pub(crate) fn address(&self, instance: &Instance) -> io::Result<SocketAddr> {
+        let address = lock(&self.addresses).get(instance).copied();
+        address.ok_or_else(|| io::Error::new(io::ErrorKind::NotFound, "its address is not known"))
+    }
+
     /// Draws an identity for a request without a key.
     pub(crate) fn draw(&self) -> Request {
         let number = self.drawn.fetch_add(1, Ordering::Relaxed);
@@ -74,11 +81,13 @@
         Request(hash::wide(&parts))
     }
 
-    /// Drops a request's answer with its runs and copies.
-    pub(crate) fn forget(&self, request: Request) {
-        self.shelves.remove(request);
+    /// Drops a request's answer with its runs and copy, unless the answer is of a later epoch.
+    pub(crate) fn forget(&self, request: Request, epoch: u16) {
+        if !self.shelves.remove(request, epoch) {
+            return;
+        }
         self.runs.retain(|attempt| attempt.request != request);
-        self.mirrors.retain(|(mirrored, _)| *mirrored != request);
+        self.mirrors.stop(&request);
     }
 
     /// Counts what is held.
--- a/crates/verbenaslip/src/traffic/shelf.rs
+++ b/crates/verbenaslip/src/traffic/shelf.rs
@@ -5,70 +5,140 @@
 
 use tokio::sync::watch;
 use verbenaslip_base::attempt::{Attempt, Request};
+use verbenaslip_request::answer::{Added, Answer, End, Piece, Whole};
 
-use crate::traffic::answer::{Answer, End, Outcome, Piece};
 use crate::traffic::shared::lock;
 
+/// The epoch of an answer that is only passed on; it has no owner here.
+const PASSED: u16 = 0;
+
+/// The bytes of text that a reader takes in one step, but for the last piece.
+const STEP: usize = 32 << 10;
+
 /// Holds one answer and wakes its readers when it grows.
 pub(crate) struct Shelf {
     answer: Mutex<Answer>,
     changed: watch::Sender<()>,
-    limit: usize,
 }
 
 /// Holds what a reader finds after its position.
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Rest {
     /// The pieces after the position.
     pub pieces: Vec<Piece>,
-    /// How the answer ended; none while more is to come.
+    /// How a model's answer ended; none while it goes on.
     pub end: Option<End>,
-    /// The run that the last piece came from.
-    pub source: Option<Attempt>,
+    /// A plain service's answer.
+    pub whole: Option<Whole>,
+}
+
+impl Rest {
+    /// Takes pieces up to a size, and the end only after the last piece.
+    ///
+    /// A reader that is far behind would otherwise get all of a long answer in one step: it would
+    /// be held a second time, outside the answer's bound, for as long as the reader takes it.
+    fn new<'a>(answer: &Answer, pieces: impl Iterator<Item = &'a Piece>) -> Self {
+        let (mut taken, mut size) = (Vec::new(), 0);
+        for piece in pieces {
+            if size > STEP {
+                return Self { pieces: taken, end: None, whole: None };
+            }
+            size += piece.text.len();
+            taken.push(piece.clone());
+        }
+        Self { pieces: taken, end: answer.ended().cloned(), whole: answer.filled().cloned() }
+    }
+
+    /// Says whether the answer has its end.
+    pub(crate) fn ended(&self) -> bool {
+        self.end.is_some() || self.whole.is_some()
+    }
+
+    /// Says whether there is nothing yet.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.pieces.is_empty() && !self.ended()
+    }
 }
 
 impl Shelf {
     /// Makes an empty shelf for an answer of so many bytes at most.
     pub(crate) fn new(limit: usize) -> Self {
-        Self { answer: Mutex::default(), changed: watch::Sender::new(()), limit }
+        Self { answer: Mutex::new(Answer::open(limit)), changed: watch::Sender::new(()) }
     }
 
-    /// Makes an empty shelf for the rest of an answer after a position.
-    pub(crate) fn after_base(base: u32, limit: usize) -> Self {
-        let answer = Mutex::new(Answer::after_base(base));
-        Self { answer, changed: watch::Sender::new(()), limit }
+    /// Makes a shelf for the rest of an answer after a position.
+    pub(crate) fn passing(after: u32, limit: usize) -> Self {
+        let shelf = Self::new(limit);
+        // Stands for the tokens that the caller has, so that the next one is no gap.
+        shelf.change(|answer| answer.copy(PASSED, after, after, ""));
+        shelf
+    }
+
+    /// Adds the next piece of an answer that is passed on.
+    pub(crate) fn pass(&self, piece: &Piece) -> Added {
+        self.copy(PASSED, piece)
+    }
+
+    /// Ends an answer that is passed on.
+    pub(crate) fn pass_end(&self, end: &End) -> Added {
+        self.copy_end(PASSED, end)
+    }
+
+    /// Takes a plain service's answer that is passed on.
+    pub(crate) fn pass_whole(&self, whole: Whole) -> Added {
+        self.copy_whole(PASSED, whole)
     }
 
     /// Makes a run the live one.
-    pub(crate) fn begin(&self, attempt: Attempt) -> bool {
-        lock(&self.answer).begin(attempt)
+    pub(crate) fn begin(&self, attempt: Attempt) {
+        lock(&self.answer).begin(attempt);
     }
 
-    /// Adds the live run's next piece.
-    pub(crate) fn add(&self, attempt: Attempt, piece: Piece) -> Outcome {
-        let outcome = lock(&self.answer).add(attempt, piece, self.limit);
-        self.wake();
-        outcome
+    /// Makes this instance the owner in an epoch.
+    pub(crate) fn own(&self, epoch: u16) {
+        lock(&self.answer).own(epoch);
     }
 
-    /// Adds the next piece of a copy.
-    pub(crate) fn copy(&self, attempt: Attempt, piece: Piece) -> Outcome {
-        let outcome = lock(&self.answer).copy(attempt, piece, self.limit);
-        self.wake();
-        outcome
+    /// Adds the live run's next piece.
+    pub(crate) fn add(&self, attempt: Attempt, piece: &Piece) -> Added {
+        let Piece { position, count, text } = piece;
+        self.change(|answer| answer.append(attempt, *position, *count, text))
     }
 
     /// Ends the live run's answer.
-    pub(crate) fn finish(&self, attempt: Attempt, end: End) -> bool {
-        let finished = lock(&self.answer).finish(attempt, end);
-        self.wake();
-        finished
+    pub(crate) fn end(&self, attempt: Attempt, reason: &str) -> Added {
+        self.change(|answer| answer.end(attempt, answer.position(), reason))
+    }
+
+    /// Takes a plain service's answer.
+    pub(crate) fn fill(&self, attempt: Attempt, whole: Whole) -> Added {
+        self.change(|answer| answer.fill(attempt, whole))
+    }
+
+    /// Adds the next piece of a copy.
+    pub(crate) fn copy(&self, epoch: u16, piece: &Piece) -> Added {
+        let Piece { position, count, text } = piece;
+        self.change(|answer| answer.copy(epoch, *position, *count, text))
     }
 
     /// Ends a copy.
-    pub(crate) fn finish_copy(&self, attempt: Attempt, end: End) -> bool {
-        let finished = lock(&self.answer).finish_copy(attempt, end);
-        self.wake();
-        finished
+    pub(crate) fn copy_end(&self, epoch: u16, end: &End) -> Added {
+        self.change(|answer| answer.copy_end(epoch, end.position, &end.reason))
+    }
+
+    /// Takes a copy of a plain service's answer.
+    pub(crate) fn copy_whole(&self, epoch: u16, whole: Whole) -> Added {
+        self.change(|answer| answer.copy_fill(epoch, whole))
+    }
+
+    /// Says whether callers wait for the second holder.
+    pub(crate) fn mirror(&self, on: bool) {
+        self.change(|answer| answer.mirror(on));
+    }
+
+    /// Notes how far the second holder has got.
+    pub(crate) fn mirrored(&self, position: u32) {
+        self.change(|answer| answer.mirrored(position));
     }
 
     /// Returns the last position held.
@@ -76,27 +146,41 @@
         lock(&self.answer).position()
     }
 
-    /// Says whether the answer has its end.
-    pub(crate) fn whole(&self) -> bool {
-        lock(&self.answer).end().is_some()
+    /// Returns the epoch of the answer's owner.
+    pub(crate) fn epoch(&self) -> u16 {
+        lock(&self.answer).epoch()
     }
 
-    /// Returns the bytes of text held.
+    /// Returns the bytes held.
     pub(crate) fn bytes(&self) -> usize {
         lock(&self.answer).bytes()
     }
 
+    /// Says whether the answer has its end.
+    pub(crate) fn ended(&self) -> bool {
+        let answer = lock(&self.answer);
+        answer.ended().is_some() || answer.filled().is_some()
+    }
+
     /// Returns all text held, with its position.
     pub(crate) fn text(&self) -> (String, u32) {
         let answer = lock(&self.answer);
         (answer.text(), answer.position())
     }
 
-    /// Returns what is held after a position; none when the position is within a piece.
+    /// Returns what callers may have after a position; none when the position is within a piece.
     pub(crate) fn after(&self, position: u32) -> Option<Rest> {
         let answer = lock(&self.answer);
-        let pieces = answer.after(position)?.to_vec();
-        Some(Rest { pieces, end: answer.end().cloned(), source: answer.source() })
+        let rest = Rest::new(&answer, answer.events(position));
+        let first = rest.pieces.first();
+        let first = first.map_or(position, |piece| piece.position.saturating_sub(piece.count));
+        (first >= position).then_some(rest)
+    }
+
+    /// Returns what the second holder lacks after a position.
+    pub(crate) fn missing(&self, position: u32) -> Rest {
+        let answer = lock(&self.answer);
+        Rest::new(&answer, answer.pieces(position).iter())
     }
 
     /// Returns a receiver that is told of each change from now on.
@@ -104,8 +188,10 @@
         self.changed.subscribe()
     }
 
-    fn wake(&self) {
+    fn change<T>(&self, change: impl FnOnce(&mut Answer) -> T) -> T {
+        let changed = change(&mut lock(&self.answer));
         self.changed.send_replace(());
+        changed
     }
 }
 
@@ -129,9 +215,14 @@
         lock(&self.shelves).get(&request).cloned()
     }
 
-    /// Drops a request's shelf; those who still read it keep it.
-    pub(crate) fn remove(&self, request: Request) {
-        lock(&self.shelves).remove(&request);
+    /// Drops a request's shelf unless it is of a later epoch; those who still read it keep it.
+    pub(crate) fn remove(&self, request: Request, epoch: u16) -> bool {
+        let mut shelves = lock(&self.shelves);
+        let later = shelves.get(&request).is_some_and(|shelf| shelf.epoch() > epoch);
+        if !later {
+            shelves.remove(&request);
+        }
+        !later
     }
 
     /// Counts the shelves and the bytes of text in them.
--- a/crates/verbenaslip/src/traffic/ticket.rs
+++ b/crates/verbenaslip/src/traffic/ticket.rs
@@ -10,7 +10,16 @@
 use crate::traffic::Report;
 use crate::traffic::shared::{Shared, lock};
 
-type Sender = watch::Sender<Option<Verdict>>;
+type Sender = watch::Sender<Option<Word>>;
+
+/// Says what a waiting caller or subscriber gets.
+#[derive(Clone, Debug)]
+pub(crate) enum Word {
+    /// What a verdict says.
+    Verdict(Verdict),
+    /// Nothing: this instance does not own the request that another asked for.
+    Absent,
+}
 
 /// Holds the waiting callers by ticket.
 #[derive(Default)]
@@ -21,9 +30,9 @@
 
 impl Tickets {
     /// Gives a caller its verdict; a caller that has gone is passed over.
-    pub(crate) fn give(&self, ticket: Ticket, verdict: Verdict) {
+    pub(crate) fn give(&self, ticket: Ticket, word: Word) {
         if let Some(sender) = lock(&self.waiting).get(&ticket) {
-            sender.send_replace(Some(verdict));
+            sender.send_replace(Some(word));
         }
     }
 
@@ -37,7 +46,7 @@
 pub(crate) struct Waiter {
     /// The ticket.
     pub ticket: Ticket,
-    verdict: watch::Receiver<Option<Verdict>>,
+    word: watch::Receiver<Option<Word>>,
     shared: Arc<Shared>,
     served: bool,
 }
@@ -46,20 +55,20 @@
     /// Takes a ticket.
     pub(crate) fn new(shared: &Arc<Shared>) -> Self {
         let ticket = Ticket(shared.tickets.next.fetch_add(1, Ordering::Relaxed) + 1);
-        let (sender, verdict) = watch::channel(None);
+        let (sender, word) = watch::channel(None);
         lock(&shared.tickets.waiting).insert(ticket, sender);
-        Self { ticket, verdict, shared: shared.clone(), served: false }
+        Self { ticket, word, shared: shared.clone(), served: false }
     }
 
-    /// Waits for the next verdict.
-    pub(crate) async fn verdict(&mut self) -> Verdict {
+    /// Waits for the next word on it.
+    pub(crate) async fn word(&mut self) -> Word {
         loop {
             // The sender lives in the table until this waiter is dropped.
-            if self.verdict.changed().await.is_err() {
+            if self.word.changed().await.is_err() {
                 std::future::pending::<()>().await;
             }
-            if let Some(verdict) = self.verdict.borrow_and_update().clone() {
-                return verdict;
+            if let Some(word) = self.word.borrow_and_update().clone() {
+                return word;
             }
         }
     }
--- a/crates/verbenaslip/tests/traffic/bench.rs
+++ b/crates/verbenaslip/tests/traffic/bench.rs
@@ -14,6 +14,7 @@
 use verbenaslip_base::attempt::Attempt;
 use verbenaslip_base::name::{Instance, Upstream};
 use verbenaslip_request::caller::{Arrival, Verdict};
+use verbenaslip_request::message::Live;
 use verbenaslip_request::run::{Event, Run, Start};
 
 /// Longer than anything here takes, so that no test depends on how fast the machine is.
@@ -155,6 +156,12 @@
     }
 }
 
+/// Says where a run goes on.
+pub fn live(attempt: Attempt, address: SocketAddr) -> Live {
+    let upstream = Upstream::from("up");
+    Live { attempt, upstream, address, kind: Kind::Engine, priority: 3 }
+}
+
 /// Opens a connection whose reads end at last.
 pub fn connect(address: SocketAddr) -> TcpStream {
     let stream = TcpStream::connect(address).expect("the address takes connections");
--- a/crates/verbenaslip/tests/traffic/caller.rs
+++ b/crates/verbenaslip/tests/traffic/caller.rs
@@ -40,9 +40,8 @@
     )
 }
 
-fn cases() -> Vec<Case> {
+fn wrong_bodies() -> Vec<Case> {
     let key = "authorization: Bearer secret\r\n";
-    let long = "k".repeat(201);
     vec![
         case("no key", head("POST /v1/chat/completions HTTP/1.1", "", WHOLE), 401, "key"),
         case(
@@ -73,6 +72,12 @@
         case("max_tokens is 0", body(&WHOLE.replace('9', "0")), 400, "max_tokens"),
         case("max_tokens is huge", body(&WHOLE.replace('9', "99999999999")), 400, "max_tokens"),
         case("max_tokens is negative", body(&WHOLE.replace('9', "-1")), 400, "max_tokens"),
+    ]
+}
+
+fn wrong_heads() -> Vec<Case> {
+    let long = "k".repeat(201);
+    vec![
         case("long key", headers(&format!("idempotency-key: {long}")), 400, "idempotency-key"),
         case("empty key", headers("idempotency-key: "), 400, "idempotency-key"),
         case(
@@ -144,7 +149,8 @@
 #[test]
 fn wrong_input_gets_a_clear_error() {
     let bench = bench();
-    let cases = cases();
+    let mut cases = wrong_bodies();
+    cases.extend(wrong_heads());
     for case in &cases {
         let mut stream = connect(bench.traffic.address());
         // What is refused early may be closed before all of it is written.
--- /dev/null
+++ b/crates/verbenaslip/tests/traffic/plane.rs
@@ -0,0 +1,282 @@
+//! Answers that go from one instance to another.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crossbeam::channel::{Receiver, unbounded};
+use verbenaslip::peers::{self, Peers};
+use verbenaslip::traffic::{Limits, Report};
+use verbenaslip_base::attempt::{Attempt, Request};
+use verbenaslip_base::name::Instance;
+use verbenaslip_base::refusal::Unknown;
+use verbenaslip_request::caller::{Arrival, Ticket, Verdict};
+use verbenaslip_request::run::{Event, Start};
+
+use crate::bench::{Bench, STREAMED, identity, named, read_all, read_until};
+use crate::script::{Act, Script, words};
+
+/// Holds one instance with its peer address.
+struct Node {
+    bench: Bench,
+    peers: Peers,
+    _messages: Receiver<peers::Report>,
+}
+
+fn node(name: &str) -> Node {
+    let bench = named(name, Limits::default());
+    let (sender, messages) = unbounded();
+    let setup = peers::Setup {
+        address: "127.0.0.1:0".parse().expect("the address is well-formed"),
+        identity: identity(name),
+        answers: bench.traffic.clone(),
+    };
+    let peers = Peers::bind(setup, sender).expect("a free port can be bound");
+    Node { bench, peers, _messages: messages }
+}
+
+/// Starts two instances that know each other.
+fn pair() -> (Node, Node) {
+    let (one, two) = (node("one"), node("two"));
+    let addresses: BTreeMap<_, _> = [
+        (Instance::from("one"), one.peers.address()),
+        (Instance::from("two"), two.peers.address()),
+    ]
+    .into();
+    one.bench.traffic.peers(addresses.clone());
+    two.bench.traffic.peers(addresses);
+    (one, two)
+}
+
+fn subscribed(bench: &Bench) -> (Ticket, Request, u32) {
+    bench.wait(|report| match report {
+        Report::Subscribed { ticket, request, after } => Some((ticket, request, after)),
+        _ => None,
+    })
+}
+
+fn relay(node: &Node, arrival: &Arrival) {
+    let after = arrival.after.unwrap_or(0);
+    let request = arrival.head.request;
+    let owner = Instance::from("one");
+    node.bench.traffic.verdict(arrival.ticket, Verdict::Relay { request, after, owner });
+}
+
+fn ids(answer: &str) -> Vec<&str> {
+    answer.lines().filter_map(|line| line.strip_prefix("id: ")).collect()
+}
+
+/// Symptom: a caller that comes back through another instance gets nothing, or gets tokens twice.
+/// Sequence: the answer grows at one; the caller reads it through two, from after token 2.
+/// Cause: the answer is where the caller is not.
+#[test]
+fn an_answer_is_read_through_another_instance() {
+    let (one, two) = pair();
+    let key = "idempotency-key: k\r\nconnection: close\r\n";
+    let _first = one.bench.post(key, STREAMED);
+    let owned = one.bench.arrival();
+    one.bench.traffic.own(owned.head.request, 1);
+    let attempt = Attempt { request: owned.head.request, number: 1 };
+    let upstream = Script::spawn(vec![vec![
+        Act::Head,
+        Act::Tokens(attempt, 1, 4),
+        Act::Pause,
+        Act::Tokens(attempt, 5, 6),
+        Act::Finish(attempt),
+        Act::Done,
+    ]]);
+    one.bench.run(&owned, 1, upstream.address, Start::Fresh);
+    let mut caller = two.bench.post(&format!("{key}last-event-id: 2\r\n"), STREAMED);
+    relay(&two, &two.bench.arrival());
+    let (ticket, request, after) = subscribed(&one.bench);
+    assert_eq!((request, after), (owned.head.request, 2));
+    one.bench.traffic.verdict(ticket, Verdict::Serve { request, after });
+    let mut answer = read_until(&mut caller, "id: 4");
+    upstream.go.send(()).expect("the upstream goes on");
+    answer.push_str(&read_all(&mut caller));
+    assert_eq!(ids(&answer), ["3", "4", "5", "6"], "{answer}");
+    assert!(answer.contains("data: [DONE]\n\n"), "{answer}");
+    let served = one.bench.wait(|report| match report {
+        Report::Served { ticket } => Some(ticket),
+        _ => None,
+    });
+    assert_eq!(served, ticket);
+}
+
+/// Symptom: the owner says that the outcome is unknown, and the caller elsewhere hangs.
+/// Sequence: relayed, two tokens, then the owner's verdict.
+/// Cause: only the owner knows.
+#[test]
+fn a_final_verdict_reaches_the_caller_elsewhere() {
+    let (one, two) = pair();
+    let mut caller = two.bench.post("connection: close\r\n", STREAMED);
+    relay(&two, &two.bench.arrival());
+    let (ticket, ..) = subscribed(&one.bench);
+    one.bench.traffic.verdict(ticket, Verdict::Unknown(Unknown::UpstreamLost));
+    assert!(read_all(&mut caller).starts_with("HTTP/1.1 504 "));
+}
+
+/// Symptom: a caller hangs, or is told that the outcome is unknown, because the instance that its
+/// answer came from has gone.
+/// Sequence: relayed and read up to token 2; the owner ends; the caller gets a new verdict here.
+/// Cause: the loss must be told with the position, and the caller must be kept.
+#[test]
+fn a_lost_owner_is_told_and_the_caller_goes_on() {
+    let (one, two) = pair();
+    let key = "idempotency-key: k\r\nconnection: close\r\n";
+    let _first = one.bench.post(key, STREAMED);
+    let owned = one.bench.arrival();
+    let attempt = Attempt { request: owned.head.request, number: 1 };
+    let script = vec![Act::Head, Act::Tokens(attempt, 1, 2), Act::Silence];
+    let upstream = Script::spawn(vec![script]);
+    one.bench.run(&owned, 1, upstream.address, Start::Fresh);
+    let mut caller = two.bench.post(key, STREAMED);
+    let arrival = two.bench.arrival();
+    relay(&two, &arrival);
+    let (ticket, request, after) = subscribed(&one.bench);
+    one.bench.traffic.verdict(ticket, Verdict::Serve { request, after });
+    read_until(&mut caller, "id: 2");
+    drop(one);
+    let lost = two.bench.wait(|report| match report {
+        Report::RelayLost { ticket, after, .. } => Some((ticket, after)),
+        _ => None,
+    });
+    assert_eq!(lost, (arrival.ticket, 2));
+
+    // This instance takes over with what it has been given: here the test gives it all.
+    let next = Attempt { request, number: (1 << 16) + 1 };
+    let script = vec![Act::Head, Act::Tokens(next, 1, 3), Act::Finish(next), Act::Done];
+    let upstream = Script::spawn(vec![script]);
+    two.bench.traffic.own(request, 2);
+    two.bench.run(&arrival, next.number, upstream.address, Start::Fresh);
+    two.bench.traffic.verdict(arrival.ticket, Verdict::Serve { request, after: 2 });
+    let rest = read_all(&mut caller);
+    assert_eq!(ids(&rest), ["3"], "{rest}");
+}
+
+/// An instance that does not own the answer says so, and the caller's instance is told.
+#[test]
+fn an_answer_that_is_not_there_is_told() {
+    let (one, two) = pair();
+    let _caller = two.bench.post("", STREAMED);
+    let arrival = two.bench.arrival();
+    relay(&two, &arrival);
+    let (ticket, ..) = subscribed(&one.bench);
+    one.bench.traffic.absent(ticket);
+    let lost = two.bench.wait(|report| match report {
+        Report::RelayLost { ticket, .. } => Some(ticket),
+        _ => None,
+    });
+    assert_eq!(lost, arrival.ticket);
+}
+
+fn copied(bench: &Bench, wanted: u32) {
+    bench.wait(|report| match report {
+        Report::Copied { position, .. } => (position == wanted).then_some(()),
+        _ => None,
+    });
+}
+
+/// Symptom: a second holder takes over and the caller reads halves of two answers.
+/// Sequence: one runs the request and copies it to two; the caller at one may read only what two
+/// has; one is lost; two resumes from the copy, under a later epoch.
+/// Cause: tokens that the caller has and the second holder lacks may come out otherwise.
+#[test]
+fn callers_get_only_what_the_second_holder_has_and_it_can_go_on() {
+    let (one, two) = pair();
+    let mut caller = one.bench.post("connection: close\r\n", STREAMED);
+    let arrival = one.bench.arrival();
+    let request = arrival.head.request;
+    one.bench.traffic.own(request, 1);
+    one.bench.traffic.mirror(request, 1, Some(Instance::from("nowhere")));
+    one.bench.serve(&arrival);
+    let attempt = Attempt { request, number: (1 << 16) + 1 };
+    let script = vec![Act::Head, Act::Tokens(attempt, 1, 3), Act::Silence];
+    let upstream = Script::spawn(vec![script]);
+    one.bench.run(&arrival, attempt.number, upstream.address, Start::Fresh);
+    while one.bench.traffic.position(request) != Some(3) {
+        std::thread::yield_now();
+    }
+    // The second holder can't be reached, so nothing may be on its way to the caller.
+    one.bench.wait(|report| matches!(report, Report::MirrorLost { .. }).then_some(()));
+    caller.set_nonblocking(true).expect("the mode can be set");
+    assert!(std::io::Read::read(&mut caller, &mut [0]).is_err(), "a token went out too early");
+    caller.set_nonblocking(false).expect("the mode can be set");
+
+    one.bench.traffic.mirror(request, 1, Some(Instance::from("two")));
+    copied(&two.bench, 3);
+    let answer = read_until(&mut caller, "id: 3\ndata: ");
+    assert_eq!(ids(&answer), ["1", "2", "3"], "{answer}");
+    assert_eq!(two.bench.traffic.position(request), Some(3));
+
+    let next = Attempt { request, number: (2 << 16) + 1 };
+    let script = vec![Act::Head, Act::Tokens(next, 4, 5), Act::Finish(next), Act::Done];
+    let upstream = Script::spawn(vec![script]);
+    two.bench.traffic.own(request, 2);
+    two.bench.run(&arrival, next.number, upstream.address, Start::Resume);
+    assert_eq!(two.bench.ended(), Event::Ended { position: 5 });
+    let asked = upstream.requests.recv().expect("the upstream was asked");
+    let resume = format!(r#""resume":{{"text":"{}","tokens":3}}"#, words(3));
+    assert!(asked.contains(&resume), "{asked}");
+}
+
+/// Symptom: a former owner that was cut off comes back and its copy damages the new owner's answer.
+/// Sequence: two owns the request in epoch 2; one still copies in epoch 1.
+/// Cause: copies are taken whatever their epoch.
+#[test]
+fn a_former_owners_copy_is_not_taken() {
+    let (one, two) = pair();
+    let _caller = one.bench.post("", STREAMED);
+    let arrival = one.bench.arrival();
+    let request = arrival.head.request;
+    two.bench.traffic.own(request, 2);
+    let attempt = Attempt { request, number: (1 << 16) + 1 };
+    let script = vec![Act::Head, Act::Tokens(attempt, 1, 3), Act::Silence];
+    let upstream = Script::spawn(vec![script]);
+    one.bench.traffic.own(request, 1);
+    one.bench.run(&arrival, attempt.number, upstream.address, Start::Fresh);
+    one.bench.traffic.mirror(request, 1, Some(Instance::from("two")));
+    for _ in 0..2 {
+        one.bench.wait(|report| matches!(report, Report::MirrorLost { .. }).then_some(()));
+    }
+    assert_eq!(two.bench.traffic.position(request), Some(0));
+}
+
+/// A whole answer's copy has its end as well, for a model and for a plain service.
+#[test]
+fn a_whole_answer_is_copied_with_its_end() {
+    let (one, two) = pair();
+    let _caller = one.bench.post("", STREAMED);
+    let arrival = one.bench.arrival();
+    let request = arrival.head.request;
+    one.bench.traffic.own(request, 1);
+    one.bench.traffic.mirror(request, 1, Some(Instance::from("two")));
+    let attempt = Attempt { request, number: 1 };
+    let acts = vec![Act::Head, Act::Tokens(attempt, 1, 2), Act::Finish(attempt), Act::Done];
+    let upstream = Script::spawn(vec![acts]);
+    one.bench.run(&arrival, 1, upstream.address, Start::Fresh);
+    let end = |report| match report {
+        Report::Mirrored { whole, position, .. } | Report::Copied { whole, position, .. } => {
+            whole.then_some(position)
+        }
+        _ => None,
+    };
+    assert_eq!(one.bench.wait(end), 2);
+    assert_eq!(two.bench.wait(end), 2);
+    drop(one);
+    // The second holder serves the rest to a caller that comes back.
+    let mut back = two.bench.post("connection: close\r\nlast-event-id: 1\r\n", STREAMED);
+    let arrival = two.bench.arrival();
+    two.bench.traffic.verdict(arrival.ticket, Verdict::Serve { request, after: 1 });
+    let answer = read_all(&mut back);
+    assert_eq!(ids(&answer), ["2"], "{answer}");
+    assert!(answer.contains("[DONE]"), "{answer}");
+}
+
+/// The handles are shared between threads.
+#[test]
+fn handles_can_be_shared() {
+    fn shared<T: Send + Sync>(_: &T) {}
+    let node = node("one");
+    shared(&node.peers);
+    shared(&Arc::clone(&node.bench.traffic));
+}
--- a/crates/verbenaslip/tests/traffic/stream.rs
+++ b/crates/verbenaslip/tests/traffic/stream.rs
@@ -9,7 +9,7 @@
 use verbenaslip_request::caller::{Arrival, Verdict};
 use verbenaslip_request::run::{Event, Start};
 
-use crate::bench::{Bench, STREAMED, bench, named, read_all, read_until};
+use crate::bench::{Bench, STREAMED, bench, live, named, read_all, read_until};
 use crate::script::{Act, Script};
 
 fn attempt(arrival: &Arrival) -> Attempt {
@@ -130,7 +130,7 @@
         }
         drop(caller);
         gone(&bench);
-        bench.traffic.cancel(attempt, upstream.address);
+        bench.traffic.cancel(&live(attempt, upstream.address));
         let cancel = upstream.requests.recv().expect("the cancel came");
         let line = format!("POST /v1/streams/{}/1/cancel HTTP/1.1", attempt.request);
         assert!(cancel.starts_with(&line), "{cancel}");
@@ -186,7 +186,7 @@
     bench.run(&arrival, 1, upstream.address, Start::Fresh);
     assert!(matches!(bench.ended(), Event::Failed(_)));
     assert!(bench.traffic.stats().bytes <= 10);
-    bench.traffic.forget(arrival.head.request);
+    bench.traffic.forget(arrival.head.request, 0);
     assert_eq!(bench.traffic.stats().answers, 0);
 }
 
