Carry epochs, subscribers and the second holder's end to the decisions

The node resolved the second holder's address at once and turned an unknown one into no second holder, which lets callers read what no second instance has.

Change: the second holder goes out by name and the copy is tried until its address is known; a whole copy also tells the requests that the end is held; an absent answer is told to who asked for it.

--- a/crates/verbenaslip-node/src/input.rs
+++ b/crates/verbenaslip-node/src/input.rs
@@ -72,6 +72,8 @@
         request: Request,
         /// The last position held there.
         position: u32,
+        /// Whether the end is held there as well.
+        whole: bool,
     },
     /// An upstream has announced itself here; answered by a reply.
     Announced {
--- a/crates/verbenaslip-node/src/output.rs
+++ b/crates/verbenaslip-node/src/output.rs
@@ -59,8 +59,8 @@
         request: Request,
         /// The epoch under which it is copied.
         epoch: u16,
-        /// The second holder's address.
-        to: Option<SocketAddr>,
+        /// The second holder; its address is among those told.
+        to: Option<Instance>,
     },
     /// Makes the answer held here this instance's own, in an epoch.
     Own {
--- a/crates/verbenaslip-node/src/serve.rs
+++ b/crates/verbenaslip-node/src/serve.rs
@@ -82,7 +82,13 @@
                 self.ran(attempt, &event);
                 request::Input::Ran { attempt, event }
             }
-            Input::Mirrored { request, position } => request::Input::Mirrored { request, position },
+            Input::Mirrored { request, position, whole } => {
+                self.push(Todo::Request(request::Input::Mirrored { request, position }));
+                if !whole {
+                    return;
+                }
+                request::Input::MirrorEnded(request)
+            }
             _ => return,
         };
         self.push(Todo::Request(input));
@@ -184,7 +190,6 @@
             Wants::Run(run) => self.out.push(Output::Run(run)),
             Wants::Cancel(live) => self.out.push(Output::Cancel(live)),
             Wants::Mirror { request, epoch, to } => {
-                let to = to.and_then(|instance| self.address(&instance));
                 self.out.push(Output::Mirror { request, epoch, to });
             }
             Wants::Own { request, epoch } => self.out.push(Output::Own { request, epoch }),
--- a/crates/verbenaslip/src/control/carry.rs
+++ b/crates/verbenaslip/src/control/carry.rs
@@ -30,16 +30,12 @@
                 }
             }
             Output::Verdict { ticket, verdict } => traffic.verdict(ticket, verdict),
-            Output::Absent(_) => {}
+            Output::Absent(ticket) => traffic.absent(ticket),
             Output::Run(run) => traffic.run(run),
-            Output::Cancel(live) => traffic.cancel(live.attempt, live.address),
-            Output::Mirror { request, epoch: _, to } => {
-                if let Some(to) = to {
-                    traffic.mirror(request, to);
-                }
-            }
-            Output::Own { .. } => {}
-            Output::Forget { request, .. } => traffic.forget(request),
+            Output::Cancel(live) => traffic.cancel(&live),
+            Output::Mirror { request, epoch, to } => traffic.mirror(request, epoch, to),
+            Output::Own { request, epoch } => traffic.own(request, epoch),
+            Output::Forget { request, epoch } => traffic.forget(request, epoch),
             Output::Reply { call, reply } => self.reply(call, reply),
             Output::Addresses(addresses) => traffic.peers(addresses.into_iter().collect()),
             Output::Notice(notice) => self.notice(notice),
@@ -69,7 +65,13 @@
         Report::Gone { ticket } | Report::Served { ticket } => Input::Gone(ticket),
         Report::Run { attempt, event } => Input::Ran { attempt, event },
         Report::RelayLost { ticket, after, .. } => Input::RelayLost { ticket, after },
-        Report::Mirrored { request, position, .. } => Input::Mirrored { request, position },
+        Report::Mirrored { request, position, whole, .. }
+        | Report::Copied { request, position, whole, .. } => {
+            Input::Mirrored { request, position, whole }
+        }
+        Report::Subscribed { ticket, request, after } => {
+            Input::Subscribed { ticket, request, after }
+        }
         Report::MirrorLost { .. } => return None,
     })
 }
--- a/crates/verbenaslip/src/traffic/mirror.rs
+++ b/crates/verbenaslip/src/traffic/mirror.rs
@@ -76,7 +76,7 @@
         let mut held = acknowledged(&mut stream).await?;
         loop {
             let Held { position, whole } = held;
-            self.shelf.mirrored(position);
+            self.shelf.mirrored(position, whole);
             let to = self.to.clone();
             self.shared.tell(Report::Mirrored { request, to, position, whole });
             if whole {
--- a/crates/verbenaslip/src/traffic/shelf.rs
+++ b/crates/verbenaslip/src/traffic/shelf.rs
@@ -37,7 +37,11 @@
     ///
     /// A reader that is far behind would otherwise get all of a long answer in one step: it would
     /// be held a second time, outside the answer's bound, for as long as the reader takes it.
-    fn new<'a>(answer: &Answer, pieces: impl Iterator<Item = &'a Piece>) -> Self {
+    fn new<'a>(
+        answer: &Answer,
+        pieces: impl Iterator<Item = &'a Piece>,
+        end: Option<&End>,
+    ) -> Self {
         let (mut taken, mut size) = (Vec::new(), 0);
         for piece in pieces {
             if size > STEP {
@@ -46,7 +50,7 @@
             size += piece.text.len();
             taken.push(piece.clone());
         }
-        Self { pieces: taken, end: answer.ended().cloned(), whole: answer.filled().cloned() }
+        Self { pieces: taken, end: end.cloned(), whole: answer.filled().cloned() }
     }
 
     /// Says whether the answer has its end.
@@ -136,9 +140,9 @@
         self.change(|answer| answer.mirror(on));
     }
 
-    /// Notes how far the second holder has got.
-    pub(crate) fn mirrored(&self, position: u32) {
-        self.change(|answer| answer.mirrored(position));
+    /// Notes how far the second holder has got, and whether it has the end.
+    pub(crate) fn mirrored(&self, position: u32, ended: bool) {
+        self.change(|answer| answer.mirrored(position, ended));
     }
 
     /// Returns the last position held.
@@ -171,7 +175,7 @@
     /// Returns what callers may have after a position; none when the position is within a piece.
     pub(crate) fn after(&self, position: u32) -> Option<Rest> {
         let answer = lock(&self.answer);
-        let rest = Rest::new(&answer, answer.events(position));
+        let rest = Rest::new(&answer, answer.events(position), answer.ended());
         let first = rest.pieces.first();
         let first = first.map_or(position, |piece| piece.position.saturating_sub(piece.count));
         (first >= position).then_some(rest)
@@ -180,7 +184,7 @@
     /// Returns what the second holder lacks after a position.
     pub(crate) fn missing(&self, position: u32) -> Rest {
         let answer = lock(&self.answer);
-        Rest::new(&answer, answer.pieces(position).iter())
+        Rest::new(&answer, answer.pieces(position).iter(), answer.end_mark())
     }
 
     /// Returns a receiver that is told of each change from now on.
