Run one instance as a daemon

Cause: an instance must start from checked settings, say why it does not, and end gracefully at the platform's signal. Ruled out: taking signals after the start, because one that comes early would cut the start off; looking only at the settings file, because a key file that others can read or a bad table would stop the start one after the other. Conclusion: not yet tested: the second signal with a request in progress.

--- a/crates/verbenaslip-cli/src/args.rs
+++ b/crates/verbenaslip-cli/src/args.rs
@@ -240,11 +240,12 @@
 #[argh(
     example = "verbenaslipd --settings /etc/verbenaslip/entry-1.ini --check",
     error_code(0, "Stopped gracefully, or the settings are good."),
+    error_code(1, "The drain time was over with requests in progress."),
     error_code(2, "The command line was not understood."),
     error_code(3, "The settings, or a file that they name, have a problem; it did not start."),
     error_code(4, "It could not start: an address is taken or the data folder can't be used."),
     error_code(5, "Stopped at once by a second signal, with requests in progress."),
-    error_code(6, "Stopped by a fault in the program.")
+    error_code(6, "Stopped by a fault of the program or of the disk.")
 )]
 pub struct Daemon {
     /// settings file (INI)
--- a/crates/verbenaslip-cli/src/bin/verbenaslipd.rs
+++ b/crates/verbenaslip-cli/src/bin/verbenaslipd.rs
@@ -1,3 +1,13 @@
-//! Starts later.
+//! One instance as a process.
 
-fn main() {}
+use std::process::ExitCode;
+
+use verbenaslip_cli::args::{Daemon, parse};
+use verbenaslip_cli::daemon::run;
+
+fn main() -> ExitCode {
+    match parse::<Daemon>("verbenaslipd") {
+        Ok(args) => run(&args).into(),
+        Err(exit) => exit.into(),
+    }
+}
--- /dev/null
+++ b/crates/verbenaslip-cli/src/daemon/check.rs
@@ -0,0 +1,72 @@
+//! Looks for problems of the settings and of every file that they name.
+
+use std::fmt;
+use std::path::Path;
+
+use verbenaslip::keys::file::{File, word};
+use verbenaslip::settings::Settings;
+use verbenaslip_table::Table;
+
+/// Lists what is wrong, one problem a line.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Findings {
+    problems: Vec<String>,
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.problems.join("\n"))
+    }
+}
+
+impl std::error::Error for Findings {}
+
+/// Reads the settings and looks at each file that they name; changes nothing.
+///
+/// # Errors
+///
+/// Lists all problems of the settings or, if there are none, all of the files.
+pub fn check(path: &Path) -> Result<Settings, Findings> {
+    let settings =
+        Settings::read(path).map_err(|invalid| Findings { problems: vec![invalid.to_string()] })?;
+    let mut findings = Findings::default();
+    findings.keys(&settings);
+    findings.table(&settings);
+    findings.folder(&settings);
+    if findings.problems.is_empty() { Ok(settings) } else { Err(findings) }
+}
+
+impl Findings {
+    fn keys(&mut self, settings: &Settings) {
+        let files = &settings.files;
+        let files = [&files.team_keys, &files.operator_keys, &files.upstream_keys];
+        for path in files.into_iter().flatten() {
+            self.note(File::open(path).err());
+        }
+        self.note(settings.cluster.secret.as_ref().and_then(|path| word(path).err()));
+    }
+
+    fn table(&mut self, settings: &Settings) {
+        let Some(path) = &settings.files.initial_table else { return };
+        let name = path.display();
+        match std::fs::read(path) {
+            Ok(bytes) => {
+                self.note(Table::parse(&bytes).err().map(|error| format!("{name}: {error}")));
+            }
+            Err(error) => self.note(Some(format!("{name}: can't be read: {error}"))),
+        }
+    }
+
+    /// Looks whether the data folder, or the one in which it will be made, can be one.
+    fn folder(&mut self, settings: &Settings) {
+        let Some(path) = &settings.instance.data else { return };
+        let there = path.ancestors().find(|path| path.exists());
+        if there.is_none_or(|there| !there.is_dir()) {
+            self.note(Some(format!("{}: is no folder; correct [instance] data", path.display())));
+        }
+    }
+
+    fn note(&mut self, problem: Option<impl fmt::Display>) {
+        self.problems.extend(problem.map(|problem| problem.to_string()));
+    }
+}
--- a/crates/verbenaslip-cli/src/exit.rs
+++ b/crates/verbenaslip-cli/src/exit.rs
@@ -26,3 +26,28 @@
         Self::from(exit as u8)
     }
 }
+
+/// Lists how a daemon ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stop {
+    /// Stopped gracefully, or the check found nothing.
+    Graceful = 0,
+    /// The drain time was over with requests in progress.
+    TimedOut = 1,
+    /// The command line was not understood.
+    Usage = 2,
+    /// The settings, or a file that they name, have a problem; it did not start.
+    Settings = 3,
+    /// It could not start: an address is taken or the data folder can't be used.
+    NotStarted = 4,
+    /// Stopped at once by a second signal, with requests in progress.
+    AtOnce = 5,
+    /// Stopped by a fault: of the program, or of the disk.
+    Fault = 6,
+}
+
+impl From<Stop> for ExitCode {
+    fn from(stop: Stop) -> Self {
+        Self::from(stop as u8)
+    }
+}
--- a/crates/verbenaslip-cli/tests/help.rs
+++ b/crates/verbenaslip-cli/tests/help.rs
@@ -42,3 +42,8 @@
     let program = env!("CARGO_BIN_EXE_verbenaslip");
     insta::assert_snapshot!(lines.map(|line| says(program, line)).concat());
 }
+
+#[test]
+fn daemons_help() {
+    insta::assert_snapshot!(says(env!("CARGO_BIN_EXE_verbenaslipd"), &["--help"]));
+}
--- a/crates/verbenaslip/src/event/list.rs
+++ b/crates/verbenaslip/src/event/list.rs
@@ -116,7 +116,7 @@
     /// The daemon ended gracefully with exit code 0.
     1012 Info Stopped "stopped after {ran}" { ran: Duration }
     /// Somebody sent a second signal during the drain, so requests were cut off.
-    1013 Error StoppedAtOnce "stopped at once by a second signal with {left} requests in progress" { left: u64 }
+    1013 Error StoppedAtOnce "stopped at once by a second signal" {}
     /// A file of bearer keys was read, at the start or after a change.
     1014 Info KeysLoaded "{file} gives {keys} keys" { file: Arc<str>, keys: u64 }
     /// A changed file of keys can't be used; the instance goes on with the keys it has.
