Say why a daemon did not start as numbered events, and wait with fewer resends

Ruled out: asking the status in place of a resend, because only the leader knows who is behind. Change: the first question waits 1 s, each later one 8 s; status marks its own line; check takes the empty path as this folder (its test failed before with "data: is no folder"); each line names the instance; what stops a start is V1005, V1006 or V1018, also on standard error.

--- a/crates/verbenaslip-cli/src/command/status.rs
+++ b/crates/verbenaslip-cli/src/command/status.rs
@@ -84,13 +84,17 @@
 
 fn voter(progress: &Progress, log: &Log) -> [String; 4] {
     let vote = if progress.votes { "yes" } else { "not yet" };
+    let name = progress.voter.instance.to_string();
+    if progress.voter.instance == log.instance {
+        return [name, vote.into(), "-".into(), "this one".into()];
+    }
     let behind = match progress.matched.map(|matched| log.last.saturating_sub(matched)) {
         Some(0) => "-".into(),
         Some(entries) => format!("{entries} entries"),
         None => "?".into(),
     };
     let silent = progress.silent.map_or("?".into(), |silent| format!("{} ago", time(silent)));
-    [progress.voter.instance.to_string(), vote.into(), behind, silent]
+    [name, vote.into(), behind, silent]
 }
 
 /// Shows who may still serve by an older table, which only the leader knows.
--- a/crates/verbenaslip-cli/src/command/table/apply.rs
+++ b/crates/verbenaslip-cli/src/command/table/apply.rs
@@ -18,8 +18,10 @@
 use crate::exit::Exit;
 use crate::terminal::Terminal;
 
-/// How long one call waits at the instance before it says whom it waits for.
-const WAIT: Duration = Duration::from_secs(1);
+/// How long the first call waits at the instance before it says whom it waits for.
+const FIRST_WAIT: Duration = Duration::from_secs(1);
+/// How long each later call waits; each is a resend, which the audit trail notes.
+const WAIT: Duration = Duration::from_secs(8);
 /// How to find out after a lost answer.
 const HINT: &str = "\nRun the same command again: it is the same edit and is made once.";
 /// Statuses that say what became of the edit.
@@ -92,7 +94,7 @@
         client: &mut Client,
         terminal: &mut Terminal<'_>,
     ) -> Result<Applied, Error> {
-        let mut applied = self.once(args, end, client)?;
+        let mut applied = self.once(args, FIRST_WAIT, end, client)?;
         let mut told = Vec::new();
         while args.wait && !args.dry && !applied.in_force && Instant::now() < end {
             if applied.waiting != told {
@@ -101,7 +103,7 @@
                 told = applied.waiting.clone();
             }
             thread::sleep(PAUSE.min(end.saturating_duration_since(Instant::now())));
-            match self.once(args, end, client) {
+            match self.once(args, WAIT, end, client) {
                 Ok(newer) => applied = newer,
                 // The edit is accepted and stays so; only whether it is in force is not known.
                 Err(error) => {
@@ -114,9 +116,15 @@
     }
 
     /// Sends the edit once, or again where the answer was lost.
-    fn once(&self, args: &Apply, end: Instant, client: &mut Client) -> Result<Applied, Error> {
+    fn once(
+        &self,
+        args: &Apply,
+        wait: Duration,
+        end: Instant,
+        client: &mut Client,
+    ) -> Result<Applied, Error> {
         let left = end.saturating_duration_since(Instant::now());
-        let wait = if args.wait { WAIT.min(left) } else { Duration::ZERO };
+        let wait = if args.wait { wait.min(left) } else { Duration::ZERO };
         let (id, millis) = (encode(self.id.as_str()), wait.as_millis());
         let dry = if args.dry { "&dry=true" } else { "" };
         let path = format!("/v1/table?base={}&edit={id}&wait_ms={millis}{dry}", self.base);
--- a/crates/verbenaslip-cli/src/daemon.rs
+++ b/crates/verbenaslip-cli/src/daemon.rs
@@ -37,10 +37,14 @@
     };
     let settings = match check(path) {
         Ok(settings) => settings,
-        Err(findings) => {
+        Err(findings) if args.check => {
             eprintln!("{findings}");
             return Stop::Settings;
         }
+        Err(findings) => {
+            findings.events().for_each(|event| say(&event));
+            return Stop::Settings;
+        }
     };
     if args.check {
         println!("{}: good", path.display());
@@ -53,18 +57,18 @@
 fn start(settings: &Settings) -> Stop {
     let signals = match Signals::new([SIGTERM, SIGINT]) {
         Ok(signals) => signals,
-        Err(error) => return failed(&format!("signals can't be taken: {error}")),
+        Err(error) => return failed(settings, &format!("signals can't be taken: {error}")),
     };
-    if let Err(error) = logger::open(&settings.log) {
-        return failed(&error.to_string());
+    if let Err(error) = logger::open(&settings.log, &settings.instance.name) {
+        return failed(settings, &error.to_string());
     }
     report_panics();
     let server = match Server::open(settings) {
         Ok(server) => server,
-        Err(error) => return refused(&error),
+        Err(error) => return refused(settings, &error),
     };
     if let Err(error) = watch(signals, server.stopper()) {
-        return failed(&format!("the thread for signals can't be started: {error}"));
+        return failed(settings, &format!("the thread for signals can't be started: {error}"));
     }
     match server.wait() {
         Ended::Drained => Stop::Graceful,
@@ -107,17 +111,38 @@
 }
 
 /// Says why the instance did not start.
-fn refused(error: &Error) -> Stop {
-    eprintln!("verbenaslipd: {error}");
-    match error {
+fn refused(settings: &Settings, error: &Error) -> Stop {
+    let cause = || error.to_string().into();
+    let (event, stop) = match error {
         Error::Keys(_) | Error::TableFile(..) | Error::Table(..) | Error::Secret(..) => {
-            Stop::Settings
+            (Event::SettingsRefused { problem: cause() }, Stop::Settings)
         }
-        Error::Folder(_) | Error::Listen(..) | Error::Thread(_) => Stop::NotStarted,
-    }
+        Error::Listen(listener, address, error) => {
+            let cause = error.to_string().into();
+            let listener = (*listener).into();
+            (Event::ListenFailed { listener, address: *address, cause }, Stop::NotStarted)
+        }
+        Error::Folder(_) | Error::Thread(_) => {
+            (Event::StartFailed { cause: cause() }, Stop::NotStarted)
+        }
+    };
+    tell(settings, &event);
+    stop
 }
 
-fn failed(cause: &str) -> Stop {
-    eprintln!("verbenaslipd: {cause}");
+fn failed(settings: &Settings, cause: &str) -> Stop {
+    tell(settings, &Event::StartFailed { cause: cause.into() });
     Stop::NotStarted
 }
+
+/// Tells whoever started the daemon, and the log where that is another place.
+fn tell(settings: &Settings, event: &Event) {
+    if settings.log.folder.is_some() {
+        event.log();
+    }
+    say(event);
+}
+
+fn say(event: &Event) {
+    eprintln!("verbenaslipd: V{} {event}", event.entry().number);
+}
--- a/crates/verbenaslip-cli/src/daemon/check.rs
+++ b/crates/verbenaslip-cli/src/daemon/check.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::path::Path;
 
+use verbenaslip::event::Event;
 use verbenaslip::keys::file::{File, word};
 use verbenaslip::settings::Settings;
 use verbenaslip_table::Table;
@@ -13,6 +14,14 @@
     problems: Vec<String>,
 }
 
+impl Findings {
+    /// Returns each problem as the event that a daemon which does not start tells of.
+    pub(super) fn events(&self) -> impl Iterator<Item = Event> {
+        let problems = self.problems.iter().flat_map(|problem| problem.lines());
+        problems.map(|problem| Event::SettingsRefused { problem: problem.into() })
+    }
+}
+
 impl fmt::Display for Findings {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.problems.join("\n"))
@@ -60,8 +69,10 @@
     /// Looks whether the data folder, or the one in which it will be made, can be one.
     fn folder(&mut self, settings: &Settings) {
         let Some(path) = &settings.instance.data else { return };
-        let there = path.ancestors().find(|path| path.exists());
-        if there.is_none_or(|there| !there.is_dir()) {
+        // The last ancestor of a relative path is the empty one, which stands for this folder.
+        let mut ancestors = path.ancestors().filter(|path| !path.as_os_str().is_empty());
+        let there = ancestors.find(|path| path.exists()).unwrap_or(Path::new("."));
+        if !there.is_dir() {
             self.note(Some(format!("{}: is no folder; correct [instance] data", path.display())));
         }
     }
--- a/crates/verbenaslip-cli/tests/daemon.rs
+++ b/crates/verbenaslip-cli/tests/daemon.rs
@@ -178,6 +178,18 @@
     insta::assert_snapshot!([good, files, settings].join("\n"));
 }
 
+/// Symptom: good settings are refused because their data folder is no folder. Sequence: the check
+/// runs in the folder of the settings, and the path given is a bare file name. Cause: the folder of
+/// a bare name is the empty path, which does not exist.
+#[test]
+fn check_takes_a_settings_file_beside_it() {
+    let site = Site::new("beside");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_verbenaslipd"));
+    command.args(["--settings", "entry-1.ini", "--check"]).current_dir(&site.folder);
+    let output = command.output().expect("the daemon runs");
+    assert_eq!(output.status.code(), Some(0), "{}", shown(&output, &site.folder));
+}
+
 #[test]
 fn daemon_without_a_good_start_says_why() {
     let site = Site::new("start");
@@ -186,21 +198,24 @@
     drop(taken);
     assert_eq!(output.status.code(), Some(Stop::NotStarted as i32));
     let text = String::from_utf8_lossy(&output.stderr).into_owned();
-    assert!(text.contains(&format!("admin can't listen on {}", site.admin)), "{text}");
+    let expected = format!("verbenaslipd: V1006 admin can't listen on {}", site.admin);
+    assert!(text.contains(&expected), "{text}");
 
     site.write("table.csv", "team,class\n", 0o644);
     let output = site.daemon().output().expect("the daemon runs");
     assert_eq!(output.status.code(), Some(Stop::Settings as i32));
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(text.lines().all(|line| line.starts_with("verbenaslipd: V1005 ")), "{text}");
 
     let program = env!("CARGO_BIN_EXE_verbenaslipd");
-    let cases: [(&[&str], Stop); 4] = [
-        (&[], Stop::Usage),
-        (&["--setting", "x"], Stop::Usage),
-        (&["--settings", "/nowhere/a.ini"], Stop::Settings),
-        (&["--version"], Stop::Graceful),
+    let cases = [
+        (vec![], Stop::Usage),
+        (vec!["--setting", "x"], Stop::Usage),
+        (vec!["--settings", "/nowhere/a.ini"], Stop::Settings),
+        (vec!["--version"], Stop::Graceful),
     ];
     for (words, stop) in cases {
-        let output = Command::new(program).args(words).env_clear().output().expect("it runs");
+        let output = Command::new(program).args(&words).env_clear().output().expect("it runs");
         assert_eq!(output.status.code(), Some(stop as i32), "{words:?}");
     }
 }
--- a/crates/verbenaslip-cli/tests/operator.rs
+++ b/crates/verbenaslip-cli/tests/operator.rs
@@ -263,7 +263,9 @@
     let file = sheet("wait.csv", &rows(300));
     let done = at(&[instance.address], &["table", "apply", &file, "--wait"]);
     let seen = instance.seen();
-    assert!(seen[1..].iter().all(|post| post == &seen[1]), "each call is the same edit: {seen:?}");
+    let same = |post: &String| edit(post) == edit(&seen[1]) && post.contains("?base=5&");
+    assert!(seen[1..].iter().all(same), "each call is the same edit: {seen:?}");
+    assert!(seen[1].contains("wait_ms=1000") && seen[2].contains("wait_ms=8000"), "{seen:?}");
     insta::assert_snapshot!(done.shown(&[(edit(&seen[1]).to_owned(), "ID")]));
 }
 
@@ -408,6 +410,7 @@
         lease: Some(Duration::from_millis(900)),
         joint: true,
         voters: vec![
+            progress("entry-1", None, None),
             progress("entry-2", Some(40), Some(12)),
             progress("entry-3", Some(30), Some(8_000)),
             progress("entry-4", None, None),
--- a/crates/verbenaslip/src/event.rs
+++ b/crates/verbenaslip/src/event.rs
@@ -53,6 +53,7 @@
         let number = format!("V{}", entry.number);
         let fields = self.fields();
         let mut pairs = vec![("event", number.as_str())];
+        pairs.extend(logger::instance().map(|instance| ("by", instance.as_str())));
         pairs.extend(fields.iter().map(|(name, value)| (*name, value.as_str())));
         let pairs = pairs.as_slice();
         let mut record = Record::builder();
--- a/crates/verbenaslip/src/event/list.rs
+++ b/crates/verbenaslip/src/event/list.rs
@@ -125,6 +125,8 @@
     1016 Warn LeftOut "{count} more of V{number} were left out in the last {window}" { number: u64, count: u64, window: Duration }
     /// A thread of the daemon ended by a fault in the program; the instance stops rather than serve by halves.
     1017 Error ThreadLost "thread {thread} ended: {cause}" { thread: Arc<str>, cause: Arc<str> }
+    /// The data folder could not be used, or the system refused a thread, so the daemon did not start.
+    1018 Error StartFailed "could not start: {cause}" { cause: Arc<str> }
 
     // Other instances.
     /// A connection to another instance works.
--- a/crates/verbenaslip/src/event/logger.rs
+++ b/crates/verbenaslip/src/event/logger.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::path::Path;
+use std::sync::OnceLock;
 
 use displaydoc::Display;
 use log4rs::Handle;
@@ -16,6 +17,8 @@
 use log4rs::encode::json::JsonEncoder;
 use log4rs::encode::pattern::PatternEncoder;
 
+use verbenaslip_base::name::Instance;
+
 use crate::settings::section::Log;
 use crate::settings::value::Format;
 
@@ -25,20 +28,30 @@
 const FILE_MAX: u64 = 64 << 20;
 /// How many files put aside are kept.
 const FILES: u32 = 4;
-/// A line: time, level, thread (which names the instance), text.
-const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3f%:z)} {l:<5} {T} {m}{n}";
+/// A line: time, level, and after the instance's name the thread and the text.
+const HEAD: &str = "{d(%Y-%m-%dT%H:%M:%S%.3f%:z)} {l:<5} ";
+/// The end of a line.
+const TAIL: &str = "/{T} {m}{n}";
+
+/// The instance of this process, which each event names so that lines of several can be merged.
+static INSTANCE: OnceLock<Instance> = OnceLock::new();
 
-/// Sends all log lines of this process where the settings say; the handle lets them be changed.
+/// Sends all log lines of this process, which runs one instance, where the settings say; the handle
+/// lets them be changed.
 ///
 /// # Errors
 ///
 /// Says which step failed: the folder can't be written, or the process has a logger already.
-pub fn open(settings: &Log) -> Result<Handle, Error> {
+pub fn open(settings: &Log, instance: &Instance) -> Result<Handle, Error> {
+    let instance = INSTANCE.get_or_init(|| instance.clone());
     let appender: Box<dyn Append> = match &settings.folder {
         None => Box::new(
-            ConsoleAppender::builder().target(Target::Stderr).encoder(encoder(settings)).build(),
+            ConsoleAppender::builder()
+                .target(Target::Stderr)
+                .encoder(encoder(settings, instance))
+                .build(),
         ),
-        Some(folder) => Box::new(file(folder, encoder(settings))?),
+        Some(folder) => Box::new(file(folder, encoder(settings, instance))?),
     };
     let config = Config::builder()
         .appender(Appender::builder().build("all", appender))
@@ -66,9 +79,14 @@
 
 impl std::error::Error for Error {}
 
-fn encoder(settings: &Log) -> Box<dyn Encode> {
+/// Returns the instance of this process; none when it is embedded in another program.
+pub(super) fn instance() -> Option<&'static Instance> {
+    INSTANCE.get()
+}
+
+fn encoder(settings: &Log, instance: &Instance) -> Box<dyn Encode> {
     match settings.format {
-        Format::Text => Box::new(PatternEncoder::new(PATTERN)),
+        Format::Text => Box::new(PatternEncoder::new(&format!("{HEAD}{instance}{TAIL}"))),
         Format::Json => Box::new(JsonEncoder::new()),
     }
 }
--- a/crates/verbenaslip/tests/event_file.rs
+++ b/crates/verbenaslip/tests/event_file.rs
@@ -16,7 +16,7 @@
     let _ = fs::remove_dir_all(&folder);
     let settings =
         Log { folder: Some(folder.clone()), level: LevelFilter::Info, format: Format::Json };
-    logger::open(&settings).expect("the folder can be written");
+    logger::open(&settings, &"entry-1".into()).expect("the folder can be written");
     Event::Ready { revision: 12 }.log();
     Event::TokenDropped {
         request: verbenaslip_base::attempt::Request(1),
@@ -32,6 +32,7 @@
     assert_eq!(lines[0]["level"], "INFO");
     assert_eq!(lines[0]["message"], "V1003 ready with table revision 12");
     assert_eq!(lines[0]["attributes"]["event"], "V1003");
+    assert_eq!(lines[0]["attributes"]["by"], "entry-1");
     assert_eq!(lines[0]["attributes"]["revision"], "12");
     assert_eq!(lines[1]["attributes"]["peer"], "entry-2");
 }
