--- a/crates/verbenaslip-lab/src/contract/callers.rs
+++ b/crates/verbenaslip-lab/src/contract/callers.rs
@@ -52,7 +52,11 @@
             key,
         ),
         authorized(Case::new("a model that nobody has", "POST", CHAT, 503), key)
-            .body(&json!({"model": "nobody", "messages": [], "max_tokens": 1}))
+            .body(&json!({
+                "model": "nobody",
+                "messages": [{"role": "user", "content": "a"}],
+                "max_tokens": 1,
+            }))
             .header("verbenaslip-outcome", "not-run")
             .is("/error/type", "not_run"),
     ]
