Let a gap in the cache events cost what it lost

Ruled out: the hints of own dispatches, which faded alike. Change: numbered events tell how many were lost, and trust falls by their share; the known beginning of a prompt is found by halving.

--- a/crates/verbenaslip-policy/benches/bench/world.rs
+++ b/crates/verbenaslip-policy/benches/bench/world.rs
@@ -76,7 +76,7 @@
     policy: Box<dyn Policy>,
     rng: Pcg64Mcg,
     batches: Vec<VecDeque<Load>>,
-    counts: Vec<u64>,
+    counts: Vec<(u64, u64)>,
     seen: BTreeSet<u64>,
     pub(super) least: u64,
     pub(super) again: u64,
@@ -162,14 +162,14 @@
         let speed = if service {
             Speed { base: 0.020, crowding: 0.002, prefill: 20_000.0, blocks: 1 }
         } else {
-            Speed { base: 0.018, crowding: 0.0012, prefill: 8_000.0, blocks: 5_000 }
+            Speed { base: 0.018, crowding: 0.0012, prefill: 8_000.0, blocks: 20_000 }
         };
         let index = self.engines.len();
         self.names.insert(announcement.upstream.clone(), index);
         self.policy.announce(self.now, &announcement);
         self.engines.push(Engine::new(announcement, speed));
         self.batches.push(VecDeque::new());
-        self.counts.push(0);
+        self.counts.push((0, 0));
         let offset = Duration::from_millis(37 * index as u64 % 500);
         self.at(self.now + offset, Event::Report(index));
     }
@@ -389,12 +389,13 @@
             return;
         }
         let changes = std::mem::take(&mut engine.events);
-        self.counts[index] += 1;
-        let count = self.counts[index];
+        self.counts[index].0 += 1;
+        self.counts[index].1 += changes.len() as u64;
+        let (count, next) = self.counts[index];
         if count.is_multiple_of(12) {
             return;
         }
-        let batch = Batch { next: count, gap: count % 12 == 1 && count > 1, changes };
+        let batch = Batch { next, gap: count % 12 == 1 && count > 1, changes };
         self.at(self.now + seconds(2.0), Event::Cache(index, batch));
     }
 
--- a/crates/verbenaslip-policy/benches/policy.rs
+++ b/crates/verbenaslip-policy/benches/policy.rs
@@ -28,7 +28,8 @@
         workload.callers.iter().map(|caller| caller.head.class.to_string()).collect();
     classes.sort();
     classes.dedup();
-    for name in bench::POLICIES {
+    let only = std::env::args().any(|arg| arg == "--ours");
+    for name in bench::POLICIES.into_iter().take(if only { 1 } else { 4 }) {
         let start = Instant::now();
         let m = bench::run(workload, name, fault);
         let by: Vec<String> = classes
--- a/crates/verbenaslip-policy/src/route/cache.rs
+++ b/crates/verbenaslip-policy/src/route/cache.rs
@@ -9,17 +9,17 @@
 
 /// How sure an own dispatch makes that its blocks are cached afterwards.
 const HINT: f32 = 0.9;
-/// What remains of the trust in every block when events are lost in a gap.
-const AFTER_GAP: f32 = 0.7;
+/// The part of lost events that are thought to be evictions.
+const EVICTIONS: f32 = 0.5;
 /// The trust below which a block no longer counts.
 const DOUBT: f32 = 0.3;
-/// The most gaps that matter; after these no block is trusted any more.
-const MOST_GAPS: u32 = 8;
+/// The fewest blocks against which lost events are weighed.
+const FEWEST: usize = 64;
 
-/// Carries cache events of an upstream.
+/// Carries cache events of an upstream, numbered without holes.
 #[data]
 pub struct Batch {
-    /// The next sequence number that the upstream will use.
+    /// The number after the last of these events.
     pub next: u64,
     /// Whether events before these were lost.
     pub gap: bool,
@@ -43,7 +43,7 @@
     blocks: BTreeMap<u64, Known>,
     ages: BTreeMap<u64, u64>,
     clock: u64,
-    gaps: u32,
+    lost: u64,
     next: u64,
 }
 
@@ -52,20 +52,21 @@
 struct Known {
     used: u64,
     trust: f32,
-    gaps: u32,
+    lost: u64,
 }
 
 impl Cache {
     /// Starts empty, for so many blocks at most.
     pub fn new(most: usize) -> Self {
         let (blocks, ages) = (BTreeMap::new(), BTreeMap::new());
-        Self { most: most.max(1), blocks, ages, clock: 0, gaps: 0, next: 0 }
+        Self { most: most.max(1), blocks, ages, clock: 0, lost: 0, next: 0 }
     }
 
     /// Takes events; those that were taken before are taken again without harm.
     pub fn events(&mut self, batch: &Batch) {
         if batch.gap {
-            self.gaps = self.gaps.saturating_add(1);
+            let first = batch.next.saturating_sub(batch.changes.len() as u64);
+            self.lost = self.lost.saturating_add(first.saturating_sub(self.next).max(1));
         }
         self.next = self.next.max(batch.next);
         for change in &batch.changes {
@@ -89,19 +90,17 @@
     pub fn clear(&mut self) {
         self.blocks.clear();
         self.ages.clear();
-        self.gaps = 0;
+        self.lost = 0;
         self.next = 0;
     }
 
     /// Returns the tokens of a prompt that are expected to be cached.
     pub fn tokens(&self, prefix: &[u64]) -> f64 {
-        // A block's hash covers all before it, so the longest known one says it all.
-        let known = prefix.iter().enumerate().rev().find_map(|(index, block)| {
-            let trust = self.trust(*block);
-            (trust >= DOUBT).then_some((index, trust))
-        });
-        let Some((index, trust)) = known else { return 0.0 };
-        (index as f64 + 1.0) * f64::from(BLOCK_TOKENS) * f64::from(trust)
+        // A block is only cached with all before it, so the known ones form a beginning whose end
+        // is found in few steps; a hole that a lost event has left may shorten it.
+        let known = prefix.partition_point(|block| self.trust(*block) >= DOUBT);
+        let Some(last) = known.checked_sub(1).and_then(|last| prefix.get(last)) else { return 0.0 };
+        known as f64 * f64::from(BLOCK_TOKENS) * f64::from(self.trust(*last))
     }
 
     /// Returns the sequence from which events are asked for next.
@@ -127,16 +126,14 @@
 
     fn trust(&self, block: u64) -> f32 {
         let Some(known) = self.blocks.get(&block) else { return 0.0 };
-        let gaps = self.gaps.saturating_sub(known.gaps);
-        if gaps >= MOST_GAPS {
-            return 0.0;
-        }
-        known.trust * AFTER_GAP.powi(gaps as i32)
+        // Each lost event may have evicted any of the blocks, so trust falls by their share of all.
+        let lost = self.lost.saturating_sub(known.lost) as f32 * EVICTIONS;
+        known.trust * (1.0 - lost / self.blocks.len().max(FEWEST) as f32).max(0.0)
     }
 
     fn put(&mut self, block: u64, trust: f32) {
         self.clock += 1;
-        let known = Known { used: self.clock, trust, gaps: self.gaps };
+        let known = Known { used: self.clock, trust, lost: self.lost };
         if let Some(old) = self.blocks.insert(block, known) {
             self.ages.remove(&old.used);
         }
