Keep ended runs apart from those that go on

Cause: every step of the batch walked over all runs of the last minute. Change: ended runs lie in a map of their own, in the order of their ends.

--- a/crates/verbenaslip-lab/src/engine/run.rs
+++ b/crates/verbenaslip-lab/src/engine/run.rs
@@ -55,8 +55,6 @@
     Prefill(Duration),
     /// Generates.
     Decode,
-    /// Ended at a time.
-    Ended(Duration),
 }
 
 /// Says how far a run is.
@@ -74,16 +72,6 @@
         matches!(self.phase, Phase::Prefill(_) | Phase::Decode)
     }
 
-    /// Says whether it has ended.
-    pub(crate) fn ended(&self) -> bool {
-        matches!(self.phase, Phase::Ended(_))
-    }
-
-    /// Says whether it does not obey a cancel.
-    pub(crate) fn deaf(&self) -> bool {
-        self.deaf
-    }
-
     /// Generates one token; says whether the answer is whole.
     pub(crate) fn generate(&mut self) -> bool {
         self.truth.position += 1;
@@ -93,8 +81,7 @@
     }
 
     /// Ends it.
-    pub(crate) fn end(&mut self, now: Duration, unix: u64, end: End) {
-        self.phase = Phase::Ended(now);
+    pub(crate) fn end(&mut self, unix: u64, end: End) {
         self.truth.end = Some(end);
         self.truth.ended_ms = Some(unix);
         self.progress.send_modify(|progress| progress.end = Some(end));
--- a/crates/verbenaslip-lab/src/engine/serve.rs
+++ b/crates/verbenaslip-lab/src/engine/serve.rs
@@ -108,11 +108,11 @@
         let key = key_of(request, attempt)?;
         let now = self.now();
         let mut state = self.state();
-        let deaf = state.runs.get(&key).is_some_and(super::run::Run::deaf);
-        let cancelled = if deaf {
-            state.runs.get(&key).is_some_and(|run| !run.ended())
-        } else {
-            state.end(now, unix(), key, End::Cancelled)
+        let cancelled = match state.cancellable(key) {
+            // A deaf run says that it is cancelled, and goes on.
+            Some(false) => true,
+            Some(true) => state.end(now, unix(), key, End::Cancelled),
+            None => false,
         };
         drop(state);
         self.wake.notify_one();
--- a/crates/verbenaslip-lab/src/engine/state.rs
+++ b/crates/verbenaslip-lab/src/engine/state.rs
@@ -20,7 +20,12 @@
 /// Holds everything that an engine knows; all its time is handed in.
 pub(crate) struct State {
     pub(crate) setup: Setup,
-    pub(crate) runs: BTreeMap<Key, Run>,
+    /// The runs that have not ended.
+    runs: BTreeMap<Key, Run>,
+    /// The runs that have ended and can be read again.
+    ended: BTreeMap<Key, Run>,
+    /// The same in the order of their ends.
+    ends: VecDeque<(Duration, Key)>,
     pub(crate) cache: Cache,
     pub(crate) faults: Faults,
     pub(crate) book: Book,
@@ -79,6 +84,8 @@
             faults: Faults::default(),
             shelf: Shelf::default(),
             runs: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            ends: VecDeque::new(),
             leaving: None,
             leaving_ms: None,
             refused: 0,
@@ -99,7 +106,7 @@
         if self.leaving.is_some_and(|leaving| leaving.until.is_none()) {
             return Err(Refused::Leaving);
         }
-        if self.runs.contains_key(&order.key) {
+        if self.find(order.key).is_some() {
             return Err(Refused::Known);
         }
         let block = match &order.handle {
@@ -113,6 +120,11 @@
         Ok(())
     }
 
+    /// Returns a run that is known.
+    pub(crate) fn find(&mut self, key: Key) -> Option<&mut Run> {
+        self.runs.get_mut(&key).or_else(|| self.ended.get_mut(&key))
+    }
+
     fn run(&mut self, now: Duration, unix: u64, order: Order, block: Option<&Block>) -> Run {
         let seed = text::seed(&order.prompt);
         let imported = block.map(|block| block.position);
@@ -179,11 +191,8 @@
 
     /// Ends a run; says whether it was still going on.
     pub(crate) fn end(&mut self, now: Duration, unix: u64, key: Key, end: End) -> bool {
-        let Some(run) = self.runs.get_mut(&key) else { return false };
-        if run.ended() {
-            return false;
-        }
-        run.end(now, unix, end);
+        let Some(mut run) = self.runs.remove(&key) else { return false };
+        run.end(unix, end);
         if run.truth.began_ms.is_some() {
             let text = format!(
                 "{}{}",
@@ -193,13 +202,15 @@
             let blocks = text::blocks(&text);
             self.cache.store(now, &blocks);
         }
+        self.ended.insert(key, run);
+        self.ends.push_back((now, key));
         true
     }
 
     /// Ends a run and keeps its KV cache to be handed on.
     pub(crate) fn export(&mut self, now: Duration, unix: u64, key: Key) -> Option<Block> {
         let run = self.runs.get(&key)?;
-        if run.ended() || run.truth.began_ms.is_none() || run.phase != Phase::Decode {
+        if run.phase != Phase::Decode {
             return None;
         }
         let block = Block {
@@ -216,7 +227,8 @@
     /// Tells what was done.
     pub(crate) fn truth(&self) -> Truth {
         let mut runs = self.past.clone();
-        runs.extend(self.runs.values().map(|run| run.truth.clone()));
+        let known = self.ended.values().chain(self.runs.values());
+        runs.extend(known.map(|run| run.truth.clone()));
         Truth {
             name: self.setup.upstream.to_string(),
             leaving_ms: self.leaving_ms,
@@ -225,9 +237,14 @@
         }
     }
 
+    /// Says whether a run goes on, and whether it obeys a cancel.
+    pub(crate) fn cancellable(&self, key: Key) -> Option<bool> {
+        self.runs.get(&key).map(|run| !run.deaf)
+    }
+
     /// Returns how many runs have not ended.
     pub(crate) fn open(&self) -> usize {
-        self.runs.values().filter(|run| !run.ended()).count()
+        self.runs.len()
     }
 
     /// Measures the load.
@@ -265,18 +282,15 @@
 
     fn abandon(&mut self, now: Duration, unix: u64) {
         let grace = self.setup.grace;
-        let unread = |run: &Run| !run.ended() && run.readers == 0 && run.left + grace <= now;
+        let unread = |run: &Run| run.readers == 0 && run.left + grace <= now;
         let keys: Vec<Key> =
             self.runs.iter().filter(|(_, run)| unread(run)).map(|(key, _)| *key).collect();
         for key in keys {
             self.end(now, unix, key, End::Abandoned);
         }
-        let keep = self.setup.keep;
-        let old = |run: &Run| matches!(run.phase, Phase::Ended(at) if at + keep <= now);
-        let keys: Vec<Key> =
-            self.runs.iter().filter(|(_, run)| old(run)).map(|(key, _)| *key).collect();
-        for key in keys {
-            self.past.extend(self.runs.remove(&key).map(|run| run.truth));
+        while self.ends.front().is_some_and(|(at, _)| *at + self.setup.keep <= now) {
+            let Some((_, key)) = self.ends.pop_front() else { return };
+            self.past.extend(self.ended.remove(&key).map(|run| run.truth));
         }
     }
 
@@ -349,7 +363,7 @@
                 Phase::Prefill(until) => Some(until),
                 Phase::Decode => Some(token()),
                 Phase::Waiting if run.readers == 0 => Some(run.left + self.setup.grace),
-                Phase::Waiting | Phase::Ended(_) => None,
+                Phase::Waiting => None,
             })
             .min()
     }
--- a/crates/verbenaslip-lab/src/engine/stream.rs
+++ b/crates/verbenaslip-lab/src/engine/stream.rs
@@ -33,7 +33,7 @@
     /// Begins to read a run after a position; none if the run is not known.
     pub(crate) fn open(core: &Arc<Core>, key: Key, from: Option<u32>) -> Option<Self> {
         let mut state = core.state();
-        let run = state.runs.get_mut(&key)?;
+        let run = state.find(key)?;
         run.readers += 1;
         // A flaw concerns a run's first connection; a rejoin gets the run itself.
         let flaw = if from.is_none() { run.flaw.take() } else { None };
@@ -149,7 +149,7 @@
 impl Drop for Reader {
     fn drop(&mut self) {
         let now: Duration = self.core.now();
-        if let Some(run) = self.core.state().runs.get_mut(&self.key) {
+        if let Some(run) = self.core.state().find(self.key) {
             run.readers = run.readers.saturating_sub(1);
             run.left = now;
         }
