Measure times with a histogram of a fixed range

Cause: every percentile in the report was 0, because a histogram that grows by itself stays at its first size when it records saturating. Change: a fixed range of an hour.

--- a/crates/verbenaslip-lab/src/load/report.rs
+++ b/crates/verbenaslip-lab/src/load/report.rs
@@ -127,7 +127,10 @@
 /// Returns a histogram of microseconds with three digits.
 pub(crate) fn histogram(values: impl IntoIterator<Item = u64>) -> Histogram<u64> {
     const DIGITS: u8 = 3;
-    let mut histogram = Histogram::new(DIGITS).expect("three digits are allowed");
+    // One that grows by itself saturates at its first size, 2, when it records saturating.
+    const HOUR: u64 = 3_600_000_000;
+    let mut histogram =
+        Histogram::new_with_max(HOUR, DIGITS).expect("three digits up to an hour are allowed");
     for value in values {
         histogram.saturating_record(value.max(1));
     }
--- a/crates/verbenaslip-lab/tests/load.rs
+++ b/crates/verbenaslip-lab/tests/load.rs
@@ -8,7 +8,7 @@
 use verbenaslip_lab::engine::truth::{Run, Start, Truth};
 use verbenaslip_lab::load::outcome::{End, Outcome};
 use verbenaslip_lab::load::plan::{Plan, Work};
-use verbenaslip_lab::load::report::Report;
+use verbenaslip_lab::load::report::{Percentiles, Report};
 use verbenaslip_lab::load::verdict::Verdict;
 use verbenaslip_lab::load::{self, plot};
 
@@ -205,3 +205,14 @@
         matches: true,
     }
 }
+
+#[test]
+fn percentiles_are_those_of_the_values() {
+    // Symptom: every time in the report is 0. Sequence: any run. Cause: a histogram that grows by
+    // itself does not grow when it records saturating, so that all values fell into its first size.
+    let times = Percentiles::new((1..=1_000).map(|value| value * 1_000));
+    let near = |found: u64, due: u64| found.abs_diff(due) <= due / 500;
+    assert_eq!(times.count, 1_000);
+    assert!(near(times.p50, 500_000) && near(times.p95, 950_000), "{times:?}");
+    assert!(near(times.p99, 990_000) && near(times.max, 1_000_000), "{times:?}");
+}
