Show the whole system at work in one process

Cause: a newcomer should see in half a minute what the system does. Change: the demo command: three instances, four engines, a service and a cloud over loopback sockets; callers, one streamed answer whose engine is taken half-way, one edited row, and a table of what came of it. It exits with 1 when a point does not hold. Beside it: ready waits for instances, and the cloud stand-in adopts what runs already.

--- a/crates/verbenaslip-lab/src/command/ask.rs
+++ b/crates/verbenaslip-lab/src/command/ask.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use argh::FromArgs;
 use serde_json::{Value, json};
@@ -14,6 +14,9 @@
 /// How long an answer may take.
 const PATIENCE: Duration = Duration::from_secs(5);
 
+/// Time between two looks.
+const LOOK: Duration = Duration::from_millis(50);
+
 /// Ask the cloud stand-in to take back a machine, an instance or a whole availability zone.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "reclaim")]
@@ -32,6 +35,18 @@
     notice_ms: u64,
 }
 
+/// Wait until instances are ready; exits with 1 when they are not.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "ready")]
+pub(crate) struct Ready {
+    /// admin address of an instance; may be given many times
+    #[argh(option)]
+    admin: Vec<SocketAddr>,
+    /// seconds to wait at most
+    #[argh(option, default = "20")]
+    seconds: u64,
+}
+
 /// Set a fault at a model engine or plain service stand-in.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "fault")]
@@ -44,6 +59,28 @@
     fault: String,
 }
 
+impl Ready {
+    pub(crate) fn run(&self) -> Result<bool, Error> {
+        let runtime = runtime()?;
+        let start = Instant::now();
+        for admin in &self.admin {
+            while !runtime.block_on(is_ready(*admin)) {
+                if start.elapsed() > Duration::from_secs(self.seconds) {
+                    eprintln!("verbenaslip-lab: {admin} is not ready");
+                    return Ok(false);
+                }
+                std::thread::sleep(LOOK);
+            }
+        }
+        Ok(true)
+    }
+}
+
+async fn is_ready(admin: SocketAddr) -> bool {
+    let answer = client::ask(admin, &Call::get("/readyz"), PATIENCE).await;
+    answer.is_ok_and(|answer| answer.status.is_success())
+}
+
 impl Reclaim {
     pub(crate) fn run(&self) -> Result<bool, Error> {
         let body = json!({"name": self.name, "zone": self.zone, "notice_ms": self.notice_ms});
@@ -60,12 +97,15 @@
 }
 
 fn post(address: SocketAddr, path: &str, body: &Value) -> Result<bool, Error> {
-    let runtime = runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|error| Error::failed("start", error))?;
-    let answer = runtime.block_on(client::ask(address, &Call::post(path, body), PATIENCE));
+    let answer = runtime()?.block_on(client::ask(address, &Call::post(path, body), PATIENCE));
     let answer = answer.map_err(|failure| {
         Error::failed(&address.to_string(), io::Error::other(format!("{failure:?}")))
     })?;
     println!("{}", String::from_utf8_lossy(&answer.body));
     Ok(answer.status.is_success())
 }
+
+fn runtime() -> Result<runtime::Runtime, Error> {
+    let runtime = runtime::Builder::new_current_thread().enable_all().build();
+    runtime.map_err(|error| Error::failed("start", error))
+}
--- a/crates/verbenaslip-lab/src/command/mod.rs
+++ b/crates/verbenaslip-lab/src/command/mod.rs
@@ -11,6 +11,7 @@
 use argh::FromArgs;
 
 pub use self::values::Error;
+use crate::demo;
 
 /// Runs stand-ins for model engines, plain services, the cloud and the weight store, and the
 /// callers' load tool. A stand-in prints `ready {...}` with its address once it listens, and runs
@@ -31,9 +32,16 @@
     Load(call::Load),
     Judge(call::Judge),
     Reclaim(ask::Reclaim),
+    Ready(ask::Ready),
     Fault(ask::Fault),
+    Demo(Demo),
 }
 
+/// See the whole system at work in one process: callers, a stream that moves, an edit of the table.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "demo")]
+struct Demo {}
+
 /// Exit code when something does not hold.
 const BROKEN: u8 = 1;
 
@@ -50,7 +58,9 @@
         Command::Load(command) => command.run(),
         Command::Judge(command) => command.run(),
         Command::Reclaim(command) => command.run(),
+        Command::Ready(command) => command.run(),
         Command::Fault(command) => command.run(),
+        Command::Demo(_) => demo::run().map_err(|error| Error::failed("demo", error)),
     };
     match result {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/verbenaslip-lab/src/command/stand.rs
+++ b/crates/verbenaslip-lab/src/command/stand.rs
@@ -1,5 +1,6 @@
 //! Commands that run one stand-in as a process.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -8,7 +9,7 @@
 use verbenaslip_base::name::Model;
 
 use super::process::Process;
-use super::values::{Error, Values};
+use super::values::{Error, Read, Values};
 use crate::engine::setup::Announce;
 use crate::{cloud, engine, service, weights};
 
@@ -46,7 +47,8 @@
     /// INI file; the sections [cloud] and [engine] are read
     #[argh(option)]
     settings: Option<String>,
-    /// key=value above the file: listen, zones, start, capacity, truth
+    /// key=value above the file: listen, zones, start, capacity, truth, and adopt: what runs already
+    /// and may be taken, as name@zone@address with commas between
     #[argh(option)]
     set: Vec<String>,
 }
@@ -104,6 +106,8 @@
         values.take("truth", &mut truth)?;
         values.take("zones", &mut zones)?;
         values.take("capacity", &mut capacity)?;
+        let mut adopted: Vec<Adopted> = Vec::new();
+        values.take("adopt", &mut adopted)?;
         let zones: Vec<&str> = zones.iter().map(String::as_str).collect();
         let mut setup = cloud::Setup::new(&zones);
         setup.offers.iter_mut().for_each(|offer| offer.capacity = capacity);
@@ -113,6 +117,9 @@
         setup.engine = engine_setup(Values::read("engine", file, &[])?)?;
         let process = open()?;
         let cloud = cloud::Cloud::spawn(setup).map_err(|error| Error::failed("listen", error))?;
+        for one in &adopted {
+            cloud.adopt(&one.name, &one.zone, one.address);
+        }
         let ready = json!({"address": cloud.address()});
         let served = process.serve(&ready, truth.as_deref(), || cloud.truths(), || false);
         served.map_err(|error| Error::failed("serve", error)).map(|()| true)
@@ -136,6 +143,27 @@
     }
 }
 
+/// Names something that runs already and may be taken.
+struct Adopted {
+    name: String,
+    zone: String,
+    address: Option<SocketAddr>,
+}
+
+impl Read for Adopted {
+    const ALLOWED: &'static str = "such as engine-1@north@127.0.0.1:8080 or entry-1@north";
+
+    fn read(text: &str) -> Option<Self> {
+        let mut parts = text.split('@');
+        let (name, zone) = (parts.next()?.to_owned(), parts.next()?.to_owned());
+        let address = match parts.next() {
+            Some(address) => Some(address.parse().ok()?),
+            None => None,
+        };
+        Some(Self { name, zone, address })
+    }
+}
+
 fn open() -> Result<Process, Error> {
     Process::open().map_err(|error| Error::failed("signals", error))
 }
--- /dev/null
+++ b/crates/verbenaslip-lab/src/demo/place.rs
@@ -0,0 +1,96 @@
+//! The folder, the keys, the table and the ports of a demo.
+
+use std::fs::{self, OpenOptions};
+use std::io::{self, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::{Path, PathBuf};
+
+use super::cast::ZONES;
+
+/// The key of the team that calls.
+pub(crate) const TEAM_KEY: &str = "demo-key-of-the-charterers";
+
+/// The key of another team that calls.
+pub(crate) const OTHER_KEY: &str = "demo-key-of-the-port-agents";
+
+/// The operators' key.
+pub(crate) const OPERATOR_KEY: &str = "demo-key-of-the-operators";
+
+/// The upstreams' key.
+pub(crate) const UPSTREAM_KEY: &str = "demo-key-of-the-upstreams";
+
+/// The table with which the demo begins.
+const TABLE: &str = "\
+team,class,weight,priority,rate,burst,concurrency,tokens_per_s,deadline_ms,first_token_ms,\
+max_output_tokens,max_wait_ms,retries_percent,reserve_percent,prefer,note
+charterers,*,100,5,,100,1000,,20000,1400,4096,5000,10,0,cost,large drafting jobs
+charterers,check,100,7,,100,1000,,10000,1400,4096,5000,10,0,latency,small checks
+port-agents,*,50,5,,100,1000,,20000,1400,4096,5000,10,0,cost,explanations and orders
+";
+
+/// Read and write for the owner alone, as key files must be.
+const SECRET_MODE: u32 = 0o600;
+
+/// Holds the folder of a demo, which is removed with it.
+pub(crate) struct Place {
+    folder: PathBuf,
+    /// Where each instance listens.
+    pub(crate) ports: Vec<Ports>,
+}
+
+/// Holds the addresses of one instance.
+#[derive(Clone, Copy)]
+pub(crate) struct Ports {
+    pub(crate) callers: SocketAddr,
+    pub(crate) admin: SocketAddr,
+    pub(crate) peers: SocketAddr,
+}
+
+impl Place {
+    /// Lays out a new folder.
+    pub(crate) fn open() -> io::Result<Self> {
+        let folder = std::env::temp_dir().join(format!("verbenaslip-demo-{}", std::process::id()));
+        fs::create_dir_all(&folder)?;
+        let place = Self { folder, ports: ports(ZONES.len())? };
+        place.secret("teams", &format!("charterers {TEAM_KEY}\nport-agents {OTHER_KEY}\n"))?;
+        place.secret("operators", &format!("demo {OPERATOR_KEY}\n"))?;
+        place.secret("upstreams", &format!("demo {UPSTREAM_KEY}\n"))?;
+        fs::write(place.path("table.csv"), TABLE)?;
+        Ok(place)
+    }
+
+    /// Returns the path of something in the folder.
+    pub(crate) fn path(&self, name: impl AsRef<Path>) -> PathBuf {
+        self.folder.join(name)
+    }
+
+    fn secret(&self, name: &str, text: &str) -> io::Result<()> {
+        let mut options = OpenOptions::new();
+        options.write(true).create(true).truncate(true).mode(SECRET_MODE);
+        options.open(self.path(name))?.write_all(text.as_bytes())
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        fs::remove_dir_all(&self.folder).ok();
+    }
+}
+
+/// Finds free ports: all are held at once so that none comes twice.
+fn ports(instances: usize) -> io::Result<Vec<Ports>> {
+    let bind = || TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+    let mut held = Vec::new();
+    for _ in 0..instances {
+        held.push([bind()?, bind()?, bind()?]);
+    }
+    let ports = held.iter().map(|[callers, admin, peers]| {
+        Ok(Ports {
+            callers: callers.local_addr()?,
+            admin: admin.local_addr()?,
+            peers: peers.local_addr()?,
+        })
+    });
+    ports.collect()
+}
--- a/crates/verbenaslip-lab/src/load/outcome.rs
+++ b/crates/verbenaslip-lab/src/load/outcome.rs
@@ -37,7 +37,7 @@
     pub mixed: bool,
     /// Tokens received.
     pub tokens: u32,
-    /// Microseconds from arrival to the first token.
+    /// Microseconds from arrival to the first token; none for an answer that was not streamed.
     pub first_us: Option<u64>,
     /// Microseconds from arrival to the end.
     pub whole_us: u64,
