Stop with a request in progress, once and twice signalled

Cause: the daemon's stop was shown only without work. Change: two instances as processes hold a request at a plain service while the platform's signal comes: the caller gets its whole answer and the daemon exits with 0; a second signal ends it at once with 5.

--- /dev/null
+++ b/crates/verbenaslip-cli/tests/site/mod.rs
@@ -0,0 +1,187 @@
+//! Instances as processes, each in a folder with all its files.
+
+use std::fs::{self, Permissions};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::fs::PermissionsExt;
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// The longest that any step may take on a busy machine.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A folder with the files of one instance that is its own only voter.
+pub struct Site {
+    pub folder: PathBuf,
+    pub callers: SocketAddr,
+    pub admin: SocketAddr,
+    peers: SocketAddr,
+}
+
+impl Site {
+    /// Makes an instance that is its own only voter.
+    pub fn new(name: &str) -> Self {
+        let site = Self::empty(name);
+        let peers = site.peers;
+        let cluster = format!("voters = entry-1@{peers}\nsecond_holder = alone\n");
+        let text = site.settings("entry-1", "arendal", "data = data\n", &cluster);
+        site.write("entry-1.ini", &(text + "initial_table = table.csv\n"), 0o644);
+        site.write("table.csv", include_str!("../../../../examples/table.csv"), 0o644);
+        site
+    }
+
+    /// Makes an instance of another availability zone that joins through this one.
+    pub fn follower(&self, name: &str) -> Self {
+        let site = Self::empty(name);
+        let cluster = format!("seeds = {}\n", self.peers);
+        let text = site.settings("entry-2", "skarvik", "", &cluster);
+        site.write("entry-1.ini", &text, 0o644);
+        site
+    }
+
+    fn empty(name: &str) -> Self {
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("daemon").join(name);
+        let _ = fs::remove_dir_all(&folder);
+        fs::create_dir_all(&folder).expect("the folder can be made");
+        let [callers, admin, peers] = free();
+        let site = Self { folder, callers, admin, peers };
+        site.write("teams.keys", include_str!("../../../../examples/teams.keys"), 0o600);
+        site.write("operators.keys", include_str!("../../../../examples/operators.keys"), 0o600);
+        site.write("upstreams.keys", include_str!("../../../../examples/upstreams.keys"), 0o600);
+        site.write("operator.key", include_str!("../../../../examples/operator.key"), 0o600);
+        site
+    }
+
+    fn settings(&self, name: &str, zone: &str, data: &str, cluster: &str) -> String {
+        let Self { callers, admin, peers, .. } = self;
+        format!(
+            "[instance]\nname = {name}\nzone = {zone}\nregion = gbg\ncallers = {callers}\n\
+            admin = {admin}\npeers = {peers}\n{data}[cluster]\nname = claims\n{cluster}\
+            [files]\nteam_keys = teams.keys\noperator_keys = operators.keys\n\
+            upstream_keys = upstreams.keys\n"
+        )
+    }
+
+    pub fn write(&self, name: &str, text: &str, mode: u32) {
+        let path = self.folder.join(name);
+        fs::write(&path, text).expect("the file can be written");
+        fs::set_permissions(&path, Permissions::from_mode(mode)).expect("the mode can be set");
+    }
+
+    pub fn path(&self, name: &str) -> String {
+        self.folder.join(name).display().to_string()
+    }
+
+    /// Replaces a text in the settings.
+    pub fn edit(&self, from: &str, to: &str) {
+        let text = fs::read_to_string(self.folder.join("entry-1.ini")).expect("it can be read");
+        assert!(text.contains(from), "the settings hold `{from}`");
+        self.write("entry-1.ini", &text.replace(from, to), 0o644);
+    }
+
+    pub fn daemon(&self) -> Command {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_verbenaslipd"));
+        command.args(["--settings", &self.path("entry-1.ini")]).env_clear();
+        command
+    }
+
+    pub fn check(&self) -> Output {
+        self.daemon().arg("--check").output().expect("the daemon runs")
+    }
+
+    pub fn start(&self) -> Process {
+        let log = fs::File::create(self.folder.join("log")).expect("the log can be made");
+        let child = self.daemon().stderr(log).stdout(Stdio::null()).spawn();
+        Process { child: child.expect("the daemon runs") }
+    }
+
+    pub fn log(&self) -> String {
+        fs::read_to_string(self.folder.join("log")).unwrap_or_default()
+    }
+
+    /// Runs the operators' command.
+    pub fn operator(&self, words: &[&str]) -> (i32, String) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_verbenaslip"));
+        command.env_clear().args(["--admin", &self.admin.to_string()]);
+        command.args(["--key-file", &self.path("operator.key")]).args(words);
+        let output = command.output().expect("the command runs");
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        let code = output.status.code().expect("the command exits");
+        (code, text(&output.stdout) + &text(&output.stderr))
+    }
+
+    /// Asks a path of `admin` and returns the status, 0 without an answer.
+    pub fn status(&self, path: &str) -> u16 {
+        get(self.admin, path).unwrap_or_default()
+    }
+
+    pub fn await_ready(&self) {
+        let end = Instant::now() + PATIENCE;
+        while self.status("/readyz") != 200 {
+            assert!(Instant::now() < end, "the instance is not ready:\n{}", self.log());
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+}
+
+/// A running daemon, which is ended with the test.
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let done = Command::new("kill").args(["-s", name, &id]).status().expect("kill runs");
+        assert!(done.success(), "the process takes signals");
+    }
+
+    /// Returns the exit code.
+    pub fn wait(&mut self) -> i32 {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("the process can be asked") {
+                return status.code().expect("the process exits by itself");
+            }
+            assert!(Instant::now() < end, "the process does not end");
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Returns addresses that are free now.
+pub fn free() -> [SocketAddr; 3] {
+    let listeners = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0").expect("a port is free"));
+    listeners.map(|listener| listener.local_addr().expect("a bound listener has an address"))
+}
+
+/// Asks for a path and returns the answer's status.
+fn get(address: SocketAddr, path: &str) -> Option<u16> {
+    status(&exchange(address, &format!("GET {path} HTTP/1.1\r\n"), "")?)
+}
+
+/// Sends a request and returns the whole answer; none if it did not come.
+pub fn exchange(address: SocketAddr, head: &str, body: &str) -> Option<String> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).ok()?;
+    let length = body.len();
+    let rest = format!("Host: {address}\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n");
+    stream.write_all(format!("{head}{rest}{body}").as_bytes()).ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    Some(answer)
+}
+
+/// Returns the status of an answer.
+pub fn status(answer: &str) -> Option<u16> {
+    answer.split(' ').nth(1)?.parse().ok()
+}
