Keep each problem of a settings file on its own line

Cause: random files showed that a key before the first section was named as it stands, so that one with a line break wrote a second line into the terminal or log; the test failed with 12 lines for 11 problems. Change: control characters are escaped in every part of a problem.

--- a/crates/verbenaslip-cli/tests/daemon.rs
+++ b/crates/verbenaslip-cli/tests/daemon.rs
@@ -7,13 +7,13 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::process::{Command, Output};
-use std::sync::mpsc::{Sender, channel};
+use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use verbenaslip_cli::exit::{Exit, Stop};
 
-use site::{PATIENCE, Site, exchange, status};
+use site::{PATIENCE, Process, Site, exchange, status};
 
 fn shown(output: &Output, folder: &Path) -> String {
     let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
@@ -133,7 +133,7 @@
 
 /// A plain service that keeps each request until it is told to answer.
 struct Service {
-    held: std::sync::mpsc::Receiver<TcpStream>,
+    held: Receiver<TcpStream>,
 }
 
 impl Service {
@@ -197,20 +197,40 @@
     });
 }
 
-/// Starts two instances with a service that holds one request.
-fn busy(name: &str) -> (Site, [site::Process; 2], TcpStream, std::sync::mpsc::Receiver<String>) {
-    let first = Site::new(name);
-    first.edit("[files]", "[timing]\nstall = 60s\n[files]");
-    let second = first.follower(&format!("{name}-2"));
-    second.edit("[files]", "[timing]\nstall = 60s\n[files]");
-    let daemons = [first.start(), second.start()];
-    first.await_ready();
-    second.await_ready();
-    let service = Service::spawn(first.admin);
-    let (sender, answers) = channel();
-    call(&first, sender);
-    let held = service.take();
-    (first, daemons, held, answers)
+/// Two instances, one of which runs a request at a service that holds it.
+struct Busy {
+    site: Site,
+    daemon: Process,
+    _other: Process,
+    held: TcpStream,
+    answers: Receiver<String>,
+}
+
+impl Busy {
+    fn start(name: &str) -> Self {
+        let site = Site::new(name);
+        let other = site.follower(&format!("{name}-2"));
+        site.edit("[files]", "[timing]\nstall = 60s\n[files]");
+        other.edit("[files]", "[timing]\nstall = 60s\n[files]");
+        let (daemon, process) = (site.start(), other.start());
+        site.await_ready();
+        other.await_ready();
+        let service = Service::spawn(site.admin);
+        let (sender, answers) = channel();
+        call(&site, sender);
+        Self { site, daemon, _other: process, held: service.take(), answers }
+    }
+
+    /// Sends a signal and waits until the instance is stopping, with its request in progress.
+    fn signal(&self, name: &str) {
+        self.daemon.signal(name);
+        let end = Instant::now() + PATIENCE;
+        while self.site.status("/readyz") == 200 {
+            assert!(Instant::now() < end, "a stopping instance is not ready");
+            thread::sleep(Duration::from_millis(20));
+        }
+        assert!(self.answers.try_recv().is_err(), "the request is still in progress");
+    }
 }
 
 /// Symptom: a caller's connection is cut off when its instance is replaced. Sequence: a request is
@@ -218,31 +238,20 @@
 /// that does not wait for what it has accepted.
 #[test]
 fn planned_stop_cuts_off_no_request_in_progress() {
-    let (site, [mut daemon, _other], mut held, answers) = busy("graceful");
-    daemon.signal("TERM");
-    let end = Instant::now() + PATIENCE;
-    while site.status("/readyz") == 200 {
-        assert!(Instant::now() < end, "a stopping instance is not ready");
-        thread::sleep(Duration::from_millis(20));
-    }
-    assert!(answers.try_recv().is_err(), "the request is still in progress");
-    held.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nchecked").expect("it is open");
-    let answer = answers.recv_timeout(PATIENCE).expect("the caller is answered");
+    let mut busy = Busy::start("graceful");
+    busy.signal("TERM");
+    let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nchecked";
+    busy.held.write_all(answer).expect("the service's connection is open");
+    let answer = busy.answers.recv_timeout(PATIENCE).expect("the caller is answered");
     assert!(status(&answer) == Some(200) && answer.ends_with("checked"), "{answer}");
-    assert_eq!(daemon.wait(), Stop::Graceful as i32, "{}", site.log());
+    assert_eq!(busy.daemon.wait(), Stop::Graceful as i32, "{}", busy.site.log());
 }
 
 #[test]
 fn second_signal_ends_the_process_at_once() {
-    let (site, [mut daemon, _other], _held, answers) = busy("impatient");
-    daemon.signal("INT");
-    let end = Instant::now() + PATIENCE;
-    while site.status("/readyz") == 200 {
-        assert!(Instant::now() < end, "a stopping instance is not ready");
-        thread::sleep(Duration::from_millis(20));
-    }
-    assert!(answers.try_recv().is_err(), "the request is still in progress");
-    daemon.signal("INT");
-    assert_eq!(daemon.wait(), Stop::AtOnce as i32, "{}", site.log());
-    assert!(site.log().contains("V1013 "), "{}", site.log());
+    let mut busy = Busy::start("impatient");
+    busy.signal("INT");
+    busy.daemon.signal("INT");
+    assert_eq!(busy.daemon.wait(), Stop::AtOnce as i32, "{}", busy.site.log());
+    assert!(busy.site.log().contains("V1013 "), "{}", busy.site.log());
 }
--- a/crates/verbenaslip/src/settings/problem.rs
+++ b/crates/verbenaslip/src/settings/problem.rs
@@ -94,7 +94,7 @@
         if self.section.is_some() {
             f.write_str("- ")?;
         }
-        f.write_str(&self.allowed)
+        f.write_str(&escape(&self.allowed))
     }
 }
 
