--- a/crates/verbenaslip-request/src/arrive.rs
+++ b/crates/verbenaslip-request/src/arrive.rs
@@ -132,6 +132,7 @@
         };
         self.timers.set(Timer::Parked(ticket), None);
         relay.after = relay.after.max(after);
+        relay.begun = false;
         relay.losses += 1;
         // An owner that has just died is named until the others notice it. Asked at once each time,
         // they would be asked a thousand times a second by every caller that it had.
@@ -213,7 +214,8 @@
     }
 
     /// Passes a caller on to the instance that owns its request.
-    pub(crate) fn relay(&mut self, turn: &mut Turn<'_>, ticket: Ticket, relay: Relay) {
+    pub(crate) fn relay(&mut self, turn: &mut Turn<'_>, ticket: Ticket, mut relay: Relay) {
+        relay.begun = true;
         let verdict = Verdict::Relay {
             request: relay.head.request,
             after: relay.after,
@@ -382,7 +384,9 @@
         });
         let others = lookup.asked.keys().any(|home| *home != self.setup.instance);
         let alone = !self.view.has_others(&self.setup.instance);
-        entry.complete = !missing && !doubt && (others || alone);
+        let since = turn.now.checked_sub(self.setup.timing.retention).unwrap_or_default();
+        let misses = self.view.misses(entry.request(), since);
+        entry.complete = !missing && !doubt && !misses && (others || alone);
         entry.informed = lookup
             .asked
             .iter()
@@ -454,7 +458,7 @@
                 digest: entry.digest,
                 owner: owner.clone(),
                 after: caller.after,
-                begun: caller.begun || (entry.served && entry.position > 0),
+                begun: true,
                 losses: entry.losses,
             };
             self.relay(turn, *ticket, relay);
--- a/crates/verbenaslip-request/src/entry.rs
+++ b/crates/verbenaslip-request/src/entry.rs
@@ -15,6 +15,7 @@
 use crate::input::Place;
 use crate::message::{Found, Live, Note};
 use crate::output::Outcome;
+use crate::setup::Timing;
 
 /// Bits of an attempt's number that count the runs of one owner.
 const RUN_BITS: u32 = 16;
@@ -32,8 +33,8 @@
     pub(crate) digest: u128,
     /// The owner's epoch; zero while the key is looked up.
     pub(crate) epoch: u16,
-    /// Where the count of attempts starts.
-    pub(crate) salt: u32,
+    /// Tells this ownership from every other, also of the same instance.
+    pub(crate) salt: u64,
     /// Who waits for the answer.
     pub(crate) callers: BTreeMap<Ticket, Caller>,
     /// What is being done.
@@ -66,6 +67,8 @@
     pub(crate) mirrored: u32,
     /// The claim, when one was asked for.
     pub(crate) claimant: Option<u128>,
+    /// Since when the second holder lacks something without getting any further.
+    pub(crate) lagging: Option<Duration>,
     /// Whether the second holder also has its end.
     pub(crate) ended: bool,
     /// When it was last handed over to the second holder, which may run it from then on.
@@ -230,13 +233,13 @@
 
 impl Entry {
     /// Opens a request that a caller has sent.
-    pub(crate) fn open(head: Head, body: Option<Arc<Body>>, digest: u128, salt: u32) -> Self {
+    pub(crate) fn open(head: Head, body: Option<Arc<Body>>, digest: u128, salt: u64) -> Self {
         Self {
             head,
             body,
             digest,
             epoch: 0,
-            salt: salt.wrapping_shl(COUNT_BITS) & ((1 << RUN_BITS) - 1),
+            salt,
             callers: BTreeMap::new(),
             phase: Phase::Admit,
             due: None,
@@ -253,6 +256,7 @@
             position: 0,
             mirrored: 0,
             claimant: None,
+            lagging: None,
             ended: false,
             handed: None,
             without: BTreeSet::new(),
@@ -312,13 +316,25 @@
         }
     }
 
+    /// Notes whether the second holder lacks something, after either end has got further.
+    ///
+    /// Callers get only what the second holder has. One whose connection for copies is broken, but
+    /// which seems alive otherwise, would hold up the answer for good, so the wait is bounded.
+    pub(crate) fn watch_mirror(&mut self, now: Duration) {
+        let whole = matches!(self.phase, Phase::Finished { outcome: Outcome::Whole { .. }, .. });
+        let lacks = self.mirrored < self.position || (whole && !self.ended);
+        let lacks = lacks && self.kept().is_some();
+        self.lagging = lacks.then_some(now);
+    }
+
     /// Returns the next attempt; none when the numbers of this owner are used up.
     ///
     /// Two instances can own a request under the same epoch: two second holders, when one of them
     /// was believed lost, or one instance before and after a restart. An engine that got the same
     /// attempt twice would give one the other's stream; so the count starts elsewhere each time.
     pub(crate) fn next_attempt(&mut self) -> Option<Attempt> {
-        let base = u32::from(self.epoch) << RUN_BITS | self.salt;
+        let salt = (self.salt as u32) << COUNT_BITS & ((1 << RUN_BITS) - 1);
+        let base = u32::from(self.epoch) << RUN_BITS | salt;
         let next = self.number.max(base).checked_add(1)?;
         (next < base + (1 << COUNT_BITS)).then_some(())?;
         self.number = next;
@@ -326,7 +342,7 @@
     }
 
     /// Returns the next moment at which it must be looked at.
-    pub(crate) fn next(&self) -> Option<Duration> {
+    pub(crate) fn next(&self, timing: &Timing) -> Option<Duration> {
         let deadline = match &self.phase {
             Phase::Finished { until, .. } | Phase::Close { until, .. } => *until,
             _ => self.head.deadline,
@@ -334,7 +350,8 @@
         let moving = self.flight.as_ref().and_then(|flight| flight.next());
         let holder = self.holder.as_ref().and_then(|holder| holder.due);
         let ousted = self.ousted.as_ref().and_then(|ousted| ousted.due);
-        let parts = [Some(deadline), self.due, moving, holder, ousted, self.absent];
+        let lag = self.lagging.map(|since| since.saturating_add(timing.stall));
+        let parts = [Some(deadline), self.due, moving, holder, ousted, self.absent, lag];
         parts.into_iter().flatten().min()
     }
 }
--- a/crates/verbenaslip-request/src/finish.rs
+++ b/crates/verbenaslip-request/src/finish.rs
@@ -171,6 +171,7 @@
         entry.absent = None;
         self.release(entry.body.take());
         self.retention.add(entry.request(), until, entry.position, false);
+        entry.watch_mirror(turn.now);
         self.note(turn, entry);
     }
 
@@ -313,7 +314,7 @@
             // The holder has freed the body, and is given the request anew.
             entry.stale.remove(&holder.instance);
             let (request, epoch) = (entry.request(), entry.epoch);
-            turn.send(&holder.instance, Message::Drop { request, epoch });
+            turn.send(&holder.instance, Message::Drop { request, epoch, key: false });
         }
         entry.sequence += 1;
         self.own(turn, entry);
@@ -326,6 +327,7 @@
         };
         self.tell_ousted(turn, &mut entry);
         self.tick_holder(turn, &mut entry);
+        self.tick_mirror(turn, &mut entry);
         self.tick_moving(turn, &mut entry);
         if let Phase::Finished { until, .. } = entry.phase {
             match turn.now >= until && entry.callers.is_empty() {
--- a/crates/verbenaslip-request/src/follow.rs
+++ b/crates/verbenaslip-request/src/follow.rs
@@ -38,6 +38,9 @@
         entry.ran = true;
         if position > entry.position {
             entry.position = position;
+            if entry.lagging.is_none() {
+                entry.watch_mirror(turn.now);
+            }
             if let Some(flight) = &mut entry.flight {
                 flight.rejoins = 0;
                 flight.first.get_or_insert((turn.now, position));
--- a/crates/verbenaslip-request/src/hold.rs
+++ b/crates/verbenaslip-request/src/hold.rs
@@ -250,7 +250,6 @@
         let mut head = copy.head;
         head.deadline = turn.now.saturating_add(head.deadline);
         let until = head.deadline.saturating_add(self.setup.timing.retention);
-        self.unreserve(request, from);
         let held = Held {
             head,
             body: copy.body,
@@ -353,8 +352,11 @@
         from: &Instance,
         request: Request,
         epoch: u16,
+        key: bool,
     ) {
-        self.unreserve(request, from);
+        if key {
+            self.unreserve(request, from);
+        }
         let Some(copy) = self.copies.get(&request) else {
             return;
         };
@@ -364,9 +366,11 @@
     }
 
     /// Notes how far the second holder has got, at either end.
-    pub(crate) fn mirrored(&mut self, request: Request, position: u32) {
-        if let Some(entry) = self.entries.get_mut(&request) {
+    pub(crate) fn mirrored(&mut self, turn: &Turn<'_>, request: Request, position: u32) {
+        if let Some(mut entry) = self.take(request) {
             entry.mirrored = entry.mirrored.max(position);
+            entry.watch_mirror(turn.now);
+            self.put(entry);
             return;
         }
         if let Some(copy) = self.copies.get_mut(&request) {
@@ -375,9 +379,11 @@
     }
 
     /// Notes that the second holder has the end as well, at either end.
-    pub(crate) fn mirror_ended(&mut self, request: Request) {
-        if let Some(entry) = self.entries.get_mut(&request) {
+    pub(crate) fn mirror_ended(&mut self, turn: &Turn<'_>, request: Request) {
+        if let Some(mut entry) = self.take(request) {
             entry.ended = true;
+            entry.watch_mirror(turn.now);
+            self.put(entry);
             return;
         }
         let Some(copy) = self.copies.get_mut(&request) else {
--- a/crates/verbenaslip-request/src/home.rs
+++ b/crates/verbenaslip-request/src/home.rs
@@ -1,6 +1,7 @@
 //! Which instances hold a request besides its owner: the same answer at every instance.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use verbenaslip_base::attempt::Request;
 use verbenaslip_base::hash;
@@ -24,6 +25,8 @@
     pub(crate) boot: u64,
     /// Whether it seems alive.
     pub(crate) alive: bool,
+    /// When it was lost, if it was.
+    pub(crate) lost: Option<Duration>,
 }
 
 impl View {
@@ -33,10 +36,11 @@
     }
 
     /// Notes that an instance seems dead; returns whether it seemed alive before.
-    pub(crate) fn lose(&mut self, instance: &Instance) -> bool {
+    pub(crate) fn lose(&mut self, instance: &Instance, now: Duration) -> bool {
         let Some(seen) = self.members.get_mut(instance) else {
             return false;
         };
+        seen.lost.get_or_insert(now);
         std::mem::replace(&mut seen.alive, false)
     }
 
@@ -62,15 +66,24 @@
 
     /// Returns the homes of a request: the best instance of each of the best availability zones.
     pub(crate) fn homes(&self, request: Request) -> Vec<Instance> {
-        self.best(request).into_iter().take(HOMES).collect()
+        self.best(request, |seen| seen.alive).into_iter().take(HOMES).collect()
+    }
+
+    /// Returns whether an instance that was lost since `after` would be a home if it were there.
+    ///
+    /// It may be cut off rather than dead, and hold what the others know nothing of.
+    pub(crate) fn misses(&self, request: Request, after: Duration) -> bool {
+        let recent = |seen: &Seen| seen.alive || seen.lost.is_some_and(|lost| lost >= after);
+        let homes = self.best(request, recent);
+        homes.iter().take(HOMES).any(|home| !self.alive(home))
     }
 
     /// Returns where a request can be held besides `own`, best first: other availability zones
     /// first, the homes before all.
     pub(crate) fn holders(&self, request: Request, own: &Instance) -> Vec<Instance> {
         let zone = self.get(own).map(|seen| &seen.zone);
-        let homes = self.best(request);
-        let rest = self.ranked(request);
+        let homes = self.best(request, |seen| seen.alive);
+        let rest = self.ranked(request, |seen| seen.alive);
         let all = homes.into_iter().chain(rest).filter(|instance| instance != own);
         let (mut far, mut near, mut known) = (Vec::new(), Vec::new(), BTreeSet::new());
         for instance in all.filter(|instance| known.insert(instance.clone())) {
@@ -88,19 +101,19 @@
         self.get(one).map(|seen| &seen.zone) != self.get(other).map(|seen| &seen.zone)
     }
 
-    fn best(&self, request: Request) -> Vec<Instance> {
+    fn best(&self, request: Request, counts: impl Fn(&Seen) -> bool) -> Vec<Instance> {
         let mut zones = BTreeSet::new();
-        let mut best = self.ranked(request);
+        let mut best = self.ranked(request, counts);
         best.retain(|instance| {
             self.get(instance).is_some_and(|seen| zones.insert(seen.zone.clone()))
         });
         best
     }
 
-    fn ranked(&self, request: Request) -> Vec<Instance> {
-        let alive = self.members.iter().filter(|(_, seen)| seen.alive);
+    fn ranked(&self, request: Request, counts: impl Fn(&Seen) -> bool) -> Vec<Instance> {
+        let counted = self.members.iter().filter(|(_, seen)| counts(seen));
         let mut ranked: Vec<_> =
-            alive.map(|(instance, _)| (score(request, instance), instance)).collect();
+            counted.map(|(instance, _)| (score(request, instance), instance)).collect();
         ranked.sort_unstable_by(|one, other| other.cmp(one));
         ranked.into_iter().map(|(_, instance)| instance.clone()).collect()
     }
--- a/crates/verbenaslip-request/src/journal.rs
+++ b/crates/verbenaslip-request/src/journal.rs
@@ -48,6 +48,7 @@
     fn accepted(&mut self, turn: &mut Turn<'_>, mut entry: Entry) {
         entry.due = None;
         self.note(turn, &mut entry);
+        self.announce(turn, &mut entry);
         match entry.head.idempotent {
             true => self.place(turn, entry),
             false => self.claim(turn, entry),
@@ -83,11 +84,12 @@
         let Some(holder) = entry.holder.take() else {
             return;
         };
+        entry.lagging = None;
         let (request, epoch) = (entry.request(), entry.epoch);
         if holder.acked.is_some() {
             turn.out.push(Output::Mirror { request, epoch, to: None });
         }
-        turn.send(&holder.instance, Message::Drop { request, epoch });
+        turn.send(&holder.instance, Message::Drop { request, epoch, key: false });
         entry.tried.insert(holder.instance.clone());
         entry.stale.insert(holder.instance);
     }
@@ -131,7 +133,7 @@
         if kept.epoch != entry.epoch || !current {
             let (request, epoch) = (kept.request, entry.epoch);
             if entry.stale.contains(from) {
-                turn.send(from, Message::Drop { request, epoch });
+                turn.send(from, Message::Drop { request, epoch, key: false });
             }
             self.put(entry);
             return;
@@ -225,6 +227,15 @@
         }
     }
 
+    /// Replaces a second holder that does not get any further with the answer.
+    pub(crate) fn tick_mirror(&mut self, turn: &mut Turn<'_>, entry: &mut Entry) {
+        let stall = self.setup.timing.stall;
+        let stuck = entry.lagging.is_some_and(|since| turn.now >= since.saturating_add(stall));
+        if stuck {
+            self.replace_holder(turn, entry);
+        }
+    }
+
     /// Brings owned requests in line with the instances that are there now.
     ///
     /// When an instance joins, other homes are asked about a key than the ones that know it, and a
@@ -250,6 +261,18 @@
         }
     }
 
+    /// Tells the homes of a key that is held elsewhere who owns it.
+    ///
+    /// A resend asks the homes; were they away when the request came and are back now, it would run
+    /// a second time while the copy lies where nobody asks.
+    pub(crate) fn announce(&self, turn: &mut Turn<'_>, entry: &mut Entry) {
+        let homes = self.view.homes(entry.request());
+        if entry.kept().is_none_or(|holder| !homes.contains(holder)) {
+            entry.informed.clear();
+            self.inform(turn, entry);
+        }
+    }
+
     /// Tells the homes that do not know it yet who owns a key.
     pub(crate) fn inform(&self, turn: &mut Turn<'_>, entry: &mut Entry) {
         if !entry.head.keyed || entry.former.is_some() {
@@ -280,7 +303,7 @@
             holder.chain(&entry.informed).chain(&entry.stale).cloned().collect();
         for instance in known {
             if instance != self.setup.instance {
-                turn.send(&instance, Message::Drop { request, epoch });
+                turn.send(&instance, Message::Drop { request, epoch, key: true });
             }
         }
         let own = self.setup.instance.clone();
--- a/crates/verbenaslip-request/src/launch.rs
+++ b/crates/verbenaslip-request/src/launch.rs
@@ -28,14 +28,17 @@
         self.put(entry);
     }
 
-    /// Returns a number that no other claim has: neither another instance's, nor one of this
-    /// instance before a restart, nor one under another epoch.
+    /// Returns a number that no other claim has.
+    ///
+    /// An instance can own a request, lose it to another and come to own it again, before or after
+    /// a restart. Were the claims alike, the quorum would take the second for a resend of the first
+    /// and grant it, and the request would run twice.
     fn claimant(&self, entry: &Entry) -> u128 {
         hash::wide(&[
             self.setup.instance.as_str().as_bytes(),
             &self.setup.boot.to_le_bytes(),
             &entry.request().0.to_le_bytes(),
-            &entry.epoch.to_le_bytes(),
+            &entry.salt.to_le_bytes(),
         ])
     }
 
@@ -245,7 +248,7 @@
         };
         entry.flight = Some(Flight { live, begun, rejoins, first: None, heard, moving });
         let (request, epoch) = (entry.request(), entry.epoch);
-        if !entry.served {
+        if !entry.served && entry.former.is_none() {
             turn.out.push(Output::Own { request, epoch });
         }
         turn.out.push(Output::Run(run));
--- a/crates/verbenaslip-request/src/message.rs
+++ b/crates/verbenaslip-request/src/message.rs
@@ -58,6 +58,8 @@
         request: Request,
         /// The owner's epoch.
         epoch: u16,
+        /// Whether the key is free as well; else only the copy is, and another instance holds it.
+        key: bool,
     },
 }
 
--- a/crates/verbenaslip-request/src/relocate.rs
+++ b/crates/verbenaslip-request/src/relocate.rs
@@ -57,7 +57,7 @@
         }
         let last = until.saturating_sub(self.setup.timing.margin);
         let ends = turn.now.saturating_add(self.remaining(turn.now, entry, flight));
-        let moving = match ends <= last {
+        let moving = match ends < last {
             true => Moving::Watched { at: last },
             false if can_move(entry, flight) => Moving::Asked,
             false => Moving::Bound,
--- a/crates/verbenaslip-request/src/requests.rs
+++ b/crates/verbenaslip-request/src/requests.rs
@@ -81,7 +81,7 @@
     /// Opens an instance that holds nothing and knows only itself.
     pub fn open(setup: Setup) -> Self {
         let mut view = View::default();
-        let own = Seen { zone: setup.zone.clone(), boot: setup.boot, alive: true };
+        let own = Seen { zone: setup.zone.clone(), boot: setup.boot, alive: true, lost: None };
         view.insert(setup.instance.clone(), own);
         Self {
             setup,
@@ -162,8 +162,8 @@
                 Event::Ended { position } => self.ended(turn, attempt, position),
                 Event::Failed(failure) => self.failed(turn, attempt, &failure),
             },
-            Input::Mirrored { request, position } => self.mirrored(request, position),
-            Input::MirrorEnded(request) => self.mirror_ended(request),
+            Input::Mirrored { request, position } => self.mirrored(turn, request, position),
+            Input::MirrorEnded(request) => self.mirror_ended(turn, request),
             Input::Leaving { upstream, notice } => self.leaving(turn, &upstream, notice),
             Input::Lapsed(upstream) => self.lapsed(turn, &upstream),
             Input::Ready(upstream) => {
@@ -188,7 +188,9 @@
             Message::Taken(taken) => self.taken(turn, from, &taken),
             Message::Yielded { request, epoch } => self.yielded(from, request, epoch),
             Message::HandOver(note) => self.handed(turn, from, note),
-            Message::Drop { request, epoch } => self.dropped(turn, from, request, epoch),
+            Message::Drop { request, epoch, key } => {
+                self.dropped(turn, from, request, epoch, key);
+            }
         }
     }
 
@@ -202,7 +204,7 @@
             self.left(turn, &instance);
         }
         let boot = if boot == 0 { known } else { boot };
-        self.view.insert(instance.clone(), Seen { zone, boot, alive: true });
+        self.view.insert(instance.clone(), Seen { zone, boot, alive: true, lost: None });
         self.returned(turn, &instance);
         self.rehome(turn);
     }
@@ -229,7 +231,7 @@
     /// Gives back an entry and sets its timer.
     pub(crate) fn put(&mut self, entry: Entry) {
         let request = entry.request();
-        self.timers.set(Timer::Owned(request), entry.next());
+        self.timers.set(Timer::Owned(request), entry.next(&self.setup.timing));
         self.entries.insert(request, entry);
     }
 
@@ -240,10 +242,10 @@
     }
 
     /// Draws a number that hardly ever comes twice, here or elsewhere.
-    pub(crate) fn salt(&mut self) -> u32 {
+    pub(crate) fn salt(&mut self) -> u64 {
         self.opened += 1;
         let (boot, opened) = (self.setup.boot.to_le_bytes(), self.opened.to_le_bytes());
-        hash::narrow(&[self.setup.instance.as_str().as_bytes(), &boot, &opened]) as u32
+        hash::narrow(&[self.setup.instance.as_str().as_bytes(), &boot, &opened])
     }
 
     /// Counts a body's bytes; returns false when there is no room for it.
--- a/crates/verbenaslip-request/src/takeover.rs
+++ b/crates/verbenaslip-request/src/takeover.rs
@@ -19,7 +19,7 @@
 impl Requests {
     /// Takes it that an instance seems dead; it may come back.
     pub(crate) fn lost(&mut self, turn: &mut Turn<'_>, instance: &Instance) {
-        if *instance != self.setup.instance && self.view.lose(instance) {
+        if *instance != self.setup.instance && self.view.lose(instance, turn.now) {
             let grace = self.setup.timing.grace;
             self.without(turn, instance, grace);
         }
@@ -117,7 +117,7 @@
         for entry in self.entries.values_mut() {
             let (request, epoch) = (entry.request(), entry.epoch);
             if entry.stale.contains(instance) {
-                turn.send(instance, Message::Drop { request, epoch });
+                turn.send(instance, Message::Drop { request, epoch, key: false });
             }
             if let Some(ousted) = &mut entry.ousted
                 && ousted.instance == *instance
@@ -262,7 +262,6 @@
         let idempotent = entry.head.idempotent;
         let ran = copy.note.ran;
         entry.former = Some(Box::new(copy));
-        turn.out.push(Output::Own { request, epoch });
         if idempotent {
             self.confirm(turn, &mut entry);
         }
@@ -283,6 +282,7 @@
         let Some(former) = entry.former.take() else {
             return;
         };
+        turn.out.push(Output::Own { request: entry.request(), epoch: entry.epoch });
         let due = Some(turn.now);
         entry.ousted = Some(Ousted { instance: former.owner, tries: 0, due });
         self.tell_ousted(turn, entry);
--- a/crates/verbenaslip-request/tests/schedule.rs
+++ b/crates/verbenaslip-request/tests/schedule.rs
@@ -7,6 +7,11 @@
 use world::{ANONYMOUS, CHAT, Call, Fault, LOOKUP, ONCE, ORDER, Quorum, World, ms};
 
 const SEEDS: u64 = 400;
+/// Seeds beyond these that failed once, each for its own cause.
+const FOUND: &[u64] = &[
+    402, 410, 525, 560, 591, 910, 1010, 1143, 1189, 1327, 1527, 1702, 1808, 1989, 1994, 2172, 2365,
+    2752, 2791, 3120, 3316, 3383, 3450, 3850, 3982, 4483, 5390, 5479, 5497, 5643, 5998,
+];
 const CALLS: [Call; 5] = [CHAT, ONCE, ORDER, LOOKUP, ANONYMOUS];
 
 #[test]
@@ -17,7 +22,7 @@
     // only if the upstreams counted no run; and at the end every caller has its final answer.
     let mut problems = Vec::new();
     let (mut whole, mut callers, mut events, mut messages) = (0, 0, 0, 0);
-    for seed in 0..SEEDS {
+    for seed in (0..SEEDS).chain(FOUND.iter().copied()) {
         let mut world = storm(seed);
         world.run(1_000_000);
         if let Some(problem) = world.problem() {
--- a/crates/verbenaslip-request/tests/world/fault.rs
+++ b/crates/verbenaslip-request/tests/world/fault.rs
@@ -131,6 +131,9 @@
             self.at(self.now, event);
         }
         self.introduce(at);
+        for node in 0..self.nodes.len() {
+            self.deliver(node);
+        }
     }
 
     fn cut(&mut self, one: usize, other: usize) {
--- a/crates/verbenaslip-request/tests/world/mod.rs
+++ b/crates/verbenaslip-request/tests/world/mod.rs
@@ -23,7 +23,7 @@
 use verbenaslip_request::message::Message;
 use verbenaslip_request::output::{Outcome, Output};
 use verbenaslip_request::run::{self, Cause, Failure, Start, Step};
-use verbenaslip_request::setup::{Journal, Setup};
+use verbenaslip_request::setup::Setup;
 
 /// One way between two instances, or between one and an upstream.
 pub const HOP: Duration = Duration::from_millis(1);
@@ -830,6 +830,7 @@
 
     fn verdict(&mut self, at: usize, ticket: Ticket, verdict: Verdict) {
         if let Verdict::Serve { request, after } = verdict {
+            self.unsubscribe(at, ticket);
             self.nodes[at].serving.insert(ticket, (request, after));
             return;
         }
@@ -845,7 +846,11 @@
             return;
         }
         let caller = self.caller_of(at, ticket);
-        self.nodes[at].subscriptions.remove(&ticket);
+        let outer = self.nodes[at].subscriptions.remove(&ticket);
+        if let Some((relay, outer)) = outer.filter(|(relay, _)| self.nodes[*relay].frozen) {
+            // The frozen one finds the connection closed when it comes back.
+            self.relay_lost(relay, outer);
+        }
         let Some(caller) = caller else {
             return;
         };
@@ -978,8 +983,7 @@
 fn node(index: usize, boot: u64) -> Node {
     let name = Instance::new(format!("i{index}"));
     let zone = format!("z{index}").as_str().into();
-    let mut setup = Setup::new(name.clone(), zone, boot);
-    setup.journal = Journal::Alone;
+    let setup = Setup::new(name.clone(), zone, boot);
     Node {
         requests: Requests::open(setup),
         name,
