--- a/crates/verbenaslip-node/src/node.rs
+++ b/crates/verbenaslip-node/src/node.rs
@@ -142,13 +142,22 @@
         self.hub.revision()
     }
 
-    /// Says whether this instance takes new work.
+    /// Says whether the platform should send callers here.
     pub fn is_ready(&self) -> bool {
         self.unready().is_empty()
     }
 
-    /// Returns why this instance takes no new work; empty when it does.
+    /// Returns why the platform should send no callers here; empty when it should.
     pub fn unready(&self) -> Vec<Arc<str>> {
+        let mut reasons = self.closed();
+        if !self.dispatcher.limiter().settled(self.now) {
+            reasons.push("it has no part of the limits yet, so that requests would wait".into());
+        }
+        reasons
+    }
+
+    /// Returns why this instance takes no new work; empty when it does.
+    pub(crate) fn closed(&self) -> Vec<Arc<str>> {
         let mut reasons: Vec<Arc<str>> = Vec::new();
         if self.stop.is_some() {
             reasons.push("it is stopping".into());
--- a/crates/verbenaslip-node/src/serve.rs
+++ b/crates/verbenaslip-node/src/serve.rs
@@ -8,13 +8,13 @@
 use verbenaslip_base::refusal::{Reason, Refusal};
 use verbenaslip_policy::admit::Admission;
 use verbenaslip_policy::dispatch::Dispatch;
-use verbenaslip_policy::retry;
+use verbenaslip_policy::retry::{self, Fate};
 use verbenaslip_policy::route::Choice;
 use verbenaslip_request::caller::Arrival;
 use verbenaslip_request::claim::{self as asked, Ruling};
 use verbenaslip_request::input::{self as request, Place};
 use verbenaslip_request::output::{Outcome, Output as Wants, Wanted};
-use verbenaslip_request::run::{Event, Failure};
+use verbenaslip_request::run::{Cause, Event, Failure};
 use verbenaslip_request::setup as requests;
 use verbenaslip_state::claim::{Claim, Ending, Settle, Verdict};
 use verbenaslip_state::{Command, Outcome as Committed};
@@ -52,8 +52,8 @@
     early: Option<Place>,
     /// Why the queue gave it up before it asked.
     given: Option<Refusal>,
-    /// Whether its last run surely did not run.
-    not_run: bool,
+    /// What became of its last run.
+    fate: Fate,
     /// The claim that was granted.
     claim: Option<Claim>,
 }
@@ -159,7 +159,7 @@
             wanted: false,
             early: None,
             given: None,
-            not_run: false,
+            fate: Fate::Lost,
             claim: None,
         });
     }
@@ -167,9 +167,9 @@
     fn ran(&mut self, attempt: Attempt, event: &Event) {
         match event {
             Event::Tokens { .. } => self.dispatcher.first_token(self.now, attempt.request),
-            Event::Failed(Failure { not_run, .. }) => {
+            Event::Failed(failure) => {
                 if let Some(known) = self.known.get_mut(&attempt.request) {
-                    known.not_run = *not_run;
+                    known.fate = fate(failure);
                 }
             }
             Event::Sent | Event::Ended { .. } => {}
@@ -203,7 +203,7 @@
     fn admit(&mut self, head: Head) {
         let request = head.request;
         self.remember(head.clone(), 0);
-        let refusal = if self.unready().is_empty() {
+        let refusal = if self.closed().is_empty() {
             match self.dispatcher.offer(self.now, head, self.now, &mut self.rng) {
                 Admission::Admitted | Admission::Queued(_) => None,
                 Admission::Refused(refusal) => Some(refusal),
@@ -336,8 +336,8 @@
 
     fn retry(&mut self, head: &Head, upstream: &Upstream) {
         let request = head.request;
-        let not_run = self.known.get(&request).is_some_and(|known| known.not_run);
-        let verdict = self.dispatcher.failed(self.now, request, upstream, not_run, &mut self.rng);
+        let fate = self.known.get(&request).map_or(Fate::Lost, |known| known.fate);
+        let verdict = self.dispatcher.failed(self.now, request, upstream, fate, &mut self.rng);
         // The queue itself holds the run back for the delay; the request may ask for it at once.
         let granted = matches!(verdict, retry::Verdict::After(_)).then_some(Duration::ZERO);
         self.push(Todo::Request(request::Input::Retry { request, granted }));
@@ -354,6 +354,15 @@
     }
 }
 
+/// Says what a failure means for another run.
+fn fate(failure: &Failure) -> Fate {
+    match failure.cause {
+        _ if failure.not_run => Fate::NotRun,
+        Cause::Error => Fate::Faulty,
+        _ => Fate::Lost,
+    }
+}
+
 fn ruling(verdict: &Verdict) -> Ruling {
     match verdict {
         Verdict::Granted => Ruling::Granted,
--- a/crates/verbenaslip-policy/src/dispatch.rs
+++ b/crates/verbenaslip-policy/src/dispatch.rs
@@ -15,7 +15,7 @@
 use crate::admit::{Admission, Given, Item, Queue, Returns};
 use crate::limit::{Limiter, Report};
 use crate::pool::Pool;
-use crate::retry::{Ask as Retry, Moved, Retries, Verdict, Why};
+use crate::retry::{Ask as Retry, Fate, Moved, Retries, Verdict, Why};
 use crate::route::{Ask, Batch, Choice, Loss, Router};
 use crate::row::Terms;
 use crate::wave::Wave;
@@ -224,7 +224,7 @@
         now: Duration,
         request: Request,
         upstream: &Upstream,
-        not_run: bool,
+        fate: Fate,
         rng: &mut impl Rng,
     ) -> Verdict {
         self.router.failed(now, request);
@@ -232,7 +232,7 @@
             return Verdict::Never(Why::MayHaveRun);
         };
         self.limiter.ended(&running.item.key, i64::from(running.estimate));
-        let ask = self.retry(now, &running, upstream, not_run);
+        let ask = self.retry(now, &running, upstream, fate);
         let verdict = self.retries.ask(now, &ask, rng);
         if let Verdict::After(delay) = verdict {
             let mut item = running.item;
@@ -344,7 +344,7 @@
         Some(Refusal { reason: Reason::Limit, retry: Some(retry) })
     }
 
-    fn retry(&self, now: Duration, running: &Running, upstream: &Upstream, not_run: bool) -> Retry {
+    fn retry(&self, now: Duration, running: &Running, upstream: &Upstream, fate: Fate) -> Retry {
         let zone = self.router.announcement(upstream).map(|announcement| &announcement.zone);
         let wave = match zone {
             Some(zone) => self.wave.on(now, zone),
@@ -356,7 +356,7 @@
             key: running.item.key.clone(),
             upstream: upstream.clone(),
             idempotent: running.item.head.idempotent,
-            not_run,
+            fate,
             runs: running.runs,
             percent: running.item.terms.retries,
             wave: wave.then_some(moved),
--- a/crates/verbenaslip-policy/src/limit/limiter.rs
+++ b/crates/verbenaslip-policy/src/limit/limiter.rs
@@ -172,6 +172,11 @@
         Some(f64::from(row.terms.rate?) * row.share(floor))
     }
 
+    /// Says whether this instance has its even part: the others have heard of it by now.
+    pub fn settled(&self, now: Duration) -> bool {
+        now.saturating_sub(self.started) >= HOLD
+    }
+
     /// Returns how many of a row run here.
     pub fn running(&self, key: &Key) -> u32 {
         self.rows.get(key).map_or(0, |row| row.running)
@@ -180,8 +185,7 @@
     /// Returns the even part of a limit that is this instance's own without asking anyone.
     fn floor(&self, now: Duration) -> Floor {
         // An instance that others have not yet heard of is not yet counted in their even parts.
-        let known = now.saturating_sub(self.started) >= HOLD;
-        Floor { part: if known { FLOOR / self.peers.count() as f64 } else { 0.0 } }
+        Floor { part: if self.settled(now) { FLOOR / self.peers.count() as f64 } else { 0.0 } }
     }
 
     /// Falls back to the even part after a freeze.
@@ -205,7 +209,7 @@
     }
 
     fn move_parts(&mut self, now: Duration) {
-        let settled = now.saturating_sub(self.started) >= HOLD;
+        let settled = self.settled(now);
         let isolated = !self.peers.majority(now);
         let complete = self.peers.complete(now);
         for row in self.rows.values_mut() {
--- a/crates/verbenaslip-policy/src/retry.rs
+++ b/crates/verbenaslip-policy/src/retry.rs
@@ -14,6 +14,8 @@
 const EARNING: f64 = 10.0;
 /// Percent of an upstream's successes that others may retry on it.
 const UPSTREAM_PERCENT: u32 = 20;
+/// How often a request may lose its upstream before further runs are charged to a budget.
+const FREE_RUNS: u32 = 3;
 /// The first delay of the backoff.
 const FIRST: Duration = Duration::from_millis(50);
 /// The longest delay of the backoff.
@@ -30,8 +32,8 @@
     pub upstream: Upstream,
     /// Whether a second run does no harm.
     pub idempotent: bool,
-    /// Whether the failed run surely did not run.
-    pub not_run: bool,
+    /// What became of the failed run.
+    pub fate: Fate,
     /// How many runs there were.
     pub runs: u32,
     /// The row's retries for a hundred successes.
@@ -40,6 +42,17 @@
     pub wave: Option<Moved>,
 }
 
+/// Says what became of a failed run, as far as it matters for another one.
+#[data(copy, ord, hash)]
+pub enum Fate {
+    /// It surely did not run.
+    NotRun,
+    /// Its upstream was lost or went silent under it.
+    Lost,
+    /// Its upstream answered with an error.
+    Faulty,
+}
+
 /// Describes the work that a wave has set free and the room that is left for it.
 #[data(copy, float)]
 pub struct Moved {
@@ -86,7 +99,7 @@
 
     /// Decides about another run and pays for it.
     pub fn ask(&mut self, now: Duration, ask: &Ask, rng: &mut impl Rng) -> Verdict {
-        if !ask.idempotent && !ask.not_run {
+        if !ask.idempotent && ask.fate != Fate::NotRun {
             return Verdict::Never(Why::MayHaveRun);
         }
         // A reclaim is nobody's fault, so moved work is not paid for; but all of it at once on the
@@ -94,6 +107,12 @@
         if let Some(moved) = ask.wave {
             return Verdict::After(spread(moved, rng));
         }
+        // The first engines to die do so before anybody can call it a wave. Charged to a budget,
+        // the work that ran there would end as unknown although it could go on elsewhere; that it
+        // ran bounds how much there is, and the count of runs stops a request that kills engines.
+        if ask.fate == Fate::Lost && ask.runs <= FREE_RUNS {
+            return Verdict::After(backoff(ask.runs, rng));
+        }
         let row = self.rows.entry(ask.key.clone()).or_insert_with(|| Budget::new(now));
         if !row.has(now) {
             return Verdict::Never(Why::Team);
