Bound the classes that metrics tell apart, and list what nothing tells of yet

Cause: callers write the request class themselves, and each made metrics of its own. Ruled out: taking the unused ones out, because the decisions already notice much of it and alarms need the numbers. Both pages list what is not told of; a test looks through the sources and fails if anything unused is missing from the list. Conclusion: the lists shrink as the adapters log and record.

--- a/crates/verbenaslip/src/metric.rs
+++ b/crates/verbenaslip/src/metric.rs
@@ -7,6 +7,8 @@
 mod label;
 pub mod list;
 
+use std::collections::BTreeSet;
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use metrics::{Key, Label as Pair, Level, Metadata, Recorder, SharedString, Unit};
@@ -39,6 +41,8 @@
 /// Upstreams come and go for as long as an instance runs; without this each would leave its
 /// metrics in memory for good.
 const FORGET: Duration = Duration::from_secs(3 * 3_600);
+/// The most different classes that metrics tell apart.
+const CLASSES: usize = 256;
 /// What the recorder is told of where a metric comes from.
 const META: Metadata<'static> = Metadata::new("verbenaslip", Level::INFO, None);
 
@@ -46,6 +50,7 @@
 pub struct Metric {
     recorder: PrometheusRecorder,
     handle: PrometheusHandle,
+    classes: Mutex<BTreeSet<SharedString>>,
 }
 
 impl Metric {
@@ -57,7 +62,7 @@
             .idle_timeout(MetricKindMask::ALL, Some(FORGET))
             .build_recorder();
         let handle = recorder.handle();
-        let metric = Self { recorder, handle };
+        let metric = Self { recorder, handle, classes: Mutex::default() };
         metric.describe();
         metric
     }
@@ -75,29 +80,57 @@
     pub fn upkeep(&self) {
         for (number, total) in event::totals() {
             let event = format!("V{number}");
-            let key = key("verbenaslip_events_total", vec![("event", event.into())]);
+            let key = self.key("verbenaslip_events_total", vec![("event", event.into())]);
             self.recorder.register_counter(&key, &META).absolute(total);
         }
         self.handle.run_upkeep();
     }
 
+    /// Names a metric with its labels, of which there are boundedly many.
+    fn key(&self, name: &'static str, labels: Labels) -> Key {
+        let labels: Vec<Pair> = labels
+            .into_iter()
+            .map(|(name, value)| {
+                let value = if name == "class" { self.class(value) } else { value };
+                Pair::new(name, value)
+            })
+            .collect();
+        Key::from_parts(name, labels)
+    }
+
+    /// Returns a class as it is, or [`label::OTHER`] when too many different ones came before.
+    ///
+    /// Callers write the class themselves. Without this a caller that sends a new one with each
+    /// request would fill the memory with metrics, which shows as a slowly growing process.
+    fn class(&self, value: SharedString) -> SharedString {
+        let mut classes = self.classes.lock().unwrap_or_else(PoisonError::into_inner);
+        if classes.contains(&value) {
+            return value;
+        }
+        if classes.len() >= CLASSES {
+            return SharedString::const_str(label::OTHER);
+        }
+        classes.insert(value.clone());
+        value
+    }
+
     /// Records the time of several tokens at once, which is cheaper than one by one.
     pub fn inter_tokens(&self, team: impl Label, class: impl Label, time: Duration, count: usize) {
         let labels = vec![("team", team.text()), ("class", class.text())];
-        let key = key("verbenaslip_inter_token_seconds", labels);
+        let key = self.key("verbenaslip_inter_token_seconds", labels);
         self.recorder.register_histogram(&key, &META).record_many(time.as_secs_f64(), count);
     }
 
     pub(crate) fn counter(&self, name: &'static str, labels: Labels, count: u64) {
-        self.recorder.register_counter(&key(name, labels), &META).increment(count);
+        self.recorder.register_counter(&self.key(name, labels), &META).increment(count);
     }
 
     pub(crate) fn gauge(&self, name: &'static str, labels: Labels, value: f64) {
-        self.recorder.register_gauge(&key(name, labels), &META).set(value);
+        self.recorder.register_gauge(&self.key(name, labels), &META).set(value);
     }
 
     pub(crate) fn histogram(&self, name: &'static str, labels: Labels, time: Duration) {
-        self.recorder.register_histogram(&key(name, labels), &META).record(time.as_secs_f64());
+        self.recorder.register_histogram(&self.key(name, labels), &META).record(time.as_secs_f64());
     }
 
     /// Tells the recorder what each metric means.
@@ -118,12 +151,6 @@
 /// Pairs of a label's name and value.
 type Labels = Vec<(&'static str, SharedString)>;
 
-fn key(name: &'static str, labels: Labels) -> Key {
-    let labels: Vec<Pair> =
-        labels.into_iter().map(|(name, value)| Pair::new(name, value)).collect();
-    Key::from_parts(name, labels)
-}
-
 /// Sets the buckets of each histogram by its full name: of two suffixes that fit, the recorder
 /// takes either.
 fn builder() -> PrometheusBuilder {
--- a/crates/verbenaslip/src/metric/label.rs
+++ b/crates/verbenaslip/src/metric/label.rs
@@ -10,12 +10,12 @@
 
 use crate::event::kebab;
 
-/// Stands for a class or team that is not in the table.
-///
-/// Callers write the class themselves, so a label taken from a request would let one of them fill
-/// the memory; labels come from the row that was found.
+/// Stands for a class or team of a request that found no row.
 pub const NONE: &str = "none";
 
+/// Stands for all classes beyond those that metrics tell apart.
+pub const OTHER: &str = "other";
+
 /// Gives the value of a label.
 pub trait Label {
     /// Returns the value.
--- a/crates/verbenaslip/tests/event.rs
+++ b/crates/verbenaslip/tests/event.rs
@@ -1,5 +1,7 @@
 //! The catalogue of log events: code and docs agree, and no text from outside forges a line.
 
+mod source;
+
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
@@ -8,6 +10,8 @@
 use verbenaslip_base::attempt::Request;
 use verbenaslip_base::refusal::Reason;
 
+use source::sources;
+
 const DOCS: &str = include_str!("../../../docs/EVENTS.md");
 
 /// Returns the cells of each event's row in the docs.
@@ -94,3 +98,20 @@
     assert_eq!(throttle.admit(6001, start + WINDOW), Verdict::Write);
     assert_eq!(throttle.admit(6001, start + 3 * WINDOW), Verdict::Write, "nothing was left out");
 }
+
+#[test]
+fn events_that_nothing_logs_are_listed() {
+    let sources = sources();
+    let (_, listed) = DOCS.split_once("Not logged yet: ").expect("the page lists them");
+    let listed = listed.split("\n\n").next().unwrap_or_default();
+    for entry in CATALOGUE {
+        let name = format!("Event::{}", entry.name);
+        let logged = sources
+            .split(&name)
+            .skip(1)
+            .any(|rest| rest.starts_with(|next: char| !next.is_alphanumeric()))
+            || sources.contains(&format!("Self::{} {{", entry.name));
+        let number = format!("V{}", entry.number);
+        assert!(logged || listed.contains(&number), "{number} {} is not logged", entry.name);
+    }
+}
--- a/crates/verbenaslip/tests/metric.rs
+++ b/crates/verbenaslip/tests/metric.rs
@@ -1,5 +1,7 @@
 //! The catalogue of metrics: docs and code agree, and what is recorded shows at `/metrics`.
 
+mod source;
+
 use std::time::Duration;
 
 use verbenaslip::metric::{CATALOGUE, Kind, Metric};
@@ -7,6 +9,8 @@
 use verbenaslip_base::name::{AvailabilityZone, Class, Team};
 use verbenaslip_base::refusal::Reason;
 
+use source::sources;
+
 const DOCS: &str = include_str!("../../../docs/OPERATIONS.md");
 
 fn open() -> Metric {
@@ -80,3 +84,37 @@
         "verbenaslip_step_seconds_count{instance=\"entry-1\",instance_zone=\"arendal\"} 100000";
     assert!(metric.render().contains(line));
 }
+
+/// Symptom: an instance grows slowly until it is killed. Sequence: a caller sends a new request class
+/// with each request. Cause: each class makes metrics of its own, which stay.
+#[test]
+fn classes_that_callers_make_up_do_not_fill_the_memory() {
+    let metric = open();
+    let team = Team::from("owners");
+    for number in 0..10_000 {
+        metric.requests(&team, &Class::from(format!("class-{number}").as_str()), 1);
+    }
+    let text = metric.render();
+    let lines = text.lines().filter(|line| line.starts_with("verbenaslip_requests_total{"));
+    assert_eq!(lines.count(), 257);
+    assert!(text.contains("class=\"other\"} 9744"), "the rest is counted together");
+}
+
+#[test]
+fn metrics_that_nothing_records_are_listed() {
+    let sources = sources();
+    let (_, listed) = DOCS.split_once("Not recorded yet: ").expect("the page lists them");
+    let listed = listed.split("\n\n").next().unwrap_or_default();
+    let methods = include_str!("../src/metric/list.rs").lines().map(str::trim);
+    for line in methods {
+        let mut words = line.split_whitespace();
+        let (Some("Counter" | "Gauge" | "Histogram"), Some(method)) = (words.next(), words.next())
+        else {
+            continue;
+        };
+        let Some(name) = words.next().filter(|name| name.starts_with('"')) else { continue };
+        let name = name.split('"').nth(1).unwrap_or_default();
+        let recorded = ["", "s"].iter().any(|s| sources.contains(&format!("metric.{method}{s}(")));
+        assert!(recorded || listed.contains(&format!("`{name}`")), "{name} is not recorded");
+    }
+}
