Warn of voters whose availability zone would take the quorum with it

Cause: in a run of four real instances a voter was replaced by one of an availability zone that already had a voter; everything looked well, and the loss of that zone would have stopped all edits. Ruled out: refusing the change, because for a while it may be the only one possible. Change: status shows each voter's availability zone and warns; voters add, remove and replace warn after the change.

--- a/crates/verbenaslip-cli/src/command/status.rs
+++ b/crates/verbenaslip-cli/src/command/status.rs
@@ -1,8 +1,10 @@
 //! `verbenaslip status`.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use verbenaslip_base::announce::{Announcement, Market, Phase};
+use verbenaslip_base::name::Instance;
 use verbenaslip_gossip::State;
 use verbenaslip_node::status::{Standing, Status, Upstream};
 use verbenaslip_replica::status::{Progress, Status as Log};
@@ -13,6 +15,9 @@
 use crate::exit::Exit;
 use crate::terminal::Terminal;
 
+/// Stands for an availability zone that is not known.
+const UNKNOWN: &str = "?";
+
 /// Shows what one instance knows of the deployment.
 pub(crate) fn run(client: &mut Client, terminal: &mut Terminal<'_>) -> Result<Exit, Error> {
     let reply = client.call(&Call::get("/v1/status"))?;
@@ -75,18 +80,52 @@
     let leader = log.leader.as_ref().map_or("NO LEADER", |leader| leader.as_str());
     let change = if log.joint { ", the voters are being changed" } else { "" };
     let head = format!("leader {leader}, term {}, committed to {}{change}", log.term, log.commit);
-    let mut columns = Columns::new(&["name", "vote", "behind", "answered"]);
+    let mut columns = Columns::new(&["name", "zone", "vote", "behind", "answered"]);
     for progress in &log.voters {
-        columns.push(voter(progress, log));
+        columns.push(voter(progress, status, log));
+    }
+    let mut lines = vec![head, columns.show("none known")];
+    lines.extend(warning(status));
+    part("voters", &lines.join("\n"))
+}
+
+/// Warns of each availability zone whose loss would take the quorum with it.
+///
+/// A voter replaced in the wrong availability zone works well until that zone is reclaimed; then
+/// nothing can be committed any more, which shows as V3004 on all instances at once.
+pub(super) fn warning(status: &Status) -> Option<String> {
+    let voters = status.log.as_ref()?.voters.iter().filter(|progress| progress.votes);
+    let mut zones: BTreeMap<String, usize> = BTreeMap::new();
+    for progress in voters {
+        *zones.entry(zone(&progress.voter.instance, status)).or_default() += 1;
+    }
+    let count: usize = zones.values().sum();
+    // One voter alone can't be spread.
+    if count < 3 {
+        return None;
+    }
+    let quorum = count / 2 + 1;
+    let fragile = zones.iter().filter(|(zone, held)| *zone != UNKNOWN && count - **held < quorum);
+    let names: Vec<&str> = fragile.map(|(zone, _)| zone.as_str()).collect();
+    let list = names.join(" or ");
+    (!names.is_empty()).then(|| format!("WARNING: losing {list} would lose the quorum"))
+}
+
+/// Returns an instance's availability zone.
+fn zone(instance: &Instance, status: &Status) -> String {
+    if *instance == status.instance {
+        return status.zone.to_string();
     }
-    part("voters", &format!("{head}\n{}", columns.show("none known")))
+    let peer = status.peers.iter().find(|peer| peer.instance == *instance);
+    peer.map_or(UNKNOWN.to_owned(), |peer| peer.zone.to_string())
 }
 
-fn voter(progress: &Progress, log: &Log) -> [String; 4] {
+fn voter(progress: &Progress, status: &Status, log: &Log) -> [String; 5] {
     let vote = if progress.votes { "yes" } else { "not yet" };
     let name = progress.voter.instance.to_string();
+    let zone = zone(&progress.voter.instance, status);
     if progress.voter.instance == log.instance {
-        return [name, vote.into(), "-".into(), "this one".into()];
+        return [name, zone, vote.into(), "-".into(), "this one".into()];
     }
     let behind = match progress.matched.map(|matched| log.last.saturating_sub(matched)) {
         Some(0) => "-".into(),
@@ -94,7 +133,7 @@
         None => "?".into(),
     };
     let silent = progress.silent.map_or("?".into(), |silent| format!("{} ago", time(silent)));
-    [name, vote.into(), behind, silent]
+    [name, zone, vote.into(), behind, silent]
 }
 
 /// Shows who may still serve by an older table, which only the leader knows.
--- a/crates/verbenaslip-cli/src/command/voters.rs
+++ b/crates/verbenaslip-cli/src/command/voters.rs
@@ -2,6 +2,7 @@
 
 use serde_json::json;
 
+use super::status;
 use crate::args::{Voters, VotersAction};
 use crate::client::{Call, Client};
 use crate::error::Error;
@@ -33,5 +34,9 @@
     let body = change.to_string().into_bytes();
     client.call(&Call::post("/v1/voters", body, HINT))?;
     terminal.result(&json!({ "committed": change }), &format!("committed: {text}"))?;
+    // The change is made whether or not its outcome can be looked at.
+    if let Some(warning) = status::fetch(client).ok().as_ref().and_then(status::warning) {
+        terminal.remark(&warning);
+    }
     Ok(Exit::Done)
 }
--- a/crates/verbenaslip-cli/tests/operator.rs
+++ b/crates/verbenaslip-cli/tests/operator.rs
@@ -223,6 +223,30 @@
     insta::assert_snapshot!(format!("{}\n{}", first.seen()[0], done.shown(&names)));
 }
 
+/// Symptom: the loss of one availability zone stops all edits. Sequence: a voter is replaced by an
+/// instance in an availability zone that has one already, and that zone is reclaimed. Cause: nobody
+/// told the operator that two of three voters share it.
+#[test]
+fn voters_that_share_a_zone_are_warned_of() {
+    let mut shared = status(true);
+    let voters = &mut shared.log.as_mut().expect("it is a voter's").voters;
+    voters.retain(|progress| progress.voter.instance.as_str() != "entry-2");
+    voters.iter_mut().for_each(|progress| progress.votes = true);
+    let text = |status: &Status| serde_json::to_string(status).expect("it can be written");
+    let expected = "WARNING: losing torshamn would lose the quorum";
+    let committed = || json(200, r#"{"committed":true}"#);
+    for (status, warned) in [(&shared, true), (&status(true), false)] {
+        let answers = [committed(), json(200, &text(status)), json(200, &text(status))];
+        let instance = StandIn::spawn(answers);
+        let words = ["voters", "replace", "entry-2", "entry-4"];
+        let change = at(&[instance.address], &words);
+        assert_eq!(change.exit, Exit::Done);
+        assert_eq!(change.remarks.contains(expected), warned, "{}", change.remarks);
+        let shown = at(&[instance.address], &["status"]);
+        assert_eq!(shown.out.contains(expected), warned, "{}", shown.out);
+    }
+}
+
 #[test]
 fn changes_of_voters_go_to_the_first_instance_that_listens() {
     let committed = || json(200, r#"{"committed":true}"#);
@@ -432,7 +456,7 @@
         peers: vec![
             peer("entry-2", "skarvik", State::Alive),
             peer("entry-3", "torshamn", State::Suspect),
-            peer("entry-5", "torshamn", State::Leaving),
+            peer("entry-4", "torshamn", State::Leaving),
         ],
         upstreams: if leads { upstreams() } else { vec![] },
         work: Work { waiting: 2, running: 5, copies: 3, ..Work::default() },
