Say 'not run' only on fresh answers

Ruled out: a longer grace, which only moves the moment. Change: the homes' answers stand for a bounded time, shorter than the silence after which others may believe this instance dead; a refusal later than that asks them again. A home that holds another owner's copy says so instead of 'full'. An instance that notices by an overdue timer that it was frozen does not blame the second holder for the silence.

--- a/crates/verbenaslip-request/src/arrive.rs
+++ b/crates/verbenaslip-request/src/arrive.rs
@@ -1,6 +1,5 @@
 //! From a caller's arrival to the journal: lookup of the key, admission, relay to the owner.
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,15 +9,11 @@
 use verbenaslip_base::refusal::{Reason, Refusal, Unknown};
 
 use crate::caller::{Arrival, Body, Ticket, Verdict};
-use crate::entry::{Caller, Entry, Lookup, Phase};
-use crate::message::{Found, Message, Reserve};
+use crate::entry::{Caller, Entry, Phase};
 use crate::output::{Outcome, Output};
 use crate::requests::{Requests, Turn};
 use crate::timer::Timer;
 
-/// After how many lost relays a mere reservation of another instance no longer counts.
-const LOSSES: u32 = 3;
-
 /// Holds a caller whose answer another instance assembles.
 #[derive(Clone, Debug)]
 pub(crate) struct Relay {
@@ -235,193 +230,6 @@
         turn.tell(ticket, verdict);
     }
 
-    /// Asks the homes whether they know the key.
-    pub(crate) fn look_up(&mut self, turn: &mut Turn<'_>, mut entry: Entry) {
-        let until = turn.now + self.setup.timing.lookup;
-        let mut asked = BTreeMap::new();
-        for home in self.view.homes(entry.request()) {
-            let found = (home == self.setup.instance).then(|| self.reserve_here(turn, &entry));
-            asked.insert(home, found);
-        }
-        entry.phase = Phase::Lookup(Lookup { asked, tries: 0, until });
-        self.ask(turn, &mut entry);
-        self.conclude(turn, entry);
-    }
-
-    fn reserve_here(&mut self, turn: &Turn<'_>, entry: &Entry) -> Found {
-        let own = self.setup.instance.clone();
-        let reserve = self.reserve_of(turn, entry);
-        self.find(turn.now, &own, &reserve)
-    }
-
-    fn reserve_of(&self, turn: &Turn<'_>, entry: &Entry) -> Reserve {
-        Reserve {
-            request: entry.request(),
-            digest: entry.digest,
-            boot: self.setup.boot,
-            epoch: entry.epoch,
-            remaining: entry.head.deadline.saturating_sub(turn.now),
-        }
-    }
-
-    /// Sends the question to each home that has not answered it.
-    fn ask(&mut self, turn: &mut Turn<'_>, entry: &mut Entry) {
-        let reserve = self.reserve_of(turn, entry);
-        let Phase::Lookup(lookup) = &mut entry.phase else {
-            return;
-        };
-        lookup.tries += 1;
-        entry.due = Some(turn.now + self.setup.timing.resend);
-        for (home, found) in &lookup.asked {
-            if found.is_none() {
-                turn.send(home, Message::Reserve(reserve.clone()));
-            }
-        }
-    }
-
-    /// Takes a home's answer.
-    pub(crate) fn reserved(
-        &mut self,
-        turn: &mut Turn<'_>,
-        from: &Instance,
-        request: Request,
-        found: Found,
-    ) {
-        let Some(mut entry) = self.take(request) else {
-            return;
-        };
-        if let Phase::Lookup(lookup) = &mut entry.phase {
-            if let Some(answer) = lookup.asked.get_mut(from) {
-                *answer = Some(found);
-                lookup.tries = 0;
-            }
-            self.conclude(turn, entry);
-            return;
-        }
-        entry.informed.insert(from.clone());
-        self.put(entry);
-    }
-
-    /// Asks again, or gives up, when a lookup's time has come.
-    pub(crate) fn tick_lookup(&mut self, turn: &mut Turn<'_>, mut entry: Entry) {
-        let Phase::Lookup(lookup) = &mut entry.phase else {
-            self.put(entry);
-            return;
-        };
-        if turn.now >= lookup.until {
-            self.finish(turn, entry, Outcome::Unknown(Unknown::Unreachable));
-            return;
-        }
-        for found in lookup.asked.values_mut() {
-            if matches!(found, Some(Found::Between { .. } | Found::Held { .. })) {
-                *found = None;
-            }
-        }
-        if let Some(found) = lookup.asked.get(&self.setup.instance)
-            && found.is_none()
-        {
-            let found = self.reserve_here(turn, &entry);
-            let own = self.setup.instance.clone();
-            if let Phase::Lookup(lookup) = &mut entry.phase {
-                lookup.asked.insert(own, Some(found));
-            }
-        }
-        self.ask(turn, &mut entry);
-        self.conclude(turn, entry);
-    }
-
-    /// Asks the homes of now, when the instances have changed.
-    pub(crate) fn look_up_again(&mut self, turn: &mut Turn<'_>, mut entry: Entry) {
-        let homes: BTreeSet<_> = self.view.homes(entry.request()).into_iter().collect();
-        let Phase::Lookup(lookup) = &mut entry.phase else {
-            self.put(entry);
-            return;
-        };
-        // Views differ for a moment after each change, so one that was a home before may know.
-        lookup.asked.retain(|home, _| self.view.alive(home));
-        let fresh: Vec<_> =
-            homes.into_iter().filter(|home| !lookup.asked.contains_key(home)).collect();
-        for home in fresh {
-            let found = (home == self.setup.instance).then(|| self.reserve_here(turn, &entry));
-            if let Phase::Lookup(lookup) = &mut entry.phase {
-                lookup.asked.insert(home, found);
-            }
-        }
-        self.ask(turn, &mut entry);
-        self.conclude(turn, entry);
-    }
-
-    /// Decides a lookup as soon as the answers allow.
-    fn conclude(&mut self, turn: &mut Turn<'_>, mut entry: Entry) {
-        let Phase::Lookup(lookup) = &entry.phase else {
-            self.put(entry);
-            return;
-        };
-        if let Some((owner, digest)) = self.accepted_owner(lookup) {
-            self.join(turn, entry, &owner, digest);
-            return;
-        }
-        let waits = lookup.asked.values().flatten().any(|found| match found {
-            Found::Between { .. } => true,
-            Found::Held { owner, epoch, .. } => *epoch > 0 && !self.view.alive(owner),
-            Found::Free | Found::Doubtful | Found::Full => false,
-        });
-        let missing = lookup.asked.values().any(Option::is_none);
-        let answered = lookup.asked.values().flatten().count() > 0;
-        let tired = lookup.tries > self.setup.timing.tries && answered;
-        if waits || (missing && !tired) || !answered {
-            self.put(entry);
-            return;
-        }
-        if let Some((owner, digest)) = self.reserved_owner(&entry, lookup) {
-            self.join(turn, entry, &owner, digest);
-            return;
-        }
-        let doubt = lookup.asked.values().flatten().any(|found| match found {
-            Found::Doubtful => true,
-            Found::Held { owner, .. } => *owner != self.setup.instance,
-            Found::Free | Found::Between { .. } | Found::Full => false,
-        });
-        let others = lookup.asked.keys().any(|home| *home != self.setup.instance);
-        let alone = !self.view.has_others(&self.setup.instance);
-        let since = turn.now.checked_sub(self.setup.timing.retention).unwrap_or_default();
-        let misses = self.view.misses(entry.request(), since);
-        entry.complete = !missing && !doubt && !misses && (others || alone);
-        entry.informed = lookup
-            .asked
-            .iter()
-            .filter(|(_, found)| matches!(found, Some(Found::Free | Found::Doubtful)))
-            .map(|(home, _)| home.clone())
-            .collect();
-        self.own(turn, entry);
-    }
-
-    fn accepted_owner(&self, lookup: &Lookup) -> Option<(Instance, u128)> {
-        let held = lookup.asked.values().flatten().filter_map(|found| match found {
-            Found::Held { owner, epoch, digest } if *epoch > 0 => Some((*epoch, owner, *digest)),
-            _ => None,
-        });
-        let (_, owner, digest) = held
-            .filter(|(_, owner, _)| **owner != self.setup.instance && self.view.alive(owner))
-            .max()?;
-        Some((owner.clone(), digest))
-    }
-
-    /// Returns who has reserved the key, by the word of the first home that has answered.
-    fn reserved_owner(&self, entry: &Entry, lookup: &Lookup) -> Option<(Instance, u128)> {
-        if entry.losses >= LOSSES {
-            return None;
-        }
-        let homes = self.view.homes(entry.request());
-        let first = homes.iter().find_map(|home| lookup.asked.get(home).and_then(Option::as_ref));
-        match first? {
-            Found::Held { owner, epoch: 0, digest } if *owner != self.setup.instance => {
-                self.view.alive(owner).then(|| (owner.clone(), *digest))
-            }
-            _ => None,
-        }
-    }
-
     /// Passes all callers of a request on to its owner.
     pub(crate) fn join(
         &mut self,
@@ -474,6 +282,7 @@
             self.discard(turn, entry);
             return;
         }
+        self.supersede(entry.request());
         entry.epoch = entry.epoch.max(1);
         entry.phase = Phase::Admit;
         entry.due = None;
--- a/crates/verbenaslip-request/src/entry.rs
+++ b/crates/verbenaslip-request/src/entry.rs
@@ -13,7 +13,8 @@
 use crate::caller::{Body, Ticket};
 use crate::hold::Held;
 use crate::input::Place;
-use crate::message::{Found, Live, Note};
+use crate::lookup::Lookup;
+use crate::message::{Live, Note};
 use crate::output::Outcome;
 use crate::setup::Timing;
 
@@ -51,6 +52,8 @@
     pub(crate) informed: BTreeSet<Instance>,
     /// Whether every home has said that it did not know the key.
     pub(crate) complete: bool,
+    /// When they said so.
+    pub(crate) looked: Duration,
     /// The sequence of the newest note.
     pub(crate) sequence: u32,
     /// The number of the newest attempt.
@@ -142,17 +145,6 @@
     },
 }
 
-/// Holds what the homes have said of a key.
-#[derive(Clone, Debug)]
-pub(crate) struct Lookup {
-    /// What each has said.
-    pub(crate) asked: BTreeMap<Instance, Option<Found>>,
-    /// How often they were asked.
-    pub(crate) tries: u32,
-    /// Until when they are asked.
-    pub(crate) until: Duration,
-}
-
 /// Tells of the second holder.
 #[derive(Clone, Debug)]
 pub(crate) struct Holder {
@@ -248,6 +240,7 @@
             tried: BTreeSet::new(),
             informed: BTreeSet::new(),
             complete: false,
+            looked: Duration::ZERO,
             sequence: 0,
             number: 0,
             ran: false,
@@ -283,6 +276,16 @@
         self.ran || self.flight.is_some()
     }
 
+    /// Returns whether a second holder has it, or the settings let it go without.
+    pub(crate) fn accepted(&self) -> bool {
+        self.sequence > 0
+    }
+
+    /// Returns the epoch as others are told it: zero before the request is accepted.
+    pub(crate) fn told_epoch(&self) -> u16 {
+        if self.accepted() { self.epoch } else { 0 }
+    }
+
     /// Returns the second holder, once it has the request.
     pub(crate) fn kept(&self) -> Option<&Instance> {
         self.holder.as_ref().filter(|holder| holder.acked.is_some()).map(|holder| &holder.instance)
@@ -345,6 +348,7 @@
     pub(crate) fn next(&self, timing: &Timing) -> Option<Duration> {
         let deadline = match &self.phase {
             Phase::Finished { until, .. } | Phase::Close { until, .. } => *until,
+            Phase::Lookup(lookup) if lookup.refusal.is_some() => lookup.until,
             _ => self.head.deadline,
         };
         let moving = self.flight.as_ref().and_then(|flight| flight.next());
--- a/crates/verbenaslip-request/src/finish.rs
+++ b/crates/verbenaslip-request/src/finish.rs
@@ -77,11 +77,15 @@
             self.finish(turn, entry, Outcome::Unknown(Unknown::Unreachable));
             return;
         }
-        let now = turn.now;
-        let until = now + self.setup.timing.resend * self.setup.timing.tries;
+        let old = turn.now.saturating_sub(entry.looked) > self.setup.timing.fresh;
+        if entry.head.keyed && old && !entry.accepted() && entry.epoch > 0 {
+            self.look_up_before(turn, entry, refusal);
+            return;
+        }
+        let until = turn.now + self.setup.timing.resend * self.setup.timing.tries;
         entry.phase = Phase::Close { refusal, until };
         entry.due = None;
-        if entry.sequence > 0 {
+        if entry.accepted() {
             self.note(turn, &mut entry);
         }
         self.closed(turn, entry);
@@ -97,26 +101,22 @@
             return;
         };
         let refusal = refusal.clone();
-        let accepted = entry.sequence > 0;
+        let accepted = entry.accepted();
         let active = entry.holder.is_some() || !entry.stale.is_empty();
         let told = match &entry.holder {
             Some(holder) => holder.acked >= Some(entry.sequence) && entry.stale.is_empty(),
             None => entry.stale.is_empty(),
         };
-        if !accepted || !active || told {
+        let late = turn.now >= *until;
+        if !accepted || !active || (told && !late) {
             self.conclude_refusal(turn, entry, refusal);
             return;
         }
-        if turn.now < *until {
+        if !late {
             entry.due = Some(turn.now + self.setup.timing.resend);
             self.put(entry);
             return;
         }
-        if turn.now >= entry.head.deadline {
-            // A copy is never run after its deadline either.
-            self.conclude_refusal(turn, entry, refusal);
-            return;
-        }
         self.finish(turn, entry, Outcome::Unknown(Unknown::Unreachable));
     }
 
@@ -343,6 +343,12 @@
             self.closed(turn, entry);
             return;
         }
+        if let Phase::Lookup(lookup) = &entry.phase
+            && lookup.refusal.is_some()
+        {
+            self.tick_phase(turn, entry);
+            return;
+        }
         let lookup = matches!(entry.phase, Phase::Lookup(_));
         if turn.now >= entry.head.deadline && !lookup {
             self.expired(turn, entry);
--- a/crates/verbenaslip-request/src/hold.rs
+++ b/crates/verbenaslip-request/src/hold.rs
@@ -102,13 +102,13 @@
         let request = reserve.request;
         if let Some(entry) = self.entries.get(&request) {
             let owner = self.setup.instance.clone();
-            return Found::Held { owner, epoch: entry.epoch, digest: entry.digest };
+            return Found::Held { owner, epoch: entry.told_epoch(), digest: entry.digest };
         }
         let mut doubtful = false;
         if let Some(copy) = self.copies.get(&request) {
             let (owner, digest) = (copy.owner.clone(), copy.digest);
             if copy.lost.is_none() {
-                let epoch = copy.note.epoch;
+                let epoch = if copy.active() { copy.note.epoch } else { 0 };
                 return Found::Held { owner, epoch, digest };
             }
             if copy.active() {
@@ -216,6 +216,9 @@
                 return true;
             }
             if entry.epoch == epoch {
+                let (digest, epoch) = (entry.digest, entry.told_epoch());
+                let found = Found::Held { owner: self.setup.instance.clone(), epoch, digest };
+                turn.send(from, Message::Reserved { request, found });
                 turn.send(from, full);
                 return false;
             }
@@ -238,6 +241,10 @@
             return false;
         }
         if known.note.epoch == epoch && known.owner != *from && known.lost.is_none() {
+            let (owner, digest) = (known.owner.clone(), known.digest);
+            let epoch = if known.active() { epoch } else { 0 };
+            let found = Found::Held { owner, epoch, digest };
+            turn.send(from, Message::Reserved { request, found });
             turn.send(from, full);
             return false;
         }
@@ -345,6 +352,18 @@
         self.resume_waiting(turn, copy.waiting);
     }
 
+    /// Removes a copy that was never accepted, because this instance now owns the request.
+    ///
+    /// Were it kept until its time came, it would free the answer that is assembled here by then.
+    pub(crate) fn supersede(&mut self, request: Request) {
+        let Some(copy) = self.copies.remove(&request) else {
+            return;
+        };
+        self.retention.remove(request);
+        self.timers.set(Timer::Copied(request), None);
+        self.release(copy.body);
+    }
+
     /// Forgets what an owner wants forgotten.
     pub(crate) fn dropped(
         &mut self,
--- a/crates/verbenaslip-request/src/input.rs
+++ b/crates/verbenaslip-request/src/input.rs
@@ -19,7 +19,8 @@
 pub enum Input {
     /// Only time has passed.
     Tick,
-    /// Another instance is alive; also after a restart, which a new `boot` shows.
+    /// Another instance is alive; also after a restart, which a new `boot` shows. One that is known
+    /// from the settings but away is told as joined and lost, so that what it may hold is missed.
     Joined(Member),
     /// Another instance seems dead, which may be wrong.
     Lost(Instance),
--- a/crates/verbenaslip-request/src/journal.rs
+++ b/crates/verbenaslip-request/src/journal.rs
@@ -230,8 +230,15 @@
     /// Replaces a second holder that does not get any further with the answer.
     pub(crate) fn tick_mirror(&mut self, turn: &mut Turn<'_>, entry: &mut Entry) {
         let stall = self.setup.timing.stall;
-        let stuck = entry.lagging.is_some_and(|since| turn.now >= since.saturating_add(stall));
-        if stuck {
+        let Some(since) = entry.lagging else {
+            return;
+        };
+        // After a freeze it is not known yet whether the holder or this instance was silent. Were
+        // the answer let go then, a caller could get what the holder, perhaps its owner by now,
+        // goes on with otherwise.
+        let since = since.max(self.awake);
+        entry.lagging = Some(since);
+        if turn.now >= since.saturating_add(stall) {
             self.replace_holder(turn, entry);
         }
     }
@@ -288,7 +295,7 @@
                 request: entry.request(),
                 digest: entry.digest,
                 boot: self.setup.boot,
-                epoch: entry.epoch,
+                epoch: entry.told_epoch(),
                 remaining,
             };
             turn.send(&home, Message::Reserve(reserve));
--- a/crates/verbenaslip-request/src/lib.rs
+++ b/crates/verbenaslip-request/src/lib.rs
@@ -35,6 +35,7 @@
 mod home;
 mod journal;
 mod launch;
+mod lookup;
 mod relocate;
 mod requests;
 mod takeover;
--- a/crates/verbenaslip-request/src/requests.rs
+++ b/crates/verbenaslip-request/src/requests.rs
@@ -38,6 +38,7 @@
     pub(crate) opened: u64,
     pub(crate) stopping: Option<Duration>,
     pub(crate) drained: bool,
+    pub(crate) awake: Duration,
 }
 
 /// Carries what one step needs everywhere.
@@ -98,12 +99,14 @@
             opened: 0,
             stopping: None,
             drained: false,
+            awake: Duration::ZERO,
         }
     }
 
     /// Takes one input at a monotonic time and adds what is to be done to `out`.
     pub fn step(&mut self, now: Duration, input: Input, out: &mut Vec<Output>) {
         let turn = &mut Turn { now, out };
+        self.notice_freeze(now);
         self.expire(turn);
         self.take_input(turn, input);
         self.sweep(turn);
@@ -134,6 +137,14 @@
         self.entries.get(&request).is_some_and(|entry| entry.epoch > 0)
     }
 
+    /// Notices by a timer that is long overdue that this instance was frozen until now.
+    fn notice_freeze(&mut self, now: Duration) {
+        let due = self.timers.next().unwrap_or(now);
+        if now.saturating_sub(due) > self.setup.timing.fresh {
+            self.awake = now;
+        }
+    }
+
     fn take_input(&mut self, turn: &mut Turn<'_>, input: Input) {
         match input {
             Input::Tick => {}
--- a/crates/verbenaslip-request/src/setup.rs
+++ b/crates/verbenaslip-request/src/setup.rs
@@ -53,6 +53,9 @@
     pub tries: u32,
     /// How long the homes are asked whether they know a key.
     pub lookup: Duration,
+    /// How long the homes' answers stand; shorter than the silence after which others may believe
+    /// this instance dead.
+    pub fresh: Duration,
     /// How long a second holder is looked for.
     pub journal: Duration,
     /// How long the quorum is asked for a claim.
@@ -77,6 +80,7 @@
             resend: Duration::from_millis(100),
             tries: 5,
             lookup: Duration::from_secs(5),
+            fresh: Duration::from_millis(250),
             journal: Duration::from_secs(3),
             claim: Duration::from_secs(5),
             grace: Duration::from_millis(500),
--- a/crates/verbenaslip-request/tests/world/fault.rs
+++ b/crates/verbenaslip-request/tests/world/fault.rs
@@ -113,6 +113,17 @@
         let boot = self.nodes[at].boot + 1;
         self.nodes[at] = node(at, boot);
         self.introduce(at);
+        for other in 0..self.nodes.len() {
+            // Its settings name those that are away as well.
+            if other != at && !self.nodes[other].alive {
+                let node = &self.nodes[other];
+                let zone = format!("z{other}").as_str().into();
+                let member = Member { instance: node.name.clone(), zone, boot: 0 };
+                let lost = Input::Lost(member.instance.clone());
+                self.at(self.now, Event::Input(at, Input::Joined(member)));
+                self.at(self.now, Event::Input(at, lost));
+            }
+        }
     }
 
     fn freeze(&mut self, at: usize) {
