Predict the wait for a slot from how long runs hold one

Cause: first tokens were late while engines idled, since the wait at a full engine was predicted from the request's own length and other instances' prefills were not counted. Change: learn the time that a run holds its slot; count slots above 60 % as perhaps taken; estimate the others' prefills.

--- a/crates/verbenaslip-policy/src/route/engine.rs
+++ b/crates/verbenaslip-policy/src/route/engine.rs
@@ -110,14 +110,15 @@
         now + (others_then + change.max(-others_then)).max(0.0)
     }
 
-    /// Returns the prefill seconds of this instance's runs that had no first token yet.
-    pub(crate) fn prefilling(&self, now: Duration) -> f64 {
+    /// Estimates the prefill seconds of runs without a first token yet, of so many instances.
+    pub(crate) fn prefilling(&self, now: Duration, instances: u32) -> f64 {
         let pending = self.sent.values().filter(|sent| sent.first.is_none());
         let total: f64 = pending.clone().map(|sent| sent.prefill).sum();
         // The oldest is being computed, so time since it was sent has reduced what is left.
         let oldest = pending.map(|sent| sent.at).min();
         let passed = oldest.map_or(0.0, |at| now.saturating_sub(at).as_secs_f64());
-        (total - passed).max(0.0)
+        let others = 1.0 + f64::from(instances.saturating_sub(1)) * OTHERS;
+        (total - passed).max(0.0) * others
     }
 
     /// Returns how many of this instance's runs were there at a time.
--- a/crates/verbenaslip-policy/src/route/router.rs
+++ b/crates/verbenaslip-policy/src/route/router.rs
@@ -29,6 +29,8 @@
 const OUTLIER: f64 = 2.5;
 /// The comparisons needed before an upstream may be shed.
 const OUTLIER_SAMPLES: u32 = 8;
+/// The part of an engine's slots that are taken as free no more, as its load is not known exactly.
+const UNSURE: f64 = 0.4;
 /// Candidates whose cost is within this factor of the best count as equally good.
 const NEAR: f64 = 1.1;
 
@@ -161,7 +163,7 @@
             prefill: service.prefill(computed),
             seconds: choice.whole,
             running: engine.load(self.instances),
-            alone: engine.prefilling(now) <= 0.0,
+            alone: engine.prefilling(now, 1) <= 0.0,
             allowed: head.output,
         };
         engine.cache.sent(&head.prefix);
@@ -205,6 +207,7 @@
         let Some(sent) = engine.end(now, request) else { return };
         engine.health.worked();
         service.length(tokens, sent.allowed);
+        service.held(now.saturating_sub(sent.at));
         let Some(first) = sent.first else { return };
         if tokens < 2 {
             return;
@@ -352,9 +355,10 @@
         let interval = service.interval(running);
         let prefill = service.prefill(computed);
         // Beyond its slots each one more waits until one of the slots is free.
-        let excess = (load + 1.0 - slots).max(0.0);
-        let wait = excess * tokens * interval / slots;
-        let first = hop + slow * (wait + engine.prefilling(now) + prefill);
+        let excess = (load + 1.0 - slots * (1.0 - UNSURE)).max(0.0);
+        let wait = excess * service.hold() / slots;
+        let prefilling = engine.prefilling(now, self.instances);
+        let first = hop + slow * (wait + prefilling + prefill);
         let growth = service.interval(running + 1.0) - interval;
         Prediction {
             first,
--- a/crates/verbenaslip-policy/src/service.rs
+++ b/crates/verbenaslip-policy/src/service.rs
@@ -13,6 +13,9 @@
 /// Seconds by which each running request lengthens the time between tokens, likewise.
 const CROWDING: f64 = 0.0015;
 
+/// Seconds that a run holds its slot before anything was measured.
+const HOLD: f64 = 4.0;
+
 /// Predicts prefill and decode times of a continuously batching engine.
 ///
 /// The time between tokens grows with the batch, so it is kept as a line over the number running.
@@ -21,6 +24,7 @@
     prefill: Line,
     interval: Line,
     length: Mean,
+    hold: Mean,
 }
 
 impl Default for Service {
@@ -29,6 +33,7 @@
             prefill: Line::new(0.0, PREFILL, 8000.0),
             interval: Line::new(INTERVAL, CROWDING, 16.0),
             length: Mean::new(0.6, 0.05),
+            hold: Mean::new(HOLD, 0.05),
         }
     }
 }
@@ -51,6 +56,16 @@
         }
     }
 
+    /// Learns how long a run held its slot.
+    pub fn held(&mut self, time: Duration) {
+        self.hold.add(time.as_secs_f64());
+    }
+
+    /// Returns the mean seconds that a run holds its slot.
+    pub fn hold(&self) -> f64 {
+        self.hold.get().max(0.0)
+    }
+
     /// Returns the seconds that computing so many prompt tokens takes.
     pub fn prefill(&self, computed: u32) -> f64 {
         self.prefill.at(f64::from(computed))
