Believe upstreams that the registry vouches for, and move what never reached its upstream

Cause: the router counted an upstream as silent unless each of its announcements reached it, but the registry passes on freshness marks instead of announcements; 1 to 6 requests of 38 were refused as 'no upstream' with all engines well. A run whose connection was refused was charged to the budget like one that the upstream itself refused. Ruled out: spreading every announcement (a message for each upstream each second to every instance). Change: an equal announcement renews load and age; unreached runs are free like lost ones. Conclusion: liveness is the registry's to decide; the router only ranks.

--- a/crates/verbenaslip-node/src/members.rs
+++ b/crates/verbenaslip-node/src/members.rs
@@ -1,7 +1,6 @@
 //! Membership and the registry of upstreams, as the other parts need them.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use verbenaslip_base::announce::Phase;
 use verbenaslip_base::name::{Instance, Upstream};
@@ -91,11 +90,9 @@
     pub(crate) fn refresh_loads(&mut self) {
         let now = self.now;
         for record in self.gossip.usable(now) {
-            let load = record.load(now);
-            let heard = now.saturating_sub(Duration::from_millis(u64::from(load.age)));
             let mut announcement = record.announcement().clone();
-            announcement.load = load;
-            self.dispatcher.announce(heard, &announcement);
+            announcement.load = record.load(now);
+            self.dispatcher.announce(now, &announcement);
         }
     }
 
--- a/crates/verbenaslip-node/src/serve.rs
+++ b/crates/verbenaslip-node/src/serve.rs
@@ -357,7 +357,8 @@
 /// Says what a failure means for another run.
 fn fate(failure: &Failure) -> Fate {
     match failure.cause {
-        _ if failure.not_run => Fate::NotRun,
+        Cause::Refused => Fate::NotRun,
+        _ if failure.not_run => Fate::Unreached,
         Cause::Error => Fate::Faulty,
         _ => Fate::Lost,
     }
--- a/crates/verbenaslip-policy/src/retry.rs
+++ b/crates/verbenaslip-policy/src/retry.rs
@@ -45,7 +45,9 @@
 /// Says what became of a failed run, as far as it matters for another one.
 #[data(copy, ord, hash)]
 pub enum Fate {
-    /// It surely did not run.
+    /// It surely did not run: its upstream could not be reached.
+    Unreached,
+    /// It surely did not run: its upstream refused it.
     NotRun,
     /// Its upstream was lost or went silent under it.
     Lost,
@@ -99,7 +101,7 @@
 
     /// Decides about another run and pays for it.
     pub fn ask(&mut self, now: Duration, ask: &Ask, rng: &mut impl Rng) -> Verdict {
-        if !ask.idempotent && ask.fate != Fate::NotRun {
+        if !ask.idempotent && !matches!(ask.fate, Fate::Unreached | Fate::NotRun) {
             return Verdict::Never(Why::MayHaveRun);
         }
         // A reclaim is nobody's fault, so moved work is not paid for; but all of it at once on the
@@ -110,7 +112,7 @@
         // The first engines to die do so before anybody can call it a wave. Charged to a budget,
         // the work that ran there would end as unknown although it could go on elsewhere; that it
         // ran bounds how much there is, and the count of runs stops a request that kills engines.
-        if ask.fate == Fate::Lost && ask.runs <= FREE_RUNS {
+        if matches!(ask.fate, Fate::Unreached | Fate::Lost) && ask.runs <= FREE_RUNS {
             return Verdict::After(backoff(ask.runs, rng));
         }
         let row = self.rows.entry(ask.key.clone()).or_insert_with(|| Budget::new(now));
--- a/crates/verbenaslip-policy/src/route/engine.rs
+++ b/crates/verbenaslip-policy/src/route/engine.rs
@@ -53,10 +53,17 @@
         }
     }
 
-    /// Takes a newer announcement; an older or equal one changes nothing.
+    /// Takes a newer announcement; an older one changes nothing, an equal one renews the load.
     pub(crate) fn announce(&mut self, now: Duration, announcement: &Announcement) {
         let order = |a: &Announcement| (a.incarnation, a.sequence);
-        if order(announcement) <= order(&self.announcement) {
+        if order(announcement) < order(&self.announcement) {
+            return;
+        }
+        // The registry vouches for an upstream without passing on each of its announcements, so
+        // the same one comes again and again; taken for silence, it would end all work there.
+        if order(announcement) == order(&self.announcement) {
+            self.announcement.load = announcement.load;
+            self.heard = self.heard.max(now);
             return;
         }
         let restarted = announcement.incarnation > self.announcement.incarnation;
