--- a/crates/verbenaslip-cli/src/client.rs
+++ b/crates/verbenaslip-cli/src/client.rs
@@ -1,21 +1,23 @@
 //! Calls to the `admin` addresses of instances.
 
-use std::fmt::Write;
-use std::io::Read;
+mod call;
+mod key;
+mod reply;
+
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use oxhttp::model::header::{AUTHORIZATION, CONTENT_TYPE};
-use oxhttp::model::{Body, HeaderValue, Request, Response};
-use serde::de::DeserializeOwned;
+use oxhttp::model::{Body, HeaderValue, Request};
 
-use crate::answer::Failure;
 use crate::args::{Operator, addresses};
 use crate::error::{Error, Step, Tried, Try};
 
-mod key;
+pub(crate) use self::call::{Call, encode};
+use self::reply::Failed;
+pub(crate) use self::reply::Reply;
 
 /// The longest time to open a connection.
 const CONNECT: Duration = Duration::from_secs(2);
@@ -23,10 +25,6 @@
 const ANSWER: Duration = Duration::from_secs(10);
 /// The time between two rounds through all instances.
 pub(crate) const PAUSE: Duration = Duration::from_millis(300);
-/// The largest answer that is read, in bytes.
-const ANSWER_MAX: u64 = 64 << 20;
-/// The header that tells a table's revision.
-const REVISION: &str = "verbenaslip-revision";
 
 /// Speaks with instances, the next one when one fails.
 pub struct Client {
@@ -145,117 +143,6 @@
     }
 }
 
-/// Describes one call.
-pub(crate) struct Call {
-    path: String,
-    body: Option<Vec<u8>>,
-    content: &'static str,
-    changes: bool,
-    resend: bool,
-    wait: Duration,
-    patience: Duration,
-    expects: &'static [u16],
-    hint: &'static str,
-}
-
-impl Call {
-    /// Reads something; a lost answer is no harm.
-    pub(crate) fn get(path: impl Into<String>) -> Self {
-        Self {
-            path: path.into(),
-            body: None,
-            content: "application/json",
-            changes: false,
-            resend: true,
-            wait: Duration::ZERO,
-            patience: Duration::ZERO,
-            expects: &[],
-            hint: "",
-        }
-    }
-
-    /// Changes something; `hint` says how to find out after a lost answer.
-    pub(crate) fn post(path: impl Into<String>, body: Vec<u8>, hint: &'static str) -> Self {
-        Self { body: Some(body), changes: true, resend: false, hint, ..Self::get(path) }
-    }
-
-    /// Lets the call be sent again after a lost answer, because twice is the same as once.
-    pub(crate) fn again_for(self, patience: Duration) -> Self {
-        Self { resend: true, patience, ..self }
-    }
-
-    /// Says how long the instance itself may wait before it answers.
-    pub(crate) fn waiting(self, wait: Duration) -> Self {
-        Self { wait, ..self }
-    }
-
-    /// Sends CSV.
-    pub(crate) fn csv(self) -> Self {
-        Self { content: "text/csv", ..self }
-    }
-
-    /// Takes these statuses as replies and not as failures.
-    pub(crate) fn expecting(self, expects: &'static [u16]) -> Self {
-        Self { expects, ..self }
-    }
-}
-
-/// Holds an instance's answer.
-pub(crate) struct Reply {
-    pub(crate) peer: SocketAddr,
-    pub(crate) status: u16,
-    pub(crate) revision: Option<u64>,
-    pub(crate) body: Vec<u8>,
-}
-
-impl Reply {
-    fn read(peer: SocketAddr, response: Response<Body>) -> std::io::Result<Self> {
-        let status = response.status().as_u16();
-        let header = response.headers().get(REVISION).and_then(|value| value.to_str().ok());
-        let revision = header.and_then(|value| value.parse().ok());
-        let mut body = Vec::new();
-        response.into_body().take(ANSWER_MAX).read_to_end(&mut body)?;
-        Ok(Self { peer, status, revision, body })
-    }
-
-    /// Reads the body as JSON.
-    pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T, Error> {
-        serde_json::from_slice(&self.body).map_err(|error| self.odd(&error.to_string()))
-    }
-
-    /// Returns the body as text: a value of JSON may hold numbers that only its own type can.
-    pub(crate) fn text(&self) -> Result<String, Error> {
-        String::from_utf8(self.body.clone()).map_err(|_| self.odd("not UTF-8"))
-    }
-
-    /// Says that the answer is not understood.
-    pub(crate) fn odd(&self, cause: &str) -> Error {
-        Error::Answer { peer: self.peer, cause: format!("status {}, {cause}", self.status) }
-    }
-
-    /// Reads a refusal.
-    pub(crate) fn refused(&self) -> Error {
-        match self.json::<Failure>() {
-            Ok(Failure { error }) => {
-                Error::Refused { peer: self.peer, message: error.message, hint: error.hint }
-            }
-            Err(error) => error,
-        }
-    }
-
-    /// Reads why an instance could not do it, and whether it may have been done.
-    fn failed(&self) -> Failed {
-        let failure = self.json::<Failure>().map(|failure| failure.error);
-        let not_run = failure.as_ref().is_ok_and(|error| error.kind == "not_run");
-        let cause = match failure {
-            Ok(error) => error.message,
-            Err(_) => format!("status {}", self.status),
-        };
-        let one = Try { peer: self.peer, step: Step::Answer, cause };
-        if not_run { Failed::NotDone(one) } else { Failed::Unknown(one) }
-    }
-}
-
 /// Says how a round through all instances ended.
 enum Round {
     /// One has answered.
@@ -264,16 +151,6 @@
     Failed(Tried),
 }
 
-/// Says what a failed try lets one conclude.
-enum Failed {
-    /// Another instance would say the same.
-    Final(Error),
-    /// It surely was not done.
-    NotDone(Try),
-    /// It may have been done.
-    Unknown(Try),
-}
-
 /// Tells of a refusal as one try among others.
 fn refusal(peer: SocketAddr, error: Error) -> Try {
     let cause = match error {
@@ -283,20 +160,6 @@
     Try { peer, step: Step::Answer, cause }
 }
 
-/// Writes a text so that it can stand in a query.
-pub(crate) fn encode(text: &str) -> String {
-    let mut encoded = String::new();
-    for byte in text.bytes() {
-        match byte {
-            b'-' | b'.' | b'_' | b'~' => encoded.push(byte.into()),
-            _ if byte.is_ascii_alphanumeric() => encoded.push(byte.into()),
-            // Writing to a string does not fail.
-            _ => _ = write!(encoded, "%{byte:02X}"),
-        }
-    }
-    encoded
-}
-
 /// Reads the key and makes the header that shows it.
 fn bearer(file: &Path) -> Result<HeaderValue, Error> {
     let wrong = |cause: String| Error::File { file: file.display().to_string(), cause };
--- /dev/null
+++ b/crates/verbenaslip-cli/src/client/call.rs
@@ -0,0 +1,73 @@
+//! One call, and what may be done with it when its answer is lost.
+
+use std::fmt::Write;
+use std::time::Duration;
+
+/// Describes one call.
+pub(crate) struct Call {
+    pub(super) path: String,
+    pub(super) body: Option<Vec<u8>>,
+    pub(super) content: &'static str,
+    pub(super) changes: bool,
+    pub(super) resend: bool,
+    pub(super) wait: Duration,
+    pub(super) patience: Duration,
+    pub(super) expects: &'static [u16],
+    pub(super) hint: &'static str,
+}
+
+impl Call {
+    /// Reads something; a lost answer is no harm.
+    pub(crate) fn get(path: impl Into<String>) -> Self {
+        Self {
+            path: path.into(),
+            body: None,
+            content: "application/json",
+            changes: false,
+            resend: true,
+            wait: Duration::ZERO,
+            patience: Duration::ZERO,
+            expects: &[],
+            hint: "",
+        }
+    }
+
+    /// Changes something; `hint` says how to find out after a lost answer.
+    pub(crate) fn post(path: impl Into<String>, body: Vec<u8>, hint: &'static str) -> Self {
+        Self { body: Some(body), changes: true, resend: false, hint, ..Self::get(path) }
+    }
+
+    /// Lets the call be sent again after a lost answer, because twice is the same as once.
+    pub(crate) fn again_for(self, patience: Duration) -> Self {
+        Self { resend: true, patience, ..self }
+    }
+
+    /// Says how long the instance itself may wait before it answers.
+    pub(crate) fn waiting(self, wait: Duration) -> Self {
+        Self { wait, ..self }
+    }
+
+    /// Sends CSV.
+    pub(crate) fn csv(self) -> Self {
+        Self { content: "text/csv", ..self }
+    }
+
+    /// Takes these statuses as replies and not as failures.
+    pub(crate) fn expecting(self, expects: &'static [u16]) -> Self {
+        Self { expects, ..self }
+    }
+}
+
+/// Writes a text so that it can stand in a query.
+pub(crate) fn encode(text: &str) -> String {
+    let mut encoded = String::new();
+    for byte in text.bytes() {
+        match byte {
+            b'-' | b'.' | b'_' | b'~' => encoded.push(byte.into()),
+            _ if byte.is_ascii_alphanumeric() => encoded.push(byte.into()),
+            // Writing to a string does not fail.
+            _ => _ = write!(encoded, "%{byte:02X}"),
+        }
+    }
+    encoded
+}
--- a/crates/verbenaslip/tests/keys.rs
+++ b/crates/verbenaslip/tests/keys.rs
@@ -110,11 +110,11 @@
         let text = fs::read_to_string(format!("{folder}/{name}")).expect("it can be read");
         File::open(write(name, &text, 0o600)).expect("it is good");
     }
-    let mine = fs::read_to_string(format!("{folder}/operator.key")).expect("it can be read");
-    let operators =
-        File::open(self::write("ops", include_str!("../../../examples/operators.keys"), 0o600));
+    let operators = include_str!("../../../examples/operators.keys");
+    let operators = File::open(write("operators", operators, 0o600)).expect("it is good");
+    let mine = include_str!("../../../examples/operator.key");
     let key = mine.lines().last().expect("it holds a key");
-    assert_eq!(operators.expect("it is good").owner(key).as_deref(), Some("anna"));
+    assert_eq!(operators.owner(key).as_deref(), Some("anna"));
 }
 
 #[test]
