--- a/crates/verbenaslip/src/cloud.rs
+++ b/crates/verbenaslip/src/cloud.rs
@@ -116,8 +116,8 @@
         fetch: Arc<str>,
         /// How much is fetched.
         bytes: u64,
-        /// How many seconds it takes.
-        seconds: u64,
+        /// How long it takes.
+        time: Duration,
     },
     /// The rate is used up.
     Busy {
--- a/crates/verbenaslip/src/cloud/http.rs
+++ b/crates/verbenaslip/src/cloud/http.rs
@@ -247,7 +247,7 @@
 struct Accepted {
     fetch: Arc<str>,
     bytes: u64,
-    seconds: u64,
+    seconds: f64,
 }
 
 impl Store for Weights {
@@ -258,7 +258,8 @@
         match answer.status {
             202 => {
                 let Accepted { fetch, bytes, seconds } = self.caller.read(step, &answer)?;
-                Ok(Fetched::Accepted { fetch, bytes, seconds })
+                let time = Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX);
+                Ok(Fetched::Accepted { fetch, bytes, time })
             }
             429 => {
                 // A store that does not say when is asked again soon, not at once.
--- a/crates/verbenaslip/src/traffic/engine.rs
+++ b/crates/verbenaslip/src/traffic/engine.rs
@@ -37,7 +37,7 @@
     fn load(&self) -> Call<'_, Load>;
     /// Reads what became of the cache since a sequence number.
     fn cache(&self, since: u64) -> Call<'_, Cache>;
-    /// Gives an order.
+    /// Gives an order, which must not be obeyed later than `expires` after its sending.
     fn order(&self, fence: Fence, expires: Duration, order: Order) -> Call<'_, Ordered>;
     /// Reads which order the engine holds.
     fn orders(&self) -> Call<'_, Held>;
