Pace the reports of copies, and notice a close of the listener in time

Cause: each acknowledged batch of a copy woke the control thread, so that token rate, not the number of requests, set its load. A close of the listener between two accepts was not seen until the next connection. A run took the answer from its predecessor before it had a connection, and told that it was sent before the request was put together.

Change: one pace for tokens and copies; the flag is read after asking for the notice; a run begins once it is connected, and is told as sent once there is a request. The limit on a head counts from the answer before it, so that 10 s closed idle connections that a balancer keeps: it is 30 s now.

--- a/crates/verbenaslip/src/traffic.rs
+++ b/crates/verbenaslip/src/traffic.rs
@@ -13,6 +13,7 @@
 mod error;
 mod limit;
 mod mirror;
+mod pace;
 mod parse;
 mod payload;
 mod plane;
--- a/crates/verbenaslip/src/traffic/client.rs
+++ b/crates/verbenaslip/src/traffic/client.rs
@@ -3,11 +3,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderMap};
+use hyper::http::request::Builder;
 use hyper::{Response, StatusCode};
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -21,17 +22,18 @@
 use crate::traffic::dial;
 use crate::traffic::engine::{Engine, Http};
 use crate::traffic::error::{NOT_RUN, OUTCOME};
+use crate::traffic::pace::Pace;
 use crate::traffic::shared::Shared;
 use crate::traffic::shelf::Shelf;
 use crate::traffic::sse;
 
-/// The least time between two reports of one run's position.
-const PACE: Duration = Duration::from_millis(50);
-
 /// How long one try to cancel may take, and how often it is tried.
 const CANCEL: Duration = Duration::from_secs(2);
 const CANCELS: u32 = 3;
 
+/// How often it is looked whether an earlier run's connection has ended.
+const DRAIN: Duration = Duration::from_millis(20);
+
 /// Starts a run.
 pub(crate) fn start(shared: &Arc<Shared>, run: Run) {
     let owner = shared.clone();
@@ -75,7 +77,7 @@
     number: u64,
     shelf: Arc<Shelf>,
     step: Step,
-    told: Option<(u32, Instant)>,
+    pace: Pace,
 }
 
 /// Says why a run failed; the driver knows the step.
@@ -93,7 +95,7 @@
 impl Driver {
     fn new(shared: Arc<Shared>, run: Run, number: u64) -> Self {
         let shelf = shared.shelves.open(run.attempt.request, shared.limits.answer);
-        Self { shared, run, number, shelf, step: Step::Connect, told: None }
+        Self { shared, run, number, shelf, step: Step::Connect, pace: Pace::default() }
     }
 
     /// Drives the run and returns its last event.
@@ -107,8 +109,10 @@
         };
         // The control thread plans the next run from the position, so that the last one must not
         // be held back by the pace.
-        self.told = self.told.map(|(position, _)| (position, self.shared.origin));
-        self.tell_position();
+        let position = self.shelf.position();
+        if self.pace.behind(position) {
+            self.tell(Event::Tokens { position });
+        }
         let not_run = halt.not_run || self.unsent();
         Event::Failed(Failure { step: self.step, cause: halt.cause, not_run })
     }
@@ -125,16 +129,15 @@
             _ => None,
         };
         self.step = Step::Connect;
-        self.shelf.begin(self.run.attempt);
         let mut link = dial::open(self.run.address, self.shared.limits.connect_time).await?;
-        self.step = Step::Write;
-        let (request, body) = self.request(handle);
+        // An earlier run's tokens count until this one can go on after them.
+        self.shelf.begin(self.run.attempt);
+        let (builder, body) = self.request(handle);
+        let request = link.request(builder, &self.run.body.content, body)?;
+        self.step = Step::Head;
         // From here on bytes may reach the upstream; whether they did can't be known.
         self.tell(Event::Sent);
-        let content = self.run.body.content.clone();
-        let sent = link.send(request, &content, body);
-        self.step = Step::Head;
-        let response = patient(self.run.stall, sent).await??;
+        let response = patient(self.run.stall, link.send(request)).await??;
         match self.run.kind {
             Kind::Engine => self.engine(response).await,
             Kind::Service => self.service(response).await,
@@ -157,14 +160,14 @@
         let mut changed = self.shelf.watch();
         let wait = async {
             while self.shelf.position() < tokens && self.shared.runs.contains(&from) {
-                let _ = tokio::time::timeout(PACE, changed.changed()).await;
+                let _ = tokio::time::timeout(DRAIN, changed.changed()).await;
             }
         };
         let _ = tokio::time::timeout(self.run.stall, wait).await;
     }
 
     /// Makes the request as its start says.
-    fn request(&self, handle: Option<String>) -> (hyper::http::request::Builder, Vec<u8>) {
+    fn request(&self, handle: Option<String>) -> (Builder, Vec<u8>) {
         let Attempt { request, number } = self.run.attempt;
         if let Start::Rejoin = self.run.start {
             let path = format!("/v1/streams/{request}/{number}?from={}", self.shelf.position());
@@ -310,12 +313,7 @@
     /// Reports the position at the first token, and then not more often than the pace.
     fn tell_position(&mut self) {
         let position = self.shelf.position();
-        let due = match self.told {
-            None => position > 0,
-            Some((told, at)) => position > told && at.elapsed() >= PACE,
-        };
-        if due {
-            self.told = Some((position, Instant::now()));
+        if self.pace.due(position, false) {
             self.tell(Event::Tokens { position });
         }
     }
--- a/crates/verbenaslip/src/traffic/dial.rs
+++ b/crates/verbenaslip/src/traffic/dial.rs
@@ -7,6 +7,7 @@
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::http::request::Builder;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -42,18 +43,25 @@
 }
 
 impl Link {
-    /// Sends a request and waits for the answer's head.
-    pub(crate) async fn send(
-        &mut self,
-        request: hyper::http::request::Builder,
+    /// Puts a request together.
+    pub(crate) fn request(
+        &self,
+        request: Builder,
         content: &str,
         body: Vec<u8>,
-    ) -> Result<Response<Incoming>, Cause> {
-        let request = request
+    ) -> Result<Request<Full<Bytes>>, Cause> {
+        request
             .header(HOST, self.address.to_string())
             .header(CONTENT_TYPE, content)
             .body(Full::new(Bytes::from(body)))
-            .map_err(|_| Cause::Error)?;
+            .map_err(|_| Cause::Error)
+    }
+
+    /// Sends a request and waits for the answer's head.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Cause> {
         self.sender.send_request(request).await.map_err(|_| Cause::Closed)
     }
 }
@@ -61,14 +69,15 @@
 /// Makes one short call with a JSON body and reads the answer whole.
 pub(crate) async fn call(
     address: SocketAddr,
-    request: hyper::http::request::Builder,
+    request: Builder,
     body: Vec<u8>,
     limit: Duration,
     most: usize,
 ) -> Result<Reply, Cause> {
     let exchange = async {
         let mut link = open(address, limit).await?;
-        let response = link.send(request, "application/json", body).await?;
+        let request = link.request(request, "application/json", body)?;
+        let response = link.send(request).await?;
         let status = response.status();
         let bytes = collect(response.into_body(), most).await?;
         Ok(Reply { status, bytes })
@@ -86,11 +95,11 @@
 }
 
 /// Starts a request without body.
-pub(crate) fn get(path: impl AsRef<str>) -> hyper::http::request::Builder {
+pub(crate) fn get(path: impl AsRef<str>) -> Builder {
     Request::get(path.as_ref())
 }
 
 /// Starts a request with a body.
-pub(crate) fn post(path: impl AsRef<str>) -> hyper::http::request::Builder {
+pub(crate) fn post(path: impl AsRef<str>) -> Builder {
     Request::post(path.as_ref())
 }
--- a/crates/verbenaslip/src/traffic/limit.rs
+++ b/crates/verbenaslip/src/traffic/limit.rs
@@ -9,7 +9,7 @@
     pub body: usize,
     /// The most bytes of a request's head; at least 8,192.
     pub header: usize,
-    /// How long a request's head may take.
+    /// How long a request's head may take, counted from the answer before it on the connection.
     pub header_time: Duration,
     /// How long a request's body may take.
     pub body_time: Duration,
@@ -32,7 +32,7 @@
         Self {
             body: 1 << 20,
             header: 16 << 10,
-            header_time: Duration::from_secs(10),
+            header_time: Duration::from_secs(30),
             body_time: Duration::from_secs(20),
             write_time: Duration::from_secs(20),
             connect_time: Duration::from_secs(2),
--- a/crates/verbenaslip/src/traffic/mirror.rs
+++ b/crates/verbenaslip/src/traffic/mirror.rs
@@ -12,6 +12,7 @@
 
 use crate::peers::wire::Frame;
 use crate::traffic::Report;
+use crate::traffic::pace::Pace;
 use crate::traffic::plane::{self, BEAT};
 use crate::traffic::shared::Shared;
 use crate::traffic::shelf::Shelf;
@@ -74,11 +75,14 @@
         let Self { request, epoch, .. } = *self;
         plane::send(&mut stream, &Frame::Copy { request, epoch }).await?;
         let mut held = acknowledged(&mut stream).await?;
+        let mut pace = Pace::default();
         loop {
             let Held { position, whole } = held;
             self.shelf.mirrored(position, whole);
-            let to = self.to.clone();
-            self.shared.tell(Report::Mirrored { request, to, position, whole });
+            if pace.due(position, whole) {
+                let to = self.to.clone();
+                self.shared.tell(Report::Mirrored { request, to, position, whole });
+            }
             if whole {
                 return Ok(());
             }
--- a/crates/verbenaslip/src/traffic/plane.rs
+++ b/crates/verbenaslip/src/traffic/plane.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -12,6 +12,7 @@
 
 use crate::peers::wire::{Frame, Purpose};
 use crate::traffic::Report;
+use crate::traffic::pace::Pace;
 use crate::traffic::reader::{Reader, Stop};
 use crate::traffic::shared::Shared;
 use crate::traffic::shelf::{Rest, Shelf};
@@ -23,9 +24,6 @@
 /// The silence after which a connection is given up.
 pub(crate) const SILENT: Duration = Duration::from_millis(1800);
 
-/// The least time between two reports of how far a copy is.
-const PACE: Duration = Duration::from_millis(50);
-
 /// Takes over a connection from another instance.
 pub(crate) fn adopt(shared: &Arc<Shared>, stream: std::net::TcpStream) {
     let shared = shared.clone();
@@ -133,7 +131,7 @@
     epoch: u16,
 ) -> io::Result<()> {
     let shelf = shared.shelves.open(request, shared.limits.answer);
-    let mut copy = Copy { shared, shelf, request, epoch, told: None };
+    let mut copy = Copy { shared, shelf, request, epoch, pace: Pace::default() };
     if copy.shelf.epoch() > epoch {
         return send(stream, &Frame::Declined).await;
     }
@@ -156,7 +154,7 @@
     shelf: Arc<Shelf>,
     request: Request,
     epoch: u16,
-    told: Option<(u32, bool, Instant)>,
+    pace: Pace,
 }
 
 impl Copy<'_> {
@@ -187,13 +185,9 @@
         }
     }
 
-    /// Reports how far the copy is, at its end and otherwise not more often than the pace.
+    /// Reports how far the copy is, at its pace.
     fn tell(&mut self, position: u32, whole: bool) {
-        let due = self.told.is_none_or(|(told, ended, at)| {
-            (whole && !ended) || (position > told && at.elapsed() >= PACE)
-        });
-        if due {
-            self.told = Some((position, whole, Instant::now()));
+        if self.pace.due(position, whole) {
             let Self { request, epoch, .. } = *self;
             self.shared.tell(Report::Copied { request, epoch, position, whole });
         }
--- a/crates/verbenaslip/src/traffic/server.rs
+++ b/crates/verbenaslip/src/traffic/server.rs
@@ -114,15 +114,16 @@
 
 async fn accept(shared: Arc<Shared>, listener: TcpListener) {
     loop {
+        // Asked for before the flag is read, so that a close in between is not missed.
         let closing = shared.closing.notified();
+        if !shared.accepting.load(Ordering::Acquire) {
+            break;
+        }
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = closing => break,
         };
         admit(&shared, accepted).await;
-        if !shared.accepting.load(Ordering::Acquire) {
-            break;
-        }
     }
     // Connections that the system has made but that were not taken yet would be reset with the
     // listener, and their callers could not tell what became of their requests.
--- a/crates/verbenaslip/tests/traffic/caller.rs
+++ b/crates/verbenaslip/tests/traffic/caller.rs
@@ -54,7 +54,9 @@
         case("service without path", head("POST /v1/services/x HTTP/1.1", key, ""), 404, "path"),
         case("wrong method", head("GET /v1/chat/completions HTTP/1.1", key, ""), 405, "method"),
         case("delete", head("DELETE /v1/services/x/y HTTP/1.1", key, ""), 405, "method"),
+        case("head only", head("HEAD /v1/chat/completions HTTP/1.1", key, ""), 405, ""),
         case("no JSON", body("{"), 400, "body"),
+        case("NUL bytes", body("\0\0"), 400, "body"),
         case("a list", body("[]"), 400, "body"),
         case("deep JSON", body(&"[".repeat(100_000)), 400, "body"),
         case("no model", body(r#"{"messages":[{"role":"u","content":""}]}"#), 400, "model"),
@@ -159,6 +161,10 @@
         let status = format!("HTTP/1.1 {} ", case.status);
         assert!(answer.starts_with(&status), "{}: {answer}", case.name);
         assert!(answer.contains("content-type: application/json"), "{}: {answer}", case.name);
+        if case.code.is_empty() {
+            // An answer to HEAD has no body.
+            continue;
+        }
         let code = format!(r#""code":"{}""#, case.code);
         assert!(answer.contains(&code), "{}: {answer}", case.name);
         assert!(answer.contains(r#""type":"invalid_request_error""#), "{}: {answer}", case.name);
@@ -327,3 +333,23 @@
     bench.traffic.verdict(bench.arrival().ticket, Verdict::Conflict);
     assert!(read_until(&mut stream, "}}").starts_with("HTTP/1.1 409 "));
 }
+
+/// Symptom: bytes that are no text make the instance fail, or reach an engine.
+/// Sequence: a body that is not UTF-8; a path with bytes that are none.
+/// Cause: JSON is text, and a path may be passed on.
+#[test]
+fn bytes_that_are_no_text_are_refused() {
+    let bench = bench();
+    let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+                authorization: Bearer secret\r\ncontent-length: 4\r\n\r\n";
+    let mut bytes = head.as_bytes().to_vec();
+    bytes.extend_from_slice(&[0xff, 0xfe, 0x80, 0x00]);
+    let answer = read_all(&mut bench.send(&bytes));
+    assert!(answer.starts_with("HTTP/1.1 400 "), "{answer}");
+    let mut path = b"POST /v1/services/x/".to_vec();
+    path.extend_from_slice(&[0xff, 0x01]);
+    path.extend_from_slice(b" HTTP/1.1\r\nhost: x\r\n\r\n");
+    let answer = read_all(&mut bench.send(&path));
+    assert!(answer.starts_with("HTTP/1.1 400 "), "{answer}");
+    assert!(bench.reports.is_empty(), "a wrong request reached the control thread");
+}
--- a/crates/verbenaslip/tests/traffic/plane.rs
+++ b/crates/verbenaslip/tests/traffic/plane.rs
@@ -6,13 +6,14 @@
 use crossbeam::channel::{Receiver, unbounded};
 use verbenaslip::peers::{self, Peers};
 use verbenaslip::traffic::{Limits, Report};
+use verbenaslip_base::announce::Kind;
 use verbenaslip_base::attempt::{Attempt, Request};
 use verbenaslip_base::name::Instance;
 use verbenaslip_base::refusal::Unknown;
 use verbenaslip_request::caller::{Arrival, Ticket, Verdict};
 use verbenaslip_request::run::{Event, Start};
 
-use crate::bench::{Bench, STREAMED, identity, named, read_all, read_until};
+use crate::bench::{Bench, STREAMED, identity, named, read_all, read_until, run};
 use crate::script::{Act, Script, words};
 
 /// Holds one instance with its peer address.
@@ -272,6 +273,69 @@
     assert!(answer.contains("[DONE]"), "{answer}");
 }
 
+/// A plain service's answer is copied, and read through another instance, as it came.
+#[test]
+fn a_plain_services_answer_goes_to_other_instances_whole() {
+    let (one, two) = pair();
+    let ask = "POST /v1/services/stock/x HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+               authorization: Bearer secret\r\nidempotency-key: k\r\ncontent-length: 0\r\n\r\n";
+    let _first = one.bench.send(ask);
+    let owned = one.bench.arrival();
+    let request = owned.head.request;
+    one.bench.traffic.own(request, 1);
+    one.bench.traffic.mirror(request, 1, Some(Instance::from("two")));
+    let said = "HTTP/1.1 201 Created\r\ncontent-type: text/y\r\ncontent-length: 3\r\n\r\nabc";
+    let upstream = Script::spawn(vec![vec![Act::Say(said.into())]]);
+    let mut run = run(&owned, 1, upstream.address, Start::Fresh);
+    run.kind = Kind::Service;
+    one.bench.traffic.run(run);
+    for bench in [&one.bench, &two.bench] {
+        bench.wait(|report| match report {
+            Report::Mirrored { whole, .. } | Report::Copied { whole, .. } => whole.then_some(()),
+            _ => None,
+        });
+    }
+    let mut relayed = two.bench.send(ask);
+    relay(&two, &two.bench.arrival());
+    let (ticket, request, after) = subscribed(&one.bench);
+    one.bench.traffic.verdict(ticket, Verdict::Serve { request, after });
+    let mut copied = two.bench.send(ask);
+    let arrival = two.bench.arrival();
+    two.bench.traffic.verdict(arrival.ticket, Verdict::Serve { request, after: 0 });
+    for caller in [&mut relayed, &mut copied] {
+        let answer = read_all(caller);
+        assert!(answer.starts_with("HTTP/1.1 201 "), "{answer}");
+        assert!(answer.contains("content-type: text/y\r\n"), "{answer}");
+        assert!(answer.ends_with("\r\n\r\nabc"), "{answer}");
+    }
+}
+
+/// Symptom: the control thread is busy with counting tokens.
+/// Sequence: an answer of 2,000 tokens, copied as it grows.
+/// Cause: a report for each token or each acknowledged piece.
+#[test]
+fn reports_do_not_grow_with_tokens() {
+    let (one, two) = pair();
+    let mut caller = one.bench.post("connection: close\r\n", STREAMED);
+    let arrival = one.bench.arrival();
+    let request = arrival.head.request;
+    one.bench.traffic.own(request, 1);
+    one.bench.traffic.mirror(request, 1, Some(Instance::from("two")));
+    one.bench.serve(&arrival);
+    let attempt = Attempt { request, number: 1 };
+    let acts = vec![Act::Head, Act::Tokens(attempt, 1, 2000), Act::Finish(attempt), Act::Done];
+    let upstream = Script::spawn(vec![acts]);
+    let begun = std::time::Instant::now();
+    one.bench.run(&arrival, 1, upstream.address, Start::Fresh);
+    let answer = read_all(&mut caller);
+    assert_eq!(ids(&answer).len(), 2000);
+    let paced = usize::try_from(begun.elapsed().as_millis() / 50).expect("it is short");
+    // Arrived, Sent, Ended and Served; tokens and copies each paced, with a first and a last one.
+    let most = 4 + 2 * (paced + 2);
+    assert!(one.bench.reports.len() <= most, "{} of {most}", one.bench.reports.len());
+    assert!(two.bench.reports.len() <= paced + 2, "{}", two.bench.reports.len());
+}
+
 /// The handles are shared between threads.
 #[test]
 fn handles_can_be_shared() {
