Hold entry instances to the callers' and announcements' cases

Change: the demo's system can be opened by tests; the tables of cases for callers and announcements run against its instances.

--- a/crates/verbenaslip-lab/src/contract/callers.rs
+++ b/crates/verbenaslip-lab/src/contract/callers.rs
@@ -1,4 +1,4 @@
-//! Cases for callers: an instance that serves the model `assistant` and the plain service `orders`.
+//! Cases for callers: an instance that serves the model `assistant` and the plain service `claims-record`.
 
 use serde_json::{Value, json};
 
@@ -6,7 +6,7 @@
 use crate::text;
 
 const CHAT: &str = "/v1/chat/completions";
-const ORDERS: &str = "/v1/services/orders/confirm";
+const ORDERS: &str = "/v1/services/claims-record/confirm";
 
 /// Returns the cases; `key` is a team's key, and `now` the Unix time in milliseconds.
 pub fn cases(key: &str, now: u64) -> Vec<Case> {
--- a/crates/verbenaslip-lab/src/demo/cast.rs
+++ b/crates/verbenaslip-lab/src/demo/cast.rs
@@ -12,22 +12,28 @@
 use crate::service::{self, Service};
 
 /// The availability zones.
-pub(crate) const ZONES: [&str; 3] = ["arendal", "skarvik", "torshamn"];
+pub const ZONES: [&str; 3] = ["arendal", "skarvik", "torshamn"];
 
 /// The model that the engines have loaded.
-pub(crate) const MODEL: &str = "assistant";
+pub const MODEL: &str = "assistant";
 
 /// The plain service.
-pub(crate) const SERVICE: &str = "claims-record";
+pub const SERVICE: &str = "claims-record";
+
+/// The back end that offers the plain service.
+const RECORDS: &str = "records-1";
 
 /// How fast a demo's engine is, so that a streamed answer can be read along.
 const PACE: Duration = Duration::from_millis(20);
 
 /// Holds the back ends.
-pub(crate) struct Cast {
-    pub(crate) engines: Vec<Engine>,
-    pub(crate) service: Service,
-    pub(crate) cloud: Cloud,
+pub struct Cast {
+    /// The model engines, in the order of their prices.
+    pub engines: Vec<Engine>,
+    /// The plain service.
+    pub service: Service,
+    /// The cloud, which knows the engines.
+    pub cloud: Cloud,
 }
 
 impl Cast {
@@ -47,7 +53,7 @@
         let service = Service::spawn(service::Setup {
             services: vec![SERVICE.into()],
             announce: announce(5),
-            ..service::Setup::new("records-1", ZONES[0])
+            ..service::Setup::new(RECORDS, ZONES[0])
         })?;
         let cloud = Cloud::spawn(cloud::Setup {
             engine: engine(9, announce(9)),
@@ -60,8 +66,14 @@
         Ok(cast)
     }
 
+    /// Returns the names of the back ends.
+    pub(crate) fn names(&self) -> Vec<String> {
+        let engines = (1..=self.engines.len()).map(name);
+        engines.chain([RECORDS.to_owned()]).collect()
+    }
+
     /// Tells what all back ends did, also those that are gone.
-    pub(crate) fn truths(&self) -> Vec<Truth> {
+    pub fn truths(&self) -> Vec<Truth> {
         let mut truths: Vec<Truth> = self.engines.iter().map(Engine::truth).collect();
         truths.push(self.service.truth());
         truths.extend(self.cloud.truths());
--- a/crates/verbenaslip-lab/src/demo/edit.rs
+++ b/crates/verbenaslip-lab/src/demo/edit.rs
@@ -47,9 +47,11 @@
     revision(&ask(admin, &get("/v1/table"))?)
 }
 
-/// Says whether an instance is ready.
-pub(crate) fn is_ready(admin: SocketAddr) -> bool {
-    ask(admin, &Call::get("/readyz")).is_ok_and(|answer| answer.status.is_success())
+/// Says whether an instance is ready and knows the back ends.
+pub(crate) fn serves(admin: SocketAddr, back_ends: &[String]) -> bool {
+    let is_ready = ask(admin, &Call::get("/readyz")).is_ok_and(|answer| answer.status.is_success());
+    let status = ask(admin, &get("/v1/status")).map(|answer| answer.json().to_string());
+    is_ready && status.is_ok_and(|status| back_ends.iter().all(|name| status.contains(name)))
 }
 
 fn revision(answer: &Answer) -> io::Result<u64> {
--- a/crates/verbenaslip-lab/src/demo/place.rs
+++ b/crates/verbenaslip-lab/src/demo/place.rs
@@ -5,20 +5,21 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use super::cast::ZONES;
 
 /// The key of the team that calls.
-pub(crate) const TEAM_KEY: &str = "demo-key-of-the-charterers";
+pub const TEAM_KEY: &str = "demo-key-of-the-charterers";
 
 /// The key of another team that calls.
-pub(crate) const OTHER_KEY: &str = "demo-key-of-the-port-agents";
+pub const OTHER_KEY: &str = "demo-key-of-the-port-agents";
 
 /// The operators' key.
-pub(crate) const OPERATOR_KEY: &str = "demo-key-of-the-operators";
+pub const OPERATOR_KEY: &str = "demo-key-of-the-operators";
 
 /// The upstreams' key.
-pub(crate) const UPSTREAM_KEY: &str = "demo-key-of-the-upstreams";
+pub const UPSTREAM_KEY: &str = "demo-key-of-the-upstreams";
 
 /// The table with which the demo begins.
 const TABLE: &str = "\
@@ -50,7 +51,10 @@
 impl Place {
     /// Lays out a new folder.
     pub(crate) fn open() -> io::Result<Self> {
-        let folder = std::env::temp_dir().join(format!("verbenaslip-demo-{}", std::process::id()));
+        static COUNT: AtomicU32 = AtomicU32::new(0);
+        let count = COUNT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("verbenaslip-demo-{}-{count}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
         fs::create_dir_all(&folder)?;
         let place = Self { folder, ports: ports(ZONES.len())? };
         place.secret("teams", &format!("charterers {TEAM_KEY}\nport-agents {OTHER_KEY}\n"))?;
--- a/crates/verbenaslip-lab/src/demo/scene.rs
+++ b/crates/verbenaslip-lab/src/demo/scene.rs
@@ -5,21 +5,16 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use verbenaslip::Server;
-use verbenaslip::server::Ended;
-
 use super::cast::{Cast, MODEL, SERVICE};
-use super::place::{OTHER_KEY, Place, TEAM_KEY};
+use super::place::{OTHER_KEY, TEAM_KEY};
 use super::reader::Answer;
+use super::stage::Stage;
 use super::{edit, instance, summary};
 use crate::load;
 use crate::load::plan::{Plan, Work};
 use crate::load::report::Report;
 use crate::load::verdict::Verdict;
 
-/// How long the instances and back ends may take until they serve.
-const READY: Duration = Duration::from_secs(15);
-
 /// How long requests arrive.
 const CALLING: Duration = Duration::from_secs(6);
 
@@ -43,19 +38,17 @@
 pub fn run() -> io::Result<bool> {
     println!("verbenaslip demo: 3 entry instances, 4 model upstreams in 3 availability zones,");
     println!("1 plain service and 1 cloud, over loopback sockets in this process.");
-    let place = Place::open()?;
-    let admins: Vec<SocketAddr> = place.ports.iter().map(|ports| ports.admin).collect();
-    let cast = Cast::open(&admins)?;
-    let servers = instance::open(&place, cast.cloud.address())?;
-    let entries: Vec<SocketAddr> = servers.iter().map(Server::callers_address).collect();
-    ready(&admins, &cast)?;
+    let start = Instant::now();
+    let stage = Stage::open()?;
+    println!("Ready after {} ms.", start.elapsed().as_millis());
+    let (cast, entries) = (stage.cast(), stage.entries());
 
     println!("\nCallers wake: requests arrive for {} s.", CALLING.as_secs());
     let plan = plan(entries.clone());
     let callers = thread::spawn(move || load::run(plan));
-    let answer = stream(&cast, &entries)?;
+    let answer = stream(cast, &entries)?;
     let editing = Instant::now();
-    let edited = edit::row(admins[0], EDIT.0, EDIT.1)?;
+    let edited = edit::row(stage.admins()[0], EDIT.0, EDIT.1)?;
     println!(
         "\nEdited the weight of charterers/check: revision {}, {} after {} ms.",
         edited.revision,
@@ -63,25 +56,7 @@
         editing.elapsed().as_millis()
     );
     let report = callers.join().map_err(|_| io::Error::other("the callers panicked"))??;
-    finish(&cast, &admins, &report, &answer, servers)
-}
-
-fn ready(admins: &[SocketAddr], cast: &Cast) -> io::Result<()> {
-    let start = Instant::now();
-    while !admins.iter().all(|admin| edit::is_ready(*admin)) {
-        if start.elapsed() > READY {
-            return Err(io::Error::other("the instances did not get ready"));
-        }
-        thread::sleep(Duration::from_millis(50));
-    }
-    // Back ends announce themselves once a second, each time to one instance.
-    thread::sleep(Duration::from_millis(1_500));
-    println!(
-        "Ready after {} ms: {} engines, 1 service.",
-        start.elapsed().as_millis(),
-        cast.engines.len()
-    );
-    Ok(())
+    finish(stage, &report, &answer)
 }
 
 fn plan(entries: Vec<SocketAddr>) -> Plan {
@@ -141,27 +116,14 @@
     Some(name)
 }
 
-fn finish(
-    cast: &Cast,
-    admins: &[SocketAddr],
-    report: &Report,
-    answer: &Answer,
-    servers: Vec<Server>,
-) -> io::Result<bool> {
+fn finish(stage: Stage, report: &Report, answer: &Answer) -> io::Result<bool> {
     let mut revisions = Vec::new();
-    for (index, admin) in admins.iter().enumerate() {
+    for (index, admin) in stage.admins().iter().enumerate() {
         revisions.push((instance::name(index), edit::in_force(*admin)?.to_string()));
     }
-    let verdict = Verdict::new(report, &cast.truths());
+    let verdict = Verdict::new(report, &stage.cast().truths());
     summary::print(report, &verdict, &revisions);
-    // All stop at once, as one after the other would wait for the quorum to come back.
-    let stops: Vec<_> =
-        servers.into_iter().map(|server| thread::spawn(move || server.stop())).collect();
-    let mut graceful = true;
-    for stop in stops {
-        let ended = stop.join().map_err(|_| io::Error::other("an instance panicked"))?;
-        graceful &= ended == Ended::Drained;
-    }
+    let graceful = stage.stop()?;
     println!("{:<34}{:>10}", "all instances stopped gracefully", yes(graceful));
     Ok(verdict.holds_announced() && answer.is_whole() && graceful)
 }
