Show that silent streams are alive, and tell tokens used when asked

Cause: while a run is moved no byte goes to its caller, which a proxy in between may take for a dead connection; usual clients ask a stream for the tokens used. Connections for answers were not bounded once they were taken over.

Change: a comment after 10 s of silence; a usage chunk before the end mark with `stream_options.include_usage`; connections of other instances have the callers' bound.

--- a/crates/verbenaslip/src/peers/inbound.rs
+++ b/crates/verbenaslip/src/peers/inbound.rs
@@ -16,7 +16,7 @@
 /// The most connections from others at once.
 const CONNECTIONS_MAX: usize = 2048;
 
-/// How long the listener rests when the system has no connection to give.
+/// How long is rested after the system has failed to give a connection or a datagram.
 const REST: Duration = Duration::from_millis(20);
 
 /// Receives datagrams.
@@ -25,7 +25,7 @@
     loop {
         // An error tells of an earlier datagram that nobody took; the socket goes on.
         let Ok((length, source)) = socket.recv_from(&mut buffer).await else {
-            tokio::task::yield_now().await;
+            sleep(REST).await;
             continue;
         };
         match Datagram::decode(&buffer[..length]) {
--- a/crates/verbenaslip/src/traffic/chunk.rs
+++ b/crates/verbenaslip/src/traffic/chunk.rs
@@ -6,6 +6,7 @@
 use verbenaslip_base::attempt::Request;
 use verbenaslip_base::head::Head;
 
+use crate::traffic::parse::Form;
 use crate::traffic::shelf::Rest;
 
 /// Holds what every chunk of one answer repeats.
@@ -14,6 +15,7 @@
     model: String,
     created: u64,
     prompt: u32,
+    usage: bool,
 }
 
 #[derive(Serialize)]
@@ -22,7 +24,7 @@
     object: &'static str,
     created: u64,
     model: &'a str,
-    choices: [Choice<'a>; 1],
+    choices: &'a [Choice<'a>],
     #[serde(skip_serializing_if = "Option::is_none")]
     usage: Option<Usage>,
 }
@@ -54,7 +56,7 @@
 
 impl Style {
     /// Takes what the chunks repeat from the request.
-    pub(crate) fn new(head: &Head) -> Self {
+    pub(crate) fn new(head: &Head, form: Form) -> Self {
         let created = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_secs());
         let Request(number) = head.request;
         Self {
@@ -62,6 +64,7 @@
             model: head.model.as_str().to_owned(),
             created,
             prompt: head.prompt,
+            usage: form == Form::Events { usage: true },
         }
     }
 
@@ -73,15 +76,21 @@
             let delta = Delta { role, content: Some(&piece.text) };
             let choice =
                 Choice { index: 0, delta: Some(delta), message: None, finish_reason: None };
-            let data = self.chunk("chat.completion.chunk", choice, None);
+            let data = self.chunk("chat.completion.chunk", &[choice], None);
             text.push_str(&format!("id: {}\ndata: {data}\n\n", piece.position));
         }
         if let Some(end) = &rest.end {
             let delta = Delta { role: None, content: None };
             let finish_reason = Some(&*end.reason);
             let choice = Choice { index: 0, delta: Some(delta), message: None, finish_reason };
-            let data = self.chunk("chat.completion.chunk", choice, None);
-            text.push_str(&format!("data: {data}\n\ndata: [DONE]\n\n"));
+            let data = self.chunk("chat.completion.chunk", &[choice], None);
+            text.push_str(&format!("data: {data}\n\n"));
+            if self.usage {
+                let usage = Some(self.used(end.position));
+                let data = self.chunk("chat.completion.chunk", &[], usage);
+                text.push_str(&format!("data: {data}\n\n"));
+            }
+            text.push_str("data: [DONE]\n\n");
         }
         text
     }
@@ -91,17 +100,20 @@
         let message = Delta { role: Some("assistant"), content: Some(content) };
         let finish_reason = Some(reason);
         let choice = Choice { index: 0, delta: None, message: Some(message), finish_reason };
-        let usage = Usage {
+        self.chunk("chat.completion", &[choice], Some(self.used(tokens)))
+    }
+
+    fn used(&self, tokens: u32) -> Usage {
+        Usage {
             prompt_tokens: self.prompt,
             completion_tokens: tokens,
             total_tokens: self.prompt.saturating_add(tokens),
-        };
-        self.chunk("chat.completion", choice, Some(usage))
+        }
     }
 
-    fn chunk(&self, object: &'static str, choice: Choice<'_>, usage: Option<Usage>) -> String {
+    fn chunk(&self, object: &'static str, choices: &[Choice<'_>], usage: Option<Usage>) -> String {
         let (id, model) = (&*self.id, &*self.model);
-        let chunk = Chunk { id, object, created: self.created, model, choices: [choice], usage };
+        let chunk = Chunk { id, object, created: self.created, model, choices, usage };
         serde_json::to_string(&chunk).unwrap_or_default()
     }
 }
--- a/crates/verbenaslip/src/traffic/limit.rs
+++ b/crates/verbenaslip/src/traffic/limit.rs
@@ -15,9 +15,11 @@
     pub body_time: Duration,
     /// How long a caller may take no byte of its answer.
     pub write_time: Duration,
+    /// How long a stream is silent before it shows that it is alive.
+    pub beat_time: Duration,
     /// How long opening a connection may take.
     pub connect_time: Duration,
-    /// The most connections of callers at once.
+    /// The most connections of callers at once, and of other instances for answers.
     pub connections: usize,
     /// The most bytes of one answer.
     pub answer: usize,
@@ -35,6 +37,7 @@
             header_time: Duration::from_secs(30),
             body_time: Duration::from_secs(20),
             write_time: Duration::from_secs(20),
+            beat_time: Duration::from_secs(10),
             connect_time: Duration::from_secs(2),
             connections: 4096,
             answer: 4 << 20,
--- a/crates/verbenaslip/src/traffic/parse.rs
+++ b/crates/verbenaslip/src/traffic/parse.rs
@@ -38,8 +38,11 @@
 /// Names the form in which a caller wants its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Form {
-    /// An event stream.
-    Events,
+    /// An event stream, with the tokens used told before its end mark or not.
+    Events {
+        /// Whether they are told.
+        usage: bool,
+    },
     /// One JSON object.
     Object,
     /// Whatever the service answers.
@@ -140,7 +143,7 @@
         };
         let body = Arc::new(Body { path, content: self.content, bytes });
         // A caller that wants one object has no event before it to go on from.
-        let after = self.after.filter(|_| facts.form == Form::Events);
+        let after = self.after.filter(|_| matches!(facts.form, Form::Events { .. }));
         let arrival = Arrival { ticket: Ticket(0), head, body, after };
         Ok(Asked { arrival, due: self.due, form: facts.form })
     }
@@ -303,7 +306,7 @@
         return Err(field("model", "must be a text of 1 to 200 characters"));
     }
     let form = match value.get("stream") {
-        Some(Value::Bool(true)) => Form::Events,
+        Some(Value::Bool(true)) => Form::Events { usage: usage(&value)? },
         None | Some(Value::Null | Value::Bool(false)) => Form::Object,
         Some(_) => return Err(field("stream", "must be true or false")),
     };
@@ -320,6 +323,15 @@
     })
 }
 
+/// Says whether a stream is to tell the tokens used.
+fn usage(value: &Value) -> Result<bool, Problem> {
+    match value.pointer("/stream_options/include_usage") {
+        None | Some(Value::Null) => Ok(false),
+        Some(Value::Bool(usage)) => Ok(*usage),
+        Some(_) => Err(field("stream_options", "must have an `include_usage` of true or false")),
+    }
+}
+
 fn output(value: &Value, limits: &Limits) -> Result<u32, Problem> {
     for name in ["max_completion_tokens", "max_tokens"] {
         let given = value.get(name).filter(|given| !given.is_null());
--- a/crates/verbenaslip/src/traffic/plane.rs
+++ b/crates/verbenaslip/src/traffic/plane.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::net::TcpStream;
@@ -26,15 +27,36 @@
 
 /// Takes over a connection from another instance.
 pub(crate) fn adopt(shared: &Arc<Shared>, stream: std::net::TcpStream) {
+    let guard = Adopted::new(shared);
+    if shared.adopted.load(Ordering::Relaxed) > shared.limits.connections as u64 {
+        return log::warn!("refused a connection for answers: too many are open");
+    }
     let shared = shared.clone();
     let handle = shared.handle().clone();
     handle.spawn(async move {
+        let _guard = guard;
         if let Err(error) = serve(&shared, stream).await {
             log::debug!("a connection for answers ended: {error}");
         }
     });
 }
 
+/// Counts a connection of another instance for as long as it is open.
+struct Adopted(Arc<Shared>);
+
+impl Adopted {
+    fn new(shared: &Arc<Shared>) -> Self {
+        shared.adopted.fetch_add(1, Ordering::Relaxed);
+        Self(shared.clone())
+    }
+}
+
+impl Drop for Adopted {
+    fn drop(&mut self) {
+        self.0.adopted.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Opens a connection to another instance's peer address.
 pub(crate) async fn open(shared: &Shared, to: SocketAddr) -> io::Result<TcpStream> {
     let mut stream = timeout(shared.limits.connect_time, TcpStream::connect(to)).await??;
--- a/crates/verbenaslip/src/traffic/server.rs
+++ b/crates/verbenaslip/src/traffic/server.rs
@@ -106,6 +106,7 @@
         mirrors: Default::default(),
         addresses: Default::default(),
         connections: AtomicU64::new(0),
+        adopted: AtomicU64::new(0),
         rejected: AtomicU64::new(0),
         dropped: AtomicU64::new(0),
         stuck: AtomicU64::new(0),
--- a/crates/verbenaslip/src/traffic/shared.rs
+++ b/crates/verbenaslip/src/traffic/shared.rs
@@ -45,6 +45,7 @@
     pub mirrors: Tasks<Request>,
     pub addresses: Mutex<BTreeMap<Instance, SocketAddr>>,
     pub connections: AtomicU64,
+    pub adopted: AtomicU64,
     pub rejected: AtomicU64,
     pub dropped: AtomicU64,
     pub stuck: AtomicU64,
--- a/crates/verbenaslip/src/traffic/stream.rs
+++ b/crates/verbenaslip/src/traffic/stream.rs
@@ -19,6 +19,9 @@
 use crate::traffic::shelf::Rest;
 use crate::traffic::ticket::Waiter;
 
+/// A comment, which readers of events skip.
+const BEAT_TEXT: &str = ": waiting\n\n";
+
 /// Tells the control thread of a request and answers as it says.
 pub(crate) async fn answer(shared: &Arc<Shared>, asked: Asked) -> Response<Payload> {
     let Asked { mut arrival, due, form } = asked;
@@ -26,10 +29,11 @@
     arrival.ticket = waiter.ticket;
     arrival.head.deadline = due.map_or(Duration::MAX, |due| shared.now().saturating_add(due));
     let reader = Reader::new(shared, waiter, arrival.after.unwrap_or(0));
-    let caller = Caller { reader, style: Style::new(&arrival.head) };
+    let (style, beat) = (Style::new(&arrival.head, form), shared.limits.beat_time);
+    let caller = Caller { reader, style, beat };
     shared.tell(Report::Arrived { arrival, due });
     match form {
-        Form::Events => caller.events().await,
+        Form::Events { .. } => caller.events().await,
         Form::Object | Form::Plain => caller.whole().await,
     }
 }
@@ -38,6 +42,7 @@
 struct Caller {
     reader: Reader,
     style: Style,
+    beat: Duration,
 }
 
 impl Caller {
@@ -96,7 +101,7 @@
                 break;
             }
             next = tokio::select! {
-                next = self.reader.next() => next,
+                next = self.next(&feed) => next,
                 () = feed.gone() => return,
             };
         }
@@ -105,6 +110,19 @@
         }
     }
 
+    /// Waits for the next of the answer, and shows meanwhile that the stream is alive.
+    ///
+    /// While a run is moved no token comes for a while. A proxy in between may take the silence for
+    /// a dead connection and cut it; and a caller that has gone silently is noticed by writing only.
+    async fn next(&mut self, feed: &Feed) -> Result<Rest, Stop> {
+        loop {
+            match tokio::time::timeout(self.beat, self.reader.next()).await {
+                Ok(next) => return next,
+                Err(_) => feed.send(BEAT_TEXT).await,
+            };
+        }
+    }
+
     fn refuse(self, stop: &Stop) -> Response<Payload> {
         stop.problem().response().map(|payload| payload.to(self.reader.release()))
     }
--- a/crates/verbenaslip/tests/traffic/stream.rs
+++ b/crates/verbenaslip/tests/traffic/stream.rs
@@ -216,3 +216,91 @@
     upstream.go.send(()).expect("the upstream goes on");
     assert!(read_until(&mut caller, "[DONE]").contains("[DONE]"));
 }
+
+/// A stream that asks for it ends with the tokens used, in a chunk of its own before the end mark.
+#[test]
+fn a_stream_tells_the_tokens_used_when_asked() {
+    let bench = bench();
+    let options = r#"{"stream_options":{"include_usage":true},"#;
+    let body = STREAMED.replacen('{', options, 1);
+    let mut caller = bench.post("connection: close\r\n", &body);
+    let arrival = bench.arrival();
+    bench.serve(&arrival);
+    let upstream = whole(&arrival, 3);
+    bench.run(&arrival, 1, upstream.address, Start::Fresh);
+    let answer = read_all(&mut caller);
+    let (before, end) = answer.split_once(r#""finish_reason":"stop""#).expect("it ends");
+    assert!(!before.contains("usage"), "{before}");
+    let usage =
+        r#""choices":[],"usage":{"prompt_tokens":2,"completion_tokens":3,"total_tokens":5}"#;
+    assert!(end.contains(usage), "{end}");
+    assert!(end.find("usage") < end.find("[DONE]"), "{end}");
+}
+
+/// Symptom: a proxy cuts a stream while its run is moved, or a caller that has vanished is kept.
+/// Sequence: one token, then silence at the upstream.
+/// Cause: nothing is written for as long as no token comes.
+#[test]
+fn a_silent_stream_shows_that_it_is_alive() {
+    let limits = Limits { beat_time: Duration::from_millis(20), ..Limits::default() };
+    let bench = named("one", limits);
+    let mut caller = bench.post("connection: close\r\n", STREAMED);
+    let arrival = bench.arrival();
+    bench.serve(&arrival);
+    let attempt = attempt(&arrival);
+    let upstream = Script::spawn(vec![vec![
+        Act::Head,
+        Act::Tokens(attempt, 1, 1),
+        Act::Pause,
+        Act::Tokens(attempt, 2, 2),
+        Act::Finish(attempt),
+        Act::Done,
+    ]]);
+    bench.run(&arrival, 1, upstream.address, Start::Fresh);
+    let first = read_until(&mut caller, "\n: waiting\n\n");
+    assert!(first.contains("id: 1\n"), "{first}");
+    upstream.go.send(()).expect("the upstream goes on");
+    let rest = read_all(&mut caller);
+    assert!(rest.contains("id: 2\n") && rest.contains("[DONE]"), "{rest}");
+}
+
+/// Symptom: an instance needs a thread a caller, or lets some callers wait for others.
+/// Sequence: 1,000 streams are open at once; the next token must reach every one of them before
+/// the one after it is sent.
+/// Cause: a stream that holds a thread.
+#[test]
+fn a_thousand_streams_share_the_threads() {
+    let bench = bench();
+    let threads = || std::fs::read_dir("/proc/self/task").map_or(0, Iterator::count);
+    let first = bench.post("idempotency-key: k\r\n", STREAMED);
+    let arrival = bench.arrival();
+    bench.serve(&arrival);
+    let attempt = attempt(&arrival);
+    let upstream = Script::spawn(vec![vec![
+        Act::Head,
+        Act::Tokens(attempt, 1, 1),
+        Act::Pause,
+        Act::Tokens(attempt, 2, 2),
+        Act::Pause,
+        Act::Finish(attempt),
+        Act::Done,
+    ]]);
+    bench.run(&arrival, 1, upstream.address, Start::Fresh);
+    let before = threads();
+    let mut callers = vec![first];
+    for _ in 1..1000 {
+        callers.push(bench.post("idempotency-key: k\r\n", STREAMED));
+        bench.serve(&bench.arrival());
+    }
+    for text in ["id: 1\n", "id: 2\n", "[DONE]"] {
+        for caller in &mut callers {
+            assert!(read_until(caller, text).contains(text));
+        }
+        if text == "id: 1\n" {
+            assert_eq!(bench.traffic.stats().callers, 1000);
+            // Other tests of this process come and go, but not by the thousand.
+            assert!(threads() < before + 500, "{} threads", threads());
+        }
+        let _ = upstream.go.send(());
+    }
+}
