Keep slots free for the priorities above

Cause: long runs of a low priority took every slot before the burst, so that checks were refused while drafts were served: priority counted only when a slot was given. Change: slots needed by the work offered to higher priorities and not in use stay free of lower ones; predicted waits count only what higher priorities leave; the starvation bound counts work.

--- a/crates/verbenaslip-policy/src/admit/queue.rs
+++ b/crates/verbenaslip-policy/src/admit/queue.rs
@@ -13,16 +13,20 @@
 
 use crate::admit::Returns;
 use crate::admit::lane::{Lane, Waiting};
+use crate::admit::returns::Offered;
 use crate::pool::Pool;
 use crate::row::Terms;
 
 /// The most requests that wait for one model at one instance; bounds memory.
 const MOST_WAITING: usize = 8192;
-/// After so many picks of a higher priority a waiting lower one has its turn.
-const STARVATION: u32 = 16;
+/// The part of the work of higher priorities that a waiting lower one gets in any case.
+const STARVATION: f64 = 0.1;
 /// The part of the time to the deadline that predictions may fill; the rest is for their error.
 const MARGIN: f64 = 0.9;
 
+/// The part of the slots that a priority is expected to get however much is above it.
+const LEAST: f64 = 0.1;
+
 /// Describes a request that is offered.
 #[data]
 pub struct Item {
@@ -68,8 +72,11 @@
     lanes: BTreeMap<Key, Lane>,
     homes: BTreeMap<Request, Key>,
     returns: Returns,
+    offered: Offered,
+    demand: BTreeMap<u8, Offered>,
+    running: BTreeMap<u8, u32>,
     order: u64,
-    skipped: BTreeMap<u8, u32>,
+    owed: BTreeMap<u8, f64>,
 }
 
 impl Queue {
@@ -88,7 +95,9 @@
             return Admission::Refused(refusal);
         }
         let cost = cost(&item, pool);
-        let wait = self.wait(&item, pool);
+        let wait = self.wait(now, &item, pool);
+        self.offered.add(now, cost);
+        self.demand.entry(item.terms.priority).or_default().add(now, cost);
         if let Some(refusal) = self.refuse(now, &item, pool, (wait, cost), rng) {
             return Admission::Refused(refusal);
         }
@@ -106,19 +115,33 @@
     /// Returns the request that should go next and takes it out, if one may go.
     ///
     /// `may` says whether a row's limits allow one more run.
-    pub fn next(&mut self, pool: &Pool, mut may: impl FnMut(&Key, &Item) -> bool) -> Option<Item> {
+    pub fn next(
+        &mut self,
+        now: Duration,
+        pool: &Pool,
+        mut may: impl FnMut(&Key, &Item) -> bool,
+    ) -> Option<Item> {
         if pool.free == 0 {
             return None;
         }
-        let key = self.pick(&mut may)?;
+        let lowest = self.lowest(now, pool);
+        let key = self.pick(lowest, &mut may)?;
         let lane = self.lanes.get_mut(&key)?;
         let request = lane.first()?.item.head.request;
         let waiting = lane.remove(request)?;
         lane.served += waiting.cost / f64::from(lane.terms.weight.max(1));
         self.homes.remove(&request);
+        *self.running.entry(waiting.item.terms.priority).or_default() += 1;
         Some(waiting.item)
     }
 
+    /// Notes that a request that [`Queue::next`] gave runs no more.
+    pub fn left(&mut self, item: &Item) {
+        if let Some(running) = self.running.get_mut(&item.terms.priority) {
+            *running = running.saturating_sub(1);
+        }
+    }
+
     /// Puts a request back that could not be sent after all; it is ready at once.
     pub fn put_back(&mut self, item: Item, pool: &Pool) {
         let cost = cost(&item, pool);
@@ -145,8 +168,9 @@
         let mut given = Vec::new();
         for (request, reason) in lost {
             let Some(item) = self.remove(request) else { continue };
-            let (cost, wait) = (cost(&item, pool), self.wait(&item, pool));
-            let retry = self.returns.hint(now, wait, cost, pool.share, rng);
+            let (cost, wait) = (cost(&item, pool), self.wait(now, &item, pool));
+            let spare = self.offered.spare(now, pool.share);
+            let retry = self.returns.hint(now, wait, cost, spare, rng);
             given.push(Given { head: item.head, refusal: Refusal { reason, retry: Some(retry) } });
         }
         given
@@ -212,38 +236,61 @@
     }
 
     /// Chooses the lane that goes next.
-    fn pick(&mut self, may: &mut impl FnMut(&Key, &Item) -> bool) -> Option<Key> {
-        let mut best: BTreeMap<u8, (f64, Key)> = BTreeMap::new();
+    fn pick(&mut self, lowest: u8, may: &mut impl FnMut(&Key, &Item) -> bool) -> Option<Key> {
+        let mut best: BTreeMap<u8, Pick> = BTreeMap::new();
         for (key, lane) in &self.lanes {
             let Some(first) = lane.first() else { continue };
             if !may(key, &first.item) {
                 continue;
             }
-            let entry = best.entry(lane.terms.priority);
-            let better = entry.or_insert_with(|| (lane.served, key.clone()));
-            if lane.served < better.0 {
-                *better = (lane.served, key.clone());
+            let pick = Pick { served: lane.served, cost: first.cost, key: key.clone() };
+            let better = best.entry(lane.terms.priority).or_insert_with(|| pick.clone());
+            if pick.served < better.served {
+                *better = pick;
             }
         }
         let highest = *best.keys().next_back()?;
-        let starved = best.keys().copied().find(|priority| {
-            *priority < highest && self.skipped.get(priority).is_some_and(|n| *n >= STARVATION)
+        let starved = best.iter().find(|(priority, pick)| {
+            **priority < highest && self.owed.get(priority).is_some_and(|owed| *owed >= pick.cost)
         });
-        let chosen = starved.unwrap_or(highest);
-        self.count(chosen, best.keys().copied());
-        best.remove(&chosen).map(|(_, key)| key)
+        let chosen = starved.map_or(highest, |(priority, _)| *priority);
+        if chosen < lowest && starved.is_none() {
+            return None;
+        }
+        self.owe(chosen, &best);
+        best.remove(&chosen).map(|pick| pick.key)
     }
 
-    /// Counts for each lower priority with work how often a higher one went before it.
-    fn count(&mut self, chosen: u8, waiting: impl Iterator<Item = u8>) {
-        self.skipped.insert(chosen, 0);
-        for priority in waiting.filter(|priority| *priority < chosen) {
-            *self.skipped.entry(priority).or_default() += 1;
+    /// Owes each lower priority with work a part of what a higher one takes before it.
+    fn owe(&mut self, chosen: u8, best: &BTreeMap<u8, Pick>) {
+        let Some(cost) = best.get(&chosen).map(|pick| pick.cost) else { return };
+        self.owed.insert(chosen, 0.0);
+        for priority in best.keys().filter(|priority| **priority < chosen) {
+            *self.owed.entry(*priority).or_default() += cost * STARVATION;
         }
     }
 
+    /// Returns the lowest priority that may take one of the free slots.
+    ///
+    /// Long runs of a low priority could take every slot in a quiet second; short ones of a higher
+    /// priority that come then would find none for as long as those run. So what the higher
+    /// priorities need, by the work offered, and do not use at the moment stays free for them.
+    fn lowest(&mut self, now: Duration, pool: &Pool) -> u8 {
+        let instances = f64::from(pool.slots) / pool.share.max(0.25);
+        let mut kept = 0.0;
+        for (priority, offered) in self.demand.iter_mut().rev() {
+            if f64::from(pool.free) <= kept * instances {
+                return priority.saturating_add(1);
+            }
+            let running = f64::from(self.running.get(priority).copied().unwrap_or(0));
+            kept += (offered.work(now) - running).max(0.0);
+        }
+        0
+    }
+
     /// Predicts the seconds that a request would wait for a slot.
-    fn wait(&self, item: &Item, pool: &Pool) -> f64 {
+    fn wait(&mut self, now: Duration, item: &Item, pool: &Pool) -> f64 {
+        let share = self.available(now, item.terms.priority, pool);
         let key = &item.key;
         let same = |lane: &&Lane| lane.terms.priority == item.terms.priority;
         let higher = |lane: &&Lane| lane.terms.priority > item.terms.priority;
@@ -261,7 +308,14 @@
         let ahead = above + own + others;
         let residual = if pool.free == 0 { self.residual(item, pool) } else { 0.0 };
         let free = f64::from(pool.free) * typical(item, pool);
-        residual + (ahead - free).max(0.0) / pool.share.max(0.25)
+        residual + (ahead - free).max(0.0) / share
+    }
+
+    /// Returns the slots of this instance's share that the work of higher priorities leaves.
+    fn available(&mut self, now: Duration, priority: u8, pool: &Pool) -> f64 {
+        let higher = self.demand.range_mut(priority.saturating_add(1)..);
+        let taken: f64 = higher.map(|(_, offered)| offered.work(now)).sum();
+        (pool.share - taken).max(pool.share * LEAST).max(0.25)
     }
 
     /// Returns the seconds until a slot of this instance's share frees when all are taken.
@@ -289,7 +343,8 @@
             return None;
         }
         let reason = if wait + cost > left { Reason::Deadline } else { Reason::Overload };
-        let retry = self.returns.hint(now, needed, cost, pool.share, rng);
+        let spare = self.offered.spare(now, pool.share);
+        let retry = self.returns.hint(now, needed, cost, spare, rng);
         Some(Refusal { reason, retry: Some(retry) })
     }
 
@@ -300,6 +355,14 @@
     }
 }
 
+/// Holds the lane of a priority that would go next.
+#[derive(Clone)]
+struct Pick {
+    served: f64,
+    cost: f64,
+    key: Key,
+}
+
 /// Returns the seconds that a request takes from dispatch to its whole answer.
 fn cost(item: &Item, pool: &Pool) -> f64 {
     let computed = item.head.prompt.saturating_sub(item.cached);
--- a/crates/verbenaslip-policy/src/admit/returns.rs
+++ b/crates/verbenaslip-policy/src/admit/returns.rs
@@ -11,6 +11,11 @@
 /// The part by which a hint is drawn longer at random.
 const JITTER: f64 = 0.25;
 
+/// Seconds over which offered work is remembered.
+const MEMORY: f64 = 10.0;
+/// The part of the slots that is booked for those who come back in any case.
+const LEAST_SPARE: f64 = 0.5;
+
 /// Books the capacity to come for those who were refused, so that each finds room when it returns.
 ///
 /// With a fixed hint all refused return together and most are refused again. Here each refusal
@@ -42,6 +47,42 @@
     }
 }
 
+/// Follows how much work a second is offered.
+#[derive(Debug, Default)]
+pub(crate) struct Offered {
+    work: f64,
+    at: Duration,
+}
+
+impl Offered {
+    /// Adds the slot seconds of an offered request.
+    pub(crate) fn add(&mut self, now: Duration, work: f64) {
+        self.fade(now);
+        self.work += work / MEMORY;
+    }
+
+    /// Returns the slot seconds that are offered a second.
+    pub(crate) fn work(&mut self, now: Duration) -> f64 {
+        self.fade(now);
+        self.work
+    }
+
+    /// Returns the slots that new arrivals leave to those who come back.
+    ///
+    /// Those who were refused return into a burst that is still on; if all slots were booked for
+    /// them, most would find the slots taken by new arrivals and be refused again.
+    pub(crate) fn spare(&mut self, now: Duration, share: f64) -> f64 {
+        self.fade(now);
+        (share - self.work).max(share * LEAST_SPARE)
+    }
+
+    fn fade(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        self.at = self.at.max(now);
+        self.work *= (-passed / MEMORY).exp();
+    }
+}
+
 /// Turns any number of seconds into a duration within bounds.
 fn seconds(value: f64) -> Duration {
     if value.is_nan() {
--- a/crates/verbenaslip-policy/src/dispatch.rs
+++ b/crates/verbenaslip-policy/src/dispatch.rs
@@ -208,6 +208,7 @@
         let home = self.router.home(request).cloned();
         let Some(running) = self.running.remove(&request) else { return };
         let item = running.item;
+        self.leave(&item);
         self.router.ended(now, &item.head.model, request, tokens);
         let used = i64::from(item.head.prompt) + i64::from(tokens);
         self.limiter.ended(&item.key, i64::from(running.estimate) - used);
@@ -232,6 +233,7 @@
             return Verdict::Never(Why::MayHaveRun);
         };
         self.limiter.ended(&running.item.key, i64::from(running.estimate));
+        self.leave(&running.item);
         let ask = self.retry(now, &running, upstream, fate);
         let verdict = self.retries.ask(now, &ask, rng);
         if let Verdict::After(delay) = verdict {
@@ -268,6 +270,7 @@
         let home = self.router.home(request).cloned();
         self.router.withdrawn(now, request);
         self.limiter.ended(&running.item.key, i64::from(running.estimate));
+        self.leave(&running.item);
         home
     }
 
@@ -296,8 +299,9 @@
         let queue = self.queues.get_mut(model)?;
         let limiter = &mut self.limiter;
         let may = |key: &Key, item: &Item| limiter.check(now, key, tokens(item, &pool)).is_ok();
-        let item = queue.next(&pool, may)?;
+        let item = queue.next(now, &pool, may)?;
         let Some(choice) = self.router.choose(now, &ask(&item), rng) else {
+            queue.left(&item);
             queue.put_back(item, &pool);
             return None;
         };
@@ -311,6 +315,12 @@
         Some(Dispatch { head, choice, priority })
     }
 
+    fn leave(&mut self, item: &Item) {
+        if let Some(queue) = self.queues.get_mut(&item.head.model) {
+            queue.left(item);
+        }
+    }
+
     /// Puts failed requests whose delay is over back into their queues.
     fn requeue(&mut self, now: Duration) {
         while let Some(entry) = self.delayed.first_entry() {
--- a/crates/verbenaslip-policy/tests/admit.rs
+++ b/crates/verbenaslip-policy/tests/admit.rs
@@ -16,9 +16,9 @@
     let request = item(1, "a", terms(|_| ()));
     let admission = queue.offer(ms(0), request.clone(), &pool(8, 8), &mut rng);
     assert_eq!(admission, Admission::Admitted);
-    assert_eq!(queue.next(&pool(8, 8), |_, _| true), None, "it is not journalled yet");
+    assert_eq!(queue.next(ms(0), &pool(8, 8), |_, _| true), None, "it is not journalled yet");
     assert!(queue.ready(request.head.request));
-    assert_eq!(queue.next(&pool(8, 8), |_, _| true), Some(request));
+    assert_eq!(queue.next(ms(0), &pool(8, 8), |_, _| true), Some(request));
     assert!(queue.is_empty());
 }
 
@@ -87,7 +87,7 @@
     }
     let mut counts: BTreeMap<String, usize> = BTreeMap::new();
     for _ in 0..100 {
-        let next = queue.next(&pool(8, 8), |_, _| true).expect("both lanes have work");
+        let next = queue.next(ms(0), &pool(8, 8), |_, _| true).expect("both lanes have work");
         *counts.entry(next.head.team.to_string()).or_default() += 1;
     }
     assert_eq!(counts["a"], 75, "{counts:?}");
