Keep callers on the answer they have begun

Cause: two instances can own a request for a while (false suspicion, a lookup that missed), and go on in other words. A caller relayed from one to the other got halves of two answers. Change: each answer has a lineage, the ownership from which it goes on. A caller is relayed only to an owner that goes on from all that the caller was given; else it gets the rest where it is, and the former owner goes on for these callers alone. A caller of another answer that joins one begun anew is told. Whether a request's homes were all asked goes with its copy, and homes are told again who owns a key until they answer. Ruled out: taking the same run for the same answer; the new owner may have moved on since.

--- a/crates/verbenaslip-request/src/arrive.rs
+++ b/crates/verbenaslip-request/src/arrive.rs
@@ -116,6 +116,7 @@
         };
         self.tickets.insert(ticket, request);
         entry.callers.insert(ticket, Caller { after, begun: false, subscriber: true });
+        self.dismiss_latecomers(turn, &mut entry);
         self.welcome(turn, &mut entry, ticket);
         self.put(entry);
     }
@@ -173,6 +174,7 @@
         }
         self.tickets.insert(ticket, entry.request());
         entry.callers.insert(ticket, relay.caller());
+        self.dismiss_latecomers(turn, &mut entry);
         if self.revives(&entry) && self.charge(&body) {
             self.revive(turn, entry, &relay.head, body);
             return;
@@ -295,6 +297,14 @@
         self.put(entry);
     }
 
+    /// Ends callers of another answer that join one which has only been begun anew.
+    fn dismiss_latecomers(&mut self, turn: &mut Turn<'_>, entry: &mut Entry) {
+        let anew = entry.lineage == entry.salt && entry.position == 0 && entry.epoch > 0;
+        if anew && !entry.finished() {
+            self.dismiss_strays(turn, entry);
+        }
+    }
+
     /// Ends callers that come back for the rest of an answer of which nothing is left.
     ///
     /// Everyone who held it is lost, and a new run may well answer in other words. One would notice
--- a/crates/verbenaslip-request/src/entry.rs
+++ b/crates/verbenaslip-request/src/entry.rs
@@ -14,7 +14,7 @@
 use crate::hold::Held;
 use crate::input::Place;
 use crate::lookup::Lookup;
-use crate::message::{Live, Note};
+use crate::message::{Live, Note, Taken};
 use crate::output::Outcome;
 use crate::setup::Timing;
 
@@ -36,6 +36,10 @@
     pub(crate) epoch: u16,
     /// Tells this ownership from every other, also of the same instance.
     pub(crate) salt: u64,
+    /// The ownership from whose answer this one goes on: its own number, or a former owner's.
+    pub(crate) lineage: u64,
+    /// Whether callers may have been given tokens that some second holder lacked.
+    pub(crate) loose: bool,
     /// Who waits for the answer.
     pub(crate) callers: BTreeMap<Ticket, Caller>,
     /// What is being done.
@@ -50,6 +54,10 @@
     pub(crate) tried: BTreeSet<Instance>,
     /// Homes that know the key.
     pub(crate) informed: BTreeSet<Instance>,
+    /// When homes that have not said that they know the key are told again.
+    pub(crate) informing: Option<Duration>,
+    /// How often they were told.
+    pub(crate) informs: u32,
     /// Whether every home has said that it did not know the key.
     pub(crate) complete: bool,
     /// When they said so.
@@ -232,6 +240,8 @@
             digest,
             epoch: 0,
             salt,
+            lineage: salt,
+            loose: false,
             callers: BTreeMap::new(),
             phase: Phase::Admit,
             due: None,
@@ -239,6 +249,8 @@
             stale: BTreeSet::new(),
             tried: BTreeSet::new(),
             informed: BTreeSet::new(),
+            informing: None,
+            informs: 0,
             complete: false,
             looked: Duration::ZERO,
             sequence: 0,
@@ -271,6 +283,11 @@
         matches!(self.phase, Phase::Finished { .. })
     }
 
+    /// Returns whether it has ended with a whole answer.
+    pub(crate) fn whole(&self) -> bool {
+        matches!(self.phase, Phase::Finished { outcome: Outcome::Whole { .. }, .. })
+    }
+
     /// Returns whether any attempt may have run.
     pub(crate) fn may_have_run(&self) -> bool {
         self.ran || self.flight.is_some()
@@ -291,6 +308,26 @@
         self.holder.as_ref().filter(|holder| holder.acked.is_some()).map(|holder| &holder.instance)
     }
 
+    /// Says that this entry's owner is the one that goes on with the request.
+    pub(crate) fn taken_by(&self, owner: Instance) -> Taken {
+        Taken {
+            request: self.request(),
+            owner,
+            epoch: self.epoch,
+            attempt: self.last.as_ref().map(|live| live.attempt),
+            lineage: self.lineage,
+        }
+    }
+
+    /// Returns whether callers can go on with a new owner's answer where they are in this one's.
+    ///
+    /// The new owner goes on from what it had as second holder, perhaps in other words than this
+    /// one. So they can only if it had all that they were given.
+    pub(crate) fn continues_in(&self, taken: &Taken) -> bool {
+        let begun = self.served && self.position > 0;
+        !begun || (self.lineage == taken.lineage && !self.loose)
+    }
+
     /// Returns the upstream at which it runs.
     pub(crate) fn upstream(&self) -> Option<&Upstream> {
         self.flight.as_ref().map(|flight| &flight.live.upstream)
@@ -315,6 +352,8 @@
             live: self.last.clone(),
             number: self.number,
             ran: self.may_have_run(),
+            complete: self.complete,
+            lineage: self.lineage,
             outcome,
         }
     }
@@ -324,8 +363,7 @@
     /// Callers get only what the second holder has. One whose connection for copies is broken, but
     /// which seems alive otherwise, would hold up the answer for good, so the wait is bounded.
     pub(crate) fn watch_mirror(&mut self, now: Duration) {
-        let whole = matches!(self.phase, Phase::Finished { outcome: Outcome::Whole { .. }, .. });
-        let lacks = self.mirrored < self.position || (whole && !self.ended);
+        let lacks = self.mirrored < self.position || (self.whole() && !self.ended);
         let lacks = lacks && self.kept().is_some();
         self.lagging = lacks.then_some(now);
     }
@@ -356,7 +394,8 @@
         let ousted = self.ousted.as_ref().and_then(|ousted| ousted.due);
         let lag = self.lagging.map(|since| since.saturating_add(timing.stall));
         let parts = [Some(deadline), self.due, moving, holder, ousted, self.absent, lag];
-        parts.into_iter().flatten().min()
+        let parts = parts.into_iter().chain([self.informing]);
+        parts.flatten().min()
     }
 }
 
--- a/crates/verbenaslip-request/src/finish.rs
+++ b/crates/verbenaslip-request/src/finish.rs
@@ -328,6 +328,7 @@
         self.tell_ousted(turn, &mut entry);
         self.tick_holder(turn, &mut entry);
         self.tick_mirror(turn, &mut entry);
+        self.tick_inform(turn, &mut entry);
         self.tick_moving(turn, &mut entry);
         if let Phase::Finished { until, .. } = entry.phase {
             match turn.now >= until && entry.callers.is_empty() {
--- a/crates/verbenaslip-request/src/hold.rs
+++ b/crates/verbenaslip-request/src/hold.rs
@@ -68,6 +68,17 @@
 }
 
 impl Held {
+    /// Says that this copy's owner is the one that goes on with the request.
+    pub(crate) fn taken(&self) -> Taken {
+        Taken {
+            request: self.head.request,
+            owner: self.owner.clone(),
+            epoch: self.note.epoch,
+            attempt: self.note.live.as_ref().map(|live| live.attempt),
+            lineage: self.note.lineage,
+        }
+    }
+
     /// Returns whether the owner has told that the request is accepted.
     ///
     /// An owner that finds no second holder refuses the request as not run. A copy that it had sent
@@ -226,18 +237,16 @@
                 self.oust(turn, request, from);
                 return false;
             }
-            let taken = Taken { request, owner: from.clone(), epoch, attempt: None };
             let attempt = copy.note.live.as_ref().map(|live| live.attempt);
-            self.taken(turn, from, &Taken { attempt, ..taken });
+            let (owner, lineage) = (from.clone(), copy.note.lineage);
+            self.taken(turn, from, &Taken { request, owner, epoch, attempt, lineage });
             return !self.entries.contains_key(&request);
         }
         let Some(known) = self.copies.get(&request) else {
             return true;
         };
         if known.note.epoch > epoch {
-            let attempt = known.note.live.as_ref().map(|live| live.attempt);
-            let (owner, epoch) = (known.owner.clone(), known.note.epoch);
-            turn.send(from, Message::Taken(Taken { request, owner, epoch, attempt }));
+            turn.send(from, Message::Taken(known.taken()));
             return false;
         }
         if known.note.epoch == epoch && known.owner != *from && known.lost.is_none() {
@@ -298,9 +307,7 @@
             return;
         };
         if copy.note.epoch > epoch {
-            let attempt = copy.note.live.as_ref().map(|live| live.attempt);
-            let (owner, epoch) = (copy.owner.clone(), copy.note.epoch);
-            turn.send(from, Message::Taken(Taken { request, owner, epoch, attempt }));
+            turn.send(from, Message::Taken(copy.taken()));
             return;
         }
         if copy.owner != *from || copy.note.epoch != epoch {
--- a/crates/verbenaslip-request/src/journal.rs
+++ b/crates/verbenaslip-request/src/journal.rs
@@ -8,7 +8,7 @@
 
 use crate::entry::{Entry, Holder, Phase};
 use crate::message::{Copy, Kept, Message, Reserve};
-use crate::output::{Outcome, Output};
+use crate::output::Output;
 use crate::requests::{Requests, Turn};
 use crate::setup::Journal;
 
@@ -85,6 +85,7 @@
             return;
         };
         entry.lagging = None;
+        entry.loose |= entry.served;
         let (request, epoch) = (entry.request(), entry.epoch);
         if holder.acked.is_some() {
             turn.out.push(Output::Mirror { request, epoch, to: None });
@@ -263,6 +264,7 @@
                 entry.tried.clear();
                 self.seek_holder(turn, &mut entry);
             }
+            entry.informs = 0;
             self.inform(turn, &mut entry);
             self.put(entry);
         }
@@ -276,6 +278,7 @@
         let homes = self.view.homes(entry.request());
         if entry.kept().is_none_or(|holder| !homes.contains(holder)) {
             entry.informed.clear();
+            entry.informs = 0;
             self.inform(turn, entry);
         }
     }
@@ -286,6 +289,7 @@
             return;
         }
         let remaining = entry.head.deadline.saturating_sub(turn.now).max(Duration::from_secs(1));
+        let mut unsure = false;
         for home in self.view.homes(entry.request()) {
             let holds = entry.holder.as_ref().is_some_and(|holder| holder.instance == home);
             if home == self.setup.instance || holds || entry.informed.contains(&home) {
@@ -299,6 +303,18 @@
                 remaining,
             };
             turn.send(&home, Message::Reserve(reserve));
+            unsure = true;
+        }
+        entry.informs += 1;
+        let again = unsure && entry.informs < self.setup.timing.tries;
+        entry.informing = again.then(|| turn.now + self.setup.timing.resend);
+    }
+
+    /// Tells the homes again that have not answered.
+    pub(crate) fn tick_inform(&self, turn: &mut Turn<'_>, entry: &mut Entry) {
+        if entry.informing.is_some_and(|at| turn.now >= at) {
+            entry.informing = None;
+            self.inform(turn, entry);
         }
     }
 
@@ -322,7 +338,6 @@
         let Some(holder) = &entry.holder else {
             return true;
         };
-        let whole = matches!(entry.phase, Phase::Finished { outcome: Outcome::Whole { .. }, .. });
-        holder.acked >= Some(entry.sequence) && (entry.ended || !whole)
+        holder.acked >= Some(entry.sequence) && (entry.ended || !entry.whole())
     }
 }
--- a/crates/verbenaslip-request/src/launch.rs
+++ b/crates/verbenaslip-request/src/launch.rs
@@ -231,6 +231,7 @@
         };
         entry.phase = Phase::Run;
         entry.due = None;
+        entry.loose |= entry.kept().is_none();
         let moving = Moving::Still;
         let rejoins = u32::from(matches!(begun, Begun::Rejoined));
         let heard = turn.now;
--- a/crates/verbenaslip-request/src/lookup.rs
+++ b/crates/verbenaslip-request/src/lookup.rs
@@ -25,6 +25,8 @@
     pub(crate) tries: u32,
     /// Until when they are asked.
     pub(crate) until: Duration,
+    /// Whether anyone has said that another instance was accepted with the key.
+    pub(crate) doubt: bool,
     /// What the caller is told if the key is still unknown everywhere; none when it is let in then.
     pub(crate) refusal: Option<Refusal>,
 }
@@ -78,6 +80,8 @@
         };
         // Views differ for a moment after each change, so one that was a home before may know.
         lookup.asked.retain(|home, _| self.view.alive(home));
+        // What was true before the change need not be now: the copy may just have been placed.
+        lookup.asked.values_mut().for_each(|asked| asked.found = None);
         for home in self.view.homes(entry.head.request) {
             let at = turn.now;
             lookup.asked.entry(home).or_insert(Asked { at, found: None });
@@ -95,7 +99,7 @@
         let until = turn.now + long;
         let homes = self.view.homes(entry.request()).into_iter();
         let asked = homes.map(|home| (home, Asked { at: turn.now, found: None })).collect();
-        entry.phase = Phase::Lookup(Lookup { asked, tries: 0, until, refusal });
+        entry.phase = Phase::Lookup(Lookup { asked, tries: 0, until, doubt: false, refusal });
         self.ask(turn, entry);
     }
 
@@ -140,7 +144,11 @@
             if matches!(found, Found::Between { .. } | Found::Held { .. }) {
                 lookup.tries = 0;
             }
-            if let Some(asked) = lookup.asked.get_mut(from) {
+            let accepted = matches!(found, Found::Held { epoch, .. } if epoch > 0);
+            lookup.doubt |= accepted;
+            if accepted || lookup.asked.contains_key(from) {
+                let asked = Asked { at: turn.now, found: None };
+                let asked = lookup.asked.entry(from.clone()).or_insert(asked);
                 asked.found = Some(found);
             }
             self.conclude(turn, entry);
@@ -279,11 +287,12 @@
 
     /// Returns whether the answers show that nobody else can have run the request.
     fn is_complete(&self, now: Duration, entry: &Entry, lookup: &Lookup) -> bool {
-        let doubt = lookup.found().any(|found| match found {
-            Found::Doubtful => true,
-            Found::Held { owner, .. } => *owner != self.setup.instance,
-            Found::Free | Found::Between { .. } | Found::Full => false,
-        });
+        let doubt = lookup.doubt
+            || lookup.found().any(|found| match found {
+                Found::Doubtful => true,
+                Found::Held { owner, .. } => *owner != self.setup.instance,
+                Found::Free | Found::Between { .. } | Found::Full => false,
+            });
         let others = lookup.asked.keys().any(|home| *home != self.setup.instance);
         let alone = !self.view.has_others(&self.setup.instance);
         let since = now.saturating_sub(self.setup.timing.retention);
--- a/crates/verbenaslip-request/src/message.rs
+++ b/crates/verbenaslip-request/src/message.rs
@@ -151,6 +151,10 @@
     pub number: u32,
     /// Whether any attempt may have run.
     pub ran: bool,
+    /// Whether its homes had all said that they did not know it, so that nobody else has run it.
+    pub complete: bool,
+    /// The ownership from whose answer this one goes on.
+    pub lineage: u64,
     /// How it ended, if it did.
     pub outcome: Option<Outcome>,
 }
@@ -192,4 +196,6 @@
     pub epoch: u16,
     /// The run that the new owner follows, which must not be cancelled.
     pub attempt: Option<Attempt>,
+    /// The ownership from whose answer the new owner goes on.
+    pub lineage: u64,
 }
--- a/crates/verbenaslip-request/src/takeover.rs
+++ b/crates/verbenaslip-request/src/takeover.rs
@@ -185,9 +185,10 @@
         let (body, salt) = (copy.body.take(), self.salt());
         let mut entry = Entry::open(copy.head.clone(), body, copy.digest, salt);
         entry.epoch = epoch;
-        entry.complete = true;
+        entry.complete = copy.note.complete;
         entry.ran = copy.note.ran;
         entry.number = copy.note.number;
+        entry.lineage = copy.note.lineage;
         entry.sequence = 1;
         entry.position = copy.mirrored;
         entry.stale.insert(copy.owner.clone());
@@ -327,9 +328,7 @@
 
     /// Tells the former owner, again and again within bounds, that it must yield.
     pub(crate) fn tell_ousted(&self, turn: &mut Turn<'_>, entry: &mut Entry) {
-        let attempt = entry.last.as_ref().map(|live| live.attempt);
-        let (request, epoch) = (entry.request(), entry.epoch);
-        let owner = self.setup.instance.clone();
+        let taken = entry.taken_by(self.setup.instance.clone());
         let Some(ousted) = &mut entry.ousted else {
             return;
         };
@@ -340,7 +339,7 @@
         let again = ousted.tries < self.setup.timing.tries;
         ousted.due = again.then(|| turn.now + self.setup.timing.resend);
         let to = ousted.instance.clone();
-        turn.send(&to, Message::Taken(Taken { request, owner, epoch, attempt }));
+        turn.send(&to, Message::Taken(taken));
     }
 
     /// Tells an instance that this one owns a request under a higher epoch.
@@ -351,9 +350,7 @@
         if entry.former.is_some() {
             return;
         }
-        let attempt = entry.last.as_ref().map(|live| live.attempt);
-        let (owner, epoch) = (self.setup.instance.clone(), entry.epoch);
-        turn.send(from, Message::Taken(Taken { request, owner, epoch, attempt }));
+        turn.send(from, Message::Taken(entry.taken_by(self.setup.instance.clone())));
     }
 
     /// Yields to a higher epoch.
@@ -372,6 +369,12 @@
         let Some(entry) = self.take(request) else {
             return;
         };
+        if !entry.continues_in(taken) && !entry.callers.is_empty() {
+            // Its callers get the rest here, in the words that they have begun with; those that
+            // come from now on find the new owner.
+            self.put(entry);
+            return;
+        }
         self.timers.set(Timer::Owned(request), None);
         if let Some(flight) = &entry.flight
             && Some(flight.live.attempt) != taken.attempt
