Give orders, plan capacity and read cache events from the running instance

Cause: the order dispatcher, the planner and the router's cache index stood without anyone driving them: no model was ever loaded, no machine started, no cached prefix known beyond own dispatches. Ruled out: asking all engines for cache events (975 calls a second at full size; only engines used within a minute are asked); settings for the slots of machine classes (learnt from announcements). Change: node::orders and node::capacity; a thread for engines' calls and one for the cloud. Every instance learns demand, the leader surveys the cloud every 5 s, plans, and orders.

--- a/crates/verbenaslip-node/src/calls.rs
+++ b/crates/verbenaslip-node/src/calls.rs
@@ -24,7 +24,7 @@
 pub(crate) const TABLES: usize = 32;
 
 /// How long an operator's change is tried.
-const PATIENCE: Duration = Duration::from_secs(5);
+pub(crate) const PATIENCE: Duration = Duration::from_secs(5);
 
 /// How long a change of the voter set is tried, in which a new voter catches up.
 const VOTING: Duration = Duration::from_secs(60);
--- /dev/null
+++ b/crates/verbenaslip-node/src/capacity.rs
@@ -0,0 +1,167 @@
+//! The capacity plan within the instance: what it learns everywhere and orders on the leader.
+//!
+//! Every instance learns the demand of its own callers, scaled by the number of instances, so that
+//! whoever leads next can plan at once. Only the leader asks the cloud and orders.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use verbenaslip_base::announce::{Kind, Market, Phase};
+use verbenaslip_base::attempt::Request;
+use verbenaslip_base::data;
+use verbenaslip_base::head::Head;
+use verbenaslip_base::name::{AvailabilityZone, Upstream};
+use verbenaslip_gossip as gossip;
+use verbenaslip_policy::plan::{Machine, Offer, Order, Planner, Settings, Size, State, View};
+
+use crate::node::{Node, Todo};
+use crate::notice::Notice;
+use crate::output::Output;
+
+/// Between two steps of the plan.
+const STEP: Duration = Duration::from_secs(5);
+
+/// How long a drained machine's streams get to end or move.
+const DRAIN: Duration = Duration::from_secs(60);
+
+/// Milliseconds in an hour.
+const HOUR_MS: u64 = 3_600_000;
+
+/// The weight of the newest run in the mean work of a model's requests.
+const NEWEST: f64 = 0.1;
+
+/// Tells of a machine that the cloud lists.
+#[data]
+pub struct Listed {
+    /// The name under which the cloud and the registry know it.
+    pub name: Upstream,
+    /// Where it runs.
+    pub zone: AvailabilityZone,
+    /// Its class.
+    pub machine: Arc<str>,
+    /// How it is paid for.
+    pub market: Market,
+}
+
+/// Tells what the cloud offers and has given.
+#[data(default)]
+pub struct Survey {
+    /// The prices of the day.
+    pub offers: Vec<Offer>,
+    /// The machines.
+    pub machines: Vec<Listed>,
+}
+
+/// Learns demand and holds what the cloud said last.
+pub(crate) struct Capacity {
+    planner: Planner,
+    survey: Option<Survey>,
+    mean: BTreeMap<verbenaslip_base::name::Model, f64>,
+    due: Duration,
+}
+
+impl Capacity {
+    pub(crate) fn new(now: Duration) -> Self {
+        let planner = Planner::new(Settings::default());
+        Self { planner, survey: None, mean: BTreeMap::new(), due: now }
+    }
+}
+
+impl Node {
+    /// Learns from a request that ran so long, or that was refused for want of capacity.
+    pub(crate) fn learn_demand(&mut self, head: &Head, arrived: Duration, ran: Option<Duration>) {
+        let mean = self.capacity.mean.entry(head.model.clone()).or_insert(0.0);
+        let work = ran.map_or(*mean, |ran| ran.as_secs_f64());
+        *mean += (work - *mean) * NEWEST;
+        let at = self.epoch.saturating_add(arrived.as_millis() as u64);
+        let (hour, second) = (at / HOUR_MS, (at % HOUR_MS / 1_000) as u32);
+        let row = self.hub.table().row(&head.team, &head.class);
+        let reserve = row.map_or(0, |row| row.reserve_percent);
+        let scaled = work * self.instances as f64;
+        self.capacity.planner.arrival(hour, second, &head.model, scaled, reserve);
+    }
+
+    /// Plans, if this instance leads and there is a cloud.
+    pub(crate) fn plan(&mut self) {
+        if !self.setup.cloud || self.now < self.capacity.due {
+            return;
+        }
+        self.capacity.due = self.now + STEP;
+        if !self.leads() {
+            // What the cloud said while another led is old when this instance leads.
+            self.capacity.survey = None;
+            return;
+        }
+        self.out.push(Output::Survey);
+        let Some(survey) = self.capacity.survey.take() else { return };
+        let view = self.view(survey);
+        for order in self.capacity.planner.step(self.now, &view) {
+            self.order_capacity(order);
+        }
+    }
+
+    /// Takes what the cloud offers and has given.
+    pub(crate) fn surveyed(&mut self, survey: Survey) {
+        self.capacity.survey = Some(survey);
+    }
+
+    /// Takes the cloud's answer to a start.
+    pub(crate) fn started(&mut self, request: u128, name: Option<&Upstream>) {
+        match name {
+            Some(name) => self.capacity.planner.started(request, name),
+            None => self.capacity.planner.refused(self.now, request, &mut self.rng),
+        }
+    }
+
+    /// Learns from a request that was refused for want of capacity.
+    pub(crate) fn refused_demand(&mut self, request: Request) {
+        let Some(known) = self.known.get(&request) else { return };
+        let (head, arrived) = (known.head.clone(), known.arrived);
+        self.learn_demand(&head, arrived, None);
+    }
+
+    fn view(&mut self, survey: Survey) -> View {
+        let mut machines = Vec::new();
+        for listed in survey.machines {
+            let record = self.gossip.record(&listed.name);
+            let announcement = record.map(gossip::Record::announcement);
+            if let Some(announced) = announcement.filter(|it| it.kind == Kind::Engine) {
+                let size = Size { machine: listed.machine.clone(), slots: announced.slots };
+                self.capacity.planner.learn(size);
+            }
+            let state = match announcement.map(|it| it.phase) {
+                None | Some(Phase::Warming) => State::Starting,
+                Some(Phase::Ready) => State::Ready,
+                Some(Phase::Leaving { .. }) => State::Leaving,
+            };
+            machines.push(Machine {
+                state,
+                models: announcement.map(|it| it.models.clone()).unwrap_or_default(),
+                running: announcement.map_or(0, |it| it.load.running),
+                name: listed.name,
+                zone: listed.zone,
+                machine: listed.machine,
+                market: listed.market,
+            });
+        }
+        let unix = self.unix();
+        let (hour, second) = (unix / HOUR_MS, (unix % HOUR_MS / 1_000) as u32);
+        View { hour, second, offers: survey.offers, machines }
+    }
+
+    fn order_capacity(&mut self, order: Order) {
+        self.note(Notice::Plan(order.clone()));
+        match order {
+            Order::Start { .. } | Order::Stop { .. } => self.out.push(Output::Cloud(order)),
+            // An upstream that will be stopped is told apart by nobody from one that is reclaimed:
+            // it gets no new work anywhere, and its streams end or move in time.
+            Order::Drain { name } => {
+                let notice = DRAIN.as_millis() as u32;
+                let input = gossip::Input::Reclaimed { upstream: name, notice };
+                self.push(Todo::Gossip(input));
+            }
+            Order::Load { upstream, model } => self.want_load(upstream, model),
+        }
+    }
+}
--- a/crates/verbenaslip-node/src/input.rs
+++ b/crates/verbenaslip-node/src/input.rs
@@ -5,11 +5,15 @@
 
 use verbenaslip_base::announce::Announcement;
 use verbenaslip_base::attempt::{Attempt, Request};
+use verbenaslip_base::fence::Fence;
 use verbenaslip_base::name::{Instance, Upstream};
 use verbenaslip_gossip::Frame;
+use verbenaslip_policy::route::Batch;
 use verbenaslip_request::caller::{Arrival, Ticket};
 use verbenaslip_request::run;
+use verbenaslip_state::order;
 
+use crate::capacity::Survey;
 use crate::message::Message;
 use crate::operator;
 
@@ -101,6 +105,40 @@
         /// The mark of the last one.
         mark: u64,
     },
+    /// An upstream has answered an order, or did not.
+    Ordered {
+        /// The upstream.
+        upstream: Upstream,
+        /// The order's number.
+        fence: Fence,
+        /// What it answered.
+        answer: order::dispatcher::Answer,
+    },
+    /// An upstream has told its state.
+    Read {
+        /// The upstream.
+        upstream: Upstream,
+        /// The question that it answers.
+        question: u64,
+        /// The state.
+        holding: order::dispatcher::Holding,
+    },
+    /// The cloud has told what it offers and has given.
+    Surveyed(Survey),
+    /// The cloud has answered a start.
+    Started {
+        /// The start's identity.
+        request: u128,
+        /// The machine's name; none when it was refused.
+        name: Option<Upstream>,
+    },
+    /// An engine has told what became of its prefix cache.
+    Cached {
+        /// The engine.
+        upstream: Upstream,
+        /// What became of it.
+        batch: Batch,
+    },
     /// This instance stops within the time given.
     Stop {
         /// Time until it must be gone.
--- a/crates/verbenaslip-node/src/lead.rs
+++ b/crates/verbenaslip-node/src/lead.rs
@@ -7,7 +7,7 @@
 use verbenaslip_replica::input as log;
 use verbenaslip_replica::output::{Duty, Role};
 use verbenaslip_replica::setup::{Setup, Timing};
-use verbenaslip_state::{Command, Outcome, watch};
+use verbenaslip_state::{Command, Outcome, order, watch};
 use verbenaslip_table::{Edit, Revision, change, edit};
 
 use crate::message::{Answer, Message};
@@ -278,6 +278,12 @@
             }
             Purpose::Drain { call, instance, by } => self.drained(call, &instance, by, &answer),
             Purpose::Voters { call } => self.voted(call, &answer),
+            Purpose::Order { order } => self.numbered(*order, &answer),
+            Purpose::Ordered { upstream, fence } => {
+                if outcome(&answer).is_some() {
+                    self.step_orders(order::Input::Ended { upstream, fence });
+                }
+            }
             Purpose::Forwarded { from, token } => {
                 self.send(&from, Message::Proposed { token, answer });
             }
--- a/crates/verbenaslip-node/src/lib.rs
+++ b/crates/verbenaslip-node/src/lib.rs
@@ -11,10 +11,12 @@
 //! - `lead` has the replicated log (`voter`) commit commands of every instance (`proposal`), and
 //!   the watch publish the table that they lead to.
 //! - `serve` leads one request through admission, journal, claim, routing, retries and moves.
+//! - `orders` gives upstreams the leader's orders, and `capacity` plans for the hour to come.
 //! - `calls` answers operators, also for what only voters hold; `status` is what they are shown.
 //! - `stop` ends the instance without cutting off anything.
 //! - `share` is what an instance tells its neighbours once a second.
 
+pub mod capacity;
 pub mod input;
 pub mod message;
 pub mod notice;
@@ -27,6 +29,7 @@
 mod lead;
 mod members;
 mod node;
+mod orders;
 mod proposal;
 mod serve;
 mod share;
--- a/crates/verbenaslip-node/src/members.rs
+++ b/crates/verbenaslip-node/src/members.rs
@@ -6,7 +6,7 @@
 use verbenaslip_base::name::{Instance, Upstream};
 use verbenaslip_gossip::{self as gossip, MemberEvent, State, UpstreamEvent};
 use verbenaslip_request::input as request;
-use verbenaslip_state::watch;
+use verbenaslip_state::{order, watch};
 
 use crate::message::Message;
 use crate::node::{Node, Todo};
@@ -70,6 +70,7 @@
         let mut instances: Vec<Instance> = here.map(|peer| peer.instance.clone()).collect();
         instances.push(own.instance);
         instances.sort();
+        self.instances = instances.len();
         self.dispatcher.members(self.now, &instances);
         self.tell_publishers(&others);
         let addresses: Vec<(Instance, SocketAddr)> =
@@ -158,6 +159,7 @@
                 // What ran there is told to the policy one by one, when the requests ask to retry.
                 let _ = self.dispatcher.lost(self.now, &upstream);
                 self.push(Todo::Request(request::Input::Lapsed(upstream.clone())));
+                self.step_orders(order::Input::Gone(upstream.clone()));
                 self.note(Notice::Lapsed(upstream));
             }
             UpstreamEvent::Doubted(zone) => self.note(Notice::Doubted(zone)),
@@ -172,6 +174,7 @@
         if announcement.phase == Phase::Ready {
             self.push(Todo::Request(request::Input::Ready(upstream.clone())));
         }
+        self.orderable(upstream);
     }
 
     fn reported(&mut self, instance: &Instance) {
--- a/crates/verbenaslip-node/src/node.rs
+++ b/crates/verbenaslip-node/src/node.rs
@@ -13,9 +13,10 @@
 use verbenaslip_policy::dispatch::Dispatcher;
 use verbenaslip_replica::input as log;
 use verbenaslip_request::{Requests, input as request};
-use verbenaslip_state::watch;
+use verbenaslip_state::{order, watch};
 use verbenaslip_table::{Revision, Table};
 
+use crate::capacity::Capacity;
 use crate::input::Input;
 use crate::message::{Message, Version};
 use crate::notice::Notice;
@@ -56,6 +57,10 @@
     pub(crate) tables: VecDeque<Version>,
     pub(crate) leader: Option<Instance>,
     pub(crate) voters: BTreeSet<Instance>,
+    pub(crate) orders: order::Dispatcher,
+    pub(crate) capacity: Capacity,
+    /// How many instances of the region share the work, this one counted.
+    pub(crate) instances: usize,
     pub(crate) stop: Option<crate::stop::Stop>,
     pub(crate) ready: bool,
     pub(crate) todo: VecDeque<Todo>,
@@ -103,6 +108,9 @@
             tables: VecDeque::new(),
             leader: None,
             voters: setup.voters.iter().map(|founder| founder.instance.clone()).collect(),
+            orders: order::Dispatcher::new(setup.timing.election),
+            capacity: Capacity::new(now),
+            instances: 1,
             stop: None,
             ready: false,
             todo: VecDeque::new(),
@@ -217,6 +225,15 @@
                 self.push(Todo::Gossip(gossip::Input::Reclaimed { upstream, notice }));
             }
             Input::Stored { mark } => self.push(Todo::Log(log::Input::Stored { mark })),
+            Input::Ordered { upstream, fence, answer } => {
+                self.step_orders(order::Input::Answer { upstream, fence, answer });
+            }
+            Input::Read { upstream, question, holding } => {
+                self.step_orders(order::Input::Read { upstream, question, holding });
+            }
+            Input::Surveyed(survey) => self.surveyed(survey),
+            Input::Started { request, name } => self.started(request, name.as_ref()),
+            Input::Cached { upstream, batch } => self.dispatcher.cached(&upstream, &batch),
             Input::Stop { remaining } => self.begin_stop(remaining),
             other => self.traffic(other),
         }
@@ -247,6 +264,8 @@
         self.push(Todo::Request(request::Input::Tick));
         self.lead();
         self.push(Todo::Watch(watch::Input::Tick));
+        self.lead_orders();
+        self.plan();
         if self.now >= self.refresh {
             self.refresh = self.now + REFRESH;
             self.refresh_loads();
--- a/crates/verbenaslip-node/src/notice.rs
+++ b/crates/verbenaslip-node/src/notice.rs
@@ -4,7 +4,9 @@
 
 use verbenaslip_base::head::Head;
 use verbenaslip_base::name::{AvailabilityZone, Instance, Operator, Upstream};
+use verbenaslip_policy::plan;
 use verbenaslip_request::output::Outcome;
+use verbenaslip_state::order;
 use verbenaslip_table::Revision;
 
 /// Tells what happened.
@@ -64,6 +66,10 @@
         /// How.
         outcome: Outcome,
     },
+    /// Something became of an order to an upstream.
+    Order(order::dispatcher::Report),
+    /// The capacity plan ordered something.
+    Plan(plan::Order),
     /// A voter's instance runs another folder and is replaced in the voter set.
     Replacing(Instance),
     /// The replicated state could not be read; this voter does not take part.
--- /dev/null
+++ b/crates/verbenaslip-node/src/orders.rs
@@ -0,0 +1,114 @@
+//! Orders to upstreams, which the leader gives under fencing numbers.
+
+use verbenaslip_base::announce::Kind;
+use verbenaslip_base::name::{Model, Operator, Upstream};
+use verbenaslip_state::order::{self, Order, Ordered, Pending, Task, Verdict};
+use verbenaslip_state::{Command, Outcome};
+
+use crate::lead::outcome;
+use crate::message::Answer;
+use crate::node::Node;
+use crate::notice::Notice;
+use crate::output::Output;
+use crate::proposal::Purpose;
+
+/// How long an order may be carried out, in milliseconds.
+const LIFETIME_MS: u64 = 5_000;
+
+/// Who the audit trail names for orders of the capacity plan.
+const PLAN: &str = "plan";
+
+impl Node {
+    /// Tells the orders' dispatcher whether, and until when, this instance leads.
+    pub(crate) fn lead_orders(&mut self) {
+        let Some(voter) = &self.voter else { return };
+        let until = voter.replica().lease_until(self.now).filter(|until| *until > self.now);
+        let input = match until {
+            Some(until) => {
+                let pending = voter.state().orders().cloned().collect();
+                order::Input::Lead(order::dispatcher::Lead {
+                    term: voter.replica().term(),
+                    until,
+                    pending,
+                })
+            }
+            None => order::Input::Resign,
+        };
+        self.step_orders(input);
+        self.step_orders(order::Input::Tick);
+    }
+
+    /// Wants a model loaded at an upstream.
+    pub(crate) fn want_load(&mut self, upstream: Upstream, model: Model) {
+        let order = Order {
+            by: Operator::from(PLAN),
+            upstream,
+            task: Task::Load(model),
+            lifetime: LIFETIME_MS,
+            at: self.unix(),
+        };
+        self.step_orders(order::Input::Want(order));
+    }
+
+    /// Tells the orders' dispatcher of an upstream that has announced itself.
+    pub(crate) fn orderable(&mut self, upstream: &Upstream) {
+        let Some(record) = self.gossip.record(upstream) else { return };
+        let announcement = record.announcement();
+        if announcement.kind == Kind::Engine {
+            let (upstream, fenced) = (upstream.clone(), announcement.fenced);
+            self.step_orders(order::Input::Upstream { upstream, fenced });
+        }
+    }
+
+    pub(crate) fn step_orders(&mut self, input: order::Input) {
+        let mut outputs = Vec::new();
+        self.orders.step(self.now, input, &mut outputs);
+        for output in outputs {
+            self.order_output(output);
+        }
+    }
+
+    /// Takes what became of an order's proposal.
+    pub(crate) fn numbered(&mut self, order: Order, answer: &Answer) {
+        let input = match outcome(answer) {
+            Some(Outcome::Order(Verdict::Numbered(fence))) => {
+                order::Input::Committed(Pending { fence: *fence, order })
+            }
+            _ => order::Input::Denied(order.upstream),
+        };
+        self.step_orders(input);
+    }
+
+    fn order_output(&mut self, output: order::Output) {
+        match output {
+            order::Output::Propose(order) => {
+                let purpose = Purpose::Order { order: Box::new(order.clone()) };
+                self.propose(Command::Order(order), purpose, crate::calls::PATIENCE);
+            }
+            order::Output::Give(give) => {
+                if let Some(record) = self.gossip.record(&give.upstream) {
+                    let address = record.announcement().address;
+                    self.out.push(Output::Order { address, give });
+                }
+            }
+            order::Output::ReadBack { upstream, question } => {
+                if let Some(record) = self.gossip.record(&upstream) {
+                    let address = record.announcement().address;
+                    self.out.push(Output::ReadBack { address, upstream, question });
+                }
+            }
+            order::Output::End(end) => {
+                let ordered = Ordered {
+                    by: self.setup.instance.clone(),
+                    upstream: end.upstream.clone(),
+                    fence: end.ending.fence,
+                    result: end.ending.result,
+                    at: self.unix(),
+                };
+                let purpose = Purpose::Ordered { upstream: end.upstream, fence: end.ending.fence };
+                self.propose(Command::Ordered(ordered), purpose, crate::calls::PATIENCE);
+            }
+            order::Output::Report(report) => self.note(Notice::Order(report)),
+        }
+    }
+}
--- a/crates/verbenaslip-node/src/output.rs
+++ b/crates/verbenaslip-node/src/output.rs
@@ -3,12 +3,14 @@
 use std::net::SocketAddr;
 
 use verbenaslip_base::attempt::Request;
-use verbenaslip_base::name::Instance;
+use verbenaslip_base::name::{Instance, Upstream};
 use verbenaslip_gossip::Frame;
+use verbenaslip_policy::plan;
 use verbenaslip_replica::storage::Write;
 use verbenaslip_request::caller::{Ticket, Verdict};
 use verbenaslip_request::message::Live;
 use verbenaslip_request::run::Run;
+use verbenaslip_state::order::dispatcher::Give;
 
 use crate::message::Message;
 use crate::notice::Notice;
@@ -76,6 +78,26 @@
         /// The epoch.
         epoch: u16,
     },
+    /// Gives an order to an upstream; answered by `Input::Ordered`.
+    Order {
+        /// Where it is reached.
+        address: SocketAddr,
+        /// The order; void after its expiry.
+        give: Give,
+    },
+    /// Asks an upstream for its state; answered by `Input::Read`.
+    ReadBack {
+        /// Where it is reached.
+        address: SocketAddr,
+        /// The upstream.
+        upstream: Upstream,
+        /// Comes back in the answer.
+        question: u64,
+    },
+    /// Asks the cloud what it offers and has given; answered by `Input::Surveyed`.
+    Survey,
+    /// Starts or stops a machine; a start is answered by `Input::Started`.
+    Cloud(plan::Order),
     /// Replies to a call.
     Reply {
         /// The call.
--- a/crates/verbenaslip-node/src/proposal.rs
+++ b/crates/verbenaslip-node/src/proposal.rs
@@ -9,8 +9,10 @@
 use std::time::Duration;
 
 use verbenaslip_base::attempt::Request;
-use verbenaslip_base::name::{Instance, Operator};
+use verbenaslip_base::fence::Fence;
+use verbenaslip_base::name::{Instance, Operator, Upstream};
 use verbenaslip_replica::config::Change;
+use verbenaslip_state::order::Order;
 use verbenaslip_state::{Command, claim};
 use verbenaslip_table::Revision;
 
@@ -42,6 +44,10 @@
     Drain { call: operator::Id, instance: Instance, by: Operator },
     /// An operator's change of the voter set.
     Voters { call: operator::Id },
+    /// An order that waits for its number.
+    Order { order: Box<Order> },
+    /// The end of an order.
+    Ordered { upstream: Upstream, fence: Fence },
     /// Another instance's proposal.
     Forwarded { from: Instance, token: u64 },
     /// Nobody; it matters only that it is done.
--- a/crates/verbenaslip-node/src/serve.rs
+++ b/crates/verbenaslip-node/src/serve.rs
@@ -43,8 +43,10 @@
 /// Holds what this instance knows of a request beside its life.
 #[derive(Clone, Debug)]
 pub(crate) struct Known {
-    head: Head,
-    arrived: Duration,
+    pub(crate) head: Head,
+    pub(crate) arrived: Duration,
+    /// When its first run began.
+    began: Option<Duration>,
     digest: u128,
     /// Whether it waits for an upstream that the queue shall give it.
     wanted: bool,
@@ -155,6 +157,7 @@
         self.known.entry(request).or_insert(Known {
             head,
             arrived,
+            began: None,
             digest,
             wanted: false,
             early: None,
@@ -214,7 +217,15 @@
         };
         let input = match refusal {
             None => request::Input::Admitted(request),
-            Some(refusal) => request::Input::Declined { request, refusal },
+            Some(refusal) => {
+                if matches!(
+                    refusal.reason,
+                    Reason::Overload | Reason::Deadline | Reason::NoUpstream
+                ) {
+                    self.refused_demand(request);
+                }
+                request::Input::Declined { request, refusal }
+            }
         };
         self.push(Todo::Request(input));
     }
@@ -301,10 +312,12 @@
             let refusal = Refusal { reason: Reason::NoUpstream, retry: None };
             return self.given_up(request, refusal);
         };
+        let now = self.now;
         let Some(known) = self.known.get_mut(&request) else {
             self.dispatcher.cancel(self.now, request);
             return;
         };
+        known.began.get_or_insert(now);
         if std::mem::take(&mut known.wanted) {
             self.push(Todo::Request(request::Input::Placed { request, place }));
         } else {
@@ -349,6 +362,10 @@
             _ => drop(self.dispatcher.cancel(self.now, request)),
         }
         if let Some(known) = self.known.remove(&request) {
+            if let (Outcome::Whole { .. }, Some(began)) = (&outcome, known.began) {
+                let ran = self.now.saturating_sub(began);
+                self.learn_demand(&known.head, known.arrived, Some(ran));
+            }
             self.note(Notice::Ended { head: Box::new(known.head), outcome });
         }
     }
--- a/crates/verbenaslip-node/src/setup.rs
+++ b/crates/verbenaslip-node/src/setup.rs
@@ -32,6 +32,8 @@
     pub recovered: Option<Recovered>,
     /// The table with which an empty log begins.
     pub table: Option<Arc<Table>>,
+    /// Whether there is a cloud to plan capacity with.
+    pub cloud: bool,
     /// Where a request must be journalled before it counts as accepted.
     pub journal: Journal,
     /// The times.
--- a/crates/verbenaslip-policy/src/plan/planner.rs
+++ b/crates/verbenaslip-policy/src/plan/planner.rs
@@ -12,7 +12,7 @@
 use crate::plan::mix::{Capacity, Mix};
 use crate::plan::offer::{Offer, Offers};
 use crate::plan::order::{Machine, Order, Pending, State, View};
-use crate::plan::settings::Settings;
+use crate::plan::settings::{Settings, Size};
 use crate::plan::store::Store;
 
 /// How long before it is needed a machine must be ready.
@@ -63,6 +63,14 @@
         self.forecast.add(hour, second, model, work, reserve);
     }
 
+    /// Learns how many requests a machine class runs at once, from an engine that runs on one.
+    pub fn learn(&mut self, size: Size) {
+        match self.settings.sizes.iter_mut().find(|known| known.machine == size.machine) {
+            Some(known) => *known = size,
+            None => self.settings.sizes.push(size),
+        }
+    }
+
     /// Returns what was learned.
     pub fn forecast(&self) -> &Forecast {
         &self.forecast
--- a/crates/verbenaslip/src/control.rs
+++ b/crates/verbenaslip/src/control.rs
@@ -3,17 +3,19 @@
 //! One loop waits for whatever comes first of callers' and upstreams' reports, other instances'
 //! messages, calls on the admin address, orders of the process, and the decisions' own next time.
 //! [`carry`] does what the decisions want done, [`call`] translates operators' calls, [`notice`]
-//! makes log events and metrics of what happened. [`disk`] and [`cloud`] are threads of their own,
-//! because they wait for a disk and for another system.
+//! makes log events and metrics of what happened. [`disk`], [`cloud`] and [`outside`] are threads of
+//! their own, because they wait for a disk and for other systems.
 
 mod call;
 mod carry;
 pub(crate) mod cloud;
 pub(crate) mod disk;
 mod notice;
+pub(crate) mod outside;
 
 use std::collections::BTreeMap;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -26,8 +28,9 @@
 use verbenaslip_node::{Input, Message, Node, Output, Setup};
 
 use crate::admin::{self, Admin, Reply};
-use crate::control::cloud::Poller;
+use crate::control::cloud::Worker;
 use crate::control::disk::Disk;
+use crate::control::outside::{Ask, Outside};
 use crate::event::Event;
 use crate::metric::Metric;
 use crate::peers::{self, Peers, Via};
@@ -40,6 +43,12 @@
 /// Between two summaries of the metrics.
 const UPKEEP: Duration = Duration::from_secs(5);
 
+/// Between two questions for an engine's cache events.
+const CACHES: Duration = Duration::from_secs(1);
+
+/// How long after the last work an engine is asked for its cache events.
+const USED: Duration = Duration::from_secs(60);
+
 /// The most inputs taken before the clock is looked at again.
 const BATCH: usize = 256;
 
@@ -57,6 +66,8 @@
     Stored(u64),
     /// The data folder can't be written.
     DiskFailed(verbenaslip_replica::storage::Error),
+    /// Another system has answered.
+    Tell(Box<Input>),
     /// The cloud takes a machine away.
     Reclaim {
         /// The instance's or upstream's name.
@@ -82,7 +93,8 @@
     pub(crate) peers: Peers,
     pub(crate) admin: Admin,
     pub(crate) disk: Option<Disk>,
-    pub(crate) notices: Option<Poller>,
+    pub(crate) cloud: Option<Worker>,
+    pub(crate) outside: Outside,
     pub(crate) metric: Metric,
     pub(crate) ended: Sender<Ended>,
 }
@@ -102,6 +114,8 @@
                 outputs: Vec::new(),
                 clock: Duration::ZERO,
                 upkeep: Duration::ZERO,
+                caches: Duration::ZERO,
+                used: BTreeMap::new(),
                 deadline: None,
                 ended: None,
             };
@@ -121,10 +135,18 @@
     outputs: Vec<Output>,
     clock: Duration,
     upkeep: Duration,
+    caches: Duration,
+    used: BTreeMap<Upstream, Used>,
     deadline: Option<Duration>,
     ended: Option<Ended>,
 }
 
+/// Holds an engine that this instance has sent work to.
+struct Used {
+    address: SocketAddr,
+    at: Duration,
+}
+
 /// Holds whatever came first.
 enum Came {
     Traffic(traffic::Report),
@@ -190,6 +212,10 @@
             self.upkeep = now + UPKEEP;
             self.control.metric.upkeep();
         }
+        if now >= self.caches {
+            self.caches = now + CACHES;
+            self.ask_caches(now);
+        }
         if now >= self.node.wake() {
             self.step(Input::Tick);
         }
@@ -198,6 +224,16 @@
         }
     }
 
+    /// Asks the engines that were used lately for their cache events; others' caches hold nothing
+    /// that this instance's callers are likely to ask for.
+    fn ask_caches(&mut self, now: Duration) {
+        self.used.retain(|_, used| now.saturating_sub(used.at) < USED);
+        for (upstream, used) in &self.used {
+            let ask = Ask::Cache { address: used.address, upstream: upstream.clone() };
+            self.control.outside.ask(ask);
+        }
+    }
+
     /// Gives the decisions one input and does what they want done.
     fn step(&mut self, input: Input) {
         let mut outputs = std::mem::take(&mut self.outputs);
@@ -246,6 +282,7 @@
                 .log();
                 self.ended.get_or_insert(Ended::DiskFailed);
             }
+            Order::Tell(input) => self.step(*input),
             Order::Reclaim { name, notice } => self.reclaim(name, notice),
         }
     }
@@ -278,8 +315,8 @@
                 Event::DrainTimedOut { left: self.control.traffic.stats().callers }.log();
             }
         }
-        let Control { notices, disk, peers, admin, ended: told, .. } = self.control;
-        drop((notices, admin, peers, disk));
+        let Control { cloud, outside, disk, peers, admin, ended: told, .. } = self.control;
+        drop((cloud, outside, admin, peers, disk));
         let _ = told.send(ended);
     }
 }
--- a/crates/verbenaslip/src/control/carry.rs
+++ b/crates/verbenaslip/src/control/carry.rs
@@ -1,8 +1,10 @@
 //! What the decisions want done, done; and what traffic reports, as inputs.
 
+use verbenaslip_base::announce::Kind;
 use verbenaslip_node::{Input, Output};
 
-use crate::control::{Running, call};
+use crate::control::outside::Ask;
+use crate::control::{Running, Used, call, cloud};
 use crate::peers::Via;
 use crate::server::Ended;
 use crate::traffic::Report;
@@ -31,11 +33,27 @@
             }
             Output::Verdict { ticket, verdict } => traffic.verdict(ticket, verdict),
             Output::Absent(ticket) => traffic.absent(ticket),
-            Output::Run(run) => traffic.run(run),
+            Output::Run(run) => {
+                if run.kind == Kind::Engine {
+                    let (address, at) = (run.address, self.now());
+                    self.used.insert(run.upstream.clone(), Used { address, at });
+                }
+                self.control.traffic.run(run);
+            }
             Output::Cancel(live) => traffic.cancel(&live),
             Output::Mirror { request, epoch, to } => traffic.mirror(request, epoch, to),
             Output::Own { request, epoch } => traffic.own(request, epoch),
             Output::Forget { request, epoch } => traffic.forget(request, epoch),
+            Output::Order { address, give } => {
+                let expires = give.expiry.saturating_sub(self.now());
+                let (upstream, fence, task) = (give.upstream, give.fence, give.task);
+                self.control.outside.ask(Ask::Order { address, upstream, fence, expires, task });
+            }
+            Output::ReadBack { address, upstream, question } => {
+                self.control.outside.ask(Ask::Read { address, upstream, question });
+            }
+            Output::Survey => self.ask_cloud(cloud::Ask::Survey),
+            Output::Cloud(order) => self.ask_cloud(cloud::Ask::Order(order)),
             Output::Reply { call, reply } => self.reply(call, reply),
             Output::Addresses(addresses) => traffic.peers(addresses.into_iter().collect()),
             Output::Notice(notice) => self.notice(notice),
@@ -46,6 +64,12 @@
         }
     }
 
+    fn ask_cloud(&self, ask: cloud::Ask) {
+        if let Some(cloud) = &self.control.cloud {
+            cloud.ask(ask);
+        }
+    }
+
     fn reply(
         &mut self,
         call: verbenaslip_node::operator::Id,
--- a/crates/verbenaslip/src/control/notice.rs
+++ b/crates/verbenaslip/src/control/notice.rs
@@ -1,7 +1,10 @@
 //! What happened at the instance, as log events and metrics.
 
 use verbenaslip_node::notice::Notice;
+use verbenaslip_policy::plan::Order;
 use verbenaslip_request::output::Outcome;
+use verbenaslip_state::order::Result as Ended;
+use verbenaslip_state::order::dispatcher::{Event as Told, Report};
 
 use crate::control::Running;
 use crate::event::Event;
@@ -76,6 +79,8 @@
                 Event::LogDamaged { file: "replicated state".into(), offset: 0, cause: what.into() }
             }
             Notice::Ended { head, outcome } => return ended(&head, outcome),
+            Notice::Order(report) => return order(report),
+            Notice::Plan(plan) => return planned(plan),
             _ => return None,
         })
     }
@@ -98,3 +103,28 @@
         Outcome::Whole { .. } | Outcome::Abandoned => return None,
     })
 }
+
+fn order(report: Report) -> Option<Event> {
+    let upstream = report.upstream;
+    Some(match report.event {
+        Told::Waiting { wait } => Event::OrderHeld { upstream, wait },
+        Told::Ended(ending) => match ending.result {
+            Ended::Applied => Event::OrderApplied { fence: ending.fence, upstream },
+            Ended::Superseded(held) => Event::OrderRefused { fence: ending.fence, upstream, held },
+            Ended::Expired | Ended::Refused | Ended::Lost => {
+                Event::OrderExpired { fence: ending.fence, upstream }
+            }
+        },
+        _ => return None,
+    })
+}
+
+fn planned(order: Order) -> Option<Event> {
+    Some(match order {
+        Order::Start { zone, machine, market, model, .. } => {
+            Event::StartOrdered { market: format!("{market:?}").into(), machine, zone, model }
+        }
+        Order::Stop { name } => Event::StopOrdered { name: name.as_str().into() },
+        Order::Drain { .. } | Order::Load { .. } => return None,
+    })
+}
--- a/crates/verbenaslip/src/server.rs
+++ b/crates/verbenaslip/src/server.rs
@@ -15,8 +15,9 @@
 use verbenaslip_table::{Problems, Table};
 
 use crate::admin::{self, Admin};
-use crate::control::cloud;
+use crate::control::cloud::Worker;
 use crate::control::disk::Disk;
+use crate::control::outside::Outside;
 use crate::control::{Control, Inbox, Order};
 use crate::event::Event;
 use crate::keys::{self, ring::Ring};
@@ -126,7 +127,8 @@
         let node = node_setup(settings, peers_address, unix, seed, table, recovered);
         let inbox = Inbox { traffic, messages, calls, orders: ordered };
         let disk = storage.map(|storage| Disk::spawn(storage, orders.clone()));
-        let notices = settings.cloud.as_ref().map(|cloud| cloud::spawn(cloud, orders.clone()));
+        let cloud = settings.cloud.as_ref().map(|cloud| Worker::spawn(cloud, orders.clone()));
+        let outside = Outside::spawn(orders.clone()).map_err(Error::Thread)?;
         let metric = Metric::open(&settings.instance.name, &settings.instance.zone);
         let control = Control {
             origin,
@@ -135,7 +137,8 @@
             peers,
             admin,
             disk,
-            notices,
+            cloud,
+            outside,
             metric,
             ended: ended_in,
         };
@@ -322,6 +325,7 @@
         voters: settings.cluster.voters.iter().map(founder).collect(),
         recovered,
         table,
+        cloud: settings.cloud.is_some(),
         journal: Journal::OtherZone,
         timing: Timing {
             heartbeat: timing.heartbeat,
