Let a removed leader campaign until its removal is committed

Cause: a leader that removed itself may alone have the entry that says so, and lose power; it was no voter by its own log and did not campaign, and the others, by their joint set, could not be elected without its vote, which it gives to no shorter log. Change: a replica campaigns while any set from the last known commit on has it.

--- a/crates/verbenaslip-replica/src/log.rs
+++ b/crates/verbenaslip-replica/src/log.rs
@@ -4,6 +4,7 @@
 
 use crate::config::Config;
 use crate::entry::{Entry, Payload, Position};
+use crate::voter::Identity;
 
 /// Holds the entries after a base, and the voter sets in force.
 #[derive(Debug)]
@@ -102,6 +103,12 @@
         &self.placed().config
     }
 
+    /// Tells whether an identity is in the voter set that was in force at an index, or in a later one.
+    pub(crate) fn may_count(&self, identity: Identity, index: u64) -> bool {
+        let in_force = self.configs.iter().rposition(|placed| placed.index <= index).unwrap_or(0);
+        self.configs[in_force..].iter().any(|placed| placed.config.contains(identity))
+    }
+
     /// Returns the index from which the voter set is in force.
     pub(crate) fn config_index(&self) -> u64 {
         self.placed().index
--- a/crates/verbenaslip-replica/src/replica.rs
+++ b/crates/verbenaslip-replica/src/replica.rs
@@ -311,9 +311,12 @@
         self.election = self.now + timeout(&self.setup, &mut self.generator);
     }
 
-    /// Tells whether this replica is a voter of a group.
+    /// Tells whether this replica is a voter of a group, or was when the last known commit was made.
+    ///
+    /// A leader that removed itself may alone have the entry that says so, and lose power. The others
+    /// can't be elected without its vote, which goes to no shorter log; so it must campaign itself.
     pub(crate) fn may_campaign(&self) -> bool {
-        self.hard.group.is_some() && self.log.config().contains(self.identity)
+        self.hard.group.is_some() && self.log.may_count(self.identity, self.commit)
     }
 
     /// Writes the term, vote and group if they have changed.
--- a/crates/verbenaslip-replica/tests/fault.rs
+++ b/crates/verbenaslip-replica/tests/fault.rs
@@ -4,7 +4,7 @@
 
 mod world;
 
-use verbenaslip_replica::config::Change;
+use verbenaslip_replica::config::{Change, Config};
 use verbenaslip_replica::entry::Payload;
 use verbenaslip_replica::message::{Body, Message};
 use verbenaslip_replica::output::{Answer, Rejection};
@@ -594,6 +594,41 @@
     world.recover();
 }
 
+// Symptom: no leader ever comes after a voter was removed. Sequence: of four voters the leader is
+// removed; the entry with the set without it is in its log alone when it loses power, and another
+// voter's disk is lost. Cause: it is no voter by its own log, so it does not campaign; the others need
+// its vote, and it refuses them, since its log is newer.
+#[test]
+fn a_removed_leader_campaigns_until_its_removal_is_committed() {
+    let mut world = World::formed(4, 9);
+    world.commit_many(3);
+    let leader = world.settle();
+    let lost = world.others(leader)[0];
+    world.snare = Some(carries_removal);
+    world.change(leader, Change::Remove(instance(leader)));
+    let removed = world.until(ms(2_000), |world| {
+        let identity = world.replica(leader).identity();
+        !world.replica(leader).voters().contains(identity)
+    });
+    assert!(removed, "the set without the leader is in its log");
+    world.run(ms(1));
+    world.snare = None;
+    world.crash_keeping(leader, 9);
+    world.lose_disk(lost);
+    world.restart(leader);
+    world.commit_many(3);
+    world.run(ms(5_000));
+    assert!(!world.replica(leader).is_leader());
+    world.repair(lost);
+    world.recover();
+}
+
+fn carries_removal(message: &Message) -> bool {
+    let Body::Append { entries, .. } = &message.body else { return false };
+    let three = |set: &Config| !set.is_joint() && set.voters.len() == 3;
+    entries.iter().any(|entry| matches!(&entry.payload, Payload::Config(set) if three(set)))
+}
+
 // Symptom: an operator can't get the service back after two of three disks are lost. Sequence: the
 // folder that is left becomes a group of its own, the others join it with new folders; a voter of the
 // old group that returns against all expectation must not disturb. Cause: no way out of a lost quorum.
