--- a/crates/verbenaslip-policy/benches/bench/measure.rs
+++ b/crates/verbenaslip-policy/benches/bench/measure.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::workload::{Caller, TOP, Workload};
+use super::workload::{Caller, Workload};
 use super::world::World;
 
 /// How a caller fared in the end.
@@ -39,6 +39,8 @@
     pub unhinted: u32,
     /// Runs lost that may have run.
     pub lost: u32,
+    /// Callers that had neither an answer nor a refusal when the run ended.
+    pub unsettled: u32,
 }
 
 /// Counts callers and those served on time.
@@ -118,6 +120,7 @@
         match fate.outcome {
             Some(Outcome::Refused { hinted: false }) => measures.unhinted += 1,
             Some(Outcome::Lost) => measures.lost += 1,
+            None => measures.unsettled += 1,
             _ => {}
         }
     }
@@ -136,7 +139,8 @@
     let mut teams: BTreeMap<&str, Claim> = BTreeMap::new();
     for fate in world.fates() {
         let at = fate.caller.at.as_secs_f64();
-        if !(TOP..TOP + 120.0).contains(&at) {
+        let top = workload.span.top;
+        if !(top..top + 120.0).contains(&at) {
             continue;
         }
         let head = &fate.caller.head;
--- a/crates/verbenaslip-policy/benches/bench/mod.rs
+++ b/crates/verbenaslip-policy/benches/bench/mod.rs
@@ -16,6 +16,9 @@
 /// The policies that are measured, by name.
 pub const POLICIES: [&str; 4] = ["verbenaslip", "no admission", "least loaded", "round robin"];
 
+/// The policies that ours is held against in CI.
+pub const BASELINES: [&str; 3] = ["no admission", "least loaded", "round robin"];
+
 /// Returns a policy by name.
 pub fn policy(name: &str, workload: &Workload) -> Box<dyn Policy> {
     match name {
--- a/crates/verbenaslip-policy/benches/bench/workload.rs
+++ b/crates/verbenaslip-policy/benches/bench/workload.rs
@@ -9,10 +9,19 @@
 use verbenaslip_base::head::Head;
 use verbenaslip_table::{Row, Table};
 
-/// The top of the hour, in seconds from the start.
-pub const TOP: f64 = 120.0;
-/// How long arrivals come.
-pub const SPAN: f64 = 480.0;
+/// Says how much of an hour is drawn.
+#[derive(Clone, Copy)]
+pub struct Span {
+    /// The top of the hour, in seconds from the start.
+    pub top: f64,
+    /// How long arrivals come, in seconds.
+    pub arrivals: f64,
+}
+
+/// The span of the printed figures.
+pub const LONG: Span = Span { top: 120.0, arrivals: 480.0 };
+/// The span of the regression bounds, which run without optimization as well.
+pub const SHORT: Span = Span { top: 30.0, arrivals: 130.0 };
 
 /// One request as its caller knows it.
 #[derive(Clone)]
@@ -30,6 +39,7 @@
 /// A user's table and requests.
 pub struct Workload {
     pub name: &'static str,
+    pub span: Span,
     pub table: Table,
     pub callers: Vec<Caller>,
     pub zones: [&'static str; 3],
@@ -47,7 +57,7 @@
 }
 
 /// Draws Kajlinjen's hour: few large drafting jobs with long dossiers, many small checks.
-pub fn kajlinjen(seed: u64) -> Workload {
+pub fn kajlinjen(seed: u64, span: Span) -> Workload {
     let classes = [
         Class { name: "draft", priority: 5, due: 90_000, first: 15_000, service: false },
         Class { name: "check", priority: 7, due: 10_000, first: 1_400, service: false },
@@ -57,7 +67,7 @@
     let teams =
         [("agent-a", 300), ("agent-b", 300), ("agent-c", 150), ("agent-d", 150), ("desk", 100)];
     let demand = [0.34, 0.30, 0.16, 0.12, 0.08];
-    let mut draw = Draw::new(seed, "laytime");
+    let mut draw = Draw::new(seed, span, "laytime");
     for (team, part) in teams.iter().map(|team| team.0).zip(demand) {
         draw.each(part * 0.55, |draw, at| {
             let dossier = draw.text(4_000, 14_000);
@@ -89,6 +99,7 @@
     let zones = ["arendal", "skarvik", "torshamn"];
     Workload {
         name: "kajlinjen",
+        span,
         table,
         callers: draw.done(),
         zones,
@@ -98,7 +109,7 @@
 }
 
 /// Draws the Office's hour: threads that are resent as they grow, lookups, confirmations.
-pub fn office(seed: u64) -> Workload {
+pub fn office(seed: u64, span: Span) -> Workload {
     let classes = [
         Class { name: "review", priority: 5, due: 30_000, first: 4_000, service: false },
         Class { name: "thread", priority: 6, due: 30_000, first: 3_000, service: false },
@@ -107,7 +118,7 @@
     ];
     let teams = [("millinery", 300), ("bridal", 250), ("felt", 150), ("straw", 150), ("trim", 150)];
     let demand = [0.36, 0.28, 0.16, 0.12, 0.08];
-    let mut draw = Draw::new(seed, "assistant");
+    let mut draw = Draw::new(seed, span, "assistant");
     for (team, part) in teams.iter().map(|team| team.0).zip(demand) {
         for (class, rate, turns) in [(&classes[0], 0.5, 3), (&classes[1], 0.9, 6)] {
             draw.each(part * rate, |draw, start| {
@@ -135,6 +146,7 @@
     let zones = ["newtown", "braamfontein", "midrand"];
     Workload {
         name: "office",
+        span,
         table,
         callers: draw.done(),
         zones,
@@ -161,13 +173,14 @@
 struct Draw {
     rng: Pcg64Mcg,
     callers: Vec<Caller>,
+    span: Span,
     model: &'static str,
     next: u128,
 }
 
 impl Draw {
-    fn new(seed: u64, model: &'static str) -> Self {
-        Self { rng: Pcg64Mcg::seed_from_u64(seed), callers: Vec::new(), model, next: 1 }
+    fn new(seed: u64, span: Span, model: &'static str) -> Self {
+        Self { rng: Pcg64Mcg::seed_from_u64(seed), callers: Vec::new(), span, model, next: 1 }
     }
 
     /// Draws arrivals at a rate that rises fourfold at the top of the hour and falls again.
@@ -175,10 +188,11 @@
         let mut at = 0.0;
         loop {
             at += -(1.0 - self.rng.random_range(0.0..1.0_f64)).ln() / (rate * WAVE);
-            if at >= SPAN {
+            if at >= self.span.arrivals {
                 return;
             }
-            let now = if at < TOP { 1.0 } else { 1.0 + (WAVE - 1.0) * (-(at - TOP) / 60.0).exp() };
+            let after = at - self.span.top;
+            let now = if after < 0.0 { 1.0 } else { 1.0 + (WAVE - 1.0) * (-after / 60.0).exp() };
             if self.rng.random_range(0.0..WAVE) < now {
                 make(self, at);
             }
--- a/crates/verbenaslip-policy/benches/bench/world.rs
+++ b/crates/verbenaslip-policy/benches/bench/world.rs
@@ -13,7 +13,7 @@
 use super::engine::{Engine, Job, Progress, Speed};
 use super::measure::{Measures, Outcome, measure};
 use super::policy::{Act, INSTANCES, Policy};
-use super::workload::{Caller, TOP, Workload};
+use super::workload::{Caller, Workload};
 
 /// What happens besides the hourly wave.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -26,12 +26,12 @@
 
 /// Engines of the model, a third in each zone.
 const ENGINES: usize = 12;
-/// When the notice of a reclaim comes, and how long it is.
-const NOTICE: (f64, f64) = (TOP + 3.0, 10.0);
-/// When replacements are ready; starts are refused until then.
-const BACK: f64 = TOP + 150.0;
-/// When the run ends.
-const END: f64 = 700.0;
+/// When the notice of a reclaim comes after the top of the hour, and how long it is.
+const NOTICE: (f64, f64) = (3.0, 10.0);
+/// When replacements are ready, likewise; starts are refused until then.
+const BACK: f64 = 150.0;
+/// How long the run goes on after the last arrival.
+const AFTER: f64 = 220.0;
 /// Price of a reclaimable machine for an hour in each zone, in millionths.
 pub const PRICES: [u64; 3] = [900_000, 1_300_000, 1_050_000];
 /// How many times dearer an on-demand machine is.
@@ -123,9 +123,10 @@
         world.at(Duration::ZERO, Event::Poll);
         world.at(Duration::ZERO, Event::Spread);
         if fault == Fault::Reclaim {
-            world.at(seconds(NOTICE.0), Event::Notice);
-            world.at(seconds(NOTICE.0 + NOTICE.1), Event::Die);
-            world.at(seconds(BACK), Event::Back);
+            let top = workload.span.top;
+            world.at(seconds(top + NOTICE.0), Event::Notice);
+            world.at(seconds(top + NOTICE.0 + NOTICE.1), Event::Die);
+            world.at(seconds(top + BACK), Event::Back);
         }
         world
     }
@@ -175,7 +176,8 @@
     }
 
     fn run(&mut self) {
-        let end = seconds(END);
+        let last = self.workload.callers.last().map_or(Duration::ZERO, |caller| caller.at);
+        let end = last + seconds(AFTER);
         while let Some(((at, _), event)) = self.events.pop_first() {
             if at > end {
                 break;
@@ -188,6 +190,8 @@
 
     /// Adds the price of the machines that are there.
     fn pay(&mut self, until: Duration) {
+        // The same time for all, whenever the last answer comes.
+        let until = until.min(seconds(self.workload.span.arrivals + AFTER));
         let passed = until.saturating_sub(self.now).as_secs_f64();
         let alive = self.engines.iter().filter(|engine| engine.alive);
         let price: f64 = alive.map(|engine| engine.announcement.price as f64).sum();
--- a/crates/verbenaslip-policy/benches/policy.rs
+++ b/crates/verbenaslip-policy/benches/policy.rs
@@ -4,14 +4,14 @@
 
 use std::time::Instant;
 
-use bench::workload::{Workload, kajlinjen, office};
+use bench::workload::{LONG, Workload, kajlinjen, office};
 use bench::world::Fault;
 
 /// The seed of the printed workloads.
 const SEED: u64 = 1;
 
 fn main() {
-    for workload in [kajlinjen(SEED), office(SEED)] {
+    for workload in [kajlinjen(SEED, LONG), office(SEED, LONG)] {
         for fault in [Fault::Calm, Fault::Reclaim] {
             print(&workload, fault);
         }
--- /dev/null
+++ b/crates/verbenaslip-policy/tests/measures.rs
@@ -0,0 +1,126 @@
+//! Regression bounds on the measures of the policy; all counted, from fixed seeds.
+//!
+//! The spans are shorter than those of the printed figures, so that they run without optimization.
+
+#[path = "../benches/bench/mod.rs"]
+mod bench;
+
+use bench::measure::Measures;
+use bench::workload::{SHORT, Workload, kajlinjen, office};
+use bench::world::Fault;
+
+/// The seed of the workloads, another one than that of the printed figures.
+const SEED: u64 = 2;
+
+/// What the policy must reach in one case, whatever the baselines do.
+struct Bounds {
+    on_time: f64,
+    at_target: f64,
+    worst_row: f64,
+    cost: f64,
+    again: f64,
+    jain: f64,
+    /// Bad hints for a hundred good ones.
+    bad_hints: u32,
+}
+
+#[test]
+fn kajlinjen_in_a_calm_hour() {
+    check(
+        &kajlinjen(SEED, SHORT),
+        Fault::Calm,
+        &Bounds {
+            on_time: 96.5,
+            at_target: 74.0,
+            worst_row: 75.0,
+            cost: 690.0,
+            again: 150.0,
+            jain: 0.98,
+            bad_hints: 60,
+        },
+    );
+}
+
+#[test]
+fn kajlinjen_with_a_zone_reclaimed_at_the_top_of_the_hour() {
+    check(
+        &kajlinjen(SEED, SHORT),
+        Fault::Reclaim,
+        &Bounds {
+            on_time: 84.0,
+            at_target: 59.0,
+            worst_row: 48.0,
+            cost: 770.0,
+            again: 225.0,
+            jain: 0.97,
+            bad_hints: 80,
+        },
+    );
+}
+
+#[test]
+fn the_office_in_a_calm_hour() {
+    check(
+        &office(SEED, SHORT),
+        Fault::Calm,
+        &Bounds {
+            on_time: 99.9,
+            at_target: 98.5,
+            worst_row: 99.0,
+            cost: 550.0,
+            again: 750.0,
+            jain: 0.99,
+            bad_hints: 10,
+        },
+    );
+}
+
+#[test]
+fn the_office_with_a_zone_reclaimed_at_the_top_of_the_hour() {
+    check(
+        &office(SEED, SHORT),
+        Fault::Reclaim,
+        &Bounds {
+            on_time: 99.9,
+            at_target: 97.5,
+            worst_row: 99.0,
+            cost: 505.0,
+            again: 950.0,
+            jain: 0.99,
+            bad_hints: 10,
+        },
+    );
+}
+
+#[test]
+fn the_same_seed_gives_the_same_figures() {
+    let workload = office(SEED, bench::workload::Span { top: 5.0, arrivals: 20.0 });
+    let run = || format!("{:?}", bench::run(&workload, "verbenaslip", Fault::Reclaim));
+    assert_eq!(run(), run());
+}
+
+fn check(workload: &Workload, fault: Fault, bounds: &Bounds) {
+    let ours = bench::run(workload, "verbenaslip", fault);
+    check_bounds(&ours, bounds);
+    for name in bench::BASELINES {
+        let baseline = bench::run(workload, name, fault);
+        let (mine, theirs) = (ours.total().percent(), baseline.total().percent());
+        assert!(mine >= theirs, "{mine} % on time, {theirs} % by {name}");
+        assert!(ours.again <= baseline.again * 1.02, "{} again by {name}", baseline.again);
+    }
+    assert_eq!(ours.lost, 0, "no run was lost that may not be run again");
+    assert_eq!(ours.unsettled, 0, "every caller got its answer");
+}
+
+fn check_bounds(ours: &Measures, bounds: &Bounds) {
+    let total = ours.total();
+    assert!(total.percent() >= bounds.on_time, "{} % on time", total.percent());
+    assert!(total.target() >= bounds.at_target, "{} % at target", total.target());
+    assert!(ours.worst() >= bounds.worst_row, "{} % in the worst row", ours.worst());
+    assert!(ours.cost <= bounds.cost, "{} for an answer at target", ours.cost);
+    assert!(ours.again <= bounds.again, "{} of 1,000 tokens again", ours.again);
+    assert!(ours.jain >= bounds.jain, "{} by Jain's index", ours.jain);
+    let bad = ours.bad * 100 / ours.good.max(1);
+    assert!(bad <= bounds.bad_hints, "{} bad hints, {} good ones", ours.bad, ours.good);
+    assert_eq!(ours.unhinted, 0, "every refusal tells when to come back");
+}
