--- a/crates/verbenaslip-disk/tests/power.rs
+++ b/crates/verbenaslip-disk/tests/power.rs
@@ -64,6 +64,8 @@
         vec![append(4, 41..=45)],
         vec![Write::Truncate { from: 41 }, append(5, 41..=42), hard(5)],
         vec![Write::Install(snapshot(5, 60)), append(5, 61..=63)],
+        vec![append(5, 64..=70)],
+        vec![hard(6), Write::Install(snapshot(6, 66)), append(6, 67..=68)],
     ]
 }
 
@@ -164,12 +166,21 @@
                 || reached.iter().any(|model| is_between(&acknowledged, model, &recovered));
             let places: Vec<Position> = recovered.entries.iter().map(|e| e.position).collect();
             assert!(is_kept, "operation {operation}, {loss:?}: {:?} {places:?}", recovered.hard);
+            assert!(fits(&recovered), "operation {operation}, {loss:?}: {places:?}");
             goes_on(folder, &recovered, &after);
         }
     }
     println!("{operations} operations, {} losses each", LOSSES.len());
 }
 
+/// Tells whether the entries are those that the snapshot was made from or is followed by.
+fn fits(recovered: &Recovered) -> bool {
+    let end = recovered.snapshot.as_ref().map(|snapshot| snapshot.position).unwrap_or_default();
+    let first = recovered.entries.first().map(|entry| entry.position.index);
+    let follows = first.is_none_or(|first| first == end.index + 1);
+    follows || recovered.entries.iter().any(|entry| entry.position == end)
+}
+
 /// Tells whether a folder holds a state that the writes after the last acknowledgement passed.
 fn is_between(acknowledged: &Model, model: &Model, recovered: &Recovered) -> bool {
     // The term and snapshot files are durable at once, the log's records only with the sync.
