Freeze an instance with the answer to its renewal unread

Cause: on a scratch copy that counted the lease from when its answer is read, the test of a frozen instance still passed: the edit was read in the same moment as the answer. Change: the instance is cut off before the edit, so only the answer waits. Conclusion: the test fails on that copy and passes here.

--- a/crates/verbenaslip-state/tests/watch.rs
+++ b/crates/verbenaslip-state/tests/watch.rs
@@ -65,14 +65,18 @@
         net.delay = Duration::from_millis(350);
         net.run(Duration::from_millis(100 * seed));
         net.freeze(8);
-        net.run(Duration::from_millis(300 * seed));
+        // The answer waits to be read; the edit, which comes later, does not get through.
+        net.run(SECOND);
+        net.isolate(8);
         let took = in_force(&mut net);
         assert!(took < 6 * SECOND, "{took:?}");
         net.run(SECOND);
         net.thaw(8);
         // The network checks at every step that whoever is ready has what is in force.
         net.run(10 * SECOND);
-        assert!(net.all_ready());
+        assert!(!net.ready(8));
+        net.cuts.clear();
+        net.until(6 * SECOND, Net::all_ready).expect("it comes back");
     }
 }
 
