--- a/crates/verbenaslip-request/src/arrive.rs
+++ b/crates/verbenaslip-request/src/arrive.rs
@@ -140,7 +140,7 @@
         if wait.is_zero() {
             self.seek_owner(turn, ticket);
         } else {
-            self.timers.set(Timer::Parked(ticket), Some(turn.now + wait));
+            self.timers.set(Timer::Parked(ticket), Some(turn.now.saturating_add(wait)));
         }
     }
 
--- a/crates/verbenaslip-request/src/drain.rs
+++ b/crates/verbenaslip-request/src/drain.rs
@@ -61,7 +61,7 @@
         }
         if turn.now < end {
             self.hand_over(turn);
-            let again = turn.now + self.setup.timing.resend;
+            let again = turn.now.saturating_add(self.setup.timing.resend);
             self.timers.set(Timer::Stop, Some(again.min(end)));
             return;
         }
--- a/crates/verbenaslip-request/src/entry.rs
+++ b/crates/verbenaslip-request/src/entry.rs
@@ -377,7 +377,7 @@
         let salt = (self.salt as u32) << COUNT_BITS & ((1 << RUN_BITS) - 1);
         let base = u32::from(self.epoch) << RUN_BITS | salt;
         let next = self.number.max(base).checked_add(1)?;
-        (next < base + (1 << COUNT_BITS)).then_some(())?;
+        (next - base < 1 << COUNT_BITS).then_some(())?;
         self.number = next;
         Some(Attempt { request: self.request(), number: next })
     }
--- a/crates/verbenaslip-request/src/finish.rs
+++ b/crates/verbenaslip-request/src/finish.rs
@@ -82,7 +82,7 @@
             self.look_up_before(turn, entry, refusal);
             return;
         }
-        let until = turn.now + self.setup.timing.resend * self.setup.timing.tries;
+        let until = turn.now.saturating_add(self.setup.timing.resend * self.setup.timing.tries);
         entry.phase = Phase::Close { refusal, until };
         entry.due = None;
         if entry.accepted() {
@@ -113,7 +113,7 @@
             return;
         }
         if !late {
-            entry.due = Some(turn.now + self.setup.timing.resend);
+            entry.due = Some(turn.now.saturating_add(self.setup.timing.resend));
             self.put(entry);
             return;
         }
@@ -165,7 +165,7 @@
 
     /// Keeps a finished answer for its retention, and tells the second holder.
     pub(crate) fn settle(&mut self, turn: &mut Turn<'_>, entry: &mut Entry, outcome: Outcome) {
-        let until = turn.now + self.setup.timing.retention;
+        let until = turn.now.saturating_add(self.setup.timing.retention);
         entry.phase = Phase::Finished { outcome, until };
         entry.due = None;
         entry.absent = None;
--- a/crates/verbenaslip-request/src/hold.rs
+++ b/crates/verbenaslip-request/src/hold.rs
@@ -339,7 +339,7 @@
                 self.release(body);
             }
         }
-        let until = turn.now + self.setup.timing.retention;
+        let until = turn.now.saturating_add(self.setup.timing.retention);
         if let Some(copy) = self.copies.get_mut(&request) {
             copy.until = copy.until.min(until);
             self.retention.add(request, copy.until, copy.mirrored, true);
--- a/crates/verbenaslip-request/src/home.rs
+++ b/crates/verbenaslip-request/src/home.rs
@@ -59,11 +59,6 @@
         self.get(instance).is_some_and(|seen| seen.alive)
     }
 
-    /// Returns whether any instance but `own` is known, alive or not.
-    pub(crate) fn has_others(&self, own: &Instance) -> bool {
-        self.members.keys().any(|instance| instance != own)
-    }
-
     /// Returns the homes of a request: the best instance of each of the best availability zones.
     pub(crate) fn homes(&self, request: Request) -> Vec<Instance> {
         self.best(request, |seen| seen.alive).into_iter().take(HOMES).collect()
--- a/crates/verbenaslip-request/src/journal.rs
+++ b/crates/verbenaslip-request/src/journal.rs
@@ -15,7 +15,7 @@
 impl Requests {
     /// Looks for a second holder; the request is accepted once one has it.
     pub(crate) fn journal(&mut self, turn: &mut Turn<'_>, mut entry: Entry) {
-        let until = turn.now + self.setup.timing.journal;
+        let until = turn.now.saturating_add(self.setup.timing.journal);
         entry.phase = Phase::Journal { until };
         entry.due = Some(until.min(entry.head.deadline));
         self.seek_holder(turn, &mut entry);
@@ -103,7 +103,7 @@
             return;
         };
         holder.tries += 1;
-        holder.due = Some(turn.now + self.setup.timing.resend);
+        holder.due = Some(turn.now.saturating_add(self.setup.timing.resend));
         let (body, digest, boot) = (entry.body.clone(), entry.digest, self.setup.boot);
         let copy = Box::new(Copy { head, body, digest, boot, note });
         turn.send(&holder.instance, Message::Put(copy));
@@ -121,7 +121,7 @@
             return;
         }
         holder.tries = 1;
-        holder.due = Some(turn.now + self.setup.timing.resend);
+        holder.due = Some(turn.now.saturating_add(self.setup.timing.resend));
         turn.send(&holder.instance, Message::Note(note));
     }
 
@@ -165,7 +165,7 @@
         }
         if first && acked < newest {
             holder.tries = 1;
-            holder.due = Some(turn.now + self.setup.timing.resend);
+            holder.due = Some(turn.now.saturating_add(self.setup.timing.resend));
             let to = holder.instance.clone();
             turn.send(&to, Message::Note(entry.note()));
         }
@@ -222,7 +222,7 @@
         let note = entry.note();
         if let Some(holder) = &mut entry.holder {
             holder.tries += 1;
-            holder.due = Some(turn.now + self.setup.timing.resend);
+            holder.due = Some(turn.now.saturating_add(self.setup.timing.resend));
             let to = holder.instance.clone();
             turn.send(&to, Message::Note(note));
         }
@@ -307,7 +307,7 @@
         }
         entry.informs += 1;
         let again = unsure && entry.informs < self.setup.timing.tries;
-        entry.informing = again.then(|| turn.now + self.setup.timing.resend);
+        entry.informing = again.then(|| turn.now.saturating_add(self.setup.timing.resend));
     }
 
     /// Tells the homes again that have not answered.
--- a/crates/verbenaslip-request/src/launch.rs
+++ b/crates/verbenaslip-request/src/launch.rs
@@ -21,7 +21,7 @@
 impl Requests {
     /// Asks the quorum for the right to run a non-idempotent request.
     pub(crate) fn claim(&mut self, turn: &mut Turn<'_>, mut entry: Entry) {
-        let until = turn.now + self.setup.timing.claim;
+        let until = turn.now.saturating_add(self.setup.timing.claim);
         entry.phase = Phase::Claim { until, unsure: false };
         entry.claimant = Some(self.claimant(&entry));
         self.send_claim(turn, &mut entry);
@@ -46,7 +46,7 @@
         let Some(claimant) = entry.claimant else {
             return;
         };
-        entry.due = Some(turn.now + self.setup.timing.resend * 5);
+        entry.due = Some(turn.now.saturating_add(self.setup.timing.resend * 5));
         turn.out.push(Output::Claim(Claim {
             request: entry.request(),
             claimant,
@@ -288,7 +288,7 @@
         if let Some(flight) = &mut entry.flight
             && matches!(flight.moving, Moving::Asked)
         {
-            let at = turn.now + wait.unwrap_or(self.setup.timing.resend);
+            let at = turn.now.saturating_add(wait.unwrap_or(self.setup.timing.resend));
             flight.moving = Moving::Paused { at };
             self.put(entry);
             return;
--- a/crates/verbenaslip-request/src/lib.rs
+++ b/crates/verbenaslip-request/src/lib.rs
@@ -41,4 +41,4 @@
 mod takeover;
 mod timer;
 
-pub use requests::Requests;
+pub use requests::{Count, Requests};
--- a/crates/verbenaslip-request/src/lookup.rs
+++ b/crates/verbenaslip-request/src/lookup.rs
@@ -45,6 +45,12 @@
         self.asked.values().filter_map(|asked| asked.found.as_ref())
     }
 
+    /// Returns whether another home than `own` has answered, if there is one.
+    fn answered(&self, own: &Instance) -> bool {
+        let mut others = self.asked.iter().filter(|(home, _)| *home != own).peekable();
+        others.peek().is_none() || others.any(|(_, asked)| asked.found.is_some())
+    }
+
     fn missing(&self) -> bool {
         self.asked.values().any(|asked| asked.found.is_none())
     }
@@ -96,7 +102,7 @@
             Some(_) => timing.resend * timing.tries,
             None => timing.lookup,
         };
-        let until = turn.now + long;
+        let until = turn.now.saturating_add(long);
         let homes = self.view.homes(entry.request()).into_iter();
         let asked = homes.map(|home| (home, Asked { at: turn.now, found: None })).collect();
         entry.phase = Phase::Lookup(Lookup { asked, tries: 0, until, doubt: false, refusal });
@@ -117,7 +123,7 @@
             return;
         };
         lookup.tries += 1;
-        entry.due = Some(turn.now + self.setup.timing.resend);
+        entry.due = Some(turn.now.saturating_add(self.setup.timing.resend));
         let own = self.setup.instance.clone();
         for (home, asked) in lookup.asked.iter_mut().filter(|(_, asked)| asked.found.is_none()) {
             asked.at = turn.now;
@@ -224,7 +230,7 @@
             Found::Held { owner, epoch, .. } => *epoch > 0 && !self.view.alive(owner),
             Found::Free | Found::Doubtful | Found::Full => false,
         });
-        let answered = lookup.found().count() > 0;
+        let answered = lookup.answered(&self.setup.instance);
         let tired = lookup.tries > self.setup.timing.tries && answered;
         if waits || (lookup.missing() && !tired) || !answered {
             self.put(entry);
@@ -293,11 +299,9 @@
                 Found::Held { owner, .. } => *owner != self.setup.instance,
                 Found::Free | Found::Between { .. } | Found::Full => false,
             });
-        let others = lookup.asked.keys().any(|home| *home != self.setup.instance);
-        let alone = !self.view.has_others(&self.setup.instance);
         let since = now.saturating_sub(self.setup.timing.retention);
         let misses = self.view.misses(entry.request(), since);
-        !lookup.missing() && !doubt && !misses && (others || alone)
+        !lookup.missing() && !doubt && !misses
     }
 
     fn accepted_owner(&self, lookup: &Lookup) -> Option<(Instance, u128)> {
--- a/crates/verbenaslip-request/src/relocate.rs
+++ b/crates/verbenaslip-request/src/relocate.rs
@@ -107,7 +107,7 @@
             return;
         };
         if self.leaving.contains_key(&place.upstream) || place.upstream == flight.live.upstream {
-            let at = turn.now + self.setup.timing.resend;
+            let at = turn.now.saturating_add(self.setup.timing.resend);
             flight.moving = Moving::Paused { at };
             self.put(entry);
             return;
--- a/crates/verbenaslip-request/src/takeover.rs
+++ b/crates/verbenaslip-request/src/takeover.rs
@@ -337,7 +337,7 @@
         }
         ousted.tries += 1;
         let again = ousted.tries < self.setup.timing.tries;
-        ousted.due = again.then(|| turn.now + self.setup.timing.resend);
+        ousted.due = again.then(|| turn.now.saturating_add(self.setup.timing.resend));
         let to = ousted.instance.clone();
         turn.send(&to, Message::Taken(taken));
     }
