--- a/crates/verbenaslip-replica/src/lib.rs
+++ b/crates/verbenaslip-replica/src/lib.rs
@@ -52,6 +52,7 @@
 mod peer;
 mod receive;
 mod replica;
+mod replicate;
 mod round;
 mod snapshot;
 mod transfer;
--- a/crates/verbenaslip-replica/src/replica.rs
+++ b/crates/verbenaslip-replica/src/replica.rs
@@ -1,6 +1,5 @@
 //! One voter of the replicated log.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,7 +19,6 @@
 use crate::output::{Answer, Duty, Output, Role};
 use crate::setup::Setup;
 use crate::snapshot::Receiving;
-use crate::status::{Progress, Status};
 use crate::storage::{Hard, Recovered, Snapshot, Write};
 use crate::voter::{Group, Identity, Voter};
 
@@ -52,7 +50,7 @@
     pub(crate) now: Duration,
     pub(crate) out: Vec<Output>,
     generator: Pcg32,
-    shown: Role,
+    pub(crate) shown: Role,
 }
 
 /// Holds what a replica does in its term.
@@ -132,6 +130,8 @@
         self.tick();
         self.advance();
         self.show();
+        // The state machine's answer is a step of its own, whose writes must follow all of this one's.
+        self.want_snapshot();
         out.append(&mut self.out);
     }
 
@@ -201,25 +201,6 @@
         self.log.config()
     }
 
-    /// Shows operators how this replica stands.
-    pub fn status(&self, now: Duration) -> Status {
-        let lease = self.lease_until(now).map(|until| until.saturating_sub(now));
-        Status {
-            instance: self.setup.instance.clone(),
-            identity: self.identity,
-            group: self.hard.group,
-            term: self.hard.term,
-            leader: self.leader.clone(),
-            duty: self.duty(),
-            last: self.log.last().index,
-            commit: self.commit,
-            snapshot: self.snapshot.as_ref().map_or(0, |snapshot| snapshot.position.index),
-            lease,
-            joint: self.log.config().is_joint(),
-            voters: self.progress(now),
-        }
-    }
-
     /// Runs the timers.
     fn tick(&mut self) {
         match self.state {
@@ -274,7 +255,6 @@
             }
             self.settle(position);
         }
-        self.want_snapshot();
     }
 
     /// Answers the proposal at a position that is now committed and applied.
@@ -354,53 +334,6 @@
         self.save();
         self.outbox.hold(Output::Send { to: to.clone(), message }, &mut self.out);
     }
-
-    /// Returns what this replica does.
-    fn duty(&self) -> Duty {
-        match &self.state {
-            State::Follower => Duty::Follower,
-            State::Candidate(_) => Duty::Candidate,
-            State::Leader(leading) if leading.ready => Duty::Leader,
-            State::Leader(_) => Duty::Elected,
-        }
-    }
-
-    /// Tells of a changed role.
-    fn show(&mut self) {
-        let role = Role { term: self.hard.term, leader: self.leader.clone(), duty: self.duty() };
-        if role != self.shown {
-            self.shown = role.clone();
-            self.out.push(Output::Role(role));
-        }
-    }
-
-    /// Lists the voters and those that catch up.
-    fn progress(&self, now: Duration) -> Vec<Progress> {
-        let config = self.log.config();
-        let mut voters: BTreeMap<Identity, Progress> = config
-            .members()
-            .map(|voter| (voter.identity, Progress::of(voter.clone(), true)))
-            .collect();
-        if let State::Leader(leading) = &self.state {
-            for peer in leading.peers.values() {
-                let progress = voters
-                    .entry(peer.voter.identity)
-                    .or_insert_with(|| Progress::of(peer.voter.clone(), false));
-                progress.matched = Some(peer.matched);
-                progress.silent = peer.heard.map(|heard| now.saturating_sub(heard));
-            }
-        }
-        let mut voters: Vec<Progress> = voters.into_values().collect();
-        voters.sort_by(|one, other| one.voter.cmp(&other.voter));
-        voters
-    }
-}
-
-impl Progress {
-    /// Starts without knowledge of a voter.
-    fn of(voter: Voter, votes: bool) -> Self {
-        Self { voter, votes, matched: None, silent: None }
-    }
 }
 
 /// Returns the position before the first entry held in memory, and the voter set in force there.
