--- a/crates/verbenaslip-node/tests/world/mod.rs
+++ b/crates/verbenaslip-node/tests/world/mod.rs
@@ -30,6 +30,9 @@
 /// Unix milliseconds at the world's time zero.
 pub const EPOCH: u64 = 1_700_000_000_000;
 
+/// Bytes that each message costs beside its content: stamp or frame, and the headers below.
+pub const OVERHEAD: u64 = 80;
+
 pub const MS: fn(u64) -> Duration = Duration::from_millis;
 
 /// Holds one instance with what outlives it.
@@ -43,6 +46,22 @@
     parked: Vec<Input>,
 }
 
+/// Orders what is on its way: by arrival, then by sending.
+type Order = (Duration, u64);
+
+/// Holds an input on its way to an instance.
+struct Flight {
+    to: usize,
+    input: Input,
+}
+
+/// Holds who copies an answer to whom.
+#[derive(Clone)]
+struct Mirror {
+    owner: usize,
+    to: Option<Instance>,
+}
+
 /// Counts what an instance has sent to others.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Sent {
@@ -63,11 +82,11 @@
     pub cuts: BTreeSet<(usize, usize)>,
     pub loss: f64,
     rng: Pcg64Mcg,
-    flying: BTreeMap<(Duration, u64), (usize, Input)>,
+    flying: BTreeMap<Order, Flight>,
     flights: u64,
     addresses: BTreeMap<SocketAddr, usize>,
     names: BTreeMap<Instance, usize>,
-    mirrors: BTreeMap<Request, (usize, Option<Instance>)>,
+    mirrors: BTreeMap<Request, Mirror>,
     calls: u64,
     callers: BTreeMap<Ticket, usize>,
 }
@@ -294,8 +313,8 @@
             if entry.key().0 > self.now {
                 break;
             }
-            let (number, input) = entry.remove();
-            self.hand(number, input);
+            let Flight { to, input } = entry.remove();
+            self.hand(to, input);
         }
         for (number, attempt, event) in self.upstreams.step(self.now) {
             if let Event::Tokens { position } | Event::Ended { position } = &event {
@@ -350,7 +369,9 @@
     }
 
     fn mirror(&mut self, number: usize, request: Request, position: u32, whole: bool) {
-        let Some((owner, Some(to))) = self.mirrors.get(&request).cloned() else { return };
+        let Some(Mirror { owner, to: Some(to) }) = self.mirrors.get(&request).cloned() else {
+            return;
+        };
         let Some(home) = self.names.get(&to).copied() else { return };
         if owner != number || self.cuts.contains(&(number, home)) {
             return;
@@ -384,7 +405,7 @@
             Output::Run(run) => self.upstreams.run(self.now, number, &run),
             Output::Cancel(live) => self.upstreams.cancel(live.attempt),
             Output::Mirror { request, to, .. } => {
-                self.mirrors.insert(request, (number, to));
+                self.mirrors.insert(request, Mirror { owner: number, to });
                 if let Some(position) = self.upstreams.position(request) {
                     self.mirror(number, request, position, false);
                 }
@@ -408,7 +429,7 @@
     fn post(&mut self, from: usize, to: SocketAddr, bytes: usize, input: Input) {
         let sent = &mut self.places[from].sent;
         sent.messages += 1;
-        sent.bytes += bytes as u64;
+        sent.bytes += bytes as u64 + OVERHEAD;
         let Some(to) = self.addresses.get(&to).copied() else { return };
         let lost = self.loss > 0.0 && self.rng.random_bool(self.loss);
         if lost || self.cuts.contains(&(from, to)) || self.places[to].node.is_none() {
@@ -420,7 +441,7 @@
 
     fn fly(&mut self, delay: Duration, to: usize, input: Input) {
         self.flights += 1;
-        self.flying.insert((self.now + delay, self.flights), (to, input));
+        self.flying.insert((self.now + delay, self.flights), Flight { to, input });
     }
 
     fn call(&mut self) -> Id {
