Keep the answers of two owners apart

Cause: one place held a request's answer. When another owner's copy of a later epoch came, it was emptied under those who read it, and a run of the owner that was replaced added to the copy. A copy under the owner's own epoch, which two second holders can both have, went into the answer that was put together here. Each gives a caller halves of two answers.

Ruled out: emptying only when nobody reads; the run that fills the earlier answer would still end up in the copy.

Change: a later copy gets a place of its own, and readers and runs of the earlier answer keep theirs; runs and copies find theirs by the epoch in the attempt's number; an owned answer takes no copy. A new verdict to read here moves a caller only to an answer that this instance owns.

--- a/crates/verbenaslip/src/traffic.rs
+++ b/crates/verbenaslip/src/traffic.rs
@@ -24,6 +24,7 @@
 mod server;
 mod shared;
 mod shelf;
+mod shelves;
 mod sse;
 mod steady;
 mod stream;
@@ -135,7 +136,7 @@
 
     /// Makes a request's answer this instance's own in an epoch; copies of earlier ones are late.
     pub fn own(&self, request: Request, epoch: u16) {
-        self.shared.shelves.open(request, self.shared.limits.answer).own(epoch);
+        self.shared.shelves.of(request, epoch).own(epoch);
     }
 
     /// Drops a request's answer and what still feeds it, unless it is of a later epoch.
--- a/crates/verbenaslip/src/traffic/client.rs
+++ b/crates/verbenaslip/src/traffic/client.rs
@@ -94,7 +94,7 @@
 
 impl Driver {
     fn new(shared: Arc<Shared>, run: Run, number: u64) -> Self {
-        let shelf = shared.shelves.open(run.attempt.request, shared.limits.answer);
+        let shelf = shared.shelves.of_run(run.attempt);
         Self { shared, run, number, shelf, step: Step::Connect, pace: Pace::default() }
     }
 
--- a/crates/verbenaslip/src/traffic/mirror.rs
+++ b/crates/verbenaslip/src/traffic/mirror.rs
@@ -23,7 +23,7 @@
 
 /// Starts to copy an answer to a second holder in place of an earlier one; none ends it.
 pub(crate) fn set(shared: &Arc<Shared>, request: Request, epoch: u16, to: Option<Instance>) {
-    let shelf = shared.shelves.open(request, shared.limits.answer);
+    let shelf = shared.shelves.of(request, epoch);
     shelf.mirror(to.is_some());
     let Some(to) = to else {
         return shared.mirrors.stop(&request);
--- a/crates/verbenaslip/src/traffic/plane.rs
+++ b/crates/verbenaslip/src/traffic/plane.rs
@@ -152,9 +152,9 @@
     request: Request,
     epoch: u16,
 ) -> io::Result<()> {
-    let shelf = shared.shelves.open(request, shared.limits.answer);
+    let shelf = shared.shelves.renew(request, epoch);
     let mut copy = Copy { shared, shelf, request, epoch, pace: Pace::default() };
-    if copy.shelf.epoch() > epoch {
+    if copy.shelf.epoch() > epoch || copy.shelf.owned() {
         return send(stream, &Frame::Declined).await;
     }
     loop {
--- a/crates/verbenaslip/src/traffic/reader.rs
+++ b/crates/verbenaslip/src/traffic/reader.rs
@@ -24,7 +24,8 @@
 struct Source {
     shelf: Arc<Shelf>,
     changed: watch::Receiver<()>,
-    _relay: Option<Stopper>,
+    /// Fetches the answer from another instance for as long as it is read.
+    relay: Option<Stopper>,
 }
 
 /// Ends a task when dropped.
@@ -111,8 +112,10 @@
         match verdict {
             Verdict::Serve { request, after } => {
                 self.at = self.at.max(after);
-                let shelf = self.shared.shelves.open(request, self.shared.limits.answer);
-                self.read(shelf, None);
+                let shelf = self.shared.shelves.open(request);
+                if !self.keeps(&shelf) {
+                    self.read(shelf, None);
+                }
                 Ok(())
             }
             Verdict::Relay { request, after, owner } => {
@@ -128,9 +131,17 @@
         }
     }
 
+    /// Says whether the answer that the caller has begun with is read on.
+    ///
+    /// The newest answer here may be a copy of another owner's, in other words.
+    fn keeps(&self, newest: &Shelf) -> bool {
+        let source = self.source.as_ref().filter(|source| source.relay.is_none());
+        source.is_some_and(|source| source.shelf.begun()) && !newest.owned()
+    }
+
     fn read(&mut self, shelf: Arc<Shelf>, relay: Option<Stopper>) {
         let changed = shelf.watch();
-        self.source = Some(Source { shelf, changed, _relay: relay });
+        self.source = Some(Source { shelf, changed, relay });
     }
 }
 
--- a/crates/verbenaslip/src/traffic/server.rs
+++ b/crates/verbenaslip/src/traffic/server.rs
@@ -27,6 +27,7 @@
 use crate::traffic::parse::{Asked, Preface};
 use crate::traffic::payload::Payload;
 use crate::traffic::shared::Shared;
+use crate::traffic::shelves::Shelves;
 use crate::traffic::steady::{self, Steady};
 use crate::traffic::stream;
 use crate::traffic::{Report, Setup, Traffic};
@@ -88,6 +89,7 @@
 }
 
 fn shared(setup: Setup, handles: Vec<Handle>, events: Sender<Report>) -> Shared {
+    let answer = setup.limits.answer;
     Shared {
         keys: setup.keys,
         limits: setup.limits,
@@ -101,7 +103,7 @@
         accepting: AtomicBool::new(true),
         closing: tokio::sync::Notify::new(),
         tickets: Default::default(),
-        shelves: Default::default(),
+        shelves: Shelves::new(answer),
         runs: Default::default(),
         mirrors: Default::default(),
         addresses: Default::default(),
--- a/crates/verbenaslip/src/traffic/shared.rs
+++ b/crates/verbenaslip/src/traffic/shared.rs
@@ -17,7 +17,7 @@
 
 use crate::keys::Keys;
 use crate::peers::Identity;
-use crate::traffic::shelf::Shelves;
+use crate::traffic::shelves::Shelves;
 use crate::traffic::ticket::Tickets;
 use crate::traffic::{Limits, Report, Stats};
 
--- a/crates/verbenaslip/src/traffic/shelf.rs
+++ b/crates/verbenaslip/src/traffic/shelf.rs
@@ -1,10 +1,10 @@
-//! The answers held here, each with those who wait for more of it.
+//! One answer held here, with those who wait for more of it.
 
-use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex};
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use tokio::sync::watch;
-use verbenaslip_base::attempt::{Attempt, Request};
+use verbenaslip_base::attempt::Attempt;
 use verbenaslip_request::answer::{Added, Answer, End, Piece, Whole};
 
 use crate::traffic::shared::lock;
@@ -18,6 +18,7 @@
 /// Holds one answer and wakes its readers when it grows.
 pub(crate) struct Shelf {
     answer: Mutex<Answer>,
+    owned: AtomicBool,
     changed: watch::Sender<()>,
 }
 
@@ -67,7 +68,11 @@
 impl Shelf {
     /// Makes an empty shelf for an answer of so many bytes at most.
     pub(crate) fn new(limit: usize) -> Self {
-        Self { answer: Mutex::new(Answer::open(limit)), changed: watch::Sender::new(()) }
+        Self {
+            answer: Mutex::new(Answer::open(limit)),
+            owned: AtomicBool::new(false),
+            changed: watch::Sender::new(()),
+        }
     }
 
     /// Makes a shelf for the rest of an answer after a position.
@@ -100,9 +105,15 @@
 
     /// Makes this instance the owner in an epoch.
     pub(crate) fn own(&self, epoch: u16) {
+        self.owned.store(true, Ordering::Release);
         lock(&self.answer).own(epoch);
     }
 
+    /// Says whether this instance owns the answer.
+    pub(crate) fn owned(&self) -> bool {
+        self.owned.load(Ordering::Acquire)
+    }
+
     /// Adds the live run's next piece.
     pub(crate) fn add(&self, attempt: Attempt, piece: &Piece) -> Added {
         let Piece { position, count, text } = piece;
@@ -166,6 +177,11 @@
         answer.ended().is_some() || answer.filled().is_some()
     }
 
+    /// Says whether there is something of the answer.
+    pub(crate) fn begun(&self) -> bool {
+        self.position() > 0 || self.ended()
+    }
+
     /// Returns all text held, with its position.
     pub(crate) fn text(&self) -> (String, u32) {
         let answer = lock(&self.answer);
@@ -198,41 +214,3 @@
         changed
     }
 }
-
-type Map = BTreeMap<Request, Arc<Shelf>>;
-
-/// Holds the shelves by request.
-#[derive(Default)]
-pub(crate) struct Shelves {
-    shelves: Mutex<Map>,
-}
-
-impl Shelves {
-    /// Returns a request's shelf, made when there is none.
-    pub(crate) fn open(&self, request: Request, limit: usize) -> Arc<Shelf> {
-        let mut shelves = lock(&self.shelves);
-        shelves.entry(request).or_insert_with(|| Arc::new(Shelf::new(limit))).clone()
-    }
-
-    /// Returns a request's shelf.
-    pub(crate) fn find(&self, request: Request) -> Option<Arc<Shelf>> {
-        lock(&self.shelves).get(&request).cloned()
-    }
-
-    /// Drops a request's shelf unless it is of a later epoch; those who still read it keep it.
-    pub(crate) fn remove(&self, request: Request, epoch: u16) -> bool {
-        let mut shelves = lock(&self.shelves);
-        let later = shelves.get(&request).is_some_and(|shelf| shelf.epoch() > epoch);
-        if !later {
-            shelves.remove(&request);
-        }
-        !later
-    }
-
-    /// Counts the shelves and the bytes of text in them.
-    pub(crate) fn size(&self) -> (u64, u64) {
-        let shelves = lock(&self.shelves);
-        let bytes = shelves.values().map(|shelf| shelf.bytes() as u64).sum();
-        (shelves.len() as u64, bytes)
-    }
-}
--- a/crates/verbenaslip/tests/traffic/plane.rs
+++ b/crates/verbenaslip/tests/traffic/plane.rs
@@ -220,26 +220,105 @@
     assert!(asked.contains(&resume), "{asked}");
 }
 
-/// Symptom: a former owner that was cut off comes back and its copy damages the new owner's answer.
-/// Sequence: two owns the request in epoch 2; one still copies in epoch 1.
-/// Cause: copies are taken whatever their epoch.
+/// Symptom: an owner that was cut off comes back and its copy damages the new owner's answer.
+/// Sequence: two owns the request in epoch 2; one still copies in epoch 1, or in 2 as well.
+/// Cause: copies are taken whatever their epoch, or into an answer that is put together here.
 #[test]
-fn a_former_owners_copy_is_not_taken() {
+fn another_owners_copy_is_not_taken() {
+    for epoch in [1, 2] {
+        let (one, two) = pair();
+        let _caller = one.bench.post("", STREAMED);
+        let arrival = one.bench.arrival();
+        let request = arrival.head.request;
+        two.bench.traffic.own(request, 2);
+        let attempt = Attempt { request, number: (u32::from(epoch) << 16) + 1 };
+        let script = vec![Act::Head, Act::Tokens(attempt, 1, 3), Act::Silence];
+        let upstream = Script::spawn(vec![script]);
+        one.bench.traffic.own(request, epoch);
+        one.bench.run(&arrival, attempt.number, upstream.address, Start::Fresh);
+        one.bench.traffic.mirror(request, epoch, Some(Instance::from("two")));
+        for _ in 0..2 {
+            one.bench.wait(|report| matches!(report, Report::MirrorLost { .. }).then_some(()));
+        }
+        assert_eq!(two.bench.traffic.position(request), Some(0), "epoch {epoch}");
+    }
+}
+
+/// Symptom: the copy of the new owner's answer holds tokens of the owner that it replaced.
+/// Sequence: two's copy in epoch 2 is at one; one, which owned epoch 1, begins another run.
+/// Cause: a run adds to the newest answer whatever its owner.
+#[test]
+fn a_former_owners_run_does_not_reach_the_later_copy() {
     let (one, two) = pair();
     let _caller = one.bench.post("", STREAMED);
     let arrival = one.bench.arrival();
     let request = arrival.head.request;
+    one.bench.traffic.own(request, 1);
+    let next = Attempt { request, number: (2 << 16) + 1 };
+    let script = vec![Act::Head, Act::Tokens(next, 1, 2), Act::Silence];
+    let other = Script::spawn(vec![script]);
     two.bench.traffic.own(request, 2);
-    let attempt = Attempt { request, number: (1 << 16) + 1 };
-    let script = vec![Act::Head, Act::Tokens(attempt, 1, 3), Act::Silence];
-    let upstream = Script::spawn(vec![script]);
+    two.bench.traffic.mirror(request, 2, Some(Instance::from("one")));
+    two.bench.run(&arrival, next.number, other.address, Start::Fresh);
+    copied(&one.bench, 2);
+    let first = Attempt { request, number: (1 << 16) + 1 };
+    let acts = vec![Act::Head, Act::Tokens(first, 1, 5), Act::Finish(first), Act::Done];
+    let upstream = Script::spawn(vec![acts]);
+    one.bench.run(&arrival, first.number, upstream.address, Start::Fresh);
+    assert_eq!(one.bench.ended(), Event::Ended { position: 5 });
+    assert_eq!(one.bench.traffic.position(request), Some(2));
+    let asked = upstream.requests.recv().expect("the upstream was asked");
+    assert!(!asked.contains("resume"), "{asked}");
+    one.bench.traffic.forget(request, 1);
+    assert_eq!(one.bench.traffic.position(request), Some(2), "the copy went as well");
+    one.bench.traffic.forget(request, 2);
+    assert_eq!(one.bench.traffic.stats().answers, 0);
+}
+
+/// Symptom: a caller reads the beginning of one answer and the end of another.
+/// Sequence: one has given its caller three tokens and is thought lost; two begins anew in a later
+/// epoch and copies its shorter answer to one; one's own run goes on.
+/// Cause: the copy takes the place of the answer under the eyes of those who read it.
+#[test]
+fn a_later_owners_copy_does_not_reach_those_who_read_the_earlier_answer() {
+    let (one, two) = pair();
+    let mut caller = one.bench.post("connection: close\r\n", STREAMED);
+    let arrival = one.bench.arrival();
+    let request = arrival.head.request;
     one.bench.traffic.own(request, 1);
-    one.bench.run(&arrival, attempt.number, upstream.address, Start::Fresh);
-    one.bench.traffic.mirror(request, 1, Some(Instance::from("two")));
-    for _ in 0..2 {
-        one.bench.wait(|report| matches!(report, Report::MirrorLost { .. }).then_some(()));
-    }
-    assert_eq!(two.bench.traffic.position(request), Some(0));
+    one.bench.serve(&arrival);
+    let first = Attempt { request, number: (1 << 16) + 1 };
+    let upstream = Script::spawn(vec![vec![
+        Act::Head,
+        Act::Tokens(first, 1, 3),
+        Act::Pause,
+        Act::Tokens(first, 4, 6),
+        Act::Finish(first),
+        Act::Done,
+    ]]);
+    one.bench.run(&arrival, first.number, upstream.address, Start::Fresh);
+    read_until(&mut caller, "id: 3\n");
+
+    two.bench.traffic.own(request, 2);
+    two.bench.traffic.mirror(request, 2, Some(Instance::from("one")));
+    let next = Attempt { request, number: (2 << 16) + 1 };
+    let acts = vec![Act::Head, Act::Tokens(next, 1, 4), Act::Finish(next), Act::Done];
+    let other = Script::spawn(vec![acts]);
+    two.bench.run(&arrival, next.number, other.address, Start::Fresh);
+    one.bench.wait(|report| match report {
+        Report::Copied { whole, .. } => whole.then_some(()),
+        _ => None,
+    });
+    upstream.go.send(()).expect("the first upstream goes on");
+    let rest = read_all(&mut caller);
+    assert_eq!(ids(&rest), ["4", "5", "6"], "{rest}");
+    assert!(rest.contains("[DONE]"), "{rest}");
+
+    // Whoever comes later reads the later owner's answer.
+    let mut late = one.bench.post("connection: close\r\n", STREAMED);
+    let arrival = one.bench.arrival();
+    one.bench.traffic.verdict(arrival.ticket, Verdict::Serve { request, after: 0 });
+    assert_eq!(ids(&read_all(&mut late)).len(), 4);
 }
 
 /// A whole answer's copy has its end as well, for a model and for a plain service.
