Take up orders whose number was lost, and know a copy of an order

Cause: found while reading how the dispatcher is used: who proposes an order may not get the answer in time while the log numbers it. The dispatcher then gave nothing, the log kept the order as not ended, and the upstream was busy until the next leader. A copy of the proposal, sent again, was another order. Both new tests failed first: after the lost answer nothing was given, and the copy was answered 'order 5.1 has not ended'. Ruled out: an identity in each order, since what it says and when it was proposed tells a copy already. Change: the state's pending orders are looked at in mid-term too; the book knows a copy of the pending order, and of the last one that ended. Conclusion: both tests pass; the random schedule still finds no late order.

--- a/crates/verbenaslip-state/src/order.rs
+++ b/crates/verbenaslip-state/src/order.rs
@@ -139,6 +139,8 @@
     Numbered(Fence),
     /// Another order to the upstream has not ended.
     Busy(Fence),
+    /// The very same order was numbered so and has ended.
+    Repeated(Fence),
     /// The lifetime is zero or too long.
     Lifetime,
     /// Orders to too many upstreams have not ended.
@@ -150,6 +152,9 @@
         match self {
             Self::Numbered(fence) => write!(f, "numbered {}.{}", fence.term, fence.index),
             Self::Busy(fence) => write!(f, "order {}.{} has not ended", fence.term, fence.index),
+            Self::Repeated(fence) => {
+                write!(f, "order {}.{} was the same and has ended", fence.term, fence.index)
+            }
             Self::Lifetime => write!(f, "the lifetime must be 1 to {MAX_LIFETIME_MS} ms"),
             Self::Full => f.write_str("too many orders have not ended"),
         }
--- a/crates/verbenaslip-state/src/order/book.rs
+++ b/crates/verbenaslip-state/src/order/book.rs
@@ -4,17 +4,26 @@
 
 use verbenaslip_base::data;
 use verbenaslip_base::fence::Fence;
+use verbenaslip_base::hash;
 use verbenaslip_base::name::Upstream;
 
 use super::{MAX_LIFETIME_MS, Order, Ordered, Pending, Verdict};
 
-/// Bounds the orders that have not ended.
+/// Bounds the orders that have not ended, and the upstreams whose last order is kept.
 const MAX_PENDING: usize = 16_384;
 
 /// Keeps at most one order for each upstream until its end is told.
 #[data(default)]
 pub(crate) struct Book {
     pending: BTreeMap<Upstream, Pending>,
+    ended: BTreeMap<Upstream, Last>,
+}
+
+/// Tells the last order to an upstream from a copy of it.
+#[data(copy)]
+struct Last {
+    fence: Fence,
+    digest: u128,
 }
 
 impl Book {
@@ -26,8 +35,15 @@
         if !(1..=MAX_LIFETIME_MS).contains(&order.lifetime) {
             return Verdict::Lifetime;
         }
-        if let Some(pending) = self.pending.get(&order.upstream) {
-            return Verdict::Busy(pending.fence);
+        // A leader proposes again what it got no answer for, and both copies may be committed.
+        match self.pending.get(&order.upstream) {
+            Some(pending) if pending.order == *order => return Verdict::Numbered(pending.fence),
+            Some(pending) => return Verdict::Busy(pending.fence),
+            None => {}
+        }
+        let last = self.ended.get(&order.upstream);
+        if let Some(last) = last.filter(|last| last.digest == digest(order)) {
+            return Verdict::Repeated(last.fence);
         }
         if self.pending.len() >= MAX_PENDING {
             return Verdict::Full;
@@ -39,12 +55,18 @@
 
     /// Ends an order; says whether it was waiting for its end.
     pub(crate) fn end(&mut self, ordered: &Ordered) -> bool {
+        let fence = ordered.fence;
         let waiting = self.pending.get(&ordered.upstream);
-        let found = waiting.is_some_and(|pending| pending.fence == ordered.fence);
-        if found {
-            self.pending.remove(&ordered.upstream);
+        let Some(pending) = waiting.filter(|pending| pending.fence == fence) else { return false };
+        let last = Last { fence, digest: digest(&pending.order) };
+        self.pending.remove(&ordered.upstream);
+        self.ended.insert(ordered.upstream.clone(), last);
+        if self.ended.len() > MAX_PENDING {
+            let oldest = self.ended.iter().min_by_key(|(_, last)| last.fence);
+            let oldest = oldest.map(|(upstream, _)| upstream.clone());
+            self.ended.retain(|upstream, _| Some(upstream) != oldest.as_ref());
         }
-        found
+        true
     }
 
     pub(crate) fn pending(&self) -> impl Iterator<Item = &Pending> {
@@ -53,6 +75,11 @@
 
     pub(crate) fn is_whole(&self) -> bool {
         let mut named = self.pending.iter().map(|(name, pending)| *name == pending.order.upstream);
-        self.pending.len() <= MAX_PENDING && named.all(|same| same)
+        self.pending.len().max(self.ended.len()) <= MAX_PENDING && named.all(|same| same)
     }
 }
+
+fn digest(order: &Order) -> u128 {
+    // Encoding to memory fails for no value of this type.
+    hash::wide(&[&postcard::to_stdvec(order).unwrap_or_default()])
+}
--- a/crates/verbenaslip-state/src/order/dispatcher.rs
+++ b/crates/verbenaslip-state/src/order/dispatcher.rs
@@ -82,7 +82,7 @@
     pub term: u64,
     /// When the leader's lease runs out, before which no other instance can lead.
     pub until: Duration,
-    /// The orders that have not ended, read from the state at the start of the term.
+    /// The orders that have not ended, as the state has them now.
     pub pending: Vec<Pending>,
 }
 
@@ -258,10 +258,18 @@
 
     fn lead(&mut self, now: Duration, lead: Lead) {
         self.until = lead.until;
-        if lead.term <= self.term {
-            return;
+        if lead.term > self.term {
+            self.begin(now, lead.term);
+        }
+        // Also in mid-term: the answer to a proposal may be lost, and an order that the log has
+        // numbered and nobody gives or ends would keep its upstream from all others.
+        for pending in lead.pending {
+            self.committed(now, pending);
         }
-        self.term = lead.term;
+    }
+
+    fn begin(&mut self, now: Duration, term: u64) {
+        self.term = term;
         let flight = Duration::from_millis(MAX_LIFETIME_MS);
         let arriving = with_margin(self.lease.saturating_add(flight)).saturating_add(GRACE);
         self.clear = now.saturating_add(arriving);
@@ -269,7 +277,6 @@
             let Target { known, fenced, .. } = *target;
             *target = Target { known, wanted: target.wanted.take(), ..Target::new(fenced) };
         }
-        lead.pending.into_iter().for_each(|pending| self.inherit(pending));
     }
 
     /// Takes over an order that an older leader left without an end.
@@ -323,10 +330,14 @@
         let Some(target) = self.targets.get_mut(&pending.order.upstream) else {
             return self.inherit(pending);
         };
-        target.proposed = None;
+        let held = target.current.as_ref();
+        if held.is_some_and(|current| current.pending.fence == pending.fence) {
+            return;
+        }
         if pending.fence.term != self.term {
             return self.inherit(pending);
         }
+        target.proposed = None;
         let lifetime = Duration::from_millis(pending.order.lifetime.min(MAX_LIFETIME_MS));
         target.reading = None;
         target.current = Some(Current::new(pending, now.saturating_add(lifetime)));
