Feed replicas nonsense in any order, and bound what waits for a hanging disk

Cause: single broken messages were tried, not their combinations; and a disk that hangs would gather the answers to heartbeats without end.

--- a/crates/verbenaslip-replica/src/outbox.rs
+++ b/crates/verbenaslip-replica/src/outbox.rs
@@ -5,6 +5,9 @@
 use crate::output::Output;
 use crate::storage::Write;
 
+/// The most messages that wait for the disk; the oldest go first, as if the network had lost them.
+const HELD: usize = 1024;
+
 /// Numbers the writes and keeps what waits for them.
 ///
 /// If a vote or an acknowledgement left before its write was durable and the power failed, the voter
@@ -82,6 +85,10 @@
             out.push(output);
             return;
         }
+        // A disk that hangs would otherwise gather answers to heartbeats without end.
+        if self.held.len() == HELD {
+            self.held.pop_front();
+        }
         self.held.push_back(Held { mark: self.issued, output });
     }
 
--- a/crates/verbenaslip-replica/src/replica.rs
+++ b/crates/verbenaslip-replica/src/replica.rs
@@ -32,7 +32,7 @@
     pub(crate) unsaved: bool,
     pub(crate) log: Log,
     pub(crate) snapshot: Option<Arc<Snapshot>>,
-    /// Bytes of entries applied since the snapshot.
+    /// Bytes of entries applied since a snapshot was last asked for.
     pub(crate) grown: usize,
     /// The index for which a snapshot was last asked.
     pub(crate) wanted: u64,
@@ -40,7 +40,7 @@
     pub(crate) applied: u64,
     pub(crate) state: State,
     pub(crate) leader: Option<Instance>,
-    /// When a leader of the present term was last heard.
+    /// When a leader was last heard, of whatever term.
     pub(crate) heard: Option<Duration>,
     /// When the next campaign begins.
     pub(crate) election: Duration,
@@ -112,7 +112,7 @@
         }
     }
 
-    /// Takes an input at a time, and adds what is to be done to `out`, in order.
+    /// Takes an input at a time on the local clock, and adds what is to be done to `out`, in order.
     ///
     /// Time never runs backwards here: an earlier `now` counts as the last one.
     pub fn step(&mut self, now: Duration, input: Input, out: &mut Vec<Output>) {
--- a/crates/verbenaslip-replica/src/setup.rs
+++ b/crates/verbenaslip-replica/src/setup.rs
@@ -45,7 +45,8 @@
     /// The shortest election timeout, the longest being twice that. For this long after hearing a
     /// leader, or after a restart, a voter refuses votes.
     pub election: Duration,
-    /// How far the rate of a clock may be off, in thousandths.
+    /// How far the rate of a clock may be off, in thousandths. The clock must go on while the process
+    /// is stopped; one that stands still while a machine is suspended lets a lease outlive its time.
     pub drift: u32,
     /// How long a new voter may take to catch up.
     pub change: Duration,
--- a/crates/verbenaslip-replica/tests/rule.rs
+++ b/crates/verbenaslip-replica/tests/rule.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
 use verbenaslip_base::name::Instance;
 use verbenaslip_replica::Replica;
 use verbenaslip_replica::config::{Change, Config};
@@ -334,6 +336,86 @@
     assert_eq!(campaigns(&bench.hear(2, 4, Body::Appended { matched: 2, round: 1 })), 1);
 }
 
+// Symptom: a panic, or a commit index that falls, after a peer with a broken build sends nonsense.
+// Sequence: any messages in any order, between ticks, proposals and syncs. Cause: states that only
+// make sense together, checked apart.
+#[test]
+fn nonsense_in_any_order_never_panics() {
+    for seed in 0..400 {
+        let mut random = Pcg32::seed_from_u64(seed);
+        let mut bench = match seed % 2 {
+            0 => Bench::elected(3, 4, vec![command(2, 2)]),
+            _ => Bench::open(3, 3, vec![command(2, 2), command(3, 3)]),
+        };
+        let mut commit = 0;
+        for token in 0..150 {
+            match random.random_range(0..10) {
+                0 => bench.now += Duration::from_millis(random.random_range(0..3_000)),
+                1 => drop(bench.stored()),
+                2 => drop(bench.step(Input::Propose { token, command: Arc::from([1].as_slice()) })),
+                3 => {
+                    let index = random.random_range(0..20);
+                    bench.step(Input::Snapshot { index, state: Arc::from([2].as_slice()) });
+                }
+                4 => drop(bench.step(Input::Transfer)),
+                _ => {
+                    let body = nonsense(&mut random);
+                    let (from, term) = (random.random_range(0..4), number(&mut random));
+                    bench.hear(from, term, body);
+                }
+            }
+            bench.step(Input::Tick);
+            assert!(bench.replica.commit() >= commit, "seed {seed}: the commit index fell");
+            assert!(bench.replica.applied() <= bench.replica.commit());
+            commit = bench.replica.commit();
+        }
+    }
+}
+
+/// Draws a number that is small most of the time.
+fn number(random: &mut Pcg32) -> u64 {
+    match random.random_range(0..20) {
+        0 => u64::MAX - random.random_range(0..3),
+        1 => (1 << 60) - random.random_range(0..3),
+        _ => random.random_range(0..12),
+    }
+}
+
+fn nonsense(random: &mut Pcg32) -> Body {
+    let place = |random: &mut Pcg32| position(number(random), number(random));
+    let granted = random.random_range(0..2) == 0;
+    match random.random_range(0..12) {
+        0 => Body::PreVote { last: place(random) },
+        1 => Body::PreVoted { granted },
+        2 => Body::Vote { last: place(random), transfer: granted },
+        3 => Body::Voted { granted },
+        4 => Body::Appended { matched: number(random), round: number(random) },
+        5 => {
+            Body::Diverged { previous: number(random), hint: place(random), round: number(random) }
+        }
+        6 => Body::Chunked {
+            position: place(random),
+            received: number(random),
+            round: number(random),
+        },
+        7 => Body::Campaign,
+        8 | 9 => {
+            let previous = place(random);
+            let count = random.random_range(0..4);
+            let next =
+                |n: u64| command(number(&mut random.clone()), previous.index.wrapping_add(n));
+            let entries = (1..=count).map(next).collect();
+            Body::Append { previous, entries, commit: number(random), round: number(random) }
+        }
+        _ => {
+            let config = Config::of((0..random.random_range(0..4)).map(voter).collect());
+            let head = Head { position: place(random), config, total: random.random_range(0..5) };
+            let bytes = vec![1; random.random_range(0..5)].into();
+            Body::Chunk { head, offset: random.random_range(0..3), bytes, round: 1 }
+        }
+    }
+}
+
 #[test]
 fn a_lease_is_shorter_than_a_refusal_by_the_drift_of_two_clocks() {
     let timing = Timing::default();
