--- a/crates/verbenaslip-request/src/finish.rs
+++ b/crates/verbenaslip-request/src/finish.rs
@@ -347,7 +347,10 @@
         if let Phase::Lookup(lookup) = &entry.phase
             && lookup.refusal.is_some()
         {
-            self.tick_phase(turn, entry);
+            match turn.now >= lookup.until {
+                true => self.tick_lookup(turn, entry),
+                false => self.tick_phase(turn, entry),
+            }
             return;
         }
         let lookup = matches!(entry.phase, Phase::Lookup(_));
--- a/crates/verbenaslip-request/tests/world/mod.rs
+++ b/crates/verbenaslip-request/tests/world/mod.rs
@@ -164,6 +164,7 @@
     pub messages: u64,
     pub events: u64,
     pub tokens: u32,
+    pub prompt: u32,
     pub cuts: BTreeSet<(usize, usize)>,
     queue: BTreeMap<(Duration, u64), Event>,
     tickets: BTreeMap<Ticket, usize>,
@@ -204,6 +205,7 @@
             messages: 0,
             events: 0,
             tokens: 20,
+            prompt: PROMPT,
             cuts: BTreeSet::new(),
             queue: BTreeMap::new(),
             tickets: BTreeMap::new(),
@@ -546,9 +548,9 @@
         *self.runs.entry(attempt.request).or_default() += 1;
         let total = self.tokens;
         let back = &mut self.backs[upstream];
-        back.computed += u64::from(PROMPT) + texts.len() as u64;
+        back.computed += u64::from(self.prompt) + texts.len() as u64;
         if self.runs[&attempt.request] > 1 {
-            back.recomputed += u64::from(PROMPT) + texts.len() as u64;
+            back.recomputed += u64::from(self.prompt) + texts.len() as u64;
         }
         back.runs.insert(attempt, Generation { texts, total, stopped: false });
         self.at(self.now + HOP + FIRST, Event::Token { upstream, attempt });
@@ -937,7 +939,7 @@
             keyed: caller.keyed,
             issued: Some(1),
             deadline: self.now + Duration::from_secs(30),
-            prompt: PROMPT,
+            prompt: self.prompt,
             output: self.tokens,
             prefix: Vec::new(),
         };
