Damage requests and answers at random, and write down what the ends do

Cause: the tables hold the faults that somebody thought of; the interfaces page did not say what callers see of silence, leaving and resuming, nor how the frames follow each other.

--- a/crates/verbenaslip/tests/traffic/main.rs
+++ b/crates/verbenaslip/tests/traffic/main.rs
@@ -2,6 +2,7 @@
 
 mod bench;
 mod caller;
+mod mutate;
 mod plane;
 mod script;
 mod stream;
--- a/crates/verbenaslip/tests/traffic/script.rs
+++ b/crates/verbenaslip/tests/traffic/script.rs
@@ -7,11 +7,16 @@
 use crossbeam::channel::{Receiver, Sender, unbounded};
 use verbenaslip_base::attempt::Attempt;
 
+const HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+                    transfer-encoding: chunked\r\n\r\n";
+
 /// Says what the upstream does next on a connection.
 #[derive(Clone, Debug)]
 pub enum Act {
     /// Writes bytes.
     Say(String),
+    /// Writes bytes that may be no text.
+    Bytes(Vec<u8>),
     /// Writes the head of an event stream.
     Head,
     /// Writes tokens of a run, from a position to one.
@@ -66,12 +71,14 @@
     for act in script {
         let text = match act {
             Act::Say(text) => text.clone(),
-            Act::Head => "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
-                          transfer-encoding: chunked\r\n\r\n"
-                .into(),
+            Act::Bytes(bytes) => {
+                let _ = stream.write_all(bytes);
+                continue;
+            }
+            Act::Head => HEAD.into(),
             Act::Tokens(attempt, from, to) => (*from..=*to).map(|at| token(*attempt, at)).collect(),
             Act::Finish(attempt) => finish(*attempt),
-            Act::Done => format!("{}0\r\n\r\n", chunk("data: [DONE]\n\n")),
+            Act::Done => done(),
             Act::Pause => {
                 let _ = go.recv();
                 continue;
@@ -88,6 +95,16 @@
     }
 }
 
+/// Returns a whole answer of so many tokens.
+pub fn stream(attempt: Attempt, tokens: u32) -> String {
+    let tokens: String = (1..=tokens).map(|at| token(attempt, at)).collect();
+    format!("{HEAD}{tokens}{}{}", finish(attempt), done())
+}
+
+fn done() -> String {
+    format!("{}0\r\n\r\n", chunk("data: [DONE]\n\n"))
+}
+
 /// Returns the text of a token.
 pub fn word(position: u32) -> String {
     format!("w{position} ")
