Let callers leave and rest in the load tool

Cause: a caller that goes away or reads slowly must cost nobody anything, and the tool had no such callers. Change: a kind of request can leave after some tokens or rest after each; the verdict counts what was generated for those that had left.

--- a/crates/verbenaslip-lab/src/command/call.rs
+++ b/crates/verbenaslip-lab/src/command/call.rs
@@ -19,7 +19,8 @@
 #[argh(subcommand, name = "load")]
 pub(crate) struct Load {
     /// INI file: the section [load], and a section [work NAME] for each kind of request with share,
-    /// key, class, model, service, stream, idempotent, keyed, shared, threads, own, output, deadline
+    /// key, class, model, service, stream, idempotent, keyed, shared, threads, own, output, deadline,
+    /// leave (tokens after which the caller leaves), rest (time that it rests after each token)
     #[argh(option)]
     settings: Option<String>,
     /// key=value above [load]: entries, seed, time, rate, hour, burst, patience, limit, tries,
@@ -122,6 +123,8 @@
     values.take("own", &mut work.own)?;
     values.take("output", &mut work.output)?;
     values.take("deadline", &mut work.deadline)?;
+    values.take("leave", &mut work.leave)?;
+    values.take("rest", &mut work.rest)?;
     values.finish()?;
     Ok(work)
 }
--- a/crates/verbenaslip-lab/src/demo/script.rs
+++ b/crates/verbenaslip-lab/src/demo/script.rs
@@ -71,11 +71,12 @@
         share: 2.0,
         ..Work::new("order", OTHER_KEY, SERVICE)
     };
+    let leaver = Work { leave: Some(5), ..Work::new("leaver", OTHER_KEY, MODEL) };
     Plan {
         time: CALLING,
         hour: CALLING,
         rate: 15.0,
-        ..Plan::new(entries, vec![check, draft, explain, order])
+        ..Plan::new(entries, vec![check, draft, explain, order, leaver])
     }
 }
 
--- a/crates/verbenaslip-lab/src/demo/summary.rs
+++ b/crates/verbenaslip-lab/src/demo/summary.rs
@@ -11,6 +11,7 @@
     println!("{:<34}{:>10}", "  refused, not run", verdict.refused);
     println!("{:<34}{:>10}", "  outcome unknown", verdict.unknown);
     println!("{:<34}{:>10}", "  other errors", verdict.errors);
+    println!("{:<34}{:>10}", "  left by their callers", verdict.left);
     println!("{:<34}{:>10}", "  lost or cut off", verdict.lost + verdict.cut);
     println!("{:<34}{:>10}", "  doubled or mixed up", verdict.doubled + verdict.mixed);
     println!("{:<34}{:>10}", "runs of one key, at most", verdict.runs_max);
--- a/crates/verbenaslip-lab/src/load/caller.rs
+++ b/crates/verbenaslip-lab/src/load/caller.rs
@@ -243,6 +243,10 @@
                 if let Some(step) = self.event(&event) {
                     return step;
                 }
+                if self.request.work.leave.is_some_and(|leave| self.outcome.tokens >= leave) {
+                    return Step::End(End::Left);
+                }
+                sleep(self.request.work.rest).await;
             }
         }
     }
@@ -289,7 +293,10 @@
         let now = Instant::now();
         if let Some(last) = self.last.replace(now) {
             let gap = micros(now - last) / u64::from(id - self.outcome.tokens);
-            self.outcome.gaps_us.push(u32::try_from(gap).unwrap_or(u32::MAX));
+            // The time between tokens of a caller that rests is its own.
+            if self.request.work.rest.is_zero() {
+                self.outcome.gaps_us.push(u32::try_from(gap).unwrap_or(u32::MAX));
+            }
         }
         self.outcome.first_us.get_or_insert(micros(self.arrival.elapsed()));
         self.outcome.tokens = id;
--- a/crates/verbenaslip-lab/src/load/outcome.rs
+++ b/crates/verbenaslip-lab/src/load/outcome.rs
@@ -61,4 +61,6 @@
     Cut,
     /// No answer came.
     Lost,
+    /// The caller left before the end, as planned.
+    Left,
 }
--- a/crates/verbenaslip-lab/src/load/plan.rs
+++ b/crates/verbenaslip-lab/src/load/plan.rs
@@ -63,6 +63,10 @@
     pub output: u32,
     /// The deadline asked for.
     pub deadline: Option<Duration>,
+    /// The tokens after which the caller leaves for good; none to stay to the end.
+    pub leave: Option<u32>,
+    /// How long the caller rests after each token of a stream.
+    pub rest: Duration,
 }
 
 impl Work {
@@ -83,6 +87,8 @@
             own: 128,
             output: 24,
             deadline: None,
+            leave: None,
+            rest: Duration::ZERO,
         }
     }
 }
--- a/crates/verbenaslip-lab/src/load/report.rs
+++ b/crates/verbenaslip-lab/src/load/report.rs
@@ -24,6 +24,8 @@
     pub cut: u64,
     /// Never got an answer.
     pub lost: u64,
+    /// Left before the end, as planned.
+    pub left: u64,
     /// Got events again.
     pub doubled: u64,
     /// Got text that was not theirs or not in order.
@@ -95,6 +97,7 @@
             errors: ended(End::Error),
             cut: ended(End::Cut),
             lost: ended(End::Lost),
+            left: ended(End::Left),
             doubled: outcomes.iter().filter(|outcome| outcome.doubled > 0).count() as u64,
             mixed: outcomes.iter().filter(|outcome| outcome.mixed).count() as u64,
             resumed: outcomes.iter().map(|outcome| u64::from(outcome.broken)).sum(),
--- a/crates/verbenaslip-lab/src/load/verdict.rs
+++ b/crates/verbenaslip-lab/src/load/verdict.rs
@@ -31,6 +31,10 @@
     pub lost: u64,
     /// Began an answer that never became whole.
     pub cut: u64,
+    /// Left before the end, as planned.
+    pub left: u64,
+    /// Tokens generated for those that had left, beyond what they had got.
+    pub wasted: u64,
     /// Non-idempotent requests that ran more than once, and requests that got events again.
     pub doubled: u64,
     /// Got text that was not theirs or not in order.
@@ -75,6 +79,8 @@
             errors: report.errors,
             lost: report.lost,
             cut: report.cut,
+            left: report.left,
+            wasted: wasted(report, truths),
             doubled: count(&|outcome| twice(outcome) || outcome.doubled > 0),
             mixed: report.mixed,
             not_run_but_ran: count(&|outcome| refused_ran(outcome) && outcome.broken == 0),
@@ -124,6 +130,14 @@
     truths.iter().flat_map(|truth| &truth.runs)
 }
 
+/// Sums up what was generated beyond the last token of callers that had left.
+fn wasted(report: &Report, truths: &[Truth]) -> u64 {
+    let left = report.outcomes.iter().filter(|outcome| outcome.end == End::Left);
+    let left: BTreeMap<u64, u32> = left.map(|outcome| (outcome.seed, outcome.tokens)).collect();
+    let beyond = |run: &Run| Some(run.position.saturating_sub(*left.get(&run.seed)?));
+    all(truths).filter_map(beyond).map(u64::from).sum()
+}
+
 fn late(truth: &Truth) -> u64 {
     let Some(leaving) = truth.leaving_ms else { return 0 };
     truth.runs.iter().filter(|run| run.accepted_ms > leaving + LEAVING_LIMIT).count() as u64
--- a/crates/verbenaslip-lab/tests/load.rs
+++ b/crates/verbenaslip-lab/tests/load.rs
@@ -96,6 +96,24 @@
     assert_eq!(header(&heads[0], "idempotency-key"), None);
 }
 
+#[test]
+fn caller_that_leaves_counts_apart() {
+    // Symptom: an engine works for nobody. Sequence: a caller goes away in the middle of its answer.
+    // Cause: nobody tells the engine.
+    let (outcome, _) = one(&[Step::Whole], Work { leave: Some(2), ..work() });
+    assert_eq!((outcome.end, outcome.tokens), (End::Left, 2));
+    let run = Run { position: 6, ..ran(outcome.seed) };
+    let truth = Truth { runs: vec![run], ..Truth::default() };
+    let verdict = Verdict::new(&Report::new(vec![outcome]), &[truth]);
+    assert_eq!((verdict.left, verdict.wasted, verdict.holds_announced()), (1, 4, true));
+}
+
+#[test]
+fn caller_that_rests_gets_all() {
+    let (outcome, _) = one(&[Step::Whole], Work { rest: Duration::from_millis(5), ..work() });
+    assert_eq!((outcome.end, outcome.mixed, outcome.gaps_us.len()), (End::Whole, false, 0));
+}
+
 #[test]
 fn refused_connection_picks_another_entry() {
     let (address, _) = entry::spawn(&[Step::Whole]);
