Answer heartbeats while the disk hangs

Cause: a follower's answer to a heartbeat waited for every write before it, also for entries that it does not speak of; a disk that hangs for longer than a lease ended the lease, and with it the work of all instances. The new case, disks that hang for three seconds, failed before: the lease is gone. Ruled out: to answer before the term is durable; a voter that forgets its term must not have acknowledged it. Change: an answer that claims no more than what is durable waits for the term alone, and a heartbeat's answer claims only that.

--- a/crates/verbenaslip-replica/src/follow.rs
+++ b/crates/verbenaslip-replica/src/follow.rs
@@ -32,8 +32,16 @@
             _ => return,
         };
         let Some(answer) = answer else { return };
+        let claimed = match &answer {
+            Body::Appended { matched, .. } => *matched,
+            _ => 0,
+        };
         let answer = self.message(Some(message.sender), answer);
-        self.hold(from, answer);
+        if claimed > self.outbox.index() {
+            self.hold(from, answer);
+        } else {
+            self.hold_term(from, answer);
+        }
     }
 
     /// Notes that the leader of a term is there.
@@ -57,9 +65,14 @@
             let hint = self.log.meet(previous);
             return Some(Body::Diverged { previous: previous.index, hint, round });
         }
-        let matched = previous.index + entries.len() as u64;
+        let mut matched = previous.index + entries.len() as u64;
+        let heartbeat = entries.is_empty();
         self.merge(entries)?;
         self.commit = self.commit.max(commit.min(matched));
+        if heartbeat {
+            // What is not durable yet is answered with the append that brought it.
+            matched = matched.min(self.outbox.index());
+        }
         Some(Body::Appended { matched, round })
     }
 
--- a/crates/verbenaslip-replica/src/outbox.rs
+++ b/crates/verbenaslip-replica/src/outbox.rs
@@ -17,6 +17,8 @@
 pub(crate) struct Outbox {
     issued: u64,
     stored: u64,
+    /// The mark of the last write of the term.
+    hard: u64,
     held: VecDeque<Held>,
     /// Marks of appends that are not durable yet, each with the last index it makes durable.
     appends: VecDeque<Pending>,
@@ -74,11 +76,24 @@
                 self.cut(0);
                 self.appends.push_back(Pending { mark, index: snapshot.position.index });
             }
-            Write::Hard(_) | Write::Compact { .. } => {}
+            Write::Hard(_) => self.hard = mark,
+            Write::Compact { .. } => {}
         }
         out.push(Output::Store { mark, write });
     }
 
+    /// Sends an output that promises nothing but the term once that is durable.
+    ///
+    /// If answers to heartbeats waited for entries that they do not speak of, a disk that hangs for
+    /// longer than a lease would end the lease, and all instances would refuse work for want of it.
+    pub(crate) fn hold_term(&mut self, output: Output, out: &mut Vec<Output>) {
+        if self.is_stored(self.hard) {
+            out.push(output);
+            return;
+        }
+        self.hold(output, out);
+    }
+
     /// Sends an output once everything written so far is durable.
     pub(crate) fn hold(&mut self, output: Output, out: &mut Vec<Output>) {
         if self.is_stored(self.issued) {
--- a/crates/verbenaslip-replica/src/replica.rs
+++ b/crates/verbenaslip-replica/src/replica.rs
@@ -329,6 +329,12 @@
         self.out.push(Output::Send { to: to.clone(), message });
     }
 
+    /// Sends a message that promises nothing but the term once that is durable.
+    pub(crate) fn hold_term(&mut self, to: &Instance, message: Message) {
+        self.save();
+        self.outbox.hold_term(Output::Send { to: to.clone(), message }, &mut self.out);
+    }
+
     /// Sends a message once everything written so far is durable.
     pub(crate) fn hold(&mut self, to: &Instance, message: Message) {
         self.save();
--- a/crates/verbenaslip-replica/tests/fault.rs
+++ b/crates/verbenaslip-replica/tests/fault.rs
@@ -35,6 +35,7 @@
     Case { name: "storm of losses and doubles", founders: 3, fault: storm },
     Case { name: "storm of losses and doubles", founders: 5, fault: storm },
     Case { name: "slow disks", founders: 3, fault: slow_disks },
+    Case { name: "disks hang", founders: 3, fault: disks_hang },
     Case { name: "old messages come late", founders: 3, fault: old_messages },
     Case { name: "power fails at every vote", founders: 3, fault: power_fails_at_votes },
     Case { name: "lost disk, then the leader dies", founders: 3, fault: disk_lost },
@@ -242,6 +243,21 @@
     }
 }
 
+// Symptom: all instances refuse work for want of a lease, although no edit is under way. Sequence:
+// every disk hangs for three seconds with a write on it. Cause: answers to heartbeats that wait for
+// writes which they do not speak of.
+fn disks_hang(world: &mut World, leader: usize) {
+    world.weather.sync = (3_000_000, 3_000_000);
+    let tokens = [world.propose(leader), world.propose(leader)];
+    for _ in 0..100 {
+        world.run(ms(100));
+        assert!(world.holds_lease(leader), "the lease is gone: {:?}", world.summary());
+    }
+    for token in tokens {
+        assert!(matches!(world.answers.get(&token), Some(Answer::Committed(_))));
+    }
+}
+
 // Symptom: an old leader's edits replace newer ones. Sequence: appends of a cut-off leader are held
 // up in the network for seconds and arrive when the group has moved on. Cause: terms not compared.
 fn old_messages(world: &mut World, leader: usize) {
