Wait when an upstream stops checking, and split the large files

Cause: an upstream that checks numbers is sent several copies of an order. If it restarts as one that does not check, or is gone and comes back so, a late copy would be obeyed after the next order. Both new cases failed first: the upstream was read back at once ('read 1') instead of after 11 s. Change: such an upstream is waited for as long as anything sent to it may arrive, and one that is gone is remembered so long.

--- /dev/null
+++ b/crates/verbenaslip-state/src/claim/ledger.rs
@@ -0,0 +1,242 @@
+//! The claims that are kept.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use verbenaslip_base::attempt::{Attempt, Request};
+use verbenaslip_base::data;
+use verbenaslip_base::name::{Instance, Team};
+
+use super::{Claim, Closing, Ending, Limit, Settle, Verdict};
+
+/// Keeps the claims.
+#[derive(Clone, Debug, PartialEq, Eq, Default)]
+pub(crate) struct Ledger {
+    limit: Limit,
+    records: BTreeMap<Request, Record>,
+    /// The same records by the time at which they may be forgotten.
+    ages: BTreeSet<(u64, Request)>,
+    teams: BTreeMap<Team, u32>,
+    instances: BTreeMap<Instance, u32>,
+}
+
+impl Ledger {
+    /// Takes up records that a snapshot kept.
+    pub(crate) fn restore(limit: Limit, records: Vec<Record>) -> Self {
+        let mut claims = Self { limit, ..Self::default() };
+        records.into_iter().for_each(|record| claims.insert(record));
+        claims
+    }
+
+    pub(crate) fn limit(&self) -> Limit {
+        self.limit
+    }
+
+    pub(crate) fn records(&self) -> impl Iterator<Item = &Record> {
+        self.records.values()
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Decides a claim at the state's clock.
+    pub(crate) fn claim(&mut self, clock: u64, claim: &Claim) -> Verdict {
+        // A key whose first use lies ahead would be kept too long, and is refused known or new.
+        if claim.issued > clock.saturating_add(self.limit.skew) {
+            return Verdict::Ahead;
+        }
+        let Some(record) = self.records.get(&claim.attempt.request) else {
+            if let Some(refused) = self.admit(clock, claim) {
+                return refused;
+            }
+            self.insert(Record::of(claim, Status::Held));
+            return Verdict::Granted;
+        };
+        if record.body != claim.body {
+            return Verdict::Conflict;
+        }
+        let verdict = record.answer(claim);
+        // A resend may name a later first use. If the claim were forgotten by the earlier one, that
+        // resend would not be expired yet and would run a second time.
+        let issued = record.issued.max(claim.issued);
+        let record = match verdict {
+            Verdict::Granted => Record { issued, ..Record::of(claim, Status::Held) },
+            _ => Record { issued, ..record.clone() },
+        };
+        self.remove(claim.attempt.request);
+        self.insert(record);
+        verdict
+    }
+
+    /// Keeps how a run ended, or frees the claim when it was none.
+    pub(crate) fn settle(&mut self, settle: &Settle) -> Closing {
+        let Some(record) = self.records.get_mut(&settle.attempt.request) else {
+            return Closing::Missing;
+        };
+        if record.number != settle.attempt.number {
+            return Closing::Other;
+        }
+        match (&record.status, &settle.ending) {
+            (Status::Held, Ending::NotRun) | (Status::Freed, Ending::NotRun) => {
+                // A restarted instance may reuse a number for a run that it never made; without the
+                // nonce its word would free the claim of the run that was made.
+                if record.nonce != settle.nonce {
+                    return Closing::Other;
+                }
+                record.status = Status::Freed;
+                Closing::Freed
+            }
+            (Status::Held, ending) => {
+                record.status = Status::Settled(ending.clone());
+                Closing::Kept
+            }
+            (Status::Freed, _) => Closing::Final(Ending::NotRun),
+            (Status::Settled(kept), ending) if kept == ending => Closing::Kept,
+            (Status::Settled(kept), _) => Closing::Final(kept.clone()),
+        }
+    }
+
+    /// Frees a claim that led to no run, and bars it should it arrive later.
+    pub(crate) fn release(&mut self, clock: u64, claim: &Claim) -> Closing {
+        let Some(record) = self.records.get_mut(&claim.attempt.request) else {
+            if self.admit(clock, claim).is_some() {
+                return Closing::Missing;
+            }
+            self.insert(Record::of(claim, Status::Freed));
+            return Closing::Freed;
+        };
+        match &record.status {
+            Status::Settled(kept) if record.is(claim) => Closing::Final(kept.clone()),
+            Status::Held | Status::Freed if record.is(claim) => {
+                record.status = Status::Freed;
+                Closing::Freed
+            }
+            Status::Freed if record.number < claim.attempt.number => {
+                record.number = claim.attempt.number;
+                record.nonce = claim.nonce;
+                Closing::Freed
+            }
+            _ => Closing::Other,
+        }
+    }
+
+    /// Forgets what no resend can revive, a bounded number at a time.
+    pub(crate) fn sweep(&mut self, clock: u64) {
+        for _ in 0..SWEEP {
+            let Some((issued, request)) = self.ages.first().copied() else { return };
+            let kept = self.limit.retention.saturating_add(self.limit.skew);
+            if issued.saturating_add(kept) >= clock {
+                return;
+            }
+            self.remove(request);
+        }
+    }
+
+    /// Returns why a key without a record is refused, if it is.
+    fn admit(&self, clock: u64, claim: &Claim) -> Option<Verdict> {
+        if claim.issued.saturating_add(self.limit.retention) < clock {
+            return Some(Verdict::Expired);
+        }
+        // Evicting instead would let the evicted key run again. No team may fill more than half,
+        // so that one team's burst leaves room for the others.
+        let team = self.teams.get(&claim.team).copied().unwrap_or_default();
+        let full = self.records.len() >= self.limit.count as usize;
+        (full || team >= self.limit.count.div_ceil(2)).then_some(Verdict::Full)
+    }
+
+    fn insert(&mut self, mut record: Record) {
+        record.team = share(&mut self.teams, record.team);
+        record.instance = share(&mut self.instances, record.instance);
+        self.ages.insert((record.issued, record.request));
+        self.records.insert(record.request, record);
+    }
+
+    fn remove(&mut self, request: Request) {
+        let Some(record) = self.records.remove(&request) else { return };
+        self.ages.remove(&(record.issued, request));
+        unshare(&mut self.teams, &record.team);
+        unshare(&mut self.instances, &record.instance);
+    }
+}
+
+/// Keeps one claim.
+#[data]
+pub(crate) struct Record {
+    request: Request,
+    number: u32,
+    team: Team,
+    instance: Instance,
+    nonce: u64,
+    body: u128,
+    issued: u64,
+    status: Status,
+}
+
+impl Record {
+    fn of(claim: &Claim, status: Status) -> Self {
+        Self {
+            request: claim.attempt.request,
+            number: claim.attempt.number,
+            team: claim.team.clone(),
+            instance: claim.instance.clone(),
+            nonce: claim.nonce,
+            body: claim.body,
+            issued: claim.issued,
+            status,
+        }
+    }
+
+    pub(crate) fn request(&self) -> Request {
+        self.request
+    }
+
+    /// Says whether the record is of the very same claim.
+    fn is(&self, claim: &Claim) -> bool {
+        let nonce = self.nonce == claim.nonce && self.instance == claim.instance;
+        self.number == claim.attempt.number && nonce
+    }
+
+    fn answer(&self, claim: &Claim) -> Verdict {
+        let attempt = Attempt { request: self.request, number: self.number };
+        match &self.status {
+            Status::Held if self.is(claim) => Verdict::Granted,
+            Status::Held => Verdict::Held { attempt, instance: self.instance.clone() },
+            Status::Settled(ending) => Verdict::Settled { attempt, ending: ending.clone() },
+            // A claim that was delayed in the network until after its release must not hold the
+            // key: nobody waits for it, and the key would be stuck until it is forgotten.
+            Status::Freed if claim.attempt.number <= self.number => {
+                Verdict::Stale { last: attempt }
+            }
+            Status::Freed => Verdict::Granted,
+        }
+    }
+}
+
+#[data]
+enum Status {
+    Held,
+    Freed,
+    Settled(Ending),
+}
+
+/// Bounds the claims forgotten at one command.
+const SWEEP: usize = 256;
+
+/// Counts a use of a name and returns the copy that all uses share.
+fn share<N: Ord + Clone>(names: &mut BTreeMap<N, u32>, name: N) -> N {
+    if let Some((kept, _)) = names.get_key_value(&name) {
+        let kept = kept.clone();
+        *names.entry(kept.clone()).or_default() += 1;
+        return kept;
+    }
+    names.insert(name.clone(), 1);
+    name
+}
+
+fn unshare<N: Ord + Clone>(names: &mut BTreeMap<N, u32>, name: &N) {
+    let Some(uses) = names.get_mut(name) else { return };
+    *uses = uses.saturating_sub(1);
+    if *uses == 0 {
+        names.remove(name);
+    }
+}
--- a/crates/verbenaslip-state/src/snapshot.rs
+++ b/crates/verbenaslip-state/src/snapshot.rs
@@ -6,7 +6,7 @@
 use verbenaslip_base::hash;
 
 use crate::audit::Trail;
-use crate::claim::{Claims, Limit, Record};
+use crate::claim::{Ledger, Limit, Record};
 use crate::history::History;
 use crate::order::Book;
 use crate::state::State;
@@ -109,7 +109,7 @@
             position: self.position,
             clock: self.clock,
             history: self.history,
-            claims: Claims::restore(self.limit, self.claims),
+            claims: Ledger::restore(self.limit, self.claims),
             orders: self.orders,
             trail: self.trail,
         })
--- a/crates/verbenaslip-state/src/state.rs
+++ b/crates/verbenaslip-state/src/state.rs
@@ -6,7 +6,7 @@
 use verbenaslip_table::{Revision, Table};
 
 use crate::audit::{Page, Trail};
-use crate::claim::{Claims, Limit};
+use crate::claim::{Ledger, Limit};
 use crate::command::Command;
 use crate::history::{self, History};
 use crate::order::{Book, Pending};
@@ -18,7 +18,7 @@
     pub(crate) position: Fence,
     pub(crate) clock: u64,
     pub(crate) history: History,
-    pub(crate) claims: Claims,
+    pub(crate) claims: Ledger,
     pub(crate) orders: Book,
     pub(crate) trail: Trail,
 }
@@ -26,7 +26,7 @@
 impl State {
     /// Starts empty, with the given bounds on claims; all voters need the same.
     pub fn new(limit: Limit) -> Self {
-        Self { claims: Claims::restore(limit, Vec::new()), ..Self::default() }
+        Self { claims: Ledger::restore(limit, Vec::new()), ..Self::default() }
     }
 
     /// Applies one committed command.
--- a/crates/verbenaslip-state/tests/orders.rs
+++ b/crates/verbenaslip-state/tests/orders.rs
@@ -247,6 +247,38 @@
                 (13_300, Input::Tick, "read 1"),
             ],
         ),
+        // Symptom: as above, of one leader. Sequence: copies of an order are on their way when the
+        // upstream restarts as one that does not check. Cause: only the leader's start counts.
+        (
+            "no longer checking in mid-term",
+            vec![
+                (0, lead(5, 60_000), ""),
+                (0, upstream(true), ""),
+                (20_000, upstream(false), ""),
+                (20_100, Input::Want(order()), "report Waiting { wait: 10.9s }"),
+                (30_999, Input::Tick, ""),
+                (31_000, Input::Tick, "read 1"),
+                (31_100, read(1, &[], None), "propose load m"),
+            ],
+        ),
+        // Symptom: as above. Sequence: the upstream is gone in between. Cause: it is forgotten at once.
+        (
+            "gone and back without checking",
+            vec![
+                (0, lead(5, 60_000), ""),
+                (0, upstream(true), ""),
+                (20_000, Input::Gone("gpu".into()), ""),
+                (21_000, upstream(false), ""),
+                (30_999, Input::Tick, ""),
+                (31_000, Input::Tick, "read 1"),
+            ],
+        ),
+    ]);
+}
+
+#[test]
+fn answers_about_the_state_may_be_old() {
+    run(&[
         // Symptom: the state before an order counts as the state after it. Sequence: the question is
         // asked twice, the first answer opens the upstream, the second comes after an order. Cause:
         // answers are not matched with questions.
@@ -452,6 +484,12 @@
         }
         let outcome = self.log.apply(&command);
         let fence = self.log.state.position();
+        // The answer may be lost, and the proposal then be committed a second time.
+        match self.rng.random_range(0..10) {
+            0 => return,
+            1 => drop(self.log.apply(&command)),
+            _ => {}
+        }
         match (command, outcome) {
             (Command::Order(order), Outcome::Order(_)) => {
                 let committed = self.log.state.orders().any(|pending| pending.fence == fence);
