End each connection to the admin address with its answer

Cause: the library answers a kept connection that is idle for the read limit with a 500 of its own. A client that sends its next request at that moment takes it for the answer; an edit seems to have failed. A kept connection also holds a thread.

Ruled out: saying so in the answer's own header; the library does not write that header, so a client sees the end of the connection only.

Change: the request's header is set before the library reads it, which makes it close.

--- a/crates/verbenaslip/src/admin/server.rs
+++ b/crates/verbenaslip/src/admin/server.rs
@@ -7,8 +7,8 @@
 
 use crossbeam::channel::{Sender, bounded};
 use oxhttp::Server;
-use oxhttp::model::header::{AUTHORIZATION, CONTENT_TYPE};
-use oxhttp::model::{Body, Request, Response};
+use oxhttp::model::header::{AUTHORIZATION, CONNECTION, CONTENT_TYPE};
+use oxhttp::model::{Body, HeaderValue, Request, Response};
 
 use crate::admin::Setup;
 use crate::admin::call::{Call, Report};
@@ -35,6 +35,7 @@
         let (held, calls, closed) = (setup.clone(), calls.clone(), closed.clone());
         let spawned = Server::new(move |request| {
             let answer = respond(request, &held, &calls, &closed);
+            end(request);
             encode(answer)
         })
         .bind(address)
@@ -58,6 +59,15 @@
     TcpListener::bind(address)?.local_addr()
 }
 
+/// Makes the library close the connection after this answer.
+///
+/// It answers a kept connection that is idle for too long with an error before it closes it. A client
+/// that sends its next request just then takes that error for the answer, so that an edit seems to
+/// have failed. The library reads the request's own header after the answer was made.
+fn end(request: &mut Request<Body>) {
+    request.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+}
+
 fn respond(
     request: &mut Request<Body>,
     setup: &Setup,
--- a/crates/verbenaslip/tests/admin.rs
+++ b/crates/verbenaslip/tests/admin.rs
@@ -364,3 +364,19 @@
     assert!(answer.starts_with("HTTP/1.1 413 "), "{answer}");
     assert!(bench.calls.is_empty());
 }
+
+/// Symptom: an operator's edit is answered with an error that belongs to nothing.
+/// Sequence: a client keeps its connection; it is idle for longer than the limit; the library writes
+/// its own error for the silence, and the client takes that for the answer to its next request.
+/// Cause: the library answers an idle connection before it closes it.
+#[test]
+fn a_connection_ends_with_its_answer() {
+    let bench = bench(PATIENCE);
+    let mut stream = TcpStream::connect(bench.admin.address()).expect("it takes connections");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a limit can be set");
+    stream.write_all(b"GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n").expect("it is written");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("the answer comes");
+    assert!(answer.ends_with(r#"{"healthy":true}"#), "{answer}");
+    assert_eq!(answer.matches("HTTP/1.1").count(), 1, "{answer}");
+}
