--- a/crates/verbenaslip-state/src/state.rs
+++ b/crates/verbenaslip-state/src/state.rs
@@ -32,6 +32,7 @@
     /// Applies one committed command.
     ///
     /// Positions rise; a command at or below the last position was applied before and does nothing.
+    /// Every other command leaves an entry in the audit trail, but those too long to be kept.
     pub fn apply(&mut self, position: Fence, command: &Command) -> Outcome {
         if position.index <= self.position.index || position < self.position {
             return Outcome::Replayed;
--- a/crates/verbenaslip-table/src/lib.rs
+++ b/crates/verbenaslip-table/src/lib.rs
@@ -1,6 +1,6 @@
 //! The operators' table: rows, edits, checks, differences, CSV.
 //!
-//! A [`Table`] holds one [`Row`] for each team and request class; [`column`] says what each column
+//! A [`Table`] holds one [`Row`] for each team and request class; [`mod@column`] says what each column
 //! means and which values it takes. [`sheet`] reads a table from CSV and writes it in one canonical
 //! form, so that a file under version control changes only where the table does; whatever is wrong
 //! with a file comes back as [`problem::Problems`], all at once. [`change`] tells two tables apart
