Count silence between instances from the last byte

Cause: the limit on silence covered a whole frame, its reading, its writing and the heartbeat's answer behind it. Pieces of an answer went out in a write each, and a frame was read in two.

Change: the limit counts from the last byte read or written; the accepting end sends heartbeats by itself; the acknowledgement of a copy is given the time that its bytes may travel. A batch of pieces is one write, reads are buffered.

--- a/crates/verbenaslip/src/peers/inbound.rs
+++ b/crates/verbenaslip/src/peers/inbound.rs
@@ -6,10 +6,11 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use tokio::io::{AsyncRead, AsyncWrite, BufReader};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
-use crate::peers::link::SILENT;
+use crate::peers::link::{BEAT, SILENT};
 use crate::peers::wire::{DATAGRAM_MAX, Datagram, Frame, Purpose, Stamp};
 use crate::peers::{Report, Shared, Via, count};
 
@@ -69,7 +70,7 @@
 /// Serves one connection until it ends or is silent.
 async fn serve(shared: &Shared, mut stream: TcpStream, source: SocketAddr) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    let Frame::Hello { stamp, purpose } = timeout(SILENT, Frame::read(&mut stream)).await?? else {
+    let Frame::Hello { stamp, purpose } = Frame::read(&mut stream, SILENT).await? else {
         return Err(io::Error::new(io::ErrorKind::InvalidData, "the first frame is no greeting"));
     };
     if !known(shared, &stamp, source) {
@@ -84,19 +85,30 @@
     }
 }
 
-/// Passes on messages and answers heartbeats.
+/// Passes on messages, and sends heartbeats meanwhile.
 async fn messages(
     shared: &Shared,
     mut stream: TcpStream,
     stamp: &Stamp,
     source: SocketAddr,
+) -> io::Result<()> {
+    let (reader, writer) = stream.split();
+    // The heartbeats wait for nothing: as answers they would come too late behind a large frame.
+    tokio::select! {
+        read = pass_on(shared, BufReader::new(reader), stamp, source) => read,
+        beaten = beat(writer) => beaten,
+    }
+}
+
+async fn pass_on(
+    shared: &Shared,
+    mut reader: impl AsyncRead + Unpin,
+    stamp: &Stamp,
+    source: SocketAddr,
 ) -> io::Result<()> {
     loop {
-        match timeout(SILENT, Frame::read(&mut stream)).await?? {
-            Frame::Heartbeat => {
-                let beat = Frame::Heartbeat;
-                timeout(SILENT, beat.write(&mut stream)).await??;
-            }
+        match Frame::read(&mut reader, SILENT).await? {
+            Frame::Heartbeat => {}
             Frame::Message(bytes) => {
                 let Stamp { from, incarnation, .. } = stamp.clone();
                 let via = Via::Stream;
@@ -107,6 +119,13 @@
     }
 }
 
+async fn beat(mut writer: impl AsyncWrite + Unpin) -> io::Result<()> {
+    loop {
+        Frame::Heartbeat.write(&mut writer, SILENT).await?;
+        sleep(BEAT).await;
+    }
+}
+
 /// Says whether a sender is of this deployment.
 fn known(shared: &Shared, stamp: &Stamp, source: SocketAddr) -> bool {
     let known = stamp.deployment == shared.stamp.deployment;
--- a/crates/verbenaslip/src/peers/link.rs
+++ b/crates/verbenaslip/src/peers/link.rs
@@ -6,13 +6,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::io::{AsyncRead, AsyncWrite, BufReader};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout, timeout_at};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 use verbenaslip_base::hash;
 
 use crate::peers::queue::Queue;
-use crate::peers::wire::{Frame, Purpose};
+use crate::peers::wire::{self, Frame, Purpose};
 use crate::peers::{Shared, count, lock};
 
 /// How often a heartbeat goes each way.
@@ -78,10 +78,10 @@
     stream.set_nodelay(true)?;
     let (reader, mut writer) = stream.split();
     let hello = Frame::Hello { stamp: shared.stamp.clone(), purpose: Purpose::Messages };
-    hello.write(&mut writer).await?;
+    hello.write(&mut writer, SILENT).await?;
     // The two ends run side by side: a write that waits for the peer must not hide its silence.
     tokio::select! {
-        listened = listen(shared, reader) => listened,
+        listened = listen(shared, BufReader::new(reader)) => listened,
         sent = talk(shared, writer, queue) => sent,
     }
 }
@@ -89,13 +89,14 @@
 /// Reads heartbeats, and fails when none comes.
 async fn listen(shared: &Shared, mut reader: impl AsyncRead + Unpin) -> io::Result<()> {
     loop {
-        // A connection whose path has lost track of it never fails by itself. The peer answers each
-        // heartbeat, so that silence means that a new connection is needed.
-        let Ok(frame) = timeout(SILENT, Frame::read(&mut reader)).await else {
-            count(&shared.counts.silent);
-            return Err(io::ErrorKind::TimedOut.into());
-        };
-        frame?;
+        // A connection whose path has lost track of it never fails by itself. The peer sends
+        // heartbeats, so that silence means that a new connection is needed.
+        if let Err(error) = Frame::read(&mut reader, SILENT).await {
+            if error.kind() == io::ErrorKind::TimedOut {
+                count(&shared.counts.silent);
+            }
+            return Err(error);
+        }
     }
 }
 
@@ -122,8 +123,7 @@
             count(&shared.counts.dropped);
             continue;
         };
-        let written = tokio::io::AsyncWriteExt::write_all(&mut writer, &bytes);
-        timeout_at(Instant::now() + SILENT, written).await??;
+        wire::write(&mut writer, &bytes, SILENT).await?;
         count(&shared.counts.sent);
         shared.counts.sent_bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
     }
--- a/crates/verbenaslip/src/peers/wire.rs
+++ b/crates/verbenaslip/src/peers/wire.rs
@@ -1,10 +1,12 @@
 //! Frames and datagrams between instances.
 
 use std::io;
+use std::time::Duration;
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::time::timeout;
 use verbenaslip_base::attempt::Request;
 use verbenaslip_base::data;
 use verbenaslip_base::name::Instance;
@@ -14,6 +16,9 @@
 /// The bytes before a frame's content: its length and its CRC-32, both little-endian.
 const HEAD: usize = 8;
 
+/// The most bytes that are read in one step.
+const READ: usize = 64 << 10;
+
 /// The bytes before a datagram's content: its CRC-32, little-endian.
 const SUM: usize = 4;
 
@@ -147,29 +152,59 @@
         Ok(Some((check(content, sum)?, HEAD + length)))
     }
 
-    /// Reads the next frame of a connection, and not a byte after it.
-    pub(crate) async fn read(stream: &mut (impl AsyncRead + Unpin)) -> io::Result<Self> {
+    /// Reads the next frame of a connection, and not a byte after it; fails when nothing comes for
+    /// the limit.
+    ///
+    /// The limit counts from the last byte and not over the frame: a large one over a slow path would
+    /// never arrive, however often it is sent again.
+    pub(crate) async fn read(
+        stream: &mut (impl AsyncRead + Unpin),
+        limit: Duration,
+    ) -> io::Result<Self> {
         let mut head = [0; HEAD];
-        stream.read_exact(&mut head).await?;
+        timeout(limit, stream.read_exact(&mut head)).await??;
         let (length, sum) = split(head);
         if length > FRAME_MAX {
             return Err(Error::Large.into());
         }
         // The memory grows with the bytes that came, not with the length that was claimed.
         let mut content = Vec::new();
-        let read = stream.take(length as u64).read_to_end(&mut content).await?;
-        if read < length {
-            return Err(io::ErrorKind::UnexpectedEof.into());
+        while content.len() < length {
+            let left = length - content.len();
+            content.reserve(left.min(READ));
+            let mut part = (&mut *stream).take(left as u64);
+            if timeout(limit, part.read_buf(&mut content)).await?? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
         }
         Ok(check(&content, sum)?)
     }
 
-    /// Writes the frame and returns how many bytes it took.
-    pub(crate) async fn write(&self, stream: &mut (impl AsyncWrite + Unpin)) -> io::Result<usize> {
+    /// Writes the frame; fails when nothing is taken for the limit.
+    pub(crate) async fn write(
+        &self,
+        stream: &mut (impl AsyncWrite + Unpin),
+        limit: Duration,
+    ) -> io::Result<()> {
         let bytes = self.encode().ok_or(Error::Large)?;
-        stream.write_all(&bytes).await?;
-        Ok(bytes.len())
+        write(stream, &bytes, limit).await
+    }
+}
+
+/// Writes bytes; fails when none is taken for the limit.
+pub(crate) async fn write(
+    stream: &mut (impl AsyncWrite + Unpin),
+    mut bytes: &[u8],
+    limit: Duration,
+) -> io::Result<()> {
+    while !bytes.is_empty() {
+        let written = timeout(limit, stream.write(bytes)).await??;
+        if written == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        bytes = &bytes[written..];
     }
+    Ok(())
 }
 
 impl Datagram {
--- a/crates/verbenaslip/src/traffic/mirror.rs
+++ b/crates/verbenaslip/src/traffic/mirror.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use verbenaslip_base::attempt::Request;
@@ -13,10 +12,13 @@
 use crate::peers::wire::Frame;
 use crate::traffic::Report;
 use crate::traffic::pace::Pace;
-use crate::traffic::plane::{self, BEAT};
+use crate::traffic::plane::{self, BEAT, SILENT, Wire};
 use crate::traffic::shared::Shared;
 use crate::traffic::shelf::Shelf;
 
+/// The bytes that the slowest path is taken to carry in a second.
+const SLOWEST: usize = 64 << 10;
+
 /// The shortest and the longest wait before the next try.
 const WAIT_MIN: Duration = Duration::from_millis(50);
 const WAIT_MAX: Duration = Duration::from_secs(1);
@@ -74,7 +76,7 @@
         let mut stream = plane::open(&self.shared, self.shared.address(&self.to)?).await?;
         let Self { request, epoch, .. } = *self;
         plane::send(&mut stream, &Frame::Copy { request, epoch }).await?;
-        let mut held = acknowledged(&mut stream).await?;
+        let mut held = acknowledged(&mut stream, 0).await?;
         let mut pace = Pace::default();
         loop {
             let Held { position, whole } = held;
@@ -93,7 +95,7 @@
     /// Sends what there is after a position, once there is something, and waits until it is held.
     async fn advance(
         &self,
-        stream: &mut TcpStream,
+        stream: &mut Wire,
         changed: &mut watch::Receiver<()>,
         position: u32,
     ) -> io::Result<Held> {
@@ -101,21 +103,22 @@
             let rest = self.shelf.missing(position);
             if !rest.is_empty() {
                 // The end is acknowledged by itself; pieces are when the heartbeat after them came.
-                if !plane::send_rest(stream, rest).await? {
-                    plane::send(stream, &Frame::Heartbeat).await?;
-                }
-                return acknowledged(stream).await;
+                let sent = plane::send_rest(stream, rest, true).await?;
+                return acknowledged(stream, sent.bytes).await;
             }
             if timeout(BEAT, changed.changed()).await.is_err() {
                 plane::send(stream, &Frame::Heartbeat).await?;
-                acknowledged(stream).await?;
+                acknowledged(stream, 0).await?;
             }
         }
     }
 }
 
-async fn acknowledged(stream: &mut TcpStream) -> io::Result<Held> {
-    match plane::receive(stream).await? {
+/// Waits for the acknowledgement of so many bytes.
+async fn acknowledged(stream: &mut Wire, bytes: usize) -> io::Result<Held> {
+    // The system's buffers take the bytes at once; over a slow path they are read long after that.
+    let travel = Duration::from_secs((bytes / SLOWEST) as u64);
+    match Frame::read(stream, SILENT + travel).await? {
         Frame::Held { position, whole } => Ok(Held { position, whole }),
         _ => Err(plane::declined()),
     }
--- a/crates/verbenaslip/src/traffic/plane.rs
+++ b/crates/verbenaslip/src/traffic/plane.rs
@@ -6,12 +6,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use tokio::io::BufReader;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use verbenaslip_base::attempt::Request;
 use verbenaslip_request::answer::Added;
 
-use crate::peers::wire::{Frame, Purpose};
+use crate::peers::wire::{self, Error, Frame, Purpose};
 use crate::traffic::Report;
 use crate::traffic::pace::Pace;
 use crate::traffic::reader::{Reader, Stop};
@@ -19,6 +20,9 @@
 use crate::traffic::shelf::{Rest, Shelf};
 use crate::traffic::ticket::Waiter;
 
+/// A connection between instances; reads are buffered, as a frame takes two.
+pub(crate) type Wire = BufReader<TcpStream>;
+
 /// How often something goes over a connection that has nothing to say.
 pub(crate) const BEAT: Duration = Duration::from_millis(500);
 
@@ -58,34 +62,52 @@
 }
 
 /// Opens a connection to another instance's peer address.
-pub(crate) async fn open(shared: &Shared, to: SocketAddr) -> io::Result<TcpStream> {
+pub(crate) async fn open(shared: &Shared, to: SocketAddr) -> io::Result<Wire> {
     let mut stream = timeout(shared.limits.connect_time, TcpStream::connect(to)).await??;
     stream.set_nodelay(true)?;
     let stamp = shared.identity.stamp();
-    Frame::Hello { stamp, purpose: Purpose::Answers }.write(&mut stream).await?;
-    Ok(stream)
+    Frame::Hello { stamp, purpose: Purpose::Answers }.write(&mut stream, SILENT).await?;
+    Ok(BufReader::new(stream))
 }
 
 /// Reads a frame, and fails when none comes in time.
-pub(crate) async fn receive(stream: &mut TcpStream) -> io::Result<Frame> {
-    timeout(SILENT, Frame::read(stream)).await?
+pub(crate) async fn receive(stream: &mut Wire) -> io::Result<Frame> {
+    Frame::read(stream, SILENT).await
 }
 
 /// Writes a frame, and fails when it is not taken in time.
-pub(crate) async fn send(stream: &mut TcpStream, frame: &Frame) -> io::Result<()> {
-    timeout(SILENT, frame.write(stream)).await?.map(|_| ())
+pub(crate) async fn send(stream: &mut Wire, frame: &Frame) -> io::Result<()> {
+    frame.write(stream, SILENT).await
+}
+
+/// Says what was sent.
+pub(crate) struct Sent {
+    /// Whether it was the end.
+    pub ended: bool,
+    /// How many bytes it took.
+    pub bytes: usize,
 }
 
-/// Sends what a shelf holds; true when that was its end.
-pub(crate) async fn send_rest(stream: &mut TcpStream, rest: Rest) -> io::Result<bool> {
-    for piece in rest.pieces {
-        send(stream, &Frame::Piece(piece)).await?;
+/// Sends what a shelf holds in one write, so that a batch of tokens does not cost a packet each.
+///
+/// Before the end, a heartbeat follows when an acknowledgement is wanted.
+pub(crate) async fn send_rest(
+    stream: &mut Wire,
+    rest: Rest,
+    acknowledge: bool,
+) -> io::Result<Sent> {
+    let ended = rest.ended();
+    let mut frames: Vec<_> = rest.pieces.into_iter().map(Frame::Piece).collect();
+    frames.extend(rest.end.map(Frame::End).or(rest.whole.map(Frame::Whole)));
+    if acknowledge && !ended {
+        frames.push(Frame::Heartbeat);
+    }
+    let mut bytes = Vec::new();
+    for frame in &frames {
+        bytes.extend(frame.encode().ok_or(Error::Large)?);
     }
-    let end = rest.end.map(Frame::End).or(rest.whole.map(Frame::Whole));
-    let Some(end) = end else {
-        return Ok(false);
-    };
-    send(stream, &end).await.map(|()| true)
+    wire::write(stream, &bytes, SILENT).await?;
+    Ok(Sent { ended, bytes: bytes.len() })
 }
 
 /// Returns the error for a frame that does not fit.
@@ -102,7 +124,7 @@
 }
 
 async fn serve(shared: &Arc<Shared>, stream: std::net::TcpStream) -> io::Result<()> {
-    let mut stream = TcpStream::from_std(stream)?;
+    let mut stream = BufReader::new(TcpStream::from_std(stream)?);
     match receive(&mut stream).await? {
         Frame::Fetch { request, after } => give(shared, &mut stream, request, after).await,
         Frame::Copy { request, epoch } => keep(shared, &mut stream, request, epoch).await,
@@ -113,7 +135,7 @@
 /// Gives another instance an answer from after a position, as the control thread says.
 async fn give(
     shared: &Arc<Shared>,
-    stream: &mut TcpStream,
+    stream: &mut Wire,
     request: Request,
     after: u32,
 ) -> io::Result<()> {
@@ -128,7 +150,7 @@
             continue;
         };
         let ended = match next {
-            Ok(rest) => send_rest(stream, rest).await?,
+            Ok(rest) => send_rest(stream, rest, false).await?.ended,
             Err(Stop::Final(verdict)) => {
                 send(stream, &Frame::Verdict(verdict)).await?;
                 true
@@ -146,12 +168,7 @@
 }
 
 /// Keeps a copy of another instance's answer, and says how far it is.
-async fn keep(
-    shared: &Shared,
-    stream: &mut TcpStream,
-    request: Request,
-    epoch: u16,
-) -> io::Result<()> {
+async fn keep(shared: &Shared, stream: &mut Wire, request: Request, epoch: u16) -> io::Result<()> {
     let shelf = shared.shelves.renew(request, epoch);
     let mut copy = Copy { shared, shelf, request, epoch, pace: Pace::default() };
     if copy.shelf.epoch() > epoch || copy.shelf.owned() {
@@ -189,7 +206,7 @@
     }
 
     /// Reads until the other end wants to know, or the end; false when a frame was not taken.
-    async fn fill(&self, stream: &mut TcpStream) -> io::Result<bool> {
+    async fn fill(&self, stream: &mut Wire) -> io::Result<bool> {
         loop {
             let added = match receive(stream).await? {
                 Frame::Heartbeat => return Ok(true),
--- a/crates/verbenaslip/tests/peers.rs
+++ b/crates/verbenaslip/tests/peers.rs
@@ -118,6 +118,11 @@
 }
 
 fn proxy(to: SocketAddr) -> Proxy {
+    proxy_with(to, Duration::ZERO)
+}
+
+/// Passes 4 KiB at a time, each after a delay.
+fn proxy_with(to: SocketAddr, delay: Duration) -> Proxy {
     let listener = TcpListener::bind(any()).expect("a port is free");
     let address = listener.local_addr().expect("the listener has an address");
     let (taken, silent) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
@@ -130,19 +135,19 @@
             let (Ok(back_from), Ok(back_onto)) = back else { continue };
             for (from, onto) in [(stream, target), (back_from, back_onto)] {
                 let silent = silent.clone();
-                thread::spawn(move || pass(from, onto, number, &silent));
+                thread::spawn(move || {
+                    pass(from, onto, delay, || number < silent.load(Ordering::SeqCst))
+                });
             }
         }
     });
     proxy
 }
 
-fn pass(mut from: TcpStream, mut onto: TcpStream, number: usize, silent: &AtomicUsize) {
+fn pass(mut from: TcpStream, mut onto: TcpStream, delay: Duration, silent: impl Fn() -> bool) {
     let mut buffer = [0; 4096];
     while let Ok(read) = from.read(&mut buffer) {
-        if number < silent.load(Ordering::SeqCst) {
-            thread::sleep(PATIENCE);
-        }
+        thread::sleep(if silent() { PATIENCE } else { delay });
         if read == 0 || onto.write_all(&buffer[..read]).is_err() {
             break;
         }
@@ -167,6 +172,21 @@
     assert!(one.peers.stats().opened >= 2);
 }
 
+/// Symptom: a snapshot never arrives over a slow path, though every byte of it does in time.
+/// Sequence: 3 MiB through a path that takes 1 MiB in a second, then a short message.
+/// Cause: the limit on silence is counted over the whole frame, or the answer to a heartbeat waits
+/// behind it.
+#[test]
+fn a_large_message_over_a_slow_path_arrives() {
+    let (one, two) = (node("one"), node("two"));
+    let between = proxy_with(two.peers.address(), Duration::from_millis(4));
+    one.peers.send(between.address, Via::Stream, vec![7; 3 << 20]);
+    one.peers.send(between.address, Via::Stream, vec![8]);
+    assert_eq!(two.next().bytes.len(), 3 << 20);
+    assert_eq!(two.next().bytes, vec![8]);
+    assert_eq!((one.peers.stats().opened, one.peers.stats().silent), (1, 0));
+}
+
 /// Symptom: an instance that restarts hears nothing until the others restart as well.
 /// Sequence: two ends and starts again on the same port; one goes on sending.
 /// Cause: the old connection is kept, or the address is given up.
