--- a/crates/verbenaslip-request/tests/cost.rs
+++ b/crates/verbenaslip-request/tests/cost.rs
@@ -78,3 +78,25 @@
         assert_eq!(world.recomputed(), 0, "{name}");
     }
 }
+
+#[test]
+fn a_second_loss_right_after_the_repair_loses_nothing() {
+    // The second holder is lost and replaced, or the owner is lost and the second holder takes
+    // over; then the one that is left is lost as well. Whoever has become second holder since joins
+    // the run: had nobody, the caller's tokens would be gone with both.
+    for first in ["owner", "holder"] {
+        let mut world = world(20, PROMPT, CHAT);
+        let holder = (1..3).find(|at| world.nodes[*at].requests.count().copies > 0);
+        let lost = if first == "owner" { 0 } else { holder.expect("it is held") };
+        let now = world.now;
+        world.at(now, Event::Fault(Fault::Kill(lost)));
+        let request = world.callers[0].request;
+        while world.now < now + ms(900) && world.step() {}
+        let owner = world.owner(request).expect("somebody owns it");
+        let now = world.now;
+        world.at(now, Event::Fault(Fault::Kill(owner)));
+        world.finish();
+        assert!(world.callers[0].whole, "{first}: {:?}", world.callers[0].verdict);
+        assert_eq!(world.recomputed(), 0, "{first}");
+    }
+}
--- a/crates/verbenaslip-request/tests/single.rs
+++ b/crates/verbenaslip-request/tests/single.rs
@@ -10,7 +10,7 @@
 use verbenaslip_request::caller::{Arrival, Body, Ticket, Verdict};
 use verbenaslip_request::claim::Ruling;
 use verbenaslip_request::input::{Input, Member, Place};
-use verbenaslip_request::message::{Found, Kept, Message, Note};
+use verbenaslip_request::message::{Found, Kept, Message, Note, Taken};
 use verbenaslip_request::output::{Outcome, Output};
 use verbenaslip_request::run::{Cause, Event, Failure, Start, Step};
 use verbenaslip_request::setup::{Journal, Setup};
@@ -341,3 +341,90 @@
     assert_eq!(driver.verdict(), Some(&Verdict::Refused(refusal)));
     assert_eq!(driver.requests.count().owned, 0);
 }
+
+fn taken(epoch: u16) -> Input {
+    let (owner, attempt, lineage) = ("i2".into(), None, 0);
+    let message = Message::Taken(Taken { request: R, owner, epoch, attempt, lineage });
+    Input::Heard { from: "i2".into(), message }
+}
+
+#[test]
+fn a_former_owner_yields_to_a_higher_epoch() {
+    // It was frozen, and its second holder took the request over. Were it to go on, both would run
+    // the request to the end and callers get halves of two answers.
+    let mut driver = Driver::open("", |_| {});
+    driver.call(true, true);
+    driver.step(taken(2));
+    let relayed = Verdict::Relay { request: R, after: 0, owner: "i2".into() };
+    assert_eq!(driver.verdict(), Some(&relayed));
+    assert!(driver.log.iter().any(|output| matches!(output, Output::Cancel(_))));
+    assert!(!driver.requests.owns(R));
+}
+
+#[test]
+fn each_ownership_claims_under_its_own_number() {
+    // An instance is granted the claim, yields to another, and owns the request again once that one
+    // is lost. Under the same number the quorum takes the second claim for a resend of the first
+    // and grants it, and the request runs twice.
+    let mut driver = Driver::open("", |_| {});
+    driver.call(true, false);
+    driver.step(taken(2));
+    driver.step(Input::RelayLost { ticket: TICKET, after: 0 });
+    let claims = driver.log.iter().filter_map(|output| match output {
+        Output::Claim(claim) => Some(claim.claimant),
+        _ => None,
+    });
+    let claims: Vec<_> = claims.collect();
+    assert_eq!(claims.len(), 2);
+    assert_ne!(claims[0], claims[1]);
+}
+
+#[test]
+fn nothing_new_is_sent_to_an_upstream_that_leaves() {
+    // The router has not heard of the notice yet and still names it.
+    let mut driver = Driver::open("", |_| {});
+    driver.step(Input::Leaving { upstream: "u".into(), notice: Some(Duration::from_secs(9)) });
+    driver.call(true, true);
+    driver.sleep(Duration::from_secs(8));
+    assert!(driver.runs().is_empty());
+}
+
+#[test]
+fn not_run_is_said_only_when_the_second_holder_has_forgotten_the_request() {
+    // The caller is told that it was not run, and the owner is lost right after. A holder that has
+    // not heard of it would take the request over and run it.
+    for (silent, told) in [(false, true), (true, false)] {
+        let mut driver = Driver::open("place", |_| {});
+        driver.call(true, true);
+        if silent {
+            driver.withhold = "journal";
+        }
+        let refusal = Refusal { reason: Reason::NoUpstream, retry: None };
+        driver.step(Input::NoPlace { request: R, wait: None, refusal });
+        assert_eq!(driver.verdict().is_some_and(refused(Reason::NoUpstream)), told);
+        driver.sleep(Duration::from_secs(1));
+        let unsure = driver.verdict().is_some_and(unknown(Unknown::Unreachable));
+        assert_eq!(unsure, silent);
+    }
+}
+
+#[test]
+fn a_copy_that_was_never_accepted_is_never_run() {
+    // Its owner got no answer in time, refused the request as not run and was lost. The copy that
+    // arrived all the same must not run.
+    for (sequence, runs) in [(0, false), (1, true)] {
+        let mut other = Driver::open("", |_| {});
+        other.call(true, true);
+        let copy = other.log.iter().find_map(|output| match output {
+            Output::Send { message: Message::Put(copy), .. } => Some(copy.clone()),
+            _ => None,
+        });
+        let mut copy = copy.expect("it was journalled");
+        copy.note.sequence = sequence;
+        let mut driver = Driver::open("", |_| {});
+        driver.step(Input::Heard { from: "i2".into(), message: Message::Put(copy) });
+        driver.step(Input::Lost("i2".into()));
+        driver.sleep(Duration::from_secs(2));
+        assert_eq!(!driver.runs().is_empty(), runs, "sequence {sequence}");
+    }
+}
