--- a/crates/verbenaslip-gossip/src/frame.rs
+++ b/crates/verbenaslip-gossip/src/frame.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use verbenaslip_base::announce::Announcement;
+use verbenaslip_base::announce::{Announcement, Load, Phase};
 use verbenaslip_base::name::Upstream;
 use verbenaslip_base::{data, hash};
 
@@ -135,6 +135,21 @@
 #[data(copy, ord, hash)]
 pub struct Check(pub [u8; 3]);
 
+impl Check {
+    /// Derives it from all that an announcement says but sequence, notice and load.
+    pub fn of(announcement: &Announcement) -> Self {
+        let mut content = announcement.clone();
+        content.sequence = 0;
+        content.load = Load::default();
+        if let Phase::Leaving { notice } = &mut content.phase {
+            *notice = None;
+        }
+        let bytes = postcard::to_stdvec(&content).unwrap_or_default();
+        let [a, b, c, ..] = hash::narrow(&[&bytes]).to_le_bytes();
+        Self([a, b, c])
+    }
+}
+
 /// Says that an upstream takes no new work.
 #[data(copy)]
 pub struct Leaving {
--- a/crates/verbenaslip-gossip/src/lib.rs
+++ b/crates/verbenaslip-gossip/src/lib.rs
@@ -51,7 +51,7 @@
 pub use gossip::{Gossip, Input, Output, Reported};
 pub use member::{Area, Event as MemberEvent, Handle, Peer, Rumor, State};
 pub use rank::Homes;
-pub use record::{Record, Standing, check};
+pub use record::{Record, Standing};
 pub use registry::{Answer, Event as UpstreamEvent, Fault};
 pub use report::MAX_REPORT;
 pub use roster::Member;
--- a/crates/verbenaslip-gossip/src/record.rs
+++ b/crates/verbenaslip-gossip/src/record.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use verbenaslip_base::announce::{Announcement, Load, Phase};
-use verbenaslip_base::hash;
 use verbenaslip_base::name::Model;
 
 use crate::frame::{Check, Key};
@@ -89,19 +88,6 @@
     }
 }
 
-/// Returns what tells one content of an announcement from another: all but sequence, notice and load.
-pub fn check(announcement: &Announcement) -> Check {
-    let mut content = announcement.clone();
-    content.sequence = 0;
-    content.load = Load::default();
-    if let Phase::Leaving { notice } = &mut content.phase {
-        *notice = None;
-    }
-    let bytes = postcard::to_stdvec(&content).unwrap_or_default();
-    let [a, b, c, ..] = hash::narrow(&[&bytes]).to_le_bytes();
-    Check([a, b, c])
-}
-
 /// Checks that an announcement is one that can be kept and passed on.
 pub(crate) fn valid(announcement: &Announcement) -> bool {
     let fits = |name: &str| (1..=MAX_NAME).contains(&name.len());
--- a/crates/verbenaslip-gossip/tests/voucher.rs
+++ b/crates/verbenaslip-gossip/tests/voucher.rs
@@ -8,8 +8,8 @@
 use verbenaslip_base::announce::{Announcement, Phase};
 use verbenaslip_base::name::{AvailabilityZone, Instance, Region, Upstream};
 use verbenaslip_gossip::{
-    Age, Body, Delta, Entry, Frame, Gossip, Input, Key, LEASE, Leaving, Mark, Output, Peer, Pull,
-    Renewal, Rumor, Setup, Sheet, Spread, State, check,
+    Age, Body, Check, Delta, Entry, Frame, Gossip, Input, Key, LEASE, Leaving, Mark, Output, Peer,
+    Pull, Renewal, Rumor, Setup, Sheet, Spread, State,
 };
 
 /// The instance under test and the time.
@@ -102,7 +102,7 @@
 }
 
 fn held() -> Entry {
-    Entry { key: key(), check: Some(check(&upstream())), after: 1 }
+    Entry { key: key(), check: Some(Check::of(&upstream())), after: 1 }
 }
 
 fn sheet(sequence: u64, age: Age) -> Spread {
@@ -163,7 +163,7 @@
             vec![
                 it.delta(1, 2, 2, &[entry(None)]),
                 it.mark(2, 2, Age(1)),
-                it.delta(2, 3, 3, &[entry(Some(check(&upstream())))]),
+                it.delta(2, 3, 3, &[entry(Some(Check::of(&upstream())))]),
             ]
         },
         usable: false,
@@ -196,7 +196,7 @@
     // Symptom: a home vouches for a dead upstream. Sequence: a renewal is delayed by the network
     // beyond the lease, or doubled; it says a small age. Cause: ages do not count the way.
     let renewal = |sequence| {
-        let check = check(&upstream());
+        let check = Check::of(&upstream());
         Body::Renewals(vec![Renewal { key: key(), check, sequence, age: Age(1) }])
     };
     for (name, sequence, usable) in [("doubled", 1, false), ("older", 0, false), ("new", 2, true)] {
@@ -373,3 +373,24 @@
     }
     assert_eq!(told.len(), 200);
 }
+
+#[test]
+fn a_ping_for_another_incarnation_is_not_answered() {
+    // Symptom: an incarnation that is over counts as alive. Sequence: the instance restarts at the
+    // same address; probes of the one before arrive. Cause: an answer by whoever lives there now.
+    let mut bench = Bench::open();
+    let own = bench.gossip.own().clone();
+    let before = Peer { incarnation: 0, ..own.clone() };
+    for (target, acked) in [(own.handle(), true), (before.handle(), false)] {
+        let outputs = bench.say(Body::Ping { target, probe: 7 });
+        let answers = outputs.iter().filter_map(|output| match output {
+            Output::Send { frame, .. } => Some(&frame.body),
+            _ => None,
+        });
+        let ack = |body: &&Body| matches!(body, Body::Ack { probe: 7 });
+        let (acks, others): (Vec<_>, Vec<_>) = answers.partition(ack);
+        assert_eq!(acks.len(), usize::from(acked));
+        let introduced = others.iter().any(|body| matches!(body, Body::Join(_)));
+        assert_eq!(introduced, !acked);
+    }
+}
