Make the step of the limits and the choice of upstream cheaper

Change: sort remainders; doubt zones only when something looks down; select the median; ask for no sum for an empty queue.

--- a/crates/verbenaslip-policy/benches/bench/mod.rs
+++ b/crates/verbenaslip-policy/benches/bench/mod.rs
@@ -5,6 +5,7 @@
 pub mod engine;
 pub mod measure;
 pub mod policy;
+pub mod speed;
 pub mod workload;
 pub mod world;
 
--- a/crates/verbenaslip-policy/benches/policy.rs
+++ b/crates/verbenaslip-policy/benches/policy.rs
@@ -11,6 +11,8 @@
 const SEED: u64 = 1;
 
 fn main() {
+    bench::speed::requests();
+    bench::speed::limits();
     for workload in [kajlinjen(SEED, LONG), office(SEED, LONG)] {
         for fault in [Fault::Calm, Fault::Reclaim] {
             print(&workload, fault);
--- a/crates/verbenaslip-policy/src/dispatch.rs
+++ b/crates/verbenaslip-policy/src/dispatch.rs
@@ -295,8 +295,8 @@
     }
 
     fn next_of(&mut self, now: Duration, model: &Model, rng: &mut impl Rng) -> Option<Dispatch> {
+        let queue = self.queues.get_mut(model).filter(|queue| !queue.is_empty())?;
         let pool = self.router.pool(now, model);
-        let queue = self.queues.get_mut(model)?;
         let limiter = &mut self.limiter;
         let may = |key: &Key, item: &Item| limiter.check(now, key, tokens(item, &pool)).is_ok();
         let item = queue.next(now, &pool, may)?;
--- a/crates/verbenaslip-policy/src/limit/limiter.rs
+++ b/crates/verbenaslip-policy/src/limit/limiter.rs
@@ -430,16 +430,15 @@
     let total: f64 = claims.iter().map(Claim::weight).sum();
     let units = f64::from(units.max(1));
     let quota = |claim: &Claim| units * claim.weight() / total;
-    let remainders: Vec<(f64, Instance)> =
-        claims.iter().map(|claim| (quota(claim).fract(), claim.name.clone())).collect();
     let left = units - claims.iter().map(|claim| quota(claim).floor()).sum::<f64>();
-    for claim in claims {
-        let own = quota(claim);
-        let first = |(theirs, name): &&(f64, Instance)| {
-            *theirs > own.fract() || (*theirs == own.fract() && name < claim.name)
-        };
-        let before = remainders.iter().filter(first).count() as f64;
-        let given = own.floor() + f64::from(u8::from(before < left));
+    let mut order: Vec<usize> = (0..claims.len()).collect();
+    order.sort_by(|a, b| {
+        let (a, b) = (&claims[*a], &claims[*b]);
+        quota(b).fract().total_cmp(&quota(a).fract()).then(a.name.cmp(b.name))
+    });
+    for (rank, index) in order.into_iter().enumerate() {
+        let claim = &mut claims[index];
+        let given = quota(claim).floor() + f64::from(u8::from((rank as f64) < left));
         claim.target = (given * f64::from(WHOLE) / units).ceil() / f64::from(WHOLE);
     }
 }
--- a/crates/verbenaslip-policy/src/route/router.rs
+++ b/crates/verbenaslip-policy/src/route/router.rs
@@ -314,6 +314,9 @@
     /// If connections from here to a whole zone fail while its upstreams still reach the other
     /// instances, the fault is more likely on this side; emptying the zone would crowd the others.
     fn doubted_zones(&self, now: Duration, model: &Model) -> Vec<AvailabilityZone> {
+        if !self.offering(model).any(|engine| engine.health.down()) {
+            return Vec::new();
+        }
         let mut zones: BTreeMap<&AvailabilityZone, (usize, usize)> = BTreeMap::new();
         for engine in self.offering(model).filter(|engine| engine.silent(now) <= SILENT) {
             let counts = zones.entry(&engine.announcement.zone).or_default();
@@ -327,8 +330,11 @@
     /// Returns the median slowness of a model's upstreams.
     fn typical_slowness(&self, model: &Model) -> f64 {
         let mut all: Vec<f64> = self.offering(model).map(|e| e.latency.slowness()).collect();
-        all.sort_by(f64::total_cmp);
-        all.get(all.len().saturating_sub(1) / 2).copied().unwrap_or(1.0)
+        let middle = all.len().saturating_sub(1) / 2;
+        if all.is_empty() {
+            return 1.0;
+        }
+        *all.select_nth_unstable_by(middle, f64::total_cmp).1
     }
 
     fn score(&self, now: Duration, ask: &Ask, engine: &Engine) -> (f64, Choice) {
--- a/crates/verbenaslip-policy/tests/admit.rs
+++ b/crates/verbenaslip-policy/tests/admit.rs
@@ -210,8 +210,9 @@
 
 #[test]
 fn a_lane_that_was_idle_has_no_credit() {
-    // Symptom: a team that was idle for an hour takes every slot for minutes. Sequence: one team is
-    // served a hundred times, then another comes. Cause: service counted since ever.
+    // Symptom: a team that was idle for an hour takes every slot for minutes. Sequence: two teams
+    // are served, one goes on alone for a hundred requests, then the other comes back. Cause: service
+    // counted since ever.
     let (mut queue, mut rng) = (Queue::default(), rng(1));
     let mut add = |queue: &mut Queue, team: &str, from: u128, count: u128| {
         for id in from..from + count {
@@ -224,6 +225,7 @@
         }
     };
     add(&mut queue, "old", 0, 200);
+    add(&mut queue, "new", 900, 1);
     for _ in 0..100 {
         queue.next(ms(0), &pool(8, 8), |_, _| true).expect("work waits");
     }
--- a/crates/verbenaslip-policy/tests/limit.rs
+++ b/crates/verbenaslip-policy/tests/limit.rs
@@ -16,9 +16,11 @@
 mod common;
 
 /// The row's limits in most cases.
-const CONCURRENCY: u32 = 400;
+const CONCURRENCY: u32 = 240;
 const RATE: u32 = 200;
 const BURST: u32 = 40;
+/// How long each request runs.
+const SERVICE: Duration = Duration::from_millis(1_500);
 
 /// The longest delay of a report, in steps of 50 ms.
 const TICKS: usize = 24;
@@ -121,17 +123,20 @@
         for _ in 0..count {
             self.limiters[index].asked(self.now, &row());
             if self.limiters[index].take(self.now, &row(), 100).is_ok() {
-                self.running[index].push_back(self.now + ms(1500));
+                self.running[index].push_back(self.now + SERVICE);
                 self.admitted.push(self.now);
             }
         }
     }
 
-    /// Checks after every step that not more runs than the limit allows.
+    /// Checks after every step that the parts in use and what runs are within the limit.
     fn check(&mut self, limit: u32) {
         let running = self.running.iter().map(|running| running.len() as u32).sum();
         self.worst = self.worst.max(running);
         assert!(running <= limit, "{running} run at {:?}, {limit} are allowed", self.now);
+        let awake = self.limiters.iter().zip(&self.frozen).filter(|(_, frozen)| !**frozen);
+        let parts: u32 = awake.filter_map(|(l, _)| l.concurrency(self.now, &row())).sum();
+        assert!(parts <= limit, "parts of {parts} at {:?}, {limit} are allowed", self.now);
     }
 
     /// Checks that in no span of time more was admitted than the stated bound.
@@ -199,7 +204,8 @@
     fleet.check_rate(RATE, BURST);
     let served = fleet.admitted_in(before + ms(10_000), fleet.now);
     // With all demand at two instances the rest of the limit must have followed it in 10 s.
-    let least = f64::from(RATE) * 5.0 * (1.0 - FLOOR) * 0.9;
+    let fastest = f64::from(RATE).min(f64::from(CONCURRENCY) / SERVICE.as_secs_f64());
+    let least = fastest * 5.0 * (1.0 - FLOOR) * 0.9;
     assert!(served as f64 >= least, "{count}: {served} served, at least {least} expected");
 }
 
@@ -341,3 +347,69 @@
     let above = rows.iter().filter(|(key, _)| limiter.concurrency(ms(11_000), key) > Some(even));
     assert_eq!(above.count(), MOST_ENTRIES);
 }
+
+/// Returns a limiter of the first of some instances, settled alone with fresh reports of the others.
+fn settled(names: &[Instance], entries: &[Entry], seconds: u64) -> Limiter {
+    let mut limiter = Limiter::new(ms(0), names[0].clone(), 1);
+    limiter.members(ms(0), names);
+    limiter.table(ms(0), [(&row(), &limited())].into_iter());
+    for second in 0..=seconds {
+        let sequence = second as u32 + 1;
+        let report = Report { incarnation: 1, sequence, entries: entries.to_vec() };
+        let now = ms(second * 1_000);
+        names[1..].iter().for_each(|name| limiter.heard(now, name, &report));
+        limiter.step(now);
+    }
+    limiter
+}
+
+#[test]
+fn an_idle_time_saves_up_no_more_than_the_burst() {
+    let mut limiter = settled(&instances(1), &[], 120);
+    let taken = (0..500).filter(|_| limiter.take(ms(120_000), &row(), 1).is_ok()).count();
+    assert!((BURST as usize - 2..=BURST as usize).contains(&taken), "{taken} at once");
+}
+
+#[test]
+fn what_runs_is_not_given_up() {
+    // Symptom: more runs than a row allows after demand moved. Sequence: one instance runs nearly all
+    // that is allowed, for long; then all demand is at the other. Cause: a part given up while
+    // requests run on it.
+    let names = instances(2);
+    let mut limiter = settled(&names, &[], 10);
+    let wide = terms(|row| row.concurrency = CONCURRENCY);
+    limiter.table(ms(10_000), [(&row(), &wide)].into_iter());
+    while limiter.take(ms(10_000), &row(), 1).is_ok() {}
+    let running = f64::from(limiter.running(&row()));
+    assert!(running >= f64::from(CONCURRENCY) * 0.5, "{running}");
+    for second in 11..30 {
+        let own = limiter.step(ms(second * 1_000)).entries[0];
+        let demand = u16::MAX;
+        let report = Report {
+            incarnation: 1,
+            sequence: second as u32 + 100,
+            entries: vec![Entry { row: own.row, demand, part: 0 }],
+        };
+        limiter.heard(ms(second * 1_000), &names[1], &report);
+        let kept = limiter.concurrency(ms(second * 1_000), &row()).expect("the row is there");
+        let told = f64::from(own.part) / 16_000.0 * (1.0 - FLOOR) + FLOOR / 2.0;
+        assert!(f64::from(kept) >= running, "{kept} kept, {running} run");
+        assert!(told * f64::from(CONCURRENCY) >= running - 1.0, "{told} told, {running} run");
+    }
+}
+
+#[test]
+fn a_minority_never_forgets_the_majority() {
+    // Symptom: an instance cut off for an hour serves the whole limit beside the others. Sequence:
+    // it hears nobody, membership counts the others as dead, minutes pass. Cause: the survivors'
+    // rule, forgetting the dead, applied by the one who is cut off.
+    let names = instances(6);
+    let mut limiter = settled(&names, &[], 10);
+    limiter.members(ms(11_000), &names[..1]);
+    for second in 11..400 {
+        limiter.asked(ms(second * 1_000), &row());
+        limiter.step(ms(second * 1_000));
+    }
+    let even = (f64::from(CONCURRENCY) * FLOOR / 6.0) as u32;
+    assert_eq!(limiter.concurrency(ms(399_500), &row()), Some(even));
+}
--- a/crates/verbenaslip-policy/tests/route.rs
+++ b/crates/verbenaslip-policy/tests/route.rs
@@ -161,6 +161,26 @@
     assert!(counts.len() >= 10, "{counts:?}");
 }
 
+#[test]
+fn instances_spread_over_nearly_equal_upstreams() {
+    // Symptom: all instances send their next request to the same upstream. Sequence: sixty instances
+    // see the same reports, prices differ by half a percent from one to the next. Cause: the single
+    // best is the same for all.
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for instance in 0..60 {
+        let mut router = Router::new("z0".into());
+        for number in 0..12 {
+            let mut announcement = engine(&format!("e{number}"), "z0", 1);
+            announcement.price += number * 5_000;
+            router.announce(ms(0), &announcement);
+        }
+        let choice = router.choose(ms(100), &ask(head(1, "a")), &mut rng(instance));
+        let name = choice.expect("all are ready").upstream.to_string();
+        *counts.entry(name).or_default() += 1;
+    }
+    assert!(counts.values().all(|count| *count <= 20), "{counts:?}");
+}
+
 #[test]
 fn a_cached_prefix_draws_its_thread() {
     let mut router = router();
@@ -296,8 +316,8 @@
 
 #[test]
 fn a_slow_upstream_is_shed_and_comes_back() {
-    // Symptom: one engine is ten times slower than its peers, and one in six requests is late.
-    // Sequence: it slows down, is measured, and is fast again later. Cause: only failures counted.
+    // Symptom: one engine is ten times slower than its peers, and whoever gets it is late. Sequence:
+    // it is the cheapest, slows down, is measured, and is fast again later. Cause: only failures count.
     let mut router = router();
     let mut id = 0;
     let mut serve = |router: &mut Router, now: &mut u64, name: &str, slow: u64| {
@@ -311,7 +331,9 @@
         router.ended(ms(*now + (100 + 50 * 25) * slow), &"model".into(), head.request, 51);
         *now += 20;
         for number in 0..6 {
-            let announcement = engine(&format!("e{number}"), &format!("z{}", number % 3), *now);
+            let name = format!("e{number}");
+            let mut announcement = engine(&name, &format!("z{}", number % 3), *now);
+            announcement.price = if number == 0 { 1_000 } else { 1_000_000 };
             router.announce(ms(*now), &announcement);
         }
     };
@@ -322,6 +344,14 @@
     }
     let shed = spread(&mut router, now, 30).get("e0").copied().unwrap_or(0);
     assert!(shed <= 1, "{shed} of 30 at the slow one");
+    let mut probe = router.choose(ms(now), &ask(head(9_000, "a")), &mut rng(1));
+    if let Some(choice) = probe.as_mut() {
+        choice.upstream = "e0".into();
+        router.sent(ms(now), &head(9_000, "a"), choice);
+    }
+    let candidates = router.pool(ms(now), &"model".into()).upstreams;
+    assert_eq!(candidates, 5, "it gets one run at a time");
+    router.withdrawn(ms(now), head(9_000, "a").request);
     let mut router_again = router;
     for _ in 0..40 {
         serve(&mut router_again, &mut now, "e0", 1);
