--- a/crates/verbenaslip-replica/src/found.rs
+++ b/crates/verbenaslip-replica/src/found.rs
@@ -1,4 +1,8 @@
 //! The very first start: how new folders form a group.
+//!
+//! If the founding folder is lost before its first entry is committed, the others wait for it with
+//! empty logs and for good: they may have voted, so they are not new. Nothing was accepted then; an
+//! operator moves these folders away and starts the instances again.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
