--- a/crates/verbenaslip-request/tests/cost.rs
+++ b/crates/verbenaslip-request/tests/cost.rs
@@ -100,3 +100,18 @@
         assert_eq!(world.recomputed(), 0, "{first}");
     }
 }
+
+#[test]
+fn a_stopping_owner_hands_over_before_its_end() {
+    // The instance is reclaimed itself. Left to be noticed as a loss, the stream would stand still
+    // for suspicion and grace; handed over, another goes on with it before the end.
+    let mut world = world(50, PROMPT, CHAT);
+    let now = world.now;
+    world.at(now, Event::Fault(Fault::Stop(0, ms(1000))));
+    let request = world.callers[0].request;
+    while world.now < now + ms(900) && world.step() {}
+    assert!(world.owner(request).is_some_and(|owner| owner != 0));
+    world.finish();
+    assert!(world.callers[0].whole && world.callers[0].calls == 1 && world.nodes[0].drained);
+    assert_eq!(world.recomputed(), 0);
+}
