--- a/crates/verbenaslip-cli/src/command/status.rs
+++ b/crates/verbenaslip-cli/src/command/status.rs
@@ -6,8 +6,7 @@
 use verbenaslip_base::announce::{Announcement, Market, Phase};
 use verbenaslip_base::name::Instance;
 use verbenaslip_gossip::State;
-use verbenaslip_node::status::{Standing, Status, Upstream};
-use verbenaslip_replica::status::{Progress, Status as Log};
+use verbenaslip_node::status::{Load, Log, Standing, Status, Upstream, Voter};
 
 use super::columns::Columns;
 use crate::client::{Call, Client};
@@ -38,6 +37,7 @@
         behind(status),
         instances(status),
         upstreams(&status.upstreams),
+        rows(&status.load),
     ];
     parts.join("\n")
 }
@@ -58,10 +58,11 @@
     let lease = status.lease.map_or("NO LEASE".into(), |left| format!("lease {}", time(left)));
     let work = &status.work;
     format!(
-        "instance  {} in {}, {ready}{isolated}\ntable     revision {}, {} rows, {lease}\n\
+        "instance  {} in {}, version {}, {ready}{isolated}\ntable     revision {}, {} rows, {lease}\n\
         requests  {} waiting, {} running, {} copies held for others, {} finished answers kept",
         status.instance,
         status.zone,
+        status.version,
         status.revision,
         status.rows,
         work.waiting,
@@ -81,8 +82,8 @@
     let change = if log.joint { ", the voters are being changed" } else { "" };
     let head = format!("leader {leader}, term {}, committed to {}{change}", log.term, log.commit);
     let mut columns = Columns::new(&["name", "zone", "vote", "behind", "answered"]);
-    for progress in &log.voters {
-        columns.push(voter(progress, status, log));
+    for voter in &log.voters {
+        columns.push(progress(voter, status, log));
     }
     let mut lines = vec![head, columns.show("none known")];
     lines.extend(warning(status));
@@ -94,10 +95,10 @@
 /// A voter replaced in the wrong availability zone works well until that zone is reclaimed; then
 /// nothing can be committed any more, which shows as V3004 on all instances at once.
 pub(super) fn warning(status: &Status) -> Option<String> {
-    let voters = status.log.as_ref()?.voters.iter().filter(|progress| progress.votes);
+    let voters = status.log.as_ref()?.voters.iter().filter(|voter| voter.votes);
     let mut zones: BTreeMap<String, usize> = BTreeMap::new();
-    for progress in voters {
-        *zones.entry(zone(&progress.voter.instance, status)).or_default() += 1;
+    for voter in voters {
+        *zones.entry(zone(&voter.instance, status)).or_default() += 1;
     }
     let count: usize = zones.values().sum();
     // One voter alone can't be spread.
@@ -120,19 +121,19 @@
     peer.map_or(UNKNOWN.to_owned(), |peer| peer.zone.to_string())
 }
 
-fn voter(progress: &Progress, status: &Status, log: &Log) -> [String; 5] {
-    let vote = if progress.votes { "yes" } else { "not yet" };
-    let name = progress.voter.instance.to_string();
-    let zone = zone(&progress.voter.instance, status);
-    if progress.voter.instance == log.instance {
+fn progress(voter: &Voter, status: &Status, log: &Log) -> [String; 5] {
+    let vote = if voter.votes { "yes" } else { "not yet" };
+    let name = voter.instance.to_string();
+    let zone = zone(&voter.instance, status);
+    if voter.instance == status.instance {
         return [name, zone, vote.into(), "-".into(), "this one".into()];
     }
-    let behind = match progress.matched.map(|matched| log.last.saturating_sub(matched)) {
+    let behind = match voter.matched.map(|matched| log.last.saturating_sub(matched)) {
         Some(0) => "-".into(),
         Some(entries) => format!("{entries} entries"),
         None => "?".into(),
     };
-    let silent = progress.silent.map_or("?".into(), |silent| format!("{} ago", time(silent)));
+    let silent = voter.silent.map_or("?".into(), |silent| format!("{} ago", time(silent)));
     [name, zone, vote.into(), behind, silent]
 }
 
@@ -162,6 +163,22 @@
     part("instances", &columns.show("none known"))
 }
 
+/// Shows the work held here by row, and this instance's part of the row's limits.
+fn rows(load: &[Load]) -> String {
+    let mut columns = Columns::new(&["team", "class", "waiting", "running", "at once", "a second"]);
+    for row in load {
+        columns.push([
+            row.team.to_string(),
+            row.class.to_string(),
+            row.waiting.to_string(),
+            row.running.to_string(),
+            row.concurrency.map_or("no part yet".into(), |most| most.to_string()),
+            row.rate.map_or("-".into(), |rate| format!("{rate:.1}")),
+        ]);
+    }
+    part("rows, and the part of their limits here", &columns.show("no table yet"))
+}
+
 fn upstreams(upstreams: &[Upstream]) -> String {
     let names = ["name", "zone", "phase", "running", "slots", "market", "price/h", "models"];
     let mut columns = Columns::new(&names);
--- a/crates/verbenaslip-node/src/calls.rs
+++ b/crates/verbenaslip-node/src/calls.rs
@@ -14,11 +14,10 @@
 use crate::lead::outcome;
 use crate::message::{Answer, Found, Message, Query, Version};
 use crate::node::Node;
-use crate::notice::Notice;
+use crate::notice::{Made, Notice};
 use crate::operator::{Apply, Ask, Edited, Id, Reply};
 use crate::output::Output;
 use crate::proposal::{Purpose, Wait, Work};
-use crate::status::{Peer, Standing, Status, Upstream, Work as Count};
 
 /// How many revisions of the table are kept to tell what a resent edit changes.
 pub(crate) const TABLES: usize = 32;
@@ -29,6 +28,10 @@
 /// How long a change of the voter set is tried, in which a new voter catches up.
 const VOTING: Duration = Duration::from_secs(60);
 
+/// After this an edit that is not in force everywhere is told of: longer than the lease of whoever
+/// was cut off at its arrival.
+const SLOW: Duration = Duration::from_secs(6);
+
 /// Between two looks whether an edit is in force everywhere.
 const POLL: Duration = Duration::from_millis(100);
 
@@ -59,9 +62,9 @@
 impl Node {
     pub(crate) fn called(&mut self, call: Id, ask: Ask) {
         match ask {
-            Ask::Table => {
-                let table = self.hub.table().clone();
-                self.reply(call, Reply::Table(Version { revision: self.hub.revision(), table }));
+            Ask::Table { revision } => {
+                let reply = self.version(revision);
+                self.reply(call, reply);
             }
             Ask::Apply(apply) => self.apply(call, &apply),
             Ask::History => self.query(Query::History, Waiter::Operator(call), None, PATIENCE),
@@ -82,14 +85,18 @@
     }
 
     /// Takes what became of an operator's edit.
-    pub(crate) fn edited(&mut self, call: Id, by: Operator, wait: Duration, answer: &Answer) {
+    pub(crate) fn edited(&mut self, call: Id, made: Made, wait: Duration, answer: &Answer) {
         let Some(Outcome::Edit(verdict)) = outcome(answer) else {
             return self.reply(call, failure(answer));
         };
-        let accepted = matches!(verdict, Verdict::Accepted { .. } | Verdict::Unchanged { .. });
-        self.note(Notice::Edit { by, accepted, answer: verdict.to_string() });
+        let revision = match verdict {
+            Verdict::Accepted { revision } | Verdict::Unchanged { revision } => Some(*revision),
+            _ => None,
+        };
+        let since = made.at;
+        self.note(Notice::Edit { made, revision, answer: verdict.to_string() });
         let edited = match verdict.clone() {
-            Verdict::Accepted { revision } => return self.await_force(call, revision, wait),
+            Verdict::Accepted { revision } => return self.await_force(call, revision, since, wait),
             Verdict::Unchanged { revision } => Edited::Unchanged(revision),
             Verdict::Stale(newest) => Edited::Stale(newest),
             Verdict::Reused => Edited::Reused,
@@ -103,6 +110,7 @@
         if outcome(answer).is_none() {
             return self.reply(call, failure(answer));
         }
+        self.note(Notice::DrainOrdered { by: by.clone(), instance: instance.clone() });
         if *instance == self.setup.instance {
             self.out.push(Output::Drain);
         } else {
@@ -166,8 +174,13 @@
     pub(crate) fn poll_waits(&mut self) {
         let now = self.now;
         for mut wait in std::mem::take(&mut self.waits) {
-            if wait.deadline <= now {
-                self.settle_wait(&wait, false);
+            if wait.deadline <= now && !wait.told {
+                wait.told = true;
+                self.tell_force(&wait, false);
+            }
+            if wait.told && wait.since + SLOW <= now {
+                let (revision, awaited) = (wait.revision, wait.awaited);
+                self.note(Notice::Slow { revision, awaited });
                 continue;
             }
             if wait.due > now {
@@ -176,7 +189,7 @@
             }
             wait.due = now + POLL;
             match self.find(&Query::Force(wait.revision)) {
-                Some(Found::Force { everywhere: true, .. }) => self.settle_wait(&wait, true),
+                Some(Found::Force { everywhere: true, .. }) => self.settle_wait(&wait),
                 Some(Found::Force { awaited, .. }) => self.waits.push(Wait { awaited, ..wait }),
                 _ => {
                     let query = Query::Force(wait.revision);
@@ -213,10 +226,36 @@
             at: self.unix(),
             changes,
         };
-        let purpose = Purpose::Edit { call, by: apply.by.clone(), wait: apply.wait };
+        let made = Made {
+            id: apply.id.clone(),
+            by: apply.by.clone(),
+            base: apply.base,
+            rows: edit.changes.len(),
+            at: self.now,
+        };
+        let purpose = Purpose::Edit { call, made: Box::new(made), wait: apply.wait };
         self.propose(Command::Edit(edit), purpose, PATIENCE);
     }
 
+    /// Returns the newest table, or the one at a revision as far as it is kept.
+    fn version(&self, revision: Option<Revision>) -> Reply {
+        let newest = self.hub.revision();
+        let revision = revision.unwrap_or(newest);
+        if revision == newest {
+            return Reply::Table(Version { revision, table: self.hub.table().clone() });
+        }
+        let kept = self.tables.iter().find(|kept| kept.revision == revision);
+        kept.map_or_else(
+            || Reply::Missing { oldest: self.oldest(), newest },
+            |kept| Reply::Table(kept.clone()),
+        )
+    }
+
+    /// Returns the oldest revision of the table that is kept.
+    fn oldest(&self) -> Revision {
+        self.tables.iter().map(|kept| kept.revision).min().unwrap_or(self.hub.revision())
+    }
+
     /// Returns the table at a revision; one that is too old to be kept leads to a stale edit, so
     /// that it matters little that the newest stands in for it.
     fn base(&self, revision: Revision) -> Arc<Table> {
@@ -238,12 +277,22 @@
         }
     }
 
-    fn await_force(&mut self, call: Id, revision: Revision, wait: Duration) {
-        let deadline = self.now + wait;
-        self.waits.push(Wait { call, revision, deadline, due: self.now, awaited: Vec::new() });
+    fn await_force(&mut self, call: Id, revision: Revision, since: Duration, wait: Duration) {
+        let (deadline, due) = (self.now + wait, self.now);
+        let (told, awaited) = (false, Vec::new());
+        self.waits.push(Wait { call, revision, since, deadline, told, due, awaited });
+    }
+
+    /// Ends the wait for an edit that is in force everywhere.
+    fn settle_wait(&mut self, wait: &Wait) {
+        let took = self.now.saturating_sub(wait.since);
+        self.note(Notice::InForce { revision: wait.revision, took });
+        if !wait.told {
+            self.tell_force(wait, true);
+        }
     }
 
-    fn settle_wait(&mut self, wait: &Wait, in_force: bool) {
+    fn tell_force(&mut self, wait: &Wait, in_force: bool) {
         let awaited = if in_force { Vec::new() } else { wait.awaited.clone() };
         let edited = Edited::Accepted { revision: wait.revision, in_force, awaited };
         self.reply(wait.call, Reply::Edited(edited));
@@ -296,6 +345,7 @@
 
     /// Leaves a note of a change of the voter set in the audit trail.
     fn note_swap(&mut self, change: Swap, by: Operator) {
+        self.note(Notice::VotersOrdered { by: by.clone(), change: change.clone() });
         let voters = Voters { by, change, at: self.unix() };
         self.propose(Command::Voters(voters), Purpose::Nobody, PATIENCE);
     }
@@ -366,7 +416,7 @@
                 let Some(at) = self.waits.iter().position(|wait| wait.call == call) else { return };
                 if everywhere {
                     let wait = self.waits.remove(at);
-                    self.settle_wait(&wait, true);
+                    self.settle_wait(&wait);
                 } else if let Some(wait) = self.waits.get_mut(at) {
                     wait.awaited = awaited;
                 }
@@ -379,34 +429,6 @@
     fn reply(&mut self, call: Id, reply: Reply) {
         self.out.push(Output::Reply { call, reply });
     }
-
-    fn status(&self) -> Status {
-        let count = self.requests.count();
-        let force = self.hub.force(self.now, self.hub.revision());
-        Status {
-            instance: self.setup.instance.clone(),
-            zone: self.setup.zone.clone(),
-            not_ready: self.unready(),
-            revision: self.hub.revision(),
-            rows: self.hub.table().rows().len(),
-            lease: self.hub.lease().and_then(|until| until.checked_sub(self.now)),
-            follows: self.hub.follows().cloned(),
-            log: self.voter.as_ref().map(|voter| voter.replica().status(self.now)),
-            behind: force.map(|force| force.awaited),
-            isolated: self.gossip.isolated(),
-            peers: self.gossip.members().map(peer).collect(),
-            upstreams: self.gossip.records().map(upstream).collect(),
-            work: Count {
-                waiting: self.dispatcher.waiting(),
-                running: self.dispatcher.running(),
-                owned: count.owned,
-                copies: count.copies,
-                finished: count.finished,
-                claims: self.claims(),
-                proposals: self.proposals.len(),
-            },
-        }
-    }
 }
 
 /// Says why a command of an operator came to nothing.
@@ -418,17 +440,3 @@
         Answer::Changed | Answer::Unknown => Reply::Unknown,
     }
 }
-
-fn peer(member: &verbenaslip_gossip::Member) -> Peer {
-    let (instance, zone) = (member.peer().instance.clone(), member.peer().zone.clone());
-    Peer { instance, zone, state: member.state() }
-}
-
-fn upstream(record: &verbenaslip_gossip::Record) -> Upstream {
-    let standing = match record.standing() {
-        verbenaslip_gossip::Standing::Confirmed => Standing::Confirmed,
-        verbenaslip_gossip::Standing::Doubtful => Standing::Doubtful,
-        verbenaslip_gossip::Standing::Lapsed => Standing::Lapsed,
-    };
-    Upstream { announcement: record.announcement().clone(), standing }
-}
--- a/crates/verbenaslip-node/src/lead.rs
+++ b/crates/verbenaslip-node/src/lead.rs
@@ -274,7 +274,7 @@
     fn conclude(&mut self, token: u64, answer: Answer) {
         let Some(proposal) = self.proposals.remove(token) else { return };
         match proposal.purpose {
-            Purpose::Edit { call, by, wait } => self.edited(call, by, wait, &answer),
+            Purpose::Edit { call, made, wait } => self.edited(call, *made, wait, &answer),
             Purpose::Claim { request, claimant, claim } => {
                 self.claimed(request, claimant, *claim, &answer);
             }
--- a/crates/verbenaslip-node/src/lib.rs
+++ b/crates/verbenaslip-node/src/lib.rs
@@ -28,6 +28,7 @@
 mod calls;
 mod lead;
 mod members;
+mod millis;
 mod node;
 mod orders;
 mod proposal;
--- a/crates/verbenaslip-node/src/members.rs
+++ b/crates/verbenaslip-node/src/members.rs
@@ -1,10 +1,11 @@
 //! Membership and the registry of upstreams, as the other parts need them.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use verbenaslip_base::announce::Phase;
-use verbenaslip_base::name::{Instance, Upstream};
-use verbenaslip_gossip::{self as gossip, MemberEvent, State, UpstreamEvent};
+use verbenaslip_base::name::{AvailabilityZone, Instance, Upstream};
+use verbenaslip_gossip::{self as gossip, MemberEvent, Standing, State, UpstreamEvent};
 use verbenaslip_request::input as request;
 use verbenaslip_state::{order, watch};
 
@@ -115,11 +116,16 @@
                     zone: peer.zone,
                     boot: peer.incarnation,
                 };
+                let (zone, incarnation) = (member.zone.clone(), member.boot);
                 self.push(Todo::Request(request::Input::Joined(member)));
-                self.note(Notice::Joined(peer.instance));
+                self.note(Notice::Joined { instance: peer.instance, zone, incarnation });
             }
             MemberEvent::Suspected(instance) => self.note(Notice::Suspected(instance)),
-            MemberEvent::Cleared(_) => {}
+            MemberEvent::Cleared(instance) => {
+                let member = self.gossip.member(&instance);
+                let incarnation = member.map_or(0, |member| member.peer().incarnation);
+                self.note(Notice::Back { instance, incarnation });
+            }
             // It still ends what it owns; taken for gone, its requests would be run a second time.
             MemberEvent::Leaving(_) => {}
             MemberEvent::Left(instance) => {
@@ -128,14 +134,15 @@
             }
             MemberEvent::Lost(instance) => {
                 self.push(Todo::Request(request::Input::Lost(instance.clone())));
-                self.note(Notice::Lost(instance));
+                let zone = self.gossip.member(&instance).map(|member| member.peer().zone.clone());
+                self.note(Notice::Lost { instance, zone });
             }
             MemberEvent::ZoneLost(zone) => self.note(Notice::ZoneLost(zone)),
             MemberEvent::ZoneBack(_)
             | MemberEvent::RegionSilent(_)
             | MemberEvent::RegionBack(_) => {}
-            MemberEvent::Replaced { .. } => {
-                self.note(Notice::Replaced);
+            MemberEvent::Replaced { incarnation } => {
+                self.note(Notice::Replaced { incarnation });
                 self.out.push(Output::Drain);
             }
         }
@@ -146,9 +153,16 @@
         match event {
             UpstreamEvent::Appeared(upstream) => {
                 self.usable(&upstream);
-                self.note(Notice::Appeared(upstream));
+                if let Some(record) = self.gossip.record(&upstream) {
+                    self.note(Notice::Appeared(Box::new(record.announcement().clone())));
+                }
+            }
+            UpstreamEvent::Changed(upstream) => {
+                self.usable(&upstream);
+                if let Some(record) = self.gossip.record(&upstream) {
+                    self.note(Notice::Changed(Box::new(record.announcement().clone())));
+                }
             }
-            UpstreamEvent::Changed(upstream) => self.usable(&upstream),
             UpstreamEvent::Leaving { upstream, notice } => {
                 if let Some(record) = self.gossip.record(&upstream) {
                     self.dispatcher.announce(self.now, record.announcement());
@@ -162,10 +176,21 @@
                 let _ = self.dispatcher.lost(self.now, &upstream);
                 self.push(Todo::Request(request::Input::Lapsed(upstream.clone())));
                 self.step_orders(order::Input::Gone(upstream.clone()));
-                self.note(Notice::Lapsed(upstream));
+                let record = self.gossip.record(&upstream);
+                let age = record.map_or(0, |record| record.load(self.now).age);
+                let age = Duration::from_millis(u64::from(age));
+                self.note(Notice::Lapsed { upstream, age });
+            }
+            UpstreamEvent::Doubted(zone) => {
+                let known = self.upstreams_in(&zone).count();
+                let in_doubt = |record: &&gossip::Record| record.standing() != Standing::Confirmed;
+                let lost = self.upstreams_in(&zone).filter(in_doubt).count();
+                self.note(Notice::Doubted { zone, lost, known });
+            }
+            UpstreamEvent::Cleared(zone) => {
+                let known = self.upstreams_in(&zone).count();
+                self.note(Notice::Trusted { zone, known });
             }
-            UpstreamEvent::Doubted(zone) => self.note(Notice::Doubted(zone)),
-            UpstreamEvent::Cleared(_) => {}
         }
     }
 
@@ -203,7 +228,18 @@
         if isolated {
             self.dispatcher.doubt(self.now);
         }
-        self.note(Notice::Isolated(isolated));
+        let stays = |member: &&gossip::Member| member.state() != State::Left;
+        let known = self.gossip.members().filter(stays).count() + 1;
+        let alive = |member: &&gossip::Member| member.state() == State::Alive;
+        let heard = self.gossip.members().filter(alive).count() + 1;
+        self.note(Notice::Isolated { isolated, heard, known });
+    }
+
+    fn upstreams_in<'a>(
+        &'a self,
+        zone: &'a AvailabilityZone,
+    ) -> impl Iterator<Item = &'a gossip::Record> {
+        self.gossip.records().filter(move |record| record.announcement().zone == *zone)
     }
 
     /// Passes a request's message on.
--- a/crates/verbenaslip-node/src/operator.rs
+++ b/crates/verbenaslip-node/src/operator.rs
@@ -20,8 +20,11 @@
 /// Asks for something.
 #[derive(Clone, Debug)]
 pub enum Ask {
-    /// The table in use here.
-    Table,
+    /// The table.
+    Table {
+        /// At which revision; the newest when there is none.
+        revision: Option<Revision>,
+    },
     /// An edit of the table.
     Apply(Apply),
     /// The accepted edits.
@@ -73,8 +76,15 @@
 pub enum Reply {
     /// What became of an announcement.
     Announced(Announced),
-    /// The table in use here.
+    /// A table.
     Table(Version),
+    /// That revision of the table is not kept here, or not there yet.
+    Missing {
+        /// The oldest revision that is kept.
+        oldest: Revision,
+        /// The newest.
+        newest: Revision,
+    },
     /// What became of an edit.
     Edited(Edited),
     /// The accepted edits.
--- a/crates/verbenaslip-node/src/proposal.rs
+++ b/crates/verbenaslip-node/src/proposal.rs
@@ -16,6 +16,7 @@
 use verbenaslip_state::{Command, claim};
 use verbenaslip_table::Revision;
 
+use crate::notice::Made;
 use crate::operator;
 
 /// Between two sendings of an unanswered proposal.
@@ -37,7 +38,7 @@
 #[derive(Clone, Debug)]
 pub(crate) enum Purpose {
     /// An operator's edit.
-    Edit { call: operator::Id, by: Operator, wait: Duration },
+    Edit { call: operator::Id, made: Box<Made>, wait: Duration },
     /// The claim of a non-idempotent request, as it was proposed.
     Claim { request: Request, claimant: u128, claim: Box<claim::Claim> },
     /// An operator's drain of an instance.
@@ -118,7 +119,12 @@
 pub(crate) struct Wait {
     pub(crate) call: operator::Id,
     pub(crate) revision: Revision,
+    /// When the edit arrived.
+    pub(crate) since: Duration,
+    /// When the operator is told at the latest.
     pub(crate) deadline: Duration,
+    /// Whether the operator was told.
+    pub(crate) told: bool,
     pub(crate) due: Duration,
     pub(crate) awaited: Vec<Instance>,
 }
--- a/crates/verbenaslip-node/src/serve.rs
+++ b/crates/verbenaslip-node/src/serve.rs
@@ -46,7 +46,7 @@
     pub(crate) head: Head,
     pub(crate) arrived: Duration,
     /// When its first run began.
-    began: Option<Duration>,
+    pub(crate) began: Option<Duration>,
     digest: u128,
     /// Whether it waits for an upstream that the queue shall give it.
     wanted: bool,
@@ -141,6 +141,8 @@
             (Ruling::Granted | Ruling::Unknown, _) => self.release(claim),
             _ => {}
         }
+        let team = self.known.get(&request).map(|known| known.head.team.clone());
+        self.note(Notice::Claimed { request, team, ruling: ruling.clone() });
         self.push(Todo::Request(request::Input::Claimed { request, claimant, ruling }));
     }
 
@@ -200,7 +202,13 @@
             Wants::Mirror { request, epoch, to } => {
                 self.out.push(Output::Mirror { request, epoch, to });
             }
-            Wants::Own { request, epoch } => self.out.push(Output::Own { request, epoch }),
+            Wants::Own { request, epoch } => {
+                // Own requests are known from their admission on.
+                if !self.known.contains_key(&request) {
+                    self.note(Notice::TakenOver(request));
+                }
+                self.out.push(Output::Own { request, epoch });
+            }
             Wants::Forget { request, epoch } => self.out.push(Output::Forget { request, epoch }),
             Wants::Send { to, message } => self.say(&to, message),
             Wants::Done { request, outcome } => self.done(request, outcome),
@@ -328,12 +336,18 @@
             self.dispatcher.cancel(self.now, request);
             return;
         };
-        known.began.get_or_insert(now);
+        let began = known.began.replace(known.began.unwrap_or(now)).is_none().then(|| {
+            let waited = now.saturating_sub(known.arrived);
+            Notice::Began { head: Box::new(known.head.clone()), waited }
+        });
         if std::mem::take(&mut known.wanted) {
             self.push(Todo::Request(request::Input::Placed { request, place }));
         } else {
             known.early = Some(place);
         }
+        if let Some(began) = began {
+            self.note(began);
+        }
     }
 
     fn given_up(&mut self, request: Request, refusal: Refusal) {
@@ -362,6 +376,7 @@
         let request = head.request;
         let fate = self.known.get(&request).map_or(Fate::Lost, |known| known.fate);
         let verdict = self.dispatcher.failed(self.now, request, upstream, fate, &mut self.rng);
+        self.note(Notice::Retried { head: Box::new(head.clone()), verdict });
         // The queue itself holds the run back for the delay; the request may ask for it at once.
         let granted = matches!(verdict, retry::Verdict::After(_)).then_some(Duration::ZERO);
         self.push(Todo::Request(request::Input::Retry { request, granted }));
--- a/crates/verbenaslip/src/admin/reply.rs
+++ b/crates/verbenaslip/src/admin/reply.rs
@@ -29,8 +29,10 @@
         /// It as CSV.
         csv: String,
     },
-    /// There is no such revision.
+    /// There is no such revision, or it is not kept any more.
     Missing {
+        /// The oldest revision that is kept here.
+        oldest: u64,
         /// The newest revision.
         newest: u64,
     },
--- a/crates/verbenaslip/src/admin/server.rs
+++ b/crates/verbenaslip/src/admin/server.rs
@@ -14,6 +14,7 @@
 use crate::admin::call::{Call, Report};
 use crate::admin::read;
 use crate::admin::write::{self, Answer, Problem};
+use crate::event::Event;
 use crate::keys::ring::Ring;
 
 /// The most bytes of a body; a table of many thousand rows fits.
@@ -82,7 +83,21 @@
     }
     match read(request, &setup.keys) {
         Ok(call) => exchange(call, setup, calls),
-        Err(problem) => problem.answer(),
+        Err(problem) => {
+            refused(request, &problem);
+            problem.answer()
+        }
+    }
+}
+
+/// Logs a call that was refused before it reached the decisions.
+fn refused(request: &Request<Body>, problem: &Problem) {
+    let path: Arc<str> = request.uri().path().into();
+    let cause = problem.shown().into();
+    if &*path == "/v1/upstreams" {
+        Event::AnnouncementRefused { cause }.log();
+    } else {
+        Event::OperatorRefused { call: path, cause }.log();
     }
 }
 
--- a/crates/verbenaslip/src/admin/write.rs
+++ b/crates/verbenaslip/src/admin/write.rs
@@ -109,6 +109,11 @@
         answer(self.status, &json!({ "error": self.object() }))
     }
 
+    /// Returns what it is about, for the log.
+    pub(crate) fn shown(&self) -> String {
+        format!("{} {}: {}", self.status, self.code, self.message)
+    }
+
     fn object(&self) -> Object<'_> {
         let Self { kind, code, message, hint, .. } = self;
         Object { message, r#type: kind, code, hint }
@@ -131,7 +136,7 @@
         Reply::Table { revision, csv } => {
             Answer { status: 200, content: CSV, revision: Some(revision), body: csv }
         }
-        Reply::Missing { newest } => missing(newest),
+        Reply::Missing { oldest, newest } => missing(oldest, newest),
         Reply::Applied(applied) => self::applied(&applied),
         Reply::Conflict(conflict) => self::conflict(&conflict),
         Reply::Faulty(faults) => faulty(&faults),
@@ -161,9 +166,11 @@
     answer(409, &json!({ "error": problem.object(), "held": held }))
 }
 
-fn missing(newest: u64) -> Answer {
-    let message = format!("There is no such revision; the newest is {newest}.");
-    Problem::invalid(404, "revision", message, "Leave `revision` out for the newest.").answer()
+fn missing(oldest: u64, newest: u64) -> Answer {
+    let message =
+        format!("This revision is not kept here; the oldest is {oldest}, the newest is {newest}.");
+    let hint = "Leave `revision` out for the newest. Another instance may keep older ones.";
+    Problem::invalid(404, "revision", message, hint).answer()
 }
 
 fn applied(applied: &Applied) -> Answer {
--- a/crates/verbenaslip/src/control.rs
+++ b/crates/verbenaslip/src/control.rs
@@ -3,17 +3,21 @@
 //! One loop waits for whatever comes first of callers' and upstreams' reports, other instances'
 //! messages, calls on the admin address, orders of the process, and the decisions' own next time.
 //! [`carry`] does what the decisions want done, [`call`] translates operators' calls, [`notice`]
-//! makes log events and metrics of what happened. [`disk`], [`cloud`] and [`outside`] are threads of
+//! makes log events and metrics of what happened, [`track`] of runs, [`gauge`] of how the instance
+//! stands, [`tally`] of messages. [`disk`], [`cloud`] and [`outside`] are threads of
 //! their own, because they wait for a disk and for other systems.
 
 mod call;
 mod carry;
 pub(crate) mod cloud;
 pub(crate) mod disk;
+mod gauge;
 mod notice;
 pub(crate) mod outside;
+mod tally;
+mod track;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -30,7 +34,10 @@
 use crate::admin::{self, Admin, Reply};
 use crate::control::cloud::Worker;
 use crate::control::disk::Disk;
+use crate::control::gauge::Gauges;
 use crate::control::outside::{Ask, Outside};
+use crate::control::tally::Tally;
+use crate::control::track::Tracks;
 use crate::event::Event;
 use crate::metric::Metric;
 use crate::peers::{self, Peers, Via};
@@ -52,6 +59,9 @@
 /// How long after the last work an engine is asked for its cache events.
 const USED: Duration = Duration::from_secs(60);
 
+/// A sync that takes so long holds up edits and claims and, near the election's time, the leader.
+const SLOW_SYNC: Duration = Duration::from_millis(250);
+
 /// The most inputs taken before the clock is looked at again.
 const BATCH: usize = 256;
 
@@ -65,8 +75,8 @@
     Stop(Duration),
     /// Stop at once.
     Abandon,
-    /// Writes up to a mark are durable.
-    Stored(u64),
+    /// Writes up to a mark are durable, and the sync took so long.
+    Stored(u64, Duration),
     /// The data folder can't be written.
     DiskFailed(verbenaslip_replica::storage::Error),
     /// Another system has answered.
@@ -121,6 +131,11 @@
                 used: BTreeMap::new(),
                 deadline: None,
                 ended: None,
+                suspected: BTreeMap::new(),
+                ready: BTreeSet::new(),
+                tracks: Tracks::default(),
+                tally: Tally::default(),
+                gauges: Gauges::default(),
             };
             let ended = running.run();
             running.farewell(ended);
@@ -142,6 +157,13 @@
     used: BTreeMap<Upstream, Used>,
     deadline: Option<Duration>,
     ended: Option<Ended>,
+    /// Since when other instances are suspected.
+    suspected: BTreeMap<Instance, Duration>,
+    /// The upstreams that were told to take work.
+    ready: BTreeSet<Upstream>,
+    tracks: Tracks,
+    tally: Tally,
+    gauges: Gauges,
 }
 
 /// Holds an engine that this instance has sent work to.
@@ -210,6 +232,7 @@
         if now >= self.clock {
             self.clock = now + CLOCK;
             self.step(Input::Clock(unix()));
+            self.look();
         }
         if now >= self.upkeep {
             self.upkeep = now + UPKEEP;
@@ -239,28 +262,37 @@
 
     /// Gives the decisions one input and does what they want done.
     fn step(&mut self, input: Input) {
+        let started = Instant::now();
+        self.tally.input(&input);
         let mut outputs = std::mem::take(&mut self.outputs);
         self.node.step(self.now(), input, &mut outputs);
         for output in outputs.drain(..) {
             self.carry(output);
         }
         self.outputs = outputs;
+        self.control.metric.step(started.elapsed());
     }
 
     fn reported(&mut self, report: traffic::Report) {
+        if let traffic::Report::Run { attempt, event } = &report {
+            self.ran(*attempt, event);
+        }
         if let Some(input) = carry::input(report) {
             self.step(input);
         }
     }
 
     fn message(&mut self, report: &peers::Report) {
+        let bytes = report.bytes.len();
         let input = match report.via {
-            Via::Datagram => Frame::decode(&report.bytes)
-                .map(|frame| Input::Datagram { from: report.source, frame: Box::new(frame) }),
-            Via::Stream => {
-                let message = postcard::from_bytes::<Message>(&report.bytes).ok();
-                message.map(|message| Input::Peer { from: report.from.clone(), message })
-            }
+            Via::Datagram => Frame::decode(&report.bytes).map(|frame| {
+                self.tally.received(tally::DATAGRAM, bytes);
+                Input::Datagram { from: report.source, frame: Box::new(frame) }
+            }),
+            Via::Stream => postcard::from_bytes::<Message>(&report.bytes).ok().map(|message| {
+                self.tally.received(tally::kind(&message), bytes);
+                Input::Peer { from: report.from.clone(), message }
+            }),
         };
         let Some(input) = input else {
             let cause = "it can't be read by this version".into();
@@ -275,7 +307,13 @@
             Order::Abandon => {
                 self.ended.get_or_insert(Ended::TimedOut);
             }
-            Order::Stored(mark) => self.step(Input::Stored { mark }),
+            Order::Stored(mark, took) => {
+                self.control.metric.sync(took);
+                if took >= SLOW_SYNC {
+                    Event::DiskSlow { step: "sync".into(), took }.log();
+                }
+                self.step(Input::Stored { mark });
+            }
             Order::DiskFailed(error) => {
                 Event::DiskFailed {
                     step: "write".into(),
--- a/crates/verbenaslip/src/control/call.rs
+++ b/crates/verbenaslip/src/control/call.rs
@@ -20,13 +20,14 @@
         let id = Id(self.last_call);
         let input = match report.call {
             Call::Metrics => {
+                self.look();
                 let _ = report.reply.try_send(Reply::Metrics(self.control.metric.render()));
                 return;
             }
             Call::Announce(announcement) => {
                 Input::Announced { call: id, announcement: Box::new(announcement) }
             }
-            call => match ask(call, self.node.revision()) {
+            call => match ask(call) {
                 Ok(ask) => Input::Called { call: id, ask },
                 Err(reply) => {
                     let _ = report.reply.try_send(reply);
@@ -42,10 +43,9 @@
     }
 }
 
-fn ask(call: Call, newest: Revision) -> Result<Ask, Reply> {
+fn ask(call: Call) -> Result<Ask, Reply> {
     Ok(match call {
-        Call::Table { revision } if revision.is_none_or(|it| it == newest.0) => Ask::Table,
-        Call::Table { .. } => return Err(Reply::Missing { newest: newest.0 }),
+        Call::Table { revision } => Ask::Table { revision: revision.map(Revision) },
         Call::Apply { base, edit, csv, wait, dry, operator } => {
             let Some(id) = edit::Id::new(&edit) else {
                 return Err(Reply::Refused {
@@ -79,6 +79,7 @@
         Told::Table(version) => {
             Reply::Table { revision: version.revision.0, csv: version.table.print() }
         }
+        Told::Missing { oldest, newest } => Reply::Missing { oldest: oldest.0, newest: newest.0 },
         Told::Edited(edited) => edited_reply(edited),
         Told::History(entries) => Reply::History(entries.iter().map(listed).collect()),
         Told::Audit(page) => {
--- a/crates/verbenaslip/src/control/carry.rs
+++ b/crates/verbenaslip/src/control/carry.rs
@@ -4,7 +4,8 @@
 use verbenaslip_node::{Input, Output};
 
 use crate::control::outside::Ask;
-use crate::control::{Running, Used, call, cloud};
+use crate::control::{Running, Used, call, cloud, tally};
+use crate::event::Event;
 use crate::peers::Via;
 use crate::server::Ended;
 use crate::traffic::Report;
@@ -18,11 +19,13 @@
         match output {
             Output::Send { address, message, .. } => {
                 if let Ok(bytes) = postcard::to_stdvec(&message) {
+                    self.tally.sent(tally::kind(&message), bytes.len());
                     self.control.peers.send(address, Via::Stream, bytes);
                 }
             }
             Output::Datagram { to, frame } => {
                 if let Some(bytes) = frame.encode() {
+                    self.tally.sent(tally::DATAGRAM, bytes.len());
                     self.control.peers.send(to, Via::Datagram, bytes);
                 }
             }
@@ -34,6 +37,7 @@
             Output::Verdict { ticket, verdict } => traffic.verdict(ticket, verdict),
             Output::Absent(ticket) => traffic.absent(ticket),
             Output::Run(run) => {
+                self.runs(&run);
                 if run.kind == Kind::Engine {
                     let (address, at) = (run.address, self.now());
                     self.used.insert(run.upstream.clone(), Used { address, at });
@@ -47,6 +51,9 @@
             Output::Order { address, give } => {
                 let expires = give.expiry.saturating_sub(self.now());
                 let (upstream, fence, task) = (give.upstream, give.fence, give.task);
+                let order = format!("{task:?}").into();
+                Event::OrderGiven { order, upstream: upstream.clone(), fence }.log();
+                self.control.metric.orders("given", 1);
                 self.control.outside.ask(Ask::Order { address, upstream, fence, expires, task });
             }
             Output::ReadBack { address, upstream, question } => {
--- a/crates/verbenaslip/src/control/disk.rs
+++ b/crates/verbenaslip/src/control/disk.rs
@@ -4,6 +4,7 @@
 //! writes that have gathered during one sync share the next.
 
 use std::thread::{self, JoinHandle};
+use std::time::Instant;
 
 use crossbeam::channel::{self, Receiver, Sender};
 use verbenaslip_replica::storage::{Error, Storage, Write};
@@ -62,9 +63,10 @@
             mark = next.mark;
             writes.push(next.write);
         }
+        let started = Instant::now();
         storage.write(&writes)?;
         storage.sync()?;
-        let _ = orders.send(Order::Stored(mark));
+        let _ = orders.send(Order::Stored(mark, started.elapsed()));
     }
     Ok(())
 }
--- a/crates/verbenaslip/src/event/list.rs
+++ b/crates/verbenaslip/src/event/list.rs
@@ -149,10 +149,10 @@
     2009 Error Isolated "isolated: {heard} of {known} members heard" { heard: u64, known: u64 }
     /// Most others are heard again.
     2010 Info IsolationOver "no longer isolated: {heard} of {known} members heard" { heard: u64, known: u64 }
-    /// Two instances have one name; the later one is not listened to.
-    2011 Error NameTaken "another instance at {address} uses the name {peer}" { peer: Instance, address: SocketAddr }
+    /// Two instances have one name; this one, which started earlier, drains.
+    2011 Error NameTaken "another instance uses the name {peer}, incarnation {incarnation}" { peer: Instance, incarnation: u64 }
     /// An instance of another deployment called; it is not listened to.
-    2012 Warn ForeignCluster "instance at {address} belongs to cluster {cluster}" { address: SocketAddr, cluster: Arc<str> }
+    2012 Warn ForeignCluster "instance {peer} at {address} belongs to another cluster, or has another secret" { peer: Instance, address: SocketAddr }
 
     // Log, voters and leader.
     /// The voters have a leader.
@@ -214,7 +214,7 @@
     /// An operator has ordered a change of the voter set; V3006 follows once it is committed.
     4011 Info VotersOrdered "{operator} changes voters: {change}" { operator: Operator, change: Arc<str> }
     /// A call to `admin` had no valid key or was not understood.
-    4012 Warn OperatorRefused "operator call {call} from {address} refused: {cause}" { call: Arc<str>, address: SocketAddr, cause: Arc<str> }
+    4012 Warn OperatorRefused "operator call {call} refused: {cause}" { call: Arc<str>, cause: Arc<str> }
     /// The leader ordered an upstream to load or unload a model or change its role.
     4020 Info OrderGiven "order {order} to {upstream} with fence {fence}" { order: Arc<str>, upstream: Upstream, fence: Fence }
     /// The upstream has obeyed.
@@ -244,7 +244,7 @@
     /// The doubt is over.
     5006 Info UpstreamsTrusted "view of upstreams of {zone} trusted again: {known} known" { zone: AvailabilityZone, known: u64 }
     /// An announcement had a bad key, could not be read, or was older than the one held.
-    5007 Warn AnnouncementRefused "announcement from {address} refused: {cause}" { address: SocketAddr, cause: Arc<str> }
+    5007 Warn AnnouncementRefused "announcement refused: {cause}" { cause: Arc<str> }
     /// Runs there fail although it announces itself; it gets only trial requests.
     5008 Warn UpstreamFailing "upstream {upstream} set aside after {failures} failures: {cause}" { upstream: Upstream, failures: u64, cause: Arc<str> }
     /// A trial request succeeded.
@@ -272,7 +272,7 @@
     /// The retry budget is used up, or a second run could do harm.
     6010 Warn RetryDenied "request {request} of {team} not tried again: {cause}" { request: Request, team: Team, cause: Arc<str> }
     /// The owner was lost and this instance, which held a copy, carries on.
-    6011 Info TakenOver "request {request} taken over from {from}" { request: Request, from: Instance }
+    6011 Info TakenOver "request {request} taken over" { request: Request }
     /// This instance stops and another one carries on.
     6012 Info HandedOver "request {request} handed over to {to}" { request: Request, to: Instance }
     /// The connection of a caller broke; it may come back with its key.
--- a/crates/verbenaslip/src/metric/label.rs
+++ b/crates/verbenaslip/src/metric/label.rs
@@ -7,6 +7,7 @@
 use verbenaslip_base::announce::{Market, Phase};
 use verbenaslip_base::name::{AvailabilityZone, Class, Instance, Model, Team, Upstream};
 use verbenaslip_base::refusal::{Reason, Unknown};
+use verbenaslip_request::run::Step;
 
 use crate::event::kebab;
 
@@ -65,7 +66,7 @@
     )*};
 }
 
-words!(Market, Reason, Unknown);
+words!(Market, Reason, Step, Unknown);
 
 impl Label for Phase {
     fn text(self) -> SharedString {
--- a/crates/verbenaslip/src/peers/inbound.rs
+++ b/crates/verbenaslip/src/peers/inbound.rs
@@ -10,10 +10,14 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::time::sleep;
 
+use crate::event::Event;
 use crate::peers::link::{BEAT, SILENT};
 use crate::peers::wire::{DATAGRAM_MAX, Datagram, Frame, Purpose, Stamp};
 use crate::peers::{Report, Shared, Via, count};
 
+/// The name of the listener in events.
+const LISTENER: &str = "peers";
+
 /// The most connections from others at once.
 const CONNECTIONS_MAX: usize = 2048;
 
@@ -45,12 +49,19 @@
 pub(crate) async fn accept(shared: Arc<Shared>, listener: TcpListener) {
     let open = Arc::new(AtomicUsize::new(0));
     loop {
-        let Ok((stream, source)) = listener.accept().await else {
-            sleep(REST).await;
-            continue;
+        let (stream, source) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                let cause = error.to_string().into();
+                Event::AcceptFailed { listener: LISTENER.into(), cause }.log();
+                sleep(REST).await;
+                continue;
+            }
         };
         if open.load(Ordering::Relaxed) >= CONNECTIONS_MAX {
             count(&shared.counts.refused);
+            let limit = CONNECTIONS_MAX as u64;
+            Event::ConnectionsFull { listener: LISTENER.into(), limit }.log();
             continue;
         }
         open.fetch_add(1, Ordering::Relaxed);
@@ -131,16 +142,12 @@
     let known = stamp.deployment == shared.stamp.deployment;
     if !known {
         count(&shared.counts.refused);
-        let from = &stamp.from;
-        log::warn!(
-            "refused {from} at {source}: it is of another deployment, or its secret differs; check \
-             the cluster name and secret in its settings"
-        );
+        Event::ForeignCluster { peer: stamp.from.clone(), address: source }.log();
     }
     known
 }
 
 fn refuse(shared: &Shared, source: SocketAddr, error: &dyn std::error::Error) {
     count(&shared.counts.refused);
-    log::warn!("refused bytes from {source}: {error}");
+    Event::FrameRefused { address: source, cause: error.to_string().into() }.log();
 }
