--- a/crates/verbenaslip/src/traffic.rs
+++ b/crates/verbenaslip/src/traffic.rs
@@ -1,11 +1,14 @@
 //! Callers' connections, runs at upstreams and the answers between them.
 //!
-//! A request is read whole ([`parse`]) and told to the control thread as an arrival. The control
-//! thread answers with verdicts for the caller and with runs at upstreams. A run ([`client`]) adds
-//! pieces to the request's shelf ([`shelf`]); callers' streams ([`stream`]) read from it. [`relay`]
-//! reads a shelf of another instance and [`mirror`] copies one there. Token text stays here: the
-//! control thread sees counts only. Nothing here decides where or whether a request runs.
-
+//! [`server`] takes callers' connections. A request is read whole ([`parse`], [`body`]) and told to
+//! the control thread as an arrival, under a [`ticket`]. The control thread answers with verdicts for
+//! the caller and with runs at upstreams. A run ([`client`]) adds pieces to the request's [`shelf`];
+//! a [`reader`] follows its caller's verdicts through the shelves that they name, and [`stream`]
+//! writes what it reads. [`relay`] reads a shelf of another instance and [`mirror`] copies one there;
+//! [`plane`] is the other end of both. Token text stays here: the control thread sees counts only.
+//! Nothing here decides where or whether a request runs.
+
+mod body;
 mod chunk;
 mod client;
 mod dial;
@@ -29,6 +32,7 @@
 mod steady;
 mod stream;
 mod ticket;
+mod token;
 
 use std::collections::BTreeMap;
 use std::io;
--- a/crates/verbenaslip/src/traffic/chunk.rs
+++ b/crates/verbenaslip/src/traffic/chunk.rs
@@ -6,7 +6,7 @@
 use verbenaslip_base::attempt::Request;
 use verbenaslip_base::head::Head;
 
-use crate::traffic::parse::Form;
+use crate::traffic::body::Form;
 use crate::traffic::shelf::Rest;
 
 /// Holds what every chunk of one answer repeats.
--- a/crates/verbenaslip/src/traffic/client.rs
+++ b/crates/verbenaslip/src/traffic/client.rs
@@ -10,7 +10,6 @@
 use hyper::header::{CONTENT_TYPE, HeaderMap};
 use hyper::http::request::Builder;
 use hyper::{Response, StatusCode};
-use serde::Deserialize;
 use serde_json::{Value, json};
 use verbenaslip_base::announce::Kind;
 use verbenaslip_base::attempt::Attempt;
@@ -26,6 +25,7 @@
 use crate::traffic::shared::Shared;
 use crate::traffic::shelf::Shelf;
 use crate::traffic::sse;
+use crate::traffic::token::Chunk;
 
 /// How long one try to cancel may take, and how often it is tried.
 const CANCEL: Duration = Duration::from_secs(2);
@@ -345,47 +345,3 @@
     }
     Halt::from(Cause::Error)
 }
-
-/// Holds a chunk of an engine's answer.
-#[derive(Deserialize)]
-struct Chunk {
-    request: Option<String>,
-    attempt: Option<u32>,
-    position: Option<u32>,
-    tokens: Option<u32>,
-    #[serde(default)]
-    choices: Vec<Choice>,
-}
-
-#[derive(Deserialize)]
-struct Choice {
-    #[serde(default)]
-    delta: Delta,
-    finish_reason: Option<String>,
-}
-
-#[derive(Default, Deserialize)]
-struct Delta {
-    content: Option<String>,
-}
-
-impl Chunk {
-    /// Says whether the chunk is of that run; one that does not say so is not.
-    fn belongs(&self, attempt: Attempt) -> bool {
-        let request = attempt.request.to_string();
-        self.attempt == Some(attempt.number) && self.request.as_ref() == Some(&request)
-    }
-
-    fn content(&self) -> (&str, Option<String>) {
-        let Some(choice) = self.choices.first() else {
-            return ("", None);
-        };
-        (choice.delta.content.as_deref().unwrap_or_default(), choice.finish_reason.clone())
-    }
-
-    fn piece(&self, text: &str) -> Option<Piece> {
-        let count = self.tokens.unwrap_or(u32::from(!text.is_empty()));
-        let position = self.position?;
-        (count > 0).then(|| Piece { position, count, text: text.into() })
-    }
-}
--- a/crates/verbenaslip/src/traffic/stream.rs
+++ b/crates/verbenaslip/src/traffic/stream.rs
@@ -10,9 +10,10 @@
 use verbenaslip_request::answer::Whole;
 
 use crate::traffic::Report;
+use crate::traffic::body::Form;
 use crate::traffic::chunk::Style;
 use crate::traffic::error::Problem;
-use crate::traffic::parse::{Asked, Form};
+use crate::traffic::parse::Asked;
 use crate::traffic::payload::{Feed, Payload};
 use crate::traffic::reader::{Reader, Stop};
 use crate::traffic::shared::Shared;
