--- a/crates/verbenaslip-gossip/src/gossip.rs
+++ b/crates/verbenaslip-gossip/src/gossip.rs
@@ -400,7 +400,9 @@
     /// Doubts its own links when most neighbours look dead at once, and buries nobody meanwhile.
     ///
     /// An instance that is cut off sees everybody else fall silent. One would notice it declare
-    /// all others dead, take over their duties, and spread that when it is back.
+    /// all others dead, take over their duties, and spread that when it is back. The survivor of
+    /// two can't tell the one from the other: it doubts itself until the other is back or another
+    /// joins, and goes on with the upstreams that announce themselves to it.
     fn doubt(&mut self, now: Duration) {
         let (missing, all) = self.roster.missing(now);
         let most = missing >= 2 && missing * 100 > all * MOST;
--- a/crates/verbenaslip-gossip/src/registry.rs
+++ b/crates/verbenaslip-gossip/src/registry.rs
@@ -64,7 +64,7 @@
     Appeared(Upstream),
     /// Its content has changed: phase, address, models, price or incarnation.
     Changed(Upstream),
-    /// It takes no new work ever again in this incarnation.
+    /// It takes no new work ever again in this incarnation; told again when the notice shortens.
     Leaving {
         /// The upstream.
         upstream: Upstream,
--- a/crates/verbenaslip-gossip/src/time.rs
+++ b/crates/verbenaslip-gossip/src/time.rs
@@ -18,7 +18,8 @@
 
 /// Says how long ago something was true, in units of 25 ms, rounded up; 255 is beyond any lease.
 ///
-/// Ages travel in place of times because instances share no clock.
+/// Ages travel in place of times because instances share no clock. What a datagram waits on its way
+/// beyond one unit is not counted, nor is a freeze of less than 0.7 s.
 #[data(copy, ord, hash)]
 pub struct Age(pub u8);
 
--- a/crates/verbenaslip-gossip/tests/voucher.rs
+++ b/crates/verbenaslip-gossip/tests/voucher.rs
@@ -394,3 +394,26 @@
         assert_eq!(introduced, !acked);
     }
 }
+
+#[test]
+fn one_that_is_held_dead_is_told_so() {
+    // Symptom: an instance that is back waits for its turn to be searched for. Sequence: it was
+    // declared dead while it was cut off; it speaks. Cause: nobody tells it what to refute.
+    let mut bench = Bench::open();
+    let peer = bench.voucher.clone();
+    let dead = Rumor { peer: peer.clone(), refutation: 0, state: State::Dead };
+    bench.spread(Spread { members: vec![dead.clone()], ..Spread::default() });
+    let told = bench.say(Body::Report(verbenaslip_gossip::Report {
+        version: 1,
+        age: Age(0),
+        bytes: Vec::new(),
+    }));
+    let tells = |output: &Output| {
+        matches!(output, Output::Send { to, frame } if *to == peer.address
+            && matches!(&frame.body, Body::Spread(it) if it.members.contains(&dead)))
+    };
+    assert!(told.iter().any(tells));
+    bench.say(Body::Join(Rumor { refutation: 1, state: State::Alive, ..dead }));
+    let state = bench.gossip.member(&peer.instance).map(|member| member.state());
+    assert_eq!(state, Some(State::Alive));
+}
