Tell of damaged folders, full disks, and what a folder held at the start

Cause: the alarm for a lost voter rests on V3012, V3013 and V3014, but a daemon that found a damaged folder told of V1018, and every failed write was told of as V3013 without its step and file.

Change: a damaged folder is V3012 with file and place, a full disk V3014, other failures V3013 with their step and file. At the start V3010 says how far the log goes, and V3017 that the folder is new where the instance is no founder. V3010 and V3014 lose fields that are not known there.

Test: a daemon's folder is overwritten and it is started again; with the old mapping it failed with V1018. V3014 and V3017 are not tested: nothing fills a disk here.

--- a/crates/verbenaslip-cli/src/daemon.rs
+++ b/crates/verbenaslip-cli/src/daemon.rs
@@ -16,6 +16,7 @@
 use verbenaslip::event::{Event, logger};
 use verbenaslip::server::{Ended, Error, Stopper};
 use verbenaslip::{Server, settings::Settings};
+use verbenaslip_replica::storage::Error as Folder;
 
 use crate::args::Daemon;
 use crate::exit::Stop;
@@ -122,6 +123,10 @@
             let listener = (*listener).into();
             (Event::ListenFailed { listener, address: *address, cause }, Stop::NotStarted)
         }
+        Error::Folder(Folder::Damaged { file, offset, what }) => {
+            let (file, offset, cause) = (file.clone(), *offset, what.clone());
+            (Event::LogDamaged { file, offset, cause }, Stop::NotStarted)
+        }
         Error::Folder(_) | Error::Thread(_) => {
             (Event::StartFailed { cause: cause() }, Stop::NotStarted)
         }
--- a/crates/verbenaslip-cli/tests/daemon.rs
+++ b/crates/verbenaslip-cli/tests/daemon.rs
@@ -131,6 +131,34 @@
     assert_eq!(daemon.wait(), Stop::Graceful as i32, "{}", site.log());
 }
 
+/// Symptom: the alarm for a damaged disk never fires. Sequence: a voter has run, its files are
+/// overwritten, it is started again. Cause: a damaged folder is told of like any other failed start.
+#[test]
+fn damaged_folder_is_told_of_by_its_own_event() {
+    let site = Site::new("damage");
+    let mut daemon = site.start();
+    site.await_ready();
+    daemon.signal("TERM");
+    assert_eq!(daemon.wait(), Stop::Graceful as i32);
+    assert!(site.log().contains(" V1003 "), "{}", site.log());
+    assert!(!site.log().contains(" V3017 "), "a founder's new folder is no news");
+
+    let started = site.start();
+    site.await_ready();
+    drop(started);
+    assert!(site.log().contains(" V3010 log recovered to index "), "{}", site.log());
+
+    let files = fs::read_dir(site.path("data")).expect("the folder is there");
+    for path in files.flatten().map(|entry| entry.path()).filter(|path| path.is_file()) {
+        let bytes = fs::read(&path).expect("the file can be read");
+        fs::write(&path, vec![0x5a; bytes.len()]).expect("the file can be written");
+    }
+    let output = site.daemon().output().expect("the daemon runs");
+    assert_eq!(output.status.code(), Some(Stop::NotStarted as i32));
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(text.contains("verbenaslipd: V3012 "), "{text}");
+}
+
 /// A plain service that keeps each request until it is told to answer.
 struct Service {
     held: Receiver<TcpStream>,
--- a/crates/verbenaslip/src/control.rs
+++ b/crates/verbenaslip/src/control.rs
@@ -315,12 +315,7 @@
                 self.step(Input::Stored { mark });
             }
             Order::DiskFailed(error) => {
-                Event::DiskFailed {
-                    step: "write".into(),
-                    file: "data folder".into(),
-                    cause: error.to_string().into(),
-                }
-                .log();
+                disk::failed(error).log();
                 self.ended.get_or_insert(Ended::DiskFailed);
             }
             Order::Tell(input) => self.step(*input),
--- a/crates/verbenaslip/src/control/disk.rs
+++ b/crates/verbenaslip/src/control/disk.rs
@@ -10,6 +10,7 @@
 use verbenaslip_replica::storage::{Error, Storage, Write};
 
 use crate::control::Order;
+use crate::event::Event;
 
 /// Writes to the data folder; dropping it waits until all that was given is durable.
 pub(crate) struct Disk {
@@ -70,3 +71,18 @@
     }
     Ok(())
 }
+
+/// Says which event tells of a failed write.
+pub(crate) fn failed(error: Error) -> Event {
+    match error {
+        Error::Full { file, .. } => Event::DiskFull { file },
+        Error::Io { step, file, reason } => {
+            Event::DiskFailed { step: step.to_string().into(), file, cause: reason }
+        }
+        other => Event::DiskFailed {
+            step: "write".into(),
+            file: "data folder".into(),
+            cause: other.to_string().into(),
+        },
+    }
+}
--- a/crates/verbenaslip/src/event/list.rs
+++ b/crates/verbenaslip/src/event/list.rs
@@ -174,7 +174,7 @@
     /// This instance was too far behind for single entries.
     3009 Info SnapshotInstalled "snapshot at log index {index} received from {peer}" { index: u64, peer: Instance }
     /// A voter has read its folder after a start.
-    3010 Info LogRecovered "log recovered to index {index}, table revision {revision}" { index: u64, revision: u64 }
+    3010 Info LogRecovered "log recovered to index {index}" { index: u64 }
     /// The machine stopped during a write that was never acknowledged; nothing committed is lost.
     3011 Warn TornTail "{file} ended in the middle of an entry: {bytes} bytes cut at {offset}" { file: Arc<str>, bytes: u64, offset: u64 }
     /// Entries that were acknowledged can't be read, so the voter does not start.
@@ -182,7 +182,7 @@
     /// A write or sync failed; what was not synced is not acknowledged and the voter stops voting.
     3013 Error DiskFailed "disk failed at step {step} on {file}: {cause}" { step: Arc<str>, file: Arc<str>, cause: Arc<str> }
     /// The voter can't store entries and stops voting; other instances go on.
-    3014 Error DiskFull "disk of {folder} is full" { folder: Arc<str> }
+    3014 Error DiskFull "disk of {file} is full" { file: Arc<str> }
     /// The disk is slow; edits and claims wait for it.
     3015 Warn DiskSlow "{step} took {took}" { step: Arc<str>, took: Duration }
     /// The data folder was made by another instance or cluster, so the daemon did not start.
--- a/crates/verbenaslip/src/server.rs
+++ b/crates/verbenaslip/src/server.rs
@@ -266,6 +266,13 @@
         let (file, offset, bytes) = (torn.file.clone(), torn.offset, torn.bytes);
         Event::TornTail { file, offset, bytes }.log();
     }
+    let index = recovered.newest().index;
+    let founds = settings.cluster.voters.iter().any(|it| it.name == settings.instance.name);
+    if index > 0 {
+        Event::LogRecovered { index }.log();
+    } else if !founds {
+        Event::FolderNew { folder: path.display().to_string().into() }.log();
+    }
     Ok((Some(Box::new(folder)), Some(recovered)))
 }
 
