Never name two proposals alike, over all lives of an instance

Cause: an instance counted the tokens of its proposals from 1 at each start, and those of its queries from 1 whenever none was open. An answer that was on its way while the instance was killed and started again found another proposal under its token, and the operator of that one was told that it is accepted as a revision which the first edit had made. The same holds for claims (an answer "granted" that belongs to another key) and for the question whether a revision is in force everywhere (an answer about an older one).

Change: tokens begin after the incarnation in Unix milliseconds, shifted by 20 bits, and one counter serves proposals and queries.

The world of the tests learns what was missing for this: what an instance awaited does not reach its next life, a request that was written to an upstream counts as run even when the upstream is lost before it says so, relays are carried out, and revisions are checked to never fall in one life.

--- a/crates/verbenaslip-node/src/calls.rs
+++ b/crates/verbenaslip-node/src/calls.rs
@@ -361,7 +361,7 @@
         if let Some(found) = here.then(|| self.find(&query)).flatten() {
             return self.found(purpose, found);
         }
-        let token = self.queries.last_key_value().map_or(1, |(last, _)| last + 1);
+        let token = self.tokens.draw();
         let (deadline, due) = (self.now + patience, self.now);
         self.queries.insert(token, Open { query, purpose, target, deadline, due, tries: 0 });
         self.send_query(token);
--- a/crates/verbenaslip-node/src/lead.rs
+++ b/crates/verbenaslip-node/src/lead.rs
@@ -103,7 +103,8 @@
             doubtful: false,
             tries: 0,
         };
-        let token = self.proposals.insert(proposal);
+        let token = self.tokens.draw();
+        self.proposals.insert(token, proposal);
         self.launch(token);
     }
 
--- a/crates/verbenaslip-node/src/node.rs
+++ b/crates/verbenaslip-node/src/node.rs
@@ -21,7 +21,7 @@
 use crate::message::{Message, Version};
 use crate::notice::Notice;
 use crate::output::Output;
-use crate::proposal::{Proposals, Wait};
+use crate::proposal::{Proposals, Tokens, Wait};
 use crate::serve::Known;
 use crate::setup::Setup;
 use crate::voter::{self, Voter};
@@ -50,6 +50,7 @@
     pub(crate) hub: watch::Hub,
     pub(crate) requests: Requests,
     pub(crate) dispatcher: Dispatcher,
+    pub(crate) tokens: Tokens,
     pub(crate) proposals: Proposals,
     pub(crate) queries: BTreeMap<u64, crate::calls::Open>,
     pub(crate) waits: Vec<Wait>,
@@ -102,6 +103,7 @@
             hub: watch::Hub::new(instance.clone(), zone.clone(), boot),
             requests: Requests::open(crate::serve::setup(&setup)),
             dispatcher: Dispatcher::new(now, instance, zone, boot),
+            tokens: Tokens::new(setup.incarnation),
             proposals: Proposals::default(),
             queries: BTreeMap::new(),
             waits: Vec::new(),
--- a/crates/verbenaslip-node/src/proposal.rs
+++ b/crates/verbenaslip-node/src/proposal.rs
@@ -72,19 +72,43 @@
     pub(crate) tries: u32,
 }
 
+/// Bits of a token that count within a millisecond of an instance's life.
+const COUNT_BITS: u32 = 20;
+
+/// Draws the tokens by which answers of other instances find what was asked.
+///
+/// An answer may arrive after the asker was restarted, or after it has given the question up. If it
+/// found another question under its token, an operator would be told that an edit is accepted which
+/// no table has, or a request would run on the claim of another. So no token is used twice: not in
+/// one life, and not in the next, which begins with a greater incarnation.
+#[derive(Debug)]
+pub(crate) struct Tokens {
+    last: u64,
+}
+
+impl Tokens {
+    /// Begins after all tokens of earlier lives; an incarnation is in Unix milliseconds.
+    pub(crate) fn new(incarnation: u64) -> Self {
+        Self { last: incarnation.wrapping_shl(COUNT_BITS) }
+    }
+
+    /// Returns a token that was never used before.
+    pub(crate) fn draw(&mut self) -> u64 {
+        self.last = self.last.wrapping_add(1);
+        self.last
+    }
+}
+
 /// Holds the proposals on their way.
 #[derive(Debug, Default)]
 pub(crate) struct Proposals {
     open: BTreeMap<u64, Proposal>,
-    last: u64,
 }
 
 impl Proposals {
-    /// Takes a proposal and returns its token.
-    pub(crate) fn insert(&mut self, proposal: Proposal) -> u64 {
-        self.last += 1;
-        self.open.insert(self.last, proposal);
-        self.last
+    /// Takes a proposal under its token.
+    pub(crate) fn insert(&mut self, token: u64, proposal: Proposal) {
+        self.open.insert(token, proposal);
     }
 
     /// Finds a proposal.
--- a/crates/verbenaslip-node/tests/fault.rs
+++ b/crates/verbenaslip-node/tests/fault.rs
@@ -8,7 +8,7 @@
 
 use verbenaslip_base::announce::{Kind, Phase};
 use verbenaslip_base::refusal::Reason;
-use verbenaslip_node::operator::{Edited, Reply};
+use verbenaslip_node::operator::{Ask, Edited, Reply};
 use verbenaslip_request::caller::Verdict;
 
 use crate::world::{MS, World, upstream};
@@ -300,3 +300,31 @@
     let ran = world.upstreams.counted.iter().filter(|it| it.kind == Kind::Service).count();
     assert_eq!(ran, 1);
 }
+
+#[test]
+fn an_answer_to_an_earlier_life_is_not_taken_for_another_edits() {
+    // Symptom: an operator is told that an edit is accepted that no table has. Sequence: an
+    // instance proposes an edit, dies, is back at once and proposes another one; the answer to the
+    // first arrives. Cause: both lives name their proposals alike.
+    let mut wrong = Vec::new();
+    for step in 0..40_u64 {
+        let mut world = ready(300 + step);
+        let first = world.apply(5, 1, "edit-a", 200, Duration::ZERO);
+        world.run(Duration::from_micros(step * 250));
+        world.kill(5);
+        world.start(5);
+        let second = world.apply(5, 1, "edit-b", 300, Duration::ZERO);
+        world.run(MS(12_000));
+        let call = world.ask(0, Ask::History);
+        world.run(MS(1_000));
+        let Some(Reply::History(entries)) = world.replies.get(&call) else { panic!("no history") };
+        for (call, id) in [(first, "edit-a"), (second, "edit-b")] {
+            let Some((revision, _)) = world.accepted(call) else { continue };
+            let kept = entries.iter().find(|entry| entry.revision.0 == revision);
+            if kept.is_none_or(|entry| entry.edit.to_string() != id) {
+                wrong.push(format!("step {step}: {id} as {revision}"));
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:?}");
+}
--- a/crates/verbenaslip-node/tests/world/mod.rs
+++ b/crates/verbenaslip-node/tests/world/mod.rs
@@ -41,9 +41,15 @@
     pub node: Option<Node>,
     pub disk: Option<Disk>,
     pub frozen: Option<Duration>,
+    /// When it last went on after a freeze.
+    pub thawed: Duration,
     pub sent: Sent,
     pub zone: usize,
     parked: Vec<Input>,
+    /// Rises with each start; what an earlier life awaited does not reach a later one.
+    life: u64,
+    /// The highest revision that was seen in this life.
+    seen: Revision,
 }
 
 /// Orders what is on its way: by arrival, then by sending.
@@ -53,8 +59,43 @@
 struct Flight {
     to: usize,
     input: Input,
+    /// The life that alone may have it; none for what comes over the network.
+    life: Option<u64>,
 }
 
+/// Says how a caller's request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The whole answer came.
+    Whole,
+    /// It was refused as not run.
+    Refused,
+    /// It may have run.
+    Unknown,
+    /// The key belongs to another body.
+    Conflict,
+    /// The caller's own instance was lost.
+    Broken,
+}
+
+/// Holds a caller's answer that another instance assembles.
+struct Relay {
+    caller: Ticket,
+    at: usize,
+    owner: usize,
+    life: u64,
+    /// Since when nothing passes between the two.
+    silent: Option<Duration>,
+    /// Whether what opens the connection was lost on its way.
+    unheard: bool,
+}
+
+/// From here on tickets stand for connections between instances.
+const RELAYS: u64 = 1 << 32;
+
+/// How long a relay waits for an instance that nothing comes from.
+const SILENCE: Duration = Duration::from_secs(1);
+
 /// Holds who copies an answer to whom.
 #[derive(Clone)]
 struct Mirror {
@@ -91,6 +132,15 @@
     mirrors: BTreeMap<Request, Mirror>,
     calls: u64,
     callers: BTreeMap<Ticket, usize>,
+    /// When each caller's request was read; one sent to a frozen instance is read when it goes on.
+    pub arrived: BTreeMap<Ticket, Duration>,
+    /// How each caller's request ended, and when.
+    pub ended: BTreeMap<Ticket, (End, Duration)>,
+    /// The steps that were checked.
+    pub steps: u64,
+    relays: BTreeMap<Ticket, Relay>,
+    relayed: u64,
+    whole: BTreeSet<Request>,
 }
 
 impl World {
@@ -126,9 +176,12 @@
             node: None,
             disk: (number < voters).then(|| Disk::new(number)),
             frozen: None,
+            thawed: Duration::ZERO,
             sent: Sent::default(),
             zone: number % 3,
             parked: Vec::new(),
+            life: 0,
+            seen: Revision::default(),
         };
         let mut world = Self {
             now: Duration::ZERO,
@@ -149,6 +202,12 @@
             mirrors: BTreeMap::new(),
             calls: 0,
             callers: BTreeMap::new(),
+            arrived: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            steps: 0,
+            relays: BTreeMap::new(),
+            relayed: RELAYS,
+            whole: BTreeSet::new(),
         };
         (0..instances).for_each(|number| world.start(number));
         world
@@ -157,6 +216,8 @@
     /// Starts an instance from what its disk holds.
     pub fn start(&mut self, number: usize) {
         let place = &mut self.places[number];
+        place.life += 1;
+        place.seen = Revision::default();
         let mut setup = place.setup.clone();
         setup.incarnation = EPOCH + self.now.as_millis() as u64;
         setup.recovered = place.disk.as_ref().map(Disk::recovered);
@@ -170,9 +231,18 @@
         let place = &mut self.places[number];
         place.node = None;
         place.parked.clear();
+        place.frozen = None;
         if let Some(disk) = &mut place.disk {
             disk.lose();
         }
+        self.upstreams.forget(number);
+        self.drained.remove(&number);
+        self.relays.retain(|_, relay| relay.at != number);
+        let open: Vec<Ticket> =
+            self.callers.iter().filter(|(_, at)| **at == number).map(|(it, _)| *it).collect();
+        for ticket in open {
+            self.ended.entry(ticket).or_insert((End::Broken, self.now));
+        }
     }
 
     /// Lets time pass, checking what must always hold after every step.
@@ -182,6 +252,7 @@
             let due = self.due().max(self.now).min(end);
             self.now = due;
             self.deliver();
+            self.watch_relays();
             for number in 0..self.places.len() {
                 let awake = self.places[number].frozen.is_none_or(|until| until <= self.now);
                 if awake {
@@ -236,6 +307,13 @@
         call
     }
 
+    /// Asks an instance for something.
+    pub fn ask(&mut self, at: usize, ask: Ask) -> Id {
+        let call = self.call();
+        self.hand(at, Input::Called { call, ask });
+        call
+    }
+
     /// Returns the revision that an edit was accepted as, and whether it is in force everywhere.
     pub fn accepted(&self, call: Id) -> Option<(u64, bool)> {
         match self.replies.get(&call) {
@@ -252,8 +330,25 @@
         self.arrive_for(at, key, idempotent, model)
     }
 
+    /// Has a caller send a request with a key that wants its whole answer within a time.
+    pub fn arrive_by(&mut self, at: usize, key: &str, idempotent: bool, due: Duration) -> Ticket {
+        let model = if idempotent { "assistant" } else { "orders" };
+        self.request(at, key, idempotent, model, Some(due))
+    }
+
     /// Has a caller send a request with a key for a model or service.
     pub fn arrive_for(&mut self, at: usize, key: &str, idempotent: bool, model: &str) -> Ticket {
+        self.request(at, key, idempotent, model, None)
+    }
+
+    fn request(
+        &mut self,
+        at: usize,
+        key: &str,
+        idempotent: bool,
+        model: &str,
+        due: Option<Duration>,
+    ) -> Ticket {
         let ticket = Ticket(self.callers.len() as u64 + 1);
         self.callers.insert(ticket, at);
         let team = Team::from("office");
@@ -272,7 +367,7 @@
         };
         let body = Body { path: "/".into(), content: "application/json".into(), bytes: key.into() };
         let arrival = Arrival { ticket, head, body: Arc::new(body), after: None };
-        self.hand(at, Input::Arrived { arrival, due: None });
+        self.hand(at, Input::Arrived { arrival, due });
         ticket
     }
 
@@ -302,11 +397,22 @@
     pub fn step(&mut self, number: usize, input: Input) {
         let place = &mut self.places[number];
         let Some(node) = &mut place.node else { return };
+        let whole = match &input {
+            Input::Ran { attempt, event: Event::Ended { .. } } => Some(attempt.request),
+            _ => None,
+        };
+        if let Input::Arrived { arrival, .. } = &input {
+            self.arrived.insert(arrival.ticket, self.now);
+        }
         let mut outputs = Vec::new();
         node.step(self.now, input, &mut outputs);
         for output in outputs {
             self.carry(number, output);
         }
+        if let Some(request) = whole {
+            self.whole.insert(request);
+            self.answered(request);
+        }
     }
 
     fn due(&self) -> Duration {
@@ -324,19 +430,17 @@
             if entry.key().0 > self.now {
                 break;
             }
-            let Flight { to, input } = entry.remove();
-            self.hand(to, input);
+            let Flight { to, input, life } = entry.remove();
+            if life.is_none_or(|life| life == self.places[to].life) {
+                self.hand(to, input);
+            }
         }
         for (number, attempt, event) in self.upstreams.step(self.now) {
             if let Event::Tokens { position } | Event::Ended { position } = &event {
                 let whole = matches!(event, Event::Ended { .. });
                 self.mirror(number, attempt.request, *position, whole);
             }
-            let ended = matches!(event, Event::Ended { .. });
             self.hand(number, Input::Ran { attempt, event });
-            if ended {
-                self.answered(attempt.request);
-            }
         }
     }
 
@@ -351,10 +455,12 @@
         let done: Vec<(Ticket, usize)> = self
             .callers
             .iter()
+            .filter(|(ticket, _)| !self.ended.contains_key(*ticket))
             .filter(|(ticket, _)| self.last(**ticket).is_some_and(served))
             .map(|(ticket, at)| (*ticket, *at))
             .collect();
         for (ticket, at) in done {
+            self.ended.insert(ticket, (End::Whole, self.now));
             self.fly(MS(5), at, Input::Gone(ticket));
         }
     }
@@ -373,7 +479,9 @@
     }
 
     fn thaw(&mut self, number: usize) {
-        self.places[number].frozen = None;
+        if self.places[number].frozen.take().is_some() {
+            self.places[number].thawed = self.now;
+        }
         for input in std::mem::take(&mut self.places[number].parked) {
             self.step(number, input);
         }
@@ -422,8 +530,9 @@
                 }
             }
             Output::Verdict { ticket, verdict } => {
-                self.verdicts.entry(ticket).or_default().push(verdict);
+                self.tell(number, ticket, verdict);
             }
+            Output::Absent(ticket) => self.lose_relay(ticket),
             Output::Reply { call, reply } => {
                 if let Reply::Edited(Edited::Accepted { revision, in_force: true, .. }) = &reply {
                     self.in_force = self.in_force.max(*revision);
@@ -437,6 +546,73 @@
         }
     }
 
+    /// Tells a caller, or the instance that relays to it, what it gets.
+    fn tell(&mut self, number: usize, ticket: Ticket, verdict: Verdict) {
+        if let Some(relay) = self.relays.get(&ticket) {
+            let (caller, at) = (relay.caller, relay.at);
+            let end = end(&verdict);
+            if matches!(verdict, Verdict::Relay { .. }) {
+                self.lose_relay(ticket);
+            } else if let Some(end) = end {
+                self.ended.entry(caller).or_insert((end, self.now));
+                self.relays.remove(&ticket);
+                self.fly(MS(5), at, Input::Gone(caller));
+            }
+            return;
+        }
+        let (request, relay) = match &verdict {
+            Verdict::Serve { request, .. } => (Some(*request), None),
+            Verdict::Relay { request, after, owner } => (Some(*request), Some((*after, owner))),
+            _ => (None, None),
+        };
+        self.relays.retain(|_, relay| relay.caller != ticket);
+        if let (Some(request), Some((after, owner))) = (request, relay) {
+            self.relay(number, ticket, request, after, owner);
+        }
+        if let Some(end) = end(&verdict) {
+            self.ended.entry(ticket).or_insert((end, self.now));
+        }
+        self.verdicts.entry(ticket).or_default().push(verdict);
+        if let Some(request) = request.filter(|request| self.whole.contains(request)) {
+            self.answered(request);
+        }
+    }
+
+    /// Opens a connection to the instance that assembles a caller's answer.
+    fn relay(&mut self, at: usize, caller: Ticket, request: Request, after: u32, to: &Instance) {
+        let Some(owner) = self.names.get(to).copied() else { return };
+        self.relayed += 1;
+        let ticket = Ticket(self.relayed);
+        let life = self.places[owner].life;
+        let unheard = self.cuts.contains(&(at, owner));
+        self.relays.insert(ticket, Relay { caller, at, owner, life, silent: None, unheard });
+        if !unheard {
+            self.fly(MS(1), owner, Input::Subscribed { ticket, request, after });
+        }
+    }
+
+    fn lose_relay(&mut self, ticket: Ticket) {
+        let Some(relay) = self.relays.remove(&ticket) else { return };
+        self.fly(MS(1), relay.at, Input::RelayLost { ticket: relay.caller, after: 0 });
+    }
+
+    /// Gives up relays to instances that are gone, or from which nothing comes any more.
+    fn watch_relays(&mut self) {
+        let mut lost = Vec::new();
+        for (ticket, relay) in &mut self.relays {
+            let place = &self.places[relay.owner];
+            let cut = self.cuts.contains(&(relay.at, relay.owner))
+                || self.cuts.contains(&(relay.owner, relay.at));
+            let silent = relay.unheard || cut || place.frozen.is_some();
+            relay.silent = silent.then(|| relay.silent.unwrap_or(self.now));
+            let gone = place.node.is_none() || place.life != relay.life;
+            if gone || relay.silent.is_some_and(|since| self.now >= since + SILENCE) {
+                lost.push(*ticket);
+            }
+        }
+        lost.into_iter().for_each(|ticket| self.lose_relay(ticket));
+    }
+
     fn post(&mut self, from: usize, to: SocketAddr, bytes: usize, input: Input) {
         let sent = &mut self.places[from].sent;
         sent.messages += 1;
@@ -452,7 +628,9 @@
 
     fn fly(&mut self, delay: Duration, to: usize, input: Input) {
         self.flights += 1;
-        self.flying.insert((self.now + delay, self.flights), Flight { to, input });
+        let network = matches!(input, Input::Peer { .. } | Input::Datagram { .. });
+        let life = (!network).then_some(self.places[to].life);
+        self.flying.insert((self.now + delay, self.flights), Flight { to, input, life });
     }
 
     fn call(&mut self) -> Id {
@@ -462,25 +640,55 @@
 
     /// Checks what must always hold.
     fn check(&mut self) {
-        let leaders: Vec<usize> = (0..self.places.len())
+        self.steps += 1;
+        self.check_leaders();
+        self.check_revisions();
+        if let Some((request, runs)) = self.upstreams.doubled() {
+            panic!("the non-idempotent request {request} ran {runs} times");
+        }
+    }
+
+    fn check_leaders(&mut self) {
+        let leaders = self.leaders();
+        assert!(leaders.len() <= 1, "two hold a leader's lease at {:?}: {leaders:?}", self.now);
+    }
+
+    fn leaders(&self) -> Vec<usize> {
+        (0..self.places.len())
             .filter(|number| self.places[*number].frozen.is_none())
             .filter(|number| self.places[*number].node.as_ref().is_some_and(Node::is_leader))
-            .collect();
-        assert!(leaders.len() <= 1, "two hold a leader's lease at {:?}: {leaders:?}", self.now);
-        for (number, place) in self.places.iter().enumerate() {
-            let Some(node) = &place.node else { continue };
-            let serves = place.frozen.is_none() && node.takes_work();
+            .collect()
+    }
+
+    fn check_revisions(&mut self) {
+        for number in 0..self.places.len() {
+            let place = &mut self.places[number];
+            let Some(revision) = place.node.as_ref().map(Node::revision) else { continue };
+            let (seen, now, force) = (place.seen, self.now, self.in_force);
+            assert!(revision >= seen, "{number} fell from {seen} to {revision} at {now:?}");
+            place.seen = revision;
             assert!(
-                !serves || node.revision() >= self.in_force,
-                "{number} serves by revision {} at {:?}, {} is in force everywhere",
-                node.revision(),
-                self.now,
-                self.in_force,
+                !self.serves_old(number),
+                "{number} serves by revision {revision} at {now:?}, {force} is in force everywhere",
             );
         }
-        if let Some((request, runs)) = self.upstreams.doubled() {
-            panic!("the non-idempotent request {request} ran {runs} times");
-        }
+    }
+
+    /// Says whether an instance serves by a table older than one that is in force everywhere.
+    fn serves_old(&self, number: usize) -> bool {
+        let place = &self.places[number];
+        let old = |node: &Node| node.takes_work() && node.revision() < self.in_force;
+        place.frozen.is_none() && place.node.as_ref().is_some_and(old)
+    }
+}
+
+/// Returns how a verdict ends a request; none when the answer follows.
+fn end(verdict: &Verdict) -> Option<End> {
+    match verdict {
+        Verdict::Serve { .. } | Verdict::Relay { .. } => None,
+        Verdict::Refused(_) => Some(End::Refused),
+        Verdict::Unknown(_) => Some(End::Unknown),
+        Verdict::Conflict => Some(End::Conflict),
     }
 }
 
--- a/crates/verbenaslip-node/tests/world/upstream.rs
+++ b/crates/verbenaslip-node/tests/world/upstream.rs
@@ -24,6 +24,10 @@
     position: u32,
     due: Duration,
     sent: bool,
+    /// Whether the upstream was there when the run was sent to it.
+    reached: bool,
+    /// Whether it knows the run that it is asked to go on with.
+    known: bool,
 }
 
 /// Holds one run as an upstream counted it.
@@ -31,6 +35,7 @@
 pub struct Counted {
     pub request: Request,
     pub upstream: Upstream,
+    pub instance: usize,
     pub at: Duration,
     pub kind: Kind,
 }
@@ -42,6 +47,7 @@
     pub dead: BTreeSet<Upstream>,
     streams: BTreeMap<Attempt, Stream>,
     positions: BTreeMap<Request, u32>,
+    known: BTreeMap<Attempt, Upstream>,
 }
 
 impl Upstreams {
@@ -53,10 +59,14 @@
                 self.positions.get(&run.attempt.request).copied().unwrap_or(0)
             }
         };
-        if !matches!(run.start, Start::Rejoin) && !self.dead.contains(&run.upstream) {
+        let reached = !self.dead.contains(&run.upstream);
+        let rejoins = matches!(run.start, Start::Rejoin);
+        if !rejoins && reached {
+            self.known.insert(run.attempt, run.upstream.clone());
             self.counted.push(Counted {
                 request: run.attempt.request,
                 upstream: run.upstream.clone(),
+                instance,
                 at: now,
                 kind: run.kind,
             });
@@ -68,6 +78,8 @@
             position,
             due: now + CALL,
             sent: false,
+            reached,
+            known: !rejoins || self.known.get(&run.attempt) == Some(&run.upstream),
         };
         self.streams.insert(run.attempt, stream);
     }
@@ -77,6 +89,22 @@
         self.streams.remove(&attempt);
     }
 
+    /// Loses an upstream with all that it knows.
+    pub fn die(&mut self, upstream: &Upstream) {
+        self.dead.insert(upstream.clone());
+        self.known.retain(|_, at| at != upstream);
+    }
+
+    /// Closes the connections of an instance that is gone.
+    pub fn forget(&mut self, instance: usize) {
+        self.streams.retain(|_, stream| stream.instance != instance);
+    }
+
+    /// Counts the runs of a request.
+    pub fn runs(&self, request: Request) -> usize {
+        self.counted.iter().filter(|counted| counted.request == request).count()
+    }
+
     /// Returns the last token that was given of an answer.
     pub fn position(&self, request: Request) -> Option<u32> {
         self.positions.get(&request).copied()
@@ -118,6 +146,15 @@
 
 fn advance(stream: &mut Stream, now: Duration, dead: bool) -> Event {
     stream.due = now + TOKEN;
+    if dead && stream.reached && !stream.sent {
+        // It was written before the loss, so that it may have run.
+        stream.sent = true;
+        return Event::Sent;
+    }
+    if !stream.known && !dead {
+        let (step, cause) = (Step::Head, Cause::Forgotten);
+        return Event::Failed(Failure { step, cause, not_run: false });
+    }
     if dead {
         let step = if stream.sent { Step::Read } else { Step::Connect };
         return Event::Failed(Failure { step, cause: Cause::Closed, not_run: !stream.sent });
