Step whole instances through random faults from fixed seeds

What must always hold was shown for faults that somebody thought of.

Checked after every step: one leader's lease, no table older than one in force everywhere, revisions never fall in a life, no second run of a non-idempotent request, no work for an upstream 2 s after it left (while no fault held), no caller without a verdict 1.5 s after its key's last deadline. At the end: everything healed within 60 s, accepted edits in the history and in force at all, nothing refused as not run has run.

A resend with a shorter deadline than the request it joins waits for that request's answer.

--- /dev/null
+++ b/crates/verbenaslip-node/tests/random.rs
@@ -0,0 +1,609 @@
+//! Whole instances under faults drawn at random from fixed seeds, with what must always hold
+//! checked after every step and at the end.
+//!
+//! `VERBENASLIP_SEEDS=1000..3000` runs other seeds than CI does.
+
+mod world;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Range;
+use std::panic::{self, AssertUnwindSafe};
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use verbenaslip_base::announce::{Announcement, Kind, Phase};
+use verbenaslip_base::attempt::Request;
+use verbenaslip_base::name::Team;
+use verbenaslip_node::operator::{Ask, Id, Reply};
+use verbenaslip_node::{Input, Node};
+use verbenaslip_request::caller::Ticket;
+
+use crate::world::disk::Disk;
+use crate::world::{End, MS, World, upstream};
+
+const INSTANCES: usize = 6;
+const VOTERS: usize = 3;
+/// The seeds of each of the tests that CI runs side by side.
+const EACH: u64 = 25;
+/// How long faults are drawn.
+const STORM: Duration = Duration::from_secs(8);
+/// Within which everything must heal after the last fault.
+const HEAL: Duration = Duration::from_secs(60);
+/// The longest a caller waits beyond its deadline: a relaying instance notices an owner that fell
+/// silent just before only after the world's silence of a second.
+const MARGIN: Duration = Duration::from_millis(1_500);
+/// Within which a leaving is known to all connected instances.
+const LEAVING: Duration = Duration::from_secs(2);
+/// Before all instances know each other again after a fault.
+const CALM: Duration = Duration::from_secs(3);
+/// The fewest steps of a schedule.
+const STEPS: u64 = 1_000;
+
+/// Holds one upstream's standing.
+struct Back {
+    name: String,
+    kind: Kind,
+    incarnation: u64,
+    sequence: u64,
+    left: Option<Left>,
+    dead: bool,
+}
+
+/// Says when and where an upstream announced its leaving.
+#[derive(Clone, Copy)]
+struct Left {
+    at: Duration,
+    calm: bool,
+}
+
+/// Holds one caller's sending of a request.
+struct Call {
+    ticket: Ticket,
+    key: String,
+    at: usize,
+    due: Duration,
+    sent: Duration,
+}
+
+/// Holds one edit with all its sendings.
+struct Sending {
+    id: String,
+    base: u64,
+    weight: u32,
+    calls: Vec<Id>,
+}
+
+/// Draws one schedule of faults, requests and edits.
+struct Storm {
+    world: World,
+    rng: Pcg64Mcg,
+    backs: Vec<Back>,
+    calls: Vec<Call>,
+    edits: Vec<Sending>,
+    restarts: BTreeMap<usize, Duration>,
+    stopping: BTreeSet<usize>,
+    heal: Option<Duration>,
+    quiet: Duration,
+    /// The last moment at which a fault held.
+    faulty: Duration,
+    disk: bool,
+    counted: usize,
+    renewed: Duration,
+}
+
+impl Storm {
+    fn open(seed: u64) -> Self {
+        let mut world = World::open(INSTANCES, VOTERS, seed);
+        world.settle();
+        let back = |name: &str, kind| Back {
+            name: name.to_owned(),
+            kind,
+            incarnation: 1,
+            sequence: 0,
+            left: None,
+            dead: false,
+        };
+        let engines = ["engine-0", "engine-1", "engine-2"].map(|name| back(name, Kind::Engine));
+        let services = ["service-0", "service-1"].map(|name| back(name, Kind::Service));
+        let mut storm = Self {
+            world,
+            rng: Pcg64Mcg::seed_from_u64(seed ^ 0x5eed),
+            backs: engines.into_iter().chain(services).collect(),
+            calls: Vec::new(),
+            edits: Vec::new(),
+            restarts: BTreeMap::new(),
+            stopping: BTreeSet::new(),
+            heal: None,
+            quiet: Duration::ZERO,
+            faulty: Duration::ZERO,
+            disk: seed.is_multiple_of(2),
+            counted: 0,
+            renewed: Duration::ZERO,
+        };
+        (0..storm.backs.len()).for_each(|number| storm.renew(number));
+        storm.world.run(MS(1_000));
+        storm
+    }
+
+    /// Runs the whole schedule.
+    fn run(&mut self) {
+        let end = self.world.now + STORM;
+        while self.world.now < end {
+            self.draw();
+            self.pass();
+        }
+        self.calm();
+        let end = self.world.now + HEAL;
+        while !self.healed() {
+            assert!(self.world.now < end, "not healed: {}", self.standing());
+            self.pass();
+        }
+        self.finish();
+    }
+
+    /// Lets a little time pass, with what goes on beside the faults.
+    fn pass(&mut self) {
+        let time = MS(self.rng.random_range(5..120));
+        self.world.run(time);
+        let now = self.world.now;
+        if self.heal.is_some_and(|heal| heal <= now) {
+            self.heal = None;
+            self.world.cuts.clear();
+            self.world.loss = 0.0;
+        }
+        for number in std::mem::take(&mut self.stopping) {
+            if self.world.drained.contains(&number) {
+                self.kill(number);
+            } else if self.world.places[number].node.is_some() {
+                self.stopping.insert(number);
+            }
+        }
+        let due: Vec<usize> =
+            self.restarts.iter().filter(|(_, at)| **at <= now).map(|(number, _)| *number).collect();
+        for number in due {
+            self.restarts.remove(&number);
+            self.world.start(number);
+        }
+        if now >= self.renewed + MS(800) {
+            self.renewed = now;
+            (0..self.backs.len()).for_each(|number| self.renew(number));
+        }
+        self.note_faults();
+        self.check_runs();
+        self.check_callers();
+    }
+
+    fn note_faults(&mut self) {
+        let place = |place: &world::Place| place.frozen.is_some() || place.node.is_none();
+        let faulty = self.world.places.iter().any(place)
+            || !self.world.cuts.is_empty()
+            || self.world.loss > 0.0;
+        if faulty || !self.stopping.is_empty() {
+            self.faulty = self.world.now;
+        }
+    }
+
+    /// Draws what happens next.
+    fn draw(&mut self) {
+        let busy = self.world.now >= self.quiet;
+        match self.rng.random_range(0..100) {
+            0..4 if busy => self.cut(),
+            4..8 if busy => self.isolate(),
+            8..11 if busy => self.lose(),
+            11..15 if busy => self.freeze(),
+            15..20 if busy => self.crash(),
+            20..22 if busy => self.stop(),
+            22..24 if busy => self.lose_disk(),
+            24..26 if busy => {
+                self.calm();
+                self.quiet = self.world.now + MS(5_500);
+            }
+            26..30 => self.leave(),
+            30..33 => self.die(),
+            33..38 => self.reappear(),
+            38..48 => self.edit(),
+            48..54 => self.resend_edit(),
+            54..70 => self.resend(),
+            _ => self.request(),
+        }
+    }
+
+    fn any(&mut self) -> usize {
+        self.rng.random_range(0..INSTANCES)
+    }
+
+    fn heal_later(&mut self) {
+        let later = self.world.now + MS(self.rng.random_range(50..5_000));
+        self.heal = Some(self.heal.map_or(later, |heal| heal.min(later)));
+    }
+
+    fn cut(&mut self) {
+        for _ in 0..self.rng.random_range(1..5) {
+            let (from, to) = (self.any(), self.any());
+            self.world.cuts.insert((from, to));
+            if self.rng.random_bool(0.3) {
+                self.world.cuts.insert((to, from));
+            }
+        }
+        self.heal_later();
+    }
+
+    fn isolate(&mut self) {
+        let first = self.any();
+        let apart = match self.rng.random_range(0..3) {
+            0 => vec![first],
+            1 => vec![first, (first + 3) % INSTANCES],
+            _ => vec![first, (first + 1) % INSTANCES, (first + 2) % INSTANCES],
+        };
+        self.world.isolate(&apart);
+        self.heal_later();
+    }
+
+    fn lose(&mut self) {
+        self.world.loss = self.rng.random_range(0.01..0.3);
+        self.heal_later();
+    }
+
+    fn freeze(&mut self) {
+        let number = self.any();
+        if self.world.places[number].node.is_some() {
+            let time = MS(self.rng.random_range(100..6_000));
+            self.world.places[number].frozen = Some(self.world.now + time);
+        }
+    }
+
+    fn crash(&mut self) {
+        let number = self.any();
+        if self.world.places[number].node.is_some() {
+            self.kill(number);
+        }
+    }
+
+    fn kill(&mut self, number: usize) {
+        self.world.kill(number);
+        self.stopping.remove(&number);
+        // Soon after as often as late: the others may not have noticed that it was gone.
+        let most = if self.rng.random_bool(0.5) { 60 } else { 4_000 };
+        let at = self.world.now + MS(self.rng.random_range(1..most));
+        self.restarts.insert(number, at);
+        self.faulty = self.world.now;
+    }
+
+    fn stop(&mut self) {
+        let number = self.any();
+        let place = &self.world.places[number];
+        if place.node.is_some() && place.frozen.is_none() && self.stopping.insert(number) {
+            let remaining = MS(self.rng.random_range(500..8_000));
+            self.world.step(number, Input::Stop { remaining });
+        }
+    }
+
+    /// Loses one voter's disk; a second one lost as well would be no minority.
+    fn lose_disk(&mut self) {
+        if std::mem::take(&mut self.disk) {
+            let number = self.rng.random_range(0..VOTERS);
+            self.kill(number);
+            self.world.places[number].disk = Some(Disk::new(100 + number));
+        }
+    }
+
+    fn leave(&mut self) {
+        let number = self.rng.random_range(0..self.backs.len());
+        let at = self.any();
+        let place = &self.world.places[at];
+        let back = &mut self.backs[number];
+        if back.dead || back.left.is_some() || place.node.is_none() || place.frozen.is_some() {
+            return;
+        }
+        let calm = self.world.now >= self.faulty + CALM;
+        back.left = Some(Left { at: self.world.now, calm });
+        back.sequence += 1;
+        let mut announcement = back.announcement();
+        announcement.phase = Phase::Leaving { notice: Some(10_000) };
+        self.world.announce(at, &announcement);
+    }
+
+    fn die(&mut self) {
+        let number = self.rng.random_range(0..self.backs.len());
+        let back = &mut self.backs[number];
+        back.dead = true;
+        self.world.upstreams.die(&back.name.as_str().into());
+    }
+
+    fn reappear(&mut self) {
+        for number in 0..self.backs.len() {
+            let back = &mut self.backs[number];
+            if back.dead || back.left.is_some() {
+                back.reappear();
+                self.world.upstreams.dead.remove(back.name.as_str());
+                self.renew(number);
+            }
+        }
+    }
+
+    /// Has an upstream announce itself through any instance, sometimes with an old announcement
+    /// that was on its way for long.
+    fn renew(&mut self, number: usize) {
+        let (at, late) = (self.any(), self.rng.random_bool(0.1));
+        let back = &mut self.backs[number];
+        if back.dead || (back.left.is_some() && !late) {
+            return;
+        }
+        if !late {
+            back.sequence += 1;
+        }
+        let mut announcement = back.announcement();
+        if late {
+            announcement.sequence = announcement.sequence.saturating_sub(1);
+            announcement.incarnation = 1;
+        }
+        self.world.announce(at, &announcement);
+    }
+
+    fn request(&mut self) {
+        let idempotent = self.rng.random_bool(0.4);
+        let key = format!("{}-{}", if idempotent { "chat" } else { "order" }, self.calls.len());
+        self.send(key);
+    }
+
+    fn resend(&mut self) {
+        if self.calls.is_empty() {
+            return;
+        }
+        let from = self.calls.len().saturating_sub(8);
+        let number = self.rng.random_range(from..self.calls.len());
+        let key = self.calls[number].key.clone();
+        for _ in 0..self.rng.random_range(1..3) {
+            self.send(key.clone());
+        }
+    }
+
+    fn send(&mut self, key: String) {
+        let at = self.any();
+        if self.world.places[at].node.is_none() {
+            return;
+        }
+        let due = MS(self.rng.random_range(1_000..5_000));
+        let ticket = self.world.arrive_by(at, &key, key.starts_with("chat"), due);
+        self.calls.push(Call { ticket, key, at, due, sent: self.world.now });
+    }
+
+    fn edit(&mut self) {
+        let base = self.revision();
+        for _ in 0..self.rng.random_range(1..4) {
+            let number = self.edits.len();
+            let (id, weight) = (format!("edit-{number}"), 200 + number as u32);
+            self.edits.push(Sending { id, base, weight, calls: Vec::new() });
+            self.send_edit(number);
+        }
+    }
+
+    fn resend_edit(&mut self) {
+        if !self.edits.is_empty() {
+            let number = self.rng.random_range(0..self.edits.len());
+            self.send_edit(number);
+        }
+    }
+
+    fn send_edit(&mut self, number: usize) {
+        let at = self.any();
+        let edit = &mut self.edits[number];
+        let wait = MS(self.rng.random_range(0..6_000));
+        let call = self.world.apply(at, edit.base, &edit.id, edit.weight, wait);
+        edit.calls.push(call);
+    }
+
+    /// Returns the newest revision that any instance has.
+    fn revision(&self) -> u64 {
+        let nodes = self.world.places.iter().filter_map(|place| place.node.as_ref());
+        nodes.map(|node| node.revision().0).max().unwrap_or_default()
+    }
+
+    /// Ends all faults.
+    fn calm(&mut self) {
+        self.world.cuts.clear();
+        self.world.loss = 0.0;
+        self.heal = None;
+        for number in std::mem::take(&mut self.stopping) {
+            self.kill(number);
+        }
+        for number in std::mem::take(&mut self.restarts).into_keys() {
+            self.world.start(number);
+        }
+        for place in &mut self.world.places {
+            place.frozen = place.frozen.map(|until| until.min(self.world.now + MS(1)));
+        }
+        self.reappear();
+    }
+
+    fn healed(&self) -> bool {
+        let newest = self.revision();
+        let whole = |node: &Node| node.is_ready() && node.revision().0 == newest;
+        let open = |call: &Call| !self.world.ended.contains_key(&call.ticket);
+        self.world.places.iter().all(|place| place.node.as_ref().is_some_and(whole))
+            && !self.calls.iter().any(open)
+    }
+
+    fn standing(&self) -> String {
+        let nodes = self.world.places.iter().map(|place| place.node.as_ref());
+        let lines: Vec<String> = nodes
+            .map(|node| {
+                node.map_or_else(
+                    || "gone".to_owned(),
+                    |it| format!("{} leads {} {:?}", it.revision(), it.is_leader(), it.unready()),
+                )
+            })
+            .collect();
+        lines.join("; ")
+    }
+
+    /// No upstream is given work after its leaving was known to all.
+    fn check_runs(&mut self) {
+        let new = &self.world.upstreams.counted[self.counted..];
+        for run in new {
+            let back = self.backs.iter().find(|back| back.name == run.upstream.as_str());
+            let Some(left) = back.and_then(|back| back.left) else { continue };
+            let calm = left.calm && self.faulty <= left.at;
+            assert!(
+                !calm || run.at <= left.at + LEAVING,
+                "instance {} runs at {} at {:?}, which left at {:?}",
+                run.instance,
+                run.upstream,
+                run.at,
+                left.at,
+            );
+        }
+        self.counted = self.world.upstreams.counted.len();
+    }
+
+    /// No caller waits beyond the latest deadline that its key was ever sent with: one that joins a
+    /// request in progress gets that request's answer.
+    fn check_callers(&self) {
+        let now = self.world.now;
+        for call in self.calls.iter().filter(|call| !self.world.ended.contains_key(&call.ticket)) {
+            let place = &self.world.places[call.at];
+            let alike = self.calls.iter().filter(|other| other.key == call.key);
+            let due = alike.filter_map(|it| Some(*self.world.arrived.get(&it.ticket)? + it.due));
+            let due = due.max().unwrap_or(now).max(place.thawed);
+            assert!(
+                place.frozen.is_some() || now <= due + MARGIN,
+                "{:?} with key {} of {} has waited from {:?} to {now:?}, due {due:?}, told {:?}",
+                call.ticket,
+                call.key,
+                call.at,
+                call.sent,
+                self.world.last(call.ticket),
+            );
+        }
+    }
+
+    fn finish(&mut self) {
+        self.check_refusals();
+        self.check_edits();
+        assert!(self.world.steps >= STEPS, "only {} steps", self.world.steps);
+    }
+
+    /// What was refused in all its answers has not run.
+    fn check_refusals(&self) {
+        let mut keys: BTreeMap<&str, Vec<End>> = BTreeMap::new();
+        for call in &self.calls {
+            let end = self.world.ended[&call.ticket].0;
+            keys.entry(&call.key).or_default().push(end);
+        }
+        for (key, ends) in keys {
+            let refused = ends.iter().all(|end| *end == End::Refused);
+            let runs = self.world.upstreams.runs(Request::of_key(&Team::from("office"), key));
+            assert!(!refused || runs == 0, "{key} was refused as not run and ran {runs} times");
+        }
+    }
+
+    /// Every accepted edit is in the history at its revision, and every table is the one that the
+    /// accepted edits make.
+    fn check_edits(&mut self) {
+        let tables: Vec<Reply> =
+            (0..INSTANCES).map(|at| self.ask(at, Ask::Table { revision: None })).collect();
+        let history = self.ask(0, Ask::History);
+        let Reply::History(entries) = history else { panic!("no history: {history:?}") };
+        let made = |revision: u64| {
+            let entry = entries.iter().find(|entry| entry.revision.0 == revision);
+            entry.map(|entry| entry.edit.to_string())
+        };
+        let mut newest = 1;
+        for edit in &self.edits {
+            for (revision, _) in edit.calls.iter().filter_map(|call| self.world.accepted(*call)) {
+                assert_eq!(made(revision).as_ref(), Some(&edit.id), "accepted as {revision}");
+                newest = newest.max(revision);
+            }
+        }
+        for (number, reply) in tables.into_iter().enumerate() {
+            let Reply::Table(version) = reply else { panic!("no table: {reply:?}") };
+            let revision = version.revision.0;
+            assert!(revision >= newest, "{number} has {revision}, {newest} was accepted");
+            let made = made(revision);
+            let edit = self.edits.iter().find(|edit| Some(&edit.id) == made.as_ref());
+            let weight = edit.map_or(100, |edit| edit.weight);
+            assert_eq!(*version.table, world::table(weight), "{number} at {revision}");
+        }
+    }
+
+    fn ask(&mut self, at: usize, ask: Ask) -> Reply {
+        let call = self.world.ask(at, ask);
+        self.world.run_until(MS(5_000), "an answer", |world| world.replies.contains_key(&call));
+        self.world.replies[&call].clone()
+    }
+}
+
+impl Back {
+    fn announcement(&self) -> Announcement {
+        let mut announcement = upstream(&self.name, self.kind, self.sequence);
+        announcement.incarnation = self.incarnation;
+        announcement
+    }
+
+    fn reappear(&mut self) {
+        self.incarnation += 1;
+        self.sequence = 0;
+        self.left = None;
+        self.dead = false;
+    }
+}
+
+/// Runs schedules and names every seed that fails.
+fn run(seeds: Range<u64>) {
+    let mut failed = Vec::new();
+    let (mut steps, mut runs) = (0, 0);
+    for seed in seeds.clone() {
+        let outcome = panic::catch_unwind(AssertUnwindSafe(|| {
+            let mut storm = Storm::open(seed);
+            storm.run();
+            (storm.world.steps, storm.world.upstreams.counted.len())
+        }));
+        match outcome {
+            Ok(counts) => (steps, runs) = (steps + counts.0, runs + counts.1),
+            Err(_) => {
+                eprintln!("the line above is of seed {seed}");
+                failed.push(seed);
+            }
+        }
+    }
+    println!("{seeds:?}: {steps} steps, {runs} runs at upstreams");
+    assert!(failed.is_empty(), "failed seeds: {failed:?}");
+}
+
+/// Returns the seeds of one part: of CI, or of those that the environment names.
+fn part(number: u64) -> Range<u64> {
+    let Some((from, to)) = named() else { return number * EACH..(number + 1) * EACH };
+    let each = (to - from).div_ceil(4);
+    (from + number * each).min(to)..(from + (number + 1) * each).min(to)
+}
+
+fn named() -> Option<(u64, u64)> {
+    let text = std::env::var("VERBENASLIP_SEEDS").ok()?;
+    let (from, to) = text.split_once("..")?;
+    Some((from.parse().ok()?, to.parse().ok()?))
+}
+
+// Symptom: any breach of what must always hold. Sequence: cuts, losses, freezes, kills, lost disks,
+// stops, leaving and dying upstreams, racing edits and resent keys in any order. Cause: an order of
+// events that nobody thought of. Four parts, so that they run side by side.
+
+#[test]
+fn nothing_is_broken_by_random_faults_1() {
+    run(part(0));
+}
+
+#[test]
+fn nothing_is_broken_by_random_faults_2() {
+    run(part(1));
+}
+
+#[test]
+fn nothing_is_broken_by_random_faults_3() {
+    run(part(2));
+}
+
+#[test]
+fn nothing_is_broken_by_random_faults_4() {
+    run(part(3));
+}
