Give whole instances messages that no healthy peer sends

No test had shown that an odd message can't stop an instance, fill its memory or disturb others.

The trials of bytes check that enough of them decode.

Checked: no panic, what is kept stays bounded, and for all but the damaged messages that the leader's lease goes on, nothing runs twice, an edit comes into force and a claimed request is answered.

Not shown: a peer that holds the deployment's secret and forges votes or entries of the log.

--- /dev/null
+++ b/crates/verbenaslip-node/tests/hostile.rs
@@ -0,0 +1,373 @@
+//! Whole instances under messages that no healthy peer sends: damaged, forged, absurd, repeated.
+//!
+//! Whoever holds the deployment's secret is trusted not to forge votes; but no message may stop an
+//! instance or fill its memory, and what is merely late, repeated or of a stranger changes nothing.
+
+mod world;
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use proptest::collection::vec;
+use proptest::prelude::any;
+use proptest::strategy::Strategy;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use verbenaslip_base::announce::Kind;
+use verbenaslip_base::attempt::Request;
+use verbenaslip_base::name::{Instance, Operator};
+use verbenaslip_gossip::Frame;
+use verbenaslip_node::message::{Answer, Query};
+use verbenaslip_node::operator::{Ask, Reply};
+use verbenaslip_node::{Input, Message};
+use verbenaslip_replica::entry::Position;
+use verbenaslip_replica::message as log;
+use verbenaslip_replica::voter::{Group, Identity};
+use verbenaslip_request::message as request;
+use verbenaslip_state::command::{Command, Drain};
+use verbenaslip_state::watch;
+use verbenaslip_table::Revision;
+
+use crate::world::{End, MS, Said, World, upstream};
+
+/// Cases of arbitrary bytes; few of them are a message.
+const ARBITRARY: u32 = 20_000;
+/// Cases of damaged messages.
+const DAMAGED: u32 = 2_000;
+/// The fewest of them that must decode, so that the trial is one.
+const DECODED: usize = 100;
+/// The most that an instance keeps open on the word of others after such a trial.
+const KEPT: usize = 2_000;
+
+fn ready(seed: u64) -> World {
+    let mut world = World::open(6, 3, seed);
+    world.settle();
+    for sequence in 1..3 {
+        renew(&mut world, sequence);
+        world.run(MS(1_000));
+    }
+    world
+}
+
+fn renew(world: &mut World, sequence: u64) {
+    for number in 0..3 {
+        let engine = upstream(&format!("engine-{number}"), Kind::Engine, sequence);
+        world.announce((number + sequence as usize) % 3, &engine);
+    }
+    world.announce(sequence as usize % 3, &upstream("service", Kind::Service, sequence));
+}
+
+/// Records what instances say while they serve requests, claims and edits.
+fn recorded(seed: u64) -> (World, Vec<Said>) {
+    let mut world = ready(seed);
+    world.tape = Some(Vec::new());
+    for number in 0..6 {
+        world.arrive(number, &format!("chat-{number}"), true);
+        world.arrive(number, &format!("order-{number}"), false);
+        world.apply(
+            number,
+            number as u64 + 1,
+            &format!("edit-{number}"),
+            200 + number as u32,
+            MS(0),
+        );
+        world.run(MS(400));
+    }
+    renew(&mut world, 3);
+    world.run(MS(1_000));
+    let tape = world.tape.take().expect("a tape");
+    (world, tape)
+}
+
+fn runner(cases: u32) -> TestRunner {
+    let config = Config { cases, failure_persistence: None, ..Config::default() };
+    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
+}
+
+fn peer(number: usize) -> Instance {
+    Instance::new(format!("entry-{number:03}"))
+}
+
+fn address(number: usize) -> SocketAddr {
+    ([10, 0, 0, number as u8], 7400).into()
+}
+
+/// Hands bytes over as a message and as a datagram, where they are one.
+///
+/// Returns how many of the two they are.
+fn hand(world: &mut World, to: usize, from: usize, bytes: &[u8]) -> usize {
+    let message = postcard::from_bytes::<Message>(bytes).ok();
+    let frame = Frame::decode(bytes).map(Box::new);
+    let decoded = usize::from(message.is_some()) + usize::from(frame.is_some());
+    if let Some(message) = message {
+        world.step(to, Input::Peer { from: peer(from), message });
+    }
+    if let Some(frame) = frame {
+        world.step(to, Input::Datagram { from: address(from), frame });
+    }
+    decoded
+}
+
+/// No instance keeps more than a bound on the word of others.
+fn bounded(world: &mut World) {
+    for number in 0..world.places.len() {
+        let call = world.ask(number, Ask::Status);
+        let Some(Reply::Status(status)) = world.replies.get(&call) else { panic!("no status") };
+        let work = &status.work;
+        let kept = [work.owned, work.copies, work.finished, work.claims, work.proposals];
+        assert!(kept.iter().all(|count| *count < KEPT), "{number}: {work:?}");
+        let known = status.peers.len() + status.upstreams.len();
+        assert!(known < KEPT, "{number}: knows {known}");
+    }
+}
+
+/// The deployment does what it is there for, under the same leader.
+fn undisturbed(world: &mut World, leader: Option<usize>, case: &str) {
+    assert_eq!(world.leader(), leader, "{case}: the leader's lease");
+    let ready = |place: &world::Place| place.node.as_ref().is_some_and(|node| node.is_ready());
+    assert!(world.places.iter().all(ready), "{case}: all take callers");
+    let base = world.places[0].node.as_ref().map_or(0, |node| node.revision().0);
+    let edit = world.apply(4, base, &format!("after-{base}"), 500 + base as u32, MS(6_000));
+    let call = world.arrive(5, &format!("after-{base}"), false);
+    let limit = Duration::from_secs(6);
+    world.run_until(limit, case, |world| world.accepted(edit).is_some());
+    assert_eq!(world.accepted(edit), Some((base + 1, true)), "{case}: an edit is accepted");
+    world.run_until(limit, case, |world| world.ended.contains_key(&call));
+    assert_eq!(world.ended[&call].0, End::Whole, "{case}: a request is answered");
+}
+
+#[test]
+fn arbitrary_bytes_stop_no_instance() {
+    // Symptom: one odd message ends a process. Sequence: bytes that happen to decode. Cause: a
+    // number or a length is taken at its word.
+    let (world, decoded) = (RefCell::new(ready(1)), Cell::new(0));
+    world.borrow_mut().checked = false;
+    let small = || vec(proptest::prop_oneof![0_u8..12, any::<u8>()], 0..160);
+    let case = (0_usize..6, 0_usize..8, small());
+    let outcome = runner(ARBITRARY).run(&case, |(to, from, bytes)| {
+        let found = hand(&mut world.borrow_mut(), to, from, &bytes);
+        decoded.set(decoded.get() + found);
+        if found > 0 {
+            world.borrow_mut().run(MS(2));
+        }
+        Ok(())
+    });
+    outcome.expect("no panic");
+    println!("{} decoded", decoded.get());
+    assert!(decoded.get() >= DECODED, "only {} are anything", decoded.get());
+    bounded(&mut world.borrow_mut());
+}
+
+#[test]
+fn damaged_messages_stop_no_instance() {
+    // Symptom and cause as above. Sequence: what instances really say, with some bytes changed,
+    // from anybody to anybody.
+    let (mut world, tape) = recorded(2);
+    world.checked = false;
+    let bytes: Vec<Vec<u8>> = tape.iter().map(|said| encoded(&said.input)).collect();
+    let (world, decoded) = (RefCell::new(world), Cell::new(0));
+    let damage = vec((any::<proptest::sample::Index>(), extreme()), 1..4);
+    let which = any::<proptest::sample::Index>();
+    let case = (which, damage, 0_usize..6, 0_usize..8);
+    let outcome = runner(DAMAGED).run(&case, |(which, damage, to, from)| {
+        let mut bytes = which.get(&bytes).clone();
+        for (at, value) in damage {
+            let at = at.index(bytes.len());
+            bytes.splice(at..=at, value);
+        }
+        let found = hand(&mut world.borrow_mut(), to, from, &bytes);
+        decoded.set(decoded.get() + found);
+        if found > 0 {
+            world.borrow_mut().run(MS(2));
+        }
+        Ok(())
+    });
+    outcome.expect("no panic");
+    println!("{} decoded", decoded.get());
+    assert!(decoded.get() >= DECODED, "only {} are anything", decoded.get());
+    world.borrow_mut().run(MS(2_000));
+    bounded(&mut world.borrow_mut());
+}
+
+/// Gives one byte, or the longest number, in a byte's place.
+fn extreme() -> impl Strategy<Value = Vec<u8>> {
+    let mut longest = vec![0xff; 9];
+    longest.push(0x01);
+    proptest::prop_oneof![
+        any::<u8>().prop_map(|byte| vec![byte]),
+        (0_u8..4).prop_map(|byte| vec![byte]),
+        proptest::strategy::Just(longest),
+        proptest::strategy::Just(Vec::new()),
+    ]
+}
+
+fn encoded(input: &Input) -> Vec<u8> {
+    match input {
+        Input::Peer { message, .. } => postcard::to_stdvec(message).expect("it can be written"),
+        Input::Datagram { frame, .. } => frame.encode().expect("it fits"),
+        _ => Vec::new(),
+    }
+}
+
+#[test]
+fn repeated_and_reordered_messages_change_nothing() {
+    // Symptom: an order runs twice, or a table falls back. Sequence: everything that instances said
+    // arrives again, in any order, some of it many times. Cause: a message is taken for news.
+    for seed in 0..4 {
+        let (mut world, mut tape) = recorded(10 + seed);
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        tape.shuffle(&mut rng);
+        let (leader, revision) = (world.leader(), newest(&world));
+        let runs = world.upstreams.counted.len();
+        for (number, Said { to, input }) in tape.into_iter().enumerate() {
+            for _ in 0..rng.random_range(1..4) {
+                world.step(to, input.clone());
+            }
+            if number % 20 == 0 {
+                world.run(MS(2));
+            }
+            if number % 4_000 == 0 {
+                renew(&mut world, 10 + number as u64);
+            }
+        }
+        renew(&mut world, 100_000);
+        world.run(MS(2_000));
+        renew(&mut world, 100_001);
+        assert_eq!(newest(&world), revision, "seed {seed}");
+        assert_eq!(world.upstreams.counted.len(), runs, "seed {seed}: nothing ran again");
+        undisturbed(&mut world, leader, &format!("seed {seed}"));
+        bounded(&mut world);
+    }
+}
+
+fn newest(world: &World) -> Vec<u64> {
+    let revision = |place: &world::Place| place.node.as_ref().map_or(0, |it| it.revision().0);
+    world.places.iter().map(revision).collect()
+}
+
+fn said(group: Option<Group>, term: u64, body: log::Body) -> Message {
+    let sender = Identity(u128::MAX);
+    Message::Log(log::Message { group, sender, target: None, term, body })
+}
+
+fn absurd() -> Vec<(&'static str, Message)> {
+    let last = Position { term: u64::MAX, index: u64::MAX };
+    let append =
+        |entries| log::Body::Append { previous: last, entries, commit: u64::MAX, round: u64::MAX };
+    let reserve = request::Reserve {
+        request: Request(u128::MAX),
+        digest: u128::MAX,
+        boot: u64::MAX,
+        epoch: u16::MAX,
+        remaining: Duration::MAX,
+    };
+    let note = request::Note {
+        request: Request(7),
+        epoch: u16::MAX,
+        sequence: u32::MAX,
+        live: None,
+        number: u32::MAX,
+        ran: true,
+        complete: true,
+        lineage: u64::MAX,
+        outcome: None,
+    };
+    let by = || Operator::from("mallory");
+    let drain = |at| Command::Drain(Drain { by: by(), instance: peer(0), at });
+    let nothing = Revision(u64::MAX);
+    vec![
+        ("a vote of no group", said(None, u64::MAX, log::Body::Vote { last, transfer: true })),
+        ("a vote of another group", {
+            let body = log::Body::Vote { last, transfer: true };
+            said(Some(Group(3)), u64::MAX, body)
+        }),
+        ("a pre-vote", said(Some(Group(3)), u64::MAX, log::Body::PreVote { last })),
+        ("a heartbeat", said(Some(Group(3)), u64::MAX, append(Vec::new()))),
+        ("a heartbeat of no group", said(None, u64::MAX, append(Vec::new()))),
+        ("a call to campaign", said(Some(Group(3)), u64::MAX, log::Body::Campaign)),
+        ("an end of time", Message::Propose { token: u64::MAX, command: drain(u64::MAX).into() }),
+        ("a start of time", Message::Propose { token: 0, command: drain(0).into() }),
+        ("an unasked answer", Message::Proposed { token: u64::MAX, answer: Answer::Unknown }),
+        ("an unasked change", Message::Proposed { token: 1, answer: Answer::Changed }),
+        ("an unasked leader", Message::Told { token: 1, found: None, leader: Some(peer(9)) }),
+        ("a far revision", Message::Ask { token: 1, query: Query::Force(nothing) }),
+        ("a far audit", Message::Ask { token: 1, query: Query::Audit { since: u64::MAX } }),
+        ("a far part", {
+            let fetch = watch::message::Fetch { revision: nothing, part: u32::MAX };
+            Message::Watch(watch::Message::Fetch(fetch))
+        }),
+        ("a far offer", {
+            let offer = watch::message::Offer { revision: nothing, bytes: u32::MAX, digest: 0 };
+            Message::Watch(watch::Message::Offer(offer))
+        }),
+        ("an unasked part", {
+            let part = watch::message::Part { revision: nothing, part: 0, bytes: vec![0; 1 << 20] };
+            Message::Watch(watch::Message::Part(part))
+        }),
+        ("no changes", Message::Watch(watch::Message::Changes(Vec::new()))),
+        ("an endless reservation", Message::Request(request::Message::Reserve(reserve))),
+        ("a note of nothing", Message::Request(request::Message::Note(note.clone()))),
+        ("a handover of nothing", Message::Request(request::Message::HandOver(note))),
+        ("a drop of nothing", {
+            let request = Request(9);
+            Message::Request(request::Message::Drop { request, epoch: u16::MAX, key: true })
+        }),
+        ("a drain", Message::Drain { by: by() }),
+    ]
+}
+
+#[test]
+fn absurd_messages_disturb_nobody() {
+    // Symptom: a stray process of another deployment, or a peer with a damaged memory, stops
+    // elections, edits or requests. Sequence: each absurd message, from a stranger, a follower and
+    // a voter, to all. Cause: the greatest term, index, revision, epoch or duration is believed.
+    for (what, message) in absurd() {
+        let mut world = ready(30);
+        let leader = world.leader();
+        for from in [9, 4, 1] {
+            for to in (0..6).filter(|to| *to != from) {
+                let message = message.clone();
+                world.step(to, Input::Peer { from: peer(from), message });
+            }
+            world.run(MS(300));
+        }
+        undisturbed(&mut world, leader, what);
+        bounded(&mut world);
+    }
+}
+
+#[test]
+fn a_flood_of_reservations_fills_no_memory() {
+    // Symptom: an instance grows until it is killed. Sequence: a peer reserves key after key, for
+    // ever. Cause: nothing bounds what is kept on the word of others.
+    let mut world = ready(40);
+    let leader = world.leader();
+    let limit = world.places[2].setup.limit.reservations;
+    world.tape = Some(Vec::new());
+    for number in 0..limit as u128 + 1_000 {
+        let reserve = request::Reserve {
+            request: Request(number),
+            digest: 1,
+            boot: 1,
+            epoch: 0,
+            remaining: Duration::MAX,
+        };
+        let message = Message::Request(request::Message::Reserve(reserve));
+        world.step(2, Input::Peer { from: peer(4), message });
+    }
+    let full = |said: &&Said| {
+        use request::Found::Full;
+        let Input::Peer { message: Message::Request(message), .. } = &said.input else {
+            return false;
+        };
+        matches!(message, request::Message::Reserved { found: Full, .. })
+    };
+    let tape = world.tape.take().expect("a tape");
+    assert!(tape.iter().filter(full).count() >= 1_000, "what is beyond the bound is not kept");
+    world.run(MS(500));
+    undisturbed(&mut world, leader, "flood");
+    bounded(&mut world);
+}
--- a/crates/verbenaslip-node/tests/world/mod.rs
+++ b/crates/verbenaslip-node/tests/world/mod.rs
@@ -63,6 +63,13 @@
     life: Option<u64>,
 }
 
+/// Holds what one instance said to another.
+#[derive(Clone, Debug)]
+pub struct Said {
+    pub to: usize,
+    pub input: Input,
+}
+
 /// Says how a caller's request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -138,6 +145,8 @@
     pub ended: BTreeMap<Ticket, (End, Duration)>,
     /// The steps that were checked.
     pub steps: u64,
+    /// What was sent between instances, with its receiver, when it is recorded.
+    pub tape: Option<Vec<Said>>,
     relays: BTreeMap<Ticket, Relay>,
     relayed: u64,
     whole: BTreeSet<Request>,
@@ -205,6 +214,7 @@
             arrived: BTreeMap::new(),
             ended: BTreeMap::new(),
             steps: 0,
+            tape: None,
             relays: BTreeMap::new(),
             relayed: RELAYS,
             whole: BTreeSet::new(),
@@ -618,6 +628,9 @@
         sent.messages += 1;
         sent.bytes += bytes as u64 + OVERHEAD;
         let Some(to) = self.addresses.get(&to).copied() else { return };
+        if let Some(tape) = &mut self.tape {
+            tape.push(Said { to, input: input.clone() });
+        }
         let lost = self.loss > 0.0 && self.rng.random_bool(self.loss);
         if lost || self.cuts.contains(&(from, to)) || self.places[to].node.is_none() {
             return;
