--- a/crates/verbenaslip-node/tests/fault.rs
+++ b/crates/verbenaslip-node/tests/fault.rs
@@ -358,3 +358,49 @@
     println!("{slow} of 40 waited longer than 100 ms");
     assert!(slow <= 6, "{slow} of 40 waited longer than 100 ms");
 }
+
+#[test]
+fn a_group_that_is_cut_off_serves_nothing_by_its_old_table() {
+    // Symptom: callers are served by a limit that was lifted minutes ago. Sequence: three instances
+    // without a voter are cut off together with an engine that announces itself to them; an edit
+    // comes into force among the others. Cause: the three can hold each other's requests and reach
+    // the engine, so that nothing but the table lease keeps them from serving.
+    let mut world = ready(50);
+    world.isolate(&[3, 4, 5]);
+    let call = world.apply(0, 1, "edit-1", 200, MS(8_000));
+    for sequence in 3..11 {
+        for at in 3..6 {
+            world.announce(at, &upstream("engine-0", Kind::Engine, sequence * 10 + at as u64));
+        }
+        world.run(MS(1_000));
+    }
+    assert_eq!(world.accepted(call), Some((2, true)));
+    let tickets: Vec<_> =
+        (3..6).map(|at| world.arrive_unkeyed(at, &format!("chat-{at}"))).collect();
+    world.run(MS(2_000));
+    for ticket in tickets {
+        let verdict = world.last(ticket);
+        let refused = matches!(verdict, Some(Verdict::Refused(it)) if it.reason == Reason::NoLease);
+        assert!(refused, "{verdict:?}");
+    }
+    assert_eq!(world.upstreams.counted.len(), 0);
+}
+
+#[test]
+fn an_edit_whose_answer_was_lost_is_not_said_to_be_undone() {
+    // Symptom: an operator is told that an edit was surely not done, and it is in force. Sequence:
+    // the proposal reaches the leader, and all of the leader's messages to the sender are lost.
+    // Cause: a proposal that was sent counts as not taken.
+    for seed in 0..6 {
+        let mut world = ready(60 + seed);
+        let leader = world.leader().expect("a leader");
+        world.cuts.insert((leader, 5));
+        let call = world.apply(5, 1, "edit-1", 200, MS(0));
+        let limit = MS(20_000);
+        world.run_until(limit, "a reply", |world| world.replies.contains_key(&call));
+        let reply = world.replies[&call].clone();
+        let newest = world.places[leader].node.as_ref().map_or(0, |node| node.revision().0);
+        let denied = matches!(reply, Reply::NoQuorum | Reply::Refused(_));
+        assert!(!(denied && newest > 1), "seed {seed}: {reply:?} at revision {newest}");
+    }
+}
--- a/crates/verbenaslip-node/tests/world/mod.rs
+++ b/crates/verbenaslip-node/tests/world/mod.rs
@@ -362,6 +362,22 @@
         model: &str,
         due: Option<Duration>,
     ) -> Ticket {
+        let arrival = self.arrival(at, key, idempotent, model);
+        let ticket = arrival.ticket;
+        self.hand(at, Input::Arrived { arrival, due });
+        ticket
+    }
+
+    /// Has a caller send a request that can be sent again, without a key.
+    pub fn arrive_unkeyed(&mut self, at: usize, key: &str) -> Ticket {
+        let mut arrival = self.arrival(at, key, true, "assistant");
+        let ticket = arrival.ticket;
+        (arrival.head.keyed, arrival.head.issued) = (false, None);
+        self.hand(at, Input::Arrived { arrival, due: None });
+        ticket
+    }
+
+    fn arrival(&mut self, at: usize, key: &str, idempotent: bool, model: &str) -> Arrival {
         let ticket = Ticket(self.callers.len() as u64 + 1);
         self.callers.insert(ticket, at);
         let team = Team::from("office");
@@ -379,9 +395,7 @@
             prefix: Vec::new(),
         };
         let body = Body { path: "/".into(), content: "application/json".into(), bytes: key.into() };
-        let arrival = Arrival { ticket, head, body: Arc::new(body), after: None };
-        self.hand(at, Input::Arrived { arrival, due });
-        ticket
+        Arrival { ticket, head, body: Arc::new(body), after: None }
     }
 
     /// Cuts a set of instances off from all others, in both directions.
