--- a/crates/verbenaslip/src/server.rs
+++ b/crates/verbenaslip/src/server.rs
@@ -1,5 +1,6 @@
 //! One instance as a running whole: its listeners, its threads and its control thread.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -335,7 +336,7 @@
         address,
         incarnation: unix,
         seed,
-        seeds: settings.cluster.seeds.clone(),
+        seeds: seeds(settings),
         voters: settings.cluster.voters.iter().map(founder).collect(),
         recovered,
         table,
@@ -359,6 +360,14 @@
     }
 }
 
+/// Returns the addresses to join through: the voters too, without which a deployment whose seeds are
+/// left out would never meet.
+fn seeds(settings: &Settings) -> Vec<SocketAddr> {
+    let voters = settings.cluster.voters.iter().map(|voter| voter.address);
+    let all: BTreeSet<SocketAddr> = settings.cluster.seeds.iter().copied().chain(voters).collect();
+    all.into_iter().collect()
+}
+
 fn announce_start(settings: &Settings, addresses: [SocketAddr; 3]) {
     let instance = &settings.instance;
     Event::Starting {
--- a/crates/verbenaslip/tests/whole/cluster.rs
+++ b/crates/verbenaslip/tests/whole/cluster.rs
@@ -195,7 +195,7 @@
         settings.instance.callers = ports[number * 3 + 1];
         settings.instance.admin = ports[number * 3 + 2];
         settings.instance.data = Some(folder.join(zone));
-        settings.cluster.seeds = voters.iter().map(|voter| voter.address).collect();
+        // Without seeds, so that instances must join through the voters.
         settings.cluster.voters.clone_from(&voters);
         settings.files.initial_table = Some(table.clone());
         settings.timing.drain = Duration::from_secs(10);
