Count no prompt for a plain service

Cause: the bytes of a plain service's body were estimated as tokens of a prompt; 1.5 MB were refused as unable to meet a deadline of 20 s. Ruled out: a service of its own in the policy's estimates (it learns how long runs take anyway). Change: such a request has no prompt. Conclusion: a service's time is learnt from its runs.

--- a/crates/verbenaslip/src/traffic/body.rs
+++ b/crates/verbenaslip/src/traffic/body.rs
@@ -38,10 +38,12 @@
     pub form: Form,
 }
 
-/// Reads a plain service's body, of which only the size matters.
-pub(crate) fn plain(name: &Model, bytes: &[u8]) -> Facts {
-    let prompt = prefix::tokens(bytes);
-    Facts { model: name.clone(), prompt, output: 0, prefix: Vec::new(), form: Form::Plain }
+/// Describes a request for a plain service.
+///
+/// It computes no prompt: counted as tokens, a large body would be refused for the time that an
+/// engine would take for it.
+pub(crate) fn plain(name: &Model) -> Facts {
+    Facts { model: name.clone(), prompt: 0, output: 0, prefix: Vec::new(), form: Form::Plain }
 }
 
 /// Reads a body of the chat protocol.
--- a/crates/verbenaslip/src/traffic/parse.rs
+++ b/crates/verbenaslip/src/traffic/parse.rs
@@ -111,7 +111,7 @@
         };
         let (facts, path) = match &self.target {
             Target::Chat => (body::chat(&bytes, limits)?, CHAT.into()),
-            Target::Service { name, path } => (body::plain(name, &bytes), path.clone()),
+            Target::Service { name, path } => (body::plain(name), path.clone()),
         };
         let head = Head {
             request,
--- a/crates/verbenaslip/tests/traffic/caller.rs
+++ b/crates/verbenaslip/tests/traffic/caller.rs
@@ -309,6 +309,26 @@
     assert_eq!(gone, arrival.ticket);
 }
 
+/// Symptom: a large file for a plain service is refused as too late, a small one is served.
+/// Sequence: a body of 400 kB, a row with a deadline of 20 s. Cause: its bytes count as a prompt that
+/// an engine would compute.
+#[test]
+fn a_plain_services_body_is_no_prompt() {
+    let bench = bench();
+    let body = "x".repeat(400_000);
+    let head = format!(
+        "POST /v1/services/orders/new HTTP/1.1\r\nhost: x\r\nauthorization: Bearer secret\r\n\
+         content-length: {}\r\n\r\n",
+        body.len()
+    );
+    let _stream = bench.send(format!("{head}{body}"));
+    let arrival = bench.wait(|report| match report {
+        Report::Arrived { arrival, .. } => Some(arrival),
+        _ => None,
+    });
+    assert_eq!((arrival.head.prompt, arrival.body.bytes.len()), (0, body.len()));
+}
+
 /// Symptom: a client that waits for `100 Continue` hangs, or a second request on the connection is
 /// lost or answered first.
 /// Sequence: a head with `Expect`, then the body; then two requests in one write.
