Split the operators' calls from edits and queries

Cause: one file of 440 lines held what operators ask, how an edit comes into force and what instances ask voters. Change: calls, edits, query; the library's page says how its parts follow each other. Conclusion: each file has one job.

--- /dev/null
+++ b/crates/verbenaslip-node/src/edits.rs
@@ -0,0 +1,185 @@
+//! Operators' edits of the table, from the file to being in force everywhere.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use verbenaslip_state::history::{self, Verdict};
+use verbenaslip_state::{Command, Outcome};
+use verbenaslip_table::{Edit, Revision, Table, change};
+
+use crate::calls::{PATIENCE, failure};
+use crate::lead::outcome;
+use crate::message::{Answer, Found, Query, Version};
+use crate::node::Node;
+use crate::notice::{Made, Notice};
+use crate::operator::{Apply, Edited, Id, Reply};
+use crate::proposal::{Purpose, Wait};
+use crate::query::{RESEND, Waiter};
+
+/// How many revisions of the table are kept to tell what a resent edit changes.
+pub(crate) const TABLES: usize = 32;
+
+/// After this an edit that is not in force everywhere is told of: longer than the lease of whoever
+/// was cut off at its arrival.
+const SLOW: Duration = Duration::from_secs(6);
+
+/// Between two looks whether an edit is in force everywhere.
+const POLL: Duration = Duration::from_millis(100);
+
+impl Node {
+    /// Proposes an operator's edit, or says at once why it can't be made.
+    pub(crate) fn apply(&mut self, call: Id, apply: &Apply) {
+        let table = match Table::parse(apply.csv.as_bytes()) {
+            Ok(table) => table,
+            Err(problems) => return self.reply(call, Reply::Edited(Edited::Bad(problems))),
+        };
+        let changes = change::diff(&self.base(apply.base), &table);
+        let newest = self.hub.revision();
+        if apply.base == newest && changes.is_empty() {
+            return self.reply(call, Reply::Edited(Edited::Unchanged(newest)));
+        }
+        if apply.dry {
+            let edited = if apply.base == newest {
+                Edited::Fits(newest)
+            } else {
+                Edited::Stale(self.newest(apply.base))
+            };
+            return self.reply(call, Reply::Edited(edited));
+        }
+        let edit = Edit {
+            id: apply.id.clone(),
+            base: apply.base,
+            by: apply.by.clone(),
+            at: self.unix(),
+            changes,
+        };
+        let made = Made {
+            id: apply.id.clone(),
+            by: apply.by.clone(),
+            base: apply.base,
+            rows: edit.changes.len(),
+            at: self.now,
+        };
+        let purpose = Purpose::Edit { call, made: Box::new(made), wait: apply.wait };
+        self.propose(Command::Edit(edit), purpose, PATIENCE);
+    }
+
+    /// Takes what became of an operator's edit.
+    pub(crate) fn edited(&mut self, call: Id, made: Made, wait: Duration, answer: &Answer) {
+        let Some(Outcome::Edit(verdict)) = outcome(answer) else {
+            return self.reply(call, failure(answer));
+        };
+        let revision = match verdict {
+            Verdict::Accepted { revision } | Verdict::Unchanged { revision } => Some(*revision),
+            _ => None,
+        };
+        let since = made.at;
+        self.note(Notice::Edit { made, revision, answer: verdict.to_string() });
+        let edited = match verdict.clone() {
+            Verdict::Accepted { revision } => return self.await_force(call, revision, since, wait),
+            Verdict::Unchanged { revision } => Edited::Unchanged(revision),
+            Verdict::Stale(newest) => Edited::Stale(newest),
+            Verdict::Reused => Edited::Reused,
+            Verdict::Bad(problems) => Edited::Bad(problems),
+        };
+        self.reply(call, Reply::Edited(edited));
+    }
+
+    /// Looks whether awaited edits are in force everywhere.
+    pub(crate) fn poll_waits(&mut self) {
+        let now = self.now;
+        for mut wait in std::mem::take(&mut self.waits) {
+            if wait.deadline <= now && !wait.told {
+                wait.told = true;
+                self.tell_force(&wait, false);
+            }
+            if wait.told && wait.since + SLOW <= now {
+                let (revision, awaited) = (wait.revision, wait.awaited);
+                self.note(Notice::Slow { revision, awaited });
+                continue;
+            }
+            if wait.due > now {
+                self.waits.push(wait);
+                continue;
+            }
+            wait.due = now + POLL;
+            match self.find(&Query::Force(wait.revision)) {
+                Some(Found::Force { everywhere: true, .. }) => self.settle_wait(&wait),
+                Some(Found::Force { awaited, .. }) => self.waits.push(Wait { awaited, ..wait }),
+                _ => {
+                    let query = Query::Force(wait.revision);
+                    let waiter = Waiter::Force(wait.call);
+                    self.waits.push(wait);
+                    self.query(query, waiter, None, RESEND);
+                }
+            }
+        }
+    }
+
+    /// Returns the newest table, or the one at a revision as far as it is kept.
+    pub(crate) fn version(&self, revision: Option<Revision>) -> Reply {
+        let newest = self.hub.revision();
+        let revision = revision.unwrap_or(newest);
+        if revision == newest {
+            return Reply::Table(Version { revision, table: self.hub.table().clone() });
+        }
+        let kept = self.tables.iter().find(|kept| kept.revision == revision);
+        kept.map_or_else(
+            || Reply::Missing { oldest: self.oldest(), newest },
+            |kept| Reply::Table(kept.clone()),
+        )
+    }
+
+    /// Returns the oldest revision of the table that is kept.
+    fn oldest(&self) -> Revision {
+        self.tables.iter().map(|kept| kept.revision).min().unwrap_or(self.hub.revision())
+    }
+
+    /// Returns the table at a revision; one that is too old to be kept leads to a stale edit, so
+    /// that it matters little that the newest stands in for it.
+    fn base(&self, revision: Revision) -> Arc<Table> {
+        if revision == Revision::default() {
+            return Arc::default();
+        }
+        let kept = self.tables.iter().find(|kept| kept.revision == revision);
+        kept.map_or_else(|| self.hub.table().clone(), |kept| kept.table.clone())
+    }
+
+    /// Returns what differs here from a base, for an edit that is only checked.
+    fn newest(&self, base: Revision) -> history::Newest {
+        let changes = change::diff(&self.base(base), self.hub.table());
+        history::Newest {
+            revision: self.hub.revision(),
+            by: None,
+            differs: changes.iter().map(change::Change::key).take(history::MAX_NAMED).collect(),
+            more: changes.len() > history::MAX_NAMED,
+        }
+    }
+
+    pub(crate) fn await_force(
+        &mut self,
+        call: Id,
+        revision: Revision,
+        since: Duration,
+        wait: Duration,
+    ) {
+        let (deadline, due) = (self.now + wait, self.now);
+        let (told, awaited) = (false, Vec::new());
+        self.waits.push(Wait { call, revision, since, deadline, told, due, awaited });
+    }
+
+    /// Ends the wait for an edit that is in force everywhere.
+    pub(crate) fn settle_wait(&mut self, wait: &Wait) {
+        let took = self.now.saturating_sub(wait.since);
+        self.note(Notice::InForce { revision: wait.revision, took });
+        if !wait.told {
+            self.tell_force(wait, true);
+        }
+    }
+
+    fn tell_force(&mut self, wait: &Wait, in_force: bool) {
+        let awaited = if in_force { Vec::new() } else { wait.awaited.clone() };
+        let edited = Edited::Accepted { revision: wait.revision, in_force, awaited };
+        self.reply(wait.call, Reply::Edited(edited));
+    }
+}
--- a/crates/verbenaslip-node/src/lib.rs
+++ b/crates/verbenaslip-node/src/lib.rs
@@ -12,7 +12,8 @@
 //!   the watch publish the table that they lead to.
 //! - `serve` leads one request through admission, journal, claim, routing, retries and moves.
 //! - `orders` gives upstreams the leader's orders, and `capacity` plans for the hour to come.
-//! - `calls` answers operators, also for what only voters hold; `status` is what they are shown.
+//! - `calls` answers operators, `edits` follows an edit until it is in force everywhere, `query` asks
+//!   voters for what only they hold, and `status` is what operators are shown.
 //! - `stop` ends the instance without cutting off anything.
 //! - `share` is what an instance tells its neighbours once a second.
 
@@ -26,12 +27,14 @@
 pub mod status;
 
 mod calls;
+mod edits;
 mod lead;
 mod members;
 mod millis;
 mod node;
 mod orders;
 mod proposal;
+mod query;
 mod serve;
 mod share;
 mod stop;
--- a/crates/verbenaslip-node/src/node.rs
+++ b/crates/verbenaslip-node/src/node.rs
@@ -52,7 +52,7 @@
     pub(crate) dispatcher: Dispatcher,
     pub(crate) tokens: Tokens,
     pub(crate) proposals: Proposals,
-    pub(crate) queries: BTreeMap<u64, crate::calls::Open>,
+    pub(crate) queries: BTreeMap<u64, crate::query::Open>,
     pub(crate) waits: Vec<Wait>,
     pub(crate) known: BTreeMap<Request, Known>,
     pub(crate) tables: VecDeque<Version>,
@@ -343,7 +343,7 @@
     fn use_table(&mut self, revision: Revision, table: Arc<Table>) {
         self.dispatcher.table(self.now, &table);
         self.tables.push_back(Version { revision, table });
-        if self.tables.len() > crate::calls::TABLES {
+        if self.tables.len() > crate::edits::TABLES {
             self.tables.pop_front();
         }
         self.note(Notice::Table(revision));
