Pass on what membership and registry say in one place

Cause: the outputs of the gossip were matched twice, once for announcements and once for all else, so a new output had to be added in both. Ruled out: nothing; behaviour stays as it is. Change: one function with the announcement's call, if there is one. Conclusion: the answer is the only difference, and it stands there alone.

--- a/crates/verbenaslip-node/src/members.rs
+++ b/crates/verbenaslip-node/src/members.rs
@@ -17,21 +17,12 @@
 use crate::share::Share;
 
 impl Node {
+    /// Gives membership and registry an input, and passes on what follows.
     pub(crate) fn step_gossip(&mut self, input: gossip::Input) {
         let mut outputs = Vec::new();
         self.gossip.step(self.now, input, &mut outputs);
         for output in outputs {
-            match output {
-                gossip::Output::Send { to, frame } => {
-                    self.out.push(Output::Datagram { to, frame });
-                }
-                // Announcements are answered where they are made.
-                gossip::Output::Answer(_) => {}
-                gossip::Output::Member(event) => self.member(event),
-                gossip::Output::Upstream(event) => self.upstream(event),
-                gossip::Output::Reported(instance) => self.reported(&instance),
-                gossip::Output::Isolated(isolated) => self.isolated(isolated),
-            }
+            self.gossiped(output, None);
         }
     }
 
@@ -44,19 +35,24 @@
         let mut outputs = Vec::new();
         self.gossip.step(self.now, gossip::Input::Announced(announcement), &mut outputs);
         for output in outputs {
-            match output {
-                gossip::Output::Answer(answer) => {
+            self.gossiped(output, Some(call));
+        }
+    }
+
+    /// Passes on one output; the call is that of the announcement that it may answer.
+    fn gossiped(&mut self, output: gossip::Output, call: Option<Id>) {
+        match output {
+            gossip::Output::Send { to, frame } => self.out.push(Output::Datagram { to, frame }),
+            gossip::Output::Answer(answer) => {
+                if let Some(call) = call {
                     let reply = Reply::Announced(answer);
                     self.out.push(Output::Reply { call, reply });
                 }
-                gossip::Output::Send { to, frame } => {
-                    self.out.push(Output::Datagram { to, frame });
-                }
-                gossip::Output::Member(event) => self.member(event),
-                gossip::Output::Upstream(event) => self.upstream(event),
-                gossip::Output::Reported(instance) => self.reported(&instance),
-                gossip::Output::Isolated(isolated) => self.isolated(isolated),
             }
+            gossip::Output::Member(event) => self.member(event),
+            gossip::Output::Upstream(event) => self.upstream(event),
+            gossip::Output::Reported(instance) => self.reported(&instance),
+            gossip::Output::Isolated(isolated) => self.isolated(isolated),
         }
     }
 
