--- /dev/null
+++ b/crates/verbenaslip-fleet/src/clock.rs
@@ -0,0 +1,54 @@
+//! The time of day that a fleet agrees on.
+//!
+//! A machine's time of day may jump by seconds. One would notice usage counted into the wrong window
+//! and two counts for one window. So every instance tells the leader what its clock shows, the
+//! leader takes the median, and all follow that by their steady clocks.
+
+use std::time::Duration;
+
+/// Returns the time of day from a steady clock and an agreed offset.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    offset: i64,
+    agreed: bool,
+}
+
+impl Clock {
+    /// Starts from this machine's own time of day, in Unix milliseconds.
+    pub fn open(now: Duration, unix: u64) -> Self {
+        Self { offset: offset(now, unix), agreed: false }
+    }
+
+    /// Follows this machine's time of day until the fleet has agreed on one.
+    pub fn hint(&mut self, now: Duration, unix: u64) {
+        if !self.agreed {
+            self.offset = offset(now, unix);
+        }
+    }
+
+    /// Takes the time that the fleet agreed on.
+    pub fn agree(&mut self, now: Duration, unix: u64) {
+        self.offset = offset(now, unix);
+        self.agreed = true;
+    }
+
+    /// Returns the time of day in Unix milliseconds.
+    pub fn unix(&self, now: Duration) -> u64 {
+        u64::try_from(millis(now).saturating_add(self.offset)).unwrap_or(0)
+    }
+}
+
+/// Returns the median of what several clocks show, each as an offset to the same steady clock.
+pub fn median(mut offsets: Vec<i64>) -> Option<i64> {
+    offsets.sort_unstable();
+    offsets.get(offsets.len().checked_sub(1)? / 2).copied()
+}
+
+/// Returns the offset between a steady clock and a time of day, in milliseconds.
+pub fn offset(now: Duration, unix: u64) -> i64 {
+    i64::try_from(unix).unwrap_or(i64::MAX).saturating_sub(millis(now))
+}
+
+fn millis(now: Duration) -> i64 {
+    i64::try_from(now.as_millis()).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -0,0 +1,365 @@
+//! A core: a voter of the replicated log, and its leader for a time.
+
+mod call;
+mod lead;
+mod log;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use verbenaslip_base::name::Instance;
+use verbenaslip_replica::input as replica;
+use verbenaslip_replica::setup::{Setup as LogSetup, Size, Timing as LogTiming};
+use verbenaslip_replica::storage::{Recovered, Write};
+use verbenaslip_replica::{Replica, output};
+
+use crate::clock;
+use crate::core::call::Waiting;
+use crate::duty::{self, Desk, Order, Outcome};
+use crate::frame::{Ask, Frame, Peer, Told};
+use crate::hub::Hub;
+use crate::ledger::Ledger;
+use crate::link::{Link, Report};
+use crate::registry::Registry;
+use crate::view::View;
+
+/// The largest command: a route table of the largest body that an operator may send, with the
+/// document itself beside it.
+const COMMAND: usize = 12 << 20;
+
+/// Sets a core up.
+pub struct Setup {
+    /// This instance; its voter is that of the folder.
+    pub own: Peer,
+    /// Addresses of some cores to join through.
+    pub seeds: Vec<SocketAddr>,
+    /// The cores that form the log at the very first start of all; empty at any other.
+    pub founders: Vec<SocketAddr>,
+    /// What the data folder holds.
+    pub recovered: Recovered,
+    /// How many voters are wanted: twice the disks that may be lost at once, and one.
+    pub voters: usize,
+    /// Time between two announcements of an upstream.
+    pub announce: Duration,
+    /// The times of the log.
+    pub timing: LogTiming,
+    /// The times of orders to the cloud; none when there is none.
+    pub duty: Option<duty::Timing>,
+    /// Seeds every random choice.
+    pub seed: u64,
+    /// What this machine's clock shows, in Unix milliseconds.
+    pub unix: u64,
+}
+
+/// Tells a core what happened.
+#[derive(Debug)]
+pub enum Input {
+    /// Only time has passed.
+    Tick,
+    /// The machine's clock shows this, in Unix milliseconds.
+    Unix(u64),
+    /// A frame has come.
+    Frame(Box<Frame>),
+    /// Somebody outside asks for something; answered once, with the same identity.
+    Call {
+        /// Names the call in its answer.
+        id: u64,
+        /// What is asked.
+        ask: Ask,
+    },
+    /// All writes up to a mark are durable.
+    Stored(u64),
+    /// The cloud has answered an order.
+    Ordered {
+        /// The order.
+        id: u64,
+        /// What became of it.
+        outcome: Outcome,
+    },
+    /// The settings name other addresses to join through.
+    Seeds(Vec<SocketAddr>),
+    /// This instance is about to stop.
+    Stop,
+}
+
+/// Wants something done; outputs are taken in order.
+#[derive(Debug)]
+pub enum Output {
+    /// Sends a frame.
+    Send {
+        /// Where to.
+        to: SocketAddr,
+        /// What it says.
+        frame: Frame,
+    },
+    /// Writes and syncs; the mark comes back as [`Input::Stored`].
+    Store {
+        /// Rises with each write.
+        mark: u64,
+        /// What to write.
+        write: Write,
+    },
+    /// Answers a call.
+    Reply {
+        /// The call.
+        id: u64,
+        /// The answer.
+        told: Told,
+    },
+    /// Gives the cloud an order.
+    Order(Order),
+    /// Tells what this instance now believes, for the logs.
+    Note(Note),
+}
+
+/// Tells of a decision or a belief that has changed.
+#[derive(Clone, Debug)]
+pub enum Note {
+    /// The role in the log.
+    Role {
+        /// The term.
+        term: u64,
+        /// What this core is.
+        duty: output::Duty,
+        /// The leader, where known.
+        leader: Option<Instance>,
+    },
+    /// A route table is in force.
+    Sheet {
+        /// Its revision.
+        revision: u64,
+        /// Its routes.
+        routes: usize,
+    },
+    /// An upstream's standing has changed.
+    Upstream {
+        /// What is known of it.
+        record: Box<crate::registry::Record>,
+    },
+    /// An upstream said that it goes.
+    Withdrawn(verbenaslip_base::name::Upstream),
+    /// The voters are changed.
+    Voters {
+        /// The change.
+        change: verbenaslip_replica::config::Change,
+    },
+    /// A window of usage was closed.
+    Closed {
+        /// Its number.
+        window: u64,
+        /// Requests in it.
+        requests: u64,
+    },
+    /// A call could not be answered for sure in time.
+    Unsure {
+        /// What was asked.
+        what: &'static str,
+    },
+    /// The log holds what this version can't read.
+    Unreadable(String),
+}
+
+/// Composes the decisions of a core.
+pub struct Core {
+    pub(crate) setup: Settings,
+    pub(crate) now: Duration,
+    pub(crate) unix: u64,
+    pub(crate) replica: Replica,
+    pub(crate) ledger: Ledger,
+    pub(crate) applied: u64,
+    pub(crate) broken: bool,
+    pub(crate) registry: Registry,
+    pub(crate) hub: Hub,
+    pub(crate) link: Link,
+    pub(crate) desk: Desk,
+    pub(crate) waiting: BTreeMap<u64, Waiting>,
+    pub(crate) next: u64,
+    /// Since when this core has led under a lease without a break.
+    pub(crate) reign: Option<Reign>,
+    pub(crate) changing: Option<u64>,
+    pub(crate) closing: BTreeSet<u64>,
+    pub(crate) absent: BTreeMap<Instance, Duration>,
+    pub(crate) out: Vec<Output>,
+    stopping: bool,
+    sweep: Duration,
+}
+
+/// Holds what of the setup is needed after the start.
+pub(crate) struct Settings {
+    pub(crate) voters: usize,
+    pub(crate) duty: Option<duty::Timing>,
+}
+
+/// Holds one time of leading.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Reign {
+    pub(crate) term: u64,
+    pub(crate) since: Duration,
+}
+
+/// Time between two looks at what is due at the leader.
+const SWEEP: Duration = Duration::from_millis(100);
+
+impl Core {
+    /// Starts from what the folder holds; the first outputs come with the first step.
+    pub fn open(setup: Setup, now: Duration) -> Self {
+        let Setup { own, seeds, founders, recovered, voters, announce, timing, duty, seed, unix } =
+            setup;
+        let founders = founders.iter().map(|address| name_of(*address)).collect();
+        let mut log = LogSetup::new(name_of(own.address), founders, seed);
+        log.timing = timing;
+        log.size = Size { command: COMMAND, waiting: 2 * COMMAND, ..Size::default() };
+        Self {
+            setup: Settings { voters, duty },
+            now,
+            unix,
+            replica: Replica::open(log, recovered, now),
+            ledger: Ledger::default(),
+            applied: 0,
+            broken: false,
+            registry: Registry::open(announce),
+            hub: Hub::default(),
+            link: Link::open(own, seeds, now, unix),
+            desk: Desk::default(),
+            waiting: BTreeMap::new(),
+            next: 0,
+            reign: None,
+            changing: None,
+            closing: BTreeSet::new(),
+            absent: BTreeMap::new(),
+            out: Vec::new(),
+            stopping: false,
+            sweep: now,
+        }
+    }
+
+    /// Takes an input at a time on the local clock, and adds what is to be done to `out`.
+    pub fn step(&mut self, now: Duration, input: Input, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        self.take(input);
+        self.step_log(replica::Input::Tick);
+        self.follow_role();
+        if self.now >= self.sweep {
+            self.sweep = self.now + SWEEP;
+            self.sweep();
+        }
+        self.push_news();
+        self.beat();
+        out.append(&mut self.out);
+    }
+
+    /// Returns when the next tick is due.
+    pub fn wake(&self) -> Duration {
+        let link = if self.reign.is_some() { self.sweep } else { self.link.wake() };
+        let calls = if self.waiting.is_empty() { Duration::MAX } else { self.sweep };
+        self.replica.wake().min(link).min(calls)
+    }
+
+    /// Returns what this core knows of the fleet.
+    pub fn view(&self) -> &View {
+        self.link.view()
+    }
+
+    /// Returns what the log holds.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Returns the log's replica, for its status.
+    pub fn replica(&self) -> &Replica {
+        &self.replica
+    }
+
+    /// Tells whether this core leads under a lease.
+    pub fn leads(&self) -> bool {
+        self.reign.is_some()
+    }
+
+    /// Tells whether a stop may end: nothing is led or waited for here.
+    pub fn is_idle(&self) -> bool {
+        !self.replica.is_leader() && self.waiting.is_empty()
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Tick => {}
+            Input::Unix(unix) => {
+                self.unix = unix;
+                self.link.clock_mut().hint(self.now, unix);
+            }
+            Input::Frame(frame) => self.frame(*frame),
+            Input::Call { id, ask } => self.called(id, ask),
+            Input::Stored(mark) => self.step_log(replica::Input::Stored { mark }),
+            Input::Ordered { id, outcome } => self.desk.ended(id, outcome),
+            Input::Seeds(seeds) => self.link.reseed(seeds),
+            Input::Stop => {
+                self.stopping = true;
+                self.step_log(replica::Input::Transfer);
+            }
+        }
+    }
+
+    fn frame(&mut self, frame: Frame) {
+        match frame {
+            Frame::Log { from, message } => {
+                self.step_log(replica::Input::Message { from, message: *message });
+            }
+            Frame::Beat(beat) => self.beaten(*beat),
+            Frame::News(news) => {
+                if !self.leads() && self.link.news(self.now, *news) {
+                    self.beat();
+                }
+            }
+            Frame::Elsewhere { leader, cores } => self.link.elsewhere(self.now, leader, &cores),
+            Frame::Ask { from, token, ask } => self.asked(from, token, *ask),
+            Frame::Told { token, told } => self.told(token, told),
+        }
+    }
+
+    /// Reports to the leader, as every instance does.
+    fn beat(&mut self) {
+        if self.leads() {
+            return;
+        }
+        if let Some(leader) = self.replica.leader().and_then(address_of) {
+            self.link.aim(leader, self.now);
+        }
+        if let Some((to, beat)) = self.link.beat(self.now, self.unix, Report::default()) {
+            self.send(to, Frame::Beat(Box::new(beat)));
+        }
+    }
+
+    pub(crate) fn send(&mut self, to: SocketAddr, frame: Frame) {
+        if to != self.link.own().address {
+            self.out.push(Output::Send { to, frame });
+        }
+    }
+
+    pub(crate) fn note(&mut self, note: Note) {
+        self.out.push(Output::Note(note));
+    }
+
+    pub(crate) fn token(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    /// Returns the agreed time of day.
+    pub(crate) fn agreed(&self) -> u64 {
+        let own = clock::offset(self.now, self.unix);
+        let offset = self.hub.offset(self.now, own);
+        let now = i64::try_from(self.now.as_millis()).unwrap_or(i64::MAX);
+        u64::try_from(now.saturating_add(offset)).unwrap_or(0)
+    }
+}
+
+/// Names a core by its address, so that a seed's address is all that founding needs.
+pub fn name_of(address: SocketAddr) -> Instance {
+    Instance::new(address.to_string())
+}
+
+/// Returns the address of a core from its name.
+pub fn address_of(name: &Instance) -> Option<SocketAddr> {
+    name.as_str().parse().ok()
+}
--- /dev/null
+++ b/crates/verbenaslip-fleet/src/core/call.rs
@@ -0,0 +1,253 @@
+//! Calls from outside, answered by the leader whatever core they reach.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::core::{Core, Note, Output, address_of};
+use crate::frame::{Ask, Frame, Told};
+use crate::ledger::Command;
+use crate::registry::Change;
+
+/// How long a call waits for an answer that is sure; its sender turns to another core after 1 s.
+const PATIENCE: Duration = Duration::from_millis(850);
+
+/// How long a call that was passed on waits for the leader before it is passed on again.
+const AGAIN: Duration = Duration::from_millis(250);
+
+/// How long an upstream's leaving waits for every instance to know it. Whoever has not confirmed by
+/// then has lost its connection, and gets the change as the first thing on the next one.
+const SPREAD: Duration = Duration::from_millis(600);
+
+/// Holds one call that is not answered yet.
+#[derive(Debug)]
+pub(crate) struct Waiting {
+    asker: Asker,
+    ask: Ask,
+    until: Duration,
+    stage: Stage,
+}
+
+/// Says where an answer goes.
+#[derive(Clone, Copy, Debug)]
+enum Asker {
+    /// To a call at this core.
+    Here(u64),
+    /// To another core.
+    There { address: SocketAddr, token: u64 },
+}
+
+/// Says what a call waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// A leader.
+    Leader,
+    /// The leader's answer.
+    Passed { token: u64, again: Duration },
+    /// The log.
+    Committed { token: u64 },
+    /// Every instance that answers.
+    Spread { change: u64, until: Duration },
+}
+
+impl Core {
+    /// Takes a call at this core.
+    pub(crate) fn called(&mut self, id: u64, ask: Ask) {
+        self.enter(Asker::Here(id), ask);
+    }
+
+    /// Takes a call that another core passes on.
+    pub(crate) fn asked(&mut self, address: SocketAddr, token: u64, ask: Ask) {
+        let asker = Asker::There { address, token };
+        // Passed on further it could go round between cores that each believe in another leader.
+        if self.leads() {
+            self.enter(asker, ask);
+        } else {
+            self.answer(asker, Told::Unsure);
+        }
+    }
+
+    /// Takes the leader's answer to a call that was passed on.
+    pub(crate) fn told(&mut self, token: u64, told: Told) {
+        let passed = |waiting: &Waiting| matches!(waiting.stage, Stage::Passed { token: it, .. } if it == token);
+        let Some(key) = self.waiting.iter().find(|(_, it)| passed(it)).map(|(key, _)| *key) else {
+            return;
+        };
+        if matches!(told, Told::Unsure) {
+            if let Some(waiting) = self.waiting.get_mut(&key) {
+                waiting.stage = Stage::Leader;
+            }
+            return;
+        }
+        if let Some(waiting) = self.waiting.remove(&key) {
+            self.answer(waiting.asker, told);
+        }
+    }
+
+    /// Takes the log's answer to a route table.
+    pub(crate) fn adopted(&mut self, token: u64, committed: bool) {
+        let proposed = |waiting: &Waiting| waiting.stage == Stage::Committed { token };
+        let Some(key) = self.waiting.iter().find(|(_, it)| proposed(it)).map(|(key, _)| *key)
+        else {
+            return;
+        };
+        if !committed {
+            // Whether it is committed is not known; given again it changes nothing that it has not
+            // changed already.
+            if let Some(waiting) = self.waiting.get_mut(&key) {
+                waiting.stage = Stage::Leader;
+            }
+            return;
+        }
+        if let Some(waiting) = self.waiting.remove(&key) {
+            let revision = self.ledger.revision();
+            self.answer(waiting.asker, Told::Adopted { revision });
+        }
+    }
+
+    /// Goes on with the calls that wait.
+    pub(crate) fn advance_calls(&mut self) {
+        let keys: Vec<u64> = self.waiting.keys().copied().collect();
+        for key in keys {
+            self.advance(key);
+        }
+    }
+
+    fn enter(&mut self, asker: Asker, ask: Ask) {
+        let until = self.now + PATIENCE;
+        let key = self.token();
+        self.waiting.insert(key, Waiting { asker, ask, until, stage: Stage::Leader });
+        self.advance(key);
+    }
+
+    fn advance(&mut self, key: u64) {
+        let Some(waiting) = self.waiting.get(&key) else { return };
+        if waiting.until <= self.now {
+            return self.give_up(key);
+        }
+        match waiting.stage {
+            Stage::Leader if self.leads() => self.serve(key),
+            Stage::Leader => self.pass(key),
+            Stage::Passed { again, .. } if self.leads() || again <= self.now => {
+                self.restart(key);
+            }
+            Stage::Spread { change, until } => {
+                if !self.leads() {
+                    return self.restart(key);
+                }
+                if until <= self.now || self.hub.all_seen(self.now, change) {
+                    self.conclude(key, Told::Noted);
+                }
+            }
+            Stage::Passed { .. } | Stage::Committed { .. } => {}
+        }
+    }
+
+    fn restart(&mut self, key: u64) {
+        let Some(waiting) = self.waiting.get_mut(&key) else { return };
+        waiting.stage = Stage::Leader;
+        if self.leads() {
+            self.serve(key);
+        } else {
+            self.pass(key);
+        }
+    }
+
+    /// Serves a call as the leader.
+    fn serve(&mut self, key: u64) {
+        let Some(waiting) = self.waiting.get(&key) else { return };
+        match waiting.ask.clone() {
+            Ask::Adopt(edition) => {
+                if self.ledger.edition().is_some()
+                    && edition.sheet.revision <= self.ledger.revision()
+                {
+                    let revision = self.ledger.revision();
+                    return self.conclude(key, Told::Adopted { revision });
+                }
+                let token = self.propose(&Command::Adopt(edition));
+                self.set_stage(key, Stage::Committed { token });
+            }
+            Ask::Read => {
+                let document = self.ledger.edition().map(|edition| edition.document.clone());
+                self.conclude(key, document.map_or(Told::Empty, Told::Document));
+            }
+            Ask::Announce(announcement) => {
+                let upstream = announcement.upstream.clone();
+                let change = self.registry.announce(self.now, *announcement);
+                if change != Change::Nothing {
+                    self.note_upstream(&upstream);
+                }
+                self.spread(key, change);
+            }
+            Ask::Withdraw(upstream) => {
+                let change = self.registry.withdraw(&upstream);
+                if change != Change::Nothing {
+                    self.note(Note::Withdrawn(upstream));
+                }
+                self.spread(key, change);
+            }
+        }
+    }
+
+    /// Waits until every instance knows that an upstream leaves.
+    ///
+    /// Its sender stops to serve some time after the answer. An instance that did not know would go
+    /// on sending requests there, which shows as requests lost at upstreams that left in good order.
+    fn spread(&mut self, key: u64, change: Change) {
+        if change != Change::Leaving {
+            return self.conclude(key, Told::Noted);
+        }
+        let until = self.now + SPREAD;
+        let change = self.registry.stamp();
+        self.set_stage(key, Stage::Spread { change, until });
+    }
+
+    fn pass(&mut self, key: u64) {
+        let leader = self.replica.leader().and_then(address_of);
+        let own = self.link.own().address;
+        let Some(leader) = leader.filter(|leader| *leader != own) else { return };
+        let token = self.token();
+        let again = self.now + AGAIN;
+        let Some(waiting) = self.waiting.get_mut(&key) else { return };
+        waiting.stage = Stage::Passed { token, again };
+        let ask = Box::new(waiting.ask.clone());
+        self.send(leader, Frame::Ask { from: own, token, ask });
+    }
+
+    fn set_stage(&mut self, key: u64, stage: Stage) {
+        if let Some(waiting) = self.waiting.get_mut(&key) {
+            waiting.stage = stage;
+        }
+    }
+
+    fn give_up(&mut self, key: u64) {
+        let Some(waiting) = self.waiting.get(&key) else { return };
+        let what = match waiting.ask {
+            Ask::Adopt(_) => "adopt",
+            Ask::Read => "read",
+            Ask::Announce(_) => "announce",
+            Ask::Withdraw(_) => "withdraw",
+        };
+        self.note(Note::Unsure { what });
+        self.conclude(key, Told::Unsure);
+    }
+
+    fn conclude(&mut self, key: u64, told: Told) {
+        if let Some(waiting) = self.waiting.remove(&key) {
+            self.answer(waiting.asker, told);
+        }
+    }
+
+    fn answer(&mut self, asker: Asker, told: Told) {
+        match asker {
+            Asker::Here(id) => self.out.push(Output::Reply { id, told }),
+            Asker::There { address, token } => self.send(address, Frame::Told { token, told }),
+        }
+    }
+
+    fn note_upstream(&mut self, upstream: &verbenaslip_base::name::Upstream) {
+        let record = self.registry.records().find(|it| it.announcement.upstream == *upstream);
+        if let Some(record) = record.cloned() {
+            self.note(Note::Upstream { record: Box::new(record) });
+        }
+    }
+}
--- /dev/null
+++ b/crates/verbenaslip-fleet/src/core/lead.rs
@@ -0,0 +1,231 @@
+//! What a core does while it leads.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use verbenaslip_base::name::Instance;
+use verbenaslip_replica::config::Change;
+use verbenaslip_replica::voter::Voter;
+
+use crate::core::{Core, Note, Output, Reign, address_of};
+use crate::duty::{Desk, Order, Task};
+use crate::frame::{Beat, Frame};
+use crate::hub::{Hub, Source};
+use crate::ledger::{Command, Window};
+use crate::registry::{Registry, Standing};
+use crate::usage::window_end;
+use crate::view::Stamp;
+
+/// After this absence a voter is replaced by a core that has none. Killed machines are back within
+/// a few seconds; a replacement costs a copy of the log and is of use only for good.
+const ABSENCE: Duration = Duration::from_secs(6);
+
+/// How long counts of an entry are awaited after the end of a window by the clock alone: reports
+/// come four times a second.
+const COUNT_SLACK: u64 = 300;
+
+impl Core {
+    /// Begins or ends to lead as the lease says.
+    pub(crate) fn follow_role(&mut self) {
+        let leased = self.replica.lease_until(self.now).is_some_and(|until| until > self.now);
+        let term = self.replica.term();
+        match self.reign {
+            Some(reign) if leased && reign.term == term => {}
+            None if !leased => {}
+            _ if leased => self.begin(term),
+            _ => self.end(),
+        }
+    }
+
+    fn begin(&mut self, term: u64) {
+        self.reign = Some(Reign { term, since: self.now });
+        self.hub = Hub::default();
+        self.closing.clear();
+        self.absent.clear();
+        self.changing = None;
+        let records: Vec<_> = self.link.view().upstreams.values().cloned().collect();
+        self.registry.adopt(self.now, records.into_iter());
+        self.advance_calls();
+    }
+
+    /// Keeps what was led by for the time after.
+    fn end(&mut self) {
+        let Some(reign) = self.reign.take() else { return };
+        let stamp = Stamp { term: reign.term, change: self.registry.stamp() };
+        let there = self.registry.records().filter(|it| it.standing != Standing::Gone);
+        let upstreams = there.map(|it| (it.announcement.upstream.clone(), it.clone())).collect();
+        let view = self.link.view_mut();
+        view.stamp = stamp;
+        view.upstreams = Arc::new(upstreams);
+        self.advance_calls();
+    }
+
+    /// Takes an instance's report and answers it.
+    pub(crate) fn beaten(&mut self, beat: Beat) {
+        let to = beat.peer.address;
+        let Some(reign) = self.reign else {
+            let leader = self.replica.leader().and_then(address_of);
+            let cores = self.link.view().cores.clone();
+            return self.send(to, Frame::Elsewhere { leader, cores });
+        };
+        self.hub.take(self.now, reign.term, beat);
+        self.advance_calls();
+        self.tell(to);
+    }
+
+    /// Tells whoever lacks something, at once rather than with its next report.
+    pub(crate) fn push_news(&mut self) {
+        let Some(reign) = self.reign else { return };
+        let cores = self.cores();
+        let unix = self.agreed();
+        let source = Source {
+            term: reign.term,
+            registry: &self.registry,
+            ledger: &self.ledger,
+            cores: &cores,
+            unix,
+        };
+        for to in self.hub.behind(&source) {
+            self.tell(to);
+        }
+    }
+
+    /// Looks at what is due from time to time.
+    pub(crate) fn sweep(&mut self) {
+        self.advance_calls();
+        if self.reign.is_none() {
+            return;
+        }
+        if self.registry.tick(self.now) {
+            let silent = self.registry.records().filter(|it| it.standing == Standing::Silent);
+            let silent: Vec<_> = silent.cloned().collect();
+            for record in silent {
+                self.note(Note::Upstream { record: Box::new(record) });
+            }
+        }
+        self.tend_voters();
+        self.close_windows();
+        self.order();
+    }
+
+    fn tell(&mut self, to: SocketAddr) {
+        let Some(reign) = self.reign else { return };
+        let cores = self.cores();
+        let unix = self.agreed();
+        let urgent = !self.waiting.is_empty();
+        let source = Source {
+            term: reign.term,
+            registry: &self.registry,
+            ledger: &self.ledger,
+            cores: &cores,
+            unix,
+        };
+        if let Some(news) = self.hub.news(self.now, to, &source, urgent) {
+            self.send(to, Frame::News(Box::new(news)));
+        }
+    }
+
+    /// Returns where cores are reached: the voters, and those that may become one.
+    fn cores(&self) -> Vec<SocketAddr> {
+        let voters = self.replica.voters().members();
+        let mut cores: Vec<SocketAddr> =
+            voters.filter_map(|voter| address_of(&voter.instance)).collect();
+        cores.extend(self.hub.cores(self.now).map(|peer| peer.address));
+        cores.sort_unstable();
+        cores.dedup();
+        cores
+    }
+
+    /// Keeps as many voters as are wanted, on cores that answer.
+    ///
+    /// A core that is replaced by another machine leaves the log with one voter less. Unless the
+    /// new one takes its place, the next loss would stop all changes, which shows as edits that are
+    /// never acknowledged.
+    fn tend_voters(&mut self) {
+        if self.changing.is_some() || self.replica.voters().is_joint() {
+            return;
+        }
+        let voters: Vec<Voter> = self.replica.voters().voters.clone();
+        let is_voter = |voter: &Voter| voters.iter().any(|it| it.instance == voter.instance);
+        let spare = self.hub.cores(self.now).filter_map(|peer| peer.voter.clone());
+        let Some(spare) = spare.into_iter().find(|voter| !is_voter(voter)) else {
+            self.absent.clear();
+            return;
+        };
+        if voters.len() < self.setup.voters {
+            return self.change(Change::Add(spare));
+        }
+        if let Some(old) = self.long_absent(&voters) {
+            self.change(Change::Replace { old, new: spare });
+        }
+    }
+
+    fn long_absent(&mut self, voters: &[Voter]) -> Option<Instance> {
+        let own = self.replica.voter().instance;
+        let heard: Vec<SocketAddr> = self.hub.cores(self.now).map(|peer| peer.address).collect();
+        let present = |it: &Instance| address_of(it).is_some_and(|it| heard.contains(&it));
+        for voter in voters {
+            if voter.instance == own || present(&voter.instance) {
+                self.absent.remove(&voter.instance);
+            } else {
+                self.absent.entry(voter.instance.clone()).or_insert(self.now);
+            }
+        }
+        let now = self.now;
+        let long = |since: &Duration| now.saturating_sub(*since) >= ABSENCE;
+        let found = self.absent.iter().find(|(_, since)| long(since));
+        let found = found.map(|(instance, _)| instance.clone());
+        found.filter(|instance| voters.iter().any(|voter| voter.instance == *instance))
+    }
+
+    /// Closes the windows of usage whose counts are complete.
+    fn close_windows(&mut self) {
+        let (Some(timing), Some(reign)) = (self.setup.duty, self.reign) else { return };
+        // The entries report to a new leader within a few beats; a window closed before that would
+        // lack their counts.
+        if self.now.saturating_sub(reign.since) < timing.settle {
+            return;
+        }
+        let unix = self.agreed();
+        let settle = u64::try_from(timing.settle.as_millis()).unwrap_or(u64::MAX);
+        let due: Vec<u64> = Desk::due(&self.ledger, &timing, unix).collect();
+        for number in due {
+            let end = window_end(number, timing.window);
+            let complete = unix >= end.saturating_add(COUNT_SLACK)
+                && self.hub.counted(self.now, end.saturating_add(COUNT_SLACK));
+            let settled = complete || unix >= end.saturating_add(settle);
+            let counts = self.hub.sum(number);
+            if !settled || counts.is_empty() || !self.closing.insert(number) {
+                continue;
+            }
+            let requests = counts.values().sum();
+            self.note(Note::Closed { window: number, requests });
+            self.propose(&Command::Close(Window { number, counts }));
+        }
+    }
+
+    /// Gives the cloud the orders that are due.
+    fn order(&mut self) {
+        let (Some(timing), Some(reign)) = (self.setup.duty, self.reign) else { return };
+        if self.now.saturating_sub(reign.since) < timing.wait {
+            return;
+        }
+        let Some(until) = self.replica.lease_until(self.now) else { return };
+        let unix = self.agreed();
+        for (id, window) in self.desk.orders(self.now, &self.ledger, &timing, unix) {
+            let task = Task::Usage(window);
+            self.out.push(Output::Order(Order { id, fence: reign.term, until, task }));
+        }
+    }
+}
+
+impl Registry {
+    /// Returns the upstream records by service, for the plan of capacity.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a crate::registry::Record> {
+        self.records().filter(move |record| &*record.announcement.service == service)
+    }
+}
--- /dev/null
+++ b/crates/verbenaslip-fleet/src/core/log.rs
@@ -0,0 +1,126 @@
+//! The replicated log within a core.
+
+use std::sync::Arc;
+
+use verbenaslip_replica::config::Change;
+use verbenaslip_replica::entry::Position;
+use verbenaslip_replica::input as replica;
+use verbenaslip_replica::output::{Answer, Output as LogOutput};
+use verbenaslip_replica::storage::Snapshot;
+use verbenaslip_replica::voter::Voter;
+
+use crate::core::{Core, Note, Output, address_of};
+use crate::frame::Frame;
+use crate::ledger::{Command, Ledger};
+
+impl Core {
+    /// Gives the log an input, and does what it wants done.
+    pub(crate) fn step_log(&mut self, input: replica::Input) {
+        // A state that can't be read must not vote on: it would acknowledge what it can't apply.
+        if self.broken {
+            return;
+        }
+        let mut outputs = Vec::new();
+        self.replica.step(self.now, input, &mut outputs);
+        for output in outputs {
+            self.logged(output);
+        }
+    }
+
+    /// Has a command committed; returns the token of its answer.
+    pub(crate) fn propose(&mut self, command: &Command) -> u64 {
+        let token = self.token();
+        self.step_log(replica::Input::Propose { token, command: command.encode() });
+        token
+    }
+
+    /// Changes the voters, one change at a time.
+    pub(crate) fn change(&mut self, change: Change) {
+        if self.changing.is_some() {
+            return;
+        }
+        let token = self.token();
+        self.changing = Some(token);
+        self.note(Note::Voters { change: change.clone() });
+        self.step_log(replica::Input::Change { token, change });
+    }
+
+    fn logged(&mut self, output: LogOutput) {
+        match output {
+            LogOutput::Send { to, message } => {
+                let from = self.replica.voter().instance;
+                if let Some(to) = address_of(&to) {
+                    self.send(to, Frame::Log { from, message: Box::new(message) });
+                }
+            }
+            LogOutput::Store { mark, write } => self.out.push(Output::Store { mark, write }),
+            LogOutput::Apply { position, command } => self.apply(position, &command),
+            LogOutput::Install(snapshot) => self.install(&snapshot),
+            LogOutput::Answer { token, answer } => self.proposed(token, &answer),
+            LogOutput::Role(role) => {
+                let (term, duty, leader) = (role.term, role.duty, role.leader);
+                self.note(Note::Role { term, duty, leader });
+            }
+            LogOutput::WantSnapshot { .. } => {
+                let (index, state) = (self.applied, Arc::from(self.ledger.snapshot()));
+                self.step_log(replica::Input::Snapshot { index, state });
+            }
+            LogOutput::Stranger(voter) => self.stranger(voter),
+            LogOutput::Confirmed { .. } | LogOutput::Unconfirmed { .. } => {}
+        }
+    }
+
+    fn apply(&mut self, position: Position, bytes: &[u8]) {
+        self.applied = position.index;
+        match Command::decode(bytes) {
+            Ok(command) => {
+                let before = self.ledger.revision();
+                if let Command::Close(window) = &command {
+                    self.closing.remove(&window.number);
+                }
+                self.ledger.apply(command);
+                if self.ledger.revision() != before {
+                    self.note_sheet();
+                }
+            }
+            Err(error) => self.unreadable(&format!("entry {}: {error}", position.index)),
+        }
+    }
+
+    fn install(&mut self, snapshot: &Snapshot) {
+        self.applied = snapshot.position.index;
+        match Ledger::restore(&snapshot.state) {
+            Ok(ledger) => {
+                self.ledger = ledger;
+                self.note_sheet();
+            }
+            Err(error) => self.unreadable(&format!("snapshot at {}: {error}", self.applied)),
+        }
+    }
+
+    fn proposed(&mut self, token: u64, answer: &Answer) {
+        if self.changing == Some(token) {
+            self.changing = None;
+            return;
+        }
+        self.adopted(token, matches!(answer, Answer::Committed(_)));
+    }
+
+    /// Replaces a voter whose disk was lost: its instance already runs another folder.
+    fn stranger(&mut self, voter: Voter) {
+        if self.leads() {
+            self.change(Change::Replace { old: voter.instance.clone(), new: voter });
+        }
+    }
+
+    fn note_sheet(&mut self) {
+        let Some(edition) = self.ledger.edition() else { return };
+        let (revision, routes) = (edition.sheet.revision, edition.sheet.routes.len());
+        self.note(Note::Sheet { revision, routes });
+    }
+
+    fn unreadable(&mut self, what: &str) {
+        self.broken = true;
+        self.note(Note::Unreadable(what.into()));
+    }
+}
--- /dev/null
+++ b/crates/verbenaslip-fleet/src/duty.rs
@@ -0,0 +1,143 @@
+//! Orders to the cloud that only one instance may give.
+//!
+//! The cloud may not check fencing numbers. So two instances must not both believe that they hold
+//! the duty: the holder is the leader under its lease, its number is its term, and a new leader
+//! waits before its first order until every order of the last one has surely arrived.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use verbenaslip_base::data;
+use verbenaslip_base::name::AvailabilityZone;
+
+use crate::ledger::{Ledger, Window};
+use crate::usage::window_end;
+
+/// How long an order that was not acknowledged waits until it is given again.
+const AGAIN: Duration = Duration::from_millis(1_500);
+
+/// Gives the cloud one order.
+#[data]
+pub struct Order {
+    /// Names the order in its outcome.
+    pub id: u64,
+    /// Rises whenever the holder changes.
+    pub fence: u64,
+    /// The order is void from then on, by the steady clock: the lease of the holder.
+    pub until: Duration,
+    /// What is ordered.
+    pub task: Task,
+}
+
+/// Says what the cloud shall do.
+#[data]
+pub enum Task {
+    /// Take the counts of a window.
+    Usage(Window),
+    /// Run so many upstreams.
+    Scale(Scale),
+}
+
+/// Wants a number of upstreams of a service in an availability zone.
+#[data(ord)]
+pub struct Scale {
+    /// The service.
+    pub service: std::sync::Arc<str>,
+    /// The availability zone.
+    pub zone: AvailabilityZone,
+    /// Whether they may be reclaimed.
+    pub reclaimable: bool,
+    /// How many.
+    pub count: u32,
+}
+
+/// Says what became of an order.
+#[data(copy)]
+pub enum Outcome {
+    /// The cloud has taken it.
+    Done,
+    /// The cloud has refused it for now, such as for want of machines.
+    Refused,
+    /// It may or may not have arrived.
+    Unknown,
+}
+
+/// Bounds in time.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// The length of a window of usage.
+    pub window: Duration,
+    /// How long after the end of a window its counts are awaited at most.
+    pub settle: Duration,
+    /// How long after its end a window is of use to the cloud.
+    pub late: Duration,
+    /// How long a new leader waits before its first order.
+    pub wait: Duration,
+}
+
+/// Keeps which windows have been reported.
+#[derive(Debug, Default)]
+pub struct Desk {
+    reported: BTreeMap<u64, Report>,
+    next: u64,
+}
+
+#[derive(Debug)]
+enum Report {
+    Sent { id: u64, again: Duration },
+    Done,
+}
+
+impl Desk {
+    /// Returns the windows whose counts are due to be closed.
+    pub fn due(ledger: &Ledger, timing: &Timing, unix: u64) -> impl Iterator<Item = u64> {
+        let current = crate::usage::window_at(unix, timing.window);
+        let oldest = windows_within(timing);
+        let range = current.saturating_sub(oldest)..current;
+        range.filter(|window| !ledger.is_closed(*window))
+    }
+
+    /// Returns the closed windows to report now, each with the name of its order.
+    pub fn orders(
+        &mut self,
+        now: Duration,
+        ledger: &Ledger,
+        timing: &Timing,
+        unix: u64,
+    ) -> Vec<(u64, Window)> {
+        let mut orders = Vec::new();
+        let late = u64::try_from(timing.late.as_millis()).unwrap_or(u64::MAX);
+        for window in ledger.windows() {
+            let end = window_end(window.number, timing.window);
+            let known = self.reported.get(&window.number);
+            let due = match known {
+                None => true,
+                Some(Report::Sent { again, .. }) => *again <= now,
+                Some(Report::Done) => false,
+            };
+            if !due || unix > end.saturating_add(late) {
+                continue;
+            }
+            self.next += 1;
+            let sent = Report::Sent { id: self.next, again: now + AGAIN };
+            self.reported.insert(window.number, sent);
+            orders.push((self.next, window.clone()));
+        }
+        orders
+    }
+
+    /// Takes what became of an order.
+    pub fn ended(&mut self, order: u64, outcome: Outcome) {
+        let done = matches!(outcome, Outcome::Done);
+        for report in self.reported.values_mut() {
+            if done && matches!(report, Report::Sent { id, .. } if *id == order) {
+                *report = Report::Done;
+            }
+        }
+    }
+}
+
+fn windows_within(timing: &Timing) -> u64 {
+    let window = timing.window.as_millis().max(1);
+    u64::try_from(timing.late.as_millis() / window).unwrap_or(1).max(1)
+}
--- /dev/null
+++ b/crates/verbenaslip-fleet/src/entry.rs
@@ -0,0 +1,63 @@
+//! An entry: an instance that forwards requests and holds no state of its own.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::frame::{Frame, Peer};
+use crate::link::{Link, Report};
+use crate::view::View;
+
+/// Keeps an entry's view of the fleet.
+#[derive(Debug)]
+pub struct Entry {
+    link: Link,
+}
+
+/// Wants a frame sent.
+#[derive(Debug)]
+pub struct Letter {
+    /// Where to.
+    pub to: SocketAddr,
+    /// What it says.
+    pub frame: Frame,
+}
+
+impl Entry {
+    /// Starts without a view.
+    pub fn open(own: Peer, seeds: Vec<SocketAddr>, now: Duration, unix: u64) -> Self {
+        Self { link: Link::open(own, seeds, now, unix) }
+    }
+
+    /// Returns what is known of the fleet.
+    pub fn view(&self) -> &View {
+        self.link.view()
+    }
+
+    /// Returns when [`beat`](Self::beat) is due.
+    pub fn wake(&self) -> Duration {
+        self.link.wake()
+    }
+
+    /// Takes other addresses to join through.
+    pub fn reseed(&mut self, seeds: Vec<SocketAddr>) {
+        self.link.reseed(seeds);
+    }
+
+    /// Reports if that is due; `unix` is what this machine's clock shows.
+    pub fn beat(&mut self, now: Duration, unix: u64, report: Report) -> Option<Letter> {
+        let (to, beat) = self.link.beat(now, unix, report)?;
+        Some(Letter { to, frame: Frame::Beat(Box::new(beat)) })
+    }
+
+    /// Takes a frame; returns whether a report is due at once.
+    pub fn take(&mut self, now: Duration, frame: Frame) -> bool {
+        match frame {
+            Frame::News(news) => self.link.news(now, *news),
+            Frame::Elsewhere { leader, cores } => {
+                self.link.elsewhere(now, leader, &cores);
+                self.link.wake() <= now
+            }
+            Frame::Log { .. } | Frame::Beat(_) | Frame::Ask { .. } | Frame::Told { .. } => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/verbenaslip-fleet/src/frame.rs
@@ -0,0 +1,147 @@
+//! What the instances of a fleet say to each other.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use verbenaslip_base::data;
+use verbenaslip_base::name::{AvailabilityZone, Instance, Team, Upstream};
+use verbenaslip_replica::message::Message;
+use verbenaslip_replica::voter::Voter;
+
+use crate::ledger::Edition;
+use crate::registry::{Announcement, Record};
+use crate::sheet::Sheet;
+use crate::usage::Count;
+use crate::view::{Load, Stamp};
+
+/// Says something to another instance; any frame may be lost, late, doubled or overtaken.
+#[data(float)]
+pub enum Frame {
+    /// Between cores, about the replicated log.
+    Log {
+        /// The sender.
+        from: Instance,
+        /// What it says.
+        message: Box<Message>,
+    },
+    /// An instance reports to the leader and tells what it has.
+    Beat(Box<Beat>),
+    /// The leader answers with what the instance lacks.
+    News(Box<News>),
+    /// The receiver of a beat does not lead.
+    Elsewhere {
+        /// Who leads, where known.
+        leader: Option<SocketAddr>,
+        /// The cores that the receiver knows.
+        cores: Vec<SocketAddr>,
+    },
+    /// A core passes a call on to the leader.
+    Ask {
+        /// Where the answer goes.
+        from: SocketAddr,
+        /// Comes back in the answer.
+        token: u64,
+        /// What is asked.
+        ask: Box<Ask>,
+    },
+    /// Answers a call that was passed on.
+    Told {
+        /// The token it came with.
+        token: u64,
+        /// The answer.
+        told: Told,
+    },
+}
+
+/// Names an instance to the leader.
+#[data]
+pub struct Peer {
+    /// Where other instances reach it.
+    pub address: SocketAddr,
+    /// Its name, for logs.
+    pub name: Instance,
+    /// Where it runs.
+    pub zone: AvailabilityZone,
+    /// Rises with each start.
+    pub incarnation: u64,
+    /// Its folder, when it is a core.
+    pub voter: Option<Voter>,
+}
+
+/// Reports to the leader.
+#[data]
+pub struct Beat {
+    /// Who reports.
+    pub peer: Peer,
+    /// How new its list of upstreams is.
+    pub seen: Stamp,
+    /// The revision of its route table; zero without one.
+    pub revision: u64,
+    /// What its machine's clock shows, in Unix milliseconds.
+    pub unix: u64,
+    /// Up to when its counts are complete, in milliseconds of the agreed time of day.
+    pub counted: u64,
+    /// Requests that began lately, by window and team: whole counts, so that a report that is lost
+    /// or doubled does no harm.
+    pub counts: Vec<Count>,
+    /// What each team asked for lately, in its units a second.
+    pub demand: Vec<(Team, u32)>,
+    /// What is under way at each upstream.
+    pub loads: Vec<Load>,
+}
+
+/// Tells an instance what it lacks.
+#[data(float)]
+pub struct News {
+    /// The change up to which this tells everything.
+    pub stamp: Stamp,
+    /// The change after which the records begin; none when they are all there are.
+    pub base: Option<u64>,
+    /// Upstreams that changed.
+    pub records: Vec<Record>,
+    /// The route table, if the instance has an older one.
+    pub sheet: Option<Arc<Sheet>>,
+    /// The cores.
+    pub cores: Vec<SocketAddr>,
+    /// The instance's share of each team's limit.
+    pub shares: Vec<(Team, f64)>,
+    /// What all other entries have under way.
+    pub loads: Vec<Load>,
+    /// How many entries there are.
+    pub entries: u32,
+    /// The agreed time of day, in Unix milliseconds.
+    pub unix: u64,
+    /// Whether somebody waits until this instance says that it has this.
+    pub urgent: bool,
+}
+
+/// Asks the leader for something.
+#[data(float)]
+pub enum Ask {
+    /// Put a route table in force.
+    Adopt(Box<Edition>),
+    /// Read the newest route table, as the operator wrote it.
+    Read,
+    /// Take an upstream's announcement.
+    Announce(Box<Announcement>),
+    /// Take an upstream's word that it goes.
+    Withdraw(Upstream),
+}
+
+/// Answers a call.
+#[data]
+pub enum Told {
+    /// A route table of this or a higher revision is in force and stays.
+    Adopted {
+        /// The revision in force.
+        revision: u64,
+    },
+    /// The newest route table.
+    Document(Arc<[u8]>),
+    /// There is no route table yet.
+    Empty,
+    /// The announcement is known wherever it must be.
+    Noted,
+    /// Nothing can be said for sure at this moment; ask again, or another core.
+    Unsure,
+}
--- /dev/null
+++ b/crates/verbenaslip-fleet/src/hub.rs
@@ -0,0 +1,284 @@
+//! The leader's side of what it tells all other instances.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use verbenaslip_base::name::Team;
+
+use crate::clock;
+use crate::frame::{Beat, News, Peer};
+use crate::ledger::Ledger;
+use crate::registry::Registry;
+use crate::usage::{Collector, Origin};
+use crate::view::{Load, Stamp};
+
+/// After this silence an instance is not waited for: three beats.
+pub const SILENCE: Duration = Duration::from_millis(800);
+
+/// After this silence an entry falls back to an equal part of each limit by itself, and the leader
+/// gives its part to others only some time later, so that the two never add up to more.
+pub const SHARE_LEASE: Duration = Duration::from_secs(1);
+
+/// After this silence of an entry its part beyond an equal one goes to others.
+const SHARE_REUSE: Duration = Duration::from_secs(2);
+
+/// How long a silent entry keeps an equal part of each limit: it may be cut off and still serve.
+const ENTRY_MEMORY: Duration = Duration::from_secs(30);
+
+/// What was sent and not confirmed for this long is sent again.
+const RESEND: Duration = Duration::from_millis(500);
+
+/// The part of each limit that is spread evenly, whatever was asked for lately, so that a team can
+/// begin at an entry where it was not seen before.
+const EVEN_PART: f64 = 0.15;
+
+/// Keeps what each other instance has and reports.
+#[derive(Debug, Default)]
+pub struct Hub {
+    subscribers: BTreeMap<SocketAddr, Subscriber>,
+    usage: Collector,
+}
+
+#[derive(Debug)]
+struct Subscriber {
+    peer: Peer,
+    heard: Duration,
+    /// The newest change that it has confirmed.
+    seen: u64,
+    /// The newest change sent to it.
+    sent: u64,
+    pushed: Duration,
+    revision: u64,
+    sheet_sent: Option<(u64, Duration)>,
+    offset: i64,
+    counted: u64,
+    demand: BTreeMap<Team, f64>,
+    loads: Vec<Load>,
+}
+
+/// Holds what the leader tells from.
+pub struct Source<'a> {
+    /// The leader's term.
+    pub term: u64,
+    /// The upstreams.
+    pub registry: &'a Registry,
+    /// The route table.
+    pub ledger: &'a Ledger,
+    /// The cores.
+    pub cores: &'a [SocketAddr],
+    /// The agreed time of day, in Unix milliseconds.
+    pub unix: u64,
+}
+
+impl Hub {
+    /// Takes a report.
+    pub fn take(&mut self, now: Duration, term: u64, beat: Beat) {
+        let Beat { peer, seen, revision, unix, counted, counts, demand, loads } = beat;
+        let origin = Origin { address: peer.address, incarnation: peer.incarnation };
+        self.usage.take(origin, counts);
+        let known = if seen.term == term { seen.change } else { 0 };
+        let subscriber = self.subscribers.entry(peer.address).or_insert_with(|| Subscriber {
+            peer: peer.clone(),
+            heard: now,
+            seen: 0,
+            sent: 0,
+            pushed: Duration::ZERO,
+            revision: 0,
+            sheet_sent: None,
+            offset: 0,
+            counted: 0,
+            demand: BTreeMap::new(),
+            loads: Vec::new(),
+        });
+        let restarted = subscriber.peer.incarnation != peer.incarnation;
+        if restarted {
+            subscriber.sheet_sent = None;
+        }
+        if restarted || now.saturating_sub(subscriber.pushed) > RESEND {
+            subscriber.sent = known;
+        }
+        subscriber.peer = peer;
+        subscriber.heard = now;
+        subscriber.seen = known;
+        subscriber.sent = subscriber.sent.max(known);
+        subscriber.revision = revision;
+        subscriber.offset = clock::offset(now, unix);
+        subscriber.counted = counted;
+        subscriber.demand =
+            demand.into_iter().map(|(team, units)| (team, f64::from(units))).collect();
+        subscriber.loads = loads;
+    }
+
+    /// Lists the instances that have not been sent everything.
+    pub fn behind(&self, source: &Source<'_>) -> Vec<SocketAddr> {
+        let (change, revision) = (source.registry.stamp(), source.ledger.revision());
+        let behind = self.subscribers.values().filter(|it| {
+            let sheet = it.revision.max(it.sheet_sent.map_or(0, |(sent, _)| sent));
+            it.sent < change || sheet < revision
+        });
+        behind.map(|it| it.peer.address).collect()
+    }
+
+    /// Makes the news for an instance, and counts them as sent.
+    pub fn news(
+        &mut self,
+        now: Duration,
+        to: SocketAddr,
+        source: &Source<'_>,
+        urgent: bool,
+    ) -> Option<News> {
+        let shares = self.shares(now, to);
+        let loads = self.loads(now, to);
+        let entries = self.entries(now).count();
+        let subscriber = self.subscribers.get_mut(&to)?;
+        let change = source.registry.stamp();
+        let base = Some(subscriber.sent).filter(|sent| *sent > 0);
+        let delta = base.and_then(|base| Some((base, source.registry.since(base)?)));
+        let (base, records) = match delta {
+            Some((base, records)) => (Some(base), records),
+            None => (None, source.registry.records().cloned().collect()),
+        };
+        subscriber.sent = change;
+        if !records.is_empty() {
+            subscriber.pushed = now;
+        }
+        let revision = source.ledger.revision();
+        let again =
+            |(sent, at): (u64, Duration)| sent < revision || now.saturating_sub(at) > RESEND;
+        let due = subscriber.revision < revision && subscriber.sheet_sent.is_none_or(again);
+        let sheet = source.ledger.edition().filter(|_| due).map(|it| it.sheet.clone());
+        if sheet.is_some() {
+            subscriber.sheet_sent = Some((revision, now));
+        }
+        Some(News {
+            stamp: Stamp { term: source.term, change },
+            base,
+            records,
+            sheet,
+            cores: source.cores.to_vec(),
+            shares,
+            loads,
+            entries: u32::try_from(entries.max(1)).unwrap_or(u32::MAX),
+            unix: source.unix,
+            urgent,
+        })
+    }
+
+    /// Tells whether every instance that answers has a change.
+    pub fn all_seen(&self, now: Duration, change: u64) -> bool {
+        let live = self.subscribers.values().filter(|it| it.is_heard(now, SILENCE));
+        live.into_iter().all(|it| it.seen >= change)
+    }
+
+    /// Lists the instances that are heard and have not confirmed a change.
+    pub fn waiting_for(&self, now: Duration, change: u64) -> Vec<SocketAddr> {
+        let live = self.subscribers.values().filter(|it| it.is_heard(now, SILENCE));
+        live.filter(|it| it.seen < change).map(|it| it.peer.address).collect()
+    }
+
+    /// Goes through the cores that are heard, other than the leader.
+    pub fn cores(&self, now: Duration) -> impl Iterator<Item = &Peer> {
+        let live = self.subscribers.values().filter(move |it| it.is_heard(now, SILENCE));
+        live.map(|it| &it.peer).filter(|peer| peer.voter.is_some())
+    }
+
+    /// Returns the agreed time of day less the steady clock: the median of all clocks.
+    pub fn offset(&self, now: Duration, own: i64) -> i64 {
+        let live = self.subscribers.values().filter(|it| it.is_heard(now, SILENCE));
+        let offsets = live.map(|it| it.offset).chain([own]).collect();
+        clock::median(offsets).unwrap_or(own)
+    }
+
+    /// Tells whether the counts of every entry that may still report are complete up to a time.
+    pub fn counted(&self, now: Duration, unix: u64) -> bool {
+        self.entries(now).all(|it| it.counted >= unix)
+    }
+
+    /// Returns the counts of a window.
+    pub fn sum(&self, window: u64) -> BTreeMap<Team, u64> {
+        self.usage.sum(window)
+    }
+
+    /// Returns what the teams ask for in all, in their units a second.
+    pub fn demand(&self, now: Duration) -> BTreeMap<Team, f64> {
+        let mut sum = BTreeMap::new();
+        for entry in self.entries(now) {
+            for (team, units) in &entry.demand {
+                *sum.entry(team.clone()).or_default() += units;
+            }
+        }
+        sum
+    }
+
+    /// Returns what all entries have under way.
+    pub fn total_loads(&self, now: Duration) -> BTreeMap<u32, Load> {
+        let mut sum: BTreeMap<u32, Load> = BTreeMap::new();
+        let live = self.subscribers.values().filter(|it| it.is_heard(now, SHARE_REUSE));
+        for load in live.flat_map(|it| &it.loads) {
+            let total = sum.entry(load.upstream).or_default();
+            total.upstream = load.upstream;
+            total.requests += load.requests;
+            total.tokens = total.tokens.saturating_add(load.tokens);
+        }
+        sum
+    }
+
+    /// Goes through the entries that serve or may serve.
+    fn entries(&self, now: Duration) -> impl Iterator<Item = &Subscriber> {
+        let entries = self.subscribers.values().filter(|it| it.peer.voter.is_none());
+        entries.filter(move |it| it.is_heard(now, ENTRY_MEMORY))
+    }
+
+    /// Divides each team's limit by what was asked for lately.
+    ///
+    /// An entry that is cut off or has just been killed may still spend what it was given last. So
+    /// it keeps its part until it has surely fallen back to an equal one, and an equal one as long
+    /// as it may be serving; one would notice otherwise a team served beyond its limit.
+    fn shares(&self, now: Duration, to: SocketAddr) -> Vec<(Team, f64)> {
+        let Some(own) = self.subscribers.get(&to).filter(|it| it.peer.voter.is_none()) else {
+            return Vec::new();
+        };
+        let count = self.entries(now).count().max(1);
+        let all = 1.0 / as_f64(count);
+        let silent = self.entries(now).filter(|it| !it.is_heard(now, SHARE_REUSE)).count();
+        let live = as_f64((count - silent).max(1));
+        let free = 1.0 - all * as_f64(silent);
+        let heard: Vec<&Subscriber> =
+            self.entries(now).filter(|it| it.is_heard(now, SHARE_REUSE)).collect();
+        let teams: BTreeSet<&Team> = heard.iter().flat_map(|it| it.demand.keys()).collect();
+        let share = |team: &Team| {
+            let total: f64 = heard.iter().filter_map(|it| it.demand.get(team)).sum();
+            let asked = own.demand.get(team).copied().unwrap_or(0.0);
+            let by_demand = if total > 0.0 { asked / total } else { 1.0 / live };
+            free * (EVEN_PART / live + (1.0 - EVEN_PART) * by_demand)
+        };
+        teams.into_iter().map(|team| (team.clone(), share(team))).collect()
+    }
+
+    /// Sums what all other entries have under way.
+    fn loads(&self, now: Duration, to: SocketAddr) -> Vec<Load> {
+        let Some(own) = self.subscribers.get(&to).filter(|it| it.peer.voter.is_none()) else {
+            return Vec::new();
+        };
+        let mut sum = self.total_loads(now);
+        for load in &own.loads {
+            if let Some(total) = sum.get_mut(&load.upstream) {
+                total.requests = total.requests.saturating_sub(load.requests);
+                total.tokens = total.tokens.saturating_sub(load.tokens);
+            }
+        }
+        sum.into_values().filter(|load| load.requests > 0).collect()
+    }
+}
+
+impl Subscriber {
+    fn is_heard(&self, now: Duration, silence: Duration) -> bool {
+        now.saturating_sub(self.heard) <= silence
+    }
+}
+
+/// Counts of instances are far below the precision of a float.
+fn as_f64(count: usize) -> f64 {
+    u32::try_from(count).map_or(f64::MAX, f64::from)
+}
--- /dev/null
+++ b/crates/verbenaslip-fleet/src/ledger.rs
@@ -0,0 +1,134 @@
+//! What the replicated log holds.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use displaydoc::Display;
+use verbenaslip_base::data;
+use verbenaslip_base::name::Team;
+
+use crate::sheet::Sheet;
+
+/// Closed windows that are kept; at 5 s a window more than a minute, far beyond the time in which a
+/// report may still be sent.
+const WINDOWS: usize = 16;
+
+/// Changes the ledger.
+#[data(float)]
+pub enum Command {
+    /// Puts a whole route table in force, if its revision is the highest.
+    Adopt(Box<Edition>),
+    /// Closes a window of usage, if it is not closed yet.
+    Close(Window),
+}
+
+/// Pairs a route table with the document in which the operator wrote it.
+#[data(float)]
+pub struct Edition {
+    /// The table.
+    pub sheet: Arc<Sheet>,
+    /// The operator's own bytes, given back unchanged to whoever reads the table.
+    pub document: Arc<[u8]>,
+}
+
+/// Counts the requests of each team that began to run in one window.
+#[data]
+pub struct Window {
+    /// Its number.
+    pub number: u64,
+    /// The counts.
+    pub counts: BTreeMap<Team, u64>,
+}
+
+/// Holds the replicated state.
+#[data(float, default)]
+pub struct Ledger {
+    edition: Option<Arc<Edition>>,
+    windows: BTreeMap<u64, Window>,
+}
+
+/// Says why a snapshot or command can't be read.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Error {
+    /// the bytes of the ledger can't be read by this version
+    Unreadable,
+}
+
+impl std::error::Error for Error {}
+
+impl Ledger {
+    /// Returns the newest route table.
+    pub fn edition(&self) -> Option<&Arc<Edition>> {
+        self.edition.as_ref()
+    }
+
+    /// Returns the revision of the newest route table; zero without one.
+    pub fn revision(&self) -> u64 {
+        self.edition.as_ref().map_or(0, |edition| edition.sheet.revision)
+    }
+
+    /// Returns the closed windows.
+    pub fn windows(&self) -> impl Iterator<Item = &Window> {
+        self.windows.values()
+    }
+
+    /// Tells whether a window is closed.
+    pub fn is_closed(&self, window: u64) -> bool {
+        self.windows.contains_key(&window)
+    }
+
+    /// Applies a command; every core applies the same ones in the same order.
+    ///
+    /// A revision that is not the highest changes nothing, so a change that is sent again, or
+    /// overtaken by a newer one, is accepted without ever bringing an older table back.
+    pub fn apply(&mut self, command: Command) {
+        match command {
+            Command::Adopt(edition) => {
+                let first = self.edition.is_none();
+                if first || edition.sheet.revision > self.revision() {
+                    self.edition = Some(Arc::from(edition));
+                }
+            }
+            Command::Close(window) => {
+                // A window that two leaders close in turn would be reported with two counts; the
+                // first closing stays.
+                self.windows.entry(window.number).or_insert(window);
+                while self.windows.len() > WINDOWS {
+                    self.windows.pop_first();
+                }
+            }
+        }
+    }
+
+    /// Writes the whole state.
+    pub fn snapshot(&self) -> Vec<u8> {
+        // Encoding to memory fails for no value of these types.
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    /// Reads what [`snapshot`](Self::snapshot) wrote.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error for bytes that are no ledger.
+    pub fn restore(bytes: &[u8]) -> Result<Self, Error> {
+        postcard::from_bytes(bytes).map_err(|_| Error::Unreadable)
+    }
+}
+
+impl Command {
+    /// Writes the command for the log.
+    pub fn encode(&self) -> Arc<[u8]> {
+        // Encoding to memory fails for no value of these types.
+        postcard::to_stdvec(self).unwrap_or_default().into()
+    }
+
+    /// Reads a command from the log.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error for bytes that are no command.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        postcard::from_bytes(bytes).map_err(|_| Error::Unreadable)
+    }
+}
--- /dev/null
+++ b/crates/verbenaslip-fleet/src/lib.rs
@@ -0,0 +1,41 @@
+//! Control of a fleet of forwarding entries, as pure state machines.
+//!
+//! A few instances with a data folder, the *cores*, keep the route table in a replicated log; all
+//! other instances, the *entries*, forward requests and hold what they need in memory. Nothing here
+//! opens a socket, reads a clock or touches a file: [`Core`] and [`Entry`] take the time and one
+//! input and put out what is to be done.
+//!
+//! The parts follow each other like this:
+//!
+//! 1. [`sheet`] is the route table: routes, services, teams, limits of callers. [`index`] finds the
+//!    route of a request and the team of a key in it.
+//! 2. [`ledger`] is what the log holds: the newest route table with the operator's own document,
+//!    and the closed windows of usage.
+//! 3. [`registry`] holds the upstreams that announce themselves, at the leader of the log.
+//! 4. [`link`] keeps an instance in touch with the leader: a [`frame::Beat`] four times a second,
+//!    answered by [`frame::News`] with whatever the instance lacks; changes are pushed at once.
+//! 5. [`hub`] is the leader's side of that: who is there, what each has, the shares of the teams'
+//!    limits, and the time of day as the median of all clocks.
+//! 6. [`usage`] counts the requests that began in each window, and [`duty`] gives the cloud the
+//!    orders that only one instance may give.
+//! 7. [`core`] composes a core and [`entry`] an entry.
+//!
+//! Messages may be lost, late, doubled or overtaken; every one of them can be sent again.
+
+pub mod clock;
+pub mod core;
+pub mod duty;
+pub mod entry;
+pub mod frame;
+pub mod hub;
+pub mod index;
+pub mod ledger;
+pub mod link;
+pub mod registry;
+pub mod sheet;
+pub mod usage;
+pub mod view;
+
+pub use crate::core::Core;
+pub use crate::entry::Entry;
+pub use crate::view::View;
--- /dev/null
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -0,0 +1,208 @@
+//! Keeps an instance in touch with the leader and its view of the fleet up to date.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use verbenaslip_base::name::Team;
+
+use crate::clock::Clock;
+use crate::frame::{Beat, News, Peer};
+use crate::registry::Standing;
+use crate::usage::Count;
+use crate::view::{Load, View};
+
+/// Time between two reports: a quarter of the time in which a limit's part must move between
+/// entries, and 4 datagrams' worth of bytes a second.
+pub const BEAT: Duration = Duration::from_millis(250);
+
+/// After this silence of the leader another core is asked: three beats.
+const PATIENCE: Duration = Duration::from_millis(750);
+
+/// What an entry reports besides what it has.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// Requests that began, by window and team.
+    pub counts: Vec<Count>,
+    /// What each team asked for lately, in its units a second.
+    pub demand: Vec<(Team, u32)>,
+    /// What is under way at each upstream.
+    pub loads: Vec<Load>,
+}
+
+/// Reports to the leader and takes its news.
+#[derive(Debug)]
+pub struct Link {
+    own: Peer,
+    seeds: Vec<SocketAddr>,
+    view: View,
+    clock: Clock,
+    target: Option<SocketAddr>,
+    tries: usize,
+    since: Duration,
+    due: Duration,
+}
+
+impl Link {
+    /// Starts without a view.
+    pub fn open(own: Peer, seeds: Vec<SocketAddr>, now: Duration, unix: u64) -> Self {
+        let clock = Clock::open(now, unix);
+        let view = View::default();
+        let tries = usize::try_from(own.incarnation % 1_009).unwrap_or(0);
+        Self { own, seeds, view, clock, target: None, tries, since: now, due: now }
+    }
+
+    /// Returns what is known of the fleet.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Changes what is known of the fleet, when this instance itself leads.
+    pub(crate) fn view_mut(&mut self) -> &mut View {
+        &mut self.view
+    }
+
+    /// Returns this instance as the leader knows it.
+    pub fn own(&self) -> &Peer {
+        &self.own
+    }
+
+    /// Returns the agreed time of day.
+    pub fn unix(&self, now: Duration) -> u64 {
+        self.clock.unix(now)
+    }
+
+    pub(crate) fn clock_mut(&mut self) -> &mut Clock {
+        &mut self.clock
+    }
+
+    /// Returns when the next report is due.
+    pub fn wake(&self) -> Duration {
+        self.due
+    }
+
+    /// Takes other addresses to join through.
+    pub fn reseed(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
+    /// Reports to a leader that is known from elsewhere, such as the log.
+    pub fn aim(&mut self, leader: SocketAddr, now: Duration) {
+        if self.target != Some(leader) {
+            self.target = Some(leader);
+            self.since = now;
+            self.due = now;
+        }
+    }
+
+    /// Makes the report that is due.
+    pub fn beat(&mut self, now: Duration, unix: u64, report: Report) -> Option<(SocketAddr, Beat)> {
+        if now < self.due {
+            return None;
+        }
+        self.due = now + BEAT;
+        self.clock.hint(now, unix);
+        let target = self.choose(now)?;
+        let Report { counts, demand, loads } = report;
+        let beat = Beat {
+            peer: self.own.clone(),
+            seen: self.view.stamp,
+            revision: self.view.revision(),
+            unix,
+            counted: self.clock.unix(now),
+            counts,
+            demand,
+            loads,
+        };
+        Some((target, beat))
+    }
+
+    /// Takes the word of a core that it does not lead.
+    pub fn elsewhere(&mut self, now: Duration, leader: Option<SocketAddr>, cores: &[SocketAddr]) {
+        if self.view.cores.is_empty() {
+            self.view.cores = cores.to_vec();
+        }
+        let own = self.own.address;
+        match leader.filter(|leader| *leader != own && Some(*leader) != self.target) {
+            Some(leader) => self.aim(leader, now),
+            None if self.quiet(now) => self.skip(now),
+            None => {}
+        }
+    }
+
+    /// Takes a leader's news; returns whether it must be told at once that they are here.
+    pub fn news(&mut self, now: Duration, news: News) -> bool {
+        let News { stamp, base, records, sheet, cores, shares, loads, entries, unix, urgent } =
+            news;
+        // A leader that was cut off and does not know it yet says what is no longer so.
+        if stamp.term < self.view.stamp.term {
+            return false;
+        }
+        self.since = now;
+        self.view.heard = Some(now);
+        self.clock.agree(now, unix);
+        self.view.time = crate::clock::offset(now, unix);
+        if let Some(sheet) = sheet {
+            self.view.take_sheet(&sheet);
+        }
+        let fits = match base {
+            None => true,
+            Some(base) => self.view.stamp.term == stamp.term && self.view.stamp.change >= base,
+        };
+        if fits && stamp >= self.view.stamp {
+            self.merge(base.is_none(), records);
+            self.view.stamp = stamp;
+        }
+        self.view.cores = cores;
+        let shares: BTreeMap<Team, f64> = shares.into_iter().collect();
+        self.view.shares = Arc::new(shares);
+        self.view.loads = Arc::new(loads);
+        self.view.entries = entries;
+        if urgent {
+            self.due = now;
+        }
+        urgent
+    }
+
+    fn merge(&mut self, whole: bool, records: Vec<crate::registry::Record>) {
+        if !whole && records.is_empty() {
+            return;
+        }
+        let upstreams = Arc::make_mut(&mut self.view.upstreams);
+        if whole {
+            upstreams.clear();
+        }
+        for record in records {
+            if record.standing == Standing::Gone {
+                upstreams.remove(&record.announcement.upstream);
+            } else {
+                upstreams.insert(record.announcement.upstream.clone(), record);
+            }
+        }
+    }
+
+    /// Returns whom to report to.
+    fn choose(&mut self, now: Duration) -> Option<SocketAddr> {
+        if self.target.is_none() || self.quiet(now) {
+            self.skip(now);
+        }
+        self.target
+    }
+
+    fn quiet(&self, now: Duration) -> bool {
+        now.saturating_sub(self.since) > PATIENCE
+    }
+
+    /// Turns to the next core.
+    fn skip(&mut self, now: Duration) {
+        let own = self.own.address;
+        let mut known: Vec<SocketAddr> = self.view.cores.clone();
+        known.extend(self.seeds.iter().filter(|seed| !self.view.cores.contains(seed)));
+        known.retain(|address| *address != own);
+        self.tries += 1;
+        let index = self.tries.checked_rem(known.len());
+        self.target = index.and_then(|index| known.get(index)).copied();
+        self.since = now;
+    }
+}
--- /dev/null
+++ b/crates/verbenaslip-fleet/src/view.rs
@@ -0,0 +1,91 @@
+//! What an instance knows of the fleet.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use verbenaslip_base::data;
+use verbenaslip_base::name::{Team, Upstream};
+
+use crate::index::Index;
+use crate::registry::Record;
+use crate::sheet::Sheet;
+
+/// Orders what leaders say: a higher term first, then a later change.
+#[data(copy, ord, default, hash)]
+pub struct Stamp {
+    /// The term of the leader.
+    pub term: u64,
+    /// The number of its last change.
+    pub change: u64,
+}
+
+/// Tells how much all entries have under way at one upstream.
+#[data(copy, default)]
+pub struct Load {
+    /// The upstream's number.
+    pub upstream: u32,
+    /// Requests.
+    pub requests: u32,
+    /// Prompt tokens that are still to be read, as far as the entries can tell.
+    pub tokens: u32,
+}
+
+/// Holds what an instance knows.
+#[derive(Clone, Debug)]
+pub struct View {
+    /// How new the list of upstreams is.
+    pub stamp: Stamp,
+    /// The route table in force here.
+    pub routes: Option<Arc<Index>>,
+    /// The upstreams.
+    pub upstreams: Arc<BTreeMap<Upstream, Record>>,
+    /// Where the cores are reached.
+    pub cores: Vec<SocketAddr>,
+    /// This instance's share of each team's limit.
+    pub shares: Arc<BTreeMap<Team, f64>>,
+    /// What all entries have under way, with its age counted from `heard`.
+    pub loads: Arc<Vec<Load>>,
+    /// How many entries there are.
+    pub entries: u32,
+    /// When the leader was last heard.
+    pub heard: Option<Duration>,
+    /// The agreed time of day less the steady clock, in milliseconds.
+    pub time: i64,
+}
+
+impl Default for View {
+    fn default() -> Self {
+        Self {
+            stamp: Stamp::default(),
+            routes: None,
+            upstreams: Arc::default(),
+            cores: Vec::new(),
+            shares: Arc::default(),
+            loads: Arc::default(),
+            entries: 1,
+            heard: None,
+            time: 0,
+        }
+    }
+}
+
+impl View {
+    /// Returns the revision of the route table; zero without one.
+    pub fn revision(&self) -> u64 {
+        self.routes.as_ref().map_or(0, |routes| routes.sheet().revision)
+    }
+
+    /// Takes a route table if it is newer than the one in force.
+    ///
+    /// An older one never comes back in the life of a process: callers that have seen the effect of
+    /// a revision would see it undone.
+    pub fn take_sheet(&mut self, sheet: &Arc<Sheet>) -> bool {
+        let newer = self.routes.is_none() || sheet.revision > self.revision();
+        if newer {
+            self.routes = Some(Arc::new(Index::open(sheet.clone())));
+        }
+        newer
+    }
+}
--- /dev/null
+++ b/crates/verbenaslip-instance/src/cloud.rs
@@ -0,0 +1,119 @@
+//! Gives the cloud its orders.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::sync::mpsc::UnboundedSender;
+use verbenaslip_base::name::Instance;
+use verbenaslip_fleet::duty::{Order, Outcome};
+use verbenaslip_relay::http::{Response, Wire};
+use verbenaslip_relay::journal::{self, Kind};
+use verbenaslip_relay::{socket, steady};
+
+/// An order was given, or was void before it was.
+const ORDERED: Kind = Kind { number: 930, name: "cloud_ordered" };
+
+/// How long the cloud may take to accept a connection, and to answer.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+/// The longest head of an answer.
+const HEAD: usize = 16 << 10;
+
+/// Holds a call to the cloud.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Post {
+    /// The path.
+    pub path: String,
+    /// The header fields beside the usual ones.
+    pub fields: Vec<(String, String)>,
+    /// The body, in JSON.
+    pub body: Vec<u8>,
+}
+
+/// Knows the cloud's calls and their formats; decides nothing.
+pub trait Codec: Send + Sync {
+    /// Writes an order of the holder of the duty.
+    fn post(&self, holder: &Instance, order: &Order) -> Post;
+
+    /// Reads the answer's status.
+    fn outcome(&self, status: u16) -> Outcome;
+}
+
+/// Tells what became of an order.
+#[derive(Clone, Copy, Debug)]
+pub struct Ordered {
+    /// The order.
+    pub id: u64,
+    /// What became of it.
+    pub outcome: Outcome,
+}
+
+/// Calls the cloud.
+pub struct Cloud {
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// The name of this instance.
+    pub holder: Instance,
+    /// Its formats.
+    pub codec: Arc<dyn Codec>,
+    /// Takes what became of orders.
+    pub ended: UnboundedSender<Ordered>,
+}
+
+impl Cloud {
+    /// Gives an order, without waiting for it.
+    pub fn give(self: &Rc<Self>, order: Order) {
+        let cloud = self.clone();
+        tokio::task::spawn_local(async move {
+            let status = cloud.call(&order).await;
+            let outcome = status.map_or(Outcome::Unknown, |status| cloud.codec.outcome(status));
+            journal::say(
+                ORDERED,
+                [
+                    ("order", json!(order.id)),
+                    ("fence", json!(order.fence)),
+                    ("task", json!(format!("{:?}", order.task))),
+                    ("status", json!(status)),
+                ],
+            );
+            // The control thread is gone only when the process ends.
+            let _ = cloud.ended.send(Ordered { id: order.id, outcome });
+        });
+    }
+
+    async fn call(&self, order: &Order) -> Option<u16> {
+        let post = self.codec.post(&self.holder, order);
+        let stream = socket::dial(self.address, PATIENCE).await.ok()?;
+        let mut wire = Wire::new(stream);
+        let mut head = format!("POST {} HTTP/1.1\r\nHost: {}\r\n", post.path, self.address);
+        for (name, value) in &post.fields {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str("Content-Type: application/json\r\nConnection: close\r\n");
+        head.push_str(&format!("Content-Length: {}\r\n\r\n", post.body.len()));
+        let mut bytes = head.into_bytes();
+        bytes.extend_from_slice(&post.body);
+        // The process may have been frozen since the order was made, and another instance may hold
+        // the duty by now. The cloud does not check, so the lease is looked at last of all.
+        if steady::now() >= order.until {
+            return None;
+        }
+        wire.send(&bytes).await.ok()?;
+        let answer = tokio::time::timeout(PATIENCE, answered(&mut wire)).await;
+        answer.ok().flatten()
+    }
+}
+
+async fn answered(wire: &mut Wire) -> Option<u16> {
+    loop {
+        if let Some(end) = wire.head() {
+            return Response::parse(&wire.bytes[..end]).ok().map(|head| head.status);
+        }
+        if wire.bytes.len() > HEAD || !matches!(wire.fill().await, Ok(count) if count > 0) {
+            return None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/verbenaslip-instance/src/core.rs
@@ -0,0 +1,308 @@
+//! The control thread of a core.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use displaydoc::Display;
+use serde_json::json;
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use verbenaslip_disk::Folder;
+use verbenaslip_fleet::Core as Decisions;
+use verbenaslip_fleet::core::{Input, Output, Setup};
+use verbenaslip_fleet::duty;
+use verbenaslip_fleet::frame::{Frame, Peer, Told};
+use verbenaslip_relay::journal::{self, Kind};
+use verbenaslip_relay::steady;
+use verbenaslip_replica::setup::Timing;
+use verbenaslip_replica::storage::Error as FolderError;
+use verbenaslip_replica::voter::Voter;
+
+use crate::cloud::{self, Cloud, Ordered};
+use crate::disk::{Disk, Outcome};
+use crate::face::{self, Call, Face};
+use crate::links::Links;
+use crate::note;
+use crate::settings::{self, Settings};
+use crate::signal::Signal;
+
+const DISK_FAILED: Kind = Kind { number: 920, name: "disk_failed" };
+const DISK_BACK: Kind = Kind { number: 921, name: "disk_opened" };
+const STOPPING: Kind = Kind { number: 903, name: "stopping" };
+
+/// The longest time between two steps.
+const TICK: Duration = Duration::from_millis(200);
+
+/// Between two tries to open a folder that has failed.
+const REOPEN: Duration = Duration::from_millis(500);
+
+/// How long a stop waits for another core to lead and for open calls.
+const HAND_OVER: Duration = Duration::from_millis(2_500);
+
+/// How long a new voter may take to copy the log: a few megabytes at most.
+const COPY: Duration = Duration::from_secs(5);
+
+/// The longest time that counts are awaited after the end of a window.
+const SETTLE: Duration = Duration::from_secs(6);
+
+/// Ports that know the deployment's formats.
+#[derive(Clone)]
+pub struct Ports {
+    /// For calls of operators and upstreams.
+    pub face: Arc<dyn face::Codec>,
+    /// For orders to the cloud.
+    pub cloud: Arc<dyn cloud::Codec>,
+}
+
+/// Says why a core did not start.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// the folder can't be used: {0}
+    Folder(FolderError),
+    /// can't listen on {0}: {1}
+    Listen(SocketAddr, std::io::Error),
+    /// a thread can't be started: {0}
+    Thread(std::io::Error),
+}
+
+impl std::error::Error for Error {}
+
+/// Runs a core until it is stopped.
+pub(crate) struct Core {
+    settings: Settings,
+    core: settings::Core,
+    decisions: Option<Decisions>,
+    disk: Option<Disk>,
+    stored: UnboundedSender<Outcome>,
+    links: Links,
+    face: Face,
+    cloud: Option<Rc<Cloud>>,
+    reopen: Duration,
+    incarnation: u64,
+    stop: Option<Duration>,
+}
+
+/// Holds what wakes a core.
+struct Inbox {
+    frames: UnboundedReceiver<Frame>,
+    calls: UnboundedReceiver<Call>,
+    stored: UnboundedReceiver<Outcome>,
+    ordered: UnboundedReceiver<Ordered>,
+}
+
+/// Says what woke a core.
+enum Woken {
+    Frame(Frame),
+    Call(Call),
+    Stored(Outcome),
+    Ordered(Ordered),
+    Signal(Signal),
+    Tick,
+}
+
+/// Runs a core until it is stopped.
+///
+/// # Errors
+///
+/// Says why it did not start.
+pub(crate) async fn run(
+    settings: Settings,
+    core: settings::Core,
+    ports: Ports,
+    mut signals: UnboundedReceiver<Signal>,
+    reload: impl Fn() -> Option<Settings>,
+) -> Result<(), Error> {
+    let (frames_in, frames) = mpsc::unbounded_channel();
+    let (calls_in, calls) = mpsc::unbounded_channel();
+    let (stored_in, stored) = mpsc::unbounded_channel();
+    let (ordered_in, ordered) = mpsc::unbounded_channel();
+    let peers = settings.peers;
+    let links = Links::bind(peers, frames_in).map_err(|error| Error::Listen(peers, error))?;
+    let face = Face::bind(core.control, ports.face, calls_in);
+    let face = face.map_err(|error| Error::Listen(core.control, error))?;
+    let cloud = settings.cloud.as_ref().map(|cloud| {
+        Rc::new(Cloud {
+            address: cloud.address,
+            holder: settings.name.clone(),
+            codec: ports.cloud,
+            ended: ordered_in,
+        })
+    });
+    let mut inbox = Inbox { frames, calls, stored, ordered };
+    let mut running = Core {
+        settings,
+        core,
+        decisions: None,
+        disk: None,
+        stored: stored_in,
+        links,
+        face,
+        cloud,
+        reopen: Duration::ZERO,
+        incarnation: steady::unix(),
+        stop: None,
+    };
+    running.open(true)?;
+    loop {
+        if running.is_over() {
+            return Ok(());
+        }
+        let woken = inbox.next(running.wait(), &mut signals).await;
+        if let Woken::Signal(Signal::Reload) = woken {
+            if let Some(settings) = reload() {
+                running.step(Input::Seeds(settings.seeds));
+            }
+            continue;
+        }
+        running.take(woken)?;
+    }
+}
+
+impl Inbox {
+    async fn next(&mut self, wait: Duration, signals: &mut UnboundedReceiver<Signal>) -> Woken {
+        tokio::select! {
+            biased;
+            Some(signal) = signals.recv() => Woken::Signal(signal),
+            Some(outcome) = self.stored.recv() => Woken::Stored(outcome),
+            Some(frame) = self.frames.recv() => Woken::Frame(frame),
+            Some(call) = self.calls.recv() => Woken::Call(call),
+            Some(ordered) = self.ordered.recv() => Woken::Ordered(ordered),
+            () = tokio::time::sleep(wait) => Woken::Tick,
+        }
+    }
+}
+
+impl Core {
+    /// Opens the folder and starts the decisions from what it holds.
+    fn open(&mut self, first: bool) -> Result<(), Error> {
+        let (folder, recovered) = Folder::open(&self.core.folder).map_err(Error::Folder)?;
+        let identity = recovered.identity;
+        let disk = Disk::spawn(folder, self.stored.clone()).map_err(Error::Thread)?;
+        let (now, unix) = (steady::now(), steady::unix());
+        let settings = &self.settings;
+        let instance = verbenaslip_fleet::core::name_of(settings.peers);
+        let own = Peer {
+            address: settings.peers,
+            name: settings.name.clone(),
+            zone: settings.zone.clone(),
+            incarnation: self.incarnation,
+            voter: Some(Voter { instance, identity }),
+        };
+        // Only at the very first start, and only on the seeds: whoever joins later, or comes back
+        // with an empty folder, must not found a second log beside the first.
+        let founds = first && self.core.found && settings.seeds.contains(&settings.peers);
+        let setup = Setup {
+            own,
+            seeds: settings.seeds.clone(),
+            founders: if founds { settings.seeds.clone() } else { Vec::new() },
+            recovered,
+            voters: usize::try_from(self.core.losses * 2 + 1).unwrap_or(3),
+            announce: settings.upstreams.announce,
+            timing: Timing { change: COPY, ..Timing::default() },
+            duty: settings.cloud.as_ref().map(|cloud| duty::Timing {
+                window: settings.upstreams.usage_window,
+                settle: SETTLE.min(settings.upstreams.usage_late.mul_f64(0.6)),
+                late: settings.upstreams.usage_late,
+                wait: cloud.wait,
+            }),
+            seed: seed(settings, unix),
+            unix,
+        };
+        self.decisions = Some(Decisions::open(setup, now));
+        self.disk = Some(disk);
+        Ok(())
+    }
+
+    fn take(&mut self, woken: Woken) -> Result<(), Error> {
+        match woken {
+            Woken::Frame(frame) => self.step(Input::Frame(Box::new(frame))),
+            Woken::Call(Call { id, ask }) => {
+                if self.decisions.is_none() {
+                    self.face.answer(id, Told::Unsure);
+                }
+                self.step(Input::Call { id, ask });
+            }
+            Woken::Stored(Outcome::Stored(mark)) => self.step(Input::Stored(mark)),
+            Woken::Stored(Outcome::Failed(error)) => self.failed(&error),
+            Woken::Ordered(Ordered { id, outcome }) => self.step(Input::Ordered { id, outcome }),
+            Woken::Signal(Signal::Stop) => {
+                journal::say(STOPPING, []);
+                self.stop = Some(steady::now() + HAND_OVER);
+                self.step(Input::Stop);
+            }
+            Woken::Signal(Signal::Reload) => {}
+            Woken::Tick => self.tick(),
+        }
+        Ok(())
+    }
+
+    /// Goes on without a disk until it can be opened again.
+    ///
+    /// After a failed write nobody knows what is on the disk. Voting on from memory would promise
+    /// what may be lost; ending the process would only have it start on the same disk. So the
+    /// decisions start anew from what the folder holds, as after a restart, once it opens.
+    fn failed(&mut self, error: &FolderError) {
+        journal::say(DISK_FAILED, [("cause", json!(error.to_string()))]);
+        self.decisions = None;
+        self.disk = None;
+        self.reopen = steady::now() + REOPEN;
+    }
+
+    fn tick(&mut self) {
+        if self.decisions.is_none() && steady::now() >= self.reopen {
+            self.reopen = steady::now() + REOPEN;
+            match self.open(false) {
+                Ok(()) => journal::say(DISK_BACK, []),
+                Err(error) => {
+                    journal::say(DISK_FAILED, [("cause", json!(error.to_string()))]);
+                }
+            }
+        }
+        self.step(Input::Unix(steady::unix()));
+    }
+
+    fn step(&mut self, input: Input) {
+        let Some(decisions) = &mut self.decisions else { return };
+        let mut outputs = Vec::new();
+        decisions.step(steady::now(), input, &mut outputs);
+        for output in outputs {
+            self.carry_out(output);
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Send { to, frame } => self.links.send(to, &frame),
+            Output::Store { mark, write } => {
+                if let Some(disk) = &self.disk {
+                    disk.write(mark, write);
+                }
+            }
+            Output::Reply { id, told } => self.face.answer(id, told),
+            Output::Order(order) => {
+                if let Some(cloud) = &self.cloud {
+                    cloud.give(order);
+                }
+            }
+            Output::Note(note) => note::say(note),
+        }
+    }
+
+    fn wait(&self) -> Duration {
+        let wake = self.decisions.as_ref().map_or(self.reopen, Decisions::wake);
+        wake.saturating_sub(steady::now()).min(TICK)
+    }
+
+    fn is_over(&self) -> bool {
+        let Some(until) = self.stop else { return false };
+        let idle = self.decisions.as_ref().is_none_or(Decisions::is_idle);
+        idle || steady::now() >= until
+    }
+}
+
+/// Seeds random choices differently on each instance and start.
+fn seed(settings: &Settings, unix: u64) -> u64 {
+    let name = settings.name.as_str().as_bytes();
+    verbenaslip_base::hash::narrow(&[name, &unix.to_le_bytes(), &std::process::id().to_le_bytes()])
+}
--- /dev/null
+++ b/crates/verbenaslip-instance/src/face.rs
@@ -0,0 +1,174 @@
+//! The face for operators and upstreams: their calls as typed messages.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+use verbenaslip_fleet::frame::{Ask, Told};
+use verbenaslip_fleet::sheet::Limits;
+use verbenaslip_relay::http::{Whole, Wire, reader};
+use verbenaslip_relay::socket;
+
+/// How long a call may wait for its answer; the decisions answer sooner.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// The most calls at once; beyond that a caller turns to another core.
+const CALLS: usize = 512;
+
+/// The largest body of a call.
+const BODY: usize = 8 << 20;
+
+/// Holds an answer as it goes to its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// The status.
+    pub status: u16,
+    /// The body, in JSON.
+    pub body: Vec<u8>,
+}
+
+/// Knows a deployment's calls and their formats; decides nothing.
+pub trait Codec: Send + Sync {
+    /// Reads a call.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer to a call that can't be read.
+    fn ask(&self, call: &Whole) -> Result<Ask, Answer>;
+
+    /// Writes the answer to a call.
+    fn told(&self, told: &Told) -> Answer;
+}
+
+/// Asks the decisions for something.
+#[derive(Debug)]
+pub struct Call {
+    /// Names the call in its answer.
+    pub id: u64,
+    /// What is asked.
+    pub ask: Ask,
+}
+
+/// Takes calls and gives them their answers.
+pub struct Face {
+    shared: Rc<Shared>,
+}
+
+/// Holds who waits for the answer to each call.
+type Open = HashMap<u64, oneshot::Sender<Told>>;
+
+struct Shared {
+    codec: Arc<dyn Codec>,
+    calls: UnboundedSender<Call>,
+    open: RefCell<Open>,
+    next: Cell<u64>,
+}
+
+impl Face {
+    /// Listens for calls, which are given to `calls`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address can't be listened on.
+    pub fn bind(
+        address: SocketAddr,
+        codec: Arc<dyn Codec>,
+        calls: UnboundedSender<Call>,
+    ) -> io::Result<Self> {
+        let listener = socket::listen(address)?;
+        let shared = Shared { codec, calls, open: RefCell::default(), next: Cell::new(0) };
+        let shared = Rc::new(shared);
+        tokio::task::spawn_local(accept(listener, shared.clone()));
+        Ok(Self { shared })
+    }
+
+    /// Answers a call.
+    pub fn answer(&self, id: u64, told: Told) {
+        if let Some(open) = self.shared.open.borrow_mut().remove(&id) {
+            // A caller that has gone meanwhile needs no answer.
+            let _ = open.send(told);
+        }
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Rc<Shared>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        tokio::task::spawn_local(serve(stream, shared.clone()));
+    }
+}
+
+async fn serve(stream: TcpStream, shared: Rc<Shared>) {
+    if socket::tune(&stream).is_err() {
+        return;
+    }
+    let mut wire = Wire::new(stream);
+    let limits = Limits { body: BODY, ..Limits::default() };
+    loop {
+        let (answer, closes) = match reader::read(&mut wire, &limits).await {
+            Ok(Some(call)) => (shared.take(&call).await, call.head.closes()),
+            Ok(None) => return,
+            Err(fault) => {
+                let body = format!("{{\"error\":\"{fault}\"}}\n").into_bytes();
+                (Answer { status: 400, body }, true)
+            }
+        };
+        if wire.send(&bytes(&answer, closes)).await.is_err() {
+            return;
+        }
+        if closes {
+            return wire.finish().await;
+        }
+    }
+}
+
+impl Shared {
+    async fn take(&self, call: &Whole) -> Answer {
+        let ask = match self.codec.ask(call) {
+            Ok(ask) => ask,
+            Err(answer) => return answer,
+        };
+        if self.open.borrow().len() >= CALLS {
+            return self.codec.told(&Told::Unsure);
+        }
+        let (sender, told) = oneshot::channel();
+        self.next.set(self.next.get() + 1);
+        let id = self.next.get();
+        self.open.borrow_mut().insert(id, sender);
+        if self.calls.send(Call { id, ask }).is_err() {
+            return self.codec.told(&Told::Unsure);
+        }
+        let told = tokio::time::timeout(PATIENCE, told).await;
+        self.open.borrow_mut().remove(&id);
+        let told = told.ok().and_then(Result::ok).unwrap_or(Told::Unsure);
+        self.codec.told(&told)
+    }
+}
+
+fn bytes(answer: &Answer, closes: bool) -> Vec<u8> {
+    let reason = match answer.status {
+        200 => "OK",
+        404 => "Not Found",
+        400..500 => "Bad Request",
+        _ => "Service Unavailable",
+    };
+    let close = if closes { "Connection: close\r\n" } else { "" };
+    let head = format!(
+        "HTTP/1.1 {} {reason}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n{close}\r\n",
+        answer.status,
+        answer.body.len()
+    );
+    let mut bytes = head.into_bytes();
+    bytes.extend_from_slice(&answer.body);
+    bytes
+}
--- /dev/null
+++ b/crates/verbenaslip-instance/src/instance.rs
@@ -0,0 +1,111 @@
+//! Starts what the settings say, and waits for its end.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use displaydoc::Display;
+use serde_json::json;
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+use verbenaslip::settings::Invalid;
+use verbenaslip_relay::dialect::Dialect;
+use verbenaslip_relay::journal::{self, Kind};
+
+use crate::core::Ports;
+use crate::settings::Settings;
+use crate::{core, entry, metric, signal};
+
+const STARTED: Kind = Kind { number: 900, name: "started" };
+const RELOADED: Kind = Kind { number: 902, name: "settings_reloaded" };
+const STOPPED: Kind = Kind { number: 909, name: "stopped" };
+
+/// Runs one instance on the thread that opens it.
+pub struct Instance {
+    path: PathBuf,
+    settings: Settings,
+}
+
+/// Says why an instance did not start.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// {0}
+    Settings(Invalid),
+    /// the settings name neither [entry] nor [core]; write one of them
+    NoRole,
+    /// a thread can't be started: {0}
+    Thread(std::io::Error),
+    /// metrics can't be served: {0}
+    Metrics(String),
+    /// {0}
+    Entry(entry::Error),
+    /// {0}
+    Core(core::Error),
+}
+
+impl std::error::Error for Error {}
+
+impl Instance {
+    /// Reads the settings.
+    ///
+    /// # Errors
+    ///
+    /// Lists every problem of the settings.
+    pub fn open(path: impl Into<PathBuf>) -> Result<Self, Error> {
+        let path = path.into();
+        let settings = Settings::read(&path).map_err(Error::Settings)?;
+        Ok(Self { path, settings })
+    }
+
+    /// Runs the instance until it is stopped.
+    ///
+    /// # Errors
+    ///
+    /// Says why it did not start.
+    pub fn run(self, dialect: Arc<dyn Dialect>, ports: Ports) -> Result<(), Error> {
+        journal::open().map_err(Error::Thread)?;
+        let (signals_in, signals) = mpsc::unbounded_channel();
+        signal::watch(signals_in).map_err(Error::Thread)?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(Error::Thread)?;
+        let local = LocalSet::new();
+        let ended = local.block_on(&runtime, self.serve(dialect, ports, signals));
+        journal::say(STOPPED, [("cause", json!(ended.as_ref().err().map(ToString::to_string)))]);
+        journal::flush();
+        ended
+    }
+
+    async fn serve(
+        self,
+        dialect: Arc<dyn Dialect>,
+        ports: Ports,
+        signals: mpsc::UnboundedReceiver<signal::Signal>,
+    ) -> Result<(), Error> {
+        let Self { path, settings } = self;
+        metric::open(settings.metrics).map_err(Error::Metrics)?;
+        journal::say(
+            STARTED,
+            [
+                ("instance", json!(settings.name.as_str())),
+                ("zone", json!(settings.zone.as_str())),
+                ("peers", json!(settings.peers.to_string())),
+                ("version", json!(env!("CARGO_PKG_VERSION"))),
+            ],
+        );
+        let reload = move || {
+            let settings = Settings::read(&path);
+            let problem = settings.as_ref().err().map(ToString::to_string);
+            journal::say(RELOADED, [("problem", json!(problem))]);
+            settings.ok()
+        };
+        match (settings.entry.clone(), settings.core.clone()) {
+            (Some(entry), _) => {
+                let ended = entry::run(settings, entry, dialect, signals, reload).await;
+                ended.map_err(Error::Entry)
+            }
+            (None, Some(core)) => {
+                core::run(settings, core, ports, signals, reload).await.map_err(Error::Core)
+            }
+            (None, None) => Err(Error::NoRole),
+        }
+    }
+}
--- /dev/null
+++ b/crates/verbenaslip-instance/src/links.rs
@@ -0,0 +1,236 @@
+//! Connections between the instances of a fleet.
+//!
+//! Frames travel both ways on one connection, whoever dialled it. A frame for an instance without a
+//! connection is kept while one is dialled; frames may be lost when a connection ends, and what
+//! they said is said again by the decisions.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{self, Receiver, Sender, UnboundedSender};
+use verbenaslip_fleet::frame::Frame;
+use verbenaslip_relay::{socket, steady};
+
+/// Opens every connection: the protocol's name and version.
+const MAGIC: &[u8; 4] = b"VSF1";
+
+/// Frames that may wait for a connection; beyond that the other side is not reading.
+const QUEUE: usize = 256;
+
+/// The largest frame: a route table with its document, twice over.
+const LARGEST: usize = 32 << 20;
+
+/// How long a new connection may take.
+const DIAL: Duration = Duration::from_millis(500);
+
+/// After this silence of an instance that is spoken to, its connection is given up for a new one.
+/// Whoever is spoken to answers within 250 ms, so this is several answers missed.
+const SILENCE: Duration = Duration::from_millis(1_100);
+
+/// Passes frames to and from other instances.
+pub struct Links {
+    shared: Rc<Shared>,
+}
+
+struct Shared {
+    own: SocketAddr,
+    links: RefCell<HashMap<SocketAddr, Link>>,
+    inbox: UnboundedSender<Frame>,
+    next: Cell<u64>,
+}
+
+struct Link {
+    id: u64,
+    out: Sender<Vec<u8>>,
+    opened: Duration,
+    heard: Rc<Cell<Duration>>,
+}
+
+impl Links {
+    /// Listens for other instances; frames that come are given to `inbox`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address can't be listened on.
+    pub fn bind(own: SocketAddr, inbox: UnboundedSender<Frame>) -> io::Result<Self> {
+        let listener = socket::listen(own)?;
+        let links = RefCell::new(HashMap::new());
+        let shared = Rc::new(Shared { own, links, inbox, next: Cell::new(0) });
+        tokio::task::spawn_local(accept(listener, shared.clone()));
+        Ok(Self { shared })
+    }
+
+    /// Sends a frame, or begins to connect.
+    pub fn send(&self, to: SocketAddr, frame: &Frame) {
+        // Encoding to memory fails for no value of these types.
+        let Ok(body) = postcard::to_stdvec(frame) else { return };
+        let Ok(length) = u32::try_from(body.len()) else { return };
+        let mut bytes = Vec::with_capacity(body.len() + 4);
+        bytes.extend_from_slice(&length.to_le_bytes());
+        bytes.extend_from_slice(&body);
+        self.shared.give_up_silent(to);
+        let mut links = self.shared.links.borrow_mut();
+        let link = links.entry(to).or_insert_with(|| self.shared.dial(to));
+        if link.out.try_send(bytes).is_err() {
+            // It does not read, or has ended; the next frame goes over a new connection.
+            links.remove(&to);
+        }
+    }
+}
+
+impl Shared {
+    /// Gives up a connection that is spoken to and silent.
+    ///
+    /// A connection can go silent for good while new ones work. One would notice an instance that
+    /// the leader takes for lost although it is well.
+    fn give_up_silent(&self, to: SocketAddr) {
+        let now = steady::now();
+        let mut links = self.links.borrow_mut();
+        let silent = links.get(&to).is_some_and(|link| {
+            let since = link.heard.get().max(link.opened);
+            now.saturating_sub(since) > SILENCE
+        });
+        if silent {
+            links.remove(&to);
+        }
+    }
+
+    fn open(&self) -> (Link, Receiver<Vec<u8>>) {
+        let (out, queue) = mpsc::channel(QUEUE);
+        self.next.set(self.next.get() + 1);
+        let now = steady::now();
+        let heard = Rc::new(Cell::new(now));
+        (Link { id: self.next.get(), out, opened: now, heard }, queue)
+    }
+
+    fn dial(self: &Rc<Self>, to: SocketAddr) -> Link {
+        let (link, queue) = self.open();
+        let (id, heard) = (link.id, link.heard.clone());
+        let shared = self.clone();
+        tokio::task::spawn_local(async move {
+            if let Ok(stream) = dial(to, shared.own).await {
+                shared.run(stream, queue, &heard).await;
+            }
+            shared.forget(to, id);
+        });
+        link
+    }
+
+    /// Carries frames until the connection ends either way.
+    async fn run(&self, stream: TcpStream, queue: Receiver<Vec<u8>>, heard: &Cell<Duration>) {
+        let (reader, writer) = stream.into_split();
+        tokio::select! {
+            () = read(reader, &self.inbox, heard) => {}
+            () = write(writer, queue) => {}
+        }
+    }
+
+    fn forget(&self, to: SocketAddr, id: u64) {
+        let mut links = self.links.borrow_mut();
+        if links.get(&to).is_some_and(|link| link.id == id) {
+            links.remove(&to);
+        }
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Rc<Shared>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Out of descriptors: some are free again in a moment.
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        tokio::task::spawn_local(welcome(stream, shared.clone()));
+    }
+}
+
+async fn welcome(mut stream: TcpStream, shared: Rc<Shared>) {
+    if socket::tune(&stream).is_err() {
+        return;
+    }
+    let greeted = tokio::time::timeout(DIAL * 4, greeted(&mut stream)).await;
+    let Ok(Ok(peer)) = greeted else { return };
+    let (link, queue) = shared.open();
+    let (id, heard) = (link.id, link.heard.clone());
+    // The newest connection is the one that the other side uses.
+    shared.links.borrow_mut().insert(peer, link);
+    shared.run(stream, queue, &heard).await;
+    shared.forget(peer, id);
+}
+
+/// Connects and says which instance dials.
+async fn dial(to: SocketAddr, own: SocketAddr) -> io::Result<TcpStream> {
+    let mut stream = socket::dial(to, DIAL).await?;
+    greet(&mut stream, own).await?;
+    Ok(stream)
+}
+
+/// Says which instance dials.
+async fn greet(stream: &mut TcpStream, own: SocketAddr) -> io::Result<()> {
+    let text = own.to_string();
+    let mut bytes = MAGIC.to_vec();
+    bytes.push(u8::try_from(text.len()).unwrap_or(u8::MAX));
+    bytes.extend_from_slice(text.as_bytes());
+    stream.write_all(&bytes).await
+}
+
+/// Learns which instance has dialled.
+async fn greeted(stream: &mut TcpStream) -> io::Result<SocketAddr> {
+    let mut head = [0; 5];
+    stream.read_exact(&mut head).await?;
+    if head[..4] != MAGIC[..] {
+        return Err(io::ErrorKind::InvalidData.into());
+    }
+    let mut text = vec![0; usize::from(head[4])];
+    stream.read_exact(&mut text).await?;
+    let text = std::str::from_utf8(&text).ok();
+    text.and_then(|it| it.parse().ok()).ok_or_else(|| io::ErrorKind::InvalidData.into())
+}
+
+async fn read(mut reader: OwnedReadHalf, inbox: &UnboundedSender<Frame>, heard: &Cell<Duration>) {
+    let mut bytes = bytes::BytesMut::new();
+    loop {
+        while let Some(length) = whole(&bytes) {
+            let frame = bytes.split_to(length);
+            let Ok(frame) = postcard::from_bytes(&frame[4..]) else { return };
+            heard.set(steady::now());
+            if inbox.send(frame).is_err() {
+                return;
+            }
+        }
+        let announced =
+            bytes.get(..4).map(|head| u32::from_le_bytes([head[0], head[1], head[2], head[3]]));
+        if announced.is_some_and(|length| length as usize > LARGEST) {
+            return;
+        }
+        match reader.read_buf(&mut bytes).await {
+            Ok(count) if count > 0 => {}
+            Ok(_) | Err(_) => return,
+        }
+    }
+}
+
+/// Returns the length of the whole frame at the start of the bytes, with its length field.
+fn whole(bytes: &[u8]) -> Option<usize> {
+    let (head, _) = bytes.split_first_chunk::<4>()?;
+    let length = u32::from_le_bytes(*head) as usize + 4;
+    (bytes.len() >= length).then_some(length)
+}
+
+async fn write(mut writer: OwnedWriteHalf, mut queue: Receiver<Vec<u8>>) {
+    while let Some(mut bytes) = queue.recv().await {
+        while let Ok(more) = queue.try_recv() {
+            bytes.extend_from_slice(&more);
+        }
+        if writer.write_all(&bytes).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/verbenaslip-instance/src/metric.rs
@@ -0,0 +1,63 @@
+//! Counters and histograms, served as text.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use tokio::net::TcpStream;
+use verbenaslip_relay::http::Wire;
+use verbenaslip_relay::socket;
+
+/// Bounds of the buckets for answers, in seconds; the objectives of both users are among them.
+const SECONDS: [f64; 13] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.3, 0.6, 1.0, 1.2, 2.0, 4.0, 8.0, 15.0];
+
+/// Between two sums of what histograms gathered; without it an unread one would grow for ever.
+const UPKEEP: Duration = Duration::from_secs(5);
+
+/// Starts to record, and to serve what is recorded if there is an address for it.
+///
+/// # Errors
+///
+/// Says why it could not.
+pub fn open(address: Option<SocketAddr>) -> Result<(), String> {
+    let builder = PrometheusBuilder::new().set_buckets(&SECONDS).map_err(|it| it.to_string())?;
+    let handle = builder.install_recorder().map_err(|it| it.to_string())?;
+    let upkeep = handle.clone();
+    tokio::task::spawn_local(async move {
+        loop {
+            tokio::time::sleep(UPKEEP).await;
+            upkeep.run_upkeep();
+        }
+    });
+    let Some(address) = address else { return Ok(()) };
+    let listener = socket::listen(address).map_err(|error| format!("{address}: {error}"))?;
+    tokio::task::spawn_local(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    tokio::task::spawn_local(serve(stream, handle.clone()));
+                }
+                Err(_) => tokio::time::sleep(UPKEEP / 50).await,
+            }
+        }
+    });
+    Ok(())
+}
+
+async fn serve(stream: TcpStream, handle: PrometheusHandle) {
+    let mut wire = Wire::new(stream);
+    while wire.head().is_none() {
+        let filled = tokio::time::timeout(UPKEEP, wire.fill()).await;
+        if !matches!(filled, Ok(Ok(count)) if count > 0) || wire.bytes.len() > 8 << 10 {
+            return;
+        }
+    }
+    let text = handle.render();
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: text/plain; version=0.0.4\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
+        text.len()
+    );
+    // A reader that has gone needs no answer.
+    let _ = wire.send(&[head.as_bytes(), text.as_bytes()].concat()).await;
+    wire.finish().await;
+}
--- /dev/null
+++ b/crates/verbenaslip-relay/src/dialect.rs
@@ -0,0 +1,92 @@
+//! The port through which a deployment's header names become typed fields.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use verbenaslip_base::name::{Team, Upstream};
+
+use crate::http::{Request, Response};
+
+/// Holds what a request says of itself beyond HTTP.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Call {
+    /// The request's own identity.
+    pub id: Arc<str>,
+    /// The caller's key.
+    pub key: Option<Arc<str>>,
+    /// How long the caller waits for the whole answer.
+    pub patience: Option<Duration>,
+    /// The tokens of the prompt and the most tokens of the answer, when it says so.
+    pub tokens: Option<Tokens>,
+    /// The caller's estimate of the tokens of the answer.
+    pub hint: Option<u64>,
+    /// The parts of the prompt in order; requests share the first ones.
+    pub parts: Vec<Part>,
+    /// The last event of the answer that the caller has.
+    pub after: Option<u64>,
+}
+
+/// Says how large a generation is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Tokens {
+    /// Tokens of the prompt.
+    pub prompt: u64,
+    /// The most tokens of the answer.
+    pub output: u64,
+}
+
+/// Names one part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Its identity.
+    pub id: u64,
+    /// Its tokens.
+    pub tokens: u32,
+}
+
+/// Holds what is told to the upstream beside the caller's own words.
+#[derive(Clone, Copy, Debug)]
+pub struct Onward<'a> {
+    /// The run of the upstream that is meant; any other must not take the request.
+    pub upstream: &'a Upstream,
+    /// The caller's team.
+    pub team: Option<&'a Team>,
+    /// How long the caller still waits.
+    pub remaining: Duration,
+    /// The last event that the caller has.
+    pub after: Option<u64>,
+    /// The rank among the upstream's requests; zero is the most urgent.
+    pub rank: Option<u8>,
+}
+
+/// Holds what a response says beyond HTTP.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reply {
+    /// Whether it answers the request with the given identity.
+    pub own: bool,
+    /// Whether the upstream says that it has not run the request and never will.
+    pub not_run: bool,
+    /// Whether its body is encoded in a way that the caller did not ask for.
+    pub encoded: bool,
+}
+
+/// Takes the name and value of a header field that is to be written.
+pub type Put<'a> = &'a mut dyn FnMut(&str, &str);
+
+/// Knows a deployment's names of header fields; decides nothing.
+pub trait Dialect: Send + Sync {
+    /// Reads what a request says of itself; none when it has no identity.
+    fn call(&self, head: &Request) -> Option<Call>;
+
+    /// Tells whether a field is set by this system alone, so that a caller's is not passed on.
+    fn is_ours(&self, name: &str) -> bool;
+
+    /// Writes the fields that this system sets towards an upstream.
+    fn onward(&self, onward: &Onward<'_>, put: Put<'_>);
+
+    /// Reads what a response says.
+    fn reply(&self, head: &Response, id: &str) -> Reply;
+
+    /// Writes the fields of an answer of this instance's own.
+    fn own_answer(&self, id: &str, back: Option<Duration>, put: Put<'_>);
+}
--- /dev/null
+++ b/crates/verbenaslip-relay/src/forward.rs
@@ -0,0 +1,17 @@
+//! One request from its caller to an upstream and back.
+//!
+//! [`life`] leads a request: who asks, where it goes, whether it is tried again, what its caller
+//! gets. [`exchange`] sends it to one upstream and takes the head of the answer; [`delivery`] passes
+//! the answer on, and for a resumable stream goes on where another upstream broke off. [`pool`]
+//! keeps the connections, [`events`] finds the ends of events, [`answer`] writes answers of this
+//! instance's own.
+
+pub mod answer;
+pub mod context;
+pub mod delivery;
+pub mod events;
+pub mod exchange;
+pub mod life;
+pub mod pool;
+
+pub use context::Context;
--- /dev/null
+++ b/crates/verbenaslip-relay/src/forward/answer.rs
@@ -0,0 +1,174 @@
+//! Answers of this instance's own, and the heads of those passed on.
+
+use std::time::Duration;
+
+use crate::dialect::Dialect;
+use crate::http::{Fault, Framing, Response, head};
+
+/// Says why a request is not passed on, or gets no upstream's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The request is malformed.
+    Malformed,
+    /// The key is missing or belongs to no team.
+    UnknownKey,
+    /// No route leads there.
+    NoRoute,
+    /// The request did not arrive in time.
+    SlowCaller,
+    /// The body is larger than allowed.
+    TooLarge,
+    /// The head is larger than allowed.
+    LongHead,
+    /// The team asked for more than its limit; it was not run.
+    BeyondLimit,
+    /// This instance is about to stop; it was not run.
+    Stopping,
+    /// No route table is known here yet; it was not run.
+    NoTable,
+    /// No upstream may get it now; it was not run.
+    NoUpstream,
+    /// All upstreams are busy; it was not run.
+    Busy,
+    /// Every upstream that got it said that it did not run it.
+    TurnedAway,
+    /// An upstream failed; it may have run.
+    Failed,
+    /// The time ran out after it was sent; it may have run.
+    TimedOut,
+    /// The time ran out before it was sent anywhere; it was not run.
+    Expired,
+}
+
+impl Refusal {
+    /// Returns the status.
+    pub fn status(self) -> u16 {
+        match self {
+            Self::Malformed => 400,
+            Self::UnknownKey => 401,
+            Self::NoRoute => 404,
+            Self::SlowCaller => 408,
+            Self::TooLarge => 413,
+            Self::BeyondLimit => 429,
+            Self::LongHead => 431,
+            Self::Failed => 502,
+            Self::NoTable
+            | Self::NoUpstream
+            | Self::Busy
+            | Self::TurnedAway
+            | Self::Stopping
+            | Self::Expired => 503,
+            Self::TimedOut => 504,
+        }
+    }
+
+    /// Returns its name, for logs, metrics and the answer's body.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Malformed => "malformed",
+            Self::UnknownKey => "unknown_key",
+            Self::NoRoute => "no_route",
+            Self::SlowCaller => "slow_caller",
+            Self::TooLarge => "too_large",
+            Self::LongHead => "long_head",
+            Self::BeyondLimit => "beyond_limit",
+            Self::Stopping => "stopping",
+            Self::NoTable => "no_table",
+            Self::NoUpstream => "no_upstream",
+            Self::Busy => "busy",
+            Self::TurnedAway => "turned_away",
+            Self::Failed => "failed",
+            Self::TimedOut => "timed_out",
+            Self::Expired => "expired",
+        }
+    }
+
+    fn reason(self) -> &'static str {
+        match self.status() {
+            400 => "Bad Request",
+            401 => "Unauthorized",
+            404 => "Not Found",
+            408 => "Request Timeout",
+            413 => "Content Too Large",
+            429 => "Too Many Requests",
+            431 => "Request Header Fields Too Large",
+            502 => "Bad Gateway",
+            504 => "Gateway Timeout",
+            _ => "Service Unavailable",
+        }
+    }
+}
+
+impl From<Fault> for Refusal {
+    fn from(fault: Fault) -> Self {
+        match fault {
+            Fault::TooLong => Self::LongHead,
+            Fault::TooLarge => Self::TooLarge,
+            Fault::Slow => Self::SlowCaller,
+            _ => Self::Malformed,
+        }
+    }
+}
+
+/// Writes an answer of this instance's own; `back` is when the caller may come again.
+pub fn write(
+    dialect: &dyn Dialect,
+    refusal: Refusal,
+    id: &str,
+    back: Option<Duration>,
+    close: bool,
+) -> Vec<u8> {
+    let body = format!("{{\"error\":\"{}\"}}\n", refusal.name());
+    let mut out = Vec::with_capacity(256);
+    let line = format!("HTTP/1.1 {} {}\r\n", refusal.status(), refusal.reason());
+    out.extend_from_slice(line.as_bytes());
+    dialect.own_answer(id, back, &mut |name, value| put(&mut out, name, value.as_bytes()));
+    put(&mut out, "Content-Type", b"application/json");
+    put(&mut out, "Content-Length", body.len().to_string().as_bytes());
+    if close {
+        put(&mut out, "Connection", b"close");
+    }
+    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(body.as_bytes());
+    out
+}
+
+/// Writes the head of an upstream's answer for the caller; only what concerns the connection
+/// differs.
+pub fn write_head(response: &Response, framing: Framing, close: bool) -> Vec<u8> {
+    let mut out = Vec::with_capacity(512);
+    let line = format!("HTTP/1.1 {} {}\r\n", response.status, response.reason);
+    out.extend_from_slice(line.as_bytes());
+    for field in &response.fields {
+        let length = field.name.eq_ignore_ascii_case("content-length");
+        if !head::is_hop(&response.fields, &field.name) && !length {
+            put(&mut out, &field.name, &field.value);
+        }
+    }
+    match framing {
+        Framing::Empty => {
+            // An answer without a body may still say how long it would be.
+            if let Some(length) = response.text("content-length") {
+                put(&mut out, "Content-Length", length.as_bytes());
+            }
+        }
+        Framing::Length(length) => {
+            put(&mut out, "Content-Length", length.to_string().as_bytes());
+        }
+        Framing::Chunked => put(&mut out, "Transfer-Encoding", b"chunked"),
+        Framing::Close => {}
+    }
+    if close {
+        put(&mut out, "Connection", b"close");
+    }
+    out.extend_from_slice(b"\r\n");
+    out
+}
+
+/// Writes one header field.
+pub fn put(out: &mut Vec<u8>, name: &str, value: &[u8]) {
+    out.extend_from_slice(name.as_bytes());
+    out.extend_from_slice(b": ");
+    out.extend_from_slice(value);
+    out.extend_from_slice(b"\r\n");
+}
--- /dev/null
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -0,0 +1,94 @@
+//! What all requests of an instance share.
+
+use std::cell::{Cell, RefCell};
+use std::sync::Arc;
+use std::time::Duration;
+
+use verbenaslip_base::name::AvailabilityZone;
+use verbenaslip_fleet::view::View;
+
+use crate::board::Board;
+use crate::dialect::Dialect;
+use crate::forward::pool::Pool;
+use crate::policy::allowance::Allowance;
+use crate::policy::place::{Choice, Ending, Placement};
+use crate::policy::retry::{Bounds, Budget};
+use crate::steady;
+
+/// Holds what all requests share; only the traffic thread uses it.
+pub struct Context {
+    /// What is shared with the control thread.
+    pub board: Arc<Board>,
+    /// The deployment's header names.
+    pub dialect: Arc<dyn Dialect>,
+    /// The length of a window of usage.
+    pub window: Duration,
+    pub(crate) placement: RefCell<Placement>,
+    pub(crate) allowance: RefCell<Allowance>,
+    pub(crate) budget: RefCell<Budget>,
+    pub(crate) pool: RefCell<Pool>,
+    pub(crate) draw: Cell<u64>,
+    revision: Cell<u64>,
+}
+
+impl Context {
+    /// Starts without requests.
+    pub fn open(
+        board: Arc<Board>,
+        dialect: Arc<dyn Dialect>,
+        zone: AvailabilityZone,
+        bounds: Bounds,
+        window: Duration,
+    ) -> Self {
+        Self {
+            board,
+            dialect,
+            window,
+            placement: RefCell::new(Placement::open(zone)),
+            allowance: RefCell::new(Allowance::default()),
+            budget: RefCell::new(Budget::open(bounds)),
+            pool: RefCell::new(Pool::default()),
+            draw: Cell::new(steady::unix()),
+            revision: Cell::new(0),
+        }
+    }
+
+    /// Returns the newest view, after the parts that depend on it have taken it over.
+    pub(crate) fn view(&self) -> Arc<View> {
+        let view = self.board.view();
+        let gone = self.placement.borrow_mut().update(&view);
+        if !gone.is_empty() {
+            // Another run may use the address by now; its connections are no longer of use.
+            self.pool.borrow_mut().forget(&gone);
+        }
+        if self.revision.get() != view.revision() {
+            self.revision.set(view.revision());
+            if let Some(routes) = &view.routes {
+                self.allowance.borrow_mut().keep(&routes.sheet().teams);
+            }
+        }
+        view
+    }
+
+    /// Counts a request's end at an upstream.
+    pub(crate) fn ended(&self, choice: &Choice, ending: Ending, began: Option<Duration>) {
+        self.placement.borrow_mut().end(steady::now(), choice, ending, began);
+        self.tell_load(choice);
+    }
+
+    /// Tells the other entries what is under way at an upstream.
+    pub(crate) fn tell_load(&self, choice: &Choice) {
+        if let Some(load) = self.placement.borrow().load(&choice.upstream) {
+            self.board.load(load);
+        }
+    }
+
+    /// Draws a number that differs each time (the sequence of SplitMix64).
+    pub(crate) fn random(&self) -> u64 {
+        let next = self.draw.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
+        self.draw.set(next);
+        let value = (next ^ (next >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        value ^ (value >> 31)
+    }
+}
--- /dev/null
+++ b/crates/verbenaslip-relay/src/forward/exchange.rs
@@ -0,0 +1,149 @@
+//! Sends a request to one upstream and takes the head of its answer.
+
+use std::time::Duration;
+
+use bytes::Buf;
+use tokio::time::Instant;
+
+use crate::dialect::Reply;
+use crate::forward::context::Context;
+use crate::forward::life::Job;
+use crate::http::wire::Traded;
+use crate::http::{Decoder, Response, Step, Wire};
+use crate::policy::place::Choice;
+use crate::{socket, steady};
+
+/// How long a new connection may take; many times the longest way there and back.
+const DIAL: Duration = Duration::from_millis(300);
+
+/// The longest head of an answer.
+const HEAD: usize = 64 << 10;
+
+/// The longest answer to another request that is skipped.
+const SKIP: usize = 1 << 20;
+
+/// How long a connection may have been idle for a request that must run once at most. A kept
+/// connection may be closed just when a request is sent, and then nobody knows whether it ran.
+const IDLE_ONCE: Duration = Duration::from_millis(400);
+
+/// How long a connection may have been idle for any other request: what the pool allows.
+const IDLE_ANY: Duration = Duration::from_secs(60);
+
+/// Holds a connection on which the head of the answer has come.
+pub struct Answered {
+    /// The connection; the body comes next.
+    pub wire: Wire,
+    /// The head.
+    pub head: Response,
+    /// What it says beyond HTTP.
+    pub reply: Reply,
+    /// Whether the connection may be used again after the body.
+    pub reusable: bool,
+}
+
+/// Says why there is no answer from an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// Nothing was sent: it has not run.
+    Unreached,
+    /// The connection broke, or what came is no answer: it may have run.
+    Broken,
+    /// Nothing came in time: it may have run.
+    Silent,
+    /// The caller has left.
+    CallerGone,
+}
+
+/// Sends a request and waits for the head of the answer until `limit`.
+pub async fn send(
+    context: &Context,
+    caller: &mut Wire,
+    job: &Job<'_>,
+    choice: &Choice,
+    bytes: &[u8],
+    limit: Instant,
+) -> Result<Answered, Failure> {
+    let (mut wire, kept) = connect(context, job, choice, limit).await?;
+    let mut written = 0;
+    let mut clean = true;
+    loop {
+        while let Some(end) = wire.head() {
+            let head = Response::parse(&wire.bytes[..end]).map_err(|_| Failure::Broken)?;
+            wire.bytes.advance(end);
+            if head.status < 200 {
+                continue;
+            }
+            let reply = context.dialect.reply(&head, &job.call.id);
+            if reply.own {
+                let reusable = clean && written == bytes.len() && !head.closes();
+                return Ok(Answered { wire, head, reply, reusable });
+            }
+            // A late answer to an earlier request on this connection. Taken for this one's, it
+            // would give a caller what another one asked for.
+            skip(&mut wire, &head, job, limit).await?;
+            clean = false;
+        }
+        if wire.bytes.len() > HEAD {
+            return Err(Failure::Broken);
+        }
+        tokio::select! {
+            traded = wire.trade(&bytes[written..]) => match traded {
+                Ok(Traded::Wrote(count)) => written += count,
+                Ok(Traded::Read(count)) if count > 0 => {}
+                Ok(Traded::Read(_)) | Err(_) if written == 0 && kept => {
+                    return Err(Failure::Unreached);
+                }
+                Ok(Traded::Read(_)) | Err(_) => return Err(Failure::Broken),
+            },
+            () = caller.gone() => return Err(Failure::CallerGone),
+            () = tokio::time::sleep_until(limit) => return Err(Failure::Silent),
+        }
+    }
+}
+
+async fn connect(
+    context: &Context,
+    job: &Job<'_>,
+    choice: &Choice,
+    limit: Instant,
+) -> Result<(Wire, bool), Failure> {
+    let idle = if job.route.kind.may_repeat() { IDLE_ANY } else { IDLE_ONCE };
+    let kept = context.pool.borrow_mut().take(steady::now(), &choice.upstream, idle);
+    if let Some(wire) = kept {
+        return Ok((wire, true));
+    }
+    let left = limit.saturating_duration_since(Instant::now());
+    let dialled = socket::dial(choice.address, DIAL.min(left)).await;
+    metrics::counter!("verbenaslip_upstream_connections_total").increment(1);
+    dialled.map(|stream| (Wire::new(stream), false)).map_err(|_| Failure::Unreached)
+}
+
+/// Reads over the body of an answer that belongs to another request.
+async fn skip(
+    wire: &mut Wire,
+    head: &Response,
+    job: &Job<'_>,
+    limit: Instant,
+) -> Result<(), Failure> {
+    let framing = head.framing(&job.head.method).map_err(|_| Failure::Broken)?;
+    let mut decoder = Decoder::new(framing);
+    let mut skipped = 0;
+    loop {
+        match decoder.step(&mut wire.bytes) {
+            Ok(Step::End) => return Ok(()),
+            Ok(Step::Data(piece)) => skipped += piece.len(),
+            Ok(Step::More) => {
+                let filled = tokio::time::timeout_at(limit, wire.fill()).await;
+                match filled {
+                    Ok(Ok(count)) if count > 0 => {}
+                    Ok(_) => return Err(Failure::Broken),
+                    Err(_) => return Err(Failure::Silent),
+                }
+            }
+            Err(_) => return Err(Failure::Broken),
+        }
+        if skipped > SKIP {
+            return Err(Failure::Broken);
+        }
+    }
+}
--- /dev/null
+++ b/crates/verbenaslip-relay/src/forward/pool.rs
@@ -0,0 +1,77 @@
+//! Connections to upstreams that are kept for the next request.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use verbenaslip_base::name::Upstream;
+
+use crate::http::Wire;
+
+/// Connections kept for one upstream. An upstream accepts a bounded number from all instances.
+const KEPT: usize = 16;
+
+/// How long a connection is kept where the upstream does not say. Shorter than what upstreams are
+/// known to allow, since a request that meets the closing may or may not have run.
+const IDLE: Duration = Duration::from_secs(4);
+
+/// The part of the time that an upstream states for which its connections are used.
+const MARGIN: f64 = 0.7;
+
+/// Keeps idle connections by the run of the upstream, never by its address alone.
+#[derive(Debug, Default)]
+pub struct Pool {
+    idle: HashMap<Upstream, Vec<Idle>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    wire: Wire,
+    since: Duration,
+    until: Duration,
+}
+
+impl Pool {
+    /// Takes a connection that has been idle for no longer than `most`.
+    pub fn take(&mut self, now: Duration, upstream: &Upstream, most: Duration) -> Option<Wire> {
+        let idle = self.idle.get_mut(upstream)?;
+        while let Some(mut kept) = idle.pop() {
+            let old = now > kept.until || now.saturating_sub(kept.since) > most;
+            // Whatever has come since the last answer belongs to no request.
+            if !old && kept.wire.is_clean() {
+                return Some(kept.wire);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection; `stated` is for how long the upstream keeps it.
+    pub fn put(
+        &mut self,
+        now: Duration,
+        upstream: &Upstream,
+        wire: Wire,
+        stated: Option<Duration>,
+    ) {
+        let keeps = stated.map_or(IDLE, |stated| stated.mul_f64(MARGIN));
+        let idle = self.idle.entry(upstream.clone()).or_default();
+        if idle.len() >= KEPT {
+            idle.remove(0);
+        }
+        idle.push(Idle { wire, since: now, until: now + keeps });
+    }
+
+    /// Drops the connections of upstreams that are gone.
+    pub fn forget(&mut self, gone: &[Upstream]) {
+        for upstream in gone {
+            self.idle.remove(upstream);
+        }
+    }
+
+    /// Drops the connections whose time is over.
+    pub fn sweep(&mut self, now: Duration) {
+        for idle in self.idle.values_mut() {
+            idle.retain(|kept| now <= kept.until);
+        }
+        self.idle.retain(|_, idle| !idle.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/verbenaslip-relay/src/http.rs
@@ -0,0 +1,43 @@
+//! HTTP/1.1 as far as forwarding needs it.
+//!
+//! A library that hides the bytes doesn't fit here: answers must go back unchanged, and what came on
+//! a connection after an answer must be seen in order not to be taken for the next one.
+
+pub mod body;
+pub mod head;
+pub mod reader;
+pub mod wire;
+
+pub use body::{Decoder, Framing, Step};
+pub use head::{Field, Request, Response};
+pub use reader::Whole;
+pub use wire::Wire;
+
+use displaydoc::Display;
+
+/// Says why bytes are no message that can be forwarded.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Fault {
+    /// the head is longer than allowed
+    TooLong,
+    /// the first line is not one of HTTP/1.1
+    Line,
+    /// a line does not end with CRLF, or holds a control character
+    Control,
+    /// a header field is malformed or folded over several lines
+    Field,
+    /// the Host header is missing or given twice
+    Host,
+    /// the length of the body is given twice or in two ways
+    Length,
+    /// the transfer coding is not known here
+    Coding,
+    /// the chunks of the body are malformed
+    Chunk,
+    /// the body is larger than allowed
+    TooLarge,
+    /// the request did not arrive in time
+    Slow,
+}
+
+impl std::error::Error for Fault {}
--- /dev/null
+++ b/crates/verbenaslip-relay/src/http/head.rs
@@ -0,0 +1,250 @@
+//! Heads of requests and responses.
+
+use crate::http::Fault;
+use crate::http::body::Framing;
+
+/// Holds one header field as it was written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Field {
+    /// Its name.
+    pub name: Box<str>,
+    /// Its value, without the white space around it.
+    pub value: Box<[u8]>,
+}
+
+/// Holds the head of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// The method.
+    pub method: Box<str>,
+    /// Path and query, as they were written.
+    pub target: Box<str>,
+    /// The minor version: zero or one.
+    pub minor: u8,
+    /// The header fields in order.
+    pub fields: Vec<Field>,
+}
+
+/// Holds the head of a response.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Response {
+    /// The status.
+    pub status: u16,
+    /// The minor version: zero or one.
+    pub minor: u8,
+    /// The reason phrase.
+    pub reason: Box<str>,
+    /// The header fields in order.
+    pub fields: Vec<Field>,
+}
+
+/// Returns the length of a whole head at the start of the bytes, with its empty line.
+pub fn end(bytes: &[u8]) -> Option<usize> {
+    bytes.windows(4).position(|four| four == b"\r\n\r\n").map(|at| at + 4)
+}
+
+impl Request {
+    /// Reads a whole head.
+    ///
+    /// # Errors
+    ///
+    /// Refuses whatever another reader could understand differently: a request could otherwise be
+    /// smuggled to an upstream inside another one's bytes.
+    pub fn parse(bytes: &[u8]) -> Result<Self, Fault> {
+        let mut lines = lines(bytes)?;
+        let line = lines.next().ok_or(Fault::Line)?;
+        let mut words = line.split(' ');
+        let (method, target, version) = (words.next(), words.next(), words.next());
+        let (Some(method), Some(target), Some(version), None) =
+            (method, target, version, words.next())
+        else {
+            return Err(Fault::Line);
+        };
+        let method_fits = !method.is_empty() && method.bytes().all(is_token);
+        let target_fits = target.starts_with('/') && target.bytes().all(|it| it.is_ascii_graphic());
+        if !method_fits || !target_fits {
+            return Err(Fault::Line);
+        }
+        let minor = minor(version)?;
+        let fields = fields(lines)?;
+        let request = Self { method: method.into(), target: target.into(), minor, fields };
+        if request.all("host").count() != 1 {
+            return Err(Fault::Host);
+        }
+        Ok(request)
+    }
+
+    /// Returns the values of a field, however often it is given.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a Field> {
+        all(&self.fields, name)
+    }
+
+    /// Returns the value of a field as text, if it is given once.
+    pub fn text(&self, name: &str) -> Option<&str> {
+        text(&self.fields, name)
+    }
+
+    /// Returns how the body is delimited.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a body whose length is given twice or in two ways.
+    pub fn framing(&self) -> Result<Framing, Fault> {
+        let length = length(&self.fields)?;
+        if !chunked(&self.fields)? {
+            return Ok(length.map_or(Framing::Empty, Framing::Length));
+        }
+        if length.is_some() || self.minor == 0 {
+            return Err(Fault::Length);
+        }
+        Ok(Framing::Chunked)
+    }
+
+    /// Tells whether the connection ends with this request.
+    pub fn closes(&self) -> bool {
+        self.minor == 0 || has_word(&self.fields, "connection", "close")
+    }
+}
+
+impl Response {
+    /// Reads a whole head.
+    ///
+    /// # Errors
+    ///
+    /// Refuses what is no response.
+    pub fn parse(bytes: &[u8]) -> Result<Self, Fault> {
+        let mut lines = lines(bytes)?;
+        let line = lines.next().ok_or(Fault::Line)?;
+        let mut words = line.splitn(3, ' ');
+        let (Some(version), Some(status)) = (words.next(), words.next()) else {
+            return Err(Fault::Line);
+        };
+        let digits = status.len() == 3 && status.bytes().all(|it| it.is_ascii_digit());
+        let status = status.parse().ok().filter(|it| digits && *it >= 100).ok_or(Fault::Line)?;
+        let (minor, reason) = (minor(version)?, words.next().unwrap_or_default().into());
+        Ok(Self { status, minor, reason, fields: fields(lines)? })
+    }
+
+    /// Returns the values of a field, however often it is given.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a Field> {
+        all(&self.fields, name)
+    }
+
+    /// Returns the value of a field as text, if it is given once.
+    pub fn text(&self, name: &str) -> Option<&str> {
+        text(&self.fields, name)
+    }
+
+    /// Returns how the body is delimited, for the answer to a request with the given method.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a body whose length is given twice or in two ways.
+    pub fn framing(&self, method: &str) -> Result<Framing, Fault> {
+        let bare = matches!(self.status, 100..200 | 204 | 304) || method == "HEAD";
+        let length = length(&self.fields)?;
+        let chunked = chunked(&self.fields)?;
+        match (bare, chunked, length) {
+            (true, _, _) => Ok(Framing::Empty),
+            (false, true, Some(_)) => Err(Fault::Length),
+            (false, true, None) => Ok(Framing::Chunked),
+            (false, false, Some(length)) => Ok(Framing::Length(length)),
+            (false, false, None) => Ok(Framing::Close),
+        }
+    }
+
+    /// Tells whether the connection ends with this response.
+    pub fn closes(&self) -> bool {
+        self.minor == 0 || has_word(&self.fields, "connection", "close")
+    }
+}
+
+/// Tells whether a field concerns one connection only and is not forwarded.
+///
+/// Fields that a `Connection` header names belong to these as well.
+pub fn is_hop(fields: &[Field], name: &str) -> bool {
+    const HOP: [&str; 9] = [
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    ];
+    HOP.iter().any(|hop| name.eq_ignore_ascii_case(hop)) || has_word(fields, "connection", name)
+}
+
+/// Tells whether one of the comma-separated words of a field is the given one.
+pub fn has_word(fields: &[Field], name: &str, word: &str) -> bool {
+    let values = all(fields, name).filter_map(|field| std::str::from_utf8(&field.value).ok());
+    let mut words = values.flat_map(|value| value.split(','));
+    words.any(|it| it.trim().eq_ignore_ascii_case(word))
+}
+
+fn all<'a>(fields: &'a [Field], name: &'a str) -> impl Iterator<Item = &'a Field> {
+    fields.iter().filter(move |field| field.name.eq_ignore_ascii_case(name))
+}
+
+fn text<'a>(fields: &'a [Field], name: &str) -> Option<&'a str> {
+    let mut found = fields.iter().filter(|field| field.name.eq_ignore_ascii_case(name));
+    let (Some(field), None) = (found.next(), found.next()) else { return None };
+    std::str::from_utf8(&field.value).ok()
+}
+
+/// Splits a head into lines; each must end with CRLF and hold no other control character.
+fn lines(bytes: &[u8]) -> Result<impl Iterator<Item = &str>, Fault> {
+    let text = std::str::from_utf8(bytes);
+    let text = text.ok().and_then(|it| it.strip_suffix("\r\n\r\n")).ok_or(Fault::Control)?;
+    let lines = text.split("\r\n");
+    if lines.clone().any(|line| line.bytes().any(|it| it.is_ascii_control() && it != b'\t')) {
+        return Err(Fault::Control);
+    }
+    Ok(lines)
+}
+
+fn fields<'a>(lines: impl Iterator<Item = &'a str>) -> Result<Vec<Field>, Fault> {
+    lines.map(field).collect()
+}
+
+fn field(line: &str) -> Result<Field, Fault> {
+    let (name, value) = line.split_once(':').ok_or(Fault::Field)?;
+    // A name with white space before the colon, and a line that goes on with the one before it, are
+    // read by some as one thing and by some as another.
+    if name.is_empty() || !name.bytes().all(is_token) {
+        return Err(Fault::Field);
+    }
+    Ok(Field { name: name.into(), value: value.trim_matches([' ', '\t']).as_bytes().into() })
+}
+
+fn minor(version: &str) -> Result<u8, Fault> {
+    match version {
+        "HTTP/1.1" => Ok(1),
+        "HTTP/1.0" => Ok(0),
+        _ => Err(Fault::Line),
+    }
+}
+
+fn length(fields: &[Field]) -> Result<Option<u64>, Fault> {
+    let mut given = all(fields, "content-length");
+    let Some(field) = given.next() else { return Ok(None) };
+    let digits = !field.value.is_empty() && field.value.iter().all(u8::is_ascii_digit);
+    let value = std::str::from_utf8(&field.value).ok().and_then(|it| it.parse().ok());
+    match (value, given.next()) {
+        (Some(value), None) if digits => Ok(Some(value)),
+        _ => Err(Fault::Length),
+    }
+}
+
+fn chunked(fields: &[Field]) -> Result<bool, Fault> {
+    let mut given = all(fields, "transfer-encoding");
+    let Some(field) = given.next() else { return Ok(false) };
+    let only = given.next().is_none() && field.value.eq_ignore_ascii_case(b"chunked");
+    if only { Ok(true) } else { Err(Fault::Coding) }
+}
+
+fn is_token(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
--- /dev/null
+++ b/crates/verbenaslip-relay/src/http/reader.rs
@@ -0,0 +1,112 @@
+//! Reads whole requests.
+
+use std::future::Future;
+use std::time::Duration;
+
+use bytes::{Buf, Bytes, BytesMut};
+use tokio::time::Instant;
+use verbenaslip_fleet::sheet::Limits;
+
+use crate::http::{Decoder, Fault, Request, Step, Wire, head};
+
+/// How long an idle connection of a caller is kept beyond the time that callers know of, so that a
+/// request sent in time does not meet its closing.
+const GRACE: Duration = Duration::from_secs(1);
+
+/// Holds a whole request as it came.
+#[derive(Debug)]
+pub struct Whole {
+    /// Its head.
+    pub head: Request,
+    /// Its body.
+    pub body: Bytes,
+    /// When it was whole.
+    pub arrived: Instant,
+}
+
+/// Waits for the first byte of a request; false when the caller closes or stays idle.
+pub async fn begun(caller: &mut Wire, limits: &Limits) -> bool {
+    let filled = within(limits.idle_time + GRACE, caller.fill()).await;
+    matches!(filled, Some(Ok(count)) if count > 0)
+}
+
+/// Reads one request; none when the caller closes or stays idle.
+///
+/// # Errors
+///
+/// Says what is wrong with the request; the connection can't be used any further.
+pub async fn read(caller: &mut Wire, limits: &Limits) -> Result<Option<Whole>, Fault> {
+    if caller.bytes.is_empty() && !begun(caller, limits).await {
+        return Ok(None);
+    }
+    let started = Instant::now();
+    let Some(end) = head_end(caller, limits, started).await? else { return Ok(None) };
+    let head = Request::parse(&caller.bytes[..end])?;
+    caller.bytes.advance(end);
+    let mut decoder = Decoder::new(head.framing()?);
+    if head::has_word(&head.fields, "expect", "100-continue") {
+        // If the caller is gone the next read tells.
+        let _ = caller.send(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+    }
+    let mut body = BytesMut::new();
+    loop {
+        match decoder.step(&mut caller.bytes)? {
+            Step::Data(piece) if body.len() + piece.len() > limits.body => {
+                return Err(Fault::TooLarge);
+            }
+            Step::Data(piece) => body.extend_from_slice(&piece),
+            Step::End => break,
+            Step::More => match within(limits.idle_time, caller.fill()).await {
+                Some(Ok(count)) if count > 0 => {}
+                Some(_) => return Ok(None),
+                None => return Err(Fault::Slow),
+            },
+        }
+    }
+    Ok(Some(Whole { head, body: body.freeze(), arrived: Instant::now() }))
+}
+
+/// Waits for a whole head and returns its length; none when the caller closes.
+async fn head_end(
+    caller: &mut Wire,
+    limits: &Limits,
+    started: Instant,
+) -> Result<Option<usize>, Fault> {
+    loop {
+        // An empty line before a request is allowed and means nothing.
+        while caller.bytes.starts_with(b"\r\n") {
+            caller.bytes.advance(2);
+        }
+        if let Some(end) = caller.head() {
+            return if end > limits.head { Err(Fault::TooLong) } else { Ok(Some(end)) };
+        }
+        if caller.bytes.len() > limits.head {
+            return Err(Fault::TooLong);
+        }
+        if has_bare_line_end(&caller.bytes) {
+            return Err(Fault::Control);
+        }
+        let left = limits.head_time.saturating_sub(started.elapsed());
+        match within(left, caller.fill()).await {
+            Some(Ok(count)) if count > 0 => {}
+            Some(_) => return Ok(None),
+            None => return Err(Fault::Slow),
+        }
+    }
+}
+
+/// Tells whether a line of a head ends without a carriage return, which would never end the head.
+fn has_bare_line_end(bytes: &[u8]) -> bool {
+    let mut before = b'\r';
+    for byte in bytes {
+        if *byte == b'\n' && before != b'\r' {
+            return true;
+        }
+        before = *byte;
+    }
+    false
+}
+
+async fn within<T>(limit: Duration, future: impl Future<Output = T>) -> Option<T> {
+    tokio::time::timeout(limit, future).await.ok()
+}
--- /dev/null
+++ b/crates/verbenaslip-relay/src/policy.rs
@@ -0,0 +1,11 @@
+//! Decisions of one entry, without any I/O.
+//!
+//! [`allowance`] says what a team may still ask for at this entry, [`retry`] whether a request may
+//! be sent to another upstream, and [`place`] which upstream takes a request or whether it is better
+//! refused at once. [`cache`] and [`pace`] are what `place` knows of one upstream.
+
+pub mod allowance;
+pub mod cache;
+pub mod pace;
+pub mod place;
+pub mod retry;
--- /dev/null
+++ b/crates/verbenaslip-relay/src/policy/cache.rs
@@ -0,0 +1,40 @@
+//! Which parts of prompts an upstream is likely to hold.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::dialect::Part;
+
+/// Parts that are remembered of one upstream; beyond that the oldest half is forgotten.
+const PARTS: usize = 4_096;
+
+/// How long a part is taken for cached after its last use here. Engines give up what was used least
+/// recently; at the memory and the token rates to design for that takes longer than this.
+const LASTS: Duration = Duration::from_secs(15);
+
+/// Remembers what this entry has sent to one upstream.
+#[derive(Debug, Default)]
+pub struct Cache {
+    parts: HashMap<u64, Duration>,
+}
+
+impl Cache {
+    /// Returns the tokens at the start of a prompt that the upstream is likely to hold.
+    pub fn held(&self, now: Duration, parts: &[Part]) -> u64 {
+        let fresh = |part: &&Part| {
+            self.parts.get(&part.id).is_some_and(|at| now.saturating_sub(*at) < LASTS)
+        };
+        parts.iter().take_while(fresh).map(|part| u64::from(part.tokens)).sum()
+    }
+
+    /// Notes that a prompt was sent there.
+    pub fn note(&mut self, now: Duration, parts: &[Part]) {
+        if self.parts.len() + parts.len() > PARTS {
+            let mut times: Vec<Duration> = self.parts.values().copied().collect();
+            times.sort_unstable();
+            let middle = times.get(times.len() / 2).copied().unwrap_or_default();
+            self.parts.retain(|_, at| *at > middle);
+        }
+        self.parts.extend(parts.iter().map(|part| (part.id, now)));
+    }
+}
--- /dev/null
+++ b/crates/verbenaslip-relay/src/policy/place.rs
@@ -0,0 +1,366 @@
+//! Which upstream takes a request.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use verbenaslip_base::hash;
+use verbenaslip_base::name::{AvailabilityZone, Upstream};
+use verbenaslip_fleet::registry::{Record, Standing};
+use verbenaslip_fleet::view::{Load, View};
+
+use crate::dialect::Part;
+use crate::policy::cache::Cache;
+use crate::policy::pace::Pace;
+
+/// What another availability zone costs, in milliseconds: two ways of the longest path between
+/// zones of one region, so that it decides between equals only.
+const AWAY: f64 = 3.0;
+
+/// What one running request adds to the time of all others, in milliseconds for each.
+const BATCHED: f64 = 0.5;
+
+/// The part of a prompt that is taken for read already at the upstream where its prefix belongs by
+/// hash, even though this entry has not sent it there: other entries prefer the same one.
+const SHARED: f64 = 0.8;
+
+/// The first pause of an upstream that could not be reached; it doubles up to eight times that.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// What a share of failed answers costs, in milliseconds for all of them failing: more than any
+/// queue is worth.
+const FAILING: f64 = 800.0;
+
+/// The weight of the newest outcome in the share of failures.
+const OUTCOME: f64 = 0.08;
+
+/// What reading may wait beyond the objective before a request is refused, as a multiple of it.
+/// Beyond it the answer would be of little worth to its caller and make the ones behind it late.
+const PATIENCE: f64 = 1.6;
+
+/// Holds the upstreams as the fleet knows them.
+type Records = BTreeMap<Upstream, Record>;
+
+/// Holds what is known of the upstreams and what this entry has under way there.
+#[derive(Debug)]
+pub struct Placement {
+    zone: AvailabilityZone,
+    sites: BTreeMap<Upstream, Site>,
+    by_service: BTreeMap<Arc<str>, Vec<Upstream>>,
+    upstreams: Option<Arc<Records>>,
+    loads: Option<Arc<Vec<Load>>>,
+    turn: u64,
+}
+
+#[derive(Debug)]
+struct Site {
+    record: Record,
+    mark: u64,
+    requests: u32,
+    reading: u64,
+    others: Load,
+    cache: Cache,
+    pace: Pace,
+    failing: f64,
+    misses: u32,
+    paused: Duration,
+}
+
+/// Describes a request to be placed.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The parts of its prompt.
+    pub parts: &'a [Part],
+    /// The tokens of its prompt.
+    pub prompt: u64,
+    /// Upstreams where it must not go: it was sent there already.
+    pub tried: &'a [Upstream],
+    /// The time within which the first event is wanted.
+    pub objective: Duration,
+    /// How long the caller still waits.
+    pub remaining: Duration,
+}
+
+/// Says where a request goes.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// The upstream.
+    pub upstream: Upstream,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Tokens of the prompt that are still to be read there.
+    pub reading: u64,
+    /// The expected milliseconds to the first event.
+    pub expected: f64,
+    /// Whether nothing else was under way there.
+    pub idle: bool,
+}
+
+/// Says what becomes of a request.
+#[derive(Clone, Debug)]
+pub enum Verdict {
+    /// It goes to an upstream.
+    Go(Choice),
+    /// Every upstream is so busy that it is refused; its caller may come back after this time.
+    Busy(Duration),
+    /// No upstream of the service may get work now.
+    Nowhere,
+}
+
+/// Says how a request ended at an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// It was answered whole.
+    Whole,
+    /// The upstream failed it.
+    Failed,
+    /// The upstream was full and said so.
+    Full,
+    /// It could not be reached.
+    Unreachable,
+    /// The caller left or its time ran out; says nothing of the upstream.
+    Left,
+}
+
+impl Placement {
+    /// Starts without upstreams.
+    pub fn open(zone: AvailabilityZone) -> Self {
+        Self {
+            zone,
+            sites: BTreeMap::new(),
+            by_service: BTreeMap::new(),
+            upstreams: None,
+            loads: None,
+            turn: 0,
+        }
+    }
+
+    /// Takes a newer view; upstreams that are no longer in it are returned.
+    pub fn update(&mut self, view: &View) -> Vec<Upstream> {
+        let mut gone = Vec::new();
+        if !self.upstreams.as_ref().is_some_and(|it| Arc::ptr_eq(it, &view.upstreams)) {
+            gone = self.take_records(&view.upstreams);
+            self.upstreams = Some(view.upstreams.clone());
+        }
+        if !self.loads.as_ref().is_some_and(|it| Arc::ptr_eq(it, &view.loads)) {
+            self.take_loads(&view.loads);
+            self.loads = Some(view.loads.clone());
+        }
+        gone
+    }
+
+    /// Decides where a request goes, and counts it there.
+    pub fn choose(&mut self, now: Duration, ask: &Ask<'_>) -> Verdict {
+        let engine = !ask.parts.is_empty();
+        self.turn = self.turn.wrapping_add(1);
+        let home = self.home(ask);
+        let best = self.best(now, ask, home.as_ref(), true);
+        let Some(choice) = best.or_else(|| self.best(now, ask, home.as_ref(), false)) else {
+            return Verdict::Nowhere;
+        };
+        let objective = ask.objective.as_secs_f64() * 1_000.0;
+        let late = choice.expected > objective * PATIENCE;
+        let hopeless = choice.expected > ask.remaining.as_secs_f64() * 1_000.0;
+        if engine && (late || hopeless) {
+            let over = (choice.expected - objective).max(100.0);
+            return Verdict::Busy(Duration::from_secs_f64((over / 1_000.0).min(3.0)));
+        }
+        self.begin(now, &choice, ask);
+        Verdict::Go(choice)
+    }
+
+    /// Takes an upstream's first event.
+    pub fn first(&mut self, choice: &Choice, took: Duration) {
+        let Some(site) = self.sites.get_mut(&choice.upstream) else { return };
+        site.reading = site.reading.saturating_sub(choice.reading);
+        if choice.idle {
+            site.pace.learn_first(choice.reading, took);
+        }
+    }
+
+    /// Takes the end of a request at an upstream; `began` tells whether its first event had come.
+    pub fn end(&mut self, now: Duration, choice: &Choice, ending: Ending, began: Option<Duration>) {
+        let Some(site) = self.sites.get_mut(&choice.upstream) else { return };
+        site.requests = site.requests.saturating_sub(1);
+        if began.is_none() {
+            site.reading = site.reading.saturating_sub(choice.reading);
+        }
+        match ending {
+            Ending::Whole => {
+                site.failing -= site.failing * OUTCOME;
+                site.misses = 0;
+                if let Some(took) = began {
+                    site.pace.learn_lasting(took);
+                }
+            }
+            Ending::Failed => site.failing += (1.0 - site.failing) * OUTCOME,
+            Ending::Full => site.paused = site.paused.max(now + PAUSE / 10),
+            Ending::Unreachable => {
+                site.paused = now + PAUSE * (1 << site.misses.min(3));
+                site.misses += 1;
+                site.failing += (1.0 - site.failing) * OUTCOME;
+            }
+            Ending::Left => {}
+        }
+    }
+
+    /// Returns what this entry has under way at an upstream.
+    pub fn load(&self, upstream: &Upstream) -> Option<Load> {
+        let site = self.sites.get(upstream)?;
+        let tokens = u32::try_from(site.reading).unwrap_or(u32::MAX);
+        Some(Load { upstream: site.record.number, requests: site.requests, tokens })
+    }
+
+    fn take_records(&mut self, records: &Records) -> Vec<Upstream> {
+        let gone: Vec<Upstream> =
+            self.sites.keys().filter(|name| !records.contains_key(*name)).cloned().collect();
+        self.sites.retain(|name, _| records.contains_key(name));
+        self.by_service.clear();
+        for (name, record) in records {
+            let service = record.announcement.service.clone();
+            self.by_service.entry(service).or_default().push(name.clone());
+            match self.sites.get_mut(name) {
+                Some(site) => site.record = record.clone(),
+                None => {
+                    self.sites.insert(name.clone(), Site::open(record.clone()));
+                }
+            }
+        }
+        gone
+    }
+
+    fn take_loads(&mut self, loads: &[Load]) {
+        let loads: BTreeMap<u32, Load> = loads.iter().map(|load| (load.upstream, *load)).collect();
+        for site in self.sites.values_mut() {
+            site.others = loads.get(&site.record.number).copied().unwrap_or_default();
+        }
+    }
+
+    fn best(
+        &self,
+        now: Duration,
+        ask: &Ask<'_>,
+        home: Option<&Upstream>,
+        strict: bool,
+    ) -> Option<Choice> {
+        let names = self.by_service.get(ask.service)?;
+        let count = names.len();
+        let mut best: Option<Choice> = None;
+        // Starting at another one each time keeps equals from all being given to the first.
+        let start = usize::try_from(self.turn).unwrap_or(0).checked_rem(count).unwrap_or(0);
+        for name in names.iter().cycle().skip(start).take(count) {
+            let Some(site) = self.sites.get(name) else { continue };
+            if !site.takes(now, strict) || ask.tried.contains(name) {
+                continue;
+            }
+            let choice = self.weigh(now, ask, name, site, home == Some(name));
+            if best.as_ref().is_none_or(|best| choice.expected < best.expected) {
+                best = Some(choice);
+            }
+        }
+        best
+    }
+
+    /// Works out when the first event would come from an upstream.
+    fn weigh(
+        &self,
+        now: Duration,
+        ask: &Ask<'_>,
+        name: &Upstream,
+        site: &Site,
+        home: bool,
+    ) -> Choice {
+        let known = site.cache.held(now, ask.parts);
+        let shared: u64 = shared(ask.parts).iter().map(|part| u64::from(part.tokens)).sum();
+        let likely = if home { scale(shared, SHARED) } else { 0 };
+        let reading = ask.prompt.saturating_sub(known.max(likely));
+        let requests = site.requests + site.others.requests;
+        let waiting = site.reading + u64::from(site.others.tokens);
+        let slots = site.record.announcement.slots.max(1);
+        let away = if site.record.announcement.zone == self.zone { 0.0 } else { AWAY };
+        let mut expected = away + f64::from(requests) * BATCHED + site.failing * FAILING;
+        if !ask.parts.is_empty() {
+            expected += site.pace.first() + site.pace.reading(waiting + reading);
+        }
+        if requests >= slots {
+            let lasting = site.pace.lasting().unwrap_or(100.0);
+            expected += lasting * f64::from(requests - slots + 1) / f64::from(slots);
+        } else if ask.parts.is_empty() {
+            expected += 10.0 * f64::from(requests) / f64::from(slots);
+        }
+        Choice {
+            upstream: name.clone(),
+            address: site.record.announcement.address,
+            reading,
+            expected,
+            idle: waiting == 0,
+        }
+    }
+
+    fn begin(&mut self, now: Duration, choice: &Choice, ask: &Ask<'_>) {
+        let Some(site) = self.sites.get_mut(&choice.upstream) else { return };
+        site.requests += 1;
+        site.reading += choice.reading;
+        site.cache.note(now, ask.parts);
+    }
+
+    /// Returns the upstream where the shared start of a prompt belongs.
+    ///
+    /// All entries find the same one without a word between them: the one with the highest hash of
+    /// prefix and upstream.
+    fn home(&self, ask: &Ask<'_>) -> Option<Upstream> {
+        let part = shared(ask.parts).last()?.id;
+        let names = self.by_service.get(ask.service)?;
+        let sites = names.iter().filter_map(|name| Some((name, self.sites.get(name)?)));
+        let ready = sites.filter(|(_, site)| site.record.standing == Standing::Ready);
+        ready.max_by_key(|(_, site)| mix(site.mark ^ part)).map(|(name, _)| name.clone())
+    }
+}
+
+impl Site {
+    fn open(record: Record) -> Self {
+        let mark = hash::narrow(&[record.announcement.upstream.as_str().as_bytes()]);
+        Self {
+            record,
+            mark,
+            requests: 0,
+            reading: 0,
+            others: Load::default(),
+            cache: Cache::default(),
+            pace: Pace::default(),
+            failing: 0.0,
+            misses: 0,
+            paused: Duration::ZERO,
+        }
+    }
+
+    /// Tells whether it may get work; less strictly, also when it looks lost from here. Where most
+    /// look lost, it may be this entry that is cut off from what would tell it otherwise.
+    fn takes(&self, now: Duration, strict: bool) -> bool {
+        match self.record.standing {
+            Standing::Ready => !strict || self.paused <= now,
+            Standing::Silent => !strict,
+            Standing::Leaving | Standing::Gone => false,
+        }
+    }
+}
+
+/// Returns the parts that other requests may share: all but the last.
+fn shared(parts: &[Part]) -> &[Part] {
+    parts.split_last().map_or(&[], |(_, shared)| shared)
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_precision_loss, clippy::cast_sign_loss)]
+fn scale(tokens: u64, by: f64) -> u64 {
+    (tokens as f64 * by) as u64
+}
+
+/// Spreads a number over all bits (the finalizer of SplitMix64).
+fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- /dev/null
+++ b/crates/verbenaslip-relay/src/server.rs
@@ -0,0 +1,205 @@
+//! Accepts callers, and drains before a stop.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use bytes::Buf;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::LocalSet;
+use tokio::time::Instant;
+use verbenaslip_base::name::AvailabilityZone;
+use verbenaslip_fleet::sheet::Limits;
+
+use crate::board::Board;
+use crate::dialect::Dialect;
+use crate::forward::answer;
+use crate::forward::context::Context;
+use crate::forward::life::{self, After};
+use crate::http::{Wire, reader};
+use crate::policy::retry::Bounds;
+use crate::{socket, steady};
+
+/// Time between two sweeps of idle connections.
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// Sets the forwarding face up.
+pub struct Setup {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether new callers may come.
+    pub ready: SocketAddr,
+    /// Where this instance runs.
+    pub zone: AvailabilityZone,
+    /// The most connections of callers at once.
+    pub connections: usize,
+    /// Bounds repeated arrivals.
+    pub retries: Bounds,
+    /// The length of a window of usage.
+    pub window: Duration,
+    /// What is shared with the control thread.
+    pub board: Arc<Board>,
+    /// The deployment's header names.
+    pub dialect: Arc<dyn Dialect>,
+}
+
+/// Runs the forwarding face on a thread of its own.
+pub struct Server {
+    active: Arc<AtomicUsize>,
+}
+
+impl Server {
+    /// Binds the addresses and starts the thread.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be listened on.
+    pub fn spawn(setup: Setup) -> io::Result<Self> {
+        let active = Arc::new(AtomicUsize::new(0));
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let (callers, ready) = {
+            let _guard = runtime.enter();
+            (socket::listen(setup.callers)?, socket::listen(setup.ready)?)
+        };
+        let counter = active.clone();
+        thread::Builder::new().name("traffic".into()).spawn(move || {
+            let local = LocalSet::new();
+            local.block_on(&runtime, run(setup, callers, ready, counter));
+        })?;
+        Ok(Self { active })
+    }
+
+    /// Returns how many requests are under way.
+    pub fn active(&self) -> usize {
+        self.active.load(Ordering::Relaxed)
+    }
+}
+
+async fn run(setup: Setup, callers: TcpListener, ready: TcpListener, active: Arc<AtomicUsize>) {
+    let Setup { zone, connections, retries, window, board, dialect, .. } = setup;
+    let context = Rc::new(Context::open(board.clone(), dialect, zone, retries, window));
+    tokio::task::spawn_local(answer_probes(ready, board));
+    tokio::task::spawn_local(sweep(context.clone()));
+    let open = Rc::new(Cell::new(0_usize));
+    loop {
+        let Ok((stream, _)) = callers.accept().await else {
+            // Out of descriptors: some are free again in a moment.
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        if open.get() >= connections {
+            drop(stream);
+            continue;
+        }
+        open.set(open.get() + 1);
+        let (context, active, open) = (context.clone(), active.clone(), open.clone());
+        tokio::task::spawn_local(async move {
+            connection(&context, stream, &active).await;
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+async fn sweep(context: Rc<Context>) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        context.pool.borrow_mut().sweep(steady::now());
+    }
+}
+
+/// Serves the requests of one connection, one after the other.
+async fn connection(context: &Context, stream: TcpStream, active: &AtomicUsize) {
+    // A connection that ended before it was accepted is served by its end.
+    if socket::tune(&stream).is_err() {
+        return;
+    }
+    let mut caller = Wire::new(stream);
+    loop {
+        let limits = limits(context);
+        if caller.bytes.is_empty() {
+            // An idle connection is closed once new requests are refused; its caller comes back
+            // over another instance.
+            tokio::select! {
+                there = reader::begun(&mut caller, &limits) => if !there { return },
+                () = context.board.closed() => return caller.finish().await,
+            }
+        }
+        let whole = match reader::read(&mut caller, &limits).await {
+            Ok(Some(whole)) => whole,
+            Ok(None) => return,
+            Err(fault) => {
+                let bytes = answer::write(&*context.dialect, fault.into(), "", None, true);
+                // The caller broke the protocol; whether it still reads is its own affair.
+                let _ = caller.send(&bytes).await;
+                return linger(&mut caller).await;
+            }
+        };
+        let closes = whole.head.closes() || context.board.is_draining();
+        active.fetch_add(1, Ordering::Relaxed);
+        let after = life::serve(context, &mut caller, &whole, closes).await;
+        active.fetch_sub(1, Ordering::Relaxed);
+        if after == After::Close {
+            if closes {
+                caller.finish().await;
+            }
+            return;
+        }
+    }
+}
+
+fn limits(context: &Context) -> Limits {
+    let view = context.board.view();
+    view.routes.as_ref().map(|routes| routes.sheet().limits).unwrap_or_default()
+}
+
+async fn within<T>(limit: Duration, future: impl Future<Output = T>) -> Option<T> {
+    tokio::time::timeout(limit, future).await.ok()
+}
+
+/// Reads on for a moment after a refusal; closed with unread bytes the connection would be reset,
+/// and the caller could miss its answer.
+async fn linger(caller: &mut Wire) {
+    caller.finish().await;
+    let until = Instant::now() + Duration::from_millis(500);
+    while let Ok(Ok(count)) = tokio::time::timeout_at(until, caller.fill()).await {
+        if count == 0 {
+            return;
+        }
+        caller.bytes.clear();
+    }
+}
+
+/// Tells the balancer whether new callers may come.
+async fn answer_probes(listener: TcpListener, board: Arc<Board>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        tokio::task::spawn_local(probe(stream, board.clone()));
+    }
+}
+
+async fn probe(stream: TcpStream, board: Arc<Board>) {
+    let mut wire = Wire::new(stream);
+    loop {
+        while let Some(end) = wire.head() {
+            wire.bytes.advance(end);
+            let status = if board.is_ready() { "200 OK" } else { "503 Service Unavailable" };
+            let answer = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+            if wire.send(answer.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+        let filled = within(Duration::from_secs(10), wire.fill()).await;
+        if !matches!(filled, Some(Ok(count)) if count > 0) || wire.bytes.len() > 8 << 10 {
+            return;
+        }
+    }
+}
--- a/crates/verbenaslip/src/settings.rs
+++ b/crates/verbenaslip/src/settings.rs
@@ -7,7 +7,7 @@
 
 mod check;
 mod problem;
-mod reader;
+pub mod reader;
 pub mod section;
 pub mod value;
 
@@ -51,12 +51,7 @@
     /// Lists every problem of the file, or the one for which it could not be read.
     pub fn read(path: impl AsRef<Path>) -> Result<Self, Invalid> {
         let path = path.as_ref();
-        let bytes = std::fs::read(path).map_err(|error| {
-            Invalid::one(Problem::file(path, format!("it can't be read: {error}")))
-        })?;
-        let text = String::from_utf8(bytes)
-            .map_err(|_| Invalid::one(Problem::file(path, "it must be UTF-8 text")))?;
-        Self::parse(&text, path)
+        Self::parse(&text(path)?, path)
     }
 
     /// Checks the text of a settings file; `origin` names it in problems, and relative paths in the
@@ -67,12 +62,7 @@
     /// Lists every problem of the text.
     pub fn parse(text: &str, origin: impl AsRef<Path>) -> Result<Self, Invalid> {
         let origin = origin.as_ref();
-        let ini = Ini::load_from_str_opt(text, options()).map_err(|error| {
-            let hint = format!("it can't be read at line {}; write `key = value`", error.line);
-            Invalid::one(Problem::file(origin, hint))
-        })?;
-        let mut problems = Vec::new();
-        let settings = Self::collect(&mut Reader::new(&ini, origin, &mut problems));
+        let Collected { taken: settings, mut problems } = collect(text, origin, Self::collect)?;
         // A value that could not be read leaves its default, which would only give follow-on
         // problems; relations are checked once every value is what the file says.
         if problems.is_empty() {
@@ -98,6 +88,44 @@
     }
 }
 
+/// Reads the text of a settings file.
+///
+/// # Errors
+///
+/// Says why the file could not be read.
+pub fn text(path: &Path) -> Result<String, Invalid> {
+    let bytes = std::fs::read(path)
+        .map_err(|error| Invalid::one(Problem::file(path, format!("it can't be read: {error}"))))?;
+    String::from_utf8(bytes).map_err(|_| Invalid::one(Problem::file(path, "it must be UTF-8 text")))
+}
+
+/// Holds settings of any kind with the problems of the text that they were taken from.
+pub struct Collected<T> {
+    /// The settings; with problems they are not to be used.
+    pub taken: T,
+    /// The problems.
+    pub problems: Vec<Problem>,
+}
+
+/// Takes settings of any kind out of a text, with the problems on the way.
+///
+/// # Errors
+///
+/// Says why the text is no INI file.
+pub fn collect<T>(
+    text: &str,
+    origin: &Path,
+    take: impl FnOnce(&mut Reader<'_>) -> T,
+) -> Result<Collected<T>, Invalid> {
+    let ini = Ini::load_from_str_opt(text, options()).map_err(|error| {
+        let hint = format!("it can't be read at line {}; write `key = value`", error.line);
+        Invalid::one(Problem::file(origin, hint))
+    })?;
+    let mut problems = Vec::new();
+    let taken = take(&mut Reader::new(&ini, origin, &mut problems));
+    Ok(Collected { taken, problems })
+}
+
 /// Turns off what INI files elsewhere do with quotes and backslashes, so that values are literal.
 fn options() -> ParseOption {
     ParseOption { enabled_quote: false, enabled_escape: false, ..ParseOption::default() }
--- a/crates/verbenaslip/src/settings/reader.rs
+++ b/crates/verbenaslip/src/settings/reader.rs
@@ -12,7 +12,7 @@
 use super::value::{Time, Value};
 
 /// Reads one file, section by section, and remembers which keys were asked for.
-pub(crate) struct Reader<'a> {
+pub struct Reader<'a> {
     ini: &'a Ini,
     origin: &'a Path,
     known: BTreeMap<&'static str, BTreeSet<&'static str>>,
@@ -26,12 +26,12 @@
     }
 
     /// Takes a section; one that is not in the file counts as empty.
-    pub(crate) fn section<T>(&mut self, take: impl FnOnce(&mut Self) -> T) -> T {
+    pub fn section<T>(&mut self, take: impl FnOnce(&mut Self) -> T) -> T {
         take(self)
     }
 
     /// Takes a section only if the file has it.
-    pub(crate) fn optional<T>(
+    pub fn optional<T>(
         &mut self,
         section: &'static str,
         take: impl FnOnce(&mut Self) -> T,
@@ -42,7 +42,7 @@
     }
 
     /// Replaces the target by the key's value if the file has one.
-    pub(crate) fn take<T: Value>(&mut self, place: Place, target: &mut T) {
+    pub fn take<T: Value>(&mut self, place: Place, target: &mut T) {
         let Some(text) = self.text(place) else { return };
         match T::read(&text) {
             Some(value) => *target = value,
@@ -51,7 +51,7 @@
     }
 
     /// Replaces the target by the key's value, which the file must have.
-    pub(crate) fn need<T: Value>(&mut self, place: Place, target: &mut T) {
+    pub fn need<T: Value>(&mut self, place: Place, target: &mut T) {
         if !self.has(place) {
             let allowed = format!("it is missing; it must be {}", T::ALLOWED);
             self.note(Problem::key(self.origin, place.0, place.1, None, allowed));
@@ -61,7 +61,7 @@
     }
 
     /// Takes a value and checks that it lies within bounds.
-    pub(crate) fn within<T>(&mut self, place: Place, target: &mut T, bounds: RangeInclusive<T>)
+    pub fn within<T>(&mut self, place: Place, target: &mut T, bounds: RangeInclusive<T>)
     where
         T: Value + PartialOrd + Copy + Shown,
     {
@@ -77,7 +77,7 @@
     }
 
     /// Takes a list of values with commas between them.
-    pub(crate) fn list<T: Value>(&mut self, place: Place, target: &mut Vec<T>) {
+    pub fn list<T: Value>(&mut self, place: Place, target: &mut Vec<T>) {
         let Some(text) = self.text(place) else { return };
         for item in text.split(',').map(str::trim) {
             match T::read(item) {
@@ -91,7 +91,7 @@
     }
 
     /// Takes a path, which starts at the file's folder if it is relative.
-    pub(crate) fn path(&mut self, place: Place, target: &mut Option<PathBuf>) {
+    pub fn path(&mut self, place: Place, target: &mut Option<PathBuf>) {
         let mut path = PathBuf::new();
         self.take(place, &mut path);
         if path.as_os_str().is_empty() {
@@ -102,7 +102,7 @@
     }
 
     /// Takes a path that the file must name.
-    pub(crate) fn need_path(&mut self, place: Place, target: &mut Option<PathBuf>) {
+    pub fn need_path(&mut self, place: Place, target: &mut Option<PathBuf>) {
         self.need(place, &mut PathBuf::new());
         if self.has(place) {
             self.path(place, target);
@@ -110,7 +110,7 @@
     }
 
     /// Notes each section and key that nothing asked for, and each that stands twice.
-    pub(crate) fn finish(&mut self) {
+    pub fn finish(&mut self) {
         let known = std::mem::take(&mut self.known);
         let mut seen = BTreeSet::new();
         for (name, pairs) in self.ini.iter() {
@@ -191,10 +191,10 @@
 
 /// Names a section and a key in it.
 #[derive(Clone, Copy)]
-pub(crate) struct Place(pub(crate) &'static str, pub(crate) &'static str);
+pub struct Place(pub &'static str, pub &'static str);
 
 /// Shows a bound as a settings file would write it.
-pub(crate) trait Shown {
+pub trait Shown {
     /// Returns the text.
     fn shown(&self) -> String;
 }
