Have the leader push changes together and sum reports once

Cause: on the grown claims site every change of an upstream sent news to 69 instances, each with sums over all reports made anew and each answered by a whole report: the leader fell behind by over a second while 40 upstreams were replaced, 1,732 of 7,749 calls of upstreams failed, and a route table had no acknowledgement for 5.2 s. Ruled out: disk and network, both idle. Entries also looked for a new leader one core after the other; now they ask all at once, and the leader does not acknowledge an upstream's leaving before they had time to.

--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -183,6 +183,8 @@
     pub(crate) out: Vec<Output>,
     stopping: bool,
     sweep: Duration,
+    /// When changes may be pushed next.
+    pub(crate) push: Duration,
 }
 
 /// Holds what of the setup is needed after the start.
@@ -231,6 +233,7 @@
             out: Vec::new(),
             stopping: false,
             sweep: now,
+            push: now,
         }
     }
 
@@ -251,7 +254,7 @@
 
     /// Returns when the next tick is due.
     pub fn wake(&self) -> Duration {
-        let link = if self.reign.is_some() { self.sweep } else { self.link.wake() };
+        let link = if self.reign.is_some() { self.sweep.min(self.push) } else { self.link.wake() };
         let calls = if self.waiting.is_empty() { Duration::MAX } else { self.sweep };
         self.replica.wake().min(link).min(calls)
     }
@@ -307,10 +310,13 @@
             }
             Frame::Beat(beat) => self.beaten(*beat),
             Frame::News(news) => {
+                let from = news.from;
                 if !self.leads() && self.link.news(self.now, *news) {
-                    self.beat();
+                    let seen = self.link.seen();
+                    self.send(from, seen);
                 }
             }
+            Frame::Seen { address, stamp } => self.seen(address, stamp),
             Frame::Elsewhere { leader, cores } => self.link.elsewhere(self.now, leader, &cores),
             Frame::Ask { from, token, ask } => self.asked(from, token, *ask),
             Frame::Told { token, told } => self.told(token, told),
@@ -325,8 +331,10 @@
         if let Some(leader) = self.replica.leader().and_then(address_of) {
             self.link.aim(leader, self.now);
         }
-        if let Some((to, beat)) = self.link.beat(self.now, self.unix, Report::default()) {
-            self.send(to, Frame::Beat(Box::new(beat)));
+        if let Some((targets, beat)) = self.link.beat(self.now, self.unix, Report::default()) {
+            for to in targets {
+                self.send(to, Frame::Beat(Box::new(beat.clone())));
+            }
         }
     }
 
--- a/crates/verbenaslip-fleet/src/core/call.rs
+++ b/crates/verbenaslip-fleet/src/core/call.rs
@@ -104,6 +104,11 @@
         }
     }
 
+    /// Tells whether a call waits until every instance knows something.
+    pub(crate) fn spreads(&self) -> bool {
+        self.waiting.values().any(|waiting| matches!(waiting.stage, Stage::Spread { .. }))
+    }
+
     /// Goes on with the calls that wait.
     pub(crate) fn advance_calls(&mut self) {
         let keys: Vec<u64> = self.waiting.keys().copied().collect();
@@ -134,7 +139,7 @@
                 if !self.leads() {
                     return self.restart(key);
                 }
-                if until <= self.now || self.hub.all_seen(self.now, change) {
+                if until <= self.now || (self.is_settled() && self.hub.all_seen(self.now, change)) {
                     self.conclude(key, Told::Noted);
                 }
             }
@@ -193,10 +198,14 @@
     /// Its sender stops to serve some time after the answer. An instance that did not know would go
     /// on sending requests there, which shows as requests lost at upstreams that left in good order.
     fn spread(&mut self, key: u64, change: Change) {
+        if change == Change::News {
+            self.push_soon();
+        }
         if change != Change::Leaving {
             return self.conclude(key, Told::Noted);
         }
-        let until = self.now + SPREAD;
+        let until = (self.now + SPREAD).max(self.settled_at());
+        self.push_soon();
         let change = self.registry.stamp();
         self.set_stage(key, Stage::Spread { change, until });
     }
--- a/crates/verbenaslip-fleet/src/core/lead.rs
+++ b/crates/verbenaslip-fleet/src/core/lead.rs
@@ -21,6 +21,14 @@
 /// a few seconds; a replacement costs a copy of the log and is of use only for good.
 const ABSENCE: Duration = Duration::from_secs(6);
 
+/// How long a new leader waits before it takes the instances that have reported to it for all there
+/// are: they look for a new leader after three missed beats.
+const GATHER: Duration = Duration::from_millis(700);
+
+/// Between two pushes of changes: short beside the time in which an upstream's leaving must be
+/// known, long beside the time that a push to all instances takes.
+const PUSH: Duration = Duration::from_millis(40);
+
 /// How long counts of an entry are awaited after the end of a window by the clock alone: reports
 /// come four times a second.
 const COUNT_SLACK: u64 = 300;
@@ -38,6 +46,16 @@
         }
     }
 
+    /// Returns when the instances that report to this leader are all there are.
+    pub(crate) fn settled_at(&self) -> Duration {
+        self.reign.map_or(Duration::MAX, |reign| reign.since + GATHER)
+    }
+
+    /// Tells whether the instances that report to this leader are all there are.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.now >= self.settled_at()
+    }
+
     fn begin(&mut self, term: u64) {
         self.reign = Some(Reign { term, since: self.now });
         self.hub = Hub::default();
@@ -46,6 +64,7 @@
         self.changing = None;
         let records: Vec<_> = self.link.view().upstreams.values().cloned().collect();
         self.registry.adopt(self.now, records.into_iter());
+        self.push_soon();
         self.advance_calls();
     }
 
@@ -71,24 +90,38 @@
         };
         self.hub.take(self.now, reign.term, beat);
         self.advance_calls();
-        self.tell(to);
+        self.tell(to, true);
     }
 
-    /// Tells whoever lacks something, at once rather than with its next report.
+    /// Takes the word of an instance that it has what somebody waits for.
+    pub(crate) fn seen(&mut self, address: SocketAddr, stamp: Stamp) {
+        let Some(reign) = self.reign.filter(|reign| reign.term == stamp.term) else { return };
+        self.hub.seen(self.now, reign.term, address, stamp);
+        self.advance_calls();
+    }
+
+    /// Tells whoever lacks something, without waiting for its next report.
+    ///
+    /// Changes that come close together go out together. Where upstreams are replaced one after the
+    /// other, a message to every instance for each of them would take all of the leader's time.
     pub(crate) fn push_news(&mut self) {
-        let Some(reign) = self.reign else { return };
-        let cores = self.cores();
-        let unix = self.agreed();
-        let source = Source {
-            term: reign.term,
-            registry: &self.registry,
-            ledger: &self.ledger,
-            cores: &cores,
-            unix,
-        };
-        for to in self.hub.behind(&source) {
-            self.tell(to);
+        if self.reign.is_none() || self.now < self.push {
+            return;
+        }
+        let behind = self.hub.behind(self.registry.stamp(), self.ledger.revision());
+        if behind.is_empty() {
+            self.push = Duration::MAX;
+            return;
         }
+        self.push = self.now + PUSH;
+        for to in behind {
+            self.tell(to, false);
+        }
+    }
+
+    /// Has what has changed told soon.
+    pub(crate) fn push_soon(&mut self) {
+        self.push = self.push.min(self.now + PUSH);
     }
 
     /// Looks at what is due from time to time.
@@ -97,7 +130,9 @@
         if self.reign.is_none() {
             return;
         }
+        self.hub.refresh(self.now);
         if self.registry.tick(self.now) {
+            self.push_soon();
             let silent = self.registry.records().filter(|it| it.standing == Standing::Silent);
             let silent: Vec<_> = silent.cloned().collect();
             for record in silent {
@@ -109,19 +144,20 @@
         self.order();
     }
 
-    fn tell(&mut self, to: SocketAddr) {
+    fn tell(&mut self, to: SocketAddr, answers: bool) {
         let Some(reign) = self.reign else { return };
-        let cores = self.cores();
+        let cores = if answers { self.cores() } else { Vec::new() };
         let unix = self.agreed();
-        let urgent = !self.waiting.is_empty();
+        let urgent = self.spreads();
         let source = Source {
+            from: self.link.own().address,
             term: reign.term,
             registry: &self.registry,
             ledger: &self.ledger,
-            cores: &cores,
+            cores: answers.then_some(cores),
             unix,
         };
-        if let Some(news) = self.hub.news(self.now, to, &source, urgent) {
+        if let Some(news) = self.hub.news(self.now, to, source, urgent) {
             self.send(to, Frame::News(Box::new(news)));
         }
     }
--- a/crates/verbenaslip-fleet/src/core/log.rs
+++ b/crates/verbenaslip-fleet/src/core/log.rs
@@ -117,6 +117,7 @@
         let Some(edition) = self.ledger.edition() else { return };
         let (revision, routes) = (edition.sheet.revision, edition.sheet.routes.len());
         self.note(Note::Sheet { revision, routes });
+        self.push_soon();
     }
 
     fn unreadable(&mut self, what: &str) {
--- a/crates/verbenaslip-fleet/src/entry.rs
+++ b/crates/verbenaslip-fleet/src/entry.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::frame::{Frame, Peer};
-use crate::link::{Link, Report};
+use crate::link::{Link, Report, Targets};
 use crate::view::View;
 
 /// Keeps an entry's view of the fleet.
@@ -16,8 +16,8 @@
 /// Wants a frame sent.
 #[derive(Debug)]
 pub struct Letter {
-    /// Where to.
-    pub to: SocketAddr,
+    /// To whom.
+    pub to: Targets,
     /// What it says.
     pub frame: Frame,
 }
@@ -49,15 +49,23 @@
         Some(Letter { to, frame: Frame::Beat(Box::new(beat)) })
     }
 
-    /// Takes a frame; returns whether a report is due at once.
-    pub fn take(&mut self, now: Duration, frame: Frame) -> bool {
+    /// Takes a frame; returns what is to be sent at once.
+    pub fn take(&mut self, now: Duration, frame: Frame) -> Option<Letter> {
         match frame {
-            Frame::News(news) => self.link.news(now, *news),
+            Frame::News(news) => {
+                let from = news.from;
+                let seen = self.link.news(now, *news).then(|| self.link.seen())?;
+                Some(Letter { to: vec![from], frame: seen })
+            }
             Frame::Elsewhere { leader, cores } => {
                 self.link.elsewhere(now, leader, &cores);
-                self.link.wake() <= now
+                None
             }
-            Frame::Log { .. } | Frame::Beat(_) | Frame::Ask { .. } | Frame::Told { .. } => false,
+            Frame::Log { .. }
+            | Frame::Beat(_)
+            | Frame::Seen { .. }
+            | Frame::Ask { .. }
+            | Frame::Told { .. } => None,
         }
     }
 }
--- a/crates/verbenaslip-fleet/src/frame.rs
+++ b/crates/verbenaslip-fleet/src/frame.rs
@@ -28,6 +28,13 @@
     Beat(Box<Beat>),
     /// The leader answers with what the instance lacks.
     News(Box<News>),
+    /// An instance has taken news that somebody waits for.
+    Seen {
+        /// The instance.
+        address: SocketAddr,
+        /// How new its list of upstreams is now.
+        stamp: Stamp,
+    },
     /// The receiver of a beat does not lead.
     Elsewhere {
         /// Who leads, where known.
@@ -93,6 +100,8 @@
 /// Tells an instance what it lacks.
 #[data(float)]
 pub struct News {
+    /// The leader.
+    pub from: SocketAddr,
     /// The change up to which this tells everything.
     pub stamp: Stamp,
     /// The change after which the records begin; none when they are all there are.
@@ -101,6 +110,17 @@
     pub records: Vec<Record>,
     /// The route table, if the instance has an older one.
     pub sheet: Option<Arc<Sheet>>,
+    /// What is told only in answer to a report.
+    pub round: Option<Round>,
+    /// The agreed time of day, in Unix milliseconds.
+    pub unix: u64,
+    /// Whether somebody waits until this instance says that it has this.
+    pub urgent: bool,
+}
+
+/// Tells an instance how the fleet stands, in answer to its report.
+#[data(float)]
+pub struct Round {
     /// The cores.
     pub cores: Vec<SocketAddr>,
     /// The instance's share of each team's limit.
@@ -109,10 +129,6 @@
     pub loads: Vec<Load>,
     /// How many entries there are.
     pub entries: u32,
-    /// The agreed time of day, in Unix milliseconds.
-    pub unix: u64,
-    /// Whether somebody waits until this instance says that it has this.
-    pub urgent: bool,
 }
 
 /// Asks the leader for something.
--- a/crates/verbenaslip-fleet/src/hub.rs
+++ b/crates/verbenaslip-fleet/src/hub.rs
@@ -1,13 +1,13 @@
 //! The leader's side of what it tells all other instances.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use verbenaslip_base::name::Team;
 
 use crate::clock;
-use crate::frame::{Beat, News, Peer};
+use crate::frame::{Beat, News, Peer, Round};
 use crate::ledger::Ledger;
 use crate::registry::Registry;
 use crate::usage::{Collector, Origin};
@@ -38,6 +38,19 @@
 pub struct Hub {
     subscribers: BTreeMap<SocketAddr, Subscriber>,
     usage: Collector,
+    totals: Totals,
+}
+
+/// Holds sums over all instances. Made for each message they would cost the square of the number of
+/// instances; they need not be newer than the reports that they are made of.
+#[derive(Debug, Default)]
+struct Totals {
+    loads: BTreeMap<u32, Load>,
+    demand: BTreeMap<Team, f64>,
+    /// Entries that serve or may serve.
+    entries: usize,
+    /// Those of them that have been silent for so long that their part is only an equal one.
+    silent: usize,
 }
 
 #[derive(Debug)]
@@ -59,14 +72,16 @@
 
 /// Holds what the leader tells from.
 pub struct Source<'a> {
+    /// The leader.
+    pub from: SocketAddr,
     /// The leader's term.
     pub term: u64,
     /// The upstreams.
     pub registry: &'a Registry,
     /// The route table.
     pub ledger: &'a Ledger,
-    /// The cores.
-    pub cores: &'a [SocketAddr],
+    /// The cores, if this answers a report.
+    pub cores: Option<Vec<SocketAddr>>,
     /// The agreed time of day, in Unix milliseconds.
     pub unix: u64,
 }
@@ -110,9 +125,37 @@
         subscriber.loads = loads;
     }
 
+    /// Takes the word of an instance that it has taken a change.
+    pub fn seen(&mut self, now: Duration, term: u64, address: SocketAddr, stamp: Stamp) {
+        let Some(subscriber) = self.subscribers.get_mut(&address) else { return };
+        if stamp.term == term {
+            subscriber.heard = now;
+            subscriber.seen = subscriber.seen.max(stamp.change);
+        }
+    }
+
+    /// Makes the sums anew.
+    pub fn refresh(&mut self, now: Duration) {
+        let entries: Vec<&Subscriber> = self.entries(now).collect();
+        let heard = entries.iter().filter(|it| it.is_heard(now, SHARE_REUSE));
+        let mut totals = Totals { entries: entries.len(), ..Totals::default() };
+        totals.silent = entries.len() - heard.clone().count();
+        for entry in heard {
+            for (team, units) in &entry.demand {
+                *totals.demand.entry(team.clone()).or_default() += units;
+            }
+            for load in &entry.loads {
+                let total = totals.loads.entry(load.upstream).or_default();
+                total.upstream = load.upstream;
+                total.requests += load.requests;
+                total.tokens = total.tokens.saturating_add(load.tokens);
+            }
+        }
+        self.totals = totals;
+    }
+
     /// Lists the instances that have not been sent everything.
-    pub fn behind(&self, source: &Source<'_>) -> Vec<SocketAddr> {
-        let (change, revision) = (source.registry.stamp(), source.ledger.revision());
+    pub fn behind(&self, change: u64, revision: u64) -> Vec<SocketAddr> {
         let behind = self.subscribers.values().filter(|it| {
             let sheet = it.revision.max(it.sheet_sent.map_or(0, |(sent, _)| sent));
             it.sent < change || sheet < revision
@@ -125,12 +168,10 @@
         &mut self,
         now: Duration,
         to: SocketAddr,
-        source: &Source<'_>,
+        source: Source<'_>,
         urgent: bool,
     ) -> Option<News> {
-        let shares = self.shares(now, to);
-        let loads = self.loads(now, to);
-        let entries = self.entries(now).count();
+        let round = source.cores.map(|cores| self.round(to, cores));
         let subscriber = self.subscribers.get_mut(&to)?;
         let change = source.registry.stamp();
         let base = Some(subscriber.sent).filter(|sent| *sent > 0);
@@ -152,16 +193,14 @@
             subscriber.sheet_sent = Some((revision, now));
         }
         Some(News {
+            from: source.from,
             stamp: Stamp { term: source.term, change },
             base,
             records,
             sheet,
-            cores: source.cores.to_vec(),
-            shares,
-            loads,
-            entries: u32::try_from(entries.max(1)).unwrap_or(u32::MAX),
+            round,
             unix: source.unix,
-            urgent,
+            urgent: urgent && subscriber.seen < change,
         })
     }
 
@@ -171,12 +210,6 @@
         live.into_iter().all(|it| it.seen >= change)
     }
 
-    /// Lists the instances that are heard and have not confirmed a change.
-    pub fn waiting_for(&self, now: Duration, change: u64) -> Vec<SocketAddr> {
-        let live = self.subscribers.values().filter(|it| it.is_heard(now, SILENCE));
-        live.filter(|it| it.seen < change).map(|it| it.peer.address).collect()
-    }
-
     /// Goes through the cores that are heard, other than the leader.
     pub fn cores(&self, now: Duration) -> impl Iterator<Item = &Peer> {
         let live = self.subscribers.values().filter(move |it| it.is_heard(now, SILENCE));
@@ -201,27 +234,24 @@
     }
 
     /// Returns what the teams ask for in all, in their units a second.
-    pub fn demand(&self, now: Duration) -> BTreeMap<Team, f64> {
-        let mut sum = BTreeMap::new();
-        for entry in self.entries(now) {
-            for (team, units) in &entry.demand {
-                *sum.entry(team.clone()).or_default() += units;
-            }
-        }
-        sum
+    pub fn demand(&self) -> &BTreeMap<Team, f64> {
+        &self.totals.demand
+    }
+
+    /// Returns what all entries have under way, by upstream.
+    pub fn total_loads(&self) -> &BTreeMap<u32, Load> {
+        &self.totals.loads
     }
 
-    /// Returns what all entries have under way.
-    pub fn total_loads(&self, now: Duration) -> BTreeMap<u32, Load> {
-        let mut sum: BTreeMap<u32, Load> = BTreeMap::new();
-        let live = self.subscribers.values().filter(|it| it.is_heard(now, SHARE_REUSE));
-        for load in live.flat_map(|it| &it.loads) {
-            let total = sum.entry(load.upstream).or_default();
-            total.upstream = load.upstream;
-            total.requests += load.requests;
-            total.tokens = total.tokens.saturating_add(load.tokens);
+    fn round(&self, to: SocketAddr, cores: Vec<SocketAddr>) -> Round {
+        let own = self.subscribers.get(&to).filter(|it| it.peer.voter.is_none());
+        let entries = u32::try_from(self.totals.entries.max(1)).unwrap_or(u32::MAX);
+        Round {
+            cores,
+            shares: own.map(|own| self.shares(own)).unwrap_or_default(),
+            loads: own.map(|own| self.loads(own)).unwrap_or_default(),
+            entries,
         }
-        sum
     }
 
     /// Goes through the entries that serve or may serve.
@@ -235,33 +265,22 @@
     /// An entry that is cut off or has just been killed may still spend what it was given last. So
     /// it keeps its part until it has surely fallen back to an equal one, and an equal one as long
     /// as it may be serving; one would notice otherwise a team served beyond its limit.
-    fn shares(&self, now: Duration, to: SocketAddr) -> Vec<(Team, f64)> {
-        let Some(own) = self.subscribers.get(&to).filter(|it| it.peer.voter.is_none()) else {
-            return Vec::new();
-        };
-        let count = self.entries(now).count().max(1);
-        let all = 1.0 / as_f64(count);
-        let silent = self.entries(now).filter(|it| !it.is_heard(now, SHARE_REUSE)).count();
-        let live = as_f64((count - silent).max(1));
-        let free = 1.0 - all * as_f64(silent);
-        let heard: Vec<&Subscriber> =
-            self.entries(now).filter(|it| it.is_heard(now, SHARE_REUSE)).collect();
-        let teams: BTreeSet<&Team> = heard.iter().flat_map(|it| it.demand.keys()).collect();
-        let share = |team: &Team| {
-            let total: f64 = heard.iter().filter_map(|it| it.demand.get(team)).sum();
+    fn shares(&self, own: &Subscriber) -> Vec<(Team, f64)> {
+        let count = self.totals.entries.max(1);
+        let silent = self.totals.silent;
+        let live = as_f64((count - silent.min(count)).max(1));
+        let free = 1.0 - as_f64(silent) / as_f64(count);
+        let share = |(team, total): (&Team, &f64)| {
             let asked = own.demand.get(team).copied().unwrap_or(0.0);
-            let by_demand = if total > 0.0 { asked / total } else { 1.0 / live };
-            free * (EVEN_PART / live + (1.0 - EVEN_PART) * by_demand)
+            let by_demand = if *total > 0.0 { (asked / total).min(1.0) } else { 1.0 / live };
+            (team.clone(), free * (EVEN_PART / live + (1.0 - EVEN_PART) * by_demand))
         };
-        teams.into_iter().map(|team| (team.clone(), share(team))).collect()
+        self.totals.demand.iter().map(share).collect()
     }
 
-    /// Sums what all other entries have under way.
-    fn loads(&self, now: Duration, to: SocketAddr) -> Vec<Load> {
-        let Some(own) = self.subscribers.get(&to).filter(|it| it.peer.voter.is_none()) else {
-            return Vec::new();
-        };
-        let mut sum = self.total_loads(now);
+    /// Returns what all other entries have under way.
+    fn loads(&self, own: &Subscriber) -> Vec<Load> {
+        let mut sum = self.totals.loads.clone();
         for load in &own.loads {
             if let Some(total) = sum.get_mut(&load.upstream) {
                 total.requests = total.requests.saturating_sub(load.requests);
--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -8,7 +8,7 @@
 use verbenaslip_base::name::Team;
 
 use crate::clock::Clock;
-use crate::frame::{Beat, News, Peer};
+use crate::frame::{Beat, Frame, News, Peer};
 use crate::registry::Standing;
 use crate::usage::Count;
 use crate::view::{Load, View};
@@ -17,9 +17,15 @@
 /// entries, and 4 datagrams' worth of bytes a second.
 pub const BEAT: Duration = Duration::from_millis(250);
 
-/// After this silence of the leader another core is asked: three beats.
+/// After this silence of the leader every core is asked: three beats.
 const PATIENCE: Duration = Duration::from_millis(750);
 
+/// Time between two reports to every core while none answers.
+const SEARCH: Duration = Duration::from_millis(400);
+
+/// Names the cores that get a report.
+pub type Targets = Vec<SocketAddr>;
+
 /// What an entry reports besides what it has.
 #[derive(Clone, Debug, Default)]
 pub struct Report {
@@ -39,7 +45,6 @@
     view: View,
     clock: Clock,
     target: Option<SocketAddr>,
-    tries: usize,
     since: Duration,
     due: Duration,
 }
@@ -49,8 +54,7 @@
     pub fn open(own: Peer, seeds: Vec<SocketAddr>, now: Duration, unix: u64) -> Self {
         let clock = Clock::open(now, unix);
         let view = View::default();
-        let tries = usize::try_from(own.incarnation % 1_009).unwrap_or(0);
-        Self { own, seeds, view, clock, target: None, tries, since: now, due: now }
+        Self { own, seeds, view, clock, target: None, since: now, due: now }
     }
 
     /// Returns what is known of the fleet.
@@ -96,14 +100,19 @@
         }
     }
 
-    /// Makes the report that is due.
-    pub fn beat(&mut self, now: Duration, unix: u64, report: Report) -> Option<(SocketAddr, Beat)> {
+    /// Makes the report that is due, with whom to tell: the leader, or every core while none
+    /// answers.
+    ///
+    /// Asked one after the other, the new leader would be found only after a timeout for each core
+    /// that is not it. Meanwhile it would acknowledge that upstreams leave, and this instance would
+    /// go on sending requests there.
+    pub fn beat(&mut self, now: Duration, unix: u64, report: Report) -> Option<(Targets, Beat)> {
         if now < self.due {
             return None;
         }
-        self.due = now + BEAT;
         self.clock.hint(now, unix);
-        let target = self.choose(now)?;
+        let targets = self.targets(now);
+        self.due = now + if targets.len() > 1 { SEARCH } else { BEAT };
         let Report { counts, demand, loads } = report;
         let beat = Beat {
             peer: self.own.clone(),
@@ -115,7 +124,7 @@
             demand,
             loads,
         };
-        Some((target, beat))
+        (!targets.is_empty()).then_some((targets, beat))
     }
 
     /// Takes the word of a core that it does not lead.
@@ -124,22 +133,20 @@
             self.view.cores = cores.to_vec();
         }
         let own = self.own.address;
-        match leader.filter(|leader| *leader != own && Some(*leader) != self.target) {
-            Some(leader) => self.aim(leader, now),
-            None if self.quiet(now) => self.skip(now),
-            None => {}
+        if let Some(leader) = leader.filter(|leader| *leader != own) {
+            self.aim(leader, now);
         }
     }
 
-    /// Takes a leader's news; returns whether it must be told at once that they are here.
+    /// Takes a leader's news; returns whether it waits to hear that they are here.
     pub fn news(&mut self, now: Duration, news: News) -> bool {
-        let News { stamp, base, records, sheet, cores, shares, loads, entries, unix, urgent } =
-            news;
+        let News { from, stamp, base, records, sheet, round, unix, urgent } = news;
         // A leader that was cut off and does not know it yet says what is no longer so.
         if stamp.term < self.view.stamp.term {
             return false;
         }
         self.since = now;
+        self.target = Some(from);
         self.view.heard = Some(now);
         self.clock.agree(now, unix);
         self.view.time = crate::clock::offset(now, unix);
@@ -154,17 +161,21 @@
             self.merge(base.is_none(), records);
             self.view.stamp = stamp;
         }
-        self.view.cores = cores;
-        let shares: BTreeMap<Team, f64> = shares.into_iter().collect();
-        self.view.shares = Arc::new(shares);
-        self.view.loads = Arc::new(loads);
-        self.view.entries = entries;
-        if urgent {
-            self.due = now;
+        if let Some(round) = round {
+            let shares: BTreeMap<Team, f64> = round.shares.into_iter().collect();
+            self.view.cores = round.cores;
+            self.view.shares = Arc::new(shares);
+            self.view.loads = Arc::new(round.loads);
+            self.view.entries = round.entries;
         }
         urgent
     }
 
+    /// Says how new the list of upstreams is here.
+    pub fn seen(&self) -> Frame {
+        Frame::Seen { address: self.own.address, stamp: self.view.stamp }
+    }
+
     fn merge(&mut self, whole: bool, records: Vec<crate::registry::Record>) {
         if !whole && records.is_empty() {
             return;
@@ -183,26 +194,18 @@
     }
 
     /// Returns whom to report to.
-    fn choose(&mut self, now: Duration) -> Option<SocketAddr> {
-        if self.target.is_none() || self.quiet(now) {
-            self.skip(now);
+    fn targets(&self, now: Duration) -> Targets {
+        if let Some(target) = self.target.filter(|_| !self.quiet(now)) {
+            return vec![target];
         }
-        self.target
+        let own = self.own.address;
+        let mut known: Targets = self.view.cores.clone();
+        known.extend(self.seeds.iter().filter(|seed| !self.view.cores.contains(seed)));
+        known.retain(|address| *address != own);
+        known
     }
 
     fn quiet(&self, now: Duration) -> bool {
         now.saturating_sub(self.since) > PATIENCE
     }
-
-    /// Turns to the next core.
-    fn skip(&mut self, now: Duration) {
-        let own = self.own.address;
-        let mut known: Vec<SocketAddr> = self.view.cores.clone();
-        known.extend(self.seeds.iter().filter(|seed| !self.view.cores.contains(seed)));
-        known.retain(|address| *address != own);
-        self.tries += 1;
-        let index = self.tries.checked_rem(known.len());
-        self.target = index.and_then(|index| known.get(index)).copied();
-        self.since = now;
-    }
 }
--- a/crates/verbenaslip-instance/src/entry.rs
+++ b/crates/verbenaslip-instance/src/entry.rs
@@ -132,13 +132,19 @@
             return;
         }
         let report = self.board.report(&mut self.smooth);
-        if let Some(Letter { to, frame }) = self.decisions.beat(now, steady::unix(), report) {
-            self.links.send(to, &frame);
+        let letter = self.decisions.beat(now, steady::unix(), report);
+        self.post(letter);
+    }
+
+    fn post(&self, letter: Option<Letter>) {
+        if let Some(Letter { to, frame }) = letter {
+            to.into_iter().for_each(|to| self.links.send(to, &frame));
         }
     }
 
     fn take(&mut self, frame: Frame) {
-        self.decisions.take(steady::now(), frame);
+        let letter = self.decisions.take(steady::now(), frame);
+        self.post(letter);
         let view = self.decisions.view();
         self.board.show(view.clone());
         let shown = (view.revision(), view.stamp);
