--- a/crates/verbenaslip-fleet/src/core/lead.rs
+++ b/crates/verbenaslip-fleet/src/core/lead.rs
@@ -130,7 +130,7 @@
         if self.reign.is_none() {
             return;
         }
-        self.hub.refresh(self.now);
+        self.hub.refresh(self.now, &self.ledger);
         if self.registry.tick(self.now) {
             self.push_soon();
             let silent = self.registry.records().filter(|it| it.standing == Standing::Silent);
--- a/crates/verbenaslip-fleet/src/frame.rs
+++ b/crates/verbenaslip-fleet/src/frame.rs
@@ -4,11 +4,12 @@
 use std::sync::Arc;
 
 use verbenaslip_base::data;
-use verbenaslip_base::name::{AvailabilityZone, Instance, Team, Upstream};
+use verbenaslip_base::name::{AvailabilityZone, Instance, Upstream};
 use verbenaslip_replica::message::Message;
 use verbenaslip_replica::voter::Voter;
 
 use crate::ledger::Edition;
+use crate::quota::{Demand, Loan};
 use crate::registry::{Announcement, Record};
 use crate::sheet::Sheet;
 use crate::usage::Count;
@@ -76,7 +77,7 @@
 }
 
 /// Reports to the leader.
-#[data]
+#[data(float)]
 pub struct Beat {
     /// Who reports.
     pub peer: Peer,
@@ -91,8 +92,10 @@
     /// Requests that began lately, by window and team: whole counts, so that a report that is lost
     /// or doubled does no harm.
     pub counts: Vec<Count>,
-    /// What each team asked for lately, in its units a second.
-    pub demand: Vec<(Team, u32)>,
+    /// Counts the reports of this life of the instance.
+    pub number: u64,
+    /// What each team asks for.
+    pub demand: Vec<Demand>,
     /// What is under way at each upstream.
     pub loads: Vec<Load>,
 }
@@ -123,8 +126,10 @@
 pub struct Round {
     /// The cores.
     pub cores: Vec<SocketAddr>,
-    /// The instance's share of each team's limit.
-    pub shares: Vec<(Team, f64)>,
+    /// The number of the report that is answered.
+    pub number: u64,
+    /// What the instance may admit of each team beyond what that report told.
+    pub loans: Vec<Loan>,
     /// What all other entries have under way.
     pub loads: Vec<Load>,
     /// How many entries there are.
--- a/crates/verbenaslip-fleet/src/hub.rs
+++ b/crates/verbenaslip-fleet/src/hub.rs
@@ -9,6 +9,7 @@
 use crate::clock;
 use crate::frame::{Beat, News, Peer, Round};
 use crate::ledger::Ledger;
+use crate::quota::{Claim, Pools};
 use crate::registry::Registry;
 use crate::usage::{Collector, Origin};
 use crate::view::{Load, Stamp};
@@ -29,15 +30,12 @@
 /// What was sent and not confirmed for this long is sent again.
 const RESEND: Duration = Duration::from_millis(500);
 
-/// The part of each limit that is spread evenly, whatever was asked for lately, so that a team can
-/// begin at an entry where it was not seen before.
-const EVEN_PART: f64 = 0.15;
-
 /// Keeps what each other instance has and reports.
 #[derive(Debug, Default)]
 pub struct Hub {
     subscribers: BTreeMap<SocketAddr, Subscriber>,
     usage: Collector,
+    pools: Pools,
     totals: Totals,
 }
 
@@ -46,7 +44,6 @@
 #[derive(Debug, Default)]
 struct Totals {
     loads: BTreeMap<u32, Load>,
-    demand: BTreeMap<Team, f64>,
     /// Entries that serve or may serve.
     entries: usize,
     /// Those of them that have been silent for so long that their part is only an equal one.
@@ -66,7 +63,9 @@
     sheet_sent: Option<(u64, Duration)>,
     offset: i64,
     counted: u64,
-    demand: BTreeMap<Team, f64>,
+    /// The number of its last report.
+    number: u64,
+    claims: BTreeMap<Team, Claim>,
     loads: Vec<Load>,
 }
 
@@ -89,10 +88,11 @@
 impl Hub {
     /// Takes a report.
     pub fn take(&mut self, now: Duration, term: u64, beat: Beat) {
-        let Beat { peer, seen, revision, unix, counted, counts, demand, loads } = beat;
+        let Beat { peer, seen, revision, unix, counted, counts, number, demand, loads } = beat;
         let origin = Origin { address: peer.address, incarnation: peer.incarnation };
         self.usage.take(origin, counts);
         let known = if seen.term == term { seen.change } else { 0 };
+        let first = !self.subscribers.contains_key(&peer.address);
         let subscriber = self.subscribers.entry(peer.address).or_insert_with(|| Subscriber {
             peer: peer.clone(),
             heard: now,
@@ -103,12 +103,14 @@
             sheet_sent: None,
             offset: 0,
             counted: 0,
-            demand: BTreeMap::new(),
+            number: 0,
+            claims: BTreeMap::new(),
             loads: Vec::new(),
         });
         let restarted = subscriber.peer.incarnation != peer.incarnation;
         if restarted {
             subscriber.sheet_sent = None;
+            subscriber.claims.clear();
         }
         if restarted || now.saturating_sub(subscriber.pushed) > RESEND {
             subscriber.sent = known;
@@ -120,9 +122,16 @@
         subscriber.revision = revision;
         subscriber.offset = clock::offset(now, unix);
         subscriber.counted = counted;
-        subscriber.demand =
-            demand.into_iter().map(|(team, units)| (team, f64::from(units))).collect();
+        subscriber.number = number;
         subscriber.loads = loads;
+        for demand in &demand {
+            let claim = subscriber.claims.entry(demand.team.clone()).or_default();
+            let spent = claim.take(demand);
+            // What an entry had admitted before this leader first heard it was another's to count.
+            if !first {
+                self.pools.spend(&demand.team, spent);
+            }
+        }
     }
 
     /// Takes the word of an instance that it has taken a change.
@@ -134,16 +143,13 @@
         }
     }
 
-    /// Makes the sums anew.
-    pub fn refresh(&mut self, now: Duration) {
+    /// Makes the sums anew, and lets the teams' limits fill up.
+    pub fn refresh(&mut self, now: Duration, ledger: &Ledger) {
         let entries: Vec<&Subscriber> = self.entries(now).collect();
         let heard = entries.iter().filter(|it| it.is_heard(now, SHARE_REUSE));
         let mut totals = Totals { entries: entries.len(), ..Totals::default() };
         totals.silent = entries.len() - heard.clone().count();
         for entry in heard {
-            for (team, units) in &entry.demand {
-                *totals.demand.entry(team.clone()).or_default() += units;
-            }
             for load in &entry.loads {
                 let total = totals.loads.entry(load.upstream).or_default();
                 total.upstream = load.upstream;
@@ -152,6 +158,12 @@
             }
         }
         self.totals = totals;
+        let Some(edition) = ledger.edition() else { return };
+        // An entry that is cut off may still spend an equal part of each limit.
+        let entries = as_f64(self.totals.entries.max(1));
+        let free = 1.0 - as_f64(self.totals.silent) / entries;
+        self.pools.refill(now, &edition.sheet, free);
+        self.pools.weigh(self.subscribers.values().map(|it| &it.claims));
     }
 
     /// Lists the instances that have not been sent everything.
@@ -233,25 +245,21 @@
         self.usage.sum(window)
     }
 
-    /// Returns what the teams ask for in all, in their units a second.
-    pub fn demand(&self) -> &BTreeMap<Team, f64> {
-        &self.totals.demand
-    }
-
     /// Returns what all entries have under way, by upstream.
     pub fn total_loads(&self) -> &BTreeMap<u32, Load> {
         &self.totals.loads
     }
 
-    fn round(&self, to: SocketAddr, cores: Vec<SocketAddr>) -> Round {
-        let own = self.subscribers.get(&to).filter(|it| it.peer.voter.is_none());
+    fn round(&mut self, to: SocketAddr, cores: Vec<SocketAddr>) -> Round {
         let entries = u32::try_from(self.totals.entries.max(1)).unwrap_or(u32::MAX);
-        Round {
-            cores,
-            shares: own.map(|own| self.shares(own)).unwrap_or_default(),
-            loads: own.map(|own| self.loads(own)).unwrap_or_default(),
-            entries,
-        }
+        let live = as_f64(self.totals.entries.saturating_sub(self.totals.silent).max(1));
+        let mut round = Round { cores, number: 0, loans: Vec::new(), loads: Vec::new(), entries };
+        let own = self.subscribers.get_mut(&to).filter(|it| it.peer.voter.is_none());
+        let Some(own) = own else { return round };
+        round.number = own.number;
+        round.loans = self.pools.lend(&mut own.claims, live);
+        round.loads = others(&self.totals.loads, &own.loads);
+        round
     }
 
     /// Goes through the entries that serve or may serve.
@@ -259,36 +267,18 @@
         let entries = self.subscribers.values().filter(|it| it.peer.voter.is_none());
         entries.filter(move |it| it.is_heard(now, ENTRY_MEMORY))
     }
+}
 
-    /// Divides each team's limit by what was asked for lately.
-    ///
-    /// An entry that is cut off or has just been killed may still spend what it was given last. So
-    /// it keeps its part until it has surely fallen back to an equal one, and an equal one as long
-    /// as it may be serving; one would notice otherwise a team served beyond its limit.
-    fn shares(&self, own: &Subscriber) -> Vec<(Team, f64)> {
-        let count = self.totals.entries.max(1);
-        let silent = self.totals.silent;
-        let live = as_f64((count - silent.min(count)).max(1));
-        let free = 1.0 - as_f64(silent) / as_f64(count);
-        let share = |(team, total): (&Team, &f64)| {
-            let asked = own.demand.get(team).copied().unwrap_or(0.0);
-            let by_demand = if *total > 0.0 { (asked / total).min(1.0) } else { 1.0 / live };
-            (team.clone(), free * (EVEN_PART / live + (1.0 - EVEN_PART) * by_demand))
-        };
-        self.totals.demand.iter().map(share).collect()
-    }
-
-    /// Returns what all other entries have under way.
-    fn loads(&self, own: &Subscriber) -> Vec<Load> {
-        let mut sum = self.totals.loads.clone();
-        for load in &own.loads {
-            if let Some(total) = sum.get_mut(&load.upstream) {
-                total.requests = total.requests.saturating_sub(load.requests);
-                total.tokens = total.tokens.saturating_sub(load.tokens);
-            }
+/// Returns what all other entries have under way.
+fn others(totals: &BTreeMap<u32, Load>, own: &[Load]) -> Vec<Load> {
+    let mut sum = totals.clone();
+    for load in own {
+        if let Some(total) = sum.get_mut(&load.upstream) {
+            total.requests = total.requests.saturating_sub(load.requests);
+            total.tokens = total.tokens.saturating_sub(load.tokens);
         }
-        sum.into_values().filter(|load| load.requests > 0).collect()
     }
+    sum.into_values().filter(|load| load.requests > 0).collect()
 }
 
 impl Subscriber {
--- a/crates/verbenaslip-fleet/src/lib.rs
+++ b/crates/verbenaslip-fleet/src/lib.rs
@@ -14,8 +14,8 @@
 //! 3. [`registry`] holds the upstreams that announce themselves, at the leader of the log.
 //! 4. [`link`] keeps an instance in touch with the leader: a [`frame::Beat`] four times a second,
 //!    answered by [`frame::News`] with whatever the instance lacks; changes are pushed at once.
-//! 5. [`hub`] is the leader's side of that: who is there, what each has, the shares of the teams'
-//!    limits, and the time of day as the median of all clocks.
+//! 5. [`hub`] is the leader's side of that: who is there, what each has, and the time of day as
+//!    the median of all clocks. [`quota`] lends the teams' limits to the entries.
 //! 6. [`usage`] counts the requests that began in each window, and [`duty`] gives the cloud the
 //!    orders that only one instance may give.
 //! 7. [`core`] composes a core and [`entry`] an entry.
@@ -31,6 +31,7 @@
 pub mod index;
 pub mod ledger;
 pub mod link;
+pub mod quota;
 pub mod registry;
 pub mod sheet;
 pub mod usage;
--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -1,6 +1,6 @@
 //! Keeps an instance in touch with the leader and its view of the fleet up to date.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,9 +9,10 @@
 
 use crate::clock::Clock;
 use crate::frame::{Beat, Frame, News, Peer};
+use crate::quota::{Demand, Loan};
 use crate::registry::Standing;
 use crate::usage::Count;
-use crate::view::{Load, View};
+use crate::view::{Lent, Load, View};
 
 /// Time between two reports: a quarter of the time in which a limit's part must move between
 /// entries, and 4 datagrams' worth of bytes a second.
@@ -23,6 +24,9 @@
 /// Time between two reports to every core while none answers.
 const SEARCH: Duration = Duration::from_millis(400);
 
+/// Reports whose answers may still come.
+const REPORTS: usize = 16;
+
 /// Names the cores that get a report.
 pub type Targets = Vec<SocketAddr>;
 
@@ -31,12 +35,19 @@
 pub struct Report {
     /// Requests that began, by window and team.
     pub counts: Vec<Count>,
-    /// What each team asked for lately, in its units a second.
-    pub demand: Vec<(Team, u32)>,
+    /// What each team asks for.
+    pub demand: Vec<Demand>,
     /// What is under way at each upstream.
     pub loads: Vec<Load>,
 }
 
+/// Remembers what a report told of the units admitted.
+#[derive(Debug)]
+struct Reported {
+    number: u64,
+    admitted: BTreeMap<Team, f64>,
+}
+
 /// Reports to the leader and takes its news.
 #[derive(Debug)]
 pub struct Link {
@@ -47,6 +58,9 @@
     target: Option<SocketAddr>,
     since: Duration,
     due: Duration,
+    number: u64,
+    /// What the last reports told of the units admitted.
+    reported: VecDeque<Reported>,
 }
 
 impl Link {
@@ -54,7 +68,17 @@
     pub fn open(own: Peer, seeds: Vec<SocketAddr>, now: Duration, unix: u64) -> Self {
         let clock = Clock::open(now, unix);
         let view = View::default();
-        Self { own, seeds, view, clock, target: None, since: now, due: now }
+        Self {
+            own,
+            seeds,
+            view,
+            clock,
+            target: None,
+            since: now,
+            due: now,
+            number: 0,
+            reported: VecDeque::new(),
+        }
     }
 
     /// Returns what is known of the fleet.
@@ -114,6 +138,12 @@
         let targets = self.targets(now);
         self.due = now + if targets.len() > 1 { SEARCH } else { BEAT };
         let Report { counts, demand, loads } = report;
+        self.number += 1;
+        let admitted = demand.iter().map(|it| (it.team.clone(), it.admitted)).collect();
+        self.reported.push_back(Reported { number: self.number, admitted });
+        if self.reported.len() > REPORTS {
+            self.reported.pop_front();
+        }
         let beat = Beat {
             peer: self.own.clone(),
             seen: self.view.stamp,
@@ -121,6 +151,7 @@
             unix,
             counted: self.clock.unix(now),
             counts,
+            number: self.number,
             demand,
             loads,
         };
@@ -162,9 +193,8 @@
             self.view.stamp = stamp;
         }
         if let Some(round) = round {
-            let shares: BTreeMap<Team, f64> = round.shares.into_iter().collect();
             self.view.cores = round.cores;
-            self.view.shares = Arc::new(shares);
+            self.borrow(round.number, round.loans);
             self.view.loads = Arc::new(round.loads);
             self.view.entries = round.entries;
         }
@@ -176,6 +206,16 @@
         Frame::Seen { address: self.own.address, stamp: self.view.stamp }
     }
 
+    /// Takes what was lent, beyond what the answered report told.
+    fn borrow(&mut self, number: u64, loans: Vec<Loan>) {
+        let Some(reported) = self.reported.iter().find(|it| it.number == number) else { return };
+        let lent = |loan: Loan| {
+            let from = reported.admitted.get(&loan.team).copied().unwrap_or(0.0);
+            (loan.team, Lent { units: loan.units, from })
+        };
+        self.view.loans = Arc::new(loans.into_iter().map(lent).collect());
+    }
+
     fn merge(&mut self, whole: bool, records: Vec<crate::registry::Record>) {
         if !whole && records.is_empty() {
             return;
--- /dev/null
+++ b/crates/verbenaslip-fleet/src/quota.rs
@@ -0,0 +1,177 @@
+//! What teams may still ask for, over all entries together.
+//!
+//! The leader keeps one bucket for each team and lends its level to the entries anew with every
+//! report. Entries that kept buckets of their own would each run dry by chance, the more entries the
+//! sooner, while the team as a whole is far within its limit; one would notice requests refused that
+//! the limit allows.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use verbenaslip_base::data;
+use verbenaslip_base::name::Team;
+
+use crate::sheet::{Quota, Sheet};
+
+/// The part of a bucket that a new leader begins with. It can't know what its predecessor's was, and
+/// the time without a leader was spent on equal parts of the limits.
+const BEGIN: f64 = 0.5;
+
+/// The part of each loan that is spread evenly, whatever was asked for lately, so that a team can
+/// begin at an entry where it was not seen before.
+const EVEN_PART: f64 = 0.25;
+
+/// The part of a bucket above which every entry is lent something. What all of them may overdraw
+/// then stays within the tenth that limits may be overrun by.
+const AMPLE: f64 = 0.3;
+
+/// A loan that admits one request, whatever its size.
+const ONE_REQUEST: f64 = 1.0;
+
+/// Between two loans to one entry, in seconds.
+const ROUND: f64 = 0.25;
+
+/// Tells the leader what a team asks for at one entry.
+#[data(float)]
+pub struct Demand {
+    /// The team.
+    pub team: Team,
+    /// Units a second that it asked for lately.
+    pub rate: f64,
+    /// Units of one request, on average.
+    pub mean: f64,
+    /// Units that were admitted since the entry started.
+    pub admitted: f64,
+}
+
+/// Lends an entry units of a team's limit until the next loan.
+#[data(float)]
+pub struct Loan {
+    /// The team.
+    pub team: Team,
+    /// Units that may be admitted beyond what the entry has reported.
+    pub units: f64,
+}
+
+/// Keeps the bucket of each team.
+#[derive(Debug, Default)]
+pub struct Pools {
+    pools: BTreeMap<Team, Pool>,
+}
+
+#[derive(Debug)]
+struct Pool {
+    quota: Quota,
+    level: f64,
+    at: Duration,
+    /// What all entries are asked for, in units a second.
+    rate: f64,
+    /// Units of one request, on average.
+    mean: f64,
+    /// What is lent in loans of one request and not settled yet.
+    lent: f64,
+}
+
+/// Holds what one entry asks for and is owed of one team's limit.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Claim {
+    rate: f64,
+    mean: f64,
+    admitted: f64,
+    /// What it is owed in turn while the bucket is low.
+    due: f64,
+    /// Its unsettled loan of one request.
+    lent: f64,
+}
+
+impl Claim {
+    /// Takes an entry's report; returns the units admitted since the last one.
+    pub fn take(&mut self, demand: &Demand) -> f64 {
+        let spent = demand.admitted - self.admitted;
+        *self = Self { rate: demand.rate, mean: demand.mean, admitted: demand.admitted, ..*self };
+        spent
+    }
+}
+
+impl Pools {
+    /// Lets time pass; `free` is the part of the limits that no silent entry may be spending.
+    pub fn refill(&mut self, now: Duration, sheet: &Sheet, free: f64) {
+        self.pools.retain(|team, _| sheet.teams.iter().any(|row| row.name == *team));
+        for row in &sheet.teams {
+            let Some(quota) = row.quota else {
+                self.pools.remove(&row.name);
+                continue;
+            };
+            let open = || Pool {
+                quota,
+                level: quota.burst * BEGIN,
+                at: now,
+                rate: 0.0,
+                mean: 1.0,
+                lent: 0.0,
+            };
+            let pool = self.pools.entry(row.name.clone()).or_insert_with(open);
+            pool.quota = quota;
+            let passed = now.saturating_sub(pool.at).as_secs_f64();
+            pool.level = (pool.level + quota.rate * free * passed).min(quota.burst.max(1.0));
+            pool.at = now;
+        }
+    }
+
+    /// Takes out what an entry has admitted.
+    pub fn spend(&mut self, team: &Team, units: f64) {
+        if let Some(pool) = self.pools.get_mut(team) {
+            pool.level -= units;
+        }
+    }
+
+    /// Takes the sums over all entries: what is asked for, and how large requests are.
+    pub fn weigh<'a>(&mut self, claims: impl Iterator<Item = &'a BTreeMap<Team, Claim>>) {
+        for pool in self.pools.values_mut() {
+            pool.rate = 0.0;
+        }
+        for (team, claim) in claims.flatten() {
+            let Some(pool) = self.pools.get_mut(team) else { continue };
+            pool.rate += claim.rate;
+            if claim.mean > 0.0 {
+                pool.mean += (claim.mean - pool.mean) * 0.02;
+            }
+        }
+    }
+
+    /// Lends one of `live` entries its part of every bucket.
+    ///
+    /// An entry may overdraw what it was lent by one request. While a bucket is well filled that
+    /// does no harm, and every entry is lent something, however small its part would be: otherwise a
+    /// team that asks for little at each of many entries would be refused for want of a loan. When a
+    /// bucket runs low all entries together could overdraw it by far; then only so many are lent one
+    /// request each as there is for, in turn.
+    pub fn lend(&mut self, claims: &mut BTreeMap<Team, Claim>, live: f64) -> Vec<Loan> {
+        let mut loans = Vec::with_capacity(self.pools.len());
+        for (team, pool) in &mut self.pools {
+            let claim = claims.entry(team.clone()).or_default();
+            loans.push(Loan { team: team.clone(), units: pool.lend(claim, live) });
+        }
+        loans
+    }
+}
+
+impl Pool {
+    fn lend(&mut self, claim: &mut Claim, live: f64) -> f64 {
+        self.lent -= std::mem::take(&mut claim.lent);
+        let by_demand = if self.rate > 0.0 { claim.rate / self.rate } else { 1.0 / live };
+        let share = EVEN_PART / live + (1.0 - EVEN_PART) * by_demand.min(1.0);
+        if self.level >= self.quota.burst * AMPLE {
+            claim.due = 0.0;
+            return (self.level * share).max(self.mean * 2.0);
+        }
+        claim.due = (claim.due + self.quota.rate * ROUND * share).min(self.mean * 2.0);
+        if claim.due < self.mean || self.level - self.lent < self.mean {
+            return 0.0;
+        }
+        claim.due -= self.mean;
+        claim.lent = self.mean;
+        self.lent += self.mean;
+        ONE_REQUEST
+    }
+}
--- a/crates/verbenaslip-fleet/src/view.rs
+++ b/crates/verbenaslip-fleet/src/view.rs
@@ -32,6 +32,15 @@
     pub tokens: u32,
 }
 
+/// Says up to where an entry may admit a team's units.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Lent {
+    /// Units that may be admitted beyond `from`.
+    pub units: f64,
+    /// What the entry had admitted since its start when it reported.
+    pub from: f64,
+}
+
 /// Holds what an instance knows.
 #[derive(Clone, Debug)]
 pub struct View {
@@ -43,8 +52,8 @@
     pub upstreams: Arc<BTreeMap<Upstream, Record>>,
     /// Where the cores are reached.
     pub cores: Vec<SocketAddr>,
-    /// This instance's share of each team's limit.
-    pub shares: Arc<BTreeMap<Team, f64>>,
+    /// What this instance was lent of each team's limit.
+    pub loans: Arc<BTreeMap<Team, Lent>>,
     /// What all entries have under way, with its age counted from `heard`.
     pub loads: Arc<Vec<Load>>,
     /// How many entries there are.
@@ -62,7 +71,7 @@
             routes: None,
             upstreams: Arc::default(),
             cores: Vec::new(),
-            shares: Arc::default(),
+            loans: Arc::default(),
             loads: Arc::default(),
             entries: 1,
             heard: None,
--- a/crates/verbenaslip-instance/src/entry.rs
+++ b/crates/verbenaslip-instance/src/entry.rs
@@ -11,7 +11,7 @@
 use verbenaslip_fleet::entry::Letter;
 use verbenaslip_fleet::frame::{Frame, Peer};
 use verbenaslip_fleet::view::Stamp;
-use verbenaslip_relay::board::{Board, Smooth};
+use verbenaslip_relay::board::Board;
 use verbenaslip_relay::dialect::Dialect;
 use verbenaslip_relay::journal::{self, Kind};
 use verbenaslip_relay::policy::retry::Bounds;
@@ -92,10 +92,9 @@
         voter: None,
     };
     let decisions = Decisions::open(own, settings.seeds.clone(), steady::now(), unix);
-    let smooth = Smooth::default();
     let grace = settings.stop.grace;
     let mut running =
-        Running { decisions, links, board, server, smooth, shown: None, lost: None, stop: None };
+        Running { decisions, links, board, server, shown: None, lost: None, stop: None };
     loop {
         running.beat();
         if running.is_over(grace) {
@@ -119,7 +118,6 @@
     links: Links,
     board: Arc<Board>,
     server: Server,
-    smooth: Smooth,
     shown: Option<(u64, Stamp)>,
     lost: Option<Duration>,
     stop: Option<Duration>,
@@ -131,7 +129,7 @@
         if now < self.decisions.wake() {
             return;
         }
-        let report = self.board.report(&mut self.smooth);
+        let report = self.board.report();
         let letter = self.decisions.beat(now, steady::unix(), report);
         self.post(letter);
     }
--- a/crates/verbenaslip-relay/src/board.rs
+++ b/crates/verbenaslip-relay/src/board.rs
@@ -8,6 +8,7 @@
 use tokio::sync::Notify;
 use verbenaslip_base::name::Team;
 use verbenaslip_fleet::link::Report;
+use verbenaslip_fleet::quota::Demand;
 use verbenaslip_fleet::usage::{self, Tally};
 use verbenaslip_fleet::view::{Load, View};
 
@@ -16,7 +17,7 @@
 pub struct Board {
     view: Mutex<Arc<View>>,
     tally: Mutex<Tally>,
-    demand: Mutex<BTreeMap<Team, f64>>,
+    demand: Mutex<BTreeMap<Team, Asked>>,
     loads: Mutex<BTreeMap<u32, Load>>,
     draining: AtomicBool,
     closing: AtomicBool,
@@ -39,14 +40,23 @@
         lock(&self.tally).count(usage::window_at(unix, window), team);
     }
 
-    /// Counts what a team asks for, in its units.
-    pub fn asked(&self, team: &Team, units: f64) {
+    /// Counts a request of so many units that a team asks for, with all that was admitted of it
+    /// since the start.
+    pub fn asked(&self, team: &Team, units: f64, admitted: f64) {
         let mut demand = lock(&self.demand);
-        match demand.get_mut(team) {
-            Some(sum) => *sum += units,
-            None => {
-                demand.insert(team.clone(), units);
-            }
+        let asked = match demand.get_mut(team) {
+            Some(asked) => asked,
+            None => demand.entry(team.clone()).or_default(),
+        };
+        asked.units += units;
+        asked.requests += 1.0;
+        asked.admitted = admitted;
+    }
+
+    /// Corrects what was admitted of a team since the start.
+    pub fn admitted(&self, team: &Team, admitted: f64) {
+        if let Some(asked) = lock(&self.demand).get_mut(team) {
+            asked.admitted = admitted;
         }
     }
 
@@ -60,13 +70,13 @@
         }
     }
 
-    /// Collects the next report; `smooth` keeps what was asked for over several reports.
-    pub fn report(&self, smooth: &mut Smooth) -> Report {
-        let fresh = std::mem::take(&mut *lock(&self.demand));
-        smooth.add(fresh);
+    /// Collects the next report.
+    pub fn report(&self) -> Report {
+        let demand =
+            lock(&self.demand).iter_mut().map(|(team, asked)| asked.report(team)).collect();
         Report {
             counts: lock(&self.tally).counts(),
-            demand: smooth.rates(),
+            demand,
             loads: lock(&self.loads).values().copied().collect(),
         }
     }
@@ -109,32 +119,37 @@
     }
 }
 
-/// Smooths what teams ask for over about two seconds, so that shares don't follow single requests.
-#[derive(Debug, Default)]
-pub struct Smooth {
-    rates: BTreeMap<Team, f64>,
-}
-
 /// Reports a second.
 const REPORTS: f64 = 4.0;
 
-/// The part of the old rate that a report keeps: a time constant of about two seconds.
+/// The part of an old rate that a report keeps: a time constant of about two seconds, so that loans
+/// don't follow single requests.
 const KEEP: f64 = 0.88;
 
-impl Smooth {
-    fn add(&mut self, mut fresh: BTreeMap<Team, f64>) {
-        for (team, rate) in &mut self.rates {
-            let units = fresh.remove(team).unwrap_or(0.0);
-            *rate = *rate * KEEP + units * REPORTS * (1.0 - KEEP);
-        }
-        let new = fresh.into_iter().map(|(team, units)| (team, units * REPORTS * (1.0 - KEEP)));
-        self.rates.extend(new);
-        self.rates.retain(|_, rate| *rate > 0.01);
-    }
+/// Counts what a team asks for.
+#[derive(Debug, Default)]
+struct Asked {
+    /// Units since the last report.
+    units: f64,
+    /// Requests since the last report.
+    requests: f64,
+    /// Units a second, smoothed.
+    rate: f64,
+    /// Units of a request, smoothed.
+    mean: f64,
+    /// Units admitted since the start.
+    admitted: f64,
+}
 
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Rates are small and positive.
-    fn rates(&self) -> Vec<(Team, u32)> {
-        self.rates.iter().map(|(team, rate)| (team.clone(), rate.ceil() as u32)).collect()
+impl Asked {
+    fn report(&mut self, team: &Team) -> Demand {
+        self.rate = self.rate * KEEP + self.units * REPORTS * (1.0 - KEEP);
+        if self.requests > 0.0 {
+            let mean = self.units / self.requests;
+            self.mean = if self.mean > 0.0 { self.mean * KEEP + mean * (1.0 - KEEP) } else { mean };
+        }
+        (self.units, self.requests) = (0.0, 0.0);
+        Demand { team: team.clone(), rate: self.rate, mean: self.mean, admitted: self.admitted }
     }
 }
 
--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -28,7 +28,6 @@
     pub(crate) budget: RefCell<Budget>,
     pub(crate) pool: RefCell<Pool>,
     pub(crate) draw: Cell<u64>,
-    revision: Cell<u64>,
 }
 
 impl Context {
@@ -49,7 +48,6 @@
             budget: RefCell::new(Budget::open(bounds)),
             pool: RefCell::new(Pool::default()),
             draw: Cell::new(steady::unix()),
-            revision: Cell::new(0),
         }
     }
 
@@ -61,12 +59,6 @@
             // Another run may use the address by now; its connections are no longer of use.
             self.pool.borrow_mut().forget(&gone);
         }
-        if self.revision.get() != view.revision() {
-            self.revision.set(view.revision());
-            if let Some(routes) = &view.routes {
-                self.allowance.borrow_mut().keep(&routes.sheet().teams);
-            }
-        }
         view
     }
 
--- a/crates/verbenaslip-relay/src/forward/life.rs
+++ b/crates/verbenaslip-relay/src/forward/life.rs
@@ -160,8 +160,9 @@
 ) -> Result<(), Refused> {
     let Some(quota) = &team.quota else { return Ok(()) };
     let units = allowance::units(quota, size(call));
-    context.board.asked(&team.name, units);
-    let verdict = context.allowance.borrow_mut().take(steady::now(), team, units, view);
+    let mut allowance = context.allowance.borrow_mut();
+    let verdict = allowance.take(steady::now(), team, units, view);
+    context.board.asked(&team.name, units, allowance.total(&team.name));
     match verdict {
         Allowed::Within => Ok(()),
         Allowed::Beyond(back) => Err((Refusal::BeyondLimit, Some(back))),
@@ -214,7 +215,9 @@
     let Some(team) = job.team else { return };
     let Some(quota) = &team.quota else { return };
     let units = allowance::units(quota, size(job.call));
-    context.allowance.borrow_mut().give_back(&team.name, units);
+    let mut allowance = context.allowance.borrow_mut();
+    allowance.give_back(&team.name, units);
+    context.board.admitted(&team.name, allowance.total(&team.name));
 }
 
 /// Returns the tokens that a request asks for in all, when it says so.
--- a/crates/verbenaslip-relay/src/policy/allowance.rs
+++ b/crates/verbenaslip-relay/src/policy/allowance.rs
@@ -8,15 +8,18 @@
 use verbenaslip_fleet::sheet::{Quota, TeamRow};
 use verbenaslip_fleet::view::View;
 
-/// Holds one bucket for each team.
+/// Holds what was admitted of each team, and a bucket for the time without a leader.
 #[derive(Debug, Default)]
 pub struct Allowance {
-    buckets: BTreeMap<Team, Bucket>,
+    teams: BTreeMap<Team, Admitted>,
 }
 
 #[derive(Debug)]
-struct Bucket {
-    level: f64,
+struct Admitted {
+    /// Units since the start.
+    total: f64,
+    /// What is left of an equal part of the limit.
+    alone: f64,
     at: Duration,
 }
 
@@ -30,41 +33,60 @@
 }
 
 impl Allowance {
-    /// Takes what a request asks for out of its team's bucket.
+    /// Takes what a request asks for out of its team's limit.
     ///
-    /// A bucket may go below zero by one request: one larger than the whole bucket would otherwise
-    /// never pass, which shows as the largest requests of a team being refused for ever. A bucket
-    /// begins empty, because an entry that was killed may have spent its whole bucket a moment ago.
+    /// What was lent may be overdrawn by one request: one larger than the whole loan would otherwise
+    /// never pass, which shows as the largest requests of a team being refused for ever.
     pub fn take(&mut self, now: Duration, team: &TeamRow, units: f64, view: &View) -> Verdict {
         let Some(quota) = team.quota.filter(|quota| quota.rate > 0.0) else {
             return Verdict::Within;
         };
-        let share = share(now, &team.name, view);
-        let (rate, most) = (quota.rate * share, quota.burst.max(quota.rate) * share);
-        let empty = || Bucket { level: 0.0, at: now };
-        let bucket = self.buckets.entry(team.name.clone()).or_insert_with(empty);
-        let passed = now.saturating_sub(bucket.at).as_secs_f64();
-        bucket.level = (bucket.level + passed * rate).min(most);
-        bucket.at = now;
-        if bucket.level > 0.0 {
-            bucket.level -= units;
+        let equal = 1.0 / f64::from(view.entries.max(1));
+        let admitted = self.admitted(now, &team.name);
+        let passed = now.saturating_sub(admitted.at).as_secs_f64();
+        let filled = admitted.alone + passed * quota.rate * equal;
+        admitted.alone = filled.min(quota.burst * equal);
+        admitted.at = now;
+        let lent = view.loans.get(&team.name).filter(|_| is_fresh(now, view));
+        let left = lent.map_or(admitted.alone, |lent| lent.units - (admitted.total - lent.from));
+        if left > 0.0 {
+            admitted.total += units;
+            admitted.alone -= units;
             return Verdict::Within;
         }
-        let wait = (1.0 - bucket.level) / rate.max(f64::MIN_POSITIVE);
-        Verdict::Beyond(Duration::from_secs_f64(wait.clamp(0.05, 5.0)))
+        let wait = (units - left) / quota.rate.max(f64::MIN_POSITIVE);
+        Verdict::Beyond(Duration::from_secs_f64(wait.clamp(LOAN, 5.0)))
     }
 
     /// Gives back what a request took that did not run.
     pub fn give_back(&mut self, team: &Team, units: f64) {
-        if let Some(bucket) = self.buckets.get_mut(team) {
-            bucket.level += units;
+        if let Some(admitted) = self.teams.get_mut(team) {
+            admitted.total -= units;
+            admitted.alone += units;
         }
     }
 
-    /// Forgets the teams that are no longer in the table.
-    pub fn keep(&mut self, teams: &[TeamRow]) {
-        self.buckets.retain(|name, _| teams.iter().any(|team| team.name == *name));
+    /// Returns the units of a team that were admitted since the start.
+    pub fn total(&self, team: &Team) -> f64 {
+        self.teams.get(team).map_or(0.0, |admitted| admitted.total)
     }
+
+    fn admitted(&mut self, now: Duration, team: &Team) -> &mut Admitted {
+        // The bucket begins empty: an entry that was killed may have spent a whole one a moment ago.
+        let open = || Admitted { total: 0.0, alone: 0.0, at: now };
+        self.teams.entry(team.clone()).or_insert_with(open)
+    }
+}
+
+/// The shortest time after which a team may have been lent more: one report and its answer.
+const LOAN: f64 = 0.3;
+
+/// Tells whether the leader was heard so lately that its loans hold.
+///
+/// An entry that does not hear the leader can't know what others were lent meanwhile, so it falls
+/// back to an equal part of each limit, which the leader keeps for it.
+fn is_fresh(now: Duration, view: &View) -> bool {
+    view.heard.is_some_and(|heard| now.saturating_sub(heard) <= SHARE_LEASE)
 }
 
 /// Returns the units of a request under a quota.
@@ -76,18 +98,3 @@
         (Some(unsized_tokens), None) => unsized_tokens,
     }
 }
-
-/// Returns this entry's share of a team's limit.
-///
-/// An entry that does not hear the leader can't know what others were given meanwhile, so it falls
-/// back to an equal part, which the leader keeps for it.
-fn share(now: Duration, team: &Team, view: &View) -> f64 {
-    let equal = 1.0 / f64::from(view.entries.max(1));
-    let fresh = view.heard.is_some_and(|heard| now.saturating_sub(heard) <= SHARE_LEASE);
-    let given = view.shares.get(team).copied();
-    match given {
-        Some(given) if fresh => given,
-        Some(given) => given.min(equal),
-        None => equal,
-    }
-}
