Place by what this entry itself has under way, not by what others reported

Cause: what other entries have to read at an upstream is over by the time their report arrives (first events come after some 200 ms, reports are 250 to 500 ms old), so every entry fled from where the work had been to where it was now.

--- a/crates/verbenaslip-relay/src/policy/place.rs
+++ b/crates/verbenaslip-relay/src/policy/place.rs
@@ -278,7 +278,9 @@
         let likely = if home { scale(shared, SHARED) } else { 0 };
         let reading = ask.prompt.saturating_sub(known.max(likely));
         let requests = site.requests + site.others.requests;
-        let waiting = site.reading + u64::from(site.others.tokens);
+        // What others have to read there was true when they reported it; by now it has been read.
+        // Counted, it sends all entries away from where the work was and on to where it is now.
+        let waiting = site.reading;
         let slots = site.record.announcement.slots.max(1);
         let away = if site.record.announcement.zone == self.zone { 0.0 } else { AWAY };
         let mut expected = away + f64::from(requests) * BATCHED + site.failing * FAILING;
