--- a/crates/verbenaslip-fleet/src/plan.rs
+++ b/crates/verbenaslip-fleet/src/plan.rs
@@ -15,19 +15,20 @@
 use crate::registry::{Record, Standing};
 use crate::sheet::Scaling;
 
-/// The part of the base below which on-demand upstreams are ordered again. One lost zone of two
-/// leaves half; a few lost upstreams are not worth one that costs five times as much.
-const SHORT: f64 = 0.7;
+/// The part of the base that must be left when one more zone is reclaimed. Zones are reclaimed in
+/// series, and while they are, no reclaimable ones are to be had anywhere; an on-demand one takes
+/// seconds to start, so it is ordered before the next zone goes rather than after.
+const SAFE: f64 = 0.75;
 
-/// How long too few may run before on-demand ones are ordered: reclaimed ones may be replaced
-/// elsewhere meanwhile.
-const PATIENCE: Duration = Duration::from_secs(2);
+/// How long fewer on-demand upstreams must be enough before some are given up; they cost five times
+/// as much, but each one ordered anew is missing for seconds.
+const PATIENCE: Duration = Duration::from_secs(3);
 
 /// How long after its start an ordered upstream should have announced itself, beyond its boot.
 const ANNOUNCED: Duration = Duration::from_secs(3);
 
-/// How long a zone that refused an order is left alone.
-const DRY: Duration = Duration::from_secs(3);
+/// How long a zone that refused an order is left alone; a refused order costs next to nothing.
+const DRY: Duration = Duration::from_millis(1_500);
 
 /// Names what is counted apart.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -58,7 +59,8 @@
     service: Arc<str>,
     orders: BTreeMap<Kind, Given>,
     dry: BTreeMap<AvailabilityZone, Duration>,
-    short: Option<Duration>,
+    /// Since when there have been more on-demand ones than needed.
+    ample: Option<Duration>,
 }
 
 #[derive(Debug)]
@@ -71,7 +73,7 @@
 impl Planner {
     /// Starts without knowing what was ordered before.
     pub fn open(service: Arc<str>) -> Self {
-        Self { service, orders: BTreeMap::new(), dry: BTreeMap::new(), short: None }
+        Self { service, orders: BTreeMap::new(), dry: BTreeMap::new(), ample: None }
     }
 
     /// Returns what is to be ordered now, with the names of the orders drawn from `next`.
@@ -128,45 +130,71 @@
         base: u32,
         have: &Counts,
     ) -> Vec<(Kind, u32)> {
-        let sum = |reclaimable| {
-            let kinds = have.iter().filter(|(kind, _)| kind.reclaimable == reclaimable);
-            kinds.map(|(_, count)| *count).sum::<u32>()
-        };
-        let (cheap, dear) = (sum(true), sum(false));
-        let short = f64::from(cheap + dear) < f64::from(base) * SHORT;
-        self.short = if short { self.short.or(Some(now)) } else { None };
-        let missing = self.short.is_some_and(|since| now.saturating_sub(since) >= PATIENCE);
-        let mut zones: Vec<(&AvailabilityZone, f64)> =
-            scaling.prices.iter().map(|(zone, price)| (zone, *price)).collect();
-        zones.sort_by(|one, other| one.1.total_cmp(&other.1));
-        let there = |zone: &AvailabilityZone| {
-            let kind = Kind { zone: zone.clone(), reclaimable: false };
-            have.get(&kind).copied().unwrap_or(0)
-        };
-        let mut wanted = Vec::new();
-        if missing {
-            let mut lack = base.saturating_sub(cheap + dear);
-            for (zone, _) in zones {
-                let more = lack.min(scaling.most.saturating_sub(there(zone)));
-                lack -= more;
-                if more > 0 {
-                    let kind = Kind { zone: zone.clone(), reclaimable: false };
-                    wanted.push((kind, there(zone) + more));
-                }
-            }
-            return wanted;
+        let there: u32 = have.iter().filter(|(kind, _)| !kind.reclaimable).map(|it| *it.1).sum();
+        let needed = needed(base, have);
+        self.ample = if needed < there { self.ample.or(Some(now)) } else { None };
+        if needed > there {
+            return more(needed - there, scaling, have);
         }
-        let mut spare = (cheap + dear).saturating_sub(base).min(dear);
-        for (zone, _) in zones.into_iter().rev() {
-            let less = spare.min(there(zone));
-            spare -= less;
-            if less > 0 {
-                let kind = Kind { zone: zone.clone(), reclaimable: false };
-                wanted.push((kind, there(zone) - less));
-            }
+        let long = self.ample.is_some_and(|since| now.saturating_sub(since) >= PATIENCE);
+        if long { fewer(there - needed, scaling, have) } else { Vec::new() }
+    }
+}
+
+/// Returns how many on-demand upstreams are needed beside the reclaimable ones.
+fn needed(base: u32, have: &Counts) -> u32 {
+    let cheap = have.iter().filter(|(kind, _)| kind.reclaimable).map(|(_, count)| *count);
+    let sum: u32 = cheap.clone().sum();
+    let most = cheap.max().unwrap_or(0);
+    let now = base.saturating_sub(sum);
+    let after = scale(base, SAFE).saturating_sub(sum - most);
+    now.max(after)
+}
+
+/// Spreads additional on-demand upstreams, the cheapest zones first.
+fn more(count: u32, scaling: &Scaling, have: &Counts) -> Vec<(Kind, u32)> {
+    let mut lack = count;
+    let mut wanted = Vec::new();
+    for zone in by_price(scaling) {
+        let [there, cheap] = [false, true].map(|reclaimable| {
+            have.get(&Kind { zone: zone.clone(), reclaimable }).copied().unwrap_or(0)
+        });
+        let room = scaling.most.saturating_sub(there + cheap);
+        let more = lack.min(room);
+        lack -= more;
+        if more > 0 {
+            wanted.push((Kind { zone, reclaimable: false }, there + more));
         }
-        wanted
     }
+    wanted
+}
+
+/// Gives up on-demand upstreams, in the dearest zones first.
+fn fewer(count: u32, scaling: &Scaling, have: &Counts) -> Vec<(Kind, u32)> {
+    let mut spare = count;
+    let mut wanted = Vec::new();
+    for zone in by_price(scaling).into_iter().rev() {
+        let kind = Kind { zone, reclaimable: false };
+        let there = have.get(&kind).copied().unwrap_or(0);
+        let less = spare.min(there);
+        spare -= less;
+        if less > 0 {
+            wanted.push((kind, there - less));
+        }
+    }
+    wanted
+}
+
+/// Lists the zones, the cheapest first.
+fn by_price(scaling: &Scaling) -> Vec<AvailabilityZone> {
+    let mut zones: Vec<(&AvailabilityZone, &f64)> = scaling.prices.iter().collect();
+    zones.sort_by(|one, other| one.1.total_cmp(other.1));
+    zones.into_iter().map(|(zone, _)| zone.clone()).collect()
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Counts are small.
+fn scale(count: u32, by: f64) -> u32 {
+    (f64::from(count) * by).ceil() as u32
 }
 
 /// Returns how many reclaimable upstreams are wanted in each zone that has some to give.
--- a/crates/verbenaslip-relay/src/forward/life.rs
+++ b/crates/verbenaslip-relay/src/forward/life.rs
@@ -67,6 +67,11 @@
 }
 
 impl Job<'_> {
+    /// Returns the rank; zero is the most urgent.
+    pub fn rank(&self) -> u8 {
+        self.team.and_then(|team| team.priority).unwrap_or(self.route.priority)
+    }
+
     /// Tells whether another upstream may go on with the answer.
     pub fn resumable(&self) -> bool {
         self.route.kind == Kind::Stream { resumable: true }
@@ -339,7 +344,7 @@
     let ended = course.delivery.run(caller, job, &mut answered, job.limit, pause).await;
     let first = course.delivery.first.filter(|_| before.is_none());
     if let Some(first) = first {
-        context.placement.borrow_mut().first(&choice, first - at);
+        context.placement.borrow_mut().first(steady::now(), &choice, first - at);
     }
     trace.status = status;
     let ending = match ended {
@@ -426,6 +431,7 @@
 ) -> Result<Choice, Refused> {
     let ask = Ask {
         service: &job.service,
+        rank: job.rank(),
         parts: &job.call.parts,
         prompt: job.call.tokens.map_or(0, |tokens| tokens.prompt),
         tried: &course.tried,
@@ -470,13 +476,12 @@
             answer::put(&mut out, &field.name, &field.value);
         }
     }
-    let rank = job.team.and_then(|team| team.priority).unwrap_or(job.route.priority);
     let onward = Onward {
         upstream: &choice.upstream,
         team: job.team.map(|team| &team.name),
         remaining,
         after: course.delivery.last_event().or(job.call.after),
-        rank: (!job.call.parts.is_empty()).then_some(rank),
+        rank: (!job.call.parts.is_empty()).then(|| job.rank()),
     };
     context.dialect.onward(&onward, &mut |name, value| {
         answer::put(&mut out, name, value.as_bytes());
--- a/crates/verbenaslip-relay/src/policy/pace.rs
+++ b/crates/verbenaslip-relay/src/policy/pace.rs
@@ -68,3 +68,36 @@
         self.lasting = Some(mean + (took - mean) * WEIGHT);
     }
 }
+
+/// Learns how much later first events come than this entry can foresee.
+///
+/// An entry knows what it has under way itself. What the others have shows in its own first events
+/// only: under load they come later than what is known here explains. Without this, entries go on to
+/// send requests into queues that each of them sees a small part of.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Lag {
+    millis: f64,
+    at: Duration,
+}
+
+/// How long it takes until a lag counts half: when requests are refused because of it, nothing new
+/// is learnt, and it must be tried again whether the queues have gone.
+const FADE: Duration = Duration::from_millis(1_200);
+
+/// The weight of a new sample of a lag.
+const SAMPLE: f64 = 0.15;
+
+impl Lag {
+    /// Returns the lag in milliseconds.
+    pub fn at(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        self.millis * 0.5_f64.powf(age / FADE.as_secs_f64())
+    }
+
+    /// Takes by how much later than expected a first event came.
+    pub fn learn(&mut self, now: Duration, over: f64) {
+        let lag = self.at(now);
+        self.millis = lag + (over.max(0.0) - lag) * SAMPLE;
+        self.at = now;
+    }
+}
--- a/crates/verbenaslip-relay/src/policy/place.rs
+++ b/crates/verbenaslip-relay/src/policy/place.rs
@@ -12,7 +12,7 @@
 
 use crate::dialect::Part;
 use crate::policy::cache::Cache;
-use crate::policy::pace::Pace;
+use crate::policy::pace::{Lag, Pace};
 
 /// What another availability zone costs, in milliseconds: two ways of the longest path between
 /// zones of one region, so that it decides between equals only.
@@ -58,6 +58,7 @@
     upstreams: Option<Arc<Records>>,
     loads: Option<Arc<Vec<Load>>>,
     turn: u64,
+    lags: BTreeMap<Lane, Lag>,
 }
 
 #[derive(Debug)]
@@ -75,11 +76,16 @@
     paused: Duration,
 }
 
+/// Names the requests of a service that have the same rank.
+type Lane = (Arc<str>, u8);
+
 /// Describes a request to be placed.
 #[derive(Clone, Copy, Debug)]
 pub struct Ask<'a> {
     /// The service.
     pub service: &'a str,
+    /// Its rank; zero is the most urgent.
+    pub rank: u8,
     /// The parts of its prompt.
     pub parts: &'a [Part],
     /// The tokens of its prompt.
@@ -105,6 +111,8 @@
     pub expected: f64,
     /// Whether nothing else was under way there.
     pub idle: bool,
+    /// The request's service and rank.
+    lane: Lane,
 }
 
 /// Says what becomes of a request.
@@ -143,6 +151,7 @@
             upstreams: None,
             loads: None,
             turn: 0,
+            lags: BTreeMap::new(),
         }
     }
 
@@ -170,10 +179,12 @@
             return Verdict::Nowhere;
         };
         let objective = ask.objective.as_secs_f64() * 1_000.0;
-        let late = choice.expected > objective * PATIENCE;
-        let hopeless = choice.expected > ask.remaining.as_secs_f64() * 1_000.0;
+        let lag = self.lags.get(&choice.lane).map_or(0.0, |lag| lag.at(now));
+        let expected = choice.expected + lag;
+        let late = expected > objective * PATIENCE;
+        let hopeless = expected > ask.remaining.as_secs_f64() * 1_000.0;
         if engine && (late || hopeless) {
-            let over = (choice.expected - objective).max(100.0);
+            let over = (expected - objective).max(100.0);
             return Verdict::Busy(Duration::from_secs_f64((over / 1_000.0).min(3.0)));
         }
         self.begin(now, &choice, ask);
@@ -181,7 +192,9 @@
     }
 
     /// Takes an upstream's first event.
-    pub fn first(&mut self, choice: &Choice, took: Duration) {
+    pub fn first(&mut self, now: Duration, choice: &Choice, took: Duration) {
+        let lag = self.lags.entry(choice.lane.clone()).or_default();
+        lag.learn(now, took.as_secs_f64() * 1_000.0 - choice.expected);
         let Some(site) = self.sites.get_mut(&choice.upstream) else { return };
         site.reading = site.reading.saturating_sub(choice.reading);
         if choice.idle {
@@ -309,6 +322,7 @@
             reading,
             expected,
             idle: waiting == 0,
+            lane: (site.record.announcement.service.clone(), ask.rank),
         }
     }
 
