--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -21,7 +21,7 @@
 use crate::hub::Hub;
 use crate::ledger::Ledger;
 use crate::link::{Link, Report};
-use crate::plan::Planner;
+use crate::plan::{Census, Planner};
 use crate::registry::Registry;
 use crate::view::View;
 
@@ -181,8 +181,8 @@
     pub(crate) reign: Option<Reign>,
     pub(crate) changing: Option<u64>,
     pub(crate) closing: BTreeSet<u64>,
-    /// Until when the noting of a service's base is awaited.
-    pub(crate) noting: Option<Duration>,
+    /// Services whose base is not noted yet.
+    pub(crate) noting: BTreeMap<std::sync::Arc<str>, Census>,
     pub(crate) absent: BTreeMap<Instance, Duration>,
     pub(crate) out: Vec<Output>,
     stopping: bool,
@@ -234,7 +234,7 @@
             reign: None,
             changing: None,
             closing: BTreeSet::new(),
-            noting: None,
+            noting: BTreeMap::new(),
             absent: BTreeMap::new(),
             out: Vec::new(),
             stopping: false,
--- a/crates/verbenaslip-fleet/src/core/lead.rs
+++ b/crates/verbenaslip-fleet/src/core/lead.rs
@@ -30,9 +30,6 @@
 /// known, long beside the time that a push to all instances takes.
 const PUSH: Duration = Duration::from_millis(40);
 
-/// How long the log may take to note something before it is proposed again.
-const NOTE: Duration = Duration::from_secs(1);
-
 /// How long counts of an entry are awaited after the end of a window by the clock alone: reports
 /// come four times a second.
 const COUNT_SLACK: u64 = 300;
@@ -65,7 +62,7 @@
         self.hub = Hub::default();
         self.closing.clear();
         self.planners.clear();
-        self.noting = None;
+        self.noting.clear();
         self.absent.clear();
         self.changing = None;
         let records: Vec<_> = self.link.view().upstreams.values().cloned().collect();
@@ -225,8 +222,8 @@
     fn close_windows(&mut self) {
         let (Some(timing), Some(reign)) = (self.setup.duty, self.reign) else { return };
         // The entries report to a new leader within a few beats; a window closed before that would
-        // lack their counts.
-        if self.now.saturating_sub(reign.since) < timing.settle {
+        // lack their counts. Waiting longer would miss windows where leaders change often.
+        if self.now.saturating_sub(reign.since) < GATHER * 2 {
             return;
         }
         let unix = self.agreed();
@@ -298,10 +295,12 @@
     /// Later there may be more or fewer of them, and a leader that took what it found for what the
     /// operators had wanted would make more of them at every change of the leader.
     fn note_base(&mut self, service: &Arc<str>, upstreams: u32) {
-        if upstreams == 0 || self.noting.is_some_and(|again| again > self.now) {
+        let all = self.noting.entry(service.clone()).or_default().take(self.now, upstreams);
+        if upstreams == 0 || !all {
             return;
         }
-        self.noting = Some(self.now + NOTE);
+        // Proposed again after as long if the log has lost it.
+        self.noting.remove(service);
         self.propose(&Command::Base { service: service.clone(), upstreams });
     }
 }
--- a/crates/verbenaslip-fleet/src/plan.rs
+++ b/crates/verbenaslip-fleet/src/plan.rs
@@ -61,6 +61,31 @@
     dry: BTreeMap<AvailabilityZone, Duration>,
     /// Since when there have been more on-demand ones than needed.
     ample: Option<Duration>,
+    census: Census,
+}
+
+/// Tells whether all upstreams that run are known.
+///
+/// A leader that was elected a moment ago, above all after a restart, learns of the upstreams as they
+/// announce themselves. A count ordered by what it has heard of so far would have the others stopped.
+#[derive(Debug, Default)]
+pub struct Census {
+    total: u32,
+    since: Option<Duration>,
+}
+
+/// How long no upstream may have appeared: more than the time between two announcements of one.
+const STEADY: Duration = Duration::from_millis(1_600);
+
+impl Census {
+    /// Takes how many there are; returns whether these are all.
+    pub fn take(&mut self, now: Duration, total: u32) -> bool {
+        if total > self.total || self.since.is_none() {
+            self.since = Some(now);
+        }
+        self.total = total;
+        self.since.is_some_and(|since| now.saturating_sub(since) >= STEADY)
+    }
 }
 
 #[derive(Debug)]
@@ -73,7 +98,13 @@
 impl Planner {
     /// Starts without knowing what was ordered before.
     pub fn open(service: Arc<str>) -> Self {
-        Self { service, orders: BTreeMap::new(), dry: BTreeMap::new(), ample: None }
+        Self {
+            service,
+            orders: BTreeMap::new(),
+            dry: BTreeMap::new(),
+            ample: None,
+            census: Census::default(),
+        }
     }
 
     /// Returns what is to be ordered now, with the names of the orders drawn from `next`.
@@ -88,7 +119,9 @@
         self.dry.retain(|_, until| *until > now);
         let dry: BTreeSet<AvailabilityZone> = self.dry.keys().cloned().collect();
         let mut wanted = reclaimable(scaling, base, &dry);
-        wanted.extend(self.on_demand(now, scaling, base, have));
+        if self.census.take(now, have.values().sum()) {
+            wanted.extend(self.on_demand(now, scaling, base, have));
+        }
         let mut orders = Vec::new();
         for (kind, count) in wanted {
             let there = have.get(&kind).copied().unwrap_or(0);
--- a/crates/verbenaslip-relay/src/forward/life.rs
+++ b/crates/verbenaslip-relay/src/forward/life.rs
@@ -60,6 +60,8 @@
     pub team: Option<&'a TeamRow>,
     /// The service.
     pub service: Arc<str>,
+    /// When it was whole.
+    pub arrived: Instant,
     /// Until when its caller waits.
     pub limit: Instant,
     /// Whether the caller's connection ends with the answer.
@@ -94,7 +96,13 @@
     causes: Vec<&'static str>,
     status: u16,
     outcome: &'static str,
+    /// When the first event, or byte of the body, was expected at the last upstream tried, in
+    /// milliseconds from when it was sent there.
     expected: f64,
+    /// When it came, from when the request had arrived.
+    first: Option<Duration>,
+    /// The longest pause between two pieces of the answer.
+    pause: Duration,
 }
 
 /// Serves one request.
@@ -144,6 +152,7 @@
         route,
         team,
         service,
+        arrived: whole.arrived,
         limit: whole.arrived + patience.saturating_sub(EARLY),
         closes,
     })
@@ -198,7 +207,10 @@
 ) -> After {
     let mut course = Course::default();
     let refused = loop {
-        match next(context, caller, view, job, &mut course, trace).await {
+        let next = next(context, caller, view, job, &mut course, trace).await;
+        trace.first = course.delivery.first.map(|first| first - job.arrived);
+        trace.pause = course.delivery.pause;
+        match next {
             Next::Again => {}
             Next::Ended(after) => return after,
             Next::Refused(refused) => break refused,
@@ -584,7 +596,10 @@
             ("ms", json!(took.as_millis())),
             ("upstreams", json!(sent)),
             ("causes", json!(trace.causes)),
+            ("objective_ms", json!(job.map(|job| job.route.objective.as_millis()))),
             ("expected_ms", json!(trace.expected.round())),
+            ("first_ms", json!(trace.first.map(|first| first.as_millis()))),
+            ("pause_ms", json!(trace.pause.as_millis())),
             ("revision", json!(view.revision())),
             ("view_age_ms", json!(age)),
         ],
--- a/crates/verbenaslip-relay/src/journal.rs
+++ b/crates/verbenaslip-relay/src/journal.rs
@@ -13,6 +13,8 @@
 use crossbeam::channel::{self, Receiver, Sender, TrySendError};
 use serde_json::{Map, Value};
 
+use crate::steady;
+
 /// Lines that may wait: some seconds' worth of a busy entry, under a megabyte.
 const QUEUE: usize = 2_048;
 
@@ -47,7 +49,8 @@
 /// Writes a line.
 pub fn say<const N: usize>(kind: Kind, fields: [(&'static str, Value); N]) {
     let Some(lines) = LINES.get() else { return };
-    let mut map = Map::with_capacity(N + 3);
+    let mut map = Map::with_capacity(N + 4);
+    map.insert("at".into(), steady::unix().into());
     map.insert("event".into(), kind.number.into());
     map.insert("what".into(), kind.name.into());
     map.extend(fields.into_iter().map(|(name, value)| (name.to_owned(), value)));
--- a/crates/verbenaslip-relay/src/policy/place.rs
+++ b/crates/verbenaslip-relay/src/policy/place.rs
@@ -25,6 +25,10 @@
 /// hash, even though this entry has not sent it there: other entries prefer the same one.
 const SHARED: f64 = 0.8;
 
+/// What reading a shared part once more costs beyond the time of this request, as a multiple of it:
+/// the requests behind it wait for it too, and the part takes memory twice.
+const AGAIN: f64 = 1.0;
+
 /// Differences below this, in milliseconds, are no reason to prefer one upstream.
 const EQUAL: f64 = 0.1;
 
@@ -109,6 +113,8 @@
     pub reading: u64,
     /// The expected milliseconds to the first event.
     pub expected: f64,
+    /// What it costs all requests together, in milliseconds.
+    cost: f64,
     /// Whether nothing else was under way there.
     pub idle: bool,
     /// The request's service and rank.
@@ -276,7 +282,7 @@
                 continue;
             }
             let choice = self.weigh(now, ask, name, site, home == Some(name));
-            let gain = best.as_ref().map_or(f64::MAX, |best| best.expected - choice.expected);
+            let gain = best.as_ref().map_or(f64::MAX, |best| best.cost - choice.cost);
             equals = if gain.abs() < EQUAL { equals + 1 } else { 1 };
             // Of equals each is as likely; always the first would get all that comes at once.
             let drawn = mix(self.turn ^ site.mark).is_multiple_of(equals);
@@ -299,7 +305,9 @@
         let known = site.cache.held(now, ask.parts);
         let shared: u64 = shared(ask.parts).iter().map(|part| u64::from(part.tokens)).sum();
         let likely = if home { scale(shared, SHARED) } else { 0 };
-        let reading = ask.prompt.saturating_sub(known.max(likely));
+        let held = known.max(likely);
+        let reading = ask.prompt.saturating_sub(held);
+        let again = shared.saturating_sub(held);
         let requests = site.requests + site.others.requests;
         // What others have to read there was true when they reported it; by now it has been read.
         // Counted, it sends all entries away from where the work was and on to where it is now.
@@ -321,6 +329,7 @@
             address: site.record.announcement.address,
             reading,
             expected,
+            cost: expected + site.pace.reading(again) * AGAIN,
             idle: waiting == 0,
             lane: (site.record.announcement.service.clone(), ask.rank),
         }
