--- a/crates/verbenaslip-fleet/tests/plan.rs
+++ b/crates/verbenaslip-fleet/tests/plan.rs
@@ -48,10 +48,10 @@
 }
 
 /// Returns a planner that has known its upstreams for a while.
-fn steady(have: Counts) -> Planner {
+fn steady(have: &Counts) -> Planner {
     let mut planner = Planner::open("pool".into());
-    plan(&mut planner, at(0), &have);
-    plan(&mut planner, at(2_000), &have);
+    plan(&mut planner, at(0), have);
+    plan(&mut planner, at(2_000), have);
     planner
 }
 
@@ -116,7 +116,7 @@
     // Symptom: first events take seconds. Sequence: the zones are reclaimed one after the other
     // within seconds, and no reclaimable upstreams are to be had anywhere. Cause: on-demand ones
     // ordered only when too few were left.
-    let mut planner = steady(counts([0, 0, 0], [6, 6, 6]));
+    let mut planner = steady(&counts([0, 0, 0], [6, 6, 6]));
     let orders = plan(&mut planner, at(3_000), &counts([0, 0, 0], [6, 6, 0]));
     assert_eq!(wants(&orders, "a", false), Some(2), "as many as fit beside the others");
     assert_eq!(wants(&orders, "c", false), Some(1));
@@ -124,7 +124,7 @@
 
 #[test]
 fn two_lost_zones_bring_on_demand_ones_back_the_cheapest_first() {
-    let mut planner = steady(counts([0, 0, 0], [6, 6, 6]));
+    let mut planner = steady(&counts([0, 0, 0], [6, 6, 6]));
     let lost = counts([0, 0, 0], [0, 6, 0]);
     let orders = plan(&mut planner, at(3_000), &lost);
     assert_eq!(wants(&orders, "a", false), Some(8));
--- a/crates/verbenaslip-relay/src/forward.rs
+++ b/crates/verbenaslip-relay/src/forward.rs
@@ -1,7 +1,7 @@
 //! One request from its caller to an upstream and back.
 //!
-//! [`life`] leads a request: who asks, where it goes, whether it is tried again, what its caller
-//! gets. [`exchange`] sends it to one upstream and takes the head of the answer; [`delivery`] passes
+//! [`job`] finds who asks and which route a request takes. [`life`] leads it: where it goes, whether it
+//! is tried again, what its caller gets. [`onward`] writes it for an upstream, [`exchange`] sends it to one upstream and takes the head of the answer; [`delivery`] passes
 //! the answer on, and for a resumable stream goes on where another upstream broke off. [`pool`]
 //! keeps the connections, [`events`] finds the ends of events, [`answer`] writes answers of this
 //! instance's own.
@@ -11,7 +11,10 @@
 pub mod delivery;
 pub mod events;
 pub mod exchange;
+pub mod job;
 pub mod life;
+pub mod onward;
 pub mod pool;
+pub mod trace;
 
 pub use context::Context;
--- a/crates/verbenaslip-relay/src/forward/delivery.rs
+++ b/crates/verbenaslip-relay/src/forward/delivery.rs
@@ -7,7 +7,7 @@
 use crate::forward::answer;
 use crate::forward::events::Splitter;
 use crate::forward::exchange::Answered;
-use crate::forward::life::Job;
+use crate::forward::job::Job;
 use crate::http::body::{LAST_CHUNK, write_chunk};
 use crate::http::{Decoder, Framing, Step, Wire};
 
--- a/crates/verbenaslip-relay/src/forward/exchange.rs
+++ b/crates/verbenaslip-relay/src/forward/exchange.rs
@@ -7,7 +7,7 @@
 
 use crate::dialect::Reply;
 use crate::forward::context::Context;
-use crate::forward::life::Job;
+use crate::forward::job::Job;
 use crate::http::wire::Traded;
 use crate::http::{Decoder, Response, Step, Wire};
 use crate::policy::place::Choice;
@@ -147,3 +147,41 @@
         }
     }
 }
+
+/// Keeps a connection whose answer was not passed on, if its body is short and whole.
+pub async fn recycle(context: &Context, job: &Job<'_>, choice: &Choice, mut answered: Answered) {
+    let Ok(framing) = answered.head.framing(&job.head.method) else { return };
+    let mut decoder = Decoder::new(framing);
+    for _ in 0..2 {
+        loop {
+            match decoder.step(&mut answered.wire.bytes) {
+                Ok(Step::Data(_)) => {}
+                Ok(Step::End) => return keep(context, choice, answered),
+                Ok(Step::More) => break,
+                Err(_) => return,
+            }
+        }
+        let wait = Duration::from_millis(5);
+        let filled = tokio::time::timeout(wait, answered.wire.fill()).await;
+        if !matches!(filled, Ok(Ok(count)) if count > 0) {
+            return;
+        }
+    }
+}
+
+/// Keeps a connection after a whole answer; one on which more has come is thrown away.
+pub fn keep(context: &Context, choice: &Choice, answered: Answered) {
+    if !answered.reusable || !answered.wire.bytes.is_empty() {
+        return;
+    }
+    let stated = answered.head.text("keep-alive").and_then(stated);
+    let now = steady::now();
+    context.pool.borrow_mut().put(now, &choice.upstream, answered.wire, stated);
+}
+
+/// Reads for how many seconds an upstream keeps an idle connection.
+fn stated(value: &str) -> Option<Duration> {
+    let words = value.split(',').map(str::trim);
+    let timeout = words.filter_map(|word| word.strip_prefix("timeout=")).next()?;
+    timeout.trim().parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/verbenaslip-relay/src/forward/job.rs
@@ -0,0 +1,154 @@
+//! What is decided of a request once: who asks, which route it takes, whether its team may ask.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::time::Instant;
+use verbenaslip_fleet::index::Index;
+use verbenaslip_fleet::sheet::{Kind, Route, TeamRow};
+use verbenaslip_fleet::view::View;
+
+use crate::dialect::Call;
+use crate::forward::answer::Refusal;
+use crate::forward::context::Context;
+use crate::http::{Request, Whole};
+use crate::policy::allowance::{self, Verdict as Allowed};
+use crate::steady;
+
+/// How long before the end of its time a request gets its answer, so that the answer arrives while
+/// its caller still waits.
+const EARLY: Duration = Duration::from_millis(30);
+
+/// When a caller that was refused for want of a route table may come back: after the next news of
+/// the fleet, which come four times a second.
+const BACK_SOON: Duration = Duration::from_millis(300);
+
+/// When a caller may come back, to another instance, that was refused because this one stops.
+const BACK_NOW: Duration = Duration::from_millis(50);
+
+/// Says why a request is refused, and when its caller may come back.
+pub type Refused = (Refusal, Option<Duration>);
+
+/// Holds what is decided of a request once.
+pub struct Job<'a> {
+    /// Its head.
+    pub head: &'a Request,
+    /// Its body.
+    pub body: &'a Bytes,
+    /// What it says beyond HTTP.
+    pub call: &'a Call,
+    /// Its route.
+    pub route: &'a Route,
+    /// Its caller's team.
+    pub team: Option<&'a TeamRow>,
+    /// The service.
+    pub service: Arc<str>,
+    /// When it was whole.
+    pub arrived: Instant,
+    /// Until when its caller waits.
+    pub limit: Instant,
+    /// Whether the caller's connection ends with the answer.
+    pub closes: bool,
+}
+
+impl Job<'_> {
+    /// Returns the rank; zero is the most urgent.
+    pub fn rank(&self) -> u8 {
+        self.team.and_then(|team| team.priority).unwrap_or(self.route.priority)
+    }
+
+    /// Tells whether another upstream may go on with the answer.
+    pub fn resumable(&self) -> bool {
+        self.route.kind == Kind::Stream { resumable: true }
+    }
+}
+
+/// Finds route and team of a request and takes it out of the team's limit.
+pub fn admit<'a>(
+    context: &Context,
+    view: &'a View,
+    whole: &'a Whole,
+    call: Option<&'a Call>,
+    closes: bool,
+) -> Result<Job<'a>, Refused> {
+    if context.board.is_closing() {
+        return Err((Refusal::Stopping, Some(BACK_NOW)));
+    }
+    let Some(routes) = &view.routes else { return Err((Refusal::NoTable, Some(BACK_SOON))) };
+    let call = call.ok_or((Refusal::Malformed, None))?;
+    let host = whole.head.text("host").unwrap_or_default();
+    let route = routes.route(host, &whole.head.target).ok_or((Refusal::NoRoute, None))?;
+    let team = team(routes, route, call)?;
+    if let Some(team) = team {
+        within_limit(context, view, team, call)?;
+    }
+    let patience = call.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
+    let service = service(context, route);
+    context.budget.borrow_mut().earn(&service, view.entries);
+    Ok(Job {
+        head: &whole.head,
+        body: &whole.body,
+        call,
+        route,
+        team,
+        service,
+        arrived: whole.arrived,
+        limit: whole.arrived + patience.saturating_sub(EARLY),
+        closes,
+    })
+}
+
+fn team<'a>(routes: &'a Index, route: &Route, call: &Call) -> Result<Option<&'a TeamRow>, Refused> {
+    if route.public || routes.sheet().teams.is_empty() {
+        return Ok(None);
+    }
+    let found = call.key.as_ref().and_then(|key| routes.team(key));
+    found.map(Some).ok_or((Refusal::UnknownKey, None))
+}
+
+fn within_limit(
+    context: &Context,
+    view: &View,
+    team: &TeamRow,
+    call: &Call,
+) -> Result<(), Refused> {
+    let Some(quota) = &team.quota else { return Ok(()) };
+    let units = allowance::units(quota, size(call));
+    let mut allowance = context.allowance.borrow_mut();
+    let verdict = allowance.take(steady::now(), team, units, view);
+    context.board.asked(&team.name, units, allowance.total(&team.name));
+    match verdict {
+        Allowed::Within => Ok(()),
+        Allowed::Beyond(back) => Err((Refusal::BeyondLimit, Some(back))),
+    }
+}
+
+/// Chooses the service by the weights of the route.
+fn service(context: &Context, route: &Route) -> Arc<str> {
+    let sum: u64 = route.targets.iter().map(|target| u64::from(target.weight)).sum();
+    let mut draw = context.random().checked_rem(sum).unwrap_or(0);
+    for target in &route.targets {
+        let weight = u64::from(target.weight);
+        if draw < weight {
+            return target.service.clone();
+        }
+        draw -= weight;
+    }
+    route.targets.last().map_or_else(|| "".into(), |target| target.service.clone())
+}
+
+/// Gives back what a request took out of its team's limit, when no upstream got it.
+pub fn give_back(context: &Context, job: &Job<'_>) {
+    let Some(team) = job.team else { return };
+    let Some(quota) = &team.quota else { return };
+    let units = allowance::units(quota, size(job.call));
+    let mut allowance = context.allowance.borrow_mut();
+    allowance.give_back(&team.name, units);
+    context.board.admitted(&team.name, allowance.total(&team.name));
+}
+
+/// Returns the tokens that a request asks for in all, when it says so.
+fn size(call: &Call) -> Option<u64> {
+    call.tokens.map(|tokens| tokens.prompt + tokens.output)
+}
--- /dev/null
+++ b/crates/verbenaslip-relay/src/forward/trace.rs
@@ -0,0 +1,69 @@
+//! What the log says of a request.
+
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::time::Instant;
+use verbenaslip_base::name::{Team, Upstream};
+use verbenaslip_fleet::sheet::TeamRow;
+use verbenaslip_fleet::view::View;
+
+use crate::forward::job::Job;
+use crate::journal::{self, Kind};
+use crate::steady;
+
+/// One line a request, with what decided it.
+const ENDED: Kind = Kind { number: 901, name: "request_ended" };
+
+/// Collects what the log line says of a request.
+#[derive(Debug, Default)]
+pub struct Trace {
+    /// The upstreams that got it, in order.
+    pub sent: Vec<Upstream>,
+    /// Why each try ended without an answer.
+    pub causes: Vec<&'static str>,
+    /// The status of the final answer.
+    pub status: u16,
+    /// What became of it.
+    pub outcome: &'static str,
+    /// When the first event, or byte of the body, was expected at the last upstream tried, in
+    /// milliseconds from when it was sent there.
+    pub expected: f64,
+    /// When it came, from when the request had arrived.
+    pub first: Option<Duration>,
+    /// The longest pause between two pieces of the answer.
+    pub pause: Duration,
+}
+
+/// Says in one line how a request ended and what decided it.
+pub fn say(view: &View, id: &str, job: Option<&Job<'_>>, trace: &Trace, arrived: Instant) {
+    let took = arrived.elapsed();
+    let route = job.map_or("", |job| &*job.route.name);
+    let outcome = if trace.outcome.is_empty() { "cut" } else { trace.outcome };
+    metrics::counter!("verbenaslip_requests_total", "outcome" => outcome).increment(1);
+    metrics::histogram!("verbenaslip_request_seconds", "route" => route.to_owned())
+        .record(took.as_secs_f64());
+    let now = steady::now();
+    let age = view.heard.map(|heard| now.saturating_sub(heard).as_millis());
+    let team = job.and_then(|job| job.team).map(|team: &TeamRow| &team.name);
+    let sent: Vec<&str> = trace.sent.iter().map(Upstream::as_str).collect();
+    journal::say(
+        ENDED,
+        [
+            ("id", json!(id)),
+            ("route", json!(route)),
+            ("team", json!(team.map(Team::as_str))),
+            ("outcome", json!(outcome)),
+            ("status", json!(trace.status)),
+            ("ms", json!(took.as_millis())),
+            ("upstreams", json!(sent)),
+            ("causes", json!(trace.causes)),
+            ("objective_ms", json!(job.map(|job| job.route.objective.as_millis()))),
+            ("expected_ms", json!(trace.expected.round())),
+            ("first_ms", json!(trace.first.map(|first| first.as_millis()))),
+            ("pause_ms", json!(trace.pause.as_millis())),
+            ("revision", json!(view.revision())),
+            ("view_age_ms", json!(age)),
+        ],
+    );
+}
