--- a/crates/verbenaslip-relay/src/forward/life.rs
+++ b/crates/verbenaslip-relay/src/forward/life.rs
@@ -22,6 +22,9 @@
 /// next news of the fleet, which come four times a second.
 const BACK_SOON: Duration = Duration::from_millis(300);
 
+/// The soonest that a caller comes back: about the time of one short piece of work.
+const BACK_AT_ONCE: Duration = Duration::from_millis(30);
+
 /// The most upstreams that are tried to be reached for one request; those that could not be reached
 /// have got nothing of it.
 const REACHES: usize = 4;
@@ -126,7 +129,7 @@
         let spent = course.arrivals >= job.route.attempts
             || !context.budget.borrow_mut().spend(&job.service, view.entries);
         if spent {
-            return Next::Refused(given_up(course));
+            return Next::Refused(given_up(job, course));
         }
     }
     let choice = match place(context, job, course, remaining) {
@@ -253,7 +256,11 @@
         }
         Failure::Unreached => {
             course.unreached += 1;
-            if course.unreached < REACHES { Next::Again } else { Next::Refused(given_up(course)) }
+            if course.unreached < REACHES {
+                Next::Again
+            } else {
+                Next::Refused(given_up(job, course))
+            }
         }
         Failure::Broken | Failure::Silent => {
             course.may_have_run = true;
@@ -268,14 +275,20 @@
 }
 
 /// Says what a caller gets whose request can't be tried again: that it has not run only if so.
-fn given_up(course: &Course) -> Refused {
+fn given_up(job: &Job<'_>, course: &Course) -> Refused {
     match (course.may_have_run, course.arrivals) {
         (true, _) => (Refusal::Failed, None),
         (false, 0) => (Refusal::NoUpstream, Some(BACK_SOON)),
-        (false, _) => (Refusal::TurnedAway, Some(BACK_SOON)),
+        (false, _) => (Refusal::TurnedAway, Some(back_in_time(job))),
     }
 }
 
+/// Returns when a caller may come back that was turned away by an upstream that was full at that
+/// moment: soon enough that its answer may still be on time, and not all at once.
+fn back_in_time(job: &Job<'_>) -> Duration {
+    (job.route.objective / 3).clamp(BACK_AT_ONCE, BACK_SOON)
+}
+
 fn timed_out(course: &Course) -> Refused {
     if course.may_have_run { (Refusal::TimedOut, None) } else { (Refusal::Expired, None) }
 }
@@ -303,7 +316,7 @@
         }
         Verdict::Busy(_) if course.may_have_run => Err((Refusal::Failed, None)),
         Verdict::Busy(back) => Err((Refusal::Busy, Some(back))),
-        Verdict::Nowhere => Err(given_up(course)),
+        Verdict::Nowhere => Err(given_up(job, course)),
     }
 }
 
--- a/crates/verbenaslip-relay/src/policy/place.rs
+++ b/crates/verbenaslip-relay/src/policy/place.rs
@@ -308,7 +308,7 @@
         let held = known.max(likely);
         let reading = ask.prompt.saturating_sub(held);
         let again = shared.saturating_sub(held);
-        let requests = site.requests + site.others.requests;
+        let requests = site.requests;
         // What others have to read there was true when they reported it; by now it has been read.
         // Counted, it sends all entries away from where the work was and on to where it is now.
         let waiting = site.reading;
