Keep one of two connections that instances begin at the same moment

Cause: after a power loss of all, cores dial each other at once; each left its own connection for the other's, so both closed and their messages were lost, again and again. Ruled out: disks (no 920), founding, and load.

--- a/crates/verbenaslip-instance/src/links.rs
+++ b/crates/verbenaslip-instance/src/links.rs
@@ -34,6 +34,12 @@
 /// Whoever is spoken to answers within 250 ms, so this is several answers missed.
 const SILENCE: Duration = Duration::from_millis(1_100);
 
+/// Connections begun within this time of each other may be so at both ends for the same reason.
+const EQUALLY_NEW: Duration = Duration::from_secs(2);
+
+/// After this silence a connection that is no longer sent on is closed.
+const UNUSED: Duration = Duration::from_secs(3);
+
 /// Passes frames to and from other instances.
 pub struct Links {
     shared: Rc<Shared>,
@@ -44,10 +50,13 @@
     links: RefCell<HashMap<SocketAddr, Link>>,
     inbox: UnboundedSender<Frame>,
     next: Cell<u64>,
+    dials: Cell<u64>,
 }
 
 struct Link {
     id: u64,
+    /// Whether this instance has begun it.
+    own: bool,
     out: Sender<Vec<u8>>,
     opened: Duration,
     heard: Rc<Cell<Duration>>,
@@ -62,11 +71,16 @@
     pub fn bind(own: SocketAddr, inbox: UnboundedSender<Frame>) -> io::Result<Self> {
         let listener = socket::listen(own)?;
         let links = RefCell::new(HashMap::new());
-        let shared = Rc::new(Shared { own, links, inbox, next: Cell::new(0) });
+        let shared = Rc::new(Shared { own, links, inbox, next: Cell::new(0), dials: Cell::new(0) });
         tokio::task::spawn_local(accept(listener, shared.clone()));
         Ok(Self { shared })
     }
 
+    /// Returns how many connections were begun here.
+    pub fn dials(&self) -> u64 {
+        self.shared.dials.get()
+    }
+
     /// Sends a frame, or begins to connect.
     pub fn send(&self, to: SocketAddr, frame: &Frame) {
         // Encoding to memory fails for no value of these types.
@@ -102,17 +116,19 @@
         }
     }
 
-    fn open(&self) -> (Link, Receiver<Vec<u8>>) {
+    fn open(&self, own: bool) -> (Link, Receiver<Vec<u8>>) {
         let (out, queue) = mpsc::channel(QUEUE);
         self.next.set(self.next.get() + 1);
         let now = steady::now();
         let heard = Rc::new(Cell::new(now));
-        (Link { id: self.next.get(), out, opened: now, heard }, queue)
+        (Link { id: self.next.get(), own, out, opened: now, heard }, queue)
     }
 
     fn dial(self: &Rc<Self>, to: SocketAddr) -> Link {
-        let (link, queue) = self.open();
+        let (link, queue) = self.open(true);
         let (id, heard) = (link.id, link.heard.clone());
+        self.dials.set(self.dials.get() + 1);
+        metrics::counter!("verbenaslip_instance_connections_total").increment(1);
         let shared = self.clone();
         tokio::task::spawn_local(async move {
             if let Ok(stream) = dial(to, shared.own).await {
@@ -123,12 +139,30 @@
         link
     }
 
-    /// Carries frames until the connection ends either way.
+    /// Tells whether a connection that was begun here stays the one to send on, when the other side
+    /// has begun one too.
+    ///
+    /// The newer one is what the other side uses, above all after it has started again. But where
+    /// both begin one at the same moment, as after a power loss of all, each would leave its own for
+    /// the other's, and none would be left. So of two that are equally new, the one begun by the
+    /// lower address counts on both sides.
+    fn prefers_own(&self, peer: SocketAddr) -> bool {
+        let links = self.links.borrow();
+        links.get(&peer).is_some_and(|link| {
+            let new = steady::now().saturating_sub(link.opened) < EQUALLY_NEW;
+            link.own && new && self.own < peer
+        })
+    }
+
+    /// Carries frames until the connection ends.
+    ///
+    /// A connection that is no longer sent on is read until nothing comes any more: the other side may
+    /// have sent on it before it knew.
     async fn run(&self, stream: TcpStream, queue: Receiver<Vec<u8>>, heard: &Cell<Duration>) {
         let (reader, writer) = stream.into_split();
         tokio::select! {
             () = read(reader, &self.inbox, heard) => {}
-            () = write(writer, queue) => {}
+            () = write(writer, queue, heard) => {}
         }
     }
 
@@ -157,10 +191,11 @@
     }
     let greeted = tokio::time::timeout(DIAL * 4, greeted(&mut stream)).await;
     let Ok(Ok(peer)) = greeted else { return };
-    let (link, queue) = shared.open();
+    let (link, queue) = shared.open(false);
     let (id, heard) = (link.id, link.heard.clone());
-    // The newest connection is the one that the other side uses.
-    shared.links.borrow_mut().insert(peer, link);
+    if !shared.prefers_own(peer) {
+        shared.links.borrow_mut().insert(peer, link);
+    }
     shared.run(stream, queue, &heard).await;
     shared.forget(peer, id);
 }
@@ -224,7 +259,7 @@
     (bytes.len() >= length).then_some(length)
 }
 
-async fn write(mut writer: OwnedWriteHalf, mut queue: Receiver<Vec<u8>>) {
+async fn write(mut writer: OwnedWriteHalf, mut queue: Receiver<Vec<u8>>, heard: &Cell<Duration>) {
     while let Some(mut bytes) = queue.recv().await {
         while let Ok(more) = queue.try_recv() {
             bytes.extend_from_slice(&more);
@@ -233,4 +268,7 @@
             return;
         }
     }
+    while steady::now().saturating_sub(heard.get()) < UNUSED {
+        tokio::time::sleep(UNUSED).await;
+    }
 }
--- /dev/null
+++ b/crates/verbenaslip-instance/tests/links.rs
@@ -0,0 +1,83 @@
+//! Connections between instances that dial each other at the same moment, and that go silent.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::time::Duration;
+
+use tokio::sync::mpsc::{self, UnboundedReceiver};
+use tokio::task::LocalSet;
+use verbenaslip_fleet::frame::{Frame, Told};
+use verbenaslip_instance::links::Links;
+
+const ROUNDS: u64 = 40;
+const PAUSE: Duration = Duration::from_millis(20);
+
+fn free() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port is free");
+    listener.local_addr().expect("it is bound")
+}
+
+fn frame(token: u64) -> Frame {
+    Frame::Told { token, told: Told::Noted }
+}
+
+fn received(inbox: &mut UnboundedReceiver<Frame>) -> Vec<u64> {
+    let mut tokens = Vec::new();
+    while let Ok(Frame::Told { token, .. }) = inbox.try_recv() {
+        tokens.push(token);
+    }
+    tokens
+}
+
+#[test]
+fn instances_that_dial_each_other_at_once_keep_a_connection() {
+    // Symptom: after all cores lost power none of them leads for as long as one looks, and nothing
+    // is served. Sequence: all start at the same moment and dial each other at the same moment; each
+    // takes the other's connection for the newer one and closes its own, so both are closed; then
+    // both dial again, again at the same moment. Cause: two connections that close each other.
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("a runtime");
+    let local = LocalSet::new();
+    let (to_one, to_other, dials) = local.block_on(&runtime, async {
+        let (one, other) = (free(), free());
+        let (one_in, mut one_inbox) = mpsc::unbounded_channel();
+        let (other_in, mut other_inbox) = mpsc::unbounded_channel();
+        let first = Links::bind(one, one_in).expect("it listens");
+        let second = Links::bind(other, other_in).expect("it listens");
+        for round in 0..ROUNDS {
+            first.send(other, &frame(round));
+            second.send(one, &frame(round));
+            tokio::time::sleep(PAUSE).await;
+        }
+        tokio::time::sleep(PAUSE * 10).await;
+        let dials = first.dials() + second.dials();
+        (received(&mut one_inbox), received(&mut other_inbox), dials)
+    });
+    assert!(dials <= 4, "{dials} connections for two instances");
+    // Frames of the first moment may be lost with a connection that gives way, later ones not.
+    for tokens in [to_one, to_other] {
+        let late = tokens.iter().filter(|token| **token >= 2).count() as u64;
+        assert_eq!(late, ROUNDS - 2, "{tokens:?}");
+    }
+}
+
+#[test]
+fn an_instance_that_starts_again_is_reached_again() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("a runtime");
+    let local = LocalSet::new();
+    let tokens = local.block_on(&runtime, async {
+        let (one, other) = (free(), free());
+        let (one_in, _one_inbox) = mpsc::unbounded_channel();
+        let first = Links::bind(one, one_in).expect("it listens");
+        first.send(other, &frame(0));
+        tokio::time::sleep(PAUSE * 5).await;
+        let (other_in, mut other_inbox) = mpsc::unbounded_channel();
+        let _second = Links::bind(other, other_in).expect("it listens");
+        for round in 1..=20 {
+            first.send(other, &frame(round));
+            tokio::time::sleep(PAUSE).await;
+        }
+        received(&mut other_inbox)
+    });
+    assert!(tokens.len() >= 15, "{tokens:?}");
+}
