--- a/crates/verbenaslip-fleet/src/frame.rs
+++ b/crates/verbenaslip-fleet/src/frame.rs
@@ -13,7 +13,7 @@
 use crate::registry::{Announcement, Record};
 use crate::sheet::Sheet;
 use crate::usage::Count;
-use crate::view::{Load, Stamp};
+use crate::view::Stamp;
 
 /// Says something to another instance; any frame may be lost, late, doubled or overtaken.
 #[data(float)]
@@ -96,8 +96,6 @@
     pub number: u64,
     /// What each team asks for.
     pub demand: Vec<Demand>,
-    /// What is under way at each upstream.
-    pub loads: Vec<Load>,
 }
 
 /// Tells an instance what it lacks.
@@ -130,8 +128,6 @@
     pub number: u64,
     /// What the instance may admit of each team beyond what that report told.
     pub loans: Vec<Loan>,
-    /// What all other entries have under way.
-    pub loads: Vec<Load>,
     /// How many entries there are.
     pub entries: u32,
 }
--- a/crates/verbenaslip-fleet/src/hub.rs
+++ b/crates/verbenaslip-fleet/src/hub.rs
@@ -12,7 +12,7 @@
 use crate::quota::{Claim, Pools};
 use crate::registry::Registry;
 use crate::usage::{Collector, Origin};
-use crate::view::{Load, Stamp};
+use crate::view::Stamp;
 
 /// After this silence an instance is not waited for: three beats.
 pub const SILENCE: Duration = Duration::from_millis(800);
@@ -43,7 +43,6 @@
 /// instances; they need not be newer than the reports that they are made of.
 #[derive(Debug, Default)]
 struct Totals {
-    loads: BTreeMap<u32, Load>,
     /// Entries that serve or may serve.
     entries: usize,
     /// Those of them that have been silent for so long that their part is only an equal one.
@@ -66,7 +65,6 @@
     /// The number of its last report.
     number: u64,
     claims: BTreeMap<Team, Claim>,
-    loads: Vec<Load>,
 }
 
 /// Holds what the leader tells from.
@@ -88,7 +86,7 @@
 impl Hub {
     /// Takes a report.
     pub fn take(&mut self, now: Duration, term: u64, beat: Beat) {
-        let Beat { peer, seen, revision, unix, counted, counts, number, demand, loads } = beat;
+        let Beat { peer, seen, revision, unix, counted, counts, number, demand } = beat;
         let origin = Origin { address: peer.address, incarnation: peer.incarnation };
         self.usage.take(origin, counts);
         let known = if seen.term == term { seen.change } else { 0 };
@@ -105,7 +103,6 @@
             counted: 0,
             number: 0,
             claims: BTreeMap::new(),
-            loads: Vec::new(),
         });
         let restarted = subscriber.peer.incarnation != peer.incarnation;
         if restarted {
@@ -123,7 +120,6 @@
         subscriber.offset = clock::offset(now, unix);
         subscriber.counted = counted;
         subscriber.number = number;
-        subscriber.loads = loads;
         for demand in &demand {
             let claim = subscriber.claims.entry(demand.team.clone()).or_default();
             let spent = claim.take(demand);
@@ -149,14 +145,6 @@
         let heard = entries.iter().filter(|it| it.is_heard(now, SHARE_REUSE));
         let mut totals = Totals { entries: entries.len(), ..Totals::default() };
         totals.silent = entries.len() - heard.clone().count();
-        for entry in heard {
-            for load in &entry.loads {
-                let total = totals.loads.entry(load.upstream).or_default();
-                total.upstream = load.upstream;
-                total.requests += load.requests;
-                total.tokens = total.tokens.saturating_add(load.tokens);
-            }
-        }
         self.totals = totals;
         let Some(edition) = ledger.edition() else { return };
         // An entry that is cut off may still spend an equal part of each limit.
@@ -245,20 +233,14 @@
         self.usage.sum(window)
     }
 
-    /// Returns what all entries have under way, by upstream.
-    pub fn total_loads(&self) -> &BTreeMap<u32, Load> {
-        &self.totals.loads
-    }
-
     fn round(&mut self, to: SocketAddr, cores: Vec<SocketAddr>) -> Round {
         let entries = u32::try_from(self.totals.entries.max(1)).unwrap_or(u32::MAX);
         let live = as_f64(self.totals.entries.saturating_sub(self.totals.silent).max(1));
-        let mut round = Round { cores, number: 0, loans: Vec::new(), loads: Vec::new(), entries };
+        let mut round = Round { cores, number: 0, loans: Vec::new(), entries };
         let own = self.subscribers.get_mut(&to).filter(|it| it.peer.voter.is_none());
         let Some(own) = own else { return round };
         round.number = own.number;
         round.loans = self.pools.lend(&mut own.claims, live);
-        round.loads = others(&self.totals.loads, &own.loads);
         round
     }
 
@@ -269,18 +251,6 @@
     }
 }
 
-/// Returns what all other entries have under way.
-fn others(totals: &BTreeMap<u32, Load>, own: &[Load]) -> Vec<Load> {
-    let mut sum = totals.clone();
-    for load in own {
-        if let Some(total) = sum.get_mut(&load.upstream) {
-            total.requests = total.requests.saturating_sub(load.requests);
-            total.tokens = total.tokens.saturating_sub(load.tokens);
-        }
-    }
-    sum.into_values().filter(|load| load.requests > 0).collect()
-}
-
 impl Subscriber {
     fn is_heard(&self, now: Duration, silence: Duration) -> bool {
         now.saturating_sub(self.heard) <= silence
--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -12,7 +12,7 @@
 use crate::quota::{Demand, Loan};
 use crate::registry::Standing;
 use crate::usage::Count;
-use crate::view::{Lent, Load, View};
+use crate::view::{Lent, View};
 
 /// Time between two reports: a quarter of the time in which a limit's part must move between
 /// entries, and 4 datagrams' worth of bytes a second.
@@ -37,8 +37,6 @@
     pub counts: Vec<Count>,
     /// What each team asks for.
     pub demand: Vec<Demand>,
-    /// What is under way at each upstream.
-    pub loads: Vec<Load>,
 }
 
 /// Remembers what a report told of the units admitted.
@@ -142,7 +140,7 @@
         self.clock.hint(now, unix);
         let targets = self.targets(now);
         self.due = now + if targets.len() > 1 { SEARCH } else { BEAT };
-        let Report { counts, demand, loads } = report;
+        let Report { counts, demand } = report;
         self.number += 1;
         let admitted = demand.iter().map(|it| (it.team.clone(), it.admitted)).collect();
         self.reported.push_back(Reported { number: self.number, admitted });
@@ -158,7 +156,6 @@
             counts,
             number: self.number,
             demand,
-            loads,
         };
         (!targets.is_empty()).then_some((targets, beat))
     }
@@ -200,7 +197,6 @@
         if let Some(round) = round {
             self.view.cores = round.cores;
             self.borrow(round.number, round.loans);
-            self.view.loads = Arc::new(round.loads);
             self.view.entries = round.entries;
         }
         urgent
--- a/crates/verbenaslip-fleet/src/view.rs
+++ b/crates/verbenaslip-fleet/src/view.rs
@@ -21,17 +21,6 @@
     pub change: u64,
 }
 
-/// Tells how much all entries have under way at one upstream.
-#[data(copy, default)]
-pub struct Load {
-    /// The upstream's number.
-    pub upstream: u32,
-    /// Requests.
-    pub requests: u32,
-    /// Prompt tokens that are still to be read, as far as the entries can tell.
-    pub tokens: u32,
-}
-
 /// Says up to where an entry may admit a team's units.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Lent {
@@ -54,8 +43,6 @@
     pub cores: Vec<SocketAddr>,
     /// What this instance was lent of each team's limit.
     pub loans: Arc<BTreeMap<Team, Lent>>,
-    /// What all entries have under way, with its age counted from `heard`.
-    pub loads: Arc<Vec<Load>>,
     /// How many entries there are.
     pub entries: u32,
     /// When the leader was last heard.
@@ -72,7 +59,6 @@
             upstreams: Arc::default(),
             cores: Vec::new(),
             loans: Arc::default(),
-            loads: Arc::default(),
             entries: 1,
             heard: None,
             time: 0,
--- a/crates/verbenaslip-fleet/tests/net/mod.rs
+++ b/crates/verbenaslip-fleet/tests/net/mod.rs
@@ -1,5 +1,7 @@
 //! A network of cores and entries in virtual time, with disks that can be lost.
 
+#![allow(dead_code)] // Each test file uses its own part.
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/verbenaslip-relay/src/board.rs
+++ b/crates/verbenaslip-relay/src/board.rs
@@ -10,15 +10,14 @@
 use verbenaslip_fleet::link::Report;
 use verbenaslip_fleet::quota::Demand;
 use verbenaslip_fleet::usage::{self, Tally};
-use verbenaslip_fleet::view::{Load, View};
+use verbenaslip_fleet::view::View;
 
-/// Shares the view of the fleet one way, and counts and loads the other.
+/// Shares the view of the fleet one way, and counts the other.
 #[derive(Debug, Default)]
 pub struct Board {
     view: Mutex<Arc<View>>,
     tally: Mutex<Tally>,
     demand: Mutex<BTreeMap<Team, Asked>>,
-    loads: Mutex<BTreeMap<u32, Load>>,
     draining: AtomicBool,
     closing: AtomicBool,
     closed: Notify,
@@ -60,25 +59,11 @@
         }
     }
 
-    /// Tells what is under way at an upstream.
-    pub fn load(&self, load: Load) {
-        let mut loads = lock(&self.loads);
-        if load.requests == 0 {
-            loads.remove(&load.upstream);
-        } else {
-            loads.insert(load.upstream, load);
-        }
-    }
-
     /// Collects the next report.
     pub fn report(&self) -> Report {
         let demand =
             lock(&self.demand).iter_mut().map(|(team, asked)| asked.report(team)).collect();
-        Report {
-            counts: lock(&self.tally).counts(),
-            demand,
-            loads: lock(&self.loads).values().copied().collect(),
-        }
+        Report { counts: lock(&self.tally).counts(), demand }
     }
 
     /// Begins the planned stop: no new connection shall come.
--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -65,14 +65,6 @@
     /// Counts a request's end at an upstream.
     pub(crate) fn ended(&self, choice: &Choice, ending: Ending, began: Option<Duration>) {
         self.placement.borrow_mut().end(steady::now(), choice, ending, began);
-        self.tell_load(choice);
-    }
-
-    /// Tells the other entries what is under way at an upstream.
-    pub(crate) fn tell_load(&self, choice: &Choice) {
-        if let Some(load) = self.placement.borrow().load(&choice.upstream) {
-            self.board.load(load);
-        }
     }
 
     /// Draws a number that differs each time (the sequence of SplitMix64).
--- a/crates/verbenaslip-relay/src/forward/life.rs
+++ b/crates/verbenaslip-relay/src/forward/life.rs
@@ -310,10 +310,7 @@
     };
     let verdict = context.placement.borrow_mut().choose(steady::now(), &ask);
     match verdict {
-        Verdict::Go(choice) => {
-            context.tell_load(&choice);
-            Ok(choice)
-        }
+        Verdict::Go(choice) => Ok(choice),
         Verdict::Busy(_) if course.may_have_run => Err((Refusal::Failed, None)),
         Verdict::Busy(back) => Err((Refusal::Busy, Some(back))),
         Verdict::Nowhere => Err(given_up(job, course)),
--- a/crates/verbenaslip-relay/src/lib.rs
+++ b/crates/verbenaslip-relay/src/lib.rs
@@ -11,7 +11,7 @@
 //!    differently is refused.
 //! 2. [`dialect`] is the port through which a deployment's header names become typed fields.
 //! 3. [`board`] is what the control thread and the traffic thread share: the view of the fleet one
-//!    way, counts and loads the other.
+//!    way, counts the other.
 //! 4. [`policy`] decides, without any I/O: what a team may still ask for, which upstream takes a
 //!    request, whether it is better refused at once, and whether it may be tried again.
 //! 5. [`forward`] leads one request through all of this, over kept connections to the upstreams.
--- a/crates/verbenaslip-relay/src/policy/place.rs
+++ b/crates/verbenaslip-relay/src/policy/place.rs
@@ -7,8 +7,8 @@
 
 use verbenaslip_base::hash;
 use verbenaslip_base::name::{AvailabilityZone, Upstream};
+use verbenaslip_fleet::View;
 use verbenaslip_fleet::registry::{Record, Standing};
-use verbenaslip_fleet::view::{Load, View};
 
 use crate::dialect::Part;
 use crate::policy::cache::Cache;
@@ -60,7 +60,6 @@
     sites: BTreeMap<Upstream, Site>,
     by_service: BTreeMap<Arc<str>, Vec<Upstream>>,
     upstreams: Option<Arc<Records>>,
-    loads: Option<Arc<Vec<Load>>>,
     turn: u64,
     lags: BTreeMap<Lane, Lag>,
 }
@@ -71,7 +70,6 @@
     mark: u64,
     requests: u32,
     reading: u64,
-    others: Load,
     cache: Cache,
     pace: Pace,
     failing: f64,
@@ -155,7 +153,6 @@
             sites: BTreeMap::new(),
             by_service: BTreeMap::new(),
             upstreams: None,
-            loads: None,
             turn: 0,
             lags: BTreeMap::new(),
         }
@@ -168,10 +165,6 @@
             gone = self.take_records(&view.upstreams);
             self.upstreams = Some(view.upstreams.clone());
         }
-        if !self.loads.as_ref().is_some_and(|it| Arc::ptr_eq(it, &view.loads)) {
-            self.take_loads(&view.loads);
-            self.loads = Some(view.loads.clone());
-        }
         gone
     }
 
@@ -234,13 +227,6 @@
         }
     }
 
-    /// Returns what this entry has under way at an upstream.
-    pub fn load(&self, upstream: &Upstream) -> Option<Load> {
-        let site = self.sites.get(upstream)?;
-        let tokens = u32::try_from(site.reading).unwrap_or(u32::MAX);
-        Some(Load { upstream: site.record.number, requests: site.requests, tokens })
-    }
-
     fn take_records(&mut self, records: &Records) -> Vec<Upstream> {
         let gone: Vec<Upstream> =
             self.sites.keys().filter(|name| !records.contains_key(*name)).cloned().collect();
@@ -259,13 +245,6 @@
         gone
     }
 
-    fn take_loads(&mut self, loads: &[Load]) {
-        let loads: BTreeMap<u32, Load> = loads.iter().map(|load| (load.upstream, *load)).collect();
-        for site in self.sites.values_mut() {
-            site.others = loads.get(&site.record.number).copied().unwrap_or_default();
-        }
-    }
-
     fn best(
         &self,
         now: Duration,
@@ -309,8 +288,8 @@
         let reading = ask.prompt.saturating_sub(held);
         let again = shared.saturating_sub(held);
         let requests = site.requests;
-        // What others have to read there was true when they reported it; by now it has been read.
-        // Counted, it sends all entries away from where the work was and on to where it is now.
+        // Only what this entry itself has there. What others had would be known half a second later,
+        // when it has been read, and would send all entries on to the same few upstreams.
         let waiting = site.reading;
         let slots = site.record.announcement.slots.max(1);
         let away = if site.record.announcement.zone == self.zone { 0.0 } else { AWAY };
@@ -363,7 +342,6 @@
             mark,
             requests: 0,
             reading: 0,
-            others: Load::default(),
             cache: Cache::default(),
             pace: Pace::default(),
             failing: 0.0,
