--- a/crates/verbenaslip-fleet/tests/random.rs
+++ b/crates/verbenaslip-fleet/tests/random.rs
@@ -15,7 +15,8 @@
 
 const CORES: usize = 3;
 const STEPS: usize = 40;
-/// After a disk was lost the next one is left alone for this long: its core has caught up then.
+/// A core counts as lost for this long after it was back. A disk is lost only while no other core is,
+/// or two of three would be; all may lose power at any moment.
 const CATCH_UP: Duration = Duration::from_secs(6);
 
 #[test]
@@ -32,7 +33,11 @@
     net: Net,
     rng: Pcg64,
     cut: Option<usize>,
-    disk_lost: Duration,
+    /// When each core was last disturbed.
+    disturbed: [Duration; CORES],
+    /// Since when a lost disk has been made up for without a disturbance. No log can make up for one
+    /// while two of three cores are away, and a second one lost then is one too many.
+    mending: Duration,
     revision: u64,
     acknowledged: u64,
 }
@@ -43,14 +48,15 @@
         net: Net::found(CORES, 2),
         rng: Pcg64::seed_from_u64(seed),
         cut: None,
-        disk_lost: Duration::ZERO,
+        disturbed: [Duration::ZERO; CORES],
+        mending: Duration::ZERO,
         revision: 0,
         acknowledged: 0,
     };
     world.net.run(Duration::from_secs(4));
     for step in 0..STEPS {
         world.fault();
-        let pause = world.rng.random_range(0..1_500);
+        let pause = world.rng.random_range(0..4_000);
         world.net.run(Duration::from_millis(pause));
         world.edit();
         world.read().map_err(|it| format!("seed {seed}, step {step}: {it}"))?;
@@ -75,20 +81,17 @@
     fn fault(&mut self) {
         let core = self.rng.random_range(0..CORES);
         match self.rng.random_range(0..6) {
-            0 => self.net.restart(core),
-            1 => (0..CORES).for_each(|core| self.net.restart(core)),
-            2 if self.may_lose_disk(core) => {
-                self.disk_lost = self.net.now();
-                self.net.wipe(core);
-            }
+            0 => self.restart(core),
+            1 => (0..CORES).for_each(|core| self.restart(core)),
+            2 if self.may_lose_disk(core) => self.wipe(core),
             3 if self.may_lose_disk(core) => {
                 // All lose power, and one of them its disk as well.
-                self.disk_lost = self.net.now();
-                (0..CORES).filter(|it| *it != core).for_each(|it| self.net.restart(it));
-                self.net.wipe(core);
+                (0..CORES).filter(|it| *it != core).for_each(|it| self.restart(it));
+                self.wipe(core);
             }
             4 => {
                 self.heal();
+                self.disturb(core);
                 self.net.cut(core);
                 self.cut = Some(core);
             }
@@ -96,17 +99,35 @@
         }
     }
 
-    /// A core that is cut off, or came back a moment ago, counts as lost as well.
+    fn restart(&mut self, core: usize) {
+        self.disturb(core);
+        self.net.restart(core);
+    }
+
+    fn wipe(&mut self, core: usize) {
+        self.disturb(core);
+        self.mending = self.net.now();
+        self.net.wipe(core);
+    }
+
+    fn disturb(&mut self, core: usize) {
+        let now = self.net.now();
+        self.disturbed[core] = now;
+        if now.saturating_sub(self.mending) <= CATCH_UP {
+            self.mending = now;
+        }
+    }
+
     fn may_lose_disk(&self, core: usize) -> bool {
-        let caught_up = self.net.now().saturating_sub(self.disk_lost) > CATCH_UP;
-        caught_up && self.cut.is_none_or(|cut| cut == core) && self.cut.is_none()
+        let settled = |at: &Duration| self.net.now().saturating_sub(*at) > CATCH_UP;
+        let others = self.disturbed.iter().enumerate().filter(|(it, _)| *it != core);
+        self.cut.is_none() && settled(&self.mending) && others.map(|(_, at)| at).all(settled)
     }
 
     fn heal(&mut self) {
         if let Some(core) = self.cut.take() {
+            self.disturb(core);
             self.net.heal(core);
-            // What it missed it has only after a while; until then it counts as lost.
-            self.disk_lost = self.disk_lost.max(self.net.now());
         }
     }
 
