--- a/crates/verbenaslip-fleet/src/registry.rs
+++ b/crates/verbenaslip-fleet/src/registry.rs
@@ -201,13 +201,6 @@
         changed
     }
 
-    /// Starts the silences anew, as after a time in which nothing could be heard.
-    pub fn excuse(&mut self, now: Duration) {
-        for held in self.records.values_mut() {
-            held.heard = held.heard.max(now);
-        }
-    }
-
     /// Takes an upstream that is not known.
     ///
     /// An address is used again by another run once its last one has ended, so a new run ends the
--- a/crates/verbenaslip-relay/src/forward/exchange.rs
+++ b/crates/verbenaslip-relay/src/forward/exchange.rs
@@ -8,6 +8,7 @@
 use crate::dialect::Reply;
 use crate::forward::context::Context;
 use crate::forward::job::Job;
+use crate::forward::pool;
 use crate::http::wire::Traded;
 use crate::http::{Decoder, Response, Step, Wire};
 use crate::policy::place::Choice;
@@ -156,7 +157,7 @@
         loop {
             match decoder.step(&mut answered.wire.bytes) {
                 Ok(Step::Data(_)) => {}
-                Ok(Step::End) => return keep(context, choice, answered),
+                Ok(Step::End) => return keep(context, job, choice, answered),
                 Ok(Step::More) => break,
                 Err(_) => return,
             }
@@ -170,13 +171,14 @@
 }
 
 /// Keeps a connection after a whole answer; one on which more has come is thrown away.
-pub fn keep(context: &Context, choice: &Choice, answered: Answered) {
+pub fn keep(context: &Context, job: &Job<'_>, choice: &Choice, answered: Answered) {
     if !answered.reusable || !answered.wire.bytes.is_empty() {
         return;
     }
     let stated = answered.head.text("keep-alive").and_then(stated);
     let now = steady::now();
-    context.pool.borrow_mut().put(now, &choice.upstream, answered.wire, stated);
+    let most = pool::share(job.connections, job.entries);
+    context.pool.borrow_mut().put(now, &choice.upstream, answered.wire, stated, most);
 }
 
 /// Reads for how many seconds an upstream keeps an idle connection.
--- a/crates/verbenaslip-relay/src/forward/job.rs
+++ b/crates/verbenaslip-relay/src/forward/job.rs
@@ -44,6 +44,10 @@
     pub team: Option<&'a TeamRow>,
     /// The service.
     pub service: Arc<str>,
+    /// The connections that one of its upstreams accepts from all entries.
+    pub connections: u32,
+    /// How many entries there are.
+    pub entries: u32,
     /// When it was whole.
     pub arrived: Instant,
     /// Until when its caller waits.
@@ -92,6 +96,8 @@
         call,
         route,
         team,
+        connections: routes.sheet().service(&service).map_or(u32::MAX, |it| it.connections),
+        entries: view.entries,
         service,
         arrived: whole.arrived,
         limit: whole.arrived + patience.saturating_sub(EARLY),
--- a/crates/verbenaslip-relay/src/forward/life.rs
+++ b/crates/verbenaslip-relay/src/forward/life.rs
@@ -216,7 +216,7 @@
     context.ended(&choice, ending, Some(at.elapsed()));
     match ended {
         Ended::Whole => {
-            exchange::keep(context, &choice, answered);
+            exchange::keep(context, job, &choice, answered);
             trace.outcome = "answered";
             Next::Ended(After::Keep)
         }
--- a/crates/verbenaslip-relay/src/forward/pool.rs
+++ b/crates/verbenaslip-relay/src/forward/pool.rs
@@ -7,9 +7,19 @@
 
 use crate::http::Wire;
 
-/// Connections kept for one upstream. An upstream accepts a bounded number from all instances.
+/// Idle connections kept for one upstream at most; more are hardly ever in use at one moment.
 const KEPT: usize = 16;
 
+/// The part of the connections that an upstream accepts which may be idle ones of all entries
+/// together. The rest is for requests; beyond its number an upstream resets connections in use.
+const IDLE_PART: u32 = 2;
+
+/// Returns how many idle connections an entry keeps for an upstream that accepts so many.
+pub fn share(connections: u32, entries: u32) -> usize {
+    let share = connections / IDLE_PART / entries.max(1);
+    usize::try_from(share).unwrap_or(KEPT).clamp(1, KEPT)
+}
+
 /// How long a connection is kept where the upstream does not say. Shorter than what upstreams are
 /// known to allow, since a request that meets the closing may or may not have run.
 const IDLE: Duration = Duration::from_secs(4);
@@ -44,17 +54,19 @@
         None
     }
 
-    /// Keeps a connection; `stated` is for how long the upstream keeps it.
+    /// Keeps a connection, with no more than `most` of the same upstream; `stated` is for how long
+    /// the upstream keeps it.
     pub fn put(
         &mut self,
         now: Duration,
         upstream: &Upstream,
         wire: Wire,
         stated: Option<Duration>,
+        most: usize,
     ) {
         let keeps = stated.map_or(IDLE, |stated| stated.mul_f64(MARGIN));
         let idle = self.idle.entry(upstream.clone()).or_default();
-        if idle.len() >= KEPT {
+        while idle.len() >= most {
             idle.remove(0);
         }
         idle.push(Idle { wire, since: now, until: now + keeps });
