Elect a core's leader after 0.6 s of silence, and look for it five times a second

Cause: after a power loss of all, callers got 503 for 3 s: the cores stood for election after 1 to 2 s, the entries asked for a leader every 0.4 s.

--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -22,7 +22,7 @@
 const PATIENCE: Duration = Duration::from_millis(750);
 
 /// Time between two reports to every core while none answers.
-const SEARCH: Duration = Duration::from_millis(400);
+const SEARCH: Duration = Duration::from_millis(200);
 
 /// Reports whose answers may still come.
 const REPORTS: usize = 16;
--- a/crates/verbenaslip-instance/src/core.rs
+++ b/crates/verbenaslip-instance/src/core.rs
@@ -40,6 +40,14 @@
 /// How long a stop waits for another core to lead and for open calls.
 const HAND_OVER: Duration = Duration::from_millis(2_500);
 
+/// Between two heartbeats of the log's leader.
+const HEARTBEAT: Duration = Duration::from_millis(150);
+
+/// The shortest time without a leader after which a core stands for election: four heartbeats, and
+/// some hundred times the way between two zones. After a power loss of all, callers get nothing for
+/// this time and up to as much again.
+const ELECTION: Duration = Duration::from_millis(600);
+
 /// How long a new voter may take to copy the log: a few megabytes at most.
 const COPY: Duration = Duration::from_secs(5);
 
@@ -199,7 +207,12 @@
             recovered,
             voters: usize::try_from(self.core.losses * 2 + 1).unwrap_or(3),
             announce: settings.upstreams.announce,
-            timing: Timing { change: COPY, ..Timing::default() },
+            timing: Timing {
+                heartbeat: HEARTBEAT,
+                election: ELECTION,
+                change: COPY,
+                ..Timing::default()
+            },
             duty: settings.cloud.as_ref().map(|cloud| duty::Timing {
                 window: settings.upstreams.usage_window,
                 settle: SETTLE.min(settings.upstreams.usage_late.mul_f64(0.6)),
