--- a/crates/verbenaslip-relay/src/forward/job.rs
+++ b/crates/verbenaslip-relay/src/forward/job.rs
@@ -20,9 +20,10 @@
 /// its caller still waits.
 const EARLY: Duration = Duration::from_millis(30);
 
-/// When a caller that was refused for want of a route table may come back: after the next news of
-/// the fleet, which come four times a second.
-const BACK_SOON: Duration = Duration::from_millis(300);
+/// When a caller that was refused for want of a route table may come back. An entry has none only
+/// when it has just started, and after a power loss of all it has one when the cores have elected a
+/// leader, which takes a second; whoever came back sooner would be refused again.
+const BACK_AFTER_START: Duration = Duration::from_millis(1_200);
 
 /// When a caller may come back, to another instance, that was refused because this one stops.
 const BACK_NOW: Duration = Duration::from_millis(50);
@@ -79,7 +80,7 @@
     if context.board.is_closing() {
         return Err((Refusal::Stopping, Some(BACK_NOW)));
     }
-    let Some(routes) = &view.routes else { return Err((Refusal::NoTable, Some(BACK_SOON))) };
+    let Some(routes) = &view.routes else { return Err((Refusal::NoTable, Some(BACK_AFTER_START))) };
     let call = call.ok_or((Refusal::Malformed, None))?;
     let host = whole.head.text("host").unwrap_or_default();
     let route = routes.route(host, &whole.head.target).ok_or((Refusal::NoRoute, None))?;
--- a/crates/verbenaslip-relay/src/forward/life.rs
+++ b/crates/verbenaslip-relay/src/forward/life.rs
@@ -18,10 +18,18 @@
 use crate::policy::place::{Ask, Choice, Ending, Verdict};
 use crate::steady;
 
-/// When a caller that was refused for want of an upstream or a route table may come back: after the
-/// next news of the fleet, which come four times a second.
+/// The latest that a caller comes back that met a full upstream; the next news of the fleet has come
+/// by then.
 const BACK_SOON: Duration = Duration::from_millis(300);
 
+/// When a caller may come back that was refused for want of an upstream: half of the time in which
+/// every upstream announces itself once.
+const BACK_WITH_UPSTREAMS: Duration = Duration::from_millis(600);
+
+/// How far the times at which callers come back are spread, as a part of them; all at once they
+/// would be refused again.
+const SPREAD: f64 = 0.25;
+
 /// The soonest that a caller comes back: about the time of one short piece of work.
 const BACK_AT_ONCE: Duration = Duration::from_millis(30);
 
@@ -278,7 +286,7 @@
 fn given_up(job: &Job<'_>, course: &Course) -> Refused {
     match (course.may_have_run, course.arrivals) {
         (true, _) => (Refusal::Failed, None),
-        (false, 0) => (Refusal::NoUpstream, Some(BACK_SOON)),
+        (false, 0) => (Refusal::NoUpstream, Some(BACK_WITH_UPSTREAMS)),
         (false, _) => (Refusal::TurnedAway, Some(back_in_time(job))),
     }
 }
@@ -344,6 +352,7 @@
     trace: &mut Trace,
 ) -> After {
     let (refusal, back) = refused;
+    let back = back.map(|back| spread(context, back));
     trace.status = refusal.status();
     trace.outcome = refusal.name();
     let bytes = answer::write(&*context.dialect, refusal, id, back, closes);
@@ -352,3 +361,12 @@
         Err(_) => After::Close,
     }
 }
+
+/// Spreads the times at which callers come back.
+fn spread(context: &Context, back: Duration) -> Duration {
+    /// Steps between the shortest and the longest time.
+    const STEPS: u32 = 1_000;
+    let step = u32::try_from(context.random() % u64::from(STEPS)).unwrap_or(0);
+    let part = f64::from(step) / f64::from(STEPS) * 2.0 - 1.0;
+    back.mul_f64(1.0 + part * SPREAD)
+}
