--- a/crates/verbenaslip-base/src/hash.rs
+++ b/crates/verbenaslip-base/src/hash.rs
@@ -17,3 +17,10 @@
 pub fn narrow(parts: &[&[u8]]) -> u64 {
     wide(parts) as u64
 }
+
+/// Spreads a number over all bits (the finalizer of SplitMix64), the same on every instance.
+pub fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use verbenaslip_base::name::Instance;
@@ -174,7 +175,7 @@
     pub(crate) hub: Hub,
     pub(crate) link: Link,
     pub(crate) desk: Desk,
-    pub(crate) planners: BTreeMap<std::sync::Arc<str>, Planner>,
+    pub(crate) planners: BTreeMap<Arc<str>, Planner>,
     pub(crate) waiting: BTreeMap<u64, Waiting>,
     pub(crate) next: u64,
     /// Since when this core has led under a lease without a break.
@@ -182,7 +183,7 @@
     pub(crate) changing: Option<u64>,
     pub(crate) closing: BTreeSet<u64>,
     /// Services whose base is not noted yet.
-    pub(crate) noting: BTreeMap<std::sync::Arc<str>, Census>,
+    pub(crate) noting: BTreeMap<Arc<str>, Census>,
     pub(crate) absent: BTreeMap<Instance, Duration>,
     pub(crate) out: Vec<Output>,
     stopping: bool,
--- a/crates/verbenaslip-fleet/src/duty.rs
+++ b/crates/verbenaslip-fleet/src/duty.rs
@@ -5,6 +5,7 @@
 //! waits before its first order until every order of the last one has surely arrived.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use verbenaslip_base::data;
@@ -42,7 +43,7 @@
 #[data(ord)]
 pub struct Scale {
     /// The service.
-    pub service: std::sync::Arc<str>,
+    pub service: Arc<str>,
     /// The availability zone.
     pub zone: AvailabilityZone,
     /// Whether they may be reclaimed.
--- a/crates/verbenaslip-instance/src/cloud.rs
+++ b/crates/verbenaslip-instance/src/cloud.rs
@@ -10,11 +10,10 @@
 use verbenaslip_base::name::Instance;
 use verbenaslip_fleet::duty::{Order, Outcome};
 use verbenaslip_relay::http::{Response, Wire};
-use verbenaslip_relay::journal::{self, Kind};
+use verbenaslip_relay::journal;
 use verbenaslip_relay::{socket, steady};
 
-/// An order was given, or was void before it was.
-const ORDERED: Kind = Kind { number: 930, name: "cloud_ordered" };
+use crate::event;
 
 /// How long the cloud may take to accept a connection, and to answer.
 const PATIENCE: Duration = Duration::from_secs(1);
@@ -71,7 +70,7 @@
             let status = cloud.call(&order).await;
             let outcome = status.map_or(Outcome::Unknown, |status| cloud.codec.outcome(status));
             journal::say(
-                ORDERED,
+                event::ORDERED,
                 [
                     ("order", json!(order.id)),
                     ("fence", json!(order.fence)),
--- a/crates/verbenaslip-instance/src/core.rs
+++ b/crates/verbenaslip-instance/src/core.rs
@@ -13,7 +13,7 @@
 use verbenaslip_fleet::core::{Input, Output, Setup};
 use verbenaslip_fleet::duty;
 use verbenaslip_fleet::frame::{Frame, Peer, Told};
-use verbenaslip_relay::journal::{self, Kind};
+use verbenaslip_relay::journal;
 use verbenaslip_relay::steady;
 use verbenaslip_replica::setup::Timing;
 use verbenaslip_replica::storage::Error as FolderError;
@@ -21,16 +21,13 @@
 
 use crate::cloud::{self, Cloud, Ordered};
 use crate::disk::{Disk, Outcome};
+use crate::event;
 use crate::face::{self, Call, Face};
 use crate::links::Links;
 use crate::note;
 use crate::settings::{self, Settings};
 use crate::signal::Signal;
 
-const DISK_FAILED: Kind = Kind { number: 920, name: "disk_failed" };
-const DISK_BACK: Kind = Kind { number: 921, name: "disk_opened" };
-const STOPPING: Kind = Kind { number: 903, name: "stopping" };
-
 /// The longest time between two steps.
 const TICK: Duration = Duration::from_millis(200);
 
@@ -240,7 +237,7 @@
             Woken::Stored(Outcome::Failed(error)) => self.failed(&error),
             Woken::Ordered(Ordered { id, outcome }) => self.step(Input::Ordered { id, outcome }),
             Woken::Signal(Signal::Stop) => {
-                journal::say(STOPPING, []);
+                journal::say(event::STOPPING, []);
                 self.stop = Some(steady::now() + HAND_OVER);
                 self.step(Input::Stop);
             }
@@ -256,7 +253,7 @@
     /// what may be lost; ending the process would only have it start on the same disk. So the
     /// decisions start anew from what the folder holds, as after a restart, once it opens.
     fn failed(&mut self, error: &FolderError) {
-        journal::say(DISK_FAILED, [("cause", json!(error.to_string()))]);
+        journal::say(event::DISK_FAILED, [("cause", json!(error.to_string()))]);
         self.decisions = None;
         self.disk = None;
         self.reopen = steady::now() + REOPEN;
@@ -266,9 +263,9 @@
         if self.decisions.is_none() && steady::now() >= self.reopen {
             self.reopen = steady::now() + REOPEN;
             match self.open(false) {
-                Ok(()) => journal::say(DISK_BACK, []),
+                Ok(()) => journal::say(event::DISK_BACK, []),
                 Err(error) => {
-                    journal::say(DISK_FAILED, [("cause", json!(error.to_string()))]);
+                    journal::say(event::DISK_FAILED, [("cause", json!(error.to_string()))]);
                 }
             }
         }
--- a/crates/verbenaslip-instance/src/entry.rs
+++ b/crates/verbenaslip-instance/src/entry.rs
@@ -13,21 +13,16 @@
 use verbenaslip_fleet::view::Stamp;
 use verbenaslip_relay::board::Board;
 use verbenaslip_relay::dialect::Dialect;
-use verbenaslip_relay::journal::{self, Kind};
+use verbenaslip_relay::journal;
 use verbenaslip_relay::policy::retry::Bounds;
 use verbenaslip_relay::server::{Server, Setup};
 use verbenaslip_relay::steady;
 
+use crate::event;
 use crate::links::Links;
 use crate::settings::{self, Settings};
 use crate::signal::Signal;
 
-const STOPPING: Kind = Kind { number: 903, name: "stopping" };
-const DRAINED: Kind = Kind { number: 904, name: "drained" };
-const VIEW: Kind = Kind { number: 905, name: "view_changed" };
-const LEADER_LOST: Kind = Kind { number: 906, name: "leader_lost" };
-const LEADER_BACK: Kind = Kind { number: 907, name: "leader_back" };
-
 /// The longest time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(250);
 
@@ -149,7 +144,7 @@
         if self.shown != Some(shown) {
             self.shown = Some(shown);
             journal::say(
-                VIEW,
+                event::VIEW,
                 [
                     ("revision", json!(view.revision())),
                     ("term", json!(view.stamp.term)),
@@ -170,11 +165,14 @@
         match self.lost {
             Some(_) if !lost => {
                 self.lost = None;
-                journal::say(LEADER_BACK, []);
+                journal::say(event::LEADER_BACK, []);
             }
             None if lost && heard.is_some() => {
                 self.lost = Some(now);
-                journal::say(LEADER_LOST, [("silent_ms", json!(silent.map(|it| it.as_millis())))]);
+                journal::say(
+                    event::LEADER_LOST,
+                    [("silent_ms", json!(silent.map(|it| it.as_millis())))],
+                );
             }
             Some(since) if now.saturating_sub(since) > LOST => {
                 self.lost = Some(now);
@@ -194,7 +192,7 @@
         if self.stop.is_none() {
             self.stop = Some(steady::now());
             self.board.drain();
-            journal::say(STOPPING, [("active", json!(self.server.active()))]);
+            journal::say(event::STOPPING, [("active", json!(self.server.active()))]);
         }
     }
 
@@ -208,7 +206,7 @@
         let quiet = passed > BALANCER && self.server.active() == 0;
         let over = quiet || passed > grace.saturating_sub(MARGIN);
         if over {
-            journal::say(DRAINED, [("active", json!(self.server.active()))]);
+            journal::say(event::DRAINED, [("active", json!(self.server.active()))]);
         }
         over
     }
--- /dev/null
+++ b/crates/verbenaslip-instance/src/event.rs
@@ -0,0 +1,42 @@
+//! Kinds of log lines that an instance writes beside those of requests; the catalogue is docs/EVENTS.md.
+
+use verbenaslip_relay::journal::Kind;
+
+/// The process has read its settings and begins to work.
+pub(crate) const STARTED: Kind = Kind { number: 900, name: "started" };
+/// The settings file was read again.
+pub(crate) const RELOADED: Kind = Kind { number: 902, name: "settings_reloaded" };
+/// A planned stop has begun.
+pub(crate) const STOPPING: Kind = Kind { number: 903, name: "stopping" };
+/// An entry ends; what is still active is cut off.
+pub(crate) const DRAINED: Kind = Kind { number: 904, name: "drained" };
+/// An entry has newer routes or upstreams.
+pub(crate) const VIEW: Kind = Kind { number: 905, name: "view_changed" };
+/// An entry has not heard the leader for a while.
+pub(crate) const LEADER_LOST: Kind = Kind { number: 906, name: "leader_lost" };
+/// An entry hears a leader again.
+pub(crate) const LEADER_BACK: Kind = Kind { number: 907, name: "leader_back" };
+/// The process ends.
+pub(crate) const STOPPED: Kind = Kind { number: 909, name: "stopped" };
+/// A core follows, stands for election, or leads.
+pub(crate) const ROLE: Kind = Kind { number: 910, name: "log_role" };
+/// A route table is committed.
+pub(crate) const SHEET: Kind = Kind { number: 911, name: "routes_in_force" };
+/// The leader's belief of an upstream has changed.
+pub(crate) const UPSTREAM: Kind = Kind { number: 912, name: "upstream_changed" };
+/// An upstream said that it goes.
+pub(crate) const WITHDRAWN: Kind = Kind { number: 913, name: "upstream_withdrawn" };
+/// The voters are changed.
+pub(crate) const VOTERS: Kind = Kind { number: 914, name: "voters_changing" };
+/// The counts of a window are final.
+pub(crate) const CLOSED: Kind = Kind { number: 915, name: "usage_closed" };
+/// A call had no sure answer in time.
+pub(crate) const UNSURE: Kind = Kind { number: 916, name: "call_unsure" };
+/// The log holds what this version can't read.
+pub(crate) const UNREADABLE: Kind = Kind { number: 917, name: "log_unreadable" };
+/// A write failed.
+pub(crate) const DISK_FAILED: Kind = Kind { number: 920, name: "disk_failed" };
+/// The folder is open again.
+pub(crate) const DISK_BACK: Kind = Kind { number: 921, name: "disk_opened" };
+/// An order was given to the cloud, or was void before it was.
+pub(crate) const ORDERED: Kind = Kind { number: 930, name: "cloud_ordered" };
--- a/crates/verbenaslip-instance/src/instance.rs
+++ b/crates/verbenaslip-instance/src/instance.rs
@@ -9,16 +9,13 @@
 use tokio::task::LocalSet;
 use verbenaslip::settings::Invalid;
 use verbenaslip_relay::dialect::Dialect;
-use verbenaslip_relay::journal::{self, Kind};
+use verbenaslip_relay::journal;
 
 use crate::core::Ports;
+use crate::event;
 use crate::settings::Settings;
 use crate::{core, entry, metric, signal};
 
-const STARTED: Kind = Kind { number: 900, name: "started" };
-const RELOADED: Kind = Kind { number: 902, name: "settings_reloaded" };
-const STOPPED: Kind = Kind { number: 909, name: "stopped" };
-
 /// Runs one instance on the thread that opens it.
 pub struct Instance {
     path: PathBuf,
@@ -69,7 +66,10 @@
         let runtime = runtime.map_err(Error::Thread)?;
         let local = LocalSet::new();
         let ended = local.block_on(&runtime, self.serve(dialect, ports, signals));
-        journal::say(STOPPED, [("cause", json!(ended.as_ref().err().map(ToString::to_string)))]);
+        journal::say(
+            event::STOPPED,
+            [("cause", json!(ended.as_ref().err().map(ToString::to_string)))],
+        );
         journal::flush();
         ended
     }
@@ -83,7 +83,7 @@
         let Self { path, settings } = self;
         metric::open(settings.metrics).map_err(Error::Metrics)?;
         journal::say(
-            STARTED,
+            event::STARTED,
             [
                 ("instance", json!(settings.name.as_str())),
                 ("zone", json!(settings.zone.as_str())),
@@ -94,7 +94,7 @@
         let reload = move || {
             let settings = Settings::read(&path);
             let problem = settings.as_ref().err().map(ToString::to_string);
-            journal::say(RELOADED, [("problem", json!(problem))]);
+            journal::say(event::RELOADED, [("problem", json!(problem))]);
             settings.ok()
         };
         match (settings.entry.clone(), settings.core.clone()) {
--- a/crates/verbenaslip-instance/src/lib.rs
+++ b/crates/verbenaslip-instance/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod core;
 pub mod disk;
 pub mod entry;
+mod event;
 pub mod face;
 pub mod instance;
 pub mod links;
--- a/crates/verbenaslip-instance/src/note.rs
+++ b/crates/verbenaslip-instance/src/note.rs
@@ -2,16 +2,9 @@
 
 use serde_json::json;
 use verbenaslip_fleet::core::Note;
-use verbenaslip_relay::journal::{self, Kind};
+use verbenaslip_relay::journal;
 
-const ROLE: Kind = Kind { number: 910, name: "log_role" };
-const SHEET: Kind = Kind { number: 911, name: "routes_in_force" };
-const UPSTREAM: Kind = Kind { number: 912, name: "upstream_changed" };
-const WITHDRAWN: Kind = Kind { number: 913, name: "upstream_withdrawn" };
-const VOTERS: Kind = Kind { number: 914, name: "voters_changing" };
-const CLOSED: Kind = Kind { number: 915, name: "usage_closed" };
-const UNSURE: Kind = Kind { number: 916, name: "call_unsure" };
-const UNREADABLE: Kind = Kind { number: 917, name: "log_unreadable" };
+use crate::event;
 
 /// Writes what a core believes to the log.
 pub fn say(note: Note) {
@@ -20,17 +13,17 @@
             let leader = leader.map(|leader| leader.to_string());
             let duty = format!("{duty:?}");
             journal::say(
-                ROLE,
+                event::ROLE,
                 [("term", json!(term)), ("role", json!(duty)), ("leader", json!(leader))],
             );
         }
         Note::Sheet { revision, routes } => {
-            journal::say(SHEET, [("revision", json!(revision)), ("routes", json!(routes))]);
+            journal::say(event::SHEET, [("revision", json!(revision)), ("routes", json!(routes))]);
         }
         Note::Upstream { record } => {
             let it = &record.announcement;
             journal::say(
-                UPSTREAM,
+                event::UPSTREAM,
                 [
                     ("upstream", json!(it.upstream.as_str())),
                     ("service", json!(it.service)),
@@ -44,15 +37,15 @@
             );
         }
         Note::Withdrawn(upstream) => {
-            journal::say(WITHDRAWN, [("upstream", json!(upstream.as_str()))]);
+            journal::say(event::WITHDRAWN, [("upstream", json!(upstream.as_str()))]);
         }
         Note::Voters { change } => {
-            journal::say(VOTERS, [("change", json!(format!("{change:?}")))]);
+            journal::say(event::VOTERS, [("change", json!(format!("{change:?}")))]);
         }
         Note::Closed { window, requests } => {
-            journal::say(CLOSED, [("window", json!(window)), ("requests", json!(requests))]);
+            journal::say(event::CLOSED, [("window", json!(window)), ("requests", json!(requests))]);
         }
-        Note::Unsure { what } => journal::say(UNSURE, [("asked", json!(what))]),
-        Note::Unreadable(what) => journal::say(UNREADABLE, [("cause", json!(what))]),
+        Note::Unsure { what } => journal::say(event::UNSURE, [("asked", json!(what))]),
+        Note::Unreadable(what) => journal::say(event::UNREADABLE, [("cause", json!(what))]),
     }
 }
--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use verbenaslip_base::hash;
 use verbenaslip_base::name::AvailabilityZone;
 use verbenaslip_fleet::view::View;
 
@@ -71,8 +72,6 @@
     pub(crate) fn random(&self) -> u64 {
         let next = self.draw.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
         self.draw.set(next);
-        let value = (next ^ (next >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        value ^ (value >> 31)
+        hash::mix(next)
     }
 }
--- a/crates/verbenaslip-relay/src/policy/place.rs
+++ b/crates/verbenaslip-relay/src/policy/place.rs
@@ -264,7 +264,7 @@
             let gain = best.as_ref().map_or(f64::MAX, |best| best.cost - choice.cost);
             equals = if gain.abs() < EQUAL { equals + 1 } else { 1 };
             // Of equals each is as likely; always the first would get all that comes at once.
-            let drawn = mix(self.turn ^ site.mark).is_multiple_of(equals);
+            let drawn = hash::mix(self.turn ^ site.mark).is_multiple_of(equals);
             if gain >= EQUAL || (gain > -EQUAL && drawn) {
                 best = Some(choice);
             }
@@ -330,7 +330,7 @@
         let names = self.by_service.get(ask.service)?;
         let sites = names.iter().filter_map(|name| Some((name, self.sites.get(name)?)));
         let ready = sites.filter(|(_, site)| site.record.standing == Standing::Ready);
-        ready.max_by_key(|(_, site)| mix(site.mark ^ part)).map(|(name, _)| name.clone())
+        ready.max_by_key(|(_, site)| hash::mix(site.mark ^ part)).map(|(name, _)| name.clone())
     }
 }
 
@@ -384,10 +384,3 @@
 fn scale(tokens: u64, by: f64) -> u64 {
     (tokens as f64 * by) as u64
 }
-
-/// Spreads a number over all bits (the finalizer of SplitMix64).
-fn mix(value: u64) -> u64 {
-    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
-}
