--- a/crates/verbenaslip-instance/src/event.rs
+++ b/crates/verbenaslip-instance/src/event.rs
@@ -16,6 +16,8 @@
 pub(crate) const LEADER_LOST: Kind = Kind { number: 906, name: "leader_lost" };
 /// An entry hears a leader again.
 pub(crate) const LEADER_BACK: Kind = Kind { number: 907, name: "leader_back" };
+/// Metrics can't be served; the process works on without them.
+pub(crate) const NO_METRICS: Kind = Kind { number: 908, name: "no_metrics" };
 /// The process ends.
 pub(crate) const STOPPED: Kind = Kind { number: 909, name: "stopped" };
 /// A core follows, stands for election, or leads.
--- a/crates/verbenaslip-instance/src/instance.rs
+++ b/crates/verbenaslip-instance/src/instance.rs
@@ -31,8 +31,6 @@
     NoRole,
     /// a thread can't be started: {0}
     Thread(std::io::Error),
-    /// metrics can't be served: {0}
-    Metrics(String),
     /// {0}
     Entry(entry::Error),
     /// {0}
@@ -81,7 +79,10 @@
         signals: mpsc::UnboundedReceiver<signal::Signal>,
     ) -> Result<(), Error> {
         let Self { path, settings } = self;
-        metric::open(settings.metrics).map_err(Error::Metrics)?;
+        if let Err(problem) = metric::open(settings.metrics) {
+            // Callers are better served without metrics than not at all.
+            journal::say(event::NO_METRICS, [("problem", json!(problem))]);
+        }
         journal::say(
             event::STARTED,
             [
--- /dev/null
+++ b/crates/verbenaslip-instance/tests/settings.rs
@@ -0,0 +1,39 @@
+//! Settings of an instance of a fleet: what is taken, and what is refused with a reason.
+
+use std::path::Path;
+use std::time::Duration;
+
+use verbenaslip_instance::Settings;
+
+const ENTRY: &str = "[instance]\nname = e-1\nzone = north\npeers = 10.0.0.7:7600\n\
+seeds = 10.0.0.1:8229,10.0.0.2:8229\n[entry]\ncallers = 10.0.0.7:8221\nready = 10.0.0.7:8224\n\
+[upstreams]\nannounce = 1200ms\nretry_ratio = 0.2\nretry_allowance = 52\nusage_window = 2.5s\n\
+[stop]\ngrace = 8s\n[cloud]\naddress = 10.9.0.1:80\nwait = 3000ms\n";
+
+fn read(text: &str) -> Result<Settings, String> {
+    Settings::parse(text, Path::new("e.ini")).map_err(|invalid| invalid.to_string())
+}
+
+#[test]
+fn an_entry_has_what_its_file_says() {
+    let settings = read(ENTRY).expect("it is valid");
+    assert_eq!(settings.seeds[1], ([10, 0, 0, 2], 7_600).into(), "the port is that of peers");
+    assert_eq!(settings.upstreams.usage_window, Duration::from_millis(2_500));
+    assert_eq!(settings.upstreams.usage_late, Duration::from_secs(10), "by default");
+    assert_eq!(settings.cloud.map(|cloud| cloud.wait), Some(Duration::from_secs(3)));
+    assert!(settings.entry.is_some() && settings.core.is_none());
+}
+
+#[test]
+fn every_wrong_value_is_named_with_what_is_allowed() {
+    for (from, to, reason) in [
+        ("zone = north\n", "", "[instance] zone - it is missing"),
+        ("10.0.0.7:8221", "somewhere", "[entry] callers = `somewhere` - it must be an IP number"),
+        ("grace = 8s", "grace = 8", "[stop] grace = `8` - it must be a number with a unit"),
+        ("retry_ratio = 0.2", "retry_ratio = -1", "[upstreams] retry_ratio = `-1`"),
+        ("[stop]", "[stop]\nunknown = 1", "[stop] unknown - there is no such key"),
+    ] {
+        let problem = read(&ENTRY.replace(from, to)).expect_err(reason);
+        assert!(problem.contains(reason), "{problem} for {reason}");
+    }
+}
--- a/crates/verbenaslip-relay/src/forward/life.rs
+++ b/crates/verbenaslip-relay/src/forward/life.rs
@@ -18,8 +18,8 @@
 use crate::policy::place::{Ask, Choice, Ending, Verdict};
 use crate::steady;
 
-/// The latest that a caller comes back that met a full upstream; the next news of the fleet has come
-/// by then.
+/// When a caller may come back that met a full upstream. An upstream that is full is slower as well, so
+/// callers that come back sooner keep it full; the next news of the fleet has come by then.
 const BACK_SOON: Duration = Duration::from_millis(300);
 
 /// When a caller may come back that was refused for want of an upstream: half of the time in which
@@ -30,9 +30,6 @@
 /// would be refused again.
 const SPREAD: f64 = 0.25;
 
-/// The soonest that a caller comes back: about the time of one short piece of work.
-const BACK_AT_ONCE: Duration = Duration::from_millis(30);
-
 /// The most upstreams that are tried to be reached for one request; those that could not be reached
 /// have got nothing of it.
 const REACHES: usize = 4;
@@ -137,7 +134,7 @@
         let spent = course.arrivals >= job.route.attempts
             || !context.budget.borrow_mut().spend(&job.service, view.entries);
         if spent {
-            return Next::Refused(given_up(job, course));
+            return Next::Refused(given_up(course));
         }
     }
     let choice = match place(context, job, course, remaining) {
@@ -264,11 +261,7 @@
         }
         Failure::Unreached => {
             course.unreached += 1;
-            if course.unreached < REACHES {
-                Next::Again
-            } else {
-                Next::Refused(given_up(job, course))
-            }
+            if course.unreached < REACHES { Next::Again } else { Next::Refused(given_up(course)) }
         }
         Failure::Broken | Failure::Silent => {
             course.may_have_run = true;
@@ -283,20 +276,14 @@
 }
 
 /// Says what a caller gets whose request can't be tried again: that it has not run only if so.
-fn given_up(job: &Job<'_>, course: &Course) -> Refused {
+fn given_up(course: &Course) -> Refused {
     match (course.may_have_run, course.arrivals) {
         (true, _) => (Refusal::Failed, None),
         (false, 0) => (Refusal::NoUpstream, Some(BACK_WITH_UPSTREAMS)),
-        (false, _) => (Refusal::TurnedAway, Some(back_in_time(job))),
+        (false, _) => (Refusal::TurnedAway, Some(BACK_SOON)),
     }
 }
 
-/// Returns when a caller may come back that was turned away by an upstream that was full at that
-/// moment: soon enough that its answer may still be on time, and not all at once.
-fn back_in_time(job: &Job<'_>) -> Duration {
-    (job.route.objective / 3).clamp(BACK_AT_ONCE, BACK_SOON)
-}
-
 fn timed_out(course: &Course) -> Refused {
     if course.may_have_run { (Refusal::TimedOut, None) } else { (Refusal::Expired, None) }
 }
@@ -321,7 +308,7 @@
         Verdict::Go(choice) => Ok(choice),
         Verdict::Busy(_) if course.may_have_run => Err((Refusal::Failed, None)),
         Verdict::Busy(back) => Err((Refusal::Busy, Some(back))),
-        Verdict::Nowhere => Err(given_up(job, course)),
+        Verdict::Nowhere => Err(given_up(course)),
     }
 }
 
--- a/crates/verbenaslip-relay/src/policy/pace.rs
+++ b/crates/verbenaslip-relay/src/policy/pace.rs
@@ -84,20 +84,27 @@
 /// is learnt, and it must be tried again whether the queues have gone.
 const FADE: Duration = Duration::from_millis(1_200);
 
-/// The weight of a new sample of a lag.
+/// How long a lag holds before it fades: the time between two samples at an entry that sends little.
+const HOLD: Duration = Duration::from_millis(600);
+
+/// The weight of a new sample of a lag that comes close after the last one.
 const SAMPLE: f64 = 0.15;
 
 impl Lag {
     /// Returns the lag in milliseconds.
     pub fn at(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.at).as_secs_f64();
+        let age = now.saturating_sub(self.at + HOLD).as_secs_f64();
         self.millis * 0.5_f64.powf(age / FADE.as_secs_f64())
     }
 
     /// Takes by how much later than expected a first event came.
     pub fn learn(&mut self, now: Duration, over: f64) {
         let lag = self.at(now);
-        self.millis = lag + (over.max(0.0) - lag) * SAMPLE;
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        // Samples that come seldom weigh more, or an entry that sends little would never learn.
+        let old = 1.0 - 0.5_f64.powf(age / FADE.as_secs_f64());
+        let weight = SAMPLE + (1.0 - SAMPLE) * old;
+        self.millis = lag + (over.max(0.0) - lag) * weight;
         self.at = now;
     }
 }
--- a/crates/verbenaslip-relay/src/policy/place.rs
+++ b/crates/verbenaslip-relay/src/policy/place.rs
@@ -46,6 +46,17 @@
 /// The weight of the newest outcome in the share of failures.
 const OUTCOME: f64 = 0.08;
 
+/// How late answers of a plain service may come, as a part of the objective, before some of its
+/// requests are refused: answers vary, and half of the objective is hardly ever reached by chance.
+const SHED_FROM: f64 = 0.5;
+
+/// The part that is refused for each part of the objective beyond that: at twice the load half must
+/// be, and then answers should come in some three quarters of the objective.
+const SHED_BY: f64 = 2.0;
+
+/// The most that is refused; some must go through, or nothing would show that the load has gone.
+const SHED_MOST: f64 = 0.9;
+
 /// What reading may wait beyond the objective before a request is refused, as a multiple of it.
 /// Beyond it the answer would be of little worth to its caller and make the ones behind it late.
 const PATIENCE: f64 = 1.6;
@@ -172,6 +183,9 @@
     pub fn choose(&mut self, now: Duration, ask: &Ask<'_>) -> Verdict {
         let engine = !ask.parts.is_empty();
         self.turn = self.turn.wrapping_add(1);
+        if let Some(back) = self.sheds(now, ask) {
+            return Verdict::Busy(back);
+        }
         let home = self.home(ask);
         let best = self.best(now, ask, home.as_ref(), true);
         let Some(choice) = best.or_else(|| self.best(now, ask, home.as_ref(), false)) else {
@@ -227,6 +241,26 @@
         }
     }
 
+    /// Tells whether a request to a plain service is refused at once because the service has more to do
+    /// than it can, and when its caller may come back.
+    ///
+    /// When fewer upstreams are left than the load needs, all their queues are full: half of the
+    /// requests are turned away and the others are late. Refused here in the right part, the rest finds
+    /// short queues and is on time. The part follows from how late answers come beside what is wanted,
+    /// so it needs to know neither the load nor what the upstreams can do.
+    fn sheds(&self, now: Duration, ask: &Ask<'_>) -> Option<Duration> {
+        if !ask.parts.is_empty() || !ask.tried.is_empty() {
+            return None;
+        }
+        let (service, _) = self.by_service.get_key_value(ask.service)?;
+        let lag = self.lags.get(&(service.clone(), ask.rank)).map_or(0.0, |lag| lag.at(now));
+        let late = lag / (ask.objective.as_secs_f64() * 1_000.0).max(1.0);
+        let part = ((late - SHED_FROM) * SHED_BY).clamp(0.0, SHED_MOST);
+        let draw = f64::from(u32::try_from(hash::mix(self.turn) >> 32).unwrap_or(0));
+        let shed = draw < part * f64::from(u32::MAX);
+        shed.then(|| Duration::from_secs_f64(0.3 + part))
+    }
+
     fn take_records(&mut self, records: &Records) -> Vec<Upstream> {
         let gone: Vec<Upstream> =
             self.sites.keys().filter(|name| !records.contains_key(*name)).cloned().collect();
--- a/crates/verbenaslip-relay/tests/place.rs
+++ b/crates/verbenaslip-relay/tests/place.rs
@@ -219,3 +219,53 @@
     });
     assert!(backs.into_iter().all(|back| back >= Duration::from_millis(100)));
 }
+
+/// Plays a plain service that can do half of what is asked, and returns the share of its capacity that
+/// is answered within the objective.
+fn play_plain(entries: usize) -> f64 {
+    /// Milliseconds of one answer, six of which are worked on at once.
+    const WORK: f64 = 30.0;
+    const SLOTS: usize = 6;
+    const QUEUE: usize = 24;
+    const PER_SECOND: f64 = 400.0;
+    let view = many(1);
+    let mut placements: Vec<Placement> = (0..entries).map(|_| open(&view)).collect();
+    let mut free = [0.0_f64; SLOTS];
+    let mut due: Vec<Due> = Vec::new();
+    let mut rng = Pcg64::seed_from_u64(5);
+    let (mut now, mut on_time) = (0.0, 0);
+    let ask = Ask { objective: Duration::from_millis(120), ..ask(&[], &[]) };
+    while now < 30_000.0 {
+        now += -(1.0 - rng.random::<f64>()).ln() * 1_000.0 / PER_SECOND;
+        let time = |millis: f64| Duration::from_secs_f64(millis / 1_000.0);
+        due.sort_by(|one, other| one.0.total_cmp(&other.0));
+        while due.first().is_some_and(|(at, ..)| *at <= now) {
+            let (at, entry, choice, sent) = due.remove(0);
+            placements[entry].first(time(at), &choice, time(at - sent));
+            placements[entry].end(time(at), &choice, Ending::Whole, Some(time(at - sent)));
+        }
+        let entry = rng.random_range(0..entries);
+        let Verdict::Go(choice) = placements[entry].choose(time(now), &ask) else { continue };
+        if due.len() >= SLOTS + QUEUE {
+            placements[entry].end(time(now), &choice, Ending::Full, None);
+            continue;
+        }
+        free.sort_by(f64::total_cmp);
+        let done = free[0].max(now) + WORK;
+        free[0] = done;
+        on_time += u64::from(done - now <= 120.0);
+        due.push((done, entry, choice, now));
+    }
+    on_time as f64 / (30.0 * 1_000.0 / WORK * SLOTS as f64)
+}
+
+#[test]
+fn a_plain_service_with_twice_its_load_is_of_use_to_those_it_can_serve() {
+    // Symptom: hardly any answer is on time and half of the requests are turned away. Sequence: two
+    // of a service's three upstreams go; what is sent to the third fills its queue, which then takes
+    // longer than the objective. Cause: every request sent on for as long as the upstream has room.
+    for entries in [9, 63] {
+        let share = play_plain(entries);
+        assert!(share > 0.5, "{entries} entries: {share} of what it can do was on time");
+    }
+}
