Give each test and demo ports that nobody else is given

Symptom: one run of the whole test command failed: an instance of connections_to_an_upstream_go_silent could not listen, its address was in use. Cause: nine ports were drawn one after the other, each freed before the next was drawn, and bound later. Drawn so with nothing else running, 8 of 5,000 sets of nine hold one port twice; besides, an outgoing connection of a test beside it may be given the port. Which of the two it was in that run can't be told afterwards. Now ports come from below those that the system gives out by itself, and each once in a process.

--- a/crates/verbenaslip-lab/src/demo/layout.rs
+++ b/crates/verbenaslip-lab/src/demo/layout.rs
@@ -2,12 +2,13 @@
 
 use std::fs::{self, OpenOptions};
 use std::io::{self, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use super::back_end::ZONES;
+use crate::port;
 
 /// The key of the team that calls.
 pub const TEAM_KEY: &str = "demo-key-of-the-charterers";
@@ -82,19 +83,11 @@
     }
 }
 
-/// Finds free ports: all are held at once so that none comes twice.
+/// Finds free ports.
 fn ports(instances: usize) -> io::Result<Vec<Ports>> {
-    let bind = || TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
-    let mut held = Vec::new();
-    for _ in 0..instances {
-        held.push([bind()?, bind()?, bind()?]);
-    }
-    let ports = held.iter().map(|[callers, admin, peers]| {
-        Ok(Ports {
-            callers: callers.local_addr()?,
-            admin: admin.local_addr()?,
-            peers: peers.local_addr()?,
-        })
-    });
-    ports.collect()
+    let find = |_| {
+        let (callers, admin, peers) = (port::free()?, port::free()?, port::free()?);
+        Ok(Ports { callers, admin, peers })
+    };
+    (0..instances).map(find).collect()
 }
--- a/crates/verbenaslip-lab/src/lib.rs
+++ b/crates/verbenaslip-lab/src/lib.rs
@@ -5,8 +5,8 @@
 //! [`weights`] the weight store. Each runs on a thread of its own, takes faults while it runs and
 //! tells what it really did. [`load`] calls verbenaslip as many callers would and compares every
 //! answer with the expected text, and with the back ends' truth. [`contract`] holds the cases
-//! that each interface must meet. [`demo`] shows all of it at
-//! work, and [`command`] is the command line.
+//! that each interface must meet. [`demo`] shows all of it at work, [`port`] names ports for it,
+//! and [`command`] is the command line.
 
 pub mod cloud;
 pub mod command;
@@ -14,6 +14,7 @@
 pub mod demo;
 pub mod engine;
 pub mod load;
+pub mod port;
 pub mod service;
 pub mod text;
 pub mod weights;
--- a/crates/verbenaslip/tests/server.rs
+++ b/crates/verbenaslip/tests/server.rs
@@ -1,7 +1,7 @@
 //! One whole instance by its settings.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -12,6 +12,7 @@
 use verbenaslip::server::{Ended, Error};
 use verbenaslip::settings::Settings;
 use verbenaslip::settings::value::{Size, Voter};
+use verbenaslip_lab::port;
 use verbenaslip_lab::service::{self, Service};
 use verbenaslip_request::setup::Journal;
 
@@ -73,13 +74,7 @@
 }
 
 fn free() -> SocketAddr {
-    loop {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        if UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
+    port::free().expect("a free port")
 }
 
 /// Starts a service and waits until the instance knows it.
--- a/crates/verbenaslip/tests/thread_lost.rs
+++ b/crates/verbenaslip/tests/thread_lost.rs
@@ -1,7 +1,6 @@
 //! The loss of the control thread, brought about by a log that panics; alone in its process,
 //! because all threads share the log.
 
-use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 
@@ -11,6 +10,7 @@
 use verbenaslip::keys::ring::Ring;
 use verbenaslip::server::Ended;
 use verbenaslip::settings::Settings;
+use verbenaslip_lab::port;
 
 /// Holds the lines logged so far.
 static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
@@ -34,13 +34,7 @@
 }
 
 fn settings() -> Settings {
-    let free = || loop {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address: SocketAddr = listener.local_addr().expect("an address");
-        if UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    };
+    let free = || port::free().expect("a free port");
     let mut settings = Settings::default();
     settings.instance.callers = free();
     settings.instance.admin = free();
--- a/crates/verbenaslip/tests/whole/cluster.rs
+++ b/crates/verbenaslip/tests/whole/cluster.rs
@@ -1,7 +1,7 @@
 //! A small deployment over loopback: instances, engines and a plain service.
 
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -16,6 +16,7 @@
 use verbenaslip_lab::load::plan::{Plan, Work};
 use verbenaslip_lab::load::verdict::Verdict;
 use verbenaslip_lab::load::{self, report::Report};
+use verbenaslip_lab::port;
 use verbenaslip_lab::service::{self, Service};
 
 pub const ZONES: [&str; 3] = ["arendal", "skarvik", "torshamn"];
@@ -235,11 +236,5 @@
 
 /// Returns a loopback address whose port is free for both protocols.
 fn free() -> SocketAddr {
-    loop {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        if UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
+    port::free().expect("a free port")
 }
