Say once what was written again, and do once what was done for each

Behaviour stays as it is, but for the pause of the metrics address when there is no descriptor (100 ms became the 20 ms of all others). The layout of an upstream's record between instances is a field shorter; instances of this version and older ones can't run side by side.

Written again: the agreed time from steady clock and offset (three times), the accept loop with its pause (five), the time limit of a read (twice), the address without a port (four), finding and restarting a waiting call. Dead: the number of an upstream's record and its counter, the mark of a core that stops, three unused accessors, a second check of the term, a Result that was always Ok. Done for each and now once: for one push to all instances the median of all clocks and the look for urgent calls; for one placement the tokens of the shared parts, and the names of the chosen upstream instead of those of all. Counts of a window are summed only when it is settled.

No assertion has changed; one test no longer fills in the field that is gone.

--- a/crates/verbenaslip-fleet/src/clock.rs
+++ b/crates/verbenaslip-fleet/src/clock.rs
@@ -34,10 +34,15 @@
 
     /// Returns the time of day in Unix milliseconds.
     pub fn unix(&self, now: Duration) -> u64 {
-        u64::try_from(millis(now).saturating_add(self.offset)).unwrap_or(0)
+        at(now, self.offset)
     }
 }
 
+/// Returns the time of day, in Unix milliseconds, from a steady clock and its offset.
+pub fn at(now: Duration, offset: i64) -> u64 {
+    u64::try_from(millis(now).saturating_add(offset)).unwrap_or(0)
+}
+
 /// Returns the median of what several clocks show, each as an offset to the same steady clock.
 pub fn median(mut offsets: Vec<i64>) -> Option<i64> {
     offsets.sort_unstable();
--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -24,7 +24,6 @@
 use crate::link::{Link, Report};
 use crate::plan::{Census, Planner};
 use crate::registry::Registry;
-use crate::view::View;
 
 /// The largest command: a route table of the largest body that an operator may send, with the
 /// document itself beside it.
@@ -186,7 +185,6 @@
     pub(crate) noting: BTreeMap<Arc<str>, Census>,
     pub(crate) absent: BTreeMap<Instance, Duration>,
     pub(crate) out: Vec<Output>,
-    stopping: bool,
     sweep: Duration,
     /// When changes may be pushed next.
     pub(crate) push: Duration,
@@ -238,7 +236,6 @@
             noting: BTreeMap::new(),
             absent: BTreeMap::new(),
             out: Vec::new(),
-            stopping: false,
             sweep: now,
             push: now,
         }
@@ -266,16 +263,6 @@
         self.replica.wake().min(link).min(calls)
     }
 
-    /// Returns what this core knows of the fleet.
-    pub fn view(&self) -> &View {
-        self.link.view()
-    }
-
-    /// Returns what the log holds.
-    pub fn ledger(&self) -> &Ledger {
-        &self.ledger
-    }
-
     /// Returns the log's replica, for its status.
     pub fn replica(&self) -> &Replica {
         &self.replica
@@ -303,10 +290,7 @@
             Input::Stored(mark) => self.step_log(replica::Input::Stored { mark }),
             Input::Ordered { id, outcome } => self.ordered(id, outcome),
             Input::Seeds(seeds) => self.link.reseed(seeds),
-            Input::Stop => {
-                self.stopping = true;
-                self.step_log(replica::Input::Transfer);
-            }
+            Input::Stop => self.step_log(replica::Input::Transfer),
         }
     }
 
@@ -363,9 +347,7 @@
     /// Returns the agreed time of day.
     pub(crate) fn agreed(&self) -> u64 {
         let own = clock::offset(self.now, self.unix);
-        let offset = self.hub.offset(self.now, own);
-        let now = i64::try_from(self.now.as_millis()).unwrap_or(i64::MAX);
-        u64::try_from(now.saturating_add(offset)).unwrap_or(0)
+        clock::at(self.now, self.hub.offset(self.now, own))
     }
 }
 
--- a/crates/verbenaslip-fleet/src/core/call.rs
+++ b/crates/verbenaslip-fleet/src/core/call.rs
@@ -68,39 +68,25 @@
 
     /// Takes the leader's answer to a call that was passed on.
     pub(crate) fn told(&mut self, token: u64, told: Told) {
-        let passed = |waiting: &Waiting| matches!(waiting.stage, Stage::Passed { token: it, .. } if it == token);
-        let Some(key) = self.waiting.iter().find(|(_, it)| passed(it)).map(|(key, _)| *key) else {
-            return;
-        };
-        if matches!(told, Told::Unsure) {
-            if let Some(waiting) = self.waiting.get_mut(&key) {
-                waiting.stage = Stage::Leader;
-            }
-            return;
-        }
-        if let Some(waiting) = self.waiting.remove(&key) {
-            self.answer(waiting.asker, told);
+        let passed = |stage: Stage| matches!(stage, Stage::Passed { token: it, .. } if it == token);
+        let Some(key) = self.find(passed) else { return };
+        match told {
+            Told::Unsure => self.set_stage(key, Stage::Leader),
+            told => self.conclude(key, told),
         }
     }
 
     /// Takes the log's answer to a route table.
     pub(crate) fn adopted(&mut self, token: u64, committed: bool) {
-        let proposed = |waiting: &Waiting| waiting.stage == Stage::Committed { token };
-        let Some(key) = self.waiting.iter().find(|(_, it)| proposed(it)).map(|(key, _)| *key)
-        else {
-            return;
-        };
-        if !committed {
+        let proposed = |stage: Stage| stage == Stage::Committed { token };
+        let Some(key) = self.find(proposed) else { return };
+        if committed {
+            let revision = self.ledger.revision();
+            self.conclude(key, Told::Adopted { revision });
+        } else {
             // Whether it is committed is not known; given again it changes nothing that it has not
             // changed already.
-            if let Some(waiting) = self.waiting.get_mut(&key) {
-                waiting.stage = Stage::Leader;
-            }
-            return;
-        }
-        if let Some(waiting) = self.waiting.remove(&key) {
-            let revision = self.ledger.revision();
-            self.answer(waiting.asker, Told::Adopted { revision });
+            self.set_stage(key, Stage::Leader);
         }
     }
 
@@ -130,8 +116,7 @@
             return self.give_up(key);
         }
         match waiting.stage {
-            Stage::Leader if self.leads() => self.serve(key),
-            Stage::Leader => self.pass(key),
+            Stage::Leader => self.go_on(key),
             Stage::Passed { again, .. } if self.leads() || again <= self.now => {
                 self.restart(key);
             }
@@ -148,8 +133,11 @@
     }
 
     fn restart(&mut self, key: u64) {
-        let Some(waiting) = self.waiting.get_mut(&key) else { return };
-        waiting.stage = Stage::Leader;
+        self.set_stage(key, Stage::Leader);
+        self.go_on(key);
+    }
+
+    fn go_on(&mut self, key: u64) {
         if self.leads() {
             self.serve(key);
         } else {
@@ -224,6 +212,10 @@
         self.send(leader, Frame::Ask { from: own, token, ask });
     }
 
+    fn find(&self, at: impl Fn(Stage) -> bool) -> Option<u64> {
+        self.waiting.iter().find(|(_, it)| at(it.stage)).map(|(key, _)| *key)
+    }
+
     fn set_stage(&mut self, key: u64, stage: Stage) {
         if let Some(waiting) = self.waiting.get_mut(&key) {
             waiting.stage = stage;
--- a/crates/verbenaslip-fleet/src/core/lead.rs
+++ b/crates/verbenaslip-fleet/src/core/lead.rs
@@ -14,7 +14,7 @@
 use crate::hub::{Hub, Source};
 use crate::ledger::{Command, Window};
 use crate::plan::{self, Planner};
-use crate::registry::{Registry, Standing};
+use crate::registry::Standing;
 use crate::usage::window_end;
 use crate::view::Stamp;
 
@@ -93,13 +93,15 @@
         };
         self.hub.take(self.now, reign.term, beat);
         self.advance_calls();
-        self.tell(to, true);
+        self.tell(&[to], true);
     }
 
     /// Takes the word of an instance that it has what somebody waits for.
     pub(crate) fn seen(&mut self, address: SocketAddr, stamp: Stamp) {
-        let Some(reign) = self.reign.filter(|reign| reign.term == stamp.term) else { return };
-        self.hub.seen(self.now, reign.term, address, stamp);
+        if self.reign.is_none_or(|reign| reign.term != stamp.term) {
+            return;
+        }
+        self.hub.seen(self.now, address, stamp.change);
         self.advance_calls();
     }
 
@@ -117,9 +119,7 @@
             return;
         }
         self.push = self.now + PUSH;
-        for to in behind {
-            self.tell(to, false);
-        }
+        self.tell(&behind, false);
     }
 
     /// Has what has changed told soon.
@@ -147,21 +147,24 @@
         self.order();
     }
 
-    fn tell(&mut self, to: SocketAddr, answers: bool) {
+    /// Tells instances what they lack, in answer to their reports or between them.
+    fn tell(&mut self, to: &[SocketAddr], answers: bool) {
         let Some(reign) = self.reign else { return };
-        let cores = if answers { self.cores() } else { Vec::new() };
+        let cores = answers.then(|| self.cores());
         let unix = self.agreed();
         let urgent = self.spreads();
-        let source = Source {
-            from: self.link.own().address,
-            term: reign.term,
-            registry: &self.registry,
-            ledger: &self.ledger,
-            cores: answers.then_some(cores),
-            unix,
-        };
-        if let Some(news) = self.hub.news(self.now, to, source, urgent) {
-            self.send(to, Frame::News(Box::new(news)));
+        for to in to {
+            let source = Source {
+                from: self.link.own().address,
+                term: reign.term,
+                registry: &self.registry,
+                ledger: &self.ledger,
+                cores: cores.clone(),
+                unix,
+            };
+            if let Some(news) = self.hub.news(self.now, *to, source, urgent) {
+                self.send(*to, Frame::News(Box::new(news)));
+            }
         }
     }
 
@@ -248,8 +251,11 @@
             let complete = unix >= end.saturating_add(COUNT_SLACK)
                 && self.hub.counted(self.now, end.saturating_add(COUNT_SLACK));
             let settled = complete || unix >= end.saturating_add(settle);
+            if !settled {
+                continue;
+            }
             let counts = self.hub.sum(number);
-            if !settled || counts.is_empty() || !self.closing.insert(number) {
+            if counts.is_empty() || !self.closing.insert(number) {
                 continue;
             }
             let requests = counts.values().sum();
@@ -318,13 +324,3 @@
         self.propose(&Command::Base { service: service.clone(), upstreams });
     }
 }
-
-impl Registry {
-    /// Returns the upstream records by service, for the plan of capacity.
-    pub fn of_service<'a>(
-        &'a self,
-        service: &'a str,
-    ) -> impl Iterator<Item = &'a crate::registry::Record> {
-        self.records().filter(move |record| &*record.announcement.service == service)
-    }
-}
--- a/crates/verbenaslip-fleet/src/hub.rs
+++ b/crates/verbenaslip-fleet/src/hub.rs
@@ -130,22 +130,18 @@
         }
     }
 
-    /// Takes the word of an instance that it has taken a change.
-    pub fn seen(&mut self, now: Duration, term: u64, address: SocketAddr, stamp: Stamp) {
+    /// Takes the word of an instance that it has taken a change of this term.
+    pub fn seen(&mut self, now: Duration, address: SocketAddr, change: u64) {
         let Some(subscriber) = self.subscribers.get_mut(&address) else { return };
-        if stamp.term == term {
-            subscriber.heard = now;
-            subscriber.seen = subscriber.seen.max(stamp.change);
-        }
+        subscriber.heard = now;
+        subscriber.seen = subscriber.seen.max(change);
     }
 
     /// Makes the sums anew, and lets the teams' limits fill up.
     pub fn refresh(&mut self, now: Duration, ledger: &Ledger) {
         let entries: Vec<&Subscriber> = self.entries(now).collect();
-        let heard = entries.iter().filter(|it| it.is_heard(now, SHARE_REUSE));
-        let mut totals = Totals { entries: entries.len(), ..Totals::default() };
-        totals.silent = entries.len() - heard.clone().count();
-        self.totals = totals;
+        let heard = entries.iter().filter(|it| it.is_heard(now, SHARE_REUSE)).count();
+        self.totals = Totals { entries: entries.len(), silent: entries.len() - heard };
         let Some(edition) = ledger.edition() else { return };
         // An entry that is cut off may still spend an equal part of each limit.
         let entries = as_f64(self.totals.entries.max(1));
--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -94,11 +94,6 @@
         &self.own
     }
 
-    /// Returns the agreed time of day.
-    pub fn unix(&self, now: Duration) -> u64 {
-        self.clock.unix(now)
-    }
-
     pub(crate) fn clock_mut(&mut self) -> &mut Clock {
         &mut self.clock
     }
--- a/crates/verbenaslip-fleet/src/registry.rs
+++ b/crates/verbenaslip-fleet/src/registry.rs
@@ -62,8 +62,6 @@
 /// Holds one upstream as all instances see it.
 #[data]
 pub struct Record {
-    /// A number that names it in short.
-    pub number: u32,
     /// What it last announced.
     pub announcement: Announcement,
     /// Whether it may get work.
@@ -75,7 +73,6 @@
 pub struct Registry {
     beat: Duration,
     records: BTreeMap<Upstream, Held>,
-    next: u32,
     stamp: u64,
     purged: u64,
 }
@@ -101,7 +98,7 @@
 impl Registry {
     /// Starts empty; upstreams announce themselves once per `beat`.
     pub fn open(beat: Duration) -> Self {
-        Self { beat, records: BTreeMap::new(), next: 1, stamp: 0, purged: 0 }
+        Self { beat, records: BTreeMap::new(), stamp: 0, purged: 0 }
     }
 
     /// Starts from what an earlier leader had told.
@@ -110,7 +107,6 @@
         self.stamp += 1;
         self.purged = self.stamp;
         for record in records {
-            self.next = self.next.max(record.number + 1);
             let held = Held { stamp: self.stamp, heard: now, record };
             self.records.insert(held.record.announcement.upstream.clone(), held);
         }
@@ -126,6 +122,11 @@
         self.records.values().map(|held| &held.record)
     }
 
+    /// Goes through the upstreams of a service.
+    pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Record> {
+        self.records().filter(move |record| &*record.announcement.service == service)
+    }
+
     /// Returns what changed after a stamp; none when it is so old that everything must be told.
     pub fn since(&self, stamp: u64) -> Option<Vec<Record>> {
         if stamp < self.purged {
@@ -223,8 +224,7 @@
         }
         self.stamp += 1;
         let standing = standing(&announcement, Standing::Ready);
-        let record = Record { number: self.next, standing, announcement };
-        self.next += 1;
+        let record = Record { announcement, standing };
         let held = Held { stamp: self.stamp, heard: now, record };
         self.records.insert(held.record.announcement.upstream.clone(), held);
         if standing == Standing::Leaving { Change::Leaving } else { Change::News }
--- a/crates/verbenaslip-instance/src/core.rs
+++ b/crates/verbenaslip-instance/src/core.rs
@@ -154,13 +154,7 @@
             return Ok(());
         }
         let woken = inbox.next(running.wait(), &mut signals).await;
-        if let Woken::Signal(Signal::Reload) = woken {
-            if let Some(settings) = reload() {
-                running.step(Input::Seeds(settings.seeds));
-            }
-            continue;
-        }
-        running.take(woken)?;
+        running.take(woken, &reload);
     }
 }
 
@@ -224,7 +218,7 @@
         Ok(())
     }
 
-    fn take(&mut self, woken: Woken) -> Result<(), Error> {
+    fn take(&mut self, woken: Woken, reload: &impl Fn() -> Option<Settings>) {
         match woken {
             Woken::Frame(frame) => self.step(Input::Frame(Box::new(frame))),
             Woken::Call(Call { id, ask }) => {
@@ -241,10 +235,13 @@
                 self.stop = Some(steady::now() + HAND_OVER);
                 self.step(Input::Stop);
             }
-            Woken::Signal(Signal::Reload) => {}
+            Woken::Signal(Signal::Reload) => {
+                if let Some(settings) = reload() {
+                    self.step(Input::Seeds(settings.seeds));
+                }
+            }
             Woken::Tick => self.tick(),
         }
-        Ok(())
     }
 
     /// Goes on without a disk until it can be opened again.
--- a/crates/verbenaslip-instance/src/face.rs
+++ b/crates/verbenaslip-instance/src/face.rs
@@ -100,10 +100,7 @@
 
 async fn accept(listener: TcpListener, shared: Rc<Shared>) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
+        let stream = socket::accept(&listener).await;
         tokio::task::spawn_local(serve(stream, shared.clone()));
     }
 }
--- a/crates/verbenaslip-instance/src/links.rs
+++ b/crates/verbenaslip-instance/src/links.rs
@@ -176,11 +176,7 @@
 
 async fn accept(listener: TcpListener, shared: Rc<Shared>) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            // Out of descriptors: some are free again in a moment.
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
+        let stream = socket::accept(&listener).await;
         tokio::task::spawn_local(welcome(stream, shared.clone()));
     }
 }
--- a/crates/verbenaslip-instance/src/metric.rs
+++ b/crates/verbenaslip-instance/src/metric.rs
@@ -33,12 +33,8 @@
     let listener = socket::listen(address).map_err(|error| format!("{address}: {error}"))?;
     tokio::task::spawn_local(async move {
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::task::spawn_local(serve(stream, handle.clone()));
-                }
-                Err(_) => tokio::time::sleep(UPKEEP / 50).await,
-            }
+            let stream = socket::accept(&listener).await;
+            tokio::task::spawn_local(serve(stream, handle.clone()));
         }
     });
     Ok(())
--- a/crates/verbenaslip-instance/src/settings.rs
+++ b/crates/verbenaslip-instance/src/settings.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use verbenaslip::settings::reader::{Place, Reader};
+use verbenaslip::settings::section::ANY;
 use verbenaslip::settings::value::Value;
 use verbenaslip::settings::{self, Collected, Invalid};
 use verbenaslip_base::name::{AvailabilityZone, Instance as Name};
@@ -151,8 +152,7 @@
     }
 
     fn take(reader: &mut Reader<'_>) -> Self {
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let mut peers = any;
+        let mut peers = ANY;
         let (mut name, mut zone) = (Name::new("instance"), AvailabilityZone::new("zone"));
         reader.need(Place("instance", "name"), &mut name);
         reader.need(Place("instance", "zone"), &mut zone);
@@ -160,7 +160,7 @@
         let mut seeds: Vec<SocketAddr> = Vec::new();
         reader.list(Place("instance", "seeds"), &mut seeds);
         seeds.iter_mut().for_each(|seed| seed.set_port(peers.port()));
-        let mut metrics = any;
+        let mut metrics = ANY;
         let served = reader.optional("metrics", |reader| {
             reader.need(Place("metrics", "address"), &mut metrics);
         });
@@ -183,8 +183,7 @@
 
 impl Entry {
     fn take(reader: &mut Reader<'_>) -> Self {
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let mut entry = Self { callers: any, ready: any, connections: 3_000 };
+        let mut entry = Self { callers: ANY, ready: ANY, connections: 3_000 };
         reader.need(Place("entry", "callers"), &mut entry.callers);
         reader.need(Place("entry", "ready"), &mut entry.ready);
         reader.take(Place("entry", "connections"), &mut entry.connections);
@@ -194,8 +193,7 @@
 
 impl Core {
     fn take(reader: &mut Reader<'_>) -> Self {
-        let control = SocketAddr::from(([127, 0, 0, 1], 0));
-        let mut core = Self { control, folder: PathBuf::new(), found: false, losses: 1 };
+        let mut core = Self { control: ANY, folder: PathBuf::new(), found: false, losses: 1 };
         reader.need(Place("core", "control"), &mut core.control);
         let mut folder = None;
         reader.need_path(Place("core", "folder"), &mut folder);
@@ -239,7 +237,7 @@
 
 impl Cloud {
     fn take(reader: &mut Reader<'_>) -> Self {
-        let mut address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut address = ANY;
         let mut wait = Span(Duration::from_secs(3));
         reader.need(Place("cloud", "address"), &mut address);
         reader.take(Place("cloud", "wait"), &mut wait);
--- a/crates/verbenaslip-relay/src/forward/life.rs
+++ b/crates/verbenaslip-relay/src/forward/life.rs
@@ -4,6 +4,7 @@
 
 use tokio::time::Instant;
 use verbenaslip_base::name::Upstream;
+use verbenaslip_fleet::clock;
 use verbenaslip_fleet::sheet::Kind;
 use verbenaslip_fleet::view::View;
 
@@ -325,9 +326,8 @@
         return;
     }
     let Some(team) = job.team else { return };
-    let now = i64::try_from(steady::now().as_millis()).unwrap_or(i64::MAX);
-    let unix = now.saturating_add(context.board.view().time);
-    context.board.began(&team.name, u64::try_from(unix).unwrap_or(0), context.window);
+    let unix = clock::at(steady::now(), context.board.view().time);
+    context.board.began(&team.name, unix, context.window);
 }
 
 async fn refuse(
--- a/crates/verbenaslip-relay/src/http/reader.rs
+++ b/crates/verbenaslip-relay/src/http/reader.rs
@@ -107,6 +107,7 @@
     false
 }
 
-async fn within<T>(limit: Duration, future: impl Future<Output = T>) -> Option<T> {
+/// Waits for an outcome up to a time.
+pub(crate) async fn within<T>(limit: Duration, future: impl Future<Output = T>) -> Option<T> {
     tokio::time::timeout(limit, future).await.ok()
 }
--- a/crates/verbenaslip-relay/src/policy/place.rs
+++ b/crates/verbenaslip-relay/src/policy/place.rs
@@ -8,7 +8,7 @@
 use verbenaslip_base::hash;
 use verbenaslip_base::name::{AvailabilityZone, Upstream};
 use verbenaslip_fleet::View;
-use verbenaslip_fleet::registry::{Record, Standing};
+use verbenaslip_fleet::registry::{Announcement, Record, Standing};
 
 use crate::dialect::Part;
 use crate::policy::cache::Cache;
@@ -122,14 +122,25 @@
     pub reading: u64,
     /// The expected milliseconds to the first event.
     pub expected: f64,
-    /// What it costs all requests together, in milliseconds.
-    cost: f64,
     /// Whether nothing else was under way there.
     pub idle: bool,
     /// The request's service and rank.
     lane: Lane,
 }
 
+/// Holds what a request would take at an upstream.
+#[derive(Clone, Copy, Debug)]
+struct Estimate {
+    /// Tokens of the prompt that are still to be read there.
+    reading: u64,
+    /// The expected milliseconds to the first event.
+    expected: f64,
+    /// What it costs all requests together, in milliseconds.
+    cost: f64,
+    /// Whether nothing else is under way there.
+    idle: bool,
+}
+
 /// Says what becomes of a request.
 #[derive(Clone, Debug)]
 pub enum Verdict {
@@ -287,38 +298,48 @@
         strict: bool,
     ) -> Option<Choice> {
         let names = self.by_service.get(ask.service)?;
-        let mut best: Option<Choice> = None;
+        let shared: u64 = shared(ask.parts).iter().map(|part| u64::from(part.tokens)).sum();
+        let mut best: Option<(&Site, Estimate)> = None;
         let mut equals = 1;
         for name in names {
             let Some(site) = self.sites.get(name) else { continue };
             if !site.takes(now, strict) || ask.tried.contains(name) {
                 continue;
             }
-            let choice = self.weigh(now, ask, name, site, home == Some(name));
-            let gain = best.as_ref().map_or(f64::MAX, |best| best.cost - choice.cost);
+            let likely = if home == Some(name) { scale(shared, SHARED) } else { 0 };
+            let estimate = self.weigh(now, ask, site, shared, likely);
+            let gain = best.map_or(f64::MAX, |(_, best)| best.cost - estimate.cost);
             equals = if gain.abs() < EQUAL { equals + 1 } else { 1 };
             // Of equals each is as likely; always the first would get all that comes at once.
             let drawn = hash::mix(self.turn ^ site.mark).is_multiple_of(equals);
             if gain >= EQUAL || (gain > -EQUAL && drawn) {
-                best = Some(choice);
+                best = Some((site, estimate));
             }
         }
-        best
+        let (site, Estimate { reading, expected, idle, .. }) = best?;
+        let Announcement { upstream, address, service, .. } = &site.record.announcement;
+        let lane = (service.clone(), ask.rank);
+        Some(Choice {
+            upstream: upstream.clone(),
+            address: *address,
+            reading,
+            expected,
+            idle,
+            lane,
+        })
     }
 
-    /// Works out when the first event would come from an upstream.
+    /// Works out when the first event would come from an upstream, of a prompt with so many tokens
+    /// that others share, so many of which it is likely to have read for other entries.
     fn weigh(
         &self,
         now: Duration,
         ask: &Ask<'_>,
-        name: &Upstream,
         site: &Site,
-        home: bool,
-    ) -> Choice {
-        let known = site.cache.held(now, ask.parts);
-        let shared: u64 = shared(ask.parts).iter().map(|part| u64::from(part.tokens)).sum();
-        let likely = if home { scale(shared, SHARED) } else { 0 };
-        let held = known.max(likely);
+        shared: u64,
+        likely: u64,
+    ) -> Estimate {
+        let held = site.cache.held(now, ask.parts).max(likely);
         let reading = ask.prompt.saturating_sub(held);
         let again = shared.saturating_sub(held);
         let requests = site.requests;
@@ -337,14 +358,11 @@
         } else if ask.parts.is_empty() {
             expected += 10.0 * f64::from(requests) / f64::from(slots);
         }
-        Choice {
-            upstream: name.clone(),
-            address: site.record.announcement.address,
+        Estimate {
             reading,
             expected,
             cost: expected + site.pace.reading(again) * AGAIN,
             idle: waiting == 0,
-            lane: (site.record.announcement.service.clone(), ask.rank),
         }
     }
 
--- a/crates/verbenaslip-relay/src/server.rs
+++ b/crates/verbenaslip-relay/src/server.rs
@@ -1,7 +1,6 @@
 //! Accepts callers, and drains before a stop.
 
 use std::cell::Cell;
-use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -88,11 +87,7 @@
     tokio::task::spawn_local(sweep(context.clone()));
     let open = Rc::new(Cell::new(0_usize));
     loop {
-        let Ok((stream, _)) = callers.accept().await else {
-            // Out of descriptors: some are free again in a moment.
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
+        let stream = socket::accept(&callers).await;
         if open.get() >= connections {
             drop(stream);
             continue;
@@ -158,10 +153,6 @@
     view.routes.as_ref().map(|routes| routes.sheet().limits).unwrap_or_default()
 }
 
-async fn within<T>(limit: Duration, future: impl Future<Output = T>) -> Option<T> {
-    tokio::time::timeout(limit, future).await.ok()
-}
-
 /// Reads on for a moment after a refusal; closed with unread bytes the connection would be reset,
 /// and the caller could miss its answer.
 async fn linger(caller: &mut Wire) {
@@ -178,10 +169,7 @@
 /// Tells the balancer whether new callers may come.
 async fn answer_probes(listener: TcpListener, board: Arc<Board>) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
+        let stream = socket::accept(&listener).await;
         tokio::task::spawn_local(probe(stream, board.clone()));
     }
 }
@@ -197,7 +185,7 @@
                 return;
             }
         }
-        let filled = within(Duration::from_secs(10), wire.fill()).await;
+        let filled = reader::within(Duration::from_secs(10), wire.fill()).await;
         if !matches!(filled, Some(Ok(count)) if count > 0) || wire.bytes.len() > 8 << 10 {
             return;
         }
--- a/crates/verbenaslip-relay/src/socket.rs
+++ b/crates/verbenaslip-relay/src/socket.rs
@@ -21,6 +21,10 @@
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
+/// Between two tries to accept a connection when there is no descriptor for it: other connections
+/// end all the time.
+const FULL: Duration = Duration::from_millis(20);
+
 /// Connects within a time.
 ///
 /// # Errors
@@ -45,6 +49,19 @@
     socket.listen(BACKLOG)
 }
 
+/// Accepts the next connection.
+///
+/// Out of descriptors it fails until some are free again; tried again without a pause it would take
+/// all of the thread's time.
+pub async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(_) => tokio::time::sleep(FULL).await,
+        }
+    }
+}
+
 /// Sets the options of a connection.
 ///
 /// # Errors
--- a/crates/verbenaslip-relay/tests/place.rs
+++ b/crates/verbenaslip-relay/tests/place.rs
@@ -26,7 +26,7 @@
         leaves: None,
         sequence: 1,
     };
-    Record { number, announcement, standing }
+    Record { announcement, standing }
 }
 
 fn view(records: impl IntoIterator<Item = Record>) -> View {
--- a/crates/verbenaslip/src/settings/section.rs
+++ b/crates/verbenaslip/src/settings/section.rs
@@ -14,7 +14,7 @@
 use super::value::{Format, Size, Voter};
 
 /// A free loopback port.
-const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+pub const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
 /// Shortens a duration in milliseconds.
 const fn ms(milliseconds: u64) -> Duration {
