Rank a request by its team's priority, then by its route's

Cause: a request's rank was its team's priority alone, so drafts and checks of one team shared a lane.

--- a/crates/verbenaslip-fleet/src/index.rs
+++ b/crates/verbenaslip-fleet/src/index.rs
@@ -1,6 +1,6 @@
 //! Finds the route of a request and the team of a key.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use crate::sheet::{Route, Sheet, TeamRow};
@@ -8,12 +8,19 @@
 /// Holds the place of each route of a host by its prefix.
 type Prefixes = HashMap<Arc<str>, usize>;
 
+/// Orders requests: first by their team's priority, then by their route's.
+type Urgency = (u8, u8);
+
+/// The ranks that upstreams know.
+const RANKS: usize = 10;
+
 /// Holds a route table ready for lookups.
 #[derive(Debug)]
 pub struct Index {
     sheet: Arc<Sheet>,
     hosts: HashMap<String, Prefixes>,
     keys: HashMap<Arc<str>, usize>,
+    urgencies: Vec<Urgency>,
 }
 
 impl Index {
@@ -28,7 +35,8 @@
         for (place, team) in sheet.teams.iter().enumerate() {
             keys.extend(team.keys.iter().map(|key| (key.clone(), place)));
         }
-        Self { sheet, hosts, keys }
+        let urgencies = urgencies(&sheet);
+        Self { sheet, hosts, keys, urgencies }
     }
 
     /// Returns the table.
@@ -49,8 +57,35 @@
         candidates.next().and_then(|place| self.sheet.routes.get(*place))
     }
 
+    /// Returns the rank of a request of a team on a route; zero is the most urgent.
+    ///
+    /// A team's priority goes before a route's. Taken alone, it would leave the routes of one team
+    /// without any order: where upstreams are too few, the requests with the longest objective would
+    /// fill the queues in which the most urgent ones are too late.
+    pub fn rank(&self, route: &Route, team: Option<&TeamRow>) -> u8 {
+        let urgency = urgency(route.priority, team.and_then(|team| team.priority));
+        let place = self.urgencies.partition_point(|it| *it < urgency);
+        let levels = self.urgencies.len();
+        let rank = if levels > RANKS { place * RANKS / levels } else { place };
+        u8::try_from(rank.min(RANKS - 1)).unwrap_or(u8::MAX)
+    }
+
     /// Returns the team that a key belongs to.
     pub fn team(&self, key: &str) -> Option<&TeamRow> {
         self.keys.get(key).and_then(|place| self.sheet.teams.get(*place))
     }
 }
+
+/// Returns the urgency of a request; a team without a priority leaves it to the route's.
+fn urgency(route: u8, team: Option<u8>) -> Urgency {
+    (team.unwrap_or(route), route)
+}
+
+/// Lists the urgencies that requests may have, in order.
+fn urgencies(sheet: &Sheet) -> Vec<Urgency> {
+    let routes: BTreeSet<u8> = sheet.routes.iter().map(|route| route.priority).collect();
+    let mut teams: BTreeSet<Option<u8>> = sheet.teams.iter().map(|team| team.priority).collect();
+    teams.insert(None);
+    let all = routes.iter().flat_map(|route| teams.iter().map(|team| urgency(*route, *team)));
+    all.collect::<BTreeSet<Urgency>>().into_iter().collect()
+}
--- a/crates/verbenaslip-fleet/tests/sheet.rs
+++ b/crates/verbenaslip-fleet/tests/sheet.rs
@@ -90,3 +90,43 @@
     assert_eq!(index.team("b").map(|team| team.name.as_str()), Some("blue"));
     assert!(index.team("x").is_none());
 }
+
+#[test]
+fn a_team_s_priority_goes_before_a_route_s_and_a_route_s_decides_within_a_team() {
+    // Symptom: where engines are too few, the most urgent routes of a team are refused and its least
+    // urgent ones served. Sequence: requests of all its routes wait in one queue, which grows to what
+    // the longest objective allows. Cause: a rank made of the team's priority alone.
+    let mut routes = vec![route("draft", "one", "/d/"), route("check", "one", "/c/")];
+    routes[1].priority = 1;
+    let mut sheet = sheet(routes);
+    sheet.teams = vec![team("gold", "g"), team("plain", "p"), team("open", "o")];
+    sheet.teams[0].priority = Some(0);
+    sheet.teams[1].priority = Some(2);
+    let index = Index::open(Arc::new(sheet));
+    let rank = |path, key| index.rank(index.route("one", path).expect("a route"), index.team(key));
+    assert!(rank("/d/", "g") < rank("/c/", "g"));
+    assert!(rank("/c/", "g") < rank("/d/", "p"));
+    assert!(rank("/d/", "p") < rank("/c/", "p"));
+    assert!(rank("/d/", "o") < rank("/c/", "o"), "no priority of the team: the route's alone");
+}
+
+#[test]
+fn ranks_stay_within_those_that_upstreams_know() {
+    let mut sheet = sheet((0..8).map(|it| route(&it.to_string(), "one", "/x/")).collect());
+    for (priority, route) in (0..).zip(&mut sheet.routes) {
+        (route.priority, route.prefix) = (priority, format!("/{priority}/").into());
+    }
+    sheet.teams = (0..8).map(|it| team(&it.to_string(), &it.to_string())).collect();
+    for (priority, team) in (0..).zip(&mut sheet.teams) {
+        team.priority = Some(priority);
+    }
+    let index = Index::open(Arc::new(sheet));
+    let ranks: Vec<u8> = index
+        .sheet()
+        .teams
+        .iter()
+        .flat_map(|team| index.sheet().routes.iter().map(|route| index.rank(route, Some(team))))
+        .collect();
+    assert!(ranks.is_sorted());
+    assert_eq!((ranks.first(), ranks.last()), (Some(&0), Some(&9)));
+}
--- a/crates/verbenaslip-relay/src/forward/job.rs
+++ b/crates/verbenaslip-relay/src/forward/job.rs
@@ -41,6 +41,8 @@
     pub call: &'a Call,
     /// Its route.
     pub route: &'a Route,
+    /// Its rank; zero is the most urgent.
+    pub rank: u8,
     /// Its caller's team.
     pub team: Option<&'a TeamRow>,
     /// The service.
@@ -60,11 +62,6 @@
 }
 
 impl Job<'_> {
-    /// Returns the rank; zero is the most urgent.
-    pub fn rank(&self) -> u8 {
-        self.team.and_then(|team| team.priority).unwrap_or(self.route.priority)
-    }
-
     /// Tells whether another upstream may go on with the answer.
     pub fn resumable(&self) -> bool {
         self.route.kind == Kind::Stream { resumable: true }
@@ -102,6 +99,7 @@
         body: &whole.body,
         call,
         route,
+        rank: routes.rank(route, team),
         team,
         connections: routes.sheet().service(&service).map_or(u32::MAX, |it| it.connections),
         entries: view.entries,
--- a/crates/verbenaslip-relay/src/forward/life.rs
+++ b/crates/verbenaslip-relay/src/forward/life.rs
@@ -297,7 +297,7 @@
 ) -> Result<Choice, Refused> {
     let ask = Ask {
         service: &job.service,
-        rank: job.rank(),
+        rank: job.rank,
         parts: &job.call.parts,
         prompt: job.call.tokens.map_or(0, |tokens| tokens.prompt),
         tried: &course.tried,
--- a/crates/verbenaslip-relay/src/forward/onward.rs
+++ b/crates/verbenaslip-relay/src/forward/onward.rs
@@ -35,7 +35,7 @@
         team: job.team.map(|team| &team.name),
         remaining,
         after: after.or(job.call.after),
-        rank: (!job.call.parts.is_empty()).then(|| job.rank()),
+        rank: (!job.call.parts.is_empty()).then_some(job.rank),
     };
     context.dialect.onward(&onward, &mut |name, value| {
         answer::put(&mut out, name, value.as_bytes());
--- a/crates/verbenaslip-relay/src/forward/trace.rs
+++ b/crates/verbenaslip-relay/src/forward/trace.rs
@@ -60,6 +60,7 @@
             ("causes", json!(trace.causes)),
             ("objective_ms", json!(job.map(|job| job.route.objective.as_millis()))),
             ("patience_ms", json!(job.and_then(|job| job.call.patience).map(|it| it.as_millis()))),
+            ("rank", json!(job.map(|job| job.rank))),
             ("waited", json!(job.is_some_and(|job| job.waited))),
             ("expected_ms", json!(trace.expected.round())),
             ("first_ms", json!(trace.first.map(|first| first.as_millis()))),
