Refuse at an engine what is not expected within its objective, and who comes back first

Callers that came back, late in any case, waited in the same queue. What an entry knows of one upstream has a file of its own now; the log tells rank, patience and lag.

--- a/crates/verbenaslip-relay/src/forward/life.rs
+++ b/crates/verbenaslip-relay/src/forward/life.rs
@@ -142,7 +142,7 @@
         Ok(choice) => choice,
         Err(refused) => return Next::Refused(refused),
     };
-    trace.expected = choice.expected;
+    (trace.expected, trace.lag) = (choice.expected, choice.lag);
     course.tried.push(choice.upstream.clone());
     let last = course.arrivals + 1 >= job.route.attempts;
     let limit = if last || !job.route.kind.may_repeat() {
--- a/crates/verbenaslip-relay/src/forward/trace.rs
+++ b/crates/verbenaslip-relay/src/forward/trace.rs
@@ -29,6 +29,8 @@
     /// When the first event, or byte of the body, was expected at the last upstream tried, in
     /// milliseconds from when it was sent there.
     pub expected: f64,
+    /// By how much later than that first events came lately, in milliseconds.
+    pub lag: f64,
     /// When it came, from when the request had arrived.
     pub first: Option<Duration>,
     /// The longest pause between two pieces of the answer.
@@ -63,6 +65,7 @@
             ("rank", json!(job.map(|job| job.rank))),
             ("waited", json!(job.is_some_and(|job| job.waited))),
             ("expected_ms", json!(trace.expected.round())),
+            ("lag_ms", json!(trace.lag.round())),
             ("first_ms", json!(trace.first.map(|first| first.as_millis()))),
             ("pause_ms", json!(trace.pause.as_millis())),
             ("revision", json!(view.revision())),
--- a/crates/verbenaslip-relay/src/policy.rs
+++ b/crates/verbenaslip-relay/src/policy.rs
@@ -2,8 +2,9 @@
 //!
 //! [`allowance`] says what a team may still ask for at this entry, [`retry`] whether a request may
 //! be sent to another upstream, and [`place`] which upstream takes a request or whether it is better
-//! refused at once. [`cache`] and [`pace`] are what `place` knows of one upstream, [`shed`] is what it
-//! knows of a service as a whole, and [`waited`] tells callers that come back from new ones.
+//! refused at once. [`site`] is what `place` knows of one upstream, with [`cache`] and [`pace`];
+//! [`shed`] is what it knows of a service as a whole, and [`waited`] tells callers that come back from
+//! new ones.
 
 pub mod allowance;
 pub mod cache;
@@ -11,4 +12,5 @@
 pub mod place;
 pub mod retry;
 pub(crate) mod shed;
+pub(crate) mod site;
 pub mod waited;
--- a/crates/verbenaslip-relay/src/policy/place.rs
+++ b/crates/verbenaslip-relay/src/policy/place.rs
@@ -11,9 +11,10 @@
 use verbenaslip_fleet::registry::{Announcement, Record, Standing};
 
 use crate::dialect::Part;
-use crate::policy::cache::Cache;
-use crate::policy::pace::{Lag, Pace};
+use crate::policy::pace::Lag;
 use crate::policy::shed::Share;
+pub use crate::policy::site::Ending;
+use crate::policy::site::Site;
 
 /// What another availability zone costs, in milliseconds: two ways of the longest path between
 /// zones of one region, so that it decides between equals only.
@@ -33,20 +34,10 @@
 /// Differences below this, in milliseconds, are no reason to prefer one upstream.
 const EQUAL: f64 = 0.1;
 
-/// The first pause of an upstream that could not be reached; it doubles up to eight times that.
-const PAUSE: Duration = Duration::from_millis(500);
-
 /// What a share of failed answers costs, in milliseconds for all of them failing: more than any
 /// queue is worth.
 const FAILING: f64 = 800.0;
 
-/// How long it takes until a share of failures counts half. An upstream that is avoided because it
-/// failed gives no new outcomes, and would be avoided for ever.
-const FORGET: Duration = Duration::from_secs(4);
-
-/// The weight of the newest outcome in the share of failures.
-const OUTCOME: f64 = 0.08;
-
 /// When the callers of a plain service may come back that were refused because it has more to do than it
 /// can: all of them at least, and longer the more it has.
 const BACK_SHED: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(1));
@@ -63,7 +54,11 @@
 
 /// What reading may wait beyond the objective before a request is refused, as a multiple of it.
 /// Beyond it the answer would be of little worth to its caller and make the ones behind it late.
-const PATIENCE: f64 = 1.6;
+const PATIENCE: f64 = 1.0;
+
+/// The same for callers that have come back, whose answers come late in any case: they get what others
+/// leave over.
+const PATIENCE_WAITED: f64 = 0.6;
 
 /// Holds the upstreams as the fleet knows them.
 type Records = BTreeMap<Upstream, Record>;
@@ -80,20 +75,6 @@
     shares: BTreeMap<Arc<str>, Share>,
 }
 
-#[derive(Debug)]
-struct Site {
-    record: Record,
-    mark: u64,
-    requests: u32,
-    reading: u64,
-    cache: Cache,
-    pace: Pace,
-    failing: f64,
-    failed: Duration,
-    misses: u32,
-    paused: Duration,
-}
-
 /// Names the requests of a service that have the same rank.
 type Lane = (Arc<str>, u8);
 
@@ -127,8 +108,10 @@
     pub address: SocketAddr,
     /// Tokens of the prompt that are still to be read there.
     pub reading: u64,
-    /// The expected milliseconds to the first event.
+    /// The expected milliseconds to the first event, by what this entry knows of the upstream.
     pub expected: f64,
+    /// The milliseconds by which first events come later than that lately.
+    pub lag: f64,
     /// Whether nothing else was under way there.
     pub idle: bool,
     /// The request's service and rank.
@@ -161,21 +144,6 @@
     Nowhere,
 }
 
-/// Says how a request ended at an upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ending {
-    /// It was answered whole.
-    Whole,
-    /// The upstream failed it.
-    Failed,
-    /// The upstream was full and said so.
-    Full,
-    /// It could not be reached.
-    Unreachable,
-    /// The caller left or its time ran out; says nothing of the upstream.
-    Left,
-}
-
 impl Placement {
     /// Starts without upstreams.
     pub fn open(zone: AvailabilityZone) -> Self {
@@ -209,13 +177,15 @@
         }
         let home = self.home(ask);
         let best = self.best(now, ask, home.as_ref(), true);
-        let Some(choice) = best.or_else(|| self.best(now, ask, home.as_ref(), false)) else {
+        let Some(mut choice) = best.or_else(|| self.best(now, ask, home.as_ref(), false)) else {
             return Verdict::Nowhere;
         };
         let objective = ask.objective.as_secs_f64() * 1_000.0;
-        let lag = self.lags.get(&choice.lane).map_or(0.0, |lag| lag.at(now));
-        let expected = choice.expected + lag;
-        let late = expected > objective * PATIENCE;
+        if engine {
+            choice.lag = self.lags.get(&choice.lane).map_or(0.0, |lag| lag.at(now));
+        }
+        let expected = choice.expected + choice.lag;
+        let late = expected > objective * if ask.waited { PATIENCE_WAITED } else { PATIENCE };
         let hopeless = expected > ask.remaining.as_secs_f64() * 1_000.0;
         if engine && (late || hopeless) {
             let over = (expected - objective).max(100.0);
@@ -247,27 +217,10 @@
             self.share(now, &choice.lane.0).learn(now, ALL);
         }
         let Some(site) = self.sites.get_mut(&choice.upstream) else { return };
-        site.requests = site.requests.saturating_sub(1);
         if began.is_none() {
             site.reading = site.reading.saturating_sub(choice.reading);
         }
-        match ending {
-            Ending::Whole => {
-                site.note(now, 0.0);
-                site.misses = 0;
-                if let Some(took) = began {
-                    site.pace.learn_lasting(took);
-                }
-            }
-            Ending::Failed => site.note(now, 1.0),
-            Ending::Full => site.paused = site.paused.max(now + PAUSE / 10),
-            Ending::Unreachable => {
-                site.paused = now + PAUSE * (1 << site.misses.min(3));
-                site.misses += 1;
-                site.note(now, 1.0);
-            }
-            Ending::Left => {}
-        }
+        site.end(now, ending, began);
     }
 
     /// Tells whether a request to a plain service is refused at once because the service has more to do
@@ -345,6 +298,7 @@
             address: *address,
             reading,
             expected,
+            lag: 0.0,
             idle,
             lane,
             plain: ask.parts.is_empty().then_some(ask.objective),
@@ -408,47 +362,6 @@
     }
 }
 
-impl Site {
-    fn open(record: Record) -> Self {
-        let mark = hash::narrow(&[record.announcement.upstream.as_str().as_bytes()]);
-        Self {
-            record,
-            mark,
-            requests: 0,
-            reading: 0,
-            cache: Cache::default(),
-            pace: Pace::default(),
-            failing: 0.0,
-            failed: Duration::ZERO,
-            misses: 0,
-            paused: Duration::ZERO,
-        }
-    }
-
-    /// Returns the share of its answers that failed lately.
-    fn failing(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.failed).as_secs_f64();
-        self.failing * 0.5_f64.powf(age / FORGET.as_secs_f64())
-    }
-
-    /// Notes an outcome: one for a failure, zero for a whole answer.
-    fn note(&mut self, now: Duration, outcome: f64) {
-        let share = self.failing(now);
-        self.failing = share + (outcome - share) * OUTCOME;
-        self.failed = now;
-    }
-
-    /// Tells whether it may get work; less strictly, also when it looks lost from here. Where most
-    /// look lost, it may be this entry that is cut off from what would tell it otherwise.
-    fn takes(&self, now: Duration, strict: bool) -> bool {
-        match self.record.standing {
-            Standing::Ready => !strict || self.paused <= now,
-            Standing::Silent => !strict,
-            Standing::Leaving | Standing::Gone => false,
-        }
-    }
-}
-
 /// Returns the parts that other requests may share: all but the last.
 fn shared(parts: &[Part]) -> &[Part] {
     parts.split_last().map_or(&[], |(_, shared)| shared)
--- /dev/null
+++ b/crates/verbenaslip-relay/src/policy/site.rs
@@ -0,0 +1,119 @@
+//! What an entry knows of one upstream.
+
+use std::time::Duration;
+
+use verbenaslip_base::hash;
+use verbenaslip_fleet::registry::{Record, Standing};
+
+use crate::policy::cache::Cache;
+use crate::policy::pace::Pace;
+
+/// The first pause of an upstream that could not be reached; it doubles up to eight times that.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// How long it takes until a share of failures counts half. An upstream that is avoided because it
+/// failed gives no new outcomes, and would be avoided for ever.
+const FORGET: Duration = Duration::from_secs(4);
+
+/// The weight of the newest outcome in the share of failures.
+const OUTCOME: f64 = 0.08;
+
+/// Says how a request ended at an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// It was answered whole.
+    Whole,
+    /// The upstream failed it.
+    Failed,
+    /// The upstream was full and said so.
+    Full,
+    /// It could not be reached.
+    Unreachable,
+    /// The caller left or its time ran out; says nothing of the upstream.
+    Left,
+}
+
+/// Holds what this entry knows of an upstream and has under way there.
+#[derive(Debug)]
+pub(crate) struct Site {
+    /// The upstream as the fleet knows it.
+    pub(crate) record: Record,
+    /// Stands for it in hashes.
+    pub(crate) mark: u64,
+    /// How many requests are under way.
+    pub(crate) requests: u32,
+    /// Tokens of prompts that it has yet to read.
+    pub(crate) reading: u64,
+    /// What it has read.
+    pub(crate) cache: Cache,
+    /// How fast it is.
+    pub(crate) pace: Pace,
+    failing: f64,
+    failed: Duration,
+    misses: u32,
+    paused: Duration,
+}
+
+impl Site {
+    /// Starts with nothing under way.
+    pub(crate) fn open(record: Record) -> Self {
+        let mark = hash::narrow(&[record.announcement.upstream.as_str().as_bytes()]);
+        Self {
+            record,
+            mark,
+            requests: 0,
+            reading: 0,
+            cache: Cache::default(),
+            pace: Pace::default(),
+            failing: 0.0,
+            failed: Duration::ZERO,
+            misses: 0,
+            paused: Duration::ZERO,
+        }
+    }
+
+    /// Takes the end of a request; `took` is how long it lasted if it had its first event.
+    pub(crate) fn end(&mut self, now: Duration, ending: Ending, took: Option<Duration>) {
+        self.requests = self.requests.saturating_sub(1);
+        match ending {
+            Ending::Whole => {
+                self.note(now, 0.0);
+                self.misses = 0;
+                if let Some(took) = took {
+                    self.pace.learn_lasting(took);
+                }
+            }
+            Ending::Failed => self.note(now, 1.0),
+            Ending::Full => self.paused = self.paused.max(now + PAUSE / 10),
+            Ending::Unreachable => {
+                self.paused = now + PAUSE * (1 << self.misses.min(3));
+                self.misses += 1;
+                self.note(now, 1.0);
+            }
+            Ending::Left => {}
+        }
+    }
+
+    /// Returns the share of its answers that failed lately.
+    pub(crate) fn failing(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.failed).as_secs_f64();
+        self.failing * 0.5_f64.powf(age / FORGET.as_secs_f64())
+    }
+
+    /// Notes an outcome: one for a failure, zero for a whole answer.
+    fn note(&mut self, now: Duration, outcome: f64) {
+        let share = self.failing(now);
+        self.failing = share + (outcome - share) * OUTCOME;
+        self.failed = now;
+    }
+
+    /// Tells whether it may get work; less strictly, also when it looks lost from here. Where most
+    /// look lost, it may be this entry that is cut off from what would tell it otherwise.
+    pub(crate) fn takes(&self, now: Duration, strict: bool) -> bool {
+        match self.record.standing {
+            Standing::Ready => !strict || self.paused <= now,
+            Standing::Silent => !strict,
+            Standing::Leaving | Standing::Gone => false,
+        }
+    }
+}
--- a/crates/verbenaslip-relay/tests/place.rs
+++ b/crates/verbenaslip-relay/tests/place.rs
@@ -221,6 +221,24 @@
     assert!(backs.into_iter().all(|back| back >= Duration::from_millis(100)));
 }
 
+#[test]
+fn who_has_come_back_gets_what_others_leave_over() {
+    // Symptom: with engines missing, all answers come late, also those to callers that ask for the first
+    // time. Sequence: callers that were refused come back after their objective has passed, and wait in the
+    // same queue. Cause: a place given to an answer that is late in any case.
+    let mut placement = open(&many(1));
+    let mut fresh = 0;
+    for own in 0..40 {
+        let parts = prompt(1, 1_000 + own);
+        let back = Ask { waited: true, ..ask(&parts, &[]) };
+        if let Verdict::Busy(_) = placement.choose(Duration::ZERO, &back) {
+            let verdict = placement.choose(Duration::ZERO, &ask(&parts, &[]));
+            fresh += u32::from(matches!(verdict, Verdict::Go(_)));
+        }
+    }
+    assert!(fresh >= 3, "{fresh} were taken after one that had come back was refused");
+}
+
 /// Counts what became of the requests to a plain service.
 #[derive(Debug, Default)]
 struct Plain {
