Elect a core's leader after 0.4 s of silence

Ruled out: the entries' search (they had the table within 0.1 s of the election), the disk. Standing at once after a restart would break the lease: a voter can't know whether it had just promised a leader not to vote.

--- a/crates/verbenaslip-instance/src/core.rs
+++ b/crates/verbenaslip-instance/src/core.rs
@@ -38,12 +38,12 @@
 const HAND_OVER: Duration = Duration::from_millis(2_500);
 
 /// Between two heartbeats of the log's leader.
-const HEARTBEAT: Duration = Duration::from_millis(150);
+const HEARTBEAT: Duration = Duration::from_millis(100);
 
 /// The shortest time without a leader after which a core stands for election: four heartbeats, and
-/// some hundred times the way between two zones. After a power loss of all, callers get nothing for
+/// over a hundred times the way between two zones. After a power loss of all, callers get nothing for
 /// this time and up to as much again.
-const ELECTION: Duration = Duration::from_millis(600);
+const ELECTION: Duration = Duration::from_millis(400);
 
 /// How long a new voter may take to copy the log: a few megabytes at most.
 const COPY: Duration = Duration::from_secs(5);
