Let requests wait for the route table at an entry that has just started

Cause: after a power loss of all, entries are back up to 0.9 s before the leader is elected. Whoever asked then was refused and told to come back after 1.2 s: late for all kinds, and final for callers that had come back once already. Ruled out: holding a request that can't be served: after its first 2 s an entry refuses at once as before.

--- a/crates/verbenaslip-relay/src/board.rs
+++ b/crates/verbenaslip-relay/src/board.rs
@@ -21,6 +21,7 @@
     draining: AtomicBool,
     closing: AtomicBool,
     closed: Notify,
+    shown: Notify,
 }
 
 impl Board {
@@ -32,6 +33,20 @@
     /// Shows a new view.
     pub fn show(&self, view: View) {
         *lock(&self.view) = Arc::new(view);
+        self.shown.notify_waiters();
+    }
+
+    /// Returns once a route table is known.
+    pub async fn has_routes(&self) {
+        loop {
+            let shown = self.shown.notified();
+            tokio::pin!(shown);
+            shown.as_mut().enable();
+            if self.view().routes.is_some() {
+                return;
+            }
+            shown.await;
+        }
     }
 
     /// Counts a request that began to run at a time of day.
--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::time::Instant;
 use verbenaslip_base::hash;
 use verbenaslip_base::name::AvailabilityZone;
 use verbenaslip_fleet::view::View;
@@ -25,6 +26,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// The length of a window of usage.
     pub window: Duration,
+    /// When this instance started.
+    pub(crate) started: Instant,
     pub(crate) placement: RefCell<Placement>,
     pub(crate) allowance: RefCell<Allowance>,
     pub(crate) budget: RefCell<Budget>,
@@ -46,6 +49,7 @@
             board,
             dialect,
             window,
+            started: Instant::now(),
             placement: RefCell::new(Placement::open(zone)),
             allowance: RefCell::new(Allowance::default()),
             budget: RefCell::new(Budget::open(bounds)),
--- a/crates/verbenaslip-relay/src/forward/life.rs
+++ b/crates/verbenaslip-relay/src/forward/life.rs
@@ -27,6 +27,14 @@
 /// every upstream announces itself once.
 const BACK_WITH_UPSTREAMS: Duration = Duration::from_millis(600);
 
+/// How long a request waits at an entry that has no route table yet: as long as an election takes
+/// after a start, and the way of its news.
+const WAIT_FOR_ROUTES: Duration = Duration::from_millis(700);
+
+/// How long after its start an entry is likely to get a route table soon. One that has none after that
+/// is cut off from the cores, and what it can't serve is refused at once.
+const STARTING: Duration = Duration::from_secs(2);
+
 /// How far the times at which callers come back are spread, as a part of them; all at once they
 /// would be refused again.
 const SPREAD: f64 = 0.25;
@@ -52,9 +60,13 @@
 
 /// Serves one request.
 pub async fn serve(context: &Context, caller: &mut Wire, whole: &Whole, closes: bool) -> After {
-    let view = context.view();
     let mut trace = Trace::default();
     let call = context.dialect.call(&whole.head);
+    if context.board.view().routes.is_none() && wait_for_routes(context, caller, whole).await {
+        trace.outcome = "caller_gone";
+        return After::Close;
+    }
+    let view = context.view();
     let id = call.as_ref().map_or_else(|| "".into(), |call| call.id.clone());
     let admitted = job::admit(context, &view, whole, call.as_ref(), closes);
     let after = match &admitted {
@@ -66,6 +78,20 @@
     if closes { After::Close } else { after }
 }
 
+/// Waits for a route table a little while; returns whether the caller has left meanwhile.
+///
+/// After a power loss of all, entries are back before the cores have elected a leader. Whoever asks then
+/// and is refused comes back after its objective; many have come back once already, from an entry that
+/// was down, and do not a second time. The table is there a moment later.
+async fn wait_for_routes(context: &Context, caller: &mut Wire, whole: &Whole) -> bool {
+    let until = (whole.arrived + WAIT_FOR_ROUTES).min(context.started + STARTING);
+    tokio::select! {
+        () = context.board.has_routes() => false,
+        () = tokio::time::sleep_until(until) => false,
+        () = caller.gone() => true,
+    }
+}
+
 /// Leads an admitted request to its end.
 async fn lead(
     context: &Context,
--- /dev/null
+++ b/crates/verbenaslip-relay/tests/board.rs
@@ -0,0 +1,36 @@
+//! What the control thread and the traffic thread share.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use verbenaslip_fleet::View;
+use verbenaslip_fleet::index::Index;
+use verbenaslip_fleet::sheet::Sheet;
+use verbenaslip_relay::board::Board;
+
+fn with_routes() -> View {
+    View { routes: Some(Arc::new(Index::open(Arc::new(Sheet::default())))), ..View::default() }
+}
+
+#[tokio::test]
+async fn who_waits_for_a_route_table_goes_on_as_soon_as_there_is_one() {
+    let board = Arc::new(Board::default());
+    let waits = tokio::spawn({
+        let board = board.clone();
+        async move { board.has_routes().await }
+    });
+    tokio::task::yield_now().await;
+    board.show(View::default());
+    tokio::task::yield_now().await;
+    assert!(!waits.is_finished(), "a view without a table is none to serve by");
+    board.show(with_routes());
+    let ended = tokio::time::timeout(Duration::from_secs(60), waits).await;
+    assert!(ended.is_ok_and(|joined| joined.is_ok()));
+}
+
+#[tokio::test]
+async fn who_finds_a_route_table_does_not_wait() {
+    let board = Board::default();
+    board.show(with_routes());
+    board.has_routes().await;
+}
