Log of a refused request what decided it: share, expectation and lag, team, when to come back

A request beyond its team's limit was logged without route and team, one refused by the share of a plain service without the share.

--- a/crates/verbenaslip-relay/src/forward/job.rs
+++ b/crates/verbenaslip-relay/src/forward/job.rs
@@ -68,7 +68,7 @@
     }
 }
 
-/// Finds route and team of a request and takes it out of the team's limit.
+/// Finds route and team of a request.
 pub fn admit<'a>(
     context: &Context,
     view: &'a View,
@@ -84,9 +84,6 @@
     let host = whole.head.text("host").unwrap_or_default();
     let route = routes.route(host, &whole.head.target).ok_or((Refusal::NoRoute, None))?;
     let team = team(routes, route, call)?;
-    if let Some(team) = team {
-        within_limit(context, view, team, call)?;
-    }
     let patience = call.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
     let waited = call.patience.is_some_and(|patience| {
         let mut waited = context.waited.borrow_mut();
@@ -119,14 +116,11 @@
     found.map(Some).ok_or((Refusal::UnknownKey, None))
 }
 
-fn within_limit(
-    context: &Context,
-    view: &View,
-    team: &TeamRow,
-    call: &Call,
-) -> Result<(), Refused> {
+/// Takes a request out of its team's limit, if that has so much left.
+pub fn charge(context: &Context, view: &View, job: &Job<'_>) -> Result<(), Refused> {
+    let Some(team) = job.team else { return Ok(()) };
     let Some(quota) = &team.quota else { return Ok(()) };
-    let units = allowance::units(quota, size(call));
+    let units = allowance::units(quota, size(job.call));
     let mut allowance = context.allowance.borrow_mut();
     let verdict = allowance.take(steady::now(), team, units, view);
     context.board.asked(&team.name, units, allowance.total(&team.name));
--- a/crates/verbenaslip-relay/src/forward/life.rs
+++ b/crates/verbenaslip-relay/src/forward/life.rs
@@ -16,7 +16,7 @@
 use crate::forward::onward;
 use crate::forward::trace::{self, Trace};
 use crate::http::{Whole, Wire};
-use crate::policy::place::{Ask, Choice, Ending, Verdict};
+use crate::policy::place::{Ask, Busy, Cause, Choice, Ending, Verdict};
 use crate::steady;
 
 /// When a caller may come back that met a full upstream. An upstream that is full is slower as well, so
@@ -70,7 +70,10 @@
     let id = call.as_ref().map_or_else(|| "".into(), |call| call.id.clone());
     let admitted = job::admit(context, &view, whole, call.as_ref(), closes);
     let after = match &admitted {
-        Ok(job) => lead(context, caller, &view, job, &mut trace).await,
+        Ok(job) => match job::charge(context, &view, job) {
+            Ok(()) => lead(context, caller, &view, job, &mut trace).await,
+            Err(refused) => refuse(context, caller, &id, refused, closes, &mut trace).await,
+        },
         Err(refused) => refuse(context, caller, &id, *refused, closes, &mut trace).await,
     };
     let job = admitted.as_ref().ok();
@@ -164,7 +167,7 @@
             return Next::Refused(given_up(course));
         }
     }
-    let choice = match place(context, job, course, remaining) {
+    let choice = match place(context, job, course, remaining, trace) {
         Ok(choice) => choice,
         Err(refused) => return Next::Refused(refused),
     };
@@ -320,6 +323,7 @@
     job: &Job<'_>,
     course: &Course,
     remaining: Duration,
+    trace: &mut Trace,
 ) -> Result<Choice, Refused> {
     let ask = Ask {
         service: &job.service,
@@ -335,7 +339,13 @@
     match verdict {
         Verdict::Go(choice) => Ok(choice),
         Verdict::Busy(_) if course.may_have_run => Err((Refusal::Failed, None)),
-        Verdict::Busy(back) => Err((Refusal::Busy, Some(back))),
+        Verdict::Busy(Busy { back, cause }) => {
+            match cause {
+                Cause::Share(share) => trace.share = Some(share),
+                Cause::Late { expected, lag } => (trace.expected, trace.lag) = (expected, lag),
+            }
+            Err((Refusal::Busy, Some(back)))
+        }
         Verdict::Nowhere => Err(given_up(course)),
     }
 }
@@ -369,6 +379,7 @@
     let back = back.map(|back| spread(context, back));
     trace.status = refusal.status();
     trace.outcome = refusal.name();
+    trace.back = back;
     let bytes = answer::write(&*context.dialect, refusal, id, back, closes);
     match caller.send(&bytes).await {
         Ok(()) => After::Keep,
--- a/crates/verbenaslip-relay/src/forward/trace.rs
+++ b/crates/verbenaslip-relay/src/forward/trace.rs
@@ -31,8 +31,12 @@
     pub expected: f64,
     /// By how much later than that first events came lately, in milliseconds.
     pub lag: f64,
+    /// The share of such requests that its service admits, if it was refused by that.
+    pub share: Option<f64>,
     /// When it came, from when the request had arrived.
     pub first: Option<Duration>,
+    /// When the caller was told to come back.
+    pub back: Option<Duration>,
     /// The longest pause between two pieces of the answer.
     pub pause: Duration,
 }
@@ -66,7 +70,9 @@
             ("waited", json!(job.is_some_and(|job| job.waited))),
             ("expected_ms", json!(trace.expected.round())),
             ("lag_ms", json!(trace.lag.round())),
+            ("admitted_share", json!(trace.share)),
             ("first_ms", json!(trace.first.map(|first| first.as_millis()))),
+            ("back_ms", json!(trace.back.map(|back| back.as_millis()))),
             ("pause_ms", json!(trace.pause.as_millis())),
             ("revision", json!(view.revision())),
             ("view_age_ms", json!(age)),
--- a/crates/verbenaslip-relay/src/policy/place.rs
+++ b/crates/verbenaslip-relay/src/policy/place.rs
@@ -138,12 +138,35 @@
 pub enum Verdict {
     /// It goes to an upstream.
     Go(Choice),
-    /// Every upstream is so busy that it is refused; its caller may come back after this time.
-    Busy(Duration),
+    /// Every upstream is so busy that it is refused.
+    Busy(Busy),
     /// No upstream of the service may get work now.
     Nowhere,
 }
 
+/// Says why a request is refused for want of room, and when its caller may come back.
+#[derive(Clone, Copy, Debug)]
+pub struct Busy {
+    /// When its caller may come back.
+    pub back: Duration,
+    /// What decided it.
+    pub cause: Cause,
+}
+
+/// Says what decided that a request is refused for want of room.
+#[derive(Clone, Copy, Debug)]
+pub enum Cause {
+    /// Its service has more to do than it can, and admits this share of such requests.
+    Share(f64),
+    /// Its first event was expected too late, in these milliseconds, with the lag in it.
+    Late {
+        /// What this entry knows of the upstream.
+        expected: f64,
+        /// How much later first events come lately.
+        lag: f64,
+    },
+}
+
 impl Placement {
     /// Starts without upstreams.
     pub fn open(zone: AvailabilityZone) -> Self {
@@ -172,8 +195,8 @@
     pub fn choose(&mut self, now: Duration, ask: &Ask<'_>) -> Verdict {
         let engine = !ask.parts.is_empty();
         self.turn = self.turn.wrapping_add(1);
-        if let Some(back) = self.sheds(now, ask) {
-            return Verdict::Busy(back);
+        if let Some(busy) = self.sheds(now, ask) {
+            return Verdict::Busy(busy);
         }
         let home = self.home(ask);
         let best = self.best(now, ask, home.as_ref(), true);
@@ -189,7 +212,9 @@
         let hopeless = expected > ask.remaining.as_secs_f64() * 1_000.0;
         if engine && (late || hopeless) {
             let over = (expected - objective).max(100.0);
-            return Verdict::Busy(Duration::from_secs_f64((over / 1_000.0).min(3.0)));
+            let back = Duration::from_secs_f64((over / 1_000.0).min(3.0));
+            let cause = Cause::Late { expected: choice.expected, lag: choice.lag };
+            return Verdict::Busy(Busy { back, cause });
         }
         self.begin(now, &choice, ask);
         Verdict::Go(choice)
@@ -224,13 +249,13 @@
     }
 
     /// Tells whether a request to a plain service is refused at once because the service has more to do
-    /// than it can, and when its caller may come back.
+    /// than it can.
     ///
     /// When fewer upstreams are left than the load needs, all their queues are full: half of the
     /// requests are turned away and the others are late. Refused here in the right part, the rest finds
     /// short queues and is on time. The part follows from how late answers come beside what is wanted,
     /// so it needs to know neither the load nor what the upstreams can do.
-    fn sheds(&self, now: Duration, ask: &Ask<'_>) -> Option<Duration> {
+    fn sheds(&self, now: Duration, ask: &Ask<'_>) -> Option<Busy> {
         if !ask.parts.is_empty() || !ask.tried.is_empty() {
             return None;
         }
@@ -239,7 +264,8 @@
         let part = if ask.waited { (refused * WAITED).min(SHED_MOST) } else { refused };
         let draw = f64::from(u32::try_from(hash::mix(self.turn) >> 32).unwrap_or(0));
         let shed = draw < part * f64::from(u32::MAX);
-        shed.then(|| BACK_SHED.0 + BACK_SHED.1.mul_f64(part))
+        let back = BACK_SHED.0 + BACK_SHED.1.mul_f64(part);
+        shed.then_some(Busy { back, cause: Cause::Share(1.0 - part) })
     }
 
     fn share(&mut self, now: Duration, service: &Arc<str>) -> &mut Share {
--- a/crates/verbenaslip-relay/tests/place.rs
+++ b/crates/verbenaslip-relay/tests/place.rs
@@ -215,7 +215,7 @@
     let refused = verdicts.iter().filter(|verdict| matches!(verdict, Verdict::Busy(_))).count();
     assert!(refused > 20, "{refused}");
     let backs = verdicts.iter().filter_map(|verdict| match verdict {
-        Verdict::Busy(back) => Some(*back),
+        Verdict::Busy(busy) => Some(busy.back),
         _ => None,
     });
     assert!(backs.into_iter().all(|back| back >= Duration::from_millis(100)));
@@ -306,7 +306,7 @@
                 due.push((done, entry, choice, now));
                 None
             }
-            Verdict::Busy(back) => Some(back.as_secs_f64() * 1_000.0),
+            Verdict::Busy(busy) => Some(busy.back.as_secs_f64() * 1_000.0),
             Verdict::Nowhere => panic!("the upstream is ready"),
         };
         match wait {
