Leave a silent upstream only when another one can go on

An upstream was left after a second of silence, before it was known whether a second one, an attempt and the budget were there; and since patience fell to the objective, the resumption could be refused as late. Ruled out: the end of the grace time (8 s), the close of idle connections (not in the middle of one).

--- a/crates/verbenaslip-relay/src/forward.rs
+++ b/crates/verbenaslip-relay/src/forward.rs
@@ -1,10 +1,11 @@
 //! One request from its caller to an upstream and back.
 //!
 //! [`job`] finds who asks and which route a request takes. [`life`] leads it: where it goes, whether it
-//! is tried again, what its caller gets. [`onward`] writes it for an upstream, [`exchange`] sends it to one upstream and takes the head of the answer; [`delivery`] passes
-//! the answer on, and for a resumable stream goes on where another upstream broke off. [`pool`]
-//! keeps the connections, [`events`] finds the ends of events, [`answer`] writes answers of this
-//! instance's own.
+//! is tried again, what its caller gets. [`onward`] writes it for an upstream, [`exchange`] sends it to
+//! one upstream and takes the head of the answer; [`delivery`] passes the answer on, and for a resumable
+//! stream goes on where another upstream broke off. [`leave`] says when a silent upstream is left.
+//! [`pool`] keeps the connections, [`events`] finds the ends of events, [`answer`] writes answers of
+//! this instance's own.
 
 pub mod answer;
 pub mod context;
@@ -12,6 +13,7 @@
 pub mod events;
 pub mod exchange;
 pub mod job;
+pub(crate) mod leave;
 pub mod life;
 pub mod onward;
 pub mod pool;
--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -6,11 +6,12 @@
 
 use tokio::time::Instant;
 use verbenaslip_base::hash;
-use verbenaslip_base::name::AvailabilityZone;
+use verbenaslip_base::name::{AvailabilityZone, Upstream};
 use verbenaslip_fleet::view::View;
 
 use crate::board::Board;
 use crate::dialect::Dialect;
+use crate::forward::job::Job;
 use crate::forward::pool::Pool;
 use crate::policy::allowance::Allowance;
 use crate::policy::place::{Choice, Ending, Placement};
@@ -75,6 +76,21 @@
         self.placement.borrow_mut().end(steady::now(), choice, ending, began);
     }
 
+    /// Pays for one more arrival of a request at its service, if the budget allows it.
+    pub(crate) fn spend(&self, job: &Job<'_>) -> bool {
+        self.budget.borrow_mut().spend(&job.service, job.entries)
+    }
+
+    /// Tells whether a silent upstream may be left for another one, and pays for that.
+    ///
+    /// Left while nothing else can go on, its caller's answer would end in the middle though the
+    /// upstream was only slow: an engine that is out of memory is silent for seconds.
+    pub(crate) fn may_leave(&self, job: &Job<'_>, tried: &[Upstream], paid: &mut bool) -> bool {
+        let other = self.placement.borrow().has_other(steady::now(), &job.service, tried);
+        *paid = *paid || (other && self.spend(job));
+        *paid && other
+    }
+
     /// Draws a number that differs each time (the sequence of SplitMix64).
     pub(crate) fn random(&self) -> u64 {
         let next = self.draw.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/crates/verbenaslip-relay/src/forward/delivery.rs
+++ b/crates/verbenaslip-relay/src/forward/delivery.rs
@@ -8,6 +8,7 @@
 use crate::forward::events::Splitter;
 use crate::forward::exchange::Answered;
 use crate::forward::job::Job;
+use crate::forward::leave::Leave;
 use crate::http::body::{LAST_CHUNK, write_chunk};
 use crate::http::{Decoder, Framing, Step, Wire};
 
@@ -57,15 +58,15 @@
 
     /// Passes on an answer, or the rest of one that another upstream began.
     ///
-    /// `limit` is when the caller must have all of it, `pause` the longest silence of the upstream.
+    /// The caller must have all of it by the limit of its request.
     pub async fn run(
         &mut self,
         caller: &mut Wire,
         job: &Job<'_>,
         answered: &mut Answered,
-        limit: Instant,
-        pause: Duration,
+        mut leave: Leave<impl FnMut() -> bool>,
     ) -> Ended {
+        let limit = job.limit;
         let Ok(framing) = answered.head.framing(&job.head.method) else { return Ended::Broken };
         let mut out = Vec::new();
         if self.framing.is_none() {
@@ -93,7 +94,12 @@
             if whole {
                 return Ended::Whole;
             }
-            if let Some(ended) = wait(caller, &mut answered.wire, &decoder, limit, pause).await {
+            if let Some(ended) =
+                wait(caller, &mut answered.wire, &decoder, limit, leave.after).await
+            {
+                if ended == Ended::Silent && !(leave.may)() {
+                    continue;
+                }
                 if ended == Ended::Whole {
                     self.end(job, &mut out);
                     let sent = tokio::time::timeout_at(limit, caller.send(&out)).await;
@@ -191,9 +197,9 @@
     wire: &mut Wire,
     decoder: &Decoder,
     limit: Instant,
-    pause: Duration,
+    pause: Option<Duration>,
 ) -> Option<Ended> {
-    let silent = Instant::now() + pause;
+    let silent = pause.map_or(limit, |pause| Instant::now() + pause);
     tokio::select! {
         filled = wire.fill() => match filled {
             Ok(count) if count > 0 => None,
--- a/crates/verbenaslip-relay/src/forward/exchange.rs
+++ b/crates/verbenaslip-relay/src/forward/exchange.rs
@@ -8,6 +8,7 @@
 use crate::dialect::Reply;
 use crate::forward::context::Context;
 use crate::forward::job::Job;
+use crate::forward::leave::Leave;
 use crate::forward::pool;
 use crate::http::wire::Traded;
 use crate::http::{Decoder, Response, Step, Wire};
@@ -55,15 +56,22 @@
     CallerGone,
 }
 
-/// Sends a request and waits for the head of the answer until `limit`.
+/// Sends a request and waits for the head of the answer.
+///
+/// A silent upstream is left only if another one can take the request. Left without that, its caller
+/// would lose an answer that was only slow.
 pub async fn send(
     context: &Context,
     caller: &mut Wire,
     job: &Job<'_>,
     choice: &Choice,
     bytes: &[u8],
-    limit: Instant,
+    mut leave: Leave<impl FnMut() -> bool>,
 ) -> Result<Answered, Failure> {
+    let until = |silence: Option<Duration>| {
+        silence.map_or(job.limit, |silence| job.limit.min(Instant::now() + silence))
+    };
+    let mut limit = until(leave.after);
     let (mut wire, kept) = connect(context, job, choice, limit).await?;
     let mut written = 0;
     let mut clean = true;
@@ -97,7 +105,12 @@
                 Ok(Traded::Read(_)) | Err(_) => return Err(Failure::Broken),
             },
             () = caller.gone() => return Err(Failure::CallerGone),
-            () = tokio::time::sleep_until(limit) => return Err(Failure::Silent),
+            () = tokio::time::sleep_until(limit) => {
+                if limit == job.limit || (leave.may)() {
+                    return Err(Failure::Silent);
+                }
+                limit = until(leave.after);
+            }
         }
     }
 }
--- a/crates/verbenaslip-relay/src/forward/life.rs
+++ b/crates/verbenaslip-relay/src/forward/life.rs
@@ -6,13 +6,13 @@
 use verbenaslip_base::name::Upstream;
 use verbenaslip_fleet::clock;
 use verbenaslip_fleet::sheet::Kind;
-use verbenaslip_fleet::view::View;
 
 use crate::forward::answer::{self, Refusal};
 use crate::forward::context::Context;
 use crate::forward::delivery::{Delivery, Ended};
 use crate::forward::exchange::{self, Answered, Failure};
 use crate::forward::job::{self, Job, Refused};
+use crate::forward::leave::Leave;
 use crate::forward::onward;
 use crate::forward::trace::{self, Trace};
 use crate::http::{Whole, Wire};
@@ -71,7 +71,7 @@
     let admitted = job::admit(context, &view, whole, call.as_ref(), closes);
     let after = match &admitted {
         Ok(job) => match job::charge(context, &view, job) {
-            Ok(()) => lead(context, caller, &view, job, &mut trace).await,
+            Ok(()) => lead(context, caller, job, &mut trace).await,
             Err(refused) => refuse(context, caller, &id, refused, closes, &mut trace).await,
         },
         Err(refused) => refuse(context, caller, &id, *refused, closes, &mut trace).await,
@@ -96,16 +96,10 @@
 }
 
 /// Leads an admitted request to its end.
-async fn lead(
-    context: &Context,
-    caller: &mut Wire,
-    view: &View,
-    job: &Job<'_>,
-    trace: &mut Trace,
-) -> After {
+async fn lead(context: &Context, caller: &mut Wire, job: &Job<'_>, trace: &mut Trace) -> After {
     let mut course = Course::default();
     let refused = loop {
-        let next = next(context, caller, view, job, &mut course, trace).await;
+        let next = next(context, caller, job, &mut course, trace).await;
         trace.first = course.delivery.first.map(|first| first - job.arrived);
         trace.pause = course.delivery.pause;
         match next {
@@ -137,6 +131,8 @@
     unreached: usize,
     /// Whether it may have run somewhere.
     may_have_run: bool,
+    /// Whether the budget has paid for the next arrival.
+    paid: bool,
     /// Whether it was counted as begun.
     counted: bool,
 }
@@ -151,7 +147,6 @@
 async fn next(
     context: &Context,
     caller: &mut Wire,
-    view: &View,
     job: &Job<'_>,
     course: &mut Course,
     trace: &mut Trace,
@@ -161,9 +156,9 @@
         return Next::Refused(timed_out(course));
     }
     if course.arrivals > 0 {
-        let spent = course.arrivals >= job.route.attempts
-            || !context.budget.borrow_mut().spend(&job.service, view.entries);
-        if spent {
+        let may = course.arrivals < job.route.attempts
+            && (std::mem::take(&mut course.paid) || context.spend(job));
+        if !may {
             return Next::Refused(given_up(course));
         }
     }
@@ -174,14 +169,12 @@
     (trace.expected, trace.lag) = (choice.expected, choice.lag);
     course.tried.push(choice.upstream.clone());
     let last = course.arrivals + 1 >= job.route.attempts;
-    let limit = if last || !job.route.kind.may_repeat() {
-        job.limit
-    } else {
-        job.limit.min(Instant::now() + patience(job, &choice))
-    };
+    let patience = (!last && job.route.kind.may_repeat()).then(|| patience(job, &choice));
     let bytes = onward::write(context, job, &choice, remaining, course.delivery.last_event());
     let sent = Instant::now();
-    let answered = exchange::send(context, caller, job, &choice, &bytes, limit).await;
+    let may = || context.may_leave(job, &course.tried, &mut course.paid);
+    let leave = Leave { after: patience, may };
+    let answered = exchange::send(context, caller, job, &choice, &bytes, leave).await;
     if !matches!(answered, Err(Failure::Unreached)) {
         course.arrivals += 1;
         trace.sent.push(choice.upstream.clone());
@@ -231,12 +224,14 @@
     }
     let pause = match job.route.kind {
         Kind::Stream { resumable: true } if course.arrivals < job.route.attempts => {
-            (job.route.pause * PAUSES).clamp(SILENCE.0 * 2, SILENCE.1)
+            Some((job.route.pause * PAUSES).clamp(SILENCE.0 * 2, SILENCE.1))
         }
-        _ => Duration::from_secs(3_600),
+        _ => None,
     };
     let before = course.delivery.first;
-    let ended = course.delivery.run(caller, job, &mut answered, job.limit, pause).await;
+    let may = || context.may_leave(job, &course.tried, &mut course.paid);
+    let leave = Leave { after: pause, may };
+    let ended = course.delivery.run(caller, job, &mut answered, leave).await;
     let first = course.delivery.first.filter(|_| before.is_none());
     if let Some(first) = first {
         context.placement.borrow_mut().first(steady::now(), &choice, first - at);
@@ -334,11 +329,11 @@
         objective: job.route.objective,
         remaining,
         waited: job.waited,
+        begun: course.may_have_run,
     };
     let verdict = context.placement.borrow_mut().choose(steady::now(), &ask);
     match verdict {
         Verdict::Go(choice) => Ok(choice),
-        Verdict::Busy(_) if course.may_have_run => Err((Refusal::Failed, None)),
         Verdict::Busy(Busy { back, cause }) => {
             match cause {
                 Cause::Share(share) => trace.share = Some(share),
--- a/crates/verbenaslip-relay/src/policy/place.rs
+++ b/crates/verbenaslip-relay/src/policy/place.rs
@@ -97,6 +97,8 @@
     pub remaining: Duration,
     /// Whether the caller has come back, so that any answer comes late.
     pub waited: bool,
+    /// Whether an upstream may have begun on it: it goes on wherever it can, also when late.
+    pub begun: bool,
 }
 
 /// Says where a request goes.
@@ -210,7 +212,7 @@
         let expected = choice.expected + choice.lag;
         let late = expected > objective * if ask.waited { PATIENCE_WAITED } else { PATIENCE };
         let hopeless = expected > ask.remaining.as_secs_f64() * 1_000.0;
-        if engine && (late || hopeless) {
+        if engine && !ask.begun && (late || hopeless) {
             let over = (expected - objective).max(100.0);
             let back = Duration::from_secs_f64((over / 1_000.0).min(3.0));
             let cause = Cause::Late { expected: choice.expected, lag: choice.lag };
@@ -220,6 +222,13 @@
         Verdict::Go(choice)
     }
 
+    /// Tells whether a service has an upstream that may get work, other than these.
+    pub(crate) fn has_other(&self, now: Duration, service: &str, tried: &[Upstream]) -> bool {
+        let names = self.by_service.get(service).into_iter().flatten();
+        let mut others = names.filter(|name| !tried.contains(name));
+        others.any(|name| self.sites.get(name).is_some_and(|site| site.takes(now, false)))
+    }
+
     /// Takes an upstream's first event.
     pub fn first(&mut self, now: Duration, choice: &Choice, took: Duration) {
         if let Some(objective) = choice.plain {
--- a/crates/verbenaslip-relay/tests/place.rs
+++ b/crates/verbenaslip-relay/tests/place.rs
@@ -54,6 +54,7 @@
         objective: Duration::from_millis(600),
         remaining: Duration::from_secs(5),
         waited: false,
+        begun: false,
     }
 }
 
@@ -221,6 +222,17 @@
     assert!(backs.into_iter().all(|back| back >= Duration::from_millis(100)));
 }
 
+#[test]
+fn a_request_that_was_begun_goes_on_however_late_it_is() {
+    // Symptom: a stream ends in the middle. Sequence: its engine breaks off while all others are busy.
+    // Cause: refused like a new request, for an answer that would come late.
+    let mut placement = open(&many(1));
+    let parts = prompt(1, 2);
+    while matches!(placement.choose(Duration::ZERO, &ask(&parts, &[])), Verdict::Go(_)) {}
+    let begun = Ask { begun: true, ..ask(&parts, &[]) };
+    assert!(matches!(placement.choose(Duration::ZERO, &begun), Verdict::Go(_)));
+}
+
 #[test]
 fn who_has_come_back_gets_what_others_leave_over() {
     // Symptom: with engines missing, all answers come late, also those to callers that ask for the first
