Find the leader also where no seed knows one

Six cores, five voters: a seed that was away had been replaced as a voter, and the final fault takes two disks. When these are the two other seeds, no seed knows the leader, so entries that start and the emptied cores ask only cores that know nothing. Now a core takes the sender of a log message and the voters that it remembers for cores to ask, and passes them on to whoever asks it.

--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -305,6 +305,9 @@
     fn frame(&mut self, frame: Frame) {
         match frame {
             Frame::Log { from, message } => {
+                if let Some(from) = address_of(&from).filter(|_| !self.leads()) {
+                    self.link.meet(from);
+                }
                 self.step_log(replica::Input::Message { from, message: *message });
             }
             Frame::Beat(beat) => self.beaten(*beat),
@@ -330,6 +333,12 @@
         if let Some(leader) = self.replica.leader().and_then(address_of) {
             self.link.aim(leader, self.now);
         }
+        if self.link.leader(self.now).is_none() {
+            let voters = self.replica.voters().members();
+            let voters: Vec<SocketAddr> =
+                voters.filter_map(|voter| address_of(&voter.instance)).collect();
+            voters.into_iter().for_each(|voter| self.link.meet(voter));
+        }
         if let Some((targets, beat)) = self.link.beat(self.now, self.unix, Report::default()) {
             for to in targets {
                 self.send(to, Frame::Beat(Box::new(beat.clone())));
--- a/crates/verbenaslip-fleet/src/core/lead.rs
+++ b/crates/verbenaslip-fleet/src/core/lead.rs
@@ -88,7 +88,8 @@
         let to = beat.peer.address;
         let Some(reign) = self.reign else {
             let leader = self.replica.leader().and_then(address_of);
-            let cores = self.link.view().cores.clone();
+            let leader = leader.or_else(|| self.link.leader(self.now));
+            let cores = self.link.cores();
             return self.send(to, Frame::Elsewhere { leader, cores });
         };
         self.hub.take(self.now, reign.term, beat);
--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -27,6 +27,9 @@
 /// Reports whose answers may still come.
 const REPORTS: usize = 16;
 
+/// The most cores that are remembered from others' words until the leader's own list comes.
+const HEARSAY: usize = 32;
+
 /// Names the cores that get a report.
 pub type Targets = Vec<SocketAddr>;
 
@@ -51,6 +54,8 @@
 pub struct Link {
     own: Peer,
     seeds: Vec<SocketAddr>,
+    /// Cores that others know of.
+    hearsay: Vec<SocketAddr>,
     view: View,
     clock: Clock,
     target: Option<SocketAddr>,
@@ -69,6 +74,7 @@
         Self {
             own,
             seeds,
+            hearsay: Vec::new(),
             view,
             clock,
             target: None,
@@ -108,6 +114,27 @@
         self.seeds = seeds;
     }
 
+    /// Takes the address of a core that may know the leader.
+    ///
+    /// All seeds may be cores that don't: two that have lost their disks, and one that was replaced as a
+    /// voter while it was away. Asked for nobody else, an instance that starts then finds no leader
+    /// although there is one, and neither do the seeds.
+    pub(crate) fn meet(&mut self, core: SocketAddr) {
+        let known = core == self.own.address || self.hearsay.contains(&core);
+        if !known && self.hearsay.len() < HEARSAY {
+            self.hearsay.push(core);
+        }
+    }
+
+    /// Lists the cores that this instance knows.
+    pub(crate) fn cores(&self) -> Vec<SocketAddr> {
+        let mut cores: Vec<SocketAddr> =
+            self.view.cores.iter().chain(&self.hearsay).copied().collect();
+        cores.sort_unstable();
+        cores.dedup();
+        cores
+    }
+
     /// Returns the leader, if it was heard lately.
     pub fn leader(&self, now: Duration) -> Option<SocketAddr> {
         self.target.filter(|_| self.view.heard.is_some() && !self.quiet(now))
@@ -157,9 +184,7 @@
 
     /// Takes the word of a core that it does not lead.
     pub fn elsewhere(&mut self, now: Duration, leader: Option<SocketAddr>, cores: &[SocketAddr]) {
-        if self.view.cores.is_empty() {
-            self.view.cores = cores.to_vec();
-        }
+        cores.iter().for_each(|core| self.meet(*core));
         let own = self.own.address;
         if let Some(leader) = leader.filter(|leader| *leader != own) {
             self.aim(leader, now);
@@ -191,6 +216,7 @@
         }
         if let Some(round) = round {
             self.view.cores = round.cores;
+            self.hearsay.clear();
             self.borrow(round.number, round.loans);
             self.view.entries = round.entries;
         }
@@ -235,8 +261,10 @@
             return vec![target];
         }
         let own = self.own.address;
-        let mut known: Targets = self.view.cores.clone();
-        known.extend(self.seeds.iter().filter(|seed| !self.view.cores.contains(seed)));
+        let mut known: Targets = self.cores();
+        known.extend(&self.seeds);
+        known.sort_unstable();
+        known.dedup();
         known.retain(|address| *address != own);
         known
     }
--- a/crates/verbenaslip-fleet/tests/cluster.rs
+++ b/crates/verbenaslip-fleet/tests/cluster.rs
@@ -233,3 +233,28 @@
         assert_eq!(net.call(leader, Ask::Read), Some(document(4)), "offset {offset} ms");
     }
 }
+
+#[test]
+fn a_leader_is_found_although_no_seed_knows_one() {
+    // Symptom: after a power loss of all nothing is served any more, though a majority of the voters is
+    // well. Sequence: a seed is away and replaced as a voter; later all lose power, and the two other seeds
+    // their disks. Entries and emptied cores ask the seeds, and none of them knows the leader. Cause: the
+    // leader's messages to the emptied voters, and what the replaced one knows of the others, unused.
+    let mut net = Net::found_with(6, 2, 5);
+    net.run(Duration::from_secs(4));
+    assert!(matches!(net.call(0, Ask::Adopt(Box::new(edition(5)))), Some(Told::Adopted { .. })));
+    net.cut(2);
+    net.run(Duration::from_secs(10));
+    net.heal(2);
+    net.run(Duration::from_secs(1));
+    (2..6).for_each(|core| net.restart(core));
+    (0..2).for_each(|core| net.wipe(core));
+    (0..2).for_each(|entry| net.restart_entry(entry));
+    net.run(Duration::from_secs(8));
+    assert_eq!(net.leaders().len(), 1);
+    assert!(net.entries().all(|view| view.revision() == 5), "entries have the routes again");
+    for core in 0..6 {
+        let told = net.call(core, Ask::Read);
+        assert!(matches!(told, Some(Told::Document(_))), "core {core}: {told:?}");
+    }
+}
--- a/crates/verbenaslip-fleet/tests/net/mod.rs
+++ b/crates/verbenaslip-fleet/tests/net/mod.rs
@@ -69,6 +69,7 @@
     replies: BTreeMap<u64, Told>,
     calls: u64,
     identities: u128,
+    voters: usize,
 }
 
 fn core_address(index: usize) -> SocketAddr {
@@ -82,7 +83,13 @@
 impl Net {
     /// Starts all for the first time; the first three cores are the seeds.
     pub fn found(cores: usize, entries: usize) -> Self {
+        Self::found_with(cores, entries, 3)
+    }
+
+    /// Starts all for the first time, with so many voters as soon as there are cores for them.
+    pub fn found_with(cores: usize, entries: usize, voters: usize) -> Self {
         let mut net = Self {
+            voters,
             now: Duration::from_secs(1),
             ticks: 0,
             cores: Vec::new(),
@@ -133,7 +140,7 @@
             seeds: seeds(),
             founders: if founds { seeds() } else { vec![] },
             recovered: machine.disk.clone(),
-            voters: 3,
+            voters: self.voters,
             announce: Duration::from_millis(1_200),
             timing: Timing::default(),
             duty: None,
@@ -168,6 +175,13 @@
         self.cut.remove(&core_address(core));
     }
 
+    /// Starts an entry again, which remembers nothing.
+    pub fn restart_entry(&mut self, index: usize) {
+        let incarnation = u64::try_from(self.now.as_millis()).expect("small");
+        let own = peer(entry_address(index), incarnation, None);
+        self.entries[index] = Entry::open(own, seeds(), self.now, EPOCH);
+    }
+
     pub fn cut_entry(&mut self, entry: usize) {
         self.cut.insert(entry_address(entry));
     }
