--- a/crates/verbenaslip-relay/src/policy/place.rs
+++ b/crates/verbenaslip-relay/src/policy/place.rs
@@ -39,21 +39,24 @@
 const FAILING: f64 = 800.0;
 
 /// When the callers of a plain service may come back that were refused because it has more to do than it
-/// can: all of them at least, and longer the more it has.
+/// can: all of them after the first time at least, which is two reports of the fleet, and later by a part of
+/// the second one, the more is refused.
 const BACK_SHED: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(1));
 
-/// How many times the part of those is refused that have come back.
+/// How many times the part of new requests is refused of those that have come back: none of them is
+/// admitted once a third of the others is not.
 const WAITED: f64 = 3.0;
 
-/// The most that is refused of those that have come back.
+/// The most that is refused of those that have come back; a few show that there is room again.
 const SHED_MOST: f64 = 0.95;
 
 /// How much of the objective a request has taken that was turned away for want of room: a full queue
 /// takes all of it and more.
 const ALL: f64 = 1.0;
 
-/// What reading may wait beyond the objective before a request is refused, as a multiple of it.
-/// Beyond it the answer would be of little worth to its caller and make the ones behind it late.
+/// The part of the objective within which a first event must be expected, or the request is refused at
+/// once. Where engines are missing, their queues settle at this: at 1.6 everything was late, and the mean
+/// worth of the grown sites' disturbed days was 0.02 less.
 const PATIENCE: f64 = 1.0;
 
 /// The same for callers that have come back, whose answers come late in any case: they get what others
