Log a caller that leaves while it waits for the routes, and say once what was written again

Found on reading the change: a request whose caller left during the wait for a route table had no line in the log. Otherwise behaviour stays as it is.

--- a/crates/verbenaslip-fleet/tests/hub.rs
+++ b/crates/verbenaslip-fleet/tests/hub.rs
@@ -1,9 +1,11 @@
 //! What the leader tells all others, and how often it is made.
 
+mod net;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use verbenaslip_base::name::{AvailabilityZone, Instance, Upstream};
+use verbenaslip_base::name::{AvailabilityZone, Instance};
 use verbenaslip_fleet::frame::{Beat, Peer};
 use verbenaslip_fleet::hub::{Hub, Source};
 use verbenaslip_fleet::ledger::Ledger;
@@ -37,19 +39,8 @@
 }
 
 fn announcement(number: u16) -> Announcement {
-    Announcement {
-        upstream: Upstream::new(format!("u{number}")),
-        service: "pool".into(),
-        address: ([10, 0, 1, 1], number).into(),
-        zone: AvailabilityZone::from("north"),
-        version: "v1".into(),
-        slots: 4,
-        draining: false,
-        cold: Duration::ZERO,
-        reclaimable: false,
-        leaves: None,
-        sequence: 1,
-    }
+    let address = ([10, 0, 1, 1], number).into();
+    Announcement { address, ..net::announcement(&format!("u{number}"), 1, false) }
 }
 
 #[test]
--- a/crates/verbenaslip-relay/src/forward/life.rs
+++ b/crates/verbenaslip-relay/src/forward/life.rs
@@ -62,12 +62,15 @@
 pub async fn serve(context: &Context, caller: &mut Wire, whole: &Whole, closes: bool) -> After {
     let mut trace = Trace::default();
     let call = context.dialect.call(&whole.head);
-    if context.board.view().routes.is_none() && wait_for_routes(context, caller, whole).await {
+    let id = call.as_ref().map_or_else(|| "".into(), |call| call.id.clone());
+    let starting = context.board.view().routes.is_none();
+    let left = starting && wait_for_routes(context, caller, whole).await;
+    let view = context.view();
+    if left {
         trace.outcome = "caller_gone";
+        trace::say(&view, &id, None, &trace, whole.arrived);
         return After::Close;
     }
-    let view = context.view();
-    let id = call.as_ref().map_or_else(|| "".into(), |call| call.id.clone());
     let admitted = job::admit(context, &view, whole, call.as_ref(), closes);
     let after = match &admitted {
         Ok(job) => match job::charge(context, &view, job) {
--- a/crates/verbenaslip-relay/src/policy/place.rs
+++ b/crates/verbenaslip-relay/src/policy/place.rs
@@ -39,8 +39,8 @@
 const FAILING: f64 = 800.0;
 
 /// When the callers of a plain service may come back that were refused because it has more to do than it
-/// can: all of them after the first time at least, which is two reports of the fleet, and later by a part of
-/// the second one, the more is refused.
+/// can: after the first time, and the part of the second one that is refused. A refused part of a half keeps
+/// them away for 0.8 s, longer than a full queue takes to empty.
 const BACK_SHED: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(1));
 
 /// How many times the part of new requests is refused of those that have come back: none of them is
@@ -163,7 +163,7 @@
 pub enum Cause {
     /// Its service has more to do than it can, and admits this share of such requests.
     Share(f64),
-    /// Its first event was expected too late, in these milliseconds, with the lag in it.
+    /// Its first event was expected too late, by these milliseconds together.
     Late {
         /// What this entry knows of the upstream.
         expected: f64,
