--- a/crates/verbenaslip-cli/src/args.rs
+++ b/crates/verbenaslip-cli/src/args.rs
@@ -54,10 +54,25 @@
     Audit(Audit),
     /// Stops an instance gracefully.
     Drain(Drain),
+    /// Says from log lines what became of requests.
+    Explain(Explain),
     /// Changes the voters.
     Voters(Voters),
 }
 
+/// Say from instances' log lines which requests were late, refused or lost, by cause, route, team and
+/// second; with --id, all that they say of one request, in order. Asks no instance.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "explain")]
+pub struct Explain {
+    /// the request whose life is told
+    #[argh(option)]
+    pub id: Option<String>,
+    /// files with log lines, of as many instances as may have served it
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
 /// Show instances, voters, upstreams, rows and who is behind.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "status")]
--- a/crates/verbenaslip-cli/src/command.rs
+++ b/crates/verbenaslip-cli/src/command.rs
@@ -2,6 +2,7 @@
 
 pub mod audit;
 pub mod drain;
+pub mod explain;
 pub mod status;
 pub mod table;
 pub mod voters;
--- /dev/null
+++ b/crates/verbenaslip-cli/src/command/explain.rs
@@ -0,0 +1,72 @@
+//! `verbenaslip explain`.
+//!
+//! [`line`] reads log lines, [`tally`] counts what became of requests.
+
+mod line;
+mod tally;
+
+use std::fs;
+use std::path::Path;
+
+use serde_json::json;
+
+use self::line::Line;
+use self::tally::Tally;
+use crate::args::Explain;
+use crate::error::Error;
+use crate::exit::Exit;
+use crate::terminal::Terminal;
+
+/// Reads the files and says what became of requests, or of one of them.
+pub(crate) fn run(args: &Explain, terminal: &mut Terminal<'_>) -> Result<Exit, Error> {
+    if args.files.is_empty() {
+        return Err(Error::Usage("name at least one file with log lines".into()));
+    }
+    let mut lines = Vec::new();
+    let mut unread = 0;
+    for file in &args.files {
+        let text = read(file)?;
+        let origin = file.display().to_string();
+        for raw in text.lines().filter(|raw| !raw.trim().is_empty()) {
+            match Line::parse(raw, &origin) {
+                Some(line) => lines.push(line),
+                None => unread += 1,
+            }
+        }
+    }
+    lines.sort_by_key(|line| line.at);
+    if unread > 0 {
+        terminal.remark(&format!("{unread} lines are no log lines and were passed over"));
+    }
+    match &args.id {
+        Some(id) => life(id, &lines, terminal),
+        None => summary(&lines, terminal),
+    }
+}
+
+/// Writes all that the logs say of one request, in order.
+fn life(id: &str, lines: &[Line], terminal: &mut Terminal<'_>) -> Result<Exit, Error> {
+    let own: Vec<&Line> = lines.iter().filter(|line| line.mentions(id)).collect();
+    if own.is_empty() {
+        let cause = format!("no line of these files mentions the request {id}");
+        return Err(Error::Usage(cause));
+    }
+    let object = json!(own.iter().map(|line| line.object()).collect::<Vec<_>>());
+    let text: Vec<String> = own.iter().map(|line| line.show()).collect();
+    terminal.result(&object, &text.join("\n"))?;
+    Ok(Exit::Done)
+}
+
+fn summary(lines: &[Line], terminal: &mut Terminal<'_>) -> Result<Exit, Error> {
+    let mut tally = Tally::default();
+    lines.iter().filter_map(Line::ended).for_each(|ended| tally.take(&ended));
+    terminal.result(&tally.object(), &tally.show())?;
+    Ok(Exit::Done)
+}
+
+fn read(file: &Path) -> Result<String, Error> {
+    let wrong = |cause: String| Error::File { file: file.display().to_string(), cause };
+    let bytes = fs::read(file).map_err(|error| wrong(error.to_string()))?;
+    // A log that was cut off may end within a letter.
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
--- /dev/null
+++ b/crates/verbenaslip-cli/src/command/explain/line.rs
@@ -0,0 +1,141 @@
+//! One line of an instance's log.
+
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::command::time;
+
+/// The number of the line that says how a request ended.
+const REQUEST_ENDED: u64 = 901;
+
+/// Holds one line with where it stands.
+pub(super) struct Line {
+    /// When it was written, in Unix milliseconds.
+    pub(super) at: u64,
+    origin: String,
+    fields: Value,
+}
+
+/// Says how one request ended.
+#[derive(Debug, Deserialize)]
+pub(super) struct Ended {
+    /// When, in Unix milliseconds.
+    pub(super) at: u64,
+    pub(super) route: String,
+    #[serde(default)]
+    pub(super) team: Option<String>,
+    pub(super) outcome: String,
+    pub(super) status: u16,
+    /// Why tries ended without an answer.
+    #[serde(default)]
+    pub(super) causes: Vec<String>,
+    #[serde(default)]
+    first_ms: Option<u64>,
+    #[serde(default)]
+    objective_ms: Option<u64>,
+    /// Whether its caller had been refused before.
+    #[serde(default)]
+    waited: bool,
+}
+
+/// Says what a caller got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Fate {
+    /// An answer within the objective.
+    OnTime,
+    /// An answer after it.
+    Late,
+    /// The word that it has not run, and when to come back.
+    Refused,
+    /// No answer, or a failure.
+    Lost,
+    /// It left before there was an answer.
+    Left,
+    /// A refusal of what is not allowed.
+    Denied,
+}
+
+impl Line {
+    /// Reads a line; what stands before its opening brace, as collectors put there, is passed over.
+    pub(super) fn parse(raw: &str, origin: &str) -> Option<Self> {
+        let fields: Value = serde_json::from_str(&raw[raw.find('{')?..]).ok()?;
+        let at = fields.get("at")?.as_u64()?;
+        Some(Self { at, origin: origin.to_owned(), fields })
+    }
+
+    /// Tells whether it is about a request.
+    pub(super) fn mentions(&self, id: &str) -> bool {
+        self.fields.get("id").and_then(Value::as_str) == Some(id)
+    }
+
+    /// Returns how a request ended, if it says that.
+    pub(super) fn ended(&self) -> Option<Ended> {
+        let number = self.fields.get("event").and_then(Value::as_u64);
+        if number != Some(REQUEST_ENDED) {
+            return None;
+        }
+        serde_json::from_value(self.fields.clone()).ok()
+    }
+
+    pub(super) fn object(&self) -> Value {
+        json!({ "file": self.origin, "line": self.fields })
+    }
+
+    /// Shows it for people.
+    pub(super) fn show(&self) -> String {
+        let text = |name: &str| self.fields.get(name).and_then(Value::as_str).unwrap_or("");
+        let fields = self.fields.as_object().into_iter().flatten();
+        let rest = fields.filter(|(name, _)| !["at", "event", "what", "id"].contains(&&***name));
+        let rest: Vec<String> = rest.map(|(name, value)| format!("{name}={value}")).collect();
+        let millis = self.at % 1_000;
+        format!(
+            "{} +{millis:03} ms  {}  {}  {}",
+            time::show(self.at),
+            self.origin,
+            text("what"),
+            rest.join(" ")
+        )
+    }
+}
+
+impl Ended {
+    /// Returns what the caller got.
+    pub(super) fn fate(&self) -> Fate {
+        match (self.outcome.as_str(), self.status) {
+            ("caller_gone", _) => Fate::Left,
+            ("answered", 200..400) if self.is_late() => Fate::Late,
+            ("answered", 200..400) => Fate::OnTime,
+            (_, 408 | 421 | 429 | 503) => Fate::Refused,
+            (_, 400..500) => Fate::Denied,
+            _ => Fate::Lost,
+        }
+    }
+
+    /// Returns why, in the words of the log.
+    pub(super) fn cause(&self) -> String {
+        let tries = self.causes.join(",");
+        if tries.is_empty() { self.outcome.clone() } else { format!("{}: {tries}", self.outcome) }
+    }
+
+    fn is_late(&self) -> bool {
+        let over = self.first_ms.zip(self.objective_ms).is_some_and(|(first, most)| first > most);
+        self.waited || over
+    }
+}
+
+impl Fate {
+    /// All of them, the best first.
+    pub(super) const ALL: [Self; 6] =
+        [Self::OnTime, Self::Late, Self::Refused, Self::Lost, Self::Left, Self::Denied];
+
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::OnTime => "on time",
+            Self::Late => "late",
+            Self::Refused => "refused",
+            Self::Lost => "lost",
+            Self::Left => "left",
+            Self::Denied => "denied",
+        }
+    }
+}
--- a/crates/verbenaslip-cli/src/lib.rs
+++ b/crates/verbenaslip-cli/src/lib.rs
@@ -38,6 +38,7 @@
         Action::Table(table) => command::table::run(table, open, terminal),
         Action::Audit(audit) => command::audit::run(audit, &mut open()?, terminal),
         Action::Drain(drain) => command::drain::run(drain, &mut open()?, terminal),
+        Action::Explain(explain) => command::explain::run(explain, terminal),
         Action::Voters(voters) => command::voters::run(voters, &mut open()?, terminal),
     }
 }
--- /dev/null
+++ b/crates/verbenaslip-cli/tests/explain.rs
@@ -0,0 +1,84 @@
+//! What the operators' command says of log lines.
+
+use std::fs;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use verbenaslip_cli::args::Operator;
+use verbenaslip_cli::run;
+use verbenaslip_cli::terminal::Terminal;
+
+const FIRST: &str = r#"{"at":1783618628157,"event":901,"what":"request_ended","id":"a1","route":"reports","team":"red","outcome":"answered","status":200,"first_ms":69,"objective_ms":1000,"causes":[],"waited":false}
+{"at":1783618628457,"event":901,"what":"request_ended","id":"a2","route":"reports","team":"red","outcome":"answered","status":200,"first_ms":1301,"objective_ms":1000,"causes":[],"waited":false}
+{"at":1783618629001,"event":901,"what":"request_ended","id":"a3","route":"reports","team":"blue","outcome":"busy","status":503,"objective_ms":1000,"causes":[],"waited":false,"expected_ms":1400}
+{"at":1783618628229,"event":913,"what":"upstream_withdrawn","upstream":"i-1"}
+"#;
+
+const SECOND: &str = r#"a line of another program
+2.94 entry-2 {"at":1783618629745,"event":901,"what":"request_ended","id":"a4","route":"lookups","team":null,"outcome":"failed","status":502,"objective_ms":150,"causes":["broken"],"waited":false}
+{"at":1783618629900,"event":901,"what":"request_ended","id":"a3","route":"reports","team":"blue","outcome":"answered","status":200,"first_ms":80,"objective_ms":1000,"causes":[],"waited":true}
+{"at":1783618629,"event":901,"what":"requ"#;
+
+fn says(name: &str, words: &[&str]) -> (u8, String, String) {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("explain").join(name);
+    fs::create_dir_all(&folder).expect("the folder can be made");
+    let files = [("one.log", FIRST), ("two.log", SECOND)].map(|(name, text)| {
+        fs::write(folder.join(name), text).expect("it can be written");
+        folder.join(name).display().to_string()
+    });
+    let words: Vec<&str> = words
+        .iter()
+        .map(|word| match *word {
+            "ONE" => &*files[0],
+            "TWO" => &*files[1],
+            word => word,
+        })
+        .collect();
+    let args = Operator::from_args(&["verbenaslip"], &words).expect("it is understood");
+    let (mut out, mut remarks) = (Vec::new(), Vec::new());
+    let exit = run(&args, &mut Terminal::new(&mut out, &mut remarks, args.json));
+    let text = |bytes| String::from_utf8(bytes).expect("text");
+    let place = format!("{}/", folder.display());
+    (exit as u8, text(out).replace(&place, ""), text(remarks).replace(&place, ""))
+}
+
+#[test]
+fn requests_that_were_not_answered_on_time_are_counted_by_cause_and_second() {
+    let (exit, out, remarks) = says("summary", &["explain", "ONE", "TWO"]);
+    assert_eq!(exit, 0);
+    assert_eq!(remarks, "2 lines are no log lines and were passed over\n");
+    insta::assert_snapshot!(out);
+}
+
+#[test]
+fn one_requests_life_is_told_in_order_across_instances() {
+    let (exit, out, _) = says("life", &["explain", "--id", "a3", "TWO", "ONE"]);
+    assert_eq!(exit, 0);
+    insta::assert_snapshot!(out);
+}
+
+#[test]
+fn scripts_get_all_counts() {
+    let (_, out, _) = says("json", &["--json", "explain", "ONE", "TWO"]);
+    let object: serde_json::Value = serde_json::from_str(&out).expect("JSON");
+    let causes = object["causes"].as_array().expect("a list");
+    let count = |fate: &str| {
+        let own = causes.iter().filter(|cause| cause["fate"] == fate);
+        own.filter_map(|cause| cause["count"].as_u64()).sum::<u64>()
+    };
+    assert_eq!((count("late"), count("refused"), count("lost")), (2, 1, 1));
+    assert_eq!(object["seconds"][0]["requests"]["on time"], 1);
+}
+
+#[test]
+fn what_can_not_be_told_is_said() {
+    let (exit, _, remarks) = says("unknown", &["explain", "--id", "zz", "ONE"]);
+    assert_eq!(exit, 2);
+    assert_eq!(remarks, "verbenaslip: no line of these files mentions the request zz\n");
+    let (exit, _, remarks) = says("nothing", &["explain"]);
+    assert_eq!(exit, 2);
+    assert!(remarks.contains("name at least one file"), "{remarks}");
+    let (exit, _, remarks) = says("missing", &["explain", "/none/at/all.log"]);
+    assert_eq!(exit, 3);
+    assert!(remarks.contains("/none/at/all.log"), "{remarks}");
+}
