--- a/crates/verbenaslip-fleet/src/registry.rs
+++ b/crates/verbenaslip-fleet/src/registry.rs
@@ -273,15 +273,17 @@
         let changed = stamp != self.stamp;
         self.stamp = stamp;
         self.departures.forget(now);
-        let forgotten = |held: &Held| {
+        let forgotten = |held: &&Held| {
             held.record.standing != Standing::Ready && now.saturating_sub(held.heard) > MEMORY
         };
-        let gone = self.records.values().filter(|it| forgotten(it)).map(|it| it.stamp).max();
-        let mut ended = Vec::new();
-        if let Some(gone) = gone {
-            self.purged = self.purged.max(gone);
-            let forgotten = self.records.extract_if(.., |_, held| forgotten(held));
-            ended.extend(forgotten.map(|(_, held)| held.record.announcement.run));
+        let gone: Vec<&Held> = self.records.values().filter(forgotten).collect();
+        if let Some(stamp) = gone.iter().map(|it| it.stamp).max() {
+            self.purged = self.purged.max(stamp);
+        }
+        let ended: Vec<Run> =
+            gone.into_iter().map(|it| it.record.announcement.run.clone()).collect();
+        for run in &ended {
+            self.records.remove(&run.upstream);
         }
         Lapse { changed, ended }
     }
--- a/crates/verbenaslip-relay/src/board.rs
+++ b/crates/verbenaslip-relay/src/board.rs
@@ -13,6 +13,9 @@
 use verbenaslip_fleet::usage::{self, Tally};
 use verbenaslip_fleet::view::View;
 
+/// Sums by service.
+type Totals = BTreeMap<Arc<str>, f64>;
+
 /// Shares the view of the fleet one way, and counts the other.
 #[derive(Debug, Default)]
 pub struct Board {
@@ -20,7 +23,7 @@
     tally: Mutex<Tally>,
     demand: Mutex<BTreeMap<Team, Asked>>,
     /// Milliseconds of engine time that were asked for since the start, by service.
-    work: Mutex<BTreeMap<Arc<str>, f64>>,
+    work: Mutex<Totals>,
     draining: AtomicBool,
     closing: AtomicBool,
     closed: Notify,
