--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -1,5 +1,6 @@
 //! A core: a voter of the replicated log, and its leader for a time.
 
+mod begin;
 mod call;
 mod lead;
 mod log;
@@ -16,8 +17,8 @@
 use verbenaslip_replica::{Replica, output};
 
 use crate::clock;
+use crate::core::begin::Seeker;
 use crate::core::call::Waiting;
-use crate::core::lead::Seeker;
 use crate::departure::Departure;
 use crate::duty::{self, Desk, Order, Outcome};
 use crate::frame::{Ask, Frame, Peer, Told};
--- /dev/null
+++ b/crates/verbenaslip-fleet/src/core/begin.rs
@@ -0,0 +1,129 @@
+//! How a core begins and ends to lead: what it knows at once, whom it tells, what it leaves behind.
+
+use std::time::Duration;
+
+use crate::core::{Core, Reign};
+use crate::departure::Departure;
+use crate::frame::{Beat, Frame};
+use crate::hub::Hub;
+use crate::registry::{Record, Standing};
+use crate::view::Stamp;
+
+/// How long after its last question an instance still looks for a leader: several questions' time.
+const SEEKING: Duration = Duration::from_secs(1);
+
+/// Reports, five a second, up to which an entry has just started.
+const FRESH: u64 = 12;
+
+/// The most instances that are remembered; beyond that those are dropped that no longer ask.
+const SEEKERS: usize = 1_024;
+
+/// Holds an instance that looks for a leader.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Seeker {
+    /// When it asked last.
+    at: Duration,
+    /// Whether it forwards requests.
+    entry: bool,
+    /// Its reports since its start.
+    reports: u64,
+}
+
+impl Core {
+    /// Begins or ends to lead as the lease says.
+    pub(crate) fn follow_role(&mut self) {
+        let leased = self.replica.lease_until(self.now).is_some_and(|until| until > self.now);
+        let term = self.replica.term();
+        match self.reign {
+            Some(reign) if leased && reign.term == term => {}
+            None if !leased => {}
+            _ if leased => self.begin(term),
+            _ => self.end(),
+        }
+    }
+
+    fn begin(&mut self, term: u64) {
+        self.reign = Some(Reign { term, since: self.now });
+        self.open_hub();
+        self.closing.clear();
+        self.planners.clear();
+        self.noting.clear();
+        self.absent.clear();
+        self.changing = None;
+        self.departing.clear();
+        self.noting_departures = None;
+        self.noting_joins = None;
+        let records = self.remembered();
+        self.joining = records.iter().map(|it| it.announcement.run.upstream.clone()).collect();
+        let mut departures = self.link.departures().clone();
+        for Departure { run, standing } in self.ledger.departures() {
+            departures.take(self.now, &run, standing);
+        }
+        self.registry.adopt(self.now, records.into_iter(), departures);
+        self.call_seekers();
+        self.push_soon();
+        self.advance_calls();
+    }
+
+    /// Lists the upstreams that this core knows of as a follower, or from the log where it doesn't.
+    ///
+    /// After a power loss of all, upstreams announce themselves to the new leader within a second or two.
+    /// Until then the few that came first would get the requests of all callers that have waited meanwhile:
+    /// one would notice half of them timed out at upstreams that were fine a moment before.
+    fn remembered(&self) -> Vec<Record> {
+        let view = &self.link.view().upstreams;
+        let newer = |it: &&Record| {
+            let known = view.get(&it.announcement.run.upstream);
+            known.is_none_or(|known| {
+                known.announcement.run.incarnation < it.announcement.run.incarnation
+            })
+        };
+        let logged: Vec<Record> = self.ledger.joined().filter(newer).cloned().collect();
+        view.values().cloned().chain(logged).collect()
+    }
+
+    /// Tells whoever has looked for a leader a moment ago that this core leads.
+    ///
+    /// After a power loss of all, entries ask every core from time to time. Until the next time they would
+    /// let all their callers wait, though there are routes to go by.
+    fn call_seekers(&mut self) {
+        let leader = Some(self.link.own().address);
+        for seeker in std::mem::take(&mut self.seekers).into_keys() {
+            let cores = self.link.cores();
+            self.send(seeker, Frame::Elsewhere { leader, cores });
+        }
+    }
+
+    /// Remembers an instance that asked for the leader while this core did not lead.
+    pub(crate) fn sought(&mut self, beat: &Beat) {
+        if self.seekers.len() >= SEEKERS {
+            self.drop_seekers();
+        }
+        let (at, entry) = (self.now, beat.peer.voter.is_none());
+        self.seekers.insert(beat.peer.address, Seeker { at, entry, reports: beat.number });
+    }
+
+    fn drop_seekers(&mut self) {
+        self.seekers.retain(|_, seeker| self.now.saturating_sub(seeker.at) <= SEEKING);
+    }
+
+    /// Prepares to lend the teams' limits from the first report on.
+    fn open_hub(&mut self) {
+        self.drop_seekers();
+        let entries = self.seekers.values().filter(|seeker| seeker.entry);
+        let expected = entries.clone().count();
+        let restarted = expected > 0 && entries.clone().all(|seeker| seeker.reports <= FRESH);
+        self.hub = Hub::open(self.now, expected, restarted);
+        self.hub.refresh(self.now, &self.ledger);
+    }
+
+    /// Keeps what was led by for the time after.
+    fn end(&mut self) {
+        let Some(reign) = self.reign.take() else { return };
+        let stamp = Stamp { term: reign.term, change: self.registry.stamp() };
+        let there = self.registry.records().filter(|it| it.standing != Standing::Gone);
+        let there = there.cloned().collect();
+        self.link.keep(stamp, there, self.registry.departures().clone());
+        self.advance_calls();
+    }
+}
