Take out that small requests pass a used-up limit

Cause: with 57 entries what their loans may be overdrawn by uses up most of the tolerance; a fiftieth of the limit beside it is too much.

--- a/crates/verbenaslip-relay/src/policy/allowance.rs
+++ b/crates/verbenaslip-relay/src/policy/allowance.rs
@@ -8,22 +8,6 @@
 use verbenaslip_fleet::sheet::{Quota, TeamRow};
 use verbenaslip_fleet::view::View;
 
-/// A request that asks for less than this part of its team's usual one passes also when the team has used
-/// up its limit. Beside prompts of thousands of tokens a team's plain calls take next to nothing of it, but
-/// those were refused as often: a seventh of the acknowledgements of alarms of a team whose reports were
-/// beyond its limit (tailings deployment, quiet day).
-const SMALL: f64 = 0.05;
-
-/// The part of a limit that such requests may take beyond it, over all entries together; it is reported,
-/// and later large ones pay for it. A team's plain calls are known to take half a hundredth.
-const SMALL_PART: f64 = 0.02;
-
-/// For how long that part may be saved up.
-const SMALL_SAVED: f64 = 2.0;
-
-/// The weight of a request in its team's mean size.
-const SIZE: f64 = 0.05;
-
 /// Holds what was admitted of each team, and a bucket for the time without a leader.
 #[derive(Debug, Default)]
 pub struct Allowance {
@@ -36,10 +20,6 @@
     total: f64,
     /// What is left of an equal part of the limit.
     alone: f64,
-    /// What small requests may take beyond the limit.
-    spare: f64,
-    /// The mean units of a request.
-    mean: f64,
     at: Duration,
 }
 
@@ -67,16 +47,9 @@
         let filled = admitted.alone + passed * quota.rate * equal;
         admitted.alone = filled.min(quota.burst * equal);
         admitted.at = now;
-        let part = quota.rate * equal * SMALL_PART;
-        admitted.spare = (admitted.spare + passed * part).min(part * SMALL_SAVED);
         let lent = view.loans.get(&team.name).filter(|_| is_fresh(now, view));
         let left = lent.map_or(admitted.alone, |lent| lent.units - (admitted.total - lent.from));
-        admitted.mean += (units - admitted.mean) * SIZE;
-        let small = units <= admitted.mean * SMALL && units <= admitted.spare;
-        if left <= 0.0 && small {
-            admitted.spare -= units;
-        }
-        if left > 0.0 || small {
+        if left > 0.0 {
             admitted.total += units;
             admitted.alone -= units;
             return Verdict::Within;
@@ -100,7 +73,7 @@
 
     fn admitted(&mut self, now: Duration, team: &Team) -> &mut Admitted {
         // The bucket begins empty: an entry that was killed may have spent a whole one a moment ago.
-        let open = || Admitted { total: 0.0, alone: 0.0, spare: 0.0, mean: 0.0, at: now };
+        let open = || Admitted { total: 0.0, alone: 0.0, at: now };
         self.teams.entry(team.clone()).or_insert_with(open)
     }
 }
