Pass over another writer's word that an upstream goes, in the log as well

Found on reading the change: an announcement under a service that no route table knows changed nothing in the registry, but if it said that the upstream goes, that was noted in the log, and the next leader believed it. The test fails without the change.

--- a/crates/verbenaslip-fleet/src/core/call.rs
+++ b/crates/verbenaslip-fleet/src/core/call.rs
@@ -184,7 +184,11 @@
         let served = table.is_none_or(|table| table.service(&announcement.service).is_some());
         match self.registry.announce(self.now, announcement, served) {
             Change::Nothing => {}
-            Change::Foreign => self.note(Note::Foreign(run.clone())),
+            Change::Foreign => {
+                // Another writer's word, also that the upstream goes, says nothing of the one that serves.
+                self.note(Note::Foreign(run));
+                return self.conclude(key, Told::Noted);
+            }
             Change::News | Change::Leaving => {
                 self.push_soon();
                 if !self.ledger.has_joined(&run) {
--- a/crates/verbenaslip-fleet/tests/cluster.rs
+++ b/crates/verbenaslip-fleet/tests/cluster.rs
@@ -342,6 +342,26 @@
     assert!(!is_used(&net, "u"));
 }
 
+#[test]
+fn a_leaving_under_an_unknown_service_ends_no_upstream() {
+    // Symptom: an upstream that serves gets no work after the next election. Sequence: another writer says
+    // under its name, and a service that no route table knows, that it goes. Cause: a word that the
+    // registry passed over, noted in the log all the same.
+    let mut net = Net::found(3, 1);
+    net.run(SECOND * 4);
+    net.call(0, Ask::Announce(Box::new(announcement("u", 1, false))));
+    net.call(0, adopt(4));
+    let foreign = verbenaslip_fleet::registry::Announcement {
+        service: "none".into(),
+        ..announcement("u", 9, true)
+    };
+    assert_eq!(net.call(0, Ask::Announce(Box::new(foreign))), Some(Told::Noted));
+    (0..3).for_each(|core| net.restart(core));
+    net.restart_entry(0);
+    net.run(SECOND * 3);
+    assert!(is_used(&net, "u"));
+}
+
 #[test]
 fn a_repeated_leaving_is_acknowledged_only_when_all_know_it() {
     // Symptom: a request reaches an upstream long after its leaving was acknowledged. Sequence: an entry
