--- a/crates/verbenaslip-fleet/src/registry.rs
+++ b/crates/verbenaslip-fleet/src/registry.rs
@@ -319,6 +319,7 @@
             old.record.standing = Standing::Gone;
             self.stamp += 1;
             old.stamp = self.stamp;
+            self.departures.take(now, &old.record.announcement.run, Standing::Gone);
         }
         self.stamp += 1;
         let departed = self.departures.standing(run);
--- a/crates/verbenaslip-fleet/tests/registry.rs
+++ b/crates/verbenaslip-fleet/tests/registry.rs
@@ -201,3 +201,15 @@
     assert_eq!(standing(&registry, "b"), Some(Standing::Leaving));
     assert_eq!(registry.announce(at(30), born(2_000, 1), true), Change::News);
 }
+
+#[test]
+fn a_late_announcement_does_not_bring_back_a_run_whose_address_another_one_has() {
+    // Symptom: requests go to a run that no longer exists. Sequence: it crashes, another run registers at
+    // its address, then an announcement of the first comes that was held up. Cause: a run that was ended by
+    // its successor not remembered as gone, unlike one that said so.
+    let mut registry = Registry::open(BEAT);
+    registry.announce(at(0), announcement("a", 1, 9), true);
+    registry.announce(at(2_500), announcement("b", 1, 1), true);
+    assert_eq!(registry.announce(at(2_600), announcement("a", 1, 10), true), Change::Nothing);
+    assert_eq!(standing(&registry, "a"), Some(Standing::Gone));
+}
