Say in the log who knew of a leaving when it was acknowledged, and what was passed over as late

What could not be told from logs: by whose word an entry chose an upstream, whether a leaving was acknowledged with every instance's word, what a new leader knew, and which announcements were held up.

Lines of requests: 392 bytes before, 361 with the new fields (means of 3,600 lines).

--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -22,11 +22,12 @@
 use crate::departure::Departure;
 use crate::duty::{self, Desk, Order, Outcome};
 use crate::frame::{Ask, Frame, Peer, Told};
-use crate::hub::Hub;
+use crate::hub::{Hub, Spread};
 use crate::ledger::Ledger;
 use crate::link::{Link, Report};
 use crate::plan::{Census, Planner};
-use crate::registry::{Registry, Run};
+use crate::registry::{Late, Registry, Run};
+use crate::view::Stamp;
 
 /// The largest command: a route table of the largest body that an operator may send, with the
 /// document itself beside it.
@@ -150,6 +151,30 @@
     },
     /// An upstream said that it goes.
     Withdrawn(Run),
+    /// An announcement was passed over, since what is known is newer.
+    Late(Late),
+    /// That an upstream goes was acknowledged.
+    Acknowledged {
+        /// The run, and how it goes.
+        departure: Departure,
+        /// How long its caller has waited.
+        waited: Duration,
+        /// The change by which instances know it.
+        change: Stamp,
+        /// Who knew it by then.
+        spread: Spread,
+    },
+    /// This core begins to lead.
+    Began {
+        /// The term.
+        term: u64,
+        /// The upstreams that it knows.
+        upstreams: usize,
+        /// Those of them that only the log holds.
+        logged: usize,
+        /// The runs that it knows to go or have gone.
+        departures: usize,
+    },
     /// An announcement names a service that no route table knows, and would displace an upstream.
     Foreign(Run),
     /// The voters are changed.
--- a/crates/verbenaslip-fleet/src/core/begin.rs
+++ b/crates/verbenaslip-fleet/src/core/begin.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::core::{Core, Reign};
+use crate::core::{Core, Note, Reign};
 use crate::departure::Departure;
 use crate::frame::{Beat, Frame};
 use crate::hub::Hub;
@@ -54,11 +54,18 @@
         self.noting_departures = None;
         self.noting_joins = None;
         let records = self.remembered();
+        let known = self.link.view().upstreams.len();
         self.joining = records.iter().map(|it| it.announcement.run.upstream.clone()).collect();
         let mut departures = self.link.departures().clone();
         for Departure { run, standing } in self.ledger.departures() {
             departures.take(self.now, &run, standing);
         }
+        self.note(Note::Began {
+            term,
+            upstreams: records.len(),
+            logged: records.len() - known,
+            departures: departures.len(),
+        });
         self.registry.adopt(self.now, records.into_iter(), departures);
         self.call_seekers();
         self.push_soon();
--- a/crates/verbenaslip-fleet/src/core/call.rs
+++ b/crates/verbenaslip-fleet/src/core/call.rs
@@ -10,6 +10,7 @@
 use crate::frame::{Ask, Frame, Told};
 use crate::ledger::Command;
 use crate::registry::{Announcement, Change, Run, Standing};
+use crate::view::Stamp;
 
 /// How long a call waits for an answer that is sure; its sender turns to another core after 1 s.
 const PATIENCE: Duration = Duration::from_millis(850);
@@ -133,6 +134,7 @@
                 let seen =
                     until <= self.now || (self.is_settled() && self.hub.all_seen(self.now, change));
                 if seen && self.is_noted(key) {
+                    self.note_acknowledged(key, change);
                     self.conclude(key, Told::Noted);
                 }
             }
@@ -178,12 +180,15 @@
 
     fn announced(&mut self, key: u64, announcement: Announcement) {
         let run = announcement.run.clone();
-        let leaves = announcement.draining;
+        let (leaves, sequence) = (announcement.draining, announcement.sequence);
         let table = self.ledger.edition().map(|edition| &edition.sheet);
         // Before the first route table every service may be one of those that it names.
         let served = table.is_none_or(|table| table.service(&announcement.service).is_some());
         match self.registry.announce(self.now, announcement, served) {
-            Change::Nothing => {}
+            Change::Nothing => {
+                let late = self.registry.late(self.now, &run, sequence);
+                late.into_iter().for_each(|late| self.note(Note::Late(late)));
+            }
             Change::Foreign => {
                 // Another writer's word, also that the upstream goes, says nothing of the one that serves.
                 self.note(Note::Foreign(run));
@@ -252,6 +257,17 @@
         departure.is_none_or(|it| self.ledger.has_departed(&it.run, it.standing))
     }
 
+    fn note_acknowledged(&mut self, key: u64, change: u64) {
+        let Some(Waiting { departure: Some(departure), until, .. }) = self.waiting.get(&key) else {
+            return;
+        };
+        let departure = departure.clone();
+        let waited = PATIENCE.saturating_sub(until.saturating_sub(self.now));
+        let spread = self.hub.spread(self.now, change);
+        let change = Stamp { term: self.replica.term(), change };
+        self.note(Note::Acknowledged { departure, waited, change, spread });
+    }
+
     fn pass(&mut self, key: u64) {
         // A core that is no voter yet hears of the leader only as an entry does.
         let leader = self.replica.leader().and_then(address_of);
--- a/crates/verbenaslip-fleet/src/departure.rs
+++ b/crates/verbenaslip-fleet/src/departure.rs
@@ -62,6 +62,22 @@
         }
     }
 
+    /// Returns how long ago a run was last heard to go.
+    pub fn age(&self, now: Duration, run: &Run) -> Option<Duration> {
+        let held = self.last.get(&run.upstream)?;
+        (run.incarnation <= held.incarnation).then(|| now.saturating_sub(held.heard))
+    }
+
+    /// Returns how many are remembered.
+    pub fn len(&self) -> usize {
+        self.last.len()
+    }
+
+    /// Tells whether none is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.last.is_empty()
+    }
+
     /// Takes all that another one remembers.
     pub fn merge(&mut self, now: Duration, other: &Self) {
         for (upstream, held) in &other.last {
--- a/crates/verbenaslip-fleet/src/entry.rs
+++ b/crates/verbenaslip-fleet/src/entry.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::frame::{Frame, Peer};
-use crate::link::{Link, Report, Targets};
+use crate::link::{Beliefs, Link, Report, Targets};
 use crate::view::View;
 
 /// Keeps an entry's view of the fleet.
@@ -33,6 +33,11 @@
         self.link.view()
     }
 
+    /// Takes what has changed of the upstreams since it was last asked for, for the log.
+    pub fn take_beliefs(&mut self) -> Beliefs {
+        self.link.take_beliefs()
+    }
+
     /// Returns when [`beat`](Self::beat) is due.
     pub fn wake(&self) -> Duration {
         self.link.wake()
--- a/crates/verbenaslip-fleet/src/hub.rs
+++ b/crates/verbenaslip-fleet/src/hub.rs
@@ -101,6 +101,17 @@
     pub news: News,
 }
 
+/// Counts the instances that have a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Spread {
+    /// Those that have confirmed it.
+    pub seen: usize,
+    /// Those that are heard, whether they have it or not.
+    pub heard: usize,
+    /// Those that are not, and are not waited for.
+    pub silent: usize,
+}
+
 /// Says what an instance lacks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Lack {
@@ -278,6 +289,14 @@
         Some(Lack { base, sheet, urgent: source.urgent && subscriber.seen < change })
     }
 
+    /// Counts who has a change.
+    pub fn spread(&self, now: Duration, change: u64) -> Spread {
+        let heard = self.subscribers.values().filter(|it| it.is_heard(now, SILENCE));
+        let (heard, unheard) = (heard.count(), self.subscribers.len());
+        let seen = self.subscribers.values().filter(|it| it.seen >= change).count();
+        Spread { seen, heard, silent: unheard - heard }
+    }
+
     /// Tells whether every instance that answers has a change.
     pub fn all_seen(&self, now: Duration, change: u64) -> bool {
         let live = self.subscribers.values().filter(|it| it.is_heard(now, SILENCE));
--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use verbenaslip_base::name::Team;
+use verbenaslip_base::name::{Team, Upstream};
 
 use crate::clock::Clock;
 use crate::departure::Departures;
@@ -46,6 +46,41 @@
     pub work: Vec<Work>,
 }
 
+/// Changes of belief that are listed by name; a zone's upstreams that go together are more than that.
+const LISTED: usize = 32;
+
+/// Says how an upstream stands in an instance's view.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Belief {
+    /// The upstream.
+    pub upstream: Upstream,
+    /// How it stands; none for one that has gone.
+    pub standing: Option<Standing>,
+}
+
+/// Lists upstreams of which an instance believes something else than before.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Beliefs {
+    /// How they stand now.
+    pub changed: Vec<Belief>,
+    /// How many more there are.
+    pub unlisted: usize,
+}
+
+impl Beliefs {
+    /// Takes how an upstream stood and stands.
+    fn take(&mut self, upstream: &Upstream, then: Option<Standing>, now: Option<Standing>) {
+        if then == now {
+            return;
+        }
+        if self.changed.len() < LISTED {
+            self.changed.push(Belief { upstream: upstream.clone(), standing: now });
+        } else {
+            self.unlisted += 1;
+        }
+    }
+}
+
 /// Remembers what a report told of the units admitted.
 #[derive(Debug)]
 struct Reported {
@@ -63,6 +98,8 @@
     view: View,
     /// Runs that go, whoever leads.
     departures: Departures,
+    /// What has changed since it was last asked for.
+    beliefs: Beliefs,
     clock: Clock,
     target: Option<SocketAddr>,
     since: Duration,
@@ -83,6 +120,7 @@
             hearsay: Vec::new(),
             view,
             departures: Departures::default(),
+            beliefs: Beliefs::default(),
             clock,
             target: None,
             since: now,
@@ -102,6 +140,11 @@
         &self.departures
     }
 
+    /// Takes what has changed of the upstreams since it was last asked for, for the log.
+    pub fn take_beliefs(&mut self) -> Beliefs {
+        std::mem::take(&mut self.beliefs)
+    }
+
     /// Takes over what this instance knew of upstreams while it led.
     pub(crate) fn keep(&mut self, stamp: Stamp, records: Vec<Record>, departures: Departures) {
         self.view.stamp = stamp;
@@ -264,28 +307,41 @@
             return;
         }
         self.departures.forget(now);
-        let upstreams = Arc::make_mut(&mut self.view.upstreams);
-        let mut before = if whole { std::mem::take(upstreams) } else { BTreeMap::new() };
-        for mut record in records {
-            let run = &record.announcement.run;
-            if matches!(record.standing, Standing::Leaving | Standing::Gone) {
-                self.departures.take(now, run, record.standing);
-            }
-            if let Some(known) = before.remove(&run.upstream) {
-                upstreams.insert(run.upstream.clone(), known);
-            }
-            let known = upstreams.get(&run.upstream).map(|it| it.announcement.run.incarnation);
-            if known.is_some_and(|known| known > run.incarnation) {
-                continue;
+        let mut before = BTreeMap::new();
+        if whole {
+            before = std::mem::take(Arc::make_mut(&mut self.view.upstreams));
+        }
+        for told in records {
+            let upstream = told.announcement.run.upstream.clone();
+            let upstreams = Arc::make_mut(&mut self.view.upstreams);
+            let known = before.remove(&upstream).or_else(|| upstreams.remove(&upstream));
+            let then = known.as_ref().map(|it| it.standing);
+            let held = self.weigh(now, known, told);
+            self.beliefs.take(&upstream, then, held.as_ref().map(|it| it.standing));
+            if let Some(held) = held {
+                Arc::make_mut(&mut self.view.upstreams).insert(upstream, held);
             }
-            match self.departures.standing(run) {
-                Some(Standing::Gone) => {
-                    upstreams.remove(&run.upstream);
-                }
-                departed => {
-                    record.standing = departed.unwrap_or(record.standing);
-                    upstreams.insert(run.upstream.clone(), record);
-                }
+        }
+        for (upstream, known) in before {
+            self.beliefs.take(&upstream, Some(known.standing), None);
+        }
+    }
+
+    /// Chooses between what is known of an upstream and a leader's word; none when it has gone.
+    fn weigh(&mut self, now: Duration, known: Option<Record>, mut told: Record) -> Option<Record> {
+        let run = &told.announcement.run;
+        if matches!(told.standing, Standing::Leaving | Standing::Gone) {
+            self.departures.take(now, run, told.standing);
+        }
+        let newer = |it: &Record| it.announcement.run.incarnation > run.incarnation;
+        if known.as_ref().is_some_and(newer) {
+            return known;
+        }
+        match self.departures.standing(run) {
+            Some(Standing::Gone) => None,
+            departed => {
+                told.standing = departed.unwrap_or(told.standing);
+                Some(told)
             }
         }
     }
--- a/crates/verbenaslip-fleet/src/registry.rs
+++ b/crates/verbenaslip-fleet/src/registry.rs
@@ -111,6 +111,19 @@
     pub ended: Vec<Run>,
 }
 
+/// Tells of an announcement that was passed over, since what is known is newer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Late {
+    /// The run that it is of.
+    pub run: Run,
+    /// Its number.
+    pub sequence: u64,
+    /// The run that its upstream's name stands for, and the number of that one's last announcement.
+    pub known: Option<(u64, u64)>,
+    /// How its run goes or has gone, and how long ago that was last heard.
+    pub departed: Option<(Standing, Duration)>,
+}
+
 /// Says what an announcement has changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -216,6 +229,17 @@
         }
     }
 
+    /// Tells why an announcement was not taken; none for the one that is held now.
+    pub fn late(&self, now: Duration, run: &Run, sequence: u64) -> Option<Late> {
+        let held = self.records.get(&run.upstream).map(|held| &held.record.announcement);
+        if held.is_some_and(|it| it.run == *run && it.sequence == sequence) {
+            return None;
+        }
+        let known = held.map(|it| (it.run.incarnation, it.sequence));
+        let departed = self.departures.standing(run).zip(self.departures.age(now, run));
+        Some(Late { run: run.clone(), sequence, known, departed })
+    }
+
     /// Takes a later announcement of a run that is known.
     fn renew(&mut self, now: Duration, announcement: Announcement) -> Change {
         let Some(held) = self.records.get_mut(&announcement.run.upstream) else {
--- /dev/null
+++ b/crates/verbenaslip-fleet/tests/notes.rs
@@ -0,0 +1,80 @@
+//! What the logs say of an upstream's leaving, by which its way can be followed afterwards.
+
+mod net;
+
+use std::time::Duration;
+
+use net::{Net, announcement, edition, run, withdraw};
+use verbenaslip_fleet::core::Note;
+use verbenaslip_fleet::frame::{Ask, Told};
+use verbenaslip_fleet::link::Belief;
+use verbenaslip_fleet::registry::Standing;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Starts a fleet that knows an upstream.
+fn fleet() -> Net {
+    let mut net = Net::found(3, 2);
+    net.run(SECOND * 4);
+    net.call(0, Ask::Adopt(Box::new(edition(4))));
+    net.call(0, Ask::Announce(Box::new(announcement("u", 7, false))));
+    net.run(SECOND);
+    net.take_notes();
+    net
+}
+
+#[test]
+fn an_acknowledged_leaving_says_who_knew_it() {
+    let mut net = fleet();
+    assert_eq!(net.call(0, withdraw("u")), Some(Told::Noted));
+    let notes = net.take_notes();
+    let told = notes.iter().find_map(|(_, note)| match note {
+        Note::Acknowledged { departure, spread, .. } => Some((departure.clone(), *spread)),
+        _ => None,
+    });
+    let (departure, spread) = told.expect("a line about it");
+    assert_eq!((departure.run, departure.standing), (run("u", 0), Standing::Gone));
+    // Two entries and two followers.
+    assert_eq!((spread.seen, spread.heard, spread.silent), (4, 4, 0));
+}
+
+#[test]
+fn a_new_leader_says_what_it_knows_and_what_it_passes_over() {
+    let mut net = fleet();
+    net.call(0, withdraw("u"));
+    let old = net.leaders()[0];
+    net.cut(old);
+    net.run(SECOND * 3);
+    let new = *net.leaders().iter().find(|core| **core != old).expect("another one leads");
+    net.call(new, Ask::Announce(Box::new(announcement("u", 9, false))));
+    let notes = net.take_notes();
+    let began = notes.iter().any(|(core, note)| {
+        *core == new && matches!(note, Note::Began { departures: 1, upstreams: 0, .. })
+    });
+    assert!(began, "{notes:?}");
+    let late = notes.iter().find_map(|(core, note)| match note {
+        Note::Late(late) if *core == new => Some(late.clone()),
+        _ => None,
+    });
+    let late = late.expect("a line about it");
+    assert_eq!((late.run, late.sequence), (run("u", 0), 9));
+    assert!(matches!(late.departed, Some((Standing::Gone, age)) if age > SECOND));
+}
+
+fn beliefs(net: &mut Net) -> Vec<Belief> {
+    net.entry_mut(0).take_beliefs().changed
+}
+
+fn belief(standing: Option<Standing>) -> Belief {
+    Belief { upstream: "u".into(), standing }
+}
+
+#[test]
+fn an_entry_says_which_upstreams_it_believes_something_else_of() {
+    let mut net = fleet();
+    assert_eq!(beliefs(&mut net), [belief(Some(Standing::Ready))]);
+    net.call(0, Ask::Announce(Box::new(announcement("u", 8, true))));
+    assert_eq!(beliefs(&mut net), [belief(Some(Standing::Leaving))]);
+    net.call(0, withdraw("u"));
+    assert_eq!(beliefs(&mut net), [belief(None)]);
+}
--- a/crates/verbenaslip-instance/src/entry.rs
+++ b/crates/verbenaslip-instance/src/entry.rs
@@ -10,6 +10,7 @@
 use verbenaslip_fleet::Entry as Decisions;
 use verbenaslip_fleet::entry::Letter;
 use verbenaslip_fleet::frame::{Frame, Peer};
+use verbenaslip_fleet::link::Beliefs;
 use verbenaslip_fleet::view::Stamp;
 use verbenaslip_relay::board::Board;
 use verbenaslip_relay::dialect::Dialect;
@@ -20,6 +21,7 @@
 
 use crate::event;
 use crate::links::Links;
+use crate::note;
 use crate::settings::{self, Settings};
 use crate::signal::Signal;
 
@@ -143,6 +145,8 @@
         let shown = (view.revision(), view.stamp);
         if self.shown != Some(shown) {
             self.shown = Some(shown);
+            let Beliefs { changed, unlisted } = self.decisions.take_beliefs();
+            let view = self.decisions.view();
             journal::say(
                 event::VIEW,
                 [
@@ -150,6 +154,8 @@
                     ("term", json!(view.stamp.term)),
                     ("change", json!(view.stamp.change)),
                     ("upstreams", json!(view.upstreams.len())),
+                    ("changed", note::standings(&changed)),
+                    ("unlisted", json!(unlisted)),
                     ("entries", json!(view.entries)),
                 ],
             );
--- a/crates/verbenaslip-instance/src/event.rs
+++ b/crates/verbenaslip-instance/src/event.rs
@@ -28,6 +28,12 @@
 pub(crate) const UPSTREAM: Kind = Kind { number: 912, name: "upstream_changed" };
 /// An upstream said that it goes.
 pub(crate) const WITHDRAWN: Kind = Kind { number: 913, name: "upstream_withdrawn" };
+/// An announcement was passed over, since what is known is newer.
+pub(crate) const LATE: Kind = Kind { number: 931, name: "announcement_late" };
+/// That an upstream goes was acknowledged.
+pub(crate) const ACKNOWLEDGED: Kind = Kind { number: 932, name: "leaving_acknowledged" };
+/// A core begins to lead, with what it knows of upstreams.
+pub(crate) const BEGAN: Kind = Kind { number: 933, name: "lead_begun" };
 /// The voters are changed.
 pub(crate) const VOTERS: Kind = Kind { number: 914, name: "voters_changing" };
 /// The counts of a window are final.
--- a/crates/verbenaslip-instance/src/note.rs
+++ b/crates/verbenaslip-instance/src/note.rs
@@ -1,8 +1,9 @@
 //! What a core believes, as log lines.
 
-use serde_json::json;
+use serde_json::{Value, json};
 use verbenaslip_fleet::core::Note;
-use verbenaslip_fleet::registry::Run;
+use verbenaslip_fleet::link::Belief;
+use verbenaslip_fleet::registry::{Late, Run};
 use verbenaslip_relay::journal::{self, Kind};
 
 use crate::event;
@@ -39,6 +40,35 @@
             );
         }
         Note::Withdrawn(run) => run_line(event::WITHDRAWN, &run),
+        Note::Late(late) => say_late(&late),
+        Note::Acknowledged { departure, waited, change, spread } => {
+            let complete = spread.seen >= spread.heard;
+            metrics::histogram!("verbenaslip_leaving_seconds").record(waited.as_secs_f64());
+            journal::say(
+                event::ACKNOWLEDGED,
+                [
+                    ("upstream", json!(departure.run.upstream.as_str())),
+                    ("incarnation", json!(departure.run.incarnation)),
+                    ("standing", json!(format!("{:?}", departure.standing))),
+                    ("waited_ms", json!(waited.as_millis())),
+                    ("term", json!(change.term)),
+                    ("change", json!(change.change)),
+                    ("seen", json!(spread.seen)),
+                    ("heard", json!(spread.heard)),
+                    ("silent", json!(spread.silent)),
+                    ("complete", json!(complete)),
+                ],
+            );
+        }
+        Note::Began { term, upstreams, logged, departures } => journal::say(
+            event::BEGAN,
+            [
+                ("term", json!(term)),
+                ("upstreams", json!(upstreams)),
+                ("logged", json!(logged)),
+                ("departures", json!(departures)),
+            ],
+        ),
         Note::Foreign(run) => run_line(event::FOREIGN, &run),
         Note::Voters { change } => {
             journal::say(event::VOTERS, [("change", json!(format!("{change:?}")))]);
@@ -60,6 +90,34 @@
     }
 }
 
+/// Writes a line about an announcement that was passed over.
+fn say_late(late: &Late) {
+    metrics::counter!("verbenaslip_announcements_late_total").increment(1);
+    let (known, last) = late.known.unzip();
+    let (standing, age) = late.departed.unzip();
+    journal::say(
+        event::LATE,
+        [
+            ("upstream", json!(late.run.upstream.as_str())),
+            ("incarnation", json!(late.run.incarnation)),
+            ("sequence", json!(late.sequence)),
+            ("known_incarnation", json!(known)),
+            ("known_sequence", json!(last)),
+            ("departed", json!(standing.map(|it| format!("{it:?}")))),
+            ("departed_ms", json!(age.map(|age| age.as_millis()))),
+        ],
+    );
+}
+
+/// Lists how upstreams stand, by name; null for one that is gone.
+pub(crate) fn standings(changed: &[Belief]) -> Value {
+    let named = |it: &Belief| {
+        let standing = it.standing.map(|standing| format!("{standing:?}"));
+        (it.upstream.as_str().to_owned(), json!(standing))
+    };
+    Value::Object(changed.iter().map(named).collect())
+}
+
 /// Writes a line about one run of an upstream.
 fn run_line(kind: Kind, run: &Run) {
     let fields =
--- a/crates/verbenaslip-relay/src/forward/life.rs
+++ b/crates/verbenaslip-relay/src/forward/life.rs
@@ -182,7 +182,8 @@
     let answered = exchange::send(context, caller, job, &choice, &bytes, leave).await;
     if !matches!(answered, Err(Failure::Unreached)) {
         course.arrivals += 1;
-        trace.sent.push(choice.run.upstream.clone());
+        let upstream = choice.run.upstream.clone();
+        trace.sent.push(trace::Sent { upstream, after: sent - job.arrived });
     }
     match answered {
         Ok(answered) => {
@@ -341,6 +342,7 @@
         waited: job.waited,
         begun: course.may_have_run,
     };
+    trace.placed_by = Some(context.placement.borrow().stamp());
     let verdict = context.placement.borrow_mut().choose(steady::now(), &ask);
     count_work(context, job, course, &verdict);
     match verdict {
--- a/crates/verbenaslip-relay/src/forward/trace.rs
+++ b/crates/verbenaslip-relay/src/forward/trace.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::time::Instant;
 use verbenaslip_base::name::{Team, Upstream};
 use verbenaslip_fleet::sheet::TeamRow;
-use verbenaslip_fleet::view::View;
+use verbenaslip_fleet::view::{Stamp, View};
 
 use crate::forward::job::Job;
 use crate::journal::{self, Kind};
@@ -19,7 +19,9 @@
 #[derive(Debug, Default)]
 pub struct Trace {
     /// The upstreams that got it, in order.
-    pub sent: Vec<Upstream>,
+    pub sent: Vec<Sent>,
+    /// By whose word the last of them was chosen.
+    pub placed_by: Option<Stamp>,
     /// Why each try ended without an answer.
     pub causes: Vec<&'static str>,
     /// The status of the final answer.
@@ -41,6 +43,15 @@
     pub pause: Duration,
 }
 
+/// Says where a request was sent.
+#[derive(Debug)]
+pub struct Sent {
+    /// The upstream.
+    pub upstream: Upstream,
+    /// When, from when the request had arrived.
+    pub after: Duration,
+}
+
 /// Says in one line how a request ended and what decided it.
 pub fn say(view: &View, id: &str, job: Option<&Job<'_>>, trace: &Trace, arrived: Instant) {
     let took = arrived.elapsed();
@@ -52,30 +63,46 @@
     let now = steady::now();
     let age = view.heard.map(|heard| now.saturating_sub(heard).as_millis());
     let team = job.and_then(|job| job.team).map(|team: &TeamRow| &team.name);
-    let sent: Vec<&str> = trace.sent.iter().map(Upstream::as_str).collect();
-    journal::say(
-        ENDED,
-        [
-            ("id", json!(id)),
-            ("route", json!(route)),
-            ("team", json!(team.map(Team::as_str))),
-            ("outcome", json!(outcome)),
-            ("status", json!(trace.status)),
-            ("ms", json!(took.as_millis())),
-            ("upstreams", json!(sent)),
-            ("causes", json!(trace.causes)),
-            ("objective_ms", json!(job.map(|job| job.route.objective.as_millis()))),
-            ("patience_ms", json!(job.and_then(|job| job.call.patience).map(|it| it.as_millis()))),
-            ("rank", json!(job.map(|job| job.rank))),
-            ("waited", json!(job.is_some_and(|job| job.waited))),
-            ("expected_ms", json!(trace.expected.round())),
-            ("lag_ms", json!(trace.lag.round())),
-            ("admitted_share", json!(trace.share)),
-            ("first_ms", json!(trace.first.map(|first| first.as_millis()))),
-            ("back_ms", json!(trace.back.map(|back| back.as_millis()))),
-            ("pause_ms", json!(trace.pause.as_millis())),
-            ("revision", json!(view.revision())),
-            ("view_age_ms", json!(age)),
-        ],
-    );
+    let sent: Vec<&str> = trace.sent.iter().map(|sent| sent.upstream.as_str()).collect();
+    let after: Vec<u128> = trace.sent.iter().map(|sent| sent.after.as_millis()).collect();
+    let fields = [
+        ("id", json!(id)),
+        ("route", json!(route)),
+        ("team", json!(team.map(Team::as_str))),
+        ("outcome", json!(outcome)),
+        ("status", json!(trace.status)),
+        ("ms", json!(took.as_millis())),
+        ("upstreams", json!(sent)),
+        ("sent_ms", json!(after)),
+        ("term", json!(trace.placed_by.map(|stamp| stamp.term))),
+        ("change", json!(trace.placed_by.map(|stamp| stamp.change))),
+        ("causes", json!(trace.causes)),
+        ("objective_ms", json!(job.map(|job| job.route.objective.as_millis()))),
+        ("patience_ms", json!(job.and_then(|job| job.call.patience).map(|it| it.as_millis()))),
+        ("rank", json!(job.map(|job| job.rank))),
+        ("waited", json!(job.is_some_and(|job| job.waited))),
+        ("expected_ms", json!(trace.expected.round())),
+        ("lag_ms", json!(trace.lag.round())),
+        ("admitted_share", json!(trace.share)),
+        ("first_ms", json!(trace.first.map(|first| first.as_millis()))),
+        ("back_ms", json!(trace.back.map(|back| back.as_millis()))),
+        ("pause_ms", json!(trace.pause.as_millis())),
+        ("revision", json!(view.revision())),
+        ("view_age_ms", json!(age)),
+    ];
+    journal::say(ENDED, fields.into_iter().filter(|(_, value)| says_something(value)));
+}
+
+/// Tells whether a value is worth its place in a line.
+///
+/// There is a line for every request, and whoever collects logs keeps so many bytes of them: after a minute
+/// nothing is left of what an entry believed during a fault. Without what is empty a line takes 361 bytes
+/// instead of 392, though it says by whose word an upstream was chosen as well (means of 3,600 lines of the
+/// claims deployment, 20 s).
+fn says_something(value: &Value) -> bool {
+    match value {
+        Value::Null | Value::Bool(false) => false,
+        Value::Array(items) => !items.is_empty(),
+        _ => true,
+    }
 }
--- a/crates/verbenaslip-relay/src/journal.rs
+++ b/crates/verbenaslip-relay/src/journal.rs
@@ -47,9 +47,9 @@
 }
 
 /// Writes a line.
-pub fn say<const N: usize>(kind: Kind, fields: [(&'static str, Value); N]) {
+pub fn say(kind: Kind, fields: impl IntoIterator<Item = (&'static str, Value)>) {
     let Some(lines) = LINES.get() else { return };
-    let mut map = Map::with_capacity(N + 4);
+    let mut map = Map::new();
     map.insert("at".into(), steady::unix().into());
     map.insert("event".into(), kind.number.into());
     map.insert("what".into(), kind.name.into());
