Give the daemon's and the links' tests ports that nobody else is given

A daemon of a test could not listen: beside load, an outgoing connection of another process had got its port between the question for a free one and its start (Address already in use, seen once).

--- a/crates/verbenaslip-cli/tests/site/mod.rs
+++ b/crates/verbenaslip-cli/tests/site/mod.rs
@@ -2,13 +2,15 @@
 
 use std::fs::{self, Permissions};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::os::unix::fs::PermissionsExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use verbenaslip_lab::port;
+
 /// The longest that any step may take on a busy machine.
 pub const PATIENCE: Duration = Duration::from_secs(60);
 
@@ -158,10 +160,9 @@
     }
 }
 
-/// Returns addresses that are free now.
+/// Returns addresses whose ports nobody else is given.
 pub fn free() -> [SocketAddr; 3] {
-    let listeners = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0").expect("a port is free"));
-    listeners.map(|listener| listener.local_addr().expect("a bound listener has an address"))
+    [(); 3].map(|()| port::free().expect("a free port"))
 }
 
 /// Asks for a path and returns the answer's status.
--- a/crates/verbenaslip-instance/tests/links.rs
+++ b/crates/verbenaslip-instance/tests/links.rs
@@ -1,19 +1,19 @@
 //! Connections between instances that dial each other at the same moment, and that go silent.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::sync::mpsc::{self, UnboundedReceiver};
 use tokio::task::LocalSet;
 use verbenaslip_fleet::frame::{Frame, Told};
 use verbenaslip_instance::links::Links;
+use verbenaslip_lab::port;
 
 const ROUNDS: u64 = 40;
 const PAUSE: Duration = Duration::from_millis(20);
 
 fn free() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port is free");
-    listener.local_addr().expect("it is bound")
+    port::free().expect("a free port")
 }
 
 fn frame(token: u64) -> Frame {
