A core looks at its lease before it takes what has waited for it

Cause: a step took its input first and only then noticed that the lease had ended. A leader whose machine had stood still answered the first call that it read from its old state (a read of revision 4 after 6 was acknowledged elsewhere), and the first report with its old list of upstreams and a loan.

Ruled out: writes (they need the quorum's answer in the term) and orders to the cloud (the lease is looked at just before the bytes leave).

--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -307,6 +307,9 @@
     /// Takes an input at a time on the local clock, and adds what is to be done to `out`.
     pub fn step(&mut self, now: Duration, input: Input, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
+        // A machine that stood still has lost its lease meanwhile. A call or report that waited for it would
+        // be answered by what was so before: one would notice a read older than an acknowledged edit.
+        self.follow_role();
         self.take(input);
         self.step_log(replica::Input::Tick);
         self.follow_role();
