Place a request that is tried again by what is known then

Cause: upstreams were taken over from the fleet's news when a request came, for all requests. Busy entries hide it, as every request that comes brings the news.

The log line of a request says by whose word its last upstream was chosen, and how old that was then; the age was counted at the request's end.

--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -87,6 +87,8 @@
     /// Left while nothing else can go on, its caller's answer would end in the middle though the
     /// upstream was only slow: an engine that is out of memory is silent for seconds.
     pub(crate) fn may_leave(&self, job: &Job<'_>, tried: &[Run], paid: &mut bool) -> bool {
+        // The other one may have left since this request came.
+        self.view();
         let other = self.placement.borrow().has_other(steady::now(), &job.service, tried);
         *paid = *paid || (other && self.spend(job));
         *paid && other
--- a/crates/verbenaslip-relay/src/forward/life.rs
+++ b/crates/verbenaslip-relay/src/forward/life.rs
@@ -14,7 +14,7 @@
 use crate::forward::job::{self, Job, Refused};
 use crate::forward::leave::Leave;
 use crate::forward::onward;
-use crate::forward::trace::{self, Trace};
+use crate::forward::trace::{self, Basis, Trace};
 use crate::http::{Whole, Wire};
 use crate::policy::place::{Ask, Busy, Cause, Choice, Ending, Verdict};
 use crate::steady;
@@ -68,6 +68,7 @@
     let starting = context.board.view().routes.is_none();
     let left = starting && wait_for_routes(context, caller, whole).await;
     let view = context.view();
+    trace.basis = Basis::of(&view);
     if left {
         trace.outcome = "caller_gone";
         trace::say(&view, &id, None, &trace, whole.arrived);
@@ -342,7 +343,9 @@
         waited: job.waited,
         begun: course.may_have_run,
     };
-    trace.placed_by = Some(context.placement.borrow().stamp());
+    // A request that is tried again may have waited for seconds, and nothing else need have come meanwhile.
+    // Placed by what was known when it came, it would go to an upstream that has left since.
+    trace.basis = Basis::of(&context.view());
     let verdict = context.placement.borrow_mut().choose(steady::now(), &ask);
     count_work(context, job, course, &verdict);
     match verdict {
--- a/crates/verbenaslip-relay/src/forward/trace.rs
+++ b/crates/verbenaslip-relay/src/forward/trace.rs
@@ -20,8 +20,8 @@
 pub struct Trace {
     /// The upstreams that got it, in order.
     pub sent: Vec<Sent>,
-    /// By whose word the last of them was chosen.
-    pub placed_by: Option<Stamp>,
+    /// By whose word it was admitted, or its last upstream chosen.
+    pub basis: Basis,
     /// Why each try ended without an answer.
     pub causes: Vec<&'static str>,
     /// The status of the final answer.
@@ -52,6 +52,23 @@
     pub after: Duration,
 }
 
+/// Says by whose word something was decided.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Basis {
+    /// How new the list of upstreams was.
+    stamp: Stamp,
+    /// How long before the leader had been heard.
+    age: Option<Duration>,
+}
+
+impl Basis {
+    /// Notes what a decision goes by that is made now.
+    pub fn of(view: &View) -> Self {
+        let age = view.heard.map(|heard| steady::now().saturating_sub(heard));
+        Self { stamp: view.stamp, age }
+    }
+}
+
 /// Says in one line how a request ended and what decided it.
 pub fn say(view: &View, id: &str, job: Option<&Job<'_>>, trace: &Trace, arrived: Instant) {
     let took = arrived.elapsed();
@@ -60,8 +77,7 @@
     metrics::counter!("verbenaslip_requests_total", "outcome" => outcome).increment(1);
     metrics::histogram!("verbenaslip_request_seconds", "route" => route.to_owned())
         .record(took.as_secs_f64());
-    let now = steady::now();
-    let age = view.heard.map(|heard| now.saturating_sub(heard).as_millis());
+    let Basis { stamp, age } = trace.basis;
     let team = job.and_then(|job| job.team).map(|team: &TeamRow| &team.name);
     let sent: Vec<&str> = trace.sent.iter().map(|sent| sent.upstream.as_str()).collect();
     let after: Vec<u128> = trace.sent.iter().map(|sent| sent.after.as_millis()).collect();
@@ -74,8 +90,8 @@
         ("ms", json!(took.as_millis())),
         ("upstreams", json!(sent)),
         ("sent_ms", json!(after)),
-        ("term", json!(trace.placed_by.map(|stamp| stamp.term))),
-        ("change", json!(trace.placed_by.map(|stamp| stamp.change))),
+        ("term", json!(stamp.term)),
+        ("change", json!(stamp.change)),
         ("causes", json!(trace.causes)),
         ("objective_ms", json!(job.map(|job| job.route.objective.as_millis()))),
         ("patience_ms", json!(job.and_then(|job| job.call.patience).map(|it| it.as_millis()))),
@@ -88,7 +104,7 @@
         ("back_ms", json!(trace.back.map(|back| back.as_millis()))),
         ("pause_ms", json!(trace.pause.as_millis())),
         ("revision", json!(view.revision())),
-        ("view_age_ms", json!(age)),
+        ("view_age_ms", json!(age.map(|age| age.as_millis()))),
     ];
     journal::say(ENDED, fields.into_iter().filter(|(_, value)| says_something(value)));
 }
--- a/crates/verbenaslip-relay/src/policy/place.rs
+++ b/crates/verbenaslip-relay/src/policy/place.rs
@@ -9,7 +9,6 @@
 use verbenaslip_base::name::{AvailabilityZone, Upstream};
 use verbenaslip_fleet::View;
 use verbenaslip_fleet::registry::{Announcement, Record, Run, Standing};
-use verbenaslip_fleet::view::Stamp;
 
 use crate::dialect::Part;
 use crate::policy::pace::Lag;
@@ -74,8 +73,6 @@
     sites: BTreeMap<Upstream, Site>,
     by_service: BTreeMap<Arc<str>, Vec<Upstream>>,
     upstreams: Option<Arc<Records>>,
-    /// Whose word it goes by, and how new that is.
-    stamp: Stamp,
     turn: u64,
     lags: BTreeMap<Lane, Lag>,
     shares: BTreeMap<Arc<str>, Share>,
@@ -187,7 +184,6 @@
             sites: BTreeMap::new(),
             by_service: BTreeMap::new(),
             upstreams: None,
-            stamp: Stamp::default(),
             turn: 0,
             lags: BTreeMap::new(),
             shares: BTreeMap::new(),
@@ -201,15 +197,9 @@
             gone = self.take_records(&view.upstreams);
             self.upstreams = Some(view.upstreams.clone());
         }
-        self.stamp = view.stamp;
         gone
     }
 
-    /// Returns by whose word requests are placed, and how new that is.
-    pub fn stamp(&self) -> Stamp {
-        self.stamp
-    }
-
     /// Decides where a request goes, and counts it there.
     pub fn choose(&mut self, now: Duration, ask: &Ask<'_>) -> Verdict {
         let engine = !ask.parts.is_empty();
