Count a loan's time from the report that it answers

Cause: an entry took its loans for good for 1 s from any word of the leader, counted from when it read it. The leader counts from the report, and after 2 s without one lends the entry's part to others. An entry that had stood still read the answer that had waited for it and admitted by it; one whose reports were lost on the way, while the leader's news came through, did so for as long as there were news. What both spent lay beyond the team's limit.

Ruled out: the bucket for the time without a leader (it begins to fill when the loan ends).

--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -81,10 +81,11 @@
     }
 }
 
-/// Remembers what a report told of the units admitted.
+/// Remembers what a report told of the units admitted, and when it was sent.
 #[derive(Debug)]
 struct Reported {
     number: u64,
+    at: Duration,
     admitted: BTreeMap<Team, f64>,
 }
 
@@ -223,7 +224,7 @@
         let Report { counts, demand, work } = report;
         self.number += 1;
         let admitted = demand.iter().map(|it| (it.team.clone(), it.admitted)).collect();
-        self.reported.push_back(Reported { number: self.number, admitted });
+        self.reported.push_back(Reported { number: self.number, at: now, admitted });
         if self.reported.len() > REPORTS {
             self.reported.pop_front();
         }
@@ -288,8 +289,16 @@
     }
 
     /// Takes what was lent, beyond what the answered report told.
+    ///
+    /// The leader counts the time of a loan from the report, and lends it to others when no other report
+    /// comes. Counted here from when the answer is read, which may have waited while the machine stood still,
+    /// both would spend it: one would notice teams far beyond their limits.
     fn borrow(&mut self, number: u64, loans: Vec<Loan>) {
         let Some(reported) = self.reported.iter().find(|it| it.number == number) else { return };
+        if self.view.lent.is_some_and(|lent| lent > reported.at) {
+            return;
+        }
+        self.view.lent = Some(reported.at);
         let lent = |loan: Loan| {
             let from = reported.admitted.get(&loan.team).copied().unwrap_or(0.0);
             (loan.team, Lent { units: loan.units, from })
--- a/crates/verbenaslip-fleet/src/view.rs
+++ b/crates/verbenaslip-fleet/src/view.rs
@@ -43,6 +43,9 @@
     pub cores: Vec<SocketAddr>,
     /// What this instance was lent of each team's limit.
     pub loans: Arc<BTreeMap<Team, Lent>>,
+    /// When the report was sent that the loans answer. They hold for a time from then on, however late the
+    /// answer was read.
+    pub lent: Option<Duration>,
     /// How many entries there are.
     pub entries: u32,
     /// When the leader was last heard.
@@ -59,6 +62,7 @@
             upstreams: Arc::default(),
             cores: Vec::new(),
             loans: Arc::default(),
+            lent: None,
             entries: 1,
             heard: None,
             time: 0,
--- a/crates/verbenaslip-relay/src/policy/allowance.rs
+++ b/crates/verbenaslip-relay/src/policy/allowance.rs
@@ -81,12 +81,12 @@
 /// The shortest time after which a team may have been lent more: one report and its answer.
 const LOAN: f64 = 0.3;
 
-/// Tells whether the leader was heard so lately that its loans hold.
+/// Tells whether a report was answered that was sent so lately that the loans hold.
 ///
 /// An entry that does not hear the leader can't know what others were lent meanwhile, so it falls
 /// back to an equal part of each limit, which the leader keeps for it.
 fn is_fresh(now: Duration, view: &View) -> bool {
-    view.heard.is_some_and(|heard| now.saturating_sub(heard) <= SHARE_LEASE)
+    view.lent.is_some_and(|lent| now.saturating_sub(lent) <= SHARE_LEASE)
 }
 
 /// Returns the units of a request under a quota.
--- a/crates/verbenaslip-relay/tests/allowance.rs
+++ b/crates/verbenaslip-relay/tests/allowance.rs
@@ -87,3 +87,14 @@
     entry.take(SECOND * 5, news(Some(number)));
     assert!(matches!(ask(&entry, SECOND * 5), Verdict::Beyond(_)));
 }
+
+#[test]
+fn other_news_do_not_prolong_what_was_lent() {
+    // Symptom: as above. Sequence: an entry's reports no longer reach the leader, whose news still reach the
+    // entry; the leader lends the entry's part to others. Cause: any word of the leader taken for its loan.
+    let mut entry = entry();
+    let number = report(&mut entry, SECOND);
+    entry.take(SECOND + ROUND_TRIP, news(Some(number)));
+    entry.take(SECOND * 3, news(None));
+    assert!(matches!(ask(&entry, SECOND * 3), Verdict::Beyond(_)));
+}
