Take the time of day only from prompt answers

Cause: an entry that had stood still for 3 s took the time in an answer from before for the present one, and counted requests 3 s early until the next answer. Same class as the loans: the age of a message counted from when it is read.

--- a/crates/verbenaslip-fleet/src/clock.rs
+++ b/crates/verbenaslip-fleet/src/clock.rs
@@ -32,6 +32,11 @@
         self.agreed = true;
     }
 
+    /// Tells whether the fleet has agreed on a time.
+    pub fn is_agreed(&self) -> bool {
+        self.agreed
+    }
+
     /// Returns the time of day in Unix milliseconds.
     pub fn unix(&self, now: Duration) -> u64 {
         at(now, self.offset)
--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -23,6 +23,10 @@
 /// After this silence of the leader every core is asked: three beats.
 const PATIENCE: Duration = Duration::from_millis(750);
 
+/// How long after a report its answer still tells the time of day: within a tenth of the shortest window of
+/// usage, and a hundred times the way to the leader and back.
+const PROMPT: Duration = Duration::from_millis(500);
+
 /// Time between two reports to every core while none answers.
 const SEARCH: Duration = Duration::from_millis(200);
 
@@ -261,8 +265,8 @@
         self.since = now;
         self.target = Some(from);
         self.view.heard = Some(now);
-        self.clock.agree(now, unix);
-        self.view.time = crate::clock::offset(now, unix);
+        let sent = round.as_ref().and_then(|round| self.sent(round.number));
+        self.tell_time(now, sent, unix);
         if let Some(sheet) = sheet {
             self.view.take_sheet(&sheet);
         }
@@ -288,6 +292,23 @@
         Frame::Seen { address: self.own.address, stamp: self.view.stamp }
     }
 
+    /// Takes the time of day that a leader told in answer to a report that was sent at a time.
+    ///
+    /// What a machine that stood still finds in its connections tells a time that has passed; taken for the
+    /// present one, requests would be counted into earlier windows of usage.
+    fn tell_time(&mut self, now: Duration, sent: Option<Duration>, unix: u64) {
+        let prompt = sent.is_some_and(|sent| now.saturating_sub(sent) <= PROMPT);
+        if prompt || !self.clock.is_agreed() {
+            self.clock.agree(now, unix);
+            self.view.time = crate::clock::offset(now, unix);
+        }
+    }
+
+    /// Returns when a report was sent, if it is one of the last.
+    fn sent(&self, number: u64) -> Option<Duration> {
+        self.reported.iter().find(|it| it.number == number).map(|it| it.at)
+    }
+
     /// Takes what was lent, beyond what the answered report told.
     ///
     /// The leader counts the time of a loan from the report, and lends it to others when no other report
--- /dev/null
+++ b/crates/verbenaslip-fleet/tests/entry.rs
@@ -0,0 +1,62 @@
+//! What an entry believes of news that come late.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use verbenaslip_base::name::{AvailabilityZone, Instance};
+use verbenaslip_fleet::frame::{Frame, News, Peer, Round};
+use verbenaslip_fleet::link::Report;
+use verbenaslip_fleet::view::Stamp;
+use verbenaslip_fleet::{Entry, clock};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+const LEADER: ([u8; 4], u16) = ([10, 1, 0, 1], 7_000);
+
+/// The time of day at the start of the steady clock, in Unix milliseconds.
+const EPOCH: u64 = 1_800_000_000_000;
+
+fn unix(now: Duration) -> u64 {
+    EPOCH + u64::try_from(now.as_millis()).expect("small")
+}
+
+fn entry() -> Entry {
+    let own = Peer {
+        address: ([10, 2, 0, 1], 7_000).into(),
+        name: Instance::from("entry-1"),
+        zone: AvailabilityZone::from("north"),
+        incarnation: 1,
+        voter: None,
+    };
+    Entry::open(own, vec![SocketAddr::from(LEADER)], SECOND, unix(SECOND))
+}
+
+/// Has an entry report at a time; returns the leader's answer, written at once.
+fn answer(entry: &mut Entry, now: Duration) -> Frame {
+    let letter = entry.beat(now, unix(now), Report::default()).expect("a report is due");
+    let Frame::Beat(beat) = letter.frame else { panic!("a report is a beat") };
+    let round = Round { cores: Vec::new(), number: beat.number, loans: Vec::new(), entries: 1 };
+    Frame::News(Box::new(News {
+        from: LEADER.into(),
+        stamp: Stamp { term: 3, change: 1 },
+        base: None,
+        records: Vec::new(),
+        sheet: None,
+        round: Some(round),
+        unix: unix(now),
+        urgent: false,
+    }))
+}
+
+#[test]
+fn an_answer_that_was_read_late_does_not_set_the_clock_back() {
+    // Symptom: requests are counted into the wrong window of usage. Sequence: an entry reports and its machine
+    // stands still for 3 s; it wakes and reads the leader's answer, with the time of day of 3 s before. Cause:
+    // the time told by a message taken for the time at which it is read.
+    let mut entry = entry();
+    let prompt = answer(&mut entry, SECOND);
+    entry.take(SECOND, prompt);
+    let late = answer(&mut entry, SECOND * 2);
+    entry.take(SECOND * 5, late);
+    assert_eq!(clock::at(SECOND * 5, entry.view().time), unix(SECOND * 5));
+}
