Tell entries of upstreams that are lost, and let the log forget them without barring their way back

Three faults of one class, what is believed of an upstream that is not in touch; each test failed before: - An upstream silent for a minute was forgotten at the leader and told to nobody: entries held it for as long as they ran, and tried it as a last resort. - The log kept its being forgotten as a departure. One that had only been cut off came back and served, until the next leader took the log's word: it refused the upstream for up to five minutes. - A run's word that it drains, with a number below its last one, was passed over by the list of upstreams but noted in the log, and so acknowledged while entries went on sending requests there.

--- a/crates/verbenaslip-fleet/src/core/begin.rs
+++ b/crates/verbenaslip-fleet/src/core/begin.rs
@@ -128,7 +128,8 @@
     fn end(&mut self) {
         let Some(reign) = self.reign.take() else { return };
         let stamp = Stamp { term: reign.term, change: self.registry.stamp() };
-        let there = self.registry.records().filter(|it| it.standing != Standing::Gone);
+        let is_there = |it: &&Record| !matches!(it.standing, Standing::Gone | Standing::Lost);
+        let there = self.registry.records().filter(is_there);
         let there = there.cloned().collect();
         self.link.keep(stamp, there, self.registry.departures().clone());
         self.advance_calls();
--- a/crates/verbenaslip-fleet/src/core/lead.rs
+++ b/crates/verbenaslip-fleet/src/core/lead.rs
@@ -9,13 +9,12 @@
 use verbenaslip_replica::voter::Voter;
 
 use crate::core::{Core, Note, Output, address_of};
-use crate::departure::Departure;
 use crate::duty::{Desk, Order, Outcome, Scale, Task};
 use crate::frame::{Beat, Frame};
 use crate::hub::{Push, Source};
 use crate::ledger::{Command, Window};
 use crate::plan::{self, Planner, Wish};
-use crate::registry::{Record, Standing};
+use crate::registry::{Record, Run, Standing};
 use crate::usage::window_end;
 use crate::view::Stamp;
 
@@ -64,6 +63,16 @@
         }
     }
 
+    /// Has the log forget runs that are lost.
+    ///
+    /// Noted as departures they would be refused, under the next leader, when they come back.
+    fn note_lost(&mut self, lost: Vec<Run>) {
+        let runs: Vec<Run> = lost.into_iter().filter(|run| self.ledger.has_joined(run)).collect();
+        if !runs.is_empty() {
+            self.propose(&Command::Forget { runs });
+        }
+    }
+
     /// Takes an instance's report and answers it.
     pub(crate) fn beaten(&mut self, beat: Beat) {
         let to = beat.peer.address;
@@ -118,9 +127,7 @@
         }
         self.hub.refresh(self.now, &self.ledger);
         let lapse = self.registry.tick(self.now);
-        let ended = lapse.ended.into_iter().filter(|run| self.ledger.has_joined(run));
-        let ended = ended.map(|run| Departure { run, standing: Standing::Gone });
-        self.departing.extend(ended.collect::<Vec<_>>());
+        self.note_lost(lapse.lost);
         self.note_departures();
         self.note_joins();
         if lapse.changed {
--- a/crates/verbenaslip-fleet/src/ledger.rs
+++ b/crates/verbenaslip-fleet/src/ledger.rs
@@ -42,6 +42,11 @@
         /// What they announced.
         records: Vec<Record>,
     },
+    /// Forgets runs that were silent for long; they may come again.
+    Forget {
+        /// The runs.
+        runs: Vec<Run>,
+    },
 }
 
 /// Pairs a route table with the document in which the operator wrote it.
@@ -171,6 +176,9 @@
             }
             Command::Depart { departures, unix } => self.depart(departures, unix),
             Command::Join { records } => self.join(records),
+            Command::Forget { runs } => {
+                self.joined.retain(|_, it| !runs.contains(&it.announcement.run));
+            }
         }
     }
 
--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -369,6 +369,7 @@
         }
         match self.departures.standing(run) {
             Some(Standing::Gone) => None,
+            None if told.standing == Standing::Lost => None,
             departed => {
                 told.standing = departed.unwrap_or(told.standing);
                 Some(told)
--- a/crates/verbenaslip-fleet/src/registry.rs
+++ b/crates/verbenaslip-fleet/src/registry.rs
@@ -11,8 +11,8 @@
 
 use crate::departure::Departures;
 
-/// How long the record of an upstream that is gone or silent is kept, so that instances that were away
-/// for a moment are told of its end and not of all upstreams anew.
+/// After this silence an upstream counts as lost. As long again its record is kept, as that of one that is
+/// gone, so that instances that were away are told of its end and not of all upstreams anew.
 const MEMORY: Duration = Duration::from_secs(60);
 
 /// How many announcements an upstream may miss before it counts as silent.
@@ -74,6 +74,9 @@
     Leaving,
     /// It has gone.
     Gone,
+    /// It has been silent for so long that nothing more is expected of it; one that was cut off for long may
+    /// come back, as it never said that it goes.
+    Lost,
 }
 
 /// Holds one upstream as all instances see it.
@@ -107,8 +110,8 @@
 pub struct Lapse {
     /// Whether anything changed that others should know.
     pub changed: bool,
-    /// Runs that are forgotten.
-    pub ended: Vec<Run>,
+    /// Runs that are lost.
+    pub lost: Vec<Run>,
 }
 
 /// Tells of an announcement that was passed over, since what is known is newer.
@@ -225,6 +228,7 @@
             Ordering::Equal if known.sequence < announcement.sequence => {
                 self.renew(now, announcement)
             }
+            Ordering::Equal if announcement.draining => self.leave(now, &announcement.run),
             Ordering::Equal | Ordering::Greater => Change::Nothing,
         }
     }
@@ -265,6 +269,21 @@
         }
     }
 
+    /// Takes the word of a run that it drains, and nothing else that it said then: later words are known.
+    ///
+    /// A run says it once and for all. Passed over as late, it would be acknowledged by the log, which holds
+    /// it, while entries go on sending requests there.
+    fn leave(&mut self, now: Duration, run: &Run) -> Change {
+        if !self.departures.take(now, run, Standing::Leaving) {
+            return Change::Nothing;
+        }
+        let Some(held) = self.records.get_mut(&run.upstream) else { return Change::Leaving };
+        held.record.standing = Standing::Leaving;
+        self.stamp += 1;
+        held.stamp = self.stamp;
+        Change::Leaving
+    }
+
     /// Takes the word of a run that it goes.
     pub fn withdraw(&mut self, now: Duration, run: &Run) -> Change {
         if !self.departures.take(now, run, Standing::Gone) {
@@ -282,34 +301,39 @@
         Change::Leaving
     }
 
-    /// Counts upstreams as silent that have missed announcements, and forgets those long gone.
+    /// Counts upstreams as silent that have missed announcements, later as lost, and forgets those long gone.
     pub fn tick(&mut self, now: Duration) -> Lapse {
-        let patience = self.beat * MISSED;
-        let mut stamp = self.stamp;
+        let mut lapse = Lapse::default();
         for held in self.records.values_mut() {
-            let silent = now.saturating_sub(held.heard) > patience;
-            if held.record.standing == Standing::Ready && silent {
-                held.record.standing = Standing::Silent;
-                stamp += 1;
-                held.stamp = stamp;
+            let silence = now.saturating_sub(held.heard);
+            let Some(standing) = after(held.record.standing, silence, self.beat * MISSED) else {
+                continue;
+            };
+            held.record.standing = standing;
+            self.stamp += 1;
+            held.stamp = self.stamp;
+            lapse.changed = true;
+            if standing == Standing::Lost {
+                lapse.lost.push(held.record.announcement.run.clone());
             }
         }
-        let changed = stamp != self.stamp;
-        self.stamp = stamp;
         self.departures.forget(now);
-        let forgotten = |held: &&Held| {
-            held.record.standing != Standing::Ready && now.saturating_sub(held.heard) > MEMORY
+        self.forget(now);
+        lapse
+    }
+
+    /// Forgets upstreams that are gone or lost once every instance has been told.
+    fn forget(&mut self, now: Duration) {
+        let forgotten = |held: &Held| {
+            matches!(held.record.standing, Standing::Gone | Standing::Lost)
+                && now.saturating_sub(held.heard) >= MEMORY * 2
         };
-        let gone: Vec<&Held> = self.records.values().filter(forgotten).collect();
-        if let Some(stamp) = gone.iter().map(|it| it.stamp).max() {
-            self.purged = self.purged.max(stamp);
-        }
-        let ended: Vec<Run> =
-            gone.into_iter().map(|it| it.record.announcement.run.clone()).collect();
-        for run in &ended {
-            self.records.remove(&run.upstream);
+        let last =
+            self.records.values().filter(|held| forgotten(held)).map(|held| held.stamp).max();
+        if let Some(last) = last {
+            self.purged = self.purged.max(last);
+            self.records.retain(|_, held| !forgotten(held));
         }
-        Lapse { changed, ended }
     }
 
     /// Takes a run that is not known.
@@ -325,7 +349,7 @@
             let other = &held.record.announcement;
             other.address == *address
                 && other.run.upstream != run.upstream
-                && held.record.standing != Standing::Gone
+                && !matches!(held.record.standing, Standing::Gone | Standing::Lost)
         };
         if let Some(old) = self.records.values_mut().find(at_address) {
             let before = old.record.announcement.run.incarnation;
@@ -358,6 +382,20 @@
     }
 }
 
+/// Returns what a silence makes of an upstream, if anything; `patience` is for how long one that is ready
+/// may be silent.
+///
+/// Entries hold what the leader told them last. An upstream that was only forgotten at the leader would stay in
+/// use at all of them, as the last resort, for as long as they run.
+fn after(standing: Standing, silence: Duration, patience: Duration) -> Option<Standing> {
+    match standing {
+        Standing::Ready if silence > patience => Some(Standing::Silent),
+        Standing::Silent if silence > MEMORY => Some(Standing::Lost),
+        Standing::Leaving if silence > MEMORY => Some(Standing::Gone),
+        _ => None,
+    }
+}
+
 /// Returns the standing after an announcement; leaving is final for a run.
 fn standing(announcement: &Announcement, before: Standing) -> Standing {
     if announcement.draining || before == Standing::Leaving {
--- a/crates/verbenaslip-fleet/tests/cluster.rs
+++ b/crates/verbenaslip-fleet/tests/cluster.rs
@@ -304,6 +304,15 @@
     net.entries().any(ready)
 }
 
+/// Tells whether every entry sends work to an upstream.
+fn is_ready(net: &Net, name: &str) -> bool {
+    let ready = |view: &verbenaslip_fleet::View| {
+        let record = view.upstreams.get(name);
+        record.is_some_and(|it| it.standing == verbenaslip_fleet::registry::Standing::Ready)
+    };
+    net.entries().all(ready)
+}
+
 #[test]
 fn a_leaving_that_was_acknowledged_outlives_the_leader_at_every_step() {
     // Symptom: requests reach an upstream 3.1 to 3.3 s after its leaving was acknowledged, from entries of
@@ -514,6 +523,43 @@
     assert_eq!(names, ["v"]);
 }
 
+#[test]
+fn an_upstream_that_fell_silent_for_good_is_forgotten_at_entries_as_well() {
+    // Symptom: entries try upstreams that crashed long ago, and hold more of them every day. Sequence: an
+    // upstream crashes; the leader counts it as silent, and forgets it a minute later. Cause: what is
+    // forgotten at the leader is told to nobody.
+    let mut net = Net::found(3, 2);
+    net.run(SECOND * 4);
+    net.call(0, adopt(4));
+    net.call(0, Ask::Announce(Box::new(announcement("u", 1, false))));
+    net.run(SECOND * 70);
+    assert!(net.entries().all(|view| view.upstreams.is_empty()));
+}
+
+#[test]
+fn an_upstream_that_was_cut_off_for_long_serves_again_under_every_leader() {
+    // Symptom: a healthy upstream gets no work for minutes after an election. Sequence: it is cut off for
+    // longer than silent upstreams are remembered, comes back and serves; another core is elected. Cause: its
+    // being forgotten kept in the log as if it had said that it goes, which nothing undoes.
+    let mut net = Net::found(3, 2);
+    net.run(SECOND * 4);
+    net.call(0, adopt(4));
+    net.call(0, Ask::Announce(Box::new(announcement("u", 1, false))));
+    net.run(SECOND * 70);
+    for sequence in 2..6 {
+        net.call(0, Ask::Announce(Box::new(announcement("u", sequence, false))));
+        net.run(SECOND);
+    }
+    assert!(is_ready(&net, "u"));
+    let leader = net.leaders()[0];
+    net.restart(leader);
+    for sequence in 6..10 {
+        net.run(SECOND);
+        net.call((leader + 1) % 3, Ask::Announce(Box::new(announcement("u", sequence, false))));
+    }
+    assert!(is_ready(&net, "u"));
+}
+
 #[test]
 fn an_upstream_that_fell_silent_for_good_is_not_remembered_for_ever() {
     let mut net = Net::found(3, 1);
--- a/crates/verbenaslip-fleet/tests/registry.rs
+++ b/crates/verbenaslip-fleet/tests/registry.rs
@@ -51,6 +51,20 @@
     assert_eq!(standing(&registry, "a"), Some(Standing::Leaving));
 }
 
+#[test]
+fn leaving_counts_however_late_it_comes() {
+    // Symptom: an upstream whose leaving was acknowledged gets new work. Sequence: its word that it drains
+    // comes with a lower number than its last one. Cause: the word passed over as late, and acknowledged by
+    // the log, which holds it, while the list of upstreams does not.
+    let mut registry = Registry::open(BEAT);
+    registry.announce(at(0), announcement("a", 1, 9), true);
+    let draining = Announcement { draining: true, ..announcement("a", 1, 8) };
+    assert_eq!(registry.announce(at(100), draining, true), Change::Leaving);
+    assert_eq!(standing(&registry, "a"), Some(Standing::Leaving));
+    registry.announce(at(300), announcement("a", 1, 10), true);
+    assert_eq!(standing(&registry, "a"), Some(Standing::Leaving));
+}
+
 #[test]
 fn a_run_that_has_gone_stays_gone() {
     // Symptom: requests go to an upstream that no longer exists. Sequence: it withdraws; then one of
--- a/crates/verbenaslip-relay/src/policy/site.rs
+++ b/crates/verbenaslip-relay/src/policy/site.rs
@@ -118,7 +118,7 @@
         match self.record.standing {
             Standing::Ready => !strict || self.paused <= now,
             Standing::Silent => !strict,
-            Standing::Leaving | Standing::Gone => false,
+            Standing::Leaving | Standing::Gone | Standing::Lost => false,
         }
     }
 }
