Hold every departure that is acknowledged in the list of upstreams as well

Cause: an upstream that is not listed (its service is in no route table yet, and another one has its address) was acknowledged to go, and nobody held that: a held-up ready of it made it serve again. Found by the random schedules, which let cores stand still now, upstreams drain before they go, and give each run a name of its own (the third shape). One way in for every departure, in place of three: whatever the log is asked to hold the list holds first.

--- a/crates/verbenaslip-fleet/src/core/call.rs
+++ b/crates/verbenaslip-fleet/src/core/call.rs
@@ -190,9 +190,12 @@
                 late.into_iter().for_each(|late| self.note(Note::Late(late)));
             }
             Change::Foreign => {
-                // Another writer's word, also that the upstream goes, says nothing of the one that serves.
-                self.note(Note::Foreign(run));
-                return self.conclude(key, Told::Noted);
+                self.note(Note::Foreign(run.clone()));
+                // Another writer's word, also that the upstream goes, says nothing of the one that serves
+                // under its name.
+                if self.registry.run(&run.upstream).is_some() {
+                    return self.conclude(key, Told::Noted);
+                }
             }
             Change::News | Change::Leaving => {
                 self.push_soon();
@@ -225,6 +228,7 @@
     /// of it and hears a late announcement; both show as requests lost at upstreams that left in good
     /// order. What the log holds every later leader has.
     fn depart(&mut self, key: u64, departure: Departure) {
+        self.registry.depart(self.now, &departure);
         let noted = self.ledger.has_departed(&departure.run, departure.standing);
         if !noted && !self.departing.contains(&departure) {
             self.departing.push(departure.clone());
--- a/crates/verbenaslip-fleet/src/registry.rs
+++ b/crates/verbenaslip-fleet/src/registry.rs
@@ -9,7 +9,7 @@
 use verbenaslip_base::data;
 use verbenaslip_base::name::{AvailabilityZone, Upstream};
 
-use crate::departure::Departures;
+use crate::departure::{Departure, Departures};
 
 /// After this silence an upstream counts as lost. As long again its record is kept, as that of one that is
 /// gone, so that instances that were away are told of its end and not of all upstreams anew.
@@ -228,7 +228,10 @@
             Ordering::Equal if known.sequence < announcement.sequence => {
                 self.renew(now, announcement)
             }
-            Ordering::Equal if announcement.draining => self.leave(now, &announcement.run),
+            Ordering::Equal if announcement.draining => {
+                let run = announcement.run;
+                self.depart(now, &Departure { run, standing: Standing::Leaving })
+            }
             Ordering::Equal | Ordering::Greater => Change::Nothing,
         }
     }
@@ -269,24 +272,13 @@
         }
     }
 
-    /// Takes the word of a run that it drains, and nothing else that it said then: later words are known.
+    /// Takes the word of a run that it goes or has gone, whatever else is known of it.
     ///
-    /// A run says it once and for all. Passed over as late, it would be acknowledged by the log, which holds
-    /// it, while entries go on sending requests there.
-    fn leave(&mut self, now: Duration, run: &Run) -> Change {
-        if !self.departures.take(now, run, Standing::Leaving) {
-            return Change::Nothing;
-        }
-        let Some(held) = self.records.get_mut(&run.upstream) else { return Change::Leaving };
-        held.record.standing = Standing::Leaving;
-        self.stamp += 1;
-        held.stamp = self.stamp;
-        Change::Leaving
-    }
-
-    /// Takes the word of a run that it goes.
-    pub fn withdraw(&mut self, now: Duration, run: &Run) -> Change {
-        if !self.departures.take(now, run, Standing::Gone) {
+    /// A run says it once and for all, so neither a later number nor a missing record speaks against it. Passed
+    /// over here, it would be acknowledged by the log, which holds it, while entries go on sending requests.
+    pub fn depart(&mut self, now: Duration, departure: &Departure) -> Change {
+        let Departure { run, standing } = departure;
+        if !self.departures.take(now, run, *standing) {
             return Change::Nothing;
         }
         let Some(held) = self.records.get_mut(&run.upstream) else { return Change::Leaving };
@@ -294,13 +286,18 @@
             // This leader may have heard of an earlier run only. Told as that one's end, the word would
             // leave the run that goes in use at entries that know it from an earlier leader.
             held.record.announcement.run = run.clone();
-            held.record.standing = Standing::Gone;
+            held.record.standing = *standing;
             self.stamp += 1;
             held.stamp = self.stamp;
         }
         Change::Leaving
     }
 
+    /// Takes the word of a run that it has gone.
+    pub fn withdraw(&mut self, now: Duration, run: &Run) -> Change {
+        self.depart(now, &Departure { run: run.clone(), standing: Standing::Gone })
+    }
+
     /// Counts upstreams as silent that have missed announcements, later as lost, and forgets those long gone.
     pub fn tick(&mut self, now: Duration) -> Lapse {
         let mut lapse = Lapse::default();
--- a/crates/verbenaslip-fleet/tests/cluster.rs
+++ b/crates/verbenaslip-fleet/tests/cluster.rs
@@ -395,6 +395,24 @@
     assert!(is_used(&net, "u"));
 }
 
+#[test]
+fn a_leaving_is_held_also_of_an_upstream_that_is_not_listed() {
+    // Symptom: requests reach an upstream that was acknowledged to go. Sequence: an upstream has the address of
+    // one that crashed a moment ago, and a service that no route table knows yet, so it is not listed; it says
+    // that it drains, and that is acknowledged; when the one before is forgotten, a held-up "ready" of it comes.
+    // Cause: an acknowledgement of what nobody holds.
+    let mut net = Net::found(3, 1);
+    net.run(SECOND * 4);
+    net.call(0, Ask::Announce(Box::new(announcement("u", 1, false))));
+    net.call(0, adopt(4));
+    let told = net.call(0, Ask::Announce(Box::new(announcement("v", 2, true))));
+    assert_eq!(told, Some(Told::Noted));
+    net.call(0, withdraw("u"));
+    net.call(0, Ask::Announce(Box::new(announcement("v", 1, false))));
+    net.run(SECOND);
+    assert!(!is_used(&net, "v"));
+}
+
 #[test]
 fn a_repeated_leaving_is_acknowledged_only_when_all_know_it() {
     // Symptom: a request reaches an upstream long after its leaving was acknowledged. Sequence: an entry
--- a/crates/verbenaslip-fleet/tests/net/mod.rs
+++ b/crates/verbenaslip-fleet/tests/net/mod.rs
@@ -13,7 +13,7 @@
 use verbenaslip_fleet::ledger::Edition;
 use verbenaslip_fleet::link::Report;
 use verbenaslip_fleet::registry::{Announcement, Run};
-use verbenaslip_fleet::sheet::Sheet;
+use verbenaslip_fleet::sheet::{Service, Sheet};
 use verbenaslip_fleet::{Entry, View};
 use verbenaslip_replica::entry::Entry as LogEntry;
 use verbenaslip_replica::setup::Timing;
@@ -33,6 +33,19 @@
     Edition { sheet, document: format!("table {revision}").into_bytes().into() }
 }
 
+/// Makes a table that knows the service of [`announcement`].
+pub fn serving(revision: u64) -> Edition {
+    let service = Service {
+        name: "pool".into(),
+        health: "/healthz".into(),
+        connections: 10,
+        engine: None,
+        scaling: None,
+    };
+    let sheet = Sheet { revision, services: vec![service], ..Sheet::default() };
+    Edition { sheet: Arc::new(sheet), ..edition(revision) }
+}
+
 pub fn announcement(name: &str, sequence: u64, draining: bool) -> Announcement {
     Announcement {
         run: run(name, 0),
@@ -171,12 +184,14 @@
     /// Takes power from a core and gives it back: only what was synced is there.
     pub fn restart(&mut self, core: usize) {
         self.stop(core);
+        self.thaw(core);
         self.start(core, false);
     }
 
     /// Takes a core's disk and starts it with an empty one.
     pub fn wipe(&mut self, core: usize) {
         self.stop(core);
+        self.thaw(core);
         self.cores[core].disk = self.empty_disk();
         self.start(core, false);
     }
--- a/crates/verbenaslip-fleet/tests/random.rs
+++ b/crates/verbenaslip-fleet/tests/random.rs
@@ -10,11 +10,11 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use net::{Net, announcement, edition, run, withdraw};
+use net::{Net, announcement, edition, run, serving};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use verbenaslip_fleet::frame::{Ask, Told};
-use verbenaslip_fleet::registry::{Announcement, Standing};
+use verbenaslip_fleet::registry::{Announcement, Run, Standing};
 
 const STEPS: usize = 40;
 /// How long an upstream still serves after its leaving was acknowledged.
@@ -52,15 +52,26 @@
 struct Shape {
     cores: usize,
     losses: usize,
+    /// Whether cores stand still as well, upstreams drain before they go, each run has a name of its own, and the
+    /// route table knows their service.
+    rough: bool,
 }
 
-const SHAPES: [Shape; 2] = [Shape { cores: 3, losses: 1 }, Shape { cores: 6, losses: 2 }];
+const SHAPES: [Shape; 3] = [
+    Shape { cores: 3, losses: 1, rough: false },
+    Shape { cores: 6, losses: 2, rough: false },
+    Shape { cores: 3, losses: 1, rough: true },
+];
 
 struct World {
     shape: Shape,
     net: Net,
     rng: Pcg64,
     cut: Option<usize>,
+    /// Decides who stands still, apart from all else, so that other shapes play as they ever did.
+    naps: Pcg64,
+    /// The core that stands still.
+    asleep: Option<usize>,
     /// When each core was last disturbed.
     disturbed: Vec<Duration>,
     /// The cores whose lost disks have not been made up for.
@@ -91,6 +102,8 @@
         net: Net::found_with(shape.cores, 2, shape.losses * 2 + 1),
         rng: Pcg64::seed_from_u64(seed),
         cut: None,
+        naps: Pcg64::seed_from_u64(!seed),
+        asleep: None,
         disturbed: vec![Duration::ZERO; shape.cores],
         emptied: BTreeSet::new(),
         mending: Duration::ZERO,
@@ -100,17 +113,22 @@
     };
     world.net.run(Duration::from_secs(4));
     for step in 0..STEPS {
+        world.wake().map_err(|it| format!("seed {seed}, step {step}: {it}"))?;
         world.fault();
+        world.nap();
         let pause = world.rng.random_range(0..4_000);
         world.net.run(Duration::from_millis(pause));
         world.edit();
         (0..UPSTREAMS).for_each(|upstream| world.speak(upstream));
         world.used().map_err(|it| format!("seed {seed}, step {step}: {it}"))?;
         world.read().map_err(|it| format!("seed {seed}, step {step}: {it}"))?;
-        if world.net.leaders().len() > 1 {
+        // One that stands still acts on nothing, and looks at its lease when it wakes.
+        let leaders = world.net.leaders();
+        if leaders.iter().filter(|core| world.asleep != Some(**core)).count() > 1 {
             return Err(format!("seed {seed}, step {step}: two leaders"));
         }
     }
+    world.wake().map_err(|it| format!("seed {seed}, at the end: {it}"))?;
     world.heal();
     world.net.run(Duration::from_secs(12));
     let told = world.net.call(0, Ask::Read);
@@ -152,6 +170,36 @@
         }
     }
 
+    /// Lets a core stand still until the next step.
+    fn nap(&mut self) {
+        if self.shape.rough && self.naps.random_bool(0.4) {
+            let core = self.naps.random_range(0..self.shape.cores);
+            self.disturb(core);
+            self.net.freeze(core);
+            self.asleep = Some(core);
+        }
+    }
+
+    /// Wakes the core that stands still; what it reads first is a call that has waited for it.
+    fn wake(&mut self) -> Result<(), String> {
+        let Some(core) = self.asleep.take() else { return Ok(()) };
+        let before = self.acknowledged;
+        let call = self.net.ask(core, Ask::Read);
+        self.disturb(core);
+        self.net.thaw(core);
+        let Some(Told::Document(document)) = self.net.answer(call) else { return Ok(()) };
+        let read = revision(&document);
+        if read < before {
+            return Err(format!("core {core} wakes and reads {read}, {before} was acknowledged"));
+        }
+        Ok(())
+    }
+
+    /// Returns a core that may be called: this one, or the next if it stands still.
+    fn awake(&self, core: usize) -> usize {
+        if self.asleep == Some(core) { (core + 1) % self.shape.cores } else { core }
+    }
+
     fn restart(&mut self, core: usize) {
         self.disturb(core);
         self.net.restart(core);
@@ -167,7 +215,9 @@
     fn disturb(&mut self, core: usize) {
         let now = self.net.now();
         self.disturbed[core] = now;
-        if now.saturating_sub(self.mending) <= CATCH_UP {
+        // A core that stood still, or was cut off, may have kept the others from it all the while.
+        let waits = self.shape.rough && !self.emptied.is_empty();
+        if waits || now.saturating_sub(self.mending) <= CATCH_UP {
             self.mending = now;
         }
     }
@@ -176,11 +226,13 @@
     fn lost(&mut self) -> BTreeSet<usize> {
         let now = self.net.now();
         let recent = |at: Duration| now.saturating_sub(at) <= CATCH_UP;
-        if !recent(self.mending) {
+        let away = self.shape.rough && (self.cut.is_some() || self.asleep.is_some());
+        if !recent(self.mending) && !away {
             self.emptied.clear();
         }
         let disturbed = (0..self.shape.cores).filter(|it| recent(self.disturbed[*it]));
-        disturbed.chain(self.emptied.iter().copied()).chain(self.cut).collect()
+        let away = self.cut.into_iter().chain(self.asleep);
+        disturbed.chain(self.emptied.iter().copied()).chain(away).collect()
     }
 
     fn may_lose_disk(&mut self, core: usize) -> bool {
@@ -199,7 +251,9 @@
     fn edit(&mut self) {
         self.revision += self.rng.random_range(1..4);
         let core = self.rng.random_range(0..self.shape.cores);
-        let ask = Ask::Adopt(Box::new(edition(self.revision)));
+        let core = self.awake(core);
+        let table = if self.shape.rough { serving } else { edition };
+        let ask = Ask::Adopt(Box::new(table(self.revision)));
         if let Some(Told::Adopted { revision }) = self.net.call(core, ask) {
             self.acknowledged = self.acknowledged.max(revision);
         }
@@ -208,6 +262,7 @@
     /// Has one upstream say something, and an earlier word of it come late.
     fn speak(&mut self, upstream: usize) {
         let core = self.rng.random_range(0..self.shape.cores);
+        let core = self.awake(core);
         let before = self.upstreams[upstream];
         if before.acknowledged.is_none() && before.leaves || self.rng.random_bool(0.3) {
             self.leave(upstream, core);
@@ -221,26 +276,43 @@
         }
         // Held up since before: what the run of before said last, as if nothing had come since.
         let late = Coming { sequence: before.sequence + 1, ..before };
-        self.announce(upstream, (core + 1) % self.shape.cores, late);
+        let other = self.awake((core + 1) % self.shape.cores);
+        self.announce(upstream, other, late);
     }
 
-    fn announce(&mut self, upstream: usize, core: usize, coming: Coming) {
-        let name = format!("u{upstream}");
-        let announcement = Announcement {
-            run: run(&name, coming.incarnation),
+    /// Names a run of an upstream.
+    fn run(&self, upstream: usize, incarnation: u64) -> Run {
+        if self.shape.rough {
+            run(&format!("u{upstream}-{incarnation}"), 0)
+        } else {
+            run(&format!("u{upstream}"), incarnation)
+        }
+    }
+
+    fn announcement(&self, upstream: usize, coming: Coming, draining: bool) -> Announcement {
+        let run = self.run(upstream, coming.incarnation);
+        Announcement {
             address: ([10, 9, 0, 1], u16::try_from(upstream).expect("few")).into(),
-            ..announcement(&name, coming.sequence, false)
-        };
+            ..Announcement { run, ..announcement("", coming.sequence, draining) }
+        }
+    }
+
+    fn announce(&mut self, upstream: usize, core: usize, coming: Coming) {
+        let announcement = self.announcement(upstream, coming, false);
         self.net.ask(core, Ask::Announce(Box::new(announcement)));
     }
 
     fn leave(&mut self, upstream: usize, core: usize) {
         self.upstreams[upstream].leaves = true;
         let Coming { incarnation, .. } = self.upstreams[upstream];
-        let Ask::Withdraw { upstream: name, .. } = withdraw(&format!("u{upstream}")) else {
-            return;
+        let leaving = if self.shape.rough && self.naps.random_bool(0.5) {
+            self.upstreams[upstream].sequence += 1;
+            let coming = self.upstreams[upstream];
+            Ask::Announce(Box::new(self.announcement(upstream, coming, true)))
+        } else {
+            let Run { upstream: name, incarnation } = self.run(upstream, incarnation);
+            Ask::Withdraw { upstream: name, incarnation: Some(incarnation) }
         };
-        let leaving = Ask::Withdraw { upstream: name, incarnation: Some(incarnation) };
         if self.net.call(core, leaving) == Some(Told::Noted) {
             let now = self.net.now();
             self.upstreams[upstream].acknowledged.get_or_insert(now);
@@ -253,10 +325,11 @@
         for (index, coming) in self.upstreams.iter().enumerate() {
             let past = coming.acknowledged.is_some_and(|at| now.saturating_sub(at) > SERVES_ON);
             let used = self.net.entries().any(|view| {
-                let record = view.upstreams.get(&*format!("u{index}"));
+                let run = self.run(index, coming.incarnation);
+                let record = view.upstreams.get(&run.upstream);
                 record.is_some_and(|it| {
                     it.standing != Standing::Leaving
-                        && it.announcement.run.incarnation <= coming.incarnation
+                        && it.announcement.run.incarnation <= run.incarnation
                 })
             });
             if past && used {
@@ -268,6 +341,7 @@
 
     fn read(&mut self) -> Result<(), String> {
         let core = self.rng.random_range(0..self.shape.cores);
+        let core = self.awake(core);
         let before = self.acknowledged;
         let Some(Told::Document(document)) = self.net.call(core, Ask::Read) else { return Ok(()) };
         let read = revision(&document);
