--- a/crates/verbenaslip-fleet/src/core/call.rs
+++ b/crates/verbenaslip-fleet/src/core/call.rs
@@ -261,12 +261,17 @@
         departure.is_none_or(|it| self.ledger.has_departed(&it.run, it.standing))
     }
 
+    /// Tells who knew of a leaving when it was acknowledged.
     fn note_acknowledged(&mut self, key: u64, change: u64) {
         let Some(Waiting { departure: Some(departure), until, .. }) = self.waiting.get(&key) else {
             return;
         };
         let departure = departure.clone();
         let waited = PATIENCE.saturating_sub(until.saturating_sub(self.now));
+        // An upstream that drains says so again with each announcement; all know it already.
+        if waited.is_zero() {
+            return;
+        }
         let spread = self.hub.spread(self.now, change);
         let change = Stamp { term: self.replica.term(), change };
         self.note(Note::Acknowledged { departure, waited, change, spread });
--- a/crates/verbenaslip-fleet/src/hub.rs
+++ b/crates/verbenaslip-fleet/src/hub.rs
@@ -104,9 +104,9 @@
 /// Counts the instances that have a change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Spread {
-    /// Those that have confirmed it.
+    /// Those that are heard and have confirmed it.
     pub seen: usize,
-    /// Those that are heard, whether they have it or not.
+    /// Those that are heard.
     pub heard: usize,
     /// Those that are not, and are not waited for.
     pub silent: usize,
@@ -291,10 +291,10 @@
 
     /// Counts who has a change.
     pub fn spread(&self, now: Duration, change: u64) -> Spread {
-        let heard = self.subscribers.values().filter(|it| it.is_heard(now, SILENCE));
-        let (heard, unheard) = (heard.count(), self.subscribers.len());
-        let seen = self.subscribers.values().filter(|it| it.seen >= change).count();
-        Spread { seen, heard, silent: unheard - heard }
+        let live = self.subscribers.values().filter(|it| it.is_heard(now, SILENCE));
+        let live: Vec<&Subscriber> = live.collect();
+        let seen = live.iter().filter(|it| it.seen >= change).count();
+        Spread { seen, heard: live.len(), silent: self.subscribers.len() - live.len() }
     }
 
     /// Tells whether every instance that answers has a change.
--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -50,7 +50,8 @@
     pub work: Vec<Work>,
 }
 
-/// Changes of belief that are listed by name; a zone's upstreams that go together are more than that.
+/// Changes of belief that are listed by name, also for whoever never asks for them. A zone's upstreams that go
+/// together are more than that.
 const LISTED: usize = 32;
 
 /// Says how an upstream stands in an instance's view.
