Refuse new requests of a planned stop at the moment that was meant

Cause: an entry that stops refuses from 2.8 s on, but looked whether it is time four times a second. The course of a stop is a type of its own now, testable without a clock, and the loop wakes for it.

--- a/crates/verbenaslip-instance/src/entry.rs
+++ b/crates/verbenaslip-instance/src/entry.rs
@@ -24,6 +24,7 @@
 use crate::note;
 use crate::settings::{self, Settings};
 use crate::signal::Signal;
+use crate::stop::{Phase, Stop};
 
 /// The longest time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(250);
@@ -31,13 +32,6 @@
 /// After this silence the leader counts as lost, for the log and for reading the settings again.
 const LOST: Duration = Duration::from_secs(2);
 
-/// How long requests are still taken after a stop began: the balancer asks once a second and takes
-/// an instance out after two misses.
-const BALANCER: Duration = Duration::from_millis(2_800);
-
-/// How long before the end of the grace time an entry ends, whatever is under way.
-const MARGIN: Duration = Duration::from_millis(700);
-
 /// Says why an entry did not start.
 #[derive(Debug, Display)]
 pub enum Error {
@@ -94,14 +88,14 @@
         Running { decisions, links, board, server, shown: None, lost: None, stop: None };
     loop {
         running.beat();
-        if running.is_over(grace) {
+        if running.is_over() {
             return Ok(());
         }
-        let wait = running.decisions.wake().saturating_sub(steady::now()).min(TICK);
+        let wait = running.wake().saturating_sub(steady::now()).min(TICK);
         tokio::select! {
             biased;
             Some(signal) = signals.recv() => match signal {
-                Signal::Stop => running.stop(),
+                Signal::Stop => running.stop(grace),
                 Signal::Reload => running.reseed(&reload),
             },
             Some(frame) = frames.recv() => running.take(frame),
@@ -117,7 +111,7 @@
     server: Server,
     shown: Option<(u64, Stamp)>,
     lost: Option<Duration>,
-    stop: Option<Duration>,
+    stop: Option<Stop>,
 }
 
 impl Running {
@@ -194,23 +188,28 @@
         }
     }
 
-    fn stop(&mut self) {
+    /// Returns when something is due next.
+    fn wake(&self) -> Duration {
+        let stop = self.stop.map(|stop| stop.wake(steady::now()));
+        self.decisions.wake().min(stop.unwrap_or(Duration::MAX))
+    }
+
+    fn stop(&mut self, grace: Duration) {
         if self.stop.is_none() {
-            self.stop = Some(steady::now());
+            self.stop = Some(Stop::begin(steady::now(), grace));
             self.board.drain();
             journal::say(event::STOPPING, [("active", json!(self.server.active()))]);
         }
     }
 
-    /// Tells whether a stop may end: the balancer sends nobody new, and nothing is under way.
-    fn is_over(&self, grace: Duration) -> bool {
-        let Some(since) = self.stop else { return false };
-        let passed = steady::now().saturating_sub(since);
-        if passed > BALANCER && !self.board.is_closing() {
+    /// Goes on with a stop; tells whether it may end.
+    fn is_over(&self) -> bool {
+        let Some(stop) = self.stop else { return false };
+        let phase = stop.phase(steady::now(), self.server.active());
+        if phase != Phase::Takes && !self.board.is_closing() {
             self.board.close();
         }
-        let quiet = passed > BALANCER && self.server.active() == 0;
-        let over = quiet || passed > grace.saturating_sub(MARGIN);
+        let over = phase == Phase::Over;
         if over {
             journal::say(event::DRAINED, [("active", json!(self.server.active()))]);
         }
--- a/crates/verbenaslip-instance/src/lib.rs
+++ b/crates/verbenaslip-instance/src/lib.rs
@@ -3,7 +3,8 @@
 //! [`settings`] says who the instance is. [`Instance::open`] starts what it is set to be: an
 //! [`entry`] forwards requests, a [`core`] votes on the replicated log and answers operators and
 //! upstreams. Both own their decisions on one control thread and speak with the other instances
-//! over [`links`]; an entry's traffic has a thread of its own, a core's disk too ([`disk`]).
+//! over [`links`]; an entry's traffic has a thread of its own, a core's disk too ([`disk`]). [`stop`]
+//! says how far an entry's planned stop is.
 //!
 //! Whatever knows a deployment's names and formats comes in through ports: the relay's
 //! `Dialect` for requests, [`face::Codec`] for calls of operators and upstreams, [`cloud::Codec`]
@@ -21,6 +22,7 @@
 pub mod note;
 pub mod settings;
 pub mod signal;
+pub mod stop;
 
 pub use instance::Instance;
 pub use settings::Settings;
