--- /dev/null
+++ b/crates/verbenaslip-fleet/src/belief.rs
@@ -0,0 +1,46 @@
+//! What an instance has come to believe of upstreams, for its log.
+
+use verbenaslip_base::name::Upstream;
+
+use crate::registry::Standing;
+
+/// Changes of belief that are listed by name, also for whoever never asks for them. A zone's upstreams that go
+/// together are more than that.
+const LISTED: usize = 32;
+
+/// Says how an upstream stands in an instance's view.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Belief {
+    /// The upstream.
+    pub upstream: Upstream,
+    /// How it stands; none for one that has gone.
+    pub standing: Option<Standing>,
+}
+
+/// Lists upstreams of which an instance believes something else than before.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Beliefs {
+    /// How they stand now.
+    pub changed: Vec<Belief>,
+    /// How many more there are.
+    pub unlisted: usize,
+}
+
+impl Beliefs {
+    /// Takes how an upstream stood and stands.
+    pub(crate) fn take(
+        &mut self,
+        upstream: &Upstream,
+        then: Option<Standing>,
+        now: Option<Standing>,
+    ) {
+        if then == now {
+            return;
+        }
+        if self.changed.len() < LISTED {
+            self.changed.push(Belief { upstream: upstream.clone(), standing: now });
+        } else {
+            self.unlisted += 1;
+        }
+    }
+}
--- a/crates/verbenaslip-fleet/src/entry.rs
+++ b/crates/verbenaslip-fleet/src/entry.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::belief::Beliefs;
 use crate::frame::{Frame, Peer};
-use crate::link::{Beliefs, Link, Report, Targets};
+use crate::link::{Link, Report, Targets};
 use crate::view::View;
 
 /// Keeps an entry's view of the fleet.
--- a/crates/verbenaslip-fleet/src/lib.rs
+++ b/crates/verbenaslip-fleet/src/lib.rs
@@ -14,7 +14,8 @@
 //! 3. [`registry`] holds the upstreams that announce themselves, at the leader of the log;
 //!    [`departure`] remembers at every instance which runs of them have said that they go.
 //! 4. [`link`] keeps an instance in touch with the leader: a [`frame::Beat`] four times a second,
-//!    answered by [`frame::News`] with whatever the instance lacks; changes are pushed at once.
+//!    answered by [`frame::News`] with whatever the instance lacks; changes are pushed at once. What an
+//!    instance has come to believe by them is listed for its log in [`belief`].
 //! 5. [`hub`] is the leader's side of that: who is there, what each has, and the time of day as
 //!    the median of all clocks. [`quota`] lends the teams' limits to the entries.
 //! 6. [`usage`] counts the requests that began in each window, and [`duty`] gives the cloud the
@@ -24,6 +25,7 @@
 //!
 //! Messages may be lost, late, doubled or overtaken; every one of them can be sent again.
 
+pub mod belief;
 pub mod clock;
 pub mod core;
 pub mod departure;
--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use verbenaslip_base::name::{Team, Upstream};
+use verbenaslip_base::name::Team;
 
+use crate::belief::Beliefs;
 use crate::clock::Clock;
 use crate::departure::Departures;
 use crate::frame::{Beat, Frame, News, Peer};
@@ -50,42 +51,6 @@
     pub work: Vec<Work>,
 }
 
-/// Changes of belief that are listed by name, also for whoever never asks for them. A zone's upstreams that go
-/// together are more than that.
-const LISTED: usize = 32;
-
-/// Says how an upstream stands in an instance's view.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Belief {
-    /// The upstream.
-    pub upstream: Upstream,
-    /// How it stands; none for one that has gone.
-    pub standing: Option<Standing>,
-}
-
-/// Lists upstreams of which an instance believes something else than before.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Beliefs {
-    /// How they stand now.
-    pub changed: Vec<Belief>,
-    /// How many more there are.
-    pub unlisted: usize,
-}
-
-impl Beliefs {
-    /// Takes how an upstream stood and stands.
-    fn take(&mut self, upstream: &Upstream, then: Option<Standing>, now: Option<Standing>) {
-        if then == now {
-            return;
-        }
-        if self.changed.len() < LISTED {
-            self.changed.push(Belief { upstream: upstream.clone(), standing: now });
-        } else {
-            self.unlisted += 1;
-        }
-    }
-}
-
 /// Remembers what a report told of the units admitted, and when it was sent.
 #[derive(Debug)]
 struct Reported {
--- a/crates/verbenaslip-fleet/tests/notes.rs
+++ b/crates/verbenaslip-fleet/tests/notes.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use net::{Net, announcement, edition, run, withdraw};
+use verbenaslip_fleet::belief::Belief;
 use verbenaslip_fleet::core::Note;
 use verbenaslip_fleet::frame::{Ask, Told};
-use verbenaslip_fleet::link::Belief;
 use verbenaslip_fleet::registry::Standing;
 
 const SECOND: Duration = Duration::from_secs(1);
--- a/crates/verbenaslip-instance/src/note.rs
+++ b/crates/verbenaslip-instance/src/note.rs
@@ -1,8 +1,8 @@
 //! What a core believes, as log lines.
 
 use serde_json::{Value, json};
+use verbenaslip_fleet::belief::Belief;
 use verbenaslip_fleet::core::Note;
-use verbenaslip_fleet::link::Belief;
 use verbenaslip_fleet::registry::{Late, Run};
 use verbenaslip_relay::journal::{self, Kind};
 
