Look up what a run has said in what is remembered of departures, not in its record

A draining upstream that was silent for over a minute counts as gone since it is told to entries; an odd ready after that made it serve again. The test failed before.

--- a/crates/verbenaslip-fleet/src/registry.rs
+++ b/crates/verbenaslip-fleet/src/registry.rs
@@ -249,12 +249,13 @@
 
     /// Takes a later announcement of a run that is known.
     fn renew(&mut self, now: Duration, announcement: Announcement) -> Change {
+        let departed = self.departures.standing(&announcement.run);
         let Some(held) = self.records.get_mut(&announcement.run.upstream) else {
             return Change::Nothing;
         };
         held.heard = now;
         let before = held.record.standing;
-        let standing = standing(&announcement, before);
+        let standing = standing(&announcement, departed.unwrap_or(before));
         let changed = differs(&held.record.announcement, &announcement) || standing != before;
         held.record.announcement = announcement;
         held.record.standing = standing;
--- a/crates/verbenaslip-fleet/tests/registry.rs
+++ b/crates/verbenaslip-fleet/tests/registry.rs
@@ -51,6 +51,20 @@
     assert_eq!(standing(&registry, "a"), Some(Standing::Leaving));
 }
 
+#[test]
+fn leaving_is_final_also_after_a_long_silence() {
+    // Symptom: an upstream that leaves gets new work again. Sequence: it drains, is cut off for over a minute, so
+    // that it counts as gone, and comes back with an odd "ready". Cause: what it had said looked up in its record
+    // alone, which says by then that it has gone.
+    let mut registry = Registry::open(BEAT);
+    registry.announce(at(0), announcement("a", 1, 1), true);
+    registry.announce(at(100), Announcement { draining: true, ..announcement("a", 1, 2) }, true);
+    registry.tick(at(70_000));
+    assert_eq!(standing(&registry, "a"), Some(Standing::Gone));
+    registry.announce(at(70_100), announcement("a", 1, 3), true);
+    assert_ne!(standing(&registry, "a"), Some(Standing::Ready));
+}
+
 #[test]
 fn leaving_counts_however_late_it_comes() {
     // Symptom: an upstream whose leaving was acknowledged gets new work. Sequence: its word that it drains
