--- a/crates/verbenaslip-base/src/hash.rs
+++ b/crates/verbenaslip-base/src/hash.rs
@@ -5,7 +5,12 @@
 
 /// Hashes parts, each with its length, to 128 bits.
 pub fn wide(parts: &[&[u8]]) -> u128 {
-    let mut hasher = SipHasher13::new();
+    keyed(0, parts)
+}
+
+/// Hashes parts to 128 bits that nobody can foresee who doesn't know the key.
+pub fn keyed(key: u128, parts: &[&[u8]]) -> u128 {
+    let mut hasher = SipHasher13::new_with_key(&key.to_le_bytes());
     for part in parts {
         hasher.write_u64(part.len() as u64);
         hasher.write(part);
--- a/crates/verbenaslip-cli/src/command/explain/line.rs
+++ b/crates/verbenaslip-cli/src/command/explain/line.rs
@@ -65,7 +65,9 @@
 
     /// Tells whether it is about a request.
     pub(super) fn mentions(&self, id: &str) -> bool {
-        self.fields.get("id").and_then(Value::as_str) == Some(id)
+        let is_it = |value: &Value| value.as_str() == Some(id);
+        let among = |name| self.fields.get(name).and_then(Value::as_array).into_iter().flatten();
+        self.fields.get("id").is_some_and(is_it) || among("ids").any(is_it)
     }
 
     /// Returns how a request ended, if it says that.
--- a/crates/verbenaslip-fleet/src/lib.rs
+++ b/crates/verbenaslip-fleet/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod link;
 pub mod load;
 pub mod plan;
+pub mod print;
 pub mod quota;
 pub mod registry;
 pub mod sheet;
--- /dev/null
+++ b/crates/verbenaslip-fleet/src/print.rs
@@ -0,0 +1,27 @@
+//! The content of a request, as far as it must be known again.
+
+use std::fmt;
+
+use verbenaslip_base::{data, hash};
+
+/// Stands for what a request asks for, by whomever it is sent and under whatever identity.
+///
+/// It is made of all that upstreams do the same with each time: whose team asks, where, and the body. Two
+/// requests that differ in one of these may fare differently, and a request that comes again is under a new
+/// identity each time. Nothing of the content can be read from it.
+#[data(copy, ord, hash)]
+pub struct Print(u128);
+
+impl Print {
+    /// Makes the print of a request, by the key that all entries share.
+    pub fn of(key: u128, team: &str, host: &str, target: &str, body: &[u8]) -> Self {
+        let parts = [team.as_bytes(), host.as_bytes(), target.as_bytes(), body];
+        Self(hash::keyed(key, &parts))
+    }
+}
+
+impl fmt::Display for Print {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:032x}", self.0)
+    }
+}
--- a/crates/verbenaslip-relay/src/forward.rs
+++ b/crates/verbenaslip-relay/src/forward.rs
@@ -3,12 +3,14 @@
 //! [`job`] finds who asks and which route a request takes. [`life`] leads it: where it goes, whether it
 //! is tried again, what its caller gets. [`onward`] writes it for an upstream, [`exchange`] sends it to
 //! one upstream and takes the head of the answer; [`delivery`] passes the answer on, and for a resumable
-//! stream goes on where another upstream broke off. [`leave`] says when a silent upstream is left.
+//! stream goes on where another upstream broke off. [`leave`] says when a silent upstream is left, [`crash`]
+//! looks whether one that broke off has ended.
 //! [`pool`] keeps the connections, [`events`] finds the ends of events, [`answer`] writes answers of
 //! this instance's own.
 
 pub mod answer;
 pub mod context;
+pub(crate) mod crash;
 pub mod delivery;
 pub mod events;
 pub mod exchange;
--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::Instant;
 use verbenaslip_base::hash;
 use verbenaslip_base::name::AvailabilityZone;
@@ -12,6 +13,7 @@
 
 use crate::board::Board;
 use crate::dialect::Dialect;
+use crate::forward::crash::Broken;
 use crate::forward::job::Job;
 use crate::forward::pool::Pool;
 use crate::policy::allowance::Allowance;
@@ -36,16 +38,18 @@
     pub(crate) pool: RefCell<Pool>,
     pub(crate) waited: RefCell<Waited>,
     pub(crate) draw: Cell<u64>,
+    broken: UnboundedSender<Broken>,
 }
 
 impl Context {
     /// Starts without requests.
-    pub fn open(
+    pub(crate) fn open(
         board: Arc<Board>,
         dialect: Arc<dyn Dialect>,
         zone: AvailabilityZone,
         bounds: Bounds,
         window: Duration,
+        broken: UnboundedSender<Broken>,
     ) -> Self {
         Self {
             board,
@@ -58,6 +62,7 @@
             pool: RefCell::new(Pool::default()),
             waited: RefCell::new(Waited::default()),
             draw: Cell::new(steady::unix()),
+            broken,
         }
     }
 
@@ -77,6 +82,14 @@
         self.placement.borrow_mut().end(steady::now(), choice, ending, began);
     }
 
+    /// Has it looked at whether an upstream that broke a request off has ended.
+    pub(crate) fn broke_off(&self, job: &Job<'_>, choice: &Choice) {
+        let (id, print) = (job.call.id.clone(), job.print);
+        let (run, address) = (choice.run.clone(), choice.address);
+        // Nobody looks any more once the instance ends.
+        let _ = self.broken.send(Broken { id, print, run, address });
+    }
+
     /// Pays for one more arrival of a request at its service, if the budget allows it.
     pub(crate) fn spend(&self, job: &Job<'_>) -> bool {
         self.budget.borrow_mut().spend(&job.service, job.entries)
--- /dev/null
+++ b/crates/verbenaslip-relay/src/forward/crash.rs
@@ -0,0 +1,84 @@
+//! Which upstreams have ended while they ran requests.
+//!
+//! A broken answer may be all that was lost, or the upstream itself. Nothing tells but whether somebody still
+//! listens there; announcements would tell seconds later.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::sync::mpsc::UnboundedReceiver;
+use verbenaslip_base::name::Upstream;
+use verbenaslip_fleet::print::Print;
+use verbenaslip_fleet::registry::Run;
+
+use crate::journal::{self, Kind};
+use crate::socket;
+
+/// An upstream broke off what it ran.
+const BROKE_OFF: Kind = Kind { number: 936, name: "upstream_broke_off" };
+
+/// Requests that are looked at together, since an upstream that ends breaks off all of them at once.
+const GATHER: Duration = Duration::from_millis(3);
+
+/// How long an upstream may take to answer that it listens; many times the longest way there and back.
+const DIAL: Duration = Duration::from_millis(300);
+
+/// Requests of one upstream that are listed.
+const LISTED: usize = 64;
+
+/// Holds a request that an upstream broke off.
+#[derive(Debug)]
+pub(crate) struct Broken {
+    /// The identity of the request.
+    pub(crate) id: std::sync::Arc<str>,
+    /// Its content.
+    pub(crate) print: Print,
+    /// The run of the upstream.
+    pub(crate) run: Run,
+    /// Where it is reached.
+    pub(crate) address: SocketAddr,
+}
+
+/// Looks at upstreams that broke off requests, for as long as the instance runs.
+pub(crate) async fn watch(mut broken: UnboundedReceiver<Broken>) {
+    while let Some(first) = broken.recv().await {
+        tokio::time::sleep(GATHER).await;
+        let mut runs: BTreeMap<Run, Vec<Broken>> = BTreeMap::new();
+        let others = std::iter::from_fn(|| broken.try_recv().ok());
+        for it in std::iter::once(first).chain(others) {
+            runs.entry(it.run.clone()).or_default().push(it);
+        }
+        for (run, requests) in runs {
+            tokio::task::spawn_local(look(run, requests));
+        }
+    }
+}
+
+/// Looks whether an upstream is still there.
+async fn look(run: Run, requests: Vec<Broken>) {
+    let Some(address) = requests.first().map(|it| it.address) else { return };
+    let ended = socket::dial(address, DIAL).await.is_err();
+    if ended {
+        metrics::counter!("verbenaslip_upstreams_ended_total").increment(1);
+    }
+    say(&run.upstream, run.incarnation, ended, &requests);
+}
+
+fn say(upstream: &Upstream, incarnation: u64, ended: bool, requests: &[Broken]) {
+    let listed = &requests[..requests.len().min(LISTED)];
+    let ids: Vec<&str> = listed.iter().map(|it| &*it.id).collect();
+    let contents: Vec<String> = listed.iter().map(|it| it.print.to_string()).collect();
+    journal::say(
+        BROKE_OFF,
+        [
+            ("upstream", json!(upstream.as_str())),
+            ("incarnation", json!(incarnation)),
+            ("ended", json!(ended)),
+            ("count", json!(requests.len())),
+            ("ids", json!(ids)),
+            ("contents", json!(contents)),
+        ],
+    );
+}
--- a/crates/verbenaslip-relay/src/forward/job.rs
+++ b/crates/verbenaslip-relay/src/forward/job.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 use verbenaslip_fleet::index::Index;
+use verbenaslip_fleet::print::Print;
 use verbenaslip_fleet::sheet::{Kind, Route, TeamRow};
 use verbenaslip_fleet::view::View;
 
@@ -39,6 +40,8 @@
     pub body: &'a Bytes,
     /// What it says beyond HTTP.
     pub call: &'a Call,
+    /// Its content, to be known again.
+    pub print: Print,
     /// Its route.
     pub route: &'a Route,
     /// Its rank; zero is the most urgent.
@@ -95,6 +98,7 @@
         head: &whole.head,
         body: &whole.body,
         call,
+        print: print(whole, team, host),
         route,
         rank: routes.rank(route, team),
         team,
@@ -108,6 +112,11 @@
     })
 }
 
+fn print(whole: &Whole, team: Option<&TeamRow>, host: &str) -> Print {
+    let team = team.map_or("", |team| team.name.as_str());
+    Print::of(0, team, host, &whole.head.target, &whole.body)
+}
+
 fn team<'a>(routes: &'a Index, route: &Route, call: &Call) -> Result<Option<&'a TeamRow>, Refused> {
     if route.public || routes.sheet().teams.is_empty() {
         return Ok(None);
--- a/crates/verbenaslip-relay/src/forward/life.rs
+++ b/crates/verbenaslip-relay/src/forward/life.rs
@@ -256,6 +256,9 @@
         Ended::TimedOut | Ended::CallerGone => Ending::Left,
     };
     context.ended(&choice, ending, Some(at.elapsed()));
+    if ended == Ended::Broken {
+        context.broke_off(job, &choice);
+    }
     match ended {
         Ended::Whole => {
             exchange::keep(context, job, &choice, answered);
@@ -290,6 +293,9 @@
         Failure::CallerGone => (Ending::Left, "caller_gone"),
     };
     context.ended(choice, ending, None);
+    if failure == Failure::Broken {
+        context.broke_off(job, choice);
+    }
     trace.causes.push(cause);
     match failure {
         Failure::CallerGone => {
--- a/crates/verbenaslip-relay/src/server.rs
+++ b/crates/verbenaslip-relay/src/server.rs
@@ -11,6 +11,7 @@
 
 use bytes::Buf;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 use verbenaslip_base::name::AvailabilityZone;
@@ -20,6 +21,7 @@
 use crate::dialect::Dialect;
 use crate::forward::answer;
 use crate::forward::context::Context;
+use crate::forward::crash;
 use crate::forward::life::{self, After};
 use crate::http::{Wire, reader};
 use crate::policy::retry::Bounds;
@@ -82,7 +84,9 @@
 
 async fn run(setup: Setup, callers: TcpListener, ready: TcpListener, active: Arc<AtomicUsize>) {
     let Setup { zone, connections, retries, window, board, dialect, .. } = setup;
-    let context = Rc::new(Context::open(board.clone(), dialect, zone, retries, window));
+    let (broken, looked_at) = mpsc::unbounded_channel();
+    let context = Rc::new(Context::open(board.clone(), dialect, zone, retries, window, broken));
+    tokio::task::spawn_local(crash::watch(looked_at));
     tokio::task::spawn_local(answer_probes(ready, board));
     tokio::task::spawn_local(sweep(context.clone()));
     let open = Rc::new(Cell::new(0_usize));
