--- a/crates/verbenaslip-cli/src/command/explain.rs
+++ b/crates/verbenaslip-cli/src/command/explain.rs
@@ -44,9 +44,15 @@
     }
 }
 
-/// Writes all that the logs say of one request, in order.
+/// Writes all that the logs say of one request, in order, with what was decided of others that asked for the same:
+/// a request that is held back met nothing itself.
 fn life(id: &str, lines: &[Line], terminal: &mut Terminal<'_>) -> Result<Exit, Error> {
-    let own: Vec<&Line> = lines.iter().filter(|line| line.mentions(id)).collect();
+    let contents: Vec<&str> =
+        lines.iter().filter(|line| line.mentions(id)).filter_map(Line::content).collect();
+    let is_told = |line: &&Line| {
+        line.mentions(id) || contents.iter().any(|content| line.is_about_content(content))
+    };
+    let own: Vec<&Line> = lines.iter().filter(is_told).collect();
     if own.is_empty() {
         let cause = format!("no line of these files mentions the request {id}");
         return Err(Error::Usage(cause));
--- a/crates/verbenaslip-cli/src/command/explain/line.rs
+++ b/crates/verbenaslip-cli/src/command/explain/line.rs
@@ -1,5 +1,7 @@
 //! One line of an instance's log.
 
+use std::ops::RangeInclusive;
+
 use serde::Deserialize;
 use serde_json::{Value, json};
 
@@ -8,6 +10,9 @@
 /// The number of the line that says how a request ended.
 const REQUEST_ENDED: u64 = 901;
 
+/// The numbers of the lines about contents under which upstreams end.
+const CONTENTS: RangeInclusive<u64> = 936..=940;
+
 /// Holds one line with where it stands.
 pub(super) struct Line {
     /// When it was written, in Unix milliseconds.
@@ -70,6 +75,20 @@
         self.fields.get("id").is_some_and(is_it) || among("ids").any(is_it)
     }
 
+    /// Returns the content of the request that it is about.
+    pub(super) fn content(&self) -> Option<&str> {
+        self.fields.get("content").and_then(Value::as_str)
+    }
+
+    /// Tells whether it says of a content that upstreams ended under it, or what was decided about that.
+    pub(super) fn is_about_content(&self, content: &str) -> bool {
+        let number = self.fields.get("event").and_then(Value::as_u64);
+        let listed = self.fields.get("contents").and_then(Value::as_array);
+        let among = listed.into_iter().flatten().any(|it| it.as_str() == Some(content));
+        number.is_some_and(|number| CONTENTS.contains(&number))
+            && (among || self.content() == Some(content))
+    }
+
     /// Returns how a request ended, if it says that.
     pub(super) fn ended(&self) -> Option<Ended> {
         let number = self.fields.get("event").and_then(Value::as_u64);
--- a/crates/verbenaslip-cli/tests/explain.rs
+++ b/crates/verbenaslip-cli/tests/explain.rs
@@ -82,3 +82,26 @@
     assert_eq!(exit, 3);
     assert!(remarks.contains("/none/at/all.log"), "{remarks}");
 }
+
+#[test]
+fn a_request_that_is_held_back_is_led_back_to_the_upstreams_that_ended() {
+    let logs = r#"{"at":1783618628100,"event":936,"what":"upstream_broke_off","upstream":"i-1","ended":true,"count":2,"ids":["b1","g7"],"contents":["0c","0d"]}
+{"at":1783618628200,"event":936,"what":"upstream_broke_off","upstream":"i-2","ended":true,"count":1,"ids":["g8"],"contents":["0d"]}
+{"at":1783618628500,"event":936,"what":"upstream_broke_off","upstream":"i-3","ended":true,"count":1,"ids":["b2"],"contents":["0c"]}
+{"at":1783618628900,"event":938,"what":"request_held_back","content":"0c","upstreams":["i-1","i-3","i-4"],"tries":0,"until":1783619228900}
+{"at":1783618629100,"event":901,"what":"request_ended","id":"b5","content":"0c","route":"reports","team":"red","outcome":"held_back","status":503,"back_ms":599800}
+{"at":1783618629200,"event":901,"what":"request_ended","id":"g9","content":"0d","route":"reports","team":"red","outcome":"answered","status":200}"#;
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("explain").join("held");
+    fs::create_dir_all(&folder).expect("the folder can be made");
+    let file = folder.join("all.log").display().to_string();
+    fs::write(&file, logs).expect("it can be written");
+    let words = ["explain", "--id", "b5", &file];
+    let args = Operator::from_args(&["verbenaslip"], &words).expect("it is understood");
+    let (mut out, mut remarks) = (Vec::new(), Vec::new());
+    run(&args, &mut Terminal::new(&mut out, &mut remarks, args.json));
+    let out = String::from_utf8(out).expect("text");
+    let upstreams = ["i-1", "i-3"].map(|it| out.contains(&format!("upstream=\"{it}\"")));
+    assert_eq!(upstreams, [true, true], "{out}");
+    assert!(out.contains("request_held_back") && !out.contains("i-2"), "{out}");
+    assert_eq!(out.lines().count(), 4, "{out}");
+}
--- /dev/null
+++ b/crates/verbenaslip-fleet/src/account.rs
@@ -0,0 +1,189 @@
+//! What an entry tells the leader of requests under which upstreams ended, and of answers to suspected ones.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use verbenaslip_base::data;
+
+use crate::print::Print;
+use crate::quarantine::{Answer, Crash};
+use crate::registry::Run;
+
+/// How long what happens together is gathered. An upstream that ends breaks off many requests at once.
+const GATHER: Duration = Duration::from_millis(20);
+
+/// After how long what the leader has not confirmed is told again.
+const AGAIN: Duration = Duration::from_millis(250);
+
+/// How long it is remembered, to tell a later leader: as long as it takes to elect one, many times over, and to
+/// see a request come again that does so every few seconds.
+const MEMORY: Duration = Duration::from_secs(60);
+
+/// The most that is remembered of each kind; an entry has some 50 requests at the upstreams that a lost
+/// availability zone takes.
+const REMEMBERED: usize = 256;
+
+/// The most that one account tells of each kind: under 2 kB.
+const TOLD: usize = 32;
+
+/// Tells the leader what requests met.
+#[data]
+pub struct Account {
+    /// The entry.
+    pub from: SocketAddr,
+    /// Counts the accounts of this life of the entry.
+    pub number: u64,
+    /// Upstreams that ended.
+    pub crashes: Vec<Crash>,
+    /// Answers to requests that are suspected or held back.
+    pub answers: Vec<Answer>,
+}
+
+/// Notes that an upstream ended while it ran a request.
+#[derive(Clone, Debug)]
+pub struct Met {
+    /// The request.
+    pub print: Print,
+    /// The run of the upstream.
+    pub run: Run,
+    /// When the request was sent there.
+    pub sent: Duration,
+    /// When it broke off.
+    pub ended: Duration,
+}
+
+/// Notes that a request was answered which is suspected or held back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answered {
+    /// The request.
+    pub print: Print,
+    /// When the answer was whole.
+    pub at: Duration,
+}
+
+/// Remembers what is to be told, until the leader has it and beyond.
+///
+/// What a leader was told is lost with it. A request that ends upstreams would go on doing so under the next
+/// one, from the beginning; so that one is told again of the last minute.
+#[derive(Debug, Default)]
+pub struct Accounts {
+    term: u64,
+    number: u64,
+    due: Option<Duration>,
+    crashes: VecDeque<Item<Met>>,
+    answers: VecDeque<Item<Answered>>,
+}
+
+#[derive(Debug)]
+struct Item<T> {
+    what: T,
+    at: Duration,
+    /// The account that told it last; zero before the first.
+    told: u64,
+    /// Whether the leader of this term has confirmed it.
+    confirmed: bool,
+}
+
+impl Accounts {
+    /// Takes what requests met.
+    pub fn take(&mut self, now: Duration, crashes: Vec<Met>, answers: Vec<Answered>) {
+        if crashes.is_empty() && answers.is_empty() {
+            return;
+        }
+        put(&mut self.crashes, now, crashes);
+        put(&mut self.answers, now, answers);
+        self.soon(now + GATHER);
+    }
+
+    /// Begins anew with a leader of a later term.
+    pub fn follow(&mut self, now: Duration, term: u64) {
+        if term <= self.term {
+            return;
+        }
+        self.term = term;
+        let crashes = self.crashes.iter_mut().map(|it| &mut it.confirmed);
+        let answers = self.answers.iter_mut().map(|it| &mut it.confirmed);
+        crashes.chain(answers).for_each(|confirmed| *confirmed = false);
+        if !self.crashes.is_empty() || !self.answers.is_empty() {
+            self.soon(now);
+        }
+    }
+
+    /// Takes the leader's word that it has an account.
+    pub fn confirm(&mut self, term: u64, number: u64) {
+        if term != self.term {
+            return;
+        }
+        confirm(&mut self.crashes, number);
+        confirm(&mut self.answers, number);
+    }
+
+    /// Returns when an account is due; none while there is nothing to tell.
+    pub fn wake(&self) -> Option<Duration> {
+        self.due
+    }
+
+    /// Makes the account that is due.
+    pub fn account(&mut self, now: Duration, from: SocketAddr) -> Option<Account> {
+        self.due.filter(|due| now >= *due)?;
+        self.due = None;
+        forget(&mut self.crashes, now);
+        forget(&mut self.answers, now);
+        self.number += 1;
+        let millis = |at: Duration| u64::try_from(now.saturating_sub(at).as_millis());
+        let ago = |at: Duration| millis(at).unwrap_or(u64::MAX);
+        let crash = |met: &Met| Crash {
+            print: met.print,
+            run: met.run.clone(),
+            sent: ago(met.sent),
+            ended: ago(met.ended),
+        };
+        let answer = |it: &Answered| Answer { print: it.print, ago: ago(it.at) };
+        let crashes: Vec<Crash> = tell(&mut self.crashes, self.number).map(crash).collect();
+        let answers: Vec<Answer> = tell(&mut self.answers, self.number).map(answer).collect();
+        if crashes.is_empty() && answers.is_empty() {
+            return None;
+        }
+        // Told again unless it is confirmed, and the rest with it.
+        self.due = Some(now + AGAIN);
+        Some(Account { from, number: self.number, crashes, answers })
+    }
+
+    /// Puts off what is due, since no leader is known.
+    pub fn wait(&mut self, now: Duration) {
+        self.due = Some(now + GATHER);
+    }
+
+    fn soon(&mut self, at: Duration) {
+        self.due = Some(self.due.map_or(at, |due| due.min(at)));
+    }
+}
+
+fn put<T>(items: &mut VecDeque<Item<T>>, at: Duration, new: Vec<T>) {
+    let new = new.into_iter().map(|what| Item { what, at, told: 0, confirmed: false });
+    items.extend(new);
+    while items.len() > REMEMBERED {
+        items.pop_front();
+    }
+}
+
+fn confirm<T>(items: &mut VecDeque<Item<T>>, number: u64) {
+    for item in items.iter_mut().filter(|item| item.told == number) {
+        item.confirmed = true;
+    }
+}
+
+fn forget<T>(items: &mut VecDeque<Item<T>>, now: Duration) {
+    while items.front().is_some_and(|it| now.saturating_sub(it.at) > MEMORY) {
+        items.pop_front();
+    }
+}
+
+/// Goes through what an account tells, the oldest first.
+fn tell<T>(items: &mut VecDeque<Item<T>>, number: u64) -> impl Iterator<Item = &T> {
+    items.iter_mut().filter(|it| !it.confirmed).take(TOLD).map(move |it| {
+        it.told = number;
+        &it.what
+    })
+}
--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -4,6 +4,7 @@
 mod call;
 mod lead;
 mod log;
+mod quarantine;
 mod relay;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -27,6 +28,7 @@
 use crate::ledger::Ledger;
 use crate::link::{Link, Report};
 use crate::plan::{Census, Planner};
+use crate::quarantine::{Finding, Quarantine, Rule};
 use crate::registry::{Late, Registry, Run};
 use crate::view::Stamp;
 use crate::voucher::Voucher;
@@ -53,6 +55,10 @@
     pub timing: LogTiming,
     /// The times of orders to the cloud; none when there is none.
     pub duty: Option<duty::Timing>,
+    /// When requests are held back that end upstreams.
+    pub rule: Rule,
+    /// By what prints of requests are made that nobody can foresee, if this core is the first to lead.
+    pub secret: u128,
     /// Seeds every random choice.
     pub seed: u64,
     /// What this machine's clock shows, in Unix milliseconds.
@@ -86,6 +92,8 @@
     },
     /// The settings name other addresses to join through.
     Seeds(Vec<SocketAddr>),
+    /// The settings say something else of requests that end upstreams.
+    Rule(Rule),
     /// This instance is about to stop.
     Stop,
 }
@@ -194,6 +202,8 @@
         /// The change.
         change: verbenaslip_replica::config::Change,
     },
+    /// Something was decided of a request that ends upstreams.
+    Found(Finding),
     /// A window of usage was closed.
     Closed {
         /// Its number.
@@ -272,12 +282,20 @@
     pub(crate) confirm_at: Duration,
     /// Where cores are reached, as the leader tells all others.
     pub(crate) known_cores: Vec<SocketAddr>,
+    /// Requests that end upstreams.
+    pub(crate) quarantine: Quarantine,
+    /// The change by which entries know of them.
+    pub(crate) docketed: u64,
+    /// The proposal that holds them.
+    pub(crate) noting_quarantine: Option<u64>,
 }
 
 /// Holds what of the setup is needed after the start.
 pub(crate) struct Settings {
     pub(crate) voters: usize,
     pub(crate) duty: Option<duty::Timing>,
+    pub(crate) rule: Rule,
+    pub(crate) secret: u128,
 }
 
 /// Holds one time of leading.
@@ -293,14 +311,14 @@
 impl Core {
     /// Starts from what the folder holds; the first outputs come with the first step.
     pub fn open(setup: Setup, now: Duration) -> Self {
-        let Setup { own, seeds, founders, recovered, voters, announce, timing, duty, seed, unix } =
-            setup;
+        let Setup { own, seeds, founders, recovered, voters, announce, .. } = setup;
+        let Setup { timing, duty, rule, secret, seed, unix, .. } = setup;
         let founders = founders.iter().map(|address| name_of(*address)).collect();
         let mut log = LogSetup::new(name_of(own.address), founders, seed);
         log.timing = timing;
         log.size = Size { command: COMMAND, waiting: 2 * COMMAND, ..Size::default() };
         Self {
-            setup: Settings { voters, duty },
+            setup: Settings { voters, duty, rule, secret },
             now,
             unix,
             replica: Replica::open(log, recovered, now),
@@ -334,6 +352,9 @@
             confirmations: Vec::new(),
             confirm_at: Duration::MAX,
             known_cores: Vec::new(),
+            quarantine: Quarantine::default(),
+            docketed: 0,
+            noting_quarantine: None,
         }
     }
 
@@ -391,6 +412,7 @@
             Input::Stored(mark) => self.step_log(replica::Input::Stored { mark }),
             Input::Ordered { id, outcome } => self.ordered(id, outcome),
             Input::Seeds(seeds) => self.link.reseed(seeds),
+            Input::Rule(rule) => self.set_rule(rule),
             Input::Stop => self.step_log(replica::Input::Transfer),
         }
     }
@@ -419,6 +441,8 @@
             Frame::Elsewhere { leader, cores } => self.link.elsewhere(self.now, leader, &cores),
             Frame::Ask { from, token, ask } => self.asked(from, token, *ask),
             Frame::Told { token, told } => self.told(token, told),
+            Frame::Account(account) => self.accounted(&account),
+            Frame::Heard { .. } => {}
         }
     }
 
--- a/crates/verbenaslip-fleet/src/core/begin.rs
+++ b/crates/verbenaslip-fleet/src/core/begin.rs
@@ -92,6 +92,7 @@
             departures: departures.len(),
         });
         self.registry.adopt(self.now, records.into_iter(), departures);
+        self.open_quarantine();
         self.call_seekers();
         self.push_soon();
         self.advance_calls();
@@ -158,7 +159,8 @@
         let is_there = |it: &&Record| !matches!(it.standing, Standing::Gone | Standing::Lost);
         let there = self.registry.records().filter(is_there);
         let there = there.cloned().collect();
-        self.link.keep(stamp, there, self.registry.departures().clone());
+        let docket = self.quarantine.docket().clone();
+        self.link.keep(stamp, there, self.registry.departures().clone(), docket);
         self.advance_calls();
     }
 }
--- a/crates/verbenaslip-fleet/src/core/lead.rs
+++ b/crates/verbenaslip-fleet/src/core/lead.rs
@@ -175,6 +175,7 @@
             lapse.silent.iter().take(LISTED).for_each(|upstream| self.note_upstream(upstream));
         }
         self.tend_voters();
+        self.tend_quarantine();
         self.close_windows();
         self.order();
     }
@@ -186,7 +187,9 @@
         let Some(reign) = self.reign else { return };
         let from = self.link.own().address;
         let (registry, ledger) = (&self.registry, &self.ledger);
-        let source = Source { from, term: reign.term, registry, ledger, urgent: false, unix };
+        let (docket, docketed) = (self.quarantine.docket(), self.docketed);
+        let (term, urgent) = (reign.term, false);
+        let source = Source { from, term, registry, ledger, docket, docketed, urgent, unix };
         if let Some(news) = self.hub.answer(to, &source, cores) {
             self.send(to, Frame::News(Box::new(news)));
         }
@@ -198,7 +201,8 @@
         let Some(reign) = self.reign else { return };
         let from = self.link.own().address;
         let (registry, ledger) = (&self.registry, &self.ledger);
-        let source = Source { from, term: reign.term, registry, ledger, urgent, unix };
+        let (term, docket, docketed) = (reign.term, self.quarantine.docket(), self.docketed);
+        let source = Source { from, term, registry, ledger, docket, docketed, urgent, unix };
         for Push { leg, news } in self.hub.push(now, to, &source) {
             let (to, news) = (leg.to, Box::new(news));
             let output = match leg.via {
--- a/crates/verbenaslip-fleet/src/core/log.rs
+++ b/crates/verbenaslip-fleet/src/core/log.rs
@@ -107,6 +107,10 @@
             self.noting_joins = None;
             return;
         }
+        if self.noting_quarantine == Some(token) {
+            self.noting_quarantine = None;
+            return;
+        }
         if self.noting_departures == Some(token) {
             self.noting_departures = None;
             self.note_departures();
--- /dev/null
+++ b/crates/verbenaslip-fleet/src/core/quarantine.rs
@@ -0,0 +1,74 @@
+//! What a core does about requests that end upstreams, while it leads.
+
+use std::net::SocketAddr;
+
+use crate::account::Account;
+use crate::core::{Core, Note};
+use crate::frame::Frame;
+use crate::ledger::Command;
+use crate::quarantine::{Quarantine, Rule};
+
+impl Core {
+    /// Begins with the requests that the log holds, and those that this core knew as a follower.
+    pub(crate) fn open_quarantine(&mut self) {
+        let (rule, kept) = (self.setup.rule.clone(), self.ledger.quarantine());
+        self.quarantine = Quarantine::open(self.now, rule, kept, &self.link.view().docket);
+        self.docketed = self.registry.stamp();
+        self.noting_quarantine = None;
+    }
+
+    /// Takes an entry's account, and says that it is here.
+    pub(crate) fn accounted(&mut self, account: &Account) {
+        let Some(reign) = self.reign else { return };
+        let unix = self.agreed();
+        for crash in &account.crashes {
+            self.quarantine.crashed(self.now, unix, crash);
+        }
+        for answer in &account.answers {
+            self.quarantine.answered(self.now, unix, answer);
+        }
+        self.send(account.from, Frame::Heard { term: reign.term, number: account.number });
+        self.spread_findings();
+    }
+
+    /// Takes what the settings say of requests that end upstreams.
+    pub(crate) fn set_rule(&mut self, rule: Rule) {
+        self.setup.rule = rule.clone();
+        self.quarantine.set_rule(rule);
+        if self.leads() {
+            self.spread_findings();
+        }
+    }
+
+    /// Decides what is due of such requests, and has the log hold it.
+    pub(crate) fn tend_quarantine(&mut self) {
+        let (now, unix) = (self.now, self.agreed());
+        let entries: Vec<SocketAddr> = self.hub.entries_heard(now).collect();
+        self.quarantine.set_key(self.ledger.quarantine().key);
+        self.quarantine.tick(now, unix, &entries);
+        self.spread_findings();
+        self.note_quarantine();
+    }
+
+    /// Has all instances told of what was decided, at once: each moment later another upstream may end.
+    fn spread_findings(&mut self) {
+        let (findings, changed) = self.quarantine.take_findings();
+        findings.into_iter().for_each(|finding| self.note(Note::Found(finding)));
+        if changed {
+            self.docketed = self.registry.touch();
+            self.push_at = self.push_at.min(self.now);
+            self.note_quarantine();
+        }
+    }
+
+    /// Has it committed which requests are held back.
+    ///
+    /// Known to the leader and the entries alone, it would be lost when all of them lose power, and three more
+    /// upstreams would end before it is known again.
+    fn note_quarantine(&mut self) {
+        let kept = self.quarantine.kept(self.setup.secret);
+        if self.noting_quarantine.is_none() && kept != *self.ledger.quarantine() {
+            self.noting_quarantine = Some(self.propose(&Command::Quarantine(kept)));
+        }
+    }
+}
--- a/crates/verbenaslip-fleet/src/entry.rs
+++ b/crates/verbenaslip-fleet/src/entry.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::account::{Accounts, Answered, Met};
 use crate::belief::Beliefs;
 use crate::frame::{Frame, Peer};
 use crate::link::{Link, Report, Targets};
@@ -12,6 +13,7 @@
 #[derive(Debug)]
 pub struct Entry {
     link: Link,
+    accounts: Accounts,
 }
 
 /// Wants a frame sent.
@@ -26,7 +28,7 @@
 impl Entry {
     /// Starts without a view.
     pub fn open(own: Peer, seeds: Vec<SocketAddr>, now: Duration, unix: u64) -> Self {
-        Self { link: Link::open(own, seeds, now, unix) }
+        Self { link: Link::open(own, seeds, now, unix), accounts: Accounts::default() }
     }
 
     /// Returns what is known of the fleet.
@@ -39,11 +41,33 @@
         self.link.take_beliefs()
     }
 
-    /// Returns when [`beat`](Self::beat) is due.
+    /// Returns when [`beat`](Self::beat) or [`account`](Self::account) is due.
     pub fn wake(&self) -> Duration {
+        let account = self.accounts.wake().unwrap_or(Duration::MAX);
+        self.link.wake().min(account)
+    }
+
+    /// Returns when [`beat`](Self::beat) is due.
+    pub fn beat_at(&self) -> Duration {
         self.link.wake()
     }
 
+    /// Takes under which requests upstreams ended, and answers to requests that are suspected.
+    pub fn met(&mut self, now: Duration, crashes: Vec<Met>, answers: Vec<Answered>) {
+        self.accounts.take(now, crashes, answers);
+    }
+
+    /// Tells the leader of that if it is due.
+    pub fn account(&mut self, now: Duration) -> Option<Letter> {
+        self.accounts.wake().filter(|due| now >= *due)?;
+        let Some(leader) = self.link.leader(now) else {
+            self.accounts.wait(now);
+            return None;
+        };
+        let account = self.accounts.account(now, self.link.own().address)?;
+        Some(Letter { to: vec![leader], frame: Frame::Account(Box::new(account)) })
+    }
+
     /// Takes other addresses to join through.
     pub fn reseed(&mut self, seeds: Vec<SocketAddr>) {
         self.link.reseed(seeds);
@@ -60,8 +84,13 @@
         match frame {
             Frame::News(news) => {
                 let from = news.via.unwrap_or(news.from);
-                let seen = self.link.news(now, *news).then(|| self.link.seen())?;
-                Some(Letter { to: vec![from], frame: seen })
+                let seen = self.link.news(now, *news).then(|| self.link.seen());
+                self.accounts.follow(now, self.link.view().stamp.term);
+                Some(Letter { to: vec![from], frame: seen? })
+            }
+            Frame::Heard { term, number } => {
+                self.accounts.confirm(term, number);
+                None
             }
             Frame::Elsewhere { leader, cores } => {
                 self.link.elsewhere(now, leader, &cores);
@@ -73,7 +102,8 @@
             | Frame::Ask { .. }
             | Frame::Told { .. }
             | Frame::Relay { .. }
-            | Frame::SeenBy(_) => None,
+            | Frame::SeenBy(_)
+            | Frame::Account(_) => None,
         }
     }
 }
--- a/crates/verbenaslip-fleet/src/frame.rs
+++ b/crates/verbenaslip-fleet/src/frame.rs
@@ -8,8 +8,10 @@
 use verbenaslip_replica::message::Message;
 use verbenaslip_replica::voter::Voter;
 
+use crate::account::Account;
 use crate::ledger::Edition;
 use crate::load::Work;
+use crate::quarantine::Docket;
 use crate::quota::{Demand, Loan};
 use crate::registry::{Announcement, Record};
 use crate::sheet::Sheet;
@@ -72,6 +74,15 @@
     },
     /// Tells the leader which instances have taken the news that this core has passed on.
     SeenBy(Vec<Confirmation>),
+    /// An entry tells the leader under which requests upstreams ended.
+    Account(Box<Account>),
+    /// The leader has an account.
+    Heard {
+        /// Its term.
+        term: u64,
+        /// The number of the account.
+        number: u64,
+    },
 }
 
 /// Says that an instance has taken news.
@@ -139,6 +150,8 @@
     pub records: Vec<Record>,
     /// The route table, if the instance has an older one.
     pub sheet: Option<Arc<Sheet>>,
+    /// The requests that are suspected or held back, if that has changed.
+    pub docket: Option<Arc<Docket>>,
     /// What is told only in answer to a report.
     pub round: Option<Round>,
     /// The agreed time of day, in Unix milliseconds.
--- a/crates/verbenaslip-fleet/src/hub.rs
+++ b/crates/verbenaslip-fleet/src/hub.rs
@@ -12,6 +12,7 @@
 use crate::ledger::Ledger;
 use crate::leg::{self, Leg};
 use crate::load::{Loads, Work};
+use crate::quarantine::Docket;
 use crate::quota::{Claim, Pools};
 use crate::registry::Registry;
 use crate::usage::{Collector, Origin};
@@ -110,6 +111,10 @@
     pub registry: &'a Registry,
     /// The route table.
     pub ledger: &'a Ledger,
+    /// The requests that are suspected or held back.
+    pub docket: &'a Arc<Docket>,
+    /// The change by which they are so.
+    pub docketed: u64,
     /// Whether somebody waits for the word of all instances that they have the changes.
     pub urgent: bool,
     /// The agreed time of day, in Unix milliseconds.
@@ -163,12 +168,14 @@
         let records = changed.unwrap_or_else(|| self.registry.records().cloned().collect());
         let sheet = self.ledger.edition().filter(|_| lack.sheet).map(|it| it.sheet.clone());
         let stamp = Stamp { term: self.term, change: self.registry.stamp() };
+        let docket = lack.base.is_none_or(|base| base < self.docketed);
         News {
             from: self.from,
             stamp,
             base: lack.base,
             records,
             sheet,
+            docket: docket.then(|| self.docket.clone()),
             round: None,
             unix: self.unix,
             urgent: lack.urgent,
@@ -324,6 +331,7 @@
             base: Some(seen),
             records: Vec::new(),
             sheet: None,
+            docket: None,
             round: Some(round),
             unix: source.unix,
             urgent: false,
@@ -418,6 +426,12 @@
         live.map(|it| &it.peer).filter(|peer| peer.voter.is_some())
     }
 
+    /// Goes through the entries that are heard.
+    pub fn entries_heard(&self, now: Duration) -> impl Iterator<Item = SocketAddr> {
+        let live = self.subscribers.values().filter(move |it| it.is_heard(now, SILENCE));
+        live.map(|it| &it.peer).filter(|peer| peer.voter.is_none()).map(|peer| peer.address)
+    }
+
     /// Makes the median of all clocks anew.
     pub fn set_time(&mut self, now: Duration, own: i64) {
         self.time = None;
--- a/crates/verbenaslip-fleet/src/ledger.rs
+++ b/crates/verbenaslip-fleet/src/ledger.rs
@@ -9,6 +9,7 @@
 use verbenaslip_base::name::{Team, Upstream};
 
 use crate::departure::{Departure, MEMORY};
+use crate::quarantine::Kept;
 use crate::registry::{Record, Run, Standing};
 use crate::sheet::Sheet;
 
@@ -47,6 +48,8 @@
         /// The runs.
         runs: Vec<Run>,
     },
+    /// Notes which requests are held back, so that whoever leads next knows it.
+    Quarantine(Kept),
 }
 
 /// Pairs a route table with the document in which the operator wrote it.
@@ -79,6 +82,9 @@
     /// Upstreams that have come and not gone; kept apart as well.
     #[serde(skip)]
     joined: BTreeMap<Upstream, Record>,
+    /// The requests that are held back; kept apart as well.
+    #[serde(skip)]
+    quarantine: Kept,
 }
 
 /// Holds the last departure of an upstream.
@@ -151,6 +157,11 @@
         })
     }
 
+    /// Returns the requests that are held back.
+    pub fn quarantine(&self) -> &Kept {
+        &self.quarantine
+    }
+
     /// Applies a command; every core applies the same ones in the same order.
     ///
     /// A revision that is not the highest changes nothing, so a change that is sent again, or
@@ -179,6 +190,11 @@
             Command::Forget { runs } => {
                 self.joined.retain(|_, it| !runs.contains(&it.announcement.run));
             }
+            Command::Quarantine(kept) => {
+                // Prints are worth nothing under another key than the one by which they were made.
+                let key = self.quarantine.key.or(kept.key);
+                self.quarantine = Kept { key, ..kept };
+            }
         }
     }
 
@@ -217,7 +233,8 @@
     /// Writes the whole state.
     pub fn snapshot(&self) -> Vec<u8> {
         // Encoding to memory fails for no value of these types.
-        postcard::to_stdvec(&(self, &self.departed, &self.joined)).unwrap_or_default()
+        let state = (self, &self.departed, &self.joined, &self.quarantine);
+        postcard::to_stdvec(&state).unwrap_or_default()
     }
 
     /// Reads what [`snapshot`](Self::snapshot) wrote.
@@ -229,8 +246,12 @@
         let (mut ledger, rest) =
             postcard::take_from_bytes::<Self>(bytes).map_err(|_| Error::Unreadable)?;
         if !rest.is_empty() {
-            (ledger.departed, ledger.joined) =
-                postcard::from_bytes(rest).map_err(|_| Error::Unreadable)?;
+            let ((departed, joined), rest) =
+                postcard::take_from_bytes(rest).map_err(|_| Error::Unreadable)?;
+            (ledger.departed, ledger.joined) = (departed, joined);
+            if !rest.is_empty() {
+                ledger.quarantine = postcard::from_bytes(rest).map_err(|_| Error::Unreadable)?;
+            }
         }
         Ok(ledger)
     }
--- a/crates/verbenaslip-fleet/src/lib.rs
+++ b/crates/verbenaslip-fleet/src/lib.rs
@@ -23,10 +23,13 @@
 //! 6. [`usage`] counts the requests that began in each window, and [`duty`] gives the cloud the
 //!    orders that only one instance may give; [`plan`] says how many upstreams these ask for, by the
 //!    [`load`] that the entries report.
-//! 7. [`core`] composes a core and [`entry`] an entry.
+//! 7. [`print`] stands for what a request asks for. Entries tell the leader, in an [`account`], of upstreams that
+//!    ended while they ran requests; [`quarantine`] finds the requests that end them, which no entry sends on.
+//! 8. [`core`] composes a core and [`entry`] an entry.
 //!
 //! Messages may be lost, late, doubled or overtaken; every one of them can be sent again.
 
+pub mod account;
 pub mod belief;
 pub mod clock;
 pub mod core;
@@ -42,6 +45,7 @@
 pub mod load;
 pub mod plan;
 pub mod print;
+pub mod quarantine;
 pub mod quota;
 pub mod registry;
 pub mod sheet;
--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -12,6 +12,7 @@
 use crate::departure::Departures;
 use crate::frame::{Beat, Frame, News, Peer};
 use crate::load::Work;
+use crate::quarantine::Docket;
 use crate::quota::{Demand, Loan};
 use crate::registry::{Record, Standing};
 use crate::usage::Count;
@@ -94,7 +95,7 @@
     /// Starts without a view.
     pub fn open(own: Peer, seeds: Vec<SocketAddr>, now: Duration, unix: u64) -> Self {
         let clock = Clock::open(now, unix);
-        let view = View::default();
+        let view = View { own: Some(own.address), ..View::default() };
         Self {
             own,
             seeds,
@@ -127,9 +128,15 @@
         std::mem::take(&mut self.beliefs)
     }
 
-    /// Takes over what this instance knew of upstreams while it led.
-    pub(crate) fn keep(&mut self, stamp: Stamp, records: Vec<Record>, departures: Departures) {
-        self.view.stamp = stamp;
+    /// Takes over what this instance knew of upstreams and requests while it led.
+    pub(crate) fn keep(
+        &mut self,
+        stamp: Stamp,
+        records: Vec<Record>,
+        departures: Departures,
+        docket: Arc<Docket>,
+    ) {
+        (self.view.stamp, self.view.docket) = (stamp, docket);
         let named = |it: Record| (it.announcement.run.upstream.clone(), it);
         self.view.upstreams = Arc::new(records.into_iter().map(named).collect());
         self.departures = departures;
@@ -250,7 +257,7 @@
 
     /// Takes a leader's news; returns whether its sender waits to hear that they are here.
     pub fn news(&mut self, now: Duration, news: News) -> bool {
-        let News { from, stamp, base, records, sheet, round, unix, urgent, via } = news;
+        let News { from, stamp, base, records, sheet, docket, round, unix, urgent, via } = news;
         // A leader that was cut off and does not know it yet says what is no longer so.
         if stamp.term < self.view.stamp.term {
             return false;
@@ -274,6 +281,7 @@
         };
         if fits && stamp >= self.view.stamp {
             self.merge(now, base.is_none(), records);
+            self.view.docket = docket.unwrap_or_else(|| self.view.docket.clone());
             self.view.stamp = stamp;
         }
         if let Some(round) = round {
--- a/crates/verbenaslip-fleet/src/print.rs
+++ b/crates/verbenaslip-fleet/src/print.rs
@@ -1,6 +1,8 @@
 //! The content of a request, as far as it must be known again.
 
 use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
 
 use verbenaslip_base::{data, hash};
 
@@ -20,6 +22,14 @@
     }
 }
 
+impl FromStr for Print {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u128::from_str_radix(text, 16).map(Self)
+    }
+}
+
 impl fmt::Display for Print {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{:032x}", self.0)
--- /dev/null
+++ b/crates/verbenaslip-fleet/src/quarantine.rs
@@ -0,0 +1,541 @@
+//! Requests that end the upstreams that run them: how the leader finds them, and how they are held back.
+//!
+//! An upstream that ends breaks off all that it runs, and each of these requests may be the cause. One that
+//! may be, and is sent again, shows itself: the next upstream ends too. So what counts is a *chain*: upstreams
+//! that ended one after the other, each of them sent the request only after the one before had ended. A zone that
+//! loses power ends many upstreams at once, and adds one to the chain of what ran on them.
+//!
+//! Three things clear a request. It was answered after the last end: what ends each upstream that runs it is
+//! never answered, and what many callers ask for is answered all the time. Another request that ran on the same
+//! upstream was found to end them. Or nothing more is heard of it for long.
+//!
+//! From the second end of a chain on, all entries watch for answers to the request, and a chain of three is
+//! believed only when they have had time to tell of one. Then the request is held back: no entry sends it to any
+//! upstream. After a time one entry lets one through, to see whether upstreams survive it by now.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use verbenaslip_base::data;
+
+use crate::print::Print;
+use crate::registry::Run;
+
+/// How long a chain of enough ends waits for the word of an answer: as long as news take to all entries, and a
+/// popular request to be answered once more. Meanwhile a bad one may end two more upstreams.
+const SETTLE: Duration = Duration::from_millis(250);
+
+/// How long a request is suspected after the last end. One that comes again after longer begins a new chain.
+const MEMORY: Duration = Duration::from_secs(600);
+
+/// How long entries watch for answers to a request that ends no further upstream.
+const WATCH: Duration = Duration::from_secs(30);
+
+/// The most requests that are suspected; a third of 3,000 upstreams that end at once had some 16,000 under way,
+/// most of which are never sent again.
+const SUSPECTS: usize = 4_096;
+
+/// The most requests that entries watch, and that are held back: each change is told whole, 5 kB of each.
+const LISTED: usize = 256;
+
+/// Ends of a chain that are remembered: as many as are needed, and those that another request explains.
+const STEPS: usize = 8;
+
+/// How many upstreams a request may end that is let through again. After these it is held back until an operator
+/// lifts that.
+const TRIES: u8 = 3;
+
+/// How many times as long as before a request is held back that has ended another upstream.
+const LONGER: u64 = 6;
+
+/// How long an entry has to let a request through before another one is to.
+const TRIAL: Duration = Duration::from_secs(30);
+
+/// Says when a request is held back, and for how long.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rule {
+    /// How many upstreams must have ended under it, one after the other.
+    pub crashes: u32,
+    /// After how long it is let through for the first time.
+    pub hold: Duration,
+    /// Requests that an operator never wants held back.
+    pub lifted: BTreeSet<Print>,
+    /// Requests that an operator wants held back, whatever became of them.
+    pub forbidden: BTreeSet<Print>,
+}
+
+impl Default for Rule {
+    fn default() -> Self {
+        let hold = Duration::from_secs(600);
+        Self { crashes: 3, hold, lifted: BTreeSet::new(), forbidden: BTreeSet::new() }
+    }
+}
+
+/// Tells of an upstream that ended while it ran a request.
+#[data]
+pub struct Crash {
+    /// The request.
+    pub print: Print,
+    /// The run of the upstream.
+    pub run: Run,
+    /// When the request was sent there, in milliseconds before this is told.
+    pub sent: u64,
+    /// When it broke off, in the same way.
+    pub ended: u64,
+}
+
+/// Tells that a request was answered whole.
+#[data]
+pub struct Answer {
+    /// The request.
+    pub print: Print,
+    /// When, in milliseconds before this is told.
+    pub ago: u64,
+}
+
+/// Says how a request is held back.
+#[data]
+pub struct Held {
+    /// Since when, in Unix milliseconds of the agreed time of day.
+    pub since: u64,
+    /// Until when none is let through, in the same way.
+    pub until: u64,
+    /// How many upstreams it has ended since it was let through again.
+    pub tries: u8,
+    /// The entry that may let one through.
+    pub tried_by: Option<SocketAddr>,
+}
+
+/// Holds what outlives a leader, in the log.
+#[data(default)]
+pub struct Kept {
+    /// The key of the prints; none before the first leader has drawn one.
+    pub key: Option<u128>,
+    /// The requests that are held back.
+    pub held: BTreeMap<Print, Held>,
+}
+
+/// Holds what entries go by.
+#[data(default)]
+pub struct Docket {
+    /// The key of the prints; without it no request is known again.
+    pub key: Option<u128>,
+    /// Requests whose answers the leader wants to hear of.
+    pub watched: BTreeSet<Print>,
+    /// Requests that no upstream gets.
+    pub held: BTreeMap<Print, Held>,
+}
+
+/// Tells what was decided of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Finding {
+    /// Upstreams have ended under it one after the other; entries watch for answers.
+    Suspected {
+        /// The request.
+        print: Print,
+        /// The upstreams.
+        runs: Vec<Run>,
+    },
+    /// It is held back.
+    Held {
+        /// The request.
+        print: Print,
+        /// The upstreams that ended under it.
+        runs: Vec<Run>,
+        /// How.
+        held: Held,
+    },
+    /// It is not, or no longer.
+    Cleared {
+        /// The request.
+        print: Print,
+        /// Why.
+        cause: Cause,
+    },
+    /// An entry may let one through.
+    Tried {
+        /// The request.
+        print: Print,
+        /// The entry.
+        entry: SocketAddr,
+    },
+}
+
+/// Says why a request is no longer suspected or held back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// It was answered.
+    Answered,
+    /// Another request ended the upstreams that it ran on.
+    Explained,
+    /// An operator has lifted it.
+    Lifted,
+}
+
+/// Finds requests that end upstreams, at the leader.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    rule: Rule,
+    key: Option<u128>,
+    suspects: BTreeMap<Print, Suspect>,
+    /// The suspects in the order in which they came.
+    order: VecDeque<Print>,
+    watched: BTreeSet<Print>,
+    held: BTreeMap<Print, Held>,
+    /// Since when an entry may let a request through.
+    trials: BTreeMap<Print, Duration>,
+    /// Upstreams that a request ended which is held back, the last ones.
+    explained: VecDeque<Run>,
+    findings: Vec<Finding>,
+    docket: Arc<Docket>,
+}
+
+/// Holds what is known of a request that may end upstreams.
+#[derive(Debug, Default)]
+struct Suspect {
+    steps: Vec<Step>,
+    /// Since when entries watch for answers to it.
+    watched: Option<Duration>,
+    /// When it was answered last.
+    answered: Option<Duration>,
+}
+
+/// Holds an upstream that ended under a request.
+#[derive(Clone, Debug)]
+struct Step {
+    run: Run,
+    sent: Duration,
+    ended: Duration,
+    /// Whether another request is known to have ended it.
+    explained: bool,
+}
+
+impl Suspect {
+    /// Returns the upstreams that ended one after the other, since it was answered last.
+    fn chain(&self) -> Vec<&Step> {
+        let mut chain: Vec<&Step> = Vec::new();
+        for step in &self.steps {
+            let cleared = step.explained || self.answered.is_some_and(|it| step.ended <= it);
+            let after = chain.last().is_none_or(|last| step.sent >= last.ended);
+            if !cleared && after {
+                chain.push(step);
+            }
+        }
+        chain
+    }
+
+    fn runs(&self) -> Vec<Run> {
+        self.chain().into_iter().map(|step| step.run.clone()).collect()
+    }
+
+    fn take(&mut self, step: Step) {
+        if self.steps.iter().any(|it| it.run == step.run) {
+            return;
+        }
+        // Entries tell in any order, above all to a new leader.
+        let place = self.steps.partition_point(|it| it.ended <= step.ended);
+        self.steps.insert(place, step);
+        if self.steps.len() > STEPS {
+            self.steps.remove(0);
+        }
+    }
+
+    fn last(&self) -> Option<Duration> {
+        self.steps.last().map(|it| it.ended)
+    }
+}
+
+impl Quarantine {
+    /// Starts with what the log and this core hold.
+    pub fn open(now: Duration, rule: Rule, kept: &Kept, known: &Docket) -> Self {
+        let mut quarantine = Self { rule, key: kept.key, ..Self::default() };
+        for (print, held) in known.held.iter().chain(&kept.held) {
+            quarantine.held.insert(*print, Held { tried_by: None, ..held.clone() });
+        }
+        for print in &known.watched {
+            quarantine.suspects.entry(*print).or_default().watched = Some(now);
+            quarantine.order.push_back(*print);
+            quarantine.watched.insert(*print);
+        }
+        quarantine.overrule();
+        quarantine.publish();
+        quarantine.findings.clear();
+        quarantine
+    }
+
+    /// Returns what entries go by.
+    pub fn docket(&self) -> &Arc<Docket> {
+        &self.docket
+    }
+
+    /// Returns what is to outlive this leader.
+    pub fn kept(&self, key: u128) -> Kept {
+        let bare = |held: &Held| Held { tried_by: None, ..held.clone() };
+        let held = self.held.iter().map(|(print, held)| (*print, bare(held))).collect();
+        Kept { key: Some(self.key.unwrap_or(key)), held }
+    }
+
+    /// Takes the key once the log holds it.
+    pub fn set_key(&mut self, key: Option<u128>) {
+        self.key = self.key.or(key);
+    }
+
+    /// Takes an operator's other wishes.
+    pub fn set_rule(&mut self, rule: Rule) {
+        self.rule = rule;
+        self.overrule();
+    }
+
+    /// Takes an entry's word that an upstream ended while it ran a request; `unix` is the agreed time of day.
+    pub fn crashed(&mut self, now: Duration, unix: u64, crash: &Crash) {
+        let Crash { print, run, sent, ended } = crash;
+        if self.held.contains_key(print) {
+            self.ended_again(unix.saturating_sub(*sent), unix, *print, run);
+        }
+        let ago = |millis: u64| now.saturating_sub(Duration::from_millis(millis));
+        let explained = self.explained.contains(run);
+        let step = Step { run: run.clone(), sent: ago(*sent), ended: ago(*ended), explained };
+        self.suspect(*print).take(step);
+        self.weigh(now, unix, *print);
+    }
+
+    /// Takes an entry's word that a request was answered; `unix` is the agreed time of day.
+    ///
+    /// An answer from before it ended one upstream after the other says nothing about that.
+    pub fn answered(&mut self, now: Duration, unix: u64, answer: &Answer) {
+        let at = now.saturating_sub(Duration::from_millis(answer.ago));
+        let held = self.held.get(&answer.print);
+        let mut cleared = held.is_some_and(|held| unix.saturating_sub(answer.ago) > held.since);
+        if let Some(suspect) = self.suspects.get_mut(&answer.print) {
+            suspect.answered = suspect.answered.max(Some(at));
+            cleared = cleared || (!suspect.steps.is_empty() && suspect.chain().is_empty());
+        }
+        if cleared {
+            self.release(answer.print, Cause::Answered);
+        }
+    }
+
+    /// Decides what is due by now; `entries` are those that may let a request through.
+    pub fn tick(&mut self, now: Duration, unix: u64, entries: &[SocketAddr]) {
+        for print in self.watched.clone() {
+            self.weigh(now, unix, print);
+            let last = self.suspects.get(&print).and_then(Suspect::last);
+            let idle = last.is_none_or(|last| now.saturating_sub(last) > WATCH);
+            let since = self.suspects.get(&print).and_then(|it| it.watched);
+            if idle && since.is_none_or(|since| now.saturating_sub(since) > WATCH) {
+                self.unwatch(print);
+            }
+        }
+        while let Some(print) = self.order.front().copied() {
+            let last = self.suspects.get(&print).and_then(Suspect::last);
+            let fresh = last.is_some_and(|last| now.saturating_sub(last) <= MEMORY);
+            if fresh || self.watched.contains(&print) {
+                break;
+            }
+            self.order.pop_front();
+            self.suspects.remove(&print);
+        }
+        self.offer_trials(now, unix, entries);
+    }
+
+    /// Takes what was decided since it was last asked for; returns whether entries go by something else now.
+    pub fn take_findings(&mut self) -> (Vec<Finding>, bool) {
+        let changed = self.publish();
+        (std::mem::take(&mut self.findings), changed)
+    }
+
+    /// Returns what is known of a request, and makes room for it if that is new.
+    ///
+    /// Room is made at the expense of what was suspected first and is not watched. So a flood of requests that
+    /// break off once pushes nothing out that is close to being found, and nothing that was found.
+    fn suspect(&mut self, print: Print) -> &mut Suspect {
+        if !self.suspects.contains_key(&print) {
+            self.order.push_back(print);
+            let mut looks = self.order.len();
+            while self.suspects.len() >= SUSPECTS && looks > 0 {
+                looks -= 1;
+                let Some(oldest) = self.order.pop_front() else { break };
+                if self.watched.contains(&oldest) || oldest == print {
+                    self.order.push_back(oldest);
+                } else {
+                    self.suspects.remove(&oldest);
+                }
+            }
+        }
+        self.suspects.entry(print).or_default()
+    }
+
+    /// Decides of a request by the upstreams that ended under it.
+    fn weigh(&mut self, now: Duration, unix: u64, print: Print) {
+        if self.held.contains_key(&print) || self.rule.lifted.contains(&print) {
+            return;
+        }
+        let Some(suspect) = self.suspects.get(&print) else { return };
+        let (runs, watched) = (suspect.runs(), suspect.watched);
+        let wanted = usize::try_from(self.rule.crashes).unwrap_or(usize::MAX).max(1);
+        if runs.len() + 1 < wanted {
+            return;
+        }
+        let Some(since) = watched else { return self.watch(now, print, runs, wanted) };
+        if runs.len() >= wanted && now.saturating_sub(since) >= SETTLE {
+            self.hold(unix, print, runs);
+        }
+    }
+
+    /// Has entries watch for answers to a request, if there is room or it is all but found.
+    fn watch(&mut self, now: Duration, print: Print, runs: Vec<Run>, wanted: usize) {
+        if self.watched.len() >= LISTED {
+            let least = |it: &&Print| self.suspects.get(it).map_or(0, |it| it.chain().len());
+            let Some(other) = self.watched.iter().min_by_key(least).copied() else { return };
+            if runs.len() < wanted || least(&&other) >= wanted {
+                return;
+            }
+            self.unwatch(other);
+        }
+        self.suspect(print).watched = Some(now);
+        self.watched.insert(print);
+        self.findings.push(Finding::Suspected { print, runs });
+    }
+
+    fn unwatch(&mut self, print: Print) {
+        self.watched.remove(&print);
+        if let Some(suspect) = self.suspects.get_mut(&print) {
+            suspect.watched = None;
+        }
+    }
+
+    /// Holds a request back. What else ran on the upstreams that it ended is innocent of that.
+    fn hold(&mut self, unix: u64, print: Print, runs: Vec<Run>) {
+        self.unwatch(print);
+        if self.held.len() >= LISTED {
+            let first = self.held.iter().min_by_key(|(_, held)| held.until);
+            let Some((first, _)) = first.map(|(print, held)| (*print, held.until)) else { return };
+            self.held.remove(&first);
+        }
+        let hold = u64::try_from(self.rule.hold.as_millis()).unwrap_or(u64::MAX);
+        let until = unix.saturating_add(hold);
+        let held = Held { since: unix, until, tries: 0, tried_by: None };
+        self.held.insert(print, held.clone());
+        self.findings.push(Finding::Held { print, runs, held });
+        let Some(suspect) = self.suspects.get(&print) else { return };
+        let ended: Vec<Run> = suspect.steps.iter().map(|it| it.run.clone()).collect();
+        for run in &ended {
+            self.explain(print, run);
+        }
+        // One that was found before, but by these upstreams alone, only happened to run on them.
+        let within = |it: &Suspect| {
+            !it.steps.is_empty() && it.steps.iter().all(|step| ended.contains(&step.run))
+        };
+        let others = self.held.keys().filter(|other| **other != print);
+        let innocent: Vec<Print> =
+            others.filter(|it| self.suspects.get(it).is_some_and(within)).copied().collect();
+        for other in innocent {
+            self.release(other, Cause::Explained);
+        }
+    }
+
+    /// Notes that a request which is held back ended an upstream.
+    fn explain(&mut self, culprit: Print, run: &Run) {
+        if !self.explained.contains(run) {
+            self.explained.push_back(run.clone());
+            if self.explained.len() > LISTED {
+                self.explained.pop_front();
+            }
+        }
+        let mut cleared = Vec::new();
+        for (print, suspect) in &mut self.suspects {
+            let step = suspect.steps.iter_mut().find(|step| step.run == *run);
+            if let Some(step) = step.filter(|_| *print != culprit) {
+                step.explained = true;
+                if suspect.watched.is_some() && suspect.chain().is_empty() {
+                    cleared.push(*print);
+                }
+            }
+        }
+        for print in cleared {
+            self.unwatch(print);
+            self.findings.push(Finding::Cleared { print, cause: Cause::Explained });
+        }
+    }
+
+    /// Takes the end of another upstream under a request that is held back: one that was on its way when it was
+    /// found, or one that was let through again.
+    fn ended_again(&mut self, sent: u64, unix: u64, print: Print, run: &Run) {
+        self.explain(print, run);
+        let Some(held) = self.held.get_mut(&print) else { return };
+        if sent < held.until {
+            return;
+        }
+        held.tries = held.tries.saturating_add(1);
+        (held.since, held.tried_by) = (unix, None);
+        let hold = u64::try_from(self.rule.hold.as_millis()).unwrap_or(u64::MAX);
+        let longer = hold.saturating_mul(LONGER.saturating_pow(held.tries.into()));
+        held.until = if held.tries >= TRIES { u64::MAX } else { unix.saturating_add(longer) };
+        let (held, runs) = (held.clone(), vec![run.clone()]);
+        self.trials.remove(&print);
+        self.findings.push(Finding::Held { print, runs, held });
+    }
+
+    /// Lets a request be sent again.
+    fn release(&mut self, print: Print, cause: Cause) {
+        if self.rule.forbidden.contains(&print) {
+            return;
+        }
+        let was = self.held.remove(&print).is_some() || self.watched.contains(&print);
+        self.trials.remove(&print);
+        self.unwatch(print);
+        if was {
+            self.findings.push(Finding::Cleared { print, cause });
+        }
+    }
+
+    /// Has one entry let one through of each request that was held back for long enough.
+    ///
+    /// Let through by all entries, it would end as many upstreams at once as there are callers.
+    fn offer_trials(&mut self, now: Duration, unix: u64, entries: &[SocketAddr]) {
+        if entries.is_empty() {
+            return;
+        }
+        for (print, held) in &mut self.held {
+            if unix < held.until || self.rule.forbidden.contains(print) {
+                continue;
+            }
+            let since = self.trials.get(print).copied();
+            if since.is_some_and(|since| now.saturating_sub(since) <= TRIAL) {
+                continue;
+            }
+            let last = held.tried_by.and_then(|it| entries.iter().position(|entry| *entry == it));
+            let entry = entries[last.map_or(0, |last| last + 1) % entries.len()];
+            held.tried_by = Some(entry);
+            self.trials.insert(*print, now);
+            self.findings.push(Finding::Tried { print: *print, entry });
+        }
+    }
+
+    /// Does what operators have said of single requests.
+    fn overrule(&mut self) {
+        for print in self.rule.lifted.clone() {
+            self.release(print, Cause::Lifted);
+        }
+        for print in &self.rule.forbidden {
+            let held = Held { since: 0, until: u64::MAX, tries: 0, tried_by: None };
+            if self.held.insert(*print, held.clone()).as_ref() != Some(&held) {
+                self.findings.push(Finding::Held { print: *print, runs: Vec::new(), held });
+            }
+        }
+    }
+
+    /// Makes what entries go by anew; returns whether that is something else now.
+    fn publish(&mut self) -> bool {
+        let same = self.docket.key == self.key
+            && self.docket.watched == self.watched
+            && self.docket.held == self.held;
+        if !same {
+            let (watched, held) = (self.watched.clone(), self.held.clone());
+            self.docket = Arc::new(Docket { key: self.key, watched, held });
+        }
+        !same
+    }
+}
--- a/crates/verbenaslip-fleet/src/registry.rs
+++ b/crates/verbenaslip-fleet/src/registry.rs
@@ -277,6 +277,12 @@
         Change::News
     }
 
+    /// Counts a change of something else that is told with the upstreams; returns its number.
+    pub fn touch(&mut self) -> u64 {
+        self.stamp += 1;
+        self.stamp
+    }
+
     /// Tells why an announcement was not taken; none for the one that is held now.
     pub fn late(&self, now: Duration, run: &Run, sequence: u64) -> Option<Late> {
         let held = self.records.get(&run.upstream).map(|held| &held.record.announcement);
--- a/crates/verbenaslip-fleet/src/view.rs
+++ b/crates/verbenaslip-fleet/src/view.rs
@@ -9,6 +9,7 @@
 use verbenaslip_base::name::{Team, Upstream};
 
 use crate::index::Index;
+use crate::quarantine::Docket;
 use crate::registry::Record;
 use crate::sheet::Sheet;
 
@@ -39,6 +40,10 @@
     pub routes: Option<Arc<Index>>,
     /// The upstreams.
     pub upstreams: Arc<BTreeMap<Upstream, Record>>,
+    /// The requests that are suspected or held back.
+    pub docket: Arc<Docket>,
+    /// Where this instance is reached by others.
+    pub own: Option<SocketAddr>,
     /// Where the cores are reached.
     pub cores: Vec<SocketAddr>,
     /// What this instance was lent of each team's limit.
@@ -60,6 +65,8 @@
             stamp: Stamp::default(),
             routes: None,
             upstreams: Arc::default(),
+            docket: Arc::default(),
+            own: None,
             cores: Vec::new(),
             loans: Arc::default(),
             lent: None,
--- a/crates/verbenaslip-fleet/tests/entry.rs
+++ b/crates/verbenaslip-fleet/tests/entry.rs
@@ -42,6 +42,7 @@
         base: None,
         records: Vec::new(),
         sheet: None,
+        docket: None,
         round: Some(round),
         unix: unix(now),
         urgent: false,
--- a/crates/verbenaslip-fleet/tests/hub.rs
+++ b/crates/verbenaslip-fleet/tests/hub.rs
@@ -70,6 +70,8 @@
         term: TERM,
         registry,
         ledger: &ledger,
+        docket: &Arc::default(),
+        docketed: 0,
         urgent: false,
         unix: 0,
     };
@@ -105,6 +107,8 @@
         term: TERM,
         registry: &registry,
         ledger: &ledger,
+        docket: &Arc::default(),
+        docketed: 0,
         urgent: false,
         unix: 0,
     };
--- a/crates/verbenaslip-fleet/tests/net/mod.rs
+++ b/crates/verbenaslip-fleet/tests/net/mod.rs
@@ -12,6 +12,7 @@
 use verbenaslip_fleet::frame::{Ask, Frame, Peer, Told};
 use verbenaslip_fleet::ledger::Edition;
 use verbenaslip_fleet::link::Report;
+use verbenaslip_fleet::quarantine::Rule;
 use verbenaslip_fleet::registry::{Announcement, Run};
 use verbenaslip_fleet::sheet::{Service, Sheet};
 use verbenaslip_fleet::{Entry, View};
@@ -186,6 +187,8 @@
         let voter = Voter { instance: name_of(address), identity };
         let setup = Setup {
             own: peer(address, machine.starts, Some(voter)),
+            rule: Rule::default(),
+            secret: 7,
             seeds: seeds(),
             founders: if founds { seeds() } else { vec![] },
             recovered: machine.disk.clone(),
@@ -366,6 +369,8 @@
         for index in 0..self.entries.len() {
             let letter = self.entries[index].beat(self.now, truth, Report::default());
             self.post(entry_address(index), letter);
+            let letter = self.entries[index].account(self.now);
+            self.post(entry_address(index), letter);
         }
         let mut held = VecDeque::new();
         while self.mail.front().is_some_and(|(due, ..)| *due <= self.ticks) {
--- a/crates/verbenaslip-instance/src/core.rs
+++ b/crates/verbenaslip-instance/src/core.rs
@@ -1,5 +1,6 @@
 //! The control thread of a core.
 
+use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -221,6 +222,8 @@
                 late: settings.upstreams.usage_late,
                 wait: cloud.wait,
             }),
+            rule: settings.requests.rule(),
+            secret: secret(),
             seed: seed(settings, unix),
             unix,
         };
@@ -248,6 +251,9 @@
             }
             Woken::Signal(Signal::Reload) => {
                 if let Some(settings) = reload() {
+                    let rule = settings.requests.rule();
+                    self.settings.requests = settings.requests;
+                    self.step(Input::Rule(rule));
                     self.step(Input::Seeds(settings.seeds));
                 }
             }
@@ -334,6 +340,12 @@
     }
 }
 
+/// Draws what nobody can foresee, from what the standard library has of the system's random numbers.
+fn secret() -> u128 {
+    let draw = |it: u64| u128::from(RandomState::new().hash_one(it));
+    draw(1) << 64 | draw(2)
+}
+
 /// Seeds random choices differently on each instance and start.
 fn seed(settings: &Settings, unix: u64) -> u64 {
     let name = settings.name.as_str().as_bytes();
--- a/crates/verbenaslip-instance/src/entry.rs
+++ b/crates/verbenaslip-instance/src/entry.rs
@@ -12,7 +12,7 @@
 use verbenaslip_fleet::entry::Letter;
 use verbenaslip_fleet::frame::{Frame, Peer};
 use verbenaslip_fleet::view::Stamp;
-use verbenaslip_relay::board::Board;
+use verbenaslip_relay::board::{Board, Experience};
 use verbenaslip_relay::dialect::Dialect;
 use verbenaslip_relay::journal;
 use verbenaslip_relay::policy::retry::Bounds;
@@ -84,8 +84,8 @@
     };
     let decisions = Decisions::open(own, settings.seeds.clone(), steady::now(), unix);
     let grace = settings.stop.grace;
-    let mut running =
-        Running { decisions, links, board, server, shown: None, lost: None, stop: None };
+    let (shown, lost, stop) = (None, None, None);
+    let mut running = Running { decisions, links, board: board.clone(), server, shown, lost, stop };
     loop {
         running.beat();
         if running.is_over() {
@@ -99,6 +99,7 @@
                 Signal::Reload => running.reseed(&reload),
             },
             Some(frame) = frames.recv() => running.take(frame),
+            () = board.meets() => running.meet(),
             () = tokio::time::sleep(wait) => running.watch_leader(&reload),
         }
     }
@@ -120,11 +121,22 @@
         if now < self.decisions.wake() {
             return;
         }
+        let letter = self.decisions.account(now);
+        self.post(letter);
+        if now < self.decisions.beat_at() {
+            return;
+        }
         let report = self.board.report();
         let letter = self.decisions.beat(now, steady::unix(), report);
         self.post(letter);
     }
 
+    /// Takes what requests met, to be told to the leader.
+    fn meet(&mut self) {
+        let Experience { crashes, answers } = self.board.take_met();
+        self.decisions.met(steady::now(), crashes, answers);
+    }
+
     fn post(&self, letter: Option<Letter>) {
         if let Some(Letter { to, frame }) = letter {
             to.into_iter().for_each(|to| self.links.send(to, &frame));
--- a/crates/verbenaslip-instance/src/event.rs
+++ b/crates/verbenaslip-instance/src/event.rs
@@ -38,6 +38,14 @@
 pub(crate) const LAPSED: Kind = Kind { number: 934, name: "lead_lapsed" };
 /// A core has the lease of the same term again.
 pub(crate) const RESUMED: Kind = Kind { number: 935, name: "lead_resumed" };
+/// Upstreams have ended under a request, one after the other; entries watch for answers to it.
+pub(crate) const SUSPECTED: Kind = Kind { number: 937, name: "request_suspected" };
+/// A request that ends upstreams is held back.
+pub(crate) const HELD: Kind = Kind { number: 938, name: "request_held_back" };
+/// A request is no longer suspected or held back.
+pub(crate) const CLEARED: Kind = Kind { number: 939, name: "request_cleared" };
+/// An entry may let one request through again.
+pub(crate) const TRIED: Kind = Kind { number: 940, name: "request_let_through" };
 /// The voters are changed.
 pub(crate) const VOTERS: Kind = Kind { number: 914, name: "voters_changing" };
 /// The counts of a window are final.
--- a/crates/verbenaslip-instance/src/note.rs
+++ b/crates/verbenaslip-instance/src/note.rs
@@ -3,7 +3,9 @@
 use serde_json::{Value, json};
 use verbenaslip_fleet::belief::Belief;
 use verbenaslip_fleet::core::Note;
-use verbenaslip_fleet::registry::{Late, Run};
+use verbenaslip_fleet::print::Print;
+use verbenaslip_fleet::quarantine::Finding;
+use verbenaslip_fleet::registry::{Late, Record, Run};
 use verbenaslip_relay::journal::{self, Kind};
 
 use crate::event;
@@ -22,23 +24,7 @@
         Note::Sheet { revision, routes } => {
             journal::say(event::SHEET, [("revision", json!(revision)), ("routes", json!(routes))]);
         }
-        Note::Upstream { record } => {
-            let it = &record.announcement;
-            journal::say(
-                event::UPSTREAM,
-                [
-                    ("upstream", json!(it.run.upstream.as_str())),
-                    ("incarnation", json!(it.run.incarnation)),
-                    ("service", json!(it.service)),
-                    ("address", json!(it.address.to_string())),
-                    ("zone", json!(it.zone.as_str())),
-                    ("sequence", json!(it.sequence)),
-                    ("reclaimable", json!(it.reclaimable)),
-                    ("leaves_ms", json!(it.leaves.map(|leaves| leaves.as_millis()))),
-                    ("standing", json!(format!("{:?}", record.standing))),
-                ],
-            );
-        }
+        Note::Upstream { record } => say_upstream(&record),
         Note::Withdrawn(run) => run_line(event::WITHDRAWN, &run),
         Note::Late(late) => say_late(&late),
         Note::Acknowledged { departure, waited, change, spread } => {
@@ -75,6 +61,7 @@
         Note::Voters { change } => {
             journal::say(event::VOTERS, [("change", json!(format!("{change:?}")))]);
         }
+        Note::Found(finding) => say_found(&finding),
         Note::Closed { window, requests } => {
             journal::say(event::CLOSED, [("window", json!(window)), ("requests", json!(requests))]);
         }
@@ -92,6 +79,25 @@
     }
 }
 
+/// Writes a line about what is known of an upstream.
+fn say_upstream(record: &Record) {
+    let it = &record.announcement;
+    journal::say(
+        event::UPSTREAM,
+        [
+            ("upstream", json!(it.run.upstream.as_str())),
+            ("incarnation", json!(it.run.incarnation)),
+            ("service", json!(it.service)),
+            ("address", json!(it.address.to_string())),
+            ("zone", json!(it.zone.as_str())),
+            ("sequence", json!(it.sequence)),
+            ("reclaimable", json!(it.reclaimable)),
+            ("leaves_ms", json!(it.leaves.map(|leaves| leaves.as_millis()))),
+            ("standing", json!(format!("{:?}", record.standing))),
+        ],
+    );
+}
+
 /// Writes a line about an announcement that was passed over.
 fn say_late(late: &Late) {
     metrics::counter!("verbenaslip_announcements_late_total").increment(1);
@@ -111,6 +117,35 @@
     );
 }
 
+/// Writes a line about a request that ends upstreams, or may do so.
+fn say_found(finding: &Finding) {
+    let runs = |runs: &[Run]| json!(runs.iter().map(|it| it.upstream.as_str()).collect::<Vec<_>>());
+    let content = |print: &Print| ("content", json!(print.to_string()));
+    match finding {
+        Finding::Suspected { print, runs: ended } => {
+            journal::say(event::SUSPECTED, [content(print), ("upstreams", runs(ended))]);
+        }
+        Finding::Held { print, runs: ended, held } => {
+            metrics::counter!("verbenaslip_requests_held_back_total").increment(1);
+            journal::say(
+                event::HELD,
+                [
+                    content(print),
+                    ("upstreams", runs(ended)),
+                    ("until", json!(held.until)),
+                    ("tries", json!(held.tries)),
+                ],
+            );
+        }
+        Finding::Cleared { print, cause } => {
+            journal::say(event::CLEARED, [content(print), ("cause", json!(format!("{cause:?}")))]);
+        }
+        Finding::Tried { print, entry } => {
+            journal::say(event::TRIED, [content(print), ("entry", json!(entry.to_string()))]);
+        }
+    }
+}
+
 /// Lists how upstreams stand, by name; null for one that is gone.
 pub(crate) fn standings(changed: &[Belief]) -> Value {
     let named = |it: &Belief| {
--- a/crates/verbenaslip-instance/src/settings.rs
+++ b/crates/verbenaslip-instance/src/settings.rs
@@ -12,6 +12,8 @@
 use verbenaslip::settings::value::Value;
 use verbenaslip::settings::{self, Collected, Invalid};
 use verbenaslip_base::name::{AvailabilityZone, Instance as Name};
+use verbenaslip_fleet::print::Print;
+use verbenaslip_fleet::quarantine::Rule;
 
 /// Holds all settings of one instance.
 #[derive(Clone, Debug, PartialEq)]
@@ -30,6 +32,8 @@
     pub core: Option<Core>,
     /// What upstreams do.
     pub upstreams: Upstreams,
+    /// When requests are held back that end upstreams.
+    pub requests: Requests,
     /// How it stops.
     pub stop: Stop,
     /// The cloud, if there is one to give orders to.
@@ -77,6 +81,19 @@
     pub usage_late: Duration,
 }
 
+/// Holds `[requests]`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Requests {
+    /// How many upstreams must have ended under a request, one after the other, before it is held back.
+    pub crashes: u32,
+    /// After how long it is let through again.
+    pub hold: Duration,
+    /// Contents that are never held back.
+    pub lifted: Vec<Print>,
+    /// Contents that are held back in any case.
+    pub forbidden: Vec<Print>,
+}
+
 /// Holds `[stop]`.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Stop {
@@ -120,6 +137,29 @@
     }
 }
 
+/// Reads a number of upstreams.
+struct Count(u32);
+
+impl Value for Count {
+    const ALLOWED: &'static str = "a whole number from 2";
+
+    fn read(text: &str) -> Option<Self> {
+        text.parse().ok().filter(|number| *number >= 2).map(Self)
+    }
+}
+
+/// Reads the content of a request as logs name it.
+struct Content(Print);
+
+impl Value for Content {
+    const ALLOWED: &'static str = "32 hexadecimal digits, as in `content` of a request's log line";
+
+    fn read(text: &str) -> Option<Self> {
+        let whole = text.len() == 32 && text.bytes().all(|it| it.is_ascii_hexdigit());
+        text.parse().ok().filter(|_| whole).map(Self)
+    }
+}
+
 /// Reads a truth value.
 struct Flag(bool);
 
@@ -172,6 +212,7 @@
             entry: reader.optional("entry", Entry::take),
             core: reader.optional("core", Core::take),
             upstreams: reader.section(Upstreams::take),
+            requests: reader.section(Requests::take),
             stop: reader.section(Stop::take),
             cloud: reader.optional("cloud", Cloud::take),
             metrics: served.map(|()| metrics),
@@ -227,6 +268,31 @@
     }
 }
 
+impl Requests {
+    fn take(reader: &mut Reader<'_>) -> Self {
+        let rule = Rule::default();
+        let (mut crashes, mut hold) = (Count(rule.crashes), Span(rule.hold));
+        let (mut lifted, mut forbidden): (Vec<Content>, Vec<Content>) = (Vec::new(), Vec::new());
+        reader.take(Place("requests", "crashes"), &mut crashes);
+        reader.take(Place("requests", "hold"), &mut hold);
+        reader.list(Place("requests", "lifted"), &mut lifted);
+        reader.list(Place("requests", "forbidden"), &mut forbidden);
+        let prints = |contents: Vec<Content>| contents.into_iter().map(|it| it.0).collect();
+        let (lifted, forbidden) = (prints(lifted), prints(forbidden));
+        Self { crashes: crashes.0, hold: hold.0, lifted, forbidden }
+    }
+
+    /// Returns the rule by which the leader goes.
+    pub(crate) fn rule(&self) -> Rule {
+        Rule {
+            crashes: self.crashes,
+            hold: self.hold,
+            lifted: self.lifted.iter().copied().collect(),
+            forbidden: self.forbidden.iter().copied().collect(),
+        }
+    }
+}
+
 impl Stop {
     fn take(reader: &mut Reader<'_>) -> Self {
         let mut grace = Span(Duration::from_secs(8));
--- a/crates/verbenaslip-instance/tests/settings.rs
+++ b/crates/verbenaslip-instance/tests/settings.rs
@@ -31,9 +31,30 @@
         ("10.0.0.7:8221", "somewhere", "[entry] callers = `somewhere` - it must be an IP number"),
         ("grace = 8s", "grace = 8", "[stop] grace = `8` - it must be a number with a unit"),
         ("retry_ratio = 0.2", "retry_ratio = -1", "[upstreams] retry_ratio = `-1`"),
+        (
+            "[stop]",
+            "[requests]\ncrashes = 1\n[stop]",
+            "[requests] crashes = `1` - it must be a whole",
+        ),
+        (
+            "[stop]",
+            "[requests]\nlifted = 0c,1\n[stop]",
+            "`0c` - each item between commas must be 32",
+        ),
         ("[stop]", "[stop]\nunknown = 1", "[stop] unknown - there is no such key"),
     ] {
         let problem = read(&ENTRY.replace(from, to)).expect_err(reason);
         assert!(problem.contains(reason), "{problem} for {reason}");
     }
 }
+
+#[test]
+fn an_operator_lifts_and_forbids_requests_as_logs_name_them() {
+    let content = "05edc73fd10efbe175ce22ccbf8833e7";
+    let section = format!("[requests]\ncrashes = 4\nhold = 90s\nlifted = {content}\n[stop]");
+    let settings = read(&ENTRY.replace("[stop]", &section)).expect("it is valid");
+    assert_eq!((settings.requests.crashes, settings.requests.hold), (4, Duration::from_secs(90)));
+    let lifted: Vec<String> = settings.requests.lifted.iter().map(ToString::to_string).collect();
+    assert_eq!(lifted, [content]);
+    assert!(settings.requests.forbidden.is_empty());
+}
--- a/crates/verbenaslip-relay/src/board.rs
+++ b/crates/verbenaslip-relay/src/board.rs
@@ -7,6 +7,7 @@
 
 use tokio::sync::Notify;
 use verbenaslip_base::name::Team;
+use verbenaslip_fleet::account::{Answered, Met};
 use verbenaslip_fleet::link::Report;
 use verbenaslip_fleet::load::Work;
 use verbenaslip_fleet::quota::Demand;
@@ -24,6 +25,8 @@
     demand: Mutex<BTreeMap<Team, Asked>>,
     /// Milliseconds of engine time that were asked for since the start, by service.
     work: Mutex<Totals>,
+    met: Mutex<Experience>,
+    meets: Notify,
     draining: AtomicBool,
     closing: AtomicBool,
     closed: Notify,
@@ -85,6 +88,28 @@
         *lock(&self.work).entry(service.clone()).or_default() += millis;
     }
 
+    /// Notes requests under which an upstream ended.
+    pub fn crashed(&self, crashes: impl IntoIterator<Item = Met>) {
+        lock(&self.met).crashes.extend(crashes);
+        self.meets.notify_one();
+    }
+
+    /// Notes that a request was answered which is suspected or held back.
+    pub fn answered(&self, answered: Answered) {
+        lock(&self.met).answers.push(answered);
+        self.meets.notify_one();
+    }
+
+    /// Returns once there is something that requests met.
+    pub async fn meets(&self) {
+        self.meets.notified().await;
+    }
+
+    /// Takes what requests met since it was last asked for.
+    pub fn take_met(&self) -> Experience {
+        std::mem::take(&mut *lock(&self.met))
+    }
+
     /// Collects the next report.
     pub fn report(&self) -> Report {
         let demand =
@@ -135,6 +160,15 @@
     }
 }
 
+/// Holds what requests met that the leader is to hear of.
+#[derive(Debug, Default)]
+pub struct Experience {
+    /// Upstreams that ended while they ran them.
+    pub crashes: Vec<Met>,
+    /// Answers to requests that are suspected or held back.
+    pub answers: Vec<Answered>,
+}
+
 /// Reports a second.
 const REPORTS: f64 = 4.0;
 
--- a/crates/verbenaslip-relay/src/forward/answer.rs
+++ b/crates/verbenaslip-relay/src/forward/answer.rs
@@ -30,6 +30,8 @@
     NoUpstream,
     /// All upstreams are busy; it was not run.
     Busy,
+    /// Upstreams have ended that ran such a request; this one was not run.
+    HeldBack,
     /// Every upstream that got it said that it did not run it.
     TurnedAway,
     /// An upstream failed; it may have run.
@@ -55,6 +57,7 @@
             Self::NoTable
             | Self::NoUpstream
             | Self::Busy
+            | Self::HeldBack
             | Self::TurnedAway
             | Self::Stopping
             | Self::Expired => 503,
@@ -76,6 +79,7 @@
             Self::NoTable => "no_table",
             Self::NoUpstream => "no_upstream",
             Self::Busy => "busy",
+            Self::HeldBack => "held_back",
             Self::TurnedAway => "turned_away",
             Self::Failed => "failed",
             Self::TimedOut => "timed_out",
--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 use verbenaslip_base::hash;
 use verbenaslip_base::name::AvailabilityZone;
+use verbenaslip_fleet::account::Answered;
 use verbenaslip_fleet::registry::Run;
 use verbenaslip_fleet::view::View;
 
@@ -18,6 +19,7 @@
 use crate::forward::pool::Pool;
 use crate::policy::allowance::Allowance;
 use crate::policy::place::{Choice, Ending, Placement};
+use crate::policy::record::Record;
 use crate::policy::retry::{Bounds, Budget};
 use crate::policy::waited::Waited;
 use crate::steady;
@@ -37,6 +39,7 @@
     pub(crate) budget: RefCell<Budget>,
     pub(crate) pool: RefCell<Pool>,
     pub(crate) waited: RefCell<Waited>,
+    pub(crate) record: RefCell<Record>,
     pub(crate) draw: Cell<u64>,
     broken: UnboundedSender<Broken>,
 }
@@ -61,6 +64,7 @@
             budget: RefCell::new(Budget::open(bounds)),
             pool: RefCell::new(Pool::default()),
             waited: RefCell::new(Waited::default()),
+            record: RefCell::new(Record::default()),
             draw: Cell::new(steady::unix()),
             broken,
         }
@@ -74,6 +78,8 @@
             // Another run may use the address by now; its connections are no longer of use.
             self.pool.borrow_mut().forget(&gone);
         }
+        let answered = self.record.borrow_mut().update(&view.docket);
+        answered.into_iter().for_each(|it| self.board.answered(it));
         view
     }
 
@@ -83,11 +89,28 @@
     }
 
     /// Has it looked at whether an upstream that broke a request off has ended.
-    pub(crate) fn broke_off(&self, job: &Job<'_>, choice: &Choice) {
+    pub(crate) fn broke_off(&self, job: &Job<'_>, choice: &Choice, sent: Instant) {
         let (id, print) = (job.call.id.clone(), job.print);
         let (run, address) = (choice.run.clone(), choice.address);
+        let ended = steady::now();
+        let sent = ended.saturating_sub(sent.elapsed());
         // Nobody looks any more once the instance ends.
-        let _ = self.broken.send(Broken { id, print, run, address });
+        let _ = self.broken.send(Broken { id, print, run, address, sent, ended });
+    }
+
+    /// Notes that a request was answered, and tells the leader if it is suspected.
+    pub(crate) fn answered(&self, job: &Job<'_>) {
+        let Some(print) = job.print else { return };
+        let at = steady::now();
+        if self.record.borrow_mut().answered(at, print, &self.board.view().docket) {
+            self.board.answered(Answered { print, at });
+        }
+    }
+
+    /// Tells for how long a request is held back, if it is.
+    pub(crate) fn held(&self, job: &Job<'_>) -> Option<Duration> {
+        let view = self.board.view();
+        self.record.borrow_mut().held(steady::now(), job.print?, &view)
     }
 
     /// Pays for one more arrival of a request at its service, if the budget allows it.
--- a/crates/verbenaslip-relay/src/forward/crash.rs
+++ b/crates/verbenaslip-relay/src/forward/crash.rs
@@ -5,14 +5,17 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde_json::json;
 use tokio::sync::mpsc::UnboundedReceiver;
 use verbenaslip_base::name::Upstream;
+use verbenaslip_fleet::account::Met;
 use verbenaslip_fleet::print::Print;
 use verbenaslip_fleet::registry::Run;
 
+use crate::board::Board;
 use crate::journal::{self, Kind};
 use crate::socket;
 
@@ -32,17 +35,21 @@
 #[derive(Debug)]
 pub(crate) struct Broken {
     /// The identity of the request.
-    pub(crate) id: std::sync::Arc<str>,
-    /// Its content.
-    pub(crate) print: Print,
+    pub(crate) id: Arc<str>,
+    /// Its content, where prints can be made.
+    pub(crate) print: Option<Print>,
     /// The run of the upstream.
     pub(crate) run: Run,
     /// Where it is reached.
     pub(crate) address: SocketAddr,
+    /// When it was sent there.
+    pub(crate) sent: Duration,
+    /// When it broke off.
+    pub(crate) ended: Duration,
 }
 
 /// Looks at upstreams that broke off requests, for as long as the instance runs.
-pub(crate) async fn watch(mut broken: UnboundedReceiver<Broken>) {
+pub(crate) async fn watch(mut broken: UnboundedReceiver<Broken>, board: Arc<Board>) {
     while let Some(first) = broken.recv().await {
         tokio::time::sleep(GATHER).await;
         let mut runs: BTreeMap<Run, Vec<Broken>> = BTreeMap::new();
@@ -51,25 +58,34 @@
             runs.entry(it.run.clone()).or_default().push(it);
         }
         for (run, requests) in runs {
-            tokio::task::spawn_local(look(run, requests));
+            tokio::task::spawn_local(look(run, requests, board.clone()));
         }
     }
 }
 
 /// Looks whether an upstream is still there.
-async fn look(run: Run, requests: Vec<Broken>) {
+async fn look(run: Run, requests: Vec<Broken>, board: Arc<Board>) {
     let Some(address) = requests.first().map(|it| it.address) else { return };
     let ended = socket::dial(address, DIAL).await.is_err();
     if ended {
         metrics::counter!("verbenaslip_upstreams_ended_total").increment(1);
     }
     say(&run.upstream, run.incarnation, ended, &requests);
+    if ended {
+        board.crashed(requests.into_iter().filter_map(met));
+    }
+}
+
+fn met(broken: Broken) -> Option<Met> {
+    let Broken { print, run, sent, ended, .. } = broken;
+    Some(Met { print: print?, run, sent, ended })
 }
 
 fn say(upstream: &Upstream, incarnation: u64, ended: bool, requests: &[Broken]) {
     let listed = &requests[..requests.len().min(LISTED)];
     let ids: Vec<&str> = listed.iter().map(|it| &*it.id).collect();
-    let contents: Vec<String> = listed.iter().map(|it| it.print.to_string()).collect();
+    let contents: Vec<String> =
+        listed.iter().filter_map(|it| it.print).map(|it| it.to_string()).collect();
     journal::say(
         BROKE_OFF,
         [
--- a/crates/verbenaslip-relay/src/forward/job.rs
+++ b/crates/verbenaslip-relay/src/forward/job.rs
@@ -40,8 +40,8 @@
     pub body: &'a Bytes,
     /// What it says beyond HTTP.
     pub call: &'a Call,
-    /// Its content, to be known again.
-    pub print: Print,
+    /// Its content, to be known again; none as long as this entry has no key for that.
+    pub print: Option<Print>,
     /// Its route.
     pub route: &'a Route,
     /// Its rank; zero is the most urgent.
@@ -98,7 +98,7 @@
         head: &whole.head,
         body: &whole.body,
         call,
-        print: print(whole, team, host),
+        print: print(view, whole, team, host),
         route,
         rank: routes.rank(route, team),
         team,
@@ -112,9 +112,9 @@
     })
 }
 
-fn print(whole: &Whole, team: Option<&TeamRow>, host: &str) -> Print {
+fn print(view: &View, whole: &Whole, team: Option<&TeamRow>, host: &str) -> Option<Print> {
     let team = team.map_or("", |team| team.name.as_str());
-    Print::of(0, team, host, &whole.head.target, &whole.body)
+    Some(Print::of(view.docket.key?, team, host, &whole.head.target, &whole.body))
 }
 
 fn team<'a>(routes: &'a Index, route: &Route, call: &Call) -> Result<Option<&'a TeamRow>, Refused> {
--- a/crates/verbenaslip-relay/src/forward/life.rs
+++ b/crates/verbenaslip-relay/src/forward/life.rs
@@ -161,6 +161,9 @@
     if remaining.is_zero() {
         return Next::Refused(timed_out(course));
     }
+    if let Some(back) = context.held(job) {
+        return Next::Refused(held_back(course, back));
+    }
     if course.arrivals > 0 {
         let may = course.arrivals < job.route.attempts
             && (std::mem::take(&mut course.paid) || context.spend(job));
@@ -190,7 +193,7 @@
         Ok(answered) => {
             took(context, caller, job, course, trace, Sent { choice, answered, at: sent }).await
         }
-        Err(failure) => failed(context, job, course, trace, &choice, failure),
+        Err(failure) => failed(context, job, course, trace, (&choice, sent), failure),
     }
 }
 
@@ -256,8 +259,10 @@
         Ended::TimedOut | Ended::CallerGone => Ending::Left,
     };
     context.ended(&choice, ending, Some(at.elapsed()));
-    if ended == Ended::Broken {
-        context.broke_off(job, &choice);
+    match ended {
+        Ended::Whole => context.answered(job),
+        Ended::Broken => context.broke_off(job, &choice, at),
+        Ended::Silent | Ended::TimedOut | Ended::CallerGone => {}
     }
     match ended {
         Ended::Whole => {
@@ -283,7 +288,7 @@
     job: &Job<'_>,
     course: &mut Course,
     trace: &mut Trace,
-    choice: &Choice,
+    (choice, sent): (&Choice, Instant),
     failure: Failure,
 ) -> Next {
     let (ending, cause) = match failure {
@@ -294,7 +299,7 @@
     };
     context.ended(choice, ending, None);
     if failure == Failure::Broken {
-        context.broke_off(job, choice);
+        context.broke_off(job, choice, sent);
     }
     trace.causes.push(cause);
     match failure {
@@ -327,6 +332,11 @@
     }
 }
 
+/// Says what a caller gets whose request has ended upstreams: that it has not run only if so.
+fn held_back(course: &Course, back: Duration) -> Refused {
+    if course.may_have_run { (Refusal::Failed, None) } else { (Refusal::HeldBack, Some(back)) }
+}
+
 fn timed_out(course: &Course) -> Refused {
     if course.may_have_run { (Refusal::TimedOut, None) } else { (Refusal::Expired, None) }
 }
--- a/crates/verbenaslip-relay/src/forward/trace.rs
+++ b/crates/verbenaslip-relay/src/forward/trace.rs
@@ -85,7 +85,7 @@
         ("id", json!(id)),
         ("route", json!(route)),
         ("team", json!(team.map(Team::as_str))),
-        ("content", json!(job.map(|job| job.print.to_string()))),
+        ("content", json!(job.and_then(|job| job.print).map(|it| it.to_string()))),
         ("outcome", json!(outcome)),
         ("status", json!(trace.status)),
         ("ms", json!(took.as_millis())),
--- a/crates/verbenaslip-relay/src/policy.rs
+++ b/crates/verbenaslip-relay/src/policy.rs
@@ -3,13 +3,14 @@
 //! [`allowance`] says what a team may still ask for at this entry, [`retry`] whether a request may
 //! be sent to another upstream, and [`place`] which upstream takes a request or whether it is better
 //! refused at once. [`site`] is what `place` knows of one upstream, with [`cache`] and [`pace`];
-//! [`shed`] is what it knows of a service as a whole, and [`waited`] tells callers that come back from
-//! new ones.
+//! [`shed`] is what it knows of a service as a whole, [`waited`] tells callers that come back from
+//! new ones, and [`record`] knows which requests were answered and which are held back.
 
 pub mod allowance;
 pub mod cache;
 pub mod pace;
 pub mod place;
+pub mod record;
 pub mod retry;
 pub(crate) mod shed;
 pub(crate) mod site;
--- a/crates/verbenaslip-relay/tests/allowance.rs
+++ b/crates/verbenaslip-relay/tests/allowance.rs
@@ -62,6 +62,7 @@
         base: None,
         records: Vec::new(),
         sheet: None,
+        docket: None,
         round: answered.map(lend),
         unix: 0,
         urgent: false,
