--- a/crates/verbenaslip-request/tests/single.rs
+++ b/crates/verbenaslip-request/tests/single.rs
@@ -428,3 +428,66 @@
         assert_eq!(!driver.runs().is_empty(), runs, "sequence {sequence}");
     }
 }
+
+/// Has the upstream end under the run that goes on, and the budget allow another one.
+fn crash(driver: &mut Driver) {
+    driver.ran(Event::Sent);
+    driver.fail(Step::Read, Cause::Closed, false);
+    driver.fail(Step::Connect, Cause::Closed, true);
+    driver.step(Input::Retry { request: R, granted: Some(Duration::ZERO) });
+}
+
+/// Counts how often an upstream was given the request, apart from runs joined again.
+fn given(driver: &Driver) -> usize {
+    driver.runs().iter().filter(|start| **start != Start::Rejoin).count()
+}
+
+#[test]
+fn a_request_that_ends_every_upstream_is_not_run_for_ever() {
+    // Symptom: one upstream after the other ends, for as long as the budget lasts and whenever the caller comes
+    // back. Sequence: an upstream begins to run a request and ends; the run can't be joined again, since nobody
+    // listens there any more; the request goes to the next upstream.
+    let mut driver = Driver::open("retry", |_| {});
+    driver.call(true, true);
+    for _ in 0..10 {
+        crash(&mut driver);
+    }
+    assert_eq!(given(&driver), 3, "{:?}", driver.runs());
+    assert_eq!(driver.verdict(), Some(&Verdict::Unknown(Unknown::UpstreamLost)));
+    driver.call(true, true);
+    assert_eq!(given(&driver), 3, "nor when its caller comes back by its key");
+}
+
+#[test]
+fn whoever_takes_a_request_over_knows_how_many_upstreams_have_ended_under_it() {
+    // Symptom: as above, each time its owner is lost. Sequence: two upstreams end under a request; its owner is
+    // lost; the second holder begins to count anew.
+    let mut owner = Driver::open("retry", |_| {});
+    owner.call(true, true);
+    (0..2).for_each(|_| crash(&mut owner));
+    owner.ran(Event::Sent);
+    let mut heir = Driver::open("retry", |setup| {
+        setup.instance = "i2".into();
+        setup.zone = "z1".into();
+    });
+    let (instance, zone, boot) = ("i0".into(), "z0".into(), 1);
+    heir.step(Input::Joined(Member { instance, zone, boot }));
+    for output in owner.log.clone() {
+        if let Output::Send { to, message: message @ (Message::Put(_) | Message::Note(_)) } = output
+            && to.as_str() == "i2"
+        {
+            heir.step(Input::Heard { from: "i0".into(), message });
+        }
+    }
+    heir.step(Input::Lost("i0".into()));
+    heir.sleep(Duration::from_secs(8));
+    assert!(heir.runs().contains(&Start::Rejoin), "{:?}", heir.runs());
+    for _ in 0..5 {
+        if heir.attempt.is_some() {
+            heir.fail(Step::Connect, Cause::Closed, true);
+            heir.step(Input::Retry { request: R, granted: Some(Duration::ZERO) });
+            crash(&mut heir);
+        }
+    }
+    assert_eq!(given(&heir), 0, "{:?}", heir.runs());
+}
