First face: run a request no more that has ended three upstreams, whoever owns it

What callers saw: a keyed request that ends whatever runs it was begun for as long as the budget lasted (11 times in 10 ends), again whenever its caller came back, and 10 times more by the second holder after its owner was lost; the others on those upstreams lost their runs each time. Cause: neither owner nor second holder counted what a request had ended. Now the owner counts the upstreams at which nobody listens any more when a run is joined again (a plain service that closes without an answer counts too, since no run can be joined there), its notes tell the second holder, and from three on the request ends as unknown, also for a caller that comes back by its key. Upstreams that had announced that they go do not count.

--- a/crates/verbenaslip-node/tests/hostile.rs
+++ b/crates/verbenaslip-node/tests/hostile.rs
@@ -271,6 +271,7 @@
         live: None,
         number: u32::MAX,
         ran: true,
+        crashes: u8::MAX,
         complete: true,
         lineage: u64::MAX,
         outcome: None,
--- a/crates/verbenaslip-request/src/entry.rs
+++ b/crates/verbenaslip-request/src/entry.rs
@@ -23,6 +23,9 @@
 /// Bits of these that count, below those that tell apart two owners of the same epoch.
 const COUNT_BITS: u32 = 6;
 
+/// How many upstreams may end while they run a request. One that ends is bad luck, for two there may be one cause.
+const CRASHES: u8 = 3;
+
 /// Holds one request that this instance owns, or is finding out whether it may.
 #[derive(Clone, Debug)]
 pub(crate) struct Entry {
@@ -84,6 +87,8 @@
     pub(crate) ended: bool,
     /// When it was last handed over to the second holder, which may run it from then on.
     pub(crate) handed: Option<Duration>,
+    /// How many upstreams have ended while they ran it, also for former owners.
+    pub(crate) crashes: u8,
     /// Upstreams that failed it.
     pub(crate) without: BTreeSet<Upstream>,
     /// Whether callers have been told that they are served.
@@ -267,6 +272,7 @@
             without: BTreeSet::new(),
             served: false,
             absent: None,
+            crashes: 0,
             losses: 0,
             former: None,
             ousted: None,
@@ -338,6 +344,14 @@
         self.flight.as_ref().is_some_and(|flight| flight.live.kind == Kind::Engine)
     }
 
+    /// Tells whether it is run no more, since it seems to end whatever runs it.
+    ///
+    /// Run on, it would take one upstream after the other from all other requests: one would notice upstreams
+    /// that end in turn, each a moment after it was given the same request.
+    pub(crate) fn ends_upstreams(&self) -> bool {
+        self.crashes >= CRASHES
+    }
+
     /// Returns how far it has got, for the second holder.
     pub(crate) fn note(&self) -> Note {
         let outcome = match &self.phase {
@@ -352,6 +366,7 @@
             live: self.last.clone(),
             number: self.number,
             ran: self.may_have_run(),
+            crashes: self.crashes,
             complete: self.complete,
             lineage: self.lineage,
             outcome,
--- a/crates/verbenaslip-request/src/finish.rs
+++ b/crates/verbenaslip-request/src/finish.rs
@@ -291,7 +291,7 @@
             entry.phase,
             Phase::Finished { outcome: Outcome::Unknown(_) | Outcome::Abandoned, .. }
         );
-        unfinished && entry.head.idempotent && self.stopping.is_none()
+        unfinished && entry.head.idempotent && !entry.ends_upstreams() && self.stopping.is_none()
     }
 
     /// Runs a request again that had ended without a whole answer, from the tokens that are there.
--- a/crates/verbenaslip-request/src/follow.rs
+++ b/crates/verbenaslip-request/src/follow.rs
@@ -104,6 +104,10 @@
         if !failure.not_run {
             turn.out.push(Output::Cancel(flight.live.clone()));
         }
+        let crashed = has_ended(&flight.live, failure, rejoined);
+        if crashed && !self.announced(&flight.live.upstream) {
+            entry.crashes = entry.crashes.saturating_add(1);
+        }
         self.run_again(turn, entry, &flight.live, failure);
     }
 
@@ -119,6 +123,10 @@
 
     /// Runs the request again where that does no harm, and ends it where it would.
     fn run_again(&mut self, turn: &mut Turn<'_>, mut entry: Entry, live: &Live, failure: &Failure) {
+        if entry.head.idempotent && entry.ends_upstreams() {
+            self.finish(turn, entry, Outcome::Unknown(Unknown::UpstreamLost));
+            return;
+        }
         if !entry.head.idempotent && entry.ran {
             if entry.former.is_some() {
                 self.revert(turn, entry);
@@ -238,3 +246,13 @@
         && flight.live.kind == Kind::Engine
         && flight.rejoins < REJOINS
 }
+
+/// Tells whether an upstream seems to have ended while it ran the request: nobody listens there any more when the
+/// run is joined again, or a plain service, where no run can be, closed without an answer.
+fn has_ended(live: &Live, failure: &Failure, rejoined: bool) -> bool {
+    let closed = failure.cause == Cause::Closed;
+    match live.kind {
+        Kind::Engine => closed && rejoined && failure.step == Step::Connect,
+        Kind::Service => closed && !failure.not_run,
+    }
+}
--- a/crates/verbenaslip-request/src/message.rs
+++ b/crates/verbenaslip-request/src/message.rs
@@ -151,6 +151,8 @@
     pub number: u32,
     /// Whether any attempt may have run.
     pub ran: bool,
+    /// How many upstreams have ended while they ran it.
+    pub crashes: u8,
     /// Whether its homes had all said that they did not know it, so that nobody else has run it.
     pub complete: bool,
     /// The ownership from whose answer this one goes on.
--- a/crates/verbenaslip-request/src/takeover.rs
+++ b/crates/verbenaslip-request/src/takeover.rs
@@ -200,6 +200,7 @@
         entry.complete = copy.note.complete;
         entry.ran = copy.note.ran;
         entry.number = copy.note.number;
+        entry.crashes = copy.note.crashes;
         entry.lineage = copy.note.lineage;
         entry.sequence = 1;
         entry.position = copy.mirrored;
--- a/crates/verbenaslip-request/tests/garbage.rs
+++ b/crates/verbenaslip-request/tests/garbage.rs
@@ -113,6 +113,7 @@
             live: self.flip().then(|| self.live()),
             number: self.number(),
             ran: self.flip(),
+            crashes: self.pick(5) as u8,
             complete: self.flip(),
             lineage: self.pick(3),
             outcome: self.flip().then(|| self.outcome()),
