Requests that end upstreams: also those whose callers have left, and only by answers that were surely run

Cause: only broken answers were taken for a sign, and nobody is there any more whose answer breaks off.

--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -14,7 +14,7 @@
 
 use crate::board::Board;
 use crate::dialect::Dialect;
-use crate::forward::crash::Broken;
+use crate::forward::crash::{Broken, Sign};
 use crate::forward::job::Job;
 use crate::forward::pool::Pool;
 use crate::policy::allowance::Allowance;
@@ -41,7 +41,7 @@
     pub(crate) waited: RefCell<Waited>,
     pub(crate) record: RefCell<Record>,
     pub(crate) draw: Cell<u64>,
-    broken: UnboundedSender<Broken>,
+    signs: UnboundedSender<Sign>,
 }
 
 impl Context {
@@ -52,7 +52,7 @@
         zone: AvailabilityZone,
         bounds: Bounds,
         window: Duration,
-        broken: UnboundedSender<Broken>,
+        signs: UnboundedSender<Sign>,
     ) -> Self {
         Self {
             board,
@@ -66,7 +66,7 @@
             waited: RefCell::new(Waited::default()),
             record: RefCell::new(Record::default()),
             draw: Cell::new(steady::unix()),
-            broken,
+            signs,
         }
     }
 
@@ -90,12 +90,22 @@
 
     /// Has it looked at whether an upstream that broke a request off has ended.
     pub(crate) fn broke_off(&self, job: &Job<'_>, choice: &Choice, sent: Instant) {
-        let (id, print) = (job.call.id.clone(), job.print);
-        let (run, address) = (choice.run.clone(), choice.address);
-        let ended = steady::now();
-        let sent = ended.saturating_sub(sent.elapsed());
+        self.tell(Sign::BrokeOff(broken(job, choice, sent)));
+    }
+
+    /// Notes that a request's caller left while an upstream was at work on it.
+    pub(crate) fn left(&self, job: &Job<'_>, choice: &Choice, sent: Instant) {
+        self.tell(Sign::Left(broken(job, choice, sent)));
+    }
+
+    /// Notes that an upstream could not be reached.
+    pub(crate) fn unreached(&self, choice: &Choice) {
+        self.tell(Sign::Unreached(choice.run.clone()));
+    }
+
+    fn tell(&self, sign: Sign) {
         // Nobody looks any more once the instance ends.
-        let _ = self.broken.send(Broken { id, print, run, address, sent, ended });
+        let _ = self.signs.send(sign);
     }
 
     /// Notes that a request was answered, and tells the leader if it is suspected.
@@ -137,3 +147,11 @@
         hash::mix(next)
     }
 }
+
+/// Says which request is at its end at an upstream now.
+fn broken(job: &Job<'_>, choice: &Choice, sent: Instant) -> Broken {
+    let (id, print) = (job.call.id.clone(), job.print);
+    let (run, address) = (choice.run.clone(), choice.address);
+    let ended = steady::now();
+    Broken { id, print, run, address, sent: ended.saturating_sub(sent.elapsed()), ended }
+}
--- a/crates/verbenaslip-relay/src/forward/crash.rs
+++ b/crates/verbenaslip-relay/src/forward/crash.rs
@@ -1,9 +1,9 @@
 //! Which upstreams have ended while they ran requests.
 //!
 //! A broken answer may be all that was lost, or the upstream itself. Nothing tells but whether somebody still
-//! listens there; announcements would tell seconds later.
+//! listens there; announcements would tell seconds later. A request whose caller left may have ended it as well.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,7 +17,7 @@
 
 use crate::board::Board;
 use crate::journal::{self, Kind};
-use crate::socket;
+use crate::{socket, steady};
 
 /// An upstream broke off what it ran.
 const BROKE_OFF: Kind = Kind { number: 936, name: "upstream_broke_off" };
@@ -31,8 +31,23 @@
 /// Requests of one upstream that are listed.
 const LISTED: usize = 64;
 
-/// Holds a request that an upstream broke off.
+/// How long before its end an upstream may have been left by the caller of a request that ended it. Callers leave
+/// within half of an objective at the earliest; an upstream that goes on for longer has most likely dropped it.
+const LEFT: Duration = Duration::from_secs(1);
+
+/// Tells what may be a sign of an upstream's end.
 #[derive(Debug)]
+pub(crate) enum Sign {
+    /// It broke a request off.
+    BrokeOff(Broken),
+    /// The caller of a request left while it was at work.
+    Left(Broken),
+    /// It could not be reached.
+    Unreached(Run),
+}
+
+/// Holds a request that an upstream broke off, or whose caller left.
+#[derive(Clone, Debug)]
 pub(crate) struct Broken {
     /// The identity of the request.
     pub(crate) id: Arc<str>,
@@ -48,21 +63,50 @@
     pub(crate) ended: Duration,
 }
 
-/// Looks at upstreams that broke off requests, for as long as the instance runs.
-pub(crate) async fn watch(mut broken: UnboundedReceiver<Broken>, board: Arc<Board>) {
-    while let Some(first) = broken.recv().await {
+/// Looks at upstreams that may have ended, for as long as the instance runs.
+pub(crate) async fn watch(mut signs: UnboundedReceiver<Sign>, board: Arc<Board>) {
+    let mut left = VecDeque::new();
+    while let Some(first) = signs.recv().await {
         tokio::time::sleep(GATHER).await;
-        let mut runs: BTreeMap<Run, Vec<Broken>> = BTreeMap::new();
-        let others = std::iter::from_fn(|| broken.try_recv().ok());
-        for it in std::iter::once(first).chain(others) {
-            runs.entry(it.run.clone()).or_default().push(it);
-        }
-        for (run, requests) in runs {
+        let others = std::iter::from_fn(|| signs.try_recv().ok());
+        for (run, requests) in suspects(std::iter::once(first).chain(others), &mut left) {
             tokio::task::spawn_local(look(run, requests, board.clone()));
         }
     }
 }
 
+/// Gathers by upstream what may have ended it.
+///
+/// What a caller has left is remembered for a while: the upstream may end of it all the same, and nobody is there
+/// any more whose answer would break off.
+fn suspects(
+    signs: impl Iterator<Item = Sign>,
+    left: &mut VecDeque<Broken>,
+) -> BTreeMap<Run, Vec<Broken>> {
+    let mut runs: BTreeMap<Run, Vec<Broken>> = BTreeMap::new();
+    let mut doubted = BTreeSet::new();
+    for sign in signs {
+        match sign {
+            Sign::BrokeOff(it) => {
+                doubted.insert(it.run.clone());
+                runs.entry(it.run.clone()).or_default().push(it);
+            }
+            Sign::Left(it) => left.push_back(it),
+            Sign::Unreached(run) => {
+                doubted.insert(run);
+            }
+        }
+    }
+    let now = steady::now();
+    left.retain(|it| now.saturating_sub(it.ended) <= LEFT);
+    let (with, without) = left.drain(..).partition(|it| doubted.contains(&it.run));
+    *left = without;
+    for it in Vec::from(with) {
+        runs.entry(it.run.clone()).or_default().push(it);
+    }
+    runs
+}
+
 /// Looks whether an upstream is still there.
 async fn look(run: Run, requests: Vec<Broken>, board: Arc<Board>) {
     let Some(address) = requests.first().map(|it| it.address) else { return };
--- a/crates/verbenaslip-relay/src/forward/life.rs
+++ b/crates/verbenaslip-relay/src/forward/life.rs
@@ -17,6 +17,7 @@
 use crate::forward::trace::{self, Basis, Trace};
 use crate::http::{Whole, Wire};
 use crate::policy::place::{Ask, Busy, Cause, Choice, Ending, Verdict};
+use crate::policy::record;
 use crate::steady;
 
 /// When a caller may come back that met a full upstream. An upstream that is full is slower as well, so
@@ -244,6 +245,7 @@
         _ => None,
     };
     let before = course.delivery.first;
+    let survived = record::survived(status, answered.head.framing(&job.head.method).ok());
     let may = || context.may_leave(job, &course.tried, &mut course.paid);
     let leave = Leave { after: pause, may };
     let ended = course.delivery.run(caller, job, &mut answered, leave).await;
@@ -260,9 +262,10 @@
     };
     context.ended(&choice, ending, Some(at.elapsed()));
     match ended {
-        Ended::Whole => context.answered(job),
+        Ended::Whole if survived => context.answered(job),
         Ended::Broken => context.broke_off(job, &choice, at),
-        Ended::Silent | Ended::TimedOut | Ended::CallerGone => {}
+        Ended::CallerGone => context.left(job, &choice, at),
+        Ended::Whole | Ended::Silent | Ended::TimedOut => {}
     }
     match ended {
         Ended::Whole => {
@@ -298,8 +301,11 @@
         Failure::CallerGone => (Ending::Left, "caller_gone"),
     };
     context.ended(choice, ending, None);
-    if failure == Failure::Broken {
-        context.broke_off(job, choice, sent);
+    match failure {
+        Failure::Broken => context.broke_off(job, choice, sent),
+        Failure::CallerGone => context.left(job, choice, sent),
+        Failure::Unreached => context.unreached(choice),
+        Failure::Silent => {}
     }
     trace.causes.push(cause);
     match failure {
--- a/crates/verbenaslip-relay/src/policy/record.rs
+++ b/crates/verbenaslip-relay/src/policy/record.rs
@@ -10,12 +10,23 @@
 use verbenaslip_fleet::print::Print;
 use verbenaslip_fleet::quarantine::Docket;
 
+use crate::http::Framing;
+
 /// The most answers that are remembered: what many callers ask for is asked for again before so many others.
 const ANSWERS: usize = 2_048;
 
 /// When the caller of a request that is held back may come back, at the earliest and at the latest.
 const BACK: (Duration, Duration) = (Duration::from_secs(5), Duration::from_secs(3_600));
 
+/// Tells whether an upstream surely has run what it answers.
+///
+/// One that fails part of its requests answers some without having run them, and an answer that ends with its
+/// connection may be what is left of one whose upstream has ended. Taken for a sign of health, either would let a
+/// request go on that ends upstreams.
+pub fn survived(status: u16, framing: Option<Framing>) -> bool {
+    status < 500 && framing.is_some_and(|it| it != Framing::Close)
+}
+
 /// Remembers which requests were answered lately, so that the leader hears of those that it suspects.
 ///
 /// A request that many callers send alike runs on most upstreams, and so on most of those that end. That it is
--- a/crates/verbenaslip-relay/src/server.rs
+++ b/crates/verbenaslip-relay/src/server.rs
@@ -84,8 +84,8 @@
 
 async fn run(setup: Setup, callers: TcpListener, ready: TcpListener, active: Arc<AtomicUsize>) {
     let Setup { zone, connections, retries, window, board, dialect, .. } = setup;
-    let (broken, looked_at) = mpsc::unbounded_channel();
-    let context = Rc::new(Context::open(board.clone(), dialect, zone, retries, window, broken));
+    let (signs, looked_at) = mpsc::unbounded_channel();
+    let context = Rc::new(Context::open(board.clone(), dialect, zone, retries, window, signs));
     tokio::task::spawn_local(crash::watch(looked_at, board.clone()));
     tokio::task::spawn_local(answer_probes(ready, board));
     tokio::task::spawn_local(sweep(context.clone()));
--- a/crates/verbenaslip-relay/tests/record.rs
+++ b/crates/verbenaslip-relay/tests/record.rs
@@ -9,7 +9,8 @@
 use verbenaslip_fleet::account::Answered;
 use verbenaslip_fleet::print::Print;
 use verbenaslip_fleet::quarantine::{Docket, Held};
-use verbenaslip_relay::policy::record::Record;
+use verbenaslip_relay::http::Framing;
+use verbenaslip_relay::policy::record::{Record, survived};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -108,3 +109,15 @@
     let later = holding(bad, 400_000, Some(OWN.into()));
     assert_eq!(record.held(SECOND * 401, bad, &later), None, "but the next time");
 }
+
+#[test]
+fn only_an_answer_that_was_surely_run_tells_that_an_upstream_survives() {
+    // Symptom, if any did: a request that ends upstreams is let go each time one that fails part of its requests
+    // answers it with an error, or ends in the middle of an answer without a length.
+    assert!(survived(200, Some(Framing::Chunked)));
+    assert!(survived(404, Some(Framing::Length(3))));
+    assert!(survived(204, Some(Framing::Empty)));
+    assert!(!survived(500, Some(Framing::Length(3))));
+    assert!(!survived(200, Some(Framing::Close)));
+    assert!(!survived(200, None));
+}
