--- a/crates/verbenaslip-fleet/src/hub.rs
+++ b/crates/verbenaslip-fleet/src/hub.rs
@@ -1,5 +1,7 @@
 //! The leader's side of what it tells all other instances.
 
+mod subscriber;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,11 +11,12 @@
 
 use crate::clock;
 use crate::frame::{Beat, News, Peer, Round};
+use crate::hub::subscriber::Subscriber;
 use crate::ledger::Ledger;
 use crate::leg::{self, Leg};
 use crate::load::{Loads, Work};
 use crate::quarantine::Docket;
-use crate::quota::{Claim, Pools};
+use crate::quota::Pools;
 use crate::registry::Registry;
 use crate::usage::{Collector, Origin};
 use crate::view::Stamp;
@@ -31,21 +34,6 @@
 /// How long a silent entry keeps an equal part of each limit: it may be cut off and still serve.
 const ENTRY_MEMORY: Duration = Duration::from_secs(30);
 
-/// What was sent and not confirmed for this long is sent again.
-const RESEND: Duration = Duration::from_millis(500);
-
-/// The same for what went by another core, which may have died with it. With the time until the next report it
-/// comes before a leaving is acknowledged without that instance, after 600 ms.
-const RESEND_RELAYED: Duration = Duration::from_millis(250);
-
-/// The same for a whole list: 3,000 upstreams take some 150 kB, an eighth of a second at 10 Mbit/s, and a core sends
-/// them to 60 entries at once.
-const RESEND_WHOLE: Duration = Duration::from_millis(1_500);
-
-/// How long an instance is told directly after news by way of another core were lost. Where only the two of them
-/// can't reach each other, it would else get everything a quarter of a second late for as long.
-const DIRECT: Duration = Duration::from_secs(5);
-
 /// Keeps what each other instance has and reports.
 #[derive(Debug, Default)]
 pub struct Hub {
@@ -73,34 +61,6 @@
     silent: usize,
 }
 
-#[derive(Debug)]
-struct Subscriber {
-    peer: Peer,
-    heard: Duration,
-    /// The newest change that it has confirmed.
-    seen: u64,
-    /// The newest change sent to it.
-    sent: u64,
-    /// When the way to it was last known to work: it confirmed something, or was sent the first thing that it
-    /// has not confirmed.
-    pushed: Duration,
-    /// Whether the whole list is on its way.
-    whole: bool,
-    revision: u64,
-    sheet_sent: Option<(u64, Duration)>,
-    /// Whether the last news went by another core.
-    relayed: bool,
-    /// Until when news go directly, since some were lost on that way.
-    direct: Duration,
-    offset: i64,
-    counted: u64,
-    /// The number of its last report.
-    number: u64,
-    claims: BTreeMap<Team, Claim>,
-    /// The work that it had been asked for when it last reported.
-    work: BTreeMap<Arc<str>, f64>,
-}
-
 /// Holds what the leader tells from.
 pub struct Source<'a> {
     /// The leader.
@@ -200,23 +160,10 @@
         self.usage.take(origin, counts);
         let known = if seen.term == term { seen.change } else { 0 };
         let first = !self.subscribers.contains_key(&peer.address);
-        let subscriber = self.subscribers.entry(peer.address).or_insert_with(|| Subscriber {
-            peer: peer.clone(),
-            heard: now,
-            seen: 0,
-            sent: 0,
-            pushed: Duration::ZERO,
-            whole: false,
-            revision: 0,
-            sheet_sent: None,
-            relayed: false,
-            direct: Duration::ZERO,
-            offset: 0,
-            counted: 0,
-            number: 0,
-            claims: BTreeMap::new(),
-            work: BTreeMap::new(),
-        });
+        let subscriber = self
+            .subscribers
+            .entry(peer.address)
+            .or_insert_with(|| Subscriber::open(peer.clone(), now));
         let restarted = subscriber.peer.incarnation != peer.incarnation;
         if restarted {
             subscriber.sheet_sent = None;
@@ -476,45 +423,6 @@
     }
 }
 
-impl Subscriber {
-    fn is_heard(&self, now: Duration, silence: Duration) -> bool {
-        now.saturating_sub(self.heard) <= silence
-    }
-
-    fn is_behind(&self, change: u64, revision: u64) -> bool {
-        self.sent < change || self.revision.max(self.revision_sent()) < revision
-    }
-
-    /// Notes what it says that it has.
-    fn confirm(&mut self, now: Duration, change: u64) {
-        if change > self.seen {
-            self.pushed = now;
-            self.whole = false;
-        }
-    }
-
-    /// Has news go directly for a while, if some were lost on the way by another core.
-    fn avoid_relay(&mut self, now: Duration, lost: bool) {
-        if lost && self.relayed {
-            self.direct = now + DIRECT;
-        }
-    }
-
-    /// Returns after how long what was sent and not confirmed is sent again.
-    fn patience(&self) -> Duration {
-        match (self.whole, self.relayed) {
-            (true, _) => RESEND_WHOLE,
-            (false, true) => RESEND_RELAYED,
-            (false, false) => RESEND,
-        }
-    }
-
-    /// Returns the revision of the route table that was sent last and may still come.
-    fn revision_sent(&self) -> u64 {
-        self.sheet_sent.map_or(0, |(sent, _)| sent)
-    }
-}
-
 /// Counts of instances are far below the precision of a float.
 fn as_f64(count: usize) -> f64 {
     u32::try_from(count).map_or(f64::MAX, f64::from)
