--- a/crates/verbenaslip-relay/src/forward/crash.rs
+++ b/crates/verbenaslip-relay/src/forward/crash.rs
@@ -69,7 +69,7 @@
     while let Some(first) = signs.recv().await {
         tokio::time::sleep(GATHER).await;
         let others = std::iter::from_fn(|| signs.try_recv().ok());
-        for (run, requests) in suspects(std::iter::once(first).chain(others), &mut left) {
+        for (run, requests) in by_upstream(std::iter::once(first).chain(others), &mut left) {
             tokio::task::spawn_local(look(run, requests, board.clone()));
         }
     }
@@ -79,7 +79,7 @@
 ///
 /// What a caller has left is remembered for a while: the upstream may end of it all the same, and nobody is there
 /// any more whose answer would break off.
-fn suspects(
+fn by_upstream(
     signs: impl Iterator<Item = Sign>,
     left: &mut VecDeque<Broken>,
 ) -> BTreeMap<Run, Vec<Broken>> {
