--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -6,6 +6,7 @@
 mod log;
 mod quarantine;
 mod relay;
+mod rollout;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -30,6 +31,8 @@
 use crate::plan::{Census, Planner};
 use crate::quarantine::{Finding, Quarantine, Rule};
 use crate::registry::{Late, Registry, Run};
+use crate::rollout::controller::{Stage, Verdict};
+use crate::rollout::{Controller, Plans, Rollout};
 use crate::view::Stamp;
 use crate::voucher::Voucher;
 
@@ -206,6 +209,24 @@
     },
     /// Something was decided of a request that ends upstreams.
     Found(Finding),
+    /// What the candidate of a roll-out gets has changed.
+    RolloutStage {
+        /// The roll-out.
+        rollout: Box<Rollout>,
+        /// What it gets.
+        stage: Stage,
+        /// Requests that were sent since the order, and those of them to the candidate.
+        exposure: (u64, u64),
+    },
+    /// A roll-out was decided here; the log takes the first verdict.
+    RolloutDecided {
+        /// The roll-out.
+        rollout: Box<Rollout>,
+        /// How it ends, and why.
+        verdict: Box<Verdict>,
+        /// Requests that were sent since the order, and those of them to the candidate.
+        exposure: (u64, u64),
+    },
     /// A window of usage was closed.
     Closed {
         /// Its number.
@@ -290,6 +311,13 @@
     pub(crate) docketed: u64,
     /// The proposal that holds them.
     pub(crate) noting_quarantine: Option<u64>,
+    /// The last roll-out of each service, while this core leads.
+    pub(crate) controllers: BTreeMap<Arc<str>, Controller>,
+    /// What entries do about versions, and the change by which they know it.
+    pub(crate) plans: Arc<Plans>,
+    pub(crate) planned: u64,
+    /// Verdicts that were proposed, by roll-out.
+    pub(crate) deciding: BTreeMap<u64, u64>,
 }
 
 /// Holds what of the setup is needed after the start.
@@ -357,6 +385,10 @@
             quarantine: Quarantine::default(),
             docketed: 0,
             noting_quarantine: None,
+            controllers: BTreeMap::new(),
+            plans: Arc::default(),
+            planned: 0,
+            deciding: BTreeMap::new(),
         }
     }
 
--- a/crates/verbenaslip-fleet/src/core/begin.rs
+++ b/crates/verbenaslip-fleet/src/core/begin.rs
@@ -88,6 +88,7 @@
         let (upstreams, departed) = (records.len(), departures.len());
         self.registry.adopt(self.now, records.into_iter(), departures);
         self.open_quarantine();
+        self.open_rollouts();
         self.note(Note::Began {
             term,
             upstreams,
--- a/crates/verbenaslip-fleet/src/core/call.rs
+++ b/crates/verbenaslip-fleet/src/core/call.rs
@@ -10,6 +10,7 @@
 use crate::frame::{Ask, Frame, Told};
 use crate::ledger::Command;
 use crate::registry::{Announcement, Change, Run, Standing};
+use crate::rollout::{Admission, Order};
 use crate::view::Stamp;
 use crate::voucher;
 
@@ -115,7 +116,10 @@
         let proposed = |stage: Stage| stage == Stage::Committed { token };
         let Some(key) = self.find(proposed) else { return };
         if committed {
-            self.await_force(key);
+            match self.waiting.get(&key).map(|waiting| &waiting.ask) {
+                Some(Ask::StartRollout(_)) => self.restart(key),
+                _ => self.await_force(key),
+            }
         } else {
             // Whether it is committed is not known; given again it changes nothing that it has not
             // changed already.
@@ -236,6 +240,28 @@
             }
             Ask::Announce(announcement) => self.announced(key, *announcement),
             Ask::Withdraw { upstream, incarnation } => self.withdrawn(key, upstream, incarnation),
+            Ask::StartRollout(order) => self.start_rollout(key, order),
+            Ask::ReadRollout(service) => {
+                let rollout = self.ledger.rollouts().get(&service).cloned();
+                self.conclude(key, Told::Rollout(rollout));
+            }
+        }
+    }
+
+    /// Begins a roll-out, or answers for one that the log holds.
+    fn start_rollout(&mut self, key: u64, order: Order) {
+        let Some(edition) = self.ledger.edition() else { return self.conclude(key, Told::Unsure) };
+        if edition.sheet.service(&order.service).is_none() {
+            return self.conclude(key, Told::UnknownService(order.service));
+        }
+        let unix = self.agreed();
+        match self.ledger.rollouts().admission(&order, unix) {
+            Admission::Known => self.conclude(key, Told::Noted),
+            Admission::Conflict(version) => self.conclude(key, Told::Conflict(version)),
+            Admission::New => {
+                let token = self.propose(&Command::StartRollout { order, unix });
+                self.set_stage(key, Stage::Committed { token });
+            }
         }
     }
 
@@ -369,6 +395,8 @@
             Ask::Read => "read",
             Ask::Announce(_) => "announce",
             Ask::Withdraw { .. } => "withdraw",
+            Ask::StartRollout(_) => "start_rollout",
+            Ask::ReadRollout(_) => "read_rollout",
         };
         self.note(Note::Unsure { what });
         self.conclude(key, Told::Unsure);
--- a/crates/verbenaslip-fleet/src/core/lead.rs
+++ b/crates/verbenaslip-fleet/src/core/lead.rs
@@ -96,6 +96,7 @@
             return self.send(to, Frame::Elsewhere { leader, cores });
         };
         self.take_marks(&beat.marks);
+        self.take_rollouts(&beat);
         self.hub.take(self.now, reign.term, beat);
         self.advance_spread();
         self.tell(to);
@@ -176,6 +177,7 @@
         }
         self.tend_voters();
         self.tend_quarantine();
+        self.tend_rollouts();
         self.close_windows();
         self.order();
     }
@@ -188,8 +190,10 @@
         let from = self.link.own().address;
         let (registry, ledger) = (&self.registry, &self.ledger);
         let (docket, docketed) = (self.quarantine.docket(), self.docketed);
+        let (plans, planned) = (&self.plans, self.planned);
         let (term, urgent) = (reign.term, false);
-        let source = Source { from, term, registry, ledger, docket, docketed, urgent, unix };
+        let source =
+            Source { from, term, registry, ledger, docket, docketed, plans, planned, urgent, unix };
         if let Some(news) = self.hub.answer(to, &source, cores) {
             self.send(to, Frame::News(Box::new(news)));
         }
@@ -202,7 +206,9 @@
         let from = self.link.own().address;
         let (registry, ledger) = (&self.registry, &self.ledger);
         let (term, docket, docketed) = (reign.term, self.quarantine.docket(), self.docketed);
-        let source = Source { from, term, registry, ledger, docket, docketed, urgent, unix };
+        let (plans, planned) = (&self.plans, self.planned);
+        let source =
+            Source { from, term, registry, ledger, docket, docketed, plans, planned, urgent, unix };
         for Push { leg, news } in self.hub.push(now, to, &source) {
             let (to, news) = (leg.to, Box::new(news));
             let output = match leg.via {
@@ -342,7 +348,7 @@
         let (mut orders, mut planned) = (Vec::new(), Vec::new());
         for service in &edition.sheet.services {
             let Some(scaling) = &service.scaling else { continue };
-            let have = plan::count(self.registry.of_service(&service.name));
+            let have = plan::count(self.serving(&service.name));
             let Some(base) = self.ledger.base(&service.name) else {
                 self.note_base(&service.name, have.values().sum());
                 continue;
--- a/crates/verbenaslip-fleet/src/core/log.rs
+++ b/crates/verbenaslip-fleet/src/core/log.rs
@@ -111,6 +111,9 @@
             self.noting_quarantine = None;
             return;
         }
+        if self.deciding.values().any(|it| *it == token) {
+            return self.deciding.retain(|_, it| *it != token);
+        }
         if self.noting_departures == Some(token) {
             self.noting_departures = None;
             self.note_departures();
--- /dev/null
+++ b/crates/verbenaslip-fleet/src/core/rollout.rs
@@ -0,0 +1,151 @@
+//! What a core does about roll-outs while it leads.
+
+use std::sync::Arc;
+
+use crate::core::{Core, Note};
+use crate::frame::Beat;
+use crate::ledger::Command;
+use crate::registry::{Record, Standing};
+use crate::rollout::controller::{Fleet, Stage};
+use crate::rollout::{Controller, Plans, Rollout, State};
+
+impl Core {
+    /// Begins with the roll-outs that the log holds.
+    pub(crate) fn open_rollouts(&mut self) {
+        self.controllers.clear();
+        self.deciding.clear();
+        self.follow_rollouts();
+        self.publish_plans();
+    }
+
+    /// Takes what an entry reports of versions.
+    pub(crate) fn take_rollouts(&mut self, beat: &Beat) {
+        let (entry, incarnation) = (beat.peer.address, beat.peer.incarnation);
+        for report in &beat.rollouts {
+            for controller in self.controllers.values_mut() {
+                controller.take(entry, incarnation, beat.number, report);
+            }
+        }
+    }
+
+    /// Decides what is due of roll-outs, and has entries told.
+    pub(crate) fn tend_rollouts(&mut self) {
+        self.follow_rollouts();
+        let (now, unix) = (self.now, self.agreed());
+        let services: Vec<Arc<str>> = self.controllers.keys().cloned().collect();
+        for service in services {
+            let fleet = self.fleet(&service);
+            let Some(controller) = self.controllers.get_mut(&service) else { continue };
+            let (stage, undecided) = (controller.stage(), controller.verdict().is_none());
+            controller.tick(now, unix, &fleet);
+            self.note_rollout(&service, stage, undecided);
+            self.note_verdict(&service);
+        }
+        self.publish_plans();
+    }
+
+    /// Goes through the upstreams of a service that its plan counts: those of the version that serves.
+    ///
+    /// A candidate's upstreams stand beside those that serve. Counted with them, they would be taken for too many,
+    /// and the stable ones be given up.
+    pub(crate) fn serving<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Record> {
+        let rollouts = self.ledger.rollouts();
+        let rejected = rollouts.rejected(service);
+        let serves = rollouts.get(service).filter(|it| it.state == State::Serving);
+        let candidate = serves.map(|it| it.order.version.clone());
+        self.registry.of_service(service).filter(move |record| {
+            let version = &record.announcement.version;
+            !rejected.contains(version) && candidate.as_ref() != Some(version)
+        })
+    }
+
+    /// Has a controller for each roll-out that the log holds.
+    fn follow_rollouts(&mut self) {
+        let rollouts = self.ledger.rollouts();
+        for rollout in rollouts.iter() {
+            let service = &rollout.order.service;
+            let rejected = rollouts.rejected(service);
+            match self.controllers.get_mut(service) {
+                Some(known) if known.rollout().id == rollout.id => known.follow(rollout, &rejected),
+                _ => {
+                    let controller = Controller::open(rollout.clone(), rejected);
+                    self.controllers.insert(service.clone(), controller);
+                }
+            }
+        }
+    }
+
+    fn fleet(&self, service: &str) -> Fleet {
+        let rollout = self.ledger.rollouts().get(service);
+        let candidate = rollout.map(|rollout| &rollout.order.version);
+        let mut fleet = Fleet {
+            entries: self.hub.entries_heard(self.now).collect(),
+            settled: self.is_settled(),
+            ..Fleet::default()
+        };
+        for record in self.registry.of_service(service) {
+            let it = &record.announcement;
+            match record.standing {
+                Standing::Ready if Some(&it.version) == candidate => {
+                    fleet.candidates.push((it.run.upstream.clone(), it.zone.clone()));
+                }
+                Standing::Ready => fleet.stable += 1,
+                _ => {}
+            }
+        }
+        fleet
+    }
+
+    fn note_rollout(&mut self, service: &str, before: Stage, undecided: bool) {
+        let Some(controller) = self.controllers.get(service) else { return };
+        let rollout = Box::new(controller.rollout().clone());
+        let (stage, exposure) = (controller.stage(), controller.exposure());
+        let verdict = controller.verdict().filter(|_| undecided).cloned();
+        if stage != before {
+            self.note(Note::RolloutStage { rollout: rollout.clone(), stage, exposure });
+        }
+        if let Some(verdict) = verdict {
+            self.note(Note::RolloutDecided { rollout, verdict: Box::new(verdict), exposure });
+        }
+    }
+
+    /// Has the log hold a verdict, again until it does.
+    fn note_verdict(&mut self, service: &str) {
+        let Some(controller) = self.controllers.get(service) else { return };
+        let &Rollout { id, state, .. } = controller.rollout();
+        let Some(verdict) = controller.verdict().map(|it| it.state) else { return };
+        if state != State::Serving || self.deciding.contains_key(&id) {
+            return;
+        }
+        let unix = self.agreed();
+        let token = self.propose(&Command::DecideRollout { id, state: verdict, unix });
+        // Answered at once if there is only one voter.
+        if self.ledger.rollouts().get(service).is_some_and(|it| it.decided.is_none()) {
+            self.deciding.insert(id, token);
+        }
+    }
+
+    /// Has entries told what they do about versions, if that has changed.
+    ///
+    /// At once where a candidate gets less: each moment later callers get more bad answers.
+    fn publish_plans(&mut self) {
+        let plans = self.controllers.iter().map(|(service, it)| (service.clone(), it.plan()));
+        let plans: Plans = plans.collect();
+        if plans == *self.plans {
+            return;
+        }
+        let ends =
+            |service: &Arc<str>| plans.get(service).is_some_and(|it| it.state != State::Serving);
+        let urgent = plans.keys().any(|service| {
+            let before = self.plans.get(service).map(|it| it.state);
+            ends(service) && before == Some(State::Serving)
+        });
+        self.plans = Arc::new(plans);
+        self.planned = self.registry.touch();
+        if urgent {
+            self.push_at = self.push_at.min(self.now);
+        } else {
+            self.push_soon();
+        }
+    }
+}
--- a/crates/verbenaslip-fleet/src/frame.rs
+++ b/crates/verbenaslip-fleet/src/frame.rs
@@ -14,6 +14,8 @@
 use crate::quarantine::Docket;
 use crate::quota::{Demand, Loan};
 use crate::registry::{Announcement, Record};
+use crate::rollout::report::Report;
+use crate::rollout::{Order, Plans, Rollout};
 use crate::sheet::Sheet;
 use crate::usage::Count;
 use crate::view::Stamp;
@@ -135,6 +137,8 @@
     pub work: Vec<Work>,
     /// Upstreams that have announced themselves at this core, and say nothing new.
     pub marks: Vec<Mark>,
+    /// What requests met at the versions of services that are rolled out.
+    pub rollouts: Vec<Report>,
 }
 
 /// Tells an instance what it lacks.
@@ -152,6 +156,8 @@
     pub sheet: Option<Arc<Sheet>>,
     /// The requests that are suspected or held back, if that has changed.
     pub docket: Option<Arc<Docket>>,
+    /// Which versions of services get requests, if that has changed.
+    pub plans: Option<Arc<Plans>>,
     /// What is told only in answer to a report.
     pub round: Option<Round>,
     /// The agreed time of day, in Unix milliseconds.
@@ -192,6 +198,10 @@
         /// run is known is meant.
         incarnation: Option<u64>,
     },
+    /// Move a service's traffic to another version.
+    StartRollout(Order),
+    /// Say how far the last roll-out of a service is.
+    ReadRollout(Arc<str>),
 }
 
 /// Answers a call.
@@ -208,6 +218,12 @@
     Empty,
     /// The announcement is known wherever it must be.
     Noted,
+    /// How far the last roll-out of a service is; none where there was none.
+    Rollout(Option<Rollout>),
+    /// The service is being moved to this other version.
+    Conflict(Arc<str>),
+    /// The route table has no such service.
+    UnknownService(Arc<str>),
     /// Nothing can be said for sure at this moment; ask again, or another core.
     Unsure,
 }
--- a/crates/verbenaslip-fleet/src/hub.rs
+++ b/crates/verbenaslip-fleet/src/hub.rs
@@ -18,6 +18,7 @@
 use crate::quarantine::Docket;
 use crate::quota::Pools;
 use crate::registry::Registry;
+use crate::rollout::Plans;
 use crate::usage::{Collector, Origin};
 use crate::view::Stamp;
 
@@ -75,6 +76,10 @@
     pub docket: &'a Arc<Docket>,
     /// The change by which they are so.
     pub docketed: u64,
+    /// Which versions of services get requests.
+    pub plans: &'a Arc<Plans>,
+    /// The change by which they do.
+    pub planned: u64,
     /// Whether somebody waits for the word of all instances that they have the changes.
     pub urgent: bool,
     /// The agreed time of day, in Unix milliseconds.
@@ -129,6 +134,7 @@
         let sheet = self.ledger.edition().filter(|_| lack.sheet).map(|it| it.sheet.clone());
         let stamp = Stamp { term: self.term, change: self.registry.stamp() };
         let docket = lack.base.is_none_or(|base| base < self.docketed);
+        let plans = lack.base.is_none_or(|base| base < self.planned);
         News {
             from: self.from,
             stamp,
@@ -136,6 +142,7 @@
             records,
             sheet,
             docket: docket.then(|| self.docket.clone()),
+            plans: plans.then(|| self.plans.clone()),
             round: None,
             unix: self.unix,
             urgent: lack.urgent,
@@ -154,8 +161,7 @@
 
     /// Takes a report.
     pub fn take(&mut self, now: Duration, term: u64, beat: Beat) {
-        let Beat { peer, seen, revision, unix, counted, counts, number, demand, work, marks: _ } =
-            beat;
+        let Beat { peer, seen, revision, unix, counted, counts, number, demand, work, .. } = beat;
         let origin = Origin { address: peer.address, incarnation: peer.incarnation };
         self.usage.take(origin, counts);
         let known = if seen.term == term { seen.change } else { 0 };
@@ -279,6 +285,7 @@
             records: Vec::new(),
             sheet: None,
             docket: None,
+            plans: None,
             round: Some(round),
             unix: source.unix,
             urgent: false,
--- a/crates/verbenaslip-fleet/src/ledger.rs
+++ b/crates/verbenaslip-fleet/src/ledger.rs
@@ -5,12 +5,14 @@
 use std::sync::Arc;
 
 use displaydoc::Display;
+use serde::de::DeserializeOwned;
 use verbenaslip_base::data;
 use verbenaslip_base::name::{Team, Upstream};
 
 use crate::departure::{Departure, MEMORY};
 use crate::quarantine::Kept;
 use crate::registry::{Record, Run, Standing};
+use crate::rollout::{Order, Rollouts, State};
 use crate::sheet::Sheet;
 
 /// Closed windows that are kept; at 5 s a window more than a minute, far beyond the time in which a
@@ -50,6 +52,22 @@
     },
     /// Notes which requests are held back, so that whoever leads next knows it.
     Quarantine(Kept),
+    /// Begins a roll-out, unless another one of its service is under way.
+    StartRollout {
+        /// What is ordered.
+        order: Order,
+        /// The agreed time of day, in Unix milliseconds.
+        unix: u64,
+    },
+    /// Decides a roll-out, if it is not decided yet.
+    DecideRollout {
+        /// The roll-out.
+        id: u64,
+        /// How it ends.
+        state: State,
+        /// The agreed time of day, in Unix milliseconds.
+        unix: u64,
+    },
 }
 
 /// Pairs a route table with the document in which the operator wrote it.
@@ -85,6 +103,9 @@
     /// The requests that are held back; kept apart as well.
     #[serde(skip)]
     quarantine: Kept,
+    /// The last roll-out of each service; kept apart as well.
+    #[serde(skip)]
+    rollouts: Rollouts,
 }
 
 /// Holds the last departure of an upstream.
@@ -162,6 +183,11 @@
         &self.quarantine
     }
 
+    /// Returns the last roll-out of each service.
+    pub fn rollouts(&self) -> &Rollouts {
+        &self.rollouts
+    }
+
     /// Applies a command; every core applies the same ones in the same order.
     ///
     /// A revision that is not the highest changes nothing, so a change that is sent again, or
@@ -195,6 +221,8 @@
                 let key = self.quarantine.key.or(kept.key);
                 self.quarantine = Kept { key, ..kept };
             }
+            Command::StartRollout { order, unix } => self.rollouts.start(order, unix),
+            Command::DecideRollout { id, state, unix } => self.rollouts.decide(id, state, unix),
         }
     }
 
@@ -233,7 +261,7 @@
     /// Writes the whole state.
     pub fn snapshot(&self) -> Vec<u8> {
         // Encoding to memory fails for no value of these types.
-        let state = (self, &self.departed, &self.joined, &self.quarantine);
+        let state = (self, &self.departed, &self.joined, &self.quarantine, &self.rollouts);
         postcard::to_stdvec(&state).unwrap_or_default()
     }
 
@@ -245,14 +273,12 @@
     pub fn restore(bytes: &[u8]) -> Result<Self, Error> {
         let (mut ledger, rest) =
             postcard::take_from_bytes::<Self>(bytes).map_err(|_| Error::Unreadable)?;
-        if !rest.is_empty() {
-            let ((departed, joined), rest) =
-                postcard::take_from_bytes(rest).map_err(|_| Error::Unreadable)?;
-            (ledger.departed, ledger.joined) = (departed, joined);
-            if !rest.is_empty() {
-                ledger.quarantine = postcard::from_bytes(rest).map_err(|_| Error::Unreadable)?;
-            }
-        }
+        // Snapshots of earlier versions end before some of these.
+        let ((departed, joined), rest) = part(rest)?;
+        let (quarantine, rest) = part(rest)?;
+        let (rollouts, _) = part(rest)?;
+        (ledger.departed, ledger.joined) = (departed, joined);
+        (ledger.quarantine, ledger.rollouts) = (quarantine, rollouts);
         Ok(ledger)
     }
 }
@@ -273,3 +299,14 @@
         postcard::from_bytes(bytes).map_err(|_| Error::Unreadable)
     }
 }
+
+/// Holds a part of a snapshot and the bytes after it.
+type Part<'a, T> = Result<(T, &'a [u8]), Error>;
+
+/// Reads the next part of a snapshot; where it ends before that, the part is empty.
+fn part<T: DeserializeOwned + Default>(bytes: &[u8]) -> Part<'_, T> {
+    if bytes.is_empty() {
+        return Ok((T::default(), bytes));
+    }
+    postcard::take_from_bytes(bytes).map_err(|_| Error::Unreadable)
+}
--- a/crates/verbenaslip-fleet/src/lib.rs
+++ b/crates/verbenaslip-fleet/src/lib.rs
@@ -25,7 +25,8 @@
 //!    [`load`] that the entries report.
 //! 7. [`print`] stands for what a request asks for. Entries tell the leader, in an [`account`], of upstreams that
 //!    ended while they ran requests; [`quarantine`] finds the requests that end them, which no entry sends on.
-//! 8. [`core`] composes a core and [`entry`] an entry.
+//! 8. [`rollout`] moves the traffic of a service to another version, and back if that one is worse.
+//! 9. [`core`] composes a core and [`entry`] an entry.
 //!
 //! Messages may be lost, late, doubled or overtaken; every one of them can be sent again.
 
@@ -48,6 +49,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod registry;
+pub mod rollout;
 pub mod sheet;
 pub mod usage;
 pub mod view;
--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -15,6 +15,7 @@
 use crate::quarantine::Docket;
 use crate::quota::{Demand, Loan};
 use crate::registry::{Record, Standing};
+use crate::rollout::report::Report as RolloutReport;
 use crate::usage::Count;
 use crate::view::{Lent, Stamp, View};
 use crate::voucher::Mark;
@@ -58,6 +59,8 @@
     pub work: Vec<Work>,
     /// Upstreams that a core vouches for.
     pub marks: Vec<Mark>,
+    /// What requests met at the versions of services that are rolled out.
+    pub rollouts: Vec<RolloutReport>,
 }
 
 /// Remembers what a report told of the units admitted, and when it was sent.
@@ -214,7 +217,7 @@
         self.clock.hint(now, unix);
         let targets = self.targets(now);
         self.due = now + self.pause(targets.len());
-        let Report { counts, demand, work, marks } = report;
+        let Report { counts, demand, work, marks, rollouts } = report;
         self.number += 1;
         let admitted = demand.iter().map(|it| (it.team.clone(), it.admitted)).collect();
         self.reported.push_back(Reported { number: self.number, at: now, admitted });
@@ -232,6 +235,7 @@
             demand,
             work,
             marks,
+            rollouts,
         };
         (!targets.is_empty()).then_some((targets, beat))
     }
@@ -257,7 +261,8 @@
 
     /// Takes a leader's news; returns whether its sender waits to hear that they are here.
     pub fn news(&mut self, now: Duration, news: News) -> bool {
-        let News { from, stamp, base, records, sheet, docket, round, unix, urgent, via } = news;
+        let News { from, stamp, base, records, sheet, docket, plans, .. } = news;
+        let News { round, unix, urgent, via, .. } = news;
         // A leader that was cut off and does not know it yet says what is no longer so.
         if stamp.term < self.view.stamp.term {
             return false;
@@ -282,6 +287,7 @@
         if fits && stamp >= self.view.stamp {
             self.merge(now, base.is_none(), records);
             self.view.docket = docket.unwrap_or_else(|| self.view.docket.clone());
+            self.view.plans = plans.unwrap_or_else(|| self.view.plans.clone());
             self.view.stamp = stamp;
         }
         if let Some(round) = round {
--- a/crates/verbenaslip-fleet/src/registry.rs
+++ b/crates/verbenaslip-fleet/src/registry.rs
@@ -459,7 +459,8 @@
 /// Tells whether an announcement says something that others must know.
 pub(crate) fn differs(old: &Announcement, new: &Announcement) -> bool {
     let key = |it: &Announcement| {
-        (it.address, it.service.clone(), it.slots, it.draining, it.cold.is_zero(), it.reclaimable)
+        let load = (it.slots, it.draining, it.cold.is_zero(), it.reclaimable);
+        (it.address, it.service.clone(), it.version.clone(), load)
     };
     key(old) != key(new) || old.leaves.is_some() != new.leaves.is_some()
 }
--- /dev/null
+++ b/crates/verbenaslip-fleet/src/rollout/controller.rs
@@ -0,0 +1,446 @@
+//! The leader's conduct of one roll-out.
+//!
+//! Two bounds shape it. A bad version may get no more than a part of its service's requests, so canaries get about
+//! half of that part, and the shift to the candidate begins as late as the time limit allows. And the stable
+//! upstreams stop at once when a roll-out is completed, so that waits until the candidate carries all traffic and
+//! nothing is under way at the others.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use verbenaslip_base::name::{AvailabilityZone, Upstream};
+
+use crate::rollout::judge::{Evidence, Judge};
+use crate::rollout::report::{Group, Report, Totals};
+use crate::rollout::{Names, Plan, Rollout, State};
+
+/// The part of a service's requests that canaries get.
+const CANARY: f64 = 0.05;
+
+/// The same while canaries have got little, so that there is evidence early.
+const CATCH_UP: f64 = 0.1;
+
+/// Requests beyond that part that canaries may get, for services with few of them.
+const CANARY_SLACK: f64 = 20.0;
+
+/// The largest share of one route's requests that canaries get.
+const ROUTE_MOST: f64 = 0.3;
+
+/// Steps between the shares of nothing and of all.
+const SHARE_STEPS: f64 = 50.0;
+
+/// The fewest canaries, where there are so many: half of them are left out of the judgement.
+const CANARIES: usize = 6;
+
+/// How many times as many canaries there are while the candidate looks worse: it may be a few of its upstreams.
+const SECOND_OPINION: usize = 3;
+
+/// The shares of the candidate on the way to all traffic, each for one [`STEP`].
+const SHIFT: [f64; 3] = [0.25, 0.5, 1.0];
+
+/// How long each of these holds before the next.
+const STEP: Duration = Duration::from_millis(500);
+
+/// How long requests at the stable upstreams are given to end before the time limit.
+const DRAIN: Duration = Duration::from_millis(1_700);
+
+/// How long before the time limit a candidate is completed: not sooner, since it can be rolled back until then, and
+/// not later, since the log takes a moment.
+const MARGIN: Duration = Duration::from_millis(1_000);
+
+/// The largest part of the time limit that shifting and draining may take.
+const SHIFT_MOST: f64 = 0.4;
+
+/// Answers of the candidate on each busy route that a shift needs.
+const EVIDENCE: u64 = 12;
+
+/// The share of a service's requests from which on a route is busy enough to be judged.
+const BUSY: f64 = 0.02;
+
+/// The fewest answers of the stable version that say how fast a route is.
+const BASELINE: u64 = 30;
+
+/// How many times the stable version's median latency an answer may take.
+const SLOW: f64 = 2.5;
+
+/// The shortest latency that counts as slow, in milliseconds.
+const SLOW_LEAST: f64 = 40.0;
+
+/// The part of the stable upstreams that the candidate must have to take over.
+const CAPACITY: f64 = 0.6;
+
+/// How long after the time limit an undecided candidate is rolled back, as a part of the limit.
+const GRACE: f64 = 1.0;
+
+/// Holds a number for each route.
+type ByRoute = BTreeMap<Arc<str>, f64>;
+
+/// Conducts one roll-out at the leader.
+#[derive(Debug)]
+pub struct Controller {
+    rollout: Rollout,
+    rejected: Names,
+    totals: Totals,
+    judge: Judge,
+    stage: Stage,
+    step: u32,
+    shares: ByRoute,
+    canaries: BTreeSet<Upstream>,
+    slow: BTreeMap<Arc<str>, u32>,
+    verdict: Option<Verdict>,
+}
+
+/// Says what candidates get.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Nothing.
+    Waiting,
+    /// A share small enough for a bad version.
+    Canary,
+    /// More with each step.
+    Shift {
+        /// Index into the shares of the way.
+        at: usize,
+        /// Since when.
+        since: Duration,
+    },
+}
+
+/// Decides a roll-out.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Verdict {
+    /// How it ends.
+    pub state: State,
+    /// Why.
+    pub reason: Reason,
+}
+
+/// Says why a roll-out ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reason {
+    /// The candidate carries all traffic.
+    Shifted,
+    /// The candidate is worse.
+    Worse(Evidence),
+    /// An entry had stopped using the candidate, or had heard of a verdict.
+    Halted,
+    /// The candidate looks worse when the time limit comes, though not surely.
+    Doubtful,
+    /// There was too little to judge by in time.
+    TimedOut,
+}
+
+/// Holds what the leader knows of a service's upstreams and the entries.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    /// Ready upstreams of the candidate.
+    pub candidates: Vec<(Upstream, AvailabilityZone)>,
+    /// Ready upstreams of other versions.
+    pub stable: usize,
+    /// Entries that are heard.
+    pub entries: Vec<SocketAddr>,
+    /// Whether all entries that there are have reported to this leader.
+    pub settled: bool,
+}
+
+impl Controller {
+    /// Begins, or goes on after another leader.
+    pub fn open(rollout: Rollout, rejected: Names) -> Self {
+        Self {
+            rollout,
+            rejected,
+            totals: Totals::default(),
+            judge: Judge::default(),
+            stage: Stage::Waiting,
+            step: 0,
+            shares: BTreeMap::new(),
+            canaries: BTreeSet::new(),
+            slow: BTreeMap::new(),
+            verdict: None,
+        }
+    }
+
+    /// Returns the roll-out.
+    pub fn rollout(&self) -> &Rollout {
+        &self.rollout
+    }
+
+    /// Returns what candidates get now.
+    pub fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// Returns how many requests were sent, and how many of them to the candidate.
+    pub fn exposure(&self) -> (u64, u64) {
+        self.totals.exposure()
+    }
+
+    /// Returns the verdict once there is one.
+    pub fn verdict(&self) -> Option<&Verdict> {
+        self.verdict.as_ref()
+    }
+
+    /// Takes what the log holds of the roll-out.
+    pub fn follow(&mut self, rollout: &Rollout, rejected: &Names) {
+        if self.rollout != *rollout || self.rejected != *rejected {
+            self.rollout = rollout.clone();
+            self.rejected = rejected.clone();
+            self.step += 1;
+        }
+    }
+
+    /// Takes the report with a number from a run of an entry.
+    pub fn take(&mut self, entry: SocketAddr, incarnation: u64, number: u64, report: &Report) {
+        if report.id == self.rollout.id {
+            self.totals.take(entry, incarnation, number, report);
+        }
+    }
+
+    /// Goes on at an agreed time of day; returns whether the plan has changed.
+    pub fn tick(&mut self, now: Duration, unix: u64, fleet: &Fleet) -> bool {
+        if self.rollout.state != State::Serving || self.verdict.is_some() {
+            return false;
+        }
+        let elapsed = Duration::from_millis(unix.saturating_sub(self.rollout.started));
+        let fresh = self.totals.take_fresh();
+        let evidence = self.judge.take(&fresh);
+        let reason = self.objection(evidence, elapsed);
+        if let Some(reason) = reason {
+            return self.decide(State::RolledBack, reason);
+        }
+        self.measure();
+        let before = self.plan();
+        self.advance(now, elapsed, fleet);
+        let after = self.plan();
+        if before != after {
+            self.step += 1;
+        }
+        before != after
+    }
+
+    /// Returns why the candidate is rolled back, if it is.
+    fn objection(&self, evidence: Option<Evidence>, elapsed: Duration) -> Option<Reason> {
+        let limit = self.rollout.order.duration;
+        let due = elapsed >= limit.saturating_sub(MARGIN);
+        match evidence {
+            Some(evidence) => Some(Reason::Worse(evidence)),
+            None if self.totals.is_halted() => Some(Reason::Halted),
+            None if due && self.judge.is_suspicious() => Some(Reason::Doubtful),
+            None if elapsed >= limit.mul_f64(1.0 + GRACE) => Some(Reason::TimedOut),
+            None => None,
+        }
+    }
+
+    fn decide(&mut self, state: State, reason: Reason) -> bool {
+        self.verdict = Some(Verdict { state, reason });
+        self.step += 1;
+        true
+    }
+
+    /// Sets from the stable version's answers which latency is slow, until the candidate is judged by it.
+    fn measure(&mut self) {
+        for ((route, group), counts) in self.totals.sums() {
+            let fixed = self.stage != Stage::Waiting && self.slow.contains_key(route);
+            if *group != Group::Stable || fixed {
+                continue;
+            }
+            if let Some(median) = counts.median(BASELINE) {
+                self.slow.insert(route.clone(), whole((median * SLOW).max(SLOW_LEAST)));
+            }
+        }
+    }
+
+    fn advance(&mut self, now: Duration, elapsed: Duration, fleet: &Fleet) {
+        if let Stage::Shift { at, since } = self.stage {
+            return self.shift(now, elapsed, fleet, at, since);
+        }
+        // A new leader knows neither what was sent to the candidate nor whether it was good.
+        let waits = !fleet.settled || fleet.candidates.is_empty();
+        self.stage = if waits { Stage::Waiting } else { Stage::Canary };
+        if waits {
+            self.canaries.clear();
+            return self.shares.clear();
+        }
+        if elapsed >= self.shift_at() && self.may_shift(fleet) {
+            self.stage = Stage::Shift { at: 0, since: now };
+            return self.choose_takers(fleet);
+        }
+        self.choose_canaries(fleet);
+        self.divide();
+    }
+
+    /// Returns the time since the order at which the shift begins: as late as possible, since a version may turn
+    /// bad at any time, and more of it is exposed from then on.
+    fn shift_at(&self) -> Duration {
+        let limit = self.rollout.order.duration;
+        let steps = u32::try_from(SHIFT.len()).unwrap_or(u32::MAX);
+        let needed = STEP * (steps - 1) + DRAIN + MARGIN;
+        limit.saturating_sub(needed.min(limit.mul_f64(SHIFT_MOST)))
+    }
+
+    /// Tells whether the candidate has done well on all busy routes, and can carry them.
+    fn may_shift(&self, fleet: &Fleet) -> bool {
+        let (all, _) = self.totals.exposure();
+        let mut judged: BTreeMap<&str, u64> = BTreeMap::new();
+        for ((route, group), counts) in self.totals.sums() {
+            let ended = if *group == Group::Stable { 0 } else { counts.ended };
+            *judged.entry(route).or_default() += ended;
+        }
+        let sent = self.sent();
+        let busy = |route: &str| sent.get(route).is_some_and(|sent| *sent >= as_f64(all) * BUSY);
+        let judged = judged.iter().all(|(route, ended)| !busy(route) || *ended >= EVIDENCE);
+        all > 0 && judged && carries(fleet) && !self.judge.is_suspicious()
+    }
+
+    fn shift(
+        &mut self,
+        now: Duration,
+        elapsed: Duration,
+        fleet: &Fleet,
+        at: usize,
+        since: Duration,
+    ) {
+        if at + 1 < SHIFT.len() {
+            if now.saturating_sub(since) >= STEP {
+                self.stage = Stage::Shift { at: at + 1, since: now };
+            }
+            return self.choose_takers(fleet);
+        }
+        let active = self.totals.stable_active(&fleet.entries, self.step);
+        let latest = self.rollout.order.duration.saturating_sub(MARGIN);
+        let late = elapsed >= self.rollout.order.duration;
+        let drained = active == Some(0) || (active.is_some() && late);
+        let settled = elapsed >= latest && now.saturating_sub(since) >= STEP;
+        if drained && settled && carries(fleet) {
+            let (state, reason) = (State::Completed, Reason::Shifted);
+            self.verdict = Some(Verdict { state, reason });
+        }
+    }
+
+    /// Chooses canaries: a few, and more while they look worse than the stable version.
+    fn choose_canaries(&mut self, fleet: &Fleet) {
+        let wanted = (as_f64(fleet.stable as u64) * CANARY).ceil();
+        let mut wanted = (whole(wanted) as usize).max(CANARIES);
+        if self.judge.is_suspicious() {
+            wanted *= SECOND_OPINION;
+        }
+        self.choose(fleet, wanted);
+    }
+
+    /// Chooses the upstreams of the candidate that take a part of the traffic: the same part of them, so that each
+    /// has its usual load. A version that is bad under load alone shows with the first part.
+    fn choose_takers(&mut self, fleet: &Fleet) {
+        let Stage::Shift { at, .. } = self.stage else { return };
+        let wanted = (as_f64(fleet.candidates.len() as u64) * SHIFT[at]).ceil();
+        self.choose(fleet, whole(wanted) as usize);
+    }
+
+    /// Has so many upstreams of the candidate get requests, from each zone in turn: one that is lost must not take
+    /// all of them.
+    fn choose(&mut self, fleet: &Fleet, wanted: usize) {
+        let there: BTreeSet<&Upstream> = fleet.candidates.iter().map(|it| &it.0).collect();
+        self.canaries.retain(|it| there.contains(it));
+        let mut zones: BTreeMap<&AvailabilityZone, Vec<&Upstream>> = BTreeMap::new();
+        for (upstream, zone) in &fleet.candidates {
+            zones.entry(zone).or_default().push(upstream);
+        }
+        let most = zones.values().map(Vec::len).max().unwrap_or(0);
+        let in_turn = (0..most).flat_map(|at| zones.values().filter_map(move |it| it.get(at)));
+        for upstream in in_turn {
+            if self.canaries.len() >= wanted.min(there.len()) {
+                return;
+            }
+            self.canaries.insert((*upstream).clone());
+        }
+    }
+
+    /// Divides what canaries may get among the routes, the same number to each where there is enough: a version
+    /// may be bad on the one with the fewest requests.
+    fn divide(&mut self) {
+        let (all, exposed) = self.totals.exposure();
+        let (all, exposed) = (as_f64(all), as_f64(exposed));
+        let allowed = all * CANARY + CANARY_SLACK;
+        let share = match exposed {
+            it if it >= allowed => 0.0,
+            it if it < allowed / 2.0 => CATCH_UP,
+            _ => CANARY,
+        };
+        self.shares = divided(&self.sent(), share * all);
+    }
+
+    /// Returns how many requests of each route were sent.
+    fn sent(&self) -> ByRoute {
+        let mut sent = ByRoute::new();
+        for ((route, _), counts) in self.totals.sums() {
+            *sent.entry(route.clone()).or_default() += as_f64(counts.sent);
+        }
+        sent
+    }
+
+    /// Returns what entries do now.
+    pub fn plan(&self) -> Plan {
+        let state =
+            self.verdict.as_ref().map_or(self.rollout.state, |verdict| match verdict.state {
+                // Entries hear of it once the log holds it: the stable upstreams stop then.
+                State::Completed => State::Serving,
+                state => state,
+            });
+        let (share, canaries) = match self.stage {
+            _ if state == State::RolledBack => (0.0, Some(BTreeSet::new())),
+            _ if state == State::Completed => (1.0, None),
+            Stage::Waiting => (0.0, Some(BTreeSet::new())),
+            Stage::Canary => (0.0, Some(self.canaries.clone())),
+            Stage::Shift { at, .. } if at + 1 == SHIFT.len() => (1.0, None),
+            Stage::Shift { at, .. } => (SHIFT[at], Some(self.canaries.clone())),
+        };
+        let canary = state == State::Serving && self.stage == Stage::Canary;
+        let shifting = state == State::Serving && matches!(self.stage, Stage::Shift { .. });
+        Plan {
+            id: self.rollout.id,
+            step: self.step,
+            version: self.rollout.order.version.clone(),
+            rejected: self.rejected.clone(),
+            state,
+            share,
+            shares: if canary { self.shares.clone() } else { BTreeMap::new() },
+            canaries,
+            shifting,
+            slow: self.slow.clone(),
+        }
+    }
+}
+
+/// Tells whether the candidate has enough upstreams to take over.
+fn carries(fleet: &Fleet) -> bool {
+    let needed = as_f64(fleet.stable as u64) * CAPACITY;
+    as_f64(fleet.candidates.len() as u64) >= needed.max(1.0)
+}
+
+/// Divides so many requests evenly among routes, each no more than a part of its own; returns the shares.
+fn divided(sent: &ByRoute, requests: f64) -> ByRoute {
+    let mut routes: Vec<&Arc<str>> = sent.keys().collect();
+    routes.sort_by(|one, other| sent[*one].total_cmp(&sent[*other]));
+    let mut left = requests;
+    let mut shares = ByRoute::new();
+    for (at, route) in routes.iter().enumerate() {
+        let even = left / as_f64((routes.len() - at) as u64);
+        let part = even.min(sent[*route] * ROUTE_MOST);
+        left -= part;
+        // In steps, so that small changes are not told to all entries.
+        let steps = (part / sent[*route].max(1.0) * SHARE_STEPS).ceil();
+        shares.insert((*route).clone(), steps / SHARE_STEPS);
+    }
+    shares
+}
+
+#[allow(clippy::cast_precision_loss)] // Counts of one roll-out are far below the precision of a float.
+fn as_f64(count: u64) -> f64 {
+    count as f64
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Small and not negative.
+fn whole(value: f64) -> u32 {
+    value as u32
+}
--- a/crates/verbenaslip-fleet/src/view.rs
+++ b/crates/verbenaslip-fleet/src/view.rs
@@ -11,6 +11,7 @@
 use crate::index::Index;
 use crate::quarantine::Docket;
 use crate::registry::Record;
+use crate::rollout::Plans;
 use crate::sheet::Sheet;
 
 /// Orders what leaders say: a higher term first, then a later change.
@@ -42,6 +43,8 @@
     pub upstreams: Arc<BTreeMap<Upstream, Record>>,
     /// The requests that are suspected or held back.
     pub docket: Arc<Docket>,
+    /// Which versions of services get requests.
+    pub plans: Arc<Plans>,
     /// Where this instance is reached by others.
     pub own: Option<SocketAddr>,
     /// Where the cores are reached.
@@ -66,6 +69,7 @@
             routes: None,
             upstreams: Arc::default(),
             docket: Arc::default(),
+            plans: Arc::default(),
             own: None,
             cores: Vec::new(),
             loans: Arc::default(),
--- a/crates/verbenaslip-fleet/tests/entry.rs
+++ b/crates/verbenaslip-fleet/tests/entry.rs
@@ -43,6 +43,7 @@
         records: Vec::new(),
         sheet: None,
         docket: None,
+        plans: None,
         round: Some(round),
         unix: unix(now),
         urgent: false,
--- a/crates/verbenaslip-fleet/tests/hub.rs
+++ b/crates/verbenaslip-fleet/tests/hub.rs
@@ -39,6 +39,7 @@
         demand: Vec::new(),
         work: Vec::new(),
         marks: Vec::new(),
+        rollouts: Vec::new(),
     }
 }
 
@@ -72,6 +73,8 @@
         ledger: &ledger,
         docket: &Arc::default(),
         docketed: 0,
+        plans: &Arc::default(),
+        planned: 0,
         urgent: false,
         unix: 0,
     };
@@ -109,6 +112,8 @@
         ledger: &ledger,
         docket: &Arc::default(),
         docketed: 0,
+        plans: &Arc::default(),
+        planned: 0,
         urgent: false,
         unix: 0,
     };
--- a/crates/verbenaslip-fleet/tests/ledger.rs
+++ b/crates/verbenaslip-fleet/tests/ledger.rs
@@ -60,8 +60,10 @@
     ledger.apply(Command::Join { records: vec![record("u", 1)] });
     ledger.apply(depart("v", 1_000));
     let now = ledger.snapshot();
-    // Nothing is held back: no key, no request.
-    let before = now.strip_suffix(&[0, 0]).expect("it ends with what is held back");
+    // No roll-out: none begun, none known, none rejected. Nothing is held back: no key, no request.
+    let before_rollouts = now.strip_suffix(&[0, 0, 0]).expect("it ends with the roll-outs");
+    let before = before_rollouts.strip_suffix(&[0, 0]).expect("and what is held back");
+    assert_eq!(Ledger::restore(before_rollouts), Ok(ledger.clone()));
     assert_eq!(Ledger::restore(before), Ok(ledger));
 }
 
--- a/crates/verbenaslip-instance/src/event.rs
+++ b/crates/verbenaslip-instance/src/event.rs
@@ -46,6 +46,10 @@
 pub(crate) const CLEARED: Kind = Kind { number: 939, name: "request_cleared" };
 /// An entry may let one request through again.
 pub(crate) const TRIED: Kind = Kind { number: 940, name: "request_let_through" };
+/// The candidate of a roll-out gets another part of the requests.
+pub(crate) const ROLLOUT_STAGE: Kind = Kind { number: 941, name: "rollout_stage" };
+/// A roll-out was decided.
+pub(crate) const ROLLOUT_DECIDED: Kind = Kind { number: 942, name: "rollout_decided" };
 /// The voters are changed.
 pub(crate) const VOTERS: Kind = Kind { number: 914, name: "voters_changing" };
 /// The counts of a window are final.
--- a/crates/verbenaslip-instance/src/face.rs
+++ b/crates/verbenaslip-instance/src/face.rs
@@ -244,6 +244,7 @@
     let reason = match answer.status {
         200 => "OK",
         404 => "Not Found",
+        409 => "Conflict",
         400..500 => "Bad Request",
         _ => "Service Unavailable",
     };
--- a/crates/verbenaslip-instance/src/note.rs
+++ b/crates/verbenaslip-instance/src/note.rs
@@ -6,6 +6,7 @@
 use verbenaslip_fleet::print::Print;
 use verbenaslip_fleet::quarantine::Finding;
 use verbenaslip_fleet::registry::{Late, Record, Run};
+use verbenaslip_fleet::rollout::Rollout;
 use verbenaslip_relay::journal::{self, Kind};
 
 use crate::event;
@@ -66,6 +67,18 @@
         Note::Closed { window, requests } => {
             journal::say(event::CLOSED, [("window", json!(window)), ("requests", json!(requests))]);
         }
+        Note::RolloutStage { rollout, stage, exposure } => {
+            let stage = ("stage", json!(format!("{stage:?}")));
+            journal::say(event::ROLLOUT_STAGE, rollout_fields(&rollout, exposure).chain([stage]));
+        }
+        Note::RolloutDecided { rollout, verdict, exposure } => {
+            let state = format!("{:?}", verdict.state);
+            metrics::counter!("verbenaslip_rollouts_decided_total", "state" => state.clone())
+                .increment(1);
+            let reason = ("reason", json!(format!("{:?}", verdict.reason)));
+            let fields = [("state", json!(state)), reason];
+            journal::say(event::ROLLOUT_DECIDED, rollout_fields(&rollout, exposure).chain(fields));
+        }
         Note::Planned { service, base, busy, upstreams } => journal::say(
             event::PLANNED,
             [
@@ -80,6 +93,22 @@
     }
 }
 
+/// Lists what a line says of a roll-out: its order and the requests that its candidate got.
+fn rollout_fields(
+    rollout: &Rollout,
+    (all, candidate): (u64, u64),
+) -> impl Iterator<Item = (&'static str, Value)> {
+    [
+        ("rollout", json!(rollout.id)),
+        ("service", json!(rollout.order.service)),
+        ("version", json!(rollout.order.version)),
+        ("limit_ms", json!(rollout.order.duration.as_millis())),
+        ("requests", json!(all)),
+        ("candidate_requests", json!(candidate)),
+    ]
+    .into_iter()
+}
+
 /// Writes a line about what is known of an upstream.
 fn say_upstream(record: &Record) {
     let it = &record.announcement;
--- a/crates/verbenaslip-relay/src/board.rs
+++ b/crates/verbenaslip-relay/src/board.rs
@@ -14,6 +14,9 @@
 use verbenaslip_fleet::usage::{self, Tally};
 use verbenaslip_fleet::view::View;
 
+use crate::policy::versions::Versions;
+use crate::steady;
+
 /// Sums by service.
 type Totals = BTreeMap<Arc<str>, f64>;
 
@@ -26,6 +29,7 @@
     /// Milliseconds of engine time that were asked for since the start, by service.
     work: Mutex<Totals>,
     met: Mutex<Experience>,
+    versions: Mutex<Versions>,
     meets: Notify,
     draining: AtomicBool,
     closing: AtomicBool,
@@ -88,6 +92,11 @@
         *lock(&self.work).entry(service.clone()).or_default() += millis;
     }
 
+    /// Returns which versions of services take requests, with the counts of each.
+    pub fn versions(&self) -> MutexGuard<'_, Versions> {
+        lock(&self.versions)
+    }
+
     /// Notes requests under which an upstream ended.
     pub fn crashed(&self, crashes: impl IntoIterator<Item = Met>) {
         lock(&self.met).crashes.extend(crashes);
@@ -119,7 +128,8 @@
             .iter()
             .map(|(service, total)| Work { service: service.clone(), total: *total })
             .collect();
-        Report { counts: lock(&self.tally).counts(), demand, work, ..Report::default() }
+        let rollouts = self.versions().report(steady::now());
+        Report { counts: lock(&self.tally).counts(), demand, work, rollouts, ..Report::default() }
     }
 
     /// Begins the planned stop: no new connection shall come.
--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -21,6 +21,7 @@
 use crate::policy::place::{Choice, Ending, Placement};
 use crate::policy::record::Record;
 use crate::policy::retry::{Bounds, Budget};
+use crate::policy::versions::Tracks;
 use crate::policy::waited::Waited;
 use crate::steady;
 
@@ -78,14 +79,42 @@
             // Another run may use the address by now; its connections are no longer of use.
             self.pool.borrow_mut().forget(&gone);
         }
+        self.board.versions().update(&view);
         let answered = self.record.borrow_mut().update(&view.docket);
         answered.into_iter().for_each(|it| self.board.answered(it));
         view
     }
 
+    /// Chooses the versions that may take a request.
+    pub(crate) fn tracks(&self, job: &Job<'_>, again: bool) -> Tracks {
+        let step = u32::try_from(self.random() >> 32).unwrap_or(u32::MAX);
+        let draw = f64::from(step) / f64::from(u32::MAX);
+        let versions = self.board.versions();
+        versions.tracks(steady::now(), &job.service, &job.route.name, again, draw)
+    }
+
+    /// Counts a request that is sent to an upstream.
+    pub(crate) fn sent(&self, job: &Job<'_>, choice: &mut Choice) {
+        let (now, route) = (steady::now(), &job.route.name);
+        let mut versions = self.board.versions();
+        choice.ticket = versions.sent(now, &job.service, route, choice.cohort, choice.mark);
+    }
+
+    /// Takes the time of the first event of a request.
+    pub(crate) fn first(&self, choice: &Choice, took: Duration) {
+        self.placement.borrow_mut().first(steady::now(), choice, took);
+        if let Some(ticket) = choice.ticket {
+            self.board.versions().first(choice.service(), ticket, took);
+        }
+    }
+
     /// Counts a request's end at an upstream.
     pub(crate) fn ended(&self, choice: &Choice, ending: Ending, began: Option<Duration>) {
-        self.placement.borrow_mut().end(steady::now(), choice, ending, began);
+        let now = steady::now();
+        self.placement.borrow_mut().end(now, choice, ending, began);
+        if let Some(ticket) = choice.ticket {
+            self.board.versions().end(now, choice.service(), ticket, ending);
+        }
     }
 
     /// Has it looked at whether an upstream that broke a request off has ended.
--- a/crates/verbenaslip-relay/src/forward/life.rs
+++ b/crates/verbenaslip-relay/src/forward/life.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 use verbenaslip_fleet::clock;
 use verbenaslip_fleet::registry::Run;
+use verbenaslip_fleet::rollout::Cohort;
 use verbenaslip_fleet::sheet::Kind;
 
 use crate::forward::answer::{self, Refusal};
@@ -18,6 +19,7 @@
 use crate::http::{Whole, Wire};
 use crate::policy::place::{Ask, Busy, Cause, Choice, Ending, Verdict};
 use crate::policy::record;
+use crate::policy::versions::Tracks;
 use crate::steady;
 
 /// When a caller may come back that met a full upstream. An upstream that is full is slower as well, so
@@ -172,7 +174,7 @@
             return Next::Refused(given_up(course));
         }
     }
-    let choice = match place(context, job, course, remaining, trace) {
+    let mut choice = match place(context, job, course, remaining, trace) {
         Ok(choice) => choice,
         Err(refused) => return Next::Refused(refused),
     };
@@ -181,6 +183,7 @@
     let last = course.arrivals + 1 >= job.route.attempts;
     let patience = (!last && job.route.kind.may_repeat()).then(|| patience(job, &choice));
     let bytes = onward::write(context, job, &choice, remaining, course.delivery.last_event());
+    context.sent(job, &mut choice);
     let sent = Instant::now();
     let may = || context.may_leave(job, &course.tried, &mut course.paid);
     let leave = Leave { after: patience, may };
@@ -251,7 +254,7 @@
     let ended = course.delivery.run(caller, job, &mut answered, leave).await;
     let first = course.delivery.first.filter(|_| before.is_none());
     if let Some(first) = first {
-        context.placement.borrow_mut().first(steady::now(), &choice, first - at);
+        context.first(&choice, first - at);
     }
     trace.status = status;
     let ending = match ended {
@@ -364,14 +367,20 @@
         remaining,
         waited: job.waited,
         begun: course.may_have_run,
+        tracks: Tracks::default(),
     };
     // A request that is tried again may have waited for seconds, and nothing else need have come meanwhile.
     // Placed by what was known when it came, it would go to an upstream that has left since.
     trace.basis = Basis::of(&context.view());
+    let ask = Ask { tracks: context.tracks(job, !course.tried.is_empty()), ..ask };
     let verdict = context.placement.borrow_mut().choose(steady::now(), &ask);
     count_work(context, job, course, &verdict);
     match verdict {
-        Verdict::Go(choice) => Ok(choice),
+        Verdict::Go(choice) => {
+            trace.cohort = (choice.cohort != Cohort::Stable).then_some(choice.cohort);
+            trace.version = Some(choice.version.clone());
+            Ok(choice)
+        }
         Verdict::Busy(Busy { back, cause, .. }) => {
             match cause {
                 Cause::Share(share) => trace.share = Some(share),
--- a/crates/verbenaslip-relay/src/forward/trace.rs
+++ b/crates/verbenaslip-relay/src/forward/trace.rs
@@ -1,10 +1,12 @@
 //! What the log says of a request.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde_json::{Value, json};
 use tokio::time::Instant;
 use verbenaslip_base::name::{Team, Upstream};
+use verbenaslip_fleet::rollout::{Cohort, Plan};
 use verbenaslip_fleet::sheet::TeamRow;
 use verbenaslip_fleet::view::{Stamp, View};
 
@@ -39,6 +41,10 @@
     pub first: Option<Duration>,
     /// When the caller was told to come back.
     pub back: Option<Duration>,
+    /// The part of the last upstream in a roll-out, if it is of the candidate version.
+    pub cohort: Option<Cohort>,
+    /// The version of the last upstream.
+    pub version: Option<Arc<str>>,
     /// The longest pause between two pieces of the answer.
     pub pause: Duration,
 }
@@ -104,12 +110,19 @@
         ("first_ms", json!(trace.first.map(|first| first.as_millis()))),
         ("back_ms", json!(trace.back.map(|back| back.as_millis()))),
         ("pause_ms", json!(trace.pause.as_millis())),
+        ("cohort", json!(trace.cohort.map(|it| format!("{it:?}")))),
+        ("version", json!(rolled_out(view, job).and(trace.version.as_ref()))),
         ("revision", json!(view.revision())),
         ("view_age_ms", json!(age.map(|age| age.as_millis()))),
     ];
     journal::say(ENDED, fields.into_iter().filter(|(_, value)| says_something(value)));
 }
 
+/// Returns the plan of a roll-out of the request's service, if there is one.
+fn rolled_out<'a>(view: &'a View, job: Option<&Job<'_>>) -> Option<&'a Plan> {
+    view.plans.get(&job?.service)
+}
+
 /// Tells whether a value is worth its place in a line.
 ///
 /// There is a line for every request, and whoever collects logs keeps so many bytes of them: after a minute
--- a/crates/verbenaslip-relay/src/policy.rs
+++ b/crates/verbenaslip-relay/src/policy.rs
@@ -4,7 +4,7 @@
 //! be sent to another upstream, and [`place`] which upstream takes a request or whether it is better
 //! refused at once. [`site`] is what `place` knows of one upstream, with [`cache`] and [`pace`];
 //! [`shed`] is what it knows of a service as a whole, [`waited`] tells callers that come back from
-//! new ones, and [`record`] knows which requests were answered and which are held back.
+//! new ones, [`versions`] says which version of a service takes a request while one is rolled out, and [`record`] knows which requests were answered and which are held back.
 
 pub mod allowance;
 pub mod cache;
@@ -13,5 +13,6 @@
 pub mod record;
 pub mod retry;
 pub(crate) mod shed;
-pub(crate) mod site;
+pub mod site;
+pub mod versions;
 pub mod waited;
--- a/crates/verbenaslip-relay/src/policy/place.rs
+++ b/crates/verbenaslip-relay/src/policy/place.rs
@@ -9,12 +9,14 @@
 use verbenaslip_base::name::{AvailabilityZone, Upstream};
 use verbenaslip_fleet::View;
 use verbenaslip_fleet::registry::{Announcement, Record, Run, Standing};
+use verbenaslip_fleet::rollout::{Cohort, Plans};
 
 use crate::dialect::Part;
 use crate::policy::pace::Lag;
 use crate::policy::shed::Share;
 pub use crate::policy::site::Ending;
 use crate::policy::site::Site;
+use crate::policy::versions::{Ticket, Track, Tracks};
 
 /// What another availability zone costs, in milliseconds: two ways of the longest path between
 /// zones of one region, so that it decides between equals only.
@@ -73,6 +75,7 @@
     sites: BTreeMap<Upstream, Site>,
     by_service: BTreeMap<Arc<str>, Vec<Upstream>>,
     upstreams: Option<Arc<Records>>,
+    plans: Arc<Plans>,
     turn: u64,
     lags: BTreeMap<Lane, Lag>,
     shares: BTreeMap<Arc<str>, Share>,
@@ -102,6 +105,8 @@
     pub waited: bool,
     /// Whether an upstream may have begun on it: it goes on wherever it can, also when late.
     pub begun: bool,
+    /// The versions that may take it.
+    pub tracks: Tracks,
 }
 
 /// Says where a request goes.
@@ -121,6 +126,14 @@
     pub idle: bool,
     /// Milliseconds in which an engine reads what it has yet to read of the prompt.
     pub work: f64,
+    /// The version that the upstream runs.
+    pub version: Arc<str>,
+    /// The upstream's part in a roll-out of its service.
+    pub cohort: Cohort,
+    /// Stands for the upstream in hashes.
+    pub mark: u64,
+    /// Its place in the counts of a roll-out, once it is sent.
+    pub ticket: Option<Ticket>,
     /// The request's service and rank.
     lane: Lane,
     /// The time within which a plain service is to answer; none for a prompt.
@@ -176,6 +189,13 @@
     },
 }
 
+impl Choice {
+    /// Returns the service.
+    pub(crate) fn service(&self) -> &str {
+        &self.lane.0
+    }
+}
+
 impl Placement {
     /// Starts without upstreams.
     pub fn open(zone: AvailabilityZone) -> Self {
@@ -184,6 +204,7 @@
             sites: BTreeMap::new(),
             by_service: BTreeMap::new(),
             upstreams: None,
+            plans: Arc::default(),
             turn: 0,
             lags: BTreeMap::new(),
             shares: BTreeMap::new(),
@@ -196,6 +217,10 @@
         if !self.upstreams.as_ref().is_some_and(|it| Arc::ptr_eq(it, &view.upstreams)) {
             gone = self.take_records(&view.upstreams);
             self.upstreams = Some(view.upstreams.clone());
+            self.follow(&view.plans);
+        }
+        if !Arc::ptr_eq(&self.plans, &view.plans) {
+            self.follow(&view.plans);
         }
         gone
     }
@@ -207,11 +232,7 @@
         if let Some(busy) = self.sheds(now, ask) {
             return Verdict::Busy(busy);
         }
-        let home = self.home(ask);
-        let best = self.best(now, ask, home.as_ref(), true);
-        let Some(mut choice) = best.or_else(|| self.best(now, ask, home.as_ref(), false)) else {
-            return Verdict::Nowhere;
-        };
+        let Some(mut choice) = self.choose_track(now, ask) else { return Verdict::Nowhere };
         let objective = ask.objective.as_secs_f64() * 1_000.0;
         if engine {
             choice.lag = self.lags.get(&choice.lane).map_or(0.0, |lag| lag.at(now));
@@ -219,6 +240,10 @@
         let expected = choice.expected + choice.lag;
         let late = expected > objective * if ask.waited { PATIENCE_WAITED } else { PATIENCE };
         let hopeless = expected > ask.remaining.as_secs_f64() * 1_000.0;
+        if engine && !ask.begun && (late || hopeless) && choice.cohort == Cohort::Canary {
+            // A canary that is busy must not cost its caller the answer.
+            return self.choose(now, &Ask { tracks: Tracks::default(), ..*ask });
+        }
         if engine && !ask.begun && (late || hopeless) {
             let over = (expected - objective).max(100.0);
             let back = Duration::from_secs_f64((over / 1_000.0).min(3.0));
@@ -229,11 +254,34 @@
         Verdict::Go(choice)
     }
 
+    /// Finds the best upstream of the first version that has one.
+    fn choose_track(&self, now: Duration, ask: &Ask<'_>) -> Option<Choice> {
+        let tracks = std::iter::once(ask.tracks.first).chain(ask.tracks.second);
+        let mut tries = [true, false].into_iter().flat_map(|strict| {
+            let tracks = tracks.clone();
+            tracks.map(move |track| (strict, track))
+        });
+        tries.find_map(|(strict, track)| {
+            let home = self.home(ask, track);
+            self.best(now, ask, home.as_ref(), strict, track)
+        })
+    }
+
+    /// Takes which versions of services get requests.
+    fn follow(&mut self, plans: &Arc<Plans>) {
+        self.plans = plans.clone();
+        for site in self.sites.values_mut() {
+            let plan = self.plans.get(&site.record.announcement.service);
+            site.follow(plan);
+        }
+    }
+
     /// Tells whether a service has an upstream that may get work, other than these.
     pub(crate) fn has_other(&self, now: Duration, service: &str, tried: &[Run]) -> bool {
         let names = self.by_service.get(service).into_iter().flatten();
         let mut sites = names.filter_map(|name| self.sites.get(name));
-        sites.any(|site| site.takes(now, false) && !tried.contains(site.run()))
+        let serves = |it: &Site| matches!(it.cohort, Cohort::Stable | Cohort::Candidate);
+        sites.any(|it| serves(it) && it.takes(now, false) && !tried.contains(it.run()))
     }
 
     /// Takes an upstream's first event.
@@ -324,6 +372,7 @@
         ask: &Ask<'_>,
         home: Option<&Upstream>,
         strict: bool,
+        track: Track,
     ) -> Option<Choice> {
         let names = self.by_service.get(ask.service)?;
         let shared: u64 = shared(ask.parts).iter().map(|part| u64::from(part.tokens)).sum();
@@ -331,7 +380,10 @@
         let mut equals = 1;
         for name in names {
             let Some(site) = self.sites.get(name) else { continue };
-            if !site.takes(now, strict) || ask.tried.contains(site.run()) {
+            if !track.admits(site.cohort)
+                || !site.takes(now, strict)
+                || ask.tried.contains(site.run())
+            {
                 continue;
             }
             let likely = if home == Some(name) { scale(shared, SHARED) } else { 0 };
@@ -345,7 +397,7 @@
             }
         }
         let (site, Estimate { reading, expected, idle, .. }) = best?;
-        let Announcement { run, address, service, .. } = &site.record.announcement;
+        let Announcement { run, address, service, version, .. } = &site.record.announcement;
         let lane = (service.clone(), ask.rank);
         Some(Choice {
             run: run.clone(),
@@ -355,6 +407,10 @@
             lag: 0.0,
             idle,
             work: if ask.parts.is_empty() { 0.0 } else { site.pace.reading(reading) },
+            version: version.clone(),
+            cohort: site.cohort,
+            mark: site.mark,
+            ticket: None,
             lane,
             plain: ask.parts.is_empty().then_some(ask.objective),
         })
@@ -408,11 +464,13 @@
     ///
     /// All entries find the same one without a word between them: the one with the highest hash of
     /// prefix and upstream.
-    fn home(&self, ask: &Ask<'_>) -> Option<Upstream> {
+    fn home(&self, ask: &Ask<'_>, track: Track) -> Option<Upstream> {
         let part = shared(ask.parts).last()?.id;
         let names = self.by_service.get(ask.service)?;
         let sites = names.iter().filter_map(|name| Some((name, self.sites.get(name)?)));
-        let ready = sites.filter(|(_, site)| site.record.standing == Standing::Ready);
+        let ready = sites.filter(|(_, site)| {
+            site.record.standing == Standing::Ready && track.admits(site.cohort)
+        });
         ready.max_by_key(|(_, site)| hash::mix(site.mark ^ part)).map(|(name, _)| name.clone())
     }
 }
--- a/crates/verbenaslip-relay/src/policy/site.rs
+++ b/crates/verbenaslip-relay/src/policy/site.rs
@@ -4,6 +4,7 @@
 
 use verbenaslip_base::hash;
 use verbenaslip_fleet::registry::{Record, Run, Standing};
+use verbenaslip_fleet::rollout::{Cohort, Plan};
 
 use crate::policy::cache::Cache;
 use crate::policy::pace::Pace;
@@ -38,6 +39,8 @@
 pub(crate) struct Site {
     /// The upstream as the fleet knows it.
     pub(crate) record: Record,
+    /// Its part in a roll-out of its service.
+    pub(crate) cohort: Cohort,
     /// Stands for it in hashes.
     pub(crate) mark: u64,
     /// How many requests are under way.
@@ -60,6 +63,7 @@
         let mark = hash::narrow(&[record.announcement.run.upstream.as_str().as_bytes()]);
         Self {
             record,
+            cohort: Cohort::Stable,
             mark,
             requests: 0,
             reading: 0,
@@ -77,6 +81,13 @@
         &self.record.announcement.run
     }
 
+    /// Takes the plan of a roll-out of its service, or that there is none.
+    pub(crate) fn follow(&mut self, plan: Option<&Plan>) {
+        let it = &self.record.announcement;
+        let cohort = plan.map(|plan| plan.cohort(&it.run.upstream, &it.version));
+        self.cohort = cohort.unwrap_or(Cohort::Stable);
+    }
+
     /// Takes the end of a request; `took` is how long it lasted if it had its first event.
     pub(crate) fn end(&mut self, now: Duration, ending: Ending, took: Option<Duration>) {
         self.requests = self.requests.saturating_sub(1);
--- a/crates/verbenaslip-relay/tests/allowance.rs
+++ b/crates/verbenaslip-relay/tests/allowance.rs
@@ -63,6 +63,7 @@
         records: Vec::new(),
         sheet: None,
         docket: None,
+        plans: None,
         round: answered.map(lend),
         unix: 0,
         urgent: false,
--- a/crates/verbenaslip-relay/tests/place.rs
+++ b/crates/verbenaslip-relay/tests/place.rs
@@ -9,8 +9,10 @@
 use verbenaslip_base::name::{AvailabilityZone, Upstream};
 use verbenaslip_fleet::View;
 use verbenaslip_fleet::registry::{Announcement, Record, Run, Standing};
+use verbenaslip_fleet::rollout::{Plan, State};
 use verbenaslip_relay::dialect::Part;
 use verbenaslip_relay::policy::place::{Ask, Choice, Ending, Placement, Verdict};
+use verbenaslip_relay::policy::versions::{Track, Tracks};
 
 fn run(number: u32, incarnation: u64) -> Run {
     Run { upstream: Upstream::new(format!("u{number}")), incarnation }
@@ -59,6 +61,7 @@
         remaining: Duration::from_secs(5),
         waited: false,
         begun: false,
+        tracks: Tracks::default(),
     }
 }
 
@@ -387,3 +390,45 @@
     assert_eq!((after.expected, after.reading), (fresh.expected, fresh.reading));
     assert!(after.idle);
 }
+
+#[test]
+fn a_roll_outs_upstreams_get_what_their_version_may_get() {
+    // Guards against requests to a candidate beyond its share, and to one that was rolled back.
+    let mut records = [1, 2, 3, 4].map(|number| record(number, "north", Standing::Ready));
+    records[2].announcement.version = "v2".into();
+    records[3].announcement.version = "v2".into();
+    let plan = |state, canaries: &[&str]| Plan {
+        id: 1,
+        step: 1,
+        version: "v2".into(),
+        rejected: Default::default(),
+        state,
+        share: 0.0,
+        shares: BTreeMap::new(),
+        canaries: Some(canaries.iter().map(|it| Upstream::from(*it)).collect()),
+        shifting: false,
+        slow: BTreeMap::new(),
+    };
+    let both = Tracks { first: Track::Candidate, second: Some(Track::Stable) };
+    let cases = [
+        (plan(State::Serving, &["u3"]), Tracks::default(), &["u1", "u2"][..]),
+        (plan(State::Serving, &["u3"]), both, &["u3"]),
+        (plan(State::Serving, &[]), both, &["u1", "u2"]),
+        (plan(State::RolledBack, &["u3"]), both, &["u1", "u2"]),
+    ];
+    for (plan, tracks, wanted) in cases {
+        let plans = BTreeMap::from([("pool".into(), plan.clone())]);
+        let mut placement = open(&View { plans: Arc::new(plans), ..view(records.clone()) });
+        let seen: std::collections::BTreeSet<String> = (0..40)
+            .map(|number| {
+                let now = Duration::from_millis(number);
+                let choice = go(&mut placement, now, &Ask { tracks, ..ask(&[], &[]) });
+                placement.end(now, &choice, Ending::Whole, Some(now));
+                choice.run.upstream.as_str().to_owned()
+            })
+            .collect();
+        let wanted: std::collections::BTreeSet<String> =
+            wanted.iter().map(|it| (*it).to_owned()).collect();
+        assert_eq!(seen, wanted, "{plan:?} {tracks:?}");
+    }
+}
