--- a/crates/verbenaslip-fleet/src/account.rs
+++ b/crates/verbenaslip-fleet/src/account.rs
@@ -6,7 +6,7 @@
 
 use verbenaslip_base::data;
 
-use crate::print::Print;
+use crate::fingerprint::Fingerprint;
 use crate::quarantine::{Answer, Crash};
 use crate::registry::Run;
 
@@ -42,9 +42,9 @@
 
 /// Notes that an upstream ended while it ran a request.
 #[derive(Clone, Debug)]
-pub struct Met {
+pub struct Sighting {
     /// The request.
-    pub print: Print,
+    pub fingerprint: Fingerprint,
     /// The run of the upstream.
     pub run: Run,
     /// When the request was sent there.
@@ -57,7 +57,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Answered {
     /// The request.
-    pub print: Print,
+    pub fingerprint: Fingerprint,
     /// When the answer was whole.
     pub at: Duration,
 }
@@ -71,7 +71,7 @@
     term: u64,
     number: u64,
     due: Option<Duration>,
-    crashes: VecDeque<Item<Met>>,
+    crashes: VecDeque<Item<Sighting>>,
     answers: VecDeque<Item<Answered>>,
 }
 
@@ -87,7 +87,7 @@
 
 impl Accounts {
     /// Takes what requests met.
-    pub fn take(&mut self, now: Duration, crashes: Vec<Met>, answers: Vec<Answered>) {
+    pub fn take(&mut self, now: Duration, crashes: Vec<Sighting>, answers: Vec<Answered>) {
         if crashes.is_empty() && answers.is_empty() {
             return;
         }
@@ -133,19 +133,19 @@
         self.number += 1;
         let millis = |at: Duration| u64::try_from(now.saturating_sub(at).as_millis());
         let ago = |at: Duration| millis(at).unwrap_or(u64::MAX);
-        let crash = |met: &Met| Crash {
-            print: met.print,
+        let crash = |met: &Sighting| Crash {
+            fingerprint: met.fingerprint,
             run: met.run.clone(),
             sent: ago(met.sent),
             ended: ago(met.ended),
         };
-        let answer = |it: &Answered| Answer { print: it.print, ago: ago(it.at) };
+        let answer = |it: &Answered| Answer { fingerprint: it.fingerprint, ago: ago(it.at) };
         let crashes: Vec<Crash> = tell(&mut self.crashes, self.number).map(crash).collect();
         let answers: Vec<Answer> = tell(&mut self.answers, self.number).map(answer).collect();
         if crashes.is_empty() && answers.is_empty() {
             return None;
         }
-        // Told again unless it is confirmed, and the rest with it.
+        // Response again unless it is confirmed, and the rest with it.
         self.due = Some(now + AGAIN);
         Some(Account { from, number: self.number, crashes, answers })
     }
--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -23,8 +23,8 @@
 use crate::core::begin::Seeker;
 use crate::core::call::Waiting;
 use crate::departure::Departure;
-use crate::duty::{self, Desk, Order, Outcome};
-use crate::frame::{Ask, Confirmation, Frame, Peer, Told};
+use crate::duty::{self, Dispatcher, Order, Outcome};
+use crate::frame::{Confirmation, Frame, Peer, Request, Response};
 use crate::hub::{Hub, Known, Spread};
 use crate::ledger::Ledger;
 use crate::link::{Link, Report};
@@ -60,7 +60,7 @@
     pub duty: Option<duty::Timing>,
     /// When requests are held back that end upstreams.
     pub rule: Rule,
-    /// By what prints of requests are made that nobody can foresee, if this core is the first to lead.
+    /// By what fingerprints of requests are made that nobody can foresee, if this core is the first to lead.
     pub secret: u128,
     /// Seeds every random choice.
     pub seed: u64,
@@ -82,7 +82,7 @@
         /// Names the call in its answer.
         id: u64,
         /// What is asked.
-        ask: Ask,
+        ask: Request,
     },
     /// All writes up to a mark are durable.
     Stored(u64),
@@ -130,7 +130,7 @@
         /// The call.
         id: u64,
         /// The answer.
-        told: Told,
+        told: Response,
     },
     /// Gives the cloud an order.
     Order(Order),
@@ -138,7 +138,7 @@
     Note(Note),
 }
 
-/// Tells of a decision or a belief that has changed.
+/// A decision, or a change of what is known.
 #[derive(Clone, Debug)]
 pub enum Note {
     /// The role in the log.
@@ -268,7 +268,7 @@
     pub(crate) voucher: Voucher,
     pub(crate) hub: Hub,
     pub(crate) link: Link,
-    pub(crate) desk: Desk,
+    pub(crate) dispatcher: Dispatcher,
     pub(crate) planners: BTreeMap<Arc<str>, Planner>,
     pub(crate) waiting: BTreeMap<u64, Waiting>,
     pub(crate) next: u64,
@@ -299,7 +299,7 @@
     pub(crate) known_to_all: Known,
     /// When the route table in force was taken from the log.
     pub(crate) adopted: Duration,
-    /// What instances have confirmed of the news that this core has passed on.
+    /// Confirmations of the updates that this core has passed on.
     pub(crate) confirmations: Vec<Confirmation>,
     /// When the leader is told of that.
     pub(crate) confirm_at: Duration,
@@ -308,7 +308,7 @@
     /// Requests that end upstreams.
     pub(crate) quarantine: Quarantine,
     /// The change by which entries know of them.
-    pub(crate) docketed: u64,
+    pub(crate) blocklist_change: u64,
     /// The proposal that holds them.
     pub(crate) noting_quarantine: Option<u64>,
     /// The last roll-out of each service, while this core leads.
@@ -359,7 +359,7 @@
             voucher: Voucher::default(),
             hub: Hub::default(),
             link: Link::open(own, seeds, now, unix),
-            desk: Desk::default(),
+            dispatcher: Dispatcher::default(),
             planners: BTreeMap::new(),
             waiting: BTreeMap::new(),
             next: 0,
@@ -383,7 +383,7 @@
             confirm_at: Duration::MAX,
             known_cores: Vec::new(),
             quarantine: Quarantine::default(),
-            docketed: 0,
+            blocklist_change: 0,
             noting_quarantine: None,
             controllers: BTreeMap::new(),
             plans: Arc::default(),
@@ -405,9 +405,9 @@
             self.sweep = self.now + SWEEP;
             self.sweep();
         }
-        self.push_news();
+        self.push_updates();
         self.pass_confirmations();
-        self.beat();
+        self.heartbeat();
         out.append(&mut self.out);
     }
 
@@ -459,10 +459,10 @@
                 }
                 self.step_log(replica::Input::Message { from, message: *message });
             }
-            Frame::Beat(beat) => self.beaten(*beat),
-            Frame::News(news) => {
-                let from = news.from;
-                if !self.leads() && self.link.news(self.now, *news) {
+            Frame::Heartbeat(heartbeat) => self.take_heartbeat(*heartbeat),
+            Frame::Update(update) => {
+                let from = update.from;
+                if !self.leads() && self.link.update(self.now, *update) {
                     let seen = self.link.seen();
                     self.send(from, seen);
                 }
@@ -471,17 +471,17 @@
                 self.confirmed(Confirmation { address, stamp, revision });
             }
             Frame::SeenBy(confirmations) => self.seen(&confirmations),
-            Frame::Relay { to, news } => self.relay(to, news),
+            Frame::Relay { to, update } => self.relay(to, update),
             Frame::Elsewhere { leader, cores } => self.link.elsewhere(self.now, leader, &cores),
-            Frame::Ask { from, token, ask } => self.asked(from, token, *ask),
-            Frame::Told { token, told } => self.told(token, told),
+            Frame::Request { from, token, ask } => self.requested(from, token, *ask),
+            Frame::Response { token, told } => self.answered_by_leader(token, told),
             Frame::Account(account) => self.accounted(&account),
             Frame::Heard { .. } => {}
         }
     }
 
     /// Reports to the leader, as every instance does.
-    fn beat(&mut self) {
+    fn heartbeat(&mut self) {
         if self.leads() {
             return;
         }
@@ -498,9 +498,9 @@
             return;
         }
         let report = Report { marks: self.voucher.take(self.now), ..Report::default() };
-        if let Some((targets, beat)) = self.link.beat(self.now, self.unix, report) {
+        if let Some((targets, heartbeat)) = self.link.heartbeat(self.now, self.unix, report) {
             for to in targets {
-                self.send(to, Frame::Beat(Box::new(beat.clone())));
+                self.send(to, Frame::Heartbeat(Box::new(heartbeat.clone())));
             }
         }
     }
--- a/crates/verbenaslip-fleet/src/core/begin.rs
+++ b/crates/verbenaslip-fleet/src/core/begin.rs
@@ -4,7 +4,7 @@
 
 use crate::core::{Core, Note, Reign};
 use crate::departure::Departure;
-use crate::frame::{Beat, Frame};
+use crate::frame::{Frame, Heartbeat};
 use crate::hub::{Hub, Known};
 use crate::registry::{Record, Standing};
 use crate::view::Stamp;
@@ -94,7 +94,7 @@
             upstreams,
             logged: upstreams - known,
             departures: departed,
-            held: self.quarantine.docket().held.len(),
+            held: self.quarantine.blocklist().held.len(),
         });
         self.call_seekers();
         self.push_soon();
@@ -131,19 +131,20 @@
     }
 
     /// Remembers an instance that asked for the leader while this core did not lead.
-    pub(crate) fn sought(&mut self, beat: &Beat) {
+    pub(crate) fn sought(&mut self, heartbeat: &Heartbeat) {
         if self.seekers.len() >= SEEKERS {
             self.drop_seekers();
         }
-        let (at, entry) = (self.now, beat.peer.voter.is_none());
-        self.seekers.insert(beat.peer.address, Seeker { at, entry, reports: beat.number });
+        let (at, entry) = (self.now, heartbeat.peer.voter.is_none());
+        self.seekers
+            .insert(heartbeat.peer.address, Seeker { at, entry, reports: heartbeat.number });
     }
 
     fn drop_seekers(&mut self) {
         self.seekers.retain(|_, seeker| self.now.saturating_sub(seeker.at) <= SEEKING);
     }
 
-    /// Prepares to lend the teams' limits from the first report on.
+    /// Prepares to grant the teams' limits from the first report on.
     fn open_hub(&mut self) {
         self.drop_seekers();
         let entries = self.seekers.values().filter(|seeker| seeker.entry);
@@ -162,8 +163,8 @@
         let is_there = |it: &&Record| !matches!(it.standing, Standing::Gone | Standing::Lost);
         let there = self.registry.records().filter(is_there);
         let there = there.cloned().collect();
-        let docket = self.quarantine.docket().clone();
-        self.link.keep(stamp, there, self.registry.departures().clone(), docket);
+        let blocklist = self.quarantine.blocklist().clone();
+        self.link.keep(stamp, there, self.registry.departures().clone(), blocklist);
         self.advance_calls();
     }
 }
--- a/crates/verbenaslip-fleet/src/core/call.rs
+++ b/crates/verbenaslip-fleet/src/core/call.rs
@@ -7,7 +7,7 @@
 
 use crate::core::{Core, Note, Output, address_of};
 use crate::departure::Departure;
-use crate::frame::{Ask, Frame, Told};
+use crate::frame::{Frame, Request, Response};
 use crate::ledger::Command;
 use crate::registry::{Announcement, Change, Run, Standing};
 use crate::rollout::{Admission, Order};
@@ -32,7 +32,7 @@
 #[derive(Debug)]
 pub(crate) struct Waiting {
     asker: Asker,
-    ask: Ask,
+    ask: Request,
     until: Duration,
     stage: Stage,
     /// What must be committed before the answer.
@@ -65,15 +65,15 @@
 
 impl Core {
     /// Takes a call at this core.
-    pub(crate) fn called(&mut self, id: u64, ask: Ask) {
-        if let Ask::Announce(announcement) = &ask
+    pub(crate) fn called(&mut self, id: u64, ask: Request) {
+        if let Request::Announce(announcement) = &ask
             && self.vouches(announcement)
         {
             self.voucher.note(self.now, announcement);
-            return self.answer(Asker::Here(id), Told::Noted);
+            return self.answer(Asker::Here(id), Response::Noted);
         }
         if leaving(&ask).is_some_and(|it| self.voucher.has_acknowledged(self.now, &it)) {
-            return self.answer(Asker::Here(id), Told::Noted);
+            return self.answer(Asker::Here(id), Response::Noted);
         }
         self.enter(Asker::Here(id), ask);
     }
@@ -91,22 +91,22 @@
     }
 
     /// Takes a call that another core passes on.
-    pub(crate) fn asked(&mut self, address: SocketAddr, token: u64, ask: Ask) {
+    pub(crate) fn requested(&mut self, address: SocketAddr, token: u64, ask: Request) {
         let asker = Asker::There { address, token };
         // Passed on further it could go round between cores that each believe in another leader.
         if self.leads() {
             self.enter(asker, ask);
         } else {
-            self.answer(asker, Told::Unsure);
+            self.answer(asker, Response::Unsure);
         }
     }
 
     /// Takes the leader's answer to a call that was passed on.
-    pub(crate) fn told(&mut self, token: u64, told: Told) {
+    pub(crate) fn answered_by_leader(&mut self, token: u64, told: Response) {
         let passed = |stage: Stage| matches!(stage, Stage::Passed { token: it, .. } if it == token);
         let Some(key) = self.find(passed) else { return };
         match told {
-            Told::Unsure => self.set_stage(key, Stage::Leader),
+            Response::Unsure => self.set_stage(key, Stage::Leader),
             told => self.conclude(key, told),
         }
     }
@@ -117,7 +117,7 @@
         let Some(key) = self.find(proposed) else { return };
         if committed {
             match self.waiting.get(&key).map(|waiting| &waiting.ask) {
-                Some(Ask::StartRollout(_)) => self.restart(key),
+                Some(Request::StartRollout(_)) => self.restart(key),
                 _ => self.await_force(key),
             }
         } else {
@@ -170,7 +170,7 @@
         known || self.now.saturating_sub(self.adopted) >= HELD_UP
     }
 
-    fn enter(&mut self, asker: Asker, ask: Ask) {
+    fn enter(&mut self, asker: Asker, ask: Request) {
         let until = self.now + PATIENCE;
         let key = self.token();
         self.waiting
@@ -196,13 +196,13 @@
                     until <= self.now || (self.is_settled() && self.known_to_all.change >= change);
                 if seen && self.is_noted(key) {
                     self.note_acknowledged(key, change);
-                    self.conclude(key, Told::Noted);
+                    self.conclude(key, Response::Noted);
                 }
             }
             Stage::Force if !self.leads() => self.restart(key),
             Stage::Force if self.is_in_force() => {
                 let revision = self.ledger.revision();
-                self.conclude(key, Told::Adopted { revision });
+                self.conclude(key, Response::Adopted { revision });
             }
             Stage::Passed { .. } | Stage::Committed { .. } | Stage::Force => {}
         }
@@ -225,7 +225,7 @@
     fn serve(&mut self, key: u64) {
         let Some(waiting) = self.waiting.get(&key) else { return };
         match waiting.ask.clone() {
-            Ask::Adopt(edition) => {
+            Request::Adopt(edition) => {
                 if self.ledger.edition().is_some()
                     && edition.sheet.revision <= self.ledger.revision()
                 {
@@ -234,30 +234,34 @@
                 let token = self.propose(&Command::Adopt(edition));
                 self.set_stage(key, Stage::Committed { token });
             }
-            Ask::Read => {
+            Request::Read => {
                 let document = self.ledger.edition().map(|edition| edition.document.clone());
-                self.conclude(key, document.map_or(Told::Empty, Told::Document));
+                self.conclude(key, document.map_or(Response::Empty, Response::Document));
             }
-            Ask::Announce(announcement) => self.announced(key, *announcement),
-            Ask::Withdraw { upstream, incarnation } => self.withdrawn(key, upstream, incarnation),
-            Ask::StartRollout(order) => self.start_rollout(key, order),
-            Ask::ReadRollout(service) => {
+            Request::Announce(announcement) => self.announced(key, *announcement),
+            Request::Withdraw { upstream, incarnation } => {
+                self.withdrawn(key, upstream, incarnation)
+            }
+            Request::StartRollout(order) => self.start_rollout(key, order),
+            Request::ReadRollout(service) => {
                 let rollout = self.ledger.rollouts().get(&service).cloned();
-                self.conclude(key, Told::Rollout(rollout));
+                self.conclude(key, Response::Rollout(rollout));
             }
         }
     }
 
     /// Begins a roll-out, or answers for one that the log holds.
     fn start_rollout(&mut self, key: u64, order: Order) {
-        let Some(edition) = self.ledger.edition() else { return self.conclude(key, Told::Unsure) };
+        let Some(edition) = self.ledger.edition() else {
+            return self.conclude(key, Response::Unsure);
+        };
         if edition.sheet.service(&order.service).is_none() {
-            return self.conclude(key, Told::UnknownService(order.service));
+            return self.conclude(key, Response::UnknownService(order.service));
         }
         let unix = self.agreed();
         match self.ledger.rollouts().admission(&order, unix) {
-            Admission::Known => self.conclude(key, Told::Noted),
-            Admission::Conflict(version) => self.conclude(key, Told::Conflict(version)),
+            Admission::Known => self.conclude(key, Response::Noted),
+            Admission::Conflict(version) => self.conclude(key, Response::Conflict(version)),
             Admission::New => {
                 let token = self.propose(&Command::StartRollout { order, unix });
                 self.set_stage(key, Stage::Committed { token });
@@ -281,10 +285,10 @@
                 // Another writer's word, also that the upstream goes, says nothing of the one that serves
                 // under its name.
                 if self.registry.run(&run.upstream).is_some() {
-                    return self.conclude(key, Told::Noted);
+                    return self.conclude(key, Response::Noted);
                 }
             }
-            Change::News | Change::Leaving => {
+            Change::Update | Change::Leaving => {
                 self.push_soon();
                 if !self.ledger.has_joined(&run) {
                     self.joining.insert(run.upstream.clone());
@@ -295,7 +299,7 @@
         if leaves {
             self.depart(key, Departure { run, standing: Standing::Leaving });
         } else {
-            self.conclude(key, Told::Noted);
+            self.conclude(key, Response::Noted);
         }
     }
 
@@ -375,7 +379,7 @@
         let Some(waiting) = self.waiting.get_mut(&key) else { return };
         waiting.stage = Stage::Passed { token, again };
         let ask = Box::new(waiting.ask.clone());
-        self.send(leader, Frame::Ask { from: own, token, ask });
+        self.send(leader, Frame::Request { from: own, token, ask });
     }
 
     fn find(&self, at: impl Fn(Stage) -> bool) -> Option<u64> {
@@ -391,20 +395,20 @@
     fn give_up(&mut self, key: u64) {
         let Some(waiting) = self.waiting.get(&key) else { return };
         let what = match waiting.ask {
-            Ask::Adopt(_) => "adopt",
-            Ask::Read => "read",
-            Ask::Announce(_) => "announce",
-            Ask::Withdraw { .. } => "withdraw",
-            Ask::StartRollout(_) => "start_rollout",
-            Ask::ReadRollout(_) => "read_rollout",
+            Request::Adopt(_) => "adopt",
+            Request::Read => "read",
+            Request::Announce(_) => "announce",
+            Request::Withdraw { .. } => "withdraw",
+            Request::StartRollout(_) => "start_rollout",
+            Request::ReadRollout(_) => "read_rollout",
         };
         self.note(Note::Unsure { what });
-        self.conclude(key, Told::Unsure);
+        self.conclude(key, Response::Unsure);
     }
 
-    fn conclude(&mut self, key: u64, told: Told) {
+    fn conclude(&mut self, key: u64, told: Response) {
         let Some(Waiting { asker, ask, .. }) = self.waiting.remove(&key) else { return };
-        if told == Told::Noted
+        if told == Response::Noted
             && matches!(asker, Asker::Here(_))
             && let Some(departure) = leaving(&ask)
         {
@@ -413,10 +417,10 @@
         self.answer(asker, told);
     }
 
-    fn answer(&mut self, asker: Asker, told: Told) {
+    fn answer(&mut self, asker: Asker, told: Response) {
         match asker {
             Asker::Here(id) => self.out.push(Output::Reply { id, told }),
-            Asker::There { address, token } => self.send(address, Frame::Told { token, told }),
+            Asker::There { address, token } => self.send(address, Frame::Response { token, told }),
         }
     }
 
@@ -428,8 +432,8 @@
 }
 
 /// Returns the departure that an announcement tells of, if it does.
-fn leaving(ask: &Ask) -> Option<Departure> {
-    let Ask::Announce(announcement) = ask else { return None };
+fn leaving(ask: &Request) -> Option<Departure> {
+    let Request::Announce(announcement) = ask else { return None };
     let departure = || Departure { run: announcement.run.clone(), standing: Standing::Leaving };
     announcement.draining.then(departure)
 }
--- a/crates/verbenaslip-fleet/src/core/lead.rs
+++ b/crates/verbenaslip-fleet/src/core/lead.rs
@@ -10,8 +10,8 @@
 
 use crate::clock;
 use crate::core::{Core, Note, Output, address_of};
-use crate::duty::{Desk, Order, Outcome, Scale, Task};
-use crate::frame::{Beat, Confirmation, Frame};
+use crate::duty::{Dispatcher, Order, Outcome, Scale, Task};
+use crate::frame::{Confirmation, Frame, Heartbeat};
 use crate::hub::{Push, Source};
 use crate::ledger::{Command, Window};
 use crate::plan::{self, Planner, Wish};
@@ -31,7 +31,7 @@
 /// known, long beside the time that a push to all instances takes.
 const PUSH: Duration = Duration::from_millis(40);
 
-/// The same for each instance of a large fleet. To write to one and read its word that it has the news takes some
+/// The same for each instance of a large fleet. To write to one and read its confirmation takes some
 /// 20 µs, of which a core of 0.15 has 60 µs in this time: pushes take a third of it at most.
 const PUSH_EACH: Duration = Duration::from_micros(400);
 
@@ -86,18 +86,18 @@
     }
 
     /// Takes an instance's report and answers it.
-    pub(crate) fn beaten(&mut self, beat: Beat) {
-        let to = beat.peer.address;
+    pub(crate) fn take_heartbeat(&mut self, heartbeat: Heartbeat) {
+        let to = heartbeat.peer.address;
         let Some(reign) = self.reign else {
             let leader = self.replica.leader().and_then(address_of);
             let leader = leader.or_else(|| self.link.leader(self.now));
             let cores = self.link.cores();
-            self.sought(&beat);
+            self.sought(&heartbeat);
             return self.send(to, Frame::Elsewhere { leader, cores });
         };
-        self.take_marks(&beat.marks);
-        self.take_rollouts(&beat);
-        self.hub.take(self.now, reign.term, beat);
+        self.take_marks(&heartbeat.marks);
+        self.take_rollouts(&heartbeat);
+        self.hub.take(self.now, reign.term, heartbeat);
         self.advance_spread();
         self.tell(to);
         if self.hub.is_new(to) {
@@ -110,7 +110,7 @@
     /// Takes a core's word of the upstreams that have called it.
     fn take_marks(&mut self, marks: &[Mark]) {
         for mark in marks {
-            if self.registry.vouch(self.now, mark) == RegistryChange::News {
+            if self.registry.vouch(self.now, mark) == RegistryChange::Update {
                 self.push_soon();
                 self.note_upstream(&mark.run.upstream);
             }
@@ -132,7 +132,7 @@
     ///
     /// Changes that come close together go out together. Where upstreams are replaced one after the
     /// other, a message to every instance for each of them would take all of the leader's time.
-    pub(crate) fn push_news(&mut self) {
+    pub(crate) fn push_updates(&mut self) {
         if self.reign.is_none() || self.now < self.push_at {
             return;
         }
@@ -189,13 +189,23 @@
         let Some(reign) = self.reign else { return };
         let from = self.link.own().address;
         let (registry, ledger) = (&self.registry, &self.ledger);
-        let (docket, docketed) = (self.quarantine.docket(), self.docketed);
+        let (blocklist, blocklist_change) = (self.quarantine.blocklist(), self.blocklist_change);
         let (plans, planned) = (&self.plans, self.planned);
         let (term, urgent) = (reign.term, false);
-        let source =
-            Source { from, term, registry, ledger, docket, docketed, plans, planned, urgent, unix };
-        if let Some(news) = self.hub.answer(to, &source, cores) {
-            self.send(to, Frame::News(Box::new(news)));
+        let source = Source {
+            from,
+            term,
+            registry,
+            ledger,
+            blocklist,
+            blocklist_change,
+            plans,
+            planned,
+            urgent,
+            unix,
+        };
+        if let Some(update) = self.hub.answer(to, &source, cores) {
+            self.send(to, Frame::Update(Box::new(update)));
         }
     }
 
@@ -205,15 +215,26 @@
         let Some(reign) = self.reign else { return };
         let from = self.link.own().address;
         let (registry, ledger) = (&self.registry, &self.ledger);
-        let (term, docket, docketed) = (reign.term, self.quarantine.docket(), self.docketed);
+        let (term, blocklist, blocklist_change) =
+            (reign.term, self.quarantine.blocklist(), self.blocklist_change);
         let (plans, planned) = (&self.plans, self.planned);
-        let source =
-            Source { from, term, registry, ledger, docket, docketed, plans, planned, urgent, unix };
-        for Push { leg, news } in self.hub.push(now, to, &source) {
-            let (to, news) = (leg.to, Box::new(news));
-            let output = match leg.via {
-                None => Output::Cast { to, frame: Frame::News(news) },
-                Some(core) => Output::Send { to: core, frame: Frame::Relay { to, news } },
+        let source = Source {
+            from,
+            term,
+            registry,
+            ledger,
+            blocklist,
+            blocklist_change,
+            plans,
+            planned,
+            urgent,
+            unix,
+        };
+        for Push { path, update } in self.hub.push(now, to, &source) {
+            let (to, update) = (path.to, Box::new(update));
+            let output = match path.via {
+                None => Output::Cast { to, frame: Frame::Update(update) },
+                Some(core) => Output::Send { to: core, frame: Frame::Relay { to, update } },
             };
             self.out.push(output);
         }
@@ -296,7 +317,7 @@
         }
         let unix = self.agreed();
         let settle = u64::try_from(timing.settle.as_millis()).unwrap_or(u64::MAX);
-        let due: Vec<u64> = Desk::due(&self.ledger, &timing, unix).collect();
+        let due: Vec<u64> = Dispatcher::due(&self.ledger, &timing, unix).collect();
         for number in due {
             let end = window_end(number, timing.window);
             let complete = unix >= end.saturating_add(COUNT_SLACK)
@@ -323,7 +344,7 @@
         }
         let Some(until) = self.replica.lease_until(self.now) else { return };
         let unix = self.agreed();
-        for (id, window) in self.desk.orders(self.now, &self.ledger, &timing, unix) {
+        for (id, window) in self.dispatcher.orders(self.now, &self.ledger, &timing, unix) {
             let task = Task::Usage(window);
             self.out.push(Output::Order(Order { id, fence: reign.term, until, task }));
         }
@@ -338,7 +359,7 @@
         let now = self.now;
         let planned = self.planners.values_mut().any(|planner| planner.ended(now, id, outcome));
         if !planned {
-            self.desk.ended(id, outcome);
+            self.dispatcher.ended(id, outcome);
         }
     }
 
@@ -356,10 +377,10 @@
             let open = || Planner::open(service.name.clone());
             let planner = self.planners.entry(service.name.clone()).or_insert_with(open);
             planner.spread(self.hub.len());
-            let desk = &mut self.desk;
+            let dispatcher = &mut self.dispatcher;
             let wish = Wish { base, busy: self.hub.busy(self.now, &service.name) };
             let before = orders.len();
-            orders.extend(planner.plan(self.now, scaling, wish, &have, || desk.draw()));
+            orders.extend(planner.plan(self.now, scaling, wish, &have, || dispatcher.draw()));
             if orders.len() > before {
                 let service = service.name.clone();
                 let upstreams = have.values().sum();
--- a/crates/verbenaslip-fleet/src/core/quarantine.rs
+++ b/crates/verbenaslip-fleet/src/core/quarantine.rs
@@ -13,8 +13,8 @@
     /// Begins with the requests that the log holds, and those that this core knew as a follower.
     pub(crate) fn open_quarantine(&mut self) {
         let (rule, kept) = (self.setup.rule.clone(), self.ledger.quarantine());
-        self.quarantine = Quarantine::open(rule, kept, &self.link.view().docket);
-        self.docketed = self.registry.stamp();
+        self.quarantine = Quarantine::open(rule, kept, &self.link.view().blocklist);
+        self.blocklist_change = self.registry.stamp();
         self.noting_quarantine = None;
     }
 
@@ -65,12 +65,12 @@
     /// push, since a wave of crashes makes dozens of suspects, and clears them, within a moment.
     fn spread_findings(&mut self) {
         let (findings, changed) = self.quarantine.take_findings();
-        let urgent = findings.iter().any(|finding| matches!(finding, Finding::Held { .. }));
+        let urgent = findings.iter().any(|finding| matches!(finding, Finding::Blocked { .. }));
         findings.into_iter().for_each(|finding| self.note(Note::Found(finding)));
         if !changed {
             return;
         }
-        self.docketed = self.registry.touch();
+        self.blocklist_change = self.registry.touch();
         if urgent {
             self.push_at = self.push_at.min(self.now);
         } else {
--- a/crates/verbenaslip-fleet/src/core/rollout.rs
+++ b/crates/verbenaslip-fleet/src/core/rollout.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::core::{Core, Note};
-use crate::frame::Beat;
+use crate::frame::Heartbeat;
 use crate::ledger::Command;
 use crate::registry::{Record, Standing};
 use crate::rollout::controller::{Fleet, Stage};
@@ -19,11 +19,11 @@
     }
 
     /// Takes what an entry reports of versions.
-    pub(crate) fn take_rollouts(&mut self, beat: &Beat) {
-        let (entry, incarnation) = (beat.peer.address, beat.peer.incarnation);
-        for report in &beat.rollouts {
+    pub(crate) fn take_rollouts(&mut self, heartbeat: &Heartbeat) {
+        let (entry, incarnation) = (heartbeat.peer.address, heartbeat.peer.incarnation);
+        for report in &heartbeat.rollouts {
             for controller in self.controllers.values_mut() {
-                controller.take(entry, incarnation, beat.number, report);
+                controller.take(entry, incarnation, heartbeat.number, report);
             }
         }
     }
--- a/crates/verbenaslip-fleet/src/departure.rs
+++ b/crates/verbenaslip-fleet/src/departure.rs
@@ -30,11 +30,11 @@
 /// may have been elected that never heard the departure itself.
 #[derive(Clone, Debug, Default)]
 pub struct Departures {
-    last: BTreeMap<Upstream, Held>,
+    last: BTreeMap<Upstream, Entry>,
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Held {
+struct Entry {
     incarnation: u64,
     standing: Standing,
     heard: Duration,
@@ -47,7 +47,7 @@
         if known.is_some_and(|known| known >= standing) {
             return false;
         }
-        let held = Held { incarnation: run.incarnation, standing, heard: now };
+        let held = Entry { incarnation: run.incarnation, standing, heard: now };
         self.last.insert(run.upstream.clone(), held);
         true
     }
--- a/crates/verbenaslip-fleet/src/duty.rs
+++ b/crates/verbenaslip-fleet/src/duty.rs
@@ -78,7 +78,7 @@
 
 /// Keeps which windows have been reported.
 #[derive(Debug, Default)]
-pub struct Desk {
+pub struct Dispatcher {
     reported: BTreeMap<u64, Report>,
     next: u64,
 }
@@ -89,7 +89,7 @@
     Done,
 }
 
-impl Desk {
+impl Dispatcher {
     /// Returns the windows whose counts are due to be closed.
     pub fn due(ledger: &Ledger, timing: &Timing, unix: u64) -> impl Iterator<Item = u64> {
         let current = crate::usage::window_at(unix, timing.window);
--- a/crates/verbenaslip-fleet/src/entry.rs
+++ b/crates/verbenaslip-fleet/src/entry.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::account::{Accounts, Answered, Met};
-use crate::belief::Beliefs;
+use crate::account::{Accounts, Answered, Sighting};
 use crate::frame::{Frame, Peer};
 use crate::link::{Link, Report, Targets};
+use crate::transition::Transitions;
 use crate::view::View;
 
 /// Keeps an entry's view of the fleet.
@@ -18,7 +18,7 @@
 
 /// Wants a frame sent.
 #[derive(Debug)]
-pub struct Letter {
+pub struct Envelope {
     /// To whom.
     pub to: Targets,
     /// What it says.
@@ -37,35 +37,35 @@
     }
 
     /// Takes what has changed of the upstreams since it was last asked for, for the log.
-    pub fn take_beliefs(&mut self) -> Beliefs {
-        self.link.take_beliefs()
+    pub fn take_transitions(&mut self) -> Transitions {
+        self.link.take_transitions()
     }
 
-    /// Returns when [`beat`](Self::beat) or [`account`](Self::account) is due.
+    /// Returns when [`heartbeat`](Self::heartbeat) or [`account`](Self::account) is due.
     pub fn wake(&self) -> Duration {
         let account = self.accounts.wake().unwrap_or(Duration::MAX);
         self.link.wake().min(account)
     }
 
-    /// Returns when [`beat`](Self::beat) is due.
-    pub fn beat_at(&self) -> Duration {
+    /// Returns when [`heartbeat`](Self::heartbeat) is due.
+    pub fn heartbeat_at(&self) -> Duration {
         self.link.wake()
     }
 
     /// Takes under which requests upstreams ended, and answers to requests that are suspected.
-    pub fn met(&mut self, now: Duration, crashes: Vec<Met>, answers: Vec<Answered>) {
+    pub fn met(&mut self, now: Duration, crashes: Vec<Sighting>, answers: Vec<Answered>) {
         self.accounts.take(now, crashes, answers);
     }
 
     /// Tells the leader of that if it is due.
-    pub fn account(&mut self, now: Duration) -> Option<Letter> {
+    pub fn account(&mut self, now: Duration) -> Option<Envelope> {
         self.accounts.wake().filter(|due| now >= *due)?;
         let Some(leader) = self.link.leader(now) else {
             self.accounts.wait(now);
             return None;
         };
         let account = self.accounts.account(now, self.link.own().address)?;
-        Some(Letter { to: vec![leader], frame: Frame::Account(Box::new(account)) })
+        Some(Envelope { to: vec![leader], frame: Frame::Account(Box::new(account)) })
     }
 
     /// Takes other addresses to join through.
@@ -74,19 +74,19 @@
     }
 
     /// Reports if that is due; `unix` is what this machine's clock shows.
-    pub fn beat(&mut self, now: Duration, unix: u64, report: Report) -> Option<Letter> {
-        let (to, beat) = self.link.beat(now, unix, report)?;
-        Some(Letter { to, frame: Frame::Beat(Box::new(beat)) })
+    pub fn heartbeat(&mut self, now: Duration, unix: u64, report: Report) -> Option<Envelope> {
+        let (to, heartbeat) = self.link.heartbeat(now, unix, report)?;
+        Some(Envelope { to, frame: Frame::Heartbeat(Box::new(heartbeat)) })
     }
 
     /// Takes a frame; returns what is to be sent at once.
-    pub fn take(&mut self, now: Duration, frame: Frame) -> Option<Letter> {
+    pub fn take(&mut self, now: Duration, frame: Frame) -> Option<Envelope> {
         match frame {
-            Frame::News(news) => {
-                let from = news.via.unwrap_or(news.from);
-                let seen = self.link.news(now, *news).then(|| self.link.seen());
+            Frame::Update(update) => {
+                let from = update.via.unwrap_or(update.from);
+                let seen = self.link.update(now, *update).then(|| self.link.seen());
                 self.accounts.follow(now, self.link.view().stamp.term);
-                Some(Letter { to: vec![from], frame: seen? })
+                Some(Envelope { to: vec![from], frame: seen? })
             }
             Frame::Heard { term, number } => {
                 self.accounts.confirm(term, number);
@@ -97,10 +97,10 @@
                 None
             }
             Frame::Log { .. }
-            | Frame::Beat(_)
+            | Frame::Heartbeat(_)
             | Frame::Seen { .. }
-            | Frame::Ask { .. }
-            | Frame::Told { .. }
+            | Frame::Request { .. }
+            | Frame::Response { .. }
             | Frame::Relay { .. }
             | Frame::SeenBy(_)
             | Frame::Account(_) => None,
--- a/crates/verbenaslip-fleet/src/print.rs
+++ b/crates/verbenaslip-fleet/src/fingerprint.rs
@@ -12,17 +12,17 @@
 /// requests that differ in one of these may fare differently, and a request that comes again is under a new
 /// identity each time. Nothing of the content can be read from it.
 #[data(copy, ord, hash)]
-pub struct Print(u128);
+pub struct Fingerprint(u128);
 
-impl Print {
-    /// Makes the print of a request, by the key that all entries share.
+impl Fingerprint {
+    /// Makes the fingerprint of a request, by the key that all entries share.
     pub fn of(key: u128, team: &str, host: &str, target: &str, body: &[u8]) -> Self {
         let parts = [team.as_bytes(), host.as_bytes(), target.as_bytes(), body];
         Self(hash::keyed(key, &parts))
     }
 }
 
-impl FromStr for Print {
+impl FromStr for Fingerprint {
     type Err = ParseIntError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
@@ -30,7 +30,7 @@
     }
 }
 
-impl fmt::Display for Print {
+impl fmt::Display for Fingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{:032x}", self.0)
     }
--- a/crates/verbenaslip-fleet/src/frame.rs
+++ b/crates/verbenaslip-fleet/src/frame.rs
@@ -11,8 +11,8 @@
 use crate::account::Account;
 use crate::ledger::Edition;
 use crate::load::Work;
-use crate::quarantine::Docket;
-use crate::quota::{Demand, Loan};
+use crate::quarantine::Blocklist;
+use crate::quota::{Demand, Grant};
 use crate::registry::{Announcement, Record};
 use crate::rollout::report::Report;
 use crate::rollout::{Order, Plans, Rollout};
@@ -32,10 +32,10 @@
         message: Box<Message>,
     },
     /// An instance reports to the leader and tells what it has.
-    Beat(Box<Beat>),
+    Heartbeat(Box<Heartbeat>),
     /// The leader answers with what the instance lacks.
-    News(Box<News>),
-    /// An instance has taken news that somebody waits for.
+    Update(Box<Update>),
+    /// An instance confirms an update that somebody waits for.
     Seen {
         /// The instance.
         address: SocketAddr,
@@ -44,7 +44,7 @@
         /// The revision of its route table.
         revision: u64,
     },
-    /// The receiver of a beat does not lead.
+    /// The receiver of a heartbeat does not lead.
     Elsewhere {
         /// Who leads, where known.
         leader: Option<SocketAddr>,
@@ -52,29 +52,29 @@
         cores: Vec<SocketAddr>,
     },
     /// A core passes a call on to the leader.
-    Ask {
+    Request {
         /// Where the answer goes.
         from: SocketAddr,
         /// Comes back in the answer.
         token: u64,
         /// What is asked.
-        ask: Box<Ask>,
+        ask: Box<Request>,
     },
     /// Answers a call that was passed on.
-    Told {
+    Response {
         /// The token it came with.
         token: u64,
         /// The answer.
-        told: Told,
+        told: Response,
     },
-    /// The leader has a core pass news on.
+    /// The leader has a core pass an update on.
     Relay {
         /// To whom.
         to: Vec<SocketAddr>,
-        /// The news.
-        news: Box<News>,
+        /// The update.
+        update: Box<Update>,
     },
-    /// Tells the leader which instances have taken the news that this core has passed on.
+    /// Tells the leader which instances have confirmed the updates that this core has passed on.
     SeenBy(Vec<Confirmation>),
     /// An entry tells the leader under which requests upstreams ended.
     Account(Box<Account>),
@@ -87,7 +87,7 @@
     },
 }
 
-/// Says that an instance has taken news.
+/// Confirms that an instance has an update.
 #[data]
 pub struct Confirmation {
     /// The instance.
@@ -115,7 +115,7 @@
 
 /// Reports to the leader.
 #[data(float)]
-pub struct Beat {
+pub struct Heartbeat {
     /// Who reports.
     pub peer: Peer,
     /// How new its list of upstreams is.
@@ -143,7 +143,7 @@
 
 /// Tells an instance what it lacks.
 #[data(float)]
-pub struct News {
+pub struct Update {
     /// The leader.
     pub from: SocketAddr,
     /// The change up to which this tells everything.
@@ -155,7 +155,7 @@
     /// The route table, if the instance has an older one.
     pub sheet: Option<Arc<Sheet>>,
     /// The requests that are suspected or held back, if that has changed.
-    pub docket: Option<Arc<Docket>>,
+    pub blocklist: Option<Arc<Blocklist>>,
     /// Which versions of services get requests, if that has changed.
     pub plans: Option<Arc<Plans>>,
     /// What is told only in answer to a report.
@@ -176,14 +176,14 @@
     /// The number of the report that is answered.
     pub number: u64,
     /// What the instance may admit of each team beyond what that report told.
-    pub loans: Vec<Loan>,
+    pub grants: Vec<Grant>,
     /// How many entries there are.
     pub entries: u32,
 }
 
 /// Asks the leader for something.
 #[data(float)]
-pub enum Ask {
+pub enum Request {
     /// Put a route table in force.
     Adopt(Box<Edition>),
     /// Read the newest route table, as the operator wrote it.
@@ -206,7 +206,7 @@
 
 /// Answers a call.
 #[data]
-pub enum Told {
+pub enum Response {
     /// A route table of this or a higher revision is in force and stays.
     Adopted {
         /// The revision in force.
--- a/crates/verbenaslip-fleet/src/hub.rs
+++ b/crates/verbenaslip-fleet/src/hub.rs
@@ -10,13 +10,13 @@
 use verbenaslip_base::name::Team;
 
 use crate::clock;
-use crate::frame::{Beat, News, Peer, Round};
+use crate::frame::{Heartbeat, Peer, Round, Update};
 use crate::hub::subscriber::Subscriber;
 use crate::ledger::Ledger;
-use crate::leg::{self, Leg};
 use crate::load::{Loads, Work};
-use crate::quarantine::Docket;
-use crate::quota::Pools;
+use crate::path::{self, Path};
+use crate::quarantine::Blocklist;
+use crate::quota::Quotas;
 use crate::registry::Registry;
 use crate::rollout::Plans;
 use crate::usage::{Collector, Origin};
@@ -40,7 +40,7 @@
 pub struct Hub {
     subscribers: BTreeMap<SocketAddr, Subscriber>,
     usage: Collector,
-    pools: Pools,
+    quotas: Quotas,
     loads: Loads,
     /// Entries that looked for a leader just before this one began to lead.
     expected: usize,
@@ -73,9 +73,9 @@
     /// The route table.
     pub ledger: &'a Ledger,
     /// The requests that are suspected or held back.
-    pub docket: &'a Arc<Docket>,
+    pub blocklist: &'a Arc<Blocklist>,
     /// The change by which they are so.
-    pub docketed: u64,
+    pub blocklist_change: u64,
     /// Which versions of services get requests.
     pub plans: &'a Arc<Plans>,
     /// The change by which they do.
@@ -86,13 +86,13 @@
     pub unix: u64,
 }
 
-/// Holds news for several instances.
+/// Holds an update for several instances.
 #[derive(Clone, Debug)]
 pub struct Push {
     /// Where they go, and how.
-    pub leg: Leg,
+    pub path: Path,
     /// What they say.
-    pub news: News,
+    pub update: Update,
 }
 
 /// Counts the instances that have a change.
@@ -127,21 +127,21 @@
 }
 
 impl Source<'_> {
-    /// Makes the news for those that lack the same.
-    fn news(&self, lack: &Lack) -> News {
+    /// Makes the update for those that lack the same.
+    fn update(&self, lack: &Lack) -> Update {
         let changed = lack.base.and_then(|base| self.registry.since(base));
         let records = changed.unwrap_or_else(|| self.registry.records().cloned().collect());
         let sheet = self.ledger.edition().filter(|_| lack.sheet).map(|it| it.sheet.clone());
         let stamp = Stamp { term: self.term, change: self.registry.stamp() };
-        let docket = lack.base.is_none_or(|base| base < self.docketed);
+        let blocklist = lack.base.is_none_or(|base| base < self.blocklist_change);
         let plans = lack.base.is_none_or(|base| base < self.planned);
-        News {
+        Update {
             from: self.from,
             stamp,
             base: lack.base,
             records,
             sheet,
-            docket: docket.then(|| self.docket.clone()),
+            blocklist: blocklist.then(|| self.blocklist.clone()),
             plans: plans.then(|| self.plans.clone()),
             round: None,
             unix: self.unix,
@@ -156,12 +156,13 @@
     /// a power loss of all.
     pub fn open(now: Duration, expected: usize, restarted: bool) -> Self {
         let expects = now + SHARE_REUSE;
-        Self { expected, expects, pools: Pools::open(restarted), ..Self::default() }
+        Self { expected, expects, quotas: Quotas::open(restarted), ..Self::default() }
     }
 
     /// Takes a report.
-    pub fn take(&mut self, now: Duration, term: u64, beat: Beat) {
-        let Beat { peer, seen, revision, unix, counted, counts, number, demand, work, .. } = beat;
+    pub fn take(&mut self, now: Duration, term: u64, heartbeat: Heartbeat) {
+        let Heartbeat { peer, seen, revision, unix, counted, counts, number, demand, work, .. } =
+            heartbeat;
         let origin = Origin { address: peer.address, incarnation: peer.incarnation };
         self.usage.take(origin, counts);
         let known = if seen.term == term { seen.change } else { 0 };
@@ -199,7 +200,7 @@
             let spent = claim.take(demand);
             // What an entry had admitted before this leader first heard it was another's to count.
             if !first {
-                self.pools.spend(&demand.team, spent);
+                self.quotas.spend(&demand.team, spent);
             }
         }
         for Work { service, total } in work {
@@ -245,8 +246,8 @@
         // An entry that is cut off may still spend an equal part of each limit.
         let entries = as_f64(self.totals.entries.max(1));
         let free = 1.0 - as_f64(self.totals.silent) / entries;
-        self.pools.refill(now, &edition.sheet, free);
-        self.pools.weigh(self.subscribers.values().map(|it| &it.claims));
+        self.quotas.refill(now, &edition.sheet, free);
+        self.quotas.weigh(self.subscribers.values().map(|it| &it.claims));
     }
 
     /// Lists the instances that have not been sent everything.
@@ -275,16 +276,16 @@
         to: SocketAddr,
         source: &Source<'_>,
         cores: Vec<SocketAddr>,
-    ) -> Option<News> {
+    ) -> Option<Update> {
         let round = self.round(to, cores);
         let seen = self.subscribers.get(&to)?.seen;
-        Some(News {
+        Some(Update {
             from: source.from,
             stamp: Stamp { term: source.term, change: seen },
             base: Some(seen),
             records: Vec::new(),
             sheet: None,
-            docket: None,
+            blocklist: None,
             plans: None,
             round: Some(round),
             unix: source.unix,
@@ -293,7 +294,7 @@
         })
     }
 
-    /// Makes the news that instances lack, and counts them as sent.
+    /// Makes the update that instances lack, and counts them as sent.
     ///
     /// Most instances lack the same. Made and written for each of them, a push at a time when upstreams
     /// come and go would take all of the leader's time: one would notice reports without an answer and
@@ -307,33 +308,33 @@
         }
         let mut pushes = Vec::new();
         for (lack, to) in groups {
-            let news = source.news(&lack);
-            let legs = self.legs(now, source.from, &to).into_iter();
-            pushes.extend(legs.map(|leg| Push { leg, news: news.clone() }));
+            let update = source.update(&lack);
+            let paths = self.paths(now, source.from, &to).into_iter();
+            pushes.extend(paths.map(|path| Push { path, update: update.clone() }));
         }
         pushes
     }
 
-    /// Chooses the ways by which instances get the same news.
-    fn legs(&mut self, now: Duration, own: SocketAddr, to: &[SocketAddr]) -> Vec<Leg> {
+    /// Chooses the paths by which instances get the same update.
+    fn paths(&mut self, now: Duration, own: SocketAddr, to: &[SocketAddr]) -> Vec<Path> {
         let lossy = |it: &SocketAddr| self.subscribers.get(it).is_some_and(|it| now < it.direct);
         let (direct, others): (Vec<SocketAddr>, Vec<SocketAddr>) =
             to.iter().partition(|it| lossy(it));
         let cores: Vec<&Peer> = self.cores(now).filter(|core| core.address != own).collect();
         let peers: Vec<&Peer> =
             others.iter().filter_map(|it| self.subscribers.get(it)).map(|it| &it.peer).collect();
-        let mut legs = leg::plan(&cores, peers.into_iter());
+        let mut paths = path::plan(&cores, peers.into_iter());
         if !direct.is_empty() {
-            legs.push(Leg { via: None, to: direct });
+            paths.push(Path { via: None, to: direct });
         }
-        for leg in &legs {
-            for to in &leg.to {
+        for path in &paths {
+            for to in &path.to {
                 if let Some(subscriber) = self.subscribers.get_mut(to) {
-                    subscriber.relayed = leg.via.is_some();
+                    subscriber.relayed = path.via.is_some();
                 }
             }
         }
-        legs
+        paths
     }
 
     /// Finds what an instance lacks, and counts it as sent.
@@ -415,11 +416,11 @@
     fn round(&mut self, to: SocketAddr, cores: Vec<SocketAddr>) -> Round {
         let entries = u32::try_from(self.totals.entries.max(1)).unwrap_or(u32::MAX);
         let live = as_f64(self.totals.entries.saturating_sub(self.totals.silent).max(1));
-        let mut round = Round { cores, number: 0, loans: Vec::new(), entries };
+        let mut round = Round { cores, number: 0, grants: Vec::new(), entries };
         let own = self.subscribers.get_mut(&to).filter(|it| it.peer.voter.is_none());
         let Some(own) = own else { return round };
         round.number = own.number;
-        round.loans = self.pools.lend(&mut own.claims, live);
+        round.grants = self.quotas.grant(&mut own.claims, live);
         round
     }
 
--- a/crates/verbenaslip-fleet/src/hub/subscriber.rs
+++ b/crates/verbenaslip-fleet/src/hub/subscriber.rs
@@ -20,7 +20,7 @@
 /// them to 60 entries at once.
 const RESEND_WHOLE: Duration = Duration::from_millis(1_500);
 
-/// How long an instance is told directly after news by way of another core were lost. Where only the two of them
+/// How long an instance is told directly after an update by way of another core was lost. Where only the two of them
 /// can't reach each other, it would else get everything a quarter of a second late for as long.
 const DIRECT: Duration = Duration::from_secs(5);
 
@@ -40,9 +40,9 @@
     pub(super) whole: bool,
     pub(super) revision: u64,
     pub(super) sheet_sent: Option<(u64, Duration)>,
-    /// Whether the last news went by another core.
+    /// Whether the last update went by another core.
     pub(super) relayed: bool,
-    /// Until when news go directly, since some were lost on that way.
+    /// Until when updates go directly, since one was lost on that path.
     pub(super) direct: Duration,
     pub(super) offset: i64,
     pub(super) counted: u64,
@@ -91,7 +91,7 @@
         }
     }
 
-    /// Has news go directly for a while, if some were lost on the way by another core.
+    /// Has updates go directly for a while, if one was lost on its way by another core.
     pub(super) fn avoid_relay(&mut self, now: Duration, lost: bool) {
         if lost && self.relayed {
             self.direct = now + DIRECT;
--- a/crates/verbenaslip-fleet/src/index.rs
+++ b/crates/verbenaslip-fleet/src/index.rs
@@ -52,7 +52,7 @@
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
         let prefixes = self.hosts.get(&name.to_ascii_lowercase())?;
         let path = target.split_once('?').map_or(target, |(path, _)| path);
-        let ends = path.char_indices().rev().filter(|(_, letter)| *letter == '/');
+        let ends = path.char_indices().rev().filter(|(_, envelope)| *envelope == '/');
         let mut candidates = ends.filter_map(|(end, _)| prefixes.get(&path[..=end]));
         candidates.next().and_then(|place| self.sheet.routes.get(*place))
     }
--- a/crates/verbenaslip-fleet/src/ledger.rs
+++ b/crates/verbenaslip-fleet/src/ledger.rs
@@ -10,7 +10,7 @@
 use verbenaslip_base::name::{Team, Upstream};
 
 use crate::departure::{Departure, MEMORY};
-use crate::quarantine::Kept;
+use crate::quarantine::Persisted;
 use crate::registry::{Record, Run, Standing};
 use crate::rollout::{Order, Rollouts, State};
 use crate::sheet::Sheet;
@@ -51,7 +51,7 @@
         runs: Vec<Run>,
     },
     /// Notes which requests are held back, so that whoever leads next knows it.
-    Quarantine(Kept),
+    Quarantine(Persisted),
     /// Begins a roll-out, unless another one of its service is under way.
     StartRollout {
         /// What is ordered.
@@ -102,7 +102,7 @@
     joined: BTreeMap<Upstream, Record>,
     /// The requests that are held back; kept apart as well.
     #[serde(skip)]
-    quarantine: Kept,
+    quarantine: Persisted,
     /// The last roll-out of each service; kept apart as well.
     #[serde(skip)]
     rollouts: Rollouts,
@@ -179,7 +179,7 @@
     }
 
     /// Returns the requests that are held back.
-    pub fn quarantine(&self) -> &Kept {
+    pub fn quarantine(&self) -> &Persisted {
         &self.quarantine
     }
 
@@ -219,7 +219,7 @@
             Command::Quarantine(kept) => {
                 // Prints are worth nothing under another key than the one by which they were made.
                 let key = self.quarantine.key.or(kept.key);
-                self.quarantine = Kept { key, ..kept };
+                self.quarantine = Persisted { key, ..kept };
             }
             Command::StartRollout { order, unix } => self.rollouts.start(order, unix),
             Command::DecideRollout { id, state, unix } => self.rollouts.decide(id, state, unix),
--- a/crates/verbenaslip-fleet/src/lib.rs
+++ b/crates/verbenaslip-fleet/src/lib.rs
@@ -14,16 +14,16 @@
 //! 3. [`registry`] holds the upstreams that announce themselves, at the leader of the log;
 //!    [`departure`] remembers at every instance which runs of them have said that they go. A core
 //!    answers by itself what says nothing new, and vouches for its sender as [`voucher`] says.
-//! 4. [`link`] keeps an instance in touch with the leader: a [`frame::Beat`] four times a second,
-//!    answered by [`frame::News`] with whatever the instance lacks; changes are pushed at once. What an
-//!    instance has come to believe by them is listed for its log in [`belief`].
+//! 4. [`link`] keeps an instance in touch with the leader: a [`frame::Heartbeat`] four times a second,
+//!    answered by [`frame::Update`] with whatever the instance lacks; changes are pushed at once. What an
+//!    instance has learnt by them is listed for its log in [`transition`].
 //! 5. [`hub`] is the leader's side of that: who is there, what each has, and the time of day as
-//!    the median of all clocks; [`leg`] says which core passes news on to whom. [`quota`] lends the
+//!    the median of all clocks; [`path`] says which core passes updates on to whom. [`quota`] grants the
 //!    teams' limits to the entries.
 //! 6. [`usage`] counts the requests that began in each window, and [`duty`] gives the cloud the
 //!    orders that only one instance may give; [`plan`] says how many upstreams these ask for, by the
 //!    [`load`] that the entries report.
-//! 7. [`print`] stands for what a request asks for. Entries tell the leader, in an [`account`], of upstreams that
+//! 7. [`fingerprint`] stands for what a request asks for. Entries tell the leader, in an [`account`], of upstreams that
 //!    ended while they ran requests; [`quarantine`] finds the requests that end them, which no entry sends on.
 //! 8. [`rollout`] moves the traffic of a service to another version, and back if that one is worse.
 //! 9. [`core`] composes a core and [`entry`] an entry.
@@ -31,26 +31,26 @@
 //! Messages may be lost, late, doubled or overtaken; every one of them can be sent again.
 
 pub mod account;
-pub mod belief;
 pub mod clock;
 pub mod core;
 pub mod departure;
 pub mod duty;
 pub mod entry;
+pub mod fingerprint;
 pub mod frame;
 pub mod hub;
 pub mod index;
 pub mod ledger;
-pub mod leg;
 pub mod link;
 pub mod load;
+pub mod path;
 pub mod plan;
-pub mod print;
 pub mod quarantine;
 pub mod quota;
 pub mod registry;
 pub mod rollout;
 pub mod sheet;
+pub mod transition;
 pub mod usage;
 pub mod view;
 pub mod voucher;
--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -7,22 +7,22 @@
 
 use verbenaslip_base::name::Team;
 
-use crate::belief::Beliefs;
 use crate::clock::Clock;
 use crate::departure::Departures;
-use crate::frame::{Beat, Frame, News, Peer};
+use crate::frame::{Frame, Heartbeat, Peer, Update};
 use crate::load::Work;
-use crate::quarantine::Docket;
-use crate::quota::{Demand, Loan};
+use crate::quarantine::Blocklist;
+use crate::quota::{Demand, Grant};
 use crate::registry::{Record, Standing};
 use crate::rollout::report::Report as RolloutReport;
+use crate::transition::Transitions;
 use crate::usage::Count;
-use crate::view::{Lent, Stamp, View};
+use crate::view::{Ceiling, Stamp, View};
 use crate::voucher::Mark;
 
 /// Time between two reports: a quarter of the time in which a limit's part must move between
 /// entries, and 4 datagrams' worth of bytes a second.
-pub const BEAT: Duration = Duration::from_millis(250);
+pub const HEARTBEAT: Duration = Duration::from_millis(250);
 
 /// After this silence of the leader every core is asked: three beats.
 const PATIENCE: Duration = Duration::from_millis(750);
@@ -71,7 +71,7 @@
     admitted: BTreeMap<Team, f64>,
 }
 
-/// Reports to the leader and takes its news.
+/// Reports to the leader and takes its updates.
 #[derive(Debug)]
 pub struct Link {
     own: Peer,
@@ -82,7 +82,7 @@
     /// Runs that go, whoever leads.
     departures: Departures,
     /// What has changed since it was last asked for.
-    beliefs: Beliefs,
+    transitions: Transitions,
     clock: Clock,
     target: Option<SocketAddr>,
     since: Duration,
@@ -105,7 +105,7 @@
             hearsay: Vec::new(),
             view,
             departures: Departures::default(),
-            beliefs: Beliefs::default(),
+            transitions: Transitions::default(),
             clock,
             target: None,
             since: now,
@@ -127,8 +127,8 @@
     }
 
     /// Takes what has changed of the upstreams since it was last asked for, for the log.
-    pub fn take_beliefs(&mut self) -> Beliefs {
-        std::mem::take(&mut self.beliefs)
+    pub fn take_transitions(&mut self) -> Transitions {
+        std::mem::take(&mut self.transitions)
     }
 
     /// Takes over what this instance knew of upstreams and requests while it led.
@@ -137,9 +137,9 @@
         stamp: Stamp,
         records: Vec<Record>,
         departures: Departures,
-        docket: Arc<Docket>,
+        blocklist: Arc<Blocklist>,
     ) {
-        (self.view.stamp, self.view.docket) = (stamp, docket);
+        (self.view.stamp, self.view.blocklist) = (stamp, blocklist);
         let named = |it: Record| (it.announcement.run.upstream.clone(), it);
         self.view.upstreams = Arc::new(records.into_iter().map(named).collect());
         self.departures = departures;
@@ -190,7 +190,7 @@
         self.target.filter(|_| self.view.heard.is_some() && !self.quiet(now))
     }
 
-    /// Tells whether the view is as fresh as a leader's news make it.
+    /// Tells whether the view is as fresh as a leader's updates make it.
     pub(crate) fn is_in_touch(&self, now: Duration) -> bool {
         self.view.heard.is_some_and(|heard| now.saturating_sub(heard) <= PATIENCE)
     }
@@ -210,7 +210,12 @@
     /// Asked one after the other, the new leader would be found only after a timeout for each core
     /// that is not it. Meanwhile it would acknowledge that upstreams leave, and this instance would
     /// go on sending requests there.
-    pub fn beat(&mut self, now: Duration, unix: u64, report: Report) -> Option<(Targets, Beat)> {
+    pub fn heartbeat(
+        &mut self,
+        now: Duration,
+        unix: u64,
+        report: Report,
+    ) -> Option<(Targets, Heartbeat)> {
         if now < self.due {
             return None;
         }
@@ -224,7 +229,7 @@
         if self.reported.len() > REPORTS {
             self.reported.pop_front();
         }
-        let beat = Beat {
+        let heartbeat = Heartbeat {
             peer: self.own.clone(),
             seen: self.view.stamp,
             revision: self.view.revision(),
@@ -237,14 +242,14 @@
             marks,
             rollouts,
         };
-        (!targets.is_empty()).then_some((targets, beat))
+        (!targets.is_empty()).then_some((targets, heartbeat))
     }
 
     /// Returns the time until the next report, after one to so many cores.
     fn pause(&mut self, targets: usize) -> Duration {
         if targets <= 1 {
             self.search = SEARCH;
-            return BEAT;
+            return HEARTBEAT;
         }
         let next = (self.search * 2).min(SEARCH_MOST);
         std::mem::replace(&mut self.search, next)
@@ -259,10 +264,10 @@
         }
     }
 
-    /// Takes a leader's news; returns whether its sender waits to hear that they are here.
-    pub fn news(&mut self, now: Duration, news: News) -> bool {
-        let News { from, stamp, base, records, sheet, docket, plans, .. } = news;
-        let News { round, unix, urgent, via, .. } = news;
+    /// Takes a leader's update; returns whether its sender waits to hear that they are here.
+    pub fn update(&mut self, now: Duration, update: Update) -> bool {
+        let Update { from, stamp, base, records, sheet, blocklist, plans, .. } = update;
+        let Update { round, unix, urgent, via, .. } = update;
         // A leader that was cut off and does not know it yet says what is no longer so.
         if stamp.term < self.view.stamp.term {
             return false;
@@ -274,7 +279,7 @@
             let sent = round.as_ref().and_then(|round| self.sent(round.number));
             self.tell_time(now, sent, unix);
         } else if stamp.term > self.view.stamp.term {
-            // News that were passed on say nothing of the way to the leader itself, or of the time.
+            // An update that was passed on says nothing of the way to the leader itself, or of the time.
             self.aim(from, now);
         }
         if let Some(sheet) = sheet {
@@ -286,14 +291,14 @@
         };
         if fits && stamp >= self.view.stamp {
             self.merge(now, base.is_none(), records);
-            self.view.docket = docket.unwrap_or_else(|| self.view.docket.clone());
+            self.view.blocklist = blocklist.unwrap_or_else(|| self.view.blocklist.clone());
             self.view.plans = plans.unwrap_or_else(|| self.view.plans.clone());
             self.view.stamp = stamp;
         }
         if let Some(round) = round {
             self.view.cores = round.cores;
             self.hearsay.clear();
-            self.borrow(round.number, round.loans);
+            self.borrow(round.number, round.grants);
             self.view.entries = round.entries;
         }
         urgent || via.is_some()
@@ -322,22 +327,22 @@
         self.reported.iter().find(|it| it.number == number).map(|it| it.at)
     }
 
-    /// Takes what was lent, beyond what the answered report told.
+    /// Takes what was granted, beyond what the answered report told.
     ///
-    /// The leader counts the time of a loan from the report, and lends it to others when no other report
+    /// The leader counts the time of a grant from the report, and grants it to others when no other report
     /// comes. Counted here from when the answer is read, which may have waited while the machine stood still,
     /// both would spend it: one would notice teams far beyond their limits.
-    fn borrow(&mut self, number: u64, loans: Vec<Loan>) {
+    fn borrow(&mut self, number: u64, grants: Vec<Grant>) {
         let Some(reported) = self.reported.iter().find(|it| it.number == number) else { return };
-        if self.view.lent.is_some_and(|lent| lent > reported.at) {
+        if self.view.granted.is_some_and(|granted| granted > reported.at) {
             return;
         }
-        self.view.lent = Some(reported.at);
-        let lent = |loan: Loan| {
-            let from = reported.admitted.get(&loan.team).copied().unwrap_or(0.0);
-            (loan.team, Lent { units: loan.units, from })
+        self.view.granted = Some(reported.at);
+        let granted = |grant: Grant| {
+            let from = reported.admitted.get(&grant.team).copied().unwrap_or(0.0);
+            (grant.team, Ceiling { units: grant.units, from })
         };
-        self.view.loans = Arc::new(loans.into_iter().map(lent).collect());
+        self.view.grants = Arc::new(grants.into_iter().map(granted).collect());
     }
 
     /// Takes a leader's word of upstreams, as far as nothing newer is known of their runs.
@@ -360,13 +365,13 @@
             let known = before.remove(&upstream).or_else(|| upstreams.remove(&upstream));
             let then = known.as_ref().map(|it| it.standing);
             let held = self.weigh(now, known, told);
-            self.beliefs.take(&upstream, then, held.as_ref().map(|it| it.standing));
+            self.transitions.take(&upstream, then, held.as_ref().map(|it| it.standing));
             if let Some(held) = held {
                 Arc::make_mut(&mut self.view.upstreams).insert(upstream, held);
             }
         }
         for (upstream, known) in before {
-            self.beliefs.take(&upstream, Some(known.standing), None);
+            self.transitions.take(&upstream, Some(known.standing), None);
         }
     }
 
--- a/crates/verbenaslip-fleet/src/leg.rs
+++ b/crates/verbenaslip-fleet/src/path.rs
@@ -1,8 +1,8 @@
-//! By which core each instance gets the leader's news.
+//! By which core each instance gets the leader's updates.
 //!
-//! In a fleet of hundreds, writing to each entry and reading its word that it has the news takes a leader
-//! more time than all else together. So the other cores pass news on to the entries near them. They hold
-//! nothing: news that are lost on that way are sent again by the leader itself.
+//! In a fleet of hundreds, writing to each entry and reading its confirmation takes a leader
+//! more time than all else together. So the other cores pass updates on to the entries near them. They hold
+//! nothing: updates that are lost on that path are sent again by the leader itself.
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
@@ -15,9 +15,9 @@
 /// saves a leader of so few nothing to speak of.
 const FEW: usize = 12;
 
-/// Holds the instances that get news by the same way.
+/// Holds the instances that get updates by the same path.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Leg {
+pub struct Path {
     /// The core that passes them on; none for those that the leader tells by itself.
     pub via: Option<SocketAddr>,
     /// The instances.
@@ -26,17 +26,17 @@
 
 /// Chooses the ways to instances: by a core in their own availability zone, where there is one besides the
 /// leader, since bytes between zones cost.
-pub fn plan<'a>(cores: &[&Peer], to: impl ExactSizeIterator<Item = &'a Peer>) -> Vec<Leg> {
+pub fn plan<'a>(cores: &[&Peer], to: impl ExactSizeIterator<Item = &'a Peer>) -> Vec<Path> {
     let few = to.len() <= FEW;
-    let mut legs: BTreeMap<Option<SocketAddr>, Vec<SocketAddr>> = BTreeMap::new();
+    let mut paths: BTreeMap<Option<SocketAddr>, Vec<SocketAddr>> = BTreeMap::new();
     for peer in to {
         let via = if few { None } else { relay(cores, peer) };
-        legs.entry(via).or_default().push(peer.address);
+        paths.entry(via).or_default().push(peer.address);
     }
-    legs.into_iter().map(|(via, to)| Leg { via, to }).collect()
+    paths.into_iter().map(|(via, to)| Path { via, to }).collect()
 }
 
-/// Returns the core that passes news on to an instance; none for another core, or without any.
+/// Returns the core that passes updates on to an instance; none for another core, or without any.
 fn relay(cores: &[&Peer], to: &Peer) -> Option<SocketAddr> {
     if to.voter.is_some() {
         return None;
--- a/crates/verbenaslip-fleet/src/plan.rs
+++ b/crates/verbenaslip-fleet/src/plan.rs
@@ -119,7 +119,7 @@
             self.since = Some(now);
         }
         self.total = total;
-        // Once all were known, a new one is news and not one that had been overlooked. Waited for each
+        // Once all were known, a new one is update and not one that had been overlooked. Waited for each
         // time, ordered ones that come one by one would keep the next zone's loss from being made up for.
         self.complete |= self.since.is_some_and(|since| now.saturating_sub(since) >= STEADY);
         self.complete
--- a/crates/verbenaslip-fleet/src/quarantine.rs
+++ b/crates/verbenaslip-fleet/src/quarantine.rs
@@ -20,10 +20,10 @@
 
 use verbenaslip_base::data;
 
-use crate::print::Print;
+use crate::fingerprint::Fingerprint;
 use crate::registry::Run;
 
-/// How long a chain of enough ends waits for the word of an answer: as long as news take to all entries, 120 ms to
+/// How long a chain of enough ends waits for the word of an answer: as long as an update takes to all entries, 120 ms to
 /// 300 of them, and a popular request to be answered once more. Meanwhile a bad one may end two more upstreams.
 const SETTLE: Duration = Duration::from_millis(400);
 
@@ -61,9 +61,9 @@
     /// After how long it is let through for the first time.
     pub hold: Duration,
     /// Requests that an operator never wants held back.
-    pub lifted: BTreeSet<Print>,
+    pub lifted: BTreeSet<Fingerprint>,
     /// Requests that an operator wants held back, whatever became of them.
-    pub forbidden: BTreeSet<Print>,
+    pub forbidden: BTreeSet<Fingerprint>,
 }
 
 impl Default for Rule {
@@ -77,7 +77,7 @@
 #[data]
 pub struct Crash {
     /// The request.
-    pub print: Print,
+    pub fingerprint: Fingerprint,
     /// The run of the upstream.
     pub run: Run,
     /// When the request was sent there, in milliseconds before this is told.
@@ -90,14 +90,14 @@
 #[data]
 pub struct Answer {
     /// The request.
-    pub print: Print,
+    pub fingerprint: Fingerprint,
     /// When, in milliseconds before this is told.
     pub ago: u64,
 }
 
 /// Says how a request is held back.
 #[data]
-pub struct Held {
+pub struct Block {
     /// Since when, in Unix milliseconds of the agreed time of day.
     pub since: u64,
     /// Until when none is let through, in the same way.
@@ -110,22 +110,22 @@
 
 /// Holds what outlives a leader, in the log.
 #[data(default)]
-pub struct Kept {
-    /// The key of the prints; none before the first leader has drawn one.
+pub struct Persisted {
+    /// The key of the fingerprints; none before the first leader has drawn one.
     pub key: Option<u128>,
     /// The requests that are held back.
-    pub held: BTreeMap<Print, Held>,
+    pub held: BTreeMap<Fingerprint, Block>,
 }
 
 /// Holds what entries go by.
 #[data(default)]
-pub struct Docket {
-    /// The key of the prints; without it no request is known again.
+pub struct Blocklist {
+    /// The key of the fingerprints; without it no request is known again.
     pub key: Option<u128>,
     /// Requests whose answers the leader wants to hear of.
-    pub watched: BTreeSet<Print>,
+    pub watched: BTreeSet<Fingerprint>,
     /// Requests that no upstream gets.
-    pub held: BTreeMap<Print, Held>,
+    pub held: BTreeMap<Fingerprint, Block>,
 }
 
 /// Tells what was decided of a request.
@@ -134,30 +134,30 @@
     /// Upstreams have ended under it one after the other; entries watch for answers.
     Suspected {
         /// The request.
-        print: Print,
+        fingerprint: Fingerprint,
         /// The upstreams.
         runs: Vec<Run>,
     },
     /// It is held back.
-    Held {
+    Blocked {
         /// The request.
-        print: Print,
+        fingerprint: Fingerprint,
         /// The upstreams that ended under it.
         runs: Vec<Run>,
         /// How.
-        held: Held,
+        held: Block,
     },
     /// It is not, or no longer.
     Cleared {
         /// The request.
-        print: Print,
+        fingerprint: Fingerprint,
         /// Why.
         cause: Cause,
     },
     /// An entry may let one through.
     Tried {
         /// The request.
-        print: Print,
+        fingerprint: Fingerprint,
         /// The entry.
         entry: SocketAddr,
     },
@@ -179,17 +179,17 @@
 pub struct Quarantine {
     rule: Rule,
     key: Option<u128>,
-    suspects: BTreeMap<Print, Suspect>,
+    suspects: BTreeMap<Fingerprint, Suspect>,
     /// The suspects in the order in which they came.
-    order: VecDeque<Print>,
-    watched: BTreeSet<Print>,
-    held: BTreeMap<Print, Held>,
+    order: VecDeque<Fingerprint>,
+    watched: BTreeSet<Fingerprint>,
+    held: BTreeMap<Fingerprint, Block>,
     /// Since when an entry may let a request through.
-    trials: BTreeMap<Print, Duration>,
+    trials: BTreeMap<Fingerprint, Duration>,
     /// Upstreams that a request ended which is held back, the last ones.
     explained: VecDeque<Run>,
     findings: Vec<Finding>,
-    docket: Arc<Docket>,
+    blocklist: Arc<Blocklist>,
 }
 
 /// Holds what is known of a request that may end upstreams.
@@ -249,10 +249,10 @@
 
 impl Quarantine {
     /// Starts with what the log and this core hold. What is only suspected the entries tell again.
-    pub fn open(rule: Rule, kept: &Kept, known: &Docket) -> Self {
+    pub fn open(rule: Rule, kept: &Persisted, known: &Blocklist) -> Self {
         let mut quarantine = Self { rule, key: kept.key, ..Self::default() };
-        for (print, held) in known.held.iter().chain(&kept.held) {
-            quarantine.held.insert(*print, Held { tried_by: None, ..held.clone() });
+        for (fingerprint, held) in known.held.iter().chain(&kept.held) {
+            quarantine.held.insert(*fingerprint, Block { tried_by: None, ..held.clone() });
         }
         quarantine.overrule();
         quarantine.publish();
@@ -261,15 +261,15 @@
     }
 
     /// Returns what entries go by.
-    pub fn docket(&self) -> &Arc<Docket> {
-        &self.docket
+    pub fn blocklist(&self) -> &Arc<Blocklist> {
+        &self.blocklist
     }
 
     /// Returns what is to outlive this leader.
-    pub fn kept(&self, key: u128) -> Kept {
-        let bare = |held: &Held| Held { tried_by: None, ..held.clone() };
-        let held = self.held.iter().map(|(print, held)| (*print, bare(held))).collect();
-        Kept { key: Some(self.key.unwrap_or(key)), held }
+    pub fn kept(&self, key: u128) -> Persisted {
+        let bare = |held: &Block| Block { tried_by: None, ..held.clone() };
+        let held = self.held.iter().map(|(fingerprint, held)| (*fingerprint, bare(held))).collect();
+        Persisted { key: Some(self.key.unwrap_or(key)), held }
     }
 
     /// Takes the key once the log holds it.
@@ -285,15 +285,15 @@
 
     /// Takes an entry's word that an upstream ended while it ran a request; `unix` is the agreed time of day.
     pub fn crashed(&mut self, now: Duration, unix: u64, crash: &Crash) {
-        let Crash { print, run, sent, ended } = crash;
-        if self.held.contains_key(print) {
-            self.ended_again(unix.saturating_sub(*sent), unix, *print, run);
+        let Crash { fingerprint, run, sent, ended } = crash;
+        if self.held.contains_key(fingerprint) {
+            self.ended_again(unix.saturating_sub(*sent), unix, *fingerprint, run);
         }
         let ago = |millis: u64| now.saturating_sub(Duration::from_millis(millis));
         let explained = self.explained.contains(run);
         let step = Step { run: run.clone(), sent: ago(*sent), ended: ago(*ended), explained };
-        self.suspect(*print).take(step);
-        self.weigh(now, unix, *print);
+        self.suspect(*fingerprint).take(step);
+        self.weigh(now, unix, *fingerprint);
     }
 
     /// Takes an entry's word that a request was answered; `unix` is the agreed time of day.
@@ -301,36 +301,36 @@
     /// An answer from before it ended one upstream after the other says nothing about that.
     pub fn answered(&mut self, now: Duration, unix: u64, answer: &Answer) {
         let at = now.saturating_sub(Duration::from_millis(answer.ago));
-        let held = self.held.get(&answer.print);
+        let held = self.held.get(&answer.fingerprint);
         let mut cleared = held.is_some_and(|held| unix.saturating_sub(answer.ago) > held.since);
-        if let Some(suspect) = self.suspects.get_mut(&answer.print) {
+        if let Some(suspect) = self.suspects.get_mut(&answer.fingerprint) {
             suspect.answered = suspect.answered.max(Some(at));
             cleared = cleared || (!suspect.steps.is_empty() && suspect.chain().is_empty());
         }
         if cleared {
-            self.release(answer.print, Cause::Answered);
+            self.release(answer.fingerprint, Cause::Answered);
         }
     }
 
     /// Decides what is due by now; `entries` are those that may let a request through.
     pub fn tick(&mut self, now: Duration, unix: u64, entries: &[SocketAddr]) {
-        for print in self.watched.clone() {
-            self.weigh(now, unix, print);
-            let last = self.suspects.get(&print).and_then(Suspect::last);
+        for fingerprint in self.watched.clone() {
+            self.weigh(now, unix, fingerprint);
+            let last = self.suspects.get(&fingerprint).and_then(Suspect::last);
             let idle = last.is_none_or(|last| now.saturating_sub(last) > WATCH);
-            let since = self.suspects.get(&print).and_then(|it| it.watched);
+            let since = self.suspects.get(&fingerprint).and_then(|it| it.watched);
             if idle && since.is_none_or(|since| now.saturating_sub(since) > WATCH) {
-                self.unwatch(print);
+                self.unwatch(fingerprint);
             }
         }
-        while let Some(print) = self.order.front().copied() {
-            let last = self.suspects.get(&print).and_then(Suspect::last);
+        while let Some(fingerprint) = self.order.front().copied() {
+            let last = self.suspects.get(&fingerprint).and_then(Suspect::last);
             let fresh = last.is_some_and(|last| now.saturating_sub(last) <= MEMORY);
-            if fresh || self.watched.contains(&print) {
+            if fresh || self.watched.contains(&fingerprint) {
                 break;
             }
             self.order.pop_front();
-            self.suspects.remove(&print);
+            self.suspects.remove(&fingerprint);
         }
         self.offer_trials(now, unix, entries);
     }
@@ -345,86 +345,89 @@
     ///
     /// Room is made at the expense of what was suspected first and is not watched. So a flood of requests that
     /// break off once pushes nothing out that is close to being found, and nothing that was found.
-    fn suspect(&mut self, print: Print) -> &mut Suspect {
-        if !self.suspects.contains_key(&print) {
-            self.order.push_back(print);
+    fn suspect(&mut self, fingerprint: Fingerprint) -> &mut Suspect {
+        if !self.suspects.contains_key(&fingerprint) {
+            self.order.push_back(fingerprint);
             let mut looks = self.order.len();
             while self.suspects.len() >= SUSPECTS && looks > 0 {
                 looks -= 1;
                 let Some(oldest) = self.order.pop_front() else { break };
-                if self.watched.contains(&oldest) || oldest == print {
+                if self.watched.contains(&oldest) || oldest == fingerprint {
                     self.order.push_back(oldest);
                 } else {
                     self.suspects.remove(&oldest);
                 }
             }
         }
-        self.suspects.entry(print).or_default()
+        self.suspects.entry(fingerprint).or_default()
     }
 
     /// Decides of a request by the upstreams that ended under it.
-    fn weigh(&mut self, now: Duration, unix: u64, print: Print) {
-        if self.held.contains_key(&print) || self.rule.lifted.contains(&print) {
+    fn weigh(&mut self, now: Duration, unix: u64, fingerprint: Fingerprint) {
+        if self.held.contains_key(&fingerprint) || self.rule.lifted.contains(&fingerprint) {
             return;
         }
-        let Some(suspect) = self.suspects.get(&print) else { return };
+        let Some(suspect) = self.suspects.get(&fingerprint) else { return };
         let (runs, watched) = (suspect.runs(), suspect.watched);
         let wanted = usize::try_from(self.rule.crashes).unwrap_or(usize::MAX).max(1);
         if runs.len() + 1 < wanted {
             return;
         }
-        let Some(since) = watched else { return self.watch(now, print, runs, wanted) };
+        let Some(since) = watched else { return self.watch(now, fingerprint, runs, wanted) };
         if runs.len() >= wanted && now.saturating_sub(since) >= SETTLE {
-            self.hold(unix, print, runs);
+            self.hold(unix, fingerprint, runs);
         }
     }
 
     /// Has entries watch for answers to a request, if there is room or it is all but found.
-    fn watch(&mut self, now: Duration, print: Print, runs: Vec<Run>, wanted: usize) {
+    fn watch(&mut self, now: Duration, fingerprint: Fingerprint, runs: Vec<Run>, wanted: usize) {
         if self.watched.len() >= LISTED {
-            let least = |it: &&Print| self.suspects.get(it).map_or(0, |it| it.chain().len());
+            let least = |it: &&Fingerprint| self.suspects.get(it).map_or(0, |it| it.chain().len());
             let Some(other) = self.watched.iter().min_by_key(least).copied() else { return };
             if runs.len() < wanted || least(&&other) >= wanted {
                 return;
             }
             self.unwatch(other);
         }
-        self.suspect(print).watched = Some(now);
-        self.watched.insert(print);
-        self.findings.push(Finding::Suspected { print, runs });
+        self.suspect(fingerprint).watched = Some(now);
+        self.watched.insert(fingerprint);
+        self.findings.push(Finding::Suspected { fingerprint, runs });
     }
 
-    fn unwatch(&mut self, print: Print) {
-        self.watched.remove(&print);
-        if let Some(suspect) = self.suspects.get_mut(&print) {
+    fn unwatch(&mut self, fingerprint: Fingerprint) {
+        self.watched.remove(&fingerprint);
+        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
             suspect.watched = None;
         }
     }
 
     /// Holds a request back. What else ran on the upstreams that it ended is innocent of that.
-    fn hold(&mut self, unix: u64, print: Print, runs: Vec<Run>) {
-        self.unwatch(print);
+    fn hold(&mut self, unix: u64, fingerprint: Fingerprint, runs: Vec<Run>) {
+        self.unwatch(fingerprint);
         if self.held.len() >= LISTED {
             let first = self.held.iter().min_by_key(|(_, held)| held.until);
-            let Some((first, _)) = first.map(|(print, held)| (*print, held.until)) else { return };
+            let Some((first, _)) = first.map(|(fingerprint, held)| (*fingerprint, held.until))
+            else {
+                return;
+            };
             self.held.remove(&first);
         }
         let hold = u64::try_from(self.rule.hold.as_millis()).unwrap_or(u64::MAX);
         let until = unix.saturating_add(hold);
-        let held = Held { since: unix, until, tries: 0, tried_by: None };
-        self.held.insert(print, held.clone());
-        self.findings.push(Finding::Held { print, runs, held });
-        let Some(suspect) = self.suspects.get(&print) else { return };
+        let held = Block { since: unix, until, tries: 0, tried_by: None };
+        self.held.insert(fingerprint, held.clone());
+        self.findings.push(Finding::Blocked { fingerprint, runs, held });
+        let Some(suspect) = self.suspects.get(&fingerprint) else { return };
         let ended: Vec<Run> = suspect.steps.iter().map(|it| it.run.clone()).collect();
         for run in &ended {
-            self.explain(print, run);
+            self.explain(fingerprint, run);
         }
         // One that was found before, but by these upstreams alone, only happened to run on them.
         let within = |it: &Suspect| {
             !it.steps.is_empty() && it.steps.iter().all(|step| ended.contains(&step.run))
         };
-        let others = self.held.keys().filter(|other| **other != print);
-        let innocent: Vec<Print> =
+        let others = self.held.keys().filter(|other| **other != fingerprint);
+        let innocent: Vec<Fingerprint> =
             others.filter(|it| self.suspects.get(it).is_some_and(within)).copied().collect();
         for other in innocent {
             self.release(other, Cause::Explained);
@@ -432,7 +435,7 @@
     }
 
     /// Notes that a request which is held back ended an upstream.
-    fn explain(&mut self, culprit: Print, run: &Run) {
+    fn explain(&mut self, culprit: Fingerprint, run: &Run) {
         if !self.explained.contains(run) {
             self.explained.push_back(run.clone());
             if self.explained.len() > LISTED {
@@ -440,26 +443,26 @@
             }
         }
         let mut cleared = Vec::new();
-        for (print, suspect) in &mut self.suspects {
+        for (fingerprint, suspect) in &mut self.suspects {
             let step = suspect.steps.iter_mut().find(|step| step.run == *run);
-            if let Some(step) = step.filter(|_| *print != culprit) {
+            if let Some(step) = step.filter(|_| *fingerprint != culprit) {
                 step.explained = true;
                 if suspect.watched.is_some() && suspect.chain().is_empty() {
-                    cleared.push(*print);
+                    cleared.push(*fingerprint);
                 }
             }
         }
-        for print in cleared {
-            self.unwatch(print);
-            self.findings.push(Finding::Cleared { print, cause: Cause::Explained });
+        for fingerprint in cleared {
+            self.unwatch(fingerprint);
+            self.findings.push(Finding::Cleared { fingerprint, cause: Cause::Explained });
         }
     }
 
     /// Takes the end of another upstream under a request that is held back: one that was on its way when it was
     /// found, or one that was let through again.
-    fn ended_again(&mut self, sent: u64, unix: u64, print: Print, run: &Run) {
-        self.explain(print, run);
-        let Some(held) = self.held.get_mut(&print) else { return };
+    fn ended_again(&mut self, sent: u64, unix: u64, fingerprint: Fingerprint, run: &Run) {
+        self.explain(fingerprint, run);
+        let Some(held) = self.held.get_mut(&fingerprint) else { return };
         if sent < held.until {
             return;
         }
@@ -469,20 +472,20 @@
         let longer = hold.saturating_mul(LONGER.saturating_pow(held.tries.into()));
         held.until = if held.tries >= TRIES { u64::MAX } else { unix.saturating_add(longer) };
         let (held, runs) = (held.clone(), vec![run.clone()]);
-        self.trials.remove(&print);
-        self.findings.push(Finding::Held { print, runs, held });
+        self.trials.remove(&fingerprint);
+        self.findings.push(Finding::Blocked { fingerprint, runs, held });
     }
 
     /// Lets a request be sent again.
-    fn release(&mut self, print: Print, cause: Cause) {
-        if self.rule.forbidden.contains(&print) {
+    fn release(&mut self, fingerprint: Fingerprint, cause: Cause) {
+        if self.rule.forbidden.contains(&fingerprint) {
             return;
         }
-        let was = self.held.remove(&print).is_some() || self.watched.contains(&print);
-        self.trials.remove(&print);
-        self.unwatch(print);
+        let was = self.held.remove(&fingerprint).is_some() || self.watched.contains(&fingerprint);
+        self.trials.remove(&fingerprint);
+        self.unwatch(fingerprint);
         if was {
-            self.findings.push(Finding::Cleared { print, cause });
+            self.findings.push(Finding::Cleared { fingerprint, cause });
         }
     }
 
@@ -493,51 +496,57 @@
         if entries.is_empty() {
             return;
         }
-        for (print, held) in &mut self.held {
-            if unix < held.until || self.rule.forbidden.contains(print) {
+        for (fingerprint, held) in &mut self.held {
+            if unix < held.until || self.rule.forbidden.contains(fingerprint) {
                 continue;
             }
-            let since = self.trials.get(print).copied();
+            let since = self.trials.get(fingerprint).copied();
             if since.is_some_and(|since| now.saturating_sub(since) <= TRIAL) {
                 continue;
             }
             let last = held.tried_by.and_then(|it| entries.iter().position(|entry| *entry == it));
             let entry = entries[last.map_or(0, |last| last + 1) % entries.len()];
             held.tried_by = Some(entry);
-            self.trials.insert(*print, now);
-            self.findings.push(Finding::Tried { print: *print, entry });
+            self.trials.insert(*fingerprint, now);
+            self.findings.push(Finding::Tried { fingerprint: *fingerprint, entry });
         }
     }
 
     /// Does what operators have said of single requests.
     fn overrule(&mut self) {
-        for print in self.rule.lifted.clone() {
-            self.release(print, Cause::Lifted);
+        for fingerprint in self.rule.lifted.clone() {
+            self.release(fingerprint, Cause::Lifted);
         }
         // One that an operator forbade, and forbids no more.
-        let free = |print: &Print, held: &Held| {
-            held.until == u64::MAX && held.tries < TRIES && !self.rule.forbidden.contains(print)
+        let free = |fingerprint: &Fingerprint, held: &Block| {
+            held.until == u64::MAX
+                && held.tries < TRIES
+                && !self.rule.forbidden.contains(fingerprint)
         };
-        let freed = self.held.iter().filter(|(print, held)| free(print, held));
-        for print in freed.map(|(print, _)| *print).collect::<Vec<_>>() {
-            self.release(print, Cause::Lifted);
+        let freed = self.held.iter().filter(|(fingerprint, held)| free(fingerprint, held));
+        for fingerprint in freed.map(|(fingerprint, _)| *fingerprint).collect::<Vec<_>>() {
+            self.release(fingerprint, Cause::Lifted);
         }
-        for print in &self.rule.forbidden {
-            let held = Held { since: 0, until: u64::MAX, tries: 0, tried_by: None };
-            if self.held.insert(*print, held.clone()).as_ref() != Some(&held) {
-                self.findings.push(Finding::Held { print: *print, runs: Vec::new(), held });
+        for fingerprint in &self.rule.forbidden {
+            let held = Block { since: 0, until: u64::MAX, tries: 0, tried_by: None };
+            if self.held.insert(*fingerprint, held.clone()).as_ref() != Some(&held) {
+                self.findings.push(Finding::Blocked {
+                    fingerprint: *fingerprint,
+                    runs: Vec::new(),
+                    held,
+                });
             }
         }
     }
 
     /// Makes what entries go by anew; returns whether that is something else now.
     fn publish(&mut self) -> bool {
-        let same = self.docket.key == self.key
-            && self.docket.watched == self.watched
-            && self.docket.held == self.held;
+        let same = self.blocklist.key == self.key
+            && self.blocklist.watched == self.watched
+            && self.blocklist.held == self.held;
         if !same {
             let (watched, held) = (self.watched.clone(), self.held.clone());
-            self.docket = Arc::new(Docket { key: self.key, watched, held });
+            self.blocklist = Arc::new(Blocklist { key: self.key, watched, held });
         }
         !same
     }
--- a/crates/verbenaslip-fleet/src/quota.rs
+++ b/crates/verbenaslip-fleet/src/quota.rs
@@ -22,31 +22,31 @@
 /// refused in the second after a power loss of all (tailings deployment, 160 requests a second).
 const BEGIN_RESTARTED: f64 = 1.0;
 
-/// The part of each loan that is spread evenly, whatever was asked for lately, so that a team can
+/// The part of each grant that is spread evenly, whatever was asked for lately, so that a team can
 /// begin at an entry where it was not seen before.
 const EVEN_PART: f64 = 0.25;
 
-/// The part of a bucket above which every entry is lent something. What all of them may overdraw
+/// The part of a bucket above which every entry is granted something. What all of them may overdraw
 /// then stays within the tenth that limits may be overrun by.
 const AMPLE: f64 = 0.3;
 
-/// A loan that admits one request, whatever its size.
+/// A grant that admits one request, whatever its size.
 const ONE_REQUEST: f64 = 1.0;
 
-/// The part of a bucket that loans may add up to beyond its level: three times that is within the tenth by which
-/// limits may be overrun in 8 s, and a lost leader's loans and the next one's first come on top of each other.
+/// The part of a bucket that grants may add up to beyond its level: three times that is within the tenth by which
+/// limits may be overrun in 8 s, and a lost leader's grants and the next one's first come on top of each other.
 const OVERDRAFT: f64 = 0.3;
 
 /// How long callers come at once who have waited for a start of all: about as long as they have waited.
 const RETURNING: Duration = Duration::from_secs(2);
 
-/// How long an entry goes on by its last loan when the leader is lost, in seconds.
+/// How long an entry goes on by its last grant when the leader is lost, in seconds.
 const LEASE: f64 = 1.0;
 
-/// The part of what is in the bucket that is lent by turns in one round, beyond what flows in.
+/// The part of what is in the bucket that is granted by turns in one round, beyond what flows in.
 const DRAW: f64 = 1.0;
 
-/// Between two loans to one entry, in seconds.
+/// Between two grants to one entry, in seconds.
 const ROUND: f64 = 0.25;
 
 /// Tells the leader what a team asks for at one entry.
@@ -62,9 +62,9 @@
     pub admitted: f64,
 }
 
-/// Lends an entry units of a team's limit until the next loan.
+/// Grants an entry units of a team's limit until the next grant.
 #[data(float)]
-pub struct Loan {
+pub struct Grant {
     /// The team.
     pub team: Team,
     /// Units that may be admitted beyond what the entry has reported.
@@ -73,8 +73,8 @@
 
 /// Keeps the bucket of each team.
 #[derive(Debug, Default)]
-pub struct Pools {
-    pools: BTreeMap<Team, Pool>,
+pub struct Quotas {
+    quotas: BTreeMap<Team, Pool>,
     restarted: bool,
     /// Until when callers come who have waited for a start of all.
     returning: Option<Duration>,
@@ -89,8 +89,8 @@
     rate: f64,
     /// Units of one request, on average.
     mean: f64,
-    /// What is lent by turns and not settled yet.
-    lent: f64,
+    /// What is granted by turns and not settled yet.
+    granted: f64,
     /// Whether callers come who have waited for a start of all.
     returning: bool,
 }
@@ -103,8 +103,8 @@
     admitted: f64,
     /// What it is owed in turn while the bucket is low.
     due: f64,
-    /// Its unsettled loan by turns.
-    lent: f64,
+    /// Its unsettled grant by turns.
+    granted: f64,
 }
 
 impl Claim {
@@ -116,7 +116,7 @@
     }
 }
 
-impl Pools {
+impl Quotas {
     /// Starts; `restarted` tells whether all entries have just started.
     pub fn open(restarted: bool) -> Self {
         Self { restarted, ..Self::default() }
@@ -127,10 +127,10 @@
         let begin = if self.restarted { BEGIN_RESTARTED } else { BEGIN };
         let until = *self.returning.get_or_insert(now + RETURNING);
         let returning = self.restarted && now < until;
-        self.pools.retain(|team, _| sheet.teams.iter().any(|row| row.name == *team));
+        self.quotas.retain(|team, _| sheet.teams.iter().any(|row| row.name == *team));
         for row in &sheet.teams {
             let Some(quota) = row.quota else {
-                self.pools.remove(&row.name);
+                self.quotas.remove(&row.name);
                 continue;
             };
             let open = || Pool {
@@ -139,10 +139,10 @@
                 at: now,
                 rate: 0.0,
                 mean: 1.0,
-                lent: 0.0,
+                granted: 0.0,
                 returning,
             };
-            let pool = self.pools.entry(row.name.clone()).or_insert_with(open);
+            let pool = self.quotas.entry(row.name.clone()).or_insert_with(open);
             pool.quota = quota;
             pool.returning = returning;
             let passed = now.saturating_sub(pool.at).as_secs_f64();
@@ -153,18 +153,18 @@
 
     /// Takes out what an entry has admitted.
     pub fn spend(&mut self, team: &Team, units: f64) {
-        if let Some(pool) = self.pools.get_mut(team) {
+        if let Some(pool) = self.quotas.get_mut(team) {
             pool.level -= units;
         }
     }
 
     /// Takes the sums over all entries: what is asked for, and how large requests are.
     pub fn weigh<'a>(&mut self, claims: impl Iterator<Item = &'a BTreeMap<Team, Claim>>) {
-        for pool in self.pools.values_mut() {
+        for pool in self.quotas.values_mut() {
             pool.rate = 0.0;
         }
         for (team, claim) in claims.flatten() {
-            let Some(pool) = self.pools.get_mut(team) else { continue };
+            let Some(pool) = self.quotas.get_mut(team) else { continue };
             pool.rate += claim.rate;
             if claim.mean > 0.0 {
                 pool.mean += (claim.mean - pool.mean) * 0.02;
@@ -174,24 +174,24 @@
 
     /// Lends one of `live` entries its part of every bucket.
     ///
-    /// An entry may overdraw what it was lent by one request. While a bucket is well filled that
-    /// does no harm, and every entry is lent something, however small its part would be: otherwise a
-    /// team that asks for little at each of many entries would be refused for want of a loan. When a
-    /// bucket runs low all entries together could overdraw it by far; then only so many are lent one
+    /// An entry may overdraw what it was granted by one request. While a bucket is well filled that
+    /// does no harm, and every entry is granted something, however small its part would be: otherwise a
+    /// team that asks for little at each of many entries would be refused for want of a grant. When a
+    /// bucket runs low all entries together could overdraw it by far; then only so many are granted one
     /// request each as there is for, in turn.
-    pub fn lend(&mut self, claims: &mut BTreeMap<Team, Claim>, live: f64) -> Vec<Loan> {
-        let mut loans = Vec::with_capacity(self.pools.len());
-        for (team, pool) in &mut self.pools {
+    pub fn grant(&mut self, claims: &mut BTreeMap<Team, Claim>, live: f64) -> Vec<Grant> {
+        let mut grants = Vec::with_capacity(self.quotas.len());
+        for (team, pool) in &mut self.quotas {
             let claim = claims.entry(team.clone()).or_default();
-            loans.push(Loan { team: team.clone(), units: pool.lend(claim, live) });
+            grants.push(Grant { team: team.clone(), units: pool.grant(claim, live) });
         }
-        loans
+        grants
     }
 }
 
 impl Pool {
-    fn lend(&mut self, claim: &mut Claim, live: f64) -> f64 {
-        self.lent -= std::mem::take(&mut claim.lent);
+    fn grant(&mut self, claim: &mut Claim, live: f64) -> f64 {
+        self.granted -= std::mem::take(&mut claim.granted);
         let by_demand = if self.rate > 0.0 { claim.rate / self.rate } else { 1.0 / live };
         let share = EVEN_PART / live + (1.0 - EVEN_PART) * by_demand.min(1.0);
         if self.level >= self.quota.burst * AMPLE && !self.is_pressed(live) {
@@ -201,9 +201,9 @@
         self.lend_by_turns(claim, share)
     }
 
-    /// Tells whether loans to all entries could be spent far beyond what is in the bucket before that is known.
+    /// Tells whether grants to all entries could be spent far beyond what is in the bucket before that is known.
     ///
-    /// Each of many entries is lent two requests at least, and may overdraw them by a third. A team that asks for
+    /// Each of many entries is granted two requests at least, and may overdraw them by a third. A team that asks for
     /// several times its limit spends all of it until the next leader is there: one would notice 12.6 million
     /// units in 8 s where 10.4 million are the limit (291 entries, seven times its usual load).
     fn is_pressed(&self, live: f64) -> bool {
@@ -214,7 +214,7 @@
 
     /// Lends an entry so many requests as it is owed and the bucket holds.
     fn lend_by_turns(&mut self, claim: &mut Claim, share: f64) -> f64 {
-        let free = (self.level - self.lent).max(0.0);
+        let free = (self.level - self.granted).max(0.0);
         let flow = (self.quota.rate * ROUND + free * DRAW) * share;
         claim.due = (claim.due + flow).min(self.mean.max(flow) * 2.0);
         let requests = (claim.due.min(free) / self.mean).floor();
@@ -222,8 +222,8 @@
             return 0.0;
         }
         claim.due -= requests * self.mean;
-        claim.lent = requests * self.mean;
-        self.lent += claim.lent;
+        claim.granted = requests * self.mean;
+        self.granted += claim.granted;
         // The last one may be overdrawn by its whole size.
         (requests - 1.0) * self.mean + ONE_REQUEST
     }
--- a/crates/verbenaslip-fleet/src/registry.rs
+++ b/crates/verbenaslip-fleet/src/registry.rs
@@ -92,8 +92,8 @@
 /// Holds the upstreams.
 #[derive(Debug)]
 pub struct Registry {
-    beat: Duration,
-    records: BTreeMap<Upstream, Held>,
+    period: Duration,
+    records: BTreeMap<Upstream, Entry>,
     /// The upstream that was last known at each address.
     addresses: BTreeMap<SocketAddr, Upstream>,
     departures: Departures,
@@ -102,7 +102,7 @@
 }
 
 #[derive(Debug)]
-struct Held {
+struct Entry {
     record: Record,
     stamp: u64,
     heard: Duration,
@@ -138,7 +138,7 @@
     /// Nothing that others must know at once.
     Nothing,
     /// Something that others should know.
-    News,
+    Update,
     /// The upstream leaves: acknowledged only when those that route know it, and whoever may lead.
     Leaving,
     /// Nothing: it names a service that no route table knows, and would take the name or address of an
@@ -147,11 +147,11 @@
 }
 
 impl Registry {
-    /// Starts empty; upstreams announce themselves once per `beat`.
-    pub fn open(beat: Duration) -> Self {
+    /// Starts empty; upstreams announce themselves once per `period`.
+    pub fn open(period: Duration) -> Self {
         let departures = Departures::default();
         let (records, addresses) = (BTreeMap::new(), BTreeMap::new());
-        Self { beat, records, addresses, departures, stamp: 0, purged: 0 }
+        Self { period, records, addresses, departures, stamp: 0, purged: 0 }
     }
 
     /// Starts from what an earlier leader had told, and from all departures that are remembered here.
@@ -181,7 +181,7 @@
         let Announcement { run, address, .. } = &record.announcement;
         let upstream = run.upstream.clone();
         self.addresses.insert(*address, upstream.clone());
-        self.records.insert(upstream, Held { stamp: self.stamp, heard: now, record });
+        self.records.insert(upstream, Entry { stamp: self.stamp, heard: now, record });
     }
 
     /// Returns the departures that are remembered.
@@ -274,7 +274,7 @@
         held.record.standing = Standing::Ready;
         self.stamp += 1;
         held.stamp = self.stamp;
-        Change::News
+        Change::Update
     }
 
     /// Counts a change of something else that is told with the upstreams; returns its number.
@@ -318,7 +318,7 @@
         }
         match (standing == Standing::Leaving && before != standing, changed) {
             (true, _) => Change::Leaving,
-            (false, true) => Change::News,
+            (false, true) => Change::Update,
             (false, false) => Change::Nothing,
         }
     }
@@ -334,7 +334,7 @@
         }
         let Some(held) = self.records.get_mut(&run.upstream) else { return Change::Leaving };
         if held.record.announcement.run.incarnation <= run.incarnation {
-            // This leader may have heard of an earlier run only. Told as that one's end, the word would
+            // This leader may have heard of an earlier run only. Response as that one's end, the word would
             // leave the run that goes in use at entries that know it from an earlier leader.
             held.record.announcement.run = run.clone();
             held.record.standing = *standing;
@@ -354,7 +354,7 @@
         let mut lapse = Lapse::default();
         for held in self.records.values_mut() {
             let silence = now.saturating_sub(held.heard);
-            let Some(standing) = after(held.record.standing, silence, self.beat * MISSED) else {
+            let Some(standing) = after(held.record.standing, silence, self.period * MISSED) else {
                 continue;
             };
             held.record.standing = standing;
@@ -375,7 +375,7 @@
 
     /// Forgets upstreams that are gone or lost once every instance has been told.
     fn forget(&mut self, now: Duration) {
-        let forgotten = |held: &Held| {
+        let forgotten = |held: &Entry| {
             matches!(held.record.standing, Standing::Gone | Standing::Lost)
                 && now.saturating_sub(held.heard) >= MEMORY * 2
         };
@@ -397,7 +397,7 @@
     /// upstreams don't say when they started, by a high sequence number.
     fn welcome(&mut self, now: Duration, announcement: Announcement, served: bool) -> Change {
         let Announcement { run, address, sequence, .. } = &announcement;
-        let at_address = |held: &&mut Held| {
+        let at_address = |held: &&mut Entry| {
             let other = &held.record.announcement;
             other.address == *address
                 && other.run.upstream != run.upstream
@@ -409,7 +409,7 @@
             let late = if before > 0 && run.incarnation > 0 {
                 run.incarnation < before
             } else {
-                now.saturating_sub(old.heard) <= self.beat * 2 && *sequence > YOUNG
+                now.saturating_sub(old.heard) <= self.period * 2 && *sequence > YOUNG
             };
             if !served {
                 return Change::Foreign;
@@ -429,7 +429,7 @@
             self.departures.take(now, run, standing);
         }
         self.hold(now, Record { announcement, standing });
-        if standing == Standing::Leaving { Change::Leaving } else { Change::News }
+        if standing == Standing::Leaving { Change::Leaving } else { Change::Update }
     }
 }
 
--- a/crates/verbenaslip-fleet/src/belief.rs
+++ b/crates/verbenaslip-fleet/src/transition.rs
@@ -4,13 +4,13 @@
 
 use crate::registry::Standing;
 
-/// Changes of belief that are listed by name, also for whoever never asks for them. A zone's upstreams that go
+/// Changes that are listed by name, also for whoever never asks for them. A zone's upstreams that go
 /// together are more than that.
 const LISTED: usize = 32;
 
 /// Says how an upstream stands in an instance's view.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Belief {
+pub struct Transition {
     /// The upstream.
     pub upstream: Upstream,
     /// How it stands; none for one that has gone.
@@ -19,14 +19,14 @@
 
 /// Lists upstreams of which an instance believes something else than before.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Beliefs {
+pub struct Transitions {
     /// How they stand now.
-    pub changed: Vec<Belief>,
+    pub changed: Vec<Transition>,
     /// How many more there are.
     pub unlisted: usize,
 }
 
-impl Beliefs {
+impl Transitions {
     /// Takes how an upstream stood and stands.
     pub(crate) fn take(
         &mut self,
@@ -38,7 +38,7 @@
             return;
         }
         if self.changed.len() < LISTED {
-            self.changed.push(Belief { upstream: upstream.clone(), standing: now });
+            self.changed.push(Transition { upstream: upstream.clone(), standing: now });
         } else {
             self.unlisted += 1;
         }
--- a/crates/verbenaslip-fleet/src/view.rs
+++ b/crates/verbenaslip-fleet/src/view.rs
@@ -9,7 +9,7 @@
 use verbenaslip_base::name::{Team, Upstream};
 
 use crate::index::Index;
-use crate::quarantine::Docket;
+use crate::quarantine::Blocklist;
 use crate::registry::Record;
 use crate::rollout::Plans;
 use crate::sheet::Sheet;
@@ -25,7 +25,7 @@
 
 /// Says up to where an entry may admit a team's units.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Lent {
+pub struct Ceiling {
     /// Units that may be admitted beyond `from`.
     pub units: f64,
     /// What the entry had admitted since its start when it reported.
@@ -42,18 +42,18 @@
     /// The upstreams.
     pub upstreams: Arc<BTreeMap<Upstream, Record>>,
     /// The requests that are suspected or held back.
-    pub docket: Arc<Docket>,
+    pub blocklist: Arc<Blocklist>,
     /// Which versions of services get requests.
     pub plans: Arc<Plans>,
     /// Where this instance is reached by others.
     pub own: Option<SocketAddr>,
     /// Where the cores are reached.
     pub cores: Vec<SocketAddr>,
-    /// What this instance was lent of each team's limit.
-    pub loans: Arc<BTreeMap<Team, Lent>>,
-    /// When the report was sent that the loans answer. They hold for a time from then on, however late the
+    /// What this instance was granted of each team's limit.
+    pub grants: Arc<BTreeMap<Team, Ceiling>>,
+    /// When the report was sent that the grants answer. They hold for a time from then on, however late the
     /// answer was read.
-    pub lent: Option<Duration>,
+    pub granted: Option<Duration>,
     /// How many entries there are.
     pub entries: u32,
     /// When the leader was last heard.
@@ -68,12 +68,12 @@
             stamp: Stamp::default(),
             routes: None,
             upstreams: Arc::default(),
-            docket: Arc::default(),
+            blocklist: Arc::default(),
             plans: Arc::default(),
             own: None,
             cores: Vec::new(),
-            loans: Arc::default(),
-            lent: None,
+            grants: Arc::default(),
+            granted: None,
             entries: 1,
             heard: None,
             time: 0,
--- a/crates/verbenaslip-fleet/tests/account.rs
+++ b/crates/verbenaslip-fleet/tests/account.rs
@@ -3,17 +3,17 @@
 use std::time::Duration;
 
 use verbenaslip_base::name::Upstream;
-use verbenaslip_fleet::account::{Account, Accounts, Met};
-use verbenaslip_fleet::print::Print;
+use verbenaslip_fleet::account::{Account, Accounts, Sighting};
+use verbenaslip_fleet::fingerprint::Fingerprint;
 use verbenaslip_fleet::registry::Run;
 
 const SECOND: Duration = Duration::from_secs(1);
 const OWN: ([u8; 4], u16) = ([10, 2, 0, 1], 7_000);
 
-fn met(number: usize) -> Met {
-    let print = Print::of(7, "red", "h", "/x", &number.to_le_bytes());
+fn met(number: usize) -> Sighting {
+    let fingerprint = Fingerprint::of(7, "red", "h", "/x", &number.to_le_bytes());
     let run = Run { upstream: Upstream::new(format!("i-{number}")), incarnation: 0 };
-    Met { print, run, sent: SECOND, ended: SECOND * 2 }
+    Sighting { fingerprint, run, sent: SECOND, ended: SECOND * 2 }
 }
 
 fn told(accounts: &mut Accounts, now: Duration) -> Option<Account> {
--- a/crates/verbenaslip-fleet/tests/cluster.rs
+++ b/crates/verbenaslip-fleet/tests/cluster.rs
@@ -6,16 +6,16 @@
 use std::time::Duration;
 
 use net::{Net, announcement, edition, run, withdraw};
-use verbenaslip_fleet::frame::{Ask, Told};
+use verbenaslip_fleet::frame::{Request, Response};
 
 const SECOND: Duration = Duration::from_secs(1);
 
-fn adopt(revision: u64) -> Ask {
-    Ask::Adopt(Box::new(edition(revision)))
+fn adopt(revision: u64) -> Request {
+    Request::Adopt(Box::new(edition(revision)))
 }
 
-fn document(revision: u64) -> Told {
-    Told::Document(edition(revision).document)
+fn document(revision: u64) -> Response {
+    Response::Document(edition(revision).document)
 }
 
 #[test]
@@ -24,8 +24,8 @@
     net.run(SECOND * 4);
     assert_eq!(net.leaders().len(), 1);
     for (core, revision) in [(0, 3), (1, 5), (2, 9)] {
-        assert_eq!(net.call(core, adopt(revision)), Some(Told::Adopted { revision }));
-        assert_eq!(net.call((core + 1) % 3, Ask::Read), Some(document(revision)));
+        assert_eq!(net.call(core, adopt(revision)), Some(Response::Adopted { revision }));
+        assert_eq!(net.call((core + 1) % 3, Request::Read), Some(document(revision)));
     }
     net.run(SECOND / 2);
     assert!(net.entries().all(|view| view.revision() == 9));
@@ -36,11 +36,14 @@
     let mut net = Net::found(3, 1);
     net.run(SECOND * 4);
     net.call(0, adopt(7));
-    assert_eq!(net.call(1, adopt(5)), Some(Told::Adopted { revision: 7 }));
+    assert_eq!(net.call(1, adopt(5)), Some(Response::Adopted { revision: 7 }));
     let mut other = edition(7);
     other.document = Arc::from(&b"other content under the same revision"[..]);
-    assert_eq!(net.call(2, Ask::Adopt(Box::new(other))), Some(Told::Adopted { revision: 7 }));
-    assert_eq!(net.call(1, Ask::Read), Some(document(7)));
+    assert_eq!(
+        net.call(2, Request::Adopt(Box::new(other))),
+        Some(Response::Adopted { revision: 7 })
+    );
+    assert_eq!(net.call(1, Request::Read), Some(document(7)));
 }
 
 #[test]
@@ -52,7 +55,7 @@
     assert!(net.call(0, adopt(4)).is_some());
     (0..3).for_each(|core| net.restart(core));
     net.run(SECOND * 6);
-    assert_eq!(net.call(1, Ask::Read), Some(document(4)));
+    assert_eq!(net.call(1, Request::Read), Some(document(4)));
 }
 
 #[test]
@@ -71,7 +74,11 @@
             }
             (0..4).for_each(|entry| net.restart_entry(entry));
             net.run(SECOND * 10);
-            assert_eq!(net.call(first, Ask::Read), Some(document(4)), "{cores} cores, {wiped:?}");
+            assert_eq!(
+                net.call(first, Request::Read),
+                Some(document(4)),
+                "{cores} cores, {wiped:?}"
+            );
             assert!(net.entries().all(|view| view.revision() == 4), "{cores} cores, {wiped:?}");
         }
     }
@@ -86,7 +93,7 @@
     net.stop(leader);
     net.run(SECOND * 4);
     let other = (leader + 1) % 3;
-    assert_eq!(net.call(other, adopt(6)), Some(Told::Adopted { revision: 6 }));
+    assert_eq!(net.call(other, adopt(6)), Some(Response::Adopted { revision: 6 }));
     net.run(SECOND / 2);
     assert!(net.entries().all(|view| view.revision() == 6));
 }
@@ -102,11 +109,11 @@
     for core in [1, 2] {
         net.wipe(core);
         net.run(SECOND * 6);
-        assert_eq!(net.call(0, Ask::Read), Some(document(4)), "after losing disk {core}");
+        assert_eq!(net.call(0, Request::Read), Some(document(4)), "after losing disk {core}");
     }
     net.stop(0);
     net.run(SECOND * 4);
-    assert_eq!(net.call(1, Ask::Read), Some(document(4)));
+    assert_eq!(net.call(1, Request::Read), Some(document(4)));
 }
 
 #[test]
@@ -120,7 +127,7 @@
     // Without the replacement this would leave one voter of three.
     net.stop(1);
     net.run(SECOND * 4);
-    assert_eq!(net.call(new, adopt(8)), Some(Told::Adopted { revision: 8 }));
+    assert_eq!(net.call(new, adopt(8)), Some(Response::Adopted { revision: 8 }));
 }
 
 #[test]
@@ -135,7 +142,7 @@
     net.wipe(2);
     net.run(SECOND * 10);
     assert!(net.leaders().is_empty());
-    assert_eq!(net.call(1, Ask::Read), Some(Told::Unsure));
+    assert_eq!(net.call(1, Request::Read), Some(Response::Unsure));
 }
 
 #[test]
@@ -150,11 +157,11 @@
     net.cut(old);
     net.run(SECOND * 4);
     let other = (old + 1) % 3;
-    assert_eq!(net.call(other, adopt(6)), Some(Told::Adopted { revision: 6 }));
-    assert_eq!(net.call(old, Ask::Read), Some(Told::Unsure));
+    assert_eq!(net.call(other, adopt(6)), Some(Response::Adopted { revision: 6 }));
+    assert_eq!(net.call(old, Request::Read), Some(Response::Unsure));
     net.heal(old);
     net.run(SECOND * 3);
-    assert_eq!(net.call(old, Ask::Read), Some(document(6)));
+    assert_eq!(net.call(old, Request::Read), Some(document(6)));
 }
 
 #[test]
@@ -169,12 +176,12 @@
     net.freeze(old);
     net.run(SECOND * 4);
     let other = (old + 1) % 3;
-    assert_eq!(net.call(other, adopt(6)), Some(Told::Adopted { revision: 6 }));
-    let call = net.ask(old, Ask::Read);
+    assert_eq!(net.call(other, adopt(6)), Some(Response::Adopted { revision: 6 }));
+    let call = net.ask(old, Request::Read);
     assert_ne!(net.answer(call), Some(document(4)));
     net.thaw(old);
     net.run(SECOND);
-    assert_eq!(net.call(old, Ask::Read), Some(document(6)));
+    assert_eq!(net.call(old, Request::Read), Some(document(6)));
 }
 
 #[test]
@@ -200,11 +207,11 @@
     let mut net = Net::found(3, 4);
     net.run(SECOND * 4);
     net.call(0, adopt(4));
-    net.call(0, Ask::Announce(Box::new(announcement("u", 1, false))));
+    net.call(0, Request::Announce(Box::new(announcement("u", 1, false))));
     net.run(SECOND / 2);
     assert!(net.entries().all(|view| view.upstreams.len() == 1));
-    let told = net.call(1, Ask::Announce(Box::new(announcement("u", 2, true))));
-    assert_eq!(told, Some(Told::Noted));
+    let told = net.call(1, Request::Announce(Box::new(announcement("u", 2, true))));
+    assert_eq!(told, Some(Response::Noted));
     let knows = |view: &verbenaslip_fleet::View| {
         let mut records = view.upstreams.values();
         records.all(|record| record.standing != verbenaslip_fleet::registry::Standing::Ready)
@@ -220,15 +227,15 @@
     let mut net = Net::found(5, 12);
     net.run(SECOND * 5);
     net.call(0, adopt(4));
-    net.call(0, Ask::Announce(Box::new(announcement("u", 1, false))));
+    net.call(0, Request::Announce(Box::new(announcement("u", 1, false))));
     net.run(SECOND);
     (0..5).for_each(|core| net.restart(core));
     while net.leaders().is_empty() {
         net.run(SECOND / 50);
     }
     let leader = net.leaders()[0];
-    let told = net.call(leader, Ask::Announce(Box::new(announcement("u", 9, true))));
-    if told == Some(Told::Noted) {
+    let told = net.call(leader, Request::Announce(Box::new(announcement("u", 9, true))));
+    if told == Some(Response::Noted) {
         let ready = verbenaslip_fleet::registry::Standing::Ready;
         let stale = net
             .entries()
@@ -258,7 +265,7 @@
 fn a_lost_disk_is_replaced_whatever_else_goes_on_at_that_moment() {
     // Symptom: nothing is served after a power loss, and nothing can be read. Sequence: a core comes
     // back with an empty disk just as another one is elected; 20 s later the next disk is lost.
-    // Cause: the new leader heard of the empty folder before its lease began and dropped the news, so
+    // Cause: the new leader heard of the empty folder before its lease began and dropped the update, so
     // two of three voters had lost their disks.
     for offset in (0..1_500).step_by(50) {
         let mut net = Net::found(3, 1);
@@ -272,7 +279,7 @@
         net.run(SECOND * 9);
         net.wipe(third);
         net.run(SECOND * 8);
-        assert_eq!(net.call(leader, Ask::Read), Some(document(4)), "offset {offset} ms");
+        assert_eq!(net.call(leader, Request::Read), Some(document(4)), "offset {offset} ms");
     }
 }
 
@@ -284,7 +291,10 @@
     // leader's messages to the emptied voters, and what the replaced one knows of the others, unused.
     let mut net = Net::found_with(6, 2, 5);
     net.run(Duration::from_secs(4));
-    assert!(matches!(net.call(0, Ask::Adopt(Box::new(edition(5)))), Some(Told::Adopted { .. })));
+    assert!(matches!(
+        net.call(0, Request::Adopt(Box::new(edition(5)))),
+        Some(Response::Adopted { .. })
+    ));
     net.cut(2);
     net.run(Duration::from_secs(10));
     net.heal(2);
@@ -296,8 +306,8 @@
     assert_eq!(net.leaders().len(), 1);
     assert!(net.entries().all(|view| view.revision() == 5), "entries have the routes again");
     for core in 0..6 {
-        let told = net.call(core, Ask::Read);
-        assert!(matches!(told, Some(Told::Document(_))), "core {core}: {told:?}");
+        let told = net.call(core, Request::Read);
+        assert!(matches!(told, Some(Response::Document(_))), "core {core}: {told:?}");
     }
 }
 
@@ -349,24 +359,24 @@
         .into_iter()
         .flat_map(|kind| (0..60).step_by(3).map(move |ticks| (ticks * 5, kind)))
     {
-        for leaving in [withdraw("u"), Ask::Announce(Box::new(announcement("u", 8, true)))] {
+        for leaving in [withdraw("u"), Request::Announce(Box::new(announcement("u", 8, true)))] {
             let mut net = Net::found(3, 3);
             net.run(SECOND * 4);
             net.call(0, adopt(4));
-            net.call(0, Ask::Announce(Box::new(announcement("u", 7, false))));
+            net.call(0, Request::Announce(Box::new(announcement("u", 7, false))));
             net.run(SECOND);
             let leader = net.leaders()[0];
             let (asked, other) = ((leader + 1) % 3, (leader + 2) % 3);
             let mut call = net.ask(asked, leaving.clone());
             net.run(Duration::from_millis(strike_at));
             strike(&mut net, leader, kind);
-            let mut acknowledged = net.answer(call) == Some(Told::Noted);
+            let mut acknowledged = net.answer(call) == Some(Response::Noted);
             // Its sender asks again until it is acknowledged, as an upstream does.
             for _ in 0..6 {
                 net.run(SECOND / 2);
-                acknowledged = acknowledged || net.answer(call) == Some(Told::Noted);
+                acknowledged = acknowledged || net.answer(call) == Some(Response::Noted);
                 let late = if acknowledged { 9 } else { 7 };
-                net.ask(other, Ask::Announce(Box::new(announcement("u", late, false))));
+                net.ask(other, Request::Announce(Box::new(announcement("u", late, false))));
                 if !acknowledged {
                     call = net.ask(asked, leaving.clone());
                 }
@@ -387,12 +397,12 @@
     let mut net = Net::found(3, 2);
     net.run(SECOND * 4);
     net.call(0, adopt(4));
-    net.call(0, Ask::Announce(Box::new(announcement("u", 7, false))));
-    assert_eq!(net.call(1, withdraw("u")), Some(Told::Noted));
+    net.call(0, Request::Announce(Box::new(announcement("u", 7, false))));
+    assert_eq!(net.call(1, withdraw("u")), Some(Response::Noted));
     (0..3).for_each(|core| net.restart(core));
     (0..2).for_each(|entry| net.restart_entry(entry));
     net.run(SECOND * 3);
-    net.call(2, Ask::Announce(Box::new(announcement("u", 9, false))));
+    net.call(2, Request::Announce(Box::new(announcement("u", 9, false))));
     net.run(SECOND);
     assert!(!is_used(&net, "u"));
 }
@@ -404,13 +414,13 @@
     // registry passed over, noted in the log all the same.
     let mut net = Net::found(3, 1);
     net.run(SECOND * 4);
-    net.call(0, Ask::Announce(Box::new(announcement("u", 1, false))));
+    net.call(0, Request::Announce(Box::new(announcement("u", 1, false))));
     net.call(0, adopt(4));
     let foreign = verbenaslip_fleet::registry::Announcement {
         service: "none".into(),
         ..announcement("u", 9, true)
     };
-    assert_eq!(net.call(0, Ask::Announce(Box::new(foreign))), Some(Told::Noted));
+    assert_eq!(net.call(0, Request::Announce(Box::new(foreign))), Some(Response::Noted));
     (0..3).for_each(|core| net.restart(core));
     net.restart_entry(0);
     net.run(SECOND * 3);
@@ -425,12 +435,12 @@
     // Cause: an acknowledgement of what nobody holds.
     let mut net = Net::found(3, 1);
     net.run(SECOND * 4);
-    net.call(0, Ask::Announce(Box::new(announcement("u", 1, false))));
+    net.call(0, Request::Announce(Box::new(announcement("u", 1, false))));
     net.call(0, adopt(4));
-    let told = net.call(0, Ask::Announce(Box::new(announcement("v", 2, true))));
-    assert_eq!(told, Some(Told::Noted));
+    let told = net.call(0, Request::Announce(Box::new(announcement("v", 2, true))));
+    assert_eq!(told, Some(Response::Noted));
     net.call(0, withdraw("u"));
-    net.call(0, Ask::Announce(Box::new(announcement("v", 1, false))));
+    net.call(0, Request::Announce(Box::new(announcement("v", 1, false))));
     net.run(SECOND);
     assert!(!is_used(&net, "v"));
 }
@@ -443,7 +453,7 @@
     let mut net = Net::found(3, 2);
     net.run(SECOND * 4);
     net.call(0, adopt(4));
-    net.call(0, Ask::Announce(Box::new(announcement("u", 1, false))));
+    net.call(0, Request::Announce(Box::new(announcement("u", 1, false))));
     net.run(SECOND / 2);
     let leader = net.leaders()[0];
     net.cut_entry(0);
@@ -453,7 +463,7 @@
     assert_eq!(net.answer(first), None);
     assert_eq!(net.answer(second), None, "one entry that answered a moment ago does not know it");
     net.run(SECOND);
-    assert_eq!(net.answer(second), Some(Told::Noted));
+    assert_eq!(net.answer(second), Some(Response::Noted));
 }
 
 #[test]
@@ -464,9 +474,10 @@
     let say = |incarnation, sequence, draining| {
         let it = announcement("u", sequence, draining);
         let it = verbenaslip_fleet::registry::Announcement { run: run("u", incarnation), ..it };
-        Ask::Announce(Box::new(it))
+        Request::Announce(Box::new(it))
     };
-    let gone = |incarnation| Ask::Withdraw { upstream: "u".into(), incarnation: Some(incarnation) };
+    let gone =
+        |incarnation| Request::Withdraw { upstream: "u".into(), incarnation: Some(incarnation) };
     let words =
         [say(10, 5, false), say(10, 6, true), gone(10), say(20, 1, false), say(20, 2, false)];
     // Every order of the five words.
@@ -526,10 +537,10 @@
         let address = ([10, 9, 0, name.as_bytes()[0]], 80).into();
         let it =
             verbenaslip_fleet::registry::Announcement { address, ..announcement(name, 1, false) };
-        net.call(1, Ask::Announce(Box::new(it)));
+        net.call(1, Request::Announce(Box::new(it)));
     }
     net.run(SECOND);
-    assert_eq!(net.call(0, withdraw("w")), Some(Told::Noted));
+    assert_eq!(net.call(0, withdraw("w")), Some(Response::Noted));
     (0..3).for_each(|core| net.restart(core));
     (0..2).for_each(|entry| net.restart_entry(entry));
     while net.leaders().is_empty() {
@@ -549,9 +560,9 @@
     // and what is meant for the first is refused by the second.
     let mut net = Net::found(3, 1);
     net.run(SECOND * 4);
-    net.call(0, Ask::Announce(Box::new(announcement("u", 1, false))));
+    net.call(0, Request::Announce(Box::new(announcement("u", 1, false))));
     net.run(SECOND * 3);
-    net.call(0, Ask::Announce(Box::new(announcement("v", 1, false))));
+    net.call(0, Request::Announce(Box::new(announcement("v", 1, false))));
     net.run(SECOND);
     (0..3).for_each(|core| net.restart(core));
     net.restart_entry(0);
@@ -571,7 +582,7 @@
     let mut net = Net::found(3, 2);
     net.run(SECOND * 4);
     net.call(0, adopt(4));
-    net.call(0, Ask::Announce(Box::new(announcement("u", 1, false))));
+    net.call(0, Request::Announce(Box::new(announcement("u", 1, false))));
     net.run(SECOND * 70);
     assert!(net.entries().all(|view| view.upstreams.is_empty()));
 }
@@ -584,10 +595,10 @@
     let mut net = Net::found(3, 2);
     net.run(SECOND * 4);
     net.call(0, adopt(4));
-    net.call(0, Ask::Announce(Box::new(announcement("u", 1, false))));
+    net.call(0, Request::Announce(Box::new(announcement("u", 1, false))));
     net.run(SECOND * 70);
     for sequence in 2..6 {
-        net.call(0, Ask::Announce(Box::new(announcement("u", sequence, false))));
+        net.call(0, Request::Announce(Box::new(announcement("u", sequence, false))));
         net.run(SECOND);
     }
     assert!(is_ready(&net, "u"));
@@ -595,7 +606,7 @@
     net.restart(leader);
     for sequence in 6..10 {
         net.run(SECOND);
-        net.call((leader + 1) % 3, Ask::Announce(Box::new(announcement("u", sequence, false))));
+        net.call((leader + 1) % 3, Request::Announce(Box::new(announcement("u", sequence, false))));
     }
     assert!(is_ready(&net, "u"));
 }
@@ -605,7 +616,7 @@
     let mut net = Net::found(3, 1);
     net.run(SECOND * 4);
     net.call(0, adopt(4));
-    net.call(0, Ask::Announce(Box::new(announcement("u", 1, false))));
+    net.call(0, Request::Announce(Box::new(announcement("u", 1, false))));
     net.run(SECOND * 70);
     (0..3).for_each(|core| net.restart(core));
     net.restart_entry(0);
--- a/crates/verbenaslip-fleet/tests/disk.rs
+++ b/crates/verbenaslip-fleet/tests/disk.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use net::{Net, announcement, serving, withdraw};
-use verbenaslip_fleet::frame::{Ask, Told};
+use verbenaslip_fleet::frame::{Request, Response};
 use verbenaslip_fleet::registry::Standing;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -15,8 +15,8 @@
 fn fleet() -> (Net, usize) {
     let mut net = Net::found(3, 3);
     net.run(SECOND * 4);
-    net.call(0, Ask::Adopt(Box::new(serving(4))));
-    net.call(0, Ask::Announce(Box::new(announcement("u", 1, false))));
+    net.call(0, Request::Adopt(Box::new(serving(4))));
+    net.call(0, Request::Announce(Box::new(announcement("u", 1, false))));
     net.run(SECOND);
     let leader = net.leaders()[0];
     (net, leader)
@@ -38,12 +38,12 @@
         let (mut net, leader) = fleet();
         net.stall((leader + stalled) % 3);
         let began = net.now();
-        assert_eq!(net.call((leader + asked) % 3, withdraw("u")), Some(Told::Noted));
+        assert_eq!(net.call((leader + asked) % 3, withdraw("u")), Some(Response::Noted));
         assert!(net.now() - began <= ANSWERED, "{stalled} {asked}: {:?}", net.now() - began);
         assert!(!is_used(&net), "{stalled} {asked}: acknowledged before all knew");
-        let edit = Ask::Adopt(Box::new(serving(6)));
+        let edit = Request::Adopt(Box::new(serving(6)));
         let told = net.call((leader + asked) % 3, edit);
-        assert_eq!(told, Some(Told::Adopted { revision: 6 }), "{stalled} {asked}");
+        assert_eq!(told, Some(Response::Adopted { revision: 6 }), "{stalled} {asked}");
     }
 }
 
@@ -56,16 +56,20 @@
         let (mut net, leader) = fleet();
         let stalled = stalled.map(|core| (leader + core) % 3);
         stalled.into_iter().for_each(|core| net.stall(core));
-        for ask in [withdraw("u"), Ask::Adopt(Box::new(serving(8)))] {
+        for ask in [withdraw("u"), Request::Adopt(Box::new(serving(8)))] {
             let began = net.now();
-            assert_eq!(net.call(leader, ask), Some(Told::Unsure), "{stalled:?}");
+            assert_eq!(net.call(leader, ask), Some(Response::Unsure), "{stalled:?}");
             assert!(net.now() - began <= ANSWERED, "{stalled:?}: {:?}", net.now() - began);
         }
         // What entries know of it does no harm, and a read needs no disk.
         assert!(!is_used(&net));
-        assert_eq!(net.call(leader, Ask::Read), Some(Told::Document(serving(4).document)));
+        assert_eq!(net.call(leader, Request::Read), Some(Response::Document(serving(4).document)));
         stalled.into_iter().for_each(|core| net.unstall(core));
         net.run(SECOND);
-        assert_eq!(net.call(leader, withdraw("u")), Some(Told::Noted), "once they answer again");
+        assert_eq!(
+            net.call(leader, withdraw("u")),
+            Some(Response::Noted),
+            "once they answer again"
+        );
     }
 }
--- a/crates/verbenaslip-fleet/tests/entry.rs
+++ b/crates/verbenaslip-fleet/tests/entry.rs
@@ -1,10 +1,10 @@
-//! What an entry believes of news that come late.
+//! What an entry does with updates that come late.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use verbenaslip_base::name::{AvailabilityZone, Instance};
-use verbenaslip_fleet::frame::{Frame, News, Peer, Round};
+use verbenaslip_fleet::frame::{Frame, Peer, Round, Update};
 use verbenaslip_fleet::link::Report;
 use verbenaslip_fleet::view::Stamp;
 use verbenaslip_fleet::{Entry, clock};
@@ -33,16 +33,17 @@
 
 /// Has an entry report at a time; returns the leader's answer, written at once.
 fn answer(entry: &mut Entry, now: Duration) -> Frame {
-    let letter = entry.beat(now, unix(now), Report::default()).expect("a report is due");
-    let Frame::Beat(beat) = letter.frame else { panic!("a report is a beat") };
-    let round = Round { cores: Vec::new(), number: beat.number, loans: Vec::new(), entries: 1 };
-    Frame::News(Box::new(News {
+    let envelope = entry.heartbeat(now, unix(now), Report::default()).expect("a report is due");
+    let Frame::Heartbeat(heartbeat) = envelope.frame else { panic!("a report is a heartbeat") };
+    let round =
+        Round { cores: Vec::new(), number: heartbeat.number, grants: Vec::new(), entries: 1 };
+    Frame::Update(Box::new(Update {
         from: LEADER.into(),
         stamp: Stamp { term: 3, change: 1 },
         base: None,
         records: Vec::new(),
         sheet: None,
-        docket: None,
+        blocklist: None,
         plans: None,
         round: Some(round),
         unix: unix(now),
--- a/crates/verbenaslip-fleet/tests/hub.rs
+++ b/crates/verbenaslip-fleet/tests/hub.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use verbenaslip_base::name::{AvailabilityZone, Instance};
-use verbenaslip_fleet::frame::{Beat, Peer};
+use verbenaslip_fleet::frame::{Heartbeat, Peer};
 use verbenaslip_fleet::hub::{Hub, Source};
 use verbenaslip_fleet::ledger::{Command, Edition, Ledger};
 use verbenaslip_fleet::registry::{Announcement, Registry};
@@ -20,7 +20,7 @@
     ([10, 0, 0, host], 7_000).into()
 }
 
-fn beat(host: u8, change: u64) -> Beat {
+fn heartbeat(host: u8, change: u64) -> Heartbeat {
     let peer = Peer {
         address: address(host),
         name: Instance::from(format!("entry-{host}").as_str()),
@@ -28,7 +28,7 @@
         incarnation: 1,
         voter: None,
     };
-    Beat {
+    Heartbeat {
         peer,
         seen: Stamp { term: TERM, change },
         revision: 0,
@@ -52,7 +52,7 @@
 fn a_change_is_told_to_all_that_lack_the_same_at_once() {
     // Symptom: with hundreds of entries, reports go unanswered and routes come into force seconds late
     // while upstreams start. Sequence: dozens of upstreams a second announce themselves; each push is
-    // made and written for each entry. Cause: the same news made as often as there are entries.
+    // made and written for each entry. Cause: the same update made as often as there are entries.
     let now = Duration::from_secs(1);
     let (mut hub, mut registry) = (Hub::default(), Registry::open(Duration::from_millis(1_200)));
     let ledger = Ledger::default();
@@ -62,7 +62,7 @@
     let all: Vec<SocketAddr> = hosts.clone().map(address).collect();
     for host in hosts {
         // One has nothing yet; the others have the first upstream.
-        hub.take(now, TERM, beat(host, if host == 7 { 0 } else { first }));
+        hub.take(now, TERM, heartbeat(host, if host == 7 { 0 } else { first }));
     }
     registry.announce(now, announcement(2), true);
     let registry = &registry;
@@ -71,8 +71,8 @@
         term: TERM,
         registry,
         ledger: &ledger,
-        docket: &Arc::default(),
-        docketed: 0,
+        blocklist: &Arc::default(),
+        blocklist_change: 0,
         plans: &Arc::default(),
         planned: 0,
         urgent: false,
@@ -80,7 +80,7 @@
     };
     let pushes = hub.push(now, &all, &source);
     let sizes: Vec<(usize, usize)> =
-        pushes.iter().map(|push| (push.leg.to.len(), push.news.records.len())).collect();
+        pushes.iter().map(|push| (push.path.to.len(), push.update.records.len())).collect();
     assert_eq!(sizes, [(1, 2), (199, 1)], "all upstreams to one, the new one to the others");
     assert!(hub.behind(registry.stamp(), 0).is_empty());
 }
@@ -110,18 +110,21 @@
         term: TERM,
         registry: &registry,
         ledger: &ledger,
-        docket: &Arc::default(),
-        docketed: 0,
+        blocklist: &Arc::default(),
+        blocklist_change: 0,
         plans: &Arc::default(),
         planned: 0,
         urgent: false,
         unix: 0,
     };
-    let lent = (1..=9).map(|host| {
-        hub.take(now, TERM, beat(host, 0));
-        let news = hub.answer(address(host), &source, Vec::new()).expect("it reported");
-        news.round.expect("an answer").loans.iter().map(|loan| loan.units).sum::<f64>()
+    let granted = (1..=9).map(|host| {
+        hub.take(now, TERM, heartbeat(host, 0));
+        let update = hub.answer(address(host), &source, Vec::new()).expect("it reported");
+        update.round.expect("an answer").grants.iter().map(|grant| grant.units).sum::<f64>()
     });
-    let lent: Vec<f64> = lent.collect();
-    assert!(lent.iter().all(|units| (units - 100.0).abs() < 1.0), "an equal part each: {lent:?}");
+    let granted: Vec<f64> = granted.collect();
+    assert!(
+        granted.iter().all(|units| (units - 100.0).abs() < 1.0),
+        "an equal part each: {granted:?}"
+    );
 }
--- a/crates/verbenaslip-fleet/tests/ledger.rs
+++ b/crates/verbenaslip-fleet/tests/ledger.rs
@@ -4,9 +4,9 @@
 
 use net::{announcement, edition, run};
 use verbenaslip_fleet::departure::{Departure, MEMORY};
+use verbenaslip_fleet::fingerprint::Fingerprint;
 use verbenaslip_fleet::ledger::{Command, Ledger};
-use verbenaslip_fleet::print::Print;
-use verbenaslip_fleet::quarantine::{Held, Kept};
+use verbenaslip_fleet::quarantine::{Block, Persisted};
 use verbenaslip_fleet::registry::{Record, Standing};
 
 fn record(name: &str, port: u16) -> Record {
@@ -70,12 +70,13 @@
 #[test]
 fn the_key_of_prints_stays_whatever_a_later_leader_draws() {
     // Symptom: what is held back is let through by all entries. Sequence: a leader that did not know the key yet
-    // has another one committed. Cause: prints that were made by a key that nobody uses any more.
+    // has another one committed. Cause: fingerprints that were made by a key that nobody uses any more.
     let mut ledger = Ledger::default();
-    let print = Print::of(7, "red", "h", "/x", b"bad");
-    let held = Held { since: 1, until: 2, tries: 0, tried_by: None };
-    ledger.apply(Command::Quarantine(Kept { key: Some(7), held: [(print, held)].into() }));
-    ledger.apply(Command::Quarantine(Kept { key: Some(8), ..ledger.quarantine().clone() }));
+    let fingerprint = Fingerprint::of(7, "red", "h", "/x", b"bad");
+    let held = Block { since: 1, until: 2, tries: 0, tried_by: None };
+    ledger
+        .apply(Command::Quarantine(Persisted { key: Some(7), held: [(fingerprint, held)].into() }));
+    ledger.apply(Command::Quarantine(Persisted { key: Some(8), ..ledger.quarantine().clone() }));
     assert_eq!(ledger.quarantine().key, Some(7));
     let restored = Ledger::restore(&ledger.snapshot()).expect("it can be read");
     assert_eq!(restored.quarantine(), ledger.quarantine());
--- a/crates/verbenaslip-fleet/tests/net/mod.rs
+++ b/crates/verbenaslip-fleet/tests/net/mod.rs
@@ -9,7 +9,7 @@
 
 use verbenaslip_base::name::{AvailabilityZone, Instance, Upstream};
 use verbenaslip_fleet::core::{Core, Input, Note, Output, Setup, name_of};
-use verbenaslip_fleet::frame::{Ask, Frame, Peer, Told};
+use verbenaslip_fleet::frame::{Frame, Peer, Request, Response};
 use verbenaslip_fleet::ledger::Edition;
 use verbenaslip_fleet::link::Report;
 use verbenaslip_fleet::quarantine::Rule;
@@ -67,8 +67,8 @@
     Run { upstream: Upstream::from(name), incarnation }
 }
 
-pub fn withdraw(name: &str) -> Ask {
-    Ask::Withdraw { upstream: Upstream::from(name), incarnation: None }
+pub fn withdraw(name: &str) -> Request {
+    Request::Withdraw { upstream: Upstream::from(name), incarnation: None }
 }
 
 /// Holds one core: the process, if it runs, and the disk.
@@ -94,7 +94,7 @@
     deaf: BTreeSet<SocketAddr>,
     /// Cores whose disks answer nothing.
     stalled: BTreeSet<usize>,
-    replies: BTreeMap<u64, Told>,
+    replies: BTreeMap<u64, Response>,
     calls: u64,
     identities: u128,
     voters: usize,
@@ -295,7 +295,7 @@
     }
 
     /// Calls a core and returns its answer.
-    pub fn call(&mut self, core: usize, ask: Ask) -> Option<Told> {
+    pub fn call(&mut self, core: usize, ask: Request) -> Option<Response> {
         self.calls += 1;
         let id = self.calls;
         self.step(core, Input::Call { id, ask });
@@ -307,7 +307,7 @@
     }
 
     /// Calls a core without waiting for the answer; returns the name of the call.
-    pub fn ask(&mut self, core: usize, ask: Ask) -> u64 {
+    pub fn ask(&mut self, core: usize, ask: Request) -> u64 {
         self.calls += 1;
         self.step(core, Input::Call { id: self.calls, ask });
         self.calls
@@ -323,7 +323,7 @@
     }
 
     /// Takes the answer to a call, if it has come.
-    pub fn answer(&mut self, call: u64) -> Option<Told> {
+    pub fn answer(&mut self, call: u64) -> Option<Response> {
         self.replies.remove(&call)
     }
 
@@ -367,10 +367,10 @@
         }
         let truth = u64::try_from(self.truth()).expect("positive");
         for index in 0..self.entries.len() {
-            let letter = self.entries[index].beat(self.now, truth, Report::default());
-            self.post(entry_address(index), letter);
-            let letter = self.entries[index].account(self.now);
-            self.post(entry_address(index), letter);
+            let envelope = self.entries[index].heartbeat(self.now, truth, Report::default());
+            self.post(entry_address(index), envelope);
+            let envelope = self.entries[index].account(self.now);
+            self.post(entry_address(index), envelope);
         }
         let mut held = VecDeque::new();
         while self.mail.front().is_some_and(|(due, ..)| *due <= self.ticks) {
@@ -394,18 +394,18 @@
             return self.step(index, Input::Frame(Box::new(frame)));
         }
         if let Some(index) = (0..self.entries.len()).find(|it| entry_address(*it) == to) {
-            let letter = self.entries[index].take(self.now, frame);
-            self.post(to, letter);
+            let envelope = self.entries[index].take(self.now, frame);
+            self.post(to, envelope);
         }
     }
 
-    fn post(&mut self, from: SocketAddr, letter: Option<verbenaslip_fleet::entry::Letter>) {
-        let Some(letter) = letter else { return };
+    fn post(&mut self, from: SocketAddr, envelope: Option<verbenaslip_fleet::entry::Envelope>) {
+        let Some(envelope) = envelope else { return };
         if self.cut.contains(&from) {
             return;
         }
-        for to in letter.to {
-            self.mail.push_back((self.ticks + WAY, to, letter.frame.clone()));
+        for to in envelope.to {
+            self.mail.push_back((self.ticks + WAY, to, envelope.frame.clone()));
         }
     }
 
--- a/crates/verbenaslip-fleet/tests/notes.rs
+++ b/crates/verbenaslip-fleet/tests/notes.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use net::{Net, announcement, edition, run, withdraw};
-use verbenaslip_fleet::belief::Belief;
 use verbenaslip_fleet::core::Note;
-use verbenaslip_fleet::frame::{Ask, Told};
+use verbenaslip_fleet::frame::{Request, Response};
 use verbenaslip_fleet::registry::Standing;
+use verbenaslip_fleet::transition::Transition;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -16,8 +16,8 @@
 fn fleet() -> Net {
     let mut net = Net::found(3, 2);
     net.run(SECOND * 4);
-    net.call(0, Ask::Adopt(Box::new(edition(4))));
-    net.call(0, Ask::Announce(Box::new(announcement("u", 7, false))));
+    net.call(0, Request::Adopt(Box::new(edition(4))));
+    net.call(0, Request::Announce(Box::new(announcement("u", 7, false))));
     net.run(SECOND);
     net.take_notes();
     net
@@ -26,7 +26,7 @@
 #[test]
 fn an_acknowledged_leaving_says_who_knew_it() {
     let mut net = fleet();
-    assert_eq!(net.call(0, withdraw("u")), Some(Told::Noted));
+    assert_eq!(net.call(0, withdraw("u")), Some(Response::Noted));
     let notes = net.take_notes();
     let told = notes.iter().find_map(|(_, note)| match note {
         Note::Acknowledged { departure, spread, .. } => Some((departure.clone(), *spread)),
@@ -46,7 +46,7 @@
     net.cut(old);
     net.run(SECOND * 3);
     let new = *net.leaders().iter().find(|core| **core != old).expect("another one leads");
-    net.call(new, Ask::Announce(Box::new(announcement("u", 9, false))));
+    net.call(new, Request::Announce(Box::new(announcement("u", 9, false))));
     let notes = net.take_notes();
     let began = notes.iter().any(|(core, note)| {
         *core == new && matches!(note, Note::Began { departures: 1, upstreams: 0, .. })
@@ -61,20 +61,20 @@
     assert!(matches!(late.departed, Some((Standing::Gone, age)) if age > SECOND));
 }
 
-fn beliefs(net: &mut Net) -> Vec<Belief> {
-    net.entry_mut(0).take_beliefs().changed
+fn transitions(net: &mut Net) -> Vec<Transition> {
+    net.entry_mut(0).take_transitions().changed
 }
 
-fn belief(standing: Option<Standing>) -> Belief {
-    Belief { upstream: "u".into(), standing }
+fn transition(standing: Option<Standing>) -> Transition {
+    Transition { upstream: "u".into(), standing }
 }
 
 #[test]
 fn an_entry_says_which_upstreams_it_believes_something_else_of() {
     let mut net = fleet();
-    assert_eq!(beliefs(&mut net), [belief(Some(Standing::Ready))]);
-    net.call(0, Ask::Announce(Box::new(announcement("u", 8, true))));
-    assert_eq!(beliefs(&mut net), [belief(Some(Standing::Leaving))]);
+    assert_eq!(transitions(&mut net), [transition(Some(Standing::Ready))]);
+    net.call(0, Request::Announce(Box::new(announcement("u", 8, true))));
+    assert_eq!(transitions(&mut net), [transition(Some(Standing::Leaving))]);
     net.call(0, withdraw("u"));
-    assert_eq!(beliefs(&mut net), [belief(None)]);
+    assert_eq!(transitions(&mut net), [transition(None)]);
 }
--- a/crates/verbenaslip-fleet/tests/poison.rs
+++ b/crates/verbenaslip-fleet/tests/poison.rs
@@ -9,9 +9,9 @@
 
 use net::{Net, Traffic, announcement, serving};
 use verbenaslip_base::name::Upstream;
-use verbenaslip_fleet::account::{Answered, Met};
-use verbenaslip_fleet::frame::Ask;
-use verbenaslip_fleet::print::Print;
+use verbenaslip_fleet::account::{Answered, Sighting};
+use verbenaslip_fleet::fingerprint::Fingerprint;
+use verbenaslip_fleet::frame::Request;
 use verbenaslip_fleet::registry::Run;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -33,7 +33,7 @@
     next: Duration,
     runs: u32,
     /// What is under way: when its upstream ends, and at which entry it is.
-    under_way: Vec<(Duration, usize, Met)>,
+    under_way: Vec<(Duration, usize, Sighting)>,
     /// When it was sent to an upstream.
     sent: Vec<Duration>,
     /// When upstreams ended.
@@ -44,9 +44,9 @@
     fn open(cores: usize, entries: usize) -> Self {
         let mut net = Net::found(cores, entries);
         net.run(SECOND * 4);
-        net.call(0, Ask::Adopt(Box::new(serving(1))));
+        net.call(0, Request::Adopt(Box::new(serving(1))));
         net.run(SECOND);
-        assert!(net.entries().all(|view| view.docket.key.is_some()), "prints can be made");
+        assert!(net.entries().all(|view| view.blocklist.key.is_some()), "fingerprints can be made");
         let next = net.now();
         Self {
             net,
@@ -59,14 +59,14 @@
         }
     }
 
-    fn bad(&self, entry: usize) -> Option<Print> {
-        let key = self.net.entry(entry).docket.key?;
-        Some(Print::of(key, "red", "h", "/once/x", b"bad"))
+    fn bad(&self, entry: usize) -> Option<Fingerprint> {
+        let key = self.net.entry(entry).blocklist.key?;
+        Some(Fingerprint::of(key, "red", "h", "/once/x", b"bad"))
     }
 
     fn held(&self, entry: usize) -> bool {
-        let docket = &self.net.entry(entry).docket;
-        self.bad(entry).is_some_and(|bad| docket.held.contains_key(&bad))
+        let blocklist = &self.net.entry(entry).blocklist;
+        self.bad(entry).is_some_and(|bad| blocklist.held.contains_key(&bad))
     }
 
     /// Has the bad request come at an entry.
@@ -81,8 +81,8 @@
         let upstream = Upstream::new(format!("i-{}", self.runs));
         let run = Run { upstream, incarnation: 0 };
         // Without a key the upstream ends all the same, and nobody can tell under what.
-        let Some(print) = self.bad(entry) else { return self.ended.push(now + CRASH) };
-        let met = Met { print, run, sent: now, ended: now + CRASH };
+        let Some(fingerprint) = self.bad(entry) else { return self.ended.push(now + CRASH) };
+        let met = Sighting { fingerprint, run, sent: now, ended: now + CRASH };
         self.under_way.push((now + CRASH, entry, met));
     }
 
@@ -250,11 +250,11 @@
     play.until_ended(2);
     play.run(SECOND / 5);
     let bad = play.bad(0).expect("a key");
-    assert!(play.net.entries().all(|view| view.docket.watched.contains(&bad)));
+    assert!(play.net.entries().all(|view| view.blocklist.watched.contains(&bad)));
     let now = play.net.now();
-    play.net.entry_mut(3).met(now, vec![], vec![Answered { print: bad, at: now }]);
+    play.net.entry_mut(3).met(now, vec![], vec![Answered { fingerprint: bad, at: now }]);
     play.net.run(SECOND / 5);
-    assert!(play.net.entries().all(|view| view.docket.watched.is_empty()));
+    assert!(play.net.entries().all(|view| view.blocklist.watched.is_empty()));
 }
 
 #[test]
@@ -266,9 +266,14 @@
     for entry in 0..300 {
         let met = |it: usize| {
             let number = entry * 53 + it;
-            let print = Print::of(7, "red", "h", "/x", &number.to_le_bytes());
+            let fingerprint = Fingerprint::of(7, "red", "h", "/x", &number.to_le_bytes());
             let upstream = Upstream::new(format!("i-{:010x}", number / 16));
-            Met { print, run: Run { upstream, incarnation: 0 }, sent: now - SECOND, ended: now }
+            Sighting {
+                fingerprint,
+                run: Run { upstream, incarnation: 0 },
+                sent: now - SECOND,
+                ended: now,
+            }
         };
         play.net.entry_mut(entry).met(now, (0..53).map(met).collect(), vec![]);
     }
@@ -297,15 +302,15 @@
     play.net.run(SECOND);
     let leader = play.net.leaders()[0];
     let without = play.net.traffic(leader);
-    let prints: Vec<Print> =
-        (0..60_u32).map(|it| Print::of(7, "red", "h", "/x", &it.to_le_bytes())).collect();
+    let fingerprints: Vec<Fingerprint> =
+        (0..60_u32).map(|it| Fingerprint::of(7, "red", "h", "/x", &it.to_le_bytes())).collect();
     play.net.count_traffic();
-    for (number, print) in prints.iter().enumerate() {
+    for (number, fingerprint) in fingerprints.iter().enumerate() {
         let now = play.net.now();
         let met = |end: u64| {
             let run = Run { upstream: Upstream::new(format!("i-{number}-{end}")), incarnation: 0 };
             let at = now - Duration::from_millis(200 - 50 * end);
-            Met { print: *print, run, sent: at - TICK, ended: at }
+            Sighting { fingerprint: *fingerprint, run, sent: at - TICK, ended: at }
         };
         play.net.entry_mut(number).met(now, vec![met(1), met(2)], vec![]);
         if number % 3 == 0 {
@@ -313,17 +318,17 @@
         }
     }
     play.net.run(SECOND / 5);
-    assert!(play.net.entries().all(|view| view.docket.watched.len() == prints.len()));
-    for (number, print) in prints.iter().enumerate() {
+    assert!(play.net.entries().all(|view| view.blocklist.watched.len() == fingerprints.len()));
+    for (number, fingerprint) in fingerprints.iter().enumerate() {
         let now = play.net.now();
-        let answered = Answered { print: *print, at: now };
+        let answered = Answered { fingerprint: *fingerprint, at: now };
         play.net.entry_mut(100 + number).met(now, vec![], vec![answered]);
         if number % 3 == 0 {
             play.net.run(TICK);
         }
     }
     play.net.run(SECOND / 2);
-    assert!(play.net.entries().all(|view| view.docket.watched.is_empty()));
+    assert!(play.net.entries().all(|view| view.blocklist.watched.is_empty()));
     let (sent, usual) = (play.net.traffic(leader).sent, without.sent);
     println!("a leader in that second: {sent} frames sent, {usual} in a usual one");
     // The word that each of 120 accounts is here, and some nine pushes by way of five cores.
@@ -337,14 +342,14 @@
     let mut play = Play::open(3, 4);
     for number in 1..=3 {
         let name = format!("i-{number}");
-        play.net.call(0, Ask::Announce(Box::new(announcement(&name, 1, false))));
+        play.net.call(0, Request::Announce(Box::new(announcement(&name, 1, false))));
         play.ask(number);
-        play.net.call(1, Ask::Announce(Box::new(announcement(&name, 2, true))));
+        play.net.call(1, Request::Announce(Box::new(announcement(&name, 2, true))));
         play.rest(SECOND);
     }
     assert_eq!(play.ended.len(), 3);
     assert!((0..4).all(|entry| !play.held(entry)));
-    assert!(play.net.entries().all(|view| view.docket.watched.is_empty()));
+    assert!(play.net.entries().all(|view| view.blocklist.watched.is_empty()));
 }
 
 /// Draws numbers from a seed (SplitMix64).
--- a/crates/verbenaslip-fleet/tests/quarantine.rs
+++ b/crates/verbenaslip-fleet/tests/quarantine.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use verbenaslip_base::name::Upstream;
-use verbenaslip_fleet::print::Print;
-use verbenaslip_fleet::quarantine::{Answer, Cause, Crash, Finding, Kept, Quarantine, Rule};
+use verbenaslip_fleet::fingerprint::Fingerprint;
+use verbenaslip_fleet::quarantine::{Answer, Cause, Crash, Finding, Persisted, Quarantine, Rule};
 use verbenaslip_fleet::registry::Run;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -25,7 +25,7 @@
 
 impl Leader {
     fn open(rule: Rule) -> Self {
-        let quarantine = Quarantine::open(rule, &Kept::default(), &Default::default());
+        let quarantine = Quarantine::open(rule, &Persisted::default(), &Default::default());
         let entries = (1..=3).map(|host| ([10, 2, 0, host], 7_000).into()).collect();
         Self { quarantine, now: SECOND, findings: Vec::new(), entries }
     }
@@ -45,45 +45,46 @@
     }
 
     /// Has an upstream end now, with what it was sent so long ago.
-    fn crash(&mut self, upstream: u32, requests: &[(Print, u64)]) {
-        for (print, sent) in requests {
-            let crash = Crash { print: *print, run: run(upstream), sent: *sent, ended: 0 };
+    fn crash(&mut self, upstream: u32, requests: &[(Fingerprint, u64)]) {
+        for (fingerprint, sent) in requests {
+            let crash =
+                Crash { fingerprint: *fingerprint, run: run(upstream), sent: *sent, ended: 0 };
             let (now, unix) = (self.now, self.unix());
             self.quarantine.crashed(now, unix, &crash);
         }
         self.findings.extend(self.quarantine.take_findings().0);
     }
 
-    fn answer(&mut self, print: Print) {
+    fn answer(&mut self, fingerprint: Fingerprint) {
         let (now, unix) = (self.now, self.unix());
-        self.quarantine.answered(now, unix, &Answer { print, ago: 0 });
+        self.quarantine.answered(now, unix, &Answer { fingerprint, ago: 0 });
         self.findings.extend(self.quarantine.take_findings().0);
     }
 
     /// Has a request end one upstream after the other, until it is held back.
-    fn find(&mut self, print: Print, from: u32) {
+    fn find(&mut self, fingerprint: Fingerprint, from: u32) {
         for upstream in from..from + 3 {
             self.wait(Duration::from_millis(CRASH));
-            self.crash(upstream, &[(print, CRASH)]);
+            self.crash(upstream, &[(fingerprint, CRASH)]);
         }
         self.wait(SECOND);
-        assert!(self.holds(print), "{:?}", self.findings);
+        assert!(self.holds(fingerprint), "{:?}", self.findings);
     }
 
-    fn holds(&self, print: Print) -> bool {
-        self.quarantine.docket().held.contains_key(&print)
+    fn holds(&self, fingerprint: Fingerprint) -> bool {
+        self.quarantine.blocklist().held.contains_key(&fingerprint)
     }
 
-    fn cleared(&self, print: Print) -> Option<Cause> {
+    fn cleared(&self, fingerprint: Fingerprint) -> Option<Cause> {
         self.findings.iter().rev().find_map(|finding| match finding {
-            Finding::Cleared { print: it, cause } if *it == print => Some(*cause),
+            Finding::Cleared { fingerprint: it, cause } if *it == fingerprint => Some(*cause),
             _ => None,
         })
     }
 }
 
-fn print(name: &str) -> Print {
-    Print::of(7, "red", "h", "/safe/x", name.as_bytes())
+fn fingerprint(name: &str) -> Fingerprint {
+    Fingerprint::of(7, "red", "h", "/safe/x", name.as_bytes())
 }
 
 fn run(number: u32) -> Run {
@@ -93,7 +94,7 @@
 #[test]
 fn a_request_under_which_three_upstreams_end_one_after_the_other_is_held_back() {
     let mut leader = Leader::open(Rule::default());
-    let bad = print("bad");
+    let bad = fingerprint("bad");
     for upstream in 1..=3 {
         assert!(!leader.holds(bad));
         leader.wait(SECOND / 2);
@@ -102,7 +103,7 @@
     leader.wait(SECOND / 2);
     assert!(leader.holds(bad));
     let held = leader.findings.iter().find_map(|finding| match finding {
-        Finding::Held { runs, .. } => Some(runs.clone()),
+        Finding::Blocked { runs, .. } => Some(runs.clone()),
         _ => None,
     });
     assert_eq!(held, Some(vec![run(1), run(2), run(3)]), "with the evidence");
@@ -111,7 +112,7 @@
 #[test]
 fn one_that_comes_every_few_minutes_is_found_as_well() {
     let mut leader = Leader::open(Rule::default());
-    let bad = print("bad");
+    let bad = fingerprint("bad");
     for upstream in 1..=3 {
         leader.wait(SECOND * 120);
         leader.crash(upstream, &[(bad, CRASH)]);
@@ -125,12 +126,12 @@
     // Symptom, if each counted: after a zone has lost power, what all callers ask for is refused. Sequence: it
     // runs on eight upstreams of the zone when all of them end.
     let mut leader = Leader::open(Rule::default());
-    let popular = print("popular");
+    let popular = fingerprint("popular");
     for upstream in 1..=8 {
         leader.crash(upstream, &[(popular, 100)]);
     }
     leader.wait(SECOND);
-    assert!(leader.quarantine.docket().watched.is_empty());
+    assert!(leader.quarantine.blocklist().watched.is_empty());
     assert!(!leader.holds(popular));
 }
 
@@ -139,14 +140,14 @@
     // The upstreams end one after the other for reasons of their own, each with the popular request on it.
     // Answers to it come all the time; entries tell of them as long as it is watched.
     let mut leader = Leader::open(Rule::default());
-    let popular = print("popular");
+    let popular = fingerprint("popular");
     let (mut refused, mut asked) = (0, 0);
     for upstream in 0..100 {
         for _ in 0..8 {
             leader.wait(Duration::from_millis(30));
             asked += 1;
             refused += u32::from(leader.holds(popular));
-            if leader.quarantine.docket().watched.contains(&popular) {
+            if leader.quarantine.blocklist().watched.contains(&popular) {
                 leader.answer(popular);
             }
         }
@@ -162,7 +163,7 @@
     // end quickly one after the other. Sequence: three end within 60 ms; entries hear that it is suspected, and
     // the next answer comes 100 ms later.
     let mut leader = Leader::open(Rule::default());
-    let popular = print("popular");
+    let popular = fingerprint("popular");
     for upstream in 1..=3 {
         leader.wait(Duration::from_millis(30));
         leader.crash(upstream, &[(popular, 25)]);
@@ -170,14 +171,14 @@
     leader.wait(Duration::from_millis(100));
     leader.answer(popular);
     leader.wait(SECOND);
-    let held = |it: &Finding| matches!(it, Finding::Held { .. });
+    let held = |it: &Finding| matches!(it, Finding::Blocked { .. });
     assert!(!leader.findings.iter().any(held), "{:?}", leader.findings);
 }
 
 #[test]
 fn what_ran_beside_a_bad_request_is_cleared_when_that_is_found() {
     let mut leader = Leader::open(Rule::default());
-    let (bad, beside) = (print("bad"), print("beside"));
+    let (bad, beside) = (fingerprint("bad"), fingerprint("beside"));
     // The other one is sent again each time, and happens to run on two of the upstreams that end.
     for upstream in 1..=3 {
         leader.wait(SECOND / 4);
@@ -194,13 +195,13 @@
     }
     leader.wait(SECOND);
     assert!(!leader.holds(beside), "an upstream that ends under what is held back says nothing");
-    assert_eq!(leader.quarantine.docket().held[&bad].tries, 0, "nor was it let through yet");
+    assert_eq!(leader.quarantine.blocklist().held[&bad].tries, 0, "nor was it let through yet");
 }
 
 #[test]
 fn one_that_was_taken_for_bad_is_let_go_when_another_explains_all_of_it() {
     let mut leader = Leader::open(Rule::default());
-    let (bad, unlucky) = (print("bad"), print("unlucky"));
+    let (bad, unlucky) = (fingerprint("bad"), fingerprint("unlucky"));
     for upstream in 1..=3 {
         leader.wait(SECOND / 4);
         leader.crash(upstream, &[(unlucky, CRASH), (bad, CRASH)]);
@@ -222,15 +223,15 @@
 fn a_flood_of_requests_that_break_off_pushes_no_finding_out() {
     // A third of 3,000 upstreams end at once with 16 requests on each, twice, and each request is another one.
     let mut leader = Leader::open(Rule::default());
-    let (found, close) = (print("found"), print("close"));
+    let (found, close) = (fingerprint("found"), fingerprint("close"));
     leader.find(found, 1);
     for upstream in 11..=12 {
         leader.wait(SECOND / 2);
         leader.crash(upstream, &[(close, CRASH)]);
     }
     for flood in 0..2_000_u32 {
-        let requests: Vec<(Print, u64)> =
-            (0..16).map(|it| (print(&format!("{flood}-{it}")), 50)).collect();
+        let requests: Vec<(Fingerprint, u64)> =
+            (0..16).map(|it| (fingerprint(&format!("{flood}-{it}")), 50)).collect();
         leader.crash(100 + flood, &requests);
     }
     leader.wait(SECOND / 2);
@@ -238,16 +239,16 @@
     leader.crash(13, &[(close, CRASH)]);
     leader.wait(SECOND / 2);
     assert!(leader.holds(close), "its third upstream");
-    assert!(leader.quarantine.docket().watched.len() <= 256);
+    assert!(leader.quarantine.blocklist().watched.len() <= 256);
 }
 
 #[test]
 fn one_entry_lets_one_through_after_the_time_and_ever_less_often() {
     let hold = SECOND * 60;
     let mut leader = Leader::open(Rule { hold, ..Rule::default() });
-    let bad = print("bad");
+    let bad = fingerprint("bad");
     leader.find(bad, 1);
-    let chosen = |leader: &Leader| leader.quarantine.docket().held[&bad].tried_by;
+    let chosen = |leader: &Leader| leader.quarantine.blocklist().held[&bad].tried_by;
     leader.wait(hold / 2);
     assert_eq!(chosen(&leader), None);
     for (tries, wait) in [(1, hold), (2, hold * 6), (3, hold * 36)] {
@@ -259,7 +260,7 @@
         leader.crash(100 + tries, &[(bad, CRASH)]);
         leader.wait(SECOND);
         assert_eq!(chosen(&leader), None);
-        assert_eq!(u32::from(leader.quarantine.docket().held[&bad].tries), tries);
+        assert_eq!(u32::from(leader.quarantine.blocklist().held[&bad].tries), tries);
     }
     leader.wait(hold * 1_000);
     assert_eq!(chosen(&leader), None, "after three only an operator lets it through");
@@ -269,7 +270,7 @@
 fn one_that_upstreams_survive_by_now_is_let_through_for_good() {
     let hold = SECOND * 60;
     let mut leader = Leader::open(Rule { hold, ..Rule::default() });
-    let bad = print("bad");
+    let bad = fingerprint("bad");
     leader.find(bad, 1);
     leader.wait(hold + SECOND);
     leader.answer(bad);
@@ -282,11 +283,11 @@
 fn the_next_leader_begins_with_what_is_held_back_though_the_log_lacks_it() {
     // The leader is lost in the moment in which entries know of a finding and the log does not.
     let mut leader = Leader::open(Rule::default());
-    let bad = print("bad");
+    let bad = fingerprint("bad");
     leader.find(bad, 1);
-    let docket = leader.quarantine.docket().clone();
-    let next = Quarantine::open(Rule::default(), &Kept::default(), &docket);
-    assert!(next.docket().held.contains_key(&bad));
+    let blocklist = leader.quarantine.blocklist().clone();
+    let next = Quarantine::open(Rule::default(), &Persisted::default(), &blocklist);
+    assert!(next.blocklist().held.contains_key(&bad));
     assert!(next.kept(7).held.contains_key(&bad), "and has the log hold it");
 }
 
@@ -295,15 +296,15 @@
     // Symptom: a request that was fine until a new version of the service came is let through over and over.
     // Sequence: it is held back; an entry that has just started to watch tells of an answer from before.
     let mut leader = Leader::open(Rule::default());
-    let bad = print("bad");
+    let bad = fingerprint("bad");
     leader.find(bad, 1);
-    let before = Answer { print: bad, ago: 30_000 };
+    let before = Answer { fingerprint: bad, ago: 30_000 };
     let (now, unix) = (leader.now, leader.unix());
     leader.quarantine.answered(now, unix, &before);
     leader.wait(SECOND);
     assert!(leader.holds(bad));
-    let (kept, docket) = (leader.quarantine.kept(7), leader.quarantine.docket().clone());
-    leader.quarantine = Quarantine::open(Rule::default(), &kept, &docket);
+    let (kept, blocklist) = (leader.quarantine.kept(7), leader.quarantine.blocklist().clone());
+    leader.quarantine = Quarantine::open(Rule::default(), &kept, &blocklist);
     leader.quarantine.answered(now, unix, &before);
     leader.wait(SECOND);
     assert!(leader.holds(bad), "neither at a leader that knows no evidence");
@@ -312,7 +313,7 @@
 #[test]
 fn operators_lift_and_forbid_single_requests() {
     let mut leader = Leader::open(Rule::default());
-    let (bad, other) = (print("bad"), print("other"));
+    let (bad, other) = (fingerprint("bad"), fingerprint("other"));
     leader.find(bad, 1);
     let lifted = BTreeSet::from([bad]);
     leader.quarantine.set_rule(Rule { lifted, ..Rule::default() });
@@ -337,11 +338,11 @@
 #[test]
 fn the_order_in_which_entries_tell_does_not_matter() {
     // A new leader hears of the last minute from one entry after the other.
-    let bad = print("bad");
+    let bad = fingerprint("bad");
     let crashes: Vec<Crash> = (0..6)
         .map(|it| {
             let ended = 3_000 - u64::from(it) * 400;
-            Crash { print: bad, run: run(it), sent: ended + CRASH, ended }
+            Crash { fingerprint: bad, run: run(it), sent: ended + CRASH, ended }
         })
         .collect();
     for order in [[0, 2, 4, 1, 3, 5], [5, 4, 3, 2, 1, 0], [1, 3, 5, 0, 2, 4]] {
--- a/crates/verbenaslip-fleet/tests/quota.rs
+++ b/crates/verbenaslip-fleet/tests/quota.rs
@@ -7,7 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use verbenaslip_base::name::Team;
-use verbenaslip_fleet::quota::{Claim, Demand, Pools};
+use verbenaslip_fleet::quota::{Claim, Demand, Quotas};
 use verbenaslip_fleet::sheet::{Quota, Sheet, TeamRow};
 
 const ENTRIES: usize = 63;
@@ -23,7 +23,7 @@
     asked: f64,
     requests: f64,
     rate: f64,
-    loan: f64,
+    grant: f64,
 }
 
 struct Outcome {
@@ -51,7 +51,7 @@
     play_without(count, quota, rounds, per_second, 0..0)
 }
 
-/// The same without a leader in some rounds; the next one knows nothing. Entries go on by their last loans.
+/// The same without a leader in some rounds; the next one knows nothing. Entries go on by their last grants.
 fn play_without(
     count: usize,
     quota: Quota,
@@ -63,14 +63,14 @@
     let row = TeamRow { name: team.clone(), keys: vec![], priority: None, quota: Some(quota) };
     let sheet = Sheet { teams: vec![row], ..Sheet::default() };
     let mut rng = Pcg64::seed_from_u64(7);
-    let mut pools = Pools::default();
+    let mut quotas = Quotas::default();
     let fresh = || Entry {
         claims: BTreeMap::new(),
         admitted: 0.0,
         asked: 0.0,
         requests: 0.0,
         rate: 0.0,
-        loan: 0.0,
+        grant: 0.0,
     };
     let mut entries: Vec<Entry> = (0..count).map(|_| fresh()).collect();
     let (mut asked, mut refused) = (0.0, 0.0);
@@ -79,10 +79,10 @@
         let now = ROUND * u32::try_from(round).expect("small");
         let led = !leaderless.contains(&round);
         if round == leaderless.end {
-            pools = Pools::default();
+            quotas = Quotas::default();
             entries.iter_mut().for_each(|entry| entry.claims.clear());
         }
-        pools.refill(now, &sheet, 1.0);
+        quotas.refill(now, &sheet, 1.0);
         let mut spent = 0.0;
         for entry in &mut entries {
             let mean = if entry.requests > 0.0 { entry.asked / entry.requests } else { 0.0 };
@@ -94,13 +94,13 @@
             let claim = entry.claims.entry(team.clone()).or_default();
             let took = claim.take(&demand);
             if led && !first {
-                pools.spend(&team, took);
+                quotas.spend(&team, took);
             }
         }
-        pools.weigh(entries.iter().map(|entry| &entry.claims));
+        quotas.weigh(entries.iter().map(|entry| &entry.claims));
         for entry in &mut entries {
             if led {
-                entry.loan = pools.lend(&mut entry.claims, count as f64)[0].units;
+                entry.grant = quotas.grant(&mut entry.claims, count as f64)[0].units;
             }
             let expected = per_second(round) * ROUND.as_secs_f64() / count as f64;
             let mut left = expected;
@@ -111,8 +111,8 @@
                     entry.asked += units;
                     entry.requests += 1.0;
                     asked += 1.0;
-                    if entry.loan > 0.0 {
-                        entry.loan -= units;
+                    if entry.grant > 0.0 {
+                        entry.grant -= units;
                         entry.admitted += units;
                         spent += units;
                     } else {
@@ -158,8 +158,8 @@
 #[test]
 fn a_team_far_beyond_its_limit_gets_little_more_at_hundreds_of_entries() {
     // Symptom: a team is given 11.7 million tokens in 8 s where 10.4 million and a tenth are its limit. Sequence:
-    // it asks for several times its limit at 291 entries, steadily or in bursts; each entry is lent two requests
-    // whenever the bucket has filled up a little. Cause: loans that add up to three times what is in the bucket.
+    // it asks for several times its limit at 291 entries, steadily or in bursts; each entry is granted two requests
+    // whenever the bucket has filled up a little. Cause: grants that add up to three times what is in the bucket.
     let rate = 1_160_000.0;
     let within = rate / SIZE * 0.7;
     let plays: [(&str, Load); 4] = [
@@ -191,8 +191,8 @@
 #[test]
 fn a_team_far_beyond_its_limit_gets_little_more_while_leaders_change() {
     // Symptom: as above. Sequence: a team asks for several times its limit; the leader is lost, and every entry
-    // goes on for up to a second by what it was lent; the next leader begins with a bucket that is half full.
-    // Cause: loans that add up to several times what is in the bucket are all spent before anybody counts them.
+    // goes on for up to a second by what it was granted; the next leader begins with a bucket that is half full.
+    // Cause: grants that add up to several times what is in the bucket are all spent before anybody counts them.
     let rate = 1_160_000.0;
     let within = rate / SIZE * 0.7;
     for lost_at in [4, 9, 40, 41, 42, 43, 47, 60] {
@@ -214,21 +214,21 @@
     let team = Team::from("red");
     let row = TeamRow { name: team.clone(), keys: vec![], priority: None, quota: Some(quota) };
     let sheet = Sheet { teams: vec![row], ..Sheet::default() };
-    let mut pools = Pools::open(true);
+    let mut quotas = Quotas::open(true);
     let now = Duration::from_secs(50);
-    pools.refill(now, &sheet, 1.0);
+    quotas.refill(now, &sheet, 1.0);
     let demand = |rate| Demand { team: team.clone(), rate, mean: SIZE, admitted: 0.0 };
     let mut claims: Vec<BTreeMap<Team, Claim>> = vec![BTreeMap::new(); 291];
     for claims in &mut claims {
         claims.entry(team.clone()).or_default().take(&demand(rate * 2.5 / 291.0));
     }
-    pools.weigh(claims.iter());
-    let mut lent = |pools: &mut Pools| {
-        let loans = claims.iter_mut().map(|claims| pools.lend(claims, 291.0)[0].units);
-        loans.filter(|units| *units > 0.0).count()
+    quotas.weigh(claims.iter());
+    let mut granted = |quotas: &mut Quotas| {
+        let grants = claims.iter_mut().map(|claims| quotas.grant(claims, 291.0)[0].units);
+        grants.filter(|units| *units > 0.0).count()
     };
-    assert_eq!(lent(&mut pools), 291, "each entry may admit something at once");
-    pools.refill(now + Duration::from_secs(3), &sheet, 1.0);
-    let later = lent(&mut pools);
-    assert!(later < 291, "{later} entries are lent something later on");
+    assert_eq!(granted(&mut quotas), 291, "each entry may admit something at once");
+    quotas.refill(now + Duration::from_secs(3), &sheet, 1.0);
+    let later = granted(&mut quotas);
+    assert!(later < 291, "{later} entries are granted something later on");
 }
--- a/crates/verbenaslip-fleet/tests/random.rs
+++ b/crates/verbenaslip-fleet/tests/random.rs
@@ -13,7 +13,7 @@
 use net::{Net, announcement, edition, run, serving};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
-use verbenaslip_fleet::frame::{Ask, Told};
+use verbenaslip_fleet::frame::{Request, Response};
 use verbenaslip_fleet::registry::{Announcement, Run, Standing};
 
 const STEPS: usize = 40;
@@ -55,7 +55,7 @@
     /// Whether cores stand still as well, upstreams drain before they go, each run has a name of its own, and the
     /// route table knows their service.
     rough: bool,
-    /// More than a dozen get their news by way of other cores.
+    /// More than a dozen get their updates by way of other cores.
     entries: usize,
 }
 
@@ -134,8 +134,8 @@
     world.wake().map_err(|it| format!("seed {seed}, at the end: {it}"))?;
     world.heal();
     world.net.run(Duration::from_secs(12));
-    let told = world.net.call(0, Ask::Read);
-    let Some(Told::Document(document)) = &told else {
+    let told = world.net.call(0, Request::Read);
+    let Some(Response::Document(document)) = &told else {
         return Err(format!("seed {seed}: not read at the end: {told:?}"));
     };
     let read = revision(document);
@@ -187,10 +187,10 @@
     fn wake(&mut self) -> Result<(), String> {
         let Some(core) = self.asleep.take() else { return Ok(()) };
         let before = self.acknowledged;
-        let call = self.net.ask(core, Ask::Read);
+        let call = self.net.ask(core, Request::Read);
         self.disturb(core);
         self.net.thaw(core);
-        let Some(Told::Document(document)) = self.net.answer(call) else { return Ok(()) };
+        let Some(Response::Document(document)) = self.net.answer(call) else { return Ok(()) };
         let read = revision(&document);
         if read < before {
             return Err(format!("core {core} wakes and reads {read}, {before} was acknowledged"));
@@ -256,8 +256,8 @@
         let core = self.rng.random_range(0..self.shape.cores);
         let core = self.awake(core);
         let table = if self.shape.rough { serving } else { edition };
-        let ask = Ask::Adopt(Box::new(table(self.revision)));
-        if let Some(Told::Adopted { revision }) = self.net.call(core, ask) {
+        let ask = Request::Adopt(Box::new(table(self.revision)));
+        if let Some(Response::Adopted { revision }) = self.net.call(core, ask) {
             self.acknowledged = self.acknowledged.max(revision);
         }
     }
@@ -302,7 +302,7 @@
 
     fn announce(&mut self, upstream: usize, core: usize, coming: Coming) {
         let announcement = self.announcement(upstream, coming, false);
-        self.net.ask(core, Ask::Announce(Box::new(announcement)));
+        self.net.ask(core, Request::Announce(Box::new(announcement)));
     }
 
     fn leave(&mut self, upstream: usize, core: usize) {
@@ -311,12 +311,12 @@
         let leaving = if self.shape.rough && self.naps.random_bool(0.5) {
             self.upstreams[upstream].sequence += 1;
             let coming = self.upstreams[upstream];
-            Ask::Announce(Box::new(self.announcement(upstream, coming, true)))
+            Request::Announce(Box::new(self.announcement(upstream, coming, true)))
         } else {
             let Run { upstream: name, incarnation } = self.run(upstream, incarnation);
-            Ask::Withdraw { upstream: name, incarnation: Some(incarnation) }
+            Request::Withdraw { upstream: name, incarnation: Some(incarnation) }
         };
-        if self.net.call(core, leaving) == Some(Told::Noted) {
+        if self.net.call(core, leaving) == Some(Response::Noted) {
             let now = self.net.now();
             self.upstreams[upstream].acknowledged.get_or_insert(now);
         }
@@ -346,7 +346,9 @@
         let core = self.rng.random_range(0..self.shape.cores);
         let core = self.awake(core);
         let before = self.acknowledged;
-        let Some(Told::Document(document)) = self.net.call(core, Ask::Read) else { return Ok(()) };
+        let Some(Response::Document(document)) = self.net.call(core, Request::Read) else {
+            return Ok(());
+        };
         let read = revision(&document);
         if read < before {
             return Err(format!("core {core} reads {read}, {before} was acknowledged"));
--- a/crates/verbenaslip-fleet/tests/registry.rs
+++ b/crates/verbenaslip-fleet/tests/registry.rs
@@ -7,7 +7,7 @@
 use verbenaslip_fleet::registry::{Announcement, Change, Registry, Run, Standing};
 use verbenaslip_fleet::voucher::Mark;
 
-const BEAT: Duration = Duration::from_millis(1_200);
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
 fn run(name: &str, incarnation: u64) -> Run {
     Run { upstream: Upstream::from(name), incarnation }
@@ -41,8 +41,8 @@
 #[test]
 fn leaving_is_final_for_a_run() {
     // Symptom: an upstream that leaves gets new work again. Sequence: its announcement that it
-    // drains overtakes an older one that says it is ready. Cause: the older one taken as news.
-    let mut registry = Registry::open(BEAT);
+    // drains overtakes an older one that says it is ready. Cause: the older one taken as update.
+    let mut registry = Registry::open(HEARTBEAT);
     registry.announce(at(0), announcement("a", 1, 1), true);
     let draining = Announcement { draining: true, ..announcement("a", 1, 3) };
     assert_eq!(registry.announce(at(100), draining, true), Change::Leaving);
@@ -57,7 +57,7 @@
     // Symptom: an upstream that leaves gets new work again. Sequence: it drains, is cut off for over a minute, so
     // that it counts as gone, and comes back with an odd "ready". Cause: what it had said looked up in its record
     // alone, which says by then that it has gone.
-    let mut registry = Registry::open(BEAT);
+    let mut registry = Registry::open(HEARTBEAT);
     registry.announce(at(0), announcement("a", 1, 1), true);
     registry.announce(at(100), Announcement { draining: true, ..announcement("a", 1, 2) }, true);
     registry.tick(at(70_000));
@@ -71,7 +71,7 @@
     // Symptom: an upstream whose leaving was acknowledged gets new work. Sequence: its word that it drains
     // comes with a lower number than its last one. Cause: the word passed over as late, and acknowledged by
     // the log, which holds it, while the list of upstreams does not.
-    let mut registry = Registry::open(BEAT);
+    let mut registry = Registry::open(HEARTBEAT);
     registry.announce(at(0), announcement("a", 1, 9), true);
     let draining = Announcement { draining: true, ..announcement("a", 1, 8) };
     assert_eq!(registry.announce(at(100), draining, true), Change::Leaving);
@@ -84,7 +84,7 @@
 fn a_run_that_has_gone_stays_gone() {
     // Symptom: requests go to an upstream that no longer exists. Sequence: it withdraws; then one of
     // its announcements arrives that was held up. Cause: the announcement taken for a new run.
-    let mut registry = Registry::open(BEAT);
+    let mut registry = Registry::open(HEARTBEAT);
     registry.announce(at(0), announcement("a", 1, 1), true);
     assert_eq!(registry.withdraw(at(40), &run("a", 0)), Change::Leaving);
     assert_eq!(registry.announce(at(50), announcement("a", 1, 2), true), Change::Nothing);
@@ -95,10 +95,10 @@
 fn another_run_at_the_address_ends_the_one_before() {
     // Symptom: requests for one service reach another. Sequence: an upstream crashes, and its
     // address is used by an upstream of another service. Cause: both records kept as ready.
-    let mut registry = Registry::open(BEAT);
+    let mut registry = Registry::open(HEARTBEAT);
     registry.announce(at(0), announcement("a", 1, 9), true);
     let other = Announcement { service: "desk".into(), ..announcement("b", 1, 1) };
-    assert_eq!(registry.announce(at(2_500), other, true), Change::News);
+    assert_eq!(registry.announce(at(2_500), other, true), Change::Update);
     assert_eq!(standing(&registry, "a"), Some(Standing::Gone));
     assert_eq!(standing(&registry, "b"), Some(Standing::Ready));
 }
@@ -108,7 +108,7 @@
     // Symptom: a healthy upstream gets no work. Sequence: a run behind a cut crashes, another starts
     // at its address and announces itself, then the cut heals and lets an old announcement through.
     // Cause: whatever comes last taken for the newest run.
-    let mut registry = Registry::open(BEAT);
+    let mut registry = Registry::open(HEARTBEAT);
     registry.announce(at(0), announcement("new", 1, 1), true);
     registry.announce(at(1_200), announcement("new", 1, 2), true);
     assert_eq!(registry.announce(at(1_500), announcement("old", 1, 40), true), Change::Nothing);
@@ -118,23 +118,23 @@
 
 #[test]
 fn silence_is_told_and_an_announcement_ends_it() {
-    let mut registry = Registry::open(BEAT);
+    let mut registry = Registry::open(HEARTBEAT);
     registry.announce(at(0), announcement("a", 1, 1), true);
     assert!(!registry.tick(at(4_000)).changed);
     assert!(registry.tick(at(5_000)).changed);
     assert_eq!(standing(&registry, "a"), Some(Standing::Silent));
-    assert_eq!(registry.announce(at(5_100), announcement("a", 1, 2), true), Change::News);
+    assert_eq!(registry.announce(at(5_100), announcement("a", 1, 2), true), Change::Update);
     assert_eq!(standing(&registry, "a"), Some(Standing::Ready));
 }
 
 #[test]
 fn whoever_has_seen_a_change_is_told_only_of_later_ones() {
-    let mut registry = Registry::open(BEAT);
+    let mut registry = Registry::open(HEARTBEAT);
     registry.announce(at(0), announcement("a", 1, 1), true);
     let seen = registry.stamp();
     registry.announce(at(0), announcement("b", 2, 1), true);
-    let news = registry.since(seen).expect("nothing was forgotten");
-    let names: Vec<&str> = news.iter().map(|it| it.announcement.run.upstream.as_str()).collect();
+    let update = registry.since(seen).expect("nothing was forgotten");
+    let names: Vec<&str> = update.iter().map(|it| it.announcement.run.upstream.as_str()).collect();
     assert_eq!(names, ["b"]);
 }
 
@@ -142,7 +142,7 @@
 fn what_was_forgotten_is_told_as_a_whole() {
     // Symptom: an entry keeps an upstream for ever. Sequence: the entry is cut off, the upstream
     // withdraws and is forgotten, the entry comes back. Cause: a list of changes that lacks it.
-    let mut registry = Registry::open(BEAT);
+    let mut registry = Registry::open(HEARTBEAT);
     registry.announce(at(0), announcement("a", 1, 1), true);
     let seen = registry.stamp();
     registry.withdraw(at(40), &run("a", 0));
@@ -159,10 +159,10 @@
     // Symptom: an upstream that was restarted gets no work. Sequence: it leaves and goes, starts again
     // under its name, and counts its announcements anew. Cause: "gone", and the sequence numbers of the
     // run before, taken for those of the name.
-    let mut registry = Registry::open(BEAT);
+    let mut registry = Registry::open(HEARTBEAT);
     registry.announce(at(0), born(1_000, 7), true);
     assert_eq!(registry.withdraw(at(100), &run("a", 1_000)), Change::Leaving);
-    assert_eq!(registry.announce(at(200), born(2_000, 1), true), Change::News);
+    assert_eq!(registry.announce(at(200), born(2_000, 1), true), Change::Update);
     assert_eq!(standing(&registry, "a"), Some(Standing::Ready));
 }
 
@@ -171,7 +171,7 @@
     // Symptom: an upstream that was restarted is believed to leave, or requests go where its earlier run
     // was. Sequence: words of the earlier run are held up by a cut and come after the new one's. Cause:
     // the last word taken for the newest run's.
-    let mut registry = Registry::open(BEAT);
+    let mut registry = Registry::open(HEARTBEAT);
     registry.announce(at(0), born(1_000, 7), true);
     registry.announce(at(100), born(2_000, 1), true);
     let late = [
@@ -194,7 +194,7 @@
     // Symptom: a healthy upstream gets no work. Sequence: a run crashes young, so that its number is low;
     // another one starts at its address; an announcement of the first was held up for seconds. Cause: a
     // low number taken for a new run, though both say when they started.
-    let mut registry = Registry::open(BEAT);
+    let mut registry = Registry::open(HEARTBEAT);
     let new = Announcement { run: run("b", 2_000), ..announcement("b", 1, 1) };
     registry.announce(at(0), new, true);
     assert_eq!(registry.announce(at(9_000), born(1_000, 2), true), Change::Nothing);
@@ -206,7 +206,7 @@
 fn an_unknown_service_takes_no_upstreams_place() {
     // Symptom: an upstream gets no work though it announces itself. Sequence: another writer announces
     // its name, or its address, under a service that no route table knows. Cause: the word taken for it.
-    let mut registry = Registry::open(BEAT);
+    let mut registry = Registry::open(HEARTBEAT);
     registry.announce(at(0), announcement("a", 1, 1), true);
     let foreign = |name| Announcement { service: "none".into(), ..announcement(name, 1, 9) };
     assert_eq!(registry.announce(at(100), foreign("a"), false), Change::Foreign);
@@ -222,13 +222,13 @@
     let mut departures = Departures::default();
     departures.take(at(0), &run("a", 1_000), Standing::Gone);
     departures.take(at(0), &run("b", 0), Standing::Leaving);
-    let mut registry = Registry::open(BEAT);
+    let mut registry = Registry::open(HEARTBEAT);
     registry.adopt(at(10), std::iter::empty(), departures);
     assert_eq!(registry.announce(at(20), born(1_000, 9), true), Change::Nothing);
     assert_eq!(registry.announce(at(20), announcement("b", 2, 9), true), Change::Leaving);
     assert_eq!(standing(&registry, "a"), None);
     assert_eq!(standing(&registry, "b"), Some(Standing::Leaving));
-    assert_eq!(registry.announce(at(30), born(2_000, 1), true), Change::News);
+    assert_eq!(registry.announce(at(30), born(2_000, 1), true), Change::Update);
 }
 
 #[test]
@@ -236,7 +236,7 @@
     // Symptom: requests go to a run that no longer exists. Sequence: it crashes, another run registers at
     // its address, then an announcement of the first comes that was held up. Cause: a run that was ended by
     // its successor not remembered as gone, unlike one that said so.
-    let mut registry = Registry::open(BEAT);
+    let mut registry = Registry::open(HEARTBEAT);
     registry.announce(at(0), announcement("a", 1, 9), true);
     registry.announce(at(2_500), announcement("b", 1, 1), true);
     assert_eq!(registry.announce(at(2_600), announcement("a", 1, 10), true), Change::Nothing);
@@ -247,7 +247,7 @@
 fn a_cores_word_renews_what_is_held_and_brings_nothing_back() {
     // Symptom: an upstream that has said that it goes is ready at a restarted entry. Sequence: a core that has not
     // heard of it vouches for an announcement that was held up. Cause: its word taken for the upstream's own.
-    let mut registry = Registry::open(BEAT);
+    let mut registry = Registry::open(HEARTBEAT);
     for name in ["stays", "leaves", "gone"] {
         registry.announce(at(0), announcement(name, name.len().try_into().expect("few"), 1), true);
     }
--- a/crates/verbenaslip-fleet/tests/rollout.rs
+++ b/crates/verbenaslip-fleet/tests/rollout.rs
@@ -7,7 +7,7 @@
 
 use net::{Net, announcement, serving};
 use verbenaslip_fleet::core::Note;
-use verbenaslip_fleet::frame::{Ask, Told};
+use verbenaslip_fleet::frame::{Request, Response};
 use verbenaslip_fleet::ledger::{Command, Ledger};
 use verbenaslip_fleet::registry::Announcement;
 use verbenaslip_fleet::rollout::report::{Counts, Group, Report, Totals};
@@ -20,13 +20,13 @@
     Order { service: "pool".into(), version: version.into(), duration }
 }
 
-fn start(version: &str, seconds: u64) -> Ask {
-    Ask::StartRollout(order(version, seconds))
+fn start(version: &str, seconds: u64) -> Request {
+    Request::StartRollout(order(version, seconds))
 }
 
 fn read(net: &mut Net, core: usize) -> Option<Rollout> {
-    match net.call(core, Ask::ReadRollout("pool".into())) {
-        Some(Told::Rollout(rollout)) => rollout,
+    match net.call(core, Request::ReadRollout("pool".into())) {
+        Some(Response::Rollout(rollout)) => rollout,
         other => panic!("no state of a roll-out: {other:?}"),
     }
 }
@@ -34,7 +34,7 @@
 fn founded(cores: usize, entries: usize, voters: usize) -> Net {
     let mut net = Net::found_with(cores, entries, voters);
     net.run(SECOND * 6);
-    assert!(net.call(0, Ask::Adopt(Box::new(serving(1)))).is_some());
+    assert!(net.call(0, Request::Adopt(Box::new(serving(1)))).is_some());
     net
 }
 
@@ -43,14 +43,14 @@
     let mut net = founded(3, 2, 3);
     assert_eq!(read(&mut net, 1), None);
     for core in [0, 1, 2, 0] {
-        assert_eq!(net.call(core, start("v2", 20)), Some(Told::Noted));
+        assert_eq!(net.call(core, start("v2", 20)), Some(Response::Noted));
     }
     let rollout = read(&mut net, 2).expect("it was ordered");
     assert_eq!((rollout.id, rollout.state, &*rollout.order.version), (1, State::Serving, "v2"));
-    assert_eq!(net.call(1, start("v3", 20)), Some(Told::Conflict("v2".into())));
+    assert_eq!(net.call(1, start("v3", 20)), Some(Response::Conflict("v2".into())));
     let unknown = Order { service: "none".into(), ..order("v2", 20) };
-    let unknown = net.call(1, Ask::StartRollout(unknown));
-    assert_eq!(unknown, Some(Told::UnknownService("none".into())));
+    let unknown = net.call(1, Request::StartRollout(unknown));
+    assert_eq!(unknown, Some(Response::UnknownService("none".into())));
 }
 
 #[test]
@@ -58,7 +58,7 @@
     for (cores, voters, lost) in [(3, 3, 1), (6, 5, 2)] {
         let mut net = founded(cores, 2, voters);
         net.run(SECOND * 3);
-        assert_eq!(net.call(1, start("v2", 60)), Some(Told::Noted));
+        assert_eq!(net.call(1, start("v2", 60)), Some(Response::Noted));
         for core in 0..cores {
             if core < lost { net.wipe(core) } else { net.restart(core) }
         }
@@ -71,7 +71,7 @@
 #[test]
 fn a_verdict_is_final_under_a_later_leader_and_known_to_all_entries() {
     let mut net = founded(3, 2, 3);
-    assert_eq!(net.call(0, start("v2", 1)), Some(Told::Noted));
+    assert_eq!(net.call(0, start("v2", 1)), Some(Response::Noted));
     net.run(SECOND * 4);
     // No upstream of the candidate ever came.
     assert_eq!(read(&mut net, 0).map(|it| it.state), Some(State::RolledBack));
@@ -99,8 +99,8 @@
         version: "v2".into(),
         ..announcement("c", 1, false)
     };
-    net.call(1, Ask::Announce(Box::new(announcement("u", 1, false))));
-    net.call(2, Ask::Announce(Box::new(candidate)));
+    net.call(1, Request::Announce(Box::new(announcement("u", 1, false))));
+    net.call(2, Request::Announce(Box::new(candidate)));
     net.run(SECOND);
     for view in net.entries() {
         let plan = &view.plans["pool"];
--- a/crates/verbenaslip-fleet/tests/scale.rs
+++ b/crates/verbenaslip-fleet/tests/scale.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use net::{Net, Traffic, announcement, serving};
-use verbenaslip_fleet::frame::Ask;
+use verbenaslip_fleet::frame::Request;
 use verbenaslip_fleet::registry::Announcement;
 
 const CORES: usize = 6;
@@ -15,11 +15,11 @@
 const ROUND: Duration = Duration::from_millis(1_200);
 const TICK: Duration = Duration::from_millis(5);
 
-fn announced(upstream: usize, sequence: u64) -> Ask {
+fn announced(upstream: usize, sequence: u64) -> Request {
     let [high, low] = u16::try_from(upstream).expect("few").to_be_bytes();
     let address = ([10, 9, high, low], 80).into();
     let named = announcement(&format!("i-{upstream:010x}"), sequence, false);
-    Ask::Announce(Box::new(Announcement { address, ..named }))
+    Request::Announce(Box::new(Announcement { address, ..named }))
 }
 
 /// Has every upstream announce itself once, at the core that it always calls.
@@ -44,7 +44,7 @@
     // passed on to the leader and answered by it, though nothing in it is new.
     let mut net = Net::found(CORES, ENTRIES);
     net.run(Duration::from_secs(4));
-    net.call(0, Ask::Adopt(Box::new(serving(1))));
+    net.call(0, Request::Adopt(Box::new(serving(1))));
     for sequence in 1..4 {
         announce_all(&mut net, sequence);
     }
