--- a/crates/verbenaslip-fleet/tests/vouch.rs
+++ b/crates/verbenaslip-fleet/tests/vouch.rs
@@ -1,4 +1,4 @@
-//! Cores that answer upstreams by themselves, and pass news on to entries, as either is lost.
+//! Cores that answer upstreams by themselves, and pass updates on to entries, as either is lost.
 
 mod net;
 
@@ -6,28 +6,28 @@
 
 use net::{Net, announcement, serving, withdraw};
 use verbenaslip_fleet::core::Note;
-use verbenaslip_fleet::frame::{Ask, Told};
+use verbenaslip_fleet::frame::{Request, Response};
 use verbenaslip_fleet::registry::Standing;
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Between two announcements of an upstream.
 const ROUND: Duration = Duration::from_millis(1_200);
-/// So many that news go by way of other cores, and that more than a dozen hang on one of them.
+/// So many that updates go by way of other cores, and that more than a dozen hang on one of them.
 const ENTRIES: usize = 72;
 /// By then after an acknowledgement every entry knows, whatever was lost on the way: a twentieth of the time that an
 /// upstream still takes work.
 const KNOWN: Duration = Duration::from_millis(100);
 
-fn announce(name: &str, sequence: u64, draining: bool) -> Ask {
-    Ask::Announce(Box::new(announcement(name, sequence, draining)))
+fn announce(name: &str, sequence: u64, draining: bool) -> Request {
+    Request::Announce(Box::new(announcement(name, sequence, draining)))
 }
 
 /// Starts five cores, with one upstream that every entry knows.
 fn fleet() -> Net {
     let mut net = Net::found_with(5, ENTRIES, 5);
     net.run(SECOND * 5);
-    net.call(0, Ask::Adopt(Box::new(serving(4))));
-    assert_eq!(net.call(0, announce("u", 1, false)), Some(Told::Noted));
+    net.call(0, Request::Adopt(Box::new(serving(4))));
+    assert_eq!(net.call(0, announce("u", 1, false)), Some(Response::Noted));
     net.run(SECOND);
     assert!(standings(&net).iter().all(|it| *it == Some(Standing::Ready)));
     net
@@ -50,13 +50,13 @@
     let mut net = fleet();
     let core = followers(&net)[0];
     for sequence in 2..12 {
-        assert_eq!(net.call(core, announce("u", sequence, false)), Some(Told::Noted));
+        assert_eq!(net.call(core, announce("u", sequence, false)), Some(Response::Noted));
         net.run(ROUND);
         assert!(standings(&net).iter().all(|it| *it == Some(Standing::Ready)));
     }
     net.run(ROUND * 6);
     assert!(standings(&net).iter().all(|it| *it == Some(Standing::Silent)));
-    assert_eq!(net.call(core, announce("u", 12, false)), Some(Told::Noted));
+    assert_eq!(net.call(core, announce("u", 12, false)), Some(Response::Noted));
     net.run(SECOND);
     assert!(standings(&net).iter().all(|it| *it == Some(Standing::Ready)));
 }
@@ -70,10 +70,10 @@
     let core = followers(&net)[0];
     net.cut(core);
     net.run(SECOND);
-    assert_eq!(net.call(core, announce("u", 2, false)), Some(Told::Unsure));
+    assert_eq!(net.call(core, announce("u", 2, false)), Some(Response::Unsure));
     net.heal(core);
     net.run(SECOND);
-    assert_eq!(net.call(core, announce("u", 3, false)), Some(Told::Noted));
+    assert_eq!(net.call(core, announce("u", 3, false)), Some(Response::Noted));
 }
 
 #[test]
@@ -84,7 +84,7 @@
     let mut net = fleet();
     let [told, asleep] = [followers(&net)[0], followers(&net)[1]];
     net.freeze(asleep);
-    assert_eq!(net.call(told, withdraw("u")), Some(Told::Noted));
+    assert_eq!(net.call(told, withdraw("u")), Some(Response::Noted));
     let late = net.ask(asleep, announce("u", 9, false));
     for _ in 0..20 {
         net.run(SECOND / 10);
@@ -98,8 +98,8 @@
 #[test]
 fn a_leaving_holds_at_every_entry_when_a_core_that_passes_it_on_is_lost() {
     // Symptom: requests reach an upstream long after its leaving was acknowledged, from the entries of one zone.
-    // Sequence: the leader has news passed on by another core, which dies, freezes or is cut off with them.
-    // Cause: news that count as sent and are not sent again by another way.
+    // Sequence: the leader has update passed on by another core, which dies, freezes or is cut off with them.
+    // Cause: update that count as sent and are not sent again by another way.
     for lost in 0..4 {
         for (delay, kind) in (0..8).flat_map(|delay| (0..3).map(move |kind| (delay * 10, kind))) {
             let mut net = fleet();
@@ -115,7 +115,7 @@
             let mut acknowledged = None;
             for _ in 0..150 {
                 net.run(SECOND / 50);
-                if net.answer(call) == Some(Told::Noted) {
+                if net.answer(call) == Some(Response::Noted) {
                     acknowledged = Some(net.now());
                 }
                 let past = acknowledged.is_some_and(|at| net.now() - at > KNOWN);
@@ -150,7 +150,7 @@
     let began = notes.iter().filter(|(_, note)| matches!(note, Note::Began { .. })).count();
     let resumed = notes.iter().filter(|(_, note)| matches!(note, Note::Resumed { .. })).count();
     assert_eq!((began, resumed), (0, 3));
-    assert_eq!(net.call(leader, withdraw("u")), Some(Told::Noted));
+    assert_eq!(net.call(leader, withdraw("u")), Some(Response::Noted));
     assert!(standings(&net).iter().all(Option::is_none), "acknowledged before all knew");
 }
 
@@ -160,16 +160,16 @@
     // seconds, and each says so again every 1.2 s. Cause: each time the leader is asked, though all know it.
     let mut net = fleet();
     let core = followers(&net)[0];
-    assert_eq!(net.call(core, announce("u", 2, true)), Some(Told::Noted));
+    assert_eq!(net.call(core, announce("u", 2, true)), Some(Response::Noted));
     assert!(standings(&net).iter().all(|it| *it == Some(Standing::Leaving)));
     net.count_traffic();
     for sequence in 3..6 {
-        assert_eq!(net.call(core, announce("u", sequence, true)), Some(Told::Noted));
+        assert_eq!(net.call(core, announce("u", sequence, true)), Some(Response::Noted));
     }
     let asked = net.traffic(core).sent;
     assert!(asked <= 2, "{asked} frames sent for an answer that is known");
     // What has not been acknowledged here is, as before, only once all know it and the log holds it.
-    assert_eq!(net.call(core, withdraw("u")), Some(Told::Noted));
+    assert_eq!(net.call(core, withdraw("u")), Some(Response::Noted));
     assert!(standings(&net).iter().all(Option::is_none));
 }
 
@@ -185,12 +185,12 @@
     let mut told = None;
     // Its sender asks again while nobody is sure.
     for _ in 0..4 {
-        told = net.call(leader, Ask::Adopt(Box::new(serving(8))));
-        if told != Some(Told::Unsure) {
+        told = net.call(leader, Request::Adopt(Box::new(serving(8))));
+        if told != Some(Response::Unsure) {
             break;
         }
     }
-    assert_eq!(told, Some(Told::Adopted { revision: 8 }));
+    assert_eq!(told, Some(Response::Adopted { revision: 8 }));
     assert!(net.entries().all(|view| view.revision() == 8), "acknowledged before it was in force");
 }
 
@@ -202,7 +202,8 @@
     net.deafen_entry(3);
     let leader = net.leaders()[0];
     let began = net.now();
-    while net.call(leader, Ask::Adopt(Box::new(serving(8)))) != Some(Told::Adopted { revision: 8 })
+    while net.call(leader, Request::Adopt(Box::new(serving(8))))
+        != Some(Response::Adopted { revision: 8 })
     {
         assert!(net.now() - began < SECOND * 4, "never acknowledged");
     }
@@ -215,10 +216,10 @@
     // a core that answers what is not new by itself. Cause: an earlier number taken for nothing new.
     let mut net = fleet();
     let core = followers(&net)[0];
-    assert_eq!(net.call(core, announce("u", 5, false)), Some(Told::Noted));
+    assert_eq!(net.call(core, announce("u", 5, false)), Some(Response::Noted));
     net.run(ROUND);
     net.take_notes();
-    assert_eq!(net.call(core, announce("u", 1, false)), Some(Told::Noted));
+    assert_eq!(net.call(core, announce("u", 1, false)), Some(Response::Noted));
     net.run(SECOND);
     assert!(net.take_notes().iter().any(|(_, note)| matches!(note, Note::Late(_))));
 }
@@ -235,7 +236,7 @@
         let call = net.ask(core, announce("u", sequence, false));
         net.run(SECOND / 10);
         assert!(standings(&net).iter().all(|it| *it == Some(Standing::Ready)), "{sequence}");
-        assert_eq!(net.answer(call), Some(Told::Noted));
+        assert_eq!(net.answer(call), Some(Response::Noted));
     }
 }
 
@@ -247,7 +248,7 @@
     let mut net = fleet();
     let core = followers(&net)[0];
     for sequence in 2..70 {
-        assert_eq!(net.call(core, announce("u", sequence, true)), Some(Told::Noted));
+        assert_eq!(net.call(core, announce("u", sequence, true)), Some(Response::Noted));
         net.run(ROUND);
         assert!(standings(&net).iter().all(|it| *it == Some(Standing::Leaving)), "{sequence}");
     }
--- a/crates/verbenaslip-instance/src/cloud.rs
+++ b/crates/verbenaslip-instance/src/cloud.rs
@@ -11,7 +11,7 @@
 use verbenaslip_fleet::duty::{Order, Outcome};
 use verbenaslip_relay::http::{Response, Wire};
 use verbenaslip_relay::journal;
-use verbenaslip_relay::{socket, steady};
+use verbenaslip_relay::{monotonic, socket};
 
 use crate::event;
 
@@ -97,7 +97,7 @@
         bytes.extend_from_slice(&post.body);
         // The process may have been frozen since the order was made, and another instance may hold
         // the duty by now. The cloud does not check, so the lease is looked at last of all.
-        if steady::now() >= order.until {
+        if monotonic::now() >= order.until {
             return None;
         }
         wire.send(&bytes).await.ok()?;
--- a/crates/verbenaslip-instance/src/core.rs
+++ b/crates/verbenaslip-instance/src/core.rs
@@ -13,9 +13,9 @@
 use verbenaslip_fleet::Core as Decisions;
 use verbenaslip_fleet::core::{Input, Output, Setup};
 use verbenaslip_fleet::duty;
-use verbenaslip_fleet::frame::{Frame, Peer, Told};
+use verbenaslip_fleet::frame::{Frame, Peer, Response};
 use verbenaslip_relay::journal;
-use verbenaslip_relay::steady;
+use verbenaslip_relay::monotonic;
 use verbenaslip_replica::setup::Timing;
 use verbenaslip_replica::storage::Error as FolderError;
 use verbenaslip_replica::voter::Voter;
@@ -148,7 +148,7 @@
         face,
         cloud,
         reopen: Duration::ZERO,
-        incarnation: steady::unix(),
+        incarnation: monotonic::unix(),
         stop: None,
     };
     running.open(true)?;
@@ -190,7 +190,7 @@
         let (folder, recovered) = Folder::open(&self.core.folder).map_err(Error::Folder)?;
         let identity = recovered.identity;
         let disk = Disk::spawn(folder, self.stored.clone()).map_err(Error::Thread)?;
-        let (now, unix) = (steady::now(), steady::unix());
+        let (now, unix) = (monotonic::now(), monotonic::unix());
         let settings = &self.settings;
         let instance = verbenaslip_fleet::core::name_of(settings.peers);
         let own = Peer {
@@ -237,7 +237,7 @@
             Woken::Frame(frame) => self.step(Input::Frame(Box::new(frame))),
             Woken::Call(Call { id, ask }) => {
                 if self.decisions.is_none() {
-                    self.face.answer(id, Told::Unsure);
+                    self.face.answer(id, Response::Unsure);
                 }
                 self.step(Input::Call { id, ask });
             }
@@ -246,7 +246,7 @@
             Woken::Ordered(Ordered { id, outcome }) => self.step(Input::Ordered { id, outcome }),
             Woken::Signal(Signal::Stop) => {
                 journal::say(event::STOPPING, []);
-                self.stop = Some(steady::now() + HAND_OVER);
+                self.stop = Some(monotonic::now() + HAND_OVER);
                 self.step(Input::Stop);
             }
             Woken::Signal(Signal::Reload) => {
@@ -270,12 +270,12 @@
         journal::say(event::DISK_FAILED, [("cause", json!(error.to_string()))]);
         self.decisions = None;
         self.disk = None;
-        self.reopen = steady::now() + REOPEN;
+        self.reopen = monotonic::now() + REOPEN;
     }
 
     fn tick(&mut self) {
-        if self.decisions.is_none() && steady::now() >= self.reopen {
-            self.reopen = steady::now() + REOPEN;
+        if self.decisions.is_none() && monotonic::now() >= self.reopen {
+            self.reopen = monotonic::now() + REOPEN;
             match self.open(false) {
                 Ok(()) => journal::say(event::DISK_BACK, []),
                 Err(error) => {
@@ -283,13 +283,13 @@
                 }
             }
         }
-        self.step(Input::Unix(steady::unix()));
+        self.step(Input::Unix(monotonic::unix()));
     }
 
     fn step(&mut self, input: Input) {
         let Some(decisions) = &mut self.decisions else { return };
         let mut outputs = Vec::new();
-        decisions.step(steady::now(), input, &mut outputs);
+        decisions.step(monotonic::now(), input, &mut outputs);
         for output in outputs {
             self.carry_out(output);
         }
@@ -319,21 +319,21 @@
 
     fn wait(&self) -> Duration {
         let wake = self.decisions.as_ref().map_or(self.reopen, Decisions::wake);
-        wake.saturating_sub(steady::now()).min(TICK)
+        wake.saturating_sub(monotonic::now()).min(TICK)
     }
 
     fn is_over(&self) -> bool {
         let Some(until) = self.stop else { return false };
         let idle = self.decisions.as_ref().is_none_or(Decisions::is_idle);
-        idle || steady::now() >= until
+        idle || monotonic::now() >= until
     }
 }
 
 /// Counts what this core did for the leader: too often for lines in the log.
 fn count(frame: &Frame) {
     match frame {
-        Frame::Beat(beat) => metrics::counter!("verbenaslip_announcements_vouched_total")
-            .increment(beat.marks.len() as u64),
+        Frame::Heartbeat(heartbeat) => metrics::counter!("verbenaslip_announcements_vouched_total")
+            .increment(heartbeat.marks.len() as u64),
         Frame::SeenBy(confirmations) => metrics::counter!("verbenaslip_news_relayed_total")
             .increment(confirmations.len() as u64),
         _ => {}
--- a/crates/verbenaslip-instance/src/entry.rs
+++ b/crates/verbenaslip-instance/src/entry.rs
@@ -8,16 +8,16 @@
 use serde_json::json;
 use tokio::sync::mpsc::{self, UnboundedReceiver};
 use verbenaslip_fleet::Entry as Decisions;
-use verbenaslip_fleet::belief::Beliefs;
-use verbenaslip_fleet::entry::Letter;
+use verbenaslip_fleet::entry::Envelope;
 use verbenaslip_fleet::frame::{Frame, Peer};
+use verbenaslip_fleet::transition::Transitions;
 use verbenaslip_fleet::view::Stamp;
 use verbenaslip_relay::board::{Board, Experience};
 use verbenaslip_relay::dialect::Dialect;
 use verbenaslip_relay::journal;
+use verbenaslip_relay::monotonic;
 use verbenaslip_relay::policy::retry::Bounds;
 use verbenaslip_relay::server::{Server, Setup};
-use verbenaslip_relay::steady;
 
 use crate::event;
 use crate::links::Links;
@@ -74,7 +74,7 @@
     };
     let server = Server::spawn(setup);
     let server = server.map_err(|error| Error::Traffic(entry.callers, entry.ready, error))?;
-    let unix = steady::unix();
+    let unix = monotonic::unix();
     let own = Peer {
         address: peers,
         name: settings.name.clone(),
@@ -82,16 +82,16 @@
         incarnation: unix,
         voter: None,
     };
-    let decisions = Decisions::open(own, settings.seeds.clone(), steady::now(), unix);
+    let decisions = Decisions::open(own, settings.seeds.clone(), monotonic::now(), unix);
     let grace = settings.stop.grace;
     let (shown, lost, stop) = (None, None, None);
     let mut running = Running { decisions, links, board: board.clone(), server, shown, lost, stop };
     loop {
-        running.beat();
+        running.heartbeat();
         if running.is_over() {
             return Ok(());
         }
-        let wait = running.wake().saturating_sub(steady::now()).min(TICK);
+        let wait = running.wake().saturating_sub(monotonic::now()).min(TICK);
         tokio::select! {
             biased;
             Some(signal) = signals.recv() => match signal {
@@ -116,42 +116,42 @@
 }
 
 impl Running {
-    fn beat(&mut self) {
-        let now = steady::now();
+    fn heartbeat(&mut self) {
+        let now = monotonic::now();
         if now < self.decisions.wake() {
             return;
         }
-        let letter = self.decisions.account(now);
-        self.post(letter);
-        if now < self.decisions.beat_at() {
+        let envelope = self.decisions.account(now);
+        self.post(envelope);
+        if now < self.decisions.heartbeat_at() {
             return;
         }
         let report = self.board.report();
-        let letter = self.decisions.beat(now, steady::unix(), report);
-        self.post(letter);
+        let envelope = self.decisions.heartbeat(now, monotonic::unix(), report);
+        self.post(envelope);
     }
 
     /// Takes what requests met, to be told to the leader.
     fn meet(&mut self) {
-        let Experience { crashes, answers } = self.board.take_met();
-        self.decisions.met(steady::now(), crashes, answers);
+        let Experience { crashes, answers } = self.board.take_sightings();
+        self.decisions.met(monotonic::now(), crashes, answers);
     }
 
-    fn post(&self, letter: Option<Letter>) {
-        if let Some(Letter { to, frame }) = letter {
+    fn post(&self, envelope: Option<Envelope>) {
+        if let Some(Envelope { to, frame }) = envelope {
             to.into_iter().for_each(|to| self.links.send(to, &frame));
         }
     }
 
     fn take(&mut self, frame: Frame) {
-        let letter = self.decisions.take(steady::now(), frame);
-        self.post(letter);
+        let envelope = self.decisions.take(monotonic::now(), frame);
+        self.post(envelope);
         let view = self.decisions.view();
         self.board.show(view.clone());
         let shown = (view.revision(), view.stamp);
         if self.shown != Some(shown) {
             self.shown = Some(shown);
-            let Beliefs { changed, unlisted } = self.decisions.take_beliefs();
+            let Transitions { changed, unlisted } = self.decisions.take_transitions();
             let view = self.decisions.view();
             journal::say(
                 event::VIEW,
@@ -170,7 +170,7 @@
 
     /// Notices the loss of the leader, and looks for other addresses to join through.
     fn watch_leader(&mut self, reload: &impl Fn() -> Option<Settings>) {
-        let now = steady::now();
+        let now = monotonic::now();
         let heard = self.decisions.view().heard;
         let silent = heard.map(|heard| now.saturating_sub(heard));
         let lost = silent.is_none_or(|silent| silent > LOST);
@@ -202,13 +202,13 @@
 
     /// Returns when something is due next.
     fn wake(&self) -> Duration {
-        let stop = self.stop.map(|stop| stop.wake(steady::now()));
+        let stop = self.stop.map(|stop| stop.wake(monotonic::now()));
         self.decisions.wake().min(stop.unwrap_or(Duration::MAX))
     }
 
     fn stop(&mut self, grace: Duration) {
         if self.stop.is_none() {
-            self.stop = Some(Stop::begin(steady::now(), grace));
+            self.stop = Some(Stop::begin(monotonic::now(), grace));
             self.board.drain();
             journal::say(event::STOPPING, [("active", json!(self.server.active()))]);
         }
@@ -217,7 +217,7 @@
     /// Goes on with a stop; tells whether it may end.
     fn is_over(&self) -> bool {
         let Some(stop) = self.stop else { return false };
-        let phase = stop.phase(steady::now(), self.server.active());
+        let phase = stop.phase(monotonic::now(), self.server.active());
         if phase != Phase::Takes && !self.board.is_closing() {
             self.board.close();
         }
--- a/crates/verbenaslip-instance/src/event.rs
+++ b/crates/verbenaslip-instance/src/event.rs
@@ -24,7 +24,7 @@
 pub(crate) const ROLE: Kind = Kind { number: 910, name: "log_role" };
 /// A route table is committed.
 pub(crate) const SHEET: Kind = Kind { number: 911, name: "routes_in_force" };
-/// The leader's belief of an upstream has changed.
+/// What the leader knows of an upstream has changed.
 pub(crate) const UPSTREAM: Kind = Kind { number: 912, name: "upstream_changed" };
 /// An upstream said that it goes.
 pub(crate) const WITHDRAWN: Kind = Kind { number: 913, name: "upstream_withdrawn" };
--- a/crates/verbenaslip-instance/src/face.rs
+++ b/crates/verbenaslip-instance/src/face.rs
@@ -13,10 +13,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Semaphore, oneshot};
-use verbenaslip_fleet::frame::{Ask, Told};
+use verbenaslip_fleet::frame::{Request, Response};
 use verbenaslip_fleet::sheet::Limits;
-use verbenaslip_relay::http::{Fault, Whole, Wire, reader};
-use verbenaslip_relay::{journal, socket, steady};
+use verbenaslip_relay::http::{Fault, Message, Wire, reader};
+use verbenaslip_relay::{journal, monotonic, socket};
 
 use crate::event;
 
@@ -57,10 +57,10 @@
     /// # Errors
     ///
     /// Returns the answer to a call that can't be read.
-    fn ask(&self, call: &Whole) -> Result<Ask, Answer>;
+    fn ask(&self, call: &Message) -> Result<Request, Answer>;
 
     /// Writes the answer to a call.
-    fn told(&self, told: &Told) -> Answer;
+    fn told(&self, told: &Response) -> Answer;
 }
 
 /// Asks the decisions for something.
@@ -69,7 +69,7 @@
     /// Names the call in its answer.
     pub id: u64,
     /// What is asked.
-    pub ask: Ask,
+    pub ask: Request,
 }
 
 /// Takes calls and gives them their answers.
@@ -78,7 +78,7 @@
 }
 
 /// Holds who waits for the answer to each call.
-type Open = HashMap<u64, oneshot::Sender<Told>>;
+type Open = HashMap<u64, oneshot::Sender<Response>>;
 
 struct Shared {
     codec: Arc<dyn Codec>,
@@ -105,8 +105,8 @@
 
 impl Refusals {
     /// Writes why a call was refused, unless enough was written in this second.
-    fn say(&self, call: &Whole, answer: &Answer) {
-        let second = steady::now().as_secs();
+    fn say(&self, call: &Message, answer: &Answer) {
+        let second = monotonic::now().as_secs();
         if self.second.replace(second) != second {
             self.lines.set(0);
         }
@@ -155,7 +155,7 @@
     }
 
     /// Answers a call.
-    pub fn answer(&self, id: u64, told: Told) {
+    pub fn answer(&self, id: u64, told: Response) {
         if let Some(open) = self.shared.open.borrow_mut().remove(&id) {
             // A caller that has gone meanwhile needs no answer.
             let _ = open.send(told);
@@ -200,11 +200,11 @@
 
 impl Shared {
     /// Reads a call once it is its turn; none where the caller has gone, or has waited for too long.
-    async fn read(&self, wire: &mut Wire, limits: &Limits) -> Result<Option<Whole>, Fault> {
-        let since = steady::now();
+    async fn read(&self, wire: &mut Wire, limits: &Limits) -> Result<Option<Message>, Fault> {
+        let since = monotonic::now();
         // Nobody closes the turns.
         let turn = self.turns.acquire().await;
-        if steady::now().saturating_sub(since) > STALE {
+        if monotonic::now().saturating_sub(since) > STALE {
             return Ok(None);
         }
         let mut read = pin!(reader::read(wire, limits));
@@ -215,7 +215,7 @@
         read.await
     }
 
-    async fn take(&self, call: &Whole) -> Answer {
+    async fn take(&self, call: &Message) -> Answer {
         let ask = match self.codec.ask(call) {
             Ok(ask) => ask,
             Err(answer) => {
@@ -224,18 +224,18 @@
             }
         };
         if self.open.borrow().len() >= CALLS {
-            return self.codec.told(&Told::Unsure);
+            return self.codec.told(&Response::Unsure);
         }
         let (sender, told) = oneshot::channel();
         self.next.set(self.next.get() + 1);
         let id = self.next.get();
         self.open.borrow_mut().insert(id, sender);
         if self.calls.send(Call { id, ask }).is_err() {
-            return self.codec.told(&Told::Unsure);
+            return self.codec.told(&Response::Unsure);
         }
         let told = tokio::time::timeout(PATIENCE, told).await;
         self.open.borrow_mut().remove(&id);
-        let told = told.ok().and_then(Result::ok).unwrap_or(Told::Unsure);
+        let told = told.ok().and_then(Result::ok).unwrap_or(Response::Unsure);
         self.codec.told(&told)
     }
 }
--- a/crates/verbenaslip-instance/src/line.rs
+++ b/crates/verbenaslip-instance/src/line.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use tokio::sync::mpsc::UnboundedReceiver;
-use verbenaslip_fleet::frame::{Ask, Frame};
+use verbenaslip_fleet::frame::{Frame, Request};
 
 use crate::face::Call;
 
@@ -25,7 +25,7 @@
 /// an upstream that goes, would be given up by its sender before it is read.
 impl Urgent for Call {
     fn is_urgent(&self) -> bool {
-        !matches!(&self.ask, Ask::Announce(announcement) if !announcement.draining)
+        !matches!(&self.ask, Request::Announce(announcement) if !announcement.draining)
     }
 }
 
--- a/crates/verbenaslip-instance/src/links.rs
+++ b/crates/verbenaslip-instance/src/links.rs
@@ -18,7 +18,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{self, Receiver, Sender, UnboundedSender};
 use verbenaslip_fleet::frame::Frame;
-use verbenaslip_relay::{socket, steady};
+use verbenaslip_relay::{monotonic, socket};
 
 /// Opens every connection: the protocol's name and version.
 const MAGIC: &[u8; 4] = b"VSF1";
@@ -76,7 +76,7 @@
 
     /// Tells whether what was sent has been followed by nothing for too long.
     ///
-    /// A connection on which nothing was sent may be silent for as long as it likes: a core that passes news on
+    /// A connection on which nothing was sent may be silent for as long as it likes: a core that passes updates on
     /// to its entries from time to time would else dial all of them anew each time.
     fn is_silent(&self, now: Duration) -> bool {
         let asked = self.asked.get();
@@ -126,7 +126,7 @@
         self.shared.give_up_silent(to);
         let mut links = self.shared.links.borrow_mut();
         let link = links.entry(to).or_insert_with(|| self.shared.dial(to));
-        link.ask(steady::now());
+        link.ask(monotonic::now());
         if link.out.try_send(bytes).is_err() {
             // It does not read, or has ended; the next frame goes over a new connection.
             links.remove(&to);
@@ -140,7 +140,7 @@
     /// A connection can go silent for good while new ones work. One would notice an instance that
     /// the leader takes for lost although it is well.
     fn give_up_silent(&self, to: SocketAddr) {
-        let now = steady::now();
+        let now = monotonic::now();
         let mut links = self.links.borrow_mut();
         if links.get(&to).is_some_and(|link| link.is_silent(now)) {
             links.remove(&to);
@@ -150,7 +150,7 @@
     fn open(&self, own: bool) -> (Link, Receiver<Bytes>) {
         let (out, queue) = mpsc::channel(QUEUE);
         self.next.set(self.next.get() + 1);
-        let now = steady::now();
+        let now = monotonic::now();
         let heard = Rc::new(Cell::new(now));
         let asked = Cell::new(now);
         (Link { id: self.next.get(), own, out, opened: now, heard, asked }, queue)
@@ -181,7 +181,7 @@
     fn prefers_own(&self, peer: SocketAddr) -> bool {
         let links = self.links.borrow();
         links.get(&peer).is_some_and(|link| {
-            let new = steady::now().saturating_sub(link.opened) < EQUALLY_NEW;
+            let new = monotonic::now().saturating_sub(link.opened) < EQUALLY_NEW;
             link.own && new && self.own < peer
         })
     }
@@ -263,7 +263,7 @@
         while let Some(length) = whole(&bytes) {
             let frame = bytes.split_to(length);
             let Ok(frame) = postcard::from_bytes(&frame[4..]) else { return };
-            heard.set(steady::now());
+            heard.set(monotonic::now());
             if inbox.send(frame).is_err() {
                 return;
             }
@@ -304,7 +304,7 @@
             return;
         }
     }
-    while steady::now().saturating_sub(heard.get()) < UNUSED {
+    while monotonic::now().saturating_sub(heard.get()) < UNUSED {
         tokio::time::sleep(UNUSED).await;
     }
 }
--- a/crates/verbenaslip-instance/src/note.rs
+++ b/crates/verbenaslip-instance/src/note.rs
@@ -1,12 +1,12 @@
 //! What a core believes, as log lines.
 
 use serde_json::{Value, json};
-use verbenaslip_fleet::belief::Belief;
 use verbenaslip_fleet::core::Note;
-use verbenaslip_fleet::print::Print;
+use verbenaslip_fleet::fingerprint::Fingerprint;
 use verbenaslip_fleet::quarantine::Finding;
 use verbenaslip_fleet::registry::{Late, Record, Run};
 use verbenaslip_fleet::rollout::Rollout;
+use verbenaslip_fleet::transition::Transition;
 use verbenaslip_relay::journal::{self, Kind};
 
 use crate::event;
@@ -150,35 +150,38 @@
 /// Writes a line about a request that ends upstreams, or may do so.
 fn say_found(finding: &Finding) {
     let runs = |runs: &[Run]| json!(runs.iter().map(|it| it.upstream.as_str()).collect::<Vec<_>>());
-    let content = |print: &Print| ("content", json!(print.to_string()));
+    let content = |fingerprint: &Fingerprint| ("content", json!(fingerprint.to_string()));
     match finding {
-        Finding::Suspected { print, runs: ended } => {
-            journal::say(event::SUSPECTED, [content(print), ("upstreams", runs(ended))]);
+        Finding::Suspected { fingerprint, runs: ended } => {
+            journal::say(event::SUSPECTED, [content(fingerprint), ("upstreams", runs(ended))]);
         }
-        Finding::Held { print, runs: ended, held } => {
+        Finding::Blocked { fingerprint, runs: ended, held } => {
             metrics::counter!("verbenaslip_requests_held_back_total").increment(1);
             journal::say(
                 event::HELD,
                 [
-                    content(print),
+                    content(fingerprint),
                     ("upstreams", runs(ended)),
                     ("until", json!(held.until)),
                     ("tries", json!(held.tries)),
                 ],
             );
         }
-        Finding::Cleared { print, cause } => {
-            journal::say(event::CLEARED, [content(print), ("cause", json!(format!("{cause:?}")))]);
+        Finding::Cleared { fingerprint, cause } => {
+            journal::say(
+                event::CLEARED,
+                [content(fingerprint), ("cause", json!(format!("{cause:?}")))],
+            );
         }
-        Finding::Tried { print, entry } => {
-            journal::say(event::TRIED, [content(print), ("entry", json!(entry.to_string()))]);
+        Finding::Tried { fingerprint, entry } => {
+            journal::say(event::TRIED, [content(fingerprint), ("entry", json!(entry.to_string()))]);
         }
     }
 }
 
 /// Lists how upstreams stand, by name; null for one that is gone.
-pub(crate) fn standings(changed: &[Belief]) -> Value {
-    let named = |it: &Belief| {
+pub(crate) fn standings(changed: &[Transition]) -> Value {
+    let named = |it: &Transition| {
         let standing = it.standing.map(|standing| format!("{standing:?}"));
         (it.upstream.as_str().to_owned(), json!(standing))
     };
--- a/crates/verbenaslip-instance/src/settings.rs
+++ b/crates/verbenaslip-instance/src/settings.rs
@@ -12,7 +12,7 @@
 use verbenaslip::settings::value::Value;
 use verbenaslip::settings::{self, Collected, Invalid};
 use verbenaslip_base::name::{AvailabilityZone, Instance as Name};
-use verbenaslip_fleet::print::Print;
+use verbenaslip_fleet::fingerprint::Fingerprint;
 use verbenaslip_fleet::quarantine::Rule;
 
 /// Holds all settings of one instance.
@@ -89,9 +89,9 @@
     /// After how long it is let through again.
     pub hold: Duration,
     /// Contents that are never held back.
-    pub lifted: Vec<Print>,
+    pub lifted: Vec<Fingerprint>,
     /// Contents that are held back in any case.
-    pub forbidden: Vec<Print>,
+    pub forbidden: Vec<Fingerprint>,
 }
 
 /// Holds `[stop]`.
@@ -149,7 +149,7 @@
 }
 
 /// Reads the content of a request as logs name it.
-struct Content(Print);
+struct Content(Fingerprint);
 
 impl Value for Content {
     const ALLOWED: &'static str = "32 hexadecimal digits, as in `content` of a request's log line";
@@ -277,8 +277,8 @@
         reader.take(Place("requests", "hold"), &mut hold);
         reader.list(Place("requests", "lifted"), &mut lifted);
         reader.list(Place("requests", "forbidden"), &mut forbidden);
-        let prints = |contents: Vec<Content>| contents.into_iter().map(|it| it.0).collect();
-        let (lifted, forbidden) = (prints(lifted), prints(forbidden));
+        let fingerprints = |contents: Vec<Content>| contents.into_iter().map(|it| it.0).collect();
+        let (lifted, forbidden) = (fingerprints(lifted), fingerprints(forbidden));
         Self { crashes: crashes.0, hold: hold.0, lifted, forbidden }
     }
 
--- a/crates/verbenaslip-instance/src/stop.rs
+++ b/crates/verbenaslip-instance/src/stop.rs
@@ -20,7 +20,7 @@
     Over,
 }
 
-/// Follows a planned stop by the steady clock.
+/// Follows a planned stop by the monotonic clock.
 #[derive(Clone, Copy, Debug)]
 pub struct Stop {
     since: Duration,
--- a/crates/verbenaslip-instance/tests/cloud.rs
+++ b/crates/verbenaslip-instance/tests/cloud.rs
@@ -13,7 +13,7 @@
 use verbenaslip_fleet::ledger::Window;
 use verbenaslip_instance::cloud::{Cloud, Codec, Post};
 use verbenaslip_lab::port;
-use verbenaslip_relay::steady;
+use verbenaslip_relay::monotonic;
 
 /// The longest time until it is known that an order has no answer.
 const KNOWN: Duration = Duration::from_millis(2_500);
@@ -62,7 +62,7 @@
 
 fn order(id: u64) -> Order {
     let window = Window { number: id, counts: Default::default() };
-    Order { id, fence: 1, until: steady::now() + KNOWN * 2, task: Task::Usage(window) }
+    Order { id, fence: 1, until: monotonic::now() + KNOWN * 2, task: Task::Usage(window) }
 }
 
 #[test]
--- a/crates/verbenaslip-instance/tests/line.rs
+++ b/crates/verbenaslip-instance/tests/line.rs
@@ -3,7 +3,7 @@
 use tokio::runtime::Runtime;
 use tokio::sync::mpsc;
 use verbenaslip_base::name::{Instance, Upstream};
-use verbenaslip_fleet::frame::{Ask, Frame, Told};
+use verbenaslip_fleet::frame::{Frame, Request, Response};
 use verbenaslip_instance::face::Call;
 use verbenaslip_instance::line::Line;
 use verbenaslip_replica::entry::Position;
@@ -17,7 +17,7 @@
 }
 
 fn report(token: u64) -> Frame {
-    Frame::Told { token, told: Told::Noted }
+    Frame::Response { token, told: Response::Noted }
 }
 
 fn vote() -> Frame {
@@ -41,7 +41,7 @@
     assert!(matches!(next, Some(Frame::Log { .. })), "{next:?}");
     for expected in 1..REPORTS {
         let next = runtime.block_on(line.next());
-        let Some(Frame::Told { token, .. }) = next else { panic!("{next:?}") };
+        let Some(Frame::Response { token, .. }) = next else { panic!("{next:?}") };
         assert_eq!(token, expected, "the others keep their order");
     }
     drop(sender);
@@ -56,10 +56,10 @@
     let runtime = runtime();
     let (sender, inbox) = mpsc::unbounded_channel();
     let mut line = Line::open(inbox);
-    let stays = |id| Call { id, ask: Ask::Announce(Box::new(announcement(false))) };
+    let stays = |id| Call { id, ask: Request::Announce(Box::new(announcement(false))) };
     (0..REPORTS).for_each(|id| sender.send(stays(id)).expect("it is open"));
-    let leaving = Ask::Withdraw { upstream: Upstream::new("u"), incarnation: None };
-    let urgent = [Ask::Read, Ask::Announce(Box::new(announcement(true))), leaving];
+    let leaving = Request::Withdraw { upstream: Upstream::new("u"), incarnation: None };
+    let urgent = [Request::Read, Request::Announce(Box::new(announcement(true))), leaving];
     for (id, ask) in (REPORTS..).zip(urgent) {
         sender.send(Call { id, ask }).expect("it is open");
     }
--- a/crates/verbenaslip-instance/tests/links.rs
+++ b/crates/verbenaslip-instance/tests/links.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::mpsc::{self, UnboundedReceiver};
 use tokio::task::LocalSet;
-use verbenaslip_fleet::frame::{Frame, Told};
+use verbenaslip_fleet::frame::{Frame, Response};
 use verbenaslip_instance::links::Links;
 use verbenaslip_lab::port;
 
@@ -17,12 +17,12 @@
 }
 
 fn frame(token: u64) -> Frame {
-    Frame::Told { token, told: Told::Noted }
+    Frame::Response { token, told: Response::Noted }
 }
 
 fn received(inbox: &mut UnboundedReceiver<Frame>) -> Vec<u64> {
     let mut tokens = Vec::new();
-    while let Ok(Frame::Told { token, .. }) = inbox.try_recv() {
+    while let Ok(Frame::Response { token, .. }) = inbox.try_recv() {
         tokens.push(token);
     }
     tokens
--- a/crates/verbenaslip-relay/src/board.rs
+++ b/crates/verbenaslip-relay/src/board.rs
@@ -7,15 +7,15 @@
 
 use tokio::sync::Notify;
 use verbenaslip_base::name::Team;
-use verbenaslip_fleet::account::{Answered, Met};
+use verbenaslip_fleet::account::{Answered, Sighting};
 use verbenaslip_fleet::link::Report;
 use verbenaslip_fleet::load::Work;
 use verbenaslip_fleet::quota::Demand;
 use verbenaslip_fleet::usage::{self, Tally};
 use verbenaslip_fleet::view::View;
 
+use crate::monotonic;
 use crate::policy::versions::Versions;
-use crate::steady;
 
 /// Sums by service.
 type Totals = BTreeMap<Arc<str>, f64>;
@@ -98,7 +98,7 @@
     }
 
     /// Notes requests under which an upstream ended.
-    pub fn crashed(&self, crashes: impl IntoIterator<Item = Met>) {
+    pub fn crashed(&self, crashes: impl IntoIterator<Item = Sighting>) {
         lock(&self.met).crashes.extend(crashes);
         self.meets.notify_one();
     }
@@ -115,7 +115,7 @@
     }
 
     /// Takes what requests met since it was last asked for.
-    pub fn take_met(&self) -> Experience {
+    pub fn take_sightings(&self) -> Experience {
         std::mem::take(&mut *lock(&self.met))
     }
 
@@ -128,7 +128,7 @@
             .iter()
             .map(|(service, total)| Work { service: service.clone(), total: *total })
             .collect();
-        let rollouts = self.versions().report(steady::now());
+        let rollouts = self.versions().report(monotonic::now());
         Report { counts: lock(&self.tally).counts(), demand, work, rollouts, ..Report::default() }
     }
 
@@ -174,7 +174,7 @@
 #[derive(Debug, Default)]
 pub struct Experience {
     /// Upstreams that ended while they ran them.
-    pub crashes: Vec<Met>,
+    pub crashes: Vec<Sighting>,
     /// Answers to requests that are suspected or held back.
     pub answers: Vec<Answered>,
 }
@@ -182,7 +182,7 @@
 /// Reports a second.
 const REPORTS: f64 = 4.0;
 
-/// The part of an old rate that a report keeps: a time constant of about two seconds, so that loans
+/// The part of an old rate that a report keeps: a time constant of about two seconds, so that grants
 /// don't follow single requests.
 const KEEP: f64 = 0.88;
 
--- a/crates/verbenaslip-relay/src/dialect.rs
+++ b/crates/verbenaslip-relay/src/dialect.rs
@@ -46,7 +46,7 @@
 
 /// Holds what is told to the upstream beside the caller's own words.
 #[derive(Clone, Copy, Debug)]
-pub struct Onward<'a> {
+pub struct Forwarded<'a> {
     /// The run of the upstream that is meant; any other must not take the request.
     pub upstream: &'a Upstream,
     /// The caller's team.
@@ -84,7 +84,7 @@
     fn is_ours(&self, name: &str) -> bool;
 
     /// Writes the fields that this system sets towards an upstream.
-    fn onward(&self, onward: &Onward<'_>, put: Put<'_>);
+    fn forwarded(&self, forwarded: &Forwarded<'_>, put: Put<'_>);
 
     /// Reads what a response says.
     fn reply(&self, head: &Response, id: &str) -> Reply;
--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -17,13 +17,13 @@
 use crate::forward::crash::{Broken, Sign};
 use crate::forward::job::Job;
 use crate::forward::pool::Pool;
+use crate::monotonic;
 use crate::policy::allowance::Allowance;
 use crate::policy::place::{Choice, Ending, Placement};
 use crate::policy::record::Record;
 use crate::policy::retry::{Bounds, Budget};
 use crate::policy::versions::Tracks;
 use crate::policy::waited::Waited;
-use crate::steady;
 
 /// Holds what all requests share; only the traffic thread uses it.
 pub struct Context {
@@ -66,7 +66,7 @@
             pool: RefCell::new(Pool::default()),
             waited: RefCell::new(Waited::default()),
             record: RefCell::new(Record::default()),
-            draw: Cell::new(steady::unix()),
+            draw: Cell::new(monotonic::unix()),
             signs,
         }
     }
@@ -80,7 +80,7 @@
             self.pool.borrow_mut().forget(&gone);
         }
         self.board.versions().update(&view);
-        let answered = self.record.borrow_mut().update(&view.docket);
+        let answered = self.record.borrow_mut().update(&view.blocklist);
         answered.into_iter().for_each(|it| self.board.answered(it));
         view
     }
@@ -90,19 +90,19 @@
         let step = u32::try_from(self.random() >> 32).unwrap_or(u32::MAX);
         let draw = f64::from(step) / f64::from(u32::MAX);
         let versions = self.board.versions();
-        versions.tracks(steady::now(), &job.service, &job.route.name, again, draw)
+        versions.tracks(monotonic::now(), &job.service, &job.route.name, again, draw)
     }
 
     /// Counts a request that is sent to an upstream.
     pub(crate) fn sent(&self, job: &Job<'_>, choice: &mut Choice) {
-        let (now, route) = (steady::now(), &job.route.name);
+        let (now, route) = (monotonic::now(), &job.route.name);
         let mut versions = self.board.versions();
         choice.ticket = versions.sent(now, &job.service, route, choice.cohort, choice.mark);
     }
 
     /// Takes the time of the first event of a request.
     pub(crate) fn first(&self, choice: &Choice, took: Duration) {
-        self.placement.borrow_mut().first(steady::now(), choice, took);
+        self.placement.borrow_mut().first(monotonic::now(), choice, took);
         if let Some(ticket) = choice.ticket {
             self.board.versions().first(choice.service(), ticket, took);
         }
@@ -110,7 +110,7 @@
 
     /// Counts a request's end at an upstream.
     pub(crate) fn ended(&self, choice: &Choice, ending: Ending, began: Option<Duration>) {
-        let now = steady::now();
+        let now = monotonic::now();
         self.placement.borrow_mut().end(now, choice, ending, began);
         if let Some(ticket) = choice.ticket {
             self.board.versions().end(now, choice.service(), ticket, ending);
@@ -139,17 +139,17 @@
 
     /// Notes that a request was answered, and tells the leader if it is suspected.
     pub(crate) fn answered(&self, job: &Job<'_>) {
-        let Some(print) = job.print else { return };
-        let at = steady::now();
-        if self.record.borrow_mut().answered(at, print, &self.board.view().docket) {
-            self.board.answered(Answered { print, at });
+        let Some(fingerprint) = job.fingerprint else { return };
+        let at = monotonic::now();
+        if self.record.borrow_mut().answered(at, fingerprint, &self.board.view().blocklist) {
+            self.board.answered(Answered { fingerprint, at });
         }
     }
 
     /// Tells for how long a request is held back, if it is.
     pub(crate) fn held(&self, job: &Job<'_>) -> Option<Duration> {
         let view = self.board.view();
-        self.record.borrow_mut().held(steady::now(), job.print?, &view)
+        self.record.borrow_mut().held(monotonic::now(), job.fingerprint?, &view)
     }
 
     /// Pays for one more arrival of a request at its service, if the budget allows it.
@@ -164,7 +164,7 @@
     pub(crate) fn may_leave(&self, job: &Job<'_>, tried: &[Run], paid: &mut bool) -> bool {
         // The other one may have left since this request came.
         self.view();
-        let other = self.placement.borrow().has_other(steady::now(), &job.service, tried);
+        let other = self.placement.borrow().has_other(monotonic::now(), &job.service, tried);
         *paid = *paid || (other && self.spend(job));
         *paid && other
     }
@@ -179,8 +179,8 @@
 
 /// Says which request is at its end at an upstream now.
 fn broken(job: &Job<'_>, choice: &Choice, sent: Instant) -> Broken {
-    let (id, print) = (job.call.id.clone(), job.print);
+    let (id, fingerprint) = (job.call.id.clone(), job.fingerprint);
     let (run, address) = (choice.run.clone(), choice.address);
-    let ended = steady::now();
-    Broken { id, print, run, address, sent: ended.saturating_sub(sent.elapsed()), ended }
+    let ended = monotonic::now();
+    Broken { id, fingerprint, run, address, sent: ended.saturating_sub(sent.elapsed()), ended }
 }
--- a/crates/verbenaslip-relay/src/forward/crash.rs
+++ b/crates/verbenaslip-relay/src/forward/crash.rs
@@ -11,13 +11,13 @@
 use serde_json::json;
 use tokio::sync::mpsc::UnboundedReceiver;
 use verbenaslip_base::name::Upstream;
-use verbenaslip_fleet::account::Met;
-use verbenaslip_fleet::print::Print;
+use verbenaslip_fleet::account::Sighting;
+use verbenaslip_fleet::fingerprint::Fingerprint;
 use verbenaslip_fleet::registry::Run;
 
 use crate::board::Board;
 use crate::journal::{self, Kind};
-use crate::{socket, steady};
+use crate::{monotonic, socket};
 
 /// An upstream broke off what it ran.
 const BROKE_OFF: Kind = Kind { number: 936, name: "upstream_broke_off" };
@@ -51,8 +51,8 @@
 pub(crate) struct Broken {
     /// The identity of the request.
     pub(crate) id: Arc<str>,
-    /// Its content, where prints can be made.
-    pub(crate) print: Option<Print>,
+    /// Its content, where fingerprints can be made.
+    pub(crate) fingerprint: Option<Fingerprint>,
     /// The run of the upstream.
     pub(crate) run: Run,
     /// Where it is reached.
@@ -97,7 +97,7 @@
             }
         }
     }
-    let now = steady::now();
+    let now = monotonic::now();
     left.retain(|it| now.saturating_sub(it.ended) <= LEFT);
     let (with, without) = left.drain(..).partition(|it| doubted.contains(&it.run));
     *left = without;
@@ -120,16 +120,16 @@
     }
 }
 
-fn met(broken: Broken) -> Option<Met> {
-    let Broken { print, run, sent, ended, .. } = broken;
-    Some(Met { print: print?, run, sent, ended })
+fn met(broken: Broken) -> Option<Sighting> {
+    let Broken { fingerprint, run, sent, ended, .. } = broken;
+    Some(Sighting { fingerprint: fingerprint?, run, sent, ended })
 }
 
 fn say(upstream: &Upstream, incarnation: u64, ended: bool, requests: &[Broken]) {
     let listed = &requests[..requests.len().min(LISTED)];
     let ids: Vec<&str> = listed.iter().map(|it| &*it.id).collect();
     let contents: Vec<String> =
-        listed.iter().filter_map(|it| it.print).map(|it| it.to_string()).collect();
+        listed.iter().filter_map(|it| it.fingerprint).map(|it| it.to_string()).collect();
     journal::say(
         BROKE_OFF,
         [
--- a/crates/verbenaslip-relay/src/forward/delivery.rs
+++ b/crates/verbenaslip-relay/src/forward/delivery.rs
@@ -34,7 +34,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ended {
     /// The caller has all of it.
-    Whole,
+    Complete,
     /// The upstream broke off.
     Broken,
     /// The upstream was silent for too long.
@@ -92,7 +92,7 @@
                 }
             }
             if whole {
-                return Ended::Whole;
+                return Ended::Complete;
             }
             if let Some(ended) =
                 wait(caller, &mut answered.wire, &decoder, limit, leave.after).await
@@ -100,11 +100,11 @@
                 if ended == Ended::Silent && !(leave.may)() {
                     continue;
                 }
-                if ended == Ended::Whole {
+                if ended == Ended::Complete {
                     self.end(job, &mut out);
                     let sent = tokio::time::timeout_at(limit, caller.send(&out)).await;
                     let gone = !matches!(sent, Ok(Ok(())));
-                    return if gone { Ended::CallerGone } else { Ended::Whole };
+                    return if gone { Ended::CallerGone } else { Ended::Complete };
                 }
                 self.splitter.cut();
                 return ended;
@@ -204,7 +204,7 @@
         filled = wire.fill() => match filled {
             Ok(count) if count > 0 => None,
             // An answer without a length ends with its connection, if that ends in good order.
-            Ok(_) if decoder.may_end() => Some(Ended::Whole),
+            Ok(_) if decoder.may_end() => Some(Ended::Complete),
             Ok(_) | Err(_) => Some(Ended::Broken),
         },
         () = caller.gone() => Some(Ended::CallerGone),
--- a/crates/verbenaslip-relay/src/forward/exchange.rs
+++ b/crates/verbenaslip-relay/src/forward/exchange.rs
@@ -10,10 +10,10 @@
 use crate::forward::job::Job;
 use crate::forward::leave::Leave;
 use crate::forward::pool;
-use crate::http::wire::Traded;
+use crate::http::wire::Progress;
 use crate::http::{Decoder, Response, Step, Wire};
 use crate::policy::place::Choice;
-use crate::{socket, steady};
+use crate::{monotonic, socket};
 
 /// How long a new connection may take; many times the longest way there and back.
 const DIAL: Duration = Duration::from_millis(300);
@@ -89,13 +89,13 @@
             return Err(Failure::Broken);
         }
         tokio::select! {
-            traded = wire.trade(&bytes[written..]) => match traded {
-                Ok(Traded::Wrote(count)) => written += count,
-                Ok(Traded::Read(count)) if count > 0 => {}
-                Ok(Traded::Read(_)) | Err(_) if written == 0 && kept => {
+            progress = wire.exchange(&bytes[written..]) => match progress {
+                Ok(Progress::Wrote(count)) => written += count,
+                Ok(Progress::Read(count)) if count > 0 => {}
+                Ok(Progress::Read(_)) | Err(_) if written == 0 && kept => {
                     return Err(Failure::Unreached);
                 }
-                Ok(Traded::Read(_)) | Err(_) => return Err(Failure::Broken),
+                Ok(Progress::Read(_)) | Err(_) => return Err(Failure::Broken),
             },
             () = caller.gone() => return Err(Failure::CallerGone),
             () = tokio::time::sleep_until(limit) => {
@@ -115,7 +115,7 @@
     limit: Instant,
 ) -> Result<(Wire, bool), Failure> {
     let once = !job.route.kind.may_repeat();
-    let kept = context.pool.borrow_mut().take(steady::now(), &choice.run, once);
+    let kept = context.pool.borrow_mut().take(monotonic::now(), &choice.run, once);
     if let Some(wire) = kept {
         return Ok((wire, true));
     }
@@ -182,7 +182,7 @@
         return;
     }
     let stated = answered.head.text("keep-alive").and_then(stated);
-    let now = steady::now();
+    let now = monotonic::now();
     let most = pool::share(job.connections, job.entries);
     context.pool.borrow_mut().put(now, &choice.run, answered.wire, stated, most);
 }
--- a/crates/verbenaslip-relay/src/forward/onward.rs
+++ b/crates/verbenaslip-relay/src/forward/forwarded.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::dialect::Onward;
+use crate::dialect::Forwarded;
 use crate::forward::answer;
 use crate::forward::context::Context;
 use crate::forward::job::Job;
@@ -30,14 +30,14 @@
             answer::put(&mut out, &field.name, &field.value);
         }
     }
-    let onward = Onward {
+    let forwarded = Forwarded {
         upstream: &choice.run.upstream,
         team: job.team.map(|team| &team.name),
         remaining,
         after: after.or(job.call.after),
         rank: (!job.call.parts.is_empty()).then_some(job.rank),
     };
-    context.dialect.onward(&onward, &mut |name, value| {
+    context.dialect.forwarded(&forwarded, &mut |name, value| {
         answer::put(&mut out, name, value.as_bytes());
     });
     if !job.body.is_empty() || !matches!(&*job.head.method, "GET" | "HEAD") {
--- a/crates/verbenaslip-relay/src/forward/job.rs
+++ b/crates/verbenaslip-relay/src/forward/job.rs
@@ -1,21 +1,21 @@
-//! What is decided of a request once: who asks, which route it takes, whether its team may ask.
+//! What is decided of a request once: who asks, which route it takes, whether its team may query.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::time::Instant;
+use verbenaslip_fleet::fingerprint::Fingerprint;
 use verbenaslip_fleet::index::Index;
-use verbenaslip_fleet::print::Print;
 use verbenaslip_fleet::sheet::{Kind, Route, TeamRow};
 use verbenaslip_fleet::view::View;
 
 use crate::dialect::Call;
 use crate::forward::answer::Refusal;
 use crate::forward::context::Context;
-use crate::http::{Request, Whole};
+use crate::http::{Message, Request};
+use crate::monotonic;
 use crate::policy::allowance::{self, Verdict as Allowed};
-use crate::steady;
 
 /// How long before the end of its time a request gets its answer, so that the answer arrives while
 /// its caller still waits.
@@ -41,7 +41,7 @@
     /// What it says beyond HTTP.
     pub call: &'a Call,
     /// Its content, to be known again; none as long as this entry has no key for that.
-    pub print: Option<Print>,
+    pub fingerprint: Option<Fingerprint>,
     /// Its route.
     pub route: &'a Route,
     /// Its rank; zero is the most urgent.
@@ -75,7 +75,7 @@
 pub fn admit<'a>(
     context: &Context,
     view: &'a View,
-    whole: &'a Whole,
+    whole: &'a Message,
     call: Option<&'a Call>,
     closes: bool,
 ) -> Result<Job<'a>, Refused> {
@@ -90,7 +90,7 @@
     let patience = call.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
     let waited = call.patience.is_some_and(|patience| {
         let mut waited = context.waited.borrow_mut();
-        waited.take(steady::now(), &route.name, patience, route.objective)
+        waited.take(monotonic::now(), &route.name, patience, route.objective)
     });
     let service = service(context, route);
     context.budget.borrow_mut().earn(&service, view.entries);
@@ -98,7 +98,7 @@
         head: &whole.head,
         body: &whole.body,
         call,
-        print: print(view, whole, team, host),
+        fingerprint: fingerprint(view, whole, team, host),
         route,
         rank: routes.rank(route, team),
         team,
@@ -112,9 +112,14 @@
     })
 }
 
-fn print(view: &View, whole: &Whole, team: Option<&TeamRow>, host: &str) -> Option<Print> {
+fn fingerprint(
+    view: &View,
+    whole: &Message,
+    team: Option<&TeamRow>,
+    host: &str,
+) -> Option<Fingerprint> {
     let team = team.map_or("", |team| team.name.as_str());
-    Some(Print::of(view.docket.key?, team, host, &whole.head.target, &whole.body))
+    Some(Fingerprint::of(view.blocklist.key?, team, host, &whole.head.target, &whole.body))
 }
 
 fn team<'a>(routes: &'a Index, route: &Route, call: &Call) -> Result<Option<&'a TeamRow>, Refused> {
@@ -131,7 +136,7 @@
     let Some(quota) = &team.quota else { return Ok(()) };
     let units = allowance::units(quota, size(job.call));
     let mut allowance = context.allowance.borrow_mut();
-    let verdict = allowance.take(steady::now(), team, units, view);
+    let verdict = allowance.take(monotonic::now(), team, units, view);
     context.board.asked(&team.name, units, allowance.total(&team.name));
     match verdict {
         Allowed::Within => Ok(()),
--- a/crates/verbenaslip-relay/src/forward/life.rs
+++ b/crates/verbenaslip-relay/src/forward/life.rs
@@ -12,15 +12,15 @@
 use crate::forward::context::Context;
 use crate::forward::delivery::{Delivery, Ended};
 use crate::forward::exchange::{self, Answered, Failure};
+use crate::forward::forwarded;
 use crate::forward::job::{self, Job, Refused};
 use crate::forward::leave::Leave;
-use crate::forward::onward;
 use crate::forward::trace::{self, Basis, Trace};
-use crate::http::{Whole, Wire};
-use crate::policy::place::{Ask, Busy, Cause, Choice, Ending, Verdict};
+use crate::http::{Message, Wire};
+use crate::monotonic;
+use crate::policy::place::{Busy, Cause, Choice, Ending, Query, Verdict};
 use crate::policy::record;
 use crate::policy::versions::Tracks;
-use crate::steady;
 
 /// When a caller may come back that met a full upstream. An upstream that is full is slower as well, so
 /// callers that come back sooner keep it full; the next news of the fleet has come by then.
@@ -64,7 +64,7 @@
 }
 
 /// Serves one request.
-pub async fn serve(context: &Context, caller: &mut Wire, whole: &Whole, closes: bool) -> After {
+pub async fn serve(context: &Context, caller: &mut Wire, whole: &Message, closes: bool) -> After {
     let mut trace = Trace::default();
     let call = context.dialect.call(&whole.head);
     let id = call.as_ref().map_or_else(|| "".into(), |call| call.id.clone());
@@ -95,7 +95,7 @@
 /// After a power loss of all, entries are back before the cores have elected a leader. Whoever asks then
 /// and is refused comes back after its objective; many have come back once already, from an entry that
 /// was down, and do not a second time. The table is there a moment later.
-async fn wait_for_routes(context: &Context, caller: &mut Wire, whole: &Whole) -> bool {
+async fn wait_for_routes(context: &Context, caller: &mut Wire, whole: &Message) -> bool {
     let until = (whole.arrived + WAIT_FOR_ROUTES).min(context.started + STARTING);
     tokio::select! {
         () = context.board.has_routes() => false,
@@ -182,7 +182,7 @@
     course.tried.push(choice.run.clone());
     let last = course.arrivals + 1 >= job.route.attempts;
     let patience = (!last && job.route.kind.may_repeat()).then(|| patience(job, &choice));
-    let bytes = onward::write(context, job, &choice, remaining, course.delivery.last_event());
+    let bytes = forwarded::write(context, job, &choice, remaining, course.delivery.last_event());
     context.sent(job, &mut choice);
     let sent = Instant::now();
     let may = || context.may_leave(job, &course.tried, &mut course.paid);
@@ -258,20 +258,20 @@
     }
     trace.status = status;
     let ending = match ended {
-        Ended::Whole if status >= 500 => Ending::Failed,
-        Ended::Whole => Ending::Whole,
+        Ended::Complete if status >= 500 => Ending::Failed,
+        Ended::Complete => Ending::Complete,
         Ended::Broken | Ended::Silent => Ending::Failed,
         Ended::TimedOut | Ended::CallerGone => Ending::Left,
     };
     context.ended(&choice, ending, Some(at.elapsed()));
     match ended {
-        Ended::Whole if survived => context.answered(job),
+        Ended::Complete if survived => context.answered(job),
         Ended::Broken => context.broke_off(job, &choice, at),
         Ended::CallerGone => context.left(job, &choice, at),
-        Ended::Whole | Ended::Silent | Ended::TimedOut => {}
+        Ended::Complete | Ended::Silent | Ended::TimedOut => {}
     }
     match ended {
-        Ended::Whole => {
+        Ended::Complete => {
             exchange::keep(context, job, &choice, answered);
             trace.outcome = "answered";
             Next::Ended(After::Keep)
@@ -357,7 +357,7 @@
     remaining: Duration,
     trace: &mut Trace,
 ) -> Result<Choice, Refused> {
-    let ask = Ask {
+    let query = Query {
         service: &job.service,
         rank: job.rank,
         parts: &job.call.parts,
@@ -372,8 +372,8 @@
     // A request that is tried again may have waited for seconds, and nothing else need have come meanwhile.
     // Placed by what was known when it came, it would go to an upstream that has left since.
     trace.basis = Basis::of(&context.view());
-    let ask = Ask { tracks: context.tracks(job, !course.tried.is_empty()), ..ask };
-    let verdict = context.placement.borrow_mut().choose(steady::now(), &ask);
+    let query = Query { tracks: context.tracks(job, !course.tried.is_empty()), ..query };
+    let verdict = context.placement.borrow_mut().choose(monotonic::now(), &query);
     count_work(context, job, course, &verdict);
     match verdict {
         Verdict::Go(choice) => {
@@ -417,7 +417,7 @@
         return;
     }
     let Some(team) = job.team else { return };
-    let unix = clock::at(steady::now(), context.board.view().time);
+    let unix = clock::at(monotonic::now(), context.board.view().time);
     context.board.began(&team.name, unix, context.window);
 }
 
--- a/crates/verbenaslip-relay/src/forward/trace.rs
+++ b/crates/verbenaslip-relay/src/forward/trace.rs
@@ -12,7 +12,7 @@
 
 use crate::forward::job::Job;
 use crate::journal::{self, Kind};
-use crate::steady;
+use crate::monotonic;
 
 /// One line a request, with what decided it.
 const ENDED: Kind = Kind { number: 901, name: "request_ended" };
@@ -70,7 +70,7 @@
 impl Basis {
     /// Notes what a decision goes by that is made now.
     pub fn of(view: &View) -> Self {
-        let age = view.heard.map(|heard| steady::now().saturating_sub(heard));
+        let age = view.heard.map(|heard| monotonic::now().saturating_sub(heard));
         Self { stamp: view.stamp, age }
     }
 }
@@ -91,7 +91,7 @@
         ("id", json!(id)),
         ("route", json!(route)),
         ("team", json!(team.map(Team::as_str))),
-        ("content", json!(job.and_then(|job| job.print).map(|it| it.to_string()))),
+        ("content", json!(job.and_then(|job| job.fingerprint).map(|it| it.to_string()))),
         ("outcome", json!(outcome)),
         ("status", json!(trace.status)),
         ("ms", json!(took.as_millis())),
--- a/crates/verbenaslip-relay/src/http.rs
+++ b/crates/verbenaslip-relay/src/http.rs
@@ -10,7 +10,7 @@
 
 pub use body::{Decoder, Framing, Step};
 pub use head::{Field, Request, Response};
-pub use reader::Whole;
+pub use reader::Message;
 pub use wire::Wire;
 
 use displaydoc::Display;
--- a/crates/verbenaslip-relay/src/http/reader.rs
+++ b/crates/verbenaslip-relay/src/http/reader.rs
@@ -15,7 +15,7 @@
 
 /// Holds a whole request as it came.
 #[derive(Debug)]
-pub struct Whole {
+pub struct Message {
     /// Its head.
     pub head: Request,
     /// Its body.
@@ -35,7 +35,7 @@
 /// # Errors
 ///
 /// Says what is wrong with the request; the connection can't be used any further.
-pub async fn read(caller: &mut Wire, limits: &Limits) -> Result<Option<Whole>, Fault> {
+pub async fn read(caller: &mut Wire, limits: &Limits) -> Result<Option<Message>, Fault> {
     if caller.bytes.is_empty() && !begun(caller, limits).await {
         return Ok(None);
     }
@@ -63,7 +63,7 @@
             },
         }
     }
-    Ok(Some(Whole { head, body: body.freeze(), arrived: Instant::now() }))
+    Ok(Some(Message { head, body: body.freeze(), arrived: Instant::now() }))
 }
 
 /// Waits for a whole head and returns its length; none when the caller closes.
--- a/crates/verbenaslip-relay/src/http/wire.rs
+++ b/crates/verbenaslip-relay/src/http/wire.rs
@@ -84,15 +84,15 @@
     /// # Errors
     ///
     /// Fails when the connection does.
-    pub async fn trade(&mut self, out: &[u8]) -> io::Result<Traded> {
+    pub async fn exchange(&mut self, out: &[u8]) -> io::Result<Progress> {
         self.bytes.reserve(ROOM);
         let (mut reader, mut writer) = self.stream.split();
         if out.is_empty() {
-            return Ok(Traded::Read(reader.read_buf(&mut self.bytes).await?));
+            return Ok(Progress::Read(reader.read_buf(&mut self.bytes).await?));
         }
         tokio::select! {
-            written = writer.write(out) => Ok(Traded::Wrote(written?)),
-            read = reader.read_buf(&mut self.bytes) => Ok(Traded::Read(read?)),
+            written = writer.write(out) => Ok(Progress::Wrote(written?)),
+            read = reader.read_buf(&mut self.bytes) => Ok(Progress::Read(read?)),
         }
     }
 
@@ -111,9 +111,9 @@
     }
 }
 
-/// Says what a trade did.
+/// Says what a exchange did.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Traded {
+pub enum Progress {
     /// So many bytes were written.
     Wrote(usize),
     /// So many bytes were read; zero at the end of the connection.
--- a/crates/verbenaslip-relay/src/journal.rs
+++ b/crates/verbenaslip-relay/src/journal.rs
@@ -13,7 +13,7 @@
 use crossbeam::channel::{self, Receiver, Sender, TrySendError};
 use serde_json::{Map, Value};
 
-use crate::steady;
+use crate::monotonic;
 
 /// Lines that may wait: some seconds' worth of a busy entry, under a megabyte.
 const QUEUE: usize = 2_048;
@@ -50,7 +50,7 @@
 pub fn say(kind: Kind, fields: impl IntoIterator<Item = (&'static str, Value)>) {
     let Some(lines) = LINES.get() else { return };
     let mut map = Map::new();
-    map.insert("at".into(), steady::unix().into());
+    map.insert("at".into(), monotonic::unix().into());
     map.insert("event".into(), kind.number.into());
     map.insert("what".into(), kind.name.into());
     map.extend(fields.into_iter().map(|(name, value)| (name.to_owned(), value)));
--- a/crates/verbenaslip-relay/src/lib.rs
+++ b/crates/verbenaslip-relay/src/lib.rs
@@ -24,9 +24,9 @@
 pub mod forward;
 pub mod http;
 pub mod journal;
+pub mod monotonic;
 pub mod policy;
 pub mod server;
 pub mod socket;
-pub mod steady;
 
 pub use server::Server;
--- a/crates/verbenaslip-relay/src/steady.rs
+++ b/crates/verbenaslip-relay/src/monotonic.rs
@@ -1,4 +1,4 @@
-//! The steady clock that all threads of an instance share.
+//! The monotonic clock that all threads of an instance share.
 
 use std::time::Duration;
 
@@ -6,7 +6,7 @@
 
 /// Returns the time since the machine's start, times of suspension included.
 ///
-/// The usual steady clock stands still while a machine is suspended. A lease measured by it would
+/// The usual monotonic clock stands still while a machine is suspended. A lease measured by it would
 /// outlive its time, and two instances would both act as the leader.
 pub fn now() -> Duration {
     let time = clock_gettime(ClockId::Boottime);
--- a/crates/verbenaslip-relay/src/policy/allowance.rs
+++ b/crates/verbenaslip-relay/src/policy/allowance.rs
@@ -35,7 +35,7 @@
 impl Allowance {
     /// Takes what a request asks for out of its team's limit.
     ///
-    /// What was lent may be overdrawn by one request: one larger than the whole loan would otherwise
+    /// What was granted may be overdrawn by one request: one larger than the whole grant would otherwise
     /// never pass, which shows as the largest requests of a team being refused for ever.
     pub fn take(&mut self, now: Duration, team: &TeamRow, units: f64, view: &View) -> Verdict {
         let Some(quota) = team.quota.filter(|quota| quota.rate > 0.0) else {
@@ -47,8 +47,9 @@
         let filled = admitted.alone + passed * quota.rate * equal;
         admitted.alone = filled.min(quota.burst * equal);
         admitted.at = now;
-        let lent = view.loans.get(&team.name).filter(|_| is_fresh(now, view));
-        let left = lent.map_or(admitted.alone, |lent| lent.units - (admitted.total - lent.from));
+        let granted = view.grants.get(&team.name).filter(|_| is_fresh(now, view));
+        let left = granted
+            .map_or(admitted.alone, |granted| granted.units - (admitted.total - granted.from));
         if left > 0.0 {
             admitted.total += units;
             admitted.alone -= units;
@@ -78,15 +79,15 @@
     }
 }
 
-/// The shortest time after which a team may have been lent more: one report and its answer.
+/// The shortest time after which a team may have been granted more: one report and its answer.
 const LOAN: f64 = 0.3;
 
-/// Tells whether a report was answered that was sent so lately that the loans hold.
+/// Tells whether a report was answered that was sent so lately that the grants hold.
 ///
-/// An entry that does not hear the leader can't know what others were lent meanwhile, so it falls
+/// An entry that does not hear the leader can't know what others were granted meanwhile, so it falls
 /// back to an equal part of each limit, which the leader keeps for it.
 fn is_fresh(now: Duration, view: &View) -> bool {
-    view.lent.is_some_and(|lent| now.saturating_sub(lent) <= SHARE_LEASE)
+    view.granted.is_some_and(|granted| now.saturating_sub(granted) <= SHARE_LEASE)
 }
 
 /// Returns the units of a request under a quota.
--- a/crates/verbenaslip-relay/src/policy/place.rs
+++ b/crates/verbenaslip-relay/src/policy/place.rs
@@ -86,7 +86,7 @@
 
 /// Describes a request to be placed.
 #[derive(Clone, Copy, Debug)]
-pub struct Ask<'a> {
+pub struct Query<'a> {
     /// The service.
     pub service: &'a str,
     /// Its rank; zero is the most urgent.
@@ -226,44 +226,44 @@
     }
 
     /// Decides where a request goes, and counts it there.
-    pub fn choose(&mut self, now: Duration, ask: &Ask<'_>) -> Verdict {
-        let engine = !ask.parts.is_empty();
+    pub fn choose(&mut self, now: Duration, query: &Query<'_>) -> Verdict {
+        let engine = !query.parts.is_empty();
         self.turn = self.turn.wrapping_add(1);
-        if let Some(busy) = self.sheds(now, ask) {
+        if let Some(busy) = self.sheds(now, query) {
             return Verdict::Busy(busy);
         }
-        let Some(mut choice) = self.choose_track(now, ask) else { return Verdict::Nowhere };
-        let objective = ask.objective.as_secs_f64() * 1_000.0;
+        let Some(mut choice) = self.choose_track(now, query) else { return Verdict::Nowhere };
+        let objective = query.objective.as_secs_f64() * 1_000.0;
         if engine {
             choice.lag = self.lags.get(&choice.lane).map_or(0.0, |lag| lag.at(now));
         }
         let expected = choice.expected + choice.lag;
-        let late = expected > objective * if ask.waited { PATIENCE_WAITED } else { PATIENCE };
-        let hopeless = expected > ask.remaining.as_secs_f64() * 1_000.0;
-        if engine && !ask.begun && (late || hopeless) && choice.cohort == Cohort::Canary {
+        let late = expected > objective * if query.waited { PATIENCE_WAITED } else { PATIENCE };
+        let hopeless = expected > query.remaining.as_secs_f64() * 1_000.0;
+        if engine && !query.begun && (late || hopeless) && choice.cohort == Cohort::Canary {
             // A canary that is busy must not cost its caller the answer.
-            return self.choose(now, &Ask { tracks: Tracks::default(), ..*ask });
+            return self.choose(now, &Query { tracks: Tracks::default(), ..*query });
         }
-        if engine && !ask.begun && (late || hopeless) {
+        if engine && !query.begun && (late || hopeless) {
             let over = (expected - objective).max(100.0);
             let back = Duration::from_secs_f64((over / 1_000.0).min(3.0));
             let cause = Cause::Late { expected: choice.expected, lag: choice.lag };
             return Verdict::Busy(Busy { back, cause, work: choice.work });
         }
-        self.begin(now, &choice, ask);
+        self.begin(now, &choice, query);
         Verdict::Go(choice)
     }
 
     /// Finds the best upstream of the first version that has one.
-    fn choose_track(&self, now: Duration, ask: &Ask<'_>) -> Option<Choice> {
-        let tracks = std::iter::once(ask.tracks.first).chain(ask.tracks.second);
+    fn choose_track(&self, now: Duration, query: &Query<'_>) -> Option<Choice> {
+        let tracks = std::iter::once(query.tracks.first).chain(query.tracks.second);
         let mut tries = [true, false].into_iter().flat_map(|strict| {
             let tracks = tracks.clone();
             tracks.map(move |track| (strict, track))
         });
         tries.find_map(|(strict, track)| {
-            let home = self.home(ask, track);
-            self.best(now, ask, home.as_ref(), strict, track)
+            let home = self.home(query, track);
+            self.best(now, query, home.as_ref(), strict, track)
         })
     }
 
@@ -319,13 +319,13 @@
     /// requests are turned away and the others are late. Refused here in the right part, the rest finds
     /// short queues and is on time. The part follows from how late answers come beside what is wanted,
     /// so it needs to know neither the load nor what the upstreams can do.
-    fn sheds(&self, now: Duration, ask: &Ask<'_>) -> Option<Busy> {
-        if !ask.parts.is_empty() || !ask.tried.is_empty() {
+    fn sheds(&self, now: Duration, query: &Query<'_>) -> Option<Busy> {
+        if !query.parts.is_empty() || !query.tried.is_empty() {
             return None;
         }
-        let refused = 1.0 - self.shares.get(ask.service)?.at(now);
+        let refused = 1.0 - self.shares.get(query.service)?.at(now);
         // Whoever has come back gets a late answer at best, in the place of one that is on time.
-        let part = if ask.waited { (refused * WAITED).min(SHED_MOST) } else { refused };
+        let part = if query.waited { (refused * WAITED).min(SHED_MOST) } else { refused };
         let draw = f64::from(u32::try_from(hash::mix(self.turn) >> 32).unwrap_or(0));
         let shed = draw < part * f64::from(u32::MAX);
         let back = BACK_SHED.0 + BACK_SHED.1.mul_f64(part);
@@ -369,25 +369,25 @@
     fn best(
         &self,
         now: Duration,
-        ask: &Ask<'_>,
+        query: &Query<'_>,
         home: Option<&Upstream>,
         strict: bool,
         track: Track,
     ) -> Option<Choice> {
-        let names = self.by_service.get(ask.service)?;
-        let shared: u64 = shared(ask.parts).iter().map(|part| u64::from(part.tokens)).sum();
+        let names = self.by_service.get(query.service)?;
+        let shared: u64 = shared(query.parts).iter().map(|part| u64::from(part.tokens)).sum();
         let mut best: Option<(&Site, Estimate)> = None;
         let mut equals = 1;
         for name in names {
             let Some(site) = self.sites.get(name) else { continue };
             if !track.admits(site.cohort)
                 || !site.takes(now, strict)
-                || ask.tried.contains(site.run())
+                || query.tried.contains(site.run())
             {
                 continue;
             }
             let likely = if home == Some(name) { scale(shared, SHARED) } else { 0 };
-            let estimate = self.weigh(now, ask, site, shared, likely);
+            let estimate = self.weigh(now, query, site, shared, likely);
             let gain = best.map_or(f64::MAX, |(_, best)| best.cost - estimate.cost);
             equals = if gain.abs() < EQUAL { equals + 1 } else { 1 };
             // Of equals each is as likely; always the first would get all that comes at once.
@@ -398,7 +398,7 @@
         }
         let (site, Estimate { reading, expected, idle, .. }) = best?;
         let Announcement { run, address, service, version, .. } = &site.record.announcement;
-        let lane = (service.clone(), ask.rank);
+        let lane = (service.clone(), query.rank);
         Some(Choice {
             run: run.clone(),
             address: *address,
@@ -406,13 +406,13 @@
             expected,
             lag: 0.0,
             idle,
-            work: if ask.parts.is_empty() { 0.0 } else { site.pace.reading(reading) },
+            work: if query.parts.is_empty() { 0.0 } else { site.pace.reading(reading) },
             version: version.clone(),
             cohort: site.cohort,
             mark: site.mark,
             ticket: None,
             lane,
-            plain: ask.parts.is_empty().then_some(ask.objective),
+            plain: query.parts.is_empty().then_some(query.objective),
         })
     }
 
@@ -421,13 +421,13 @@
     fn weigh(
         &self,
         now: Duration,
-        ask: &Ask<'_>,
+        query: &Query<'_>,
         site: &Site,
         shared: u64,
         likely: u64,
     ) -> Estimate {
-        let held = site.cache.held(now, ask.parts).max(likely);
-        let reading = ask.prompt.saturating_sub(held);
+        let held = site.cache.held(now, query.parts).max(likely);
+        let reading = query.prompt.saturating_sub(held);
         let again = shared.saturating_sub(held);
         let requests = site.requests;
         // Only what this entry itself has there. What others had would be known half a second later,
@@ -436,13 +436,13 @@
         let slots = site.record.announcement.slots.max(1);
         let away = if site.record.announcement.zone == self.zone { 0.0 } else { AWAY };
         let mut expected = away + f64::from(requests) * BATCHED + site.failing(now) * FAILING;
-        if !ask.parts.is_empty() {
+        if !query.parts.is_empty() {
             expected += site.pace.first() + site.pace.reading(waiting + reading);
         }
         if requests >= slots {
             let lasting = site.pace.lasting().unwrap_or(100.0);
             expected += lasting * f64::from(requests - slots + 1) / f64::from(slots);
-        } else if ask.parts.is_empty() {
+        } else if query.parts.is_empty() {
             expected += 10.0 * f64::from(requests) / f64::from(slots);
         }
         Estimate {
@@ -453,20 +453,20 @@
         }
     }
 
-    fn begin(&mut self, now: Duration, choice: &Choice, ask: &Ask<'_>) {
+    fn begin(&mut self, now: Duration, choice: &Choice, query: &Query<'_>) {
         let Some(site) = self.site_mut(choice) else { return };
         site.requests += 1;
         site.reading += choice.reading;
-        site.cache.note(now, ask.parts);
+        site.cache.note(now, query.parts);
     }
 
     /// Returns the upstream where the shared start of a prompt belongs.
     ///
     /// All entries find the same one without a word between them: the one with the highest hash of
     /// prefix and upstream.
-    fn home(&self, ask: &Ask<'_>, track: Track) -> Option<Upstream> {
-        let part = shared(ask.parts).last()?.id;
-        let names = self.by_service.get(ask.service)?;
+    fn home(&self, query: &Query<'_>, track: Track) -> Option<Upstream> {
+        let part = shared(query.parts).last()?.id;
+        let names = self.by_service.get(query.service)?;
         let sites = names.iter().filter_map(|name| Some((name, self.sites.get(name)?)));
         let ready = sites.filter(|(_, site)| {
             site.record.standing == Standing::Ready && track.admits(site.cohort)
--- a/crates/verbenaslip-relay/src/policy/record.rs
+++ b/crates/verbenaslip-relay/src/policy/record.rs
@@ -7,8 +7,8 @@
 use verbenaslip_fleet::View;
 use verbenaslip_fleet::account::Answered;
 use verbenaslip_fleet::clock;
-use verbenaslip_fleet::print::Print;
-use verbenaslip_fleet::quarantine::Docket;
+use verbenaslip_fleet::fingerprint::Fingerprint;
+use verbenaslip_fleet::quarantine::Blocklist;
 
 use crate::http::Framing;
 
@@ -33,49 +33,63 @@
 /// answered elsewhere tells it from one that ends them.
 #[derive(Debug, Default)]
 pub struct Record {
-    answers: HashMap<Print, Duration>,
-    order: VecDeque<Print>,
-    docket: Option<Arc<Docket>>,
+    answers: HashMap<Fingerprint, Duration>,
+    order: VecDeque<Fingerprint>,
+    blocklist: Option<Arc<Blocklist>>,
     /// The requests that this entry has let through again, and until when they had been held back.
-    tried: HashMap<Print, u64>,
+    tried: HashMap<Fingerprint, u64>,
 }
 
 impl Record {
-    /// Takes a newer docket; returns when requests were answered that it suspects anew.
-    pub fn update(&mut self, docket: &Arc<Docket>) -> Vec<Answered> {
-        if self.docket.as_ref().is_some_and(|it| Arc::ptr_eq(it, docket)) {
+    /// Takes a newer blocklist; returns when requests were answered that it suspects anew.
+    pub fn update(&mut self, blocklist: &Arc<Blocklist>) -> Vec<Answered> {
+        if self.blocklist.as_ref().is_some_and(|it| Arc::ptr_eq(it, blocklist)) {
             return Vec::new();
         }
-        let before = self.docket.replace(docket.clone()).unwrap_or_default();
-        if before.key != docket.key {
+        let before = self.blocklist.replace(blocklist.clone()).unwrap_or_default();
+        if before.key != blocklist.key {
             (self.answers, self.order) = (HashMap::new(), VecDeque::new());
         }
-        self.tried.retain(|print, _| docket.held.contains_key(print));
-        let new = docket.watched.iter().filter(|print| !before.watched.contains(print));
-        let at = |print: &Print| self.answers.get(print).copied();
-        new.filter_map(|print| Some(Answered { print: *print, at: at(print)? })).collect()
+        self.tried.retain(|fingerprint, _| blocklist.held.contains_key(fingerprint));
+        let new =
+            blocklist.watched.iter().filter(|fingerprint| !before.watched.contains(fingerprint));
+        let at = |fingerprint: &Fingerprint| self.answers.get(fingerprint).copied();
+        new.filter_map(|fingerprint| {
+            Some(Answered { fingerprint: *fingerprint, at: at(fingerprint)? })
+        })
+        .collect()
     }
 
     /// Takes an answer to a request; tells whether the leader wants to hear of it.
-    pub fn answered(&mut self, now: Duration, print: Print, docket: &Docket) -> bool {
-        if self.answers.insert(print, now).is_none() {
-            self.order.push_back(print);
+    pub fn answered(
+        &mut self,
+        now: Duration,
+        fingerprint: Fingerprint,
+        blocklist: &Blocklist,
+    ) -> bool {
+        if self.answers.insert(fingerprint, now).is_none() {
+            self.order.push_back(fingerprint);
             if self.order.len() > ANSWERS
                 && let Some(oldest) = self.order.pop_front()
             {
                 self.answers.remove(&oldest);
             }
         }
-        docket.watched.contains(&print) || docket.held.contains_key(&print)
+        blocklist.watched.contains(&fingerprint) || blocklist.held.contains_key(&fingerprint)
     }
 
     /// Tells for how long a request is held back; none for one that may be sent.
     ///
     /// Of a request that was held back for long enough, the entry that the leader has chosen lets one through.
-    pub fn held(&mut self, now: Duration, print: Print, view: &View) -> Option<Duration> {
-        let held = view.docket.held.get(&print)?;
+    pub fn held(
+        &mut self,
+        now: Duration,
+        fingerprint: Fingerprint,
+        view: &View,
+    ) -> Option<Duration> {
+        let held = view.blocklist.held.get(&fingerprint)?;
         let chosen = held.tried_by.is_some() && held.tried_by == view.own;
-        if chosen && self.tried.insert(print, held.until) != Some(held.until) {
+        if chosen && self.tried.insert(fingerprint, held.until) != Some(held.until) {
             return None;
         }
         let left = held.until.saturating_sub(clock::at(now, view.time));
--- a/crates/verbenaslip-relay/src/policy/site.rs
+++ b/crates/verbenaslip-relay/src/policy/site.rs
@@ -23,7 +23,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
     /// It was answered whole.
-    Whole,
+    Complete,
     /// The upstream failed it.
     Failed,
     /// The upstream was full and said so.
@@ -92,7 +92,7 @@
     pub(crate) fn end(&mut self, now: Duration, ending: Ending, took: Option<Duration>) {
         self.requests = self.requests.saturating_sub(1);
         match ending {
-            Ending::Whole => {
+            Ending::Complete => {
                 self.note(now, 0.0);
                 self.misses = 0;
                 if let Some(took) = took {
--- a/crates/verbenaslip-relay/src/policy/versions.rs
+++ b/crates/verbenaslip-relay/src/policy/versions.rs
@@ -218,9 +218,9 @@
             Ending::Full => return,
             Ending::Left if !late => return,
             Ending::Left | Ending::Failed => true,
-            Ending::Whole => late,
+            Ending::Complete => late,
         };
-        if active.key.1 == Group::Stable && ending == Ending::Whole {
+        if active.key.1 == Group::Stable && ending == Ending::Complete {
             counts.note_latency(took);
         }
         if !active.counted {
--- a/crates/verbenaslip-relay/src/policy/waited.rs
+++ b/crates/verbenaslip-relay/src/policy/waited.rs
@@ -12,7 +12,7 @@
 /// changed to wait less, and then all of them would be taken for ones that have come back.
 const FADE: Duration = Duration::from_secs(60);
 
-/// Learns how long the callers of each route wait when they first ask.
+/// Learns how long the callers of each route wait when they first query.
 ///
 /// A caller that comes back after a refusal sends a new request, and says how long it still waits.
 /// Nothing else tells it from one that asks for the first time.
--- a/crates/verbenaslip-relay/src/server.rs
+++ b/crates/verbenaslip-relay/src/server.rs
@@ -25,7 +25,7 @@
 use crate::forward::life::{self, After};
 use crate::http::{Wire, reader};
 use crate::policy::retry::Bounds;
-use crate::{socket, steady};
+use crate::{monotonic, socket};
 
 /// Time between two sweeps of idle connections.
 const SWEEP: Duration = Duration::from_secs(1);
@@ -108,7 +108,7 @@
 async fn sweep(context: Rc<Context>) {
     loop {
         tokio::time::sleep(SWEEP).await;
-        context.pool.borrow_mut().sweep(steady::now());
+        context.pool.borrow_mut().sweep(monotonic::now());
     }
 }
 
--- a/crates/verbenaslip-relay/tests/pace.rs
+++ b/crates/verbenaslip-relay/tests/pace.rs
@@ -11,7 +11,7 @@
 #[test]
 fn a_lag_is_learnt_within_some_requests_and_forgotten_within_seconds() {
     // Symptom: an entry refuses for good, or never. Sequence: queues of others make first events
-    // late; then they go, while nothing is sent there any more. Cause: a belief that nothing renews.
+    // late; then they go, while nothing is sent there any more. Cause: a transition that nothing renews.
     let mut lag = Lag::default();
     for millis in (0..2_000).step_by(100) {
         lag.learn(at(millis), 1_000.0);
--- a/crates/verbenaslip-relay/tests/place.rs
+++ b/crates/verbenaslip-relay/tests/place.rs
@@ -11,7 +11,7 @@
 use verbenaslip_fleet::registry::{Announcement, Record, Run, Standing};
 use verbenaslip_fleet::rollout::{Plan, State};
 use verbenaslip_relay::dialect::Part;
-use verbenaslip_relay::policy::place::{Ask, Choice, Ending, Placement, Verdict};
+use verbenaslip_relay::policy::place::{Choice, Ending, Placement, Query, Verdict};
 use verbenaslip_relay::policy::versions::{Track, Tracks};
 
 fn run(number: u32, incarnation: u64) -> Run {
@@ -50,8 +50,8 @@
     placement
 }
 
-fn ask<'a>(parts: &'a [Part], tried: &'a [Run]) -> Ask<'a> {
-    Ask {
+fn ask<'a>(parts: &'a [Part], tried: &'a [Run]) -> Query<'a> {
+    Query {
         service: "pool",
         rank: 0,
         parts,
@@ -69,7 +69,7 @@
     [Part { id: shared, tokens: 6_300 }, Part { id: own, tokens: 2_900 }]
 }
 
-fn go(placement: &mut Placement, now: Duration, ask: &Ask<'_>) -> Choice {
+fn go(placement: &mut Placement, now: Duration, ask: &Query<'_>) -> Choice {
     match placement.choose(now, ask) {
         Verdict::Go(choice) => choice,
         other => panic!("{other:?}"),
@@ -86,7 +86,7 @@
             let parts = prompt(1_000 + shared, 10_000 + shared * 100 + index as u64);
             let choice = go(entry, Duration::ZERO, &ask(&parts, &[]));
             entry.first(Duration::ZERO, &choice, Duration::from_millis(120));
-            entry.end(Duration::ZERO, &choice, Ending::Whole, Some(Duration::from_millis(400)));
+            entry.end(Duration::ZERO, &choice, Ending::Complete, Some(Duration::from_millis(400)));
             chosen.push(choice.run.upstream);
         }
         chosen.dedup();
@@ -133,7 +133,12 @@
         while due.first().is_some_and(|(at, ..)| *at <= now) {
             let (at, entry, choice, sent) = due.remove(0);
             placements[entry].first(time(at), &choice, time(at - sent));
-            placements[entry].end(time(at), &choice, Ending::Whole, Some(time(at - sent + 300.0)));
+            placements[entry].end(
+                time(at),
+                &choice,
+                Ending::Complete,
+                Some(time(at - sent + 300.0)),
+            );
         }
         let shared = rng.random_range(0..300);
         let parts = prompt(shared, 1_000_000 + asked);
@@ -189,7 +194,7 @@
     for _ in 0..10 {
         let choice = go(&mut placement, Duration::from_millis(100), &ask(&[], &[]));
         assert_eq!(choice.run.upstream.as_str(), "u2");
-        placement.end(Duration::from_millis(100), &choice, Ending::Whole, None);
+        placement.end(Duration::from_millis(100), &choice, Ending::Complete, None);
     }
     let later = Duration::from_secs(40);
     let chosen: Vec<String> = (0..4)
@@ -206,7 +211,7 @@
     let mut counts = BTreeMap::<String, u32>::new();
     for _ in 0..30 {
         let choice = go(&mut placement, Duration::ZERO, &ask(&[], &[]));
-        placement.end(Duration::ZERO, &choice, Ending::Whole, Some(Duration::from_millis(30)));
+        placement.end(Duration::ZERO, &choice, Ending::Complete, Some(Duration::from_millis(30)));
         *counts.entry(choice.run.upstream.to_string()).or_default() += 1;
     }
     assert_eq!(counts.len(), 3, "{counts:?}");
@@ -237,7 +242,7 @@
     let mut placement = open(&many(1));
     let parts = prompt(1, 2);
     while matches!(placement.choose(Duration::ZERO, &ask(&parts, &[])), Verdict::Go(_)) {}
-    let begun = Ask { begun: true, ..ask(&parts, &[]) };
+    let begun = Query { begun: true, ..ask(&parts, &[]) };
     assert!(matches!(placement.choose(Duration::ZERO, &begun), Verdict::Go(_)));
 }
 
@@ -250,7 +255,7 @@
     let mut fresh = 0;
     for own in 0..40 {
         let parts = prompt(1, 1_000 + own);
-        let back = Ask { waited: true, ..ask(&parts, &[]) };
+        let back = Query { waited: true, ..ask(&parts, &[]) };
         if let Verdict::Busy(_) = placement.choose(Duration::ZERO, &back) {
             let verdict = placement.choose(Duration::ZERO, &ask(&parts, &[]));
             fresh += u32::from(matches!(verdict, Verdict::Go(_)));
@@ -298,12 +303,12 @@
         while due.first().is_some_and(|(at, ..)| *at <= now) {
             let (at, entry, choice, sent) = due.remove(0);
             placements[entry].first(time(at), &choice, time(at - sent));
-            placements[entry].end(time(at), &choice, Ending::Whole, Some(time(at - sent)));
+            placements[entry].end(time(at), &choice, Ending::Complete, Some(time(at - sent)));
         }
         // Entries get uneven parts of the load: the last ones a small part of the first ones'.
         let draw = rng.random::<f64>() * rng.random::<f64>();
         let entry = (draw * entries as f64) as usize;
-        let ask = Ask {
+        let ask = Query {
             objective: time(OBJECTIVE),
             rank: rng.random_range(0..4),
             waited: again,
@@ -422,8 +427,8 @@
         let seen: std::collections::BTreeSet<String> = (0..40)
             .map(|number| {
                 let now = Duration::from_millis(number);
-                let choice = go(&mut placement, now, &Ask { tracks, ..ask(&[], &[]) });
-                placement.end(now, &choice, Ending::Whole, Some(now));
+                let choice = go(&mut placement, now, &Query { tracks, ..ask(&[], &[]) });
+                placement.end(now, &choice, Ending::Complete, Some(now));
                 choice.run.upstream.as_str().to_owned()
             })
             .collect();
--- a/crates/verbenaslip-relay/tests/record.rs
+++ b/crates/verbenaslip-relay/tests/record.rs
@@ -7,8 +7,8 @@
 
 use verbenaslip_fleet::View;
 use verbenaslip_fleet::account::Answered;
-use verbenaslip_fleet::print::Print;
-use verbenaslip_fleet::quarantine::{Docket, Held};
+use verbenaslip_fleet::fingerprint::Fingerprint;
+use verbenaslip_fleet::quarantine::{Block, Blocklist};
 use verbenaslip_relay::http::Framing;
 use verbenaslip_relay::policy::record::{Record, survived};
 
@@ -17,30 +17,34 @@
 const OWN: ([u8; 4], u16) = ([10, 2, 0, 1], 7_000);
 const OTHER: ([u8; 4], u16) = ([10, 2, 0, 2], 7_000);
 
-fn print(name: &str) -> Print {
-    Print::of(7, "red", "h", "/safe/x", name.as_bytes())
+fn fingerprint(name: &str) -> Fingerprint {
+    Fingerprint::of(7, "red", "h", "/safe/x", name.as_bytes())
 }
 
-fn watching(prints: &[Print]) -> Arc<Docket> {
-    let watched: BTreeSet<Print> = prints.iter().copied().collect();
-    Arc::new(Docket { key: Some(7), watched, held: BTreeMap::new() })
+fn watching(fingerprints: &[Fingerprint]) -> Arc<Blocklist> {
+    let watched: BTreeSet<Fingerprint> = fingerprints.iter().copied().collect();
+    Arc::new(Blocklist { key: Some(7), watched, held: BTreeMap::new() })
 }
 
 /// Makes the view of an entry at which a request is held back until a time, or may be tried by somebody.
-fn holding(print: Print, until: u64, tried_by: Option<SocketAddr>) -> View {
-    let held = Held { since: 0, until, tries: 0, tried_by };
-    let docket =
-        Docket { key: Some(7), watched: BTreeSet::new(), held: BTreeMap::from([(print, held)]) };
-    View { docket: Arc::new(docket), own: Some(OWN.into()), ..View::default() }
+fn holding(fingerprint: Fingerprint, until: u64, tried_by: Option<SocketAddr>) -> View {
+    let held = Block { since: 0, until, tries: 0, tried_by };
+    let blocklist = Blocklist {
+        key: Some(7),
+        watched: BTreeSet::new(),
+        held: BTreeMap::from([(fingerprint, held)]),
+    };
+    View { blocklist: Arc::new(blocklist), own: Some(OWN.into()), ..View::default() }
 }
 
 #[test]
 fn the_same_content_has_the_same_print_and_any_other_has_another() {
-    let of =
-        |key, team, host, target, body: &str| Print::of(key, team, host, target, body.as_bytes());
-    let print = of(7, "red", "h", "/x?page=1", "body");
-    assert_eq!(of(7, "red", "h", "/x?page=1", "body"), print);
-    assert_eq!(print.to_string().parse(), Ok(print));
+    let of = |key, team, host, target, body: &str| {
+        Fingerprint::of(key, team, host, target, body.as_bytes())
+    };
+    let fingerprint = of(7, "red", "h", "/x?page=1", "body");
+    assert_eq!(of(7, "red", "h", "/x?page=1", "body"), fingerprint);
+    assert_eq!(fingerprint.to_string().parse(), Ok(fingerprint));
     for other in [
         of(8, "red", "h", "/x?page=1", "body"),
         of(7, "blue", "h", "/x?page=1", "body"),
@@ -50,7 +54,7 @@
         of(7, "re", "dh", "/x?page=1", "body"),
         of(7, "red", "h", "/x?page=1b", "ody"),
     ] {
-        assert_ne!(other, print);
+        assert_ne!(other, fingerprint);
     }
 }
 
@@ -58,37 +62,37 @@
 fn an_answer_from_before_a_request_was_watched_is_told_once_it_is() {
     // A popular request was answered a moment ago; then two upstreams end under it elsewhere.
     let mut record = Record::default();
-    let (popular, bad) = (print("popular"), print("bad"));
+    let (popular, bad) = (fingerprint("popular"), fingerprint("bad"));
     record.update(&watching(&[]));
     assert!(!record.answered(SECOND, popular, &watching(&[])), "nobody wants to know");
-    let docket = watching(&[popular, bad]);
-    assert_eq!(record.update(&docket), [Answered { print: popular, at: SECOND }]);
-    assert_eq!(record.update(&docket), [], "once");
-    assert!(record.answered(SECOND * 2, popular, &docket), "and each later one");
+    let blocklist = watching(&[popular, bad]);
+    assert_eq!(record.update(&blocklist), [Answered { fingerprint: popular, at: SECOND }]);
+    assert_eq!(record.update(&blocklist), [], "once");
+    assert!(record.answered(SECOND * 2, popular, &blocklist), "and each later one");
 }
 
 #[test]
 fn a_flood_of_answers_pushes_a_popular_one_out_only_until_it_is_answered_again() {
     let mut record = Record::default();
-    let popular = print("popular");
+    let popular = fingerprint("popular");
     let none = watching(&[]);
     record.update(&none);
     record.answered(SECOND, popular, &none);
     for number in 0..5_000 {
-        record.answered(SECOND, print(&number.to_string()), &none);
+        record.answered(SECOND, fingerprint(&number.to_string()), &none);
     }
-    let docket = watching(&[popular]);
-    assert_eq!(record.update(&docket), []);
-    assert!(record.answered(SECOND * 2, popular, &docket));
+    let blocklist = watching(&[popular]);
+    assert_eq!(record.update(&blocklist), []);
+    assert!(record.answered(SECOND * 2, popular, &blocklist));
 }
 
 #[test]
 fn what_is_held_back_is_refused_until_then_with_when_to_come_back() {
     let mut record = Record::default();
-    let bad = print("bad");
+    let bad = fingerprint("bad");
     let view = holding(bad, 61_000, None);
     assert_eq!(record.held(SECOND, bad, &view), Some(SECOND * 60));
-    assert_eq!(record.held(SECOND, print("other"), &view), None);
+    assert_eq!(record.held(SECOND, fingerprint("other"), &view), None);
     let back = record.held(SECOND * 70, bad, &view);
     assert_eq!(back, Some(SECOND * 5), "nobody is invited to come back at once");
 }
@@ -98,7 +102,7 @@
     // Symptom, if each could: an entry that is asked ten times a second for what is let through again ends ten
     // upstreams before it hears of the first.
     let mut record = Record::default();
-    let bad = print("bad");
+    let bad = fingerprint("bad");
     let elsewhere = holding(bad, 61_000, Some(OTHER.into()));
     assert!(record.held(SECOND * 70, bad, &elsewhere).is_some());
     let here = holding(bad, 61_000, Some(OWN.into()));
--- a/crates/verbenaslip-relay/tests/rollout.rs
+++ b/crates/verbenaslip-relay/tests/rollout.rs
@@ -209,7 +209,7 @@
                 return;
             };
             let Some(ticket) = self.tickets.remove(&number) else { continue };
-            let ending = if bad { Ending::Failed } else { Ending::Whole };
+            let ending = if bad { Ending::Failed } else { Ending::Complete };
             self.entries[entry].first("pool", ticket, Duration::from_millis(took));
             self.entries[entry].end(Self::time(at), "pool", ticket, ending);
             outcome.bad += u64::from(own);
--- a/crates/verbenaslip-relay/tests/versions.rs
+++ b/crates/verbenaslip-relay/tests/versions.rs
@@ -83,7 +83,7 @@
     };
     assert_eq!(counts(&mut versions), (1, 1, 1));
     versions.first("pool", ticket, Duration::from_millis(160));
-    versions.end(later, "pool", ticket, Ending::Whole);
+    versions.end(later, "pool", ticket, Ending::Complete);
     assert_eq!(counts(&mut versions), (1, 1, 1));
 }
 
