Plan: while reclaimable upstreams are refused, on-demand ones carry the load alone and are held

Now: from the first refusal on as many on-demand ones as the load needs without any reclaimable one; while they are scarce they are given up only after 6 s, and down to the most that was needed meanwhile; a zone is asked for reclaimable ones again once it has room, not when the order lapses (7 s).

--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -28,7 +28,7 @@
 use crate::hub::{Hub, Known, Spread};
 use crate::ledger::Ledger;
 use crate::link::{Link, Report};
-use crate::plan::{Census, Planner};
+use crate::plan::{Planner, Warmup};
 use crate::quarantine::{Finding, Quarantine, Rule};
 use crate::registry::{Late, Registry, Run};
 use crate::rollout::controller::{Stage, Verdict};
@@ -287,7 +287,7 @@
     pub(crate) noting_joins: Option<u64>,
     pub(crate) closing: BTreeSet<u64>,
     /// Services whose base is not noted yet.
-    pub(crate) noting: BTreeMap<Arc<str>, Census>,
+    pub(crate) warmups: BTreeMap<Arc<str>, Warmup>,
     pub(crate) absent: BTreeMap<Instance, Duration>,
     /// Instances that asked this core for the leader while it did not lead.
     pub(crate) seekers: BTreeMap<SocketAddr, Seeker>,
@@ -371,7 +371,7 @@
             joining: BTreeSet::new(),
             noting_joins: None,
             closing: BTreeSet::new(),
-            noting: BTreeMap::new(),
+            warmups: BTreeMap::new(),
             absent: BTreeMap::new(),
             seekers: BTreeMap::new(),
             out: Vec::new(),
--- a/crates/verbenaslip-fleet/src/core/begin.rs
+++ b/crates/verbenaslip-fleet/src/core/begin.rs
@@ -72,7 +72,7 @@
         self.known_cores = self.cores();
         self.closing.clear();
         self.planners.clear();
-        self.noting.clear();
+        self.warmups.clear();
         self.absent.clear();
         self.changing = None;
         self.departing.clear();
--- a/crates/verbenaslip-fleet/src/core/lead.rs
+++ b/crates/verbenaslip-fleet/src/core/lead.rs
@@ -14,7 +14,7 @@
 use crate::frame::{Confirmation, Frame, Heartbeat};
 use crate::hub::{Push, Source};
 use crate::ledger::{Command, Window};
-use crate::plan::{self, Planner, Wish};
+use crate::plan::{self, Demand, Planner};
 use crate::registry::{Change as RegistryChange, Record, Run, Standing};
 use crate::usage::window_end;
 use crate::voucher::Mark;
@@ -31,12 +31,10 @@
 /// known, long beside the time that a push to all instances takes.
 const PUSH: Duration = Duration::from_millis(40);
 
-/// The same for each instance of a large fleet. To write to one and read its confirmation takes some
-/// 20 µs, of which a core of 0.15 has 60 µs in this time: pushes take a third of it at most.
+/// The same for each instance of a large fleet, so that pushes take a third of a small core's time at most.
 const PUSH_EACH: Duration = Duration::from_micros(400);
 
-/// How long an instance that has nothing yet waits for others like it: its callers wait as well. With 300 that
-/// start together the whole list is made some 25 times instead of 300.
+/// How long an instance that has nothing yet waits for others like it: its callers wait as well.
 const WELCOME: Duration = Duration::from_millis(10);
 
 /// Upstreams that fall silent at the same moment and are told of by a line each: a core that is lost takes hundreds.
@@ -378,13 +376,13 @@
             let planner = self.planners.entry(service.name.clone()).or_insert_with(open);
             planner.spread(self.hub.len());
             let dispatcher = &mut self.dispatcher;
-            let wish = Wish { base, busy: self.hub.busy(self.now, &service.name) };
+            let demand = Demand { base, busy: self.hub.busy(self.now, &service.name) };
             let before = orders.len();
-            orders.extend(planner.plan(self.now, scaling, wish, &have, || dispatcher.draw()));
+            orders.extend(planner.plan(self.now, scaling, demand, &have, || dispatcher.draw()));
             if orders.len() > before {
                 let service = service.name.clone();
                 let upstreams = have.values().sum();
-                planned.push(Note::Planned { service, base, busy: wish.busy, upstreams });
+                planned.push(Note::Planned { service, base, busy: demand.busy, upstreams });
             }
         }
         planned.into_iter().for_each(|note| self.note(note));
@@ -396,12 +394,12 @@
     /// Later there may be more or fewer of them, and a leader that took what it found for what the
     /// operators had wanted would make more of them at every change of the leader.
     fn note_base(&mut self, service: &Arc<str>, upstreams: u32) {
-        let all = self.noting.entry(service.clone()).or_default().take(self.now, upstreams);
+        let all = self.warmups.entry(service.clone()).or_default().take(self.now, upstreams);
         if upstreams == 0 || !all {
             return;
         }
         // Proposed again after as long if the log has lost it.
-        self.noting.remove(service);
+        self.warmups.remove(service);
         self.propose(&Command::Base { service: service.clone(), upstreams });
     }
 }
--- a/crates/verbenaslip-fleet/src/plan.rs
+++ b/crates/verbenaslip-fleet/src/plan.rs
@@ -23,16 +23,22 @@
 /// seconds to start, so it is ordered before the next zone goes rather than after.
 const SAFE: f64 = 0.75;
 
-/// How long fewer on-demand upstreams must be enough before some are given up; they cost five times
-/// as much, but each one ordered anew is missing for seconds. At 3 s the mean worth of the tailings
-/// deployment on disturbed days was 0.02 less (twelve plays each).
+/// How long fewer on-demand upstreams must be enough before some are given up: they cost several times as much as
+/// reclaimable ones, but take seconds to come back.
 const PATIENCE: Duration = Duration::from_secs(1);
 
 /// How long after its start an ordered upstream should have announced itself, beyond its boot.
 const ANNOUNCED: Duration = Duration::from_secs(3);
 
+/// The same while reclaimable ones are refused: those that are given up then can't be made up for before others
+/// have started, and what callers ask for goes up and down.
+const PATIENCE_SCARCE: Duration = Duration::from_secs(6);
+
+/// How long after a refusal of reclaimable ones they count as scarce: longer than between two tries of a zone.
+const SCARCE: Duration = Duration::from_secs(3);
+
 /// How long a zone that refused an order is left alone; a refused order costs next to nothing.
-const DRY: Duration = Duration::from_millis(1_500);
+const EXHAUSTED: Duration = Duration::from_millis(1_500);
 
 /// Names what is counted apart.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -60,7 +66,7 @@
 
 /// Says how many upstreams a service wants.
 #[derive(Clone, Copy, Debug)]
-pub struct Wish {
+pub struct Demand {
     /// With how many the fleet began.
     pub base: u32,
     /// How many would be busy all the time with what callers ask for; none where that is not known.
@@ -68,16 +74,14 @@
 }
 
 /// The part of its time for which an engine may be busy reading prompts so that first events stay within
-/// the objective. Reading is not all it does, and prompts come in clumps. With what is read follow the
-/// on-demand engines: where three fifths of the usual load came, they cost 0.21 of worth instead of 0.31,
-/// and callers were served as before (tailings deployment, quiet day).
+/// the objective. Reading is not all it does, and prompts come in clumps.
 const READING: f64 = 0.5;
 
 /// The least part of the base that is kept, whatever is asked for: callers come back at once after a
 /// pause, and an ordered engine takes seconds to start.
 const LEAST: f64 = 0.4;
 
-impl Wish {
+impl Demand {
     /// Returns how many are enough for what callers ask for: never more than the base.
     fn enough(self) -> u32 {
         let Some(busy) = self.busy else { return self.base };
@@ -90,11 +94,13 @@
 #[derive(Debug)]
 pub struct Planner {
     service: Arc<str>,
-    orders: BTreeMap<Kind, Given>,
-    dry: BTreeMap<AvailabilityZone, Duration>,
-    /// Since when there have been more on-demand ones than needed.
-    ample: Option<Duration>,
-    census: Census,
+    orders: BTreeMap<Kind, Pending>,
+    exhausted: BTreeMap<AvailabilityZone, Duration>,
+    /// Since when there have been more on-demand ones than needed, and the most that were needed since.
+    ample: Option<(Duration, u32)>,
+    /// When reclaimable ones were refused last.
+    refused: Option<Duration>,
+    warmup: Warmup,
     pace: Pace,
 }
 
@@ -103,7 +109,7 @@
 /// A leader that was elected a moment ago, above all after a restart, learns of the upstreams as they
 /// announce themselves. A count ordered by what it has heard of so far would have the others stopped.
 #[derive(Debug, Default)]
-pub struct Census {
+pub struct Warmup {
     total: u32,
     since: Option<Duration>,
     complete: bool,
@@ -112,14 +118,14 @@
 /// How long no upstream may have appeared: more than the time between two announcements of one.
 const STEADY: Duration = Duration::from_millis(1_600);
 
-impl Census {
+impl Warmup {
     /// Takes how many there are; returns whether these are all.
     pub fn take(&mut self, now: Duration, total: u32) -> bool {
         if total > self.total || self.since.is_none() {
             self.since = Some(now);
         }
         self.total = total;
-        // Once all were known, a new one is update and not one that had been overlooked. Waited for each
+        // Once all were known, a new one has just come and is not one that had been overlooked. Waited for each
         // time, ordered ones that come one by one would keep the next zone's loss from being made up for.
         self.complete |= self.since.is_some_and(|since| now.saturating_sub(since) >= STEADY);
         self.complete
@@ -127,9 +133,11 @@
 }
 
 #[derive(Debug)]
-struct Given {
+struct Pending {
     id: u64,
     count: u32,
+    /// The most of the kind that its zone had room for.
+    room: u32,
     until: Duration,
     refused: bool,
 }
@@ -140,9 +148,10 @@
         Self {
             service,
             orders: BTreeMap::new(),
-            dry: BTreeMap::new(),
+            exhausted: BTreeMap::new(),
             ample: None,
-            census: Census::default(),
+            refused: None,
+            warmup: Warmup::default(),
             pace: Pace::default(),
         }
     }
@@ -157,26 +166,27 @@
         &mut self,
         now: Duration,
         scaling: &Scaling,
-        wish: Wish,
+        demand: Demand,
         have: &Counts,
         mut next: impl FnMut() -> u64,
     ) -> Vec<(u64, Scale)> {
-        let base = wish.base;
-        self.dry.retain(|_, until| *until > now);
-        let dry: BTreeSet<AvailabilityZone> = self.dry.keys().cloned().collect();
-        let mut wanted = reclaimable(scaling, base, &dry);
-        if self.census.take(now, have.values().sum()) {
-            wanted.extend(self.on_demand(now, scaling, wish, have));
+        self.exhausted.retain(|_, until| *until > now);
+        let exhausted: BTreeSet<AvailabilityZone> = self.exhausted.keys().cloned().collect();
+        let mut wanted = reclaimable(scaling, demand.base, &exhausted);
+        if self.warmup.take(now, have.values().sum()) {
+            wanted.extend(self.on_demand(now, scaling, demand, have));
         }
         self.pace.refill(now);
         let mut orders = Vec::new();
         for (kind, target) in wanted {
             let there = have.get(&kind).copied().unwrap_or(0);
-            let given = self.orders.get(&kind).filter(|it| it.until > now);
-            if there == target || given.is_some_and(|it| it.count == target) {
+            let room = room(scaling, &kind, have);
+            let pending = self.orders.get(&kind).filter(|it| it.until > now);
+            let waits = |it: &Pending| it.count == target && room <= it.room;
+            if there == target || pending.is_some_and(waits) {
                 continue;
             }
-            let ordered = given.filter(|it| !it.refused).map_or(there, |it| it.count);
+            let ordered = pending.filter(|it| !it.refused).map_or(there, |it| it.count);
             let from = if target > there { ordered.max(there) } else { ordered.min(there) };
             let count = self.pace.step(from, target);
             if count == from && count != target {
@@ -184,7 +194,7 @@
             }
             let id = next();
             let until = now + scaling.boot + ANNOUNCED;
-            self.orders.insert(kind.clone(), Given { id, count, until, refused: false });
+            self.orders.insert(kind.clone(), Pending { id, count, room, until, refused: false });
             let Kind { zone, reclaimable } = kind;
             orders.push((id, Scale { service: self.service.clone(), zone, reclaimable, count }));
         }
@@ -193,17 +203,19 @@
 
     /// Takes what became of an order; returns whether it was one of this service.
     pub fn ended(&mut self, now: Duration, id: u64, outcome: Outcome) -> bool {
-        let Some((kind, given)) = self.orders.iter_mut().find(|(_, given)| given.id == id) else {
+        let Some((kind, pending)) = self.orders.iter_mut().find(|(_, pending)| pending.id == id)
+        else {
             return false;
         };
-        given.refused = outcome != Outcome::Done;
+        pending.refused = outcome != Outcome::Done;
         match outcome {
             Outcome::Done => {}
             Outcome::Refused if kind.reclaimable => {
-                given.until = now + DRY;
-                self.dry.insert(kind.zone.clone(), now + DRY);
+                pending.until = now + EXHAUSTED;
+                self.refused = Some(now);
+                self.exhausted.insert(kind.zone.clone(), now + EXHAUSTED);
             }
-            Outcome::Refused | Outcome::Unknown => given.until = now + DRY,
+            Outcome::Refused | Outcome::Unknown => pending.until = now + EXHAUSTED,
         }
         true
     }
@@ -215,10 +227,10 @@
     /// shows as too few upstreams for twice the time that one takes to start.
     fn with_ordered(&self, now: Duration, have: &Counts) -> Counts {
         let mut counts = have.clone();
-        for (kind, given) in &self.orders {
-            if !kind.reclaimable && !given.refused && given.until > now {
+        for (kind, pending) in &self.orders {
+            if !kind.reclaimable && !pending.refused && pending.until > now {
                 let there = counts.entry(kind.clone()).or_default();
-                *there = given.count.max(*there);
+                *there = pending.count.max(*there);
             }
         }
         counts
@@ -229,30 +241,47 @@
         &mut self,
         now: Duration,
         scaling: &Scaling,
-        wish: Wish,
+        demand: Demand,
         have: &Counts,
     ) -> Vec<(Kind, u32)> {
         let have = &self.with_ordered(now, have);
         let there: u32 = have.iter().filter(|(kind, _)| !kind.reclaimable).map(|it| *it.1).sum();
-        let needed = needed(wish, have);
-        self.ample = if needed < there { self.ample.or(Some(now)) } else { None };
-        if needed > there {
+        let scarce = self.refused.is_some_and(|at| now.saturating_sub(at) <= SCARCE);
+        let needed = needed(demand, have, scarce);
+        if needed >= there {
+            self.ample = None;
             return more(needed - there, scaling, have);
         }
-        let long = self.ample.is_some_and(|since| now.saturating_sub(since) >= PATIENCE);
-        if long { fewer(there - needed, scaling, have) } else { Vec::new() }
+        let (since, most) = self.ample.unwrap_or((now, needed));
+        let (patience, kept) =
+            if scarce { (PATIENCE_SCARCE, most.max(needed)) } else { (PATIENCE, needed) };
+        self.ample = Some((since, kept));
+        if now.saturating_sub(since) < patience {
+            return Vec::new();
+        }
+        fewer(there - kept, scaling, have)
     }
 }
 
+/// Returns how many of a kind a zone has room for, beside those of the other kind.
+///
+/// What is ordered beyond that doesn't come. Unless it is ordered again once there is room, a zone full of
+/// on-demand upstreams keeps them for as long as an order is waited for.
+fn room(scaling: &Scaling, kind: &Kind, have: &Counts) -> u32 {
+    let other = Kind { zone: kind.zone.clone(), reclaimable: !kind.reclaimable };
+    scaling.most.saturating_sub(have.get(&other).copied().unwrap_or(0))
+}
+
 /// Returns how many on-demand upstreams are needed beside the reclaimable ones.
-fn needed(wish: Wish, have: &Counts) -> u32 {
+fn needed(demand: Demand, have: &Counts, scarce: bool) -> u32 {
     let cheap = have.iter().filter(|(kind, _)| kind.reclaimable).map(|(_, count)| *count);
     let sum: u32 = cheap.clone().sum();
     let most = cheap.max().unwrap_or(0);
-    let now = wish.enough().saturating_sub(sum);
-    let after = scale(wish.base, SAFE).saturating_sub(sum - most);
+    let now = demand.enough().saturating_sub(sum);
+    let after = scale(demand.base, SAFE).saturating_sub(sum - most);
     // Where there is no reclaimable one left, none can be lost.
-    if sum > 0 { now.max(after) } else { now }
+    let alone = if scarce { demand.enough() } else { 0 };
+    if sum > 0 { now.max(after).max(alone) } else { now }
 }
 
 /// Spreads additional on-demand upstreams, the cheapest zones first.
@@ -302,12 +331,16 @@
 }
 
 /// Returns how many reclaimable upstreams are wanted in each zone that has some to give.
-fn reclaimable(scaling: &Scaling, base: u32, dry: &BTreeSet<AvailabilityZone>) -> Vec<(Kind, u32)> {
+fn reclaimable(
+    scaling: &Scaling,
+    base: u32,
+    exhausted: &BTreeSet<AvailabilityZone>,
+) -> Vec<(Kind, u32)> {
     if scaling.reclaimable.is_none() {
         return Vec::new();
     }
     let zones: Vec<&AvailabilityZone> =
-        scaling.prices.keys().filter(|zone| !dry.contains(*zone)).collect();
+        scaling.prices.keys().filter(|zone| !exhausted.contains(*zone)).collect();
     let left = u32::try_from(zones.len()).unwrap_or(u32::MAX).saturating_sub(1).max(1);
     let each = base.div_ceil(left).clamp(scaling.least, scaling.most.max(scaling.least));
     let kind = |zone: &AvailabilityZone| Kind { zone: zone.clone(), reclaimable: true };
--- a/crates/verbenaslip-fleet/src/plan/pace.rs
+++ b/crates/verbenaslip-fleet/src/plan/pace.rs
@@ -8,10 +8,8 @@
 /// The least of them, however large the fleet.
 const LEAST: f64 = 100.0;
 
-/// Upstreams that change in a second, times the instances that are told of each. Of 3,000 that were exchanged at
-/// once for reclaimable ones, each called the cores within the same second and was told to 300 entries; a leader with
-/// 0.15 of a core lost its lease over it, and the entries served three requests in ten. At 300 a second that was so
-/// still in one run of two, at 150 in none of three.
+/// Upstreams that change in a second, times the instances that are told of each: a leader that is told more loses
+/// its lease.
 const TELLINGS: f64 = 45_000.0;
 
 /// The least part of what a second allows that is ordered at a time, where more is wanted.
--- a/crates/verbenaslip-fleet/src/quota.rs
+++ b/crates/verbenaslip-fleet/src/quota.rs
@@ -17,9 +17,7 @@
 /// the time without a leader was spent on equal parts of the limits.
 const BEGIN: f64 = 0.5;
 
-/// The same where all entries have just started: for as long as they were away nothing was spent, and
-/// whoever was kept waiting comes at once. With a half, 250 requests within their teams' limits were
-/// refused in the second after a power loss of all (tailings deployment, 160 requests a second).
+/// The same after all entries have restarted: nothing was spent meanwhile, and callers that waited arrive at once.
 const BEGIN_RESTARTED: f64 = 1.0;
 
 /// The part of each grant that is spread evenly, whatever was asked for lately, so that a team can
--- a/crates/verbenaslip-fleet/tests/plan.rs
+++ b/crates/verbenaslip-fleet/tests/plan.rs
@@ -5,7 +5,7 @@
 
 use verbenaslip_base::name::AvailabilityZone;
 use verbenaslip_fleet::duty::Outcome;
-use verbenaslip_fleet::plan::{Counts, Kind, Planner, Wish};
+use verbenaslip_fleet::plan::{Counts, Demand, Kind, Planner};
 use verbenaslip_fleet::sheet::Scaling;
 
 const BASE: u32 = 12;
@@ -38,17 +38,17 @@
 
 /// Plans once and returns what is wanted, by kind.
 fn plan(planner: &mut Planner, now: Duration, have: &Counts) -> BTreeMap<Kind, (u64, u32)> {
-    plan_for(planner, now, Wish { base: BASE, busy: None }, have)
+    plan_for(planner, now, Demand { base: BASE, busy: None }, have)
 }
 
 fn plan_for(
     planner: &mut Planner,
     now: Duration,
-    wish: Wish,
+    demand: Demand,
     have: &Counts,
 ) -> BTreeMap<Kind, (u64, u32)> {
     let mut id = 0;
-    let orders = planner.plan(now, &scaling(), wish, have, || {
+    let orders = planner.plan(now, &scaling(), demand, have, || {
         id += 1;
         id
     });
@@ -179,12 +179,12 @@
     // Symptom: upstreams are the largest price of a quiet day. Sequence: for half a minute there are no
     // reclaimable ones; callers ask for little. Cause: as many on-demand ones as the fleet began with,
     // whatever is asked for.
-    let wish = |busy| Wish { base: BASE, busy: Some(busy) };
+    let demand = |busy| Demand { base: BASE, busy: Some(busy) };
     let have = counts([4, 4, 4], [0, 0, 0]);
     let settle = |busy, have: &Counts| {
         let mut planner = steady(have);
-        plan_for(&mut planner, at(3_000), wish(busy), have);
-        plan_for(&mut planner, at(4_500), wish(busy), have)
+        plan_for(&mut planner, at(3_000), demand(busy), have);
+        plan_for(&mut planner, at(4_500), demand(busy), have)
     };
     let on_demand = |busy, have: &Counts| {
         let orders = settle(busy, have);
@@ -201,10 +201,10 @@
     let few = counts([2, 2, 2], [0, 0, 0]);
     let mut planner = Planner::open("pool".into());
     for millis in [0, 2_000] {
-        let orders = plan_for(&mut planner, at(millis), wish(2.9), &few);
+        let orders = plan_for(&mut planner, at(millis), demand(2.9), &few);
         assert!(orders.keys().all(|kind| kind.reclaimable), "six are enough");
     }
-    let orders = plan_for(&mut planner, at(3_000), wish(5.0), &few);
+    let orders = plan_for(&mut planner, at(3_000), demand(5.0), &few);
     assert_eq!(
         wants(&orders, "a", false),
         Some(6),
@@ -213,8 +213,8 @@
     // While a zone of reclaimable ones may still be lost, its loss is provided for as before.
     let exposed = counts([5, 0, 0], [0, 4, 0]);
     let mut planner = Planner::open("pool".into());
-    plan_for(&mut planner, at(0), wish(1.0), &exposed);
-    let orders = plan_for(&mut planner, at(2_000), wish(1.0), &exposed);
+    plan_for(&mut planner, at(0), demand(1.0), &exposed);
+    let orders = plan_for(&mut planner, at(2_000), demand(1.0), &exposed);
     assert_eq!(wants(&orders, "a", false), Some(8));
     assert_eq!(wants(&orders, "c", false), Some(1));
 }
@@ -232,8 +232,8 @@
     let mut changed = Vec::new();
     for tenth in 0..600 {
         let now = at(tenth * 100);
-        let wish = Wish { base: 3_000, busy: None };
-        let orders = planner.plan(now, &scaling, wish, &have, || {
+        let demand = Demand { base: 3_000, busy: None };
+        let orders = planner.plan(now, &scaling, demand, &have, || {
             id += 1;
             id
         });
@@ -254,3 +254,61 @@
     let reclaimable: u32 = have.iter().filter(|(kind, _)| kind.reclaimable).map(|it| it.1).sum();
     assert_eq!(reclaimable, 4_500, "all of them in the end");
 }
+
+/// Plans at a time, and has the cloud refuse every reclaimable one that is ordered.
+fn plan_scarce(
+    planner: &mut Planner,
+    now: Duration,
+    demand: Demand,
+    have: &Counts,
+) -> BTreeMap<Kind, (u64, u32)> {
+    let orders = plan_for(planner, now, demand, have);
+    let refused = orders.iter().filter(|(kind, _)| kind.reclaimable);
+    refused.for_each(|(_, (id, _))| {
+        planner.ended(now, *id, Outcome::Refused);
+    });
+    orders
+}
+
+#[test]
+fn while_reclaimable_ones_are_refused_on_demand_ones_carry_the_load_alone() {
+    // Guards against two zones that go within a second after a first one, at half of the usual load.
+    let demand = Demand { base: BASE, busy: Some(4.0) };
+    let mut planner = steady(&counts([0, 0, 0], [6, 6, 6]));
+    let lost = counts([0, 0, 0], [6, 6, 0]);
+    plan_scarce(&mut planner, at(3_000), demand, &lost);
+    let orders = plan_for(&mut planner, at(3_100), demand, &lost);
+    let ordered: u32 = orders.iter().filter(|it| !it.0.reclaimable).map(|it| it.1.1).sum();
+    assert!(ordered + 3 >= 8, "8 of 12 are enough for this load: {orders:?}");
+}
+
+#[test]
+fn on_demand_ones_that_start_are_not_given_up_for_a_dip_in_the_load() {
+    // Guards against running upstreams given up, and starting ones stopped, while none can replace them.
+    let demand = |busy| Demand { base: BASE, busy: Some(busy) };
+    let mut planner = steady(&counts([2, 0, 0], [6, 6, 6]));
+    let first = plan_scarce(&mut planner, at(3_000), demand(5.0), &counts([2, 0, 0], [0, 0, 6]));
+    let none = counts([2, 0, 0], [0, 0, 0]);
+    let mut ordered: BTreeMap<Kind, u32> =
+        first.into_iter().map(|(kind, (_, count))| (kind, count)).collect();
+    for tenth in 0..50 {
+        let busy = if (10..30).contains(&tenth) { 2.5 } else { 5.0 };
+        let orders = plan_scarce(&mut planner, at(3_100 + tenth * 100), demand(busy), &none);
+        for (kind, (_, count)) in orders.into_iter().filter(|it| !it.0.reclaimable) {
+            let before = ordered.insert(kind.clone(), count).unwrap_or(0);
+            assert!(count >= before, "{kind:?} from {before} to {count} after {tenth}00 ms");
+        }
+    }
+}
+
+#[test]
+fn a_zone_is_asked_for_reclaimable_ones_as_soon_as_it_has_room() {
+    // Guards against on-demand ones kept for as long as an order is waited for that a full zone can't carry out.
+    let mut planner = steady(&counts([8, 0, 0], [0, 6, 6]));
+    let orders = plan(&mut planner, at(3_000), &counts([8, 0, 0], [0, 6, 6]));
+    assert_eq!(wants(&orders, "a", true), None, "it was ordered at the start");
+    let orders = plan(&mut planner, at(3_200), &counts([3, 0, 0], [0, 6, 6]));
+    assert_eq!(wants(&orders, "a", true), Some(6));
+    let orders = plan(&mut planner, at(3_300), &counts([3, 0, 0], [0, 6, 6]));
+    assert_eq!(wants(&orders, "a", true), None, "and not again without more room");
+}
--- a/crates/verbenaslip-relay/src/forward/life.rs
+++ b/crates/verbenaslip-relay/src/forward/life.rs
@@ -23,17 +23,15 @@
 use crate::policy::versions::Tracks;
 
 /// When a caller may come back that met a full upstream. An upstream that is full is slower as well, so
-/// callers that come back sooner keep it full; the next news of the fleet has come by then.
+/// callers that come back sooner keep it full; the next update of the fleet has come by then.
 const BACK_SOON: Duration = Duration::from_millis(300);
 
 /// When a caller may come back that was refused for want of an upstream: half of the time in which
 /// every upstream announces itself once.
 const BACK_WITH_UPSTREAMS: Duration = Duration::from_millis(600);
 
-/// How long a request waits at an entry that has no route table yet: as long as cores take to start and
-/// to elect a leader, and the way of its news. Entries are back before the cores: at 700 ms a hundred
-/// callers were refused a tenth of a second before the table came (tailings deployment, all machines
-/// without power for 0.6 s).
+/// How long a request waits at an entry that has no route table yet: as long as cores take to start, to elect a
+/// leader and to send the table.
 const WAIT_FOR_ROUTES: Duration = Duration::from_millis(1_300);
 
 /// How long after its start an entry is likely to get a route table soon. One that has none after that
--- a/crates/verbenaslip-relay/src/forward/pool.rs
+++ b/crates/verbenaslip-relay/src/forward/pool.rs
@@ -32,9 +32,7 @@
 /// whether it ran.
 const IDLE_ONCE: Duration = Duration::from_millis(400);
 
-/// The same as a part of the time that the upstream states, far enough from its end. At 0.4 s always, two
-/// of five requests opened a connection, each of which holds a place of the upstream for a moment: 3,232
-/// for 8,216 requests, and 1,709 with this (tailings deployment).
+/// The same as a part of the time that the upstream states, far enough from its end.
 const MARGIN_ONCE: f64 = 0.4;
 
 /// Says how long a connection is kept that is idle from now on.
--- a/crates/verbenaslip-relay/src/forward/trace.rs
+++ b/crates/verbenaslip-relay/src/forward/trace.rs
@@ -125,10 +125,7 @@
 
 /// Tells whether a value is worth its place in a line.
 ///
-/// There is a line for every request, and whoever collects logs keeps so many bytes of them: after a minute
-/// nothing is left of what an entry believed during a fault. Without what is empty a line takes 361 bytes
-/// instead of 392, though it says by whose word an upstream was chosen as well (means of 3,600 lines of the
-/// claims deployment, 20 s).
+/// There is a line for every request, and log collectors keep a limited number of bytes.
 fn says_something(value: &Value) -> bool {
     match value {
         Value::Null | Value::Bool(false) => false,
--- a/crates/verbenaslip-relay/src/policy/place.rs
+++ b/crates/verbenaslip-relay/src/policy/place.rs
@@ -57,8 +57,7 @@
 const ALL: f64 = 1.0;
 
 /// The part of the objective within which a first event must be expected, or the request is refused at
-/// once. Where engines are missing, their queues settle at this: at 1.6 everything was late, and the mean
-/// worth of the grown claims deployment on disturbed days was 0.02 less.
+/// once. Where engines are missing, their queues settle at this.
 const PATIENCE: f64 = 1.0;
 
 /// The same for callers that have come back, whose answers come late in any case: they get what others
