Roll-outs: acknowledged once all entries have the plan; a candidate is used by answered reports alone

Symptom: a version that was rolled back gets one to three requests more. Cause: the order was acknowledged when committed, and the plan followed with the leader's next look at what is due. Upstreams of the candidate that came within that time were as good as any other at each entry, and so was the one that stood still right then (log: 901 lines without a cohort). Ruled out first: the lease by which an entry uses a candidate was counted from when an update is read, so that what waits for a machine that stood still renews it; it counts from the last answered report now, as grants do.

--- a/crates/verbenaslip-fleet/src/core/call.rs
+++ b/crates/verbenaslip-fleet/src/core/call.rs
@@ -250,6 +250,16 @@
         }
     }
 
+    /// Waits until every instance that answers has the plan of a roll-out.
+    ///
+    /// An entry that hears of a candidate's upstreams before would send them requests as to any other.
+    fn await_plan(&mut self, key: u64) {
+        let change = self.announce_plans();
+        let until = (self.now + SPREAD).max(self.settled_at());
+        self.set_stage(key, Stage::Spread { change, until });
+        self.advance(key);
+    }
+
     /// Begins a roll-out, or answers for one that the log holds.
     fn start_rollout(&mut self, key: u64, order: Order) {
         let Some(edition) = self.ledger.edition() else {
@@ -260,7 +270,7 @@
         }
         let unix = self.agreed();
         match self.ledger.rollouts().admission(&order, unix) {
-            Admission::Known => self.conclude(key, Response::Noted),
+            Admission::Known => self.await_plan(key),
             Admission::Conflict(version) => self.conclude(key, Response::Conflict(version)),
             Admission::New => {
                 let token = self.propose(&Command::StartRollout { order, unix });
--- a/crates/verbenaslip-fleet/src/core/rollout.rs
+++ b/crates/verbenaslip-fleet/src/core/rollout.rs
@@ -18,6 +18,13 @@
         self.publish_plans();
     }
 
+    /// Has entries told of the roll-outs that the log holds; returns the change by which they know them.
+    pub(crate) fn announce_plans(&mut self) -> u64 {
+        self.follow_rollouts();
+        self.publish_plans();
+        self.planned
+    }
+
     /// Takes what an entry reports of versions.
     pub(crate) fn take_rollouts(&mut self, heartbeat: &Heartbeat) {
         let (entry, incarnation) = (heartbeat.peer.address, heartbeat.peer.incarnation);
--- a/crates/verbenaslip-fleet/tests/rollout.rs
+++ b/crates/verbenaslip-fleet/tests/rollout.rs
@@ -92,8 +92,10 @@
 #[test]
 fn entries_know_of_an_order_before_its_candidates_come() {
     let mut net = founded(3, 3, 3);
-    net.call(0, start("v2", 30));
-    net.run(SECOND);
+    assert_eq!(net.call(0, start("v2", 30)), Some(Response::Noted));
+    for view in net.entries() {
+        assert!(view.plans.contains_key("pool"), "it is acknowledged as known to all entries");
+    }
     let candidate = Announcement {
         address: ([10, 9, 0, 2], 80).into(),
         version: "v2".into(),
--- a/crates/verbenaslip-relay/src/policy/versions.rs
+++ b/crates/verbenaslip-relay/src/policy/versions.rs
@@ -11,7 +11,8 @@
 
 use crate::policy::site::Ending;
 
-/// After this silence of the leader an entry sends nothing to a candidate: a roll-back may have passed it by.
+/// How long after the report that the leader last answered an entry may use a candidate. Counted from when an answer is
+/// read, a machine that stood still would go by answers from before it did.
 const LEASE: Duration = Duration::from_secs(1);
 
 /// The versions that a request may go to.
@@ -52,7 +53,8 @@
 #[derive(Debug, Default)]
 pub struct Versions {
     plans: Arc<Plans>,
-    heard: Option<Duration>,
+    /// When the last report was sent that the leader has answered.
+    confirmed: Option<Duration>,
     /// Roll-outs whose candidate this entry uses no more, whatever a later leader says.
     rolled_back: BTreeSet<u64>,
     tallies: BTreeMap<Arc<str>, Tally>,
@@ -89,7 +91,7 @@
 impl Versions {
     /// Takes a newer view.
     pub fn update(&mut self, view: &View) {
-        self.heard = view.heard;
+        self.confirmed = view.granted;
         if Arc::ptr_eq(&self.plans, &view.plans) {
             return;
         }
@@ -121,7 +123,7 @@
     ) -> Tracks {
         let Some(tally) = self.tallies.get(service) else { return Tracks::default() };
         let plan = &tally.plan;
-        let silent = self.heard.is_none_or(|heard| now.saturating_sub(heard) > LEASE);
+        let silent = self.confirmed.is_none_or(|at| now.saturating_sub(at) > LEASE);
         let ended = self.rolled_back.contains(&plan.id);
         let both = |first, second| Tracks { first, second: Some(second) };
         match plan.state {
