Fleet and relay: one job a file

Upstream types below registry, departure and voucher, which leaned on each other; what goes into and out of a core, and its notes; what travels of requests that end upstreams; how a roll-out ends; a request to be placed. Moved as they were.

--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -2,8 +2,10 @@
 
 mod begin;
 mod call;
+mod io;
 mod lead;
 mod log;
+mod note;
 mod quarantine;
 mod relay;
 mod rollout;
@@ -14,246 +16,31 @@
 use std::time::Duration;
 
 use verbenaslip_base::name::{Instance, Upstream};
+use verbenaslip_replica::Replica;
 use verbenaslip_replica::input as replica;
-use verbenaslip_replica::setup::{Setup as LogSetup, Size, Timing as LogTiming};
-use verbenaslip_replica::storage::{Recovered, Write};
-use verbenaslip_replica::{Replica, output};
+use verbenaslip_replica::setup::{Setup as LogSetup, Size};
 
 use crate::clock;
 use crate::core::begin::Seeker;
 use crate::core::call::Waiting;
+pub use crate::core::io::{Input, Output, Setup};
+pub use crate::core::note::Note;
 use crate::departure::Departure;
-use crate::duty::{self, Dispatcher, Order, Outcome};
-use crate::frame::{Confirmation, Frame, Peer, Request, Response};
-use crate::hub::{Hub, Known, Spread};
+use crate::duty::{self, Dispatcher};
+use crate::frame::{Confirmation, Frame};
+use crate::hub::{Hub, Known};
 use crate::ledger::Ledger;
 use crate::link::{Link, Report};
 use crate::plan::{Planner, Warmup};
-use crate::quarantine::{Finding, Quarantine, Rule};
-use crate::registry::{Late, Registry, Run};
-use crate::rollout::controller::{Stage, Verdict};
-use crate::rollout::{Controller, Plans, Rollout};
-use crate::view::Stamp;
+use crate::quarantine::{Quarantine, Rule};
+use crate::registry::Registry;
+use crate::rollout::{Controller, Plans};
 use crate::voucher::Voucher;
 
 /// The largest command: a route table of the largest body that an operator may send, with the
 /// document itself beside it.
 const COMMAND: usize = 12 << 20;
 
-/// Sets a core up.
-pub struct Setup {
-    /// This instance; its voter is that of the folder.
-    pub own: Peer,
-    /// Addresses of some cores to join through.
-    pub seeds: Vec<SocketAddr>,
-    /// The cores that form the log at the very first start of all; empty at any other.
-    pub founders: Vec<SocketAddr>,
-    /// What the data folder holds.
-    pub recovered: Recovered,
-    /// How many voters are wanted: twice the disks that may be lost at once, and one.
-    pub voters: usize,
-    /// Time between two announcements of an upstream.
-    pub announce: Duration,
-    /// The times of the log.
-    pub timing: LogTiming,
-    /// The times of orders to the cloud; none when there is none.
-    pub duty: Option<duty::Timing>,
-    /// When requests are held back that end upstreams.
-    pub rule: Rule,
-    /// By what fingerprints of requests are made that nobody can foresee, if this core is the first to lead.
-    pub secret: u128,
-    /// Seeds every random choice.
-    pub seed: u64,
-    /// What this machine's clock shows, in Unix milliseconds.
-    pub unix: u64,
-}
-
-/// Tells a core what happened.
-#[derive(Debug)]
-pub enum Input {
-    /// Only time has passed.
-    Tick,
-    /// The machine's clock shows this, in Unix milliseconds.
-    Unix(u64),
-    /// A frame has come.
-    Frame(Box<Frame>),
-    /// Somebody outside asks for something; answered once, with the same identity.
-    Call {
-        /// Names the call in its answer.
-        id: u64,
-        /// What is asked.
-        ask: Request,
-    },
-    /// All writes up to a mark are durable.
-    Stored(u64),
-    /// The cloud has answered an order.
-    Ordered {
-        /// The order.
-        id: u64,
-        /// What became of it.
-        outcome: Outcome,
-    },
-    /// The settings name other addresses to join through.
-    Seeds(Vec<SocketAddr>),
-    /// The settings say something else of requests that end upstreams.
-    Rule(Rule),
-    /// This instance is about to stop.
-    Stop,
-}
-
-/// Wants something done; outputs are taken in order.
-#[derive(Debug)]
-pub enum Output {
-    /// Sends a frame.
-    Send {
-        /// Where to.
-        to: SocketAddr,
-        /// What it says.
-        frame: Frame,
-    },
-    /// Sends the same frame to several instances.
-    Cast {
-        /// Where to.
-        to: Vec<SocketAddr>,
-        /// What it says.
-        frame: Frame,
-    },
-    /// Writes and syncs; the mark comes back as [`Input::Stored`].
-    Store {
-        /// Rises with each write.
-        mark: u64,
-        /// What to write.
-        write: Write,
-    },
-    /// Answers a call.
-    Reply {
-        /// The call.
-        id: u64,
-        /// The answer.
-        told: Response,
-    },
-    /// Gives the cloud an order.
-    Order(Order),
-    /// Tells what this instance now believes, for the logs.
-    Note(Note),
-}
-
-/// A decision, or a change of what is known.
-#[derive(Clone, Debug)]
-pub enum Note {
-    /// The role in the log.
-    Role {
-        /// The term.
-        term: u64,
-        /// What this core is.
-        duty: output::Duty,
-        /// The leader, where known.
-        leader: Option<Instance>,
-    },
-    /// A route table is in force.
-    Sheet {
-        /// Its revision.
-        revision: u64,
-        /// Its routes.
-        routes: usize,
-    },
-    /// An upstream's standing has changed.
-    Upstream {
-        /// What is known of it.
-        record: Box<crate::registry::Record>,
-    },
-    /// An upstream said that it goes.
-    Withdrawn(Run),
-    /// An announcement was passed over, since what is known is newer.
-    Late(Late),
-    /// That an upstream goes was acknowledged.
-    Acknowledged {
-        /// The run, and how it goes.
-        departure: Departure,
-        /// How long its caller has waited.
-        waited: Duration,
-        /// The change by which instances know it.
-        change: Stamp,
-        /// Who knew it by then.
-        spread: Spread,
-    },
-    /// This core begins to lead.
-    Began {
-        /// The term.
-        term: u64,
-        /// The upstreams that it knows.
-        upstreams: usize,
-        /// Those of them that only the log holds.
-        logged: usize,
-        /// The runs that it knows to go or have gone.
-        departures: usize,
-        /// The requests that it holds back.
-        held: usize,
-    },
-    /// This core no longer holds the lease by which it led.
-    Lapsed {
-        /// The term.
-        term: u64,
-    },
-    /// This core has the lease of the same term again, and goes on.
-    Resumed {
-        /// The term.
-        term: u64,
-    },
-    /// An announcement names a service that no route table knows, and would displace an upstream.
-    Foreign(Run),
-    /// The voters are changed.
-    Voters {
-        /// The change.
-        change: verbenaslip_replica::config::Change,
-    },
-    /// Something was decided of a request that ends upstreams.
-    Found(Finding),
-    /// What the candidate of a roll-out gets has changed.
-    RolloutStage {
-        /// The roll-out.
-        rollout: Box<Rollout>,
-        /// What it gets.
-        stage: Stage,
-        /// Requests that were sent since the order, and those of them to the candidate.
-        exposure: (u64, u64),
-    },
-    /// A roll-out was decided here; the log takes the first verdict.
-    RolloutDecided {
-        /// The roll-out.
-        rollout: Box<Rollout>,
-        /// How it ends, and why.
-        verdict: Box<Verdict>,
-        /// Requests that were sent since the order, and those of them to the candidate.
-        exposure: (u64, u64),
-    },
-    /// A window of usage was closed.
-    Closed {
-        /// Its number.
-        window: u64,
-        /// Requests in it.
-        requests: u64,
-    },
-    /// Other counts of a service's upstreams are ordered.
-    Planned {
-        /// The service.
-        service: Arc<str>,
-        /// With how many upstreams it began.
-        base: u32,
-        /// How many would be busy all the time with what callers ask for, where that is known.
-        busy: Option<f64>,
-        /// How many there are.
-        upstreams: u32,
-    },
-    /// A call could not be answered for sure in time.
-    Unsure {
-        /// What was asked.
-        what: &'static str,
-    },
-    /// The log holds what this version can't read.
-    Unreadable(String),
-}
-
 /// Composes the decisions of a core.
 pub struct Core {
     pub(crate) setup: Settings,
--- /dev/null
+++ b/crates/verbenaslip-fleet/src/core/note.rs
@@ -0,0 +1,132 @@
+//! Decisions of a core, and changes of what it knows, for its log.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use verbenaslip_base::name::Instance;
+use verbenaslip_replica::output;
+
+use crate::departure::Departure;
+use crate::hub::Spread;
+use crate::quarantine::Finding;
+use crate::registry::Late;
+use crate::rollout::Rollout;
+use crate::rollout::verdict::{Stage, Verdict};
+use crate::upstream::Run;
+use crate::view::Stamp;
+
+/// A decision, or a change of what is known.
+#[derive(Clone, Debug)]
+pub enum Note {
+    /// The role in the log.
+    Role {
+        /// The term.
+        term: u64,
+        /// What this core is.
+        duty: output::Duty,
+        /// The leader, where known.
+        leader: Option<Instance>,
+    },
+    /// A route table is in force.
+    Sheet {
+        /// Its revision.
+        revision: u64,
+        /// Its routes.
+        routes: usize,
+    },
+    /// An upstream's standing has changed.
+    Upstream {
+        /// What is known of it.
+        record: Box<crate::registry::Record>,
+    },
+    /// An upstream said that it goes.
+    Withdrawn(Run),
+    /// An announcement was passed over, since what is known is newer.
+    Late(Late),
+    /// That an upstream goes was acknowledged.
+    Acknowledged {
+        /// The run, and how it goes.
+        departure: Departure,
+        /// How long its caller has waited.
+        waited: Duration,
+        /// The change by which instances know it.
+        change: Stamp,
+        /// Who knew it by then.
+        spread: Spread,
+    },
+    /// This core begins to lead.
+    Began {
+        /// The term.
+        term: u64,
+        /// The upstreams that it knows.
+        upstreams: usize,
+        /// Those of them that only the log holds.
+        logged: usize,
+        /// The runs that it knows to go or have gone.
+        departures: usize,
+        /// The requests that it holds back.
+        held: usize,
+    },
+    /// This core no longer holds the lease by which it led.
+    Lapsed {
+        /// The term.
+        term: u64,
+    },
+    /// This core has the lease of the same term again, and goes on.
+    Resumed {
+        /// The term.
+        term: u64,
+    },
+    /// An announcement names a service that no route table knows, and would displace an upstream.
+    Foreign(Run),
+    /// The voters are changed.
+    Voters {
+        /// The change.
+        change: verbenaslip_replica::config::Change,
+    },
+    /// Something was decided of a request that ends upstreams.
+    Found(Finding),
+    /// What the candidate of a roll-out gets has changed.
+    RolloutStage {
+        /// The roll-out.
+        rollout: Box<Rollout>,
+        /// What it gets.
+        stage: Stage,
+        /// Requests that were sent since the order, and those of them to the candidate.
+        exposure: (u64, u64),
+    },
+    /// A roll-out was decided here; the log takes the first verdict.
+    RolloutDecided {
+        /// The roll-out.
+        rollout: Box<Rollout>,
+        /// How it ends, and why.
+        verdict: Box<Verdict>,
+        /// Requests that were sent since the order, and those of them to the candidate.
+        exposure: (u64, u64),
+    },
+    /// A window of usage was closed.
+    Closed {
+        /// Its number.
+        window: u64,
+        /// Requests in it.
+        requests: u64,
+    },
+    /// Other counts of a service's upstreams are ordered.
+    Planned {
+        /// The service.
+        service: Arc<str>,
+        /// With how many upstreams it began.
+        base: u32,
+        /// How many would be busy all the time with what callers ask for, where that is known.
+        busy: Option<f64>,
+        /// How many there are.
+        upstreams: u32,
+    },
+    /// A call could not be answered for sure in time.
+    Unsure {
+        /// What was asked.
+        what: &'static str,
+    },
+    /// The log holds what this version can't read.
+    Unreadable(String),
+}
--- a/crates/verbenaslip-fleet/src/core/rollout.rs
+++ b/crates/verbenaslip-fleet/src/core/rollout.rs
@@ -6,7 +6,7 @@
 use crate::frame::Heartbeat;
 use crate::ledger::Command;
 use crate::registry::{Record, Standing};
-use crate::rollout::controller::{Fleet, Stage};
+use crate::rollout::verdict::{Fleet, Stage};
 use crate::rollout::{Controller, Plans, Rollout, State};
 
 impl Core {
--- a/crates/verbenaslip-fleet/src/departure.rs
+++ b/crates/verbenaslip-fleet/src/departure.rs
@@ -7,7 +7,7 @@
 use verbenaslip_base::data;
 use verbenaslip_base::name::Upstream;
 
-use crate::registry::{Run, Standing};
+use crate::upstream::{Run, Standing};
 
 /// How long a departure is remembered, so that a late announcement of the same run is known for what
 /// it is. Announcements are held up for as long as a cut lasts and their sender's system tries to send
--- a/crates/verbenaslip-fleet/src/lib.rs
+++ b/crates/verbenaslip-fleet/src/lib.rs
@@ -11,7 +11,7 @@
 //!    route of a request and the team of a key in it.
 //! 2. [`ledger`] is what the log holds: the newest route table with the operator's own document,
 //!    and the closed windows of usage.
-//! 3. [`registry`] holds the upstreams that announce themselves, at the leader of the log;
+//! 3. [`registry`] holds the upstreams ([`upstream`]) that announce themselves, at the leader of the log;
 //!    [`departure`] remembers at every instance which runs of them have said that they go. A core
 //!    answers by itself what says nothing new, and vouches for its sender as [`voucher`] says.
 //! 4. [`link`] keeps an instance in touch with the leader: a [`frame::Heartbeat`] four times a second,
@@ -51,6 +51,7 @@
 pub mod rollout;
 pub mod sheet;
 pub mod transition;
+pub mod upstream;
 pub mod usage;
 pub mod view;
 pub mod voucher;
--- a/crates/verbenaslip-fleet/src/quarantine.rs
+++ b/crates/verbenaslip-fleet/src/quarantine.rs
@@ -13,15 +13,18 @@
 //! believed only when they have had time to tell of one. Then the request is held back: no entry sends it to any
 //! upstream. After a time one entry lets one through, to see whether upstreams survive it by now.
 
+mod record;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use verbenaslip_base::data;
-
 use crate::fingerprint::Fingerprint;
-use crate::registry::Run;
+pub use crate::quarantine::record::{
+    Answer, Block, Blocklist, Cause, Crash, Finding, Persisted, Rule,
+};
+use crate::upstream::Run;
 
 /// How long a chain of enough ends waits for the word of an answer: as long as an update takes to all entries, 120 ms to
 /// 300 of them, and a popular request to be answered once more. Meanwhile a bad one may end two more upstreams.
@@ -53,19 +56,6 @@
 /// How long an entry has to let a request through before another one is to.
 const TRIAL: Duration = Duration::from_secs(30);
 
-/// Says when a request is held back, and for how long.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Rule {
-    /// How many upstreams must have ended under it, one after the other.
-    pub crashes: u32,
-    /// After how long it is let through for the first time.
-    pub hold: Duration,
-    /// Requests that an operator never wants held back.
-    pub lifted: BTreeSet<Fingerprint>,
-    /// Requests that an operator wants held back, whatever became of them.
-    pub forbidden: BTreeSet<Fingerprint>,
-}
-
 impl Default for Rule {
     fn default() -> Self {
         let hold = Duration::from_secs(600);
@@ -73,107 +63,6 @@
     }
 }
 
-/// Tells of an upstream that ended while it ran a request.
-#[data]
-pub struct Crash {
-    /// The request.
-    pub fingerprint: Fingerprint,
-    /// The run of the upstream.
-    pub run: Run,
-    /// When the request was sent there, in milliseconds before this is told.
-    pub sent: u64,
-    /// When it broke off, in the same way.
-    pub ended: u64,
-}
-
-/// Tells that a request was answered whole.
-#[data]
-pub struct Answer {
-    /// The request.
-    pub fingerprint: Fingerprint,
-    /// When, in milliseconds before this is told.
-    pub ago: u64,
-}
-
-/// Says how a request is held back.
-#[data]
-pub struct Block {
-    /// Since when, in Unix milliseconds of the agreed time of day.
-    pub since: u64,
-    /// Until when none is let through, in the same way.
-    pub until: u64,
-    /// How many upstreams it has ended since it was let through again.
-    pub tries: u8,
-    /// The entry that may let one through.
-    pub tried_by: Option<SocketAddr>,
-}
-
-/// Holds what outlives a leader, in the log.
-#[data(default)]
-pub struct Persisted {
-    /// The key of the fingerprints; none before the first leader has drawn one.
-    pub key: Option<u128>,
-    /// The requests that are held back.
-    pub held: BTreeMap<Fingerprint, Block>,
-}
-
-/// Holds what entries go by.
-#[data(default)]
-pub struct Blocklist {
-    /// The key of the fingerprints; without it no request is known again.
-    pub key: Option<u128>,
-    /// Requests whose answers the leader wants to hear of.
-    pub watched: BTreeSet<Fingerprint>,
-    /// Requests that no upstream gets.
-    pub held: BTreeMap<Fingerprint, Block>,
-}
-
-/// Tells what was decided of a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Finding {
-    /// Upstreams have ended under it one after the other; entries watch for answers.
-    Suspected {
-        /// The request.
-        fingerprint: Fingerprint,
-        /// The upstreams.
-        runs: Vec<Run>,
-    },
-    /// It is held back.
-    Blocked {
-        /// The request.
-        fingerprint: Fingerprint,
-        /// The upstreams that ended under it.
-        runs: Vec<Run>,
-        /// How.
-        held: Block,
-    },
-    /// It is not, or no longer.
-    Cleared {
-        /// The request.
-        fingerprint: Fingerprint,
-        /// Why.
-        cause: Cause,
-    },
-    /// An entry may let one through.
-    Tried {
-        /// The request.
-        fingerprint: Fingerprint,
-        /// The entry.
-        entry: SocketAddr,
-    },
-}
-
-/// Says why a request is no longer suspected or held back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Cause {
-    /// It was answered.
-    Answered,
-    /// Another request ended the upstreams that it ran on.
-    Explained,
-    /// An operator has lifted it.
-    Lifted,
-}
-
 /// Finds requests that end upstreams, at the leader.
 #[derive(Debug, Default)]
 pub struct Quarantine {
--- a/crates/verbenaslip-fleet/src/rollout.rs
+++ b/crates/verbenaslip-fleet/src/rollout.rs
@@ -11,6 +11,7 @@
 pub mod controller;
 pub mod judge;
 pub mod report;
+pub mod verdict;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -211,3 +212,8 @@
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
+
+#[allow(clippy::cast_precision_loss)] // Counts of one roll-out are far below the precision of a float.
+pub(crate) fn as_f64(count: u64) -> f64 {
+    count as f64
+}
--- a/crates/verbenaslip-fleet/src/rollout/controller.rs
+++ b/crates/verbenaslip-fleet/src/rollout/controller.rs
@@ -14,7 +14,8 @@
 
 use crate::rollout::judge::{Evidence, Judge};
 use crate::rollout::report::{Group, Report, Totals};
-use crate::rollout::{Names, Plan, Rollout, State};
+use crate::rollout::verdict::{Fleet, Reason, Stage, Verdict};
+use crate::rollout::{Names, Plan, Rollout, State, as_f64};
 
 /// The part of a service's requests that canaries get.
 const CANARY: f64 = 0.05;
@@ -68,9 +69,6 @@
 /// The shortest latency that counts as slow, in milliseconds.
 const SLOW_LEAST: f64 = 40.0;
 
-/// The part of the stable upstreams that the candidate must have to take over.
-const CAPACITY: f64 = 0.6;
-
 /// How long after the time limit an undecided candidate is rolled back, as a part of the limit.
 const GRACE: f64 = 1.0;
 
@@ -92,59 +90,6 @@
     verdict: Option<Verdict>,
 }
 
-/// Says what candidates get.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stage {
-    /// Nothing.
-    Waiting,
-    /// A share small enough for a bad version.
-    Canary,
-    /// More with each step.
-    Shift {
-        /// Index into the shares of the way.
-        at: usize,
-        /// Since when.
-        since: Duration,
-    },
-}
-
-/// Decides a roll-out.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Verdict {
-    /// How it ends.
-    pub state: State,
-    /// Why.
-    pub reason: Reason,
-}
-
-/// Says why a roll-out ended.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Reason {
-    /// The candidate carries all traffic.
-    Shifted,
-    /// The candidate is worse.
-    Worse(Evidence),
-    /// An entry had stopped using the candidate, or had heard of a verdict.
-    Halted,
-    /// The candidate looks worse when the time limit comes, though not surely.
-    Doubtful,
-    /// There was too little to judge by in time.
-    TimedOut,
-}
-
-/// Holds what the leader knows of a service's upstreams and the entries.
-#[derive(Clone, Debug, Default)]
-pub struct Fleet {
-    /// Ready upstreams of the candidate.
-    pub candidates: Vec<(Upstream, AvailabilityZone)>,
-    /// Ready upstreams of other versions.
-    pub stable: usize,
-    /// Entries that are heard.
-    pub entries: Vec<SocketAddr>,
-    /// Whether all entries that there are have reported to this leader.
-    pub settled: bool,
-}
-
 impl Controller {
     /// Begins, or goes on after another leader.
     pub fn open(rollout: Rollout, rejected: Names) -> Self {
@@ -291,7 +236,7 @@
         let sent = self.sent();
         let busy = |route: &str| sent.get(route).is_some_and(|sent| *sent >= as_f64(all) * BUSY);
         let judged = judged.iter().all(|(route, ended)| !busy(route) || *ended >= EVIDENCE);
-        all > 0 && judged && carries(fleet) && !self.judge.is_suspicious()
+        all > 0 && judged && fleet.carries() && !self.judge.is_suspicious()
     }
 
     fn shift(
@@ -313,7 +258,7 @@
         let late = elapsed >= self.rollout.order.duration;
         let drained = active == Some(0) || (active.is_some() && late);
         let settled = elapsed >= latest && now.saturating_sub(since) >= STEP;
-        if drained && settled && carries(fleet) {
+        if drained && settled && fleet.carries() {
             let (state, reason) = (State::Completed, Reason::Shifted);
             self.verdict = Some(Verdict { state, reason });
         }
@@ -412,12 +357,6 @@
     }
 }
 
-/// Tells whether the candidate has enough upstreams to take over.
-fn carries(fleet: &Fleet) -> bool {
-    let needed = as_f64(fleet.stable as u64) * CAPACITY;
-    as_f64(fleet.candidates.len() as u64) >= needed.max(1.0)
-}
-
 /// Divides so many requests evenly among routes, each no more than a part of its own; returns the shares.
 fn divided(sent: &ByRoute, requests: f64) -> ByRoute {
     let mut routes: Vec<&Arc<str>> = sent.keys().collect();
@@ -435,11 +374,6 @@
     shares
 }
 
-#[allow(clippy::cast_precision_loss)] // Counts of one roll-out are far below the precision of a float.
-fn as_f64(count: u64) -> f64 {
-    count as f64
-}
-
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Small and not negative.
 fn whole(value: f64) -> u32 {
     value as u32
--- a/crates/verbenaslip-fleet/src/rollout/judge.rs
+++ b/crates/verbenaslip-fleet/src/rollout/judge.rs
@@ -12,6 +12,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use crate::rollout::as_f64;
 use crate::rollout::report::{Counts, Group, Key};
 
 /// By how much more of its answers a worse version fails; the test is for each of these.
@@ -160,8 +161,3 @@
     let whole = as_f64(counts.ended.saturating_sub(counts.bad));
     whole * ((1.0 - bad_share) / (1.0 - good)).ln() + as_f64(counts.bad) * (bad_share / good).ln()
 }
-
-#[allow(clippy::cast_precision_loss)] // Counts of one roll-out are far below the precision of a float.
-fn as_f64(count: u64) -> f64 {
-    count as f64
-}
--- a/crates/verbenaslip-fleet/src/voucher.rs
+++ b/crates/verbenaslip-fleet/src/voucher.rs
@@ -19,7 +19,7 @@
 use verbenaslip_base::name::Upstream;
 
 use crate::departure::{Departure, Departures};
-use crate::registry::{Announcement, Record, Run, Standing, differs};
+use crate::upstream::{Announcement, Record, Run, Standing, differs};
 
 /// Marks that are older than this are dropped: a core that stood still would tell the leader that upstreams
 /// are there which have ended meanwhile. Marks usually leave with the next report, within 250 ms.
--- /dev/null
+++ b/crates/verbenaslip-relay/src/policy/place/choice.rs
@@ -0,0 +1,113 @@
+//! A request to be placed, and what becomes of it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use verbenaslip_fleet::registry::Run;
+use verbenaslip_fleet::rollout::Cohort;
+
+use crate::dialect::Part;
+use crate::policy::versions::{Ticket, Tracks};
+
+/// Names the requests of a service that have the same rank.
+pub(super) type Lane = (Arc<str>, u8);
+
+/// Describes a request to be placed.
+#[derive(Clone, Copy, Debug)]
+pub struct Query<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Its rank; zero is the most urgent.
+    pub rank: u8,
+    /// The parts of its prompt.
+    pub parts: &'a [Part],
+    /// The tokens of its prompt.
+    pub prompt: u64,
+    /// Runs of upstreams where it must not go: it was sent there already.
+    pub tried: &'a [Run],
+    /// The time within which the first event is wanted.
+    pub objective: Duration,
+    /// How long the caller still waits.
+    pub remaining: Duration,
+    /// Whether the caller has come back, so that any answer comes late.
+    pub waited: bool,
+    /// Whether an upstream may have begun on it: it goes on wherever it can, also when late.
+    pub begun: bool,
+    /// The versions that may take it.
+    pub tracks: Tracks,
+}
+
+/// Says where a request goes.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// The run of the upstream.
+    pub run: Run,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Tokens of the prompt that are still to be read there.
+    pub reading: u64,
+    /// The expected milliseconds to the first event, by what this entry knows of the upstream.
+    pub expected: f64,
+    /// The milliseconds by which first events come later than that lately.
+    pub lag: f64,
+    /// Whether nothing else was under way there.
+    pub idle: bool,
+    /// Milliseconds in which an engine reads what it has yet to read of the prompt.
+    pub work: f64,
+    /// The version that the upstream runs.
+    pub version: Arc<str>,
+    /// The upstream's part in a roll-out of its service.
+    pub cohort: Cohort,
+    /// Stands for the upstream in hashes.
+    pub mark: u64,
+    /// Its place in the counts of a roll-out, once it is sent.
+    pub ticket: Option<Ticket>,
+    /// The request's service and rank.
+    pub(super) lane: Lane,
+    /// The time within which a plain service is to answer; none for a prompt.
+    pub(super) plain: Option<Duration>,
+}
+
+/// Says what becomes of a request.
+#[derive(Clone, Debug)]
+pub enum Verdict {
+    /// It goes to an upstream.
+    Go(Choice),
+    /// Every upstream is so busy that it is refused.
+    Busy(Busy),
+    /// No upstream of the service may get work now.
+    Nowhere,
+}
+
+/// Says why a request is refused for want of room, and when its caller may come back.
+#[derive(Clone, Copy, Debug)]
+pub struct Busy {
+    /// When its caller may come back.
+    pub back: Duration,
+    /// What decided it.
+    pub cause: Cause,
+    /// Milliseconds in which an engine would have read its prompt.
+    pub work: f64,
+}
+
+/// Says what decided that a request is refused for want of room.
+#[derive(Clone, Copy, Debug)]
+pub enum Cause {
+    /// Its service has more to do than it can, and admits this share of such requests.
+    Share(f64),
+    /// Its first event was expected too late, by these milliseconds together.
+    Late {
+        /// What this entry knows of the upstream.
+        expected: f64,
+        /// How much later first events come lately.
+        lag: f64,
+    },
+}
+
+impl Choice {
+    /// Returns the service.
+    pub(crate) fn service(&self) -> &str {
+        &self.lane.0
+    }
+}
--- a/crates/verbenaslip-relay/tests/rollout.rs
+++ b/crates/verbenaslip-relay/tests/rollout.rs
@@ -9,7 +9,7 @@
 use verbenaslip_base::hash;
 use verbenaslip_base::name::{AvailabilityZone, Upstream};
 use verbenaslip_fleet::View;
-use verbenaslip_fleet::rollout::controller::{Fleet, Reason};
+use verbenaslip_fleet::rollout::verdict::{Fleet, Reason};
 use verbenaslip_fleet::rollout::{Cohort, Controller, Order, Plan, Rollout, State};
 use verbenaslip_relay::policy::site::Ending;
 use verbenaslip_relay::policy::versions::{Ticket, Track, Versions};
