--- a/crates/verbenaslip-fleet/src/plan.rs
+++ b/crates/verbenaslip-fleet/src/plan.rs
@@ -88,8 +88,18 @@
         let part = busy / READING / f64::from(self.base.max(1));
         scale(self.base, part.clamp(LEAST, 1.0))
     }
+
+    /// Returns how many on-demand ones carry the load if all zones are reclaimed; none where that takes too many.
+    fn alone(self) -> u32 {
+        let enough = self.enough();
+        if enough <= scale(self.base, ALONE) { enough } else { 0 }
+    }
 }
 
+/// The largest part of the base that on-demand ones cover in case that all zones are reclaimed: at a higher load they
+/// cost more than they are likely to save.
+const ALONE: f64 = 0.5;
+
 /// Plans the upstreams of one service.
 #[derive(Debug)]
 pub struct Planner {
@@ -280,7 +290,7 @@
     let now = demand.enough().saturating_sub(sum);
     let after = scale(demand.base, SAFE).saturating_sub(sum - most);
     // Where there is no reclaimable one left, none can be lost.
-    let alone = if scarce { demand.enough() } else { 0 };
+    let alone = if scarce { demand.alone() } else { 0 };
     if sum > 0 { now.max(after).max(alone) } else { now }
 }
 
