Plan: a busy cloud is no want of upstreams; room is asked for in steps

A 429 is Busy now, which the contract test expects in place of Refused, and a zone is asked again when a quarter more fits.

--- a/crates/verbenaslip-fleet/src/duty.rs
+++ b/crates/verbenaslip-fleet/src/duty.rs
@@ -57,8 +57,10 @@
 pub enum Outcome {
     /// The cloud has taken it.
     Done,
-    /// The cloud has refused it for now, such as for want of machines.
+    /// The cloud has refused it for now, for want of machines.
     Refused,
+    /// The cloud takes no more calls at the moment, and has not carried it out.
+    Busy,
     /// It may or may not have arrived.
     Unknown,
 }
--- a/crates/verbenaslip-fleet/src/plan.rs
+++ b/crates/verbenaslip-fleet/src/plan.rs
@@ -37,6 +37,9 @@
 /// How long after a refusal of reclaimable ones they count as scarce: longer than between two tries of a zone.
 const SCARCE: Duration = Duration::from_secs(3);
 
+/// Steps of room in which a zone is asked again for what it had no room for: each one costs a call to the cloud.
+const ROOM_STEPS: u32 = 4;
+
 /// How long a zone that refused an order is left alone; a refused order costs next to nothing.
 const EXHAUSTED: Duration = Duration::from_millis(1_500);
 
@@ -192,7 +195,8 @@
             let there = have.get(&kind).copied().unwrap_or(0);
             let room = room(scaling, &kind, have);
             let pending = self.orders.get(&kind).filter(|it| it.until > now);
-            let waits = |it: &Pending| it.count == target && room <= it.room;
+            let more_room = |it: &Pending| room >= it.room + target.div_ceil(ROOM_STEPS);
+            let waits = |it: &Pending| it.count == target && !more_room(it);
             if there == target || pending.is_some_and(waits) {
                 continue;
             }
@@ -225,7 +229,7 @@
                 self.refused = Some(now);
                 self.exhausted.insert(kind.zone.clone(), now + EXHAUSTED);
             }
-            Outcome::Refused | Outcome::Unknown => pending.until = now + EXHAUSTED,
+            Outcome::Refused | Outcome::Busy | Outcome::Unknown => pending.until = now + EXHAUSTED,
         }
         true
     }
--- a/crates/verbenaslip-fleet/tests/plan.rs
+++ b/crates/verbenaslip-fleet/tests/plan.rs
@@ -319,3 +319,19 @@
     let orders = plan(&mut planner, at(3_300), &counts([3, 0, 0], [0, 6, 6]));
     assert_eq!(wants(&orders, "a", true), None, "and not again without more room");
 }
+
+#[test]
+fn a_cloud_that_is_busy_is_not_taken_for_one_without_reclaimable_upstreams() {
+    // Guards against on-demand ones ordered for the whole load because too many calls were made in a second.
+    let demand = Demand { base: BASE, busy: Some(2.0) };
+    let have = counts([0, 0, 0], [6, 6, 5]);
+    let mut planner = steady(&counts([0, 0, 0], [6, 6, 6]));
+    let orders = plan_for(&mut planner, at(3_000), demand, &have);
+    let (id, _) = orders[&kind("c", true)];
+    planner.ended(at(3_050), id, Outcome::Busy);
+    let orders = plan_for(&mut planner, at(3_100), demand, &have);
+    assert!(orders.is_empty(), "{orders:?}");
+    let orders = plan_for(&mut planner, at(5_000), demand, &have);
+    assert_eq!(wants(&orders, "c", true), Some(6), "it is asked again");
+    assert_eq!(orders.len(), 1, "{orders:?}");
+}
