--- a/crates/verbenaslip-fleet/src/plan.rs
+++ b/crates/verbenaslip-fleet/src/plan.rs
@@ -87,15 +87,19 @@
 impl Demand {
     /// Returns how many are enough for what callers ask for: never more than the base.
     fn enough(self) -> u32 {
-        let Some(busy) = self.busy else { return self.base };
-        let part = busy / READING / f64::from(self.base.max(1));
-        scale(self.base, part.clamp(LEAST, 1.0))
+        scale(self.base, self.part().clamp(LEAST, 1.0))
     }
 
-    /// Returns how many on-demand ones carry the load if all zones are reclaimed; none where that takes too many.
+    /// Returns how many on-demand ones carry the load if all zones are reclaimed; none where that takes too many, or the
+    /// load is not known.
     fn alone(self) -> u32 {
-        let enough = self.enough();
-        if enough <= scale(self.base, ALONE) { enough } else { 0 }
+        let part = self.part();
+        if part <= ALONE { scale(self.base, part) } else { 0 }
+    }
+
+    /// Returns the part of the base that the load needs; all of it where the load is not known.
+    fn part(self) -> f64 {
+        self.busy.map_or(1.0, |busy| busy / READING / f64::from(self.base.max(1)))
     }
 }
 
--- a/crates/verbenaslip-fleet/tests/plan.rs
+++ b/crates/verbenaslip-fleet/tests/plan.rs
@@ -286,6 +286,11 @@
         ordered.values().sum::<u32>()
     };
     assert_eq!(planned(2.9), 6, "six are enough for this load");
+    assert_eq!(
+        planned(0.1),
+        3,
+        "an idle fleet changes no more of its upstreams than one zone may take"
+    );
     assert_eq!(planned(6.0), 3, "for the usual load as many as one more zone may take");
 }
 
