Roll-outs: one place says when an answer is slow; no result that nobody reads

Tally looked the limit up in two ways, the controller's step returned a change that its caller finds by comparing plans, and a report's flag was described as more than it is. No behaviour changed.

--- a/crates/verbenaslip-fleet/src/rollout.rs
+++ b/crates/verbenaslip-fleet/src/rollout.rs
@@ -203,6 +203,11 @@
         }
     }
 
+    /// Returns the latency above which an answer on a route counts as bad, once that is known.
+    pub fn slow_after(&self, route: &str) -> Option<Duration> {
+        self.slow.get(route).map(|millis| Duration::from_millis(u64::from(*millis)))
+    }
+
     /// Returns the share of a route's requests that goes to the candidate.
     pub fn share(&self, route: &str) -> f64 {
         self.shares.get(route).copied().unwrap_or(self.share)
--- a/crates/verbenaslip-fleet/src/rollout/controller.rs
+++ b/crates/verbenaslip-fleet/src/rollout/controller.rs
@@ -143,26 +143,26 @@
         }
     }
 
-    /// Goes on at an agreed time of day; returns whether the plan has changed.
-    pub fn tick(&mut self, now: Duration, unix: u64, fleet: &Fleet) -> bool {
+    /// Goes on at an agreed time of day.
+    pub fn tick(&mut self, now: Duration, unix: u64, fleet: &Fleet) {
         if self.rollout.state != State::Serving || self.verdict.is_some() {
-            return false;
+            return;
         }
         let elapsed = Duration::from_millis(unix.saturating_sub(self.rollout.started));
         let fresh = self.totals.take_fresh();
         let evidence = self.judge.take(&fresh);
         let reason = self.objection(evidence, elapsed);
         if let Some(reason) = reason {
-            return self.decide(State::RolledBack, reason);
+            self.verdict = Some(Verdict { state: State::RolledBack, reason });
+            self.step += 1;
+            return;
         }
         self.measure();
         let before = self.plan();
         self.advance(now, elapsed, fleet);
-        let after = self.plan();
-        if before != after {
+        if before != self.plan() {
             self.step += 1;
         }
-        before != after
     }
 
     /// Returns why the candidate is rolled back, if it is.
@@ -178,12 +178,6 @@
         }
     }
 
-    fn decide(&mut self, state: State, reason: Reason) -> bool {
-        self.verdict = Some(Verdict { state, reason });
-        self.step += 1;
-        true
-    }
-
     /// Sets from the stable version's answers which latency is slow, until the candidate is judged by it.
     fn measure(&mut self) {
         for ((route, group), counts) in self.totals.sums() {
--- a/crates/verbenaslip-fleet/src/rollout/report.rs
+++ b/crates/verbenaslip-fleet/src/rollout/report.rs
@@ -54,7 +54,7 @@
     pub step: u32,
     /// Requests under way at the stable version.
     pub stable_active: u32,
-    /// Whether this entry has stopped using the candidate by itself, or on the word of an earlier leader.
+    /// Whether this entry knows from an earlier leader that the candidate was rolled back.
     pub halted: bool,
     /// The counts by route and group.
     pub rows: Vec<(Key, Counts)>,
@@ -112,7 +112,7 @@
         (all, candidate.map(|it| sent(&it)).sum())
     }
 
-    /// Tells whether any entry has stopped using the candidate.
+    /// Tells whether any entry knows that the candidate was rolled back.
     pub fn is_halted(&self) -> bool {
         self.entries.values().any(|it| it.report.halted)
     }
--- a/crates/verbenaslip-relay/src/policy/versions.rs
+++ b/crates/verbenaslip-relay/src/policy/versions.rs
@@ -208,7 +208,7 @@
 
     fn end(&mut self, now: Duration, ticket: Ticket, ending: Ending) {
         let Some(active) = self.active.remove(&ticket.0) else { return };
-        let slow = self.slow(&active.key.0);
+        let slow = self.plan.slow_after(&active.key.0);
         let counts = self.rows.entry(active.key.clone()).or_default();
         let took = active.first.unwrap_or(now.saturating_sub(active.sent));
         let late = slow.is_some_and(|slow| took > slow);
@@ -231,16 +231,11 @@
         }
     }
 
-    fn slow(&self, route: &str) -> Option<Duration> {
-        self.plan.slow.get(route).map(|millis| Duration::from_millis(u64::from(*millis)))
-    }
-
     /// Counts requests that are late already, so that slow ones are known before they are answered.
     fn count_late(&mut self, now: Duration) {
-        let slow = &self.plan.slow;
         for active in self.active.values_mut().filter(|it| !it.counted && it.first.is_none()) {
-            let limit = slow.get(&active.key.0).map(|it| Duration::from_millis(u64::from(*it)));
-            if limit.is_some_and(|limit| now.saturating_sub(active.sent) > limit) {
+            let slow = self.plan.slow_after(&active.key.0);
+            if slow.is_some_and(|limit| now.saturating_sub(active.sent) > limit) {
                 active.counted = true;
                 let counts = self.rows.entry(active.key.clone()).or_default();
                 counts.ended += 1;
