Limits of teams are lent as asked for, not granted ahead to every entry

Cause: the leader granted each entry a part of every team's bucket with each answer to a report.

Change: an entry that has no units left asks the leader before it admits a request, and is refused only if the bucket is empty. What is lent has left the bucket; what did not run is given back; a busy team is lent a second's worth ahead from the upper half of the bucket.

--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -277,7 +277,8 @@
             Frame::Request { from, token, ask } => self.requested(from, token, *ask),
             Frame::Response { token, told } => self.answered_by_leader(token, told),
             Frame::Account(account) => self.accounted(&account),
-            Frame::Heard { .. } => {}
+            Frame::Borrow { from, loans } => self.lend(from, &loans),
+            Frame::Heard { .. } | Frame::Lent(_) => {}
         }
     }
 
--- a/crates/verbenaslip-fleet/src/core/lead.rs
+++ b/crates/verbenaslip-fleet/src/core/lead.rs
@@ -15,6 +15,7 @@
 use crate::hub::{Hub, Push, Source};
 use crate::ledger::{Command, Window};
 use crate::plan::{self, Demand, Planner};
+use crate::quota::Loan;
 use crate::registry::{Change as RegistryChange, Record, Run, Standing};
 use crate::usage::window_end;
 use crate::voucher::Mark;
@@ -114,6 +115,14 @@
         }
     }
 
+    /// Lends units of teams' limits.
+    pub(crate) fn lend(&mut self, to: SocketAddr, loans: &[Loan]) {
+        if self.leads() {
+            let lent = self.hub.lend(loans);
+            self.send(to, Frame::Lent(lent));
+        }
+    }
+
     /// Takes a core's word of the upstreams that have called it.
     fn take_marks(&mut self, marks: &[Mark]) {
         for mark in marks {
--- a/crates/verbenaslip-fleet/src/entry.rs
+++ b/crates/verbenaslip-fleet/src/entry.rs
@@ -6,6 +6,7 @@
 use crate::account::{Accounts, Answered, Sighting};
 use crate::frame::{Frame, Peer};
 use crate::link::{Link, Report, Targets};
+use crate::quota::Loan;
 use crate::transition::Transitions;
 use crate::view::View;
 
@@ -68,6 +69,13 @@
         Some(Envelope { to: vec![leader], frame: Frame::Account(Box::new(account)) })
     }
 
+    /// Asks for units of teams' limits.
+    pub fn borrow(&self, now: Duration, loans: Vec<Loan>) -> Option<Envelope> {
+        let leader = self.link.leader(now).filter(|_| !loans.is_empty())?;
+        let from = self.link.own().address;
+        Some(Envelope { to: vec![leader], frame: Frame::Borrow { from, loans } })
+    }
+
     /// Takes other addresses to join through.
     pub fn reseed(&mut self, seeds: Vec<SocketAddr>) {
         self.link.reseed(seeds);
@@ -102,6 +110,8 @@
             }
             Frame::Log { .. }
             | Frame::Heartbeat(_)
+            | Frame::Borrow { .. }
+            | Frame::Lent(_)
             | Frame::Seen { .. }
             | Frame::Request { .. }
             | Frame::Response { .. }
--- a/crates/verbenaslip-fleet/src/frame.rs
+++ b/crates/verbenaslip-fleet/src/frame.rs
@@ -13,7 +13,7 @@
 use crate::limit::{Limits, Sighting, Turn};
 use crate::load::Work;
 use crate::quarantine::Blocklist;
-use crate::quota::{Demand, Grant};
+use crate::quota::{Lent, Loan, Refund};
 use crate::registry::{Announcement, Record, Run};
 use crate::rollout::report::Report;
 use crate::rollout::{Order, Plans, Rollout};
@@ -91,6 +91,15 @@
         /// The number of the account.
         number: u64,
     },
+    /// An instance asks for units of teams' limits.
+    Borrow {
+        /// Where the answer goes.
+        from: SocketAddr,
+        /// What it asks for.
+        loans: Vec<Loan>,
+    },
+    /// Answers what an instance has asked for.
+    Lent(Vec<Lent>),
 }
 
 impl Frame {
@@ -109,6 +118,8 @@
             Self::SeenBy(_) => "seen_by",
             Self::Account(_) => "account",
             Self::Heard { .. } => "heard",
+            Self::Borrow { .. } => "borrow",
+            Self::Lent(_) => "lent",
         }
     }
 }
@@ -157,8 +168,8 @@
     pub counts: Vec<Count>,
     /// Counts the reports of this life of the instance.
     pub number: u64,
-    /// What each team asks for.
-    pub demand: Vec<Demand>,
+    /// Units of teams' limits that were lent and not used.
+    pub refunds: Vec<Refund>,
     /// What engines are asked for.
     pub work: Vec<Work>,
     /// Upstreams that have announced themselves at this core, and say nothing new.
@@ -207,8 +218,6 @@
     pub cores: Vec<SocketAddr>,
     /// The number of the report that is answered.
     pub number: u64,
-    /// What the instance may admit of each team beyond what that report told.
-    pub grants: Vec<Grant>,
     /// How many entries there are.
     pub entries: u32,
     /// The change by which the newest plans of roll-outs are known.
--- a/crates/verbenaslip-fleet/src/hub.rs
+++ b/crates/verbenaslip-fleet/src/hub.rs
@@ -17,7 +17,7 @@
 use crate::load::{Loads, Work};
 use crate::path::{self, Path};
 use crate::quarantine::Blocklist;
-use crate::quota::Quotas;
+use crate::quota::{Lent, Loan, Quotas};
 use crate::registry::Registry;
 use crate::rollout::Plans;
 use crate::usage::{Collector, Origin};
@@ -26,12 +26,12 @@
 /// After this silence an instance is not waited for: three beats.
 pub const SILENCE: Duration = Duration::from_millis(800);
 
-/// After this silence an entry falls back to an equal part of each limit by itself, and the leader
-/// gives its part to others only some time later, so that the two never add up to more.
+/// After this silence an entry falls back to an equal part of each limit by itself, and the leader keeps that part
+/// for it.
 pub const SHARE_LEASE: Duration = Duration::from_secs(1);
 
-/// After this silence of an entry its part beyond an equal one goes to others.
-const SHARE_REUSE: Duration = Duration::from_secs(2);
+/// How long a new leader counts those entries as well that looked for a leader just before.
+const EXPECTED: Duration = Duration::from_secs(2);
 
 /// How long a silent entry keeps an equal part of each limit: it may be cut off and still serve.
 const ENTRY_MEMORY: Duration = Duration::from_secs(30);
@@ -166,7 +166,7 @@
     /// Starts to lead so many entries; `restarted` tells whether all of them have just started, as after
     /// a power loss of all.
     pub fn open(now: Duration, expected: usize, restarted: bool) -> Self {
-        let expects = now + SHARE_REUSE;
+        let expects = now + EXPECTED;
         Self { expected, expects, quotas: Quotas::open(restarted), ..Self::default() }
     }
 
@@ -178,14 +178,13 @@
 
     /// Takes a report.
     pub fn take(&mut self, now: Duration, term: u64, heartbeat: Heartbeat) {
-        let Heartbeat { peer, seen, revision, unix, counted, counts, number, demand, work, .. } =
+        let Heartbeat { peer, seen, revision, unix, counted, counts, number, refunds, work, .. } =
             heartbeat;
         let origin = Origin { address: peer.address, incarnation: peer.incarnation };
         self.usage.take(origin, counts);
         let goes_on = seen.term == self.before.term && seen <= self.before;
         let seen = if seen.term == term || goes_on { seen } else { Stamp { term, change: 0 } };
         let known = seen.change;
-        let first = !self.subscribers.contains_key(&peer.address);
         let subscriber = self
             .subscribers
             .entry(peer.address)
@@ -193,7 +192,6 @@
         let restarted = subscriber.peer.incarnation != peer.incarnation;
         if restarted {
             subscriber.sheet_sent = None;
-            subscriber.claims.clear();
             subscriber.work.clear();
         }
         subscriber.confirm(now, known);
@@ -217,14 +215,7 @@
         subscriber.offset = clock::offset(now, unix);
         subscriber.counted = counted;
         subscriber.number = number;
-        for demand in &demand {
-            let claim = subscriber.claims.entry(demand.team.clone()).or_default();
-            let spent = claim.take(demand);
-            // What an entry had admitted before this leader first heard it was another's to count.
-            if !first {
-                self.quotas.spend(&demand.team, spent);
-            }
-        }
+        refunds.iter().for_each(|refund| self.quotas.refund(refund));
         for Work { service, total } in work {
             // The first report tells of all the time before.
             let before = subscriber.work.insert(service.clone(), total).unwrap_or(total);
@@ -260,7 +251,7 @@
     pub fn refresh(&mut self, now: Duration, ledger: &Ledger) {
         self.loads.refresh(now);
         let entries: Vec<&Subscriber> = self.entries(now).collect();
-        let heard = entries.iter().filter(|it| it.is_heard(now, SHARE_REUSE)).count();
+        let heard = entries.iter().filter(|it| it.is_heard(now, SHARE_LEASE)).count();
         let expected = if now < self.expects { self.expected } else { 0 };
         let there = entries.len().max(expected);
         self.totals = Totals { entries: there, silent: entries.len() - heard };
@@ -270,7 +261,11 @@
         let entries = as_f64(self.totals.entries.max(1));
         let free = 1.0 - as_f64(self.totals.silent) / entries;
         self.quotas.refill(now, &edition.sheet, free);
-        self.quotas.weigh(self.subscribers.values().map(|it| &it.claims));
+    }
+
+    /// Lends units of teams' limits.
+    pub fn lend(&mut self, loans: &[Loan]) -> Vec<Lent> {
+        loans.iter().map(|loan| self.quotas.lend(loan)).collect()
     }
 
     /// Numbers the entries that may serve, so that each has its turn under an upstream's limit.
@@ -452,13 +447,11 @@
 
     fn round(&mut self, to: SocketAddr, cores: Vec<SocketAddr>, plans: u64) -> Round {
         let entries = u32::try_from(self.totals.entries.max(1)).unwrap_or(u32::MAX);
-        let live = as_f64(self.totals.entries.saturating_sub(self.totals.silent).max(1));
-        let mut round = Round { cores, number: 0, grants: Vec::new(), entries, plans, turn: None };
+        let mut round = Round { cores, number: 0, entries, plans, turn: None };
         let own = self.subscribers.get_mut(&to).filter(|it| it.peer.voter.is_none());
         let Some(own) = own else { return round };
         round.number = own.number;
         round.turn = own.place.map(|place| Turn { place, of: entries.max(place + 1) });
-        round.grants = self.quotas.grant(&mut own.claims, live);
         round
     }
 
--- a/crates/verbenaslip-fleet/src/hub/subscriber.rs
+++ b/crates/verbenaslip-fleet/src/hub/subscriber.rs
@@ -4,10 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use verbenaslip_base::name::Team;
-
 use crate::frame::Peer;
-use crate::quota::Claim;
 
 /// What was sent and not confirmed for this long is sent again.
 const RESEND: Duration = Duration::from_millis(500);
@@ -52,7 +49,6 @@
     pub(super) place: Option<u32>,
     /// The number of its last report.
     pub(super) number: u64,
-    pub(super) claims: BTreeMap<Team, Claim>,
     /// The work that it had been asked for when it last reported.
     pub(super) work: BTreeMap<Arc<str>, f64>,
 }
@@ -76,7 +72,6 @@
             counted: 0,
             place: None,
             number: 0,
-            claims: BTreeMap::new(),
             work: BTreeMap::new(),
         }
     }
--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -2,13 +2,11 @@
 
 mod merge;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use verbenaslip_base::name::Team;
-
 use crate::clock::Clock;
 use crate::departure::Departures;
 use crate::frame::{Frame, Heartbeat, Peer, Update};
@@ -16,12 +14,12 @@
 use crate::limit::{Limits, Sighting};
 use crate::load::Work;
 use crate::quarantine::Blocklist;
-use crate::quota::{Demand, Grant};
+use crate::quota::Refund;
 use crate::registry::{Record, Run};
 use crate::rollout::report::Report as RolloutReport;
 use crate::transition::Transitions;
 use crate::usage::Count;
-use crate::view::{Ceiling, Stamp, View};
+use crate::view::{Stamp, View};
 use crate::voucher::Mark;
 
 /// Time between two reports: a quarter of the time in which a limit's part must move between
@@ -60,8 +58,8 @@
 pub struct Report {
     /// Requests that began, by window and team.
     pub counts: Vec<Count>,
-    /// What each team asks for.
-    pub demand: Vec<Demand>,
+    /// Units of teams' limits that were lent and not used.
+    pub refunds: Vec<Refund>,
     /// What engines were asked for, by service.
     pub work: Vec<Work>,
     /// Upstreams that a core vouches for.
@@ -91,12 +89,11 @@
     pub(crate) limits: Arc<Limits>,
 }
 
-/// Remembers what a report told of the units admitted, and when it was sent.
-#[derive(Debug)]
+/// Remembers when a report was sent.
+#[derive(Clone, Copy, Debug)]
 struct Reported {
     number: u64,
     at: Duration,
-    admitted: BTreeMap<Team, f64>,
 }
 
 /// Reports to the leader and takes its updates.
@@ -120,7 +117,7 @@
     /// The time from the next report to every core until the one after it.
     search: Duration,
     number: u64,
-    /// What the last reports told of the units admitted.
+    /// When the last reports were sent.
     reported: VecDeque<Reported>,
 }
 
@@ -262,10 +259,9 @@
         self.clock.hint(now, unix);
         let targets = self.targets(now);
         self.due = now + self.pause(targets.len());
-        let Report { counts, demand, work, marks, rollouts, limits, leaving } = report;
+        let Report { counts, refunds, work, marks, rollouts, limits, leaving } = report;
         self.number += 1;
-        let admitted = demand.iter().map(|it| (it.team.clone(), it.admitted)).collect();
-        self.reported.push_back(Reported { number: self.number, at: now, admitted });
+        self.reported.push_back(Reported { number: self.number, at: now });
         if self.reported.len() > REPORTS {
             self.reported.pop_front();
         }
@@ -277,7 +273,7 @@
             counted: self.clock.unix(now),
             counts,
             number: self.number,
-            demand,
+            refunds,
             work,
             marks,
             rollouts,
@@ -353,7 +349,6 @@
         if let Some(round) = round {
             self.view.cores = round.cores;
             self.hearsay.clear();
-            self.borrow(round.number, round.grants);
             self.confirm_plans(round.number, Stamp { term: stamp.term, change: round.plans });
             self.view.entries = round.entries;
             self.view.turn = round.turn.or(self.view.turn);
@@ -384,24 +379,6 @@
         self.reported.iter().find(|it| it.number == number).map(|it| it.at)
     }
 
-    /// Takes what was granted, beyond what the answered report told.
-    ///
-    /// The leader counts the time of a grant from the report, and grants it to others when no other report
-    /// comes. Counted here from when the answer is read, which may have waited while the machine stood still,
-    /// both would spend it: one would notice teams far beyond their limits.
-    fn borrow(&mut self, number: u64, grants: Vec<Grant>) {
-        let Some(reported) = self.reported.iter().find(|it| it.number == number) else { return };
-        if self.view.granted.is_some_and(|granted| granted > reported.at) {
-            return;
-        }
-        self.view.granted = Some(reported.at);
-        let granted = |grant: Grant| {
-            let from = reported.admitted.get(&grant.team).copied().unwrap_or(0.0);
-            (grant.team, Ceiling { units: grant.units, from })
-        };
-        self.view.grants = Arc::new(grants.into_iter().map(granted).collect());
-    }
-
     /// Takes up to which change the leader's plans go, as it answers a report.
     ///
     /// An answer may come before the plans themselves: just after a machine stood still, or from a new leader. Taken
--- a/crates/verbenaslip-fleet/src/view.rs
+++ b/crates/verbenaslip-fleet/src/view.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use verbenaslip_base::data;
-use verbenaslip_base::name::{Team, Upstream};
+use verbenaslip_base::name::Upstream;
 
 use crate::index::Index;
 use crate::limit::{Limits, Turn};
@@ -24,15 +24,6 @@
     pub change: u64,
 }
 
-/// Says up to where an entry may admit a team's units.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Ceiling {
-    /// Units that may be admitted beyond `from`.
-    pub units: f64,
-    /// What the entry had admitted since its start when it reported.
-    pub from: f64,
-}
-
 /// Holds what an instance knows.
 #[derive(Clone, Debug)]
 pub struct View {
@@ -54,11 +45,6 @@
     pub own: Option<SocketAddr>,
     /// Where the cores are reached.
     pub cores: Vec<SocketAddr>,
-    /// What this instance was granted of each team's limit.
-    pub grants: Arc<BTreeMap<Team, Ceiling>>,
-    /// When the report was sent that the grants answer. They hold for a time from then on, however late the
-    /// answer was read.
-    pub granted: Option<Duration>,
     /// When the last report was sent whose answer says that the plans here are the newest.
     pub confirmed: Option<Duration>,
     /// How many entries there are.
@@ -81,8 +67,6 @@
             turn: None,
             own: None,
             cores: Vec::new(),
-            grants: Arc::default(),
-            granted: None,
             confirmed: None,
             entries: 1,
             heard: None,
--- a/crates/verbenaslip-instance/src/entry.rs
+++ b/crates/verbenaslip-instance/src/entry.rs
@@ -99,6 +99,7 @@
                 Signal::Reload => running.reseed(&reload),
             },
             Some(frame) = frames.recv() => running.take(frame),
+            () = board.borrows() => running.borrow(),
             () = board.meets() => running.meet(),
             () = tokio::time::sleep(wait) => running.watch_leader(&reload),
         }
@@ -137,6 +138,12 @@
         self.decisions.met(monotonic::now(), crashes, answers);
     }
 
+    /// Asks the leader for what requests need of their teams' limits.
+    fn borrow(&self) {
+        let envelope = self.decisions.borrow(monotonic::now(), self.board.take_loans());
+        self.post(envelope);
+    }
+
     fn post(&self, envelope: Option<Envelope>) {
         if let Some(Envelope { to, frame }) = envelope {
             self.links.cast(to, &frame);
@@ -144,6 +151,9 @@
     }
 
     fn take(&mut self, frame: Frame) {
+        if let Frame::Lent(lent) = frame {
+            return self.board.lend(lent);
+        }
         let envelope = self.decisions.take(monotonic::now(), frame);
         self.post(envelope);
         let view = self.decisions.view();
--- a/crates/verbenaslip-relay/src/board.rs
+++ b/crates/verbenaslip-relay/src/board.rs
@@ -5,13 +5,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use tokio::sync::Notify;
+use tokio::sync::{Notify, oneshot};
 use verbenaslip_base::name::Team;
 use verbenaslip_fleet::account::{Answered, Sighting};
 use verbenaslip_fleet::limit::{self, Limit, Limits};
 use verbenaslip_fleet::link::Report;
 use verbenaslip_fleet::load::Work;
-use verbenaslip_fleet::quota::Demand;
+use verbenaslip_fleet::quota::{Lent, Loan, Refund};
 use verbenaslip_fleet::registry::{Record, Run, Standing};
 use verbenaslip_fleet::usage::{self, Tally};
 use verbenaslip_fleet::view::View;
@@ -27,7 +27,9 @@
 pub struct Board {
     view: Mutex<Arc<View>>,
     tally: Mutex<Tally>,
-    demand: Mutex<BTreeMap<Team, Asked>>,
+    loans: Mutex<Loans>,
+    refunds: Mutex<BTreeMap<Team, f64>>,
+    borrows: Notify,
     /// Milliseconds of engine time that were asked for since the start, by service.
     work: Mutex<Totals>,
     met: Mutex<Experience>,
@@ -73,26 +75,53 @@
         lock(&self.tally).count(usage::window_at(unix, window), team);
     }
 
-    /// Counts a request of so many units that a team asks for, with all that was admitted of it
-    /// since the start.
-    pub fn asked(&self, team: &Team, units: f64, admitted: f64) {
-        let mut demand = lock(&self.demand);
-        let asked = match demand.get_mut(team) {
-            Some(asked) => asked,
-            None => demand.entry(team.clone()).or_default(),
-        };
-        asked.units += units;
-        asked.requests += 1.0;
-        asked.admitted = admitted;
+    /// Asks the leader for units of a team's limit: those that a request needs, and some for others ahead.
+    pub fn borrow(&self, team: &Team, need: f64, ahead: f64) -> oneshot::Receiver<Lent> {
+        let (answer, answered) = oneshot::channel();
+        let mut loans = lock(&self.loans);
+        loans.last += 1;
+        let id = loans.last;
+        loans.waiting.insert(id, (team.clone(), answer));
+        loans.fresh.push(Loan { id, team: team.clone(), need, ahead });
+        drop(loans);
+        self.borrows.notify_one();
+        answered
     }
 
-    /// Corrects what was admitted of a team since the start.
-    pub fn admitted(&self, team: &Team, admitted: f64) {
-        if let Some(asked) = lock(&self.demand).get_mut(team) {
-            asked.admitted = admitted;
+    /// Returns once there is something to ask the leader for.
+    pub async fn borrows(&self) {
+        self.borrows.notified().await;
+    }
+
+    /// Takes what is to be asked for.
+    pub fn take_loans(&self) -> Vec<Loan> {
+        let mut loans = lock(&self.loans);
+        // Nobody waits any more for those that were never answered.
+        loans.waiting.retain(|_, (_, answer)| !answer.is_closed());
+        std::mem::take(&mut loans.fresh)
+    }
+
+    /// Hands out what the leader has lent.
+    pub fn lend(&self, lent: Vec<Lent>) {
+        for lent in lent {
+            let waiting = lock(&self.loans).waiting.remove(&lent.id);
+            let Some((team, answer)) = waiting else { continue };
+            if let Err(Lent { units, .. }) = answer.send(lent) {
+                self.refund(Refund { team, units });
+            }
         }
     }
 
+    /// Gives units back to the leader.
+    pub fn refund(&self, refund: Refund) {
+        *lock(&self.refunds).entry(refund.team).or_default() += refund.units;
+    }
+
+    fn take_refunds(&self) -> Vec<Refund> {
+        let refunds = std::mem::take(&mut *lock(&self.refunds)).into_iter();
+        refunds.map(|(team, units)| Refund { team, units }).collect()
+    }
+
     /// Counts the engine time that a request asks for.
     pub fn worked(&self, service: &Arc<str>, millis: f64) {
         *lock(&self.work).entry(service.clone()).or_default() += millis;
@@ -158,8 +187,7 @@
 
     /// Collects the next report.
     pub fn report(&self) -> Report {
-        let demand =
-            lock(&self.demand).iter_mut().map(|(team, asked)| asked.report(team)).collect();
+        let refunds = self.take_refunds();
         let work = lock(&self.work);
         let work = work
             .iter()
@@ -169,7 +197,7 @@
         let limits = self.unshared_limits();
         let counts = lock(&self.tally).counts();
         let leaving = self.unshared_departures();
-        Report { counts, demand, work, rollouts, limits, leaving, ..Report::default() }
+        Report { counts, refunds, work, rollouts, limits, leaving, ..Report::default() }
     }
 
     /// Begins the planned stop: no new connection shall come.
@@ -222,38 +250,12 @@
 /// The most limits, and the most departures, in one report; the others wait for the next.
 const SIGHTINGS: usize = 32;
 
-/// Reports a second.
-const REPORTS: f64 = 4.0;
-
-/// The part of an old rate that a report keeps: a time constant of about two seconds, so that grants
-/// don't follow single requests.
-const KEEP: f64 = 0.88;
-
-/// Counts what a team asks for.
+/// Holds what is asked of the leader, and who waits for the answers.
 #[derive(Debug, Default)]
-struct Asked {
-    /// Units since the last report.
-    units: f64,
-    /// Requests since the last report.
-    requests: f64,
-    /// Units a second, smoothed.
-    rate: f64,
-    /// Units of a request, smoothed.
-    mean: f64,
-    /// Units admitted since the start.
-    admitted: f64,
-}
-
-impl Asked {
-    fn report(&mut self, team: &Team) -> Demand {
-        self.rate = self.rate * KEEP + self.units * REPORTS * (1.0 - KEEP);
-        if self.requests > 0.0 {
-            let mean = self.units / self.requests;
-            self.mean = if self.mean > 0.0 { self.mean * KEEP + mean * (1.0 - KEEP) } else { mean };
-        }
-        (self.units, self.requests) = (0.0, 0.0);
-        Demand { team: team.clone(), rate: self.rate, mean: self.mean, admitted: self.admitted }
-    }
+struct Loans {
+    last: u64,
+    fresh: Vec<Loan>,
+    waiting: BTreeMap<u64, (Team, oneshot::Sender<Lent>)>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/verbenaslip-relay/src/forward/job.rs
+++ b/crates/verbenaslip-relay/src/forward/job.rs
@@ -29,6 +29,10 @@
 /// When a caller may come back, to another instance, that was refused because this one stops.
 const BACK_NOW: Duration = Duration::from_millis(50);
 
+/// How long a request waits for the leader to lend units of its team's limit: many times the way there and back, and
+/// short beside the time in which a leader that is lost is noticed.
+const LOAN: Duration = Duration::from_millis(250);
+
 /// Says why a request is refused, and when its caller may come back.
 pub type Refused = (Refusal, Option<Duration>);
 
@@ -131,17 +135,22 @@
 }
 
 /// Takes a request out of its team's limit, if that has so much left.
-pub fn charge(context: &Context, view: &View, job: &Job<'_>) -> Result<(), Refused> {
+pub async fn charge(context: &Context, view: &View, job: &Job<'_>) -> Result<(), Refused> {
     let Some(team) = job.team else { return Ok(()) };
     let Some(quota) = &team.quota else { return Ok(()) };
     let units = allowance::units(quota, size(job.call));
-    let mut allowance = context.allowance.borrow_mut();
-    let verdict = allowance.take(monotonic::now(), team, units, view);
-    context.board.asked(&team.name, units, allowance.total(&team.name));
-    match verdict {
+    let verdict = context.allowance.borrow_mut().take(monotonic::now(), team, units, view);
+    let within = match verdict {
         Allowed::Within => Ok(()),
-        Allowed::Beyond(back) => Err((Refusal::BeyondLimit, Some(back))),
-    }
+        Allowed::Beyond(back) => Err(back),
+        Allowed::Borrow { need, ahead } => {
+            let answer = context.board.borrow(&team.name, need, ahead);
+            let lent = tokio::time::timeout(LOAN, answer).await.ok().and_then(Result::ok);
+            let mut allowance = context.allowance.borrow_mut();
+            allowance.lent(monotonic::now(), team, units, lent.as_ref())
+        }
+    };
+    within.map_err(|back| (Refusal::BeyondLimit, Some(back)))
 }
 
 /// Chooses the service by the weights of the route.
@@ -163,9 +172,10 @@
     let Some(team) = job.team else { return };
     let Some(quota) = &team.quota else { return };
     let units = allowance::units(quota, size(job.call));
-    let mut allowance = context.allowance.borrow_mut();
-    allowance.give_back(&team.name, units);
-    context.board.admitted(&team.name, allowance.total(&team.name));
+    let refund = context.allowance.borrow_mut().give_back(&team.name, units);
+    if let Some(refund) = refund {
+        context.board.refund(refund);
+    }
 }
 
 /// Returns the tokens that a request asks for in all, when it says so.
--- a/crates/verbenaslip-relay/src/forward/life.rs
+++ b/crates/verbenaslip-relay/src/forward/life.rs
@@ -77,7 +77,7 @@
     }
     let admitted = job::admit(context, &view, whole, call.as_ref(), closes);
     let after = match &admitted {
-        Ok(job) => match job::charge(context, &view, job) {
+        Ok(job) => match job::charge(context, &view, job).await {
             Ok(()) => lead(context, caller, job, &mut trace).await,
             Err(refused) => refuse(context, caller, &id, refused, closes, &mut trace).await,
         },
--- a/crates/verbenaslip-relay/src/policy/allowance.rs
+++ b/crates/verbenaslip-relay/src/policy/allowance.rs
@@ -5,22 +5,40 @@
 
 use verbenaslip_base::name::Team;
 use verbenaslip_fleet::hub::SHARE_LEASE;
+use verbenaslip_fleet::quota::{Lent, Refund};
 use verbenaslip_fleet::sheet::{Quota, TeamRow};
 use verbenaslip_fleet::view::View;
 
-/// Holds what was admitted of each team, and a bucket for the time without a leader.
+/// How far ahead units are borrowed for a team that asks for much: the requests of so much time need not wait for the
+/// leader, each by itself.
+const AHEAD: Duration = Duration::from_secs(1);
+
+/// Requests that are expected in that time before any units are borrowed ahead.
+const BUSY: f64 = 2.0;
+
+/// The time constant of the rate at which a team asks.
+const RATE: f64 = 2.0;
+
+/// The shortest and longest time after which a caller beyond the limit may come back, in seconds.
+const BACK: (f64, f64) = (0.3, 5.0);
+
+/// Holds what was lent of each team's limit, and a bucket for the time without a leader.
 #[derive(Debug, Default)]
 pub struct Allowance {
-    teams: BTreeMap<Team, Admitted>,
+    teams: BTreeMap<Team, Purse>,
 }
 
 #[derive(Debug)]
-struct Admitted {
-    /// Units since the start.
-    total: f64,
+struct Purse {
+    /// Units that were lent and not used.
+    lent: f64,
+    /// Units a second that are asked for, smoothed.
+    rate: f64,
     /// What is left of an equal part of the limit.
     alone: f64,
     at: Duration,
+    /// Until when the leader has nothing to lend.
+    empty: Duration,
 }
 
 /// Says whether a team may ask for so much now.
@@ -28,66 +46,129 @@
 pub enum Verdict {
     /// It may.
     Within,
+    /// It may if the leader lends so much.
+    Borrow {
+        /// Units that this request lacks.
+        need: f64,
+        /// Units for those that are likely to follow.
+        ahead: f64,
+    },
     /// It asked for more than its limit; after this time it may again.
     Beyond(Duration),
 }
 
 impl Allowance {
-    /// Takes what a request asks for out of its team's limit.
-    ///
-    /// What was granted may be overdrawn by one request: one larger than the whole grant would otherwise
-    /// never pass, which shows as the largest requests of a team being refused for ever.
+    /// Takes what a request asks for out of its team's limit, as far as this entry knows that there is so much left.
     pub fn take(&mut self, now: Duration, team: &TeamRow, units: f64, view: &View) -> Verdict {
         let Some(quota) = team.quota.filter(|quota| quota.rate > 0.0) else {
             return Verdict::Within;
         };
-        let equal = 1.0 / f64::from(view.entries.max(1));
-        let admitted = self.admitted(now, &team.name);
-        let passed = now.saturating_sub(admitted.at).as_secs_f64();
-        let filled = admitted.alone + passed * quota.rate * equal;
-        admitted.alone = filled.min(quota.burst * equal);
-        admitted.at = now;
-        let granted = view.grants.get(&team.name).filter(|_| is_fresh(now, view));
-        let left = granted
-            .map_or(admitted.alone, |granted| granted.units - (admitted.total - granted.from));
-        if left > 0.0 {
-            admitted.total += units;
-            admitted.alone -= units;
+        let purse = self.purse(now, &team.name);
+        purse.refill(now, &quota, view.entries);
+        purse.rate += units / RATE;
+        if purse.lent >= units {
+            purse.spend(units);
             return Verdict::Within;
         }
-        let wait = (units - left) / quota.rate.max(f64::MIN_POSITIVE);
-        Verdict::Beyond(Duration::from_secs_f64(wait.clamp(LOAN, 5.0)))
+        if now < purse.empty {
+            return Verdict::Beyond(back(purse.empty.saturating_sub(now), units, &quota));
+        }
+        if !is_in_touch(now, view) {
+            let alone = purse.spend_alone(units, &quota);
+            return alone.map_or_else(Verdict::Beyond, |()| Verdict::Within);
+        }
+        let ahead = purse.rate * AHEAD.as_secs_f64();
+        let ahead = if ahead >= units * BUSY { ahead } else { 0.0 };
+        Verdict::Borrow { need: units - purse.lent.max(0.0), ahead }
     }
 
-    /// Gives back what a request took that did not run.
-    pub fn give_back(&mut self, team: &Team, units: f64) {
-        if let Some(admitted) = self.teams.get_mut(team) {
-            admitted.total -= units;
-            admitted.alone += units;
+    /// Takes the leader's answer for a request that waits for it; none when it did not come in time.
+    ///
+    /// # Errors
+    ///
+    /// Says when the caller may come back if the request is beyond the limit.
+    pub fn lent(
+        &mut self,
+        now: Duration,
+        team: &TeamRow,
+        units: f64,
+        lent: Option<&Lent>,
+    ) -> Result<(), Duration> {
+        let Some(quota) = team.quota else { return Ok(()) };
+        let purse = self.purse(now, &team.name);
+        match lent {
+            Some(lent) if lent.units > 0.0 => {
+                purse.lent += lent.units;
+                purse.spend(units);
+                Ok(())
+            }
+            Some(lent) => {
+                purse.empty = now + lent.wait.min(Duration::from_secs_f64(BACK.0));
+                Err(back(lent.wait, units, &quota))
+            }
+            None => purse.spend_alone(units, &quota),
         }
     }
 
-    /// Returns the units of a team that were admitted since the start.
-    pub fn total(&self, team: &Team) -> f64 {
-        self.teams.get(team).map_or(0.0, |admitted| admitted.total)
+    /// Gives back what a request took that did not run; returns what this entry has no use for.
+    pub fn give_back(&mut self, team: &Team, units: f64) -> Option<Refund> {
+        let purse = self.teams.get_mut(team)?;
+        purse.lent += units;
+        purse.alone += units;
+        let spare = purse.lent - purse.rate * AHEAD.as_secs_f64();
+        if spare <= 0.0 {
+            return None;
+        }
+        purse.lent -= spare;
+        Some(Refund { team: team.clone(), units: spare })
     }
 
-    fn admitted(&mut self, now: Duration, team: &Team) -> &mut Admitted {
+    fn purse(&mut self, now: Duration, team: &Team) -> &mut Purse {
         // The bucket begins empty: an entry that was killed may have spent a whole one a moment ago.
-        let open = || Admitted { total: 0.0, alone: 0.0, at: now };
+        let open =
+            || Purse { lent: 0.0, rate: 0.0, alone: 0.0, at: now, empty: Duration::ZERO };
         self.teams.entry(team.clone()).or_insert_with(open)
     }
 }
 
-/// The shortest time after which a team may have been granted more: one report and its answer.
-const LOAN: f64 = 0.3;
+impl Purse {
+    fn refill(&mut self, now: Duration, quota: &Quota, entries: u32) {
+        let equal = 1.0 / f64::from(entries.max(1));
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        self.alone = (self.alone + passed * quota.rate * equal).min(quota.burst * equal);
+        self.rate *= (-passed / RATE).exp();
+        self.at = now;
+    }
+
+    fn spend(&mut self, units: f64) {
+        self.lent -= units;
+        self.alone -= units;
+    }
+
+    /// Takes a request out of this entry's equal part of the limit.
+    ///
+    /// It may be overdrawn by one request: one larger than the whole part would otherwise never pass.
+    fn spend_alone(&mut self, units: f64, quota: &Quota) -> Result<(), Duration> {
+        if self.alone > 0.0 {
+            self.alone -= units;
+            return Ok(());
+        }
+        Err(back(Duration::ZERO, units - self.alone, quota))
+    }
+}
+
+/// Returns when a caller may come back for so many units, if the bucket is empty for a time.
+fn back(empty: Duration, units: f64, quota: &Quota) -> Duration {
+    let wait = empty.as_secs_f64() + units / quota.rate;
+    Duration::from_secs_f64(wait.clamp(BACK.0, BACK.1))
+}
 
-/// Tells whether a report was answered that was sent so lately that the grants hold.
+/// Tells whether the leader was heard so lately that it may lend.
 ///
-/// An entry that does not hear the leader can't know what others were granted meanwhile, so it falls
-/// back to an equal part of each limit, which the leader keeps for it.
-fn is_fresh(now: Duration, view: &View) -> bool {
-    view.granted.is_some_and(|granted| now.saturating_sub(granted) <= SHARE_LEASE)
+/// An entry that does not hear the leader can't know what others use meanwhile, so it falls back to an equal part of
+/// each limit, which the leader keeps for it.
+fn is_in_touch(now: Duration, view: &View) -> bool {
+    view.heard.is_some_and(|heard| now.saturating_sub(heard) <= SHARE_LEASE)
 }
 
 /// Returns the units of a request under a quota.
