--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -78,6 +78,8 @@
     pub(crate) closing: BTreeSet<u64>,
     /// Services whose base is not noted yet.
     pub(crate) warmups: BTreeMap<Arc<str>, Warmup>,
+    /// The sizes of services that this core has proposed while it leads.
+    pub(crate) sized: BTreeMap<Arc<str>, u32>,
     pub(crate) absent: BTreeMap<Instance, Duration>,
     /// Instances that asked this core for the leader while it did not lead.
     pub(crate) seekers: BTreeMap<SocketAddr, Seeker>,
@@ -169,6 +171,7 @@
             noting_joins: None,
             closing: BTreeSet::new(),
             warmups: BTreeMap::new(),
+            sized: BTreeMap::new(),
             absent: BTreeMap::new(),
             seekers: BTreeMap::new(),
             out: Vec::new(),
@@ -273,6 +276,7 @@
             Frame::Borrow { from, loans } if self.leads() => self.lend(from, &loans),
             Frame::Borrow { from, loans } => self.pass_loans(from, loans),
             Frame::Lent(lent) => self.pass_lent(lent),
+            Frame::Ended { address } => self.ended(address),
             Frame::Update(_) | Frame::Heard { .. } | Frame::ReportTo { .. } => {}
         }
     }
@@ -304,6 +308,16 @@
         }
     }
 
+    /// Forgets an entry that has ended: acknowledgements would else wait for it.
+    fn ended(&mut self, entry: SocketAddr) {
+        self.hub.forget(entry);
+        if self.leads() {
+            self.advance_spread();
+        } else {
+            self.confirm_soon();
+        }
+    }
+
     /// Hands over what this core does for others.
     fn stop(&mut self) {
         self.stopping = true;
--- a/crates/verbenaslip-fleet/src/core/begin.rs
+++ b/crates/verbenaslip-fleet/src/core/begin.rs
@@ -76,6 +76,7 @@
         self.closing.clear();
         self.planners.clear();
         self.warmups.clear();
+        self.sized.clear();
         self.absent.clear();
         self.changing = None;
         self.departing.clear();
--- a/crates/verbenaslip-fleet/src/core/call.rs
+++ b/crates/verbenaslip-fleet/src/core/call.rs
@@ -40,7 +40,7 @@
 }
 
 /// Says where an answer goes.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Asker {
     /// To a call at this core.
     Here(u64),
@@ -54,7 +54,7 @@
     /// A leader.
     Leader,
     /// The leader's answer.
-    Passed { token: u64, again: Duration },
+    Passed { again: Duration },
     /// The log.
     Committed { token: u64 },
     /// Every instance that answers.
@@ -93,6 +93,10 @@
     /// Takes a call that another core passes on.
     pub(crate) fn requested(&mut self, address: SocketAddr, token: u64, ask: Request) {
         let asker = Asker::There { address, token };
+        // Passed on again, since the answer takes its time.
+        if self.waiting.values().any(|waiting| waiting.asker == asker) {
+            return;
+        }
         // Passed on further it could go round between cores that each believe in another leader.
         if self.leads() {
             self.enter(asker, ask);
@@ -103,11 +107,13 @@
 
     /// Takes the leader's answer to a call that was passed on.
     pub(crate) fn answered_by_leader(&mut self, token: u64, told: Response) {
-        let passed = |stage: Stage| matches!(stage, Stage::Passed { token: it, .. } if it == token);
-        let Some(key) = self.find(passed) else { return };
+        let passed = |it: &Waiting| matches!(it.stage, Stage::Passed { .. });
+        if !self.waiting.get(&token).is_some_and(passed) {
+            return;
+        }
         match told {
-            Response::Unsure => self.set_stage(key, Stage::Leader),
-            told => self.conclude(key, told),
+            Response::Unsure => self.set_stage(token, Stage::Leader),
+            told => self.conclude(token, told),
         }
     }
 
@@ -185,7 +191,7 @@
         }
         match waiting.stage {
             Stage::Leader => self.go_on(key),
-            Stage::Passed { again, .. } if self.leads() || again <= self.now => {
+            Stage::Passed { again } if self.leads() || again <= self.now => {
                 self.restart(key);
             }
             Stage::Spread { change, until } => {
@@ -400,12 +406,12 @@
         let leader = leader.or_else(|| self.link.leader(self.now));
         let own = self.link.own().address;
         let Some(leader) = leader.filter(|leader| *leader != own) else { return };
-        let token = self.token();
         let again = self.now + AGAIN;
         let Some(waiting) = self.waiting.get_mut(&key) else { return };
-        waiting.stage = Stage::Passed { token, again };
+        waiting.stage = Stage::Passed { again };
         let ask = Box::new(waiting.ask.clone());
-        self.send(leader, Frame::Request { from: own, token, ask });
+        // It keeps its name each time it is passed on: the answer to an earlier time answers it as well.
+        self.send(leader, Frame::Request { from: own, token: key, ask });
     }
 
     fn find(&self, at: impl Fn(Stage) -> bool) -> Option<u64> {
--- a/crates/verbenaslip-fleet/src/core/lead.rs
+++ b/crates/verbenaslip-fleet/src/core/lead.rs
@@ -16,7 +16,7 @@
 use crate::ledger::{Command, Window};
 use crate::limit::Turn;
 use crate::parent::{self, FEW};
-use crate::plan::{self, Demand, Planner};
+use crate::plan::{self, Demand, Planner, Warmup};
 use crate::quota::Loan;
 use crate::registry::{Change as RegistryChange, Record, Run, Standing};
 use crate::usage::window_end;
@@ -44,6 +44,9 @@
 /// Upstreams that fall silent at the same moment and are told of by a line each: a core that is lost takes hundreds.
 const LISTED: usize = 64;
 
+/// Sizes of a service that differ by less than this part of them are the same.
+const SAME_SIZE: u32 = 4;
+
 /// How long counts of an entry are awaited after the end of a window by the clock alone: reports
 /// come four times a second.
 const COUNT_SLACK: u64 = 300;
@@ -430,7 +433,7 @@
     /// Plans how many upstreams run where.
     fn plan(&mut self) -> Vec<(u64, Scale)> {
         let Some(edition) = self.ledger.edition().cloned() else { return Vec::new() };
-        let (mut orders, mut planned) = (Vec::new(), Vec::new());
+        let (mut orders, mut planned, mut sizes) = (Vec::new(), Vec::new(), Vec::new());
         for service in &edition.sheet.services {
             let Some(scaling) = &service.scaling else { continue };
             let have = plan::count(self.serving(&service.name));
@@ -439,13 +442,15 @@
                 continue;
             };
             let base = plan::with_limited(base, self.limited(&service.name));
-            let open = || Planner::open(service.name.clone());
+            let (period, size) = (self.registry.period(), self.ledger.size(&service.name));
+            let open = || Planner::open(service.name.clone(), period, size);
             let planner = self.planners.entry(service.name.clone()).or_insert_with(open);
             planner.spread(self.hub.widest());
             let dispatcher = &mut self.dispatcher;
             let demand = Demand { base, busy: self.hub.busy(self.now, &service.name) };
             let before = orders.len();
             orders.extend(planner.plan(self.now, scaling, demand, &have, || dispatcher.draw()));
+            sizes.extend(planner.size_by_load().map(|size| (service.name.clone(), size)));
             if orders.len() > before {
                 let service = service.name.clone();
                 let upstreams = have.values().sum();
@@ -453,15 +458,30 @@
             }
         }
         planned.into_iter().for_each(|note| self.note(note));
+        sizes.into_iter().for_each(|(service, size)| self.note_size(service, size));
         orders
     }
 
+    /// Has it noted with how many upstreams a service is planned, if that has changed by much.
+    ///
+    /// The next leader does not know the load for some seconds, and would order as many as the fleet began with.
+    fn note_size(&mut self, service: Arc<str>, upstreams: u32) {
+        let before = self.sized.get(&service).copied().or_else(|| self.ledger.size(&service));
+        let differs = |before: u32| before.abs_diff(upstreams) > before.min(upstreams) / SAME_SIZE;
+        if before.is_none_or(differs) {
+            self.sized.insert(service.clone(), upstreams);
+            self.propose(&Command::Size { service, upstreams });
+        }
+    }
+
     /// Has it noted with how many upstreams a service began.
     ///
     /// Later there may be more or fewer of them, and a leader that took what it found for what the
     /// operators had wanted would make more of them at every change of the leader.
     fn note_base(&mut self, service: &Arc<str>, upstreams: u32) {
-        let all = self.warmups.entry(service.clone()).or_default().take(self.now, upstreams);
+        let open = || Warmup::open(self.registry.period());
+        let warmup = self.warmups.entry(service.clone()).or_insert_with(open);
+        let all = warmup.take(self.now, upstreams);
         if upstreams == 0 || !all {
             return;
         }
--- a/crates/verbenaslip-fleet/src/entry.rs
+++ b/crates/verbenaslip-fleet/src/entry.rs
@@ -76,6 +76,12 @@
         Some(Envelope { to: vec![target], frame: Frame::Borrow { from, loans } })
     }
 
+    /// Says that this entry ends.
+    pub fn end(&self, now: Duration) -> Option<Envelope> {
+        let address = self.link.own().address;
+        Some(Envelope { to: vec![self.link.target(now)?], frame: Frame::Ended { address } })
+    }
+
     /// Takes other addresses to join through.
     pub fn reseed(&mut self, seeds: Vec<SocketAddr>) {
         self.link.reseed(seeds);
@@ -116,6 +122,7 @@
             | Frame::Heartbeat(_)
             | Frame::Borrow { .. }
             | Frame::Lent(_)
+            | Frame::Ended { .. }
             | Frame::Seen { .. }
             | Frame::Request { .. }
             | Frame::Response { .. }
--- a/crates/verbenaslip-fleet/src/frame.rs
+++ b/crates/verbenaslip-fleet/src/frame.rs
@@ -100,6 +100,11 @@
     },
     /// Answers what an instance has asked for.
     Lent(Vec<Lent>),
+    /// An entry has ended as planned, and is not waited for.
+    Ended {
+        /// The entry.
+        address: SocketAddr,
+    },
 }
 
 impl Frame {
@@ -119,6 +124,7 @@
             Self::Heard { .. } => "heard",
             Self::Borrow { .. } => "borrow",
             Self::Lent(_) => "lent",
+            Self::Ended { .. } => "ended",
         }
     }
 }
--- a/crates/verbenaslip-fleet/src/ledger.rs
+++ b/crates/verbenaslip-fleet/src/ledger.rs
@@ -33,6 +33,13 @@
         /// How many there were.
         upstreams: u32,
     },
+    /// Notes with how many upstreams a service is planned, for the time in which the next leader does not know the load.
+    Size {
+        /// The service.
+        service: Arc<str>,
+        /// How many there are to be.
+        upstreams: u32,
+    },
     /// Notes that runs of upstreams go, so that whoever leads next knows it.
     Depart {
         /// The runs.
@@ -94,6 +101,7 @@
     edition: Option<Arc<Edition>>,
     windows: BTreeMap<u64, Window>,
     bases: BTreeMap<Arc<str>, u32>,
+    sizes: BTreeMap<Arc<str>, u32>,
     /// Kept apart in a snapshot, since those of earlier versions end before it.
     #[serde(skip)]
     departed: BTreeMap<Upstream, Departed>,
@@ -152,6 +160,11 @@
         self.bases.get(service).copied()
     }
 
+    /// Returns with how many upstreams a service was planned last, once that was by its load.
+    pub fn size(&self, service: &str) -> Option<u32> {
+        self.sizes.get(service).copied()
+    }
+
     /// Goes through the departures that are remembered.
     pub fn departures(&self) -> impl Iterator<Item = Departure> {
         self.departed.iter().map(|(upstream, departed)| {
@@ -203,6 +216,9 @@
             Command::Base { service, upstreams } => {
                 self.bases.entry(service).or_insert(upstreams);
             }
+            Command::Size { service, upstreams } => {
+                self.sizes.insert(service, upstreams);
+            }
             Command::Close(window) => {
                 // A window that two leaders close in turn would be reported with two counts; the
                 // first closing stays.
--- a/crates/verbenaslip-fleet/src/plan.rs
+++ b/crates/verbenaslip-fleet/src/plan.rs
@@ -6,6 +6,7 @@
 //! kept only as far as these are missing and what callers ask for needs them.
 
 mod pace;
+mod size;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -15,6 +16,7 @@
 
 use crate::duty::{Outcome, Scale};
 use crate::plan::pace::Pace;
+use crate::plan::size::Size;
 use crate::registry::{Announcement, Record, Standing};
 use crate::sheet::Scaling;
 
@@ -40,6 +42,9 @@
 /// Steps of room in which a zone is asked again for what it had no room for: each one costs a call to the cloud.
 const ROOM_STEPS: u32 = 4;
 
+/// Boots that the exchange of a whole fleet may take whose load is not known.
+const EXCHANGE: u32 = 1;
+
 /// How long a zone that refused an order is left alone; a refused order costs next to nothing.
 const EXHAUSTED: Duration = Duration::from_millis(1_500);
 
@@ -108,7 +113,12 @@
 
     /// Returns the part of the base that the load needs; all of it where the load is not known.
     fn part(self) -> f64 {
-        self.busy.map_or(1.0, |busy| busy / READING / f64::from(self.base.max(1)))
+        self.busy.map_or(1.0, |busy| self.part_of(busy))
+    }
+
+    /// Returns the part of the base that a load needs.
+    fn part_of(self, busy: f64) -> f64 {
+        busy / READING / f64::from(self.base.max(1))
     }
 }
 
@@ -128,23 +138,31 @@
     refused: Option<Duration>,
     warmup: Warmup,
     pace: Pace,
+    size: Size,
 }
 
 /// Tells whether all upstreams that run are known.
 ///
 /// A leader that was elected a moment ago, above all after a restart, learns of the upstreams as they
 /// announce themselves. A count ordered by what it has heard of so far would have the others stopped.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Warmup {
+    /// The time between two announcements of an upstream.
+    period: Duration,
     total: u32,
     since: Option<Duration>,
     complete: bool,
 }
 
-/// How long no upstream may have appeared: more than the time between two announcements of one.
-const STEADY: Duration = Duration::from_millis(1_600);
+/// How long no upstream may have appeared, as a multiple of the time between two announcements of one.
+const STEADY: f64 = 4.0 / 3.0;
 
 impl Warmup {
+    /// Starts without any upstream; each one announces itself once per `period`.
+    pub fn open(period: Duration) -> Self {
+        Self { period, total: 0, since: None, complete: false }
+    }
+
     /// Takes how many there are; returns whether these are all.
     pub fn take(&mut self, now: Duration, total: u32) -> bool {
         if total > self.total || self.since.is_none() {
@@ -153,7 +171,8 @@
         self.total = total;
         // Once all were known, a new one has just come and is not one that had been overlooked. Waited for each
         // time, ordered ones that come one by one would keep the next zone's loss from being made up for.
-        self.complete |= self.since.is_some_and(|since| now.saturating_sub(since) >= STEADY);
+        let steady = self.period.mul_f64(STEADY);
+        self.complete |= self.since.is_some_and(|since| now.saturating_sub(since) >= steady);
         self.complete
     }
 }
@@ -169,16 +188,18 @@
 }
 
 impl Planner {
-    /// Starts without knowing what was ordered before.
-    pub fn open(service: Arc<str>) -> Self {
+    /// Starts without knowing what was ordered before, but the size under the leader before, where there was one;
+    /// upstreams announce themselves once per `period`.
+    pub fn open(service: Arc<str>, period: Duration, before: Option<u32>) -> Self {
         Self {
             service,
             orders: BTreeMap::new(),
             exhausted: BTreeMap::new(),
             ample: None,
             refused: None,
-            warmup: Warmup::default(),
+            warmup: Warmup::open(period),
             pace: Pace::default(),
+            size: Size::open(before),
         }
     }
 
@@ -196,6 +217,8 @@
         have: &Counts,
         mut next: impl FnMut() -> u64,
     ) -> Vec<(u64, Scale)> {
+        let Some(size) = self.size(now, scaling, demand) else { return Vec::new() };
+        let demand = Demand { base: size, ..demand };
         self.exhausted.retain(|_, until| *until > now);
         let exhausted: BTreeSet<AvailabilityZone> = self.exhausted.keys().cloned().collect();
         let mut wanted = reclaimable(scaling, demand.base, &exhausted);
@@ -228,6 +251,21 @@
         orders
     }
 
+    /// Returns with how many upstreams the service is planned by its load; none where that was never known.
+    pub fn size_by_load(&self) -> Option<u32> {
+        self.size.known()
+    }
+
+    /// Returns with how many upstreams the service is planned; none as long as it is left as it is.
+    ///
+    /// Before the load is known, a fleet is only made cheaper if that takes no longer than a boot: all of a large one
+    /// would be exchanged at a time when most of it may turn out not to be needed.
+    fn size(&mut self, now: Duration, scaling: &Scaling, demand: Demand) -> Option<u32> {
+        let known = self.size.take(now, scaling.boot, demand);
+        let most = self.pace.within(scaling.boot * EXCHANGE);
+        known.or_else(|| (demand.base <= most).then_some(demand.base))
+    }
+
     /// Takes what became of an order; returns whether it was one of this service.
     pub fn ended(&mut self, now: Duration, id: u64, outcome: Outcome) -> bool {
         let Some((kind, pending)) = self.orders.iter_mut().find(|(_, pending)| pending.id == id)
--- a/crates/verbenaslip-fleet/src/plan/pace.rs
+++ b/crates/verbenaslip-fleet/src/plan/pace.rs
@@ -45,6 +45,11 @@
         self.at = now;
     }
 
+    /// Returns how many may change in a time.
+    pub(crate) fn within(&self, time: Duration) -> u32 {
+        floor(time.as_secs_f64() * self.rate)
+    }
+
     /// Returns how far a count goes now on its way from one number to another.
     pub(crate) fn step(&mut self, from: u32, to: u32) -> u32 {
         let whole = from.abs_diff(to);
--- /dev/null
+++ b/crates/verbenaslip-fleet/src/plan/size.rs
@@ -0,0 +1,60 @@
+//! With how many upstreams a service is planned, by what callers ask for.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::plan::{Demand, scale};
+
+/// How many times the upstreams that are enough for the load are planned with. Within the time that an ordered one takes
+/// to start, callers may come three times as often.
+const MARGIN: f64 = 3.0;
+
+/// Upstreams beyond that: the load of a few is uneven, and they cost little.
+const SPARE: u32 = 12;
+
+/// Boots for which a load is remembered: what was given up for a shorter dip is missing when callers come back.
+const BOOTS: u32 = 2;
+
+/// The shortest time between two sizes that are remembered.
+const STEP: Duration = Duration::from_millis(500);
+
+/// Follows the load in both directions: up at once, down once it has been lower for long.
+#[derive(Debug, Default)]
+pub(crate) struct Size {
+    /// What was wanted of late, each time the most within a step.
+    wanted: VecDeque<(Duration, u32)>,
+    /// The size under the leader before; none where that did not know the load.
+    before: Option<u32>,
+}
+
+impl Size {
+    /// Starts with the size under the leader before, if that is known.
+    pub(crate) fn open(before: Option<u32>) -> Self {
+        Self { wanted: VecDeque::new(), before }
+    }
+
+    /// Returns with how many upstreams it was planned last by the load.
+    pub(crate) fn known(&self) -> Option<u32> {
+        self.before
+    }
+
+    /// Returns with how many upstreams to plan; none where the load was never known.
+    pub(crate) fn take(&mut self, now: Duration, boot: Duration, demand: Demand) -> Option<u32> {
+        let Some(busy) = demand.busy else {
+            return self.before.map(|before| before.min(demand.base));
+        };
+        let wanted = scale(demand.base, (demand.part_of(busy) * MARGIN).min(1.0)) + SPARE;
+        let wanted = wanted.min(demand.base);
+        match self.wanted.back_mut() {
+            Some((at, most)) if now.saturating_sub(*at) < STEP => *most = wanted.max(*most),
+            _ => self.wanted.push_back((now, wanted)),
+        }
+        let lasts = boot * BOOTS;
+        while self.wanted.front().is_some_and(|(at, _)| now.saturating_sub(*at) > lasts) {
+            self.wanted.pop_front();
+        }
+        let most = self.wanted.iter().map(|(_, wanted)| *wanted).max();
+        self.before = most;
+        most
+    }
+}
--- a/crates/verbenaslip-fleet/src/registry.rs
+++ b/crates/verbenaslip-fleet/src/registry.rs
@@ -148,6 +148,11 @@
         self.records.insert(upstream, Entry { stamp, heard: now, record });
     }
 
+    /// Returns the time between two announcements of an upstream.
+    pub fn period(&self) -> Duration {
+        self.period
+    }
+
     /// Returns the departures that are remembered.
     pub fn departures(&self) -> &Departures {
         &self.departures
--- /dev/null
+++ b/crates/verbenaslip-fleet/tests/levels.rs
@@ -0,0 +1,205 @@
+//! Entries that report to cores near them: what that costs, and what holds while cores are lost.
+
+mod net;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use net::{Net, announcement, run, serving, withdraw};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use verbenaslip_fleet::core::Note;
+use verbenaslip_fleet::duty;
+use verbenaslip_fleet::frame::{Request, Response};
+
+const SECOND: Duration = Duration::from_secs(1);
+const CORES: usize = 9;
+const LOSSES: usize = 2;
+
+/// A window of usage that is shorter than any customer's, so that many of them end in a play.
+const TIMING: duty::Timing = duty::Timing {
+    window: Duration::from_secs(2),
+    settle: Duration::from_secs(6),
+    late: Duration::from_secs(10),
+    wait: Duration::from_secs(3),
+};
+
+fn fleet(entries: usize) -> Net {
+    let mut net = Net::found_counting(CORES, entries, LOSSES * 2 + 1, Some(TIMING));
+    net.run(SECOND * 6);
+    assert_eq!(
+        net.call(0, Request::Adopt(Box::new(serving(1)))),
+        Some(Response::Adopted { revision: 1 })
+    );
+    net.run(SECOND * 2);
+    net
+}
+
+/// Returns the bytes of the leader and of the busiest other core, a second.
+fn bytes(net: &mut Net, mut play: impl FnMut(&mut Net)) -> (usize, usize) {
+    net.count_traffic();
+    let begin = net.now();
+    while net.now() - begin < SECOND * 2 {
+        play(net);
+        net.run(SECOND / 10);
+    }
+    let leader = net.leaders()[0];
+    let others = (0..CORES).filter(|core| *core != leader);
+    let busiest = others.map(|core| net.traffic(core).bytes).max().unwrap_or(0);
+    (net.traffic(leader).bytes / 2, busiest / 2)
+}
+
+#[test]
+fn an_idle_fleet_costs_its_leader_as_much_however_many_entries_there_are() {
+    // Guards against a leader that has no time left for the log in a fleet of a thousand entries.
+    let [small, large] = [250, 1_000].map(|entries| {
+        let (leader, busiest) = bytes(&mut fleet(entries), |_| {});
+        println!("{entries} entries: {leader} bytes a second at the leader, {busiest} at a core");
+        assert!(busiest <= 300_000, "{busiest} bytes at a core of {entries} entries");
+        leader
+    });
+    assert!(large * 10 <= small * 11, "{large} bytes at 1,000 entries, {small} at 250");
+}
+
+#[test]
+fn the_same_requests_cost_the_leader_as_much_however_many_entries_take_them() {
+    // Guards against counts of usage that are told again with every report.
+    let [small, large] = [250, 1_000].map(|entries| {
+        let mut net = fleet(entries);
+        let mut rng = Pcg64::seed_from_u64(5);
+        let (leader, busiest) = bytes(&mut net, |net| {
+            for _ in 0..100 {
+                let team = format!("team-{}", rng.random_range(0..333));
+                net.begin(rng.random_range(0..entries), &team);
+            }
+        });
+        println!("{entries} entries, 1,000 requests a second: {leader} bytes a second, {busiest}");
+        assert!(leader <= 1_000_000, "{leader} bytes at the leader of {entries} entries");
+        leader
+    });
+    assert!(large * 10 <= small * 11, "{large} bytes at 1,000 entries, {small} at 250");
+}
+
+#[test]
+fn an_edit_and_a_leaving_are_known_to_all_of_a_thousand_entries_when_acknowledged() {
+    // Guards against acknowledgements that come before the last of two steps on the way to an entry.
+    let mut net = fleet(1_000);
+    net.call(0, Request::Announce(Box::new(announcement("u", 1, false))));
+    net.run(SECOND);
+    let began = net.now();
+    assert_eq!(net.call(1, withdraw("u")), Some(Response::Noted));
+    let took = net.now() - began;
+    assert!(net.entries().all(|view| !view.upstreams.contains_key("u")));
+    assert!(took <= SECOND / 2, "a leaving took {took:?}");
+    let began = net.now();
+    let told = net.call(2, Request::Adopt(Box::new(serving(2))));
+    assert_eq!(told, Some(Response::Adopted { revision: 2 }));
+    let took = net.now() - began;
+    assert!(net.entries().all(|view| view.revision() == 2));
+    assert!(took <= SECOND, "an edit took {took:?}");
+}
+
+#[test]
+fn an_edit_after_a_core_was_killed_is_acknowledged_when_all_entries_have_it() {
+    // Guards against a leader that waits for the entries of a lost core longer than they take to find another.
+    for is_leader in [false, true] {
+        let mut net = fleet(200);
+        let leader = net.leaders()[0];
+        let lost = if is_leader { leader } else { (leader + 1) % CORES };
+        net.stop(lost);
+        let (began, ask) = (net.now(), || Request::Adopt(Box::new(serving(2))));
+        let core = (leader + 2) % CORES;
+        let mut told = None;
+        while told != Some(Response::Adopted { revision: 2 }) {
+            told = net.call(core, ask());
+            assert!(net.now() - began <= SECOND * 5, "not acknowledged after 5 s");
+        }
+        let took = net.now() - began;
+        println!("a core killed, leader: {is_leader}: {took:?}");
+        assert!(is_leader || took <= SECOND, "a follower was killed: {took:?}");
+        assert!(net.entries().all(|view| view.revision() == 2), "it is in force everywhere");
+    }
+}
+
+#[test]
+fn every_request_is_counted_once_while_cores_are_lost_and_entries_go_to_others() {
+    // Guards against counts that are lost or doubled on their way by two cores.
+    for seed in 0..6 {
+        let mut net = fleet(60);
+        let mut rng = Pcg64::seed_from_u64(seed);
+        let mut truth: BTreeMap<u64, u64> = BTreeMap::new();
+        net.take_notes();
+        let mut lost: Option<usize> = None;
+        for step in 0..120 {
+            for _ in 0..20 {
+                let window = net.begin(rng.random_range(0..60), "red");
+                *truth.entry(window).or_default() += 1;
+            }
+            net.run(SECOND / 10);
+            match (lost, step % 30) {
+                (None, 5) => {
+                    let core = rng.random_range(0..CORES);
+                    match rng.random_range(0..3) {
+                        0 => net.stop(core),
+                        1 => net.cut(core),
+                        _ => net.freeze(core),
+                    }
+                    lost = Some(core);
+                }
+                (Some(core), 20) => {
+                    net.heal(core);
+                    net.restart(core);
+                    lost = None;
+                }
+                _ => {}
+            }
+        }
+        net.run(SECOND * 12);
+        let mut closed = BTreeMap::new();
+        for (_, note) in net.take_notes() {
+            if let Note::Closed { window, requests } = note {
+                closed.insert(window, requests);
+            }
+        }
+        let first = truth.keys().next().copied().unwrap_or_default();
+        for (window, requests) in truth {
+            let counted = closed.get(&window).copied().unwrap_or_default();
+            // The first window has begun before the play.
+            assert!(
+                window == first || counted == requests,
+                "seed {seed}: {counted} of {requests} in {window}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_limit_that_an_entry_has_learnt_is_known_to_the_entries_of_all_cores() {
+    // Guards against sightings that a core keeps to itself, and turns that two entries take at once.
+    let mut net = fleet(60);
+    net.call(0, Request::Announce(Box::new(announcement("u", 1, false))));
+    net.run(SECOND);
+    net.limit(7, run("u", 0), Some(2.0));
+    net.run(SECOND);
+    assert!(net.entries().all(|view| view.limits.contains_key(&run("u", 0))));
+    let mut turns: Vec<(u32, u32)> =
+        net.entries().filter_map(|view| view.turn.map(|turn| (turn.place, turn.of))).collect();
+    turns.sort_unstable();
+    let all: Vec<(u32, u32)> = (0..60).map(|place| (place, 60)).collect();
+    assert_eq!(turns, all, "each entry has a turn of its own");
+}
+
+#[test]
+fn entries_go_back_to_a_core_that_has_come_back() {
+    // Guards against a core that has the entries of two for ever, once the other one was lost.
+    let mut net = fleet(200);
+    let leader = net.leaders()[0];
+    let core = (leader + 1) % CORES;
+    net.stop(core);
+    net.run(SECOND * 3);
+    net.restart(core);
+    net.run(SECOND * 6);
+    net.count_traffic();
+    net.run(SECOND * 2);
+    assert!(net.traffic(core).received > 100, "{:?}", net.traffic(core));
+}
--- a/crates/verbenaslip-instance/src/entry.rs
+++ b/crates/verbenaslip-instance/src/entry.rs
@@ -32,6 +32,9 @@
 /// After this silence the leader counts as lost, for the log and for reading the settings again.
 const LOST: Duration = Duration::from_secs(2);
 
+/// How long the last message of an entry may take to leave.
+const FAREWELL: Duration = Duration::from_millis(20);
+
 /// Says why an entry did not start.
 #[derive(Debug, Display)]
 pub enum Error {
@@ -89,6 +92,7 @@
     loop {
         running.heartbeat();
         if running.is_over() {
+            running.say_farewell().await;
             return Ok(());
         }
         let wait = running.wake().saturating_sub(monotonic::now()).min(TICK);
@@ -224,6 +228,12 @@
         }
     }
 
+    /// Has whoever hears this entry know that it ends.
+    async fn say_farewell(&self) {
+        self.post(self.decisions.end(monotonic::now()));
+        tokio::time::sleep(FAREWELL).await;
+    }
+
     /// Goes on with a stop; tells whether it may end.
     fn is_over(&self) -> bool {
         let Some(stop) = self.stop else { return false };
--- a/crates/verbenaslip-relay/src/policy/place.rs
+++ b/crates/verbenaslip-relay/src/policy/place.rs
@@ -284,20 +284,35 @@
         let ended = self.sites.values().filter(|site| !stays(site));
         let gone: Vec<Run> = ended.map(|site| site.run().clone()).collect();
         self.sites.retain(|_, site| stays(site));
-        self.by_service.clear();
+        let mut moved = !gone.is_empty();
         for (name, record) in records {
-            let service = record.announcement.service.clone();
-            self.by_service.entry(service).or_default().push(name.clone());
             match self.sites.get_mut(name) {
-                Some(site) => site.record = record.clone(),
+                Some(site) if site.record == *record => {}
+                Some(site) => {
+                    moved |= site.record.announcement.service != record.announcement.service;
+                    site.record = record.clone();
+                }
                 None => {
+                    moved = true;
                     self.sites.insert(name.clone(), Site::open(record.clone()));
                 }
             }
         }
+        if moved {
+            self.list_services();
+        }
         gone
     }
 
+    /// Lists the upstreams by service anew.
+    fn list_services(&mut self) {
+        self.by_service.clear();
+        for (name, site) in &self.sites {
+            let service = site.record.announcement.service.clone();
+            self.by_service.entry(service).or_default().push(name.clone());
+        }
+    }
+
     fn best(
         &self,
         now: Duration,
