--- a/crates/verbenaslip-fleet/src/plan.rs
+++ b/crates/verbenaslip-fleet/src/plan.rs
@@ -217,12 +217,14 @@
         have: &Counts,
         mut next: impl FnMut() -> u64,
     ) -> Vec<(u64, Scale)> {
+        let warm = self.warmup.take(now, have.values().sum());
         let Some(size) = self.size(now, scaling, demand) else { return Vec::new() };
         let demand = Demand { base: size, ..demand };
+        let scaling = &priced(scaling, have);
         self.exhausted.retain(|_, until| *until > now);
         let exhausted: BTreeSet<AvailabilityZone> = self.exhausted.keys().cloned().collect();
         let mut wanted = reclaimable(scaling, demand.base, &exhausted);
-        if self.warmup.take(now, have.values().sum()) {
+        if warm {
             wanted.extend(self.on_demand(now, scaling, demand, have));
         }
         self.pace.refill(now);
@@ -328,6 +330,20 @@
     }
 }
 
+/// Adds the zones that have upstreams and no price of their own, at the usual one.
+///
+/// Left out, their upstreams could not be given up, whatever callers ask for.
+fn priced(scaling: &Scaling, have: &Counts) -> Scaling {
+    let mut scaling = scaling.clone();
+    for kind in have.keys() {
+        scaling.prices.entry(kind.zone.clone()).or_insert(USUAL);
+    }
+    scaling
+}
+
+/// The price of an upstream in a zone that names none.
+const USUAL: f64 = 1.0;
+
 /// Returns how many of a kind a zone has room for, beside those of the other kind.
 ///
 /// What is ordered beyond that doesn't come. Unless it is ordered again once there is room, a zone full of
--- a/crates/verbenaslip-fleet/src/plan/size.rs
+++ b/crates/verbenaslip-fleet/src/plan/size.rs
@@ -15,6 +15,12 @@
 /// Boots for which a load is remembered: what was given up for a shorter dip is missing when callers come back.
 const BOOTS: u32 = 2;
 
+/// The part by which a size must be more than before to be followed: one in so many.
+const UP: u32 = 8;
+
+/// The part by which it must be less.
+const DOWN: u32 = 4;
+
 /// The shortest time between two sizes that are remembered.
 const STEP: Duration = Duration::from_millis(500);
 
@@ -54,7 +60,15 @@
             self.wanted.pop_front();
         }
         let most = self.wanted.iter().map(|(_, wanted)| *wanted).max();
-        self.before = most;
-        most
+        self.before = most.map(|most| self.follow(most));
+        self.before
+    }
+
+    /// Goes to another size if that differs by much: each step costs upstreams that start or are given up.
+    fn follow(&self, most: u32) -> u32 {
+        let Some(before) = self.before else { return most };
+        let more = most > before + before / UP;
+        let fewer = most < before - before / DOWN;
+        if more || fewer { most } else { before }
     }
 }
--- a/crates/verbenaslip-fleet/tests/plan.rs
+++ b/crates/verbenaslip-fleet/tests/plan.rs
@@ -426,3 +426,30 @@
     let orders = plan(&mut planner, at(0), &counts([4, 4, 4], [0, 0, 0]));
     assert_eq!(wants(&orders, "a", true), Some(6));
 }
+
+#[test]
+fn upstreams_in_a_zone_without_a_price_are_given_up_as_well() {
+    // Guards against a fifth of a fleet that is paid for all day, since nobody has said what it costs.
+    let mut planner = Planner::open("pool".into(), ANNOUNCE, None);
+    let mut have = counts([700, 700, 700], [0, 0, 0]);
+    have.insert(kind("d", false), 800);
+    let demand = Demand { base: 2_900, busy: Some(60.0) };
+    order(&mut planner, &mut have, demand, 0, 20_000);
+    assert_eq!(have[&kind("d", false)], 0, "{have:?}");
+}
+
+#[test]
+fn a_load_that_goes_up_and_down_a_little_costs_no_orders() {
+    // Guards against upstreams that are ordered and given up with each wave of callers.
+    let mut planner = Planner::open("pool".into(), ANNOUNCE, None);
+    let mut have = counts([970, 970, 969], [0, 0, 0]);
+    let demand = |busy| Demand { base: 2_909, busy: Some(busy) };
+    order(&mut planner, &mut have, demand(60.0), 0, 30_000);
+    let mut changed = 0;
+    for second in 30..60 {
+        let busy = if second % 4 < 2 { 64.0 } else { 57.0 };
+        changed +=
+            order(&mut planner, &mut have, demand(busy), second * 1_000, (second + 1) * 1_000);
+    }
+    assert!(changed <= 60, "{changed} changes for a load between 57 and 64");
+}
