--- a/crates/verbenaslip-fleet/src/core/branch.rs
+++ b/crates/verbenaslip-fleet/src/core/branch.rs
@@ -11,7 +11,7 @@
 use verbenaslip_base::name::{Team, Upstream};
 
 use crate::core::{Core, Output, address_of};
-use crate::frame::{EntryReport, Frame, Heartbeat, Round, Update};
+use crate::frame::{Frame, Heartbeat, Relayed, Round, Update};
 use crate::history::History;
 use crate::hub::{Hub, Known, Push, Records, Source};
 use crate::limit::{Limit, Sighting, Turn};
@@ -41,7 +41,7 @@
     /// Upstreams that have said to an entry that they go.
     leaving: BTreeSet<Run>,
     refunds: BTreeMap<Team, f64>,
-    rollouts: BTreeMap<SocketAddr, EntryReport>,
+    rollouts: BTreeMap<SocketAddr, Relayed>,
     /// Loans that are passed on with the next message to the leader.
     asked: Vec<Loan>,
     /// Loans that were passed on, by the name that they have here.
@@ -116,7 +116,7 @@
         if !reports.is_empty() {
             let (address, incarnation) = (heartbeat.peer.address, heartbeat.peer.incarnation);
             let origin = Origin { address, incarnation };
-            let report = EntryReport { origin, number: heartbeat.number, reports };
+            let report = Relayed { origin, number: heartbeat.number, reports };
             self.rollouts.insert(address, report);
         }
     }
--- a/crates/verbenaslip-fleet/src/frame.rs
+++ b/crates/verbenaslip-fleet/src/frame.rs
@@ -20,7 +20,7 @@
 use crate::rollout::report::Report;
 use crate::rollout::{Order, Plans, Rollout};
 use crate::sheet::Sheet;
-use crate::usage::{Count, Origin};
+use crate::usage::{Count, Counted, Origin};
 use crate::view::Stamp;
 use crate::voucher::Mark;
 
@@ -196,14 +196,14 @@
     /// The revision of the route table that this core and all of them have.
     pub revision: u64,
     /// Requests that began lately, by entry: what the leader may not know yet.
-    pub counts: Vec<(Origin, Vec<Count>)>,
+    pub counts: Vec<Counted>,
     /// What requests met at the versions of services that are rolled out.
-    pub rollouts: Vec<EntryReport>,
+    pub rollouts: Vec<Relayed>,
 }
 
 /// Passes on what an entry reports of roll-outs.
 #[data]
-pub struct EntryReport {
+pub struct Relayed {
     /// The entry.
     pub origin: Origin,
     /// The number of its report.
--- a/crates/verbenaslip-fleet/src/hub.rs
+++ b/crates/verbenaslip-fleet/src/hub.rs
@@ -15,7 +15,7 @@
 use verbenaslip_base::name::Team;
 
 use crate::clock;
-use crate::frame::{Below, EntryReport, Heartbeat, Peer, Round, Update};
+use crate::frame::{Below, Heartbeat, Peer, Relayed, Round, Update};
 use crate::hub::source::Lack;
 pub use crate::hub::source::{Changes, Records, Source};
 use crate::hub::subscriber::Subscriber;
@@ -25,7 +25,7 @@
 use crate::parent::Site;
 use crate::quota::{Lent, Loan, Quotas};
 use crate::sheet::Sheet;
-use crate::usage::{Collector, Origin};
+use crate::usage::{Collector, Counted, Origin};
 use crate::view::Stamp;
 
 /// After this silence an instance is not waited for: three beats.
@@ -198,7 +198,7 @@
 
     /// Takes what the entries below a core have reported to it.
     fn take_below(&mut self, core: SocketAddr, last: u64, below: Below) {
-        for (origin, counts) in below.counts {
+        for Counted { origin, counts } in below.counts {
             self.usage.take(last + 1, origin, counts);
         }
         let Some(subscriber) = self.subscribers.get_mut(&core) else { return };
@@ -457,7 +457,7 @@
         since: u64,
         covered: Stamp,
         revision: u64,
-        rollouts: Vec<EntryReport>,
+        rollouts: Vec<Relayed>,
     ) -> Below {
         Below {
             entries: u32::try_from(self.live(now)).unwrap_or(u32::MAX),
--- a/crates/verbenaslip-fleet/src/usage.rs
+++ b/crates/verbenaslip-fleet/src/usage.rs
@@ -27,6 +27,15 @@
     pub requests: u64,
 }
 
+/// Holds what one entry has counted.
+#[data]
+pub struct Counted {
+    /// The entry.
+    pub origin: Origin,
+    /// Its counts.
+    pub counts: Vec<Count>,
+}
+
 /// Counts at one entry.
 #[derive(Debug, Default)]
 pub struct Tally {
@@ -96,13 +105,13 @@
     }
 
     /// Lists what was not told yet with the report of a number, by entry.
-    pub fn since(&self, number: u64) -> Vec<(Origin, Vec<Count>)> {
+    pub fn since(&self, number: u64) -> Vec<Counted> {
         let mut by_origin: BTreeMap<Origin, Vec<Count>> = BTreeMap::new();
         for ((window, origin, team), requests) in self.counts.since(number) {
             let count = Count { window: *window, team: team.clone(), requests: *requests };
             by_origin.entry(*origin).or_default().push(count);
         }
-        by_origin.into_iter().collect()
+        by_origin.into_iter().map(|(origin, counts)| Counted { origin, counts }).collect()
     }
 
     /// Returns the sum of all entries in a window.
--- a/crates/verbenaslip-fleet/tests/net/mod.rs
+++ b/crates/verbenaslip-fleet/tests/net/mod.rs
@@ -74,6 +74,9 @@
     Request::Withdraw { upstream: Upstream::from(name), incarnation: None }
 }
 
+/// Counts requests by window and team.
+type Counts = BTreeMap<(u64, Team), u64>;
+
 /// Holds one core: the process, if it runs, and the disk.
 struct Machine {
     core: Option<Core>,
@@ -112,7 +115,7 @@
     /// The windows of usage that the leader closes; none are counted without.
     duty: Option<duty::Timing>,
     /// Requests that began at each entry, by window and team.
-    counts: BTreeMap<usize, BTreeMap<(u64, Team), u64>>,
+    counts: BTreeMap<usize, Counts>,
     /// What each core has sent and got, while that is counted.
     traffic: Option<BTreeMap<SocketAddr, Traffic>>,
 }
--- a/crates/verbenaslip-instance/src/core.rs
+++ b/crates/verbenaslip-instance/src/core.rs
@@ -363,10 +363,9 @@
 
 /// Counts what this core did for the leader: too often for lines in the log.
 fn count(frame: &Frame) {
-    match frame {
-        Frame::Heartbeat(heartbeat) => metrics::counter!("verbenaslip_announcements_vouched_total")
-            .increment(heartbeat.marks.len() as u64),
-        _ => {}
+    if let Frame::Heartbeat(heartbeat) = frame {
+        metrics::counter!("verbenaslip_announcements_vouched_total")
+            .increment(heartbeat.marks.len() as u64);
     }
 }
 
--- a/crates/verbenaslip-relay/src/board.rs
+++ b/crates/verbenaslip-relay/src/board.rs
@@ -81,7 +81,7 @@
         let mut loans = lock(&self.loans);
         loans.last += 1;
         let id = loans.last;
-        loans.waiting.insert(id, (team.clone(), answer));
+        loans.waiting.insert(id, Borrower { team: team.clone(), answer });
         loans.fresh.push(Loan { id, team: team.clone(), need, ahead });
         drop(loans);
         self.borrows.notify_one();
@@ -97,7 +97,7 @@
     pub fn take_loans(&self) -> Vec<Loan> {
         let mut loans = lock(&self.loans);
         // Nobody waits any more for those that were never answered.
-        loans.waiting.retain(|_, (_, answer)| !answer.is_closed());
+        loans.waiting.retain(|_, borrower| !borrower.answer.is_closed());
         std::mem::take(&mut loans.fresh)
     }
 
@@ -105,7 +105,7 @@
     pub fn lend(&self, lent: Vec<Lent>) {
         for lent in lent {
             let waiting = lock(&self.loans).waiting.remove(&lent.id);
-            let Some((team, answer)) = waiting else { continue };
+            let Some(Borrower { team, answer }) = waiting else { continue };
             if let Err(Lent { units, .. }) = answer.send(lent) {
                 self.refund(Refund { team, units });
             }
@@ -255,7 +255,14 @@
 struct Loans {
     last: u64,
     fresh: Vec<Loan>,
-    waiting: BTreeMap<u64, (Team, oneshot::Sender<Lent>)>,
+    waiting: BTreeMap<u64, Borrower>,
+}
+
+/// Waits for an answer.
+#[derive(Debug)]
+struct Borrower {
+    team: Team,
+    answer: oneshot::Sender<Lent>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
