--- a/crates/verbenaslip-fleet/src/core/branch.rs
+++ b/crates/verbenaslip-fleet/src/core/branch.rs
@@ -161,6 +161,8 @@
         let stamp = self.link.view().stamp;
         if stamp.term != before.term {
             self.hub.follow(if whole { Stamp::default() } else { before });
+            // Another leader counts changes in its own way.
+            (self.branch.awaited, self.branch.told) = (Known::default(), Known::default());
         }
         if urgent {
             self.branch.awaited = self.own_knowledge();
@@ -233,9 +235,10 @@
             return;
         }
         self.branch.due = None;
+        // Passed on later, they would be lent when nobody waits any more.
+        let loans = std::mem::take(&mut self.branch.asked);
         let Some(leader) = self.leader() else { return };
         let from = self.link.own().address;
-        let loans = std::mem::take(&mut self.branch.asked);
         if !loans.is_empty() {
             self.send(leader, Frame::Borrow { from, loans });
         }
--- a/crates/verbenaslip-fleet/src/core/rollout.rs
+++ b/crates/verbenaslip-fleet/src/core/rollout.rs
@@ -96,11 +96,10 @@
     fn fleet(&self, service: &str) -> Fleet {
         let rollout = self.ledger.rollouts().get(service);
         let candidate = rollout.map(|rollout| &rollout.order.version);
-        let mut fleet = Fleet {
-            entries: self.hub.entries_heard(self.now),
-            settled: self.is_settled(),
-            ..Fleet::default()
-        };
+        let entries = self.hub.entries_heard(self.now);
+        // Cores list their entries from the first report on that is asked for it.
+        let listed = entries.len() >= self.hub.live(self.now);
+        let mut fleet = Fleet { entries, settled: self.is_settled() && listed, ..Fleet::default() };
         for record in self.registry.of_service(service) {
             let it = &record.announcement;
             match record.standing {
--- a/crates/verbenaslip-relay/src/board.rs
+++ b/crates/verbenaslip-relay/src/board.rs
@@ -81,7 +81,8 @@
         let mut loans = lock(&self.loans);
         loans.last += 1;
         let id = loans.last;
-        loans.waiting.insert(id, Borrower { team: team.clone(), answer });
+        let at = monotonic::now();
+        loans.waiting.insert(id, Borrower { team: team.clone(), answer, at });
         loans.fresh.push(Loan { id, team: team.clone(), need, ahead });
         drop(loans);
         self.borrows.notify_one();
@@ -96,8 +97,8 @@
     /// Takes what is to be asked for.
     pub fn take_loans(&self) -> Vec<Loan> {
         let mut loans = lock(&self.loans);
-        // Nobody waits any more for those that were never answered.
-        loans.waiting.retain(|_, borrower| !borrower.answer.is_closed());
+        let now = monotonic::now();
+        loans.waiting.retain(|_, it| now.saturating_sub(it.at) <= ANSWERED);
         std::mem::take(&mut loans.fresh)
     }
 
@@ -105,7 +106,7 @@
     pub fn lend(&self, lent: Vec<Lent>) {
         for lent in lent {
             let waiting = lock(&self.loans).waiting.remove(&lent.id);
-            let Some(Borrower { team, answer }) = waiting else { continue };
+            let Some(Borrower { team, answer, .. }) = waiting else { continue };
             if let Err(Lent { units, .. }) = answer.send(lent) {
                 self.refund(Refund { team, units });
             }
@@ -258,11 +259,15 @@
     waiting: BTreeMap<u64, Borrower>,
 }
 
+/// How long the answer to a loan may take. One that comes when nobody waits any more is given back.
+const ANSWERED: Duration = Duration::from_secs(2);
+
 /// Waits for an answer.
 #[derive(Debug)]
 struct Borrower {
     team: Team,
     answer: oneshot::Sender<Lent>,
+    at: Duration,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
