--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -3,6 +3,7 @@
 mod begin;
 mod branch;
 mod call;
+mod duties;
 mod io;
 mod lead;
 mod limit;
--- a/crates/verbenaslip-fleet/src/core/lead.rs
+++ b/crates/verbenaslip-fleet/src/core/lead.rs
@@ -1,7 +1,6 @@
 //! What a core does while it leads.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use verbenaslip_base::name::Instance;
@@ -9,17 +8,14 @@
 use verbenaslip_replica::voter::Voter;
 
 use crate::clock;
-use crate::core::{Core, Note, Output, address_of};
-use crate::duty::{Dispatcher, Order, Outcome, Scale, Task};
+use crate::core::{Core, Output, address_of};
 use crate::frame::{Frame, Heartbeat, Round};
 use crate::hub::{Hub, Push, Source};
-use crate::ledger::{Command, Window};
+use crate::ledger::Command;
 use crate::limit::Turn;
 use crate::parent::{self, FEW};
-use crate::plan::{self, Demand, Planner, Warmup};
 use crate::quota::Loan;
 use crate::registry::{Change as RegistryChange, Record, Run, Standing};
-use crate::usage::window_end;
 use crate::view::Stamp;
 use crate::voucher::Mark;
 
@@ -29,7 +25,7 @@
 
 /// How long a new leader waits before it takes the instances that have reported to it for all there
 /// are: they look for a new leader after three missed beats.
-const GATHER: Duration = Duration::from_millis(700);
+pub(super) const GATHER: Duration = Duration::from_millis(700);
 
 /// Between two pushes of changes: short beside the time in which an upstream's leaving must be
 /// known, long beside the time that a push to all instances takes.
@@ -44,13 +40,6 @@
 /// Upstreams that fall silent at the same moment and are told of by a line each: a core that is lost takes hundreds.
 const LISTED: usize = 64;
 
-/// Sizes of a service that differ by less than this part of them are the same.
-const SAME_SIZE: u32 = 4;
-
-/// How long counts of an entry are awaited after the end of a window by the clock alone: reports
-/// come four times a second.
-const COUNT_SLACK: u64 = 300;
-
 impl Core {
     /// Returns when the instances that report to this leader are all there are.
     pub(crate) fn settled_at(&self) -> Duration {
@@ -373,120 +362,4 @@
         let found = found.map(|(instance, _)| instance.clone());
         found.filter(|instance| voters.iter().any(|voter| voter.instance == *instance))
     }
-
-    /// Closes the windows of usage whose counts are complete.
-    fn close_windows(&mut self) {
-        let (Some(timing), Some(reign)) = (self.setup.duty, self.reign) else { return };
-        // The entries report to a new leader within a few beats; a window closed before that would
-        // lack their counts. Waiting longer would miss windows where leaders change often.
-        if self.now.saturating_sub(reign.since) < GATHER * 2 {
-            return;
-        }
-        let unix = self.agreed();
-        let settle = u64::try_from(timing.settle.as_millis()).unwrap_or(u64::MAX);
-        let due: Vec<u64> = Dispatcher::due(&self.ledger, &timing, unix).collect();
-        for number in due {
-            let end = window_end(number, timing.window);
-            let complete = unix >= end.saturating_add(COUNT_SLACK)
-                && self.hub.counted(self.now, end.saturating_add(COUNT_SLACK));
-            let settled = complete || unix >= end.saturating_add(settle);
-            if !settled {
-                continue;
-            }
-            let counts = self.hub.sum(number);
-            if counts.is_empty() || !self.closing.insert(number) {
-                continue;
-            }
-            let requests = counts.values().sum();
-            self.note(Note::Closed { window: number, requests });
-            self.propose(&Command::Close(Window { number, counts }));
-        }
-    }
-
-    /// Gives the cloud the orders that are due.
-    fn order(&mut self) {
-        let (Some(timing), Some(reign)) = (self.setup.duty, self.reign) else { return };
-        if self.now.saturating_sub(reign.since) < timing.wait {
-            return;
-        }
-        let Some(until) = self.replica.lease_until(self.now) else { return };
-        let unix = self.agreed();
-        for (id, window) in self.dispatcher.orders(self.now, &self.ledger, &timing, unix) {
-            let task = Task::Usage(window);
-            self.out.push(Output::Order(Order { id, fence: reign.term, until, task }));
-        }
-        for (id, scale) in self.plan() {
-            let task = Task::Scale(scale);
-            self.out.push(Output::Order(Order { id, fence: reign.term, until, task }));
-        }
-    }
-
-    /// Takes what became of an order to the cloud.
-    pub(crate) fn ordered(&mut self, id: u64, outcome: Outcome) {
-        let now = self.now;
-        let planned = self.planners.values_mut().any(|planner| planner.ended(now, id, outcome));
-        if !planned {
-            self.dispatcher.ended(id, outcome);
-        }
-    }
-
-    /// Plans how many upstreams run where.
-    fn plan(&mut self) -> Vec<(u64, Scale)> {
-        let Some(edition) = self.ledger.edition().cloned() else { return Vec::new() };
-        let (mut orders, mut planned, mut sizes) = (Vec::new(), Vec::new(), Vec::new());
-        for service in &edition.sheet.services {
-            let Some(scaling) = &service.scaling else { continue };
-            let have = plan::count(self.serving(&service.name));
-            let Some(base) = self.ledger.base(&service.name) else {
-                self.note_base(&service.name, have.values().sum());
-                continue;
-            };
-            let base = plan::with_limited(base, self.limited(&service.name));
-            let (period, size) = (self.registry.period(), self.ledger.size(&service.name));
-            let open = || Planner::open(service.name.clone(), period, size);
-            let planner = self.planners.entry(service.name.clone()).or_insert_with(open);
-            planner.spread(self.hub.widest());
-            let dispatcher = &mut self.dispatcher;
-            let demand = Demand { base, busy: self.hub.busy(self.now, &service.name) };
-            let before = orders.len();
-            orders.extend(planner.plan(self.now, scaling, demand, &have, || dispatcher.draw()));
-            sizes.extend(planner.size_by_load().map(|size| (service.name.clone(), size)));
-            if orders.len() > before {
-                let service = service.name.clone();
-                let upstreams = have.values().sum();
-                planned.push(Note::Planned { service, base, busy: demand.busy, upstreams });
-            }
-        }
-        planned.into_iter().for_each(|note| self.note(note));
-        sizes.into_iter().for_each(|(service, size)| self.note_size(service, size));
-        orders
-    }
-
-    /// Has it noted with how many upstreams a service is planned, if that has changed by much.
-    ///
-    /// The next leader does not know the load for some seconds, and would order as many as the fleet began with.
-    fn note_size(&mut self, service: Arc<str>, upstreams: u32) {
-        let before = self.sized.get(&service).copied().or_else(|| self.ledger.size(&service));
-        let differs = |before: u32| before.abs_diff(upstreams) > before.min(upstreams) / SAME_SIZE;
-        if before.is_none_or(differs) {
-            self.sized.insert(service.clone(), upstreams);
-            self.propose(&Command::Size { service, upstreams });
-        }
-    }
-
-    /// Has it noted with how many upstreams a service began.
-    ///
-    /// Later there may be more or fewer of them, and a leader that took what it found for what the
-    /// operators had wanted would make more of them at every change of the leader.
-    fn note_base(&mut self, service: &Arc<str>, upstreams: u32) {
-        let open = || Warmup::open(self.registry.period());
-        let warmup = self.warmups.entry(service.clone()).or_insert_with(open);
-        let all = warmup.take(self.now, upstreams);
-        if upstreams == 0 || !all {
-            return;
-        }
-        // Proposed again after as long if the log has lost it.
-        self.warmups.remove(service);
-        self.propose(&Command::Base { service: service.clone(), upstreams });
-    }
 }
--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -1,6 +1,9 @@
 //! Keeps an instance in touch with the leader and its view of the fleet up to date.
 
 mod merge;
+mod parent;
+mod report;
+mod update;
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -12,7 +15,7 @@
 use crate::changes::Changes;
 use crate::clock::Clock;
 use crate::departure::Departures;
-use crate::frame::{Below, Frame, Heartbeat, Peer, Round, Update};
+use crate::frame::{Below, Frame, Peer};
 use crate::history::History;
 use crate::hub;
 use crate::limit::{Limits, Sighting};
@@ -296,13 +299,6 @@
         self.number
     }
 
-    /// Returns up to which report whoever is reported to knows all; zero where that has answered none.
-    pub(crate) fn told(&mut self, now: Duration) -> u64 {
-        let targets = self.targets(now);
-        let known = self.answered.filter(|(by, ..)| targets == [*by]);
-        known.map_or(0, |(.., number)| number)
-    }
-
     /// Returns the leader as it was heard last.
     pub(crate) fn leading(&self) -> Option<SocketAddr> {
         self.leading
@@ -340,277 +336,17 @@
         self.view.heard.is_some_and(|heard| now.saturating_sub(heard) <= PATIENCE)
     }
 
-    /// Reports to a leader that is known from elsewhere, such as the log.
-    pub fn aim(&mut self, leader: SocketAddr, now: Duration) {
-        if self.target != Some(leader) {
-            self.target = Some(leader);
-            self.is_parent = false;
-            self.since = now;
-            self.due = now;
-        }
-    }
-
-    /// Reports to a core from now on.
-    ///
-    /// Cores that know different ones to choose from would send an entry back and forth between them.
-    pub(crate) fn report_to(&mut self, now: Duration, core: SocketAddr) {
-        if self.is_parent && now.saturating_sub(self.moved) < SETTLED {
-            return;
-        }
-        self.moved = now;
-        let before = self.target.replace(core).filter(|it| self.is_parent && *it != core);
-        self.farewell = before.or(self.farewell);
-        self.is_parent = true;
-        self.since = now;
-        self.due = now;
-    }
-
-    /// Makes the report that is due, with whom to tell: the leader, or every core while none
-    /// answers.
-    ///
-    /// Asked one after the other, the new leader would be found only after a timeout for each core
-    /// that is not it. Meanwhile it would acknowledge that upstreams leave, and this instance would
-    /// go on sending requests there.
-    pub fn heartbeat(
-        &mut self,
-        now: Duration,
-        unix: u64,
-        report: Report,
-    ) -> Option<(Targets, Heartbeat)> {
-        if self.is_parent && self.quiet(now) {
-            self.lose_parent(now);
-        }
-        if now < self.due {
-            return None;
-        }
-        self.clock.hint(now, unix);
-        let told = self.told(now);
-        let mut targets = self.targets(now);
-        self.due = now + self.pause(targets.len());
-        let parent = self.target.filter(|_| self.is_parent);
-        targets.extend(self.farewell.take());
-        let Report { counts, refunds, work, marks, rollouts, limits, leaving, .. } = report;
-        let Report { below, counted, .. } = report;
-        self.number += 1;
-        let counts = self.changed(told, counts);
-        self.reported.push_back(Reported { number: self.number, at: now, whole: told == 0 });
-        if self.reported.len() > REPORTS {
-            self.reported.pop_front();
-        }
-        let heartbeat = Heartbeat {
-            peer: self.own.clone(),
-            parent,
-            lost: self.lost.map(|(core, _)| core),
-            seen: self.view.stamp,
-            revision: self.view.revision(),
-            unix,
-            counted: counted.unwrap_or_else(|| self.clock.unix(now)),
-            counts,
-            number: self.number,
-            refunds,
-            work,
-            marks,
-            rollouts,
-            limits,
-            leaving,
-            below,
-        };
-        (!targets.is_empty()).then_some((targets, heartbeat))
-    }
-
-    /// Returns the counts that were told first after a report.
-    fn changed(&mut self, told: u64, counts: Vec<Count>) -> Vec<Count> {
-        let oldest = counts.iter().map(|count| count.window).min();
-        self.counts.retain(|(window, _)| oldest.is_some_and(|oldest| *window >= oldest));
-        for Count { window, team, requests } in counts {
-            self.counts.put(self.number, (window, team), requests);
-        }
-        let count = |((window, team), requests): (&(u64, Team), &u64)| Count {
-            window: *window,
-            team: team.clone(),
-            requests: *requests,
-        };
-        self.counts.since(told).map(count).collect()
-    }
-
-    /// Returns the time until the next report, after one to so many cores.
-    fn pause(&mut self, targets: usize) -> Duration {
-        if targets <= 1 {
-            self.search = SEARCH;
-            return HEARTBEAT;
-        }
-        let next = (self.search * 2).min(SEARCH_MOST);
-        std::mem::replace(&mut self.search, next)
-    }
-
-    /// Takes the word of a core that it leads since a moment ago; it may have been asked just before.
-    pub fn called(&mut self, now: Duration, leader: SocketAddr) {
-        if self.target(now).is_none() || !self.is_parent {
-            self.aim(leader, now);
-            self.due = now;
-        }
-    }
-
-    /// Takes the word of a core that it does not lead, and hears no reports.
-    pub fn elsewhere(
-        &mut self,
-        now: Duration,
-        from: SocketAddr,
-        leader: Option<SocketAddr>,
-        cores: &[SocketAddr],
-    ) {
-        cores.iter().for_each(|core| self.meet(*core));
-        if self.is_parent && self.target == Some(from) {
-            self.lose_parent(now);
-            self.due = now + SENT_AWAY;
-        }
-        let own = self.own.address;
-        if let Some(leader) = leader.filter(|leader| *leader != own && !self.is_parent) {
-            self.aim(leader, now);
-        }
-    }
-
-    /// Asks the leader for another core.
-    fn lose_parent(&mut self, now: Duration) {
-        self.lost = self.target.map(|core| (core, now));
-        self.is_parent = false;
-        self.target = self.leading.filter(|leader| Some(*leader) != self.target);
-        self.since = (now + ALONE).saturating_sub(PATIENCE);
-        self.due = now;
-    }
-
-    /// Takes a leader's update; returns whether its sender waits to hear that they are here.
-    pub fn update(&mut self, now: Duration, update: Update) -> bool {
-        let Update { from, leader, heard, stamp, base, records, sheet, blocklist, .. } = update;
-        let Update { plans, limits, round, unix, urgent, .. } = update;
-        // A leader that was cut off and does not know it yet says what is no longer so.
-        if stamp.term < self.view.stamp.term {
-            return false;
-        }
-        // A core that entries don't report to any more says nothing of the one that they do report to.
-        if self.target == Some(from) || !self.is_parent {
-            self.since = now;
-            self.target = Some(from);
-            self.leading = Some(leader);
-            self.view.heard = self.view.heard.max(Some(now.saturating_sub(heard)));
-            let sent = round.as_ref().and_then(|round| self.sent(round.number));
-            self.tell_time(now, sent, unix);
-        }
-        if let Some(sheet) = sheet {
-            self.view.take_sheet(&sheet);
-        }
-        let held = self.view.stamp;
-        let fits = match base {
-            None => true,
-            Some(base) if base.term == stamp.term => held.term == stamp.term && held >= base,
-            // Of the leader before, only what the new one knows that this instance has is gone on from.
-            Some(base) => held == base,
-        };
-        if fits && stamp >= held {
-            if base.is_none() && self.history.is_some() {
-                self.history = Some(History::open(stamp.change));
-            }
-            self.merge(now, base.is_none(), stamp.change, records);
-            self.take_whole(stamp.change, blocklist, plans, limits);
-            self.view.stamp = stamp;
-        }
-        if let Some(round) = round {
-            self.take_round(from, stamp.term, round);
-        }
-        urgent
-    }
-
-    /// Takes what is told whole, as far as it is told.
-    fn take_whole(
-        &mut self,
-        change: u64,
-        blocklist: Option<Arc<Blocklist>>,
-        plans: Option<Arc<Plans>>,
-        limits: Option<Arc<Limits>>,
-    ) {
-        if let Some(blocklist) = blocklist {
-            (self.view.blocklist, self.changes.blocklist) = (blocklist, change);
-        }
-        if let Some(plans) = plans {
-            (self.view.plans, self.changes.plans) = (plans, change);
-        }
-        if let Some(limits) = limits {
-            (self.view.limits, self.changes.limits) = (limits, change);
-        }
-    }
-
-    /// Takes the answer to a report.
-    fn take_round(&mut self, from: SocketAddr, term: u64, round: Round) {
-        self.confirm_plans(&round, term);
-        let known = self.answered.filter(|it| (it.0, it.1) == (from, round.incarnation));
-        let whole = self.reported.iter().any(|it| it.number == round.number && it.whole);
-        let first = if whole { round.number } else { 0 };
-        let number = known.map_or(
-            first,
-            |(.., number)| {
-                if number > 0 { number.max(round.number) } else { first }
-            },
-        );
-        self.answered = Some((from, round.incarnation, number));
-        self.view.cores = round.cores;
-        self.hearsay.clear();
-        self.view.entries = round.entries;
-        self.view.turn = round.turn.or(self.view.turn);
-        (self.sites, self.lists) = (round.sites, round.list);
-    }
-
     /// Says how new the list of upstreams is here.
     pub fn seen(&self) -> Frame {
         let (address, stamp, revision) = (self.own.address, self.view.stamp, self.view.revision());
         Frame::Seen { address, stamp, revision }
     }
 
-    /// Takes the time of day that a leader told in answer to a report that was sent at a time.
-    ///
-    /// What a machine that stood still finds in its connections tells a time that has passed; taken for the
-    /// present one, requests would be counted into earlier windows of usage.
-    fn tell_time(&mut self, now: Duration, sent: Option<Duration>, unix: u64) {
-        let prompt = sent.is_some_and(|sent| now.saturating_sub(sent) <= PROMPT);
-        if prompt || !self.clock.is_agreed() {
-            self.clock.agree(now, unix);
-            self.view.time = crate::clock::offset(now, unix);
-        }
-    }
-
     /// Returns when a report was sent, if it is one of the last.
     fn sent(&self, number: u64) -> Option<Duration> {
         self.reported.iter().find(|it| it.number == number).map(|it| it.at)
     }
 
-    /// Takes up to which change the leader's plans go, as it answers a report.
-    ///
-    /// An answer may come before the plans themselves: just after a machine stood still, or from a new leader. Taken
-    /// for a sign that those known here hold, requests would go to a version that has been rolled back.
-    fn confirm_plans(&mut self, round: &Round, term: u64) {
-        let newest = Stamp { term, change: round.plans };
-        let Some((sent, age)) = self.sent(round.number).zip(round.confirmed) else { return };
-        if self.view.stamp >= newest {
-            self.view.confirmed = self.view.confirmed.max(sent.checked_sub(age));
-        }
-    }
-
-    /// Returns whom to report to.
-    fn targets(&mut self, now: Duration) -> Targets {
-        if self.lost.is_some_and(|(_, at)| now.saturating_sub(at) > AVOIDED) {
-            self.lost = None;
-        }
-        if let Some(target) = self.target.filter(|_| !self.quiet(now)) {
-            return vec![target];
-        }
-        let own = self.own.address;
-        let mut known: Targets = self.cores();
-        known.extend(&self.seeds);
-        known.sort_unstable();
-        known.dedup();
-        known.retain(|address| *address != own);
-        known
-    }
-
     fn quiet(&self, now: Duration) -> bool {
         now.saturating_sub(self.since) >= self.patience()
     }
--- /dev/null
+++ b/crates/verbenaslip-fleet/src/link/update.rs
@@ -0,0 +1,119 @@
+//! What an instance takes from the updates that it is told.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::frame::{Round, Update};
+use crate::history::History;
+use crate::limit::Limits;
+use crate::link::{Link, PROMPT};
+use crate::quarantine::Blocklist;
+use crate::rollout::Plans;
+use crate::view::Stamp;
+
+impl Link {
+    /// Takes a leader's update; returns whether its sender waits to hear that they are here.
+    pub fn update(&mut self, now: Duration, update: Update) -> bool {
+        let Update { from, leader, heard, stamp, base, records, sheet, blocklist, .. } = update;
+        let Update { plans, limits, round, unix, urgent, .. } = update;
+        // A leader that was cut off and does not know it yet says what is no longer so.
+        if stamp.term < self.view.stamp.term {
+            return false;
+        }
+        // A core that entries don't report to any more says nothing of the one that they do report to.
+        if self.target == Some(from) || !self.is_parent {
+            self.since = now;
+            self.target = Some(from);
+            self.leading = Some(leader);
+            self.view.heard = self.view.heard.max(Some(now.saturating_sub(heard)));
+            let sent = round.as_ref().and_then(|round| self.sent(round.number));
+            self.tell_time(now, sent, unix);
+        }
+        if let Some(sheet) = sheet {
+            self.view.take_sheet(&sheet);
+        }
+        let held = self.view.stamp;
+        let fits = match base {
+            None => true,
+            Some(base) if base.term == stamp.term => held.term == stamp.term && held >= base,
+            // Of the leader before, only what the new one knows that this instance has is gone on from.
+            Some(base) => held == base,
+        };
+        if fits && stamp >= held {
+            if base.is_none() && self.history.is_some() {
+                self.history = Some(History::open(stamp.change));
+            }
+            self.merge(now, base.is_none(), stamp.change, records);
+            self.take_whole(stamp.change, blocklist, plans, limits);
+            self.view.stamp = stamp;
+        }
+        if let Some(round) = round {
+            self.take_round(from, stamp.term, round);
+        }
+        urgent
+    }
+
+    /// Takes what is told whole, as far as it is told.
+    fn take_whole(
+        &mut self,
+        change: u64,
+        blocklist: Option<Arc<Blocklist>>,
+        plans: Option<Arc<Plans>>,
+        limits: Option<Arc<Limits>>,
+    ) {
+        if let Some(blocklist) = blocklist {
+            (self.view.blocklist, self.changes.blocklist) = (blocklist, change);
+        }
+        if let Some(plans) = plans {
+            (self.view.plans, self.changes.plans) = (plans, change);
+        }
+        if let Some(limits) = limits {
+            (self.view.limits, self.changes.limits) = (limits, change);
+        }
+    }
+
+    /// Takes the answer to a report.
+    fn take_round(&mut self, from: SocketAddr, term: u64, round: Round) {
+        self.confirm_plans(&round, term);
+        let known = self.answered.filter(|it| (it.0, it.1) == (from, round.incarnation));
+        let whole = self.reported.iter().any(|it| it.number == round.number && it.whole);
+        let first = if whole { round.number } else { 0 };
+        let number = known.map_or(
+            first,
+            |(.., number)| {
+                if number > 0 { number.max(round.number) } else { first }
+            },
+        );
+        self.answered = Some((from, round.incarnation, number));
+        self.view.cores = round.cores;
+        self.hearsay.clear();
+        self.view.entries = round.entries;
+        self.view.turn = round.turn.or(self.view.turn);
+        (self.sites, self.lists) = (round.sites, round.list);
+    }
+
+    /// Takes the time of day that a leader told in answer to a report that was sent at a time.
+    ///
+    /// What a machine that stood still finds in its connections tells a time that has passed; taken for the
+    /// present one, requests would be counted into earlier windows of usage.
+    fn tell_time(&mut self, now: Duration, sent: Option<Duration>, unix: u64) {
+        let prompt = sent.is_some_and(|sent| now.saturating_sub(sent) <= PROMPT);
+        if prompt || !self.clock.is_agreed() {
+            self.clock.agree(now, unix);
+            self.view.time = crate::clock::offset(now, unix);
+        }
+    }
+
+    /// Takes up to which change the leader's plans go, as it answers a report.
+    ///
+    /// An answer may come before the plans themselves: just after a machine stood still, or from a new leader. Taken
+    /// for a sign that those known here hold, requests would go to a version that has been rolled back.
+    fn confirm_plans(&mut self, round: &Round, term: u64) {
+        let newest = Stamp { term, change: round.plans };
+        let Some((sent, age)) = self.sent(round.number).zip(round.confirmed) else { return };
+        if self.view.stamp >= newest {
+            self.view.confirmed = self.view.confirmed.max(sent.checked_sub(age));
+        }
+    }
+}
--- a/crates/verbenaslip-fleet/src/plan.rs
+++ b/crates/verbenaslip-fleet/src/plan.rs
@@ -7,6 +7,7 @@
 
 mod pace;
 mod size;
+mod warmup;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -17,6 +18,7 @@
 use crate::duty::{Outcome, Scale};
 use crate::plan::pace::Pace;
 use crate::plan::size::Size;
+pub use crate::plan::warmup::Warmup;
 use crate::registry::{Announcement, Record, Standing};
 use crate::sheet::Scaling;
 
@@ -141,42 +143,6 @@
     size: Size,
 }
 
-/// Tells whether all upstreams that run are known.
-///
-/// A leader that was elected a moment ago, above all after a restart, learns of the upstreams as they
-/// announce themselves. A count ordered by what it has heard of so far would have the others stopped.
-#[derive(Debug)]
-pub struct Warmup {
-    /// The time between two announcements of an upstream.
-    period: Duration,
-    total: u32,
-    since: Option<Duration>,
-    complete: bool,
-}
-
-/// How long no upstream may have appeared, as a multiple of the time between two announcements of one.
-const STEADY: f64 = 4.0 / 3.0;
-
-impl Warmup {
-    /// Starts without any upstream; each one announces itself once per `period`.
-    pub fn open(period: Duration) -> Self {
-        Self { period, total: 0, since: None, complete: false }
-    }
-
-    /// Takes how many there are; returns whether these are all.
-    pub fn take(&mut self, now: Duration, total: u32) -> bool {
-        if total > self.total || self.since.is_none() {
-            self.since = Some(now);
-        }
-        self.total = total;
-        // Once all were known, a new one has just come and is not one that had been overlooked. Waited for each
-        // time, ordered ones that come one by one would keep the next zone's loss from being made up for.
-        let steady = self.period.mul_f64(STEADY);
-        self.complete |= self.since.is_some_and(|since| now.saturating_sub(since) >= steady);
-        self.complete
-    }
-}
-
 #[derive(Debug)]
 struct Pending {
     id: u64,
--- a/crates/verbenaslip-instance/src/core.rs
+++ b/crates/verbenaslip-instance/src/core.rs
@@ -40,6 +40,9 @@
 /// How long a stop waits for another core to lead and for open calls.
 const HAND_OVER: Duration = Duration::from_millis(2_500);
 
+/// How long the last messages of a core may take to leave.
+const FAREWELL: Duration = Duration::from_millis(20);
+
 /// Between two heartbeats of the log's leader.
 const HEARTBEAT: Duration = Duration::from_millis(100);
 
@@ -157,6 +160,8 @@
     running.open(true)?;
     loop {
         if running.is_over() {
+            // What entries are told on the way out leaves by the connections' own tasks.
+            tokio::time::sleep(FAREWELL).await;
             return Ok(());
         }
         let woken = inbox.next(running.wait(), &mut signals).await;
