--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -35,7 +35,7 @@
 use crate::ledger::Ledger;
 use crate::limit::Limits;
 use crate::link::Link;
-use crate::plan::{Planner, Warmup};
+use crate::plan::Planner;
 use crate::quarantine::{Quarantine, Rule};
 use crate::registry::Registry;
 use crate::rollout::{Controller, Plans};
@@ -77,8 +77,8 @@
     /// The proposal that holds those before them.
     pub(crate) noting_joins: Option<u64>,
     pub(crate) closing: BTreeSet<u64>,
-    /// Services whose base is not noted yet.
-    pub(crate) warmups: BTreeMap<Arc<str>, Warmup>,
+    /// When this core proposed with how many upstreams a service began.
+    pub(crate) based: BTreeMap<Arc<str>, Duration>,
     /// The sizes of services that this core has proposed while it leads.
     pub(crate) sized: BTreeMap<Arc<str>, u32>,
     pub(crate) absent: BTreeMap<Instance, Duration>,
@@ -171,7 +171,7 @@
             joining: BTreeSet::new(),
             noting_joins: None,
             closing: BTreeSet::new(),
-            warmups: BTreeMap::new(),
+            based: BTreeMap::new(),
             sized: BTreeMap::new(),
             absent: BTreeMap::new(),
             seekers: BTreeMap::new(),
--- a/crates/verbenaslip-fleet/src/core/begin.rs
+++ b/crates/verbenaslip-fleet/src/core/begin.rs
@@ -75,7 +75,7 @@
         self.known_cores = self.cores();
         self.closing.clear();
         self.planners.clear();
-        self.warmups.clear();
+        self.based.clear();
         self.sized.clear();
         self.absent.clear();
         self.changing = None;
--- a/crates/verbenaslip-fleet/src/core/duties.rs
+++ b/crates/verbenaslip-fleet/src/core/duties.rs
@@ -1,12 +1,13 @@
 //! What a leader does for the cloud: usage that is reported, and upstreams that are ordered.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::core::lead::GATHER;
 use crate::core::{Core, Note, Output};
 use crate::duty::{Dispatcher, Order, Outcome, Scale, Task};
 use crate::ledger::{Command, Window};
-use crate::plan::{self, Demand, Planner, Warmup};
+use crate::plan::{self, Demand, Planner};
 use crate::usage::window_end;
 
 /// Sizes of a service that differ by less than this part of them are the same.
@@ -16,6 +17,9 @@
 /// come four times a second.
 const COUNT_SLACK: u64 = 300;
 
+/// How long the log has to commit with how many upstreams a service began.
+const AGAIN: Duration = Duration::from_secs(2);
+
 impl Core {
     /// Closes the windows of usage whose counts are complete.
     pub(super) fn close_windows(&mut self) {
@@ -80,14 +84,19 @@
         for service in &edition.sheet.services {
             let Some(scaling) = &service.scaling else { continue };
             let have = plan::count(self.serving(&service.name));
+            let upstreams = have.values().sum();
+            let (period, size) = (self.registry.period(), self.ledger.size(&service.name));
+            let open = || Planner::open(service.name.clone(), period, size);
+            let planner = self.planners.entry(service.name.clone()).or_insert_with(open);
+            let all_known = planner.watch(self.now, upstreams);
             let Some(base) = self.ledger.base(&service.name) else {
-                self.note_base(&service.name, have.values().sum());
+                if all_known {
+                    self.note_base(&service.name, upstreams);
+                }
                 continue;
             };
             let base = plan::with_limited(base, self.limited(&service.name));
-            let (period, size) = (self.registry.period(), self.ledger.size(&service.name));
-            let open = || Planner::open(service.name.clone(), period, size);
-            let planner = self.planners.entry(service.name.clone()).or_insert_with(open);
+            let Some(planner) = self.planners.get_mut(&service.name) else { continue };
             planner.spread(self.hub.widest());
             let dispatcher = &mut self.dispatcher;
             let demand = Demand { base, busy: self.hub.busy(self.now, &service.name) };
@@ -96,7 +105,6 @@
             sizes.extend(planner.size_by_load().map(|size| (service.name.clone(), size)));
             if orders.len() > before {
                 let service = service.name.clone();
-                let upstreams = have.values().sum();
                 planned.push(Note::Planned { service, base, busy: demand.busy, upstreams });
             }
         }
@@ -122,14 +130,12 @@
     /// Later there may be more or fewer of them, and a leader that took what it found for what the
     /// operators had wanted would make more of them at every change of the leader.
     fn note_base(&mut self, service: &Arc<str>, upstreams: u32) {
-        let open = || Warmup::open(self.registry.period());
-        let warmup = self.warmups.entry(service.clone()).or_insert_with(open);
-        let all = warmup.take(self.now, upstreams);
-        if upstreams == 0 || !all {
+        // Proposed again after a while if the log has lost it.
+        let lately = |at: &Duration| self.now.saturating_sub(*at) < AGAIN;
+        if upstreams == 0 || self.based.get(service).is_some_and(lately) {
             return;
         }
-        // Proposed again after as long if the log has lost it.
-        self.warmups.remove(service);
+        self.based.insert(service.clone(), self.now);
         self.propose(&Command::Base { service: service.clone(), upstreams });
     }
 }
--- a/crates/verbenaslip-fleet/src/lib.rs
+++ b/crates/verbenaslip-fleet/src/lib.rs
@@ -14,12 +14,12 @@
 //! 3. [`registry`] holds the upstreams ([`upstream`]) that announce themselves, at the leader of the log;
 //!    [`departure`] remembers at every instance which runs of them have said that they go. A core
 //!    answers by itself what says nothing new, and vouches for its sender as [`voucher`] says.
-//! 4. [`link`] keeps an instance in touch with the leader: a [`frame::Heartbeat`] four times a second,
-//!    answered by [`frame::Update`] with whatever the instance lacks; changes are pushed at once. What an
+//! 4. [`link`] keeps an instance in touch with the leader, or an entry with the core that [`parent`] names: a
+//!    [`frame::Heartbeat`] four times a second, answered by a [`frame::Update`]; changes are pushed at once. What an
 //!    instance has learnt by them is listed for its log in [`transition`], and a core keeps by which change in `history`.
-//! 5. [`hub`] is the leader's side of that: who is there, what each has, and the time of day as
-//!    the median of all clocks; [`path`] says which core passes updates on to whom. [`quota`] grants the
-//!    teams' limits to the entries, and [`limit`] has them share the limits that upstreams name.
+//! 5. [`hub`] is the other side of that, at the leader and at the cores: who is there, what each has, and the time of
+//!    day as the median of all clocks. [`quota`] lends the teams' limits to the entries, and [`limit`] has them share the
+//!    limits that upstreams name.
 //! 6. [`usage`] counts the requests that began in each window, and [`duty`] gives the cloud the
 //!    orders that only one instance may give; [`plan`] says how many upstreams these ask for, by the
 //!    [`load`] that the entries report.
--- a/crates/verbenaslip-fleet/src/plan.rs
+++ b/crates/verbenaslip-fleet/src/plan.rs
@@ -18,7 +18,7 @@
 use crate::duty::{Outcome, Scale};
 use crate::plan::pace::Pace;
 use crate::plan::size::Size;
-pub use crate::plan::warmup::Warmup;
+use crate::plan::warmup::Warmup;
 use crate::registry::{Announcement, Record, Standing};
 use crate::sheet::Scaling;
 
@@ -143,6 +143,15 @@
     size: Size,
 }
 
+/// Says what a fleet is to be.
+#[derive(Clone, Copy, Debug)]
+struct Target {
+    /// With how many upstreams it is planned.
+    size: u32,
+    /// Whether reclaimable upstreams take the place of the others.
+    exchanged: bool,
+}
+
 #[derive(Debug)]
 struct Pending {
     id: u64,
@@ -169,6 +178,11 @@
         }
     }
 
+    /// Takes how many upstreams there are; returns whether these are all that run.
+    pub fn watch(&mut self, now: Duration, upstreams: u32) -> bool {
+        self.warmup.take(now, upstreams)
+    }
+
     /// Takes how many instances are told of each upstream that comes or goes.
     pub fn spread(&mut self, instances: usize) {
         self.pace.spread(instances);
@@ -183,10 +197,14 @@
         have: &Counts,
         mut next: impl FnMut() -> u64,
     ) -> Vec<(u64, Scale)> {
-        let warm = self.warmup.take(now, have.values().sum());
-        let Some(size) = self.size(now, scaling, demand) else { return Vec::new() };
-        let demand = Demand { base: size, ..demand };
-        let scaling = &priced(scaling, have);
+        let warm = self.watch(now, have.values().sum());
+        let Some(target) = self.target(now, scaling, demand, warm) else { return Vec::new() };
+        let demand = Demand { base: target.size, ..demand };
+        let mut scaling = priced(scaling, have);
+        if !target.exchanged {
+            scaling.reclaimable = None;
+        }
+        let scaling = &scaling;
         self.exhausted.retain(|_, until| *until > now);
         let exhausted: BTreeSet<AvailabilityZone> = self.exhausted.keys().cloned().collect();
         let mut wanted = reclaimable(scaling, demand.base, &exhausted);
@@ -224,14 +242,26 @@
         self.size.known()
     }
 
-    /// Returns with how many upstreams the service is planned; none as long as it is left as it is.
+    /// Says what the service is planned as; nothing as long as it is left as it is.
     ///
-    /// Before the load is known, a fleet is only made cheaper if that takes no longer than a boot: all of a large one
-    /// would be exchanged at a time when most of it may turn out not to be needed.
-    fn size(&mut self, now: Duration, scaling: &Scaling, demand: Demand) -> Option<u32> {
-        let known = self.size.take(now, scaling.boot, demand);
-        let most = self.pace.within(scaling.boot * EXCHANGE);
-        known.or_else(|| (demand.base <= most).then_some(demand.base))
+    /// Before the load is known, a fleet is only exchanged for a cheaper one if that takes no longer than a boot: all of
+    /// a large one would be exchanged at a time when most of it may turn out not to be needed.
+    fn target(
+        &mut self,
+        now: Duration,
+        scaling: &Scaling,
+        demand: Demand,
+        warm: bool,
+    ) -> Option<Target> {
+        if let Some(size) = self.size.take(now, scaling.boot, demand) {
+            return Some(Target { size, exchanged: true });
+        }
+        if demand.base <= self.pace.within(scaling.boot * EXCHANGE) {
+            return Some(Target { size: demand.base, exchanged: true });
+        }
+        let idle = warm.then(|| self.size.idle(now, scaling.boot, demand.base));
+        let size = idle.filter(|idle| *idle < demand.base)?;
+        Some(Target { size, exchanged: false })
     }
 
     /// Takes what became of an order; returns whether it was one of this service.
--- a/crates/verbenaslip-fleet/src/plan/size.rs
+++ b/crates/verbenaslip-fleet/src/plan/size.rs
@@ -31,12 +31,14 @@
     wanted: VecDeque<(Duration, u32)>,
     /// The size under the leader before; none where that did not know the load.
     before: Option<u32>,
+    /// Since when all upstreams have been known and nobody has asked for anything.
+    idle: Option<Duration>,
 }
 
 impl Size {
     /// Starts with the size under the leader before, if that is known.
     pub(crate) fn open(before: Option<u32>) -> Self {
-        Self { wanted: VecDeque::new(), before }
+        Self { before, ..Self::default() }
     }
 
     /// Returns with how many upstreams it was planned last by the load.
@@ -64,6 +66,18 @@
         self.before
     }
 
+    /// Returns with how many upstreams to plan a fleet that nobody has asked for anything yet.
+    ///
+    /// It may have been started for callers that are about to come, or for none: half of it is given up each time
+    /// that they have not come for as long as a dip lasts.
+    pub(crate) fn idle(&mut self, now: Duration, boot: Duration, base: u32) -> u32 {
+        let since = *self.idle.get_or_insert(now);
+        let lasts = (boot * BOOTS).max(STEP).as_millis();
+        let halvings = now.saturating_sub(since).as_millis() / lasts;
+        let left = base.checked_shr(u32::try_from(halvings).unwrap_or(u32::MAX)).unwrap_or(0);
+        left.max(SPARE.min(base))
+    }
+
     /// Goes to another size if that differs by much: each step costs upstreams that start or are given up.
     fn follow(&self, most: u32) -> u32 {
         let Some(before) = self.before else { return most };
--- a/crates/verbenaslip-fleet/src/plan/warmup.rs
+++ b/crates/verbenaslip-fleet/src/plan/warmup.rs
@@ -33,7 +33,8 @@
         // Once all were known, a new one has just come and is not one that had been overlooked. Waited for each
         // time, ordered ones that come one by one would keep the next zone's loss from being made up for.
         let steady = self.period.mul_f64(STEADY);
-        self.complete |= self.since.is_some_and(|since| now.saturating_sub(since) >= steady);
+        self.complete |=
+            total > 0 && self.since.is_some_and(|since| now.saturating_sub(since) >= steady);
         self.complete
     }
 }
