--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -64,7 +64,7 @@
             window,
             started: Instant::now(),
             placement: RefCell::new(Placement::open(zone)),
-            allowance: RefCell::new(Allowance::default()),
+            allowance: RefCell::new(Allowance::open(monotonic::now())),
             budget: RefCell::new(Budget::open(bounds)),
             pool: RefCell::new(Pool::default()),
             waited: RefCell::new(Waited::default()),
--- a/crates/verbenaslip-relay/src/policy/allowance.rs
+++ b/crates/verbenaslip-relay/src/policy/allowance.rs
@@ -25,6 +25,8 @@
 /// Holds what was lent of each team's limit, and a bucket for the time without a leader.
 #[derive(Debug, Default)]
 pub struct Allowance {
+    /// When this entry started.
+    opened: Duration,
     teams: BTreeMap<Team, Purse>,
 }
 
@@ -36,6 +38,8 @@
     rate: f64,
     /// What is left of an equal part of the limit.
     alone: f64,
+    /// Units admitted from that part since the leader lent the last time.
+    unlent: f64,
     at: Duration,
     /// Until when the leader has nothing to lend.
     empty: Duration,
@@ -58,12 +62,17 @@
 }
 
 impl Allowance {
+    /// Starts without anything lent.
+    pub fn open(now: Duration) -> Self {
+        Self { opened: now, teams: BTreeMap::new() }
+    }
+
     /// Takes what a request asks for out of its team's limit, as far as this entry knows that there is so much left.
     pub fn take(&mut self, now: Duration, team: &TeamRow, units: f64, view: &View) -> Verdict {
         let Some(quota) = team.quota.filter(|quota| quota.rate > 0.0) else {
             return Verdict::Within;
         };
-        let purse = self.purse(now, &team.name);
+        let purse = self.purse(&team.name);
         purse.refill(now, &quota, view.entries);
         purse.rate += units / RATE;
         if purse.lent >= units {
@@ -93,10 +102,11 @@
         lent: Option<&Lent>,
     ) -> Result<(), Duration> {
         let Some(quota) = team.quota else { return Ok(()) };
-        let purse = self.purse(now, &team.name);
+        let purse = self.purse(&team.name);
         match lent {
             Some(lent) if lent.units > 0.0 => {
                 purse.lent += lent.units;
+                purse.unlent = 0.0;
                 purse.spend(units);
                 Ok(())
             }
@@ -111,8 +121,13 @@
     /// Gives back what a request took that did not run; returns what this entry has no use for.
     pub fn give_back(&mut self, team: &Team, units: f64) -> Option<Refund> {
         let purse = self.teams.get_mut(team)?;
-        purse.lent += units;
         purse.alone += units;
+        // What the leader has not lent is not its to lend again.
+        if purse.unlent >= units {
+            purse.unlent -= units;
+            return None;
+        }
+        purse.lent += units;
         let spare = purse.lent - purse.ahead(units);
         if spare <= 0.0 {
             return None;
@@ -121,9 +136,12 @@
         Some(Refund { team: team.clone(), units: spare })
     }
 
-    fn purse(&mut self, now: Duration, team: &Team) -> &mut Purse {
-        // The bucket begins empty: an entry that was killed may have spent a whole one a moment ago.
-        let open = || Purse { lent: 0.0, rate: 0.0, alone: 0.0, at: now, empty: Duration::ZERO };
+    fn purse(&mut self, team: &Team) -> &mut Purse {
+        // The equal part fills up from the start of this entry on, not from a team's first request: one that is cut off
+        // would refuse that. It begins empty: an entry that was killed may have spent a whole one a moment ago.
+        let at = self.opened;
+        let open =
+            || Purse { lent: 0.0, rate: 0.0, alone: 0.0, unlent: 0.0, at, empty: Duration::ZERO };
         self.teams.entry(team.clone()).or_insert_with(open)
     }
 }
@@ -154,6 +172,7 @@
     fn spend_alone(&mut self, units: f64, quota: &Quota) -> Result<(), Duration> {
         if self.alone > 0.0 {
             self.alone -= units;
+            self.unlent += units;
             return Ok(());
         }
         Err(back(Duration::ZERO, units - self.alone, quota))
--- a/crates/verbenaslip-relay/tests/allowance.rs
+++ b/crates/verbenaslip-relay/tests/allowance.rs
@@ -40,6 +40,24 @@
     assert!(matches!(allowance.take(late, &team(), 1.0, &heard(SECOND)), Verdict::Beyond(_)));
 }
 
+#[test]
+fn an_entry_that_is_cut_off_admits_a_team_that_it_has_not_seen_before() {
+    // Guards against the first request of each team refused at entries that hear no leader.
+    let mut allowance = Allowance::open(SECOND);
+    let now = SECOND * 9;
+    assert_eq!(allowance.take(now, &team(), 20.0, &heard(SECOND)), Verdict::Within);
+    let mut restarted = Allowance::open(now);
+    assert!(matches!(restarted.take(now, &team(), 20.0, &heard(SECOND)), Verdict::Beyond(_)));
+}
+
+#[test]
+fn what_was_admitted_without_a_loan_is_not_given_back_to_the_leader() {
+    // Guards against a bucket that fills up by requests that an entry has admitted while it was cut off.
+    let mut allowance = Allowance::open(SECOND);
+    assert_eq!(allowance.take(SECOND * 9, &team(), 20.0, &heard(SECOND)), Verdict::Within);
+    assert_eq!(allowance.give_back(&team().name, 20.0), None);
+}
+
 #[test]
 fn a_loan_that_is_not_answered_in_time_is_taken_out_of_the_equal_part() {
     // Guards against requests that are all refused while a leader is elected.
