Define the interfaces of fleet-wide measurements

Two deployments have upstreams that one entry of 57 or 82 sends to only every few seconds, so that no entry learns their speed or load. This adds the types that the parts of docs/design/load.md share: totals and figures of a run, trailing fields of heartbeats and updates that builds without them ignore, the settings section [placement], and when sharing applies.

Nothing uses the figures yet; all existing tests compile unchanged but for the two that build frames field by field.

--- a/crates/verbenaslip-fleet/src/frame.rs
+++ b/crates/verbenaslip-fleet/src/frame.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Deserializer, Serialize};
 use verbenaslip_base::data;
 use verbenaslip_base::name::{AvailabilityZone, Instance, Upstream};
 use verbenaslip_replica::message::Message;
@@ -12,6 +14,7 @@
 use crate::crash_report::CrashReport;
 use crate::limit::{Limits, Observation, TimeSlot};
 use crate::load::WorkReport;
+use crate::measurement::{FigureReport, Totals};
 use crate::parent::ParentCore;
 use crate::quarantine::Blocklist;
 use crate::quota::{LoanGrant, LoanRequest, Refund};
@@ -182,6 +185,21 @@
     pub departing: Vec<Run>,
     /// Reports of the entries below this core.
     pub aggregate: Option<Aggregate>,
+    /// Measurements of upstreams that changed after the acknowledged heartbeat.
+    pub measurements: Trailing<Vec<Totals>>,
+}
+
+/// Holds a field that was added at the end of a frame; empty if it is missing or unreadable.
+///
+/// A fleet is upgraded one instance at a time. Builds without the field ignore the trailing bytes,
+/// and builds with it accept frames that end before it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Trailing<T>(pub T);
+
+impl<'de, T: DeserializeOwned + Default> Deserialize<'de> for Trailing<T> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        Ok(Self(T::deserialize(deserializer).unwrap_or_default()))
+    }
 }
 
 /// Summarizes the reports of a parent core's entries.
@@ -244,6 +262,8 @@
     pub unix_ms: u64,
     /// Whether the sender waits for an acknowledgement of this update.
     pub ack_requested: bool,
+    /// Figures of runs that changed since the last answer to the receiver's heartbeat.
+    pub figures: Trailing<Vec<FigureReport>>,
 }
 
 /// Describes the state of the fleet in the answer to a heartbeat.
--- a/crates/verbenaslip-fleet/src/hub/source.rs
+++ b/crates/verbenaslip-fleet/src/hub/source.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::frame::Update;
+use crate::frame::{Trailing, Update};
 use crate::limit::Limits;
 use crate::quarantine::Blocklist;
 use crate::registry::Registry;
@@ -123,6 +123,7 @@
             fleet_status: None,
             unix_ms: self.unix_ms,
             ack_requested: false,
+            figures: Trailing::default(),
         }
     }
 
--- a/crates/verbenaslip-fleet/src/lib.rs
+++ b/crates/verbenaslip-fleet/src/lib.rs
@@ -31,7 +31,8 @@
 //!    entries then no longer forward.
 //! 8. [`rollout`] moves the traffic of a service to a new version, and back if that version is
 //!    worse.
-//! 9. [`core`] and [`entry`] compose these parts.
+//! 9. [`measurement`] holds what all entries together have measured at the upstreams.
+//! 10. [`core`] and [`entry`] compose these parts.
 //!
 //! Messages may be lost, delayed, duplicated or reordered; each of them can be sent again.
 
@@ -49,6 +50,7 @@
 pub mod limit;
 pub mod link;
 pub mod load;
+pub mod measurement;
 pub mod order;
 pub mod parent;
 pub mod plan;
--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -21,6 +21,7 @@
 use crate::hub;
 use crate::limit::{Limits, Observation};
 use crate::load::WorkReport;
+use crate::measurement::Totals;
 use crate::parent::ParentCore;
 use crate::quarantine::Blocklist;
 use crate::quota::Refund;
@@ -100,6 +101,8 @@
     /// Runs that have announced their departure in an answer and that the leader may not know to
     /// depart.
     pub departing: Vec<Run>,
+    /// What this instance has measured at upstreams.
+    pub measurements: Vec<Totals>,
     /// At a core: the reports of the entries below it.
     pub aggregate: Option<Aggregate>,
     /// Time up to which the counts of those entries are complete, in Unix milliseconds; `None`
--- a/crates/verbenaslip-fleet/src/link/report.rs
+++ b/crates/verbenaslip-fleet/src/link/report.rs
@@ -4,7 +4,7 @@
 
 use verbenaslip_base::name::Team;
 
-use crate::frame::Heartbeat;
+use crate::frame::{Heartbeat, Trailing};
 use crate::link::{
     HEARTBEAT_INTERVAL, LOST_PARENT_AVOIDANCE, Link, MAX_SEARCH_INTERVAL, MAX_TRACKED_REPORTS,
     MIN_SEARCH_INTERVAL, Report, SentReport, Targets,
@@ -46,7 +46,7 @@
         targets.extend(self.previous_parent.take());
         let Report { counts, refunds, engine_work, marks, rollouts, limits, departing, .. } =
             report;
-        let Report { aggregate, counted_until, .. } = report;
+        let Report { aggregate, counted_until, measurements, .. } = report;
         self.last_sequence += 1;
         let counts = self.changed_counts(acknowledged, counts);
         self.sent_reports.push_back(SentReport {
@@ -74,6 +74,7 @@
             limits,
             departing,
             aggregate,
+            measurements: Trailing(measurements),
         };
         (!targets.is_empty()).then_some((targets, heartbeat))
     }
--- a/crates/verbenaslip-fleet/src/view.rs
+++ b/crates/verbenaslip-fleet/src/view.rs
@@ -10,6 +10,7 @@
 
 use crate::index::Index;
 use crate::limit::{Limits, TimeSlot};
+use crate::measurement::Figures;
 use crate::quarantine::Blocklist;
 use crate::registry::{Record, Run};
 use crate::rollout::Plans;
@@ -39,6 +40,8 @@
     pub rollout_plans: Arc<Plans>,
     /// Rate limits requested by upstreams.
     pub limits: Arc<Limits>,
+    /// Measurements of upstreams by all entries together.
+    pub figures: Arc<Figures>,
     /// Time slot of this instance under such limits, or `None` while unknown.
     pub time_slot: Option<TimeSlot>,
     /// Address at which other instances reach this one.
@@ -64,6 +67,7 @@
             blocklist: Arc::default(),
             rollout_plans: Arc::default(),
             limits: Arc::default(),
+            figures: Arc::default(),
             time_slot: None,
             own_address: None,
             cores: Vec::new(),
--- a/crates/verbenaslip-fleet/tests/entry.rs
+++ b/crates/verbenaslip-fleet/tests/entry.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use verbenaslip_base::name::{AvailabilityZone, Instance};
-use verbenaslip_fleet::frame::{FleetStatus, Frame, Peer, Update};
+use verbenaslip_fleet::frame::{FleetStatus, Frame, Peer, Trailing, Update};
 use verbenaslip_fleet::link::Report;
 use verbenaslip_fleet::view::Version;
 use verbenaslip_fleet::{Entry, clock};
@@ -99,6 +99,7 @@
         fleet_status: None,
         unix_ms: unix(SECOND),
         ack_requested: false,
+        figures: Trailing::default(),
     }))
 }
 
--- a/crates/verbenaslip-fleet/tests/hub.rs
+++ b/crates/verbenaslip-fleet/tests/hub.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use verbenaslip_base::name::{AvailabilityZone, Instance};
-use verbenaslip_fleet::frame::{Heartbeat, Peer};
+use verbenaslip_fleet::frame::{Heartbeat, Peer, Trailing};
 use verbenaslip_fleet::hub::{ChangeNumbers, Hub, UpdateSource};
 use verbenaslip_fleet::quota::LoanRequest;
 use verbenaslip_fleet::registry::{Announcement, Registry};
@@ -41,6 +41,7 @@
         parent: None,
         lost_parent: None,
         aggregate: None,
+        measurements: Trailing::default(),
         engine_work: Vec::new(),
         marks: Vec::new(),
         rollouts: Vec::new(),
--- a/crates/verbenaslip-instance/src/entry.rs
+++ b/crates/verbenaslip-instance/src/entry.rs
@@ -15,6 +15,7 @@
 use verbenaslip_relay::dialect::Dialect;
 use verbenaslip_relay::event_log;
 use verbenaslip_relay::monotonic;
+use verbenaslip_relay::policy::placement::Sharing;
 use verbenaslip_relay::policy::retry::Bounds;
 use verbenaslip_relay::server::{Config, Server};
 use verbenaslip_relay::shared::{Observations, SharedState};
@@ -71,6 +72,10 @@
             ratio: settings.upstreams.retry_ratio,
             allowance: settings.upstreams.retry_allowance,
         },
+        sharing: Sharing {
+            min_slots: settings.placement.shared_slots,
+            min_entries: settings.placement.shared_entries,
+        },
         usage_window: settings.upstreams.usage_window,
         shared: shared.clone(),
         dialect,
--- a/crates/verbenaslip-instance/src/settings.rs
+++ b/crates/verbenaslip-instance/src/settings.rs
@@ -32,6 +32,8 @@
     pub core: Option<Core>,
     /// Settings concerning upstreams.
     pub upstreams: Upstreams,
+    /// Settings for the placement of requests.
+    pub placement: Placement,
     /// Settings for the quarantine of requests that crash upstreams.
     pub requests: Requests,
     /// Settings of a planned stop.
@@ -81,6 +83,15 @@
     pub usage_late: Duration,
 }
 
+/// Section `[placement]`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Placement {
+    /// Minimum number of slots of an upstream that is placed by the fleet's measurements; zero turns this off.
+    pub shared_slots: u32,
+    /// Minimum number of entries with which the fleet's measurements are used.
+    pub shared_entries: u32,
+}
+
 /// Section `[requests]`.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Requests {
@@ -212,6 +223,7 @@
             entry: reader.optional("entry", Entry::read_from),
             core: reader.optional("core", Core::read_from),
             upstreams: reader.section(Upstreams::read_from),
+            placement: reader.section(Placement::read_from),
             requests: reader.section(Requests::read_from),
             stop: reader.section(Stop::read_from),
             cloud: reader.optional("cloud", Cloud::read_from),
@@ -269,6 +281,15 @@
     }
 }
 
+impl Placement {
+    fn read_from(reader: &mut Reader<'_>) -> Self {
+        let mut placement = Self { shared_slots: 0, shared_entries: 16 };
+        reader.take(Place("placement", "shared_slots"), &mut placement.shared_slots);
+        reader.take(Place("placement", "shared_entries"), &mut placement.shared_entries);
+        placement
+    }
+}
+
 impl Requests {
     fn read_from(reader: &mut Reader<'_>) -> Self {
         let default_policy = QuarantinePolicy::default();
--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -7,7 +7,6 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::Instant;
 use verbenaslip_base::hash;
-use verbenaslip_base::name::AvailabilityZone;
 use verbenaslip_fleet::crash_report::ObservedAnswer;
 use verbenaslip_fleet::limit::Observation;
 use verbenaslip_fleet::registry::Run;
@@ -53,7 +52,7 @@
     pub(crate) fn new(
         shared: Arc<SharedState>,
         dialect: Arc<dyn Dialect>,
-        zone: AvailabilityZone,
+        placement: Placement,
         bounds: Bounds,
         usage_window: Duration,
         crash_signals: UnboundedSender<Signal>,
@@ -63,7 +62,7 @@
             dialect,
             usage_window,
             started_at: Instant::now(),
-            placement: RefCell::new(Placement::new(zone)),
+            placement: RefCell::new(placement),
             allowances: RefCell::new(Allowances::new(monotonic::now())),
             retry_budget: RefCell::new(RetryBudget::new(bounds)),
             pool: RefCell::new(Pool::default()),
--- a/crates/verbenaslip-relay/src/policy/placement.rs
+++ b/crates/verbenaslip-relay/src/policy/placement.rs
@@ -77,6 +77,26 @@
 /// Upstreams as the fleet knows them.
 type UpstreamRecords = BTreeMap<Upstream, Record>;
 
+/// Says when the measurements of all entries are used to place requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sharing {
+    /// Minimum number of slots of an upstream; zero turns sharing off.
+    ///
+    /// An engine with many slots runs requests of many entries at once, so the requests of one
+    /// entry say little about its load.
+    pub min_slots: u32,
+    /// Minimum number of entries. With fewer, each entry sends to each upstream several times a
+    /// second and its own measurements are enough.
+    pub min_entries: u32,
+}
+
+impl Sharing {
+    /// Returns whether the measurements of all entries are used for an upstream.
+    pub fn includes(&self, slots: u32, entries: u32) -> bool {
+        self.min_slots > 0 && slots >= self.min_slots && entries >= self.min_entries
+    }
+}
+
 /// Holds what is known of the upstreams, and this entry's requests in progress there.
 #[derive(Debug)]
 pub struct Placement {
@@ -96,6 +116,8 @@
     request_counter: u64,
     lags: BTreeMap<ServiceRank, Lag>,
     admitted_shares: BTreeMap<Arc<str>, AdmittedShare>,
+    sharing: Sharing,
+    entry_count: u32,
 }
 
 /// Holds the estimated effect of sending a request to an upstream.
@@ -128,13 +150,28 @@
             request_counter: 0,
             lags: BTreeMap::new(),
             admitted_shares: BTreeMap::new(),
+            sharing: Sharing::default(),
+            entry_count: 1,
         }
     }
 
+    /// Sets when the measurements of all entries are used.
+    #[must_use]
+    pub fn with_sharing(self, sharing: Sharing) -> Self {
+        Self { sharing, ..self }
+    }
+
+    /// Returns whether the measurements of all entries are used for an upstream with this number of
+    /// slots.
+    pub fn shares_measurements(&self, slots: u32) -> bool {
+        self.sharing.includes(slots, self.entry_count)
+    }
+
     /// Updates the view; returns the runs of upstreams that are no longer in it.
     pub fn update(&mut self, view: &View) -> Vec<Run> {
         let mut removed = Vec::new();
         self.time_offset_ms = view.time_offset_ms;
+        self.entry_count = view.entry_count;
         if !self.records.as_ref().is_some_and(|it| Arc::ptr_eq(it, &view.upstreams)) {
             removed = self.update_records(&view.upstreams);
             self.records_changed = true;
--- a/crates/verbenaslip-relay/src/server.rs
+++ b/crates/verbenaslip-relay/src/server.rs
@@ -23,6 +23,7 @@
 use crate::forward::crash;
 use crate::forward::lifecycle::{self, Disposition};
 use crate::http::{Connection, reader};
+use crate::policy::placement::{Placement, Sharing};
 use crate::policy::retry::Bounds;
 use crate::shared::SharedState;
 use crate::{monotonic, socket};
@@ -42,6 +43,8 @@
     pub max_connections: usize,
     /// Limits on retries.
     pub retry_bounds: Bounds,
+    /// When the fleet's measurements of upstreams are used.
+    pub sharing: Sharing,
     /// Length of a usage window.
     pub usage_window: Duration,
     /// State shared with the control thread.
@@ -89,11 +92,12 @@
     active_requests: Arc<AtomicUsize>,
 ) {
     let Config { zone, max_connections, retry_bounds, usage_window, shared, dialect, .. } = config;
+    let placement = Placement::new(zone).with_sharing(config.sharing);
     let (crash_signals, crash_receiver) = mpsc::unbounded_channel();
     let context = Rc::new(Context::new(
         shared.clone(),
         dialect,
-        zone,
+        placement,
         retry_bounds,
         usage_window,
         crash_signals,
--- a/crates/verbenaslip-relay/src/shared.rs
+++ b/crates/verbenaslip-relay/src/shared.rs
@@ -11,6 +11,7 @@
 use verbenaslip_fleet::limit::{self, Limit, Limits};
 use verbenaslip_fleet::link::Report;
 use verbenaslip_fleet::load::WorkReport;
+use verbenaslip_fleet::measurement::{RunKey, Totals};
 use verbenaslip_fleet::quota::{LoanGrant, LoanRequest, Refund};
 use verbenaslip_fleet::registry::{Record, Run, Status};
 use verbenaslip_fleet::usage::{self, UsageCounter};
@@ -33,6 +34,8 @@
     loan_requested: Notify,
     /// Engine time that requests have asked for since the start, in milliseconds by service.
     engine_ms: Mutex<ServiceTotals>,
+    /// What this instance has measured at upstreams, as totals.
+    measurements: Mutex<BTreeMap<RunKey, Totals>>,
     observations: Mutex<Observations>,
     versions: Mutex<Versions>,
     /// Rate limits of upstreams that this instance has learnt.
@@ -77,6 +80,16 @@
         lock(&self.usage).count(usage::window_at(unix, window), team);
     }
 
+    /// Replaces the totals measured at one run.
+    pub fn set_measurement(&self, totals: Totals) {
+        lock(&self.measurements).insert(totals.key, totals);
+    }
+
+    /// Forgets the totals of a run that has ended.
+    pub fn forget_measurement(&self, key: RunKey) {
+        lock(&self.measurements).remove(&key);
+    }
+
     /// Requests a loan of a team's limit from the leader: `required` units for one request and
     /// `prefetch` units for those expected next.
     pub fn request_loan(
@@ -208,7 +221,17 @@
         let limits = self.unshared_limits();
         let counts = lock(&self.usage).counts();
         let departing = self.unshared_departures();
-        Report { counts, refunds, engine_work, rollouts, limits, departing, ..Report::default() }
+        let measurements = lock(&self.measurements).values().copied().collect();
+        Report {
+            counts,
+            refunds,
+            engine_work,
+            rollouts,
+            limits,
+            departing,
+            measurements,
+            ..Report::default()
+        }
     }
 
     /// Starts the planned stop: readiness probes fail from now on, so that no new connections
