Count runs whose answers are lost for usage

Usage counted a request when the head of its answer arrived. An upstream that runs a request and closes the connection without an answer was not counted, so that a window in which 63 upstreams lost one answer in twenty was 280 of 2,357 requests short.

A request counts once when its connection ends without an answer, as well as when a head arrives. An upstream that can't be reached or stays silent still counts nothing, since it may not have begun.

--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -379,6 +379,11 @@
         }
         Failure::Broken | Failure::Unresponsive => {
             attempts.may_have_run = true;
+            if failure == Failure::Broken {
+                // An upstream that closes the connection without an answer has usually run the
+                // request.
+                count_usage(context, request, attempts);
+            }
             if request.route.kind.may_repeat() {
                 Next::Retry
             } else {
