Share measurements of upstreams through the cores

An entry that sends to an upstream only every few seconds can't learn its speed or load, while all entries together can.

Entries now report the totals that changed since the acknowledged heartbeat. Cores count differences for each sender and incarnation and report the sums as their own totals. The leader averages them and answers with figures, which cores pass on; each answer holds at most 128, changed ones first. A totals field without content takes no bytes, so a fleet without measurements sends the same frames as before. The leader logs event 951, and two metrics tell the number and age of the figures held.

--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -8,6 +8,7 @@
 mod leadership;
 mod limit;
 mod log;
+mod measurement;
 mod orders;
 mod quarantine;
 mod rollout;
@@ -119,6 +120,8 @@
     /// Rate limits requested by upstreams, and the change with which they were published.
     pub(crate) limits: Arc<Limits>,
     pub(crate) limits_change: u64,
+    /// When the work on measurements is due.
+    pub(crate) measurement_schedule: measurement::Schedule,
     /// Tokens of proposed rollout verdicts, by rollout.
     pub(crate) verdict_proposals: BTreeMap<u64, u64>,
 }
@@ -222,6 +225,7 @@
             rollout_plans_change: 0,
             limits: Arc::default(),
             limits_change: 0,
+            measurement_schedule: measurement::Schedule::default(),
             verdict_proposals: BTreeMap::new(),
         }
     }
--- a/crates/verbenaslip-fleet/src/core/aggregator.rs
+++ b/crates/verbenaslip-fleet/src/core/aggregator.rs
@@ -130,14 +130,16 @@
         let to = heartbeat.peer.address;
         let term = self.link.view().version.term;
         self.aggregator.add_report(&mut heartbeat);
+        self.record_measurements(&heartbeat);
         let zone = heartbeat.peer.zone.clone();
         self.hub.handle_heartbeat(self.now, term, self.link.last_sequence(), heartbeat);
         self.schedule_acknowledgement();
-        let Some(update) = self
+        let Some(mut update) = self
             .with_follower_source(|hub, source, status| hub.heartbeat_answer(to, source, status))
         else {
             return;
         };
+        update.figures = self.answer_figures(to);
         self.send(to, Frame::Update(Box::new(update)));
         let Version { change, .. } = self.link.view().version;
         if self.hub.is_behind(to, change, self.newest_revision()) {
@@ -328,6 +330,7 @@
             refunds: refunds.map(|(team, units)| Refund { team, units }).collect(),
             aggregate: Some(aggregate),
             counted_until: self.hub.counted_until(self.now),
+            measurements: self.hub.measured_totals(self.now),
             ..Report::default()
         }
     }
--- a/crates/verbenaslip-fleet/src/core/event.rs
+++ b/crates/verbenaslip-fleet/src/core/event.rs
@@ -9,6 +9,7 @@
 use crate::departure::Departure;
 use crate::hub::AckCounts;
 use crate::limit::Observation;
+use crate::measurement::summary::Summary;
 use crate::quarantine::Finding;
 use crate::registry::StaleAnnouncement;
 use crate::rollout::Rollout;
@@ -108,6 +109,8 @@
     },
     /// An upstream has requested another rate limit, or none any more.
     LimitChanged(Observation),
+    /// The leader's figures of the upstreams of one service.
+    UpstreamFigures(Box<Summary>),
     /// A usage window was closed.
     WindowClosed {
         /// Number of the window.
--- a/crates/verbenaslip-fleet/src/core/leader.rs
+++ b/crates/verbenaslip-fleet/src/core/leader.rs
@@ -108,6 +108,7 @@
         self.handle_rollout_reports(&heartbeat);
         self.handle_observed_limits(&heartbeat.limits);
         heartbeat.departing.iter().for_each(|run| self.handle_reported_departure(run));
+        self.record_measurements(&heartbeat);
         self.hub.handle_heartbeat(self.now, leadership.term, self.link.last_sequence(), heartbeat);
         self.check_gathered();
         self.advance_acknowledged_calls();
@@ -232,6 +233,7 @@
             self.acknowledged_by_all = self.hub.acknowledged_by_all(self.now);
         }
         self.advance_calls();
+        self.maintain_measurements();
         if self.leadership.is_none() {
             return self.maintain_aggregator();
         }
@@ -266,7 +268,8 @@
         let update = self.with_leader_source(false, |hub, source| {
             hub.heartbeat_answer(to, source, fleet_status)
         });
-        if let Some(update) = update.flatten() {
+        if let Some(mut update) = update.flatten() {
+            update.figures = self.answer_figures(to);
             self.send(to, Frame::Update(Box::new(update)));
         }
     }
--- a/crates/verbenaslip-fleet/src/delta_map.rs
+++ b/crates/verbenaslip-fleet/src/delta_map.rs
@@ -47,6 +47,16 @@
         changed.map(|(key, (value, _))| (key, value))
     }
 
+    /// Returns whether a report up to this number contained exactly this value of a key.
+    pub(crate) fn is_acknowledged(&self, key: &K, value: &V, report: u64) -> bool {
+        self.values.get(key).is_some_and(|(known, first)| known == value && *first <= report)
+    }
+
+    /// Drops the value of a key.
+    pub(crate) fn remove(&mut self, key: &K) {
+        self.values.remove(key);
+    }
+
     /// Drops the values whose keys are no longer needed.
     pub(crate) fn retain(&mut self, is_needed: impl Fn(&K) -> bool) {
         self.values.retain(|key, _| is_needed(key));
--- a/crates/verbenaslip-fleet/src/frame.rs
+++ b/crates/verbenaslip-fleet/src/frame.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Deserializer, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use verbenaslip_base::data;
 use verbenaslip_base::name::{AvailabilityZone, Instance, Upstream};
 use verbenaslip_replica::message::Message;
@@ -192,10 +192,21 @@
 /// Holds a field that was added at the end of a frame; empty if it is missing or unreadable.
 ///
 /// A fleet is upgraded one instance at a time. Builds without the field ignore the trailing bytes,
-/// and builds with it accept frames that end before it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+/// and builds with it accept frames that end before it. An empty field takes no bytes, so it must
+/// be the last one of its frame.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Trailing<T>(pub T);
 
+impl<T: Serialize + Default + PartialEq> Serialize for Trailing<T> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if self.0 == T::default() {
+            serializer.serialize_unit()
+        } else {
+            self.0.serialize(serializer)
+        }
+    }
+}
+
 impl<'de, T: DeserializeOwned + Default> Deserialize<'de> for Trailing<T> {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
         Ok(Self(T::deserialize(deserializer).unwrap_or_default()))
--- a/crates/verbenaslip-fleet/src/hub.rs
+++ b/crates/verbenaslip-fleet/src/hub.rs
@@ -3,6 +3,7 @@
 //! The leader serves the cores, and each core serves its entries. In a small fleet the leader also
 //! serves all entries directly.
 
+mod measurements;
 mod push;
 mod source;
 mod subscriber;
@@ -21,6 +22,8 @@
 use crate::hub::subscriber::Subscriber;
 use crate::hub::totals::EntryTotals;
 use crate::load::{LoadEstimator, WorkReport};
+use crate::measurement::board::{Board, SentFigures};
+use crate::measurement::collector::Collector as MeasurementCollector;
 use crate::parent::ParentCore;
 use crate::quota::{LoanGrant, LoanRequest, TeamBuckets};
 use crate::route_table::RouteTable;
@@ -59,6 +62,10 @@
     /// Milliseconds of engine time that requests have required since this process started, by
     /// service.
     total_work: BTreeMap<Arc<str>, f64>,
+    /// Measurements of upstreams that subscribers report.
+    measurements: MeasurementCollector,
+    /// Figures that subscribers receive.
+    board: Board,
     /// When this core started to lead.
     leading_since: Duration,
     /// Number of entries that looked for a leader just before this leadership started.
@@ -123,15 +130,17 @@
     /// Usage counts and subscribers are kept, since subscribers report only what has changed since
     /// their earlier reports.
     pub fn start_leading(&mut self, now: Duration, expected: usize, restarted: bool) {
-        let Self { subscribers, usage, total_work, .. } = std::mem::take(self);
+        let Self { subscribers, usage, total_work, mut measurements, .. } = std::mem::take(self);
+        measurements.reset_averages();
         let team_buckets = TeamBuckets::new(restarted);
-        let retained = Self { subscribers, usage, total_work, ..Self::default() };
+        let retained = Self { subscribers, usage, total_work, measurements, ..Self::default() };
         *self = Self { team_buckets, leading_since: now, expected_entries: expected, ..retained };
     }
 
     /// Forgets all subscribers when this core stops serving them; they report elsewhere.
     pub fn release_subscribers(&mut self) {
         self.subscribers.clear();
+        self.measurements.leave_all();
         self.time_offset_ms = None;
     }
 
@@ -190,6 +199,7 @@
         if restarted {
             subscriber.route_table_sent = None;
             subscriber.work_totals.clear();
+            subscriber.sent_figures = SentFigures::default();
         }
         subscriber.acknowledge(now, change);
         let resend_timeout = subscriber.resend_timeout();
@@ -247,6 +257,7 @@
     /// Forgets an instance that reports elsewhere.
     pub fn forget(&mut self, instance: SocketAddr) {
         self.subscribers.remove(&instance);
+        self.measurements.leave(instance);
     }
 
     /// Returns the identity of a subscriber.
--- a/crates/verbenaslip-fleet/src/hub/subscriber.rs
+++ b/crates/verbenaslip-fleet/src/hub/subscriber.rs
@@ -7,6 +7,7 @@
 
 use crate::frame::Peer;
 use crate::hub::{Progress, SILENCE_TIMEOUT};
+use crate::measurement::board::SentFigures;
 
 /// Time after which an unacknowledged update is sent again. Together with the time until the next
 /// heartbeat it is shorter than the 600 ms after which a departure is acknowledged without the
@@ -55,6 +56,8 @@
     pub(super) last_sequence: u64,
     /// Engine work in total at its last heartbeat, by service.
     pub(super) work_totals: BTreeMap<Arc<str>, f64>,
+    /// Figures of upstreams that the instance has been sent.
+    pub(super) sent_figures: SentFigures,
 }
 
 impl Subscriber {
@@ -80,6 +83,7 @@
             entry_addresses: Vec::new(),
             last_sequence: 0,
             work_totals: BTreeMap::new(),
+            sent_figures: SentFigures::default(),
         }
     }
 
--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -1,12 +1,13 @@
 //! Connection of an instance to the leader or its parent core, and the view of the fleet that it
 //! keeps current.
 
+mod figures;
 mod merge;
 mod parent;
 mod report;
 mod update;
 
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,7 +22,8 @@
 use crate::hub;
 use crate::limit::{Limits, Observation};
 use crate::load::WorkReport;
-use crate::measurement::Totals;
+use crate::measurement::reporter::Reporter;
+use crate::measurement::{RunKey, Totals};
 use crate::parent::ParentCore;
 use crate::quarantine::Blocklist;
 use crate::quota::Refund;
@@ -61,9 +63,9 @@
 /// election.
 const ENTRY_COUNT_VALIDITY: Duration = Duration::from_secs(3);
 
-/// Maximum delay of an answer that may set the clock: within a tenth of the shortest usage window,
+/// Maximum delay of an answer that may set the clock or the age of figures: within a tenth of the shortest usage window,
 /// and a hundred times the round trip to the leader.
-const MAX_CLOCK_ANSWER_AGE: Duration = Duration::from_millis(500);
+const MAX_PROMPT_ANSWER_AGE: Duration = Duration::from_millis(500);
 
 /// Initial interval between heartbeats to all cores while no leader answers.
 const MIN_SEARCH_INTERVAL: Duration = Duration::from_millis(200);
@@ -177,6 +179,12 @@
     sent_reports: VecDeque<SentReport>,
     /// Requests that began, with the heartbeat that first contained each count.
     counts: DeltaMap<(u64, Team), u64>,
+    /// Selects the measurements that heartbeats contain.
+    measurements: Reporter,
+    /// Number of the last heartbeat whose answer contained figures of upstreams.
+    figures_sequence: u64,
+    /// Keys of the runs in the view of this version; only kept while there are figures.
+    known_runs: (Version, HashSet<RunKey>),
     /// Sender of the last answer, its incarnation, and the sequence number up to which it has all
     /// counts.
     last_answer: Option<(SocketAddr, u64, u64)>,
@@ -215,6 +223,9 @@
             last_sequence: 0,
             sent_reports: VecDeque::new(),
             counts: DeltaMap::default(),
+            measurements: Reporter::default(),
+            figures_sequence: 0,
+            known_runs: Default::default(),
             last_answer: None,
             parent_cores: Vec::new(),
             entry_list_requested: false,
--- a/crates/verbenaslip-fleet/src/link/report.rs
+++ b/crates/verbenaslip-fleet/src/link/report.rs
@@ -49,6 +49,8 @@
         let Report { aggregate, counted_until, measurements, .. } = report;
         self.last_sequence += 1;
         let counts = self.changed_counts(acknowledged, counts);
+        let measurements = self.measurements.select(self.last_sequence, acknowledged, measurements);
+        self.expire_figures(now);
         self.sent_reports.push_back(SentReport {
             sequence: self.last_sequence,
             sent_at: now,
--- a/crates/verbenaslip-fleet/src/link/update.rs
+++ b/crates/verbenaslip-fleet/src/link/update.rs
@@ -7,7 +7,7 @@
 use crate::frame::{FleetStatus, Update};
 use crate::history::History;
 use crate::limit::Limits;
-use crate::link::{Link, MAX_CLOCK_ANSWER_AGE};
+use crate::link::{Link, MAX_PROMPT_ANSWER_AGE};
 use crate::quarantine::Blocklist;
 use crate::rollout::Plans;
 use crate::view::Version;
@@ -26,7 +26,8 @@
             blocklist,
             ..
         } = update;
-        let Update { rollout_plans, limits, fleet_status, unix_ms, ack_requested, .. } = update;
+        let Update { rollout_plans, limits, fleet_status, unix_ms, ack_requested, figures, .. } =
+            update;
         // A leader that was cut off and does not know it yet sends outdated facts.
         if version.term < self.view.version.term {
             return false;
@@ -65,6 +66,9 @@
             self.view.version = version;
         }
         if let Some(fleet_status) = fleet_status {
+            if self.target == Some(from) {
+                self.apply_figures(now, fleet_status.sequence, &figures.0);
+            }
             self.handle_fleet_status(from, version.term, fleet_status);
         }
         ack_requested
@@ -114,7 +118,7 @@
     /// count requests into earlier usage windows.
     fn update_clock(&mut self, now: Duration, sent_at: Option<Duration>, unix_ms: u64) {
         let is_prompt =
-            sent_at.is_some_and(|sent_at| now.saturating_sub(sent_at) <= MAX_CLOCK_ANSWER_AGE);
+            sent_at.is_some_and(|sent_at| now.saturating_sub(sent_at) <= MAX_PROMPT_ANSWER_AGE);
         if is_prompt || !self.clock.is_agreed() {
             self.clock.set_agreed(now, unix_ms);
             self.view.time_offset_ms = crate::clock::offset_ms(now, unix_ms);
--- a/crates/verbenaslip-fleet/src/measurement.rs
+++ b/crates/verbenaslip-fleet/src/measurement.rs
@@ -3,6 +3,20 @@
 //! Each entry reports [`Totals`] for the runs that it sends requests to. The leader combines them
 //! into one [`Figure`] per run, which all entries receive. All of this is soft state: it is lost
 //! with the instance that holds it and measured again.
+//!
+//! 1. [`reporter`] selects the totals that a heartbeat contains.
+//! 2. [`collector`] sums what several senders report. A core reports these sums as its own totals,
+//!    and [`difference`] limits what one report can add to them.
+//! 3. [`average`] calculates the figure of a run.
+//! 4. [`board`] selects the figures that an answer contains.
+//! 5. [`summary`] lists the runs that differ most, for the event log.
+
+pub mod average;
+pub mod board;
+pub mod collector;
+pub mod difference;
+pub(crate) mod reporter;
+pub mod summary;
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -15,6 +29,21 @@
 /// 1 in 9 million.
 const RUN_KEY_BITS: u32 = 48;
 
+/// Maximum number of totals in a heartbeat.
+pub const MAX_REPORTED_TOTALS: usize = 512;
+
+/// Age from which a figure is dropped.
+pub const MAX_FIGURE_AGE: Duration = Duration::from_secs(10);
+
+/// Hundredths of a token per millisecond in one token per millisecond.
+const SPEED_UNIT: f64 = 100.0;
+
+/// Tenths of an event per second in one event per second.
+const EVENT_UNIT: f64 = 10.0;
+
+/// Thousandths in a whole.
+const SHARE_UNIT: f64 = 1_000.0;
+
 /// Identifies a run in measurements by a hash, since names cost about 20 bytes each.
 #[data(copy, ord, hash)]
 pub struct RunKey(u64);
@@ -94,6 +123,35 @@
     pub age_ms: u32,
 }
 
+impl FigureReport {
+    /// Returns the report of a figure at the time `now`.
+    pub fn new(key: RunKey, figure: &Figure, now: Duration) -> Self {
+        Self {
+            key,
+            speed: rounded(figure.tokens_per_ms.unwrap_or_default() * SPEED_UNIT),
+            wait_ms: rounded(figure.wait_ms),
+            pending_tokens: u32::try_from(figure.pending_tokens).unwrap_or(u32::MAX),
+            active: figure.active,
+            events: rounded(figure.events_per_s * EVENT_UNIT),
+            failures: rounded(figure.failure_rate * SHARE_UNIT),
+            age_ms: millis(now.saturating_sub(figure.measured_at)),
+        }
+    }
+
+    /// Returns the figure of a report that was sent at the time `sent_at`.
+    pub fn figure(&self, sent_at: Duration) -> Figure {
+        Figure {
+            tokens_per_ms: (self.speed > 0).then(|| f64::from(self.speed) / SPEED_UNIT),
+            wait_ms: f64::from(self.wait_ms),
+            pending_tokens: u64::from(self.pending_tokens),
+            active: self.active,
+            events_per_s: f64::from(self.events) / EVENT_UNIT,
+            failure_rate: f64::from(self.failures) / SHARE_UNIT,
+            measured_at: sent_at.saturating_sub(Duration::from_millis(self.age_ms.into())),
+        }
+    }
+}
+
 /// Describes a run as measured by all entries together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Figure {
@@ -115,3 +173,18 @@
 
 /// Figures of all runs that have been measured.
 pub type Figures = HashMap<RunKey, Figure>;
+
+/// Returns the age of the oldest figure, or `None` without figures.
+pub fn oldest_age(figures: &Figures, now: Duration) -> Option<Duration> {
+    figures.values().map(|figure| now.saturating_sub(figure.measured_at)).max()
+}
+
+/// Rounds a value that is not negative; values that do not fit become the nearest one that does.
+fn rounded(value: f64) -> u32 {
+    value.round() as u32
+}
+
+/// Returns a time in milliseconds.
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/verbenaslip-fleet/tests/net/mod.rs
+++ b/crates/verbenaslip-fleet/tests/net/mod.rs
@@ -12,6 +12,7 @@
 use verbenaslip_fleet::frame::{Frame, Peer, Request, Response};
 use verbenaslip_fleet::limit::{Limit, Limits, Observation};
 use verbenaslip_fleet::link::Report;
+use verbenaslip_fleet::measurement::{RunKey, Totals};
 use verbenaslip_fleet::order;
 use verbenaslip_fleet::quarantine::QuarantinePolicy;
 use verbenaslip_fleet::registry::{Announcement, Run, Status};
@@ -116,6 +117,10 @@
     order_timing: Option<order::Timing>,
     /// Requests that began at each entry, by window and team.
     counts: BTreeMap<usize, Counts>,
+    /// What each entry has measured, by run.
+    measurements: BTreeMap<usize, BTreeMap<RunKey, Totals>>,
+    /// Bytes of figures that each entry has received, while traffic is counted.
+    figure_bytes: BTreeMap<SocketAddr, usize>,
     /// Traffic of each core, while it is counted.
     traffic: Option<BTreeMap<SocketAddr, Traffic>>,
 }
@@ -179,6 +184,8 @@
             events: Vec::new(),
             order_timing,
             counts: BTreeMap::new(),
+            measurements: BTreeMap::new(),
+            figure_bytes: BTreeMap::new(),
             traffic: None,
         };
         for index in 0..cores {
@@ -362,6 +369,19 @@
         window
     }
 
+    /// Changes the totals that an entry has measured at a run.
+    pub fn measure(&mut self, entry: usize, run: &Run, change: impl FnOnce(&mut Totals)) {
+        let key = RunKey::of(run);
+        let totals = self.measurements.entry(entry).or_default();
+        change(totals.entry(key).or_insert_with(|| Totals::new(key)));
+    }
+
+    /// Returns the bytes of figures that an entry has received since
+    /// [`count_traffic`](Self::count_traffic).
+    pub fn figure_bytes(&self, entry: usize) -> usize {
+        self.figure_bytes.get(&entry_address(entry)).copied().unwrap_or_default()
+    }
+
     fn usage_counts(&self, entry: usize) -> Vec<Count> {
         let counts = self.counts.get(&entry).into_iter().flatten();
         let count = |((window, team), requests): (&(u64, Team), &u64)| Count {
@@ -425,6 +445,7 @@
     /// Starts to count the traffic of each core from zero.
     pub fn count_traffic(&mut self) {
         self.traffic = Some(BTreeMap::new());
+        self.figure_bytes.clear();
     }
 
     /// Returns the traffic of a core since [`count_traffic`](Self::count_traffic).
@@ -467,7 +488,9 @@
         for index in 0..self.entries.len() {
             let departing = self.unreported_departures(index);
             let (limits, counts) = (self.unreported_limits(index), self.usage_counts(index));
-            let report = Report { limits, departing, counts, ..Report::default() };
+            let measurements = self.measurements.get(&index).into_iter().flat_map(BTreeMap::values);
+            let measurements = measurements.copied().collect();
+            let report = Report { limits, departing, counts, measurements, ..Report::default() };
             let envelope = self.entries[index].next_heartbeat(self.now, unix_ms, report);
             self.send_envelope(entry_address(index), envelope);
             let envelope = self.entries[index].next_crash_report(self.now);
@@ -498,6 +521,10 @@
             return self.step_core(index, Input::Frame(Box::new(frame)));
         }
         if let Some(index) = (0..self.entries.len()).find(|it| entry_address(*it) == to) {
+            if let (Frame::Update(update), true) = (&frame, self.traffic.is_some()) {
+                let bytes = postcard::to_stdvec(&update.figures).expect("figures are encodable");
+                *self.figure_bytes.entry(to).or_default() += bytes.len();
+            }
             let envelope = self.entries[index].handle_frame(self.now, frame);
             self.send_envelope(to, envelope);
         }
--- a/crates/verbenaslip-instance/src/core.rs
+++ b/crates/verbenaslip-instance/src/core.rs
@@ -27,6 +27,7 @@
 use crate::links::Links;
 use crate::load::LoadStats;
 use crate::logging;
+use crate::metric;
 use crate::priority_inbox::PriorityInbox;
 use crate::settings::{self, Settings};
 use crate::signal::Signal;
@@ -93,6 +94,8 @@
     incarnation: u64,
     stop_deadline: Option<Duration>,
     load: LoadStats,
+    /// Whether figures of upstreams have been held.
+    had_figures: bool,
 }
 
 /// Channels from which a core receives its messages.
@@ -156,6 +159,7 @@
         incarnation: monotonic::unix_ms(),
         stop_deadline: None,
         load: LoadStats::default(),
+        had_figures: false,
     };
     core.open_data_directory(true)?;
     loop {
@@ -355,12 +359,23 @@
         }
     }
 
-    /// Logs the load of the last second if this core leads.
+    /// Logs the load of the last second if this core leads, and records its figures of upstreams.
     fn log_load(&mut self, waiting: [usize; 2]) {
+        if self.load.is_due(monotonic::now()) {
+            self.record_figures();
+        }
         let leads = self.state_machine.as_ref().is_some_and(StateMachine::is_leading);
         self.load.log_if_due(monotonic::now(), leads, waiting);
     }
 
+    /// Records how many figures of upstreams this core holds.
+    fn record_figures(&mut self) {
+        let now = monotonic::now();
+        let held = self.state_machine.as_ref().map(|it| it.held_figures(now));
+        let (count, oldest_age) = held.unwrap_or_default();
+        metric::record_figures(count, oldest_age, &mut self.had_figures);
+    }
+
     fn time_until_wakeup(&self) -> Duration {
         let wakeup_at =
             self.state_machine.as_ref().map_or(self.reopen_at, StateMachine::next_wakeup);
--- a/crates/verbenaslip-instance/src/entry.rs
+++ b/crates/verbenaslip-instance/src/entry.rs
@@ -10,6 +10,7 @@
 use verbenaslip_fleet::Entry as StateMachine;
 use verbenaslip_fleet::entry::Envelope;
 use verbenaslip_fleet::frame::{Frame, Peer};
+use verbenaslip_fleet::measurement;
 use verbenaslip_fleet::transition::Transitions;
 use verbenaslip_fleet::view::Version;
 use verbenaslip_relay::dialect::Dialect;
@@ -23,6 +24,7 @@
 use crate::event;
 use crate::links::Links;
 use crate::logging;
+use crate::metric;
 use crate::settings::{self, Settings};
 use crate::signal::Signal;
 use crate::stop::{Phase, Stop};
@@ -102,6 +104,7 @@
         logged_view,
         leader_lost_at,
         stop,
+        had_figures: false,
     };
     loop {
         running_entry.send_due_reports();
@@ -133,6 +136,8 @@
     logged_view: Option<(u64, Version)>,
     leader_lost_at: Option<Duration>,
     stop: Option<Stop>,
+    /// Whether figures of upstreams have been held.
+    had_figures: bool,
 }
 
 impl RunningEntry {
@@ -149,6 +154,9 @@
         let report = self.shared.take_report();
         let envelope = self.state_machine.next_heartbeat(now, monotonic::unix_ms(), report);
         self.send(envelope);
+        let figures = &self.state_machine.view().figures;
+        let oldest_age = measurement::oldest_age(figures, now);
+        metric::record_figures(figures.len(), oldest_age, &mut self.had_figures);
     }
 
     /// Records the crashes and answers that requests have observed, for the next report to the leader.
--- a/crates/verbenaslip-instance/src/event.rs
+++ b/crates/verbenaslip-instance/src/event.rs
@@ -55,6 +55,8 @@
 pub(crate) const LIMIT_CHANGED: Kind = Kind { number: 944, name: "limit_shared" };
 /// The work of the leader during one second.
 pub(crate) const LEADER_LOAD: Kind = Kind { number: 947, name: "lead_load" };
+/// What all entries together measure at the upstreams of a service.
+pub(crate) const UPSTREAM_FIGURES: Kind = Kind { number: 951, name: "upstream_figures" };
 /// The set of voters is being changed.
 pub(crate) const VOTERS_CHANGED: Kind = Kind { number: 914, name: "voters_changing" };
 /// The counts of a usage window are final.
--- a/crates/verbenaslip-instance/src/load.rs
+++ b/crates/verbenaslip-instance/src/load.rs
@@ -50,11 +50,16 @@
         self.max_wait = self.max_wait.max(waited);
     }
 
+    /// Returns whether the next log line is due.
+    pub(crate) fn is_due(&self, now: Duration) -> bool {
+        now.saturating_sub(self.started_at) >= LOG_INTERVAL
+    }
+
     /// Logs the counters of the last second if this core `leads`, and resets them.
     ///
     /// `waiting` holds the numbers of waiting frames and calls. Does nothing before the second is over.
     pub(crate) fn log_if_due(&mut self, now: Duration, leads: bool, waiting: [usize; 2]) {
-        if now.saturating_sub(self.started_at) < LOG_INTERVAL {
+        if !self.is_due(now) {
             return;
         }
         let finished = std::mem::replace(self, Self { started_at: now, ..Self::default() });
--- a/crates/verbenaslip-instance/src/logging.rs
+++ b/crates/verbenaslip-instance/src/logging.rs
@@ -7,6 +7,8 @@
 use verbenaslip_fleet::departure::Departure;
 use verbenaslip_fleet::fingerprint::Fingerprint;
 use verbenaslip_fleet::hub::AckCounts;
+use verbenaslip_fleet::measurement::Figure;
+use verbenaslip_fleet::measurement::summary::Summary;
 use verbenaslip_fleet::quarantine::Finding;
 use verbenaslip_fleet::registry::{Record, Run, StaleAnnouncement};
 use verbenaslip_fleet::rollout::Rollout;
@@ -91,11 +93,40 @@
                 ("upstreams", json!(upstreams)),
             ],
         ),
+        Event::UpstreamFigures(summary) => log_figures(&summary),
         Event::CallTimedOut { call } => emit(event::CALL_TIMED_OUT, [("asked", json!(call))]),
         Event::UnreadableLog(cause) => emit(event::LOG_UNREADABLE, [("cause", json!(cause))]),
     }
 }
 
+/// Logs what all entries together measure at the upstreams of a service.
+fn log_figures(summary: &Summary) {
+    let rounded = |value: f64| json!((value * 100.0).round() / 100.0);
+    let fields = |figure: &Figure| {
+        json!({
+            "tokens_per_ms": figure.tokens_per_ms.map(rounded),
+            "wait_ms": rounded(figure.wait_ms),
+            "pending_tokens": figure.pending_tokens,
+            "active": figure.active,
+            "events_per_s": rounded(figure.events_per_s),
+            "failure_rate": rounded(figure.failure_rate),
+        })
+    };
+    let upstreams = summary.upstreams.iter();
+    let upstreams = upstreams.map(|(name, figure)| (name.as_str().to_owned(), fields(figure)));
+    emit(
+        event::UPSTREAM_FIGURES,
+        [
+            ("service", json!(summary.service)),
+            ("figures", json!(summary.figures)),
+            ("oldest_ms", json!(summary.oldest_age.as_millis())),
+            ("median_tokens_per_ms", rounded(summary.median_tokens_per_ms)),
+            ("median_wait_ms", rounded(summary.median_wait_ms)),
+            ("upstreams", Value::Object(upstreams.collect())),
+        ],
+    );
+}
+
 /// Logs an acknowledged departure.
 fn log_departure(departure: &Departure, waited: Duration, version: Version, acks: AckCounts) {
     let complete = acks.acknowledged >= acks.reachable;
--- a/crates/verbenaslip-instance/src/metric.rs
+++ b/crates/verbenaslip-instance/src/metric.rs
@@ -44,6 +44,17 @@
     Ok(())
 }
 
+/// Records the number of figures of upstreams that an instance holds and the age of the oldest; records nothing
+/// until there are figures.
+pub(crate) fn record_figures(count: usize, oldest_age: Option<Duration>, had_figures: &mut bool) {
+    *had_figures |= count > 0;
+    if *had_figures {
+        metrics::gauge!("verbenaslip_upstream_figures").set(count as f64);
+        metrics::gauge!("verbenaslip_upstream_figure_age_seconds")
+            .set(oldest_age.unwrap_or_default().as_secs_f64());
+    }
+}
+
 async fn serve(stream: TcpStream, handle: PrometheusHandle) {
     let mut connection = Connection::new(stream);
     while connection.head_length().is_none() {
