--- a/crates/verbenaslip-fleet/src/measurement/collector.rs
+++ b/crates/verbenaslip-fleet/src/measurement/collector.rs
@@ -91,7 +91,11 @@
         let has_returned = !sender.is_live || now.saturating_sub(sender.last_heard) > MAX_SILENCE;
         if !sender.is_live {
             sender.is_live = true;
-            sender.reported.values().for_each(|it| run(&mut self.runs, it.key).add_gauges(it));
+            for report in sender.reported.values() {
+                let run = run(&mut self.runs, report.key);
+                run.add_gauges(report);
+                run.measured_at = Some(now);
+            }
         }
         if has_returned {
             sender.heard_since = now;
--- a/crates/verbenaslip-fleet/tests/measurement.rs
+++ b/crates/verbenaslip-fleet/tests/measurement.rs
@@ -10,17 +10,23 @@
 use rand_pcg::Pcg64;
 use serde::{Deserialize, Serialize};
 use verbenaslip_base::name::{AvailabilityZone, Instance};
+use verbenaslip_fleet::Entry;
 use verbenaslip_fleet::core::Event;
-use verbenaslip_fleet::frame::{Aggregate, FleetStatus, Frame, Heartbeat, Peer, Request, Update};
+use verbenaslip_fleet::frame::{
+    Aggregate, FleetStatus, Frame, Heartbeat, Peer, Request, Trailing, Update,
+};
+use verbenaslip_fleet::hub::Hub;
 use verbenaslip_fleet::limit::{Limits, Observation};
 use verbenaslip_fleet::link::{Link, Report};
 use verbenaslip_fleet::load::WorkReport;
 use verbenaslip_fleet::measurement::board::{Board, SentFigures};
 use verbenaslip_fleet::measurement::collector::Collector;
-use verbenaslip_fleet::measurement::{Figure, Figures, MAX_FIGURE_AGE, RunKey, Totals};
+use verbenaslip_fleet::measurement::{
+    Figure, FigureReport, Figures, MAX_FIGURE_AGE, RunKey, Totals,
+};
 use verbenaslip_fleet::quarantine::Blocklist;
 use verbenaslip_fleet::quota::Refund;
-use verbenaslip_fleet::registry::{Announcement, Record, Run};
+use verbenaslip_fleet::registry::{Announcement, Record, Run, Status};
 use verbenaslip_fleet::rollout::{Plans, report};
 use verbenaslip_fleet::route_table::RouteTable;
 use verbenaslip_fleet::usage::{Count, EntryRun};
@@ -99,6 +105,29 @@
     assert_eq!(counted(&core), 4);
 }
 
+#[test]
+fn lost_heartbeats_lose_measurements_only_after_a_second_of_silence() {
+    // Guards against counting only what two heartbeats in a row contain.
+    let (mut core, mut entry) = (Collector::default(), Sender::new());
+    let mut rng = Pcg64::seed_from_u64(3);
+    let (mut expected, mut unreported, mut last_heard) = (0, 0, None);
+    for _ in 0..1_000 {
+        add_answer(&mut entry.totals, 40);
+        unreported += 1;
+        entry.sequence += 1;
+        entry.now += HEARTBEAT;
+        if rng.random_bool(1.0 / 3.0) {
+            continue;
+        }
+        entry.send(&mut core, entry.sequence, entry.totals);
+        let is_baseline = last_heard.is_none_or(|heard| entry.now - heard > SECOND);
+        expected += if is_baseline { 0 } else { unreported };
+        (unreported, last_heard) = (0, Some(entry.now));
+    }
+    assert_eq!(counted(&core), expected);
+    assert!(expected > 900, "{expected} of 1,000");
+}
+
 #[test]
 fn an_entry_that_changes_its_parent_core_back_and_forth_is_not_counted_twice() {
     // The notice to the former core may be lost, so that both still hold totals of the entry.
@@ -258,6 +287,71 @@
     }
 }
 
+/// Lets an entry send a heartbeat at `asked_at`; returns the answer, with a figure of `run` that has
+/// this age in milliseconds.
+fn answer(entry: &mut Entry, asked_at: Duration, age_ms: u32, wait_ms: u32) -> Frame {
+    let envelope = entry.next_heartbeat(asked_at, 0, Report::default()).expect("it is due");
+    let Frame::Heartbeat(heartbeat) = envelope.frame else { panic!("expected a heartbeat") };
+    let Ok(Frame::Update(update)) = postcard::from_bytes(&encode(&old_update())) else {
+        panic!("unreadable")
+    };
+    let record = Record { announcement: announcement("u", 1, false), status: Status::Ready };
+    let figure = Figure {
+        tokens_per_ms: Some(60.0),
+        wait_ms: f64::from(wait_ms),
+        pending_tokens: 5_000,
+        active: 2,
+        events_per_s: 3.5,
+        failure_rate: 0.25,
+        measured_at: SECOND,
+    };
+    let key = RunKey::of(&record.announcement.run);
+    let unknown = RunKey::of(&run("v", 1));
+    let mut reports = [key, unknown].map(|key| FigureReport::new(key, &figure, SECOND));
+    reports.iter_mut().for_each(|report| report.age_ms = age_ms);
+    let status = FleetStatus {
+        cores: Vec::new(),
+        parent_cores: Vec::new(),
+        incarnation: 1,
+        sequence: heartbeat.sequence,
+        entry_count: 1,
+        plans_change: 0,
+        plans_age: None,
+        time_slot: None,
+        list_entries: false,
+    };
+    Frame::Update(Box::new(Update {
+        base: None,
+        records: vec![record],
+        fleet_status: Some(status),
+        figures: Trailing(reports.to_vec()),
+        ..*update
+    }))
+}
+
+#[test]
+fn late_answers_do_not_make_figures_younger() {
+    let mut entry = Entry::new(peer(), vec![([10, 0, 0, 2], 7_000).into()], SECOND, 0);
+    let key = RunKey::of(&run("u", 0));
+    let times = [1, 2, 3, 4].map(|it| SECOND * it);
+    let [first, second, overtaken, held_up] =
+        [0, 1, 2, 3].map(|it| answer(&mut entry, times[it], 300, 10 + it as u32));
+    let delay = SECOND / 100;
+    entry.handle_frame(times[0] + delay, first);
+    let held = entry.view().figures.clone();
+    let Figure { tokens_per_ms, wait_ms, pending_tokens, active, .. } = held[&key];
+    assert_eq!((tokens_per_ms, wait_ms, pending_tokens, active), (Some(60.0), 10.0, 5_000, 2));
+    assert_eq!((held[&key].events_per_s, held[&key].failure_rate), (3.5, 0.25));
+    assert_eq!(held[&key].measured_at, times[0] + delay - SECOND * 3 / 10);
+    assert_eq!(held.len(), 1, "a run that the view does not contain has no figure");
+    entry.handle_frame(times[3] + SECOND * 2, held_up);
+    let held = entry.view().figures[&key];
+    assert_eq!((held.wait_ms, held.measured_at), (13.0, times[3] - SECOND * 3 / 10));
+    entry.handle_frame(times[3] + SECOND * 2, overtaken);
+    entry.handle_frame(times[3] + SECOND * 2, second);
+    assert_eq!(entry.view().figures[&key], held, "overtaken answers change nothing");
+}
+
 /// Starts a fleet whose entries know all upstreams.
 fn fleet(cores: usize, entries: usize, upstreams: u64) -> Network {
     let mut net = Network::with_voters(cores, entries, 3);
@@ -400,6 +494,24 @@
     assert!(after.events_per_s <= 40.0 * 0.75, "{after:?}");
 }
 
+#[test]
+fn a_new_leader_sends_no_figures_until_reports_arrive() {
+    // Guards against figures of the few entries that reported to the core before it led.
+    let totals = Totals { active: 3, ..Totals::new(RunKey::of(&run("u", 1))) };
+    let (mut hub, report) = (Hub::default(), heartbeat(vec![totals]));
+    let figures = |hub: &mut Hub, now| {
+        hub.post_measured_figures(now);
+        hub.posted_figures(now).0
+    };
+    hub.record_measurements(SECOND, &report, &Figures::default());
+    assert_eq!(figures(&mut hub, SECOND), 1);
+    hub.start_leading(SECOND, 0, false);
+    assert_eq!(figures(&mut hub, SECOND), 0);
+    let report = Heartbeat { sequence: 2, ..heartbeat(Vec::new()) };
+    hub.record_measurements(SECOND * 2, &report, &Figures::default());
+    assert_eq!(figures(&mut hub, SECOND * 2), 1, "the sender confirms its totals");
+}
+
 #[test]
 fn a_restarted_upstream_starts_without_figure() {
     let mut net = fleet(3, 8, 2);
@@ -460,12 +572,35 @@
     ack_requested: bool,
 }
 
-/// Builds a heartbeat with these measurements.
-fn heartbeat(measurements: Vec<Totals>) -> Heartbeat {
+fn peer() -> Peer {
     let address: SocketAddr = ([10, 0, 0, 1], 7_000).into();
     let (name, zone) = (Instance::from("entry"), AvailabilityZone::from("north"));
-    let peer = Peer { address, name, zone, incarnation: 1, voter: None };
-    let mut link = Link::new(peer, vec![([10, 0, 0, 2], 7_000).into()], SECOND, 0);
+    Peer { address, name, zone, incarnation: 1, voter: None }
+}
+
+/// Builds an update of a build without measurements.
+fn old_update() -> OldFrame {
+    let version = Version { term: 1, change: 1 };
+    OldFrame::Update(Box::new(OldUpdate {
+        from: ([10, 0, 0, 2], 7_000).into(),
+        leader: ([10, 0, 0, 2], 7_000).into(),
+        leader_contact_age: Duration::ZERO,
+        version,
+        base: Some(version),
+        records: Vec::new(),
+        route_table: None,
+        blocklist: None,
+        rollout_plans: None,
+        limits: None,
+        fleet_status: None,
+        unix_ms: 5,
+        ack_requested: true,
+    }))
+}
+
+/// Builds a heartbeat with these measurements.
+fn heartbeat(measurements: Vec<Totals>) -> Heartbeat {
+    let mut link = Link::new(peer(), vec![([10, 0, 0, 2], 7_000).into()], SECOND, 0);
     let report = Report { measurements, ..Report::default() };
     link.next_heartbeat(SECOND, 0, report).expect("a heartbeat is due").1
 }
@@ -488,24 +623,7 @@
     assert_eq!(measurements(&with), [totals]);
     assert_eq!(measurements(&without), []);
     assert_eq!(measurements(&with[..with.len() - 1]), [], "an unreadable field is empty");
-    let version = Version::default();
-    let (from, leader) = (([10, 0, 0, 2], 7_000).into(), ([10, 0, 0, 3], 7_000).into());
-    let old = OldFrame::Update(Box::new(OldUpdate {
-        from,
-        leader,
-        leader_contact_age: SECOND,
-        version,
-        base: Some(version),
-        records: Vec::new(),
-        route_table: None,
-        blocklist: None,
-        rollout_plans: None,
-        limits: None,
-        fleet_status: None,
-        unix_ms: 5,
-        ack_requested: true,
-    }));
-    let old = encode(&old);
+    let old = encode(&old_update());
     let Ok(Frame::Update(mut update)) = postcard::from_bytes(&old) else { panic!("unreadable") };
     let Update { figures, ack_requested, .. } = &mut *update;
     assert!(figures.0.is_empty() && *ack_requested);
