Drop the figures of departed upstreams at the leader

The registry keeps records of departed and lost upstreams for up to two minutes.

An instance without figures no longer keeps the keys of the runs either.

--- a/crates/verbenaslip-fleet/src/core/measurement.rs
+++ b/crates/verbenaslip-fleet/src/core/measurement.rs
@@ -8,6 +8,7 @@
 use crate::frame::{Heartbeat, Trailing};
 use crate::measurement::summary::summarize;
 use crate::measurement::{self, FigureReport, Figures, RunKey};
+use crate::upstream::{Record, Status};
 
 /// Interval between two checks for runs that no longer exist.
 const RUN_CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -51,7 +52,7 @@
         if self.now >= self.measurement_schedule.next_run_check {
             self.measurement_schedule.next_run_check = self.now + RUN_CHECK_INTERVAL;
             let runs: HashSet<RunKey> = if self.is_leading() {
-                self.registry.records().map(|it| RunKey::of(&it.announcement.run)).collect()
+                self.present_records().map(|it| RunKey::of(&it.announcement.run)).collect()
             } else {
                 let records = self.link.view().upstreams.values();
                 records.map(|it| RunKey::of(&it.announcement.run)).collect()
@@ -61,11 +62,19 @@
         if self.is_leading() && self.now >= self.measurement_schedule.next_summary {
             self.measurement_schedule.next_summary = self.now + SUMMARY_INTERVAL;
             let figures = self.hub.measured_figures(self.now);
-            let summaries = summarize(self.now, &figures, self.registry.records());
+            let summaries = summarize(self.now, &figures, self.present_records());
             summaries.into_iter().for_each(|it| self.emit(Event::UpstreamFigures(Box::new(it))));
         }
     }
 
+    /// Iterates over the registered upstreams that are neither gone nor lost.
+    ///
+    /// The registry keeps the others for up to two minutes, but no instance sends requests to them.
+    fn present_records(&self) -> impl Iterator<Item = &Record> {
+        let is_present = |it: &&Record| !matches!(it.status, Status::Gone | Status::Lost);
+        self.registry.records().filter(is_present)
+    }
+
     /// Returns the number of figures that this core holds and the age of the oldest.
     pub fn held_figures(&self, now: Duration) -> (usize, Option<Duration>) {
         if self.is_leading() {
--- a/crates/verbenaslip-fleet/src/link/figures.rs
+++ b/crates/verbenaslip-fleet/src/link/figures.rs
@@ -28,6 +28,7 @@
     /// Drops the figures that are too old, and those of runs that are gone from the view.
     pub(super) fn expire_figures(&mut self, now: Duration) {
         if self.view.figures.is_empty() {
+            self.known_runs = Default::default();
             return;
         }
         self.update_known_runs();
--- a/crates/verbenaslip-fleet/tests/measurement.rs
+++ b/crates/verbenaslip-fleet/tests/measurement.rs
@@ -527,6 +527,26 @@
     assert!(figure(&net, 1, 1).is_some(), "the other upstream keeps its figure");
 }
 
+#[test]
+fn a_departed_upstream_is_no_longer_in_the_summary() {
+    // Guards against figures of departed runs, whose records the registry keeps for two minutes.
+    let mut net = fleet(3, 8, 2);
+    serve(&mut net, 8, 2, 40, SECOND * 6);
+    let last_count = |net: &mut Network| {
+        let events = net.take_events().into_iter();
+        let counts = events.filter_map(|(_, event)| match event {
+            Event::UpstreamFigures(summary) => Some(summary.figures),
+            _ => None,
+        });
+        counts.last()
+    };
+    assert_eq!(last_count(&mut net), Some(2));
+    let Run { upstream, incarnation } = upstream(0, 1);
+    net.call(0, Request::Withdraw { upstream, incarnation: Some(incarnation) });
+    net.run(SECOND * 7);
+    assert_eq!(last_count(&mut net), Some(1));
+}
+
 /// The frames of a build without measurements.
 #[derive(Serialize, Deserialize)]
 enum OldFrame {
