--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -63,8 +63,8 @@
 /// election.
 const ENTRY_COUNT_VALIDITY: Duration = Duration::from_secs(3);
 
-/// Maximum delay of an answer that may set the clock or the age of figures: within a tenth of the shortest usage window,
-/// and a hundred times the round trip to the leader.
+/// Maximum delay of an answer that may set the clock or the age of figures: within a tenth of the
+/// shortest usage window, and a hundred times the round trip to the leader.
 const MAX_PROMPT_ANSWER_AGE: Duration = Duration::from_millis(500);
 
 /// Initial interval between heartbeats to all cores while no leader answers.
--- a/crates/verbenaslip-instance/src/metric.rs
+++ b/crates/verbenaslip-instance/src/metric.rs
@@ -44,8 +44,8 @@
     Ok(())
 }
 
-/// Records the number of figures of upstreams that an instance holds and the age of the oldest; records nothing
-/// until there are figures.
+/// Records the number of figures of upstreams that an instance holds and the age of the oldest;
+/// records nothing until there are figures.
 pub(crate) fn record_figures(count: usize, oldest_age: Option<Duration>, had_figures: &mut bool) {
     *had_figures |= count > 0;
     if *had_figures {
