Don't count totals from zero while a sender still reports old ones

A sender with more than 4,096 runs needs more than two seconds to report all of them, 512 in each heartbeat. Later ones with at most 16 events were then counted as a first use. The new test reports 7,800 runs with 9 first events each to a new leader, which counted 33,336 of them instead of none.

A full report now restarts the period after which a run that is reported for the first time counts from zero.

--- a/crates/verbenaslip-fleet/src/measurement/collector.rs
+++ b/crates/verbenaslip-fleet/src/measurement/collector.rs
@@ -17,8 +17,9 @@
 /// Silence after which a sender is forgotten.
 const SENDER_RETENTION: Duration = Duration::from_secs(30);
 
-/// Time for which a sender must have been heard before a run that it reports for the first time
-/// counts from zero; within it the sender has repeated all totals that this instance lacks.
+/// Time for which a sender must have been heard, without a full report, before a run that it reports
+/// for the first time counts from zero; within it the sender has repeated all totals that this
+/// instance lacks.
 const MIN_HEARD_TIME: Duration = Duration::from_secs(2);
 
 /// Maximum number of events in the totals of a run that counts from zero; more than a sender
@@ -37,8 +38,8 @@
 struct Sender {
     incarnation: u64,
     sequence: u64,
-    /// Start of the current period in which the sender has been heard.
-    heard_since: Duration,
+    /// Start of the current period in which the sender has been heard without a full report.
+    settling_since: Duration,
     last_heard: Duration,
     /// Whether the gauges of the sender count.
     is_live: bool,
@@ -83,7 +84,7 @@
         let sender = self.senders.entry(address).or_insert_with(|| Sender {
             incarnation,
             sequence,
-            heard_since: now,
+            settling_since: now,
             last_heard: now,
             is_live: true,
             reported: BTreeMap::new(),
@@ -97,11 +98,12 @@
                 run.measured_at = Some(now);
             }
         }
-        if has_returned {
-            sender.heard_since = now;
+        // A full report may omit further totals that this instance lacks.
+        if has_returned || reports.len() >= MAX_REPORTED_TOTALS {
+            sender.settling_since = now;
         }
         (sender.sequence, sender.last_heard) = (sequence, now);
-        let is_settled = now.saturating_sub(sender.heard_since) >= MIN_HEARD_TIME;
+        let is_settled = now.saturating_sub(sender.settling_since) >= MIN_HEARD_TIME;
         for report in reports.iter().take(MAX_REPORTED_TOTALS).map(clamp_gauges) {
             let run = run(&mut self.runs, report.key);
             let previous = sender.reported.insert(report.key, report);
--- a/crates/verbenaslip-fleet/tests/measurement.rs
+++ b/crates/verbenaslip-fleet/tests/measurement.rs
@@ -22,7 +22,7 @@
 use verbenaslip_fleet::measurement::board::{Board, SentFigures};
 use verbenaslip_fleet::measurement::collector::Collector;
 use verbenaslip_fleet::measurement::{
-    Figure, FigureReport, Figures, MAX_FIGURE_AGE, RunKey, Totals,
+    Figure, FigureReport, Figures, MAX_FIGURE_AGE, MAX_REPORTED_TOTALS, RunKey, Totals,
 };
 use verbenaslip_fleet::quarantine::Blocklist;
 use verbenaslip_fleet::quota::Refund;
@@ -166,6 +166,21 @@
     assert_eq!(counted(&old), before + 2);
 }
 
+#[test]
+fn old_totals_that_take_many_heartbeats_to_report_are_baselines() {
+    // Guards against counting old totals as a first use: a core that reports 7,800 runs to a new
+    // leader needs 4 s for it.
+    let mut leader = Collector::default();
+    let totals = |index| Totals { first_events: 9, ..Totals::new(RunKey::of(&run("u", index))) };
+    let totals: Vec<Totals> = (0..7_800).map(totals).collect();
+    let (mut now, mut sequence) = (SECOND, 0);
+    for reports in totals.chunks(MAX_REPORTED_TOTALS) {
+        (now, sequence) = (now + HEARTBEAT, sequence + 1);
+        leader.record(now, origin(1, 1), sequence, reports, &Figures::default());
+    }
+    assert_eq!((leader.totals().len(), counted(&leader)), (7_800, 0));
+}
+
 #[test]
 fn gauges_of_a_silent_entry_expire_and_its_sums_stay() {
     let (mut core, mut entry) = (Collector::default(), Sender::new());
