Add an admission queue and a schedule for the retries of refused callers

An entry refuses requests at once that an upstream would accept a moment later, has no order among them, and gives each refused caller a retry time that it chooses without regard to those it has given before (part 3 of docs/design/load.md).

policy/waiting orders waiting requests by rank, then over teams by deficit round robin over prompt tokens, then by the time by which they must start, within bounds. policy/return_schedule gives each refused caller the next part of this entry's share of the capacity. Neither does I/O, and nothing uses them yet.

--- a/crates/verbenaslip-relay/src/policy.rs
+++ b/crates/verbenaslip-relay/src/policy.rs
@@ -8,7 +8,8 @@
 //! [`cooldown`] to the time in which an upstream wants no requests. [`load_shedding`] refuses a
 //! share of a service's requests. [`returning`] tells callers that retry from new ones.
 //! [`versions`] chooses the version of a service during a rollout, and [`quarantine`] holds back
-//! poison requests.
+//! poison requests. [`waiting`] orders the requests that wait for an upstream, and
+//! [`return_schedule`] tells refused callers when to retry.
 
 pub mod allowance;
 pub mod cache;
@@ -19,7 +20,9 @@
 pub mod quarantine;
 pub mod restriction;
 pub mod retry;
+pub mod return_schedule;
 pub mod returning;
 pub mod speed;
 pub mod upstream_state;
 pub mod versions;
+pub mod waiting;
