Place engine requests by the figures of the fleet

An entry of 82 sends to each upstream once in ten seconds, so it learns neither its speed nor its queue. Homes of prefixes were chosen regardless of speed, and callers waited at the slow third of the engines.

Where sharing is in force and half of a service's upstreams have a figure younger than 4 s, a request is compared at two homes by weighted rendezvous hashing within a load bound and at two upstreams drawn by speed, with the fleet's queue and learnt speed. Entries report waits, speeds, outcomes and gauges per run. The service's capacity, its median wait, the best expected time, the next acceptance and a penalty for slow upstreams are provided for the admission queue and early failover.

--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -9,6 +9,7 @@
 use verbenaslip_base::hash;
 use verbenaslip_fleet::crash_report::ObservedAnswer;
 use verbenaslip_fleet::limit::Observation;
+use verbenaslip_fleet::measurement::RunKey;
 use verbenaslip_fleet::registry::Run;
 use verbenaslip_fleet::view::View;
 
@@ -81,6 +82,7 @@
             // A different run may use the address now, so the connections of the old run are of no
             // use.
             self.pool.borrow_mut().remove_runs(&removed_runs);
+            removed_runs.iter().for_each(|it| self.shared.forget_measurement(RunKey::of(it)));
         }
         let limits = self.placement.borrow_mut().update_limits(monotonic::now(), &view);
         for Observation { run, limit } in limits {
@@ -113,11 +115,21 @@
         let mut versions = self.shared.versions();
         choice.ticket =
             versions.record_sent(now, &request.service, route, choice.cohort, choice.upstream_hash);
+        drop(versions);
+        self.share_measurement(choice);
+    }
+
+    /// Hands this entry's totals at an upstream to the control thread, which reports them.
+    fn share_measurement(&self, choice: &Choice) {
+        if let Some(totals) = self.placement.borrow().measurement(choice) {
+            self.shared.set_measurement(totals);
+        }
     }
 
     /// Records the time to the first event of a request.
     pub(crate) fn record_first_event(&self, choice: &Choice, latency: Duration) {
         self.placement.borrow_mut().record_first_event(monotonic::now(), choice, latency);
+        self.share_measurement(choice);
         if let Some(ticket) = choice.ticket {
             self.shared.versions().record_first_event(choice.service(), ticket, latency);
         }
@@ -159,6 +171,7 @@
     pub(crate) fn record_end(&self, choice: &Choice, ending: Ending, duration: Option<Duration>) {
         let now = monotonic::now();
         self.placement.borrow_mut().record_end(now, choice, ending, duration);
+        self.share_measurement(choice);
         if let Some(ticket) = choice.ticket {
             self.shared.versions().record_end(now, choice.service(), ticket, ending);
         }
--- a/crates/verbenaslip-relay/src/forward/request_log.rs
+++ b/crates/verbenaslip-relay/src/forward/request_log.rs
@@ -13,6 +13,7 @@
 use crate::event_log::{self, Kind};
 use crate::forward::admission::AdmittedRequest;
 use crate::monotonic;
+use crate::policy::placement::FigureUse;
 
 /// A request has ended; the line states what decided its outcome.
 const REQUEST_ENDED: Kind = Kind { number: 901, name: "request_ended" };
@@ -35,6 +36,8 @@
     pub expected_ms: f64,
     /// How much later than expected recent first events arrived, in milliseconds.
     pub lag_ms: f64,
+    /// Figures of the fleet by which the last upstream was chosen.
+    pub figures: Option<Box<FigureUse>>,
     /// Requests per second that the last upstream takes from all entries, if it limits them.
     pub rate_limit: Option<f64>,
     /// Share of such requests that the service admits, if the request was refused because of it.
@@ -93,6 +96,7 @@
     metrics::histogram!("verbenaslip_request_seconds", "route" => route.to_owned())
         .record(duration.as_secs_f64());
     let ViewInfo { version, leader_silence } = trace.view_info;
+    let figures = trace.figures.as_deref();
     let team = request.and_then(|request| request.team).map(|team: &TeamConfig| &team.name);
     let sent: Vec<&str> = trace.attempts.iter().map(|attempt| attempt.upstream.as_str()).collect();
     let sent_after: Vec<u128> =
@@ -122,6 +126,10 @@
         ("waited", json!(request.is_some_and(|request| request.returning))),
         ("expected_ms", json!(trace.expected_ms.round())),
         ("lag_ms", json!(trace.lag_ms.round())),
+        ("figure_age_ms", json!(figures.and_then(|it| it.figure_age).map(|age| age.as_millis()))),
+        ("candidates", json!(figures.map(|it| it.candidates))),
+        ("wait_ms", json!(figures.map(|it| it.wait_ms.round()))),
+        ("home", json!(figures.and_then(|it| it.home))),
         ("admitted_share", json!(trace.admitted_share)),
         ("limit", json!(trace.rate_limit)),
         ("first_ms", json!(trace.first_piece_after.map(|first| first.as_millis()))),
--- a/crates/verbenaslip-relay/src/forward/upstream_choice.rs
+++ b/crates/verbenaslip-relay/src/forward/upstream_choice.rs
@@ -46,6 +46,7 @@
         Decision::Send(choice) => {
             trace.cohort = (choice.cohort != Cohort::Stable).then_some(choice.cohort);
             trace.version = Some(choice.version.clone());
+            trace.figures = choice.figures.clone();
             Ok(choice)
         }
         Decision::Refuse(Busy { cause: Cause::Restricted(_), .. }) if attempts.may_have_run => {
--- a/crates/verbenaslip-relay/src/policy.rs
+++ b/crates/verbenaslip-relay/src/policy.rs
@@ -3,18 +3,19 @@
 //! [`allowance`] decides what a team may still use at this entry, [`retry`] whether a request may
 //! be sent to another upstream, and [`placement`] which upstream takes a request or whether it is
 //! refused at once. `placement` uses the following modules. [`upstream_state`] holds what is known
-//! of one upstream, with [`cache`] and [`speed`]. [`restriction`] holds what upstreams ask for in
-//! their answers: [`limiter`] keeps to an entry's share of an upstream's rate limit, and
-//! [`cooldown`] to the time in which an upstream wants no requests. [`load_shedding`] refuses a
-//! share of a service's requests. [`returning`] tells callers that retry from new ones.
-//! [`versions`] chooses the version of a service during a rollout, and [`quarantine`] holds back
-//! poison requests.
+//! of one upstream, with [`cache`], [`speed`] and [`measured`], which the fleet shares.
+//! [`restriction`] holds what upstreams ask for in their answers: [`limiter`] keeps to an entry's
+//! share of an upstream's rate limit, and [`cooldown`] to the time in which an upstream wants no
+//! requests. [`load_shedding`] refuses a share of a service's requests. [`returning`] tells callers
+//! that retry from new ones. [`versions`] chooses the version of a service during a rollout, and
+//! [`quarantine`] holds back poison requests.
 
 pub mod allowance;
 pub mod cache;
 pub mod cooldown;
 pub mod limiter;
 pub(crate) mod load_shedding;
+pub(crate) mod measured;
 pub mod placement;
 pub mod quarantine;
 pub mod restriction;
--- a/crates/verbenaslip-relay/src/policy/placement.rs
+++ b/crates/verbenaslip-relay/src/policy/placement.rs
@@ -1,6 +1,9 @@
 //! Chooses the upstream for a request.
 
+mod candidates;
+mod capacity;
 mod choice;
+mod recording;
 mod restrictions;
 
 use std::collections::BTreeMap;
@@ -11,13 +14,16 @@
 use verbenaslip_base::name::{AvailabilityZone, Upstream};
 use verbenaslip_fleet::View;
 use verbenaslip_fleet::limit::{Limits, TimeSlot};
+use verbenaslip_fleet::measurement::Figures;
 use verbenaslip_fleet::registry::{Announcement, Record, Run, Status};
 use verbenaslip_fleet::rollout::{Cohort, Plans};
 
 use crate::dialect::PromptPart;
 use crate::policy::load_shedding::AdmittedShare;
+use crate::policy::placement::capacity::ServiceFigures;
 use crate::policy::placement::choice::ServiceRank;
-pub use crate::policy::placement::choice::{Busy, Cause, Choice, Decision, Query};
+pub use crate::policy::placement::choice::{Busy, Cause, Choice, Decision, FigureUse, Query};
+use crate::policy::placement::recording::ServiceLearning;
 use crate::policy::restriction::Restrictions;
 use crate::policy::speed::Lag;
 pub use crate::policy::upstream_state::Ending;
@@ -118,6 +124,9 @@
     admitted_shares: BTreeMap<Arc<str>, AdmittedShare>,
     sharing: Sharing,
     entry_count: u32,
+    figures: Arc<Figures>,
+    /// What this entry has learnt of services where measurements are shared.
+    learning: BTreeMap<Arc<str>, ServiceLearning>,
 }
 
 /// Holds the estimated effect of sending a request to an upstream.
@@ -152,6 +161,8 @@
             admitted_shares: BTreeMap::new(),
             sharing: Sharing::default(),
             entry_count: 1,
+            figures: Arc::default(),
+            learning: BTreeMap::new(),
         }
     }
 
@@ -167,12 +178,19 @@
         self.sharing.includes(slots, self.entry_count)
     }
 
+    /// Returns whether measurements are shared for any number of slots.
+    fn sharing_possible(&self) -> bool {
+        self.shares_measurements(u32::MAX)
+    }
+
     /// Updates the view; returns the runs of upstreams that are no longer in it.
     pub fn update(&mut self, view: &View) -> Vec<Run> {
         let mut removed = Vec::new();
+        let records_changed =
+            !self.records.as_ref().is_some_and(|it| Arc::ptr_eq(it, &view.upstreams));
         self.time_offset_ms = view.time_offset_ms;
         self.entry_count = view.entry_count;
-        if !self.records.as_ref().is_some_and(|it| Arc::ptr_eq(it, &view.upstreams)) {
+        if records_changed {
             removed = self.update_records(&view.upstreams);
             self.records_changed = true;
             self.records = Some(view.upstreams.clone());
@@ -181,6 +199,12 @@
         if !Arc::ptr_eq(&self.rollout_plans, &view.rollout_plans) {
             self.update_plans(&view.rollout_plans);
         }
+        if records_changed || !Arc::ptr_eq(&self.figures, &view.figures) {
+            self.figures = view.figures.clone();
+            for state in self.states.values_mut() {
+                state.update_figure(self.figures.get(&state.key));
+            }
+        }
         removed
     }
 
@@ -197,22 +221,16 @@
                 .map_or(Decision::NoUpstream, Decision::Refuse);
         };
         let objective = query.objective.as_secs_f64() * 1_000.0;
-        if engine {
+        if engine && choice.figures.is_none() {
             choice.lag_ms = self.lags.get(&choice.service_rank).map_or(0.0, |lag| lag.lag_at(now));
         }
         let expected_ms = choice.expected_ms + choice.lag_ms;
-        let late = expected_ms
-            > objective * if query.returning { MAX_EXPECTED_RETURNING } else { MAX_EXPECTED };
-        let past_deadline = expected_ms > query.remaining.as_secs_f64() * 1_000.0;
-        if engine
-            && !query.may_have_run
-            && (late || past_deadline)
-            && choice.cohort == Cohort::Canary
-        {
+        let late = expected_ms > latest_ms(query);
+        if engine && !query.may_have_run && late && choice.cohort == Cohort::Canary {
             // A busy canary must not cost its caller the answer.
             return self.choose(now, &Query { tracks: Tracks::default(), ..*query });
         }
-        if engine && !query.may_have_run && (late || past_deadline) {
+        if engine && !query.may_have_run && late {
             let excess_ms = (expected_ms - objective).max(100.0);
             let retry_after = Duration::from_secs_f64((excess_ms / 1_000.0).min(3.0));
             let cause = Cause::Late { expected_ms: choice.expected_ms, lag_ms: choice.lag_ms };
@@ -224,12 +242,17 @@
 
     /// Returns the best upstream of the first version that has one.
     fn choose_on_tracks(&self, now: Duration, query: &Query<'_>) -> Option<Choice> {
+        let figures: Option<ServiceFigures> =
+            if query.parts.is_empty() { None } else { self.service_figures(now, query.service) };
         let tracks = std::iter::once(query.tracks.preferred).chain(query.tracks.fallback);
         let mut options = [true, false].into_iter().flat_map(|strict| {
             let tracks = tracks.clone();
             tracks.map(move |track| (strict, track))
         });
         options.find_map(|(strict, track)| {
+            if let Some(figures) = &figures {
+                return self.best_by_figures(now, query, figures, strict, track);
+            }
             let home = self.home_upstream(query, track);
             self.best_upstream(now, query, home.as_ref(), strict, track)
         })
@@ -260,44 +283,6 @@
         })
     }
 
-    /// Records the first event of an answer; `latency` is the time since the request was sent.
-    pub fn record_first_event(&mut self, now: Duration, choice: &Choice, latency: Duration) {
-        if let Some(objective) = choice.plain_objective {
-            let part = latency.as_secs_f64() / objective.as_secs_f64().max(f64::MIN_POSITIVE);
-            self.admitted_share(now, &choice.service_rank.0).record_latency(now, part);
-        } else {
-            let lag = self.lags.entry(choice.service_rank.clone()).or_default();
-            lag.record_sample(now, latency.as_secs_f64() * 1_000.0 - choice.expected_ms);
-        }
-        let Some(state) = self.state_mut(choice) else { return };
-        state.pending_prefill = state.pending_prefill.saturating_sub(choice.uncached_tokens);
-        if choice.idle {
-            state.speed.record_first_event(choice.uncached_tokens, latency);
-        }
-    }
-
-    /// Records the end of a request at an upstream; `duration` is its length if its first event
-    /// had arrived.
-    pub fn record_end(
-        &mut self,
-        now: Duration,
-        choice: &Choice,
-        ending: Ending,
-        duration: Option<Duration>,
-    ) {
-        // An upstream that refuses everything says nothing about the others.
-        let refuses_all = self.state_mut(choice).is_some_and(|state| state.is_refusing());
-        if ending == Ending::Full && choice.plain_objective.is_some() && !refuses_all {
-            self.admitted_share(now, &choice.service_rank.0)
-                .record_latency(now, FULL_QUEUE_LATENCY);
-        }
-        let Some(state) = self.state_mut(choice) else { return };
-        if duration.is_none() {
-            state.pending_prefill = state.pending_prefill.saturating_sub(choice.uncached_tokens);
-        }
-        state.record_end(now, ending, duration);
-    }
-
     /// Returns a refusal if a request to an overloaded plain service should be refused at once.
     ///
     /// When too few upstreams are left for the load, all their queues are full: half of the
@@ -388,13 +373,7 @@
         let mut equal_count = 1;
         for name in names {
             let Some(state) = self.states.get(name) else { continue };
-            if !track.includes(state.cohort)
-                || !state.accepts_requests(now, strict, query.has_spare_attempt)
-                || query.tried_runs.contains(state.run())
-                || !self.restrictions.admits(at, state.run(), query.has_spare_attempt, || {
-                    self.random_fraction(state, strict)
-                })
-            {
+            if !self.is_admissible(now, query, state, strict, track) {
                 continue;
             }
             let likely_cached =
@@ -413,29 +392,61 @@
                 best = Some((state, estimate));
             }
         }
-        let (state, Estimate { uncached_tokens, expected_ms, idle, .. }) = best?;
+        let (state, estimate) = best?;
+        let prefill_ms = if query.parts.is_empty() {
+            0.0
+        } else {
+            state.speed.prefill_ms(estimate.uncached_tokens)
+        };
+        Some(self.new_choice(query, state, &estimate, prefill_ms, None))
+    }
+
+    /// Returns whether an upstream may take a request now.
+    fn is_admissible(
+        &self,
+        now: Duration,
+        query: &Query<'_>,
+        state: &UpstreamState,
+        strict: bool,
+        track: Track,
+    ) -> bool {
+        track.includes(state.cohort)
+            && state.accepts_requests(now, strict, query.has_spare_attempt)
+            && !query.tried_runs.contains(state.run())
+            && self.restrictions.admits(
+                self.moment(now),
+                state.run(),
+                query.has_spare_attempt,
+                || self.random_fraction(state, strict),
+            )
+    }
+
+    fn new_choice(
+        &self,
+        query: &Query<'_>,
+        state: &UpstreamState,
+        estimate: &Estimate,
+        prefill_ms: f64,
+        figures: Option<Box<FigureUse>>,
+    ) -> Choice {
         let Announcement { run, address, service, version, .. } = &state.record.announcement;
-        let lane = (service.clone(), query.rank);
-        Some(Choice {
+        Choice {
             run: run.clone(),
             address: *address,
-            uncached_tokens,
-            expected_ms,
+            uncached_tokens: estimate.uncached_tokens,
+            expected_ms: estimate.expected_ms,
             lag_ms: 0.0,
-            idle,
-            prefill_ms: if query.parts.is_empty() {
-                0.0
-            } else {
-                state.speed.prefill_ms(uncached_tokens)
-            },
+            idle: estimate.idle,
+            prefill_ms,
             version: version.clone(),
             cohort: state.cohort,
             upstream_hash: state.upstream_hash,
             rate_limit: self.restrictions.rate(state.run()),
             ticket: None,
-            service_rank: lane,
+            figures,
+            service_rank: (service.clone(), query.rank),
             plain_objective: query.parts.is_empty().then_some(query.objective),
-        })
+        }
     }
 
     /// Estimates when the first event would arrive from an upstream. The prompt has `shared`
@@ -491,15 +502,6 @@
         f64::from(picked) / f64::from(u32::MAX)
     }
 
-    fn record_sent(&mut self, now: Duration, choice: &Choice, query: &Query<'_>) {
-        let at = self.moment(now);
-        self.restrictions.record_sent(at, &choice.run);
-        let Some(state) = self.state_mut(choice) else { return };
-        state.active_requests += 1;
-        state.pending_prefill += choice.uncached_tokens;
-        state.cache.record_sent(now, query.parts);
-    }
-
     /// Returns the upstream to which the shared prefix of a prompt belongs.
     ///
     /// All entries choose the same one without communication: the upstream with the highest hash
@@ -520,6 +522,13 @@
     }
 }
 
+/// Returns the expected time in milliseconds beyond which a request is refused.
+fn latest_ms(query: &Query<'_>) -> f64 {
+    let part = if query.returning { MAX_EXPECTED_RETURNING } else { MAX_EXPECTED };
+    let objective_ms = query.objective.as_secs_f64() * 1_000.0;
+    (objective_ms * part).min(query.remaining.as_secs_f64() * 1_000.0)
+}
+
 /// Returns the parts that other requests may share: all but the last.
 fn shared_parts(parts: &[PromptPart]) -> &[PromptPart] {
     parts.split_last().map_or(&[], |(_, shared)| shared)
--- /dev/null
+++ b/crates/verbenaslip-relay/src/policy/placement/capacity.rs
@@ -0,0 +1,182 @@
+//! What the fleet's figures say about a service.
+
+use std::time::Duration;
+
+use verbenaslip_fleet::registry::Status;
+
+use crate::policy::placement::{Choice, Placement, Query};
+use crate::policy::speed::{DEFAULT_FIRST_EVENT_MS, Speed};
+use crate::policy::upstream_state::UpstreamState;
+
+/// Longest time until an upstream accepts a request that [`Placement::next_acceptance`] returns.
+const MAX_ACCEPTANCE_WAIT: Duration = Duration::from_secs(1);
+
+/// Shortest time after which an upstream whose slots are full is expected to have a free one;
+/// figures arrive a few times a second, so asking more often tells nothing new.
+const MIN_SLOT_WAIT: Duration = Duration::from_millis(20);
+
+/// Assumed duration of an answer, in milliseconds, until this entry has seen one.
+const DEFAULT_ANSWER_MS: f64 = 1_000.0;
+
+/// Summarises the figures of a service's upstreams.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ServiceFigures {
+    /// Median of the learnt speeds in tokens per millisecond, also used where none is known.
+    pub(super) median_speed: f64,
+    /// Time to a first event beyond prefill and queue, in milliseconds.
+    pub(super) base_ms: f64,
+    /// Median of the mean waits of first events beyond their prefill, in milliseconds.
+    pub(super) median_wait_ms: f64,
+    /// Mean of the loads of the upstreams; see [`load`].
+    pub(super) mean_load: f64,
+}
+
+/// Returns the load of an upstream: first events a second divided by its speed.
+///
+/// The mean number of tokens is the same for all upstreams as far as an entry knows, so it is left
+/// out of the comparison.
+pub(super) fn load(state: &UpstreamState, now: Duration, median_speed: f64) -> Option<f64> {
+    let figure = state.fresh_figure(now)?;
+    Some(figure.events_per_s / state.learnt_speed(now).unwrap_or(median_speed).max(1.0))
+}
+
+impl Placement {
+    /// Returns the learnt prefill speed of all upstreams of a service that accept requests and have
+    /// a fresh figure, in tokens per millisecond; `None` if the figures are not used.
+    pub fn service_capacity(&self, now: Duration, service: &str) -> Option<f64> {
+        let figures = self.service_figures(now, service)?;
+        let speeds = self
+            .accepting(now, service)
+            .filter(|it| self.has_figure(now, it))
+            .map(|it| it.learnt_speed(now).unwrap_or(figures.median_speed));
+        Some(speeds.sum())
+    }
+
+    /// Returns the median of the mean waits for a first event at the upstreams of a service, in
+    /// milliseconds beyond prefill and the time that an idle upstream takes; `None` if the figures
+    /// are not used.
+    pub fn median_wait_ms(&self, now: Duration, service: &str) -> Option<f64> {
+        let figures = self.service_figures(now, service)?;
+        Some((figures.median_wait_ms - figures.base_ms).max(0.0))
+    }
+
+    /// Returns the expected time to the first event at the best candidate by the figures, in
+    /// milliseconds; `None` without figures or candidates.
+    pub fn best_expected_ms(&self, now: Duration, query: &Query<'_>) -> Option<f64> {
+        if query.parts.is_empty() {
+            return None;
+        }
+        let figures = self.service_figures(now, query.service)?;
+        let mut tracks = std::iter::once(query.tracks.preferred).chain(query.tracks.fallback);
+        let best =
+            tracks.find_map(|track| self.best_by_figures(now, query, &figures, true, track))?;
+        Some(best.expected_ms)
+    }
+
+    /// Counts an upstream as slow at this entry for a time.
+    pub fn penalize(&mut self, now: Duration, choice: &Choice, duration: Duration) {
+        if let Some(state) = self.state_mut(choice) {
+            state.penalize(now, duration);
+        }
+    }
+
+    /// Returns when the first upstream will accept a request that none accepts now: after a pause,
+    /// a cooldown, until a time slot under a rate limit, or until a slot is free by the figures.
+    ///
+    /// `None` if one accepts it now, if none will within a second, or if the figures are not used.
+    pub fn next_acceptance(&self, now: Duration, query: &Query<'_>) -> Option<Duration> {
+        if query.parts.is_empty() {
+            return None;
+        }
+        self.service_figures(now, query.service)?;
+        let tracks = || std::iter::once(query.tracks.preferred).chain(query.tracks.fallback);
+        let at = self.moment(now);
+        let mut earliest: Option<Duration> = None;
+        for state in self.accepting(now, query.service) {
+            if state.record.status != Status::Ready
+                || !tracks().any(|track| track.includes(state.cohort))
+                || query.tried_runs.contains(state.run())
+                || self.restrictions.is_leaving(state.run())
+            {
+                continue;
+            }
+            let spare = query.has_spare_attempt;
+            let Some(allowed) = self.restrictions.time_until_allowed(at, state.run(), spare) else {
+                continue;
+            };
+            let unpaused = state.time_until_unpaused(now, spare);
+            let wait = allowed.max(unpaused).max(time_until_slot(now, state));
+            let admitted = || {
+                self.restrictions
+                    .admits(at, state.run(), spare, || self.random_fraction(state, true))
+            };
+            match wait {
+                Duration::ZERO if admitted() => return None,
+                // Its probe is pending or its traffic returns gradually; when it will accept this
+                // request is not known.
+                Duration::ZERO => {}
+                wait => earliest = Some(earliest.map_or(wait, |it| it.min(wait))),
+            }
+        }
+        earliest.filter(|wait| *wait <= MAX_ACCEPTANCE_WAIT)
+    }
+
+    /// Returns the summary of a service's figures, or `None` if they are not used: sharing is not
+    /// in force, or less than half of the upstreams have a fresh figure.
+    pub(super) fn service_figures(&self, now: Duration, service: &str) -> Option<ServiceFigures> {
+        if !self.sharing_possible() {
+            return None;
+        }
+        let (mut total, mut waits, mut speeds) = (0, Vec::new(), Vec::new());
+        for state in self.accepting(now, service) {
+            total += 1;
+            if self.has_figure(now, state) {
+                waits.extend(state.fresh_figure(now).map(|it| it.wait_ms));
+                speeds.extend(state.learnt_speed(now));
+            }
+        }
+        if waits.is_empty() || waits.len() * 2 < total {
+            return None;
+        }
+        let shortest_wait = waits.iter().copied().fold(f64::MAX, f64::min);
+        let median_speed =
+            median(&mut speeds).unwrap_or_else(|| Speed::default().tokens_per_ms()).max(1.0);
+        let loads = self.accepting(now, service).filter_map(|it| load(it, now, median_speed));
+        let (sum, count) = loads.fold((0.0, 0.0), |(sum, count), it| (sum + it, count + 1.0));
+        Some(ServiceFigures {
+            median_speed,
+            base_ms: shortest_wait.min(DEFAULT_FIRST_EVENT_MS),
+            median_wait_ms: median(&mut waits)?,
+            mean_load: sum / f64::max(count, 1.0),
+        })
+    }
+
+    /// Returns whether the fleet's figure of an upstream is used.
+    fn has_figure(&self, now: Duration, state: &UpstreamState) -> bool {
+        self.shares_measurements(state.record.announcement.slots)
+            && state.fresh_figure(now).is_some()
+    }
+
+    /// Returns the upstreams of a service that may take work at all.
+    fn accepting(&self, now: Duration, service: &str) -> impl Iterator<Item = &UpstreamState> {
+        let names = self.by_service.get(service).into_iter().flatten();
+        let states = names.filter_map(|name| self.states.get(name));
+        states.filter(move |state| state.accepts_requests(now, false, true))
+    }
+}
+
+/// Returns the time until an upstream whose slots are full has a free one.
+fn time_until_slot(now: Duration, state: &UpstreamState) -> Duration {
+    if !state.is_full(now) {
+        return Duration::ZERO;
+    }
+    let slots = state.record.announcement.slots.max(1);
+    let excess = f64::from(state.fleet_active(now) - slots + 1);
+    let answer_ms = state.speed.answer_ms().unwrap_or(DEFAULT_ANSWER_MS);
+    Duration::from_secs_f64(answer_ms * excess / f64::from(slots) / 1_000.0).max(MIN_SLOT_WAIT)
+}
+
+fn median(values: &mut [f64]) -> Option<f64> {
+    let middle = values.len().checked_sub(1)? / 2;
+    Some(*values.select_nth_unstable_by(middle, f64::total_cmp).1)
+}
--- a/crates/verbenaslip-relay/src/policy/placement/choice.rs
+++ b/crates/verbenaslip-relay/src/policy/placement/choice.rs
@@ -69,12 +69,35 @@
     pub rate_limit: Option<f64>,
     /// Ticket of the request in the counts of a rollout, once it is sent.
     pub ticket: Option<Ticket>,
+    /// Figures of the fleet that decided the placement, if it was decided by them.
+    pub figures: Option<Box<FigureUse>>,
     /// Service and priority of the request.
     pub(super) service_rank: ServiceRank,
     /// Objective of a plain service; `None` for a prompt.
     pub(super) plain_objective: Option<Duration>,
 }
 
+/// Describes the figures of the fleet by which an upstream was chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct FigureUse {
+    /// Age of the upstream's figure, or `None` if the service's median was used.
+    pub figure_age: Option<Duration>,
+    /// Number of upstreams that were compared.
+    pub candidates: usize,
+    /// Mean wait of first events beyond their own prefill, in milliseconds.
+    pub wait_ms: f64,
+    /// Position of the upstream in the order of the prompt's homes, if it was a home.
+    pub home: Option<usize>,
+    /// Expected time beyond prefill and queue, in milliseconds.
+    pub(super) base_ms: f64,
+    /// Expected time of the queue, including this entry's own prefills, in milliseconds.
+    pub(super) queue_ms: f64,
+    /// Learnt speed that was used.
+    pub(super) tokens_per_ms: f64,
+    /// Whether the shared prefix counts as cached although this entry has not sent it there.
+    pub(super) guessed_cached: bool,
+}
+
 /// Describes the decision about a request.
 #[derive(Clone, Debug)]
 pub enum Decision {
--- a/crates/verbenaslip-relay/src/policy/upstream_state.rs
+++ b/crates/verbenaslip-relay/src/policy/upstream_state.rs
@@ -3,11 +3,13 @@
 use std::time::Duration;
 
 use verbenaslip_base::hash;
+use verbenaslip_fleet::measurement::{Figure, RunKey};
 use verbenaslip_fleet::registry::{Record, Run, Status};
 use verbenaslip_fleet::rollout::{Cohort, Plan};
 
 use crate::policy::cache::Cache;
-use crate::policy::speed::Speed;
+use crate::policy::measured::Measured;
+use crate::policy::speed::{Speed, SpeedSamples};
 
 /// First pause of an unreachable upstream; it doubles up to eight times this value.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(500);
@@ -26,6 +28,13 @@
 /// Weight of the newest outcome in the failure rate.
 const OUTCOME_WEIGHT: f64 = 0.08;
 
+/// Age from which a figure of the fleet is ignored.
+const MAX_FIGURE_AGE: Duration = Duration::from_secs(4);
+
+/// Length in seconds of a steady stream that weighs as much as the fleet's mean speed, whose
+/// half-life is 4 s: the half-life divided by the natural logarithm of two.
+const FIGURE_WINDOW_S: f64 = 5.8;
+
 /// Describes how a request ended at an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -60,6 +69,17 @@
     pub(crate) cache: Cache,
     /// Measured speed of the upstream.
     pub(crate) speed: Speed,
+    /// Key of the run in measurements.
+    pub(crate) key: RunKey,
+    /// What this entry reports about the run to the fleet.
+    pub(crate) measured: Measured,
+    /// This entry's own speed samples where the fleet shares measurements.
+    pub(crate) samples: SpeedSamples,
+    figure: Option<Figure>,
+    /// This entry's pending prefill and requests in progress when the figure arrived.
+    own_in_figure: (u64, u32),
+    /// Until when the upstream counts as slow at this entry.
+    slow_until: Duration,
     failure_rate: f64,
     failure_rate_at: Duration,
     failed_connects: u32,
@@ -73,6 +93,7 @@
 impl UpstreamState {
     /// Creates a state without requests in progress.
     pub(crate) fn new(record: Record) -> Self {
+        let key = RunKey::of(&record.announcement.run);
         let mark = hash::narrow(&[record.announcement.run.upstream.as_str().as_bytes()]);
         Self {
             record,
@@ -82,6 +103,12 @@
             pending_prefill: 0,
             cache: Cache::default(),
             speed: Speed::default(),
+            key,
+            measured: Measured::default(),
+            samples: SpeedSamples::default(),
+            figure: None,
+            own_in_figure: (0, 0),
+            slow_until: Duration::ZERO,
             failure_rate: 0.0,
             failure_rate_at: Duration::ZERO,
             failed_connects: 0,
@@ -104,6 +131,73 @@
         self.cohort = cohort.unwrap_or(Cohort::Stable);
     }
 
+    /// Updates the fleet's figure.
+    pub(crate) fn update_figure(&mut self, figure: Option<&Figure>) {
+        let is_newer =
+            |it: &Figure| self.figure.is_none_or(|old| old.measured_at != it.measured_at);
+        if figure.is_some_and(is_newer) {
+            self.own_in_figure = (self.pending_prefill, self.active_requests);
+        }
+        self.figure = figure.copied();
+    }
+
+    /// Returns the fleet's figure unless it is too old.
+    pub(crate) fn fresh_figure(&self, now: Duration) -> Option<&Figure> {
+        self.figure.as_ref().filter(|it| figure_age(now, it) <= MAX_FIGURE_AGE)
+    }
+
+    /// Returns the learnt speed in tokens per millisecond.
+    pub(crate) fn learnt_speed(&self, now: Duration) -> Option<f64> {
+        let Some(figure) = self.fresh_figure(now) else {
+            return self.samples.tokens_per_ms(now, None, 0.0, Duration::ZERO);
+        };
+        let (count, age) = (figure.events_per_s * FIGURE_WINDOW_S, figure_age(now, figure));
+        self.samples.tokens_per_ms(now, figure.tokens_per_ms, count, age)
+    }
+
+    /// Returns the pending prefill of other entries as of the figure, in tokens.
+    pub(crate) fn others_pending(&self, figure: &Figure) -> u64 {
+        figure.pending_tokens.saturating_sub(self.own_in_figure.0)
+    }
+
+    /// Returns the requests in progress of all entries.
+    pub(crate) fn fleet_active(&self, now: Duration) -> u32 {
+        let others = self.fresh_figure(now).map_or(0, |it| it.active);
+        others.saturating_sub(self.own_in_figure.1) + self.active_requests
+    }
+
+    /// Returns whether the requests in progress of all entries fill the slots.
+    pub(crate) fn is_full(&self, now: Duration) -> bool {
+        self.fresh_figure(now).is_some()
+            && self.fleet_active(now) >= self.record.announcement.slots.max(1)
+    }
+
+    /// Returns the recent failure rate at this entry or of the fleet, whichever is more recent.
+    pub(crate) fn newest_failure_rate(&self, now: Duration) -> f64 {
+        let fleet = self.fresh_figure(now).filter(|it| it.measured_at > self.failure_rate_at);
+        fleet.map_or_else(|| self.failure_rate(now), |it| it.failure_rate)
+    }
+
+    /// Counts the upstream as slow for a time.
+    pub(crate) fn penalize(&mut self, now: Duration, duration: Duration) {
+        self.slow_until = self.slow_until.max(now + duration);
+    }
+
+    /// Returns whether the upstream counts as slow.
+    pub(crate) fn is_slow(&self, now: Duration) -> bool {
+        now < self.slow_until
+    }
+
+    /// Returns the time until the upstream takes work again after a pause; zero if it does now.
+    pub(crate) fn time_until_unpaused(&self, now: Duration, has_spare_attempt: bool) -> Duration {
+        self.paused_until(has_spare_attempt).saturating_sub(now)
+    }
+
+    fn paused_until(&self, has_spare_attempt: bool) -> Duration {
+        let wait_twice = self.is_refusing() && !has_spare_attempt;
+        if wait_twice { self.paused_until + self.pause } else { self.paused_until }
+    }
+
     /// Records the end of a request; `duration` is its length if its first event had arrived.
     pub(crate) fn record_end(&mut self, now: Duration, ending: Ending, duration: Option<Duration>) {
         self.active_requests = self.active_requests.saturating_sub(1);
@@ -174,8 +268,7 @@
         strict: bool,
         has_spare_attempt: bool,
     ) -> bool {
-        let wait_twice = self.is_refusing() && !has_spare_attempt;
-        let paused = if wait_twice { self.paused_until + self.pause } else { self.paused_until };
+        let paused = self.paused_until(has_spare_attempt);
         match self.record.status {
             Status::Ready => !strict || paused <= now,
             Status::Silent => !strict,
@@ -183,3 +276,8 @@
         }
     }
 }
+
+/// Returns the age of a figure.
+pub(crate) fn figure_age(now: Duration, figure: &Figure) -> Duration {
+    now.saturating_sub(figure.measured_at)
+}
