Hold requests that an upstream will accept in a moment

Where measurements are shared, a request that no upstream accepts now but one will within an eighth of its objective waits at its entry. Until now it was refused at once, or sent to an upstream that had just refused. It leaves the queue when its turn comes, its caller disconnects, the holding time ends or the entry stops admitting; a request that may have run never waits. Refused callers take the next part of this entry's share of the service's capacity, without further spread; without figures, the retry times are those of before.

The work of a refused request is not known before an upstream is chosen. It is estimated from the share of uncached tokens in the requests that were sent with the same rank.

--- a/crates/verbenaslip-relay/src/forward.rs
+++ b/crates/verbenaslip-relay/src/forward.rs
@@ -1,7 +1,8 @@
 //! Takes one request from its caller to an upstream and back.
 //!
 //! [`admission`] determines the team and the route of a request. [`lifecycle`] runs the request:
-//! whether it is retried, and what its caller gets. [`upstream_choice`] selects the upstream.
+//! whether it is retried, and what its caller gets. [`queue`] holds it while no upstream accepts it,
+//! and [`upstream_choice`] selects the upstream.
 //! [`upstream_request`] writes the request for an upstream, [`exchange`] sends it and reads the
 //! head of the answer. [`delivery`] passes the answer on and, for a resumable stream, continues
 //! where another upstream broke off. [`failover`] states when a request leaves an unresponsive
@@ -20,6 +21,7 @@
 pub(crate) mod failover;
 pub mod lifecycle;
 pub mod pool;
+pub(crate) mod queue;
 pub mod request_log;
 pub(crate) mod upstream_choice;
 pub(crate) mod upstream_log;
--- a/crates/verbenaslip-relay/src/forward/admission.rs
+++ b/crates/verbenaslip-relay/src/forward/admission.rs
@@ -27,7 +27,7 @@
 const RETRY_AFTER_START: Duration = Duration::from_millis(1_200);
 
 /// Retry time, at another instance, for a caller that was refused because this instance stops.
-const RETRY_AFTER_STOP: Duration = Duration::from_millis(50);
+pub(super) const RETRY_AFTER_STOP: Duration = Duration::from_millis(50);
 
 /// Time limit for the leader's grant: many times the round trip, and short compared with the time
 /// in which the loss of a leader is noticed.
--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -17,6 +17,7 @@
 use crate::forward::admission::AdmittedRequest;
 use crate::forward::crash::{InterruptedRequest, Signal};
 use crate::forward::pool::Pool;
+use crate::forward::queue::Queue;
 use crate::forward::upstream_log;
 use crate::monotonic;
 use crate::policy::allowance::Allowances;
@@ -42,6 +43,7 @@
     pub(crate) allowances: RefCell<Allowances>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) pool: RefCell<Pool>,
+    pub(crate) queue: RefCell<Queue>,
     pub(crate) returning_callers: RefCell<ReturningCallers>,
     pub(crate) quarantine: RefCell<Quarantine>,
     pub(crate) random_state: Cell<u64>,
@@ -67,6 +69,7 @@
             allowances: RefCell::new(Allowances::new(monotonic::now())),
             retry_budget: RefCell::new(RetryBudget::new(bounds)),
             pool: RefCell::new(Pool::default()),
+            queue: RefCell::new(Queue::default()),
             returning_callers: RefCell::new(ReturningCallers::default()),
             quarantine: RefCell::new(Quarantine::default()),
             random_state: Cell::new(monotonic::unix_ms()),
--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -14,6 +14,7 @@
 use crate::forward::delivery::{Delivery, Outcome};
 use crate::forward::exchange::{self, Failure, Response};
 use crate::forward::failover::Failover;
+use crate::forward::queue;
 use crate::forward::request_log::{self, Trace, ViewInfo};
 use crate::forward::upstream_choice;
 use crate::forward::upstream_request;
@@ -25,7 +26,7 @@
 /// Retry time for a caller whose request was refused by full upstreams. A full upstream is also
 /// slower, so callers that retry sooner would keep it full. By this time the next update of the
 /// fleet has arrived.
-const RETRY_AFTER_FULL: Duration = Duration::from_millis(300);
+pub(super) const RETRY_AFTER_FULL: Duration = Duration::from_millis(300);
 
 /// Retry time for a caller that was refused because no upstream was available: half of the
 /// interval in which every upstream announces itself once.
@@ -149,6 +150,7 @@
     if attempts.sends == 0 {
         admission::refund_quota(context, request);
     }
+    queue::schedule_return(context, request, rejection, trace);
     send_refusal(context, caller, &request.info.id, rejection, request.closes_connection, trace)
         .await
 }
@@ -166,12 +168,14 @@
     /// Whether the request may have run at an upstream.
     pub(super) may_have_run: bool,
     /// Whether the retry budget has already paid for the next attempt.
-    retry_paid: bool,
+    pub(super) retry_paid: bool,
+    /// Whether the request has waited and its turn has come.
+    pub(super) has_turn: bool,
     /// Whether the request was counted for its team's usage.
     usage_counted: bool,
 }
 
-enum Next {
+pub(super) enum Next {
     Retry,
     Done(Disposition),
     Refuse(Rejection),
@@ -199,6 +203,9 @@
             return Next::Refuse(exhausted_rejection(attempts));
         }
     }
+    if let Some(next) = queue::wait_for_turn(context, caller, request, attempts, trace).await {
+        return next;
+    }
     let mut choice =
         match upstream_choice::choose_upstream(context, request, attempts, remaining, trace) {
             Ok(choice) => choice,
@@ -218,6 +225,7 @@
         attempts.delivery.last_event_id(),
     );
     context.record_sent(request, &mut choice);
+    queue::record_sent(context, request, &choice);
     let sent = Instant::now();
     let may_switch = || context.may_switch(request, &attempts.tried_runs, &mut attempts.retry_paid);
     let failover = Failover { silence_limit, may_switch };
@@ -443,7 +451,10 @@
     trace: &mut Trace,
 ) -> Disposition {
     let (refusal, retry_after) = rejection;
-    let retry_after = retry_after.map(|retry_after| add_jitter(context, retry_after));
+    // A scheduled return is already spread over the time in which capacity becomes available.
+    let retry_after = trace
+        .scheduled_return
+        .or_else(|| retry_after.map(|retry_after| add_jitter(context, retry_after)));
     trace.status = refusal.status();
     trace.outcome = refusal.name();
     trace.retry_after = retry_after;
--- a/crates/verbenaslip-relay/src/forward/request_log.rs
+++ b/crates/verbenaslip-relay/src/forward/request_log.rs
@@ -52,6 +52,14 @@
     pub version: Option<Arc<str>>,
     /// Longest pause between two pieces of the answer.
     pub longest_pause: Duration,
+    /// When the caller may retry by the capacity that becomes available, if that is known.
+    pub scheduled_return: Option<Duration>,
+    /// How long the request waited for an upstream to accept it, if it did.
+    pub queued: Option<Duration>,
+    /// Number of requests of the service, as urgent or more, that were waiting when it began to.
+    pub queue_position: Option<usize>,
+    /// How the request left the queue.
+    pub queue_left: Option<&'static str>,
 }
 
 /// Holds one attempt of a request at an upstream.
@@ -135,6 +143,9 @@
         ("first_ms", json!(trace.first_piece_after.map(|first| first.as_millis()))),
         ("back_ms", json!(trace.retry_after.map(|retry_after| retry_after.as_millis()))),
         ("pause_ms", json!(trace.longest_pause.as_millis())),
+        ("queued_ms", json!(trace.queued.map(|queued| queued.as_millis()))),
+        ("queue_position", json!(trace.queue_position)),
+        ("queue_left", json!(trace.queue_left)),
         ("cohort", json!(trace.cohort.map(|it| format!("{it:?}")))),
         ("version", json!(rollout_plan(view, request).and(trace.version.as_ref()))),
         ("revision", json!(view.revision())),
--- a/crates/verbenaslip-relay/src/forward/upstream_choice.rs
+++ b/crates/verbenaslip-relay/src/forward/upstream_choice.rs
@@ -22,24 +22,11 @@
     remaining: Duration,
     trace: &mut Trace,
 ) -> Result<Choice, Rejection> {
-    let query = Query {
-        service: &request.service,
-        rank: request.rank,
-        parts: &request.info.prompt_parts,
-        prompt_tokens: request.info.token_counts.map_or(0, |tokens| tokens.prompt),
-        tried_runs: &attempts.tried_runs,
-        objective: request.route.objective,
-        remaining,
-        has_spare_attempt: attempts.sends + 1 < request.route.max_attempts,
-        returning: request.returning,
-        may_have_run: attempts.may_have_run,
-        tracks: Tracks::default(),
-    };
     // A retried request may have waited for seconds without any other request arriving meanwhile.
     // With the view from its arrival it could go to an upstream that has left since.
     trace.view_info = ViewInfo::of(&context.refresh_view());
-    let query =
-        Query { tracks: context.choose_tracks(request, !attempts.tried_runs.is_empty()), ..query };
+    let tracks = context.choose_tracks(request, !attempts.tried_runs.is_empty());
+    let query = query(request, attempts, remaining, tracks);
     let decision = context.placement.borrow_mut().choose(monotonic::now(), &query);
     count_engine_time(context, request, attempts, &decision);
     match decision {
@@ -68,6 +55,28 @@
     }
 }
 
+/// Describes the next attempt of a request to the placement.
+pub(super) fn query<'a>(
+    request: &'a AdmittedRequest<'_>,
+    attempts: &'a Attempts,
+    remaining: Duration,
+    tracks: Tracks,
+) -> Query<'a> {
+    Query {
+        service: &request.service,
+        rank: request.rank,
+        parts: &request.info.prompt_parts,
+        prompt_tokens: request.info.token_counts.map_or(0, |tokens| tokens.prompt),
+        tried_runs: &attempts.tried_runs,
+        objective: request.route.objective,
+        remaining,
+        has_spare_attempt: attempts.sends + 1 < request.route.max_attempts,
+        returning: request.returning,
+        may_have_run: attempts.may_have_run,
+        tracks,
+    }
+}
+
 /// Adds the engine time that a request asks for, once per caller.
 fn count_engine_time(
     context: &Context,
--- a/crates/verbenaslip-relay/src/policy/placement/restrictions.rs
+++ b/crates/verbenaslip-relay/src/policy/placement/restrictions.rs
@@ -47,6 +47,15 @@
         self.restrictions.handle_response_info(at, &choice.run, sent_at, info)
     }
 
+    /// Returns whether the measurements of all entries are used for a service.
+    pub(crate) fn shares_service(&self, service: &str) -> bool {
+        let names = self.by_service.get(service).into_iter().flatten();
+        let mut states = names.filter_map(|name| self.states.get(name));
+        // Most deployments share nothing, and need not look at each upstream.
+        self.sharing_possible()
+            && states.any(|it| self.shares_measurements(it.record.announcement.slots))
+    }
+
     pub(super) fn moment(&self, now: Duration) -> Moment {
         Moment::at(now, self.time_offset_ms)
     }
