Decide when a request leaves a slow upstream early

A silent upstream is left after twice the objective or four times the expected time, which is too late for the answer to be on time.

The ending Slow is no failure of the upstream; a roll-out counts it like an answer whose caller has left, only if it was slow for its route by then.

--- a/crates/verbenaslip-relay/src/policy.rs
+++ b/crates/verbenaslip-relay/src/policy.rs
@@ -1,14 +1,14 @@
 //! Decisions of one entry, without I/O.
 //!
 //! [`allowance`] decides what a team may still use at this entry, [`retry`] whether a request may
-//! be sent to another upstream, and [`placement`] which upstream takes a request or whether it is
-//! refused at once. `placement` uses the following modules. [`upstream_state`] holds what is known
-//! of one upstream, with [`cache`] and [`speed`]. [`restriction`] holds what upstreams ask for in
-//! their answers: [`limiter`] keeps to an entry's share of an upstream's rate limit, and
-//! [`cooldown`] to the time in which an upstream wants no requests. [`load_shedding`] refuses a
-//! share of a service's requests. [`returning`] tells callers that retry from new ones.
-//! [`versions`] chooses the version of a service during a rollout, and [`quarantine`] holds back
-//! poison requests.
+//! be sent to another upstream, [`switching`] when it leaves a slow one, and [`placement`] which
+//! upstream takes a request or whether it is refused at once. `placement` uses the following
+//! modules. [`upstream_state`] holds what is known of one upstream, with [`cache`] and [`speed`].
+//! [`restriction`] holds what upstreams ask for in their answers: [`limiter`] keeps to an entry's
+//! share of an upstream's rate limit, and [`cooldown`] to the time in which an upstream wants no
+//! requests. [`load_shedding`] refuses a share of a service's requests. [`returning`] tells callers
+//! that retry from new ones. [`versions`] chooses the version of a service during a rollout, and
+//! [`quarantine`] holds back poison requests.
 
 pub mod allowance;
 pub mod cache;
@@ -21,5 +21,6 @@
 pub mod retry;
 pub mod returning;
 pub mod speed;
+pub mod switching;
 pub mod upstream_state;
 pub mod versions;
--- a/crates/verbenaslip-relay/src/policy/upstream_state.rs
+++ b/crates/verbenaslip-relay/src/policy/upstream_state.rs
@@ -41,6 +41,8 @@
     Unreachable,
     /// The caller left or the time ran out; this says nothing about the upstream.
     Abandoned,
+    /// The request left a slow upstream early, which would have answered later.
+    Slow,
 }
 
 /// Holds what this entry knows of an upstream, and its requests in progress there.
@@ -126,7 +128,7 @@
                 self.failed_connects += 1;
                 self.record_outcome(now, 1.0);
             }
-            Ending::Abandoned | Ending::CoolingDown => {}
+            Ending::Abandoned | Ending::Slow | Ending::CoolingDown => {}
         }
     }
 
--- a/crates/verbenaslip-relay/src/policy/versions.rs
+++ b/crates/verbenaslip-relay/src/policy/versions.rs
@@ -237,8 +237,8 @@
                 return;
             }
             Ending::Full | Ending::CoolingDown => return,
-            Ending::Abandoned if !is_slow => return,
-            Ending::Abandoned | Ending::Failed => true,
+            Ending::Abandoned | Ending::Slow if !is_slow => return,
+            Ending::Abandoned | Ending::Slow | Ending::Failed => true,
             Ending::Complete => is_slow,
         };
         if active.key.1 == Group::Stable && ending == Ending::Complete {
