Leave slow upstreams early where measurements are shared

Requests waited at a silent upstream up to the silence limit, 0.4 to 2 s, after which the answer was late.

A wait now has two limits. Where the fleet's figures decided the placement, a request that may be repeated and has an attempt left is checked once at the failover timeout, before the first event: in forward/exchange before the head of the answer, in forward/delivery after it. It leaves by policy/switching and the allowance of the retry budget; otherwise it stays up to the silence limit, which is counted from the same moment as before. Without figures, for requests that may run once, and for callers that have retried, nothing changes.

--- a/crates/verbenaslip-relay/src/forward/admission.rs
+++ b/crates/verbenaslip-relay/src/forward/admission.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 use verbenaslip_fleet::fingerprint::Fingerprint;
 use verbenaslip_fleet::index::Index;
+use verbenaslip_fleet::registry::Run;
 use verbenaslip_fleet::route_table::{RequestKind, Route, TeamConfig};
 use verbenaslip_fleet::view::View;
 
@@ -16,6 +17,8 @@
 use crate::http::{Message, RequestHead};
 use crate::monotonic;
 use crate::policy::allowance::{self, Verdict as Allowed};
+use crate::policy::placement::Query;
+use crate::policy::versions::Tracks;
 
 /// How long before its deadline a request is answered, so that the answer arrives while the caller
 /// still waits.
@@ -73,6 +76,24 @@
     pub fn is_resumable(&self) -> bool {
         self.route.kind == RequestKind::Stream { resumable: true }
     }
+
+    /// Describes the request for its placement, as one that has not run and has no attempt to
+    /// spare; `tried_runs` are excluded, and `remaining` is the time that its caller still waits.
+    pub(super) fn query<'b>(&'b self, tried_runs: &'b [Run], remaining: Duration) -> Query<'b> {
+        Query {
+            service: &self.service,
+            rank: self.rank,
+            parts: &self.info.prompt_parts,
+            prompt_tokens: self.info.token_counts.map_or(0, |tokens| tokens.prompt),
+            tried_runs,
+            objective: self.route.objective,
+            remaining,
+            has_spare_attempt: false,
+            returning: self.returning,
+            may_have_run: false,
+            tracks: Tracks::default(),
+        }
+    }
 }
 
 /// Determines the route and the team of a request.
--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -20,11 +20,12 @@
 use crate::forward::upstream_log;
 use crate::monotonic;
 use crate::policy::allowance::Allowances;
-use crate::policy::placement::{Choice, Ending, Placement};
+use crate::policy::placement::{Choice, Ending, Placement, Query};
 use crate::policy::quarantine::Quarantine;
 use crate::policy::restriction::Change;
 use crate::policy::retry::{Bounds, RetryBudget};
 use crate::policy::returning::ReturningCallers;
+use crate::policy::switching::{self, Reason, SlowRequest};
 use crate::policy::versions::Tracks;
 use crate::shared::SharedState;
 
@@ -234,24 +235,104 @@
 
     /// Returns whether a request may switch from an unresponsive upstream to another one, and
     /// spends a retry for that.
+    pub(crate) fn may_switch(
+        &self,
+        reason: Reason,
+        request: &AdmittedRequest<'_>,
+        choice: &Choice,
+        tried_runs: &[Run],
+        retry_paid: &mut bool,
+    ) -> bool {
+        // The other upstream may have left since this request arrived.
+        self.refresh_view();
+        let may_switch = match reason {
+            Reason::Silent => self.may_leave_silent(request, tried_runs, retry_paid),
+            Reason::Slow => self.may_leave_slow(request, choice, tried_runs, retry_paid),
+        };
+        if may_switch {
+            let reason = reason.name();
+            metrics::counter!("verbenaslip_switches_total", "reason" => reason).increment(1);
+        }
+        may_switch
+    }
+
+    /// Returns whether a request may leave an upstream that was silent up to the silence limit.
     ///
     /// Without another upstream the request stays: the upstream may only be slow, such as an
     /// engine that is out of memory and pauses for seconds, and leaving would cut off the caller's
     /// answer.
-    pub(crate) fn may_switch(
+    fn may_leave_silent(
         &self,
         request: &AdmittedRequest<'_>,
         tried_runs: &[Run],
         retry_paid: &mut bool,
     ) -> bool {
-        // The other upstream may have left since this request arrived.
-        self.refresh_view();
         let has_alternative =
             self.placement.borrow().has_alternative(monotonic::now(), &request.service, tried_runs);
         *retry_paid = *retry_paid || (has_alternative && self.spend_retry(request));
         *retry_paid && has_alternative
     }
 
+    /// Returns when an upstream counts as slow to a request that was sent to it; `None` if it was
+    /// not chosen by the measurements of all entries, or if that time has passed.
+    ///
+    /// A caller that has retried gets its answer after its objective in any case, so its request
+    /// waits up to the silence limit.
+    pub(crate) fn slow_at(
+        &self,
+        request: &AdmittedRequest<'_>,
+        choice: &Choice,
+        sent_at: Instant,
+    ) -> Option<Instant> {
+        let slots = self.shared.view().record(&choice.run)?.announcement.slots;
+        let may_leave = request.route.kind.may_repeat()
+            && !request.returning
+            && choice.figures.is_some()
+            && self.placement.borrow().shares_measurements(slots);
+        let timeout = switching::failover_timeout(choice.expected_ms + choice.lag_ms);
+        let slow_at = sent_at.checked_add(timeout.filter(|_| may_leave)?)?;
+        (slow_at > Instant::now()).then_some(slow_at)
+    }
+
+    /// Returns whether a request may leave an upstream that is slow, by the measurements of all
+    /// entries, and counts the upstream as slow then.
+    fn may_leave_slow(
+        &self,
+        request: &AdmittedRequest<'_>,
+        choice: &Choice,
+        tried_runs: &[Run],
+        retry_paid: &mut bool,
+    ) -> bool {
+        let now = monotonic::now();
+        let remaining = request.deadline.saturating_duration_since(Instant::now());
+        let query = Query {
+            // The attempt at the slow upstream is among the tried runs.
+            has_spare_attempt: tried_runs.len() + 1 < request.route.max_attempts as usize,
+            may_have_run: true,
+            tracks: self.choose_tracks(request, true),
+            ..request.query(tried_runs, remaining)
+        };
+        let slow_request = {
+            let placement = self.placement.borrow();
+            SlowRequest {
+                elapsed: request.received_at.elapsed(),
+                objective: request.route.objective,
+                remaining,
+                expected_elsewhere_ms: placement.best_expected_ms(now, &query),
+                median_wait_ms: placement.median_wait_ms(now, &request.service),
+            }
+        };
+        if !slow_request.should_leave() {
+            return false;
+        }
+        *retry_paid = *retry_paid
+            || self.retry_budget.borrow_mut().try_spend_early(&request.service, request.entries);
+        if *retry_paid {
+            self.placement.borrow_mut().penalize(now, choice, switching::SLOW_PERIOD);
+        }
+        *retry_paid
+    }
+
     /// Returns a number that differs on each call (the SplitMix64 sequence).
     pub(crate) fn next_random(&self) -> u64 {
         let next = self.random_state.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/crates/verbenaslip-relay/src/forward/delivery.rs
+++ b/crates/verbenaslip-relay/src/forward/delivery.rs
@@ -11,6 +11,8 @@
 use crate::forward::failover::Failover;
 use crate::http::body::{LAST_CHUNK, write_chunk};
 use crate::http::{Connection, Decoder, Framing, Step};
+use crate::policy::placement::Ending;
+use crate::policy::switching::Reason;
 
 /// Limit on the bytes of an answer that are collected before a write.
 const MAX_BATCH_BYTES: usize = 64 << 10;
@@ -39,12 +41,27 @@
     Broken,
     /// The upstream sent nothing for too long.
     Unresponsive,
+    /// The request leaves an upstream that is only slow to send the first event.
+    Slow,
     /// The deadline passed.
     TimedOut,
     /// The caller has left.
     CallerGone,
 }
 
+impl Outcome {
+    /// Returns what the upstream of an answer with this status has done.
+    pub(super) fn ending(self, status: u16) -> Ending {
+        match self {
+            Self::Complete if status >= 500 => Ending::Failed,
+            Self::Complete => Ending::Complete,
+            Self::Broken | Self::Unresponsive => Ending::Failed,
+            Self::Slow => Ending::Slow,
+            Self::TimedOut | Self::CallerGone => Ending::Abandoned,
+        }
+    }
+}
+
 impl Delivery {
     /// Returns whether the caller has received the head of an answer.
     pub fn has_started(&self) -> bool {
@@ -64,7 +81,7 @@
         caller: &mut Connection,
         request: &AdmittedRequest<'_>,
         response: &mut Response,
-        mut failover: Failover<impl FnMut() -> bool>,
+        mut failover: Failover<impl FnMut(Reason) -> bool>,
     ) -> Outcome {
         let deadline = request.deadline;
         let Ok(framing) = response.head.framing(&request.head.method) else {
@@ -103,16 +120,14 @@
             if complete {
                 return Outcome::Complete;
             }
-            if let Some(outcome) = wait_for_more(
-                caller,
-                &mut response.connection,
-                &decoder,
-                deadline,
-                failover.silence_limit,
-            )
-            .await
+            if self.first_byte_at.is_some() {
+                failover.slow_at = None;
+            }
+            if let Some(outcome) =
+                wait_for_more(caller, &mut response.connection, &decoder, deadline, &mut failover)
+                    .await
             {
-                if outcome == Outcome::Unresponsive && !(failover.may_switch)() {
+                if outcome == Outcome::Unresponsive && !(failover.may_switch)(Reason::Silent) {
                     continue;
                 }
                 if outcome == Outcome::Complete {
@@ -212,21 +227,31 @@
     connection: &mut Connection,
     decoder: &Decoder,
     deadline: Instant,
-    silence_limit: Option<Duration>,
+    failover: &mut Failover<impl FnMut(Reason) -> bool>,
 ) -> Option<Outcome> {
     let silent_until =
-        silence_limit.map_or(deadline, |silence_limit| Instant::now() + silence_limit);
-    tokio::select! {
-        filled = connection.fill() => match filled {
-            Ok(count) if count > 0 => None,
-            // An answer without a length is complete when its connection is closed cleanly.
-            Ok(_) if decoder.may_end_with_connection() => Some(Outcome::Complete),
-            Ok(_) | Err(_) => Some(Outcome::Broken),
-        },
-        () = caller.closed_by_peer() => Some(Outcome::CallerGone),
-        () = tokio::time::sleep_until(deadline.min(silent_until)) => {
-            Some(if silent_until < deadline { Outcome::Unresponsive } else { Outcome::TimedOut })
-        }
+        failover.silence_limit.map_or(deadline, |silence_limit| Instant::now() + silence_limit);
+    let end = deadline.min(silent_until);
+    loop {
+        let next_check = failover.next_check(end);
+        return tokio::select! {
+            filled = connection.fill() => match filled {
+                Ok(count) if count > 0 => None,
+                // An answer without a length is complete when its connection is closed cleanly.
+                Ok(_) if decoder.may_end_with_connection() => Some(Outcome::Complete),
+                Ok(_) | Err(_) => Some(Outcome::Broken),
+            },
+            () = caller.closed_by_peer() => Some(Outcome::CallerGone),
+            () = tokio::time::sleep_until(next_check), if next_check < end => {
+                if !failover.leaves_slow_upstream() {
+                    continue;
+                }
+                Some(Outcome::Slow)
+            }
+            () = tokio::time::sleep_until(end) => {
+                Some(if silent_until < deadline { Outcome::Unresponsive } else { Outcome::TimedOut })
+            }
+        };
     }
 }
 
--- a/crates/verbenaslip-relay/src/forward/exchange.rs
+++ b/crates/verbenaslip-relay/src/forward/exchange.rs
@@ -13,6 +13,7 @@
 use crate::http::connection::Progress;
 use crate::http::{Connection, Decoder, ResponseHead, Step};
 use crate::policy::placement::Choice;
+use crate::policy::switching::Reason;
 use crate::{monotonic, socket};
 
 /// Time limit for a new connection; many times the longest round trip.
@@ -45,6 +46,8 @@
     Broken,
     /// Nothing arrived in time; the request may have run.
     Unresponsive,
+    /// The request leaves an upstream that is only slow; it may have run.
+    Slow,
     /// The caller has left.
     CallerGone,
 }
@@ -59,7 +62,7 @@
     request: &AdmittedRequest<'_>,
     choice: &Choice,
     bytes: &[u8],
-    mut failover: Failover<impl FnMut() -> bool>,
+    mut failover: Failover<impl FnMut(Reason) -> bool>,
 ) -> Result<Response, Failure> {
     let deadline_after = |silence_limit: Option<Duration>| {
         silence_limit.map_or(request.deadline, |silence_limit| {
@@ -91,6 +94,7 @@
         if connection.buffer.len() > MAX_HEAD_BYTES {
             return Err(Failure::Broken);
         }
+        let next_check = failover.next_check(deadline);
         tokio::select! {
             progress = connection.write_or_read(&bytes[written..]) => match progress {
                 Ok(Progress::Wrote(count)) => written += count,
@@ -101,8 +105,13 @@
                 Ok(Progress::Read(_)) | Err(_) => return Err(Failure::Broken),
             },
             () = caller.closed_by_peer() => return Err(Failure::CallerGone),
+            () = tokio::time::sleep_until(next_check), if next_check < deadline => {
+                if failover.leaves_slow_upstream() {
+                    return Err(Failure::Slow);
+                }
+            }
             () = tokio::time::sleep_until(deadline) => {
-                if deadline == request.deadline || (failover.may_switch)() {
+                if deadline == request.deadline || (failover.may_switch)(Reason::Silent) {
                     return Err(Failure::Unresponsive);
                 }
                 deadline = deadline_after(failover.silence_limit);
--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -219,8 +219,11 @@
     );
     context.record_sent(request, &mut choice);
     let sent = Instant::now();
-    let may_switch = || context.may_switch(request, &attempts.tried_runs, &mut attempts.retry_paid);
-    let failover = Failover { silence_limit, may_switch };
+    let slow_at = silence_limit.and_then(|_| context.slow_at(request, &choice, sent));
+    let slow_at = slow_at.filter(|_| attempts.delivery.first_byte_at.is_none());
+    let (tried_runs, retry_paid) = (&attempts.tried_runs, &mut attempts.retry_paid);
+    let may_switch = |reason| context.may_switch(reason, request, &choice, tried_runs, retry_paid);
+    let failover = Failover { slow_at, silence_limit, may_switch };
     let response = exchange::send(context, caller, request, &choice, &bytes, failover).await;
     if !matches!(response, Err(Failure::Unreachable)) {
         attempts.sends += 1;
@@ -302,26 +305,23 @@
     let first_byte_before = attempts.delivery.first_byte_at;
     let proves_execution =
         quarantine::proves_execution(status, response.head.framing(&request.head.method).ok());
-    let may_switch = || context.may_switch(request, &attempts.tried_runs, &mut attempts.retry_paid);
-    let failover = Failover { silence_limit, may_switch };
+    let slow_at = silence_limit.and_then(|_| context.slow_at(request, &choice, sent_at));
+    let (tried_runs, retry_paid) = (&attempts.tried_runs, &mut attempts.retry_paid);
+    let may_switch = |reason| context.may_switch(reason, request, &choice, tried_runs, retry_paid);
+    let failover = Failover { slow_at, silence_limit, may_switch };
     let outcome = attempts.delivery.deliver(caller, request, &mut response, failover).await;
     let first_byte_at = attempts.delivery.first_byte_at.filter(|_| first_byte_before.is_none());
     if let Some(first_byte_at) = first_byte_at {
         context.record_first_event(&choice, first_byte_at - sent_at);
     }
     trace.status = status;
-    let ending = match outcome {
-        Outcome::Complete if status >= 500 => Ending::Failed,
-        Outcome::Complete => Ending::Complete,
-        Outcome::Broken | Outcome::Unresponsive => Ending::Failed,
-        Outcome::TimedOut | Outcome::CallerGone => Ending::Abandoned,
-    };
-    context.record_end(&choice, ending, Some(sent_at.elapsed()));
+    let duration = (outcome != Outcome::Slow).then(|| sent_at.elapsed());
+    context.record_end(&choice, outcome.ending(status), duration);
     match outcome {
         Outcome::Complete if proves_execution => context.record_answer(request),
         Outcome::Broken => context.signal_interrupted(request, &choice, sent_at),
         Outcome::CallerGone => context.signal_caller_left(request, &choice, sent_at),
-        Outcome::Complete | Outcome::Unresponsive | Outcome::TimedOut => {}
+        Outcome::Complete | Outcome::Unresponsive | Outcome::Slow | Outcome::TimedOut => {}
     }
     match outcome {
         Outcome::Complete => {
@@ -329,8 +329,12 @@
             trace.outcome = "answered";
             Next::Done(Disposition::KeepOpen)
         }
-        Outcome::Broken | Outcome::Unresponsive => {
-            trace.causes.push(if outcome == Outcome::Broken { "broke_off" } else { "went_silent" });
+        Outcome::Broken | Outcome::Unresponsive | Outcome::Slow => {
+            trace.causes.push(match outcome {
+                Outcome::Broken => "broke_off",
+                Outcome::Slow => "slow",
+                _ => "went_silent",
+            });
             if request.is_resumable() { Next::Retry } else { Next::Refuse((Refusal::Failed, None)) }
         }
         Outcome::TimedOut => Next::Refuse((Refusal::TimedOut, None)),
@@ -354,6 +358,7 @@
         Failure::Unreachable => (Ending::Unreachable, "unreached"),
         Failure::Broken => (Ending::Failed, "broken"),
         Failure::Unresponsive => (Ending::Failed, "silent"),
+        Failure::Slow => (Ending::Slow, "slow"),
         Failure::CallerGone => (Ending::Abandoned, "caller_gone"),
     };
     context.record_end(choice, ending, None);
@@ -361,7 +366,7 @@
         Failure::Broken => context.signal_interrupted(request, choice, sent),
         Failure::CallerGone => context.signal_caller_left(request, choice, sent),
         Failure::Unreachable => context.signal_unreachable(choice),
-        Failure::Unresponsive => {}
+        Failure::Unresponsive | Failure::Slow => {}
     }
     trace.causes.push(cause);
     match failure {
@@ -377,7 +382,7 @@
                 Next::Refuse(exhausted_rejection(attempts))
             }
         }
-        Failure::Broken | Failure::Unresponsive => {
+        Failure::Broken | Failure::Unresponsive | Failure::Slow => {
             attempts.may_have_run = true;
             if request.route.kind.may_repeat() {
                 Next::Retry
--- a/crates/verbenaslip-relay/src/forward/upstream_choice.rs
+++ b/crates/verbenaslip-relay/src/forward/upstream_choice.rs
@@ -12,7 +12,6 @@
 use crate::monotonic;
 use crate::policy::placement::{Busy, Cause, Choice, Decision, Query};
 use crate::policy::restriction::Restriction;
-use crate::policy::versions::Tracks;
 
 /// Chooses the upstream that gets a request next, or returns why the request is refused.
 pub(super) fn choose_upstream(
@@ -23,17 +22,9 @@
     trace: &mut Trace,
 ) -> Result<Choice, Rejection> {
     let query = Query {
-        service: &request.service,
-        rank: request.rank,
-        parts: &request.info.prompt_parts,
-        prompt_tokens: request.info.token_counts.map_or(0, |tokens| tokens.prompt),
-        tried_runs: &attempts.tried_runs,
-        objective: request.route.objective,
-        remaining,
         has_spare_attempt: attempts.sends + 1 < request.route.max_attempts,
-        returning: request.returning,
         may_have_run: attempts.may_have_run,
-        tracks: Tracks::default(),
+        ..request.query(&attempts.tried_runs, remaining)
     };
     // A retried request may have waited for seconds without any other request arriving meanwhile.
     // With the view from its arrival it could go to an upstream that has left since.
--- a/crates/verbenaslip-relay/tests/switching.rs
+++ b/crates/verbenaslip-relay/tests/switching.rs
@@ -6,12 +6,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use common::{new_placement, place, run, view};
+use common::{new_placement, place, query, run, view};
+use verbenaslip_base::name::AvailabilityZone;
 use verbenaslip_fleet::View;
+use verbenaslip_fleet::measurement::{Figure, RunKey};
 use verbenaslip_fleet::rollout::{Cohort, Plan, State};
-use verbenaslip_relay::policy::placement::Ending;
+use verbenaslip_relay::dialect::PromptPart;
+use verbenaslip_relay::policy::placement::{Decision, Ending, Placement, Query, Sharing};
 use verbenaslip_relay::policy::retry::{Bounds, RetryBudget};
-use verbenaslip_relay::policy::switching::{SlowRequest, failover_timeout};
+use verbenaslip_relay::policy::switching::{SLOW_PERIOD, SlowRequest, failover_timeout};
 use verbenaslip_relay::policy::versions::Versions;
 
 const fn ms(millis: u64) -> Duration {
@@ -38,17 +41,56 @@
     600.0 + rest.max(0.0) / TOKENS_PER_MS
 }
 
+/// Returns an entry that places prompts by the figures of two upstreams with this mean wait.
+fn entry_with_figures(wait_ms: f64) -> Placement {
+    let runs = [run(1, 0), run(2, 0)];
+    let figure = Figure {
+        tokens_per_ms: Some(60.0),
+        wait_ms,
+        pending_tokens: 0,
+        active: 0,
+        events_per_s: 5.0,
+        failure_rate: 0.0,
+        measured_at: ms(0),
+    };
+    let figures = runs.iter().map(|run| (RunKey::of(run), figure)).collect();
+    let mut entry = Placement::new(AvailabilityZone::from("north"))
+        .with_sharing(Sharing { min_slots: 16, min_entries: 16 });
+    entry.update(&View { figures: Arc::new(figures), entry_count: 16, ..view(runs) });
+    entry
+}
+
 #[test]
 fn a_request_behind_a_queue_at_a_slow_upstream_is_answered_in_time_elsewhere() {
     // Guards against a request that waits at an upstream which has become 2.5 times slower until its answer is late,
-    // although another upstream could answer in time. Five prompts of other entries that are not known here are queued
-    // before it.
-    let tokens = 2_890.0;
-    let expected_ms = 60.0 + tokens / 60.0;
-    let request = slow_request(expected_ms);
-    assert!(slow_first_event_ms(5.0 * tokens, tokens) > 600.0);
-    assert!(request.should_leave());
-    assert!(request.elapsed.as_secs_f64() * 1_000.0 + expected_ms < 600.0);
+    // although another upstream could answer in time, and against one that leaves while the whole service is slow. Five
+    // prompts of other entries that are not known here are queued before it.
+    for (wait_ms, leaves) in [(30.0, true), (400.0, false)] {
+        let mut entry = entry_with_figures(wait_ms);
+        let parts = [PromptPart { id: 1, tokens: 2_890 }];
+        let query =
+            Query { parts: &parts, prompt_tokens: 2_890, objective: ms(600), ..query(true) };
+        let Decision::Send(first) = entry.choose(ms(0), &query) else { panic!("refused") };
+        assert!(slow_first_event_ms(5.0 * 2_890.0, 2_890.0) > 600.0);
+
+        let elapsed = failover_timeout(first.expected_ms).expect("a timeout");
+        let tried_runs = [first.run.clone()];
+        let query = Query { tried_runs: &tried_runs, may_have_run: true, ..query };
+        let request = SlowRequest {
+            elapsed,
+            objective: query.objective,
+            remaining: query.remaining,
+            expected_elsewhere_ms: entry.best_expected_ms(elapsed, &query),
+            median_wait_ms: entry.median_wait_ms(elapsed, "desk"),
+        };
+        assert_eq!(request.should_leave(), leaves, "{request:?}");
+        if leaves {
+            entry.penalize(elapsed, &first, SLOW_PERIOD);
+            let Decision::Send(second) = entry.choose(elapsed, &query) else { panic!("refused") };
+            assert_ne!(second.run, first.run);
+            assert!(elapsed.as_secs_f64() * 1_000.0 + second.expected_ms < 600.0, "{request:?}");
+        }
+    }
 }
 
 #[test]
