--- a/crates/verbenaslip-relay/src/forward/upstream_choice.rs
+++ b/crates/verbenaslip-relay/src/forward/upstream_choice.rs
@@ -63,17 +63,10 @@
     tracks: Tracks,
 ) -> Query<'a> {
     Query {
-        service: &request.service,
-        rank: request.rank,
-        parts: &request.info.prompt_parts,
-        prompt_tokens: request.info.token_counts.map_or(0, |tokens| tokens.prompt),
-        tried_runs: &attempts.tried_runs,
-        objective: request.route.objective,
-        remaining,
         has_spare_attempt: attempts.sends + 1 < request.route.max_attempts,
-        returning: request.returning,
         may_have_run: attempts.may_have_run,
         tracks,
+        ..request.query(&attempts.tried_runs, remaining)
     }
 }
 
--- a/crates/verbenaslip-relay/src/policy/measured.rs
+++ b/crates/verbenaslip-relay/src/policy/measured.rs
@@ -39,7 +39,7 @@
             Ending::Complete => self.answers += 1,
             Ending::Failed | Ending::Unreachable => self.failures += 1,
             Ending::Full => self.refusals += 1,
-            Ending::CoolingDown | Ending::Abandoned => {}
+            Ending::CoolingDown | Ending::Abandoned | Ending::Slow => {}
         }
     }
 
