--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -14,6 +14,7 @@
 use crate::forward::delivery::{Delivery, Outcome};
 use crate::forward::exchange::{self, Failure, Response};
 use crate::forward::failover::Failover;
+use crate::forward::queue;
 use crate::forward::request_log::{self, Trace, ViewInfo};
 use crate::forward::upstream_choice;
 use crate::forward::upstream_request;
@@ -25,7 +26,7 @@
 /// Retry time for a caller whose request was refused by full upstreams. A full upstream is also
 /// slower, so callers that retry sooner would keep it full. By this time the next update of the
 /// fleet has arrived.
-const RETRY_AFTER_FULL: Duration = Duration::from_millis(300);
+pub(super) const RETRY_AFTER_FULL: Duration = Duration::from_millis(300);
 
 /// Retry time for a caller that was refused because no upstream was available: half of the
 /// interval in which every upstream announces itself once.
@@ -149,6 +150,7 @@
     if attempts.sends == 0 {
         admission::refund_quota(context, request);
     }
+    queue::schedule_return(context, request, rejection, trace);
     send_refusal(context, caller, &request.info.id, rejection, request.closes_connection, trace)
         .await
 }
@@ -166,12 +168,14 @@
     /// Whether the request may have run at an upstream.
     pub(super) may_have_run: bool,
     /// Whether the retry budget has already paid for the next attempt.
-    retry_paid: bool,
+    pub(super) retry_paid: bool,
+    /// Whether the request has waited and its turn has come.
+    pub(super) has_turn: bool,
     /// Whether the request was counted for its team's usage.
     usage_counted: bool,
 }
 
-enum Next {
+pub(super) enum Next {
     Retry,
     Done(Disposition),
     Refuse(Rejection),
@@ -199,6 +203,9 @@
             return Next::Refuse(exhausted_rejection(attempts));
         }
     }
+    if let Some(next) = queue::wait_for_turn(context, caller, request, attempts, trace).await {
+        return next;
+    }
     let mut choice =
         match upstream_choice::choose_upstream(context, request, attempts, remaining, trace) {
             Ok(choice) => choice,
@@ -218,9 +225,13 @@
         attempts.delivery.last_event_id(),
     );
     context.record_sent(request, &mut choice);
+    queue::record_sent(context, request, &choice);
     let sent = Instant::now();
-    let may_switch = || context.may_switch(request, &attempts.tried_runs, &mut attempts.retry_paid);
-    let failover = Failover { silence_limit, may_switch };
+    let slow_at = silence_limit.and_then(|_| context.slow_at(request, &choice, sent));
+    let slow_at = slow_at.filter(|_| attempts.delivery.first_byte_at.is_none());
+    let (tried_runs, retry_paid) = (&attempts.tried_runs, &mut attempts.retry_paid);
+    let may_switch = |reason| context.may_switch(reason, request, &choice, tried_runs, retry_paid);
+    let failover = Failover { slow_at, silence_limit, may_switch };
     let response = exchange::send(context, caller, request, &choice, &bytes, failover).await;
     if !matches!(response, Err(Failure::Unreachable)) {
         attempts.sends += 1;
@@ -302,26 +313,23 @@
     let first_byte_before = attempts.delivery.first_byte_at;
     let proves_execution =
         quarantine::proves_execution(status, response.head.framing(&request.head.method).ok());
-    let may_switch = || context.may_switch(request, &attempts.tried_runs, &mut attempts.retry_paid);
-    let failover = Failover { silence_limit, may_switch };
+    let slow_at = silence_limit.and_then(|_| context.slow_at(request, &choice, sent_at));
+    let (tried_runs, retry_paid) = (&attempts.tried_runs, &mut attempts.retry_paid);
+    let may_switch = |reason| context.may_switch(reason, request, &choice, tried_runs, retry_paid);
+    let failover = Failover { slow_at, silence_limit, may_switch };
     let outcome = attempts.delivery.deliver(caller, request, &mut response, failover).await;
     let first_byte_at = attempts.delivery.first_byte_at.filter(|_| first_byte_before.is_none());
     if let Some(first_byte_at) = first_byte_at {
         context.record_first_event(&choice, first_byte_at - sent_at);
     }
     trace.status = status;
-    let ending = match outcome {
-        Outcome::Complete if status >= 500 => Ending::Failed,
-        Outcome::Complete => Ending::Complete,
-        Outcome::Broken | Outcome::Unresponsive => Ending::Failed,
-        Outcome::TimedOut | Outcome::CallerGone => Ending::Abandoned,
-    };
-    context.record_end(&choice, ending, Some(sent_at.elapsed()));
+    let duration = (outcome != Outcome::Slow).then(|| sent_at.elapsed());
+    context.record_end(&choice, outcome.ending(status), duration);
     match outcome {
         Outcome::Complete if proves_execution => context.record_answer(request),
         Outcome::Broken => context.signal_interrupted(request, &choice, sent_at),
         Outcome::CallerGone => context.signal_caller_left(request, &choice, sent_at),
-        Outcome::Complete | Outcome::Unresponsive | Outcome::TimedOut => {}
+        Outcome::Complete | Outcome::Unresponsive | Outcome::Slow | Outcome::TimedOut => {}
     }
     match outcome {
         Outcome::Complete => {
@@ -329,8 +337,12 @@
             trace.outcome = "answered";
             Next::Done(Disposition::KeepOpen)
         }
-        Outcome::Broken | Outcome::Unresponsive => {
-            trace.causes.push(if outcome == Outcome::Broken { "broke_off" } else { "went_silent" });
+        Outcome::Broken | Outcome::Unresponsive | Outcome::Slow => {
+            trace.causes.push(match outcome {
+                Outcome::Broken => "broke_off",
+                Outcome::Slow => "slow",
+                _ => "went_silent",
+            });
             if request.is_resumable() { Next::Retry } else { Next::Refuse((Refusal::Failed, None)) }
         }
         Outcome::TimedOut => Next::Refuse((Refusal::TimedOut, None)),
@@ -354,6 +366,7 @@
         Failure::Unreachable => (Ending::Unreachable, "unreached"),
         Failure::Broken => (Ending::Failed, "broken"),
         Failure::Unresponsive => (Ending::Failed, "silent"),
+        Failure::Slow => (Ending::Slow, "slow"),
         Failure::CallerGone => (Ending::Abandoned, "caller_gone"),
     };
     context.record_end(choice, ending, None);
@@ -361,7 +374,7 @@
         Failure::Broken => context.signal_interrupted(request, choice, sent),
         Failure::CallerGone => context.signal_caller_left(request, choice, sent),
         Failure::Unreachable => context.signal_unreachable(choice),
-        Failure::Unresponsive => {}
+        Failure::Unresponsive | Failure::Slow => {}
     }
     trace.causes.push(cause);
     match failure {
@@ -377,7 +390,7 @@
                 Next::Refuse(exhausted_rejection(attempts))
             }
         }
-        Failure::Broken | Failure::Unresponsive => {
+        Failure::Broken | Failure::Unresponsive | Failure::Slow => {
             attempts.may_have_run = true;
             if failure == Failure::Broken {
                 // An upstream that closes the connection without an answer has usually run the
@@ -448,7 +461,10 @@
     trace: &mut Trace,
 ) -> Disposition {
     let (refusal, retry_after) = rejection;
-    let retry_after = retry_after.map(|retry_after| add_jitter(context, retry_after));
+    // A scheduled return is already spread over the time in which capacity becomes available.
+    let retry_after = trace
+        .scheduled_return
+        .or_else(|| retry_after.map(|retry_after| add_jitter(context, retry_after)));
     trace.status = refusal.status();
     trace.outcome = refusal.name();
     trace.retry_after = retry_after;
