Bound waits by the deadline and by rollouts, and end pending prompts

A request in the admission queue could wait beyond its caller's deadline. It also waited for the stable upstreams alone, so that during a rollout requests waited, and were refused, while the new version would have accepted them.

Where measurements are shared, a prompt whose answer ended after its head but before its first event, or that continued a stream, stayed in the pending tokens of its upstream, at this entry and in what it reports. Elsewhere this is as before.

--- a/crates/verbenaslip-relay/src/forward/delivery.rs
+++ b/crates/verbenaslip-relay/src/forward/delivery.rs
@@ -60,6 +60,15 @@
             Self::TimedOut | Self::CallerGone => Ending::Abandoned,
         }
     }
+
+    /// Returns the name in the log of why a request leaves its upstream within an answer.
+    pub(super) fn cause(self) -> &'static str {
+        match self {
+            Self::Broken => "broke_off",
+            Self::Slow => "slow",
+            _ => "went_silent",
+        }
+    }
 }
 
 impl Delivery {
--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -323,7 +323,9 @@
         context.record_first_event(&choice, first_byte_at - sent_at);
     }
     trace.status = status;
-    let duration = (outcome != Outcome::Slow).then(|| sent_at.elapsed());
+    let keeps_pending = outcome != Outcome::Slow && !queue::is_shared(context, request);
+    // Where measurements are shared, a prompt without a first event must not stay pending in them.
+    let duration = (first_byte_at.is_some() || keeps_pending).then(|| sent_at.elapsed());
     context.record_end(&choice, outcome.ending(status), duration);
     match outcome {
         Outcome::Complete if proves_execution => context.record_answer(request),
@@ -338,11 +340,7 @@
             Next::Done(Disposition::KeepOpen)
         }
         Outcome::Broken | Outcome::Unresponsive | Outcome::Slow => {
-            trace.causes.push(match outcome {
-                Outcome::Broken => "broke_off",
-                Outcome::Slow => "slow",
-                _ => "went_silent",
-            });
+            trace.causes.push(outcome.cause());
             if request.is_resumable() { Next::Retry } else { Next::Refuse((Refusal::Failed, None)) }
         }
         Outcome::TimedOut => Next::Refuse((Refusal::TimedOut, None)),
--- a/crates/verbenaslip-relay/src/forward/queue.rs
+++ b/crates/verbenaslip-relay/src/forward/queue.rs
@@ -20,7 +20,6 @@
 use crate::policy::placement::Choice;
 use crate::policy::return_schedule::{RefusedCaller, ReturnSchedule};
 use crate::policy::speed::Speed;
-use crate::policy::versions::Tracks;
 use crate::policy::waiting::{self, Ticket, WaitingQueue};
 
 /// Fraction of the objective for which a request is held. A caller that is refused after that can
@@ -158,7 +157,7 @@
         return Some(Next::Refuse(refuse(context, request, attempts)));
     };
     trace.queue_position.get_or_insert(position);
-    let until = started_at + holding_time;
+    let until = request.deadline.min(started_at + holding_time);
     let departure = loop {
         let recheck_at = if place.is_next() {
             let Some(wait) = next_acceptance(context, request, attempts) else {
@@ -256,7 +255,7 @@
 }
 
 /// Returns whether the measurements of all entries are in force for a request.
-fn is_shared(context: &Context, request: &AdmittedRequest<'_>) -> bool {
+pub(super) fn is_shared(context: &Context, request: &AdmittedRequest<'_>) -> bool {
     !request.info.prompt_parts.is_empty()
         && context.placement.borrow().shares_service(&request.service)
 }
@@ -268,7 +267,10 @@
     attempts: &Attempts,
 ) -> Option<Duration> {
     let remaining = request.deadline.saturating_duration_since(Instant::now());
-    let query = upstream_choice::query(request, attempts, remaining, Tracks::default());
+    // Chosen again at each look, so that a request does not wait for one version while a rollout
+    // sends most requests to another.
+    let tracks = context.choose_tracks(request, !attempts.tried_runs.is_empty());
+    let query = upstream_choice::query(request, attempts, remaining, tracks);
     context.placement.borrow().next_acceptance(monotonic::now(), &query)
 }
 
--- a/crates/verbenaslip-relay/tests/queue.rs
+++ b/crates/verbenaslip-relay/tests/queue.rs
@@ -2,7 +2,7 @@
 //!
 //! The only upstream takes ten requests a second, and the entry holds requests for 500 ms.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
@@ -17,6 +17,7 @@
 use verbenaslip_fleet::limit::{Limit, TimeSlot};
 use verbenaslip_fleet::measurement::{Figure, RunKey};
 use verbenaslip_fleet::registry::{Announcement, Record, Run, Status};
+use verbenaslip_fleet::rollout::{Plan, State};
 use verbenaslip_fleet::route_table::{RequestKind, Route, RouteTable, Service, Target};
 use verbenaslip_relay::Server;
 use verbenaslip_relay::dialect::{
@@ -33,13 +34,21 @@
 /// Requests per second that the upstream takes.
 const RATE: f64 = 10.0;
 
+/// Identity of a request whose answer the upstream breaks off after the head.
+const BROKEN_ID: usize = 2_000;
+
+/// Identity of a request whose caller waits 200 ms for its answer.
+const IMPATIENT_ID: usize = 3_000;
+
 /// Each request has a prompt of 700 tokens, and each answer states the rate limit.
 struct TestDialect;
 
 impl Dialect for TestDialect {
     fn request_info(&self, head: &RequestHead) -> Option<RequestInfo> {
+        let is_impatient = head.text("id")? == IMPATIENT_ID.to_string();
         Some(RequestInfo {
             id: head.text("id")?.into(),
+            caller_timeout: is_impatient.then_some(Duration::from_millis(200)),
             token_counts: Some(TokenCounts { prompt: 700, max_output: 10 }),
             prompt_parts: vec![PromptPart { id: head.text("id")?.parse().ok()?, tokens: 700 }],
             ..RequestInfo::default()
@@ -83,10 +92,15 @@
 impl Entry {
     /// Starts an entry that shares measurements, and an upstream with a rate limit.
     fn spawn(figures: bool) -> Self {
+        Self::spawn_with(|address| view(address, figures))
+    }
+
+    /// Starts an entry with a view that is built from the address of the upstream.
+    fn spawn_with(view: impl FnOnce(SocketAddr) -> View) -> Self {
         let received = Arc::new(AtomicUsize::new(0));
         let shared = Arc::new(SharedState::default());
         let sharing = Sharing { min_slots: 32, min_entries: 1 };
-        shared.set_view(view(spawn_upstream(received.clone()), figures));
+        shared.set_view(view(spawn_upstream(received.clone())));
         let address = free_address();
         let server = Server::spawn(Config {
             caller_address: address,
@@ -157,8 +171,15 @@
 
 fn answer_requests(mut stream: TcpStream, received: &AtomicUsize) {
     let mut bytes = [0; 4_096];
-    while stream.read(&mut bytes).is_ok_and(|count| count > 0) {
+    let broken_id = format!("id: {BROKEN_ID}\r\n");
+    while let Ok(count) = stream.read(&mut bytes)
+        && count > 0
+    {
         received.fetch_add(1, Ordering::Relaxed);
+        if String::from_utf8_lossy(&bytes[..count]).contains(&broken_id) {
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n");
+            return;
+        }
         if stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").is_err() {
             return;
         }
@@ -202,6 +223,50 @@
     }
 }
 
+/// Returns a view in which all slots of the upstream are in use.
+fn full_view(address: SocketAddr) -> View {
+    let view = view(address, true);
+    let full = |(key, figure): (&RunKey, &Figure)| (*key, Figure { active: 32, ..*figure });
+    View {
+        figures: Arc::new(view.figures.iter().map(full).collect()),
+        limits: Arc::default(),
+        ..view
+    }
+}
+
+/// Returns a view in which the slots of the old version are in use and another upstream has the
+/// version that a rollout shifts the traffic to.
+fn rollout_view(address: SocketAddr) -> View {
+    let view = full_view(address);
+    let mut upstreams = (*view.upstreams).clone();
+    let mut record = upstreams.values().next().expect("an upstream").clone();
+    let run = Run { upstream: Upstream::new("u2"), incarnation: 0 };
+    record.announcement.run = run.clone();
+    record.announcement.version = "v2".into();
+    upstreams.insert(run.upstream.clone(), record);
+    let mut figures = (*view.figures).clone();
+    let figure = *figures.values().next().expect("a figure");
+    figures.insert(RunKey::of(&run), Figure { active: 0, ..figure });
+    let plan = Plan {
+        id: 1,
+        step: 1,
+        version: "v2".into(),
+        rejected: BTreeSet::new(),
+        state: State::Serving,
+        share: 0.95,
+        route_shares: BTreeMap::new(),
+        canaries: None,
+        shifting: true,
+        slow_ms: BTreeMap::new(),
+    };
+    View {
+        upstreams: Arc::new(upstreams),
+        figures: Arc::new(figures),
+        rollout_plans: Arc::new(BTreeMap::from([("pool".into(), plan)])),
+        ..view
+    }
+}
+
 fn route_table() -> RouteTable {
     let route = Route {
         name: "x".into(),
@@ -297,3 +362,45 @@
     assert!(refused.count() >= 5, "{answers:?}");
     assert!(answers.iter().all(|(_, elapsed)| *elapsed < Duration::from_millis(200)));
 }
+
+/// Guards against requests that wait for the old version, and are then refused, although a rollout
+/// sends them to the new one.
+#[test]
+fn requests_do_not_wait_for_a_version_that_they_need_not_go_to() {
+    let entry = Entry::spawn_with(rollout_view);
+    assert_eq!(read_answer(entry.send(0)).0, 200);
+}
+
+/// Guards against requests that wait longer than their callers do.
+#[test]
+fn a_request_does_not_wait_beyond_its_deadline() {
+    let entry = Entry::spawn_with(full_view);
+    let attempts = (0..5).map(|_| {
+        let start = Instant::now();
+        assert_eq!(read_answer(entry.send(IMPATIENT_ID)).0, 503);
+        start.elapsed()
+    });
+    // The fastest one, since a busy machine delays some.
+    let elapsed = attempts.min().expect("an attempt");
+    assert!(elapsed > Duration::from_millis(100), "{elapsed:?}");
+    assert!(elapsed < Duration::from_millis(200), "{elapsed:?}");
+}
+
+/// Guards against prompts that count as pending for ever, here and in the figures of the fleet, if
+/// their answer ends before the first event.
+#[test]
+fn no_prompt_is_pending_after_an_answer_that_breaks_off_before_its_first_event() {
+    let entry = Entry::spawn(true);
+    read_answer(entry.send(BROKEN_ID));
+    let start = Instant::now();
+    loop {
+        let measurements = entry.shared.take_report().measurements;
+        assert_eq!(measurements.len(), 1);
+        if measurements[0].active == 0 {
+            assert_eq!(measurements[0].pending_tokens, 0);
+            return;
+        }
+        assert!(start.elapsed() < Duration::from_secs(2), "{measurements:?}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
