Tell callers the whole cooldown if it exceeds the longest retry time

With shared measurements, a caller that was refused because all upstreams had asked for a cooldown of 20 s was told to retry after 3 s, while they still took no requests. The schedule now leaves such times as they are. The test failed before the change with 3,000 ms.

--- a/crates/verbenaslip-relay/src/forward/queue.rs
+++ b/crates/verbenaslip-relay/src/forward/queue.rs
@@ -18,7 +18,7 @@
 use crate::http::Connection;
 use crate::monotonic;
 use crate::policy::placement::Choice;
-use crate::policy::return_schedule::{RefusedCaller, ReturnSchedule};
+use crate::policy::return_schedule::{MAX_RETRY_AFTER, RefusedCaller, ReturnSchedule};
 use crate::policy::speed::Speed;
 use crate::policy::waiting::{self, Ticket, WaitingQueue};
 
@@ -229,9 +229,11 @@
             | Refusal::RateLimited
             | Refusal::CoolingDown
     );
-    let Some(excess) = retry_after.filter(|_| lacks_capacity && is_shared(context, request)) else {
-        return;
+    // The schedule ends after its longest retry time, but a cooldown can last longer.
+    let is_scheduled = |excess: &Duration| {
+        lacks_capacity && *excess <= MAX_RETRY_AFTER && is_shared(context, request)
     };
+    let Some(excess) = retry_after.filter(is_scheduled) else { return };
     let now = monotonic::now();
     let capacity = context.placement.borrow().service_capacity(now, &request.service);
     let Some(capacity) = capacity else { return };
--- a/crates/verbenaslip-relay/tests/queue.rs
+++ b/crates/verbenaslip-relay/tests/queue.rs
@@ -37,6 +37,9 @@
 /// Identity of a request whose answer the upstream breaks off after the head.
 const BROKEN_ID: usize = 2_000;
 
+/// Identity of a request that makes the upstream ask for a cooldown of 20 s.
+const COOLDOWN_ID: usize = 4_000;
+
 /// Identity of a request whose caller waits 200 ms for its answer.
 const IMPATIENT_ID: usize = 3_000;
 
@@ -61,15 +64,16 @@
 
     fn write_forwarded(&self, _: &ForwardedFields<'_>, _: WriteField<'_>) {}
 
-    fn response_info(&self, _: &ResponseHead, _: &str) -> ResponseInfo {
+    fn response_info(&self, _: &ResponseHead, id: &str) -> ResponseInfo {
+        let cooldown = (id == COOLDOWN_ID.to_string()).then_some(Duration::from_secs(20));
         ResponseInfo {
             matches_request: true,
-            not_run: false,
+            not_run: cooldown.is_some(),
             other_run: false,
             unrequested_encoding: false,
             rate_limit: RateLimit::PerSecond(RATE),
             leaving: false,
-            cooldown: None,
+            cooldown,
         }
     }
 
@@ -404,3 +408,14 @@
         thread::sleep(Duration::from_millis(5));
     }
 }
+
+/// Guards against callers that are told to return while all upstreams still take no requests.
+#[test]
+fn callers_return_no_earlier_than_a_long_cooldown_ends() {
+    let entry = Entry::spawn(true);
+    assert_eq!(read_answer(entry.send(COOLDOWN_ID)).0, 503);
+    let (status, retry_ms) = read_answer(entry.send(0));
+    assert_eq!(status, 503);
+    // At least 20 s, spread by a quarter.
+    assert!(retry_ms.is_some_and(|it| it >= 14_900), "{retry_ms:?}");
+}
