Try another port if a test's port is taken before its server starts

One run of tests/queue.rs failed since another process had taken the free port (address in use). The checks are unchanged. 20 runs of the file and the tests of the package passed after the change.

--- a/crates/verbenaslip-relay/tests/queue.rs
+++ b/crates/verbenaslip-relay/tests/queue.rs
@@ -105,19 +105,24 @@
         let shared = Arc::new(SharedState::default());
         let sharing = Sharing { min_slots: 32, min_entries: 1 };
         shared.set_view(view(spawn_upstream(received.clone())));
-        let address = free_address();
-        let server = Server::spawn(Config {
-            caller_address: address,
-            readiness_address: free_address(),
-            zone: AvailabilityZone::from("north"),
-            max_connections: 100,
-            retry_bounds: Bounds { ratio: 0.1, allowance: 10.0 },
-            sharing,
-            usage_window: Duration::from_secs(60),
-            shared: shared.clone(),
-            dialect: Arc::new(TestDialect),
+        // Another process may take a free port before the server does.
+        let servers = (0..10).map(|_| {
+            let address = free_address();
+            let server = Server::spawn(Config {
+                caller_address: address,
+                readiness_address: free_address(),
+                zone: AvailabilityZone::from("north"),
+                max_connections: 100,
+                retry_bounds: Bounds { ratio: 0.1, allowance: 10.0 },
+                sharing,
+                usage_window: Duration::from_secs(60),
+                shared: shared.clone(),
+                dialect: Arc::new(TestDialect),
+            });
+            Some((address, server.ok()?))
         });
-        Self { address, shared, _server: server.expect("a server"), received }
+        let (address, server) = servers.flatten().next().expect("a server");
+        Self { address, shared, _server: server, received }
     }
 
     fn send(&self, id: usize) -> TcpStream {
