Weight the homes of prompts by the pace of streams

The queues of other entries are 400 ms old when they arrive, five requests per engine, and made entries alternate between upstreams.

Homes are chosen by weighted rendezvous hashing over three classes of speed, half of the difference in prefill time counts in the cost, and queues are balanced by the entry's own requests as before. Totals and figures carry the rate of streams in place of prefill tokens and times.

--- a/crates/verbenaslip-fleet/src/measurement/board.rs
+++ b/crates/verbenaslip-fleet/src/measurement/board.rs
@@ -177,7 +177,7 @@
     let pair = |high: u32, low: u32| u64::from(high) << 32 | u64::from(low);
     let parts = [
         report.key.0,
-        pair(report.speed, report.wait_ms),
+        pair(report.rate, report.wait_ms),
         pair(report.pending_tokens, report.active),
         pair(report.events, report.failures),
     ];
--- a/crates/verbenaslip-fleet/src/measurement/collector.rs
+++ b/crates/verbenaslip-fleet/src/measurement/collector.rs
@@ -118,8 +118,8 @@
                 .filter(|_| !has_returned);
             let measured = baseline.and_then(|it| Difference::between(&it, &report));
             if let Some(measured) = measured {
-                let fleet_speed = known.get(&report.key).and_then(|it| it.tokens_per_ms);
-                run.add(now, &measured.clamped(fleet_speed.or(run.average.tokens_per_ms())));
+                let fleet_rate = known.get(&report.key).and_then(|it| it.stream_rate);
+                run.add(now, &measured.clamped(fleet_rate.or(run.average.stream_rate())));
             }
         }
     }
--- a/crates/verbenaslip-fleet/src/measurement/summary.rs
+++ b/crates/verbenaslip-fleet/src/measurement/summary.rs
@@ -28,8 +28,8 @@
     pub figures: usize,
     /// Age of the oldest figure.
     pub oldest_age: Duration,
-    /// Median of the known prefill speeds in tokens per millisecond; zero if none is known.
-    pub median_tokens_per_ms: f64,
+    /// Median of the known stream rates in events per second; zero if none is known.
+    pub median_stream_rate: f64,
     /// Median of the mean waits in milliseconds.
     pub median_wait_ms: f64,
     /// The upstreams that differ most from these medians, the most different one first.
@@ -54,20 +54,20 @@
 }
 
 fn summarize_service(now: Duration, service: Arc<str>, mut upstreams: Listed) -> Summary {
-    let median_tokens_per_ms =
-        median(upstreams.iter().filter_map(|(_, it)| it.tokens_per_ms).collect());
+    let median_stream_rate =
+        median(upstreams.iter().filter_map(|(_, it)| it.stream_rate).collect());
     let median_wait_ms = median(upstreams.iter().map(|(_, it)| it.wait_ms).collect());
     let difference = |figure: &Figure| {
-        let speed = figure.tokens_per_ms.map_or(0.0, |it| (it / median_tokens_per_ms).ln().abs());
+        let rate = figure.stream_rate.map_or(0.0, |it| (it / median_stream_rate).ln().abs());
         let wait = (figure.wait_ms + WAIT_SCALE_MS) / (median_wait_ms + WAIT_SCALE_MS);
-        speed.max(wait.ln().abs())
+        rate.max(wait.ln().abs())
     };
     upstreams.sort_by(|(_, left), (_, right)| difference(right).total_cmp(&difference(left)));
     let age = |figure: &Figure| now.saturating_sub(figure.measured_at);
     let oldest_age = upstreams.iter().map(|(_, it)| age(it)).max().unwrap_or_default();
     let figures = upstreams.len();
     upstreams.truncate(MAX_LISTED);
-    Summary { service, figures, oldest_age, median_tokens_per_ms, median_wait_ms, upstreams }
+    Summary { service, figures, oldest_age, median_stream_rate, median_wait_ms, upstreams }
 }
 
 /// Returns the median, or zero without values.
--- a/crates/verbenaslip-instance/src/logging.rs
+++ b/crates/verbenaslip-instance/src/logging.rs
@@ -104,7 +104,7 @@
     let rounded = |value: f64| json!((value * 100.0).round() / 100.0);
     let fields = |figure: &Figure| {
         json!({
-            "tokens_per_ms": figure.tokens_per_ms.map(rounded),
+            "stream_rate": figure.stream_rate.map(rounded),
             "wait_ms": rounded(figure.wait_ms),
             "pending_tokens": figure.pending_tokens,
             "active": figure.active,
@@ -120,7 +120,7 @@
             ("service", json!(summary.service)),
             ("figures", json!(summary.figures)),
             ("oldest_ms", json!(summary.oldest_age.as_millis())),
-            ("median_tokens_per_ms", rounded(summary.median_tokens_per_ms)),
+            ("median_stream_rate", rounded(summary.median_stream_rate)),
             ("median_wait_ms", rounded(summary.median_wait_ms)),
             ("upstreams", Value::Object(upstreams.collect())),
         ],
--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -21,6 +21,7 @@
 use crate::forward::upstream_log;
 use crate::monotonic;
 use crate::policy::allowance::Allowances;
+use crate::policy::pace::Pace;
 use crate::policy::placement::{Choice, Ending, Placement, Query};
 use crate::policy::quarantine::Quarantine;
 use crate::policy::restriction::Change;
@@ -130,6 +131,11 @@
         }
     }
 
+    /// Records the pace of a stream.
+    pub(crate) fn record_pace(&self, choice: &Choice, pace: Pace) {
+        self.placement.borrow_mut().record_pace(choice, pace);
+    }
+
     /// Records the time to the first event of a request.
     pub(crate) fn record_first_event(&self, choice: &Choice, latency: Duration) {
         self.placement.borrow_mut().record_first_event(monotonic::now(), choice, latency);
--- a/crates/verbenaslip-relay/src/forward/delivery.rs
+++ b/crates/verbenaslip-relay/src/forward/delivery.rs
@@ -11,6 +11,7 @@
 use crate::forward::failover::Failover;
 use crate::http::body::{LAST_CHUNK, write_chunk};
 use crate::http::{Connection, Decoder, Framing, Step};
+use crate::policy::pace::Gaps;
 use crate::policy::placement::Ending;
 use crate::policy::switching::Reason;
 
@@ -30,6 +31,8 @@
     last_piece_at: Option<Instant>,
     /// Longest pause between two pieces of the body.
     pub longest_pause: Duration,
+    /// Gaps between the pieces of the body from one upstream.
+    pub gaps: Gaps,
 }
 
 /// Describes how an answer ended.
@@ -186,6 +189,7 @@
         self.first_byte_at.get_or_insert(now);
         if let Some(last) = self.last_piece_at.replace(now) {
             self.longest_pause = self.longest_pause.max(now - last);
+            self.gaps.record(now - last);
         }
         if request.is_resumable() {
             let complete = self.splitter.push(data);
--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -323,6 +323,9 @@
         context.record_first_event(&choice, first_byte_at - sent_at);
     }
     trace.status = status;
+    if let Some(pace) = attempts.delivery.gaps.take_pace() {
+        context.record_pace(&choice, pace);
+    }
     let keeps_pending = outcome != Outcome::Slow && !queue::is_shared(context, request);
     // Where measurements are shared, a prompt without a first event must not stay pending in them.
     let duration = (first_byte_at.is_some() || keeps_pending).then(|| sent_at.elapsed());
--- a/crates/verbenaslip-relay/src/policy.rs
+++ b/crates/verbenaslip-relay/src/policy.rs
@@ -4,7 +4,7 @@
 //! be sent to another upstream, [`switching`] when it leaves a slow one, and [`placement`] which
 //! upstream takes a request or whether it is refused at once. `placement` uses the following
 //! modules. [`upstream_state`] holds what is known of one upstream, with [`cache`], [`speed`] and
-//! [`measured`], which the fleet shares. [`restriction`] holds what upstreams ask for in their
+//! [`measured`], which the fleet shares; [`pace`] shows how fast an upstream is. [`restriction`] holds what upstreams ask for in their
 //! answers: [`limiter`] keeps to an entry's share of an upstream's rate limit, and [`cooldown`] to
 //! the time in which an upstream wants no requests. [`load_shedding`] refuses a share of a
 //! service's requests. [`returning`] tells callers that retry from new ones. [`versions`] chooses
@@ -18,6 +18,7 @@
 pub mod limiter;
 pub(crate) mod load_shedding;
 pub(crate) mod measured;
+pub mod pace;
 pub mod placement;
 pub mod quarantine;
 pub mod restriction;
--- a/crates/verbenaslip-relay/src/policy/placement.rs
+++ b/crates/verbenaslip-relay/src/policy/placement.rs
@@ -1,8 +1,8 @@
 //! Chooses the upstream for a request.
 
-mod candidates;
 mod capacity;
 mod choice;
+mod homes;
 mod recording;
 mod restrictions;
 
@@ -15,7 +15,7 @@
 use verbenaslip_fleet::View;
 use verbenaslip_fleet::limit::{Limits, TimeSlot};
 use verbenaslip_fleet::measurement::Figures;
-use verbenaslip_fleet::registry::{Announcement, Record, Run, Status};
+use verbenaslip_fleet::registry::{Announcement, Record, Run};
 use verbenaslip_fleet::rollout::{Cohort, Plans};
 
 use crate::dialect::PromptPart;
@@ -23,7 +23,6 @@
 use crate::policy::placement::capacity::ServiceFigures;
 use crate::policy::placement::choice::ServiceRank;
 pub use crate::policy::placement::choice::{Busy, Cause, Choice, Decision, FigureUse, Query};
-use crate::policy::placement::recording::ServiceLearning;
 use crate::policy::restriction::Restrictions;
 use crate::policy::speed::Lag;
 pub use crate::policy::upstream_state::Ending;
@@ -125,8 +124,6 @@
     sharing: Sharing,
     entry_count: u32,
     figures: Arc<Figures>,
-    /// What this entry has learnt of services where measurements are shared.
-    learning: BTreeMap<Arc<str>, ServiceLearning>,
 }
 
 /// Holds the estimated effect of sending a request to an upstream.
@@ -162,7 +159,6 @@
             sharing: Sharing::default(),
             entry_count: 1,
             figures: Arc::default(),
-            learning: BTreeMap::new(),
         }
     }
 
@@ -221,7 +217,7 @@
                 .map_or(Decision::NoUpstream, Decision::Refuse);
         };
         let objective = query.objective.as_secs_f64() * 1_000.0;
-        if engine && choice.figures.is_none() {
+        if engine {
             choice.lag_ms = self.lags.get(&choice.service_rank).map_or(0.0, |lag| lag.lag_at(now));
         }
         let expected_ms = choice.expected_ms + choice.lag_ms;
@@ -250,11 +246,7 @@
             tracks.map(move |track| (strict, track))
         });
         options.find_map(|(strict, track)| {
-            if let Some(figures) = &figures {
-                return self.best_by_figures(now, query, figures, strict, track);
-            }
-            let home = self.home_upstream(query, track);
-            self.best_upstream(now, query, home.as_ref(), strict, track)
+            self.best_upstream(now, query, figures.as_ref(), strict, track)
         })
     }
 
@@ -362,10 +354,11 @@
         &self,
         now: Duration,
         query: &Query<'_>,
-        home: Option<&Upstream>,
+        figures: Option<&ServiceFigures>,
         strict: bool,
         track: Track,
     ) -> Option<Choice> {
+        let home = self.home_upstream(now, query, figures, track);
         let names = self.by_service.get(query.service)?;
         let shared: u64 = shared_parts(query.parts).iter().map(|part| u64::from(part.tokens)).sum();
         let at = self.moment(now);
@@ -373,15 +366,21 @@
         let mut equal_count = 1;
         for name in names {
             let Some(state) = self.states.get(name) else { continue };
-            if !self.is_admissible(now, query, state, strict, track) {
+            let is_full = strict && figures.is_some() && state.is_full(now);
+            if is_full || !self.is_admissible(now, query, state, strict, track) {
                 continue;
             }
             let likely_cached =
-                if home == Some(name) { scale(shared, HOME_CACHED_SHARE) } else { 0 };
+                if home.as_ref() == Some(name) { scale(shared, HOME_CACHED_SHARE) } else { 0 };
             let mut estimate = self.estimate(now, query, state, shared, likely_cached);
             if self.restrictions.is_probe_due(at, state.run()) {
                 estimate.cost_ms -= PROBE_BONUS_MS;
             }
+            if let Some(figures) = figures {
+                let prefill_ms = state.speed.prefill_ms(estimate.uncached_tokens);
+                estimate.cost_ms += figures.speed_cost_ms(now, state, prefill_ms);
+                estimate.cost_ms += if state.is_slow(now) { FAILURE_COST_MS } else { 0.0 };
+            }
             let cost_saving = best.map_or(f64::MAX, |(_, best)| best.cost_ms - estimate.cost_ms);
             equal_count = if cost_saving.abs() < EQUAL_COST_MS { equal_count + 1 } else { 1 };
             // Equal upstreams are equally likely; always taking the first would send it all
@@ -393,12 +392,11 @@
             }
         }
         let (state, estimate) = best?;
-        let prefill_ms = if query.parts.is_empty() {
-            0.0
-        } else {
-            state.speed.prefill_ms(estimate.uncached_tokens)
-        };
-        Some(self.new_choice(query, state, &estimate, prefill_ms, None))
+        let used = figures.map(|figures| {
+            let is_home = home.as_ref() == Some(&state.run().upstream);
+            Box::new(figures.used(now, state, is_home))
+        });
+        Some(self.new_choice(query, state, &estimate, used))
     }
 
     /// Returns whether an upstream may take a request now.
@@ -426,7 +424,6 @@
         query: &Query<'_>,
         state: &UpstreamState,
         estimate: &Estimate,
-        prefill_ms: f64,
         figures: Option<Box<FigureUse>>,
     ) -> Choice {
         let Announcement { run, address, service, version, .. } = &state.record.announcement;
@@ -437,7 +434,11 @@
             expected_ms: estimate.expected_ms,
             lag_ms: 0.0,
             idle: estimate.idle,
-            prefill_ms,
+            prefill_ms: if query.parts.is_empty() {
+                0.0
+            } else {
+                state.speed.prefill_ms(estimate.uncached_tokens)
+            },
             version: version.clone(),
             cohort: state.cohort,
             upstream_hash: state.upstream_hash,
@@ -501,25 +502,6 @@
             .unwrap_or(u32::MAX);
         f64::from(picked) / f64::from(u32::MAX)
     }
-
-    /// Returns the upstream to which the shared prefix of a prompt belongs.
-    ///
-    /// All entries choose the same one without communication: the upstream with the highest hash
-    /// of prefix and upstream.
-    fn home_upstream(&self, query: &Query<'_>, track: Track) -> Option<Upstream> {
-        let part = shared_parts(query.parts).last()?.id;
-        let names = self.by_service.get(query.service)?;
-        let states = names.iter().filter_map(|name| Some((name, self.states.get(name)?)));
-        let ready = states.filter(|(_, state)| {
-            state.record.status == Status::Ready
-                && track.includes(state.cohort)
-                && self.restrictions.restriction(state.run()).is_none()
-                && !self.restrictions.is_leaving(state.run())
-        });
-        ready
-            .max_by_key(|(_, state)| hash::mix(state.upstream_hash ^ part))
-            .map(|(name, _)| name.clone())
-    }
 }
 
 /// Returns the expected time in milliseconds beyond which a request is refused.
--- a/crates/verbenaslip-relay/src/policy/placement/capacity.rs
+++ b/crates/verbenaslip-relay/src/policy/placement/capacity.rs
@@ -4,9 +4,10 @@
 
 use verbenaslip_fleet::registry::Status;
 
+use crate::policy::placement::choice::FigureUse;
 use crate::policy::placement::{Choice, Placement, Query};
-use crate::policy::speed::{DEFAULT_FIRST_EVENT_MS, Speed};
-use crate::policy::upstream_state::UpstreamState;
+use crate::policy::speed::DEFAULT_FIRST_EVENT_MS;
+use crate::policy::upstream_state::{UpstreamState, figure_age};
 
 /// Longest time until an upstream accepts a request that [`Placement::next_acceptance`] returns.
 const MAX_ACCEPTANCE_WAIT: Duration = Duration::from_secs(1);
@@ -18,26 +19,28 @@
 /// Assumed duration of an answer, in milliseconds, until this entry has seen one.
 const DEFAULT_ANSWER_MS: f64 = 1_000.0;
 
-/// Summarises the figures of a service's upstreams.
+/// Summarizes the figures of a service's upstreams.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ServiceFigures {
-    /// Median of the learnt speeds in tokens per millisecond, also used where none is known.
-    pub(super) median_speed: f64,
+    /// Median of the rates of a stream, in events per second.
+    pub(super) median_rate: f64,
     /// Time to a first event beyond prefill and queue, in milliseconds.
-    pub(super) base_ms: f64,
+    base_ms: f64,
     /// Median of the mean waits of first events beyond their prefill, in milliseconds.
-    pub(super) median_wait_ms: f64,
-    /// Mean of the loads of the upstreams; see [`load`].
-    pub(super) mean_load: f64,
+    median_wait_ms: f64,
 }
 
-/// Returns the load of an upstream: first events a second divided by its speed.
-///
-/// The mean number of tokens is the same for all upstreams as far as an entry knows, so it is left
-/// out of the comparison.
-pub(super) fn load(state: &UpstreamState, now: Duration, median_speed: f64) -> Option<f64> {
-    let figure = state.fresh_figure(now)?;
-    Some(figure.events_per_s / state.learnt_speed(now).unwrap_or(median_speed).max(1.0))
+impl ServiceFigures {
+    /// Describes how the figures were used for an upstream.
+    pub(super) fn used(&self, now: Duration, state: &UpstreamState, is_home: bool) -> FigureUse {
+        let figure = state.fresh_figure(now);
+        FigureUse {
+            figure_age: figure.map(|it| figure_age(now, it)),
+            wait_ms: figure.map_or(self.median_wait_ms, |it| it.wait_ms),
+            relative_speed: self.relative_speed(now, state),
+            is_home,
+        }
+    }
 }
 
 impl Placement {
@@ -48,7 +51,7 @@
         let speeds = self
             .accepting(now, service)
             .filter(|it| self.has_figure(now, it))
-            .map(|it| it.learnt_speed(now).unwrap_or(figures.median_speed));
+            .map(|it| it.speed.tokens_per_ms() * figures.relative_speed(now, it));
         Some(speeds.sum())
     }
 
@@ -69,8 +72,9 @@
         let figures = self.service_figures(now, query.service)?;
         let mut tracks = std::iter::once(query.tracks.preferred).chain(query.tracks.fallback);
         let best =
-            tracks.find_map(|track| self.best_by_figures(now, query, &figures, true, track))?;
-        Some(best.expected_ms)
+            tracks.find_map(|track| self.best_upstream(now, query, Some(&figures), true, track))?;
+        let wait_ms = best.figures.as_ref().map_or(0.0, |it| it.wait_ms - figures.base_ms);
+        Some(best.expected_ms + wait_ms.max(0.0))
     }
 
     /// Counts an upstream as slow at this entry for a time.
@@ -127,27 +131,22 @@
         if !self.sharing_possible() {
             return None;
         }
-        let (mut total, mut waits, mut speeds) = (0, Vec::new(), Vec::new());
+        let (mut total, mut waits, mut rates) = (0, Vec::new(), Vec::new());
         for state in self.accepting(now, service) {
             total += 1;
             if self.has_figure(now, state) {
                 waits.extend(state.fresh_figure(now).map(|it| it.wait_ms));
-                speeds.extend(state.learnt_speed(now));
+                rates.extend(state.fresh_figure(now).and_then(|it| it.stream_rate));
             }
         }
         if waits.is_empty() || waits.len() * 2 < total {
             return None;
         }
         let shortest_wait = waits.iter().copied().fold(f64::MAX, f64::min);
-        let median_speed =
-            median(&mut speeds).unwrap_or_else(|| Speed::default().tokens_per_ms()).max(1.0);
-        let loads = self.accepting(now, service).filter_map(|it| load(it, now, median_speed));
-        let (sum, count) = loads.fold((0.0, 0.0), |(sum, count), it| (sum + it, count + 1.0));
         Some(ServiceFigures {
-            median_speed,
+            median_rate: median(&mut rates).unwrap_or(1.0),
             base_ms: shortest_wait.min(DEFAULT_FIRST_EVENT_MS),
             median_wait_ms: median(&mut waits)?,
-            mean_load: sum / f64::max(count, 1.0),
         })
     }
 
--- a/crates/verbenaslip-relay/src/policy/placement/choice.rs
+++ b/crates/verbenaslip-relay/src/policy/placement/choice.rs
@@ -80,22 +80,14 @@
 /// Describes the figures of the fleet by which an upstream was chosen.
 #[derive(Clone, Copy, Debug)]
 pub struct FigureUse {
-    /// Age of the upstream's figure, or `None` if the service's median was used.
+    /// Age of the upstream's figure, or `None` if it has no fresh one.
     pub figure_age: Option<Duration>,
-    /// Number of upstreams that were compared.
-    pub candidates: usize,
     /// Mean wait of first events beyond their own prefill, in milliseconds.
     pub wait_ms: f64,
-    /// Position of the upstream in the order of the prompt's homes, if it was a home.
-    pub home: Option<usize>,
-    /// Expected time beyond prefill and queue, in milliseconds.
-    pub(super) base_ms: f64,
-    /// Expected time of the queue, including this entry's own prefills, in milliseconds.
-    pub(super) queue_ms: f64,
-    /// Learnt speed that was used.
-    pub(super) tokens_per_ms: f64,
-    /// Whether the shared prefix counts as cached although this entry has not sent it there.
-    pub(super) guessed_cached: bool,
+    /// Speed of the upstream relative to the median of its service.
+    pub relative_speed: f64,
+    /// Whether the upstream is the home of the prompt's shared prefix.
+    pub is_home: bool,
 }
 
 /// Describes the decision about a request.
--- a/crates/verbenaslip-relay/src/policy/speed.rs
+++ b/crates/verbenaslip-relay/src/policy/speed.rs
@@ -34,7 +34,7 @@
 }
 
 impl Speed {
-    /// Returns the speed in tokens per millisecond.
+    /// Returns the prefill speed in tokens per millisecond.
     pub(crate) fn tokens_per_ms(&self) -> f64 {
         self.tokens_per_ms
     }
@@ -78,127 +78,6 @@
     }
 }
 
-/// Half-life of an entry's own speed samples, and of the fleet's figure when the two are weighted.
-const SPEED_HALF_LIFE: Duration = Duration::from_secs(4);
-
-/// Bounds of a speed sample relative to the speed known so far: a prompt that was cached unnoticed
-/// makes the engine look many times faster, and a queue that nobody has reported yet many times
-/// slower.
-const SAMPLE_BOUNDS: (f64, f64) = (0.3, 2.0);
-
-/// Sums an entry's own speed samples of one upstream; they fade with time.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct SpeedSamples {
-    tokens: f64,
-    millis: f64,
-    count: f64,
-    updated_at: Duration,
-}
-
-/// Describes a prefill whose time shows the speed of an upstream.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct SpeedSample {
-    /// Tokens that the upstream read, including those of the queue before the prompt.
-    pub tokens: f64,
-    /// Milliseconds that this took.
-    pub millis: f64,
-}
-
-impl SpeedSample {
-    /// Returns the sample of a prompt that met `queue_tokens` before it, or `None` if its time says
-    /// little about the speed.
-    ///
-    /// An upstream that 80 entries use is rarely idle. Counting the tokens of a short queue instead
-    /// of waiting for an idle upstream keeps the mean unbiased, because a queue known half a second
-    /// late is too long as often as it is too short.
-    #[allow(clippy::cast_precision_loss)] // Token counts are far below 2^52.
-    pub fn new(tokens: u64, queue_tokens: f64, millis: f64, known: Option<f64>) -> Option<Self> {
-        if tokens < MIN_PREFILL_SAMPLE || queue_tokens > tokens as f64 {
-            return None;
-        }
-        let tokens = tokens as f64 + queue_tokens;
-        let millis = millis.max(1.0);
-        let bounds =
-            known.map_or((1.0, 10_000.0), |it| (it * SAMPLE_BOUNDS.0, it * SAMPLE_BOUNDS.1));
-        Some(Self { tokens, millis: millis.clamp(tokens / bounds.1, tokens / bounds.0) })
-    }
-}
-
-impl SpeedSamples {
-    /// Adds a sample.
-    pub fn record(&mut self, now: Duration, sample: SpeedSample) {
-        let kept = self.remaining_at(now);
-        self.tokens = self.tokens * kept + sample.tokens;
-        self.millis = self.millis * kept + sample.millis;
-        self.count = self.count * kept + 1.0;
-        self.updated_at = now;
-    }
-
-    /// Returns the speed in tokens per millisecond from these samples and from the fleet's figure,
-    /// which is a mean of `fleet_count` samples; `None` if neither is known.
-    pub fn tokens_per_ms(
-        &self,
-        now: Duration,
-        fleet: Option<f64>,
-        fleet_count: f64,
-        fleet_age: Duration,
-    ) -> Option<f64> {
-        let own = (self.count > 0.0).then(|| self.tokens / self.millis);
-        let (Some(own), Some(fleet)) = (own, fleet) else { return own.or(fleet) };
-        let own_weight = self.count * self.remaining_at(now);
-        let fleet_weight = fleet_count.max(1.0) * remaining(fleet_age, SPEED_HALF_LIFE);
-        Some((own * own_weight + fleet * fleet_weight) / (own_weight + fleet_weight))
-    }
-
-    fn remaining_at(&self, now: Duration) -> f64 {
-        remaining(now.saturating_sub(self.updated_at), SPEED_HALF_LIFE)
-    }
-}
-
-/// Returns the part of a value that is left at an age.
-pub(crate) fn remaining(age: Duration, half_life: Duration) -> f64 {
-    0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
-}
-
-/// Half-life of the sums of a [`QueueFactor`].
-const FACTOR_HALF_LIFE: Duration = Duration::from_secs(3);
-
-/// Wait in milliseconds that a [`QueueFactor`] assumes to have been as expected, so that few and
-/// short waits do not move it.
-const FACTOR_PRIOR_MS: f64 = 200.0;
-
-/// Bounds of a [`QueueFactor`].
-const FACTOR_BOUNDS: (f64, f64) = (0.1, 3.0);
-
-/// Learns how long the requests of one priority wait relative to the mean wait at an upstream.
-///
-/// Engines serve urgent requests first. The fleet's figures are means over all priorities, by which
-/// urgent requests would be refused that an engine would serve in time.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct QueueFactor {
-    expected_ms: f64,
-    waited_ms: f64,
-    updated_at: Duration,
-}
-
-impl QueueFactor {
-    /// Returns the factor.
-    pub fn factor_at(&self, now: Duration) -> f64 {
-        let kept = remaining(now.saturating_sub(self.updated_at), FACTOR_HALF_LIFE);
-        let factor =
-            (self.waited_ms * kept + FACTOR_PRIOR_MS) / (self.expected_ms * kept + FACTOR_PRIOR_MS);
-        factor.clamp(FACTOR_BOUNDS.0, FACTOR_BOUNDS.1)
-    }
-
-    /// Records a wait, and the wait that the figures let expect.
-    pub fn record(&mut self, now: Duration, expected_ms: f64, waited_ms: f64) {
-        let kept = remaining(now.saturating_sub(self.updated_at), FACTOR_HALF_LIFE);
-        self.expected_ms = self.expected_ms * kept + expected_ms;
-        self.waited_ms = self.waited_ms * kept + waited_ms;
-        self.updated_at = now;
-    }
-}
-
 /// Learns how much later first events arrive than this entry can predict.
 ///
 /// An entry only knows its own requests. The load from other entries shows only in the entry's own
--- a/crates/verbenaslip-relay/src/policy/upstream_state.rs
+++ b/crates/verbenaslip-relay/src/policy/upstream_state.rs
@@ -9,7 +9,7 @@
 
 use crate::policy::cache::Cache;
 use crate::policy::measured::Measured;
-use crate::policy::speed::{Speed, SpeedSamples};
+use crate::policy::speed::Speed;
 
 /// First pause of an unreachable upstream; it doubles up to eight times this value.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(500);
@@ -31,10 +31,6 @@
 /// Age from which a figure of the fleet is ignored.
 const MAX_FIGURE_AGE: Duration = Duration::from_secs(4);
 
-/// Length in seconds of a steady stream that weighs as much as the fleet's mean speed, whose
-/// half-life is 4 s: the half-life divided by the natural logarithm of two.
-const FIGURE_WINDOW_S: f64 = 5.8;
-
 /// Describes how a request ended at an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -75,11 +71,9 @@
     pub(crate) key: RunKey,
     /// What this entry reports about the run to the fleet.
     pub(crate) measured: Measured,
-    /// This entry's own speed samples where the fleet shares measurements.
-    pub(crate) samples: SpeedSamples,
     figure: Option<Figure>,
-    /// This entry's pending prefill and requests in progress when the figure arrived.
-    own_in_figure: (u64, u32),
+    /// This entry's requests in progress when the figure arrived.
+    own_in_figure: u32,
     /// Until when the upstream counts as slow at this entry.
     slow_until: Duration,
     failure_rate: f64,
@@ -107,9 +101,8 @@
             speed: Speed::default(),
             key,
             measured: Measured::default(),
-            samples: SpeedSamples::default(),
             figure: None,
-            own_in_figure: (0, 0),
+            own_in_figure: 0,
             slow_until: Duration::ZERO,
             failure_rate: 0.0,
             failure_rate_at: Duration::ZERO,
@@ -138,7 +131,7 @@
         let is_newer =
             |it: &Figure| self.figure.is_none_or(|old| old.measured_at != it.measured_at);
         if figure.is_some_and(is_newer) {
-            self.own_in_figure = (self.pending_prefill, self.active_requests);
+            self.own_in_figure = self.active_requests;
         }
         self.figure = figure.copied();
     }
@@ -148,24 +141,10 @@
         self.figure.as_ref().filter(|it| figure_age(now, it) <= MAX_FIGURE_AGE)
     }
 
-    /// Returns the learnt speed in tokens per millisecond.
-    pub(crate) fn learnt_speed(&self, now: Duration) -> Option<f64> {
-        let Some(figure) = self.fresh_figure(now) else {
-            return self.samples.tokens_per_ms(now, None, 0.0, Duration::ZERO);
-        };
-        let (count, age) = (figure.events_per_s * FIGURE_WINDOW_S, figure_age(now, figure));
-        self.samples.tokens_per_ms(now, figure.tokens_per_ms, count, age)
-    }
-
-    /// Returns the pending prefill of other entries as of the figure, in tokens.
-    pub(crate) fn others_pending(&self, figure: &Figure) -> u64 {
-        figure.pending_tokens.saturating_sub(self.own_in_figure.0)
-    }
-
     /// Returns the requests in progress of all entries.
     pub(crate) fn fleet_active(&self, now: Duration) -> u32 {
         let others = self.fresh_figure(now).map_or(0, |it| it.active);
-        others.saturating_sub(self.own_in_figure.1) + self.active_requests
+        others.saturating_sub(self.own_in_figure) + self.active_requests
     }
 
     /// Returns whether the requests in progress of all entries fill the slots.
@@ -174,12 +153,6 @@
             && self.fleet_active(now) >= self.record.announcement.slots.max(1)
     }
 
-    /// Returns the recent failure rate at this entry or of the fleet, whichever is more recent.
-    pub(crate) fn newest_failure_rate(&self, now: Duration) -> f64 {
-        let fleet = self.fresh_figure(now).filter(|it| it.measured_at > self.failure_rate_at);
-        fleet.map_or_else(|| self.failure_rate(now), |it| it.failure_rate)
-    }
-
     /// Counts the upstream as slow for a time.
     pub(crate) fn penalize(&mut self, now: Duration, duration: Duration) {
         self.slow_until = self.slow_until.max(now + duration);
