--- a/crates/verbenaslip-relay/src/forward/request_log.rs
+++ b/crates/verbenaslip-relay/src/forward/request_log.rs
@@ -13,6 +13,7 @@
 use crate::event_log::{self, Kind};
 use crate::forward::admission::AdmittedRequest;
 use crate::monotonic;
+use crate::policy::placement::FigureUse;
 
 /// A request has ended; the line states what decided its outcome.
 const REQUEST_ENDED: Kind = Kind { number: 901, name: "request_ended" };
@@ -35,6 +36,8 @@
     pub expected_ms: f64,
     /// How much later than expected recent first events arrived, in milliseconds.
     pub lag_ms: f64,
+    /// Figures of the fleet by which the last upstream was chosen.
+    pub figures: Option<Box<FigureUse>>,
     /// Requests per second that the last upstream takes from all entries, if it limits them.
     pub rate_limit: Option<f64>,
     /// Share of such requests that the service admits, if the request was refused because of it.
@@ -49,6 +52,14 @@
     pub version: Option<Arc<str>>,
     /// Longest pause between two pieces of the answer.
     pub longest_pause: Duration,
+    /// When the caller may retry by the capacity that becomes available, if that is known.
+    pub scheduled_return: Option<Duration>,
+    /// How long the request waited for an upstream to accept it, if it did.
+    pub queued: Option<Duration>,
+    /// Number of requests of the service, as urgent or more, that were waiting when it began to.
+    pub queue_position: Option<usize>,
+    /// How the request left the queue.
+    pub queue_left: Option<&'static str>,
 }
 
 /// Holds one attempt of a request at an upstream.
@@ -93,6 +104,7 @@
     metrics::histogram!("verbenaslip_request_seconds", "route" => route.to_owned())
         .record(duration.as_secs_f64());
     let ViewInfo { version, leader_silence } = trace.view_info;
+    let figures = trace.figures.as_deref();
     let team = request.and_then(|request| request.team).map(|team: &TeamConfig| &team.name);
     let sent: Vec<&str> = trace.attempts.iter().map(|attempt| attempt.upstream.as_str()).collect();
     let sent_after: Vec<u128> =
@@ -122,11 +134,18 @@
         ("waited", json!(request.is_some_and(|request| request.returning))),
         ("expected_ms", json!(trace.expected_ms.round())),
         ("lag_ms", json!(trace.lag_ms.round())),
+        ("figure_age_ms", json!(figures.and_then(|it| it.figure_age).map(|age| age.as_millis()))),
+        ("wait_ms", json!(figures.map(|it| it.wait_ms.round()))),
+        ("home", json!(figures.is_some_and(|it| it.is_home))),
+        ("speed", json!(figures.map(|it| it.relative_speed))),
         ("admitted_share", json!(trace.admitted_share)),
         ("limit", json!(trace.rate_limit)),
         ("first_ms", json!(trace.first_piece_after.map(|first| first.as_millis()))),
         ("back_ms", json!(trace.retry_after.map(|retry_after| retry_after.as_millis()))),
         ("pause_ms", json!(trace.longest_pause.as_millis())),
+        ("queued_ms", json!(trace.queued.map(|queued| queued.as_millis()))),
+        ("queue_position", json!(trace.queue_position)),
+        ("queue_left", json!(trace.queue_left)),
         ("cohort", json!(trace.cohort.map(|it| format!("{it:?}")))),
         ("version", json!(rollout_plan(view, request).and(trace.version.as_ref()))),
         ("revision", json!(view.revision())),
--- a/crates/verbenaslip-relay/src/policy/placement.rs
+++ b/crates/verbenaslip-relay/src/policy/placement.rs
@@ -1,6 +1,9 @@
 //! Chooses the upstream for a request.
 
+mod capacity;
 mod choice;
+mod homes;
+mod recording;
 mod restrictions;
 
 use std::collections::BTreeMap;
@@ -11,13 +14,15 @@
 use verbenaslip_base::name::{AvailabilityZone, Upstream};
 use verbenaslip_fleet::View;
 use verbenaslip_fleet::limit::{Limits, TimeSlot};
-use verbenaslip_fleet::registry::{Announcement, Record, Run, Status};
+use verbenaslip_fleet::measurement::Figures;
+use verbenaslip_fleet::registry::{Announcement, Record, Run};
 use verbenaslip_fleet::rollout::{Cohort, Plans};
 
 use crate::dialect::PromptPart;
 use crate::policy::load_shedding::AdmittedShare;
+use crate::policy::placement::capacity::ServiceFigures;
 use crate::policy::placement::choice::ServiceRank;
-pub use crate::policy::placement::choice::{Busy, Cause, Choice, Decision, Query};
+pub use crate::policy::placement::choice::{Busy, Cause, Choice, Decision, FigureUse, Query};
 use crate::policy::restriction::Restrictions;
 use crate::policy::speed::Lag;
 pub use crate::policy::upstream_state::Ending;
@@ -118,6 +123,7 @@
     admitted_shares: BTreeMap<Arc<str>, AdmittedShare>,
     sharing: Sharing,
     entry_count: u32,
+    figures: Arc<Figures>,
 }
 
 /// Holds the estimated effect of sending a request to an upstream.
@@ -152,6 +158,7 @@
             admitted_shares: BTreeMap::new(),
             sharing: Sharing::default(),
             entry_count: 1,
+            figures: Arc::default(),
         }
     }
 
@@ -167,12 +174,19 @@
         self.sharing.includes(slots, self.entry_count)
     }
 
+    /// Returns whether measurements are shared for any number of slots.
+    fn sharing_possible(&self) -> bool {
+        self.shares_measurements(u32::MAX)
+    }
+
     /// Updates the view; returns the runs of upstreams that are no longer in it.
     pub fn update(&mut self, view: &View) -> Vec<Run> {
         let mut removed = Vec::new();
+        let records_changed =
+            !self.records.as_ref().is_some_and(|it| Arc::ptr_eq(it, &view.upstreams));
         self.time_offset_ms = view.time_offset_ms;
         self.entry_count = view.entry_count;
-        if !self.records.as_ref().is_some_and(|it| Arc::ptr_eq(it, &view.upstreams)) {
+        if records_changed {
             removed = self.update_records(&view.upstreams);
             self.records_changed = true;
             self.records = Some(view.upstreams.clone());
@@ -181,6 +195,12 @@
         if !Arc::ptr_eq(&self.rollout_plans, &view.rollout_plans) {
             self.update_plans(&view.rollout_plans);
         }
+        if records_changed || !Arc::ptr_eq(&self.figures, &view.figures) {
+            self.figures = view.figures.clone();
+            for state in self.states.values_mut() {
+                state.update_figure(self.figures.get(&state.key));
+            }
+        }
         removed
     }
 
@@ -201,18 +221,12 @@
             choice.lag_ms = self.lags.get(&choice.service_rank).map_or(0.0, |lag| lag.lag_at(now));
         }
         let expected_ms = choice.expected_ms + choice.lag_ms;
-        let late = expected_ms
-            > objective * if query.returning { MAX_EXPECTED_RETURNING } else { MAX_EXPECTED };
-        let past_deadline = expected_ms > query.remaining.as_secs_f64() * 1_000.0;
-        if engine
-            && !query.may_have_run
-            && (late || past_deadline)
-            && choice.cohort == Cohort::Canary
-        {
+        let late = expected_ms > latest_ms(query);
+        if engine && !query.may_have_run && late && choice.cohort == Cohort::Canary {
             // A busy canary must not cost its caller the answer.
             return self.choose(now, &Query { tracks: Tracks::default(), ..*query });
         }
-        if engine && !query.may_have_run && (late || past_deadline) {
+        if engine && !query.may_have_run && late {
             let excess_ms = (expected_ms - objective).max(100.0);
             let retry_after = Duration::from_secs_f64((excess_ms / 1_000.0).min(3.0));
             let cause = Cause::Late { expected_ms: choice.expected_ms, lag_ms: choice.lag_ms };
@@ -224,14 +238,15 @@
 
     /// Returns the best upstream of the first version that has one.
     fn choose_on_tracks(&self, now: Duration, query: &Query<'_>) -> Option<Choice> {
+        let figures: Option<ServiceFigures> =
+            if query.parts.is_empty() { None } else { self.service_figures(now, query.service) };
         let tracks = std::iter::once(query.tracks.preferred).chain(query.tracks.fallback);
         let mut options = [true, false].into_iter().flat_map(|strict| {
             let tracks = tracks.clone();
             tracks.map(move |track| (strict, track))
         });
         options.find_map(|(strict, track)| {
-            let home = self.home_upstream(query, track);
-            self.best_upstream(now, query, home.as_ref(), strict, track)
+            self.best_upstream(now, query, figures.as_ref(), strict, track)
         })
     }
 
@@ -260,44 +275,6 @@
         })
     }
 
-    /// Records the first event of an answer; `latency` is the time since the request was sent.
-    pub fn record_first_event(&mut self, now: Duration, choice: &Choice, latency: Duration) {
-        if let Some(objective) = choice.plain_objective {
-            let part = latency.as_secs_f64() / objective.as_secs_f64().max(f64::MIN_POSITIVE);
-            self.admitted_share(now, &choice.service_rank.0).record_latency(now, part);
-        } else {
-            let lag = self.lags.entry(choice.service_rank.clone()).or_default();
-            lag.record_sample(now, latency.as_secs_f64() * 1_000.0 - choice.expected_ms);
-        }
-        let Some(state) = self.state_mut(choice) else { return };
-        state.pending_prefill = state.pending_prefill.saturating_sub(choice.uncached_tokens);
-        if choice.idle {
-            state.speed.record_first_event(choice.uncached_tokens, latency);
-        }
-    }
-
-    /// Records the end of a request at an upstream; `duration` is its length if its first event
-    /// had arrived.
-    pub fn record_end(
-        &mut self,
-        now: Duration,
-        choice: &Choice,
-        ending: Ending,
-        duration: Option<Duration>,
-    ) {
-        // An upstream that refuses everything says nothing about the others.
-        let refuses_all = self.state_mut(choice).is_some_and(|state| state.is_refusing());
-        if ending == Ending::Full && choice.plain_objective.is_some() && !refuses_all {
-            self.admitted_share(now, &choice.service_rank.0)
-                .record_latency(now, FULL_QUEUE_LATENCY);
-        }
-        let Some(state) = self.state_mut(choice) else { return };
-        if duration.is_none() {
-            state.pending_prefill = state.pending_prefill.saturating_sub(choice.uncached_tokens);
-        }
-        state.record_end(now, ending, duration);
-    }
-
     /// Returns a refusal if a request to an overloaded plain service should be refused at once.
     ///
     /// When too few upstreams are left for the load, all their queues are full: half of the
@@ -377,10 +354,11 @@
         &self,
         now: Duration,
         query: &Query<'_>,
-        home: Option<&Upstream>,
+        figures: Option<&ServiceFigures>,
         strict: bool,
         track: Track,
     ) -> Option<Choice> {
+        let home = self.home_upstream(now, query, figures, track);
         let names = self.by_service.get(query.service)?;
         let shared: u64 = shared_parts(query.parts).iter().map(|part| u64::from(part.tokens)).sum();
         let at = self.moment(now);
@@ -388,21 +366,21 @@
         let mut equal_count = 1;
         for name in names {
             let Some(state) = self.states.get(name) else { continue };
-            if !track.includes(state.cohort)
-                || !state.accepts_requests(now, strict, query.has_spare_attempt)
-                || query.tried_runs.contains(state.run())
-                || !self.restrictions.admits(at, state.run(), query.has_spare_attempt, || {
-                    self.random_fraction(state, strict)
-                })
-            {
+            let is_full = strict && figures.is_some() && state.is_full(now);
+            if is_full || !self.is_admissible(now, query, state, strict, track) {
                 continue;
             }
             let likely_cached =
-                if home == Some(name) { scale(shared, HOME_CACHED_SHARE) } else { 0 };
+                if home.as_ref() == Some(name) { scale(shared, HOME_CACHED_SHARE) } else { 0 };
             let mut estimate = self.estimate(now, query, state, shared, likely_cached);
             if self.restrictions.is_probe_due(at, state.run()) {
                 estimate.cost_ms -= PROBE_BONUS_MS;
             }
+            if let Some(figures) = figures {
+                let prefill_ms = state.speed.prefill_ms(estimate.uncached_tokens);
+                estimate.cost_ms += figures.speed_cost_ms(now, state, prefill_ms);
+                estimate.cost_ms += if state.is_slow(now) { FAILURE_COST_MS } else { 0.0 };
+            }
             let cost_saving = best.map_or(f64::MAX, |(_, best)| best.cost_ms - estimate.cost_ms);
             equal_count = if cost_saving.abs() < EQUAL_COST_MS { equal_count + 1 } else { 1 };
             // Equal upstreams are equally likely; always taking the first would send it all
@@ -413,29 +391,63 @@
                 best = Some((state, estimate));
             }
         }
-        let (state, Estimate { uncached_tokens, expected_ms, idle, .. }) = best?;
+        let (state, estimate) = best?;
+        let used = figures.map(|figures| {
+            let is_home = home.as_ref() == Some(&state.run().upstream);
+            Box::new(figures.used(now, state, is_home))
+        });
+        Some(self.new_choice(query, state, &estimate, used))
+    }
+
+    /// Returns whether an upstream may take a request now.
+    fn is_admissible(
+        &self,
+        now: Duration,
+        query: &Query<'_>,
+        state: &UpstreamState,
+        strict: bool,
+        track: Track,
+    ) -> bool {
+        track.includes(state.cohort)
+            && state.accepts_requests(now, strict, query.has_spare_attempt)
+            && !query.tried_runs.contains(state.run())
+            && self.restrictions.admits(
+                self.moment(now),
+                state.run(),
+                query.has_spare_attempt,
+                || self.random_fraction(state, strict),
+            )
+    }
+
+    fn new_choice(
+        &self,
+        query: &Query<'_>,
+        state: &UpstreamState,
+        estimate: &Estimate,
+        figures: Option<Box<FigureUse>>,
+    ) -> Choice {
         let Announcement { run, address, service, version, .. } = &state.record.announcement;
-        let lane = (service.clone(), query.rank);
-        Some(Choice {
+        Choice {
             run: run.clone(),
             address: *address,
-            uncached_tokens,
-            expected_ms,
+            uncached_tokens: estimate.uncached_tokens,
+            expected_ms: estimate.expected_ms,
             lag_ms: 0.0,
-            idle,
+            idle: estimate.idle,
             prefill_ms: if query.parts.is_empty() {
                 0.0
             } else {
-                state.speed.prefill_ms(uncached_tokens)
+                state.speed.prefill_ms(estimate.uncached_tokens)
             },
             version: version.clone(),
             cohort: state.cohort,
             upstream_hash: state.upstream_hash,
             rate_limit: self.restrictions.rate(state.run()),
             ticket: None,
-            service_rank: lane,
+            figures,
+            service_rank: (service.clone(), query.rank),
             plain_objective: query.parts.is_empty().then_some(query.objective),
-        })
+        }
     }
 
     /// Estimates when the first event would arrive from an upstream. The prompt has `shared`
@@ -490,34 +502,13 @@
             .unwrap_or(u32::MAX);
         f64::from(picked) / f64::from(u32::MAX)
     }
+}
 
-    fn record_sent(&mut self, now: Duration, choice: &Choice, query: &Query<'_>) {
-        let at = self.moment(now);
-        self.restrictions.record_sent(at, &choice.run);
-        let Some(state) = self.state_mut(choice) else { return };
-        state.active_requests += 1;
-        state.pending_prefill += choice.uncached_tokens;
-        state.cache.record_sent(now, query.parts);
-    }
-
-    /// Returns the upstream to which the shared prefix of a prompt belongs.
-    ///
-    /// All entries choose the same one without communication: the upstream with the highest hash
-    /// of prefix and upstream.
-    fn home_upstream(&self, query: &Query<'_>, track: Track) -> Option<Upstream> {
-        let part = shared_parts(query.parts).last()?.id;
-        let names = self.by_service.get(query.service)?;
-        let states = names.iter().filter_map(|name| Some((name, self.states.get(name)?)));
-        let ready = states.filter(|(_, state)| {
-            state.record.status == Status::Ready
-                && track.includes(state.cohort)
-                && self.restrictions.restriction(state.run()).is_none()
-                && !self.restrictions.is_leaving(state.run())
-        });
-        ready
-            .max_by_key(|(_, state)| hash::mix(state.upstream_hash ^ part))
-            .map(|(name, _)| name.clone())
-    }
+/// Returns the expected time in milliseconds beyond which a request is refused.
+fn latest_ms(query: &Query<'_>) -> f64 {
+    let part = if query.returning { MAX_EXPECTED_RETURNING } else { MAX_EXPECTED };
+    let objective_ms = query.objective.as_secs_f64() * 1_000.0;
+    (objective_ms * part).min(query.remaining.as_secs_f64() * 1_000.0)
 }
 
 /// Returns the parts that other requests may share: all but the last.
--- a/crates/verbenaslip-relay/src/policy/placement/choice.rs
+++ b/crates/verbenaslip-relay/src/policy/placement/choice.rs
@@ -69,12 +69,27 @@
     pub rate_limit: Option<f64>,
     /// Ticket of the request in the counts of a rollout, once it is sent.
     pub ticket: Option<Ticket>,
+    /// Figures of the fleet that decided the placement, if it was decided by them.
+    pub figures: Option<Box<FigureUse>>,
     /// Service and priority of the request.
     pub(super) service_rank: ServiceRank,
     /// Objective of a plain service; `None` for a prompt.
     pub(super) plain_objective: Option<Duration>,
 }
 
+/// Describes the figures of the fleet by which an upstream was chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct FigureUse {
+    /// Age of the upstream's figure, or `None` if it has no fresh one.
+    pub figure_age: Option<Duration>,
+    /// Mean wait of first events beyond their own prefill, in milliseconds.
+    pub wait_ms: f64,
+    /// Speed of the upstream relative to the median of its service.
+    pub relative_speed: f64,
+    /// Whether the upstream is the home of the prompt's shared prefix.
+    pub is_home: bool,
+}
+
 /// Describes the decision about a request.
 #[derive(Clone, Debug)]
 pub enum Decision {
--- a/crates/verbenaslip-relay/src/policy/speed.rs
+++ b/crates/verbenaslip-relay/src/policy/speed.rs
@@ -13,7 +13,7 @@
 const MIN_PREFILL_SAMPLE: u64 = 1_500;
 
 /// Assumed time to the first event beyond prefill, in milliseconds, until it has been measured.
-const DEFAULT_FIRST_EVENT_MS: f64 = 60.0;
+pub(crate) const DEFAULT_FIRST_EVENT_MS: f64 = 60.0;
 
 /// Learns the speed of one upstream.
 #[derive(Clone, Copy, Debug)]
@@ -34,6 +34,11 @@
 }
 
 impl Speed {
+    /// Returns the prefill speed in tokens per millisecond.
+    pub(crate) fn tokens_per_ms(&self) -> f64 {
+        self.tokens_per_ms
+    }
+
     /// Returns the milliseconds that the prefill of a number of tokens takes.
     #[allow(clippy::cast_precision_loss)] // Token counts are far below 2^52.
     pub fn prefill_ms(&self, tokens: u64) -> f64 {
--- a/crates/verbenaslip-relay/src/policy/upstream_state.rs
+++ b/crates/verbenaslip-relay/src/policy/upstream_state.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use verbenaslip_base::hash;
+use verbenaslip_fleet::measurement::{Figure, RunKey};
 use verbenaslip_fleet::registry::{Record, Run, Status};
 use verbenaslip_fleet::rollout::{Cohort, Plan};
 
 use crate::policy::cache::Cache;
+use crate::policy::measured::Measured;
 use crate::policy::speed::Speed;
 
 /// First pause of an unreachable upstream; it doubles up to eight times this value.
@@ -26,6 +28,9 @@
 /// Weight of the newest outcome in the failure rate.
 const OUTCOME_WEIGHT: f64 = 0.08;
 
+/// Age from which a figure of the fleet is ignored.
+const MAX_FIGURE_AGE: Duration = Duration::from_secs(4);
+
 /// Describes how a request ended at an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -41,6 +46,8 @@
     Unreachable,
     /// The caller left or the time ran out; this says nothing about the upstream.
     Abandoned,
+    /// The request left a slow upstream early, which would have answered later.
+    Slow,
 }
 
 /// Holds what this entry knows of an upstream, and its requests in progress there.
@@ -60,6 +67,15 @@
     pub(crate) cache: Cache,
     /// Measured speed of the upstream.
     pub(crate) speed: Speed,
+    /// Key of the run in measurements.
+    pub(crate) key: RunKey,
+    /// What this entry reports about the run to the fleet.
+    pub(crate) measured: Measured,
+    figure: Option<Figure>,
+    /// This entry's requests in progress when the figure arrived.
+    own_in_figure: u32,
+    /// Until when the upstream counts as slow at this entry.
+    slow_until: Duration,
     failure_rate: f64,
     failure_rate_at: Duration,
     failed_connects: u32,
@@ -73,6 +89,7 @@
 impl UpstreamState {
     /// Creates a state without requests in progress.
     pub(crate) fn new(record: Record) -> Self {
+        let key = RunKey::of(&record.announcement.run);
         let mark = hash::narrow(&[record.announcement.run.upstream.as_str().as_bytes()]);
         Self {
             record,
@@ -82,6 +99,11 @@
             pending_prefill: 0,
             cache: Cache::default(),
             speed: Speed::default(),
+            key,
+            measured: Measured::default(),
+            figure: None,
+            own_in_figure: 0,
+            slow_until: Duration::ZERO,
             failure_rate: 0.0,
             failure_rate_at: Duration::ZERO,
             failed_connects: 0,
@@ -104,6 +126,53 @@
         self.cohort = cohort.unwrap_or(Cohort::Stable);
     }
 
+    /// Updates the fleet's figure.
+    pub(crate) fn update_figure(&mut self, figure: Option<&Figure>) {
+        let is_newer =
+            |it: &Figure| self.figure.is_none_or(|old| old.measured_at != it.measured_at);
+        if figure.is_some_and(is_newer) {
+            self.own_in_figure = self.active_requests;
+        }
+        self.figure = figure.copied();
+    }
+
+    /// Returns the fleet's figure unless it is too old.
+    pub(crate) fn fresh_figure(&self, now: Duration) -> Option<&Figure> {
+        self.figure.as_ref().filter(|it| figure_age(now, it) <= MAX_FIGURE_AGE)
+    }
+
+    /// Returns the requests in progress of all entries.
+    pub(crate) fn fleet_active(&self, now: Duration) -> u32 {
+        let others = self.fresh_figure(now).map_or(0, |it| it.active);
+        others.saturating_sub(self.own_in_figure) + self.active_requests
+    }
+
+    /// Returns whether the requests in progress of all entries fill the slots.
+    pub(crate) fn is_full(&self, now: Duration) -> bool {
+        self.fresh_figure(now).is_some()
+            && self.fleet_active(now) >= self.record.announcement.slots.max(1)
+    }
+
+    /// Counts the upstream as slow for a time.
+    pub(crate) fn penalize(&mut self, now: Duration, duration: Duration) {
+        self.slow_until = self.slow_until.max(now + duration);
+    }
+
+    /// Returns whether the upstream counts as slow.
+    pub(crate) fn is_slow(&self, now: Duration) -> bool {
+        now < self.slow_until
+    }
+
+    /// Returns the time until the upstream takes work again after a pause; zero if it does now.
+    pub(crate) fn time_until_unpaused(&self, now: Duration, has_spare_attempt: bool) -> Duration {
+        self.paused_until(has_spare_attempt).saturating_sub(now)
+    }
+
+    fn paused_until(&self, has_spare_attempt: bool) -> Duration {
+        let wait_twice = self.is_refusing() && !has_spare_attempt;
+        if wait_twice { self.paused_until + self.pause } else { self.paused_until }
+    }
+
     /// Records the end of a request; `duration` is its length if its first event had arrived.
     pub(crate) fn record_end(&mut self, now: Duration, ending: Ending, duration: Option<Duration>) {
         self.active_requests = self.active_requests.saturating_sub(1);
@@ -126,7 +195,7 @@
                 self.failed_connects += 1;
                 self.record_outcome(now, 1.0);
             }
-            Ending::Abandoned | Ending::CoolingDown => {}
+            Ending::Abandoned | Ending::Slow | Ending::CoolingDown => {}
         }
     }
 
@@ -174,8 +243,7 @@
         strict: bool,
         has_spare_attempt: bool,
     ) -> bool {
-        let wait_twice = self.is_refusing() && !has_spare_attempt;
-        let paused = if wait_twice { self.paused_until + self.pause } else { self.paused_until };
+        let paused = self.paused_until(has_spare_attempt);
         match self.record.status {
             Status::Ready => !strict || paused <= now,
             Status::Silent => !strict,
@@ -183,3 +251,8 @@
         }
     }
 }
+
+/// Returns the age of a figure.
+pub(crate) fn figure_age(now: Duration, figure: &Figure) -> Duration {
+    now.saturating_sub(figure.measured_at)
+}
