Measure the pace only of streams, and from one upstream

The gaps between the pieces of other answers follow the network, and the gap before the first piece from another upstream contains its queue and prefill.

--- a/crates/verbenaslip-relay/src/forward/delivery.rs
+++ b/crates/verbenaslip-relay/src/forward/delivery.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+use verbenaslip_fleet::route_table::RequestKind;
 
 use crate::forward::admission::AdmittedRequest;
 use crate::forward::answer;
@@ -31,7 +32,9 @@
     last_piece_at: Option<Instant>,
     /// Longest pause between two pieces of the body.
     pub longest_pause: Duration,
-    /// Gaps between the pieces of the body from one upstream.
+    /// Whether a piece of the body has arrived from the present upstream.
+    has_piece: bool,
+    /// Gaps between the pieces of a stream from the present upstream.
     pub gaps: Gaps,
 }
 
@@ -96,6 +99,7 @@
         mut failover: Failover<impl FnMut(Reason) -> bool>,
     ) -> Outcome {
         let deadline = request.deadline;
+        self.has_piece = false;
         let Ok(framing) = response.head.framing(&request.head.method) else {
             return Outcome::Broken;
         };
@@ -189,8 +193,13 @@
         self.first_byte_at.get_or_insert(now);
         if let Some(last) = self.last_piece_at.replace(now) {
             self.longest_pause = self.longest_pause.max(now - last);
-            self.gaps.record(now - last);
+            // The pieces of other answers follow the network, and the first piece from another
+            // upstream follows its queue and prefill.
+            if self.has_piece && matches!(request.route.kind, RequestKind::Stream { .. }) {
+                self.gaps.record(now - last);
+            }
         }
+        self.has_piece = true;
         if request.is_resumable() {
             let complete = self.splitter.push(data);
             self.append_framed(&complete, out);
--- a/crates/verbenaslip-relay/src/forward/request_log.rs
+++ b/crates/verbenaslip-relay/src/forward/request_log.rs
@@ -136,7 +136,7 @@
         ("lag_ms", json!(trace.lag_ms.round())),
         ("figure_age_ms", json!(figures.and_then(|it| it.figure_age).map(|age| age.as_millis()))),
         ("wait_ms", json!(figures.map(|it| it.wait_ms.round()))),
-        ("home", json!(figures.is_some_and(|it| it.is_home))),
+        ("home", json!(figures.map(|it| it.is_home))),
         ("speed", json!(figures.map(|it| it.relative_speed))),
         ("admitted_share", json!(trace.admitted_share)),
         ("limit", json!(trace.rate_limit)),
--- a/crates/verbenaslip-relay/src/policy.rs
+++ b/crates/verbenaslip-relay/src/policy.rs
@@ -4,13 +4,13 @@
 //! be sent to another upstream, [`switching`] when it leaves a slow one, and [`placement`] which
 //! upstream takes a request or whether it is refused at once. `placement` uses the following
 //! modules. [`upstream_state`] holds what is known of one upstream, with [`cache`], [`speed`] and
-//! [`measured`], which the fleet shares; [`pace`] shows how fast an upstream is. [`restriction`] holds what upstreams ask for in their
-//! answers: [`limiter`] keeps to an entry's share of an upstream's rate limit, and [`cooldown`] to
-//! the time in which an upstream wants no requests. [`load_shedding`] refuses a share of a
-//! service's requests. [`returning`] tells callers that retry from new ones. [`versions`] chooses
-//! the version of a service during a rollout, and [`quarantine`] holds back poison requests.
-//! [`waiting`] orders the requests that wait for an upstream, and [`return_schedule`] tells refused
-//! callers when to retry.
+//! [`measured`], which the fleet shares; [`pace`] shows how fast an upstream is. [`restriction`]
+//! holds what upstreams ask for in their answers: [`limiter`] keeps to an entry's share of an
+//! upstream's rate limit, and [`cooldown`] to the time in which an upstream wants no requests.
+//! [`load_shedding`] refuses a share of a service's requests. [`returning`] tells callers that
+//! retry from new ones. [`versions`] chooses the version of a service during a rollout, and
+//! [`quarantine`] holds back poison requests. [`waiting`] orders the requests that wait for an
+//! upstream, and [`return_schedule`] tells refused callers when to retry.
 
 pub mod allowance;
 pub mod cache;
