Pass over slow upstreams while a request is on time elsewhere

A penalized upstream got requests again as soon as the queues of the others were 0.8 s longer, although these were still on time for an objective of 1.5 s. It is now only compared if no other upstream can take the request by its objective.

--- a/crates/verbenaslip-relay/src/policy/placement.rs
+++ b/crates/verbenaslip-relay/src/policy/placement.rs
@@ -359,6 +359,38 @@
         track: Track,
     ) -> Option<Choice> {
         let home = self.home_upstream(now, query, figures, track);
+        let cheapest = |with_slow| {
+            self.cheapest_upstream(now, query, (figures, home.as_ref()), (strict, with_slow), track)
+        };
+        // A queue elsewhere, in which the request is still on time, is better than an upstream that
+        // another request has just left.
+        let (state, estimate) = match figures {
+            Some(_) => cheapest(false)
+                .filter(|(state, estimate)| {
+                    let rank = (state.record.announcement.service.clone(), query.rank);
+                    let lag_ms = self.lags.get(&rank).map_or(0.0, |lag| lag.lag_at(now));
+                    estimate.expected_ms + lag_ms <= latest_ms(query)
+                })
+                .or_else(|| cheapest(true)),
+            None => cheapest(true),
+        }?;
+        let used = figures.map(|figures| {
+            let is_home = home.as_ref() == Some(&state.run().upstream);
+            Box::new(figures.used(now, state, is_home))
+        });
+        Some(self.new_choice(query, state, &estimate, used))
+    }
+
+    /// Returns the upstream with the lowest cost; those that count as slow are only compared
+    /// `with_slow`.
+    fn cheapest_upstream(
+        &self,
+        now: Duration,
+        query: &Query<'_>,
+        (figures, home): (Option<&ServiceFigures>, Option<&Upstream>),
+        (strict, with_slow): (bool, bool),
+        track: Track,
+    ) -> Option<(&UpstreamState, Estimate)> {
         let names = self.by_service.get(query.service)?;
         let shared: u64 = shared_parts(query.parts).iter().map(|part| u64::from(part.tokens)).sum();
         let at = self.moment(now);
@@ -367,11 +399,12 @@
         for name in names {
             let Some(state) = self.states.get(name) else { continue };
             let is_full = strict && figures.is_some() && state.is_full(now);
-            if is_full || !self.is_admissible(now, query, state, strict, track) {
+            let is_slow = !with_slow && state.is_slow(now);
+            if is_full || is_slow || !self.is_admissible(now, query, state, strict, track) {
                 continue;
             }
             let likely_cached =
-                if home.as_ref() == Some(name) { scale(shared, HOME_CACHED_SHARE) } else { 0 };
+                if home == Some(name) { scale(shared, HOME_CACHED_SHARE) } else { 0 };
             let mut estimate = self.estimate(now, query, state, shared, likely_cached);
             if self.restrictions.is_probe_due(at, state.run()) {
                 estimate.cost_ms -= PROBE_BONUS_MS;
@@ -391,12 +424,7 @@
                 best = Some((state, estimate));
             }
         }
-        let (state, estimate) = best?;
-        let used = figures.map(|figures| {
-            let is_home = home.as_ref() == Some(&state.run().upstream);
-            Box::new(figures.used(now, state, is_home))
-        });
-        Some(self.new_choice(query, state, &estimate, used))
+        best
     }
 
     /// Returns whether an upstream may take a request now.
