--- a/crates/verbenaslip-relay/src/policy/placement/capacity.rs
+++ b/crates/verbenaslip-relay/src/policy/placement/capacity.rs
@@ -44,15 +44,20 @@
 }
 
 impl Placement {
-    /// Returns the learnt prefill speed of all upstreams of a service that accept requests and have
-    /// a fresh figure, in tokens per millisecond; `None` if the figures are not used.
+    /// Returns the prefill speed of all upstreams of a service that accept requests and have a fresh
+    /// figure, in tokens per millisecond; `None` if the figures are not used.
+    ///
+    /// Each entry measures few prefills at each upstream, so the mean of its speeds is shared out by
+    /// the relative speeds in the figures.
     pub fn service_capacity(&self, now: Duration, service: &str) -> Option<f64> {
         let figures = self.service_figures(now, service)?;
-        let speeds = self
-            .accepting(now, service)
-            .filter(|it| self.has_figure(now, it))
-            .map(|it| it.speed.tokens_per_ms() * figures.relative_speed(now, it));
-        Some(speeds.sum())
+        let (mut count, mut own_speeds, mut relative_speeds) = (0.0, 0.0, 0.0);
+        for state in self.accepting(now, service).filter(|it| self.has_figure(now, it)) {
+            count += 1.0;
+            own_speeds += state.speed.tokens_per_ms();
+            relative_speeds += figures.relative_speed(now, state);
+        }
+        Some(own_speeds / count * relative_speeds)
     }
 
     /// Returns the median of the mean waits for a first event at the upstreams of a service, in
