--- a/crates/verbenaslip-fleet/src/core/measurement.rs
+++ b/crates/verbenaslip-fleet/src/core/measurement.rs
@@ -37,9 +37,9 @@
     /// Returns the figures for the answer to a heartbeat.
     pub(crate) fn answer_figures(&mut self, to: SocketAddr) -> Trailing<Vec<FigureReport>> {
         if self.is_leading() {
-            self.hub.post_measured_figures(self.now);
+            self.hub.publish_measured_figures(self.now);
         } else {
-            self.hub.post_received_figures(self.now, &self.link.view().figures);
+            self.hub.publish_received_figures(self.now, &self.link.view().figures);
         }
         Trailing(self.hub.answer_figures(self.now, to))
     }
@@ -78,7 +78,7 @@
     /// Returns the number of figures that this core holds and the age of the oldest.
     pub fn held_figures(&self, now: Duration) -> (usize, Option<Duration>) {
         if self.is_leading() {
-            return self.hub.posted_figures(now);
+            return self.hub.published_figures(now);
         }
         let figures = &self.link.view().figures;
         (figures.len(), measurement::oldest_age(figures, now))
--- a/crates/verbenaslip-fleet/src/hub.rs
+++ b/crates/verbenaslip-fleet/src/hub.rs
@@ -22,8 +22,8 @@
 use crate::hub::subscriber::Subscriber;
 use crate::hub::totals::EntryTotals;
 use crate::load::{LoadEstimator, WorkReport};
-use crate::measurement::board::{Board, SentFigures};
 use crate::measurement::collector::Collector as MeasurementCollector;
+use crate::measurement::publisher::{Publisher, SentFigures};
 use crate::parent::ParentCore;
 use crate::quota::{LoanGrant, LoanRequest, TeamBuckets};
 use crate::route_table::RouteTable;
@@ -65,7 +65,7 @@
     /// Measurements of upstreams that subscribers report.
     measurements: MeasurementCollector,
     /// Figures that subscribers receive.
-    board: Board,
+    publisher: Publisher,
     /// When this core started to lead.
     leading_since: Duration,
     /// Number of entries that looked for a leader just before this leadership started.
--- a/crates/verbenaslip-fleet/src/hub/measurements.rs
+++ b/crates/verbenaslip-fleet/src/hub/measurements.rs
@@ -41,33 +41,33 @@
     }
 
     /// Returns the number of figures that are sent to subscribers and the age of the oldest.
-    pub fn posted_figures(&self, now: Duration) -> (usize, Option<Duration>) {
-        (self.board.len(), self.board.oldest_age(now))
+    pub fn published_figures(&self, now: Duration) -> (usize, Option<Duration>) {
+        (self.publisher.len(), self.publisher.oldest_age(now))
     }
 
     /// Replaces the figures that are sent to subscribers by the averages of their measurements.
-    pub fn post_measured_figures(&mut self, now: Duration) {
-        let is_unused = self.measurements.is_empty() && self.board.is_empty();
-        if !is_unused && self.board.needs_update(now) {
+    pub fn publish_measured_figures(&mut self, now: Duration) {
+        let is_unused = self.measurements.is_empty() && self.publisher.is_empty();
+        if !is_unused && self.publisher.needs_update(now) {
             let mut figures = self.measured_figures(now);
             figures.iter_mut().for_each(|(key, figure)| *figure = quantised(*key, figure));
-            self.board.update(now, &figures);
+            self.publisher.update(now, &figures);
         }
     }
 
     /// Replaces the figures that are sent to subscribers by those of the leader.
-    pub fn post_received_figures(&mut self, now: Duration, figures: &Figures) {
-        let is_unused = figures.is_empty() && self.board.is_empty();
-        if !is_unused && self.board.needs_update(now) {
-            self.board.update(now, figures);
+    pub fn publish_received_figures(&mut self, now: Duration, figures: &Figures) {
+        let is_unused = figures.is_empty() && self.publisher.is_empty();
+        if !is_unused && self.publisher.needs_update(now) {
+            self.publisher.update(now, figures);
         }
     }
 
     /// Returns the figures for the answer to a subscriber's heartbeat, and records them as sent.
     pub fn answer_figures(&mut self, now: Duration, to: SocketAddr) -> Vec<FigureReport> {
         match self.subscribers.get_mut(&to) {
-            Some(subscriber) if !self.board.is_empty() => {
-                self.board.select(now, &mut subscriber.sent_figures)
+            Some(subscriber) if !self.publisher.is_empty() => {
+                self.publisher.select(now, &mut subscriber.sent_figures)
             }
             _ => Vec::new(),
         }
--- a/crates/verbenaslip-fleet/src/hub/subscriber.rs
+++ b/crates/verbenaslip-fleet/src/hub/subscriber.rs
@@ -7,7 +7,7 @@
 
 use crate::frame::Peer;
 use crate::hub::{Progress, SILENCE_TIMEOUT};
-use crate::measurement::board::SentFigures;
+use crate::measurement::publisher::SentFigures;
 
 /// Time after which an unacknowledged update is sent again. Together with the time until the next
 /// heartbeat it is shorter than the 600 ms after which a departure is acknowledged without the
--- a/crates/verbenaslip-fleet/src/measurement.rs
+++ b/crates/verbenaslip-fleet/src/measurement.rs
@@ -8,13 +8,13 @@
 //! 2. [`collector`] sums what several senders report. A core reports these sums as its own totals,
 //!    and [`difference`] limits what one report can add to them.
 //! 3. [`average`] calculates the figure of a run.
-//! 4. [`board`] selects the figures that an answer contains.
+//! 4. [`publisher`] selects the figures that an answer contains.
 //! 5. [`summary`] lists the runs that differ most, for the event log.
 
 pub mod average;
-pub mod board;
 pub mod collector;
 pub mod difference;
+pub mod publisher;
 pub(crate) mod reporter;
 pub mod summary;
 
--- a/crates/verbenaslip-fleet/src/measurement/board.rs
+++ b/crates/verbenaslip-fleet/src/measurement/publisher.rs
@@ -24,11 +24,11 @@
 /// ones are sent before unchanged ones are refreshed.
 const MAX_REFRESHED: usize = 1_000;
 
-/// Minimum time between two updates of the board; shorter than the interval between two answers to
+/// Minimum time between two updates of the published figures; shorter than the interval between two answers to
 /// one receiver.
 const MIN_UPDATE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Additional time between two updates per figure, so that updates of a large board take less than
+/// Additional time between two updates per figure, so that updates with many figures take less than
 /// a hundredth of a processor core.
 const UPDATE_INTERVAL_PER_FIGURE: Duration = Duration::from_micros(50);
 
@@ -43,7 +43,7 @@
 ///
 /// Each run has a slot, so that finding what a receiver lacks takes one pass over two small arrays.
 #[derive(Debug, Default)]
-pub struct Board {
+pub struct Publisher {
     slots: HashMap<RunKey, usize>,
     /// The figure in each slot.
     figures: Vec<(RunKey, Figure)>,
@@ -72,7 +72,7 @@
     sent_ms: u64,
 }
 
-impl Board {
+impl Publisher {
     /// Returns whether [`update`](Self::update) is due.
     pub fn needs_update(&self, now: Duration) -> bool {
         let figures = u32::try_from(self.len()).unwrap_or(u32::MAX);
--- a/crates/verbenaslip-fleet/tests/measurement.rs
+++ b/crates/verbenaslip-fleet/tests/measurement.rs
@@ -19,8 +19,8 @@
 use verbenaslip_fleet::limit::{Limits, Observation};
 use verbenaslip_fleet::link::{Link, Report};
 use verbenaslip_fleet::load::WorkReport;
-use verbenaslip_fleet::measurement::board::{Board, SentFigures};
 use verbenaslip_fleet::measurement::collector::Collector;
+use verbenaslip_fleet::measurement::publisher::{Publisher, SentFigures};
 use verbenaslip_fleet::measurement::{
     Figure, FigureReport, Figures, MAX_FIGURE_AGE, MAX_REPORTED_TOTALS, RunKey, Totals,
 };
@@ -275,7 +275,7 @@
     // until their receiver drops them.
     for (count, longest) in [(900, SECOND * 2), (3_000, MAX_FIGURE_AGE)] {
         let runs: Vec<RunKey> = (0..count).map(|it| RunKey::of(&run("u", it))).collect();
-        let (mut board, mut sent) = (Board::default(), SentFigures::default());
+        let (mut publisher, mut sent) = (Publisher::default(), SentFigures::default());
         let mut last_sent = vec![SECOND; runs.len()];
         for step in 0..80 {
             let now = SECOND + HEARTBEAT * step;
@@ -289,8 +289,8 @@
                 measured_at: now,
             };
             let figures = runs.iter().enumerate().map(|(it, key)| (*key, figure(it))).collect();
-            board.update(now, &figures);
-            let answer = board.select(now, &mut sent);
+            publisher.update(now, &figures);
+            let answer = publisher.select(now, &mut sent);
             assert!(answer.len() <= 128, "{} figures", answer.len());
             for report in answer {
                 let position = runs.iter().position(|it| *it == report.key).unwrap();
@@ -515,8 +515,8 @@
     let totals = Totals { active: 3, ..Totals::new(RunKey::of(&run("u", 1))) };
     let (mut hub, report) = (Hub::default(), heartbeat(vec![totals]));
     let figures = |hub: &mut Hub, now| {
-        hub.post_measured_figures(now);
-        hub.posted_figures(now).0
+        hub.publish_measured_figures(now);
+        hub.published_figures(now).0
     };
     hub.record_measurements(SECOND, &report, &Figures::default());
     assert_eq!(figures(&mut hub, SECOND), 1);
@@ -664,9 +664,9 @@
     assert!(figures.0.is_empty() && *ack_requested);
     let mut collector = Collector::default();
     collector.record(SECOND, origin(1, 1), 1, &[totals], &Figures::default());
-    let (mut board, mut sent) = (Board::default(), SentFigures::default());
-    board.update(SECOND, &collector.figures(SECOND));
-    figures.0 = board.select(SECOND, &mut sent);
+    let (mut publisher, mut sent) = (Publisher::default(), SentFigures::default());
+    publisher.update(SECOND, &collector.figures(SECOND));
+    figures.0 = publisher.select(SECOND, &mut sent);
     assert_eq!(figures.0.len(), 1);
     let with = encode(&Frame::Update(update.clone()));
     assert!(with.len() > old.len());
