--- a/crates/verbenaslip-instance/tests/settings.rs
+++ b/crates/verbenaslip-instance/tests/settings.rs
@@ -45,6 +45,11 @@
             "[requests]\nlifted = 0c,1\n[stop]",
             "`0c` - each item between commas must be 32",
         ),
+        (
+            "[stop]",
+            "[placement]\nshared_slots = many\n[stop]",
+            "[placement] shared_slots = `many` - it must be",
+        ),
         ("[stop]", "[stop]\nunknown = 1", "[stop] unknown - there is no such key"),
     ] {
         let problem = parse(&ENTRY.replace(from, to)).expect_err(reason);
@@ -52,6 +57,16 @@
     }
 }
 
+#[test]
+fn measurements_are_shared_only_where_the_settings_ask_for_it() {
+    // Guards against an upgrade that changes how a deployment without the section is served.
+    let placement = |text: &str| parse(text).expect("the settings are valid").placement;
+    assert_eq!((placement(ENTRY).shared_slots, placement(ENTRY).shared_entries), (0, 16));
+    let section = "[placement]\nshared_slots = 32\nshared_entries = 9\n[stop]";
+    let shared = placement(&ENTRY.replace("[stop]", section));
+    assert_eq!((shared.shared_slots, shared.shared_entries), (32, 9));
+}
+
 #[test]
 fn lifted_requests_are_given_by_fingerprint() {
     let content = "05edc73fd10efbe175ce22ccbf8833e7";
