--- a/crates/verbenaslip-relay/src/policy/placement/homes.rs
+++ b/crates/verbenaslip-relay/src/policy/placement/homes.rs
@@ -11,15 +11,15 @@
 use crate::policy::upstream_state::UpstreamState;
 use crate::policy::versions::Track;
 
-/// Ratio of two neighboring speed classes.
+/// Classes of relative speed below and above the usual one, each with the relative rate from which
+/// an upstream belongs to it.
 ///
 /// Coarse classes keep the order of homes stable. If it followed each change of a measured rate,
-/// prefixes would move between upstreams and be read again.
-const CLASS_RATIO: f64 = 1.6;
-
-/// Number of classes above and below the median. An upstream that seems much slower than the others
-/// is rather one that has been busy with prefills ever since it was first measured.
-const MAX_CLASS: f64 = 1.0;
+/// prefixes would move between upstreams and be read again; that costs more than differences of a
+/// quarter are worth. The lowest class bounds what a busy upstream loses: its streams are slow
+/// although it is not.
+const SLOW_CLASS: (f64, f64) = (0.75, 0.625);
+const FAST_CLASS: (f64, f64) = (1.3, 1.6);
 
 /// Factor on the weight of an upstream that is warming up.
 const WARMUP_WEIGHT: f64 = 0.25;
@@ -87,10 +87,15 @@
     }
 }
 
-/// Rounds a relative speed to the nearest class.
+/// Returns the speed by which the class of a relative rate counts.
 fn speed_class(relative: f64) -> f64 {
-    let class = (relative.ln() / CLASS_RATIO.ln()).round();
-    if class.is_finite() { CLASS_RATIO.powf(class.clamp(-MAX_CLASS, MAX_CLASS)) } else { 1.0 }
+    if relative < SLOW_CLASS.0 {
+        SLOW_CLASS.1
+    } else if relative > FAST_CLASS.0 {
+        FAST_CLASS.1
+    } else {
+        1.0
+    }
 }
 
 /// Returns the score of weighted rendezvous hashing, `-ln(u) / weight`, for a number whose mixed
