--- a/crates/verbenaslip-fleet/src/core/measurement.rs
+++ b/crates/verbenaslip-fleet/src/core/measurement.rs
@@ -16,7 +16,7 @@
 /// Interval between two summaries for the event log.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Says when the regular work on measurements is due.
+/// Holds when the regular work on measurements is due.
 #[derive(Debug, Default)]
 pub(crate) struct Schedule {
     next_run_check: Duration,
