Name the upstreams that a request could not reach in its log line

The lines of an incident said how often no connection opened, not to whom, so an entry without any path could not be told from one that keeps choosing a few lost upstreams.

--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -384,6 +384,7 @@
             Next::Done(Disposition::Close)
         }
         Failure::Unreachable => {
+            trace.unreached.push(choice.run.upstream.clone());
             attempts.unreachable_count += 1;
             if attempts.unreachable_count < MAX_UNREACHABLE {
                 Next::Retry
--- a/crates/verbenaslip-relay/src/forward/request_log.rs
+++ b/crates/verbenaslip-relay/src/forward/request_log.rs
@@ -23,6 +23,8 @@
 pub struct Trace {
     /// Upstreams that received the request, in order.
     pub attempts: Vec<Attempt>,
+    /// Upstreams that could not be reached, in order.
+    pub unreached: Vec<Upstream>,
     /// The view by which the request was admitted or its last upstream was chosen.
     pub view_info: ViewInfo,
     /// Why each attempt ended without an answer.
@@ -107,6 +109,7 @@
     let figures = trace.figures.as_deref();
     let team = request.and_then(|request| request.team).map(|team: &TeamConfig| &team.name);
     let sent: Vec<&str> = trace.attempts.iter().map(|attempt| attempt.upstream.as_str()).collect();
+    let unreached: Vec<&str> = trace.unreached.iter().map(Upstream::as_str).collect();
     let sent_after: Vec<u128> =
         trace.attempts.iter().map(|attempt| attempt.sent_after.as_millis()).collect();
     let fields = [
@@ -122,6 +125,7 @@
         ("ms", json!(duration.as_millis())),
         ("upstreams", json!(sent)),
         ("sent_ms", json!(sent_after)),
+        ("unreached", json!(unreached)),
         ("term", json!(version.term)),
         ("change", json!(version.change)),
         ("causes", json!(trace.causes)),
