Serve callers of entries whose paths to upstreams are cut through other entries

Callers saw: six of nine entries that lost their paths to all upstreams served 16 of 362 first attempts, the other three 338 of 339; 404 requests were refused as no_upstream after 0.9 to 1.2 s each.

Cause: a request that an entry has read could only be served over that entry's own paths. The view was fresh (0.25 s at most), so lists and choices were right; every connection, to each of 21 upstreams, failed or hung.

Change: an entry that can't connect opens the connection through another entry, which passes bytes on and decides nothing. A direct failure counts against a path only if another entry opened the connection, so upstreams that are down are told from cut paths. Failures over a cut path are not held against upstreams.

--- a/crates/verbenaslip-cli/src/command/explain/line.rs
+++ b/crates/verbenaslip-cli/src/command/explain/line.rs
@@ -16,6 +16,9 @@
 /// The event numbers for limits, cooldowns and departures that upstreams announce.
 const UPSTREAM_LIMIT_EVENTS: RangeInclusive<u64> = 943..=946;
 
+/// The event numbers for lost and restored paths to upstreams.
+const PATH_EVENTS: RangeInclusive<u64> = 953..=954;
+
 /// The request outcomes and attempt causes that result from these events.
 const LIMITED_OUTCOMES: [&str; 2] = ["limited", "resting"];
 
@@ -99,15 +102,23 @@
             && (is_listed || self.content() == Some(content))
     }
 
-    /// Returns whether the line reports an upstream limit, cooldown or departure that explains the
-    /// request end in another line of the same file.
+    /// Returns whether the line reports an upstream limit, cooldown or departure, or a lost or
+    /// restored path, that explains the request end in another line of the same file.
     pub(super) fn explains(&self, ended: &Self) -> bool {
         let number = self.fields.get("event").and_then(Value::as_u64);
+        let is_cause = |number: u64| {
+            ended.is_limited() && UPSTREAM_LIMIT_EVENTS.contains(&number)
+                || ended.lacked_path() && PATH_EVENTS.contains(&number)
+        };
         self.file == ended.file
             && self.at <= ended.at
             && ended.at - self.at <= MAX_LEAD_MS
-            && ended.is_limited()
-            && number.is_some_and(|number| UPSTREAM_LIMIT_EVENTS.contains(&number))
+            && number.is_some_and(is_cause)
+    }
+
+    /// Returns whether the request was sent through another entry or reached no upstream.
+    fn lacked_path(&self) -> bool {
+        ["gateways", "unreached"].iter().any(|name| self.fields.get(*name).is_some())
     }
 
     /// Returns whether the request was affected by limits or cooldowns of upstreams.
--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -31,6 +31,7 @@
 use crate::core::leadership::LeaderSeeker;
 use crate::departure::Departure;
 use crate::frame::Frame;
+use crate::gateway::Directory;
 use crate::hub::{Hub, Progress};
 use crate::limit::Limits;
 use crate::link::Link;
@@ -101,6 +102,8 @@
     pub(crate) route_table_applied_at: Duration,
     /// Messages in transit between the leader and the entries that report to this core.
     pub(crate) aggregator: Aggregator,
+    /// Entries that open connections for others.
+    gateways: Directory,
     /// Whether this instance is shutting down.
     pub(crate) stopping: bool,
     /// Addresses of the cores, as the leader sends them to other instances.
@@ -157,15 +160,8 @@
             announce_interval,
             ..
         } = setup;
-        let Setup {
-            log_timing,
-            order_timing,
-            quarantine_policy,
-            fingerprint_secret,
-            seed,
-            unix_ms,
-            ..
-        } = setup;
+        let Setup { log_timing, order_timing, quarantine_policy, fingerprint_secret, .. } = setup;
+        let Setup { seed, unix_ms, .. } = setup;
         let founders = founders.iter().map(|address| name_of(*address)).collect();
         let mut log = LogSetup::new(name_of(local_peer.address), founders, seed);
         log.timing = log_timing;
@@ -215,6 +211,7 @@
             all_reported: false,
             route_table_applied_at: now,
             aggregator: Aggregator::default(),
+            gateways: Directory::default(),
             stopping: false,
             core_addresses: Vec::new(),
             quarantine: Quarantine::default(),
@@ -324,7 +321,15 @@
             Frame::RequestLoans { from, requests } => self.forward_loan_requests(from, requests),
             Frame::GrantLoans(grants) => self.forward_loan_grants(grants),
             Frame::EntryStopped { address } => self.handle_entry_stopped(address),
-            Frame::Update(_) | Frame::CrashReportReceived { .. } | Frame::ReportTo { .. } => {}
+            Frame::RegisterGateway(registration) => {
+                let (now, to) = (self.now, registration.from);
+                let gateways = self.gateways.register(now, registration);
+                self.send(to, Frame::Gateways(gateways));
+            }
+            Frame::Gateways(_)
+            | Frame::Update(_)
+            | Frame::CrashReportReceived { .. }
+            | Frame::ReportTo { .. } => {}
         }
     }
 
@@ -358,6 +363,7 @@
     /// Forgets an entry that has stopped, so that acknowledgements no longer wait for it.
     fn handle_entry_stopped(&mut self, entry: SocketAddr) {
         self.hub.forget(entry);
+        self.gateways.remove(entry);
         if self.is_leading() {
             self.advance_acknowledged_calls();
         } else {
--- a/crates/verbenaslip-fleet/src/entry.rs
+++ b/crates/verbenaslip-fleet/src/entry.rs
@@ -5,6 +5,7 @@
 
 use crate::crash_report::{CrashReporter, ObservedAnswer, ObservedCrash};
 use crate::frame::{Frame, Peer};
+use crate::gateway::{Membership, Registration};
 use crate::link::{Link, Report, Targets};
 use crate::quota::LoanRequest;
 use crate::transition::Transitions;
@@ -15,6 +16,8 @@
 pub struct Entry {
     link: Link,
     crash_reporter: CrashReporter,
+    /// Membership among the gateways, if this entry is one.
+    membership: Option<Membership>,
 }
 
 /// Holds a frame to be sent.
@@ -30,11 +33,21 @@
     /// Creates an entry without a view; `unix_ms` is the machine's clock in Unix milliseconds.
     pub fn new(local_peer: Peer, seeds: Vec<SocketAddr>, now: Duration, unix_ms: u64) -> Self {
         Self {
+            membership: None,
             link: Link::new(local_peer, seeds, now, unix_ms),
             crash_reporter: CrashReporter::default(),
         }
     }
 
+    /// Makes this entry a gateway that accepts connections of other entries at `address`.
+    #[must_use]
+    pub fn with_gateway(mut self, address: SocketAddr) -> Self {
+        let Peer { address: from, zone, .. } = self.link.local_peer().clone();
+        self.membership =
+            Some(Membership::new(Registration { from, zone, gateway: Some(address) }));
+        self
+    }
+
     /// Returns the current view of the fleet.
     pub fn view(&self) -> &View {
         self.link.view()
@@ -45,11 +58,14 @@
         self.link.take_transitions()
     }
 
-    /// Returns when [`next_heartbeat`](Self::next_heartbeat) or
-    /// [`next_crash_report`](Self::next_crash_report) is due.
+    /// Returns when [`next_heartbeat`](Self::next_heartbeat),
+    /// [`next_crash_report`](Self::next_crash_report) or
+    /// [`next_registration`](Self::next_registration) is due.
     pub fn next_wakeup(&self) -> Duration {
         let crash_report = self.crash_reporter.next_due().unwrap_or(Duration::MAX);
-        self.link.next_wakeup().min(crash_report)
+        let registration = self.membership.as_ref().filter(|_| !self.view().cores.is_empty());
+        let registration = registration.map_or(Duration::MAX, Membership::next_due);
+        self.link.next_wakeup().min(crash_report).min(registration)
     }
 
     /// Returns when [`next_heartbeat`](Self::next_heartbeat) is due.
@@ -78,6 +94,21 @@
         Some(Envelope { to: vec![leader], frame: Frame::CrashReport(Box::new(report)) })
     }
 
+    /// Sets whether this entry can open connections for others.
+    pub fn set_carries(&mut self, now: Duration, carries: bool) {
+        if let Some(membership) = &mut self.membership {
+            membership.set_carries(now, carries);
+        }
+    }
+
+    /// Builds the registration as a gateway with all cores, if it is due.
+    pub fn next_registration(&mut self, now: Duration) -> Option<Envelope> {
+        let to = self.view().cores.clone();
+        let membership = self.membership.as_mut().filter(|_| !to.is_empty())?;
+        let frame = membership.next_registration(now)?;
+        Some(Envelope { to, frame })
+    }
+
     /// Builds a request for loans on teams' rate limits; returns `None` without requests or a
     /// reachable target.
     pub fn request_loans(&self, now: Duration, requests: Vec<LoanRequest>) -> Option<Envelope> {
@@ -138,7 +169,14 @@
                 self.link.handle_new_leader(now, leader);
                 None
             }
+            Frame::Gateways(gateways) => {
+                if let Some(membership) = &mut self.membership {
+                    self.link.set_gateways(membership.learn(gateways));
+                }
+                None
+            }
             Frame::Log { .. }
+            | Frame::RegisterGateway(_)
             | Frame::Heartbeat(_)
             | Frame::RequestLoans { .. }
             | Frame::GrantLoans(_)
--- a/crates/verbenaslip-fleet/src/frame.rs
+++ b/crates/verbenaslip-fleet/src/frame.rs
@@ -12,6 +12,7 @@
 use verbenaslip_replica::voter::Voter;
 
 use crate::crash_report::CrashReport;
+use crate::gateway::{Gateway, Registration};
 use crate::limit::{Limits, Observation, TimeSlot};
 use crate::load::WorkReport;
 use crate::measurement::{FigureReport, Totals};
@@ -110,6 +111,10 @@
         /// The entry.
         address: SocketAddr,
     },
+    /// Registers an entry as a gateway with a core.
+    RegisterGateway(Registration),
+    /// Answers a registration with some other gateways.
+    Gateways(Vec<Gateway>),
 }
 
 impl Frame {
@@ -130,6 +135,8 @@
             Self::RequestLoans { .. } => "borrow",
             Self::GrantLoans(_) => "lent",
             Self::EntryStopped { .. } => "ended",
+            Self::RegisterGateway(_) => "register_gateway",
+            Self::Gateways(_) => "gateways",
         }
     }
 }
--- a/crates/verbenaslip-fleet/src/lib.rs
+++ b/crates/verbenaslip-fleet/src/lib.rs
@@ -32,7 +32,9 @@
 //! 8. [`rollout`] moves the traffic of a service to a new version, and back if that version is
 //!    worse.
 //! 9. [`measurement`] holds what all entries together have measured at the upstreams.
-//! 10. [`core`] and [`entry`] compose these parts.
+//! 10. [`gateway`] tells entries through which others they reach upstreams if their own paths are
+//!     cut.
+//! 11. [`core`] and [`entry`] compose these parts.
 //!
 //! Messages may be lost, delayed, duplicated or reordered; each of them can be sent again.
 
@@ -44,6 +46,7 @@
 pub mod entry;
 pub mod fingerprint;
 pub mod frame;
+pub mod gateway;
 pub(crate) mod history;
 pub mod hub;
 pub mod index;
--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -18,6 +18,7 @@
 use crate::delta_map::DeltaMap;
 use crate::departure::Departures;
 use crate::frame::{Aggregate, Frame, Peer};
+use crate::gateway::Gateway;
 use crate::history::History;
 use crate::hub;
 use crate::limit::{Limits, Observation};
@@ -283,6 +284,11 @@
         }
     }
 
+    /// Replaces the known gateways.
+    pub(crate) fn set_gateways(&mut self, gateways: Arc<[Gateway]>) {
+        self.view.gateways = gateways;
+    }
+
     /// Replaces the seed addresses.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.seeds = seeds;
--- a/crates/verbenaslip-fleet/src/view.rs
+++ b/crates/verbenaslip-fleet/src/view.rs
@@ -8,6 +8,7 @@
 use verbenaslip_base::data;
 use verbenaslip_base::name::Upstream;
 
+use crate::gateway::Gateway;
 use crate::index::Index;
 use crate::limit::{Limits, TimeSlot};
 use crate::measurement::Figures;
@@ -48,6 +49,8 @@
     pub own_address: Option<SocketAddr>,
     /// Addresses of the cores.
     pub cores: Vec<SocketAddr>,
+    /// Entries that open connections to upstreams for others.
+    pub gateways: Arc<[Gateway]>,
     /// When the last heartbeat was sent whose answer confirmed that `rollout_plans` are the newest.
     pub plans_confirmed_at: Option<Duration>,
     /// Number of entries.
@@ -71,6 +74,7 @@
             time_slot: None,
             own_address: None,
             cores: Vec::new(),
+            gateways: Arc::default(),
             plans_confirmed_at: None,
             entry_count: 1,
             leader_heard_at: None,
--- a/crates/verbenaslip-instance/src/entry.rs
+++ b/crates/verbenaslip-instance/src/entry.rs
@@ -67,6 +67,8 @@
     let shared = Arc::new(SharedState::default());
     let config = Config {
         caller_address: entry.callers,
+        tunnel_address: entry.tunnels,
+        max_tunnels: entry.max_tunnels,
         readiness_address: entry.ready,
         zone: settings.zone.clone(),
         max_connections: entry.connections as usize,
@@ -92,8 +94,11 @@
         incarnation: unix_ms,
         voter: None,
     };
-    let state_machine =
+    let mut state_machine =
         StateMachine::new(local_peer, settings.seeds.clone(), monotonic::now(), unix_ms);
+    if let Some(address) = entry.tunnels {
+        state_machine = state_machine.with_gateway(address);
+    }
     let grace = settings.stop.grace;
     let (logged_view, leader_lost_at, stop) = (None, None, None);
     let mut running_entry = RunningEntry {
@@ -122,6 +127,7 @@
             },
             Some(frame) = frames.recv() => running_entry.handle_frame(frame),
             () = shared.wait_for_loan_requests() => running_entry.request_loans(),
+            () = shared.wait_for_path_change() => running_entry.update_carries(),
             () = shared.wait_for_observations() => running_entry.collect_observations(),
             () = tokio::time::sleep(wait) => running_entry.watch_leader(&reload),
         }
@@ -148,6 +154,8 @@
         }
         let envelope = self.state_machine.next_crash_report(now);
         self.send(envelope);
+        let envelope = self.state_machine.next_registration(now);
+        self.send(envelope);
         if now < self.state_machine.next_heartbeat_at() {
             return;
         }
@@ -165,6 +173,11 @@
         self.state_machine.record_outcomes(monotonic::now(), crashes, answers);
     }
 
+    /// Tells the cores whether other entries can be helped.
+    fn update_carries(&mut self) {
+        self.state_machine.set_carries(monotonic::now(), self.shared.carries());
+    }
+
     /// Asks the leader for the loans that requests need from the rate limits of their teams.
     fn request_loans(&self) {
         let envelope =
@@ -248,6 +261,7 @@
         if self.stop.is_none() {
             self.stop = Some(Stop::begin(monotonic::now(), grace));
             self.shared.start_draining();
+            self.update_carries();
             event_log::emit(event::STOPPING, [("active", json!(self.server.active_requests()))]);
         }
     }
--- a/crates/verbenaslip-instance/src/settings.rs
+++ b/crates/verbenaslip-instance/src/settings.rs
@@ -53,6 +53,10 @@
     pub ready: SocketAddr,
     /// Maximum number of concurrent connections of callers.
     pub connections: u32,
+    /// Address at which the entry opens connections to upstreams for other entries, if it does.
+    pub tunnels: Option<SocketAddr>,
+    /// Maximum number of such connections.
+    pub max_tunnels: u32,
 }
 
 /// Section `[core]`.
@@ -236,10 +240,15 @@
 
 impl Entry {
     fn read_from(reader: &mut Reader<'_>) -> Self {
-        let mut entry = Self { callers: ANY, ready: ANY, connections: 3_000 };
+        let mut entry =
+            Self { callers: ANY, ready: ANY, connections: 3_000, tunnels: None, max_tunnels: 256 };
+        let mut tunnels = ANY;
         reader.need(Place("entry", "callers"), &mut entry.callers);
         reader.need(Place("entry", "ready"), &mut entry.ready);
         reader.take(Place("entry", "connections"), &mut entry.connections);
+        reader.take(Place("entry", "tunnels"), &mut tunnels);
+        entry.tunnels = (tunnels != ANY).then_some(tunnels);
+        reader.take(Place("entry", "max_tunnels"), &mut entry.max_tunnels);
         entry
     }
 }
--- a/crates/verbenaslip-relay/src/forward.rs
+++ b/crates/verbenaslip-relay/src/forward.rs
@@ -3,11 +3,12 @@
 //! [`admission`] determines the team and the route of a request. [`lifecycle`] runs the request:
 //! whether it is retried, and what its caller gets. [`queue`] holds it while no upstream accepts it,
 //! and [`upstream_choice`] selects the upstream.
-//! [`upstream_request`] writes the request for an upstream, [`exchange`] sends it and reads the
-//! head of the answer. [`delivery`] passes the answer on and, for a resumable stream, continues
+//! [`upstream_request`] writes the request for an upstream, [`exchange`] sends it over a connection
+//! that [`dial`] opens, and reads the head of the answer. [`delivery`] passes the answer on and, for a resumable stream, continues
 //! where another upstream broke off. [`failover`] states when a request leaves an unresponsive
 //! upstream, and [`crash`] checks whether an upstream that broke off has crashed. [`upstream_log`]
-//! logs what an upstream asks for in the head of its answer. [`pool`] keeps connections,
+//! logs what an upstream asks for in the head of its answer, and [`path_log`] when paths to
+//! upstreams are lost. [`pool`] keeps connections,
 //! [`events`] finds the ends of events, [`answer`] writes answers that this instance makes itself,
 //! and [`request_log`] logs each request.
 
@@ -16,10 +17,12 @@
 pub mod context;
 pub(crate) mod crash;
 pub mod delivery;
+pub(crate) mod dial;
 pub mod events;
 pub mod exchange;
 pub(crate) mod failover;
 pub mod lifecycle;
+pub(crate) mod path_log;
 pub mod pool;
 pub(crate) mod queue;
 pub mod request_log;
--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -1,27 +1,34 @@
 //! State that all requests of an instance share.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::Instant;
 use verbenaslip_base::hash;
 use verbenaslip_fleet::crash_report::ObservedAnswer;
+use verbenaslip_fleet::gateway::Gateway;
 use verbenaslip_fleet::limit::Observation;
 use verbenaslip_fleet::measurement::RunKey;
-use verbenaslip_fleet::registry::Run;
+use verbenaslip_fleet::registry::{Announcement, Record, Run};
 use verbenaslip_fleet::view::View;
 
 use crate::dialect::{Dialect, ResponseInfo};
 use crate::forward::admission::AdmittedRequest;
 use crate::forward::crash::{InterruptedRequest, Signal};
+use crate::forward::path_log;
 use crate::forward::pool::Pool;
 use crate::forward::queue::Queue;
 use crate::forward::upstream_log;
+use crate::http::Connection;
 use crate::monotonic;
 use crate::policy::allowance::Allowances;
+use crate::policy::gateways::Gateways;
 use crate::policy::pace::Pace;
+use crate::policy::path::{Change as PathChange, Fault, Group, Paths};
 use crate::policy::placement::{Choice, Ending, Placement, Query};
 use crate::policy::quarantine::Quarantine;
 use crate::policy::restriction::Change;
@@ -49,6 +56,14 @@
     pub(crate) returning_callers: RefCell<ReturningCallers>,
     pub(crate) quarantine: RefCell<Quarantine>,
     pub(crate) random_state: Cell<u64>,
+    pub(crate) paths: RefCell<Paths>,
+    pub(crate) gateways: RefCell<Gateways>,
+    /// The list from which `gateways` was last updated.
+    known_gateways: RefCell<Arc<[Gateway]>>,
+    /// Notified when a path may need a probe.
+    pub(crate) paths_suspected: Notify,
+    /// Notified when open connections may hang.
+    pub(crate) connections_hang: Notify,
     crash_signals: UnboundedSender<Signal>,
 }
 
@@ -75,6 +90,11 @@
             returning_callers: RefCell::new(ReturningCallers::default()),
             quarantine: RefCell::new(Quarantine::default()),
             random_state: Cell::new(monotonic::unix_ms()),
+            paths: RefCell::new(Paths::default()),
+            gateways: RefCell::new(Gateways::default()),
+            known_gateways: RefCell::default(),
+            paths_suspected: Notify::new(),
+            connections_hang: Notify::new(),
             crash_signals,
         }
     }
@@ -95,15 +115,110 @@
             self.shared.set_limit(&run, limit);
         }
         self.shared.versions().update(&view);
+        if !Arc::ptr_eq(&self.known_gateways.borrow(), &view.gateways) {
+            self.gateways.borrow_mut().update(&view.gateways);
+            *self.known_gateways.borrow_mut() = view.gateways.clone();
+        }
         let answers = self.quarantine.borrow_mut().update(&view.blocklist);
         answers.into_iter().for_each(|it| self.shared.add_answer(it));
         view
     }
 
+    /// Returns the path that an upstream shares with others.
+    pub(crate) fn group_of(record: &Record) -> Group {
+        let Announcement { service, zone, .. } = &record.announcement;
+        Group { service: service.clone(), zone: zone.clone() }
+    }
+
+    /// Returns whether any gateway is known.
+    pub(crate) fn has_gateways(&self) -> bool {
+        !self.known_gateways.borrow().is_empty()
+    }
+
+    /// Chooses a gateway other than those in `tried`.
+    pub(crate) fn choose_gateway(&self, tried: &[SocketAddr]) -> Option<SocketAddr> {
+        let fraction = self.random_fraction();
+        let placement = self.placement.borrow();
+        self.gateways.borrow_mut().choose(monotonic::now(), placement.zone(), tried, fraction)
+    }
+
+    /// Returns whether an open connection to a run may be used: a direct one unless it may hang, and
+    /// one through a gateway only while the path is not whole.
+    pub(crate) fn trusts_connection(&self, run: &Run, connection: &Connection) -> bool {
+        let view = self.shared.view();
+        let Some(record) = view.record(run) else { return true };
+        let (paths, group) = (self.paths.borrow(), Self::group_of(record));
+        match connection.gateway() {
+            Some(_) => paths.is_impaired(&group),
+            None => paths.trusts_open_connections(&group),
+        }
+    }
+
+    /// Returns whether the path to a run is known not to be whole.
+    pub(crate) fn is_path_impaired(&self, run: &Run) -> bool {
+        let view = self.shared.view();
+        view.record(run).is_some_and(|it| self.paths.borrow().is_impaired(&Self::group_of(it)))
+    }
+
+    /// Returns whether open direct connections to a run may hang.
+    pub(crate) fn may_hang(&self, run: &Run) -> bool {
+        let view = self.shared.view();
+        let record = view.record(run);
+        record.is_some_and(|it| !self.paths.borrow().trusts_open_connections(&Self::group_of(it)))
+    }
+
+    /// Records an answer that has arrived directly.
+    pub(crate) fn record_heard(&self, run: &Run) {
+        if let Some(record) = self.shared.view().record(run) {
+            self.paths.borrow_mut().record_heard(monotonic::now(), &Self::group_of(record));
+        }
+    }
+
+    /// Records that a request has been unanswered on a direct connection for some time.
+    pub(crate) fn record_silence(&self, run: &Run, silence: Duration) {
+        let view = self.shared.view();
+        let Some(record) = view.record(run).filter(|_| self.has_gateways()) else { return };
+        let (now, group) = (monotonic::now(), Self::group_of(record));
+        if self.paths.borrow_mut().record_silence(now, &group, silence) {
+            self.paths_suspected.notify_one();
+        }
+    }
+
+    /// Records a direct connection that has opened.
+    pub(crate) fn record_direct(&self, group: &Group, connect_time: Duration) {
+        let change = self.paths.borrow_mut().record_direct(monotonic::now(), group, connect_time);
+        self.handle_path_change(group, change, None);
+    }
+
+    /// Records that only a gateway could open a connection.
+    pub(crate) fn record_bypassed(&self, group: &Group, fault: Fault) {
+        let change = self.paths.borrow_mut().record_bypassed(monotonic::now(), group, fault);
+        self.paths_suspected.notify_one();
+        if fault == Fault::Hung {
+            self.connections_hang.notify_waiters();
+        }
+        self.handle_path_change(group, change, Some(fault));
+    }
+
+    fn handle_path_change(&self, group: &Group, change: Option<PathChange>, fault: Option<Fault>) {
+        let Some(change) = change else { return };
+        path_log::log_change(group, change, fault, self.known_gateways.borrow().len());
+        self.shared.set_cut_path(self.paths.borrow().has_cut());
+        if change == PathChange::Cut {
+            // Failures that the cut has caused say nothing about the upstreams.
+            self.placement.borrow_mut().forgive_failures(&group.service, &group.zone);
+        }
+    }
+
+    /// Returns a random number between zero and one.
+    pub(crate) fn random_fraction(&self) -> f64 {
+        let step = u32::try_from(self.next_random() >> 32).unwrap_or(u32::MAX);
+        f64::from(step) / f64::from(u32::MAX)
+    }
+
     /// Chooses the versions that may take a request.
     pub(crate) fn choose_tracks(&self, request: &AdmittedRequest<'_>, is_retry: bool) -> Tracks {
-        let step = u32::try_from(self.next_random() >> 32).unwrap_or(u32::MAX);
-        let random_fraction = f64::from(step) / f64::from(u32::MAX);
+        let random_fraction = self.random_fraction();
         let versions = self.shared.versions();
         versions.choose_tracks(
             monotonic::now(),
--- a/crates/verbenaslip-relay/src/forward/crash.rs
+++ b/crates/verbenaslip-relay/src/forward/crash.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,8 +18,9 @@
 use verbenaslip_fleet::registry::Run;
 
 use crate::event_log::{self, Kind};
-use crate::shared::SharedState;
-use crate::{monotonic, socket};
+use crate::forward::context::Context;
+use crate::forward::dial;
+use crate::monotonic;
 
 /// An upstream broke off the requests that it ran.
 const BROKE_OFF: Kind = Kind { number: 936, name: "upstream_broke_off" };
@@ -27,9 +29,6 @@
 /// upstream at once.
 const BATCH_DELAY: Duration = Duration::from_millis(3);
 
-/// Time limit for connecting to an upstream; many times the longest round trip.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Limit on the requests listed in one log line.
 const MAX_LISTED: usize = 64;
 
@@ -69,7 +68,7 @@
 /// Checks upstreams that may have crashed, for as long as the instance runs.
 pub(crate) async fn watch_for_crashes(
     mut signals: UnboundedReceiver<Signal>,
-    shared: Arc<SharedState>,
+    context: Rc<Context>,
 ) {
     let mut left_by_callers = VecDeque::new();
     while let Some(first) = signals.recv().await {
@@ -78,7 +77,7 @@
         for (run, requests) in
             group_by_run(std::iter::once(first).chain(others), &mut left_by_callers)
         {
-            tokio::task::spawn_local(check_run(run, requests, shared.clone()));
+            tokio::task::spawn_local(check_run(run, requests, context.clone()));
         }
     }
 }
@@ -117,15 +116,15 @@
 }
 
 /// Checks whether an upstream still accepts connections, and reports a crash if it does not.
-async fn check_run(run: Run, requests: Vec<InterruptedRequest>, shared: Arc<SharedState>) {
+async fn check_run(run: Run, requests: Vec<InterruptedRequest>, context: Rc<Context>) {
     let Some(address) = requests.first().map(|it| it.address) else { return };
-    let ended = socket::connect(address, CONNECT_TIMEOUT).await.is_err();
+    let ended = !dial::is_reachable(&context, &run, address).await;
     if ended {
         metrics::counter!("verbenaslip_upstreams_ended_total").increment(1);
     }
     log_interruption(&run.upstream, run.incarnation, ended, &requests);
     if ended {
-        shared.add_crashes(requests.into_iter().filter_map(observed_crash));
+        context.shared.add_crashes(requests.into_iter().filter_map(observed_crash));
     }
 }
 
--- a/crates/verbenaslip-relay/src/forward/exchange.rs
+++ b/crates/verbenaslip-relay/src/forward/exchange.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one upstream and reads the head of the answer.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Buf;
@@ -8,16 +9,19 @@
 use crate::dialect::ResponseInfo;
 use crate::forward::admission::AdmittedRequest;
 use crate::forward::context::Context;
+use crate::forward::dial;
 use crate::forward::failover::Failover;
 use crate::forward::pool;
 use crate::http::connection::Progress;
 use crate::http::{Connection, Decoder, ResponseHead, Step};
+use crate::monotonic;
 use crate::policy::placement::Choice;
 use crate::policy::switching::Reason;
-use crate::{monotonic, socket};
+use crate::tunnel::Prefix;
 
-/// Time limit for a new connection; many times the longest round trip.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Silence on a direct connection after which the path is probed; as long as the shortest silence
+/// after which a request may leave its upstream.
+const SUSPICION_TIME: Duration = Duration::from_millis(400);
 
 /// Limit on the bytes of an answer's head.
 const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -37,6 +41,16 @@
     pub reusable: bool,
 }
 
+/// Describes a request that is sent to an upstream.
+pub struct Outgoing<'a> {
+    /// Where the request goes.
+    pub choice: &'a Choice,
+    /// The request as the upstream gets it.
+    pub bytes: &'a [u8],
+    /// Gateway through which the request has been sent; `None` for a direct connection.
+    pub gateway: Option<SocketAddr>,
+}
+
 /// Describes why an upstream gave no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -60,8 +74,7 @@
     context: &Context,
     caller: &mut Connection,
     request: &AdmittedRequest<'_>,
-    choice: &Choice,
-    bytes: &[u8],
+    outgoing: &mut Outgoing<'_>,
     mut failover: Failover<impl FnMut(Reason) -> bool>,
 ) -> Result<Response, Failure> {
     let deadline_after = |silence_limit: Option<Duration>| {
@@ -70,7 +83,13 @@
         })
     };
     let mut deadline = deadline_after(failover.silence_limit);
+    let choice = outgoing.choice;
     let (mut connection, reused) = connect(context, request, choice, deadline).await?;
+    outgoing.gateway = connection.gateway();
+    let is_direct = outgoing.gateway.is_none();
+    let wrapped = (!is_direct).then(|| Prefix::wrap(&request.info.id, outgoing.bytes));
+    let bytes = wrapped.as_deref().unwrap_or(outgoing.bytes);
+    let mut suspect_at = is_direct.then(|| Instant::now() + SUSPICION_TIME);
     let mut written = 0;
     let mut in_sync = true;
     loop {
@@ -82,6 +101,9 @@
                 continue;
             }
             let info = context.dialect.response_info(&head, &request.info.id);
+            if is_direct {
+                context.record_heard(&choice.run);
+            }
             if info.matches_request {
                 let reusable = in_sync && written == bytes.len() && !head.closes_connection();
                 return Ok(Response { connection, head, info, reusable });
@@ -105,6 +127,15 @@
                 Ok(Progress::Read(_)) | Err(_) => return Err(Failure::Broken),
             },
             () = caller.closed_by_peer() => return Err(Failure::CallerGone),
+            () = sleep_until_some(suspect_at), if suspect_at.is_some() => {
+                suspect_at = None;
+                context.record_silence(&choice.run, SUSPICION_TIME);
+            }
+            () = context.connections_hang.notified(), if is_direct && failover.silence_limit.is_some() => {
+                if context.may_hang(&choice.run) && (failover.may_switch)(Reason::Silent) {
+                    return Err(Failure::Unresponsive);
+                }
+            }
             () = tokio::time::sleep_until(next_check), if next_check < deadline => {
                 if failover.leaves_slow_upstream() {
                     return Err(Failure::Slow);
@@ -127,14 +158,23 @@
     deadline: Instant,
 ) -> Result<(Connection, bool), Failure> {
     let run_once = !request.route.kind.may_repeat();
-    let reused = context.pool.borrow_mut().take(monotonic::now(), &choice.run, run_once);
+    let is_trusted = |connection: &Connection| context.trusts_connection(&choice.run, connection);
+    let reused =
+        context.pool.borrow_mut().take(monotonic::now(), &choice.run, run_once, is_trusted);
     if let Some(connection) = reused {
         return Ok((connection, true));
     }
     let remaining = deadline.saturating_duration_since(Instant::now());
-    let connected = socket::connect(choice.address, CONNECT_TIMEOUT.min(remaining)).await;
+    let connected = dial::connect(context, &choice.run, choice.address, remaining).await;
     metrics::counter!("verbenaslip_upstream_connections_total").increment(1);
-    connected.map(|stream| (Connection::new(stream), false)).map_err(|_| Failure::Unreachable)
+    connected.map(|connection| (connection, false)).map_err(|_| Failure::Unreachable)
+}
+
+async fn sleep_until_some(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
 }
 
 /// Skips the body of an answer that belongs to another request.
@@ -200,7 +240,8 @@
     choice: &Choice,
     response: Response,
 ) {
-    if !response.reusable || !response.connection.buffer.is_empty() {
+    let is_free = response.connection.buffer.is_empty() && response.connection.is_lasting();
+    if !response.reusable || !is_free {
         return;
     }
     let keep_alive = response.head.text("keep-alive").and_then(keep_alive_timeout);
--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -1,5 +1,6 @@
 //! Runs one request: where it goes, whether it is retried, and what its caller gets.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -12,7 +13,7 @@
 use crate::forward::answer::{self, Refusal};
 use crate::forward::context::Context;
 use crate::forward::delivery::{Delivery, Outcome};
-use crate::forward::exchange::{self, Failure, Response};
+use crate::forward::exchange::{self, Failure, Outgoing, Response};
 use crate::forward::failover::Failover;
 use crate::forward::queue;
 use crate::forward::request_log::{self, Trace, ViewInfo};
@@ -232,13 +233,17 @@
     let (tried_runs, retry_paid) = (&attempts.tried_runs, &mut attempts.retry_paid);
     let may_switch = |reason| context.may_switch(reason, request, &choice, tried_runs, retry_paid);
     let failover = Failover { slow_at, silence_limit, may_switch };
-    let response = exchange::send(context, caller, request, &choice, &bytes, failover).await;
+    let mut outgoing = Outgoing { choice: &choice, bytes: &bytes, gateway: None };
+    let response = exchange::send(context, caller, request, &mut outgoing, failover).await;
+    let gateway = outgoing.gateway;
     if !matches!(response, Err(Failure::Unreachable)) {
         attempts.sends += 1;
         let upstream = choice.run.upstream.clone();
-        trace
-            .attempts
-            .push(request_log::Attempt { upstream, sent_after: sent - request.received_at });
+        trace.attempts.push(request_log::Attempt {
+            upstream,
+            sent_after: sent - request.received_at,
+            gateway,
+        });
     }
     match response {
         Ok(response) => {
@@ -252,7 +257,10 @@
             )
             .await
         }
-        Err(failure) => handle_failure(context, request, attempts, trace, (&choice, sent), failure),
+        Err(failure) => {
+            let sent = FailedAttempt { choice: &choice, sent_at: sent, gateway };
+            handle_failure(context, request, attempts, trace, sent, failure)
+        }
     }
 }
 
@@ -354,13 +362,21 @@
     }
 }
 
+/// Describes an attempt that got no answer.
+struct FailedAttempt<'a> {
+    choice: &'a Choice,
+    sent_at: Instant,
+    /// Gateway through which the request was sent.
+    gateway: Option<SocketAddr>,
+}
+
 /// Continues after an upstream gave no answer.
 fn handle_failure(
     context: &Context,
     request: &AdmittedRequest<'_>,
     attempts: &mut Attempts,
     trace: &mut Trace,
-    (choice, sent): (&Choice, Instant),
+    FailedAttempt { choice, sent_at: sent, gateway }: FailedAttempt<'_>,
     failure: Failure,
 ) -> Next {
     let (ending, cause) = match failure {
@@ -370,6 +386,10 @@
         Failure::Slow => (Ending::Slow, "slow"),
         Failure::CallerGone => (Ending::Abandoned, "caller_gone"),
     };
+    // A failure for want of a path says nothing about the upstream.
+    let lost_path =
+        ending == Ending::Failed && gateway.is_none() && context.is_path_impaired(&choice.run);
+    let ending = if lost_path { Ending::Abandoned } else { ending };
     context.record_end(choice, ending, None);
     match failure {
         Failure::Broken => context.signal_interrupted(request, choice, sent),
--- a/crates/verbenaslip-relay/src/forward/pool.rs
+++ b/crates/verbenaslip-relay/src/forward/pool.rs
@@ -83,14 +83,22 @@
 impl Pool {
     /// Takes a connection for a request; `run_once` states whether the request must run at most
     /// once.
-    pub fn take(&mut self, now: Duration, run: &Run, run_once: bool) -> Option<Connection> {
+    ///
+    /// Connections for which `is_trusted` is false are dropped.
+    pub fn take(
+        &mut self,
+        now: Duration,
+        run: &Run,
+        run_once: bool,
+        is_trusted: impl Fn(&Connection) -> bool,
+    ) -> Option<Connection> {
         let idle = self.idle.get_mut(run)?;
         // The last connection has been idle for the shortest time; the others may still serve
         // other requests.
         while idle.last().is_some_and(|kept| kept.is_usable(now, run_once)) {
             let mut kept = idle.pop()?;
             // Bytes that have arrived since the last answer belong to no request.
-            if kept.connection.is_open_and_empty() {
+            if kept.connection.is_open_and_empty() && is_trusted(&kept.connection) {
                 return Some(kept.connection);
             }
         }
@@ -115,6 +123,15 @@
         idle.push(Idle { connection, since: now, limit });
     }
 
+    /// Keeps a connection that no request has used, unless there is another one to the same run.
+    pub fn put_first(&mut self, now: Duration, run: &Run, connection: Connection) {
+        let limit = IdleLimit::from_keep_alive(None);
+        let idle = self.idle.entry(run.clone()).or_default();
+        if idle.is_empty() {
+            idle.push(Idle { connection, since: now, limit });
+        }
+    }
+
     /// Drops the connections of runs that are gone.
     pub fn remove_runs(&mut self, runs: &[Run]) {
         for run in runs {
@@ -125,7 +142,11 @@
     /// Drops the connections that have been idle for too long.
     pub fn remove_expired(&mut self, now: Duration) {
         for idle in self.idle.values_mut() {
-            idle.retain(|kept| kept.is_usable(now, false));
+            // A gateway that is stopping waits for the end of the connections through it.
+            idle.retain_mut(|kept| {
+                let is_direct = kept.connection.gateway().is_none();
+                kept.is_usable(now, false) && (is_direct || kept.connection.is_open_and_empty())
+            });
         }
         self.idle.retain(|_, idle| !idle.is_empty());
     }
--- a/crates/verbenaslip-relay/src/forward/request_log.rs
+++ b/crates/verbenaslip-relay/src/forward/request_log.rs
@@ -1,5 +1,6 @@
 //! The log line about a request.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -71,6 +72,8 @@
     pub upstream: Upstream,
     /// When the request was sent, after its arrival.
     pub sent_after: Duration,
+    /// Gateway through which it was sent, if not directly.
+    pub gateway: Option<SocketAddr>,
 }
 
 /// Describes the view by which a decision was made.
@@ -110,6 +113,8 @@
     let team = request.and_then(|request| request.team).map(|team: &TeamConfig| &team.name);
     let sent: Vec<&str> = trace.attempts.iter().map(|attempt| attempt.upstream.as_str()).collect();
     let unreached: Vec<&str> = trace.unreached.iter().map(Upstream::as_str).collect();
+    let gateways: Vec<String> =
+        trace.attempts.iter().filter_map(|it| it.gateway).map(|it| it.to_string()).collect();
     let sent_after: Vec<u128> =
         trace.attempts.iter().map(|attempt| attempt.sent_after.as_millis()).collect();
     let fields = [
@@ -125,6 +130,7 @@
         ("ms", json!(duration.as_millis())),
         ("upstreams", json!(sent)),
         ("sent_ms", json!(sent_after)),
+        ("gateways", json!(gateways)),
         ("unreached", json!(unreached)),
         ("term", json!(version.term)),
         ("change", json!(version.change)),
--- a/crates/verbenaslip-relay/src/http/connection.rs
+++ b/crates/verbenaslip-relay/src/http/connection.rs
@@ -1,12 +1,14 @@
 //! A connection with its unread bytes.
 
 use std::io;
+use std::net::SocketAddr;
 
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 use crate::http::head;
+use crate::tunnel::Decoder;
 
 /// Bytes that a read can take at once; a head and a small body fit.
 const READ_BYTES: usize = 8 << 10;
@@ -20,12 +22,29 @@
     stream: TcpStream,
     /// Received bytes that are not used yet.
     pub buffer: BytesMut,
+    /// Decodes what arrives, if the connection goes through another entry.
+    tunnel: Option<Box<Decoder>>,
 }
 
 impl Connection {
     /// Takes over a connection.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, buffer: BytesMut::new() }
+        Self { stream, buffer: BytesMut::new(), tunnel: None }
+    }
+
+    /// Takes over a connection that goes through another entry.
+    pub(crate) fn through(stream: TcpStream, decoder: Decoder) -> Self {
+        Self { stream, buffer: BytesMut::new(), tunnel: Some(Box::new(decoder)) }
+    }
+
+    /// Returns the address of the entry through which the connection goes, if it does.
+    pub fn gateway(&self) -> Option<SocketAddr> {
+        self.tunnel.as_ref().map(|it| it.gateway())
+    }
+
+    /// Returns whether the connection may take another request after the present one.
+    pub fn is_lasting(&self) -> bool {
+        self.tunnel.as_ref().is_none_or(|it| it.is_lasting())
     }
 
     /// Reads the bytes that are available; returns zero at the end of the connection.
@@ -34,8 +53,19 @@
     ///
     /// Fails if the connection fails.
     pub async fn fill(&mut self) -> io::Result<usize> {
-        self.buffer.reserve(READ_BYTES);
-        self.stream.read_buf(&mut self.buffer).await
+        let Some(tunnel) = &mut self.tunnel else {
+            self.buffer.reserve(READ_BYTES);
+            return self.stream.read_buf(&mut self.buffer).await;
+        };
+        loop {
+            if let Some(count) = tunnel.decode(&mut self.buffer) {
+                return Ok(count);
+            }
+            tunnel.received.reserve(READ_BYTES);
+            if self.stream.read_buf(&mut tunnel.received).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
     }
 
     /// Waits until there is something to read or the connection has ended.
@@ -85,15 +115,20 @@
     ///
     /// Fails if the connection fails.
     pub async fn write_or_read(&mut self, out: &[u8]) -> io::Result<Progress> {
-        self.buffer.reserve(READ_BYTES);
-        let (mut reader, mut writer) = self.stream.split();
         if out.is_empty() {
-            return Ok(Progress::Read(reader.read_buf(&mut self.buffer).await?));
+            return Ok(Progress::Read(self.fill().await?));
         }
-        tokio::select! {
-            written = writer.write(out) => Ok(Progress::Wrote(written?)),
-            read = reader.read_buf(&mut self.buffer) => Ok(Progress::Read(read?)),
+        let (mut reader, mut writer) = self.stream.split();
+        let received = self.tunnel.as_mut().map_or(&mut self.buffer, |it| &mut it.received);
+        received.reserve(READ_BYTES);
+        let read = tokio::select! {
+            written = writer.write(out) => return Ok(Progress::Wrote(written?)),
+            read = reader.read_buf(received) => read?,
+        };
+        if read > 0 && self.tunnel.is_some() {
+            return Ok(Progress::Read(self.fill().await?));
         }
+        Ok(Progress::Read(read))
     }
 
     /// Returns whether an idle connection is still open and has received nothing.
@@ -101,7 +136,7 @@
         let mut byte = [0; 1];
         let read = self.stream.try_read(&mut byte);
         let is_open = matches!(&read, Err(error) if error.kind() == io::ErrorKind::WouldBlock);
-        self.buffer.is_empty() && is_open
+        self.buffer.is_empty() && is_open && self.is_lasting()
     }
 
     /// Closes the sending side after all written bytes.
--- a/crates/verbenaslip-relay/src/lib.rs
+++ b/crates/verbenaslip-relay/src/lib.rs
@@ -14,7 +14,9 @@
 //! 4. [`policy`] makes the decisions without I/O: what a team may still use, which upstream takes
 //!    a request, whether a request is refused at once, and whether it may be retried.
 //! 5. [`forward`] takes one request through these steps over pooled connections to the upstreams.
-//! 6. [`server`] accepts callers and drains before a stop.
+//! 6. [`tunnel`] carries connections to upstreams through another entry, if the path of this one is
+//!    cut.
+//! 7. [`server`] accepts callers and drains before a stop.
 //!
 //! Events are written through [`event_log`] as structured lines, and as metrics.
 
@@ -27,5 +29,6 @@
 pub mod server;
 pub mod shared;
 pub mod socket;
+pub mod tunnel;
 
 pub use server::Server;
--- a/crates/verbenaslip-relay/src/policy.rs
+++ b/crates/verbenaslip-relay/src/policy.rs
@@ -2,7 +2,8 @@
 //!
 //! [`allowance`] decides what a team may still use at this entry, [`retry`] whether a request may
 //! be sent to another upstream, [`switching`] when it leaves a slow one, and [`placement`] which
-//! upstream takes a request or whether it is refused at once. `placement` uses the following
+//! upstream takes a request or whether it is refused at once. [`path`] tells which upstreams this
+//! entry reaches only through other entries, and [`gateways`] chooses among those. `placement` uses the following
 //! modules. [`upstream_state`] holds what is known of one upstream, with [`cache`], [`speed`] and
 //! [`measured`], which the fleet shares; [`pace`] shows how fast an upstream is. [`restriction`]
 //! holds what upstreams ask for in their answers: [`limiter`] keeps to an entry's share of an
@@ -15,10 +16,12 @@
 pub mod allowance;
 pub mod cache;
 pub mod cooldown;
+pub mod gateways;
 pub mod limiter;
 pub(crate) mod load_shedding;
 pub(crate) mod measured;
 pub mod pace;
+pub mod path;
 pub mod placement;
 pub mod quarantine;
 pub mod restriction;
--- a/crates/verbenaslip-relay/src/policy/placement.rs
+++ b/crates/verbenaslip-relay/src/policy/placement.rs
@@ -168,6 +168,11 @@
         Self { sharing, ..self }
     }
 
+    /// Returns the availability zone of this instance.
+    pub(crate) fn zone(&self) -> &AvailabilityZone {
+        &self.zone
+    }
+
     /// Returns whether the measurements of all entries are used for an upstream with this number of
     /// slots.
     pub fn shares_measurements(&self, slots: u32) -> bool {
--- a/crates/verbenaslip-relay/src/policy/placement/recording.rs
+++ b/crates/verbenaslip-relay/src/policy/placement/recording.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use verbenaslip_base::name::AvailabilityZone;
 use verbenaslip_fleet::measurement::Totals;
 
 use crate::policy::pace::Pace;
@@ -79,6 +80,16 @@
         }
     }
 
+    /// Forgets the failures of a service's upstreams in an availability zone.
+    pub fn forgive_failures(&mut self, service: &str, zone: &AvailabilityZone) {
+        for state in self.states.values_mut() {
+            let announcement = &state.record.announcement;
+            if *announcement.service == *service && announcement.zone == *zone {
+                state.forgive_failures();
+            }
+        }
+    }
+
     /// Adds a first event to what is measured for the fleet.
     fn measure_first_event(&mut self, choice: &Choice, latency: Duration) {
         let Some(state) = self.state_mut(choice) else { return };
--- a/crates/verbenaslip-relay/src/policy/upstream_state.rs
+++ b/crates/verbenaslip-relay/src/policy/upstream_state.rs
@@ -199,6 +199,14 @@
         }
     }
 
+    /// Forgets failures and connections that did not open.
+    pub(crate) fn forgive_failures(&mut self) {
+        self.failure_rate = 0.0;
+        if self.failed_connects > 0 {
+            (self.failed_connects, self.paused_until) = (0, Duration::ZERO);
+        }
+    }
+
     /// Returns the recent failure rate of the upstream's answers.
     pub(crate) fn failure_rate(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.failure_rate_at).as_secs_f64();
--- a/crates/verbenaslip-relay/src/server.rs
+++ b/crates/verbenaslip-relay/src/server.rs
@@ -21,11 +21,13 @@
 use crate::forward::answer;
 use crate::forward::context::Context;
 use crate::forward::crash;
+use crate::forward::dial;
 use crate::forward::lifecycle::{self, Disposition};
 use crate::http::{Connection, reader};
 use crate::policy::placement::{Placement, Sharing};
 use crate::policy::retry::Bounds;
 use crate::shared::SharedState;
+use crate::tunnel::gateway;
 use crate::{monotonic, socket};
 
 /// Time between two removals of expired idle connections.
@@ -35,6 +37,10 @@
 pub struct Config {
     /// Address at which callers connect.
     pub caller_address: SocketAddr,
+    /// Address at which this instance opens connections to upstreams for others, if it does.
+    pub tunnel_address: Option<SocketAddr>,
+    /// Limit on such connections.
+    pub max_tunnels: u32,
     /// Address at which the load balancer probes readiness.
     pub readiness_address: SocketAddr,
     /// Availability zone of this instance.
@@ -67,14 +73,17 @@
     pub fn spawn(config: Config) -> io::Result<Self> {
         let active_requests = Arc::new(AtomicUsize::new(0));
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-        let (caller_listener, readiness_listener) = {
+        let (caller_listener, readiness_listener, tunnel_listener) = {
             let _guard = runtime.enter();
-            (socket::listen(config.caller_address)?, socket::listen(config.readiness_address)?)
+            let tunnel_listener = config.tunnel_address.map(socket::listen).transpose()?;
+            let caller_listener = socket::listen(config.caller_address)?;
+            (caller_listener, socket::listen(config.readiness_address)?, tunnel_listener)
         };
+        let listeners = Listeners { caller_listener, readiness_listener, tunnel_listener };
         let counter = active_requests.clone();
         thread::Builder::new().name("traffic".into()).spawn(move || {
             let local = LocalSet::new();
-            local.block_on(&runtime, run(config, caller_listener, readiness_listener, counter));
+            local.block_on(&runtime, run(config, listeners, counter));
         })?;
         Ok(Self { active_requests })
     }
@@ -85,12 +94,15 @@
     }
 }
 
-async fn run(
-    config: Config,
+struct Listeners {
     caller_listener: TcpListener,
     readiness_listener: TcpListener,
-    active_requests: Arc<AtomicUsize>,
-) {
+    tunnel_listener: Option<TcpListener>,
+}
+
+async fn run(config: Config, listeners: Listeners, active_requests: Arc<AtomicUsize>) {
+    let Listeners { caller_listener, readiness_listener, tunnel_listener } = listeners;
+    let max_tunnels = config.max_tunnels;
     let Config { zone, max_connections, retry_bounds, usage_window, shared, dialect, .. } = config;
     let placement = Placement::new(zone).with_sharing(config.sharing);
     let (crash_signals, crash_receiver) = mpsc::unbounded_channel();
@@ -102,9 +114,14 @@
         usage_window,
         crash_signals,
     ));
-    tokio::task::spawn_local(crash::watch_for_crashes(crash_receiver, shared.clone()));
+    tokio::task::spawn_local(crash::watch_for_crashes(crash_receiver, context.clone()));
     tokio::task::spawn_local(serve_readiness_probes(readiness_listener, shared));
     tokio::task::spawn_local(sweep_pool(context.clone()));
+    tokio::task::spawn_local(dial::probe_paths(context.clone()));
+    if let Some(listener) = tunnel_listener {
+        let (context, active) = (context.clone(), active_requests.clone());
+        tokio::task::spawn_local(gateway::serve(listener, context, max_tunnels, active));
+    }
     let open_connections = Rc::new(Cell::new(0_usize));
     loop {
         let stream = socket::accept(&caller_listener).await;
--- a/crates/verbenaslip-relay/src/shared.rs
+++ b/crates/verbenaslip-relay/src/shared.rs
@@ -44,6 +44,10 @@
     departures: Mutex<BTreeSet<Run>>,
     observation_added: Notify,
     is_draining_flag: AtomicBool,
+    draining_started: Notify,
+    /// Whether this instance has lost a path to upstreams.
+    has_cut_path: AtomicBool,
+    paths_changed: Notify,
     stopped_admitting: AtomicBool,
     admission_stopped: Notify,
     view_updated: Notify,
@@ -238,6 +242,32 @@
     /// arrive.
     pub fn start_draining(&self) {
         self.is_draining_flag.store(true, Ordering::Relaxed);
+        self.draining_started.notify_waiters();
+    }
+
+    /// Returns once the planned stop has begun.
+    pub async fn wait_until_draining(&self) {
+        let started = self.draining_started.notified();
+        if !self.is_draining() {
+            started.await;
+        }
+    }
+
+    /// Sets whether this instance has lost a path to upstreams.
+    pub fn set_cut_path(&self, has_cut_path: bool) {
+        if self.has_cut_path.swap(has_cut_path, Ordering::Relaxed) != has_cut_path {
+            self.paths_changed.notify_one();
+        }
+    }
+
+    /// Returns whether this instance can open connections to upstreams for others.
+    pub fn carries(&self) -> bool {
+        !self.is_draining() && !self.has_cut_path.load(Ordering::Relaxed)
+    }
+
+    /// Returns once a path has been lost or found again.
+    pub async fn wait_for_path_change(&self) {
+        self.paths_changed.notified().await;
     }
 
     /// Returns whether the planned stop has begun.
--- a/crates/verbenaslip-relay/tests/queue.rs
+++ b/crates/verbenaslip-relay/tests/queue.rs
@@ -109,6 +109,8 @@
         let servers = (0..10).map(|_| {
             let address = free_address();
             let server = Server::spawn(Config {
+                tunnel_address: None,
+                max_tunnels: 0,
                 caller_address: address,
                 readiness_address: free_address(),
                 zone: AvailabilityZone::from("north"),
