Track cut paths by run, and let gateways that stop carry on a while

Runs that only gateways reach are now remembered and probed while they are in use; a cut entry without a gateway refuses at once instead of waiting 300 ms at each of four upstreams; a stopping gateway is asked last and opens connections as long as it admits requests.

--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -107,6 +107,7 @@
             // A different run may use the address now, so the connections of the old run are of no
             // use.
             self.pool.borrow_mut().remove_runs(&removed_runs);
+            self.paths.borrow_mut().forget(&removed_runs);
             removed_runs.iter().for_each(|it| self.shared.forget_measurement(RunKey::of(it)));
         }
         let limits = self.placement.borrow_mut().update_limits(monotonic::now(), &view);
@@ -135,6 +136,17 @@
         !self.known_gateways.borrow().is_empty()
     }
 
+    /// Returns whether a new connection to a run should be direct.
+    pub(crate) fn prefers_direct(&self, group: &Group, run: &Run) -> bool {
+        let fraction = self.random_fraction();
+        let prefers_direct = self.paths.borrow_mut().prefers_direct(group, run, fraction);
+        if !prefers_direct {
+            // The use of a run that cannot be reached has it probed.
+            self.paths_suspected.notify_one();
+        }
+        prefers_direct
+    }
+
     /// Chooses a gateway other than those in `tried`.
     pub(crate) fn choose_gateway(&self, tried: &[SocketAddr]) -> Option<SocketAddr> {
         let fraction = self.random_fraction();
@@ -143,13 +155,13 @@
     }
 
     /// Returns whether an open connection to a run may be used: a direct one unless it may hang, and
-    /// one through a gateway only while the path is not whole.
+    /// one through a gateway only while the run may not be reached directly.
     pub(crate) fn trusts_connection(&self, run: &Run, connection: &Connection) -> bool {
         let view = self.shared.view();
         let Some(record) = view.record(run) else { return true };
         let (paths, group) = (self.paths.borrow(), Self::group_of(record));
         match connection.gateway() {
-            Some(_) => paths.is_impaired(&group),
+            Some(_) => paths.is_impaired(&group) || !paths.may_reach(&group, run),
             None => paths.trusts_open_connections(&group),
         }
     }
@@ -185,14 +197,16 @@
     }
 
     /// Records a direct connection that has opened.
-    pub(crate) fn record_direct(&self, group: &Group, connect_time: Duration) {
-        let change = self.paths.borrow_mut().record_direct(monotonic::now(), group, connect_time);
+    pub(crate) fn record_direct(&self, group: &Group, run: &Run, connect_time: Duration) {
+        let now = monotonic::now();
+        let change = self.paths.borrow_mut().record_direct(now, group, run, connect_time);
         self.handle_path_change(group, change, None);
     }
 
     /// Records that only a gateway could open a connection.
-    pub(crate) fn record_bypassed(&self, group: &Group, fault: Fault) {
-        let change = self.paths.borrow_mut().record_bypassed(monotonic::now(), group, fault);
+    pub(crate) fn record_bypassed(&self, group: &Group, run: &Run, fault: Fault) {
+        let now = monotonic::now();
+        let change = self.paths.borrow_mut().record_bypassed(now, group, run, fault);
         self.paths_suspected.notify_one();
         if fault == Fault::Hung {
             self.connections_hang.notify_waiters();
--- a/crates/verbenaslip-relay/src/forward/dial.rs
+++ b/crates/verbenaslip-relay/src/forward/dial.rs
@@ -12,7 +12,7 @@
 use crate::forward::context::Context;
 use crate::http::Connection;
 use crate::policy::gateways::Refusal;
-use crate::policy::path::{Fault, Group};
+use crate::policy::path::{Fault, Group, Probe};
 use crate::{monotonic, socket, tunnel};
 
 /// Time limit for a direct connection; many times the longest round trip.
@@ -43,38 +43,47 @@
     let Some(group) = group.filter(|_| context.has_gateways()) else {
         return socket::connect(address, limit).await.map(Connection::new);
     };
-    let prefers_direct = context.paths.borrow().prefers_direct(&group, context.random_fraction());
-    if prefers_direct {
-        return connect_directly_first(context, run, address, limit, &group).await;
+    let target = Target { run, address, group: &group };
+    if context.prefers_direct(&group, run) {
+        return connect_directly_first(context, target, limit).await;
     }
     match connect_through_gateway(context, run).await {
         Some(connection) => Ok(connection),
-        None => connect_directly(context, address, limit, &group).await,
+        None if context.paths.borrow().may_reach(&group, run) => {
+            connect_directly(context, target, limit).await
+        }
+        None => Err(io::ErrorKind::NotConnected.into()),
     }
 }
 
+/// Describes what a connection is for.
+#[derive(Clone, Copy)]
+struct Target<'a> {
+    run: &'a Run,
+    address: SocketAddr,
+    group: &'a Group,
+}
+
 async fn connect_directly(
     context: &Context,
-    address: SocketAddr,
+    target: Target<'_>,
     limit: Duration,
-    group: &Group,
 ) -> io::Result<Connection> {
     let started_at = Instant::now();
-    let stream = socket::connect(address, limit).await?;
-    context.record_direct(group, started_at.elapsed());
+    let stream = socket::connect(target.address, limit).await?;
+    context.record_direct(target.group, target.run, started_at.elapsed());
     Ok(Connection::new(stream))
 }
 
 /// Connects directly, and through a gateway once that fails or takes too long.
 async fn connect_directly_first(
     context: &Context,
-    run: &Run,
-    address: SocketAddr,
+    target: Target<'_>,
     limit: Duration,
-    group: &Group,
 ) -> io::Result<Connection> {
+    let Target { run, group, .. } = target;
     let hedge_delay = context.paths.borrow().hedge_delay(group);
-    let direct = connect_directly(context, address, limit, group);
+    let direct = connect_directly(context, target, limit);
     tokio::pin!(direct);
     let failure = tokio::select! {
         connected = &mut direct => match connected {
@@ -99,7 +108,7 @@
     let Some(connection) = detoured else {
         return if is_pending { direct.await } else { Err(io::ErrorKind::NotConnected.into()) };
     };
-    context.record_bypassed(group, fault);
+    context.record_bypassed(group, run, fault);
     Ok(connection)
 }
 
@@ -165,30 +174,36 @@
             let Some(next) = next else { break };
             tokio::time::sleep(next.saturating_sub(monotonic::now())).await;
             let due = context.paths.borrow_mut().take_due_probes(monotonic::now());
-            for group in due {
+            for due in due {
                 let context = context.clone();
-                tokio::task::spawn_local(async move { probe(&context, &group).await });
+                tokio::task::spawn_local(async move { probe(&context, &due).await });
             }
         }
     }
 }
 
-/// Connects to one upstream of a group directly, and through a gateway if that fails. The
-/// connection is kept for a request.
-async fn probe(context: &Context, group: &Group) {
-    let Some(Record { announcement, .. }) = random_record(context, group) else { return };
-    let direct = connect_directly(context, announcement.address, CONNECT_TIMEOUT, group).await;
-    let connection = match direct {
+/// Connects to an upstream directly, and through a gateway if that fails. The connection is kept for
+/// a request.
+async fn probe(context: &Context, due: &Probe) {
+    let group = &due.group;
+    let record = match &due.run {
+        Some(run) => context.shared.view().record(run).cloned(),
+        None => random_record(context, group),
+    };
+    let Some(Record { announcement, .. }) = record else { return };
+    let run = &announcement.run;
+    let target = Target { run, address: announcement.address, group };
+    let connection = match connect_directly(context, target, CONNECT_TIMEOUT).await {
         Ok(connection) => connection,
-        Err(_) if context.paths.borrow().is_cut(group) => return,
+        Err(_) if !context.paths.borrow().may_reach(group, run) => return,
         Err(error) => {
-            let detoured = connect_through_gateway(context, &announcement.run).await;
+            let detoured = connect_through_gateway(context, run).await;
             let Some(connection) = detoured else { return };
-            context.record_bypassed(group, fault_of(&error));
+            context.record_bypassed(group, run, fault_of(&error));
             connection
         }
     };
-    context.pool.borrow_mut().put_first(monotonic::now(), &announcement.run, connection);
+    context.pool.borrow_mut().put_first(monotonic::now(), run, connection);
 }
 
 fn random_record(context: &Context, group: &Group) -> Option<Record> {
--- a/crates/verbenaslip-relay/src/policy/path.rs
+++ b/crates/verbenaslip-relay/src/policy/path.rs
@@ -3,13 +3,14 @@
 //! An upstream that cannot be reached from here may be down, or only the path to it may be cut. The
 //! two differ in whether another entry reaches it, so only a failure that a connection through
 //! another entry has bypassed counts against a path. Upstreams of one service in one availability
-//! zone share a path.
+//! zone share a path. Some of them may be cut off and others not, so each run is tracked as well.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use verbenaslip_base::name::AvailabilityZone;
+use verbenaslip_fleet::registry::Run;
 
 /// Number of steps between a path that is cut and one that is whole. Each direct connection is a
 /// step up and each bypassed failure a step down, so a path that loses one packet in ten stays
@@ -20,6 +21,9 @@
 /// second and a half.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time between two probes of a run that only gateways reach.
+const RUN_PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Minimum time between two checks of a whole path that is only suspected to be cut.
 const SUSPICION_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -68,6 +72,8 @@
 struct Path {
     /// Steps between cut, at zero, and whole.
     level: u8,
+    /// Whether the path was cut and has not been whole since.
+    is_reported: bool,
     /// Whether open connections may hang.
     hangs: bool,
     /// When the path was last whole.
@@ -88,19 +94,52 @@
     }
 }
 
+/// Holds what is known of one run of an upstream, once a connection to it has failed.
+#[derive(Debug)]
+struct RunPath {
+    group: Group,
+    /// Whether the last direct connection opened.
+    is_reachable: bool,
+    next_probe_at: Duration,
+    /// Whether a request has been sent to the run since its last probe.
+    in_use: bool,
+}
+
+/// Describes a probe that is due.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Probe {
+    /// The path to be probed.
+    pub group: Group,
+    /// The run to be probed, or `None` for any run of the group.
+    pub run: Option<Run>,
+}
+
 /// Tracks the paths of one entry.
 #[derive(Debug, Default)]
 pub struct Paths {
     paths: BTreeMap<Group, Path>,
+    runs: BTreeMap<Run, RunPath>,
 }
 
 impl Paths {
     /// Returns whether a new connection should be direct; `fraction`, between zero and one, decides
     /// while traffic returns in steps.
-    pub fn prefers_direct(&self, group: &Group, fraction: f64) -> bool {
+    pub fn prefers_direct(&mut self, group: &Group, run: &Run, fraction: f64) -> bool {
+        if let Some(run_path) = self.runs.get_mut(run).filter(|it| !it.is_reachable) {
+            run_path.in_use = true;
+            return false;
+        }
         self.paths.get(group).is_none_or(|it| fraction * f64::from(STEPS) < f64::from(it.level))
     }
 
+    /// Returns whether a direct connection may open.
+    pub fn may_reach(&self, group: &Group, run: &Run) -> bool {
+        match self.runs.get(run) {
+            Some(run_path) => run_path.is_reachable,
+            None => self.paths.get(group).is_none_or(|it| it.level > 0),
+        }
+    }
+
     /// Returns after which time a direct connection is given up for one through another entry.
     pub fn hedge_delay(&self, group: &Group) -> Duration {
         let usual = self.paths.get(group).map_or(0.0, |it| it.connect_time);
@@ -118,14 +157,9 @@
         self.paths.get(group).is_some_and(|it| !it.is_whole())
     }
 
-    /// Returns whether a path is cut.
-    pub fn is_cut(&self, group: &Group) -> bool {
-        self.paths.get(group).is_some_and(|it| it.level == 0)
-    }
-
     /// Returns whether any path is cut.
     pub fn has_cut(&self) -> bool {
-        self.paths.values().any(|it| it.level == 0)
+        self.paths.values().any(|it| it.is_reported)
     }
 
     /// Records a direct connection that opened after `connect_time`.
@@ -133,8 +167,12 @@
         &mut self,
         now: Duration,
         group: &Group,
+        run: &Run,
         connect_time: Duration,
     ) -> Option<Change> {
+        if let Some(run_path) = self.runs.get_mut(run) {
+            run_path.is_reachable = true;
+        }
         let path = self.path(now, group);
         path.suspected = false;
         path.heard_at = now;
@@ -146,7 +184,8 @@
         path.level += 1;
         let restored = path.is_whole();
         path.hangs &= !restored;
-        restored.then(|| Change::Restored { after: now.saturating_sub(path.impaired_since) })
+        let was_reported = restored && std::mem::take(&mut path.is_reported);
+        was_reported.then(|| Change::Restored { after: now.saturating_sub(path.impaired_since) })
     }
 
     /// Records a direct connection that failed, while one through another entry opened.
@@ -156,8 +195,16 @@
         &mut self,
         now: Duration,
         group: &Group,
+        run: &Run,
         fault: Fault,
     ) -> Option<Change> {
+        let run_path = self.runs.entry(run.clone()).or_insert_with(|| RunPath {
+            group: group.clone(),
+            is_reachable: false,
+            next_probe_at: now,
+            in_use: false,
+        });
+        (run_path.is_reachable, run_path.next_probe_at) = (false, now + RUN_PROBE_INTERVAL);
         for path in self.paths.values_mut() {
             path.suspect(now);
         }
@@ -168,9 +215,10 @@
             path.next_probe_at = now;
         }
         path.hangs |= fault == Fault::Hung;
-        let was_cut = path.level == 0;
         path.level = path.level.saturating_sub(1);
-        (path.level == 0 && !was_cut).then_some(Change::Cut)
+        let is_new = path.level == 0 && !path.is_reported;
+        path.is_reported |= is_new;
+        is_new.then_some(Change::Cut)
     }
 
     /// Records that an answer has arrived over a path.
@@ -188,35 +236,51 @@
         is_silent && path.suspect(now)
     }
 
-    /// Takes the paths whose probe is due.
-    pub fn take_due_probes(&mut self, now: Duration) -> Vec<Group> {
+    /// Takes the probes that are due: of paths that are not whole, and of runs that are in use and
+    /// cannot be reached.
+    pub fn take_due_probes(&mut self, now: Duration) -> Vec<Probe> {
         let due = self
             .paths
             .iter_mut()
             .filter(|(_, it)| it.suspected || (!it.is_whole() && it.next_probe_at <= now));
-        due.map(|(group, path)| {
-            path.suspected = false;
-            path.next_probe_at =
-                now + if path.is_whole() { SUSPICION_INTERVAL } else { PROBE_INTERVAL };
-            group.clone()
-        })
-        .collect()
+        let mut probes: Vec<Probe> = due
+            .map(|(group, path)| {
+                path.suspected = false;
+                path.next_probe_at =
+                    now + if path.is_whole() { SUSPICION_INTERVAL } else { PROBE_INTERVAL };
+                Probe { group: group.clone(), run: None }
+            })
+            .collect();
+        for (run, path) in &mut self.runs {
+            if !path.is_reachable && path.in_use && path.next_probe_at <= now {
+                (path.in_use, path.next_probe_at) = (false, now + RUN_PROBE_INTERVAL);
+                probes.push(Probe { group: path.group.clone(), run: Some(run.clone()) });
+            }
+        }
+        probes
     }
 
-    /// Returns when the next probe is due; `None` while all paths are whole.
+    /// Returns when the next probe is due; `None` while all paths are whole and all runs can be
+    /// reached.
     pub fn next_probe_at(&self) -> Option<Duration> {
-        let due = self.paths.values().filter(|it| it.suspected || !it.is_whole());
-        due.map(|it| if it.suspected { Duration::ZERO } else { it.next_probe_at }).min()
+        let paths = self.paths.values().filter(|it| it.suspected || !it.is_whole());
+        let paths = paths.map(|it| if it.suspected { Duration::ZERO } else { it.next_probe_at });
+        let runs = self.runs.values().filter(|it| !it.is_reachable && it.in_use);
+        let runs = runs.map(|it| it.next_probe_at);
+        paths.chain(runs).min()
     }
 
-    /// Forgets the paths for which `is_present` is false.
-    pub fn retain(&mut self, is_present: impl Fn(&Group) -> bool) {
-        self.paths.retain(|group, _| is_present(group));
+    /// Forgets runs that have ended.
+    pub fn forget(&mut self, runs: &[Run]) {
+        for run in runs {
+            self.runs.remove(run);
+        }
     }
 
     fn path(&mut self, now: Duration, group: &Group) -> &mut Path {
         self.paths.entry(group.clone()).or_insert_with(|| Path {
             level: STEPS,
+            is_reported: false,
             hangs: false,
             impaired_since: now,
             next_probe_at: Duration::ZERO,
--- a/crates/verbenaslip-relay/src/tunnel/gateway.rs
+++ b/crates/verbenaslip-relay/src/tunnel/gateway.rs
@@ -28,6 +28,9 @@
 /// Bytes that a read can take at once.
 const READ_BYTES: usize = 8 << 10;
 
+/// Load that a gateway adds while it is stopping, so that others are preferred.
+const STOPPING_LOAD: u32 = 1_000;
+
 /// Limit on the bytes of an opening.
 const MAX_OPENING_BYTES: usize = 512;
 
@@ -68,7 +71,8 @@
     let opened = open(context, &opening, has_room).await;
     let status = opened.as_ref().err().copied().unwrap_or(Status::Open);
     metrics::counter!("verbenaslip_gateway_openings_total", "status" => status.name()).increment(1);
-    let reply = Reply { status, load: open_count.get() };
+    let stopping_load = if context.shared.is_draining() { STOPPING_LOAD } else { 0 };
+    let reply = Reply { status, load: open_count.get() + stopping_load };
     entry.write_all(&reply.encode()).await?;
     let Ok(upstream) = opened else { return Ok(()) };
     let tunnel = Tunnel {
@@ -99,7 +103,7 @@
 
 /// Connects to the upstream, or returns why not.
 async fn open(context: &Context, opening: &Opening, has_room: bool) -> Result<TcpStream, Status> {
-    if !has_room || context.shared.is_draining() {
+    if !has_room || context.shared.has_stopped_admitting() {
         return Err(Status::Busy);
     }
     let view = context.shared.view();
@@ -108,13 +112,13 @@
         return Err(Status::NoPath);
     }
     let group = Context::group_of(record);
-    if context.paths.borrow().is_cut(&group) {
+    if !context.paths.borrow().may_reach(&group, &opening.run) {
         return Err(Status::NoPath);
     }
     let started_at = tokio::time::Instant::now();
     let stream = socket::connect(record.announcement.address, opening.limit).await;
     let stream = stream.map_err(|_| Status::Unreachable)?;
-    context.record_direct(&group, started_at.elapsed());
+    context.record_direct(&group, &opening.run, started_at.elapsed());
     Ok(stream)
 }
 
