Keep connections to peers that fall silent for a moment

A sound upstream may fall silent for a second or so. Connections were given up after 1.5 s without an acknowledgement; an idle one could be given up one second after its first probe, since TCP_USER_TIMEOUT ends keepalive whatever the number of probes. Both are 3 s now, and probes begin after 1 s, so a peer has at least 2 s after the first; a connection that is silent for good is noticed after 4 s at most, as before.

--- a/crates/verbenaslip-relay/src/socket.rs
+++ b/crates/verbenaslip-relay/src/socket.rs
@@ -4,6 +4,11 @@
 //! work. Requests on it would then wait until their deadlines. The kernel drops such a connection
 //! when sent bytes stay unacknowledged, or when keepalive probes on an idle connection stay
 //! unanswered.
+//!
+//! `TCP_USER_TIMEOUT` decides both: where it is set, Linux drops an idle connection at the first
+//! probe that is due after this time without a byte, whatever the number of probes. All
+//! connections have the same options: those of callers, of upstreams, between entries and gateways,
+//! and between instances.
 
 use std::io;
 use std::net::SocketAddr;
@@ -12,12 +17,16 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
 
-/// Time that sent bytes may stay unacknowledged; well below the shortest timeout of a route, and
-/// many times the longest round trip between two availability zones.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time that sent bytes or probes may stay unacknowledged. A sound peer may fall silent for a second
+/// or so and go on.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Idle time after which a connection is probed; a peer that falls silent just before the first
+/// probe has the rest of [`UNACKNOWLEDGED_TIMEOUT`] to go on.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 
-/// Idle time after which a connection is probed.
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
+/// Time between two probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Limit on connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -72,9 +81,6 @@
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_IDLE)
-        .with_interval(Duration::from_secs(1))
-        .with_retries(2);
+    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_IDLE).with_interval(KEEPALIVE_INTERVAL);
     socket.set_tcp_keepalive(&keepalive)
 }
