Divide the places of brittle upstreams among the entries

Upstreams may say in their answers that they are brittle: one that turns more than a few requests a second away, for want of room and from all entries together, crashes. Entries learnt that an upstream is full only by its refusals.

Each entry now keeps to its own places at such upstreams, or to its own turns where entries outnumber the places.

--- a/crates/verbenaslip-relay/src/dialect.rs
+++ b/crates/verbenaslip-relay/src/dialect.rs
@@ -87,6 +87,9 @@
     pub rate_limit: RateLimit,
     /// Whether the upstream announces its departure.
     pub leaving: bool,
+    /// Number of refusals in a second, from all instances together, beyond which the upstream
+    /// crashes; `None` if it is not brittle.
+    pub brittle: Option<u32>,
     /// Time for which the upstream wants no requests from this instance, if it has refused the
     /// request and states one.
     pub cooldown: Option<Duration>,
--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -295,6 +295,12 @@
                     upstream_log::log_limit(&choice.run, limit, Some(&request.info.id));
                     self.shared.set_limit(&choice.run, limit);
                 }
+                Change::Brittle(limit) => upstream_log::log_brittle(
+                    choice.service(),
+                    &choice.run,
+                    limit,
+                    &request.info.id,
+                ),
                 Change::Leaving => {
                     upstream_log::log_departure(&choice.run, &request.info.id);
                     self.shared.add_departure(&choice.run);
--- a/crates/verbenaslip-relay/src/forward/request_log.rs
+++ b/crates/verbenaslip-relay/src/forward/request_log.rs
@@ -43,6 +43,8 @@
     pub figures: Option<Box<FigureUse>>,
     /// Requests per second that the last upstream takes from all entries, if it limits them.
     pub rate_limit: Option<f64>,
+    /// Whether the request was refused since this entry's places at a brittle service were taken.
+    pub brittle: bool,
     /// Share of such requests that the service admits, if the request was refused because of it.
     pub admitted_share: Option<f64>,
     /// When the first piece of the body arrived, after the arrival of the request.
@@ -150,6 +152,7 @@
         ("speed", json!(figures.map(|it| it.relative_speed))),
         ("admitted_share", json!(trace.admitted_share)),
         ("limit", json!(trace.rate_limit)),
+        ("brittle", json!(trace.brittle)),
         ("first_ms", json!(trace.first_piece_after.map(|first| first.as_millis()))),
         ("back_ms", json!(trace.retry_after.map(|retry_after| retry_after.as_millis()))),
         ("pause_ms", json!(trace.longest_pause.as_millis())),
--- a/crates/verbenaslip-relay/src/forward/upstream_choice.rs
+++ b/crates/verbenaslip-relay/src/forward/upstream_choice.rs
@@ -24,6 +24,7 @@
 ) -> Result<Choice, Rejection> {
     // A retried request may have waited for seconds without any other request arriving meanwhile.
     // With the view from its arrival it could go to an upstream that has left since.
+    trace.brittle = false;
     trace.view_info = ViewInfo::of(&context.refresh_view());
     let tracks = context.choose_tracks(request, !attempts.tried_runs.is_empty());
     let query = query(request, attempts, remaining, tracks);
@@ -44,6 +45,7 @@
             match cause {
                 Cause::Restricted(Restriction::RateLimited) => refusal = Refusal::RateLimited,
                 Cause::Restricted(Restriction::CoolingDown) => refusal = Refusal::CoolingDown,
+                Cause::Brittle => trace.brittle = true,
                 Cause::Share(share) => trace.admitted_share = Some(share),
                 Cause::Late { expected_ms, lag_ms } => {
                     (trace.expected_ms, trace.lag_ms) = (expected_ms, lag_ms)
--- a/crates/verbenaslip-relay/src/forward/upstream_log.rs
+++ b/crates/verbenaslip-relay/src/forward/upstream_log.rs
@@ -64,3 +64,21 @@
         ],
     );
 }
+
+/// The upstreams of a service have become brittle.
+const BRITTLE: Kind = Kind { number: 956, name: "service_brittle" };
+
+/// Logs that an upstream has stated in its answer to the request `id` that it crashes if it refuses
+/// more than `limit` requests in a second.
+pub fn log_brittle(service: &str, run: &Run, limit: u32, id: &str) {
+    metrics::counter!("verbenaslip_services_brittle_total").increment(1);
+    event_log::emit(
+        BRITTLE,
+        [
+            ("service", json!(service)),
+            ("upstream", json!(run.upstream.as_str())),
+            ("refusals_per_second", json!(limit)),
+            ("id", json!(id)),
+        ],
+    );
+}
--- a/crates/verbenaslip-relay/src/policy.rs
+++ b/crates/verbenaslip-relay/src/policy.rs
@@ -8,12 +8,14 @@
 //! [`measured`], which the fleet shares; [`pace`] shows how fast an upstream is. [`restriction`]
 //! holds what upstreams ask for in their answers: [`limiter`] keeps to an entry's share of an
 //! upstream's rate limit, and [`cooldown`] to the time in which an upstream wants no requests.
+//! [`brittleness`] divides the places of upstreams that must not refuse requests among the entries.
 //! [`load_shedding`] refuses a share of a service's requests. [`returning`] tells callers that
 //! retry from new ones. [`versions`] chooses the version of a service during a rollout, and
 //! [`quarantine`] holds back poison requests. [`waiting`] orders the requests that wait for an
 //! upstream, and [`return_schedule`] tells refused callers when to retry.
 
 pub mod allowance;
+pub mod brittleness;
 pub mod cache;
 pub mod cooldown;
 pub mod gateways;
--- a/crates/verbenaslip-relay/src/policy/placement.rs
+++ b/crates/verbenaslip-relay/src/policy/placement.rs
@@ -19,6 +19,7 @@
 use verbenaslip_fleet::rollout::{Cohort, Plans};
 
 use crate::dialect::PromptPart;
+use crate::policy::brittleness::Brittleness;
 use crate::policy::load_shedding::AdmittedShare;
 use crate::policy::placement::capacity::ServiceFigures;
 use crate::policy::placement::choice::ServiceRank;
@@ -124,6 +125,7 @@
     sharing: Sharing,
     entry_count: u32,
     figures: Arc<Figures>,
+    brittleness: Brittleness,
 }
 
 /// Holds the estimated effect of sending a request to an upstream.
@@ -159,6 +161,7 @@
             sharing: Sharing::default(),
             entry_count: 1,
             figures: Arc::default(),
+            brittleness: Brittleness::default(),
         }
     }
 
@@ -219,6 +222,7 @@
         let Some(mut choice) = self.choose_on_tracks(now, query) else {
             return self
                 .refuse_restricted(now, query)
+                .or_else(|| self.refuse_brittle(now, query))
                 .map_or(Decision::NoUpstream, Decision::Refuse);
         };
         let objective = query.objective.as_secs_f64() * 1_000.0;
@@ -276,6 +280,7 @@
             serves_requests(it)
                 && it.accepts_requests(now, false, true)
                 && !tried_runs.contains(it.run())
+                && self.has_place(now, it)
                 && self.restrictions.admits(at, it.run(), false, || 0.0)
         })
     }
@@ -444,6 +449,7 @@
         track.includes(state.cohort)
             && state.accepts_requests(now, strict, query.has_spare_attempt)
             && !query.tried_runs.contains(state.run())
+            && self.has_place(now, state)
             && self.restrictions.admits(
                 self.moment(now),
                 state.run(),
--- a/crates/verbenaslip-relay/src/policy/placement/choice.rs
+++ b/crates/verbenaslip-relay/src/policy/placement/choice.rs
@@ -120,6 +120,8 @@
     /// All possible upstreams are restricted; this is the restriction of the one that is available
     /// first.
     Restricted(Restriction),
+    /// The service is brittle, and this entry's places at its upstreams are taken.
+    Brittle,
     /// The first event was expected too late, by the sum of these times.
     Late {
         /// Expected milliseconds from what this entry knows of the upstream.
--- a/crates/verbenaslip-relay/src/policy/placement/restrictions.rs
+++ b/crates/verbenaslip-relay/src/policy/placement/restrictions.rs
@@ -8,13 +8,18 @@
 use verbenaslip_fleet::registry::Run;
 
 use crate::dialect::ResponseInfo;
+use crate::policy::brittleness::{self, Candidate};
 use crate::policy::placement::{Busy, Cause, Choice, Placement, Query};
 use crate::policy::restriction::{Change, Moment, Restriction};
 use crate::policy::speed::Speed;
+use crate::policy::upstream_state::UpstreamState;
 
 /// Shortest retry time for callers that are refused because upstreams are restricted.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Time of an answer at upstreams that have given none yet, in milliseconds.
+const DEFAULT_ANSWER_MS: f64 = 100.0;
+
 /// Longest retry time if upstreams are rate-limited: another entry may have a free slot before.
 const MAX_RETRY_AFTER_LIMITED: Duration = Duration::from_secs(2);
 
@@ -44,7 +49,55 @@
         info: &ResponseInfo,
     ) -> Vec<Change> {
         let at = self.moment(now);
-        self.restrictions.handle_response_info(at, &choice.run, sent_at, info)
+        let mut changes = self.restrictions.handle_response_info(at, &choice.run, sent_at, info);
+        if let Some(limit) = info.brittle {
+            let service = &choice.service_rank.0;
+            if self.brittleness.record_answer(now, service) {
+                changes.push(Change::Brittle(limit));
+            }
+            self.divide_places(now, service);
+        }
+        changes
+    }
+
+    /// Has entries send to the upstreams of a brittle service in turns if there are fewer places than
+    /// entries.
+    fn divide_places(&mut self, now: Duration, service: &str) {
+        let (position, wall_clock) = (self.time_slot, self.moment(now).wall_clock);
+        let names = self.by_service.get(service).into_iter().flatten();
+        let states: Vec<&UpstreamState> = names.filter_map(|name| self.states.get(name)).collect();
+        let slots = states.iter().map(|it| it.record.announcement.slots);
+        let places: u32 = slots.map(brittleness::usable_places).sum();
+        if position.is_none_or(|position| places >= position.count) {
+            return;
+        }
+        for state in states {
+            let answer_time = state.speed.answer_ms().unwrap_or(DEFAULT_ANSWER_MS) / 1_000.0;
+            let candidate = candidate(state);
+            self.brittleness.take_turns(candidate, position, wall_clock, answer_time);
+        }
+    }
+
+    /// Returns whether an upstream has room for a request of this entry, if its service is brittle.
+    pub(super) fn has_place(&self, now: Duration, state: &UpstreamState) -> bool {
+        let is_brittle = self.brittleness.is_brittle(now, &state.record.announcement.service);
+        let wall_clock = self.moment(now).wall_clock;
+        !is_brittle || self.brittleness.admits(candidate(state), self.time_slot, wall_clock)
+    }
+
+    /// Returns a refusal with a retry time, if no upstream of a brittle service has room.
+    pub(super) fn refuse_brittle(&self, now: Duration, query: &Query<'_>) -> Option<Busy> {
+        let names = self.by_service.get(query.service).into_iter().flatten();
+        let mut states = names.filter_map(|name| self.states.get(name));
+        let is_full = self.brittleness.is_brittle(now, query.service)
+            && states.any(|it| it.accepts_requests(now, false, true));
+        let prefill_ms = if query.parts.is_empty() {
+            0.0
+        } else {
+            Speed::default().prefill_ms(query.prompt_tokens)
+        };
+        let (retry_after, cause) = (MIN_RETRY_AFTER, Cause::Brittle);
+        is_full.then_some(Busy { retry_after, cause, prefill_ms })
     }
 
     /// Returns whether the measurements of all entries are used for a service.
@@ -91,3 +144,13 @@
         Some(Busy { retry_after, cause: Cause::Restricted(restriction), prefill_ms })
     }
 }
+
+fn candidate(state: &UpstreamState) -> Candidate<'_> {
+    Candidate {
+        service: &state.record.announcement.service,
+        run: state.run(),
+        slots: state.record.announcement.slots,
+        upstream_hash: state.upstream_hash,
+        active: state.active_requests,
+    }
+}
--- a/crates/verbenaslip-relay/tests/common/mod.rs
+++ b/crates/verbenaslip-relay/tests/common/mod.rs
@@ -18,6 +18,7 @@
     matches_request: true,
     not_run: false,
     other_run: false,
+    brittle: None,
     unrequested_encoding: false,
     rate_limit: RateLimit::Unlimited,
     leaving: false,
--- a/crates/verbenaslip-relay/tests/queue.rs
+++ b/crates/verbenaslip-relay/tests/queue.rs
@@ -70,6 +70,7 @@
             matches_request: true,
             not_run: cooldown.is_some(),
             other_run: false,
+            brittle: None,
             unrequested_encoding: false,
             rate_limit: RateLimit::PerSecond(RATE),
             leaving: false,
