--- a/crates/verbenaslip-relay/src/forward/exchange.rs
+++ b/crates/verbenaslip-relay/src/forward/exchange.rs
@@ -39,6 +39,8 @@
     pub info: ResponseInfo,
     /// Whether the connection may be used again after the body.
     pub reusable: bool,
+    /// When the connection was open and the request could be sent.
+    pub connected_at: Instant,
 }
 
 /// Describes a request that is sent to an upstream.
@@ -85,6 +87,7 @@
     let mut deadline = deadline_after(failover.silence_limit);
     let choice = outgoing.choice;
     let (mut connection, reused) = connect(context, request, choice, deadline).await?;
+    let connected_at = Instant::now();
     outgoing.gateway = connection.gateway();
     let is_direct = outgoing.gateway.is_none();
     let wrapped = (!is_direct).then(|| Prefix::wrap(&request.info.id, outgoing.bytes));
@@ -106,7 +109,7 @@
             }
             if info.matches_request {
                 let reusable = in_sync && written == bytes.len() && !head.closes_connection();
-                return Ok(Response { connection, head, info, reusable });
+                return Ok(Response { connection, head, info, reusable, connected_at });
             }
             // This is a late answer to an earlier request on the connection. Passing it on would
             // give the caller what another caller asked for.
--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -6,7 +6,6 @@
 use tokio::time::Instant;
 use verbenaslip_fleet::clock;
 use verbenaslip_fleet::registry::Run;
-use verbenaslip_fleet::route_table::RequestKind;
 
 use crate::dialect::ResponseInfo;
 use crate::forward::admission::{self, AdmittedRequest, Rejection};
@@ -347,12 +346,7 @@
             Next::Refuse((Refusal::Failed, None))
         };
     }
-    let silence_limit = match request.route.kind {
-        RequestKind::Stream { resumable: true } if attempts.sends < request.route.max_attempts => {
-            Some((request.route.max_event_gap * PAUSE_FACTOR).clamp(SILENCE.0 * 2, SILENCE.1))
-        }
-        _ => None,
-    };
+    let silence_limit = pause_limit(request, attempts);
     let first_byte_before = attempts.delivery.first_byte_at;
     let proves_execution =
         quarantine::proves_execution(status, response.head.framing(&request.head.method).ok());
@@ -362,8 +356,12 @@
     let failover = Failover { slow_at, silence_limit, may_switch };
     let outcome = attempts.delivery.deliver(caller, request, &mut response, failover).await;
     let first_byte_at = attempts.delivery.first_byte_at.filter(|_| first_byte_before.is_none());
-    if let Some(first_byte_at) = first_byte_at {
-        context.record_first_event(&choice, first_byte_at - sent_at);
+    let lacks_path =
+        response.connection.gateway().is_none() && context.is_path_impaired(&choice.run);
+    // How long a connection took to open, or an answer on a path that is lost, says nothing about
+    // the upstream.
+    if let Some(first_byte_at) = first_byte_at.filter(|_| !lacks_path) {
+        context.record_first_event(&choice, first_byte_at - response.connected_at);
     }
     trace.status = status;
     if let Some(pace) = attempts.delivery.gaps.take_pace() {
@@ -372,7 +370,9 @@
     let keeps_pending = outcome != Outcome::Slow && !queue::is_shared(context, request);
     // Where measurements are shared, a prompt without a first event must not stay pending in them.
     let duration = (first_byte_at.is_some() || keeps_pending).then(|| sent_at.elapsed());
-    context.record_end(&choice, outcome.ending(status), duration);
+    let is_lost = lacks_path && matches!(outcome, Outcome::Broken | Outcome::Unresponsive);
+    let ending = if is_lost { Ending::Abandoned } else { outcome.ending(status) };
+    context.record_end(&choice, ending, duration);
     match outcome {
         Outcome::Complete if proves_execution => context.record_answer(request),
         Outcome::Broken => context.signal_interrupted(request, &choice, sent_at),
@@ -499,6 +499,14 @@
     limit.clamp(SILENCE.0, SILENCE.1.max(expected * 2))
 }
 
+/// Returns how long an upstream may pause within a stream before another one continues it, if one
+/// may.
+fn pause_limit(request: &AdmittedRequest<'_>, attempts: &Attempts) -> Option<Duration> {
+    let may_continue = request.is_resumable() && attempts.sends < request.route.max_attempts;
+    let limit = (request.route.max_event_gap * PAUSE_FACTOR).clamp(SILENCE.0 * 2, SILENCE.1);
+    may_continue.then_some(limit)
+}
+
 /// Counts a request for its team's usage, at most once.
 fn count_usage(context: &Context, request: &AdmittedRequest<'_>, attempts: &mut Attempts) {
     if std::mem::replace(&mut attempts.usage_counted, true) {
--- a/crates/verbenaslip-relay/src/policy/placement/recording.rs
+++ b/crates/verbenaslip-relay/src/policy/placement/recording.rs
@@ -81,8 +81,10 @@
         }
     }
 
-    /// Forgets the failures of a service's upstreams in an availability zone.
+    /// Forgets the failures of a service's upstreams in an availability zone, and that its answers
+    /// were late.
     pub fn forgive_failures(&mut self, service: &str, zone: &AvailabilityZone) {
+        self.admitted_shares.remove(service);
         for state in self.states.values_mut() {
             let announcement = &state.record.announcement;
             if *announcement.service == *service && announcement.zone == *zone {
