--- a/crates/verbenaslip-fleet/src/gateway.rs
+++ b/crates/verbenaslip-fleet/src/gateway.rs
@@ -31,7 +31,7 @@
 const MAX_KNOWN: usize = 32;
 
 /// Number of known gateways below which an entry asks for more.
-const ENOUGH: usize = 2;
+const MIN_KNOWN: usize = 2;
 
 /// Describes an entry that opens connections for others.
 #[data(ord)]
@@ -131,7 +131,7 @@
         if now < self.next_registration {
             return None;
         }
-        let settled = self.carries && self.known.len() >= ENOUGH;
+        let settled = self.carries && self.known.len() >= MIN_KNOWN;
         self.next_registration = now + if settled { RENEWAL_INTERVAL } else { SEARCH_INTERVAL };
         let gateway = self.local.gateway.filter(|_| self.carries);
         Some(Frame::RegisterGateway(Registration { gateway, ..self.local.clone() }))
--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -107,7 +107,7 @@
             // A different run may use the address now, so the connections of the old run are of no
             // use.
             self.pool.borrow_mut().remove_runs(&removed_runs);
-            self.paths.borrow_mut().forget(&removed_runs);
+            self.forget_paths(&view, &removed_runs);
             removed_runs.iter().for_each(|it| self.shared.forget_measurement(RunKey::of(it)));
         }
         let limits = self.placement.borrow_mut().update_limits(monotonic::now(), &view);
@@ -125,6 +125,20 @@
         view
     }
 
+    fn forget_paths(&self, view: &View, removed_runs: &[Run]) {
+        let is_in_use =
+            |group: &Group| view.upstreams.values().any(|it| Self::group_of(it) == *group);
+        self.paths.borrow_mut().forget(removed_runs, is_in_use);
+        self.share_cut_paths();
+    }
+
+    /// Hands the control thread whether other entries can open connections through this one.
+    fn share_cut_paths(&self) {
+        let cut_count = self.paths.borrow().cut_count();
+        metrics::gauge!("verbenaslip_paths_cut").set(u32::try_from(cut_count).unwrap_or(u32::MAX));
+        self.shared.set_cut_path(cut_count > 0);
+    }
+
     /// Returns the path that an upstream shares with others.
     pub(crate) fn group_of(record: &Record) -> Group {
         let Announcement { service, zone, .. } = &record.announcement;
@@ -217,7 +231,7 @@
     fn handle_path_change(&self, group: &Group, change: Option<PathChange>, fault: Option<Fault>) {
         let Some(change) = change else { return };
         path_log::log_change(group, change, fault, self.known_gateways.borrow().len());
-        self.shared.set_cut_path(self.paths.borrow().has_cut());
+        self.share_cut_paths();
         if change == PathChange::Cut {
             // Failures that the cut has caused say nothing about the upstreams.
             self.placement.borrow_mut().forgive_failures(&group.service, &group.zone);
--- a/crates/verbenaslip-relay/src/forward/dial.rs
+++ b/crates/verbenaslip-relay/src/forward/dial.rs
@@ -195,7 +195,7 @@
     let target = Target { run, address: announcement.address, group };
     let connection = match connect_directly(context, target, CONNECT_TIMEOUT).await {
         Ok(connection) => connection,
-        Err(_) if !context.paths.borrow().may_reach(group, run) => return,
+        Err(_) if due.run.is_some() || context.paths.borrow().is_cut(group) => return,
         Err(error) => {
             let detoured = connect_through_gateway(context, run).await;
             let Some(connection) = detoured else { return };
--- a/crates/verbenaslip-relay/src/policy/path.rs
+++ b/crates/verbenaslip-relay/src/policy/path.rs
@@ -157,9 +157,14 @@
         self.paths.get(group).is_some_and(|it| !it.is_whole())
     }
 
-    /// Returns whether any path is cut.
-    pub fn has_cut(&self) -> bool {
-        self.paths.values().any(|it| it.is_reported)
+    /// Returns whether no new connection of a path should be direct.
+    pub fn is_cut(&self, group: &Group) -> bool {
+        self.paths.get(group).is_some_and(|it| it.level == 0)
+    }
+
+    /// Returns the number of paths that were cut and have not been whole since.
+    pub fn cut_count(&self) -> usize {
+        self.paths.values().filter(|it| it.is_reported).count()
     }
 
     /// Records a direct connection that opened after `connect_time`.
@@ -270,11 +275,12 @@
         paths.chain(runs).min()
     }
 
-    /// Forgets runs that have ended.
-    pub fn forget(&mut self, runs: &[Run]) {
+    /// Forgets runs that have ended, and paths that are not whole and that no run uses any more.
+    pub fn forget(&mut self, runs: &[Run], is_in_use: impl Fn(&Group) -> bool) {
         for run in runs {
             self.runs.remove(run);
         }
+        self.paths.retain(|group, path| path.is_whole() || is_in_use(group));
     }
 
     fn path(&mut self, now: Duration, group: &Group) -> &mut Path {
--- a/crates/verbenaslip-relay/tests/path.rs
+++ b/crates/verbenaslip-relay/tests/path.rs
@@ -33,7 +33,7 @@
     let (mut paths, desk) = (Paths::default(), group("desk"));
     assert!(paths.prefers_direct(&desk, &run(9), 0.99));
     assert_eq!(cut(&mut paths, SECOND, &desk), [Change::Cut]);
-    assert!(!paths.prefers_direct(&desk, &run(9), 0.0) && paths.has_cut());
+    assert!(!paths.prefers_direct(&desk, &run(9), 0.0) && paths.cut_count() == 1);
     let mut shares = Vec::new();
     let mut changes = Vec::new();
     for step in 0..4 {
@@ -47,7 +47,7 @@
     }
     assert_eq!(shares, [0, 25, 50, 75]);
     assert_eq!(changes, [Change::Restored { after: 4 * SECOND }]);
-    assert!(paths.prefers_direct(&desk, &run(9), 0.99) && !paths.has_cut());
+    assert!(paths.prefers_direct(&desk, &run(9), 0.99) && paths.cut_count() == 0);
 }
 
 #[test]
@@ -124,10 +124,24 @@
     paths.record_direct(SECOND, &desk, &run(2), CONNECT_TIME);
     assert_eq!(paths.next_probe_at(), None, "a run without requests is not probed");
     assert!(!paths.prefers_direct(&desk, &run(1), 0.0) && !paths.may_reach(&desk, &run(1)));
-    assert!(paths.prefers_direct(&desk, &run(2), 0.99) && !paths.has_cut());
+    assert!(paths.prefers_direct(&desk, &run(2), 0.99) && paths.cut_count() == 0);
     let probe = Probe { group: desk.clone(), run: Some(run(1)) };
     assert_eq!(paths.take_due_probes(2 * SECOND), [probe]);
     assert_eq!(paths.take_due_probes(4 * SECOND), [], "no request has used it since");
     paths.record_direct(4 * SECOND, &desk, &run(1), CONNECT_TIME);
     assert!(paths.prefers_direct(&desk, &run(1), 0.99));
 }
+
+#[test]
+fn a_path_that_no_upstream_uses_any_more_is_forgotten() {
+    // Guards against an entry that counts as cut for good once the upstreams behind a cut have left.
+    let (mut paths, desk, annex) = (Paths::default(), group("desk"), group("annex"));
+    cut(&mut paths, SECOND, &desk);
+    paths.record_direct(SECOND, &annex, &run(8), CONNECT_TIME);
+    let runs: Vec<Run> = (0..4).map(run).collect();
+    paths.forget(&runs, |group| *group == annex);
+    assert_eq!(paths.cut_count(), 0);
+    assert!(paths.prefers_direct(&desk, &run(1), 0.99));
+    paths.take_due_probes(2 * SECOND);
+    assert_eq!(paths.next_probe_at(), None);
+}
