Look up the path to a run in one place

Six functions found a run's record and its path by themselves, two refusals computed the same prefill, an idle timer had a function of its own, and a lack of a path was put together twice. No behaviour changes; whether a service is brittle is now asked before the time of day is computed.

--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -168,44 +168,46 @@
         self.gateways.borrow_mut().choose(monotonic::now(), placement.zone(), tried, fraction)
     }
 
+    /// Returns the path to a run, if the run is known.
+    pub(crate) fn path_group(&self, run: &Run) -> Option<Group> {
+        self.shared.view().record(run).map(Self::group_of)
+    }
+
     /// Returns whether an open connection to a run may be used: a direct one unless it may hang, and
     /// one through a gateway only while the run may not be reached directly.
     pub(crate) fn trusts_connection(&self, run: &Run, connection: &Connection) -> bool {
-        let view = self.shared.view();
-        let Some(record) = view.record(run) else { return true };
-        let (paths, group) = (self.paths.borrow(), Self::group_of(record));
+        let Some(group) = self.path_group(run) else { return true };
+        let paths = self.paths.borrow();
         match connection.gateway() {
             Some(_) => paths.is_impaired(&group) || !paths.may_reach(&group, run),
             None => paths.trusts_open_connections(&group),
         }
     }
 
-    /// Returns whether the path to a run is known not to be whole.
-    pub(crate) fn is_path_impaired(&self, run: &Run) -> bool {
-        let view = self.shared.view();
-        view.record(run).is_some_and(|it| self.paths.borrow().is_impaired(&Self::group_of(it)))
+    /// Returns whether a request that was sent through `gateway`, or directly, lacked a whole path, so
+    /// that its failure or latency says nothing about the upstream.
+    pub(crate) fn lacks_path(&self, gateway: Option<SocketAddr>, run: &Run) -> bool {
+        gateway.is_none()
+            && self.path_group(run).is_some_and(|group| self.paths.borrow().is_impaired(&group))
     }
 
     /// Returns whether open direct connections to a run may hang.
     pub(crate) fn may_hang(&self, run: &Run) -> bool {
-        let view = self.shared.view();
-        let record = view.record(run);
-        record.is_some_and(|it| !self.paths.borrow().trusts_open_connections(&Self::group_of(it)))
+        let group = self.path_group(run);
+        group.is_some_and(|group| !self.paths.borrow().trusts_open_connections(&group))
     }
 
     /// Records an answer that has arrived directly.
     pub(crate) fn record_heard(&self, run: &Run) {
-        if let Some(record) = self.shared.view().record(run) {
-            self.paths.borrow_mut().record_heard(monotonic::now(), &Self::group_of(record));
+        if let Some(group) = self.path_group(run) {
+            self.paths.borrow_mut().record_heard(monotonic::now(), &group);
         }
     }
 
     /// Records that a request has been unanswered on a direct connection for some time.
     pub(crate) fn record_silence(&self, run: &Run, silence: Duration) {
-        let view = self.shared.view();
-        let Some(record) = view.record(run).filter(|_| self.has_gateways()) else { return };
-        let (now, group) = (monotonic::now(), Self::group_of(record));
-        if self.paths.borrow_mut().record_silence(now, &group, silence) {
+        let Some(group) = self.path_group(run).filter(|_| self.has_gateways()) else { return };
+        if self.paths.borrow_mut().record_silence(monotonic::now(), &group, silence) {
             self.paths_suspected.notify_one();
         }
     }
--- a/crates/verbenaslip-relay/src/forward/dial.rs
+++ b/crates/verbenaslip-relay/src/forward/dial.rs
@@ -15,7 +15,7 @@
 use crate::policy::path::{Fault, Group, Probe};
 use crate::{monotonic, socket, tunnel};
 
-/// Time limit for a direct connection; many times the longest round trip.
+/// Maximum time to open a direct connection; many times the longest round trip.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Time after which another gateway is tried beside one that has not answered.
@@ -39,8 +39,7 @@
     limit: Duration,
 ) -> io::Result<Connection> {
     let limit = CONNECT_TIMEOUT.min(limit);
-    let group = context.shared.view().record(run).map(Context::group_of);
-    let Some(group) = group.filter(|_| context.has_gateways()) else {
+    let Some(group) = context.path_group(run).filter(|_| context.has_gateways()) else {
         return socket::connect(address, limit).await.map(Connection::new);
     };
     let target = Target { run, address, group: &group };
--- a/crates/verbenaslip-relay/src/forward/exchange.rs
+++ b/crates/verbenaslip-relay/src/forward/exchange.rs
@@ -130,7 +130,7 @@
                 Ok(Progress::Read(_)) | Err(_) => return Err(Failure::Broken),
             },
             () = caller.closed_by_peer() => return Err(Failure::CallerGone),
-            () = sleep_until_some(suspect_at), if suspect_at.is_some() => {
+            () = tokio::time::sleep_until(suspect_at.unwrap_or(deadline)), if suspect_at.is_some() => {
                 suspect_at = None;
                 context.record_silence(&choice.run, SUSPICION_TIME);
             }
@@ -173,13 +173,6 @@
     connected.map(|connection| (connection, false)).map_err(|_| Failure::Unreachable)
 }
 
-async fn sleep_until_some(at: Option<Instant>) {
-    match at {
-        Some(at) => tokio::time::sleep_until(at).await,
-        None => std::future::pending().await,
-    }
-}
-
 /// Skips the body of an answer that belongs to another request.
 async fn skip_body(
     connection: &mut Connection,
--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -356,8 +356,7 @@
     let failover = Failover { slow_at, silence_limit, may_switch };
     let outcome = attempts.delivery.deliver(caller, request, &mut response, failover).await;
     let first_byte_at = attempts.delivery.first_byte_at.filter(|_| first_byte_before.is_none());
-    let lacks_path =
-        response.connection.gateway().is_none() && context.is_path_impaired(&choice.run);
+    let lacks_path = context.lacks_path(response.connection.gateway(), &choice.run);
     // How long a connection took to open, or an answer on a path that is lost, says nothing about
     // the upstream.
     if let Some(first_byte_at) = first_byte_at.filter(|_| !lacks_path) {
@@ -422,8 +421,7 @@
         Failure::CallerGone => (Ending::Abandoned, "caller_gone"),
     };
     // A failure for want of a path says nothing about the upstream.
-    let lost_path =
-        ending == Ending::Failed && gateway.is_none() && context.is_path_impaired(&choice.run);
+    let lost_path = ending == Ending::Failed && context.lacks_path(gateway, &choice.run);
     let ending = if lost_path { Ending::Abandoned } else { ending };
     context.record_end(choice, ending, None);
     match failure {
--- a/crates/verbenaslip-relay/src/policy/placement/restrictions.rs
+++ b/crates/verbenaslip-relay/src/policy/placement/restrictions.rs
@@ -80,9 +80,11 @@
 
     /// Returns whether an upstream has room for a request of this entry, if its service is brittle.
     pub(super) fn has_place(&self, now: Duration, state: &UpstreamState) -> bool {
-        let is_brittle = self.brittleness.is_brittle(now, &state.record.announcement.service);
+        if !self.brittleness.is_brittle(now, &state.record.announcement.service) {
+            return true;
+        }
         let wall_clock = self.moment(now).wall_clock;
-        !is_brittle || self.brittleness.admits(candidate(state), self.time_slot, wall_clock)
+        self.brittleness.admits(candidate(state), self.time_slot, wall_clock)
     }
 
     /// Returns a refusal with a retry time, if no upstream of a brittle service has room.
@@ -91,13 +93,8 @@
         let mut states = names.filter_map(|name| self.states.get(name));
         let is_full = self.brittleness.is_brittle(now, query.service)
             && states.any(|it| it.accepts_requests(now, false, true));
-        let prefill_ms = if query.parts.is_empty() {
-            0.0
-        } else {
-            Speed::default().prefill_ms(query.prompt_tokens)
-        };
         let (retry_after, cause) = (MIN_RETRY_AFTER, Cause::Brittle);
-        is_full.then_some(Busy { retry_after, cause, prefill_ms })
+        is_full.then(|| Busy { retry_after, cause, prefill_ms: prefill_ms(query) })
     }
 
     /// Returns whether the measurements of all entries are used for a service.
@@ -135,16 +132,18 @@
             Some((wait, restriction))
         });
         let (retry_after, restriction) = restricted.min_by_key(|(wait, _)| *wait)?;
-        let prefill_ms = if query.parts.is_empty() {
-            0.0
-        } else {
-            Speed::default().prefill_ms(query.prompt_tokens)
-        };
         let retry_after = retry_after.max(MIN_RETRY_AFTER);
-        Some(Busy { retry_after, cause: Cause::Restricted(restriction), prefill_ms })
+        let cause = Cause::Restricted(restriction);
+        Some(Busy { retry_after, cause, prefill_ms: prefill_ms(query) })
     }
 }
 
+/// Returns the milliseconds of prefill that a refused request would have taken; zero without a
+/// prompt.
+fn prefill_ms(query: &Query<'_>) -> f64 {
+    if query.parts.is_empty() { 0.0 } else { Speed::default().prefill_ms(query.prompt_tokens) }
+}
+
 fn candidate(state: &UpstreamState) -> Candidate<'_> {
     Candidate {
         service: &state.record.announcement.service,
