Give back the prefill of prompts answered over a path that is not whole

Each answer over a connection that lives on while new ones are refused thus left its prompt pending for good, and the entry refused more and more as busy, also after the cut.

The test fails without it (none of 84 prompts at the two upstreams whose connections live on, a quarter wanted) and holds in three runs (55, 56 and 56 of 84). The end now gives the prompt back wherever no latency is measured.

--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -368,7 +368,8 @@
     }
     let keeps_pending = outcome != Outcome::Slow && !queue::is_shared(context, request);
     // Where measurements are shared, a prompt without a first event must not stay pending in them.
-    let duration = (first_byte_at.is_some() || keeps_pending).then(|| sent_at.elapsed());
+    let is_measured = !lacks_path && (first_byte_at.is_some() || keeps_pending);
+    let duration = is_measured.then(|| sent_at.elapsed());
     let is_lost = lacks_path && matches!(outcome, Outcome::Broken | Outcome::Unresponsive);
     let ending = if is_lost { Ending::Abandoned } else { outcome.ending(status) };
     context.record_end(&choice, ending, duration);
