Give every entry its part of the places of brittle upstreams

Read again: drew the entries that have one place more by the upstream's name, so with six entries and six places some entries had none.

The division goes over the upstreams in order, so entries differ by one place at most. A service is brittle until an answer shows otherwise, not until a time has passed. Where entries outnumber the places, these go round in turns of an agreed length. A request waits a third of its caller's time and is placed again only once there is a place; it was placed, and drawn for shedding, each 5 ms before.

--- a/crates/verbenaslip-relay/src/forward.rs
+++ b/crates/verbenaslip-relay/src/forward.rs
@@ -1,7 +1,8 @@
 //! Takes one request from its caller to an upstream and back.
 //!
 //! [`admission`] determines the team and the route of a request. [`lifecycle`] runs the request:
-//! whether it is retried, and what its caller gets. [`queue`] holds it while no upstream accepts it,
+//! whether it is retried, and what its caller gets. [`queue`] holds it while no upstream accepts it, and
+//! [`place`] while this entry has no place at a brittle one,
 //! and [`upstream_choice`] selects the upstream.
 //! [`upstream_request`] writes the request for an upstream, [`exchange`] sends it over a connection
 //! that [`dial`] opens, and reads the head of the answer. [`delivery`] passes the answer on and, for a resumable stream, continues
@@ -23,6 +24,7 @@
 pub(crate) mod failover;
 pub mod lifecycle;
 pub(crate) mod path_log;
+pub(crate) mod place;
 pub mod pool;
 pub(crate) mod queue;
 pub mod request_log;
--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -20,6 +20,7 @@
 use crate::forward::admission::AdmittedRequest;
 use crate::forward::crash::{InterruptedRequest, Signal};
 use crate::forward::path_log;
+use crate::forward::place::HeldCount;
 use crate::forward::pool::Pool;
 use crate::forward::queue::Queue;
 use crate::forward::upstream_log;
@@ -53,6 +54,7 @@
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) pool: RefCell<Pool>,
     pub(crate) queue: RefCell<Queue>,
+    pub(crate) held_count: HeldCount,
     pub(crate) returning_callers: RefCell<ReturningCallers>,
     pub(crate) quarantine: RefCell<Quarantine>,
     pub(crate) random_state: Cell<u64>,
@@ -87,6 +89,7 @@
             retry_budget: RefCell::new(RetryBudget::new(bounds)),
             pool: RefCell::new(Pool::default()),
             queue: RefCell::new(Queue::default()),
+            held_count: HeldCount::default(),
             returning_callers: RefCell::new(ReturningCallers::default()),
             quarantine: RefCell::new(Quarantine::default()),
             random_state: Cell::new(monotonic::unix_ms()),
--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -14,6 +14,7 @@
 use crate::forward::delivery::{Delivery, Outcome};
 use crate::forward::exchange::{self, Failure, Outgoing, Response};
 use crate::forward::failover::Failover;
+use crate::forward::place;
 use crate::forward::queue;
 use crate::forward::request_log::{self, Trace, ViewInfo};
 use crate::forward::upstream_choice;
@@ -55,12 +56,6 @@
 /// Longest silence within a stream, as a multiple of the route's longest regular pause.
 const PAUSE_FACTOR: u32 = 4;
 
-/// Fraction of the objective for which a request waits for a place at a brittle service.
-const PLACE_WAIT_DIVISOR: u32 = 4;
-
-/// Time between two checks whether such a place is free.
-const PLACE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
-
 /// Describes what happens to the caller's connection after a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Disposition {
@@ -215,10 +210,10 @@
     let mut choice =
         match upstream_choice::choose_upstream(context, request, attempts, remaining, trace) {
             Ok(choice) => choice,
-            Err(_) if waits_for_place(request, attempts, trace) => {
-                return wait_for_place(context, caller, request, trace).await;
+            Err(rejection) => {
+                let next = place::wait(context, caller, request, attempts, trace).await;
+                return next.unwrap_or(Next::Refuse(rejection));
             }
-            Err(rejection) => return Next::Refuse(rejection),
         };
     (trace.expected_ms, trace.lag_ms, trace.rate_limit) =
         (choice.expected_ms, choice.lag_ms, choice.rate_limit);
@@ -272,32 +267,6 @@
     }
 }
 
-/// Returns whether a request should wait until one of this entry's places at a brittle service is
-/// free. A prompt is not held, since places at engines are taken for seconds.
-fn waits_for_place(request: &AdmittedRequest<'_>, attempts: &Attempts, trace: &Trace) -> bool {
-    trace.brittle
-        && attempts.sends == 0
-        && request.info.prompt_parts.is_empty()
-        && request.received_at.elapsed() < request.route.objective / PLACE_WAIT_DIVISOR
-}
-
-/// Waits a moment for a place.
-async fn wait_for_place(
-    context: &Context,
-    caller: &mut Connection,
-    request: &AdmittedRequest<'_>,
-    trace: &mut Trace,
-) -> Next {
-    tokio::select! {
-        () = tokio::time::sleep(PLACE_CHECK_INTERVAL) => Next::Retry,
-        () = caller.closed_by_peer() => {
-            admission::refund_quota(context, request);
-            trace.outcome = "caller_gone";
-            Next::Done(Disposition::Close)
-        }
-    }
-}
-
 /// Holds the answer of an upstream to a request.
 struct SentRequest {
     choice: Choice,
--- a/crates/verbenaslip-relay/src/forward/upstream_log.rs
+++ b/crates/verbenaslip-relay/src/forward/upstream_log.rs
@@ -65,13 +65,15 @@
     );
 }
 
-/// The upstreams of a service have become brittle.
+/// The upstreams of a service have become brittle, or are no longer.
 const BRITTLE: Kind = Kind { number: 956, name: "service_brittle" };
 
 /// Logs that an upstream has stated in its answer to the request `id` that it crashes if it refuses
-/// more than `limit` requests in a second.
-pub fn log_brittle(service: &str, run: &Run, limit: u32, id: &str) {
-    metrics::counter!("verbenaslip_services_brittle_total").increment(1);
+/// more than `limit` requests in a second, or that it has not stated so any more.
+pub fn log_brittle(service: &str, run: &Run, limit: Option<u32>, id: &str) {
+    if limit.is_some() {
+        metrics::counter!("verbenaslip_services_brittle_total").increment(1);
+    }
     event_log::emit(
         BRITTLE,
         [
--- a/crates/verbenaslip-relay/src/policy/brittleness.rs
+++ b/crates/verbenaslip-relay/src/policy/brittleness.rs
@@ -12,18 +12,31 @@
 use verbenaslip_fleet::limit::TimeSlot;
 use verbenaslip_fleet::registry::Run;
 
-use crate::policy::limiter::Limiter;
+/// Time after the last answer that said so from which an answer to a new request shows that the
+/// service is no longer brittle. An upstream that has crashed and come back does not say so either,
+/// while the others do.
+const END_DELAY: Duration = Duration::from_secs(1);
 
-/// Time after the last answer that said so for which a service counts as brittle.
-const MEMORY: Duration = Duration::from_secs(3);
+/// Minimum time between two divisions of a service's places.
+const DIVISION_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Fraction of an upstream's places that stays free, since new connections and health checks also
 /// take one for a moment.
 const SPARE_DIVISOR: u32 = 8;
 
-/// Fraction of the time for which the places are in use while entries send in turns; a request that
-/// takes longer than usual must not meet the next one.
-const TURN_UTILIZATION: f64 = 0.6;
+/// Shortest turn.
+const MIN_TURN: Duration = Duration::from_millis(250);
+
+/// Longest turn.
+const MAX_TURN: Duration = Duration::from_secs(4);
+
+/// Minimum length of a turn as a multiple of the time that answers take. Lengths are powers of two
+/// of [`MIN_TURN`], so that entries which measure slightly different times agree.
+const MIN_TURN_FACTOR: f64 = 3.0;
+
+/// Time before the end of a turn in which no request starts, as a multiple of the time that answers
+/// take and in addition.
+const TURN_GUARD: (f64, Duration) = (1.5, Duration::from_millis(10));
 
 /// Holds which services are brittle.
 #[derive(Debug, Default)]
@@ -34,99 +47,156 @@
 #[derive(Debug)]
 struct BrittleService {
     told_at: Duration,
-    /// Limiters of the runs, where entries send in turns.
-    turns: BTreeMap<Run, Limiter>,
+    divided_at: Option<Duration>,
+    shares: BTreeMap<Run, Share>,
+}
+
+/// What an entry may send to an upstream.
+#[derive(Debug)]
+enum Share {
+    /// Number of requests at once.
+    Places(u32),
+    /// One request at once in each turn that belongs to the entry.
+    Turns(Turns),
 }
 
-/// Describes an upstream to be checked.
-#[derive(Clone, Copy, Debug)]
-pub struct Candidate<'a> {
-    /// Service of the upstream.
-    pub service: &'a str,
+/// The turns of an entry at one upstream.
+///
+/// In each turn the places of all upstreams go to the next entries, in the order of their
+/// positions.
+#[derive(Debug)]
+struct Turns {
+    position: TimeSlot,
+    /// Places of the upstreams before this one, of this one, and of all.
+    places: (u32, u32, u32),
+    length: Duration,
+    /// Time before the end of a turn in which no request starts.
+    guard: Duration,
+}
+
+/// Describes an upstream whose places are divided.
+#[derive(Clone, Debug)]
+pub struct Capacity {
     /// Run of the upstream.
-    pub run: &'a Run,
+    pub run: Run,
     /// Number of requests that it runs at once.
     pub slots: u32,
-    /// Hash of its name.
-    pub upstream_hash: u64,
-    /// Requests of this entry in progress there.
-    pub active: u32,
+    /// How long it takes for a request, in seconds.
+    pub answer_time: f64,
 }
 
 impl Brittleness {
-    /// Records an answer that says that its service is brittle; returns whether that is new.
-    pub fn record_answer(&mut self, now: Duration, service: &Arc<str>) -> bool {
-        let is_new = !self.is_brittle(now, service);
-        let state = self.services.entry(service.clone());
-        let state =
-            state.or_insert_with(|| BrittleService { told_at: now, turns: BTreeMap::new() });
-        state.told_at = now;
-        if is_new {
-            state.turns.clear();
+    /// Records whether an answer to a request that was sent at `sent_at` says that its service is
+    /// brittle; returns whether that is new, or has ended.
+    pub fn record_answer(
+        &mut self,
+        now: Duration,
+        service: &Arc<str>,
+        sent_at: Duration,
+        is_brittle: bool,
+    ) -> bool {
+        match self.services.get_mut(service) {
+            Some(state) if is_brittle => {
+                state.told_at = now;
+                false
+            }
+            Some(state) if sent_at >= state.told_at + END_DELAY => {
+                self.services.remove(service);
+                true
+            }
+            None if is_brittle => {
+                let state =
+                    BrittleService { told_at: now, divided_at: None, shares: BTreeMap::new() };
+                self.services.insert(service.clone(), state);
+                true
+            }
+            Some(_) | None => false,
         }
-        is_new
     }
 
     /// Returns whether a service is brittle.
-    pub fn is_brittle(&self, now: Duration, service: &str) -> bool {
-        self.services.get(service).is_some_and(|it| now.saturating_sub(it.told_at) <= MEMORY)
+    pub fn is_brittle(&self, service: &str) -> bool {
+        self.services.contains_key(service)
     }
 
-    /// Returns whether this entry may send a request to an upstream of a brittle service.
-    ///
-    /// `position` is the place of this entry among all, and `wall_clock` the agreed time of day. An
-    /// entry without a position sends nothing.
-    pub fn admits(
-        &self,
-        candidate: Candidate<'_>,
-        position: Option<TimeSlot>,
-        wall_clock: Duration,
-    ) -> bool {
-        let Some(position) = position else { return false };
-        match self.services.get(candidate.service).and_then(|it| it.turns.get(candidate.run)) {
-            Some(limiter) => limiter.is_free(wall_clock),
-            None => candidate.active < places(candidate.slots, position, candidate.upstream_hash),
-        }
+    /// Returns whether a service is brittle and its places are to be divided again.
+    pub fn is_division_due(&self, now: Duration, service: &str) -> bool {
+        let is_due = |at: Duration| now.saturating_sub(at) >= DIVISION_INTERVAL;
+        self.services.get(service).is_some_and(|it| it.divided_at.is_none_or(is_due))
     }
 
-    /// Has entries send to a run in turns, if they do not yet; `answer_time` is how long requests
-    /// take there, in seconds.
-    pub fn take_turns(
+    /// Divides the places of a service among the entries. All entries must name its upstreams in
+    /// the same order.
+    ///
+    /// `position` is the place of this entry among all. An entry without a position gets nothing.
+    pub fn divide(
         &mut self,
-        candidate: Candidate<'_>,
+        now: Duration,
+        service: &str,
+        capacities: &[Capacity],
         position: Option<TimeSlot>,
-        wall_clock: Duration,
-        answer_time: f64,
     ) {
-        let Some(state) = self.services.get_mut(candidate.service) else { return };
-        let per_place = TURN_UTILIZATION / answer_time.max(0.001);
-        let rate = f64::from(usable_places(candidate.slots)) * per_place;
-        let turns = &mut state.turns;
-        match turns.get_mut(candidate.run) {
-            Some(limiter) => limiter.update(limiter.rate(), position, wall_clock),
-            None => {
-                turns.insert(candidate.run.clone(), Limiter::new(rate, position, wall_clock));
-            }
+        let Some(state) = self.services.get_mut(service) else { return };
+        state.divided_at = Some(now);
+        state.shares.clear();
+        let Some(TimeSlot { index, count }) = position else { return };
+        let position = TimeSlot { index: index % count.max(1), count: count.max(1) };
+        let total: u32 = capacities.iter().map(|it| usable_places(it.slots)).sum();
+        let mut before = 0;
+        for Capacity { run, slots, answer_time } in capacities {
+            let usable = usable_places(*slots);
+            let share = if total >= position.count {
+                let is_next = distance(before, position) < usable % position.count;
+                Share::Places(usable / position.count + u32::from(is_next))
+            } else {
+                Share::Turns(Turns::new(position, (before, usable, total), *answer_time))
+            };
+            state.shares.insert(run.clone(), share);
+            before += usable;
         }
     }
 
-    /// Records a request that is sent.
-    pub fn record_sent(&mut self, service: &str, run: &Run, wall_clock: Duration) {
-        let state = self.services.get_mut(service);
-        if let Some(limiter) = state.and_then(|it| it.turns.get_mut(run)) {
-            limiter.use_slot(wall_clock);
+    /// Returns whether this entry, with `active` requests in progress there, may send one more to an
+    /// upstream of a brittle service; `wall_clock` is the agreed time of day.
+    pub fn admits(&self, service: &str, run: &Run, active: u32, wall_clock: Duration) -> bool {
+        match self.services.get(service).and_then(|it| it.shares.get(run)) {
+            Some(Share::Places(places)) => active < *places,
+            Some(Share::Turns(turns)) => active == 0 && turns.may_start(wall_clock),
+            None => false,
         }
     }
 }
 
+impl Turns {
+    fn new(position: TimeSlot, places: (u32, u32, u32), answer_time: f64) -> Self {
+        let mut length = MIN_TURN;
+        while length.as_secs_f64() < answer_time * MIN_TURN_FACTOR && length < MAX_TURN {
+            length *= 2;
+        }
+        let guard = Duration::from_secs_f64(answer_time * TURN_GUARD.0) + TURN_GUARD.1;
+        Self { position, places, length, guard: guard.min(length / 2) }
+    }
+
+    /// Returns whether a request that starts now most likely ends within a turn of this entry.
+    fn may_start(&self, wall_clock: Duration) -> bool {
+        let elapsed = wall_clock.as_nanos() % self.length.as_nanos();
+        let number = wall_clock.as_nanos() / self.length.as_nanos();
+        let (before, usable, total) = self.places;
+        let count = u128::from(self.position.count);
+        // Below the number of entries.
+        let first = u32::try_from((number * u128::from(total) + u128::from(before)) % count);
+        let is_own = first.is_ok_and(|first| distance(first, self.position) < usable);
+        is_own && elapsed + self.guard.as_nanos() <= self.length.as_nanos()
+    }
+}
+
+/// Returns how many entries are between the one at `first`, modulo their number, and the one at
+/// `position`.
+fn distance(first: u32, position: TimeSlot) -> u32 {
+    (position.index + position.count - first % position.count) % position.count
+}
+
 /// Returns how many places of an upstream all entries together may use.
 pub fn usable_places(slots: u32) -> u32 {
     slots - slots.div_ceil(SPARE_DIVISOR)
 }
-
-/// Returns how many places of an upstream belong to the entry at `position`.
-pub fn places(slots: u32, position: TimeSlot, upstream_hash: u64) -> u32 {
-    let (usable, count) = (usable_places(slots), position.count.max(1));
-    let rank = (u64::from(position.index) + upstream_hash % u64::from(count)) % u64::from(count);
-    usable / count + u32::from(rank < u64::from(usable % count))
-}
--- a/crates/verbenaslip-relay/src/policy/placement/recording.rs
+++ b/crates/verbenaslip-relay/src/policy/placement/recording.rs
@@ -56,7 +56,6 @@
     pub(super) fn record_sent(&mut self, now: Duration, choice: &Choice, query: &Query<'_>) {
         let at = self.moment(now);
         self.restrictions.record_sent(at, &choice.run);
-        self.brittleness.record_sent(choice.service(), &choice.run, at.wall_clock);
         let Some(state) = self.state_mut(choice) else { return };
         state.active_requests += 1;
         state.pending_prefill += choice.uncached_tokens;
--- a/crates/verbenaslip-relay/src/policy/placement/restrictions.rs
+++ b/crates/verbenaslip-relay/src/policy/placement/restrictions.rs
@@ -8,7 +8,7 @@
 use verbenaslip_fleet::registry::Run;
 
 use crate::dialect::ResponseInfo;
-use crate::policy::brittleness::{self, Candidate};
+use crate::policy::brittleness::Capacity;
 use crate::policy::placement::{Busy, Cause, Choice, Placement, Query};
 use crate::policy::restriction::{Change, Moment, Restriction};
 use crate::policy::speed::Speed;
@@ -50,48 +50,46 @@
     ) -> Vec<Change> {
         let at = self.moment(now);
         let mut changes = self.restrictions.handle_response_info(at, &choice.run, sent_at, info);
-        if let Some(limit) = info.brittle {
-            let service = &choice.service_rank.0;
-            if self.brittleness.record_answer(now, service) {
-                changes.push(Change::Brittle(limit));
-            }
+        let service = &choice.service_rank.0;
+        if self.brittleness.record_answer(now, service, sent_at, info.brittle.is_some()) {
+            changes.push(Change::Brittle(info.brittle));
+        }
+        if self.brittleness.is_division_due(now, service) {
             self.divide_places(now, service);
         }
         changes
     }
 
-    /// Has entries send to the upstreams of a brittle service in turns if there are fewer places than
-    /// entries.
+    /// Divides the places of a brittle service among the entries.
     fn divide_places(&mut self, now: Duration, service: &str) {
-        let (position, wall_clock) = (self.time_slot, self.moment(now).wall_clock);
         let names = self.by_service.get(service).into_iter().flatten();
-        let states: Vec<&UpstreamState> = names.filter_map(|name| self.states.get(name)).collect();
-        let slots = states.iter().map(|it| it.record.announcement.slots);
-        let places: u32 = slots.map(brittleness::usable_places).sum();
-        if position.is_none_or(|position| places >= position.count) {
-            return;
-        }
-        for state in states {
-            let answer_time = state.speed.answer_ms().unwrap_or(DEFAULT_ANSWER_MS) / 1_000.0;
-            let candidate = candidate(state);
-            self.brittleness.take_turns(candidate, position, wall_clock, answer_time);
-        }
+        let states = names.filter_map(|name| self.states.get(name));
+        let states = states.filter(|state| state.accepts_requests(now, false, true));
+        let capacities: Vec<Capacity> = states
+            .map(|state| Capacity {
+                run: state.run().clone(),
+                slots: state.record.announcement.slots,
+                answer_time: state.speed.answer_ms().unwrap_or(DEFAULT_ANSWER_MS) / 1_000.0,
+            })
+            .collect();
+        self.brittleness.divide(now, service, &capacities, self.time_slot);
     }
 
     /// Returns whether an upstream has room for a request of this entry, if its service is brittle.
     pub(super) fn has_place(&self, now: Duration, state: &UpstreamState) -> bool {
-        if !self.brittleness.is_brittle(now, &state.record.announcement.service) {
+        let service = &state.record.announcement.service;
+        if !self.brittleness.is_brittle(service) {
             return true;
         }
         let wall_clock = self.moment(now).wall_clock;
-        self.brittleness.admits(candidate(state), self.time_slot, wall_clock)
+        self.brittleness.admits(service, state.run(), state.active_requests, wall_clock)
     }
 
     /// Returns a refusal with a retry time, if no upstream of a brittle service has room.
     pub(super) fn refuse_brittle(&self, now: Duration, query: &Query<'_>) -> Option<Busy> {
         let names = self.by_service.get(query.service).into_iter().flatten();
         let mut states = names.filter_map(|name| self.states.get(name));
-        let is_full = self.brittleness.is_brittle(now, query.service)
+        let is_full = self.brittleness.is_brittle(query.service)
             && states.any(|it| it.accepts_requests(now, false, true));
         let (retry_after, cause) = (MIN_RETRY_AFTER, Cause::Brittle);
         is_full.then(|| Busy { retry_after, cause, prefill_ms: prefill_ms(query) })
@@ -143,13 +141,3 @@
 fn prefill_ms(query: &Query<'_>) -> f64 {
     if query.parts.is_empty() { 0.0 } else { Speed::default().prefill_ms(query.prompt_tokens) }
 }
-
-fn candidate(state: &UpstreamState) -> Candidate<'_> {
-    Candidate {
-        service: &state.record.announcement.service,
-        run: state.run(),
-        slots: state.record.announcement.slots,
-        upstream_hash: state.upstream_hash,
-        active: state.active_requests,
-    }
-}
--- a/crates/verbenaslip-relay/src/policy/restriction.rs
+++ b/crates/verbenaslip-relay/src/policy/restriction.rs
@@ -56,9 +56,9 @@
     Cooldown(Option<Duration>),
     /// The upstream is about to stop.
     Leaving,
-    /// The service of the upstream has become brittle; an upstream crashes if it refuses more
-    /// requests in a second.
-    Brittle(u32),
+    /// The service of the upstream has become brittle: an upstream crashes if it refuses more
+    /// requests in a second. `None` once that has ended.
+    Brittle(Option<u32>),
 }
 
 /// Describes why an upstream takes no request from this entry now.
