--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -19,7 +19,7 @@
 use crate::forward::request_log::{self, Trace, ViewInfo};
 use crate::forward::upstream_choice;
 use crate::forward::upstream_request;
-use crate::http::{Connection, Message};
+use crate::http::{Connection, Framing, Message};
 use crate::monotonic;
 use crate::policy::placement::{Choice, Ending};
 use crate::policy::quarantine;
@@ -317,8 +317,9 @@
     }
     let silence_limit = pause_limit(request, attempts);
     let first_byte_before = attempts.delivery.first_byte_at;
-    let proves_execution =
-        quarantine::proves_execution(status, response.head.framing(&request.head.method).ok());
+    let framing = response.head.framing(&request.head.method).ok();
+    trace.ends_with_connection = framing == Some(Framing::UntilClose);
+    let proves_execution = quarantine::proves_execution(status, framing);
     let slow_at = silence_limit.and_then(|_| context.slow_at(request, &choice, sent_at));
     let (tried_runs, retry_paid) = (&attempts.tried_runs, &mut attempts.retry_paid);
     let may_switch = |reason| context.may_switch(reason, request, &choice, tried_runs, retry_paid);
--- a/crates/verbenaslip-relay/src/forward/request_log.rs
+++ b/crates/verbenaslip-relay/src/forward/request_log.rs
@@ -47,6 +47,9 @@
     pub brittle: bool,
     /// Share of such requests that the service admits, if the request was refused because of it.
     pub admitted_share: Option<f64>,
+    /// Whether the last upstream's body has neither a length nor chunks, so that it ends with its
+    /// connection.
+    pub ends_with_connection: bool,
     /// When the first piece of the body arrived, after the arrival of the request.
     pub first_piece_after: Option<Duration>,
     /// When the caller may retry.
@@ -153,6 +156,7 @@
         ("admitted_share", json!(trace.admitted_share)),
         ("limit", json!(trace.rate_limit)),
         ("brittle", json!(trace.brittle)),
+        ("ends_with_connection", json!(trace.ends_with_connection)),
         ("first_ms", json!(trace.first_piece_after.map(|first| first.as_millis()))),
         ("back_ms", json!(trace.retry_after.map(|retry_after| retry_after.as_millis()))),
         ("pause_ms", json!(trace.longest_pause.as_millis())),
