Treat a stream that ends inside an event as broken off

Callers got streams as complete whose upstream had crashed in the middle of an event: an answer that has neither a length nor chunks ends with its connection, and a crashing upstream may close that in order. Any orderly end counted as the end of the answer, and the entry wrote its last chunk.

An orderly end now has to agree with what the stream says of itself: Position follows the lines of every event stream, with LF, CRLF or CR, and the answer is complete only between two events (after the line of a comment, too). Where only the connection ends it, a stream without a single event is not complete either; after a resumption that holds for the resumed part. Anything else is Broken, as after a reset: a stream that may be resumed goes on at another upstream behind its last whole event, others end without their last chunk, and upstream records, rollout counts, quarantine and the log say so. Event streams are sent in chunks even if they have a length, since a length can't be taken back.

Events leave as before: whole ones of resumable streams, everything else as it arrives. A position is a few bytes, and no piece is copied for it.

--- /dev/null
+++ b/crates/verbenaslip-base/tests/event_stream.rs
@@ -0,0 +1,41 @@
+//! Streams of events that end at any position.
+
+use verbenaslip_base::event_stream::Position;
+
+/// Returns the lengths after which a stream may end.
+fn ends(stream: &str) -> Vec<usize> {
+    let may_end = |length: &usize| {
+        let mut position = Position::default();
+        position.advance(&stream.as_bytes()[..*length]);
+        position.is_between_events()
+    };
+    (0..=stream.len()).filter(may_end).collect()
+}
+
+#[test]
+fn a_stream_may_end_only_between_events() {
+    assert_eq!(ends("id: 1\ndata: a\n\ndata: b\n\n"), [0, 15, 24]);
+    assert_eq!(ends("id: 1\r\ndata: a\r\n\r\ndata: b\r\n\r\n"), [0, 18, 29]);
+    assert_eq!(ends("data: a\r\rdata: b\r\r"), [0, 9, 18]);
+}
+
+#[test]
+fn a_comment_is_no_event() {
+    assert_eq!(ends(": a\n\ndata: b\n: c\n\n"), [0, 4, 5, 18]);
+    let mut position = Position::default();
+    position.advance(b": a\n\n\n");
+    assert!(!position.has_events());
+    position.advance(b"data: b\n\n");
+    assert!(position.has_events());
+}
+
+#[test]
+fn the_pieces_of_a_stream_make_no_difference() {
+    let stream = b"data: a\r\n\r\n: c\r\nid: 2\r\n\r\n\n\r";
+    let mut whole = Position::default();
+    assert_eq!(whole.advance(stream), Some(stream.len() - 1));
+    let mut by_byte = Position::default();
+    let between = stream.iter().map(|byte| by_byte.advance(&[*byte])).filter(Option::is_some);
+    assert_eq!(between.count(), 4);
+    assert_eq!(by_byte, whole);
+}
--- a/crates/verbenaslip-relay/src/forward/delivery.rs
+++ b/crates/verbenaslip-relay/src/forward/delivery.rs
@@ -11,7 +11,7 @@
 use crate::forward::exchange::Response;
 use crate::forward::failover::Failover;
 use crate::http::body::{LAST_CHUNK, write_chunk};
-use crate::http::{Connection, Decoder, Framing, Step};
+use crate::http::{Connection, Decoder, Framing, ResponseHead, Step};
 use crate::policy::pace::Gaps;
 use crate::policy::placement::Ending;
 use crate::policy::switching::Reason;
@@ -24,8 +24,10 @@
 pub struct Delivery {
     /// How the body is framed for the caller; `None` until the head is written.
     framing: Option<Framing>,
-    /// Splits a resumable stream into whole events.
+    /// Splits a resumable stream into whole events, and tracks where any other stands.
     splitter: Splitter,
+    /// Whether the present upstream's body is a stream of events.
+    is_event_stream: bool,
     /// When the first byte of the body arrived.
     pub first_byte_at: Option<Instant>,
     /// When the last piece of the body arrived.
@@ -103,9 +105,10 @@
         let Ok(framing) = response.head.framing(&request.head.method) else {
             return Outcome::Broken;
         };
+        self.is_event_stream = is_event_stream(request, &response.head);
         let mut out = Vec::new();
         if self.framing.is_none() {
-            let framing_to_caller = caller_framing(request, framing);
+            let framing_to_caller = caller_framing(request, framing, self.is_event_stream);
             out = answer::write_head(&response.head, framing_to_caller, request.closes_connection);
             self.framing = Some(framing_to_caller);
         }
@@ -122,6 +125,9 @@
                     return self.flush_partial(caller, &out, deadline, Outcome::Broken).await;
                 }
             };
+            if complete && !self.is_whole(framing) {
+                return self.flush_partial(caller, &out, deadline, Outcome::Broken).await;
+            }
             if complete {
                 self.finish_body(request, &mut out);
             }
@@ -146,6 +152,10 @@
                 if outcome == Outcome::Unresponsive && !(failover.may_switch)(Reason::Silent) {
                     continue;
                 }
+                if outcome == Outcome::Complete && !self.is_whole(framing) {
+                    self.splitter.discard_partial();
+                    return Outcome::Broken;
+                }
                 if outcome == Outcome::Complete {
                     self.finish_body(request, &mut out);
                     let sent = tokio::time::timeout_at(deadline, caller.send(&out)).await;
@@ -204,10 +214,24 @@
             let complete = self.splitter.push(data);
             self.append_framed(&complete, out);
         } else {
+            if self.is_event_stream {
+                self.splitter.skip(data);
+            }
             self.append_framed(data, out);
         }
     }
 
+    /// Returns whether an upstream's body that has ended here is whole.
+    ///
+    /// An upstream that crashes may close its connection in order. Where only that ends a stream,
+    /// one without a single event is not whole either.
+    fn is_whole(&self, framing: Framing) -> bool {
+        let position = self.splitter.position();
+        let may_be_empty = framing != Framing::UntilClose;
+        !self.is_event_stream
+            || (position.is_between_events() && (may_be_empty || position.has_events()))
+    }
+
     fn append_framed(&self, bytes: &[u8], out: &mut Vec<u8>) {
         match self.framing {
             _ if bytes.is_empty() => {}
@@ -277,14 +301,37 @@
     }
 }
 
+/// Returns whether an answer is a stream of events.
+fn is_event_stream(request: &AdmittedRequest<'_>, head: &ResponseHead) -> bool {
+    let is_success = (200..300).contains(&head.status);
+    let mut content_types = head.all("content-type").peekable();
+    if content_types.peek().is_none() {
+        return is_success && matches!(request.route.kind, RequestKind::Stream { .. });
+    }
+    is_success && content_types.any(|field| is_media_type(&field.value, b"text/event-stream"))
+}
+
+/// Returns whether a content type names a media type, with or without parameters.
+fn is_media_type(content_type: &[u8], media_type: &[u8]) -> bool {
+    let name = content_type.split(|byte| *byte == b';').next().unwrap_or_default();
+    name.trim_ascii().eq_ignore_ascii_case(media_type)
+}
+
 /// Returns how a body is framed for the caller.
 ///
 /// A body that ends with the upstream's connection is sent in chunks. Otherwise the caller would
-/// take the end of its own connection for the end of the body even if the upstream broke off.
-fn caller_framing(request: &AdmittedRequest<'_>, framing: Framing) -> Framing {
+/// take the end of its own connection for the end of the body even if the upstream broke off. So is
+/// a stream of events, which may have been broken off although it has its length.
+fn caller_framing(
+    request: &AdmittedRequest<'_>,
+    framing: Framing,
+    is_event_stream: bool,
+) -> Framing {
     match framing {
         Framing::Empty => Framing::Empty,
-        Framing::Length(length) if !request.is_resumable() => Framing::Length(length),
+        Framing::Length(length) if !request.is_resumable() && !is_event_stream => {
+            Framing::Length(length)
+        }
         _ if request.head.minor_version == 0 => Framing::UntilClose,
         _ => Framing::Chunked,
     }
