Reset callers of HTTP/1.0 whose answers are broken off

A caller of HTTP/1.0 gets bodies without chunks, and takes the orderly end of its connection for the end of the body. After a broken answer the entry closed in order, and so did the kernel when the process ended.

Such a connection is set to be reset on close while its answer is under way, which holds for every way out: upstream gone, deadline passed, retries used up, entry stopped or killed. Disposition tells a close after a whole answer, with an orderly end, from one in the middle of an answer.

Before: the first check of broken_answer_without_chunks_ends_with_a_reset got the broken stream in order. Now it passes, and so does the test that kills the entry in the middle of an answer, which was written after the change.

--- a/crates/verbenaslip-relay/src/forward/delivery.rs
+++ b/crates/verbenaslip-relay/src/forward/delivery.rs
@@ -94,6 +94,24 @@
     ///
     /// The caller must have received all of it by the deadline of its request.
     pub async fn deliver(
+        &mut self,
+        caller: &mut Connection,
+        request: &AdmittedRequest<'_>,
+        response: &mut Response,
+        failover: Failover<impl FnMut(Reason) -> bool>,
+    ) -> Outcome {
+        let outcome = self.pass_on(caller, request, response, failover).await;
+        let ends_with_connection = self.framing == Some(Framing::UntilClose);
+        if outcome == Outcome::Complete
+            && ends_with_connection
+            && caller.set_reset_on_close(false).is_err()
+        {
+            return Outcome::CallerGone;
+        }
+        outcome
+    }
+
+    async fn pass_on(
         &mut self,
         caller: &mut Connection,
         request: &AdmittedRequest<'_>,
@@ -111,6 +129,11 @@
             let framing_to_caller = caller_framing(request, framing, self.is_event_stream);
             out = answer::write_head(&response.head, framing_to_caller, request.closes_connection);
             self.framing = Some(framing_to_caller);
+            // The caller would take an orderly end of its connection for the end of the body.
+            if framing_to_caller == Framing::UntilClose && caller.set_reset_on_close(true).is_err()
+            {
+                return Outcome::CallerGone;
+            }
         }
         let mut decoder = Decoder::new(framing);
         loop {
--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -61,8 +61,10 @@
 pub enum Disposition {
     /// The connection takes the next request.
     KeepOpen,
-    /// The connection is closed.
+    /// The connection is closed after a whole answer.
     Close,
+    /// The connection is closed in the middle of an answer, or its caller has left.
+    Abort,
 }
 
 /// Serves one request.
@@ -82,7 +84,7 @@
     if caller_left {
         trace.outcome = "caller_gone";
         request_log::log_request(&view, &id, None, &trace, message.received_at);
-        return Disposition::Close;
+        return Disposition::Abort;
     }
     let admitted = admission::admit(context, &view, message, info.as_ref(), closes_connection);
     let disposition = match &admitted {
@@ -98,7 +100,10 @@
     };
     let request = admitted.as_ref().ok();
     request_log::log_request(&view, &id, request, &trace, message.received_at);
-    if closes_connection { Disposition::Close } else { disposition }
+    match disposition {
+        Disposition::KeepOpen if closes_connection => Disposition::Close,
+        disposition => disposition,
+    }
 }
 
 /// Waits a short time for a route table; returns whether the caller has left meanwhile.
@@ -146,7 +151,7 @@
         // The caller can only see that the answer is incomplete if the connection ends without an
         // end mark.
         trace.outcome = "cut";
-        return Disposition::Close;
+        return Disposition::Abort;
     }
     if attempts.sends == 0 {
         admission::refund_quota(context, request);
@@ -362,7 +367,7 @@
         Outcome::TimedOut => Next::Refuse((Refusal::TimedOut, None)),
         Outcome::CallerGone => {
             trace.outcome = "caller_gone";
-            Next::Done(Disposition::Close)
+            Next::Done(Disposition::Abort)
         }
     }
 }
@@ -405,7 +410,7 @@
     match failure {
         Failure::CallerGone => {
             trace.outcome = "caller_gone";
-            Next::Done(Disposition::Close)
+            Next::Done(Disposition::Abort)
         }
         Failure::Unreachable => {
             trace.unreached.push(choice.run.upstream.clone());
@@ -506,7 +511,7 @@
         answer::write_refusal(&*context.dialect, refusal, id, retry_after, closes_connection);
     match caller.send(&bytes).await {
         Ok(()) => Disposition::KeepOpen,
-        Err(_) => Disposition::Close,
+        Err(_) => Disposition::Abort,
     }
 }
 
--- a/crates/verbenaslip-relay/src/forward/place.rs
+++ b/crates/verbenaslip-relay/src/forward/place.rs
@@ -68,7 +68,7 @@
             () = caller.closed_by_peer() => {
                 admission::refund_quota(context, request);
                 trace.outcome = "caller_gone";
-                return Some(Next::Done(Disposition::Close));
+                return Some(Next::Done(Disposition::Abort));
             }
         }
         let placement = context.placement.borrow();
--- a/crates/verbenaslip-relay/src/forward/queue.rs
+++ b/crates/verbenaslip-relay/src/forward/queue.rs
@@ -196,7 +196,7 @@
                 admission::refund_quota(context, request);
             }
             trace.outcome = "caller_gone";
-            Next::Done(Disposition::Close)
+            Next::Done(Disposition::Abort)
         }
         Departure::Stopping => Next::Refuse((Refusal::Stopping, Some(admission::RETRY_AFTER_STOP))),
     })
--- a/crates/verbenaslip-relay/src/http/connection.rs
+++ b/crates/verbenaslip-relay/src/http/connection.rs
@@ -2,8 +2,10 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::BytesMut;
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -139,6 +141,16 @@
         self.buffer.is_empty() && is_open && self.is_lasting()
     }
 
+    /// Sets whether the peer sees a reset when this side closes the connection, or its process
+    /// ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection has already ended.
+    pub fn set_reset_on_close(&self, resets: bool) -> io::Result<()> {
+        SockRef::from(&self.stream).set_linger(resets.then_some(Duration::ZERO))
+    }
+
     /// Closes the sending side after all written bytes.
     pub async fn shutdown(&mut self) {
         // The peer may be gone already, which needs no handling.
--- a/crates/verbenaslip-relay/src/server.rs
+++ b/crates/verbenaslip-relay/src/server.rs
@@ -178,11 +178,10 @@
         active_requests.fetch_add(1, Ordering::Relaxed);
         let disposition = lifecycle::serve(context, &mut caller, &message, closes).await;
         active_requests.fetch_sub(1, Ordering::Relaxed);
-        if disposition == Disposition::Close {
-            if closes {
-                caller.shutdown().await;
-            }
-            return;
+        match disposition {
+            Disposition::KeepOpen => {}
+            Disposition::Close => return caller.shutdown().await,
+            Disposition::Abort => return,
         }
     }
 }
