Keep no event stream of a plain service that ends inside an event

The first face reads a plain service's answer whole and keeps it for its caller. A text/event-stream without a length that ended in order inside an event, or without one, was kept as whole. It now counts as cut, by the same Position that the relay uses. Streams of engines have an end mark and were not affected.

Before: the second case of the test ended as whole; now all five hold.

--- a/crates/verbenaslip-base/src/event_stream.rs
+++ b/crates/verbenaslip-base/src/event_stream.rs
@@ -81,3 +81,10 @@
         self.line = next;
     }
 }
+
+/// Returns whether the value of a `Content-Type` field names an event stream, with or without
+/// parameters.
+pub fn is_content_type(value: &[u8]) -> bool {
+    let media_type = value.split(|byte| *byte == b';').next().unwrap_or_default();
+    media_type.trim_ascii().eq_ignore_ascii_case(b"text/event-stream")
+}
--- a/crates/verbenaslip-relay/src/forward/delivery.rs
+++ b/crates/verbenaslip-relay/src/forward/delivery.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+use verbenaslip_base::event_stream;
 use verbenaslip_fleet::route_table::RequestKind;
 
 use crate::forward::admission::AdmittedRequest;
@@ -331,13 +332,7 @@
     if content_types.peek().is_none() {
         return is_success && matches!(request.route.kind, RequestKind::Stream { .. });
     }
-    is_success && content_types.any(|field| is_media_type(&field.value, b"text/event-stream"))
-}
-
-/// Returns whether a content type names a media type, with or without parameters.
-fn is_media_type(content_type: &[u8], media_type: &[u8]) -> bool {
-    let name = content_type.split(|byte| *byte == b';').next().unwrap_or_default();
-    name.trim_ascii().eq_ignore_ascii_case(media_type)
+    is_success && content_types.any(|field| event_stream::is_content_type(&field.value))
 }
 
 /// Returns how a body is framed for the caller.
--- a/crates/verbenaslip/src/traffic/client.rs
+++ b/crates/verbenaslip/src/traffic/client.rs
@@ -7,12 +7,13 @@
 
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderMap};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, TRANSFER_ENCODING};
 use hyper::http::request::Builder;
 use hyper::{Response, StatusCode};
 use serde_json::{Value, json};
 use verbenaslip_base::announce::Kind;
 use verbenaslip_base::attempt::Attempt;
+use verbenaslip_base::event_stream::{self, Position};
 use verbenaslip_request::answer::{AppendResult, ServiceResponse, TokenBatch};
 use verbenaslip_request::message::ActiveRun;
 use verbenaslip_request::run::{Cause, Event, Failure, Run, Start, Step};
@@ -291,7 +292,9 @@
         }
         self.step = Step::Read;
         let content = response.headers().get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
-        let content = content.unwrap_or("application/octet-stream").into();
+        let content: Arc<str> = content.unwrap_or("application/octet-stream").into();
+        let ends_with_connection = !response.headers().contains_key(CONTENT_LENGTH)
+            && !response.headers().contains_key(TRANSFER_ENCODING);
         let mut body = response.into_body();
         let mut bytes = Vec::new();
         while let Some(frame) = patient(self.run.stall, body.frame()).await? {
@@ -302,6 +305,14 @@
             }
             bytes.extend_from_slice(&data);
         }
+        if event_stream::is_content_type(content.as_bytes()) {
+            let mut position = Position::default();
+            position.advance(&bytes);
+            let lacks_events = ends_with_connection && !position.has_events();
+            if lacks_events || !position.is_between_events() {
+                return Err(Cause::Cut.into());
+            }
+        }
         let whole = ServiceResponse { status: status.as_u16(), content, bytes: bytes.into() };
         match self.shelf.fill(self.run.attempt, whole) {
             AppendResult::Appended | AppendResult::Duplicate => Ok(0),
--- a/crates/verbenaslip/tests/traffic/upstream.rs
+++ b/crates/verbenaslip/tests/traffic/upstream.rs
@@ -289,3 +289,29 @@
         }
     }
 }
+
+// Guards against a service's event stream that ends inside an event being kept as a whole answer.
+#[test]
+fn an_event_stream_of_a_plain_service_ends_between_events() {
+    let bench = bench();
+    let ask = "POST /v1/services/stock/orders HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+               authorization: Bearer secret\r\ncontent-length: 3\r\n\r\nabc";
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream; charset=utf-8\r\n";
+    let cut = Event::Failed(Failure { step: Step::Read, cause: Cause::Cut, not_run: false });
+    for (rest, ended) in [
+        ("\r\ndata: a\n\n", Event::Ended { position: 0 }),
+        ("\r\ndata: a\n\ndata: b\n", cut.clone()),
+        ("\r\n", cut.clone()),
+        ("content-length: 7\r\n\r\ndata: a", cut),
+        ("content-length: 0\r\n\r\n", Event::Ended { position: 0 }),
+    ] {
+        let _caller = bench.send(ask);
+        let arrival = bench.arrival();
+        bench.serve(&arrival);
+        let upstream = Script::spawn(vec![vec![Act::Say(format!("{head}{rest}"))]]);
+        let mut run = run(&arrival, 1, upstream.address, Start::Fresh);
+        run.kind = Kind::Service;
+        bench.traffic.run(run);
+        assert_eq!(bench.ended(), ended, "{rest:?}");
+    }
+}
