--- a/crates/verbenaslip-relay/src/dialect.rs
+++ b/crates/verbenaslip-relay/src/dialect.rs
@@ -24,6 +24,9 @@
     pub prompt_parts: Vec<PromptPart>,
     /// Identity of the last event of the answer that the caller has received.
     pub last_event_id: Option<u64>,
+    /// Identity of the request whose answer brought the first event of the stream that this one
+    /// takes up.
+    pub resumes: Option<Arc<str>>,
 }
 
 /// Holds the size of a generation.
--- a/crates/verbenaslip-relay/src/forward/request_log.rs
+++ b/crates/verbenaslip-relay/src/forward/request_log.rs
@@ -122,6 +122,9 @@
         trace.attempts.iter().filter_map(|it| it.gateway).map(|it| it.to_string()).collect();
     let sent_after: Vec<u128> =
         trace.attempts.iter().map(|attempt| attempt.sent_after.as_millis()).collect();
+    let resumes = request.and_then(|request| request.info.resumes.as_deref());
+    let names_version =
+        rollout_plan(view, request).is_some() || resumes.is_some() || trace.attempts.len() > 1;
     let fields = [
         ("id", json!(id)),
         ("route", json!(route)),
@@ -164,7 +167,8 @@
         ("queue_position", json!(trace.queue_position)),
         ("queue_left", json!(trace.queue_left)),
         ("cohort", json!(trace.cohort.map(|it| format!("{it:?}")))),
-        ("version", json!(rollout_plan(view, request).and(trace.version.as_ref()))),
+        ("resumes", json!(resumes)),
+        ("version", json!(trace.version.as_ref().filter(|_| names_version))),
         ("revision", json!(view.revision())),
         ("view_age_ms", json!(leader_silence.map(|leader_silence| leader_silence.as_millis()))),
     ];
