--- a/crates/verbenaslip-cli/src/command/explain/line.rs
+++ b/crates/verbenaslip-cli/src/command/explain/line.rs
@@ -80,11 +80,17 @@
         Some(Self { at, file: file.to_owned(), fields })
     }
 
-    /// Returns whether the line names the request.
+    /// Returns whether the line names the request, or one that takes up its stream.
     pub(super) fn mentions(&self, id: &str) -> bool {
         let is_id = |value: &Value| value.as_str() == Some(id);
         let array = |name| self.fields.get(name).and_then(Value::as_array).into_iter().flatten();
-        self.fields.get("id").is_some_and(is_id) || array("ids").any(is_id)
+        ["id", "resumes"].iter().any(|name| self.fields.get(*name).is_some_and(is_id))
+            || array("ids").any(is_id)
+    }
+
+    /// Returns the request that began the stream which the line's request takes up.
+    pub(super) fn resumes(&self) -> Option<&str> {
+        self.fields.get("resumes").and_then(Value::as_str)
     }
 
     /// Returns the content identifier of the request that the line is about.
--- a/crates/verbenaslip-cli/tests/explain.rs
+++ b/crates/verbenaslip-cli/tests/explain.rs
@@ -113,6 +113,19 @@
     assert_eq!(out.lines().count(), 3, "{out}");
 }
 
+#[test]
+fn requests_that_take_up_a_stream_lead_to_each_other() {
+    let first = r#"{"at":1783618628100,"event":901,"what":"request_ended","id":"a1","outcome":"caller_gone","status":200,"upstreams":["i-1"]}"#;
+    let other = r#"{"at":1783618628900,"event":901,"what":"request_ended","id":"b1","resumes":"a1","origin":"core","origin_age_ms":700,"version":"v1","outcome":"cut","status":200}
+{"at":1783618629300,"event":901,"what":"request_ended","id":"c1","resumes":"a1","origin":"core","version":"v1","outcome":"answered","status":200}
+{"at":1783618629400,"event":901,"what":"request_ended","id":"d1","outcome":"answered","status":200}"#;
+    let logs = [("one.log", first), ("two.log", other)];
+    for id in ["a1", "b1", "c1"] {
+        let out = explain_request("resumes", id, &logs);
+        assert_eq!(out.lines().count(), 3, "{id}: {out}");
+    }
+}
+
 /// Returns the output of `explain --id` for one request on the given log files.
 fn explain_request(name: &str, id: &str, logs: &[(&str, &str)]) -> String {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("explain").join(name);
--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -36,6 +36,7 @@
 use crate::limit::Limits;
 use crate::link::Link;
 use crate::order::{self, Dispatcher};
+use crate::origin::Origins;
 use crate::plan::Planner;
 use crate::quarantine::{Quarantine, QuarantinePolicy};
 use crate::registry::Registry;
@@ -104,6 +105,8 @@
     pub(crate) aggregator: Aggregator,
     /// Entries that open connections for others.
     gateways: Directory,
+    /// Versions at which streams began.
+    origins: Origins,
     /// Whether this instance is shutting down.
     pub(crate) stopping: bool,
     /// Addresses of the cores, as the leader sends them to other instances.
@@ -212,6 +215,7 @@
             route_table_applied_at: now,
             aggregator: Aggregator::default(),
             gateways: Directory::default(),
+            origins: Origins::new(now),
             stopping: false,
             core_addresses: Vec::new(),
             quarantine: Quarantine::default(),
@@ -326,7 +330,24 @@
                 let gateways = self.gateways.register(now, registration);
                 self.send(to, Frame::Gateways(gateways));
             }
+            Frame::RecordOrigins { acknowledge_to, origins } => {
+                origins.iter().for_each(|it| self.origins.record(self.now, it));
+                if let Some(count) = self.origins.take_loss(self.now) {
+                    self.outputs.push(Output::Event(Event::OriginsLost { count }));
+                }
+                if let Some(to) = acknowledge_to {
+                    self.send(to, Frame::OriginsRecorded);
+                }
+            }
+            Frame::FindOrigins { from, streams } => {
+                let find = |stream| self.origins.find(self.now, stream);
+                let findings = streams.into_iter().map(find).collect();
+                let local_address = self.link.local_peer().address;
+                self.send(from, Frame::OriginsFound { from: local_address, findings });
+            }
             Frame::Gateways(_)
+            | Frame::OriginsRecorded
+            | Frame::OriginsFound { .. }
             | Frame::Update(_)
             | Frame::CrashReportReceived { .. }
             | Frame::ReportTo { .. } => {}
--- a/crates/verbenaslip-fleet/src/core/event.rs
+++ b/crates/verbenaslip-fleet/src/core/event.rs
@@ -45,6 +45,11 @@
     UpstreamWithdrawn(Run),
     /// A stale announcement was ignored.
     StaleAnnouncement(StaleAnnouncement),
+    /// There was no room for the origins of this many streams.
+    OriginsLost {
+        /// Number since the last such event.
+        count: usize,
+    },
     /// A departure was acknowledged.
     DepartureAcknowledged {
         /// The run and its new status.
--- a/crates/verbenaslip-fleet/src/entry.rs
+++ b/crates/verbenaslip-fleet/src/entry.rs
@@ -7,10 +7,15 @@
 use crate::frame::{Frame, Peer};
 use crate::gateway::{Membership, Registration};
 use crate::link::{Link, Report, Targets};
+use crate::origin::{self, Origin, Stream};
 use crate::quota::LoanRequest;
 use crate::transition::Transitions;
 use crate::view::View;
 
+/// Time between two acknowledgements of origins: shorter than the time after which a connection
+/// without answers is replaced.
+const ORIGIN_ACKNOWLEDGEMENT_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Maintains an entry's view of the fleet.
 #[derive(Debug)]
 pub struct Entry {
@@ -18,6 +23,8 @@
     crash_reporter: CrashReporter,
     /// Membership among the gateways, if this entry is one.
     membership: Option<Membership>,
+    /// When the next acknowledgement of origins is wanted.
+    next_origin_acknowledgement: Duration,
 }
 
 /// Holds a frame to be sent.
@@ -34,6 +41,7 @@
     pub fn new(local_peer: Peer, seeds: Vec<SocketAddr>, now: Duration, unix_ms: u64) -> Self {
         Self {
             membership: None,
+            next_origin_acknowledgement: Duration::ZERO,
             link: Link::new(local_peer, seeds, now, unix_ms),
             crash_reporter: CrashReporter::default(),
         }
@@ -117,6 +125,31 @@
         Some(Envelope { to: vec![target], frame: Frame::RequestLoans { from, requests } })
     }
 
+    /// Builds the frame that tells cores at which versions streams begin; returns `None` without
+    /// origins or cores.
+    pub fn record_origins(&mut self, now: Duration, origins: Vec<Origin>) -> Option<Envelope> {
+        let from = self.link.local_peer().address;
+        let to = origin::keepers(from, &self.view().cores);
+        if origins.is_empty() || to.is_empty() {
+            return None;
+        }
+        let is_due = now >= self.next_origin_acknowledgement;
+        if is_due {
+            self.next_origin_acknowledgement = now + ORIGIN_ACKNOWLEDGEMENT_INTERVAL;
+        }
+        let acknowledge_to = is_due.then_some(from);
+        Some(Envelope { to, frame: Frame::RecordOrigins { acknowledge_to, origins } })
+    }
+
+    /// Builds the question for the origins of streams, to all cores; returns `None` without
+    /// streams or cores.
+    pub fn find_origins(&self, streams: Vec<Stream>) -> Option<Envelope> {
+        let to = self.view().cores.clone();
+        let from = self.link.local_peer().address;
+        let is_useful = !streams.is_empty() && !to.is_empty();
+        is_useful.then_some(Envelope { to, frame: Frame::FindOrigins { from, streams } })
+    }
+
     /// Builds the notice that this entry stops.
     pub fn stop_notice(&self, now: Duration) -> Option<Envelope> {
         let address = self.link.local_peer().address;
@@ -177,6 +210,10 @@
             }
             Frame::Log { .. }
             | Frame::RegisterGateway(_)
+            | Frame::RecordOrigins { .. }
+            | Frame::OriginsRecorded
+            | Frame::FindOrigins { .. }
+            | Frame::OriginsFound { .. }
             | Frame::Heartbeat(_)
             | Frame::RequestLoans { .. }
             | Frame::GrantLoans(_)
--- a/crates/verbenaslip-fleet/src/frame.rs
+++ b/crates/verbenaslip-fleet/src/frame.rs
@@ -16,6 +16,7 @@
 use crate::limit::{Limits, Observation, TimeSlot};
 use crate::load::WorkReport;
 use crate::measurement::{FigureReport, Totals};
+use crate::origin::{Finding, Origin, Stream};
 use crate::parent::ParentCore;
 use crate::quarantine::Blocklist;
 use crate::quota::{LoanGrant, LoanRequest, Refund};
@@ -115,6 +116,29 @@
     RegisterGateway(Registration),
     /// Answers a registration with some other gateways.
     Gateways(Vec<Gateway>),
+    /// Tells a core at which versions streams begin.
+    RecordOrigins {
+        /// Receiver of an acknowledgement, if one is wanted.
+        acknowledge_to: Option<SocketAddr>,
+        /// The origins.
+        origins: Vec<Origin>,
+    },
+    /// Acknowledges origins, so that the connection is known to work.
+    OriginsRecorded,
+    /// Asks a core for the origins of streams.
+    FindOrigins {
+        /// Receiver of the answer.
+        from: SocketAddr,
+        /// The streams.
+        streams: Vec<Stream>,
+    },
+    /// Answers with what a core knows about the origins of streams.
+    OriginsFound {
+        /// The core.
+        from: SocketAddr,
+        /// What it knows, one item for each stream.
+        findings: Vec<Finding>,
+    },
 }
 
 impl Frame {
@@ -137,6 +161,10 @@
             Self::EntryStopped { .. } => "ended",
             Self::RegisterGateway(_) => "register_gateway",
             Self::Gateways(_) => "gateways",
+            Self::RecordOrigins { .. } => "record_origins",
+            Self::OriginsRecorded => "origins_recorded",
+            Self::FindOrigins { .. } => "find_origins",
+            Self::OriginsFound { .. } => "origins_found",
         }
     }
 }
--- a/crates/verbenaslip-fleet/src/lib.rs
+++ b/crates/verbenaslip-fleet/src/lib.rs
@@ -34,7 +34,8 @@
 //! 9. [`measurement`] holds what all entries together have measured at the upstreams.
 //! 10. [`gateway`] tells entries through which others they reach upstreams if their own paths are
 //!     cut.
-//! 11. [`core`] and [`entry`] compose these parts.
+//! 11. [`origin`] remembers at which software version streams began.
+//! 12. [`core`] and [`entry`] compose these parts.
 //!
 //! Messages may be lost, delayed, duplicated or reordered; each of them can be sent again.
 
@@ -55,6 +56,7 @@
 pub mod load;
 pub mod measurement;
 pub mod order;
+pub mod origin;
 pub mod parent;
 pub mod plan;
 pub mod quarantine;
--- a/crates/verbenaslip-instance/src/entry.rs
+++ b/crates/verbenaslip-instance/src/entry.rs
@@ -35,6 +35,10 @@
 /// Time without an update after which the leader counts as lost; the loss is logged and the settings are read again.
 const LEADER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time between two frames with the origins of streams: a fraction of the shortest time to a first
+/// event, before which the cores must know them.
+const ORIGIN_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Time that the connections get to send the last message of a stopping entry.
 const FLUSH_TIME: Duration = Duration::from_millis(20);
 
@@ -110,9 +114,14 @@
         leader_lost_at,
         stop,
         had_figures: false,
+        next_origins: Duration::ZERO,
+        origins_due: false,
     };
     loop {
         running_entry.send_due_reports();
+        if running_entry.origins_due {
+            running_entry.send_origins();
+        }
         if running_entry.advance_stop() {
             running_entry.send_stop_notice().await;
             return Ok(());
@@ -127,6 +136,7 @@
             },
             Some(frame) = frames.recv() => running_entry.handle_frame(frame),
             () = shared.wait_for_loan_requests() => running_entry.request_loans(),
+            () = shared.wait_for_origins() => running_entry.send_origins(),
             () = shared.wait_for_path_change() => running_entry.update_carries(),
             () = shared.wait_for_observations() => running_entry.collect_observations(),
             () = tokio::time::sleep(wait) => running_entry.watch_leader(&reload),
@@ -144,6 +154,10 @@
     stop: Option<Stop>,
     /// Whether figures of upstreams have been held.
     had_figures: bool,
+    /// When cores may be told of the next streams.
+    next_origins: Duration,
+    /// Whether there are streams of which cores have not been told.
+    origins_due: bool,
 }
 
 impl RunningEntry {
@@ -185,6 +199,24 @@
         self.send(envelope);
     }
 
+    /// Tells cores of the streams that begin here, a few at a time, and asks them at once for the
+    /// origins of others.
+    fn send_origins(&mut self) {
+        self.send(self.state_machine.find_origins(self.shared.take_wanted_streams()));
+        let now = monotonic::now();
+        if now < self.next_origins && !self.shared.origins_are_urgent() {
+            self.origins_due = true;
+            return;
+        }
+        let origins = self.shared.take_origins();
+        if !origins.is_empty() {
+            self.next_origins = now + ORIGIN_INTERVAL;
+        }
+        self.origins_due = false;
+        let envelope = self.state_machine.record_origins(now, origins);
+        self.send(envelope);
+    }
+
     fn send(&self, envelope: Option<Envelope>) {
         if let Some(Envelope { to, frame }) = envelope {
             self.links.multicast(to, &frame);
@@ -192,8 +224,10 @@
     }
 
     fn handle_frame(&mut self, frame: Frame) {
-        if let Frame::GrantLoans(grants) = frame {
-            return self.shared.deliver_loan_grants(grants);
+        match frame {
+            Frame::GrantLoans(grants) => return self.shared.deliver_loan_grants(grants),
+            Frame::OriginsFound { findings, .. } => return self.shared.deliver_findings(&findings),
+            _ => {}
         }
         let envelope = self.state_machine.handle_frame(monotonic::now(), frame);
         self.send(envelope);
@@ -254,7 +288,9 @@
     /// Returns the time at which the next work is due.
     fn next_wakeup(&self) -> Duration {
         let next_phase = self.stop.map(|stop| stop.next_phase_at(monotonic::now()));
-        self.state_machine.next_wakeup().min(next_phase.unwrap_or(Duration::MAX))
+        let next_origins = if self.origins_due { self.next_origins } else { Duration::MAX };
+        let next_wakeup = self.state_machine.next_wakeup().min(next_origins);
+        next_wakeup.min(next_phase.unwrap_or(Duration::MAX))
     }
 
     fn begin_stop(&mut self, grace: Duration) {
--- a/crates/verbenaslip-instance/src/event.rs
+++ b/crates/verbenaslip-instance/src/event.rs
@@ -75,5 +75,7 @@
 pub(crate) const DISK_REOPENED: Kind = Kind { number: 921, name: "disk_opened" };
 /// A different number of upstreams has been planned for a service; the orders follow.
 pub(crate) const SCALING_PLANNED: Kind = Kind { number: 929, name: "upstreams_planned" };
+/// A core has no room for the origins of streams; taking up these streams fails.
+pub(crate) const ORIGINS_LOST: Kind = Kind { number: 957, name: "origins_lost" };
 /// An order has been sent to the cloud, or had expired before it could be sent.
 pub(crate) const CLOUD_ORDERED: Kind = Kind { number: 930, name: "cloud_ordered" };
--- a/crates/verbenaslip-instance/src/logging.rs
+++ b/crates/verbenaslip-instance/src/logging.rs
@@ -94,6 +94,7 @@
             ],
         ),
         Event::UpstreamFigures(summary) => log_figures(&summary),
+        Event::OriginsLost { count } => emit(event::ORIGINS_LOST, [("count", json!(count))]),
         Event::CallTimedOut { call } => emit(event::CALL_TIMED_OUT, [("asked", json!(call))]),
         Event::UnreadableLog(cause) => emit(event::LOG_UNREADABLE, [("cause", json!(cause))]),
     }
--- a/crates/verbenaslip-relay/src/forward.rs
+++ b/crates/verbenaslip-relay/src/forward.rs
@@ -3,7 +3,8 @@
 //! [`admission`] determines the team and the route of a request. [`lifecycle`] runs the request:
 //! whether it is retried, and what its caller gets. [`queue`] holds it while no upstream accepts it, and
 //! [`place`] while this entry has no place at a brittle one,
-//! and [`upstream_choice`] selects the upstream.
+//! and [`upstream_choice`] selects the upstream. [`origin`] keeps streams that are taken up at the
+//! software version that began them.
 //! [`upstream_request`] writes the request for an upstream, [`exchange`] sends it over a connection
 //! that [`dial`] opens, and reads the head of the answer. [`delivery`] passes the answer on and, for a resumable stream, continues
 //! where another upstream broke off. [`failover`] states when a request leaves an unresponsive
@@ -23,6 +24,7 @@
 pub mod exchange;
 pub(crate) mod failover;
 pub mod lifecycle;
+pub(crate) mod origin;
 pub(crate) mod path_log;
 pub(crate) mod place;
 pub mod pool;
--- a/crates/verbenaslip-relay/src/forward/admission.rs
+++ b/crates/verbenaslip-relay/src/forward/admission.rs
@@ -92,8 +92,18 @@
             returning: self.returning,
             may_have_run: false,
             tracks: Tracks::default(),
+            version: None,
         }
     }
+
+    /// Sends the request to another service of its route.
+    pub(super) fn set_service(&mut self, service: Arc<str>, view: &View) {
+        let table = view.routes.as_ref().map(|routes| routes.route_table());
+        self.upstream_connections = table
+            .and_then(|table| table.service(&service))
+            .map_or(u32::MAX, |it| it.max_connections);
+        self.service = service;
+    }
 }
 
 /// Determines the route and the team of a request.
--- a/crates/verbenaslip-relay/src/forward/answer.rs
+++ b/crates/verbenaslip-relay/src/forward/answer.rs
@@ -36,6 +36,8 @@
     CoolingDown,
     /// Upstreams have crashed during such a request; this one was not run.
     Quarantined,
+    /// The request takes up a stream that began at an unknown software version; it was not run.
+    UnknownVersion,
     /// Every upstream that received the request stated that it did not run it.
     NotRun,
     /// An upstream failed; the request may have run.
@@ -65,6 +67,7 @@
             | Self::CoolingDown
             | Self::Quarantined
             | Self::NotRun
+            | Self::UnknownVersion
             | Self::Stopping
             | Self::DeadlineExpired => 503,
             Self::TimedOut => 504,
@@ -88,6 +91,7 @@
             Self::RateLimited => "limited",
             Self::CoolingDown => "resting",
             Self::Quarantined => "held_back",
+            Self::UnknownVersion => "unknown_version",
             Self::NotRun => "turned_away",
             Self::Failed => "failed",
             Self::TimedOut => "timed_out",
--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -13,6 +13,7 @@
 use verbenaslip_fleet::gateway::Gateway;
 use verbenaslip_fleet::limit::Observation;
 use verbenaslip_fleet::measurement::RunKey;
+use verbenaslip_fleet::origin::Origins;
 use verbenaslip_fleet::registry::{Announcement, Record, Run};
 use verbenaslip_fleet::view::View;
 
@@ -27,6 +28,7 @@
 use crate::http::Connection;
 use crate::monotonic;
 use crate::policy::allowance::Allowances;
+use crate::policy::builds::Builds;
 use crate::policy::gateways::Gateways;
 use crate::policy::pace::Pace;
 use crate::policy::path::{Change as PathChange, Fault, Group, Paths};
@@ -58,6 +60,9 @@
     pub(crate) returning_callers: RefCell<ReturningCallers>,
     pub(crate) quarantine: RefCell<Quarantine>,
     pub(crate) random_state: Cell<u64>,
+    pub(crate) builds: RefCell<Builds>,
+    /// Versions at which streams began at this entry.
+    pub(crate) origins: RefCell<Origins>,
     pub(crate) paths: RefCell<Paths>,
     pub(crate) gateways: RefCell<Gateways>,
     /// The list from which `gateways` was last updated.
@@ -93,6 +98,8 @@
             returning_callers: RefCell::new(ReturningCallers::default()),
             quarantine: RefCell::new(Quarantine::default()),
             random_state: Cell::new(monotonic::unix_ms()),
+            builds: RefCell::default(),
+            origins: RefCell::new(Origins::new(monotonic::now())),
             paths: RefCell::new(Paths::default()),
             gateways: RefCell::new(Gateways::default()),
             known_gateways: RefCell::default(),
@@ -123,6 +130,7 @@
             self.gateways.borrow_mut().update(&view.gateways);
             *self.known_gateways.borrow_mut() = view.gateways.clone();
         }
+        self.builds.borrow_mut().update(monotonic::now(), &view);
         let answers = self.quarantine.borrow_mut().update(&view.blocklist);
         answers.into_iter().for_each(|it| self.shared.add_answer(it));
         view
@@ -249,10 +257,23 @@
         f64::from(step) / f64::from(u32::MAX)
     }
 
-    /// Chooses the versions that may take a request.
-    pub(crate) fn choose_tracks(&self, request: &AdmittedRequest<'_>, is_retry: bool) -> Tracks {
+    /// Returns the software version at which all streams of a service are, if there is only one.
+    pub(crate) fn settled_version(&self, service: &str) -> Option<Arc<str>> {
+        self.builds.borrow_mut().settled(monotonic::now(), service)
+    }
+
+    /// Chooses the versions that may take a request; `continues` tells whether its answer has begun.
+    pub(crate) fn choose_tracks(
+        &self,
+        request: &AdmittedRequest<'_>,
+        is_retry: bool,
+        continues: bool,
+    ) -> Tracks {
         let random_fraction = self.random_fraction();
         let versions = self.shared.versions();
+        if continues {
+            return versions.continuing_tracks(monotonic::now(), &request.service);
+        }
         versions.choose_tracks(
             monotonic::now(),
             &request.service,
@@ -403,14 +424,14 @@
         reason: Reason,
         request: &AdmittedRequest<'_>,
         choice: &Choice,
-        tried_runs: &[Run],
+        (version, tried_runs): (Option<&str>, &[Run]),
         retry_paid: &mut bool,
     ) -> bool {
         // The other upstream may have left since this request arrived.
         self.refresh_view();
         let may_switch = match reason {
-            Reason::Silent => self.may_leave_silent(request, tried_runs, retry_paid),
-            Reason::Slow => self.may_leave_slow(request, choice, tried_runs, retry_paid),
+            Reason::Silent => self.may_leave_silent(request, version, tried_runs, retry_paid),
+            Reason::Slow => self.may_leave_slow(request, choice, (version, tried_runs), retry_paid),
         };
         if may_switch {
             let reason = reason.name();
@@ -427,11 +448,13 @@
     fn may_leave_silent(
         &self,
         request: &AdmittedRequest<'_>,
+        version: Option<&str>,
         tried_runs: &[Run],
         retry_paid: &mut bool,
     ) -> bool {
-        let has_alternative =
-            self.placement.borrow().has_alternative(monotonic::now(), &request.service, tried_runs);
+        let (now, placement) = (monotonic::now(), self.placement.borrow());
+        let has_alternative = placement.has_alternative(now, &request.service, version, tried_runs);
+        drop(placement);
         *retry_paid = *retry_paid || (has_alternative && self.spend_retry(request));
         *retry_paid && has_alternative
     }
@@ -463,7 +486,7 @@
         &self,
         request: &AdmittedRequest<'_>,
         choice: &Choice,
-        tried_runs: &[Run],
+        (version, tried_runs): (Option<&str>, &[Run]),
         retry_paid: &mut bool,
     ) -> bool {
         let now = monotonic::now();
@@ -472,7 +495,8 @@
             // The attempt at the slow upstream is among the tried runs.
             has_spare_attempt: tried_runs.len() + 1 < request.route.max_attempts as usize,
             may_have_run: true,
-            tracks: self.choose_tracks(request, true),
+            tracks: self.choose_tracks(request, true, version.is_some()),
+            version,
             ..request.query(tried_runs, remaining)
         };
         let slow_request = {
--- a/crates/verbenaslip-relay/src/forward/delivery.rs
+++ b/crates/verbenaslip-relay/src/forward/delivery.rs
@@ -29,6 +29,8 @@
     splitter: Splitter,
     /// Whether the present upstream's body is a stream of events.
     is_event_stream: bool,
+    /// Whether the caller has received a part of the body.
+    pub has_events: bool,
     /// When the first byte of the body arrived.
     pub first_byte_at: Option<Instant>,
     /// When the last piece of the body arrived.
@@ -99,7 +101,7 @@
         caller: &mut Connection,
         request: &AdmittedRequest<'_>,
         response: &mut Response,
-        failover: Failover<impl FnMut(Reason) -> bool>,
+        failover: Failover<impl FnMut(Reason, bool) -> bool>,
     ) -> Outcome {
         let outcome = self.pass_on(caller, request, response, failover).await;
         let ends_with_connection = self.framing == Some(Framing::UntilClose);
@@ -117,7 +119,7 @@
         caller: &mut Connection,
         request: &AdmittedRequest<'_>,
         response: &mut Response,
-        mut failover: Failover<impl FnMut(Reason) -> bool>,
+        mut failover: Failover<impl FnMut(Reason, bool) -> bool>,
     ) -> Outcome {
         let deadline = request.deadline;
         self.has_piece = false;
@@ -173,7 +175,9 @@
                 wait_for_more(caller, &mut response.connection, &decoder, deadline, &mut failover)
                     .await
             {
-                if outcome == Outcome::Unresponsive && !(failover.may_switch)(Reason::Silent) {
+                if outcome == Outcome::Unresponsive
+                    && !(failover.may_switch)(Reason::Silent, self.has_events)
+                {
                     continue;
                 }
                 if outcome == Outcome::Complete && !self.is_whole(framing) {
@@ -256,7 +260,8 @@
             || (position.is_between_events() && (may_be_empty || position.has_events()))
     }
 
-    fn append_framed(&self, bytes: &[u8], out: &mut Vec<u8>) {
+    fn append_framed(&mut self, bytes: &[u8], out: &mut Vec<u8>) {
+        self.has_events |= !bytes.is_empty();
         match self.framing {
             _ if bytes.is_empty() => {}
             Some(Framing::Chunked) => write_chunk(bytes, out),
@@ -297,7 +302,7 @@
     connection: &mut Connection,
     decoder: &Decoder,
     deadline: Instant,
-    failover: &mut Failover<impl FnMut(Reason) -> bool>,
+    failover: &mut Failover<impl FnMut(Reason, bool) -> bool>,
 ) -> Option<Outcome> {
     let silent_until =
         failover.silence_limit.map_or(deadline, |silence_limit| Instant::now() + silence_limit);
--- a/crates/verbenaslip-relay/src/forward/exchange.rs
+++ b/crates/verbenaslip-relay/src/forward/exchange.rs
@@ -77,7 +77,7 @@
     caller: &mut Connection,
     request: &AdmittedRequest<'_>,
     outgoing: &mut Outgoing<'_>,
-    mut failover: Failover<impl FnMut(Reason) -> bool>,
+    mut failover: Failover<impl FnMut(Reason, bool) -> bool>,
 ) -> Result<Response, Failure> {
     let deadline_after = |silence_limit: Option<Duration>| {
         silence_limit.map_or(request.deadline, |silence_limit| {
@@ -135,7 +135,7 @@
                 context.record_silence(&choice.run, SUSPICION_TIME);
             }
             () = context.connections_hang.notified(), if is_direct && failover.silence_limit.is_some() => {
-                if context.may_hang(&choice.run) && (failover.may_switch)(Reason::Silent) {
+                if context.may_hang(&choice.run) && (failover.may_switch)(Reason::Silent, false) {
                     return Err(Failure::Unresponsive);
                 }
             }
@@ -145,7 +145,7 @@
                 }
             }
             () = tokio::time::sleep_until(deadline) => {
-                if deadline == request.deadline || (failover.may_switch)(Reason::Silent) {
+                if deadline == request.deadline || (failover.may_switch)(Reason::Silent, false) {
                     return Err(Failure::Unresponsive);
                 }
                 deadline = deadline_after(failover.silence_limit);
--- a/crates/verbenaslip-relay/src/forward/failover.rs
+++ b/crates/verbenaslip-relay/src/forward/failover.rs
@@ -14,16 +14,17 @@
     pub slow_at: Option<Instant>,
     /// Longest silence; `None` if the request never leaves the upstream.
     pub silence_limit: Option<Duration>,
-    /// Returns whether another upstream can continue, and spends a retry for that.
+    /// Returns whether another upstream can continue, and spends a retry for that; the second
+    /// argument tells whether the caller has received a part of the body.
     pub may_switch: F,
 }
 
-impl<F: FnMut(Reason) -> bool> Failover<F> {
+impl<F: FnMut(Reason, bool) -> bool> Failover<F> {
     /// Returns whether the request leaves its upstream because that has become slow; the next wait
     /// lasts up to the silence limit.
     pub fn leaves_slow_upstream(&mut self) -> bool {
         self.slow_at = None;
-        (self.may_switch)(Reason::Slow)
+        (self.may_switch)(Reason::Slow, false)
     }
 
     /// Returns when the wait at the upstream is interrupted, given when it ends.
--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -1,6 +1,7 @@
 //! Runs one request: where it goes, whether it is retried, and what its caller gets.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -14,6 +15,7 @@
 use crate::forward::delivery::{Delivery, Outcome};
 use crate::forward::exchange::{self, Failure, Outgoing, Response};
 use crate::forward::failover::Failover;
+use crate::forward::origin;
 use crate::forward::place;
 use crate::forward::queue;
 use crate::forward::request_log::{self, Trace, ViewInfo};
@@ -86,8 +88,8 @@
         request_log::log_request(&view, &id, None, &trace, message.received_at);
         return Disposition::Abort;
     }
-    let admitted = admission::admit(context, &view, message, info.as_ref(), closes_connection);
-    let disposition = match &admitted {
+    let mut admitted = admission::admit(context, &view, message, info.as_ref(), closes_connection);
+    let disposition = match &mut admitted {
         Ok(request) => match admission::charge_quota(context, &view, request).await {
             Ok(()) => run_attempts(context, caller, request, &mut trace).await,
             Err(rejection) => {
@@ -130,11 +132,16 @@
 async fn run_attempts(
     context: &Context,
     caller: &mut Connection,
-    request: &AdmittedRequest<'_>,
+    request: &mut AdmittedRequest<'_>,
     trace: &mut Trace,
 ) -> Disposition {
     let mut attempts = Attempts::default();
+    let restricted = origin::restrict(context, request, &mut attempts, trace).await;
+    let request = &*request;
     let rejection = loop {
+        if let Err(rejection) = restricted {
+            break rejection;
+        }
         let next = try_upstream(context, caller, request, &mut attempts, trace).await;
         trace.first_piece_after = attempts
             .delivery
@@ -165,6 +172,10 @@
 #[derive(Default)]
 pub(super) struct Attempts {
     delivery: Delivery,
+    /// Software version at which the answer has begun, if it has.
+    pub(super) version: Option<Arc<str>>,
+    /// Number of the record of the version to which the request was sent last, if that was new.
+    pub(super) origin_number: Option<u64>,
     /// Runs of upstreams that received the request or could not be reached.
     pub(super) tried_runs: Vec<Run>,
     /// Number of upstreams that received the request.
@@ -233,13 +244,17 @@
         remaining,
         attempts.delivery.last_event_id(),
     );
+    origin::record(context, request, attempts, &choice);
     context.record_sent(request, &mut choice);
     queue::record_sent(context, request, &choice);
     let sent = Instant::now();
     let slow_at = silence_limit.and_then(|_| context.slow_at(request, &choice, sent));
     let slow_at = slow_at.filter(|_| attempts.delivery.first_byte_at.is_none());
     let (tried_runs, retry_paid) = (&attempts.tried_runs, &mut attempts.retry_paid);
-    let may_switch = |reason| context.may_switch(reason, request, &choice, tried_runs, retry_paid);
+    let version = attempts.version.as_deref();
+    let may_switch = |reason, _: bool| {
+        context.may_switch(reason, request, &choice, (version, tried_runs), retry_paid)
+    };
     let failover = Failover { slow_at, silence_limit, may_switch };
     let mut outgoing = Outgoing { choice: &choice, bytes: &bytes, gateway: None };
     let response = exchange::send(context, caller, request, &mut outgoing, failover).await;
@@ -255,15 +270,8 @@
     }
     match response {
         Ok(response) => {
-            handle_response(
-                context,
-                caller,
-                request,
-                attempts,
-                trace,
-                SentRequest { choice, response, sent_at: sent },
-            )
-            .await
+            let sent = SentRequest { choice, response, sent_at: sent };
+            handle_response(context, caller, request, attempts, trace, sent).await
         }
         Err(failure) => {
             let sent = FailedAttempt { choice: &choice, sent_at: sent, gateway };
@@ -320,6 +328,7 @@
             Next::Refuse((Refusal::Failed, None))
         };
     }
+    origin::wait_until_recorded(context, attempts).await;
     let silence_limit = pause_limit(request, attempts);
     let first_byte_before = attempts.delivery.first_byte_at;
     let framing = response.head.framing(&request.head.method).ok();
@@ -327,27 +336,16 @@
     let proves_execution = quarantine::proves_execution(status, framing);
     let slow_at = silence_limit.and_then(|_| context.slow_at(request, &choice, sent_at));
     let (tried_runs, retry_paid) = (&attempts.tried_runs, &mut attempts.retry_paid);
-    let may_switch = |reason| context.may_switch(reason, request, &choice, tried_runs, retry_paid);
+    let version = attempts.version.as_deref();
+    let may_switch = |reason, has_events: bool| {
+        let version = version.or(has_events.then_some(&choice.version));
+        context.may_switch(reason, request, &choice, (version, tried_runs), retry_paid)
+    };
     let failover = Failover { slow_at, silence_limit, may_switch };
     let outcome = attempts.delivery.deliver(caller, request, &mut response, failover).await;
-    let first_byte_at = attempts.delivery.first_byte_at.filter(|_| first_byte_before.is_none());
-    let lacks_path = context.lacks_path(response.connection.gateway(), &choice.run);
-    // How long a connection took to open, or an answer on a path that is lost, says nothing about
-    // the upstream.
-    if let Some(first_byte_at) = first_byte_at.filter(|_| !lacks_path) {
-        context.record_first_event(&choice, first_byte_at - response.connected_at);
-    }
     trace.status = status;
-    if let Some(pace) = attempts.delivery.gaps.take_pace() {
-        context.record_pace(&choice, pace);
-    }
-    let keeps_pending = outcome != Outcome::Slow && !queue::is_shared(context, request);
-    // Where measurements are shared, a prompt without a first event must not stay pending in them.
-    let is_measured = !lacks_path && (first_byte_at.is_some() || keeps_pending);
-    let duration = is_measured.then(|| sent_at.elapsed());
-    let is_lost = lacks_path && matches!(outcome, Outcome::Broken | Outcome::Unresponsive);
-    let ending = if is_lost { Ending::Abandoned } else { outcome.ending(status) };
-    context.record_end(&choice, ending, duration);
+    let delivered = Delivered { outcome, status, had_first_byte: first_byte_before.is_some() };
+    record_delivery(context, request, attempts, (&choice, &response, sent_at), delivered);
     match outcome {
         Outcome::Complete if proves_execution => context.record_answer(request),
         Outcome::Broken => context.signal_interrupted(request, &choice, sent_at),
@@ -372,6 +370,45 @@
     }
 }
 
+/// Describes what was passed on of an upstream's answer.
+#[derive(Clone, Copy)]
+struct Delivered {
+    outcome: Outcome,
+    status: u16,
+    /// Whether an earlier upstream had sent the first byte of the body.
+    had_first_byte: bool,
+}
+
+/// Records at which version an answer has begun, and what it says about the upstream.
+fn record_delivery(
+    context: &Context,
+    request: &AdmittedRequest<'_>,
+    attempts: &mut Attempts,
+    (choice, response, sent_at): (&Choice, &Response, Instant),
+    Delivered { outcome, status, had_first_byte }: Delivered,
+) {
+    if attempts.delivery.has_events && request.is_resumable() {
+        attempts.version.get_or_insert_with(|| choice.version.clone());
+    }
+    let first_byte_at = attempts.delivery.first_byte_at.filter(|_| !had_first_byte);
+    let lacks_path = context.lacks_path(response.connection.gateway(), &choice.run);
+    // How long a connection took to open, or an answer on a path that is lost, says nothing about
+    // the upstream.
+    if let Some(first_byte_at) = first_byte_at.filter(|_| !lacks_path) {
+        context.record_first_event(choice, first_byte_at - response.connected_at);
+    }
+    if let Some(pace) = attempts.delivery.gaps.take_pace() {
+        context.record_pace(choice, pace);
+    }
+    let keeps_pending = outcome != Outcome::Slow && !queue::is_shared(context, request);
+    // Where measurements are shared, a prompt without a first event must not stay pending in them.
+    let is_measured = !lacks_path && (first_byte_at.is_some() || keeps_pending);
+    let duration = is_measured.then(|| sent_at.elapsed());
+    let is_lost = lacks_path && matches!(outcome, Outcome::Broken | Outcome::Unresponsive);
+    let ending = if is_lost { Ending::Abandoned } else { outcome.ending(status) };
+    context.record_end(choice, ending, duration);
+}
+
 /// Describes an attempt that got no answer.
 struct FailedAttempt<'a> {
     choice: &'a Choice,
--- /dev/null
+++ b/crates/verbenaslip-relay/src/forward/origin.rs
@@ -0,0 +1,165 @@
+//! Finds the software version at which a stream began, and records those that begin here.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use verbenaslip_fleet::origin::{Build, Origin, Stream};
+
+use crate::forward::admission::{AdmittedRequest, Rejection};
+use crate::forward::answer::Refusal;
+use crate::forward::context::Context;
+use crate::forward::lifecycle::Attempts;
+use crate::forward::request_log::{OriginUse, Trace};
+use crate::monotonic;
+use crate::policy::placement::Choice;
+
+/// Longest time that cores get to answer: several round trips to a core.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Longest time for which an event is held back until its stream is recorded.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(10);
+
+/// Time by which an origin outlasts the deadline of its request: a caller that takes the stream up
+/// just before that still finds it.
+const LIFETIME_MARGIN: Duration = Duration::from_secs(1);
+
+/// Retry time for a caller whose stream began at an unknown version; the entry that began it may
+/// be about to tell a core.
+const RETRY_AFTER_UNKNOWN: Duration = Duration::from_millis(300);
+
+/// Restricts a request that takes up a stream to the service and version at which it began.
+///
+/// # Errors
+///
+/// Returns the refusal if the version is not known: any other would be as likely to be wrong.
+pub(super) async fn restrict(
+    context: &Context,
+    request: &mut AdmittedRequest<'_>,
+    attempts: &mut Attempts,
+    trace: &mut Trace,
+) -> Result<(), Rejection> {
+    let has_events = request.info.last_event_id.is_some_and(|id| id > 0);
+    if !request.is_resumable() || !(has_events || request.info.resumes.is_some()) {
+        return Ok(());
+    }
+    let Some(found) = find(context, request).await else {
+        trace.origin = Some(OriginUse { source: "unknown", age: None });
+        return Err((Refusal::UnknownVersion, Some(RETRY_AFTER_UNKNOWN)));
+    };
+    if found.service != request.service {
+        request.set_service(found.service, &context.shared.view());
+    }
+    trace.version = Some(found.version.clone());
+    trace.origin = Some(found.origin);
+    attempts.version = Some(found.version);
+    Ok(())
+}
+
+/// Records the version to which a request is sent whose answer may be taken up, unless a caller
+/// that does so finds it without a record.
+pub(super) fn record(
+    context: &Context,
+    request: &AdmittedRequest<'_>,
+    attempts: &mut Attempts,
+    choice: &Choice,
+) {
+    let may_be_taken_up = request.is_resumable() && attempts.version.is_none();
+    let now = monotonic::now();
+    if !may_be_taken_up || settled(context, request).is_some() {
+        return;
+    }
+    let lifetime = request.deadline.saturating_duration_since(Instant::now()) + LIFETIME_MARGIN;
+    let origin = Origin {
+        stream: Stream::of(&request.info.id),
+        build: Build::of(&request.service, &choice.version),
+        lifetime_ms: u32::try_from(lifetime.as_millis()).unwrap_or(u32::MAX),
+    };
+    context.origins.borrow_mut().record(now, &origin);
+    attempts.origin_number = Some(context.shared.add_origin(origin));
+}
+
+/// Waits until cores have been told where the stream begins, before its caller gets an event: the
+/// caller may take it up as soon as it has one.
+pub(super) async fn wait_until_recorded(context: &Context, attempts: &mut Attempts) {
+    if let Some(number) = attempts.origin_number.take() {
+        let sent = context.shared.wait_until_origin_sent(number);
+        // The caller does not wait for a control thread that is late.
+        let _ = tokio::time::timeout(RECORD_TIMEOUT, sent).await;
+    }
+}
+
+/// Describes the version at which a stream began.
+struct Found {
+    service: Arc<str>,
+    version: Arc<str>,
+    origin: OriginUse,
+}
+
+async fn find(context: &Context, request: &AdmittedRequest<'_>) -> Option<Found> {
+    let (service, now) = (request.service.clone(), monotonic::now());
+    if let Some(version) = settled(context, request) {
+        let origin = OriginUse { source: "settled", age: None };
+        return Some(Found { service, version, origin });
+    }
+    let stream = Stream::of(request.info.resumes.as_ref()?);
+    let own = context.origins.borrow().find(now, stream);
+    if let Some(origin) = own.origin {
+        return named(context, request, "entry", origin);
+    }
+    let max_age = request.route.timeout + LIFETIME_MARGIN;
+    match ask_cores(context, stream, max_age).await? {
+        Some(origin) => named(context, request, "core", origin),
+        None if request.route.targets.len() == 1 => {
+            let builds = context.builds.borrow();
+            let now = monotonic::now();
+            let settled = builds.unrecorded(now, &service, max_age)?;
+            let age = Some(now.saturating_sub(settled.at));
+            let (version, origin) = (settled.version.clone(), OriginUse { source: "history", age });
+            Some(Found { service, version, origin })
+        }
+        None => None,
+    }
+}
+
+/// Asks all cores for the origin of a stream; returns `None` if it is not certain that none of
+/// them was told of a stream of at most this age.
+async fn ask_cores(
+    context: &Context,
+    stream: Stream,
+    max_age: Duration,
+) -> Option<Option<(Build, u32)>> {
+    let core_count = context.shared.view().cores.len();
+    let mut findings = context.shared.find_origin(stream);
+    let deadline = Instant::now() + LOOKUP_TIMEOUT;
+    let mut all_complete = true;
+    for _ in 0..core_count {
+        let finding = tokio::time::timeout_at(deadline, findings.recv()).await.ok()??;
+        if finding.origin.is_some() {
+            return Some(finding.origin);
+        }
+        all_complete &= Duration::from_millis(finding.complete_ms.into()) >= max_age;
+    }
+    (core_count > 0 && all_complete).then_some(None)
+}
+
+/// Returns the service and version that a recorded origin names, among those of the route.
+fn named(
+    context: &Context,
+    request: &AdmittedRequest<'_>,
+    source: &'static str,
+    (build, age_ms): (Build, u32),
+) -> Option<Found> {
+    let builds = context.builds.borrow();
+    let origin = OriginUse { source, age: Some(Duration::from_millis(age_ms.into())) };
+    request.route.targets.iter().find_map(|target| {
+        let version = builds.version(&target.service, build)?;
+        Some(Found { service: target.service.clone(), version, origin })
+    })
+}
+
+/// Returns the version at which all streams of the route are, if there is only one.
+fn settled(context: &Context, request: &AdmittedRequest<'_>) -> Option<Arc<str>> {
+    let is_only_service = request.route.targets.len() == 1;
+    is_only_service.then(|| context.settled_version(&request.service)).flatten()
+}
--- a/crates/verbenaslip-relay/src/forward/place.rs
+++ b/crates/verbenaslip-relay/src/forward/place.rs
@@ -72,7 +72,7 @@
             }
         }
         let placement = context.placement.borrow();
-        let has_place = placement.has_alternative(monotonic::now(), &request.service, &[]);
+        let has_place = placement.has_alternative(monotonic::now(), &request.service, None, &[]);
         if has_place || Instant::now() >= until {
             return Some(Next::Retry);
         }
--- a/crates/verbenaslip-relay/src/forward/request_log.rs
+++ b/crates/verbenaslip-relay/src/forward/request_log.rs
@@ -58,6 +58,8 @@
     pub cohort: Option<Cohort>,
     /// Version of the last upstream.
     pub version: Option<Arc<str>>,
+    /// How the version was found at which the stream began that the request takes up.
+    pub origin: Option<OriginUse>,
     /// Longest pause between two pieces of the answer.
     pub longest_pause: Duration,
     /// When the caller may retry by the capacity that becomes available, if that is known.
@@ -81,6 +83,15 @@
     pub gateway: Option<SocketAddr>,
 }
 
+/// Describes how the version was found at which a stream began.
+#[derive(Clone, Copy, Debug)]
+pub struct OriginUse {
+    /// Where it was found.
+    pub source: &'static str,
+    /// Time since it was recorded or last certain, if it may have changed.
+    pub age: Option<Duration>,
+}
+
 /// Describes the view by which a decision was made.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ViewInfo {
@@ -111,6 +122,9 @@
     let route = request.map_or("", |request| &*request.route.name);
     let outcome = if trace.outcome.is_empty() { "cut" } else { trace.outcome };
     metrics::counter!("verbenaslip_requests_total", "outcome" => outcome).increment(1);
+    if trace.origin.is_some() {
+        metrics::counter!("verbenaslip_resumes_total", "outcome" => outcome).increment(1);
+    }
     metrics::histogram!("verbenaslip_request_seconds", "route" => route.to_owned())
         .record(duration.as_secs_f64());
     let ViewInfo { version, leader_silence } = trace.view_info;
@@ -168,6 +182,11 @@
         ("queue_left", json!(trace.queue_left)),
         ("cohort", json!(trace.cohort.map(|it| format!("{it:?}")))),
         ("resumes", json!(resumes)),
+        ("origin", json!(trace.origin.map(|origin| origin.source))),
+        (
+            "origin_age_ms",
+            json!(trace.origin.and_then(|origin| origin.age).map(|age| age.as_millis())),
+        ),
         ("version", json!(trace.version.as_ref().filter(|_| names_version))),
         ("revision", json!(view.revision())),
         ("view_age_ms", json!(leader_silence.map(|leader_silence| leader_silence.as_millis()))),
--- a/crates/verbenaslip-relay/src/forward/upstream_choice.rs
+++ b/crates/verbenaslip-relay/src/forward/upstream_choice.rs
@@ -26,7 +26,8 @@
     // With the view from its arrival it could go to an upstream that has left since.
     trace.brittle = false;
     trace.view_info = ViewInfo::of(&context.refresh_view());
-    let tracks = context.choose_tracks(request, !attempts.tried_runs.is_empty());
+    let tracks =
+        context.choose_tracks(request, !attempts.tried_runs.is_empty(), attempts.version.is_some());
     let query = query(request, attempts, remaining, tracks);
     let decision = context.placement.borrow_mut().choose(monotonic::now(), &query);
     count_engine_time(context, request, attempts, &decision);
@@ -68,6 +69,7 @@
         has_spare_attempt: attempts.sends + 1 < request.route.max_attempts,
         may_have_run: attempts.may_have_run,
         tracks,
+        version: attempts.version.as_deref(),
         ..request.query(&attempts.tried_runs, remaining)
     }
 }
--- a/crates/verbenaslip-relay/src/policy.rs
+++ b/crates/verbenaslip-relay/src/policy.rs
@@ -11,11 +11,13 @@
 //! [`brittleness`] divides the places of upstreams that must not refuse requests among the entries.
 //! [`load_shedding`] refuses a share of a service's requests. [`returning`] tells callers that
 //! retry from new ones. [`versions`] chooses the version of a service during a rollout, and
-//! [`quarantine`] holds back poison requests. [`waiting`] orders the requests that wait for an
+//! [`quarantine`] holds back poison requests. [`builds`] tells when all streams of a service are at
+//! one software version. [`waiting`] orders the requests that wait for an
 //! upstream, and [`return_schedule`] tells refused callers when to retry.
 
 pub mod allowance;
 pub mod brittleness;
+pub mod builds;
 pub mod cache;
 pub mod cooldown;
 pub mod gateways;
--- /dev/null
+++ b/crates/verbenaslip-relay/src/policy/builds.rs
@@ -0,0 +1,115 @@
+//! Which software versions of each service have served recently.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use verbenaslip_base::name::Upstream;
+use verbenaslip_fleet::View;
+use verbenaslip_fleet::origin::{Build, MAX_LIFETIME};
+use verbenaslip_fleet::registry::Record;
+
+/// Time without news of the leader after which another version may have come unnoticed.
+const MAX_LEADER_SILENCE: Duration = Duration::from_secs(1);
+
+/// Time after a change of leaders, or after the start of this entry, until all upstreams have
+/// announced themselves: two announcements.
+const SETTLING_TIME: Duration = Duration::from_secs(3);
+
+type UpstreamRecords = BTreeMap<Upstream, Record>;
+
+/// Tracks the software versions of services.
+///
+/// A service is *settled* while one version has served for as long as any stream lasts. All streams
+/// are then at this version, and no entry needs to remember it for each of them.
+#[derive(Debug, Default)]
+pub struct Builds {
+    /// Term of the leader, and when this entry learnt of it.
+    term: Option<(u64, Duration)>,
+    leader_heard_at: Option<Duration>,
+    /// Upstreams of the last update.
+    records: Arc<UpstreamRecords>,
+    services: BTreeMap<Arc<str>, Service>,
+}
+
+#[derive(Debug, Default)]
+struct Service {
+    /// Versions with the time at which the last upstream of each left; `None` while one is known.
+    versions: BTreeMap<Arc<str>, Option<Duration>>,
+    settled: Option<Settled>,
+}
+
+/// Says at which version a service was last settled.
+#[derive(Clone, Debug)]
+pub struct Settled {
+    /// The version.
+    pub version: Arc<str>,
+    /// When the service was last known to be settled.
+    pub at: Duration,
+}
+
+impl Builds {
+    /// Updates the versions from a newer view.
+    pub fn update(&mut self, now: Duration, view: &View) {
+        if self.term.is_none_or(|(term, _)| term != view.version.term) {
+            self.term = Some((view.version.term, now));
+        }
+        self.leader_heard_at = view.leader_heard_at;
+        if Arc::ptr_eq(&self.records, &view.upstreams) {
+            return;
+        }
+        self.records = view.upstreams.clone();
+        // Services were settled until this change, which may bring another version.
+        let names: Vec<Arc<str>> = self.services.keys().cloned().collect();
+        for service in &names {
+            self.settled(now, service);
+        }
+        for service in self.services.values_mut() {
+            service.versions.values_mut().for_each(|left_at| {
+                left_at.get_or_insert(now);
+            });
+            service.versions.retain(|_, left_at| is_recent(now, *left_at));
+        }
+        for record in view.upstreams.values() {
+            let announcement = &record.announcement;
+            let service = self.services.entry(announcement.service.clone()).or_default();
+            service.versions.insert(announcement.version.clone(), None);
+        }
+        self.services.retain(|_, service| !service.versions.is_empty());
+    }
+
+    /// Returns the version at which all streams of a service are, if the service is settled.
+    pub fn settled(&mut self, now: Duration, service: &str) -> Option<Arc<str>> {
+        let is_current =
+            self.leader_heard_at.is_some_and(|at| now.saturating_sub(at) <= MAX_LEADER_SILENCE);
+        let has_all_upstreams =
+            self.term.is_some_and(|(_, since)| now.saturating_sub(since) >= SETTLING_TIME);
+        let service = self.services.get_mut(service)?;
+        let mut recent = service.versions.iter().filter(|(_, left_at)| is_recent(now, **left_at));
+        let (Some((version, _)), None) = (recent.next(), recent.next()) else { return None };
+        if !is_current || !has_all_upstreams {
+            return None;
+        }
+        service.settled = Some(Settled { version: version.clone(), at: now });
+        Some(version.clone())
+    }
+
+    /// Returns the version of a service at which a stream began that no entry has recorded; `None`
+    /// if the service was not settled within `max_age`, the time in which the stream has begun.
+    ///
+    /// Entries record the streams of services that are not settled.
+    pub fn unrecorded(&self, now: Duration, service: &str, max_age: Duration) -> Option<&Settled> {
+        let settled = self.services.get(service)?.settled.as_ref()?;
+        (now.saturating_sub(settled.at) <= max_age).then_some(settled)
+    }
+
+    /// Returns the version of a service that a recorded origin names.
+    pub fn version(&self, service: &str, build: Build) -> Option<Arc<str>> {
+        let mut versions = self.services.get(service)?.versions.keys();
+        versions.find(|version| Build::of(service, version) == build).cloned()
+    }
+}
+
+fn is_recent(now: Duration, left_at: Option<Duration>) -> bool {
+    left_at.is_none_or(|left_at| now.saturating_sub(left_at) <= MAX_LIFETIME)
+}
--- a/crates/verbenaslip-relay/src/policy/placement.rs
+++ b/crates/verbenaslip-relay/src/policy/placement.rs
@@ -235,7 +235,9 @@
             // A busy canary must not cost its caller the answer.
             return self.choose(now, &Query { tracks: Tracks::default(), ..*query });
         }
-        if engine && !query.may_have_run && late {
+        // An answer that has begun can go nowhere else, while a new request can come back.
+        let must_continue = query.may_have_run || query.version.is_some();
+        if engine && !must_continue && late {
             let excess_ms = (expected_ms - objective).max(100.0);
             let retry_after = Duration::from_secs_f64((excess_ms / 1_000.0).min(3.0));
             let cause = Cause::Late { expected_ms: choice.expected_ms, lag_ms: choice.lag_ms };
@@ -269,8 +271,14 @@
     }
 
     /// Returns whether a service has an upstream that may take work, other than the runs in
-    /// `tried_runs`.
-    pub(crate) fn has_alternative(&self, now: Duration, service: &str, tried_runs: &[Run]) -> bool {
+    /// `tried_runs`; if `version` is given, only upstreams of this software version count.
+    pub(crate) fn has_alternative(
+        &self,
+        now: Duration,
+        service: &str,
+        version: Option<&str>,
+        tried_runs: &[Run],
+    ) -> bool {
         let names = self.by_service.get(service).into_iter().flatten();
         let mut states = names.filter_map(|name| self.states.get(name));
         let serves_requests =
@@ -278,6 +286,7 @@
         let at = self.moment(now);
         states.any(|it| {
             serves_requests(it)
+                && version.is_none_or(|version| *it.record.announcement.version == *version)
                 && it.accepts_requests(now, false, true)
                 && !tried_runs.contains(it.run())
                 && self.has_place(now, it)
@@ -293,7 +302,8 @@
     /// latency of answers relative to the objective, so neither the load nor the capacity needs to
     /// be known.
     fn shed(&self, now: Duration, query: &Query<'_>) -> Option<Busy> {
-        if !query.parts.is_empty() || !query.tried_runs.is_empty() {
+        let may_be_refused = query.tried_runs.is_empty() && query.version.is_none();
+        if !query.parts.is_empty() || !may_be_refused {
             return None;
         }
         let refused = 1.0 - self.admitted_shares.get(query.service)?.share_at(now);
@@ -447,6 +457,7 @@
         track: Track,
     ) -> bool {
         track.includes(state.cohort)
+            && query.admits_version(&state.record.announcement.version)
             && state.accepts_requests(now, strict, query.has_spare_attempt)
             && !query.tried_runs.contains(state.run())
             && self.has_place(now, state)
--- a/crates/verbenaslip-relay/src/policy/placement/capacity.rs
+++ b/crates/verbenaslip-relay/src/policy/placement/capacity.rs
@@ -104,6 +104,7 @@
         for state in self.accepting(now, query.service) {
             if state.record.status != Status::Ready
                 || !tracks().any(|track| track.includes(state.cohort))
+                || !query.admits_version(&state.record.announcement.version)
                 || query.tried_runs.contains(state.run())
                 || self.restrictions.is_leaving(state.run())
             {
--- a/crates/verbenaslip-relay/src/policy/placement/choice.rs
+++ b/crates/verbenaslip-relay/src/policy/placement/choice.rs
@@ -40,6 +40,15 @@
     pub may_have_run: bool,
     /// Versions that may take the request.
     pub tracks: Tracks,
+    /// Software version at which the answer has begun, if it has; only this one may continue it.
+    pub version: Option<&'a str>,
+}
+
+impl Query<'_> {
+    /// Returns whether an upstream of a software version may take the request.
+    pub(super) fn admits_version(&self, version: &str) -> bool {
+        self.version.is_none_or(|it| it == version)
+    }
 }
 
 /// Describes where a request goes.
--- a/crates/verbenaslip-relay/src/policy/placement/restrictions.rs
+++ b/crates/verbenaslip-relay/src/policy/placement/restrictions.rs
@@ -90,7 +90,10 @@
         let names = self.by_service.get(query.service).into_iter().flatten();
         let mut states = names.filter_map(|name| self.states.get(name));
         let is_full = self.brittleness.is_brittle(query.service)
-            && states.any(|it| it.accepts_requests(now, false, true));
+            && states.any(|it| {
+                it.accepts_requests(now, false, true)
+                    && query.admits_version(&it.record.announcement.version)
+            });
         let (retry_after, cause) = (MIN_RETRY_AFTER, Cause::Brittle);
         is_full.then(|| Busy { retry_after, cause, prefill_ms: prefill_ms(query) })
     }
@@ -115,7 +118,9 @@
         let names = self.by_service.get(query.service).into_iter().flatten();
         let states = names.filter_map(|name| self.states.get(name));
         let states = states.filter(|state| {
-            state.accepts_requests(now, false, true) && !self.restrictions.is_leaving(state.run())
+            state.accepts_requests(now, false, true)
+                && query.admits_version(&state.record.announcement.version)
+                && !self.restrictions.is_leaving(state.run())
         });
         let restricted = states.filter_map(|state| {
             let restriction = self.restrictions.restriction(state.run())?;
--- a/crates/verbenaslip-relay/src/policy/versions.rs
+++ b/crates/verbenaslip-relay/src/policy/versions.rs
@@ -153,6 +153,25 @@
         }
     }
 
+    /// Returns the versions that may continue an answer which one of them has begun: both, unless
+    /// the candidate must not be used.
+    pub fn continuing_tracks(&self, now: Duration, service: &str) -> Tracks {
+        let Some(service_counts) = self.services.get(service) else { return Tracks::default() };
+        let plan = &service_counts.plan;
+        let unconfirmed =
+            self.plans_confirmed_at.is_none_or(|at| now.saturating_sub(at) > CONFIRMATION_LEASE);
+        let may_use_candidate = match plan.state {
+            State::RolledBack => false,
+            State::Completed => true,
+            State::Serving => {
+                let may_be_decided = unconfirmed || service_counts.candidate_stopped;
+                !self.rolled_back.contains(&plan.id) && (plan.shifting || !may_be_decided)
+            }
+        };
+        let fallback = may_use_candidate.then_some(Track::Candidate);
+        Tracks { preferred: Track::Stable, fallback }
+    }
+
     /// Counts a request that is sent; returns `None` if its service has no rollout in progress.
     pub fn record_sent(
         &mut self,
--- a/crates/verbenaslip-relay/src/shared.rs
+++ b/crates/verbenaslip-relay/src/shared.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{Notify, oneshot};
 use verbenaslip_base::name::Team;
 use verbenaslip_fleet::crash_report::{ObservedAnswer, ObservedCrash};
@@ -12,6 +13,7 @@
 use verbenaslip_fleet::link::Report;
 use verbenaslip_fleet::load::WorkReport;
 use verbenaslip_fleet::measurement::{RunKey, Totals};
+use verbenaslip_fleet::origin::{Finding, Origin, Stream};
 use verbenaslip_fleet::quota::{LoanGrant, LoanRequest, Refund};
 use verbenaslip_fleet::registry::{Record, Run, Status};
 use verbenaslip_fleet::usage::{self, UsageCounter};
@@ -43,6 +45,9 @@
     /// Upstreams that have announced their departure in an answer.
     departures: Mutex<BTreeSet<Run>>,
     observation_added: Notify,
+    origins: Mutex<OriginQueue>,
+    origin_added: Notify,
+    origins_sent: Notify,
     is_draining_flag: AtomicBool,
     draining_started: Notify,
     /// Whether this instance has lost a path to upstreams.
@@ -213,6 +218,85 @@
         std::mem::take(&mut *lock(&self.observations))
     }
 
+    /// Adds the origin of a stream that cores are to remember; returns its number.
+    pub fn add_origin(&self, origin: Origin) -> u64 {
+        let mut origins = lock(&self.origins);
+        origins.unsent.push(origin);
+        origins.last_number += 1;
+        let number = origins.last_number;
+        drop(origins);
+        self.origin_added.notify_one();
+        number
+    }
+
+    /// Returns once the origin with this number has been sent to cores, and has it sent at once.
+    pub async fn wait_until_origin_sent(&self, number: u64) {
+        loop {
+            let sent = self.origins_sent.notified();
+            tokio::pin!(sent);
+            sent.as_mut().enable();
+            {
+                let mut origins = lock(&self.origins);
+                if origins.last_sent >= number {
+                    return;
+                }
+                origins.is_urgent = true;
+            }
+            self.origin_added.notify_one();
+            sent.await;
+        }
+    }
+
+    /// Returns whether a request waits until the origins have been sent.
+    pub fn origins_are_urgent(&self) -> bool {
+        lock(&self.origins).is_urgent
+    }
+
+    /// Asks all cores for the origin of a stream; the receiver gets what each of them finds.
+    pub fn find_origin(&self, stream: Stream) -> UnboundedReceiver<Finding> {
+        let (sender, findings) = mpsc::unbounded_channel();
+        let mut origins = lock(&self.origins);
+        origins.waiters.retain(|waiter| !waiter.findings.is_closed());
+        origins.waiters.push(OriginWaiter { stream, findings: sender });
+        origins.wanted.push(stream);
+        drop(origins);
+        self.origin_added.notify_one();
+        findings
+    }
+
+    /// Returns once there are origins for cores, or questions for origins.
+    pub async fn wait_for_origins(&self) {
+        self.origin_added.notified().await;
+    }
+
+    /// Takes the origins that cores have not been told of; they count as sent.
+    pub fn take_origins(&self) -> Vec<Origin> {
+        let mut origins = lock(&self.origins);
+        origins.last_sent = origins.last_number;
+        origins.is_urgent = false;
+        let unsent = std::mem::take(&mut origins.unsent);
+        drop(origins);
+        self.origins_sent.notify_waiters();
+        unsent
+    }
+
+    /// Takes the streams for whose origins cores have not been asked.
+    pub fn take_wanted_streams(&self) -> Vec<Stream> {
+        std::mem::take(&mut lock(&self.origins).wanted)
+    }
+
+    /// Passes on what a core has found.
+    pub fn deliver_findings(&self, findings: &[Finding]) {
+        let origins = lock(&self.origins);
+        for finding in findings {
+            let waiters = origins.waiters.iter().filter(|it| it.stream == finding.stream);
+            // A request that has found its origin no longer waits.
+            for waiter in waiters {
+                let _ = waiter.findings.send(*finding);
+            }
+        }
+    }
+
     /// Builds the next report.
     pub fn take_report(&self) -> Report {
         let refunds = self.take_refunds();
@@ -317,6 +401,26 @@
 /// report.
 const MAX_REPORTED: usize = 32;
 
+/// Holds the origins of streams for cores, and the requests that wait for the findings of cores.
+#[derive(Debug, Default)]
+struct OriginQueue {
+    unsent: Vec<Origin>,
+    /// Number of the last origin that was added.
+    last_number: u64,
+    /// Number of the last origin that was sent.
+    last_sent: u64,
+    is_urgent: bool,
+    wanted: Vec<Stream>,
+    waiters: Vec<OriginWaiter>,
+}
+
+/// Waits for what cores know of a stream.
+#[derive(Debug)]
+struct OriginWaiter {
+    stream: Stream,
+    findings: UnboundedSender<Finding>,
+}
+
 /// Holds loan requests and the requests that wait for their grants.
 #[derive(Debug, Default)]
 struct LoanQueue {
--- /dev/null
+++ b/crates/verbenaslip-relay/tests/builds.rs
@@ -0,0 +1,127 @@
+//! When all streams of a service are at one software version.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use verbenaslip_base::name::{AvailabilityZone, Upstream};
+use verbenaslip_fleet::View;
+use verbenaslip_fleet::origin::Build;
+use verbenaslip_fleet::registry::{Announcement, Record, Run, Status};
+use verbenaslip_fleet::view::Version;
+use verbenaslip_relay::policy::builds::Builds;
+
+const fn s(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn record(name: &str, version: &str) -> Record {
+    let announcement = Announcement {
+        run: Run { upstream: Upstream::new(name), incarnation: 1 },
+        service: "desk".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: AvailabilityZone::from("north"),
+        version: version.into(),
+        slots: 8,
+        draining: false,
+        warmup_left: Duration::ZERO,
+        reclaimable: false,
+        leaves_in: None,
+        sequence: 1,
+    };
+    Record { announcement, status: Status::Ready }
+}
+
+/// A service whose upstreams change, as one entry sees it.
+#[derive(Default)]
+struct Fixture {
+    builds: Builds,
+    view: View,
+}
+
+impl Fixture {
+    fn set_versions(&mut self, now: Duration, versions: &[&str]) {
+        let named = versions.iter().enumerate().map(|(index, version)| {
+            let name = format!("e{index}");
+            (Upstream::new(name.as_str()), record(&name, version))
+        });
+        self.view.upstreams = Arc::new(named.collect::<BTreeMap<_, _>>());
+        self.hear_leader(now);
+    }
+
+    fn hear_leader(&mut self, now: Duration) {
+        self.view.leader_heard_at = Some(now);
+        self.builds.update(now, &self.view);
+    }
+
+    fn settled(&mut self, now: Duration) -> Option<String> {
+        self.hear_leader(now);
+        self.builds.settled(now, "desk").map(|it| it.to_string())
+    }
+
+    fn unrecorded(&self, now: Duration, max_age: Duration) -> Option<String> {
+        self.builds.unrecorded(now, "desk", max_age).map(|it| it.version.to_string())
+    }
+}
+
+#[test]
+fn a_service_settles_once_all_upstreams_have_announced_themselves() {
+    let mut entry = Fixture::default();
+    entry.set_versions(s(0), &["v1", "v1"]);
+    assert_eq!(entry.settled(s(2)), None);
+    assert_eq!(entry.settled(s(3)).as_deref(), Some("v1"));
+}
+
+// Guards against a new leader that does not know all upstreams yet.
+#[test]
+fn a_service_is_not_settled_just_after_a_change_of_leaders() {
+    let mut entry = Fixture::default();
+    entry.set_versions(s(0), &["v1"]);
+    assert!(entry.settled(s(10)).is_some());
+    entry.view.version = Version { term: 2, change: 1 };
+    assert_eq!(entry.settled(s(11)), None);
+    assert!(entry.settled(s(14)).is_some());
+}
+
+// Guards against an entry that is cut off from the cores and does not hear of another version.
+#[test]
+fn a_service_is_not_settled_while_the_leader_is_silent() {
+    let mut entry = Fixture::default();
+    entry.set_versions(s(0), &["v1"]);
+    assert!(entry.settled(s(10)).is_some());
+    assert!(entry.builds.settled(s(11), "desk").is_some());
+    assert!(entry.builds.settled(s(12), "desk").is_none());
+}
+
+// Guards against streams of a version whose last upstream has left.
+#[test]
+fn a_version_counts_for_as_long_as_its_streams_may_last() {
+    let mut entry = Fixture::default();
+    entry.set_versions(s(0), &["v1"]);
+    entry.settled(s(10));
+    entry.set_versions(s(20), &["v1", "v2"]);
+    entry.set_versions(s(30), &["v2"]);
+    assert_eq!(entry.settled(s(90)), None);
+    assert_eq!(entry.builds.version("desk", Build::of("desk", "v1")).as_deref(), Some("v1"));
+    assert_eq!(entry.settled(s(91)).as_deref(), Some("v2"));
+}
+
+// Guards against a stream that began unrecorded, before the second version came.
+#[test]
+fn a_stream_without_a_record_began_at_the_version_before() {
+    let mut entry = Fixture::default();
+    entry.set_versions(s(0), &["v1"]);
+    entry.settled(s(10));
+    entry.set_versions(s(20), &["v1", "v2"]);
+    assert_eq!(entry.settled(s(20)), None);
+    assert_eq!(entry.unrecorded(s(26), s(6)).as_deref(), Some("v1"));
+    assert_eq!(entry.unrecorded(s(27), s(6)), None, "it would have ended by now");
+}
+
+#[test]
+fn an_entry_that_has_just_started_knows_no_version_before() {
+    let mut entry = Fixture::default();
+    entry.set_versions(s(0), &["v1", "v2"]);
+    assert_eq!(entry.settled(s(10)), None);
+    assert_eq!(entry.unrecorded(s(10), s(60)), None);
+}
--- a/crates/verbenaslip-relay/tests/common/mod.rs
+++ b/crates/verbenaslip-relay/tests/common/mod.rs
@@ -73,6 +73,7 @@
         returning: false,
         may_have_run: false,
         tracks: Tracks::default(),
+        version: None,
     }
 }
 
--- a/crates/verbenaslip-relay/tests/place.rs
+++ b/crates/verbenaslip-relay/tests/place.rs
@@ -63,6 +63,7 @@
         returning: false,
         may_have_run: false,
         tracks: Tracks::default(),
+        version: None,
     }
 }
 
@@ -262,6 +263,29 @@
     assert!(matches!(placement.choose(Duration::ZERO, &started), Decision::Send(_)));
 }
 
+// Guards against an answer that goes on at another software version, or is refused like a new request.
+#[test]
+fn answer_that_has_begun_continues_only_at_its_version() {
+    let with_version = |number: u32, version: &str| {
+        let mut record = record(number, "north", Status::Ready);
+        record.announcement.version = version.into();
+        record
+    };
+    let view = view([with_version(1, "v1"), with_version(2, "v2"), with_version(3, "v2")]);
+    let mut placement = new_placement(&view);
+    let parts = prompt(1, 2);
+    while matches!(placement.choose(Duration::ZERO, &query(&parts, &[])), Decision::Send(_)) {}
+    for _ in 0..10 {
+        let begun = Query { version: Some("v1"), ..query(&parts, &[]) };
+        assert_eq!(place(&mut placement, Duration::ZERO, &begun).run, run(1, 0));
+    }
+    let tried_runs = [run(1, 0)];
+    for version in ["v1", "v3"] {
+        let begun = Query { version: Some(version), ..query(&parts, &tried_runs) };
+        assert!(matches!(placement.choose(Duration::ZERO, &begun), Decision::NoUpstream));
+    }
+}
+
 #[test]
 fn returning_callers_yield_to_new_ones() {
     // Guards against late answers for new callers when engines are missing. Callers that were
