Take answers without a content type for streams only where their connection ends them

An answer of a stream route that has a length but no content type was judged as a stream of events, so that a short plain body with an exact length would have been broken off. Its length says that it is whole. Without a length or chunks nothing else says so, and the events decide.

--- a/crates/verbenaslip-relay/src/forward/delivery.rs
+++ b/crates/verbenaslip-relay/src/forward/delivery.rs
@@ -126,7 +126,7 @@
         let Ok(framing) = response.head.framing(&request.head.method) else {
             return Outcome::Broken;
         };
-        self.is_event_stream = is_event_stream(request, &response.head);
+        self.is_event_stream = is_event_stream(request, &response.head, framing);
         let mut out = Vec::new();
         if self.framing.is_none() {
             let framing_to_caller = caller_framing(request, framing, self.is_event_stream);
@@ -330,12 +330,14 @@
     }
 }
 
-/// Returns whether an answer is a stream of events.
-fn is_event_stream(request: &AdmittedRequest<'_>, head: &ResponseHead) -> bool {
+/// Returns whether an answer is a stream of events; one without a content type is, if its route
+/// asks for streams and nothing else tells where it ends.
+fn is_event_stream(request: &AdmittedRequest<'_>, head: &ResponseHead, framing: Framing) -> bool {
     let is_success = (200..300).contains(&head.status);
     let mut content_types = head.all("content-type").peekable();
     if content_types.peek().is_none() {
-        return is_success && matches!(request.route.kind, RequestKind::Stream { .. });
+        let is_stream_route = matches!(request.route.kind, RequestKind::Stream { .. });
+        return is_success && is_stream_route && framing == Framing::UntilClose;
     }
     is_success && content_types.any(|field| event_stream::is_content_type(&field.value))
 }
