Take streams up after restarts and elections, while only one version is known

Callers of the present sites name no first request, so nothing could be looked up for them.

An election is no reason to distrust the list, which the next leader inherits; only the first 3 s after the first news of a leader are. One core may be silent or have started meanwhile, since each origin was told to two. And where the cores answer that they were told of nothing, the only version that the entry knows is the one.

--- a/crates/verbenaslip-fleet/src/origin.rs
+++ b/crates/verbenaslip-fleet/src/origin.rs
@@ -15,7 +15,7 @@
 pub const MAX_LIFETIME: Duration = Duration::from_secs(60);
 
 /// Number of cores that each entry tells of its streams.
-const KEEPER_COUNT: usize = 2;
+pub const KEEPER_COUNT: usize = 2;
 
 /// Origins that expire within the same time are dropped together.
 const EXPIRY_STEP: Duration = Duration::from_secs(8);
--- a/crates/verbenaslip-fleet/tests/origin.rs
+++ b/crates/verbenaslip-fleet/tests/origin.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use verbenaslip_fleet::frame::Frame;
 use verbenaslip_fleet::origin::{Build, Origin, Origins, Stream, keepers};
 
 const fn ms(millis: u64) -> Duration {
@@ -85,3 +86,25 @@
     assert!(loads.iter().all(|load| (28..=78).contains(load)), "{loads:?}");
     assert_eq!(keepers(address(10), &cores[..1]), cores[..1]);
 }
+
+/// Returns the bytes that an entry sends to two cores in a second whose streams begin evenly, in one frame
+/// in 20 ms at most, each of which asks for an acknowledgement.
+fn bytes_per_second(streams_per_second: u32) -> usize {
+    let frame_count = streams_per_second.min(50);
+    let acknowledge_to = Some(SocketAddr::from(([10, 0, 0, 200], 7_600)));
+    let length = |number: u32| {
+        let count = streams_per_second / frame_count;
+        let origins = (0..count).map(|it| origin(&format!("{number}-{it}"), "v1", 6_000));
+        let frame = Frame::RecordOrigins { acknowledge_to, origins: origins.collect() };
+        postcard::to_stdvec(&frame).expect("a frame can be encoded").len() + 4
+    };
+    2 * (0..frame_count).map(length).sum::<usize>()
+}
+
+#[test]
+fn records_take_a_small_part_of_the_control_traffic() {
+    let (usual, large) = (bytes_per_second(13), bytes_per_second(100));
+    println!("{usual} B/s at 13 streams a second, {large} B/s at 100");
+    assert!(usual <= 1_000, "{usual}");
+    assert!(large <= 6_000, "{large}");
+}
--- a/crates/verbenaslip-relay/src/forward/origin.rs
+++ b/crates/verbenaslip-relay/src/forward/origin.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use verbenaslip_fleet::origin::{Build, Origin, Stream};
+use verbenaslip_fleet::origin::{Build, KEEPER_COUNT, Origin, Stream};
 
 use crate::forward::admission::{AdmittedRequest, Rejection};
 use crate::forward::answer::Refusal;
@@ -102,28 +102,35 @@
         let origin = OriginUse { source: "settled", age: None };
         return Some(Found { service, version, origin });
     }
-    let stream = Stream::of(request.info.resumes.as_ref()?);
-    let own = context.origins.borrow().find(now, stream);
-    if let Some(origin) = own.origin {
+    let resumes = request.info.resumes.as_deref();
+    let own = resumes.map(|id| context.origins.borrow().find(now, Stream::of(id)));
+    if let Some(origin) = own.and_then(|own| own.origin) {
         return named(context, request, "entry", origin);
     }
     let max_age = request.route.timeout + LIFETIME_MARGIN;
-    match ask_cores(context, stream, max_age).await? {
-        Some(origin) => named(context, request, "core", origin),
-        None if request.route.targets.len() == 1 => {
-            let builds = context.builds.borrow();
-            let now = monotonic::now();
-            let settled = builds.unrecorded(now, &service, max_age)?;
-            let age = Some(now.saturating_sub(settled.at));
-            let (version, origin) = (settled.version.clone(), OriginUse { source: "history", age });
-            Some(Found { service, version, origin })
-        }
-        None => None,
+    // No core knows a request that has not been sent to an upstream, but each says how far back it
+    // remembers.
+    let stream = Stream::of(resumes.unwrap_or(&request.info.id));
+    if let Some(origin) = ask_cores(context, stream, max_age).await? {
+        return named(context, request, "core", origin);
+    }
+    if request.route.targets.len() != 1 {
+        return None;
     }
+    let (now, builds) = (monotonic::now(), context.builds.borrow());
+    if let Some(version) = builds.only_version(now, &service) {
+        let origin = OriginUse { source: "only", age: None };
+        return Some(Found { service, version, origin });
+    }
+    let settled = builds.unrecorded(now, &service, max_age).filter(|_| resumes.is_some())?;
+    let origin = OriginUse { source: "history", age: Some(now.saturating_sub(settled.at)) };
+    Some(Found { service, version: settled.version.clone(), origin })
 }
 
 /// Asks all cores for the origin of a stream; returns `None` if it is not certain that none of
 /// them was told of a stream of at most this age.
+///
+/// Each origin was told to several cores, so one fewer may be silent, or have started meanwhile.
 async fn ask_cores(
     context: &Context,
     stream: Stream,
@@ -132,15 +139,18 @@
     let core_count = context.shared.view().cores.len();
     let mut findings = context.shared.find_origin(stream);
     let deadline = Instant::now() + LOOKUP_TIMEOUT;
-    let mut all_complete = true;
+    let mut complete_count = 0;
     for _ in 0..core_count {
-        let finding = tokio::time::timeout_at(deadline, findings.recv()).await.ok()??;
+        let finding = tokio::time::timeout_at(deadline, findings.recv()).await;
+        let Ok(Some(finding)) = finding else { break };
         if finding.origin.is_some() {
             return Some(finding.origin);
         }
-        all_complete &= Duration::from_millis(finding.complete_ms.into()) >= max_age;
+        let remembered = Duration::from_millis(finding.complete_ms.into());
+        complete_count += usize::from(remembered >= max_age);
     }
-    (core_count > 0 && all_complete).then_some(None)
+    let is_certain = complete_count > 0 && complete_count + KEEPER_COUNT > core_count;
+    is_certain.then_some(None)
 }
 
 /// Returns the service and version that a recorded origin names, among those of the route.
--- a/crates/verbenaslip-relay/src/policy/builds.rs
+++ b/crates/verbenaslip-relay/src/policy/builds.rs
@@ -12,8 +12,8 @@
 /// Time without news of the leader after which another version may have come unnoticed.
 const MAX_LEADER_SILENCE: Duration = Duration::from_secs(1);
 
-/// Time after a change of leaders, or after the start of this entry, until all upstreams have
-/// announced themselves: two announcements.
+/// Time after the first news of a leader until all upstreams have announced themselves, even if the
+/// whole fleet has just started: two announcements.
 const SETTLING_TIME: Duration = Duration::from_secs(3);
 
 type UpstreamRecords = BTreeMap<Upstream, Record>;
@@ -24,8 +24,8 @@
 /// are then at this version, and no entry needs to remember it for each of them.
 #[derive(Debug, Default)]
 pub struct Builds {
-    /// Term of the leader, and when this entry learnt of it.
-    term: Option<(u64, Duration)>,
+    /// When this entry first heard of a leader.
+    first_heard_at: Option<Duration>,
     leader_heard_at: Option<Duration>,
     /// Upstreams of the last update.
     records: Arc<UpstreamRecords>,
@@ -51,10 +51,8 @@
 impl Builds {
     /// Updates the versions from a newer view.
     pub fn update(&mut self, now: Duration, view: &View) {
-        if self.term.is_none_or(|(term, _)| term != view.version.term) {
-            self.term = Some((view.version.term, now));
-        }
         self.leader_heard_at = view.leader_heard_at;
+        self.first_heard_at = self.first_heard_at.or(view.leader_heard_at);
         if Arc::ptr_eq(&self.records, &view.upstreams) {
             return;
         }
@@ -83,14 +81,22 @@
         let is_current =
             self.leader_heard_at.is_some_and(|at| now.saturating_sub(at) <= MAX_LEADER_SILENCE);
         let has_all_upstreams =
-            self.term.is_some_and(|(_, since)| now.saturating_sub(since) >= SETTLING_TIME);
-        let service = self.services.get_mut(service)?;
-        let mut recent = service.versions.iter().filter(|(_, left_at)| is_recent(now, **left_at));
-        let (Some((version, _)), None) = (recent.next(), recent.next()) else { return None };
+            self.first_heard_at.is_some_and(|at| now.saturating_sub(at) >= SETTLING_TIME);
         if !is_current || !has_all_upstreams {
             return None;
         }
+        let version = self.only_version(now, service)?;
+        let service = self.services.get_mut(service)?;
         service.settled = Some(Settled { version: version.clone(), at: now });
+        Some(version)
+    }
+
+    /// Returns the version of a service if this entry has known only one for as long as any stream
+    /// lasts; others may know more.
+    pub fn only_version(&self, now: Duration, service: &str) -> Option<Arc<str>> {
+        let versions = self.services.get(service)?.versions.iter();
+        let mut recent = versions.filter(|(_, left_at)| is_recent(now, **left_at));
+        let (Some((version, _)), None) = (recent.next(), recent.next()) else { return None };
         Some(version.clone())
     }
 
