Bound what waits for cores, and remember origins for as long as callers wait

Origins were remembered for as long as the route's timeout lets one request wait; a caller with more patience could still take its stream up after that. They now outlast the larger of both. A request that takes a stream up is recorded under its own id, too, for callers that name it in place of the first. What waits for a control thread that is stuck is bounded, nothing waits where no core is known, and a change of upstreams looks at each version once in place of each upstream. Found by reading.

--- a/crates/verbenaslip-relay/src/forward/origin.rs
+++ b/crates/verbenaslip-relay/src/forward/origin.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use verbenaslip_fleet::origin::{Build, KEEPER_COUNT, Origin, Stream};
+use verbenaslip_fleet::origin::{Build, KEEPER_COUNT, MAX_LIFETIME, Origin, Stream};
 
 use crate::forward::admission::{AdmittedRequest, Rejection};
 use crate::forward::answer::Refusal;
@@ -20,8 +20,8 @@
 /// Longest time for which an event is held back until its stream is recorded.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(10);
 
-/// Time by which an origin outlasts the deadline of its request: a caller that takes the stream up
-/// just before that still finds it.
+/// Time by which an origin outlasts the patience of its caller, who may take the stream up just
+/// before that ends.
 const LIFETIME_MARGIN: Duration = Duration::from_secs(1);
 
 /// Retry time for a caller whose stream began at an unknown version; the entry that began it may
@@ -64,18 +64,21 @@
     attempts: &mut Attempts,
     choice: &Choice,
 ) {
-    let may_be_taken_up = request.is_resumable() && attempts.version.is_none();
+    let is_recorded = attempts.version.is_some() && attempts.sends > 0;
     let now = monotonic::now();
-    if !may_be_taken_up || settled(context, request).is_some() {
+    if !request.is_resumable() || is_recorded || settled(context, request).is_some() {
         return;
     }
-    let lifetime = request.deadline.saturating_duration_since(Instant::now()) + LIFETIME_MARGIN;
+    let lifetime = max_age(request).saturating_sub(request.received_at.elapsed());
     let origin = Origin {
         stream: Stream::of(&request.info.id),
         build: Build::of(&request.service, &choice.version),
         lifetime_ms: u32::try_from(lifetime.as_millis()).unwrap_or(u32::MAX),
     };
     context.origins.borrow_mut().record(now, &origin);
+    if context.shared.view().cores.is_empty() {
+        return;
+    }
     attempts.origin_number = Some(context.shared.add_origin(origin));
 }
 
@@ -89,6 +92,12 @@
     }
 }
 
+/// Returns the time after which a caller no longer takes up a stream that it began now.
+fn max_age(request: &AdmittedRequest<'_>) -> Duration {
+    let caller_timeout = request.info.caller_timeout.unwrap_or_default();
+    caller_timeout.max(request.route.timeout).min(MAX_LIFETIME) + LIFETIME_MARGIN
+}
+
 /// Describes the version at which a stream began.
 struct Found {
     service: Arc<str>,
@@ -107,7 +116,7 @@
     if let Some(origin) = own.and_then(|own| own.origin) {
         return named(context, request, "entry", origin);
     }
-    let max_age = request.route.timeout + LIFETIME_MARGIN;
+    let max_age = max_age(request);
     // No core knows a request that has not been sent to an upstream, but each says how far back it
     // remembers.
     let stream = Stream::of(resumes.unwrap_or(&request.info.id));
--- a/crates/verbenaslip-relay/src/policy/builds.rs
+++ b/crates/verbenaslip-relay/src/policy/builds.rs
@@ -7,7 +7,7 @@
 use verbenaslip_base::name::Upstream;
 use verbenaslip_fleet::View;
 use verbenaslip_fleet::origin::{Build, MAX_LIFETIME};
-use verbenaslip_fleet::registry::Record;
+use verbenaslip_fleet::registry::{Announcement, Record};
 
 /// Time without news of the leader after which another version may have come unnoticed.
 const MAX_LEADER_SILENCE: Duration = Duration::from_secs(1);
@@ -68,10 +68,9 @@
             });
             service.versions.retain(|_, left_at| is_recent(now, *left_at));
         }
-        for record in view.upstreams.values() {
-            let announcement = &record.announcement;
-            let service = self.services.entry(announcement.service.clone()).or_default();
-            service.versions.insert(announcement.version.clone(), None);
+        for Announcement { service, version, .. } in distinct_versions(&view.upstreams) {
+            let service = self.services.entry(service.clone()).or_default();
+            service.versions.insert(version.clone(), None);
         }
         self.services.retain(|_, service| !service.versions.is_empty());
     }
@@ -116,6 +115,22 @@
     }
 }
 
+/// Returns an announcement for each version of each service.
+///
+/// There are thousands of upstreams, but few versions.
+fn distinct_versions(upstreams: &UpstreamRecords) -> Vec<&Announcement> {
+    let mut distinct: Vec<&Announcement> = Vec::new();
+    for Record { announcement, .. } in upstreams.values() {
+        let is_same = |it: &&Announcement| {
+            (&it.service, &it.version) == (&announcement.service, &announcement.version)
+        };
+        if !distinct.iter().any(is_same) {
+            distinct.push(announcement);
+        }
+    }
+    distinct
+}
+
 fn is_recent(now: Duration, left_at: Option<Duration>) -> bool {
     left_at.is_none_or(|left_at| now.saturating_sub(left_at) <= MAX_LIFETIME)
 }
--- a/crates/verbenaslip-relay/src/shared.rs
+++ b/crates/verbenaslip-relay/src/shared.rs
@@ -221,7 +221,9 @@
     /// Adds the origin of a stream that cores are to remember; returns its number.
     pub fn add_origin(&self, origin: Origin) -> u64 {
         let mut origins = lock(&self.origins);
-        origins.unsent.push(origin);
+        if origins.unsent.len() < MAX_UNSENT_ORIGINS {
+            origins.unsent.push(origin);
+        }
         origins.last_number += 1;
         let number = origins.last_number;
         drop(origins);
@@ -401,6 +403,9 @@
 /// report.
 const MAX_REPORTED: usize = 32;
 
+/// Limit on the origins that wait for the control thread; thousands arrive only while it is stuck.
+const MAX_UNSENT_ORIGINS: usize = 4_096;
+
 /// Holds the origins of streams for cores, and the requests that wait for the findings of cores.
 #[derive(Debug, Default)]
 struct OriginQueue {
