Count each core once when its findings answer several requests

Two requests that take the same stream up at once both got the findings for either, so that two answers of one core could pass for those of two cores that were told of nothing. Found by reading; the test of two at once passes with and without this, since there a core knows the stream.

--- a/crates/verbenaslip-instance/src/entry.rs
+++ b/crates/verbenaslip-instance/src/entry.rs
@@ -226,7 +226,9 @@
     fn handle_frame(&mut self, frame: Frame) {
         match frame {
             Frame::GrantLoans(grants) => return self.shared.deliver_loan_grants(grants),
-            Frame::OriginsFound { findings, .. } => return self.shared.deliver_findings(&findings),
+            Frame::OriginsFound { from, findings } => {
+                return self.shared.deliver_findings(from, &findings);
+            }
             _ => {}
         }
         let envelope = self.state_machine.handle_frame(monotonic::now(), frame);
--- a/crates/verbenaslip-relay/src/forward/origin.rs
+++ b/crates/verbenaslip-relay/src/forward/origin.rs
@@ -1,5 +1,6 @@
 //! Finds the software version at which a stream began, and records those that begin here.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use crate::forward::request_log::{OriginUse, Trace};
 use crate::monotonic;
 use crate::policy::placement::Choice;
+use crate::shared::CoreFinding;
 
 /// Longest time that cores get to answer: several round trips to a core.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(150);
@@ -148,15 +150,16 @@
     let core_count = context.shared.view().cores.len();
     let mut findings = context.shared.find_origin(stream);
     let deadline = Instant::now() + LOOKUP_TIMEOUT;
-    let mut complete_count = 0;
-    for _ in 0..core_count {
+    let (mut answered, mut complete_count) = (BTreeSet::new(), 0);
+    while answered.len() < core_count {
         let finding = tokio::time::timeout_at(deadline, findings.recv()).await;
-        let Ok(Some(finding)) = finding else { break };
+        let Ok(Some(CoreFinding { core, finding })) = finding else { break };
         if finding.origin.is_some() {
             return Some(finding.origin);
         }
         let remembered = Duration::from_millis(finding.complete_ms.into());
-        complete_count += usize::from(remembered >= max_age);
+        let is_new = answered.insert(core);
+        complete_count += usize::from(is_new && remembered >= max_age);
     }
     let is_certain = complete_count > 0 && complete_count + KEEPER_COUNT > core_count;
     is_certain.then_some(None)
--- a/crates/verbenaslip-relay/src/shared.rs
+++ b/crates/verbenaslip-relay/src/shared.rs
@@ -1,6 +1,7 @@
 //! State that the control thread and the traffic thread share.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -254,8 +255,9 @@
         lock(&self.origins).is_urgent
     }
 
-    /// Asks all cores for the origin of a stream; the receiver gets what each of them finds.
-    pub fn find_origin(&self, stream: Stream) -> UnboundedReceiver<Finding> {
+    /// Asks all cores for the origin of a stream; the receiver gets what each of them finds, more
+    /// than once if others ask for the same stream.
+    pub fn find_origin(&self, stream: Stream) -> UnboundedReceiver<CoreFinding> {
         let (sender, findings) = mpsc::unbounded_channel();
         let mut origins = lock(&self.origins);
         origins.waiters.retain(|waiter| !waiter.findings.is_closed());
@@ -288,13 +290,13 @@
     }
 
     /// Passes on what a core has found.
-    pub fn deliver_findings(&self, findings: &[Finding]) {
+    pub fn deliver_findings(&self, core: SocketAddr, findings: &[Finding]) {
         let origins = lock(&self.origins);
         for finding in findings {
             let waiters = origins.waiters.iter().filter(|it| it.stream == finding.stream);
             // A request that has found its origin no longer waits.
             for waiter in waiters {
-                let _ = waiter.findings.send(*finding);
+                let _ = waiter.findings.send(CoreFinding { core, finding: *finding });
             }
         }
     }
@@ -423,7 +425,16 @@
 #[derive(Debug)]
 struct OriginWaiter {
     stream: Stream,
-    findings: UnboundedSender<Finding>,
+    findings: UnboundedSender<CoreFinding>,
+}
+
+/// Contains what one core knows of a stream.
+#[derive(Clone, Copy, Debug)]
+pub struct CoreFinding {
+    /// The core.
+    pub core: SocketAddr,
+    /// What it knows.
+    pub finding: Finding,
 }
 
 /// Holds loan requests and the requests that wait for their grants.
