Ask again before a stream counts as unrecorded, and begin none that could pass for it

The cores are asked again 60 ms after the first time before a stream counts as unrecorded. Read beside it: an entry that is cut off from the cores could begin unrecorded streams of the second version while others still took them for those of the first; it begins them at the first meanwhile (unit test).

--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -262,6 +262,12 @@
         self.builds.borrow_mut().settled(monotonic::now(), service)
     }
 
+    /// Returns the software version at which a stream may begin while cores are out of reach, if
+    /// other entries take those that were not recorded for streams of one version.
+    pub(crate) fn unrecorded_version(&self, service: &str, max_age: Duration) -> Option<Arc<str>> {
+        self.builds.borrow().without_cores(monotonic::now(), service, max_age)
+    }
+
     /// Chooses the versions that may take a request; `continues` tells whether its answer has begun.
     pub(crate) fn choose_tracks(
         &self,
--- a/crates/verbenaslip-relay/src/forward/origin.rs
+++ b/crates/verbenaslip-relay/src/forward/origin.rs
@@ -22,6 +22,10 @@
 /// Longest time for which an event is held back until its stream is recorded.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(10);
 
+/// Time after which a core that is reached at all knows an origin that was sent to it, even if the
+/// connection had to be opened first.
+const RECORD_DELAY: Duration = Duration::from_millis(60);
+
 /// Time by which an origin outlasts the patience of its caller, who may take the stream up just
 /// before that ends.
 const LIFETIME_MARGIN: Duration = Duration::from_secs(1);
@@ -32,6 +36,9 @@
 
 /// Restricts a request that takes up a stream to the service and version at which it began.
 ///
+/// A stream that begins while no core can be told of it is restricted to the version at which other
+/// entries look for such a stream.
+///
 /// # Errors
 ///
 /// Returns the refusal if the version is not known: any other would be as likely to be wrong.
@@ -41,8 +48,12 @@
     attempts: &mut Attempts,
     trace: &mut Trace,
 ) -> Result<(), Rejection> {
+    if !request.is_resumable() {
+        return Ok(());
+    }
     let has_events = request.info.last_event_id.is_some_and(|id| id > 0);
-    if !request.is_resumable() || !(has_events || request.info.resumes.is_some()) {
+    if !has_events && request.info.resumes.is_none() {
+        attempts.version = context.unrecorded_version(&request.service, max_age(request));
         return Ok(());
     }
     let Some(found) = find(context, request).await else {
@@ -122,7 +133,13 @@
     // No core knows a request that has not been sent to an upstream, but each says how far back it
     // remembers.
     let stream = Stream::of(resumes.unwrap_or(&request.info.id));
-    if let Some(origin) = ask_cores(context, stream, max_age).await? {
+    let asked_at = Instant::now();
+    let mut found = ask_cores(context, stream, max_age).await?;
+    if found.is_none() && resumes.is_some() {
+        tokio::time::sleep_until(asked_at + RECORD_DELAY).await;
+        found = ask_cores(context, stream, max_age).await?;
+    }
+    if let Some(origin) = found {
         return named(context, request, "core", origin);
     }
     if request.route.targets.len() != 1 {
--- a/crates/verbenaslip-relay/src/policy/builds.rs
+++ b/crates/verbenaslip-relay/src/policy/builds.rs
@@ -75,10 +75,28 @@
         self.services.retain(|_, service| !service.versions.is_empty());
     }
 
+    /// Returns the version at which a stream may begin although no core can be told of it; `None` if
+    /// that does not matter, since the leader is heard, one version is known, or other entries no
+    /// longer take an unrecorded stream for one of a certain version.
+    pub fn without_cores(
+        &self,
+        now: Duration,
+        service: &str,
+        max_age: Duration,
+    ) -> Option<Arc<str>> {
+        let is_concerned = !self.is_current(now) && self.only_version(now, service).is_none();
+        let settled = self.unrecorded(now, service, max_age).filter(|_| is_concerned)?;
+        Some(settled.version.clone())
+    }
+
+    /// Returns whether the leader was heard recently.
+    fn is_current(&self, now: Duration) -> bool {
+        self.leader_heard_at.is_some_and(|at| now.saturating_sub(at) <= MAX_LEADER_SILENCE)
+    }
+
     /// Returns the version at which all streams of a service are, if the service is settled.
     pub fn settled(&mut self, now: Duration, service: &str) -> Option<Arc<str>> {
-        let is_current =
-            self.leader_heard_at.is_some_and(|at| now.saturating_sub(at) <= MAX_LEADER_SILENCE);
+        let is_current = self.is_current(now);
         let has_all_upstreams =
             self.first_heard_at.is_some_and(|at| now.saturating_sub(at) >= SETTLING_TIME);
         if !is_current || !has_all_upstreams {
--- a/crates/verbenaslip-relay/tests/builds.rs
+++ b/crates/verbenaslip-relay/tests/builds.rs
@@ -117,6 +117,22 @@
     assert_eq!(entry.unrecorded(s(27), s(6)), None, "it would have ended by now");
 }
 
+// Guards against unrecorded streams of the second version, from an entry that is cut off from the cores.
+#[test]
+fn an_entry_that_is_cut_off_begins_streams_at_the_version_before() {
+    let mut entry = Fixture::default();
+    entry.set_versions(s(0), &["v1"]);
+    entry.settled(s(10));
+    let without_cores = |entry: &Fixture, now| {
+        entry.builds.without_cores(now, "desk", s(6)).map(|it| it.to_string())
+    };
+    assert_eq!(without_cores(&entry, s(12)), None, "one version is known");
+    entry.set_versions(s(20), &["v1", "v2"]);
+    assert_eq!(without_cores(&entry, s(21)), None, "the leader is heard");
+    assert_eq!(without_cores(&entry, s(22)).as_deref(), Some("v1"));
+    assert_eq!(without_cores(&entry, s(27)), None, "others refuse such streams by now");
+}
+
 #[test]
 fn an_entry_that_has_just_started_knows_no_version_before() {
     let mut entry = Fixture::default();
