Keep room at the last upstreams of a version for streams that have begun there

While a version is replaced, its last upstreams filled up with new prompts, which could have gone to any version, and streams that could go nowhere else met full upstreams. New prompts now leave a quarter of this entry's part of the slots free there, as long as another version has more upstreams and room.

--- a/crates/verbenaslip-relay/src/policy.rs
+++ b/crates/verbenaslip-relay/src/policy.rs
@@ -12,7 +12,7 @@
 //! [`load_shedding`] refuses a share of a service's requests. [`returning`] tells callers that
 //! retry from new ones. [`versions`] chooses the version of a service during a rollout, and
 //! [`quarantine`] holds back poison requests. [`builds`] tells when all streams of a service are at
-//! one software version. [`waiting`] orders the requests that wait for an
+//! one software version, and [`reservation`] keeps room for those of a version that is replaced. [`waiting`] orders the requests that wait for an
 //! upstream, and [`return_schedule`] tells refused callers when to retry.
 
 pub mod allowance;
@@ -28,6 +28,7 @@
 pub mod path;
 pub mod placement;
 pub mod quarantine;
+pub mod reservation;
 pub mod restriction;
 pub mod retry;
 pub mod return_schedule;
--- a/crates/verbenaslip-relay/src/policy/placement.rs
+++ b/crates/verbenaslip-relay/src/policy/placement.rs
@@ -15,7 +15,7 @@
 use verbenaslip_fleet::View;
 use verbenaslip_fleet::limit::{Limits, TimeSlot};
 use verbenaslip_fleet::measurement::Figures;
-use verbenaslip_fleet::registry::{Announcement, Record, Run};
+use verbenaslip_fleet::registry::{Announcement, Record, Run, Status};
 use verbenaslip_fleet::rollout::{Cohort, Plans};
 
 use crate::dialect::PromptPart;
@@ -24,6 +24,7 @@
 use crate::policy::placement::capacity::ServiceFigures;
 use crate::policy::placement::choice::ServiceRank;
 pub use crate::policy::placement::choice::{Busy, Cause, Choice, Decision, FigureUse, Query};
+use crate::policy::reservation;
 use crate::policy::restriction::Restrictions;
 use crate::policy::speed::Lag;
 pub use crate::policy::upstream_state::Ending;
@@ -358,6 +359,7 @@
         if services_changed {
             self.rebuild_services();
         }
+        self.find_scarce_versions();
         removed
     }
 
@@ -370,6 +372,31 @@
         }
     }
 
+    /// Marks the upstreams of scarce versions.
+    fn find_scarce_versions(&mut self) {
+        for names in self.by_service.values() {
+            let states = names.iter().filter_map(|name| self.states.get(name));
+            let ready = states.filter(|state| state.record.status == Status::Ready);
+            let scarce =
+                reservation::scarce_versions(ready.map(|it| &it.record.announcement.version));
+            for name in names {
+                if let Some(state) = self.states.get_mut(name) {
+                    state.has_scarce_version = scarce.contains(&state.record.announcement.version);
+                }
+            }
+        }
+    }
+
+    /// Returns whether the room that is left at an upstream is kept for streams that can go nowhere
+    /// else.
+    fn is_reserved(&self, query: &Query<'_>, state: &UpstreamState) -> bool {
+        let slots = state.record.announcement.slots;
+        state.has_scarce_version
+            && query.version.is_none()
+            && !query.parts.is_empty()
+            && reservation::is_reserved(state.active_requests, slots, self.entry_count)
+    }
+
     fn best_upstream(
         &self,
         now: Duration,
@@ -457,6 +484,7 @@
         track: Track,
     ) -> bool {
         track.includes(state.cohort)
+            && !(strict && self.is_reserved(query, state))
             && query.admits_version(&state.record.announcement.version)
             && state.accepts_requests(now, strict, query.has_spare_attempt)
             && !query.tried_runs.contains(state.run())
--- a/crates/verbenaslip-relay/src/policy/upstream_state.rs
+++ b/crates/verbenaslip-relay/src/policy/upstream_state.rs
@@ -59,6 +59,8 @@
     pub(crate) cohort: Cohort,
     /// Hash of the upstream's name, used to select upstreams.
     pub(crate) upstream_hash: u64,
+    /// Whether few upstreams of its software version are left beside those of another.
+    pub(crate) has_scarce_version: bool,
     /// Number of requests in progress.
     pub(crate) active_requests: u32,
     /// Prompt tokens whose prefill is still pending.
@@ -95,6 +97,7 @@
             record,
             cohort: Cohort::Stable,
             upstream_hash: mark,
+            has_scarce_version: false,
             active_requests: 0,
             pending_prefill: 0,
             cache: Cache::default(),
--- a/crates/verbenaslip-relay/tests/place.rs
+++ b/crates/verbenaslip-relay/tests/place.rs
@@ -12,6 +12,7 @@
 use verbenaslip_fleet::rollout::{Plan, State};
 use verbenaslip_relay::dialect::PromptPart;
 use verbenaslip_relay::policy::placement::{Choice, Decision, Ending, Placement, Query};
+use verbenaslip_relay::policy::reservation::scarce_versions;
 use verbenaslip_relay::policy::versions::{Track, Tracks};
 
 fn run(number: u32, incarnation: u64) -> Run {
@@ -286,6 +287,44 @@
     }
 }
 
+// Guards against new prompts that fill the last upstreams of a version, where begun streams must go on.
+#[test]
+fn new_prompts_leave_room_at_the_last_upstreams_of_a_version() {
+    let with_version = |number: u32, version: &str| {
+        let mut record = record(number, "north", Status::Ready);
+        record.announcement.version = version.into();
+        record
+    };
+    let versions = ["v1", "v2", "v2", "v2"];
+    let records = (1..).zip(versions).map(|(number, version)| with_version(number, version));
+    let mut placement = new_placement(&view(records));
+    let short = [PromptPart { id: 1, tokens: 1 }, PromptPart { id: 2, tokens: 1 }];
+    let mut counts = [0; 4];
+    for _ in 0..60 {
+        let choice = place(&mut placement, Duration::ZERO, &query(&short, &[]));
+        let number = (1..=4).find(|number| choice.run == run(*number, 0)).expect("a known run");
+        counts[number as usize - 1] += 1;
+    }
+    assert!(counts[0] <= 12, "{counts:?}");
+    for _ in 0..4 {
+        let begun = Query { version: Some("v1"), ..query(&short, &[]) };
+        assert_eq!(place(&mut placement, Duration::ZERO, &begun).run, run(1, 0));
+    }
+}
+
+#[test]
+fn a_version_is_scarce_only_beside_one_with_more_upstreams() {
+    let scarce = |versions: &[&str]| {
+        let versions: Vec<Arc<str>> = versions.iter().map(|it| Arc::from(*it)).collect();
+        let scarce = scarce_versions(versions.iter());
+        scarce.iter().map(ToString::to_string).collect::<Vec<_>>()
+    };
+    assert_eq!(scarce(&["v1", "v1"]), [""; 0]);
+    assert_eq!(scarce(&["v1", "v2", "v2"]), [""; 0]);
+    assert_eq!(scarce(&["v1", "v1", "v2", "v2", "v2"]), ["v1"]);
+    assert_eq!(scarce(&["v1", "v1", "v1", "v2", "v2", "v2"]), [""; 0]);
+}
+
 #[test]
 fn returning_callers_yield_to_new_ones() {
     // Guards against late answers for new callers when engines are missing. Callers that were
