Look at each version once when scarce ones are found, and keep begun answers at canaries

The search for scarce versions looked each upstream up by its name; it now takes one pass, as for settled services. An answer that has begun at a canary was turned away when that was busy, although no other upstream may continue it.

--- a/crates/verbenaslip-relay/src/policy/placement.rs
+++ b/crates/verbenaslip-relay/src/policy/placement.rs
@@ -232,12 +232,12 @@
         }
         let expected_ms = choice.expected_ms + choice.lag_ms;
         let late = expected_ms > latest_ms(query);
-        if engine && !query.may_have_run && late && choice.cohort == Cohort::Canary {
+        // An answer that has begun can go nowhere else, while a new request can come back.
+        let must_continue = query.may_have_run || query.version.is_some();
+        if engine && !must_continue && late && choice.cohort == Cohort::Canary {
             // A busy canary must not cost its caller the answer.
             return self.choose(now, &Query { tracks: Tracks::default(), ..*query });
         }
-        // An answer that has begun can go nowhere else, while a new request can come back.
-        let must_continue = query.may_have_run || query.version.is_some();
         if engine && !must_continue && late {
             let excess_ms = (expected_ms - objective).max(100.0);
             let retry_after = Duration::from_secs_f64((excess_ms / 1_000.0).min(3.0));
@@ -374,16 +374,12 @@
 
     /// Marks the upstreams of scarce versions.
     fn find_scarce_versions(&mut self) {
-        for names in self.by_service.values() {
-            let states = names.iter().filter_map(|name| self.states.get(name));
-            let ready = states.filter(|state| state.record.status == Status::Ready);
-            let scarce =
-                reservation::scarce_versions(ready.map(|it| &it.record.announcement.version));
-            for name in names {
-                if let Some(state) = self.states.get_mut(name) {
-                    state.has_scarce_version = scarce.contains(&state.record.announcement.version);
-                }
-            }
+        let ready = self.states.values().filter(|state| state.record.status == Status::Ready);
+        let scarce = reservation::scarce_versions(ready.map(|it| &it.record.announcement));
+        for state in self.states.values_mut() {
+            let Announcement { service, version, .. } = &state.record.announcement;
+            state.has_scarce_version =
+                scarce.iter().any(|it| (&it.service, &it.version) == (service, version));
         }
     }
 
--- a/crates/verbenaslip-relay/src/policy/reservation.rs
+++ b/crates/verbenaslip-relay/src/policy/reservation.rs
@@ -4,25 +4,57 @@
 //! nowhere else, while a new prompt can go to an upstream of any version. New prompts therefore
 //! leave a part of the slots of such upstreams free, as long as another version has room.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use verbenaslip_fleet::registry::Announcement;
+
 /// Number of upstreams up to which a version counts as scarce.
 const MAX_SCARCE: u32 = 2;
 
 /// Fraction of an entry's part of the slots that new prompts may take at a scarce version.
 const NEW_SHARE: f64 = 0.75;
 
-/// Returns the scarce versions among those of a service's ready upstreams; none unless another
-/// version has more upstreams.
-pub fn scarce_versions<'a>(ready: impl Iterator<Item = &'a Arc<str>>) -> Vec<Arc<str>> {
-    let mut counts: BTreeMap<&Arc<str>, u32> = BTreeMap::new();
-    ready.for_each(|version| *counts.entry(version).or_default() += 1);
-    if counts.values().all(|count| *count <= MAX_SCARCE) {
-        return Vec::new();
+/// Names a software version of a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceVersion {
+    /// The service.
+    pub service: Arc<str>,
+    /// The version.
+    pub version: Arc<str>,
+}
+
+/// Counts the ready upstreams of a version.
+struct Count<'a> {
+    announcement: &'a Announcement,
+    upstreams: u32,
+}
+
+/// Returns the scarce versions among those of the ready upstreams; none unless another version of the
+/// service has more upstreams.
+pub fn scarce_versions<'a>(ready: impl Iterator<Item = &'a Announcement>) -> Vec<ServiceVersion> {
+    // There are thousands of upstreams, but few versions.
+    let mut counts: Vec<Count<'_>> = Vec::new();
+    for announcement in ready {
+        let Announcement { service, version, .. } = announcement;
+        let is_same = |it: &&mut Count<'_>| {
+            (&it.announcement.service, &it.announcement.version) == (service, version)
+        };
+        match counts.iter_mut().find(is_same) {
+            Some(count) => count.upstreams += 1,
+            None => counts.push(Count { announcement, upstreams: 1 }),
+        }
     }
-    let scarce = counts.into_iter().filter(|(_, count)| *count <= MAX_SCARCE);
-    scarce.map(|(version, _)| version.clone()).collect()
+    let has_ample_version = |service: &str| {
+        counts.iter().any(|it| *it.announcement.service == *service && it.upstreams > MAX_SCARCE)
+    };
+    let scarce = counts
+        .iter()
+        .filter(|it| it.upstreams <= MAX_SCARCE && has_ample_version(&it.announcement.service));
+    let named = scarce.map(|Count { announcement, .. }| ServiceVersion {
+        service: announcement.service.clone(),
+        version: announcement.version.clone(),
+    });
+    named.collect()
 }
 
 /// Returns whether the room that is left at an upstream of a scarce version is kept free, when an
--- a/crates/verbenaslip-relay/tests/builds.rs
+++ b/crates/verbenaslip-relay/tests/builds.rs
@@ -1,13 +1,14 @@
 //! When all streams of a service are at one software version.
 
+mod common;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use verbenaslip_base::name::{AvailabilityZone, Upstream};
+use common::{record, run};
 use verbenaslip_fleet::View;
 use verbenaslip_fleet::origin::Build;
-use verbenaslip_fleet::registry::{Announcement, Record, Run, Status};
 use verbenaslip_fleet::view::Version;
 use verbenaslip_relay::policy::builds::Builds;
 
@@ -15,23 +16,6 @@
     Duration::from_secs(seconds)
 }
 
-fn record(name: &str, version: &str) -> Record {
-    let announcement = Announcement {
-        run: Run { upstream: Upstream::new(name), incarnation: 1 },
-        service: "desk".into(),
-        address: ([127, 0, 0, 1], 1).into(),
-        zone: AvailabilityZone::from("north"),
-        version: version.into(),
-        slots: 8,
-        draining: false,
-        warmup_left: Duration::ZERO,
-        reclaimable: false,
-        leaves_in: None,
-        sequence: 1,
-    };
-    Record { announcement, status: Status::Ready }
-}
-
 /// A service whose upstreams change, as one entry sees it.
 #[derive(Default)]
 struct Fixture {
@@ -41,9 +25,10 @@
 
 impl Fixture {
     fn set_versions(&mut self, now: Duration, versions: &[&str]) {
-        let named = versions.iter().enumerate().map(|(index, version)| {
-            let name = format!("e{index}");
-            (Upstream::new(name.as_str()), record(&name, version))
+        let named = (1..).zip(versions).map(|(number, version)| {
+            let mut record = record(run(number, 0), "north");
+            record.announcement.version = (*version).into();
+            (record.announcement.run.upstream.clone(), record)
         });
         self.view.upstreams = Arc::new(named.collect::<BTreeMap<_, _>>());
         self.hear_leader(now);
--- a/crates/verbenaslip-relay/tests/place.rs
+++ b/crates/verbenaslip-relay/tests/place.rs
@@ -315,9 +315,14 @@
 #[test]
 fn a_version_is_scarce_only_beside_one_with_more_upstreams() {
     let scarce = |versions: &[&str]| {
-        let versions: Vec<Arc<str>> = versions.iter().map(|it| Arc::from(*it)).collect();
-        let scarce = scarce_versions(versions.iter());
-        scarce.iter().map(ToString::to_string).collect::<Vec<_>>()
+        let announcements = versions.iter().map(|version| {
+            let mut announcement = record(1, "north", Status::Ready).announcement;
+            announcement.version = (*version).into();
+            announcement
+        });
+        let announcements: Vec<Announcement> = announcements.collect();
+        let scarce = scarce_versions(announcements.iter());
+        scarce.iter().map(|it| it.version.to_string()).collect::<Vec<_>>()
     };
     assert_eq!(scarce(&["v1", "v1"]), [""; 0]);
     assert_eq!(scarce(&["v1", "v2", "v2"]), [""; 0]);
