Decide in one place where a stream of events may end

The relay and the first face combined the same three conditions; the position of a stream now has them.

--- a/crates/verbenaslip-base/src/event_stream.rs
+++ b/crates/verbenaslip-base/src/event_stream.rs
@@ -68,6 +68,14 @@
         is_between_lines && !self.in_event
     }
 
+    /// Returns whether a stream that ends here is whole.
+    ///
+    /// An upstream that crashes may close its connection in order. Where only that ends a stream,
+    /// one without a single event is not whole either.
+    pub fn is_whole(&self, ends_with_connection: bool) -> bool {
+        self.is_between_events() && (self.has_events || !ends_with_connection)
+    }
+
     /// Returns whether the stream has had a whole event.
     pub fn has_events(&self) -> bool {
         self.has_events
--- a/crates/verbenaslip-relay/src/forward/delivery.rs
+++ b/crates/verbenaslip-relay/src/forward/delivery.rs
@@ -250,14 +250,9 @@
     }
 
     /// Returns whether an upstream's body that has ended here is whole.
-    ///
-    /// An upstream that crashes may close its connection in order. Where only that ends a stream,
-    /// one without a single event is not whole either.
     fn is_whole(&self, framing: Framing) -> bool {
-        let position = self.splitter.position();
-        let may_be_empty = framing != Framing::UntilClose;
-        !self.is_event_stream
-            || (position.is_between_events() && (may_be_empty || position.has_events()))
+        let ends_with_connection = framing == Framing::UntilClose;
+        !self.is_event_stream || self.splitter.position().is_whole(ends_with_connection)
     }
 
     fn append_framed(&mut self, bytes: &[u8], out: &mut Vec<u8>) {
--- a/crates/verbenaslip/src/traffic/client.rs
+++ b/crates/verbenaslip/src/traffic/client.rs
@@ -305,10 +305,12 @@
             }
             bytes.extend_from_slice(&data);
         }
-        if event_stream::is_content_type(content.as_bytes())
-            && !is_whole_stream(&bytes, ends_with_connection)
-        {
-            return Err(Cause::Cut.into());
+        if event_stream::is_content_type(content.as_bytes()) {
+            let mut position = Position::default();
+            position.advance(&bytes);
+            if !position.is_whole(ends_with_connection) {
+                return Err(Cause::Cut.into());
+            }
         }
         let whole = ServiceResponse { status: status.as_u16(), content, bytes: bytes.into() };
         match self.shelf.fill(self.run.attempt, whole) {
@@ -342,14 +344,6 @@
     tokio::time::timeout(limit, step).await.map_err(|_| Halt::from(Cause::Silent))
 }
 
-/// Says whether a stream of events ends between two of them; one that only its connection ends has
-/// at least one.
-fn is_whole_stream(bytes: &[u8], ends_with_connection: bool) -> bool {
-    let mut position = Position::default();
-    position.advance(bytes);
-    position.is_between_events() && (position.has_events() || !ends_with_connection)
-}
-
 fn not_run(status: StatusCode, headers: &HeaderMap) -> bool {
     let outcome = headers.get(OUTCOME).is_some_and(|value| value == NOT_RUN);
     status == StatusCode::SERVICE_UNAVAILABLE && outcome
