Decide in one place whether a rollout's candidate may be used

continuing_tracks repeated the conditions of choose_tracks, so that a change to one could miss the other.

--- a/crates/verbenaslip-relay/src/policy/versions.rs
+++ b/crates/verbenaslip-relay/src/policy/versions.rs
@@ -127,49 +127,54 @@
         random_fraction: f64,
     ) -> Tracks {
         let Some(service_counts) = self.services.get(service) else { return Tracks::default() };
+        if !self.may_use_candidate(now, service_counts) {
+            return Tracks::default();
+        }
         let plan = &service_counts.plan;
-        let unconfirmed =
-            self.plans_confirmed_at.is_none_or(|at| now.saturating_sub(at) > CONFIRMATION_LEASE);
-        let rolled_back = self.rolled_back.contains(&plan.id);
         let with_fallback = |first, second| Tracks { preferred: first, fallback: Some(second) };
         match plan.state {
-            State::RolledBack => Tracks::default(),
             State::Completed => with_fallback(Track::Candidate, Track::Stable),
-            State::Serving if rolled_back => Tracks::default(),
-            // The rollout may already be decided elsewhere, and the stable upstreams may be
-            // stopped.
-            State::Serving if unconfirmed || service_counts.candidate_stopped => {
-                match plan.shifting {
-                    true => with_fallback(Track::Stable, Track::Candidate),
-                    false => Tracks::default(),
-                }
+            // The stable upstreams may be stopped, so the candidate serves if they can't.
+            _ if self.may_be_decided(now, service_counts) => {
+                with_fallback(Track::Stable, Track::Candidate)
             }
-            State::Serving if is_retry && !plan.shifting => Tracks::default(),
-            State::Serving if random_fraction < plan.share(route) => {
+            _ if is_retry && !plan.shifting => Tracks::default(),
+            _ if random_fraction < plan.share(route) => {
                 with_fallback(Track::Candidate, Track::Stable)
             }
-            State::Serving if plan.shifting => with_fallback(Track::Stable, Track::Candidate),
-            State::Serving => Tracks::default(),
+            _ if plan.shifting => with_fallback(Track::Stable, Track::Candidate),
+            _ => Tracks::default(),
         }
     }
 
     /// Returns the versions that may continue an answer which one of them has begun: both, unless
     /// the candidate must not be used.
     pub fn continuing_tracks(&self, now: Duration, service: &str) -> Tracks {
-        let Some(service_counts) = self.services.get(service) else { return Tracks::default() };
+        let service_counts = self.services.get(service);
+        let may_use_candidate = service_counts.is_some_and(|it| self.may_use_candidate(now, it));
+        let fallback = may_use_candidate.then_some(Track::Candidate);
+        Tracks { preferred: Track::Stable, fallback }
+    }
+
+    /// Returns whether the candidate may take any requests.
+    fn may_use_candidate(&self, now: Duration, service_counts: &ServiceCounts) -> bool {
         let plan = &service_counts.plan;
-        let unconfirmed =
-            self.plans_confirmed_at.is_none_or(|at| now.saturating_sub(at) > CONFIRMATION_LEASE);
-        let may_use_candidate = match plan.state {
+        match plan.state {
             State::RolledBack => false,
             State::Completed => true,
             State::Serving => {
-                let may_be_decided = unconfirmed || service_counts.candidate_stopped;
-                !self.rolled_back.contains(&plan.id) && (plan.shifting || !may_be_decided)
+                !self.rolled_back.contains(&plan.id)
+                    && (plan.shifting || !self.may_be_decided(now, service_counts))
             }
-        };
-        let fallback = may_use_candidate.then_some(Track::Candidate);
-        Tracks { preferred: Track::Stable, fallback }
+        }
+    }
+
+    /// Returns whether a rollout in progress may already be decided elsewhere, or this entry has
+    /// stopped using its candidate.
+    fn may_be_decided(&self, now: Duration, service_counts: &ServiceCounts) -> bool {
+        let unconfirmed =
+            self.plans_confirmed_at.is_none_or(|at| now.saturating_sub(at) > CONFIRMATION_LEASE);
+        unconfirmed || service_counts.candidate_stopped
     }
 
     /// Counts a request that is sent; returns `None` if its service has no rollout in progress.
