--- a/crates/verbenaslip-relay/src/forward/queue.rs
+++ b/crates/verbenaslip-relay/src/forward/queue.rs
@@ -271,9 +271,7 @@
     let remaining = request.deadline.saturating_duration_since(Instant::now());
     // Chosen again at each look, so that a request does not wait for one version while a rollout
     // sends most requests to another.
-    let tracks =
-        context.choose_tracks(request, !attempts.tried_runs.is_empty(), attempts.version.is_some());
-    let query = upstream_choice::query(request, attempts, remaining, tracks);
+    let query = upstream_choice::query(context, request, attempts, remaining);
     context.placement.borrow().next_acceptance(monotonic::now(), &query)
 }
 
--- a/crates/verbenaslip-relay/src/forward/upstream_choice.rs
+++ b/crates/verbenaslip-relay/src/forward/upstream_choice.rs
@@ -12,7 +12,6 @@
 use crate::monotonic;
 use crate::policy::placement::{Busy, Cause, Choice, Decision, Query};
 use crate::policy::restriction::Restriction;
-use crate::policy::versions::Tracks;
 
 /// Chooses the upstream that gets a request next, or returns why the request is refused.
 pub(super) fn choose_upstream(
@@ -26,9 +25,7 @@
     // With the view from its arrival it could go to an upstream that has left since.
     trace.brittle = false;
     trace.view_info = ViewInfo::of(&context.refresh_view());
-    let tracks =
-        context.choose_tracks(request, !attempts.tried_runs.is_empty(), attempts.version.is_some());
-    let query = query(request, attempts, remaining, tracks);
+    let query = query(context, request, attempts, remaining);
     let decision = context.placement.borrow_mut().choose(monotonic::now(), &query);
     count_engine_time(context, request, attempts, &decision);
     match decision {
@@ -58,13 +55,15 @@
     }
 }
 
-/// Describes the next attempt of a request to the placement.
+/// Describes the next attempt of a request to the placement, with newly chosen tracks.
 pub(super) fn query<'a>(
+    context: &Context,
     request: &'a AdmittedRequest<'_>,
     attempts: &'a Attempts,
     remaining: Duration,
-    tracks: Tracks,
 ) -> Query<'a> {
+    let is_retry = !attempts.tried_runs.is_empty();
+    let tracks = context.choose_tracks(request, is_retry, attempts.version.is_some());
     Query {
         has_spare_attempt: attempts.sends + 1 < request.route.max_attempts,
         may_have_run: attempts.may_have_run,
