Count the versions of upstreams in one function

Settled services and scarce versions each searched the upstreams for pairs of service and version in the same way.

--- a/crates/verbenaslip-relay/src/policy/builds.rs
+++ b/crates/verbenaslip-relay/src/policy/builds.rs
@@ -68,7 +68,9 @@
             });
             service.versions.retain(|_, left_at| is_recent(now, *left_at));
         }
-        for Announcement { service, version, .. } in distinct_versions(&view.upstreams) {
+        let announcements = view.upstreams.values().map(|record| &record.announcement);
+        for VersionCount { announcement, .. } in count_versions(announcements) {
+            let Announcement { service, version, .. } = announcement;
             let service = self.services.entry(service.clone()).or_default();
             service.versions.insert(version.clone(), None);
         }
@@ -133,20 +135,31 @@
     }
 }
 
-/// Returns an announcement for each version of each service.
+/// Counts the upstreams of a version.
+pub(crate) struct VersionCount<'a> {
+    /// Announcement of one of them.
+    pub(crate) announcement: &'a Announcement,
+    pub(crate) upstreams: u32,
+}
+
+/// Counts the upstreams of each version of each service.
 ///
 /// There are thousands of upstreams, but few versions.
-fn distinct_versions(upstreams: &UpstreamRecords) -> Vec<&Announcement> {
-    let mut distinct: Vec<&Announcement> = Vec::new();
-    for Record { announcement, .. } in upstreams.values() {
-        let is_same = |it: &&Announcement| {
-            (&it.service, &it.version) == (&announcement.service, &announcement.version)
+pub(crate) fn count_versions<'a>(
+    announcements: impl Iterator<Item = &'a Announcement>,
+) -> Vec<VersionCount<'a>> {
+    let mut counts: Vec<VersionCount<'_>> = Vec::new();
+    for announcement in announcements {
+        let Announcement { service, version, .. } = announcement;
+        let is_same = |it: &&mut VersionCount<'_>| {
+            (&it.announcement.service, &it.announcement.version) == (service, version)
         };
-        if !distinct.iter().any(is_same) {
-            distinct.push(announcement);
+        match counts.iter_mut().find(is_same) {
+            Some(count) => count.upstreams += 1,
+            None => counts.push(VersionCount { announcement, upstreams: 1 }),
         }
     }
-    distinct
+    counts
 }
 
 fn is_recent(now: Duration, left_at: Option<Duration>) -> bool {
--- a/crates/verbenaslip-relay/src/policy/reservation.rs
+++ b/crates/verbenaslip-relay/src/policy/reservation.rs
@@ -8,6 +8,8 @@
 
 use verbenaslip_fleet::registry::Announcement;
 
+use crate::policy::builds::{VersionCount, count_versions};
+
 /// Number of upstreams up to which a version counts as scarce.
 const MAX_SCARCE: u32 = 2;
 
@@ -23,34 +25,17 @@
     pub version: Arc<str>,
 }
 
-/// Counts the ready upstreams of a version.
-struct Count<'a> {
-    announcement: &'a Announcement,
-    upstreams: u32,
-}
-
 /// Returns the scarce versions among those of the ready upstreams; none unless another version of the
 /// service has more upstreams.
 pub fn scarce_versions<'a>(ready: impl Iterator<Item = &'a Announcement>) -> Vec<ServiceVersion> {
-    // There are thousands of upstreams, but few versions.
-    let mut counts: Vec<Count<'_>> = Vec::new();
-    for announcement in ready {
-        let Announcement { service, version, .. } = announcement;
-        let is_same = |it: &&mut Count<'_>| {
-            (&it.announcement.service, &it.announcement.version) == (service, version)
-        };
-        match counts.iter_mut().find(is_same) {
-            Some(count) => count.upstreams += 1,
-            None => counts.push(Count { announcement, upstreams: 1 }),
-        }
-    }
+    let counts = count_versions(ready);
     let has_ample_version = |service: &str| {
         counts.iter().any(|it| *it.announcement.service == *service && it.upstreams > MAX_SCARCE)
     };
     let scarce = counts
         .iter()
         .filter(|it| it.upstreams <= MAX_SCARCE && has_ample_version(&it.announcement.service));
-    let named = scarce.map(|Count { announcement, .. }| ServiceVersion {
+    let named = scarce.map(|VersionCount { announcement, .. }| ServiceVersion {
         service: announcement.service.clone(),
         version: announcement.version.clone(),
     });
