--- a/crates/verbenaslip-fleet/src/origin.rs
+++ b/crates/verbenaslip-fleet/src/origin.rs
@@ -1,7 +1,7 @@
 //! At which software version streams began.
 //!
 //! What two versions write does not fit together, so a stream may only go on at the version that
-//! began it. An entry tells two cores of each stream that it sends to an upstream while several
+//! began it. An entry records each stream that it sends to an upstream at two cores while several
 //! versions serve, and asks all cores when a caller takes up a stream that began elsewhere. Cores
 //! keep origins in memory only, until the caller no longer waits.
 
@@ -14,7 +14,7 @@
 /// Longest time for which an origin is remembered.
 pub const MAX_LIFETIME: Duration = Duration::from_secs(60);
 
-/// Number of cores that each entry tells of its streams.
+/// Number of cores at which each entry records its streams.
 pub const KEEPER_COUNT: usize = 2;
 
 /// Origins that expire within the same time are dropped together.
@@ -160,7 +160,7 @@
     }
 }
 
-/// Returns the cores that an entry tells of its streams.
+/// Returns the cores at which an entry records its streams.
 ///
 /// Each entry has its own, so that all cores have as much to remember, and an entry sends what
 /// begins within a moment in one frame to each.
--- a/crates/verbenaslip-relay/src/forward/origin.rs
+++ b/crates/verbenaslip-relay/src/forward/origin.rs
@@ -130,8 +130,8 @@
         return named(context, request, "entry", origin);
     }
     let max_age = max_age(request);
-    // No core knows a request that has not been sent to an upstream, but each says how far back it
-    // remembers.
+    // Without a first request, no core can find the origin, but each answer states how far back the
+    // core's records are complete.
     let stream = Stream::of(resumes.unwrap_or(&request.info.id));
     let asked_at = Instant::now();
     let mut found = ask_cores(context, stream, max_age).await?;
