Name the parts of prompts in the lines of broken requests

Parts bear a tag in their upper bits, so that frames and log entries keep their format. No decision uses them yet.

--- a/crates/verbenaslip-relay/src/forward/admission.rs
+++ b/crates/verbenaslip-relay/src/forward/admission.rs
@@ -32,6 +32,9 @@
 /// Retry time, at another instance, for a caller that was refused because this instance stops.
 pub(super) const RETRY_AFTER_STOP: Duration = Duration::from_millis(50);
 
+/// Limit on the prompt parts by which a request is recognized.
+const MAX_PARTS: usize = 64;
+
 /// Time limit for the leader's grant: many times the round trip, and short compared with the time
 /// in which the loss of a leader is noticed.
 const LOAN_TIMEOUT: Duration = Duration::from_millis(250);
@@ -49,6 +52,8 @@
     pub info: &'a RequestInfo,
     /// Fingerprint of the content; `None` while this entry has no key to compute it.
     pub fingerprint: Option<Fingerprint>,
+    /// Fingerprints of the prompt parts that other requests may share.
+    pub part_fingerprints: Vec<Fingerprint>,
     /// Route of the request.
     pub route: &'a Route,
     /// Priority of the request; zero is the most urgent.
@@ -102,6 +107,7 @@
         self.upstream_connections = table
             .and_then(|table| table.service(&service))
             .map_or(u32::MAX, |it| it.max_connections);
+        self.part_fingerprints = part_fingerprints(view, self.info, &service);
         self.service = service;
     }
 }
@@ -138,6 +144,7 @@
         body: &message.body,
         info,
         fingerprint: fingerprint(view, message, team, host),
+        part_fingerprints: part_fingerprints(view, info, &service),
         route,
         rank: routes.rank(route, team),
         team,
@@ -164,6 +171,16 @@
     Some(Fingerprint::of(view.blocklist.key?, team, host, &message.head.target, &message.body))
 }
 
+/// Returns the fingerprints of all prompt parts but the last one, which belongs to the request or
+/// its session.
+fn part_fingerprints(view: &View, info: &RequestInfo, service: &str) -> Vec<Fingerprint> {
+    let (Some(key), [shared @ .., _]) = (view.blocklist.key, &*info.prompt_parts) else {
+        return Vec::new();
+    };
+    let shared = shared.iter().take(MAX_PARTS);
+    shared.map(|part| Fingerprint::of_part(key, service, part.id)).collect()
+}
+
 fn find_team<'a>(
     routes: &'a Index,
     route: &Route,
--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -541,11 +541,13 @@
     sent_at: Instant,
 ) -> InterruptedRequest {
     let (id, fingerprint) = (request.info.id.clone(), request.fingerprint);
+    let part_fingerprints = request.part_fingerprints.clone();
     let (run, address) = (choice.run.clone(), choice.address);
     let ended = monotonic::now();
     InterruptedRequest {
         id,
         fingerprint,
+        part_fingerprints,
         run,
         address,
         sent_at: ended.saturating_sub(sent_at.elapsed()),
--- a/crates/verbenaslip-relay/src/forward/crash.rs
+++ b/crates/verbenaslip-relay/src/forward/crash.rs
@@ -55,6 +55,8 @@
     pub(crate) id: Arc<str>,
     /// Fingerprint of the content, if this entry has a key to compute one.
     pub(crate) fingerprint: Option<Fingerprint>,
+    /// Fingerprints of the prompt parts that other requests may share.
+    pub(crate) part_fingerprints: Vec<Fingerprint>,
     /// Run of the upstream.
     pub(crate) run: Run,
     /// Address of the upstream.
@@ -143,6 +145,9 @@
     let ids: Vec<&str> = listed.iter().map(|it| &*it.id).collect();
     let fingerprints: Vec<String> =
         listed.iter().filter_map(|it| it.fingerprint).map(|it| it.to_string()).collect();
+    let parts: BTreeSet<Fingerprint> =
+        listed.iter().flat_map(|it| &it.part_fingerprints).copied().collect();
+    let parts: Vec<String> = parts.iter().take(MAX_LISTED).map(ToString::to_string).collect();
     event_log::emit(
         BROKE_OFF,
         [
@@ -152,6 +157,7 @@
             ("count", json!(requests.len())),
             ("ids", json!(ids)),
             ("contents", json!(fingerprints)),
+            ("parts", json!(parts)),
         ],
     );
 }
--- a/crates/verbenaslip-relay/src/forward/request_log.rs
+++ b/crates/verbenaslip-relay/src/forward/request_log.rs
@@ -136,6 +136,9 @@
         trace.attempts.iter().filter_map(|it| it.gateway).map(|it| it.to_string()).collect();
     let sent_after: Vec<u128> =
         trace.attempts.iter().map(|attempt| attempt.sent_after.as_millis()).collect();
+    // Most requests are answered, and need not be traced to what they share with others.
+    let parts = request.filter(|_| outcome != "answered").map(|it| &*it.part_fingerprints);
+    let parts: Vec<String> = parts.unwrap_or_default().iter().map(ToString::to_string).collect();
     let resumes = request.and_then(|request| request.info.resumes.as_deref());
     let names_version =
         rollout_plan(view, request).is_some() || resumes.is_some() || trace.attempts.len() > 1;
@@ -147,6 +150,7 @@
             "content",
             json!(request.and_then(|request| request.fingerprint).map(|it| it.to_string())),
         ),
+        ("parts", json!(parts)),
         ("outcome", json!(outcome)),
         ("status", json!(trace.status)),
         ("ms", json!(duration.as_millis())),
