--- a/crates/verbenaslip-fleet/src/crash_report.rs
+++ b/crates/verbenaslip-fleet/src/crash_report.rs
@@ -23,11 +23,11 @@
 const RETENTION: Duration = Duration::from_secs(60);
 
 /// Maximum number of kept observations of each kind. An entry has some 50 requests at the upstreams
-/// of an availability zone that is lost.
-const MAX_KEPT: usize = 256;
+/// of an availability zone that is lost, with up to 16 prompt parts each.
+const MAX_KEPT: usize = 1_024;
 
-/// Maximum number of observations of each kind in one report, which keeps it under 2 kB.
-const MAX_PER_REPORT: usize = 32;
+/// Maximum number of observations of each kind in one report, which keeps it under 4 kB.
+const MAX_PER_REPORT: usize = 64;
 
 /// Tells the leader what an entry observed about its requests.
 #[data]
@@ -42,23 +42,23 @@
     pub answers: Vec<Answer>,
 }
 
-/// Records that an upstream crashed while it ran a request.
+/// Records that an upstream crashed while it ran a request, or one with a prompt part.
 #[derive(Clone, Debug)]
 pub struct ObservedCrash {
-    /// The fingerprint of the request.
+    /// The fingerprint of the request or part.
     pub fingerprint: Fingerprint,
     /// The run of the upstream.
     pub run: Run,
-    /// When the request was sent to the upstream.
+    /// When the last such request was sent to the upstream.
     pub sent: Duration,
     /// When the request broke off.
     pub ended: Duration,
 }
 
-/// Records that a suspected or quarantined request was answered.
+/// Records that a suspected or quarantined request, or one with such a part, was answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ObservedAnswer {
-    /// The fingerprint of the request.
+    /// The fingerprint of the request or part.
     pub fingerprint: Fingerprint,
     /// When the answer was complete.
     pub at: Duration,
--- a/crates/verbenaslip-fleet/src/quarantine.rs
+++ b/crates/verbenaslip-fleet/src/quarantine.rs
@@ -1,4 +1,5 @@
-//! Detection and quarantine of poison requests, which crash the upstreams that run them.
+//! Detection and quarantine of poison requests, and of prompt parts that make requests poison: they
+//! crash the upstreams that run them.
 //!
 //! An upstream that crashes breaks off all requests that it runs, and each of them may be the
 //! cause. A poison request that is sent again gives itself away, because the next upstream crashes
@@ -15,8 +16,15 @@
 //! three is believed only after the entries have had time to report an answer. Then the request is
 //! quarantined: no entry sends it to any upstream. After some time, one entry sends it once as a
 //! trial, to see whether upstreams survive it by now.
+//!
+//! A prompt part is suspected, watched, quarantined and tried in the same way, with all requests
+//! that contain it. Many of them run at a time, on all upstreams, so that four upstreams count
+//! however they crashed. Almost every part is cleared by the next answer to any request with it. Of
+//! the parts that are left, the one that crashed most upstreams is quarantined first, and explains
+//! the crashes of the others.
 
 mod record;
+mod suspect;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -27,6 +35,8 @@
 pub use crate::quarantine::record::{
     Answer, Block, Blocklist, Cause, Crash, Finding, PersistedState, QuarantinePolicy,
 };
+pub use crate::quarantine::suspect::PART_CLEARANCE;
+use crate::quarantine::suspect::{Suspect, SuspectCrash};
 use crate::upstream::Run;
 
 /// How long a complete chain waits for the report of an answer: as long as an update takes to reach
@@ -41,18 +51,14 @@
 /// How long entries watch for answers to a request that crashes no further upstream.
 const WATCH_TIME: Duration = Duration::from_secs(30);
 
-/// Maximum number of suspected requests. When a third of 3,000 upstreams ended at once, some 16,000
-/// requests were running on them, most of which are never sent again.
+/// Maximum number of suspected requests, and of suspected parts. When a third of 3,000 upstreams
+/// ended at once, some 16,000 requests were running on them, most of which are never sent again.
 const MAX_SUSPECTS: usize = 4_096;
 
 /// Maximum number of watched requests, and of quarantined ones: each change sends the lists whole,
 /// with 5 kB each.
 const MAX_LISTED: usize = 256;
 
-/// Number of crashes that are remembered per request: as many as a chain needs, and those that
-/// another request explains.
-const MAX_CRASHES: usize = 8;
-
 /// Number of upstreams that a request may crash in trials. After that it stays quarantined until an
 /// operator lifts the quarantine.
 const MAX_TRIALS: u8 = 3;
@@ -65,10 +71,11 @@
 
 impl Default for QuarantinePolicy {
     fn default() -> Self {
-        let hold = Duration::from_secs(600);
         Self {
             crash_threshold: 3,
-            hold_time: hold,
+            hold_time: Duration::from_secs(600),
+            part_crash_threshold: 4,
+            part_hold_time: Duration::from_secs(60),
             lifted: BTreeSet::new(),
             forbidden: BTreeSet::new(),
         }
@@ -81,74 +88,22 @@
     policy: QuarantinePolicy,
     key: Option<u128>,
     suspects: BTreeMap<Fingerprint, Suspect>,
+    /// The number of suspects that were ever added.
+    suspect_count: u64,
     /// The suspected requests in the order in which they were added.
-    insertion_order: VecDeque<Fingerprint>,
+    content_order: VecDeque<Fingerprint>,
+    /// The suspected parts in the order in which they were added.
+    part_order: VecDeque<Fingerprint>,
     watched: BTreeSet<Fingerprint>,
     quarantined: BTreeMap<Fingerprint, Block>,
     /// When an entry was last chosen for a trial of a request.
     trials: BTreeMap<Fingerprint, Duration>,
-    /// The last upstreams whose crash is explained by a quarantined request.
-    explained: VecDeque<Run>,
+    /// The last upstreams whose crash a quarantined request or part explains.
+    explained: VecDeque<(Run, Fingerprint)>,
     findings: Vec<Finding>,
     blocklist: Arc<Blocklist>,
 }
 
-/// Holds what is known of a request that may crash upstreams.
-#[derive(Debug, Default)]
-struct Suspect {
-    crashes: Vec<SuspectCrash>,
-    /// Since when entries watch for answers to the request.
-    watched_since: Option<Duration>,
-    /// When the request was last answered.
-    answered_at: Option<Duration>,
-}
-
-/// Records that an upstream crashed while it ran the request.
-#[derive(Clone, Debug)]
-struct SuspectCrash {
-    run: Run,
-    sent_at: Duration,
-    ended_at: Duration,
-    /// Whether another request is known to have caused the crash.
-    explained: bool,
-}
-
-impl Suspect {
-    /// Returns the upstreams that crashed one after the other, since the request was last answered.
-    fn chain(&self) -> Vec<&SuspectCrash> {
-        let mut chain: Vec<&SuspectCrash> = Vec::new();
-        for crash in &self.crashes {
-            let cleared =
-                crash.explained || self.answered_at.is_some_and(|it| crash.ended_at <= it);
-            let is_later = chain.last().is_none_or(|last| crash.sent_at >= last.ended_at);
-            if !cleared && is_later {
-                chain.push(crash);
-            }
-        }
-        chain
-    }
-
-    fn runs(&self) -> Vec<Run> {
-        self.chain().into_iter().map(|crash| crash.run.clone()).collect()
-    }
-
-    fn add_crash(&mut self, crash: SuspectCrash) {
-        if self.crashes.iter().any(|it| it.run == crash.run) {
-            return;
-        }
-        // Entries report in any order, above all to a new leader.
-        let position = self.crashes.partition_point(|it| it.ended_at <= crash.ended_at);
-        self.crashes.insert(position, crash);
-        if self.crashes.len() > MAX_CRASHES {
-            self.crashes.remove(0);
-        }
-    }
-
-    fn last_crash(&self) -> Option<Duration> {
-        self.crashes.last().map(|it| it.ended_at)
-    }
-}
-
 impl Quarantine {
     /// Starts with what the log and this core know. Suspected requests are reported again by the
     /// entries.
@@ -199,7 +154,9 @@
             self.handle_repeated_crash(unix.saturating_sub(*sent_ms_ago), unix, *fingerprint, run);
         }
         let ago = |millis: u64| now.saturating_sub(Duration::from_millis(millis));
-        let explained = self.explained.contains(run);
+        let explained = self.explained.iter().any(|(explained, culprit)| {
+            explained == run && Self::may_explain(*culprit, *fingerprint)
+        });
         let suspect_crash = SuspectCrash {
             run: run.clone(),
             sent_at: ago(*sent_ms_ago),
@@ -221,7 +178,7 @@
             block.is_some_and(|block| unix.saturating_sub(answer.ms_ago) > block.since);
         if let Some(suspect) = self.suspects.get_mut(&answer.fingerprint) {
             suspect.answered_at = suspect.answered_at.max(Some(at));
-            cleared = cleared || (!suspect.crashes.is_empty() && suspect.chain().is_empty());
+            cleared = cleared || (!suspect.crashes.is_empty() && suspect.evidence().is_empty());
         }
         if cleared {
             self.release(answer.fingerprint, Cause::Answered);
@@ -230,8 +187,8 @@
 
     /// Makes the decisions that are due; `entries` are those that may run trials.
     pub fn tick(&mut self, now: Duration, unix: u64, entries: &[SocketAddr]) {
+        self.quarantine_due(now, unix);
         for fingerprint in self.watched.clone() {
-            self.evaluate(now, unix, fingerprint);
             let last = self.suspects.get(&fingerprint).and_then(Suspect::last_crash);
             let is_idle = last.is_none_or(|last| now.saturating_sub(last) > WATCH_TIME);
             let since = self.suspects.get(&fingerprint).and_then(|it| it.watched_since);
@@ -239,14 +196,16 @@
                 self.unwatch(fingerprint);
             }
         }
-        while let Some(fingerprint) = self.insertion_order.front().copied() {
-            let last = self.suspects.get(&fingerprint).and_then(Suspect::last_crash);
-            let is_fresh = last.is_some_and(|last| now.saturating_sub(last) <= SUSPICION_TIME);
-            if is_fresh || self.watched.contains(&fingerprint) {
-                break;
+        for order in [&mut self.content_order, &mut self.part_order] {
+            while let Some(fingerprint) = order.front() {
+                let last = self.suspects.get(fingerprint).and_then(Suspect::last_crash);
+                let is_fresh = last.is_some_and(|last| now.saturating_sub(last) <= SUSPICION_TIME);
+                if is_fresh || self.watched.contains(fingerprint) {
+                    break;
+                }
+                self.suspects.remove(fingerprint);
+                order.pop_front();
             }
-            self.insertion_order.pop_front();
-            self.suspects.remove(&fingerprint);
         }
         self.offer_trials(now, unix, entries);
     }
@@ -257,53 +216,106 @@
         (std::mem::take(&mut self.findings), changed)
     }
 
-    /// Returns what is known of a request, and adds the request if it is new.
+    /// Returns what is known of a request or part, and adds it if it is new.
     ///
-    /// To make room, the oldest suspected requests that are not watched are removed. A flood of
-    /// requests that break off once therefore removes none that is about to be found, and none that
-    /// is quarantined.
+    /// To make room, the oldest suspects of the same kind that are not watched are removed. A flood
+    /// of requests that break off once therefore removes none that is about to be found, and none
+    /// that is quarantined.
     fn suspect(&mut self, fingerprint: Fingerprint) -> &mut Suspect {
+        let is_part = fingerprint.is_part();
         if !self.suspects.contains_key(&fingerprint) {
-            self.insertion_order.push_back(fingerprint);
-            let mut remaining = self.insertion_order.len();
-            while self.suspects.len() >= MAX_SUSPECTS && remaining > 0 {
+            self.suspect_count += 1;
+            let order = if is_part { &mut self.part_order } else { &mut self.content_order };
+            order.push_back(fingerprint);
+            let mut remaining = order.len();
+            while order.len() > MAX_SUSPECTS && remaining > 0 {
                 remaining -= 1;
-                let Some(oldest) = self.insertion_order.pop_front() else { break };
+                let Some(oldest) = order.pop_front() else { break };
                 if self.watched.contains(&oldest) || oldest == fingerprint {
-                    self.insertion_order.push_back(oldest);
+                    order.push_back(oldest);
                 } else {
                     self.suspects.remove(&oldest);
                 }
             }
         }
-        self.suspects.entry(fingerprint).or_default()
+        let number = self.suspect_count;
+        let new = || Suspect { is_part, number, ..Suspect::default() };
+        self.suspects.entry(fingerprint).or_insert_with(new)
+    }
+
+    /// Returns the number of crashes from which on a request or part is quarantined.
+    fn threshold(&self, fingerprint: Fingerprint) -> usize {
+        let QuarantinePolicy { crash_threshold, part_crash_threshold, .. } = self.policy;
+        let threshold = if fingerprint.is_part() { part_crash_threshold } else { crash_threshold };
+        usize::try_from(threshold).unwrap_or(usize::MAX).max(1)
+    }
+
+    /// Returns the time for which a request or part is quarantined at first, in milliseconds.
+    fn hold_ms(&self, fingerprint: Fingerprint) -> u64 {
+        let QuarantinePolicy { hold_time, part_hold_time, .. } = self.policy;
+        let hold_time = if fingerprint.is_part() { part_hold_time } else { hold_time };
+        u64::try_from(hold_time.as_millis()).unwrap_or(u64::MAX)
     }
 
-    /// Decides on a request by the upstreams that crashed while they ran it.
+    /// Decides on a request or part by the upstreams that crashed while they ran it.
     fn evaluate(&mut self, now: Duration, unix: u64, fingerprint: Fingerprint) {
         if self.quarantined.contains_key(&fingerprint) || self.policy.lifted.contains(&fingerprint)
         {
             return;
         }
         let Some(suspect) = self.suspects.get(&fingerprint) else { return };
-        let (runs, watched_since) = (suspect.runs(), suspect.watched_since);
-        let threshold = usize::try_from(self.policy.crash_threshold).unwrap_or(usize::MAX).max(1);
-        if runs.len() + 1 < threshold {
-            return;
+        let threshold = self.threshold(fingerprint);
+        let (runs, is_watched) = (suspect.runs(), suspect.watched_since.is_some());
+        if runs.len() + 1 >= threshold && !is_watched {
+            self.watch(now, fingerprint, runs, threshold);
+        } else if runs.len() >= threshold {
+            self.quarantine_due(now, unix);
         }
-        let Some(since) = watched_since else {
-            return self.watch(now, fingerprint, runs, threshold);
-        };
-        if runs.len() >= threshold && now.saturating_sub(since) >= CONFIRMATION_TIME {
+    }
+
+    /// Quarantines the requests and parts for which answers have been waited for in vain.
+    ///
+    /// Each one may explain the crashes of others, so the most likely cause comes first: one that
+    /// was never answered, then the one that crashed most upstreams. Among the parts of one prompt
+    /// the last one is the most specific.
+    fn quarantine_due(&mut self, now: Duration, unix: u64) {
+        loop {
+            let due = self.watched.iter().filter_map(|fingerprint| {
+                let suspect = self.suspects.get(fingerprint)?;
+                let since = suspect.watched_since?;
+                let crashes = suspect.evidence().len();
+                let is_due = crashes >= self.threshold(*fingerprint)
+                    && now.saturating_sub(since) >= CONFIRMATION_TIME;
+                let rank = (suspect.answered_at.is_none(), crashes, suspect.number);
+                (is_due && !self.is_explained_by_content(suspect)).then_some((rank, *fingerprint))
+            });
+            let Some((_, fingerprint)) = due.max() else { return };
+            let runs = self.suspects.get(&fingerprint).map(Suspect::runs).unwrap_or_default();
             self.quarantine_request(unix, fingerprint, runs);
         }
     }
 
+    /// Returns whether a single quarantined request explains all crashes of a part.
+    ///
+    /// Then the request was repeated, and other requests with the part need not be refused.
+    fn is_explained_by_content(&self, suspect: &Suspect) -> bool {
+        let runs = suspect.runs();
+        let covers = |content: &Suspect| {
+            runs.iter().all(|run| content.crashes.iter().any(|crash| crash.run == *run))
+        };
+        suspect.is_part
+            && self
+                .quarantined
+                .keys()
+                .filter(|it| !it.is_part())
+                .any(|content| self.suspects.get(content).is_some_and(covers))
+    }
+
     /// Has entries watch for answers to a request, if there is room or its chain is complete.
     fn watch(&mut self, now: Duration, fingerprint: Fingerprint, runs: Vec<Run>, threshold: usize) {
         if self.watched.len() >= MAX_LISTED {
             let chain_length =
-                |it: &&Fingerprint| self.suspects.get(it).map_or(0, |it| it.chain().len());
+                |it: &&Fingerprint| self.suspects.get(it).map_or(0, |it| it.evidence().len());
             let Some(other) = self.watched.iter().min_by_key(chain_length).copied() else { return };
             if runs.len() < threshold || chain_length(&&other) >= threshold {
                 return;
@@ -322,7 +334,7 @@
         }
     }
 
-    /// Quarantines a request. The other requests on the upstreams that it crashed are not to blame
+    /// Quarantines a request or part. The others on the upstreams that it crashed are not to blame
     /// for those crashes.
     fn quarantine_request(&mut self, unix: u64, fingerprint: Fingerprint, runs: Vec<Run>) {
         self.unwatch(fingerprint);
@@ -334,8 +346,7 @@
             };
             self.quarantined.remove(&first);
         }
-        let hold_ms = u64::try_from(self.policy.hold_time.as_millis()).unwrap_or(u64::MAX);
-        let until = unix.saturating_add(hold_ms);
+        let until = unix.saturating_add(self.hold_ms(fingerprint));
         let block = Block { since: unix, until, failed_trials: 0, trial_entry: None };
         self.quarantined.insert(fingerprint, block.clone());
         self.findings.push(Finding::Quarantined { fingerprint, runs, held: block });
@@ -344,13 +355,10 @@
         for run in &crashed_runs {
             self.record_explained_crash(fingerprint, run);
         }
-        // A request that was quarantined before, for crashes of these upstreams alone, only
-        // happened to run on them.
-        let is_innocent = |it: &Suspect| {
-            !it.crashes.is_empty()
-                && it.crashes.iter().all(|crash| crashed_runs.contains(&crash.run))
-        };
-        let others = self.quarantined.keys().filter(|other| **other != fingerprint);
+        // What was quarantined before, for crashes of these upstreams alone, only happened to run
+        // on them.
+        let is_innocent = |it: &Suspect| it.is_covered_by(&crashed_runs);
+        let others = self.quarantined.keys().filter(|it| Self::may_explain(fingerprint, **it));
         let innocent: Vec<Fingerprint> =
             others.filter(|it| self.suspects.get(it).is_some_and(is_innocent)).copied().collect();
         for other in innocent {
@@ -358,10 +366,20 @@
         }
     }
 
-    /// Records that a quarantined request caused the crash of an upstream.
+    /// Returns whether crashes that a request or part caused say nothing about another one.
+    ///
+    /// A request that is tried at several upstreams crashes all of them because of a part, if the
+    /// part causes it, so a request speaks for no part.
+    fn may_explain(culprit: Fingerprint, other: Fingerprint) -> bool {
+        culprit != other && (culprit.is_part() || !other.is_part())
+    }
+
+    /// Records that a quarantined request or part caused the crash of an upstream.
     fn record_explained_crash(&mut self, culprit: Fingerprint, run: &Run) {
-        if !self.explained.contains(run) {
-            self.explained.push_back(run.clone());
+        let is_known =
+            |(known, by): &(Run, Fingerprint)| known == run && (*by == culprit || by.is_part());
+        if !self.explained.iter().any(is_known) {
+            self.explained.push_back((run.clone(), culprit));
             if self.explained.len() > MAX_LISTED {
                 self.explained.pop_front();
             }
@@ -369,9 +387,9 @@
         let mut cleared = Vec::new();
         for (fingerprint, suspect) in &mut self.suspects {
             let crash = suspect.crashes.iter_mut().find(|crash| crash.run == *run);
-            if let Some(crash) = crash.filter(|_| *fingerprint != culprit) {
+            if let Some(crash) = crash.filter(|_| Self::may_explain(culprit, *fingerprint)) {
                 crash.explained = true;
-                if suspect.watched_since.is_some() && suspect.chain().is_empty() {
+                if suspect.watched_since.is_some() && suspect.evidence().is_empty() {
                     cleared.push(*fingerprint);
                 }
             }
@@ -392,13 +410,13 @@
         run: &Run,
     ) {
         self.record_explained_crash(fingerprint, run);
+        let hold_ms = self.hold_ms(fingerprint);
         let Some(block) = self.quarantined.get_mut(&fingerprint) else { return };
         if sent_unix < block.until {
             return;
         }
         block.failed_trials = block.failed_trials.saturating_add(1);
         (block.since, block.trial_entry) = (unix, None);
-        let hold_ms = u64::try_from(self.policy.hold_time.as_millis()).unwrap_or(u64::MAX);
         let extended_ms =
             hold_ms.saturating_mul(BACKOFF_FACTOR.saturating_pow(block.failed_trials.into()));
         block.until = if block.failed_trials >= MAX_TRIALS {
--- a/crates/verbenaslip-fleet/src/quarantine/record.rs
+++ b/crates/verbenaslip-fleet/src/quarantine/record.rs
@@ -16,16 +16,20 @@
     pub crash_threshold: u32,
     /// The time until the first trial.
     pub hold_time: Duration,
-    /// Requests that an operator exempts from quarantine.
+    /// The number of upstreams that must have crashed while they ran requests with a prompt part.
+    pub part_crash_threshold: u32,
+    /// The time until the first trial of a prompt part.
+    pub part_hold_time: Duration,
+    /// Requests and parts that an operator exempts from quarantine.
     pub lifted: BTreeSet<Fingerprint>,
-    /// Requests that an operator wants quarantined, whatever is known of them.
+    /// Requests and parts that an operator wants quarantined, whatever is known of them.
     pub forbidden: BTreeSet<Fingerprint>,
 }
 
-/// Reports that an upstream crashed while it ran a request.
+/// Reports that an upstream crashed while it ran a request, or one with a prompt part.
 #[data]
 pub struct Crash {
-    /// The fingerprint of the request.
+    /// The fingerprint of the request or part.
     pub fingerprint: Fingerprint,
     /// The run of the upstream.
     pub run: Run,
@@ -35,10 +39,10 @@
     pub ended_ms_ago: u64,
 }
 
-/// Reports that a request was answered completely.
+/// Reports that a request, or one with a prompt part, was answered completely.
 #[data]
 pub struct Answer {
-    /// The fingerprint of the request.
+    /// The fingerprint of the request or part.
     pub fingerprint: Fingerprint,
     /// When the answer was complete, in milliseconds before the report.
     pub ms_ago: u64,
@@ -71,9 +75,9 @@
 pub struct Blocklist {
     /// The key of the fingerprints; without it no request can be recognized.
     pub key: Option<u128>,
-    /// Requests whose answers entries report to the leader.
+    /// Requests and parts whose answers entries report to the leader.
     pub watched: BTreeSet<Fingerprint>,
-    /// Requests that are sent to no upstream.
+    /// Requests, and parts of requests, that are sent to no upstream.
     pub quarantined: BTreeMap<Fingerprint, Block>,
 }
 
--- a/crates/verbenaslip-fleet/tests/account.rs
+++ b/crates/verbenaslip-fleet/tests/account.rs
@@ -24,9 +24,9 @@
 fn observations_beyond_one_report_follow_in_the_next() {
     let mut reporter = CrashReporter::default();
     reporter.set_term(SECOND, 3);
-    reporter.record(SECOND * 2, (0..40).map(observed_crash).collect(), vec![]);
+    reporter.record(SECOND * 2, (0..72).map(observed_crash).collect(), vec![]);
     let first = next_report(&mut reporter, SECOND * 3).expect("a report is due");
-    assert_eq!(first.crashes.len(), 32);
+    assert_eq!(first.crashes.len(), 64);
     assert_eq!(
         (first.crashes[0].sent_ms_ago, first.crashes[0].ended_ms_ago),
         (2_000, 1_000),
--- a/crates/verbenaslip-instance/src/settings.rs
+++ b/crates/verbenaslip-instance/src/settings.rs
@@ -103,9 +103,13 @@
     pub crashes: u32,
     /// Time after which a quarantined request is allowed again on trial.
     pub hold: Duration,
-    /// Fingerprints of requests that are never quarantined.
+    /// Number of upstreams that must have crashed while they ran requests with a prompt part.
+    pub part_crashes: u32,
+    /// Time after which a request with a quarantined prompt part is allowed again on trial.
+    pub part_hold: Duration,
+    /// Fingerprints of requests and parts that are never quarantined.
     pub lifted: Vec<Fingerprint>,
-    /// Fingerprints of requests that are always refused.
+    /// Fingerprints of requests and parts that are always refused.
     pub forbidden: Vec<Fingerprint>,
 }
 
@@ -163,11 +167,12 @@
     }
 }
 
-/// Value that is the fingerprint of a request, as logs show it.
+/// Value that is the fingerprint of a request or of a prompt part, as logs show it.
 struct FingerprintValue(Fingerprint);
 
 impl Value for FingerprintValue {
-    const ALLOWED: &'static str = "32 hexadecimal digits, as in `content` of a request's log line";
+    const ALLOWED: &'static str =
+        "32 hexadecimal digits, as in `content` or `held_by` of a request's log line";
 
     fn read(text: &str) -> Option<Self> {
         let is_complete = text.len() == 32 && text.bytes().all(|it| it.is_ascii_hexdigit());
@@ -306,16 +311,29 @@
             UpstreamCount(default_policy.crash_threshold),
             DurationValue(default_policy.hold_time),
         );
+        let (mut part_crashes, mut part_hold) = (
+            UpstreamCount(default_policy.part_crash_threshold),
+            DurationValue(default_policy.part_hold_time),
+        );
         let (mut lifted, mut forbidden): (Vec<FingerprintValue>, Vec<FingerprintValue>) =
             (Vec::new(), Vec::new());
         reader.take(Place("requests", "crashes"), &mut crashes);
         reader.take(Place("requests", "hold"), &mut hold);
+        reader.take(Place("requests", "part_crashes"), &mut part_crashes);
+        reader.take(Place("requests", "part_hold"), &mut part_hold);
         reader.list(Place("requests", "lifted"), &mut lifted);
         reader.list(Place("requests", "forbidden"), &mut forbidden);
         let fingerprints =
             |contents: Vec<FingerprintValue>| contents.into_iter().map(|it| it.0).collect();
         let (lifted, forbidden) = (fingerprints(lifted), fingerprints(forbidden));
-        Self { crashes: crashes.0, hold: hold.0, lifted, forbidden }
+        Self {
+            crashes: crashes.0,
+            hold: hold.0,
+            part_crashes: part_crashes.0,
+            part_hold: part_hold.0,
+            lifted,
+            forbidden,
+        }
     }
 
     /// Returns the policy by which the leader quarantines requests.
@@ -323,6 +341,8 @@
         QuarantinePolicy {
             crash_threshold: self.crashes,
             hold_time: self.hold,
+            part_crash_threshold: self.part_crashes,
+            part_hold_time: self.part_hold,
             lifted: self.lifted.iter().copied().collect(),
             forbidden: self.forbidden.iter().copied().collect(),
         }
--- a/crates/verbenaslip-relay/src/forward/admission.rs
+++ b/crates/verbenaslip-relay/src/forward/admission.rs
@@ -82,6 +82,11 @@
         self.route.kind == RequestKind::Stream { resumable: true }
     }
 
+    /// Returns the fingerprints by which the request may be quarantined.
+    pub(super) fn fingerprints(&self) -> impl Iterator<Item = Fingerprint> {
+        self.fingerprint.into_iter().chain(self.part_fingerprints.iter().copied())
+    }
+
     /// Describes the request for its placement, as one that has not run and has no attempt to
     /// spare; `tried_runs` are excluded, and `remaining` is the time that its caller still waits.
     pub(super) fn query<'b>(&'b self, tried_runs: &'b [Run], remaining: Duration) -> Query<'b> {
--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 use verbenaslip_base::hash;
 use verbenaslip_fleet::crash_report::ObservedAnswer;
+use verbenaslip_fleet::fingerprint::Fingerprint;
 use verbenaslip_fleet::gateway::Gateway;
 use verbenaslip_fleet::limit::Observation;
 use verbenaslip_fleet::measurement::RunKey;
@@ -131,7 +132,7 @@
             *self.known_gateways.borrow_mut() = view.gateways.clone();
         }
         self.builds.borrow_mut().update(monotonic::now(), &view);
-        let answers = self.quarantine.borrow_mut().update(&view.blocklist);
+        let answers = self.quarantine.borrow_mut().update(monotonic::now(), &view.blocklist);
         answers.into_iter().for_each(|it| self.shared.add_answer(it));
         view
     }
@@ -368,24 +369,28 @@
         }
     }
 
-    /// Requests a check whether an upstream that broke off a request has crashed.
+    /// Requests a check whether an upstream that broke off a request has crashed; `began_at` is when
+    /// it began to answer.
     pub(crate) fn signal_interrupted(
         &self,
         request: &AdmittedRequest<'_>,
         choice: &Choice,
         sent_at: Instant,
+        began_at: Option<Instant>,
     ) {
-        self.send_signal(Signal::Interrupted(interrupted_request(request, choice, sent_at)));
+        let interrupted = interrupted_request(request, choice, sent_at, began_at);
+        self.send_signal(Signal::Interrupted(interrupted));
     }
 
-    /// Signals that the caller left while an upstream was running the request.
-    pub(crate) fn signal_caller_left(
+    /// Signals that a request ended, and that it is not known whether the upstream survives it.
+    pub(crate) fn signal_unconfirmed(
         &self,
         request: &AdmittedRequest<'_>,
         choice: &Choice,
         sent_at: Instant,
     ) {
-        self.send_signal(Signal::CallerLeft(interrupted_request(request, choice, sent_at)));
+        let unconfirmed = interrupted_request(request, choice, sent_at, None);
+        self.send_signal(Signal::Unconfirmed(unconfirmed));
     }
 
     /// Signals that an upstream could not be reached.
@@ -398,24 +403,33 @@
         let _ = self.crash_signals.send(signal);
     }
 
-    /// Records that a request was answered, and reports that to the leader if the request is
-    /// suspected.
-    pub(crate) fn record_answer(&self, request: &AdmittedRequest<'_>) {
-        let Some(fingerprint) = request.fingerprint else { return };
-        let at = monotonic::now();
-        if self.quarantine.borrow_mut().record_answer(
-            at,
-            fingerprint,
-            &self.shared.view().blocklist,
-        ) {
+    /// Returns whether a prompt part may have crashed an upstream that ended at this time.
+    pub(crate) fn is_suspect(&self, part: Fingerprint, ended_at: Duration) -> bool {
+        self.quarantine.borrow().is_suspect(part, ended_at)
+    }
+
+    /// Records that a request was answered with this status, and reports that to the leader if the
+    /// request or a part of its prompt is suspected.
+    pub(crate) fn record_answer(&self, request: &AdmittedRequest<'_>, status: u16) {
+        let (at, view) = (monotonic::now(), self.shared.view());
+        let mut quarantine = self.quarantine.borrow_mut();
+        // An upstream that rejects a request has not begun to answer its prompt.
+        let is_success = (200..300).contains(&status);
+        let fingerprints = request.fingerprints().filter(|it| is_success || !it.is_part());
+        for fingerprint in quarantine.record_answer(at, fingerprints, &view.blocklist) {
             self.shared.add_answer(ObservedAnswer { fingerprint, at });
         }
     }
 
-    /// Returns how long a request is still quarantined; `None` if it may be sent.
-    pub(crate) fn quarantined_for(&self, request: &AdmittedRequest<'_>) -> Option<Duration> {
+    /// Returns which fingerprint of a request is still quarantined, and for how long; `None` if the
+    /// request may be sent.
+    pub(crate) fn quarantined_for(
+        &self,
+        request: &AdmittedRequest<'_>,
+    ) -> Option<(Fingerprint, Duration)> {
         let view = self.shared.view();
-        self.quarantine.borrow_mut().quarantined_for(monotonic::now(), request.fingerprint?, &view)
+        let mut quarantine = self.quarantine.borrow_mut();
+        quarantine.quarantined_for(monotonic::now(), request.fingerprints(), &view)
     }
 
     /// Spends one retry of the service's retry budget; returns whether the budget allows it.
@@ -539,6 +553,7 @@
     request: &AdmittedRequest<'_>,
     choice: &Choice,
     sent_at: Instant,
+    began_at: Option<Instant>,
 ) -> InterruptedRequest {
     let (id, fingerprint) = (request.info.id.clone(), request.fingerprint);
     let part_fingerprints = request.part_fingerprints.clone();
@@ -552,5 +567,6 @@
         address,
         sent_at: ended.saturating_sub(sent_at.elapsed()),
         ended_at: ended,
+        answered_for: began_at.map(|it| it.elapsed()),
     }
 }
--- a/crates/verbenaslip-relay/src/forward/crash.rs
+++ b/crates/verbenaslip-relay/src/forward/crash.rs
@@ -32,23 +32,28 @@
 /// Limit on the requests listed in one log line.
 const MAX_LISTED: usize = 64;
 
-/// How long before a crash the caller of a request that caused it may have left. Callers leave
-/// after half of an objective at the earliest; an upstream that runs on for longer has most likely
-/// dropped the request.
-const CALLER_LEFT_MEMORY: Duration = Duration::from_secs(1);
+/// How long before a crash a request that caused it may have ended. Callers leave after half of an
+/// objective at the earliest; an upstream that runs on for longer has most likely dropped the
+/// request.
+const UNCONFIRMED_MEMORY: Duration = Duration::from_secs(1);
+
+/// How long an upstream survives the beginning of an answer to a prompt with a part that crashes it,
+/// at most.
+const SURVIVAL_TIME: Duration = Duration::from_secs(1);
 
 /// Describes a possible sign of a crash.
 #[derive(Debug)]
 pub(crate) enum Signal {
     /// An upstream broke off a request.
     Interrupted(InterruptedRequest),
-    /// The caller of a request left while an upstream was running it.
-    CallerLeft(InterruptedRequest),
+    /// A request ended, and whether the upstream survives it is not known: its caller left, or only
+    /// the end of the connection ended the answer.
+    Unconfirmed(InterruptedRequest),
     /// An upstream could not be reached.
     Unreachable(Run),
 }
 
-/// Holds a request that an upstream broke off, or whose caller left.
+/// Holds a request that an upstream broke off, or that ended without proof that it survives.
 #[derive(Clone, Debug)]
 pub(crate) struct InterruptedRequest {
     /// Identity of the request.
@@ -63,8 +68,10 @@
     pub(crate) address: SocketAddr,
     /// When the request was sent to the upstream.
     pub(crate) sent_at: Duration,
-    /// When the request was broken off or its caller left.
+    /// When the request ended.
     pub(crate) ended_at: Duration,
+    /// How long the upstream had been answering, if it had begun.
+    pub(crate) answered_for: Option<Duration>,
 }
 
 /// Checks upstreams that may have crashed, for as long as the instance runs.
@@ -72,12 +79,11 @@
     mut signals: UnboundedReceiver<Signal>,
     context: Rc<Context>,
 ) {
-    let mut left_by_callers = VecDeque::new();
+    let mut unconfirmed = VecDeque::new();
     while let Some(first) = signals.recv().await {
         tokio::time::sleep(BATCH_DELAY).await;
         let others = std::iter::from_fn(|| signals.try_recv().ok());
-        for (run, requests) in
-            group_by_run(std::iter::once(first).chain(others), &mut left_by_callers)
+        for (run, requests) in group_by_run(std::iter::once(first).chain(others), &mut unconfirmed)
         {
             tokio::task::spawn_local(check_run(run, requests, context.clone()));
         }
@@ -86,11 +92,11 @@
 
 /// Groups the requests that may have crashed an upstream by its run.
 ///
-/// A request whose caller left is remembered for a while: the upstream may still crash because of
-/// it, and no connection is left that would break off.
+/// An unconfirmed request is remembered for a while: the upstream may still crash because of it, or
+/// has already, and no connection is left that would break off.
 fn group_by_run(
     signals: impl Iterator<Item = Signal>,
-    left_by_callers: &mut VecDeque<InterruptedRequest>,
+    unconfirmed: &mut VecDeque<InterruptedRequest>,
 ) -> BTreeMap<Run, Vec<InterruptedRequest>> {
     let mut runs: BTreeMap<Run, Vec<InterruptedRequest>> = BTreeMap::new();
     let mut suspects = BTreeSet::new();
@@ -100,17 +106,16 @@
                 suspects.insert(it.run.clone());
                 runs.entry(it.run.clone()).or_default().push(it);
             }
-            Signal::CallerLeft(it) => left_by_callers.push_back(it),
+            Signal::Unconfirmed(it) => unconfirmed.push_back(it),
             Signal::Unreachable(run) => {
                 suspects.insert(run);
             }
         }
     }
     let now = monotonic::now();
-    left_by_callers.retain(|it| now.saturating_sub(it.ended_at) <= CALLER_LEFT_MEMORY);
-    let (matching, unmatched) =
-        left_by_callers.drain(..).partition(|it| suspects.contains(&it.run));
-    *left_by_callers = unmatched;
+    unconfirmed.retain(|it| now.saturating_sub(it.ended_at) <= UNCONFIRMED_MEMORY);
+    let (matching, unmatched) = unconfirmed.drain(..).partition(|it| suspects.contains(&it.run));
+    *unconfirmed = unmatched;
     for it in Vec::from(matching) {
         runs.entry(it.run.clone()).or_default().push(it);
     }
@@ -126,13 +131,31 @@
     }
     log_interruption(&run.upstream, run.incarnation, ended, &requests);
     if ended {
-        context.shared.add_crashes(requests.into_iter().filter_map(observed_crash));
+        context.shared.add_crashes(observed_crashes(&run, &requests, &context));
     }
 }
 
-fn observed_crash(request: InterruptedRequest) -> Option<ObservedCrash> {
-    let InterruptedRequest { fingerprint, run, sent_at: sent, ended_at, .. } = request;
-    Some(ObservedCrash { fingerprint: fingerprint?, run, sent, ended: ended_at })
+/// Returns the requests and prompt parts that may have crashed an upstream; a part that several
+/// requests share only once.
+fn observed_crashes(
+    run: &Run,
+    requests: &[InterruptedRequest],
+    context: &Context,
+) -> Vec<ObservedCrash> {
+    let mut crashes: Vec<ObservedCrash> = Vec::new();
+    for request in requests {
+        let InterruptedRequest { fingerprint, sent_at: sent, ended_at: ended, .. } = *request;
+        let is_past = request.answered_for.is_some_and(|it| it >= SURVIVAL_TIME);
+        let parts = request.part_fingerprints.iter().copied();
+        let parts = parts.filter(|part| !is_past && context.is_suspect(*part, ended));
+        for fingerprint in fingerprint.into_iter().chain(parts) {
+            match crashes.iter_mut().find(|it| it.fingerprint == fingerprint) {
+                Some(crash) => crash.sent = crash.sent.max(sent),
+                None => crashes.push(ObservedCrash { fingerprint, run: run.clone(), sent, ended }),
+            }
+        }
+    }
+    crashes
 }
 
 fn log_interruption(
--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -210,7 +210,8 @@
     if remaining.is_zero() {
         return Next::Refuse(timeout_rejection(attempts));
     }
-    if let Some(retry_after) = context.quarantined_for(request) {
+    if let Some((fingerprint, retry_after)) = context.quarantined_for(request) {
+        trace.held_by = Some(fingerprint);
         return Next::Refuse(quarantine_rejection(attempts, retry_after));
     }
     if attempts.sends > 0 {
@@ -347,9 +348,16 @@
     let delivered = Delivered { outcome, status, had_first_byte: first_byte_before.is_some() };
     record_delivery(context, request, attempts, (&choice, &response, sent_at), delivered);
     match outcome {
-        Outcome::Complete if proves_execution => context.record_answer(request),
-        Outcome::Broken => context.signal_interrupted(request, &choice, sent_at),
-        Outcome::CallerGone => context.signal_caller_left(request, &choice, sent_at),
+        Outcome::Complete if proves_execution => context.record_answer(request, status),
+        Outcome::Broken => {
+            let first_byte_at = attempts.delivery.first_byte_at;
+            let began_at = first_byte_at.filter(|_| first_byte_before.is_none());
+            context.signal_interrupted(request, &choice, sent_at, began_at);
+        }
+        Outcome::CallerGone => context.signal_unconfirmed(request, &choice, sent_at),
+        Outcome::Complete if framing == Some(Framing::UntilClose) => {
+            context.signal_unconfirmed(request, &choice, sent_at);
+        }
         Outcome::Complete | Outcome::Unresponsive | Outcome::Slow | Outcome::TimedOut => {}
     }
     match outcome {
@@ -438,8 +446,8 @@
     let ending = if lost_path { Ending::Abandoned } else { ending };
     context.record_end(choice, ending, None);
     match failure {
-        Failure::Broken => context.signal_interrupted(request, choice, sent),
-        Failure::CallerGone => context.signal_caller_left(request, choice, sent),
+        Failure::Broken => context.signal_interrupted(request, choice, sent, None),
+        Failure::CallerGone => context.signal_unconfirmed(request, choice, sent),
         Failure::Unreachable => context.signal_unreachable(choice),
         Failure::Unresponsive | Failure::Slow => {}
     }
--- a/crates/verbenaslip-relay/src/forward/request_log.rs
+++ b/crates/verbenaslip-relay/src/forward/request_log.rs
@@ -7,6 +7,7 @@
 use serde_json::{Value, json};
 use tokio::time::Instant;
 use verbenaslip_base::name::{Team, Upstream};
+use verbenaslip_fleet::fingerprint::Fingerprint;
 use verbenaslip_fleet::rollout::{Cohort, Plan};
 use verbenaslip_fleet::route_table::TeamConfig;
 use verbenaslip_fleet::view::{Version, View};
@@ -43,6 +44,8 @@
     pub figures: Option<Box<FigureUse>>,
     /// Requests per second that the last upstream takes from all entries, if it limits them.
     pub rate_limit: Option<f64>,
+    /// Fingerprint for which the request was refused or not sent again.
+    pub held_by: Option<Fingerprint>,
     /// Whether the request was refused since this entry's places at a brittle service were taken.
     pub brittle: bool,
     /// Share of such requests that the service admits, if the request was refused because of it.
@@ -151,6 +154,7 @@
             json!(request.and_then(|request| request.fingerprint).map(|it| it.to_string())),
         ),
         ("parts", json!(parts)),
+        ("held_by", json!(trace.held_by.map(|it| it.to_string()))),
         ("outcome", json!(outcome)),
         ("status", json!(trace.status)),
         ("ms", json!(duration.as_millis())),
--- a/crates/verbenaslip-relay/tests/prompt_part.rs
+++ b/crates/verbenaslip-relay/tests/prompt_part.rs
@@ -28,6 +28,10 @@
 const QUARANTINE_TIME: Duration = Duration::from_secs(3);
 /// Maximum number of requests with the part that may reach upstreams after that.
 const MAX_LATE_REQUESTS: usize = 3;
+const ENTRIES: usize = 300;
+/// Most requests and parts that may be left to watch while upstreams crash, of some 350 parts that
+/// run on them.
+const MAX_WATCHED: usize = 32;
 /// Time between a crash and the start of another run.
 const RESTART_TIME: Duration = Duration::from_secs(3);
 
@@ -58,7 +62,7 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            entries: 300,
+            entries: ENTRIES,
             upstreams: 40,
             poison_rate: 10,
             crash_delay: Duration::from_millis(150),
@@ -85,6 +89,12 @@
     attempt: u32,
 }
 
+impl Running {
+    fn fingerprints(&self) -> impl Iterator<Item = Fingerprint> {
+        std::iter::once(self.content).chain(self.parts.iter().copied())
+    }
+}
+
 /// What happened in a simulation.
 #[derive(Debug, Default)]
 struct Report {
@@ -96,12 +106,24 @@
     sound_refused: usize,
     /// Fingerprints that were quarantined and do not belong to a part that crashes upstreams.
     innocent: BTreeSet<Fingerprint>,
-    /// Most parts that were watched at once, and reports of crashes and answers to the leader.
+    /// Number of crashes, the most that was watched at once, and reports to the leader.
+    crashes: usize,
     watched: usize,
     crash_reports: usize,
     answer_reports: usize,
 }
 
+/// Upstream that starts again after each crash.
+#[derive(Default)]
+struct Machine {
+    run: u64,
+    ready_at: Duration,
+    running: Vec<Running>,
+}
+
+/// Messages on their way, with the time at which they arrive.
+type Delayed<T> = VecDeque<(Duration, T)>;
+
 struct Simulation {
     config: Config,
     random: u64,
@@ -110,12 +132,11 @@
     entries: Vec<Quarantine>,
     addresses: Vec<SocketAddr>,
     /// Blocklists on their way to the entries, and the one that entries have.
-    blocklists: VecDeque<(Duration, Arc<Blocklist>)>,
+    blocklists: Delayed<Arc<Blocklist>>,
     view: View,
-    crashes: VecDeque<(Duration, Crash)>,
-    answers: VecDeque<(Duration, Answer)>,
-    /// Number of the run and requests of each upstream; requests that are running.
-    upstreams: Vec<(u64, Duration, Vec<Running>)>,
+    crashes: Delayed<Crash>,
+    answers: Delayed<Answer>,
+    machines: Vec<Machine>,
     number: u64,
     report: Report,
 }
@@ -131,7 +152,7 @@
             let host = u16::try_from(it).expect("few entries").to_be_bytes();
             SocketAddr::from(([10, 2, host[0], host[1]], 7_000))
         };
-        let upstreams = (0..config.upstreams).map(|_| (0, Duration::ZERO, Vec::new())).collect();
+        let machines = (0..config.upstreams).map(|_| Machine::default()).collect();
         Self {
             random: 82,
             now: Duration::from_secs(100),
@@ -145,7 +166,7 @@
             },
             crashes: VecDeque::new(),
             answers: VecDeque::new(),
-            upstreams,
+            machines,
             number: 0,
             report: Report::default(),
             config,
@@ -184,7 +205,7 @@
                     self.send_poison(entry, part, number, 1);
                 }
                 for _ in 0..self.arrivals(self.config.crash_rate) {
-                    let upstream = self.index(self.upstreams.len());
+                    let upstream = self.index(self.machines.len());
                     self.crash(upstream);
                 }
             }
@@ -218,64 +239,57 @@
         let content = Fingerprint::of(KEY, "red", "h", "/x", &self.number.to_le_bytes());
         let entry = self.index(self.entries.len());
         self.report.sound += 1;
-        if self.is_held_back(entry, content, &parts) {
-            self.report.sound_refused += 1;
-            return;
-        }
         let duration = Duration::from_millis(100 + self.random(400));
-        self.send(entry, content, parts, duration, None, 1);
+        let (sent_at, ends_at) = (self.now, self.now + duration);
+        let poison = None;
+        self.send(Running { entry, content, parts, sent_at, ends_at, poison, attempt: 1 });
     }
 
     fn send_poison(&mut self, entry: usize, part: u64, number: u64, attempt: u32) {
         let parts = self.parts(Fingerprint::of_part(KEY, "model", 100_000 + part));
         let content = Fingerprint::of(KEY, "red", "h", "/x", &number.to_le_bytes());
-        if !self.is_held_back(entry, content, &parts) {
-            self.report.poison_sent.entry(part).or_default().push(self.now);
-            self.send(entry, content, parts, self.config.crash_delay, Some(part), attempt);
-        }
+        let (sent_at, ends_at) = (self.now, self.now + self.config.crash_delay);
+        let poison = Some(part);
+        self.send(Running { entry, content, parts, sent_at, ends_at, poison, attempt });
     }
 
-    fn send(
-        &mut self,
-        entry: usize,
-        content: Fingerprint,
-        parts: Vec<Fingerprint>,
-        duration: Duration,
-        poison: Option<u64>,
-        attempt: u32,
-    ) {
+    /// Sends a request to an upstream, unless it is held back or there is none.
+    fn send(&mut self, request: Running) {
         let now = self.now;
         let ready: Vec<usize> =
-            (0..self.upstreams.len()).filter(|it| self.upstreams[*it].1 <= now).collect();
-        if ready.is_empty() {
+            (0..self.machines.len()).filter(|it| self.machines[*it].ready_at <= now).collect();
+        if ready.is_empty() || self.is_held_back(&request) {
             return;
         }
+        if let Some(part) = request.poison {
+            self.report.poison_sent.entry(part).or_default().push(now);
+        }
         let upstream = ready[self.index(ready.len())];
-        let ends_at = now + duration;
-        let running = Running { entry, content, parts, sent_at: now, ends_at, poison, attempt };
-        self.upstreams[upstream].2.push(running);
+        self.machines[upstream].running.push(request);
     }
 
-    fn is_held_back(&mut self, entry: usize, content: Fingerprint, parts: &[Fingerprint]) -> bool {
-        let view = View { own_address: Some(self.addresses[entry]), ..self.view.clone() };
-        let held =
-            |it: &Fingerprint| self.entries[entry].quarantined_for(self.now, *it, &view).is_some();
-        std::iter::once(&content).chain(parts).any(held)
+    fn is_held_back(&mut self, request: &Running) -> bool {
+        let own_address = Some(self.addresses[request.entry]);
+        let view = View { own_address, ..self.view.clone() };
+        let entry = &mut self.entries[request.entry];
+        let is_held = entry.quarantined_for(self.now, request.fingerprints(), &view).is_some();
+        self.report.sound_refused += usize::from(is_held && request.poison.is_none());
+        is_held
     }
 
     /// Ends the requests whose time has come, and crashes upstreams that run a part that causes it.
     fn finish_requests(&mut self) {
-        for upstream in 0..self.upstreams.len() {
+        for upstream in 0..self.machines.len() {
             let now = self.now;
             let is_due = |it: &Running| it.ends_at <= now;
-            if self.upstreams[upstream].2.iter().any(|it| is_due(it) && it.poison.is_some()) {
+            if self.machines[upstream].running.iter().any(|it| is_due(it) && it.poison.is_some()) {
                 self.crash(upstream);
                 continue;
             }
-            let running = std::mem::take(&mut self.upstreams[upstream].2);
+            let running = std::mem::take(&mut self.machines[upstream].running);
             let (ended, running): (Vec<Running>, Vec<Running>) =
                 running.into_iter().partition(is_due);
-            self.upstreams[upstream].2 = running;
+            self.machines[upstream].running = running;
             for request in ended {
                 self.answer(&request);
             }
@@ -283,11 +297,10 @@
     }
 
     fn answer(&mut self, request: &Running) {
-        for fingerprint in std::iter::once(&request.content).chain(&request.parts) {
-            let blocklist = &self.view.blocklist;
-            if self.entries[request.entry].record_answer(self.now, *fingerprint, blocklist) {
-                self.report_answer(*fingerprint, self.now);
-            }
+        let blocklist = &self.view.blocklist;
+        let entry = &mut self.entries[request.entry];
+        for fingerprint in entry.record_answer(self.now, request.fingerprints(), blocklist) {
+            self.report_answer(fingerprint, self.now);
         }
     }
 
@@ -299,13 +312,14 @@
 
     /// Crashes an upstream; entries report what ran there, and callers of streams go on elsewhere.
     fn crash(&mut self, upstream: usize) {
-        let (run, ready_at, running) = &mut self.upstreams[upstream];
-        if *ready_at > self.now {
+        let machine = &mut self.machines[upstream];
+        if machine.ready_at > self.now {
             return;
         }
-        let (number, requests) = (*run, std::mem::take(running));
-        (*run, *ready_at) = (number + 1, self.now + RESTART_TIME);
+        let (number, requests) = (machine.run, std::mem::take(&mut machine.running));
+        (machine.run, machine.ready_at) = (number + 1, self.now + RESTART_TIME);
         let run = Run { upstream: Upstream::new(format!("i-{upstream}-{number}")), incarnation: 0 };
+        self.report.crashes += 1;
         let culprit = requests.iter().find(|it| it.ends_at <= self.now).and_then(|it| it.poison);
         if let Some(part) = culprit {
             self.report.poison_crashes.entry(part).or_default().push(self.now);
@@ -328,23 +342,18 @@
             }
         }
         for request in requests {
-            if let Some(part) = request.poison.filter(|_| request.attempt < self.config.attempts) {
-                self.retry(request, part);
+            if request.poison.is_some() && request.attempt < self.config.attempts {
+                let (sent_at, ends_at) = (self.now, self.now + self.config.crash_delay);
+                let attempt = request.attempt + 1;
+                self.send(Running { sent_at, ends_at, attempt, ..request });
             }
         }
     }
 
     /// Returns what an entry reports of a request that was broken off.
     fn suspects(&self, request: &Running) -> Vec<Fingerprint> {
-        std::iter::once(&request.content).chain(&request.parts).copied().collect()
-    }
-
-    fn retry(&mut self, request: Running, part: u64) {
-        let Running { entry, content, parts, attempt, .. } = request;
-        if !self.is_held_back(entry, content, &parts) {
-            self.report.poison_sent.entry(part).or_default().push(self.now);
-            self.send(entry, content, parts, self.config.crash_delay, Some(part), attempt + 1);
-        }
+        let entry = &self.entries[request.entry];
+        request.fingerprints().filter(|it| entry.is_suspect(*it, self.now)).collect()
     }
 
     /// Has the leader handle what has arrived, and entries what it has decided.
@@ -374,7 +383,7 @@
             self.view.blocklist = blocklist.clone();
             let mut answers = HashMap::new();
             for entry in &mut self.entries {
-                for answer in entry.update(&blocklist) {
+                for answer in entry.update(self.now, &blocklist) {
                     answers.entry(answer.fingerprint).or_insert_with(Vec::new).push(answer.at);
                 }
             }
@@ -398,10 +407,10 @@
 
     fn check(&self, name: &str) {
         let sent: usize = self.poison_sent.values().map(Vec::len).sum();
-        let crashes: usize = self.poison_crashes.values().map(Vec::len).sum();
         println!(
-            "{name}: sent {sent}, {} too late, {crashes} crashes; {} of {} sound refused, {} innocent quarantined; {} watched at most, {} crash and {} answer reports",
+            "{name}: sent {sent}, {} too late, {} crashes; {} of {} sound refused, {} innocent quarantined; {} watched at most, {} crash and {} answer reports",
             self.late_requests(),
+            self.crashes,
             self.sound_refused,
             self.sound,
             self.innocent.len(),
@@ -411,6 +420,9 @@
         );
         assert!(self.late_requests() <= MAX_LATE_REQUESTS, "{} too late", self.late_requests());
         assert_eq!(self.sound_refused, 0, "sound requests refused: {:?}", self.innocent);
+        assert!(self.watched <= MAX_WATCHED, "{} watched at once", self.watched);
+        let answers_per_crash = self.answer_reports / self.crashes;
+        assert!(answers_per_crash <= ENTRIES, "{answers_per_crash} answers reported per crash");
     }
 }
 
--- a/crates/verbenaslip-relay/tests/record.rs
+++ b/crates/verbenaslip-relay/tests/record.rs
@@ -46,6 +46,28 @@
     }
 }
 
+/// Records an answer; returns whether the leader wants to know of it.
+fn record_answer(
+    record: &mut Quarantine,
+    now: Duration,
+    fingerprint: Fingerprint,
+    blocklist: &Blocklist,
+) -> bool {
+    !record.record_answer(now, std::iter::once(fingerprint), blocklist).is_empty()
+}
+
+/// Returns how long a request is quarantined.
+fn quarantined_for(
+    record: &mut Quarantine,
+    now: Duration,
+    fingerprint: Fingerprint,
+    view: &View,
+) -> Option<Duration> {
+    let (held_by, time) = record.quarantined_for(now, std::iter::once(fingerprint), view)?;
+    assert_eq!(held_by, fingerprint);
+    Some(time)
+}
+
 #[test]
 fn fingerprint_depends_on_exact_content() {
     let of = |key, team, host, target, body: &str| {
@@ -72,15 +94,21 @@
     // A popular request was answered a moment ago; then two upstreams crash during it elsewhere.
     let mut record = Quarantine::default();
     let (popular, poison) = (fingerprint("popular"), fingerprint("bad"));
-    record.update(&blocklist_watching(&[]));
+    record.update(SECOND, &blocklist_watching(&[]));
     assert!(
-        !record.record_answer(SECOND, popular, &blocklist_watching(&[])),
+        !record_answer(&mut record, SECOND, popular, &blocklist_watching(&[])),
         "the request is not watched"
     );
     let blocklist = blocklist_watching(&[popular, poison]);
-    assert_eq!(record.update(&blocklist), [ObservedAnswer { fingerprint: popular, at: SECOND }]);
-    assert_eq!(record.update(&blocklist), [], "once");
-    assert!(record.record_answer(SECOND * 2, popular, &blocklist), "each later answer is reported");
+    assert_eq!(
+        record.update(SECOND, &blocklist),
+        [ObservedAnswer { fingerprint: popular, at: SECOND }]
+    );
+    assert_eq!(record.update(SECOND, &blocklist), [], "once");
+    assert!(
+        record_answer(&mut record, SECOND * 2, popular, &blocklist),
+        "each later answer is reported"
+    );
 }
 
 #[test]
@@ -88,14 +116,14 @@
     let mut record = Quarantine::default();
     let popular = fingerprint("popular");
     let none = blocklist_watching(&[]);
-    record.update(&none);
-    record.record_answer(SECOND, popular, &none);
+    record.update(SECOND, &none);
+    record_answer(&mut record, SECOND, popular, &none);
     for number in 0..5_000 {
-        record.record_answer(SECOND, fingerprint(&number.to_string()), &none);
+        record_answer(&mut record, SECOND, fingerprint(&number.to_string()), &none);
     }
     let blocklist = blocklist_watching(&[popular]);
-    assert_eq!(record.update(&blocklist), []);
-    assert!(record.record_answer(SECOND * 2, popular, &blocklist));
+    assert_eq!(record.update(SECOND, &blocklist), []);
+    assert!(record_answer(&mut record, SECOND * 2, popular, &blocklist));
 }
 
 #[test]
@@ -103,9 +131,9 @@
     let mut record = Quarantine::default();
     let poison = fingerprint("bad");
     let view = view_with_quarantined(poison, 61_000, None);
-    assert_eq!(record.quarantined_for(SECOND, poison, &view), Some(SECOND * 60));
-    assert_eq!(record.quarantined_for(SECOND, fingerprint("other"), &view), None);
-    let retry_after = record.quarantined_for(SECOND * 70, poison, &view);
+    assert_eq!(quarantined_for(&mut record, SECOND, poison, &view), Some(SECOND * 60));
+    assert_eq!(quarantined_for(&mut record, SECOND, fingerprint("other"), &view), None);
+    let retry_after = quarantined_for(&mut record, SECOND * 70, poison, &view);
     assert_eq!(retry_after, Some(SECOND * 5), "the retry time has a minimum");
 }
 
@@ -116,18 +144,18 @@
     let mut record = Quarantine::default();
     let poison = fingerprint("bad");
     let elsewhere = view_with_quarantined(poison, 61_000, Some(OTHER_ADDRESS.into()));
-    assert!(record.quarantined_for(SECOND * 70, poison, &elsewhere).is_some());
+    assert!(quarantined_for(&mut record, SECOND * 70, poison, &elsewhere).is_some());
     let here = view_with_quarantined(poison, 61_000, Some(OWN_ADDRESS.into()));
-    assert_eq!(record.quarantined_for(SECOND * 70, poison, &here), None);
-    assert!(record.quarantined_for(SECOND * 70, poison, &here).is_some());
-    assert!(record.quarantined_for(SECOND * 71, poison, &elsewhere).is_some());
+    assert_eq!(quarantined_for(&mut record, SECOND * 70, poison, &here), None);
+    assert!(quarantined_for(&mut record, SECOND * 70, poison, &here).is_some());
+    assert!(quarantined_for(&mut record, SECOND * 71, poison, &elsewhere).is_some());
     assert!(
-        record.quarantined_for(SECOND * 72, poison, &here).is_some(),
+        quarantined_for(&mut record, SECOND * 72, poison, &here).is_some(),
         "an entry chosen again makes no second trial"
     );
     let later = view_with_quarantined(poison, 400_000, Some(OWN_ADDRESS.into()));
     assert_eq!(
-        record.quarantined_for(SECOND * 401, poison, &later),
+        quarantined_for(&mut record, SECOND * 401, poison, &later),
         None,
         "the next quarantine allows another trial"
     );
