Test prompt parts through lost leaders, power loss and a wave of crashes, and trace them

The tests of poison requests at cores and entries play parts as well, with a content of its own for each request. The soak sends requests with a part beside those with a body.

937 and 938 lines and the counter of what is held back name the kind, and `explain` leads from a request that was refused for a part to the upstreams that crashed under it.

--- a/crates/verbenaslip-cli/src/command/explain.rs
+++ b/crates/verbenaslip-cli/src/command/explain.rs
@@ -46,12 +46,13 @@
 
 /// Prints all log lines about one request in order of time.
 ///
-/// This includes the requests of callers that took the same stream up, crash and quarantine events of other requests with the same content, and limits
-/// of upstreams and lost paths to them at the same entry, since a request that was refused or
-/// detoured for these has no such lines of its own.
+/// This includes the requests of callers that took the same stream up, crash and quarantine events
+/// of other requests with the same content or with the prompt part for which it was held back, and
+/// limits of upstreams and lost paths to them at the same entry, since a request that was refused
+/// or detoured for these has no such lines of its own.
 fn show_request(id: &str, lines: &[Line], terminal: &mut Terminal<'_>) -> Result<Exit, Error> {
     let mentions: Vec<&Line> = lines.iter().filter(|line| line.mentions(id)).collect();
-    let contents: Vec<&str> = mentions.iter().filter_map(|line| line.content()).collect();
+    let contents: Vec<&str> = mentions.iter().flat_map(|line| line.contents()).collect();
     let streams: Vec<&str> = mentions.iter().filter_map(|line| line.resumes()).collect();
     let is_related = |line: &&Line| {
         line.mentions(id)
--- a/crates/verbenaslip-cli/src/command/explain/line.rs
+++ b/crates/verbenaslip-cli/src/command/explain/line.rs
@@ -94,16 +94,23 @@
     }
 
     /// Returns the content identifier of the request that the line is about.
-    pub(super) fn content(&self) -> Option<&str> {
+    fn content(&self) -> Option<&str> {
         self.fields.get("content").and_then(Value::as_str)
     }
 
-    /// Returns whether the line reports upstream crashes under a content or decisions about that
-    /// content.
+    /// Returns the identifiers of the request's content, and of what it was held back for.
+    pub(super) fn contents(&self) -> impl Iterator<Item = &str> {
+        let held_by = self.fields.get("held_by").and_then(Value::as_str);
+        self.content().into_iter().chain(held_by)
+    }
+
+    /// Returns whether the line reports upstream crashes under a content or a prompt part, or
+    /// decisions about it.
     pub(super) fn is_about_content(&self, content: &str) -> bool {
         let number = self.fields.get("event").and_then(Value::as_u64);
-        let listed = self.fields.get("contents").and_then(Value::as_array);
-        let is_listed = listed.into_iter().flatten().any(|value| value.as_str() == Some(content));
+        let array = |name| self.fields.get(name).and_then(Value::as_array).into_iter().flatten();
+        let listed = array("contents").chain(array("parts"));
+        let is_listed = listed.into_iter().any(|value| value.as_str() == Some(content));
         number.is_some_and(|number| CRASH_EVENTS.contains(&number))
             && (is_listed || self.content() == Some(content))
     }
--- a/crates/verbenaslip-cli/tests/explain.rs
+++ b/crates/verbenaslip-cli/tests/explain.rs
@@ -98,6 +98,18 @@
     assert_eq!(out.lines().count(), 4, "{out}");
 }
 
+#[test]
+fn request_with_a_quarantined_part_is_traced_to_crashed_upstreams() {
+    let logs = r#"{"at":1783618628100,"event":936,"what":"upstream_broke_off","upstream":"i-1","ended":true,"count":2,"ids":["b1","g7"],"contents":["0c","0d"],"parts":["7a","7b"]}
+{"at":1783618628200,"event":936,"what":"upstream_broke_off","upstream":"i-2","ended":true,"count":1,"ids":["g8"],"contents":["0e"],"parts":["7a"]}
+{"at":1783618628900,"event":938,"what":"request_held_back","content":"7b","kind":"part","upstreams":["i-1","i-3"],"tries":0,"until":1783619228900}
+{"at":1783618629100,"event":901,"what":"request_ended","id":"b5","content":"0f","parts":["7a","7b"],"held_by":"7b","route":"reports","outcome":"held_back","status":503,"back_ms":59800}"#;
+    let out = explain_request("held-part", "b5", &[("all.log", logs)]);
+    assert!(out.contains("request_held_back") && out.contains("upstream=\"i-1\""), "{out}");
+    assert!(!out.contains("i-2"), "a part that other requests share leads nowhere: {out}");
+    assert_eq!(out.lines().count(), 3, "{out}");
+}
+
 #[test]
 fn limited_request_is_traced_to_upstreams_that_set_limits() {
     let entry = r#"{"at":1783618528100,"event":943,"what":"upstream_limit","upstream":"i-0","per_second":9.0,"source":"leader"}
--- a/crates/verbenaslip-fleet/tests/poison.rs
+++ b/crates/verbenaslip-fleet/tests/poison.rs
@@ -1,7 +1,8 @@
-//! Poison requests while cores and entries fail: all entries must learn of them.
+//! Poison requests and prompt parts while cores and entries fail: all entries must learn of them.
 //!
-//! The requirement: from three seconds after the third upstream has crashed under a request, and as
-//! long after the last fault, entries send it to three more upstreams at most.
+//! The requirement: from three seconds after the third upstream has crashed under a request, or the
+//! fifth one under requests with a part, and as long after the last fault, entries send it to three
+//! more upstreams at most.
 
 mod net;
 
@@ -25,9 +26,39 @@
 /// How often the request may be sent to an upstream after that.
 const MAX_LATE_REQUESTS: usize = 3;
 
+/// What makes requests poison.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// The same request arrives again and again.
+    Content,
+    /// Requests have nothing but a part of their prompts in common.
+    Part,
+}
+
+impl Kind {
+    const ALL: [Self; 2] = [Self::Content, Self::Part];
+
+    /// Returns the number of crashes that lead to a quarantine.
+    fn threshold(self) -> usize {
+        match self {
+            Self::Content => 3,
+            Self::Part => 4,
+        }
+    }
+
+    /// Returns the number of crashes after which entries have some time to learn.
+    fn crashes(self) -> usize {
+        match self {
+            Self::Content => 3,
+            Self::Part => 5,
+        }
+    }
+}
+
 /// Simulates callers that send a poison request, and upstreams that crash while they run it.
 struct Simulation {
     net: Network,
+    kind: Kind,
     /// The next entry that receives the request.
     next_entry: usize,
     next_request: Duration,
@@ -43,6 +74,10 @@
 
 impl Simulation {
     fn new(cores: usize, entries: usize) -> Self {
+        Self::with_kind(cores, entries, Kind::Content)
+    }
+
+    fn with_kind(cores: usize, entries: usize, kind: Kind) -> Self {
         let mut net = Network::new(cores, entries);
         net.run(SECOND * 4);
         net.call(0, Request::AdoptRouteTable(Box::new(route_table_with_service(1))));
@@ -54,6 +89,7 @@
         let next_request = net.now();
         Self {
             net,
+            kind,
             next_entry: 0,
             next_request,
             run_count: 0,
@@ -65,7 +101,10 @@
 
     fn poison_fingerprint(&self, entry: usize) -> Option<Fingerprint> {
         let key = self.net.entry(entry).blocklist.key?;
-        Some(Fingerprint::of(key, "red", "h", "/once/x", b"bad"))
+        Some(match self.kind {
+            Kind::Content => Fingerprint::of(key, "red", "h", "/once/x", b"bad"),
+            Kind::Part => Fingerprint::of_part(key, "pool", 0xbad),
+        })
     }
 
     fn is_quarantined(&self, entry: usize) -> bool {
@@ -117,7 +156,13 @@
             self.in_progress = rest;
             for (at, entry, observed) in due {
                 self.crashed_at.push(at);
-                self.net.entry_mut(entry).record_outcomes(now, vec![observed], vec![]);
+                let mut crashes = vec![observed];
+                if self.kind == Kind::Part {
+                    let number = self.run_count.to_le_bytes();
+                    let fingerprint = Fingerprint::of(7, "red", "h", "/once/x", &number);
+                    crashes.insert(0, ObservedCrash { fingerprint, ..crashes[0].clone() });
+                }
+                self.net.entry_mut(entry).record_outcomes(now, crashes, vec![]);
             }
         }
     }
@@ -136,8 +181,9 @@
     fn count_late_requests(&mut self, fault: Duration) -> usize {
         self.run(SECOND * 12);
         self.crashed_at.sort_unstable();
-        let learned_at =
-            self.crashed_at.get(2).copied().unwrap_or(Duration::MAX).max(fault) + MAX_LEARNING_TIME;
+        // If the part is held back sooner, the last crash counts.
+        let decisive = self.crashed_at.get(self.kind.crashes() - 1).or(self.crashed_at.last());
+        let learned_at = decisive.copied().unwrap_or_default().max(fault) + MAX_LEARNING_TIME;
         self.sent_at.iter().filter(|at| **at > learned_at).count()
     }
 
@@ -159,6 +205,14 @@
     assert!(simulation.sent_at.len() <= 6, "sent {} times in all", simulation.sent_at.len());
 }
 
+#[test]
+fn hundreds_of_entries_block_a_poison_part_after_a_few_crashes() {
+    let mut simulation = Simulation::with_kind(6, 300, Kind::Part);
+    simulation.run_until_crashed(4);
+    simulation.check("a part at 300 entries");
+    assert!(simulation.sent_at.len() <= 8, "sent {} times in all", simulation.sent_at.len());
+}
+
 #[test]
 fn two_entries_with_simultaneous_requests_crash_two_upstreams_each_time() {
     let mut simulation = Simulation::new(3, 8);
@@ -171,12 +225,13 @@
 
 #[test]
 fn evidence_survives_the_loss_of_a_leader() {
-    // Guards against upstreams that continue to crash after the loss of a leader: up to three have
+    // Guards against upstreams that continue to crash after the loss of a leader: up to four have
     // crashed under a request, and the leader is killed, paused or cut off. The next one must not
     // start without evidence because only one core had it.
-    for ended in 1..=3 {
+    let crashes = |kind: Kind| (1..=kind.threshold()).map(move |ended| (kind, ended));
+    for (kind, ended) in Kind::ALL.into_iter().flat_map(crashes) {
         for failure in 0..3 {
-            let mut simulation = Simulation::new(5, 9);
+            let mut simulation = Simulation::with_kind(5, 9, kind);
             simulation.run_until_crashed(ended);
             let leader = simulation.net.leaders()[0];
             match failure {
@@ -187,7 +242,8 @@
             simulation.run(SECOND * 3);
             simulation.net.resume(leader);
             simulation.net.reconnect_core(leader);
-            simulation.check(&format!("leader lost after {ended} crashes, failure {failure}"));
+            let what = format!("{kind:?}, leader lost after {ended} crashes, failure {failure}");
+            simulation.check(&what);
         }
     }
 }
@@ -232,18 +288,20 @@
     // Guards against three more crashes after each power loss: a request is quarantined, all cores
     // and all entries lose power at the same moment, and one core loses its disk as well. A
     // quarantine that is kept in memory only would be lost.
-    let mut simulation = Simulation::new(5, 9);
-    simulation.run_until_crashed(3);
-    simulation.run(SECOND);
-    assert!((0..9).all(|entry| simulation.is_quarantined(entry)));
-    let before = simulation.sent_at.len();
-    (0..4).for_each(|core| simulation.net.restart(core));
-    simulation.net.restart_with_empty_disk(4);
-    (0..9).for_each(|entry| simulation.net.restart_entry(entry));
-    simulation.run(SECOND * 6);
-    assert!((0..9).all(|entry| simulation.is_quarantined(entry)));
-    simulation.run(SECOND * 6);
-    assert_eq!(simulation.sent_at.len(), before, "sent again after the power loss");
+    for kind in Kind::ALL {
+        let mut simulation = Simulation::with_kind(5, 9, kind);
+        simulation.run_until_crashed(kind.threshold());
+        simulation.run(SECOND);
+        assert!((0..9).all(|entry| simulation.is_quarantined(entry)));
+        let before = simulation.sent_at.len();
+        (0..4).for_each(|core| simulation.net.restart(core));
+        simulation.net.restart_with_empty_disk(4);
+        (0..9).for_each(|entry| simulation.net.restart_entry(entry));
+        simulation.run(SECOND * 6);
+        assert!((0..9).all(|entry| simulation.is_quarantined(entry)));
+        simulation.run(SECOND * 6);
+        assert_eq!(simulation.sent_at.len(), before, "sent again after the power loss");
+    }
 }
 
 #[test]
@@ -317,6 +375,44 @@
     assert!(bytes <= usual_traffic.bytes + 300 * 53 * 45 + 4 * 300 * 20, "{bytes} bytes");
 }
 
+#[test]
+fn the_end_of_a_third_of_all_upstreams_is_reported_with_all_parts_within_the_bounds() {
+    // Each of 53 requests of an entry has 16 parts, of which it has seen none answered lately.
+    const OBSERVATIONS: usize = 53 * 16;
+    let mut simulation = Simulation::new(6, 300);
+    let now = simulation.net.now();
+    for entry in 0..300 {
+        let observed = |it: usize| {
+            let number = entry * OBSERVATIONS + it;
+            let fingerprint = if it.is_multiple_of(16) {
+                Fingerprint::of(7, "red", "h", "/x", &number.to_le_bytes())
+            } else {
+                Fingerprint::of_part(7, "pool", number as u64 % 20_000)
+            };
+            let upstream = Upstream::new(format!("i-{:010x}", number / 256));
+            let run = Run { upstream, incarnation: 0 };
+            ObservedCrash { fingerprint, run, sent: now - SECOND, ended: now }
+        };
+        let observed = (0..OBSERVATIONS).map(observed).collect();
+        simulation.net.entry_mut(entry).record_outcomes(now, observed, vec![]);
+    }
+    let leader = simulation.net.leaders()[0];
+    let mut received = Vec::new();
+    for _ in 0..6 {
+        simulation.net.count_traffic();
+        simulation.net.run(SECOND);
+        received.push(simulation.net.traffic(leader));
+    }
+    let usual = received.pop().expect("six seconds");
+    println!("leader while reports arrive: {received:?}; then {usual:?}");
+    for traffic in &received {
+        // An entry sends four reports a second, of 64 observations with 45 bytes.
+        assert!(traffic.received <= usual.received + 5 * 300, "{traffic:?}");
+        assert!(traffic.bytes <= usual.bytes + 300 * 4 * 64 * 45 + 5 * 300 * 20, "{traffic:?}");
+    }
+    assert!(simulation.net.entries().all(|view| view.blocklist.watched.len() <= 256));
+}
+
 #[test]
 fn a_wave_of_suspicions_is_propagated_at_the_usual_pace() {
     // Guards against a leader of hundreds of entries that has no time left for edits and departures
@@ -399,10 +495,10 @@
 
 /// Simulates random failures of cores and entries while the poison request arrives; returns how
 /// often it was sent too late.
-fn run_random_failures(seed: u64) -> usize {
+fn run_random_failures(seed: u64, kind: Kind) -> usize {
     let mut random = SeededRandom(seed);
     let (cores, entries) = (5, 6);
-    let mut simulation = Simulation::new(cores, entries);
+    let mut simulation = Simulation::with_kind(cores, entries, kind);
     for _ in 0..12 {
         let (core, entry) = (random.index(cores), random.index(entries));
         match random.next(8) {
@@ -438,11 +534,11 @@
         Some(seeds) => seeds,
         None => 0..12,
     };
-    for seed in seeds {
-        let late = run_random_failures(seed);
+    for (seed, kind) in seeds.flat_map(|seed| Kind::ALL.map(|kind| (seed, kind))) {
+        let late = run_random_failures(seed, kind);
         assert!(
             late <= MAX_LATE_REQUESTS,
-            "seed {seed}: sent {late} times after all entries had to know the request"
+            "seed {seed}, {kind:?}: sent {late} times after all entries had to know the request"
         );
     }
 }
--- a/crates/verbenaslip-instance/src/logging.rs
+++ b/crates/verbenaslip-instance/src/logging.rs
@@ -207,16 +207,24 @@
 fn log_finding(finding: &Finding) {
     let runs = |runs: &[Run]| json!(runs.iter().map(|it| it.upstream.as_str()).collect::<Vec<_>>());
     let content = |fingerprint: &Fingerprint| ("content", json!(fingerprint.to_string()));
+    let kind = |fingerprint: &Fingerprint| if fingerprint.is_part() { "part" } else { "content" };
     match finding {
-        Finding::Suspected { fingerprint, runs: crashed } => {
-            emit(event::REQUEST_SUSPECTED, [content(fingerprint), ("upstreams", runs(crashed))]);
-        }
+        Finding::Suspected { fingerprint, runs: crashed } => emit(
+            event::REQUEST_SUSPECTED,
+            [
+                content(fingerprint),
+                ("kind", json!(kind(fingerprint))),
+                ("upstreams", runs(crashed)),
+            ],
+        ),
         Finding::Quarantined { fingerprint, runs: crashed, held } => {
-            metrics::counter!("verbenaslip_requests_held_back_total").increment(1);
+            let kind = kind(fingerprint);
+            metrics::counter!("verbenaslip_requests_held_back_total", "kind" => kind).increment(1);
             emit(
                 event::REQUEST_QUARANTINED,
                 [
                     content(fingerprint),
+                    ("kind", json!(kind)),
                     ("upstreams", runs(crashed)),
                     ("until", json!(held.until)),
                     ("tries", json!(held.failed_trials)),
