Close new connections unread at an entry that has more than it can serve

A load balancer may hand one entry most of a zone's new connections.

A new connection whose task waits 15 ms or more for the event loop is closed before anything is read, once none has waited less than 30 ms for 200 ms, and until none was closed for 2 s. Its caller turns to another entry, and may repeat whatever it sent. A single pause of the processor closes nothing.

--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -31,6 +31,7 @@
 use crate::policy::allowance::Allowances;
 use crate::policy::builds::Builds;
 use crate::policy::gateways::Gateways;
+use crate::policy::overload::Overload;
 use crate::policy::pace::Pace;
 use crate::policy::path::{Change as PathChange, Fault, Group, Paths};
 use crate::policy::placement::{Choice, Ending, Placement, Query};
@@ -60,6 +61,7 @@
     pub(crate) held_count: HeldCount,
     pub(crate) returning_callers: RefCell<ReturningCallers>,
     pub(crate) quarantine: RefCell<Quarantine>,
+    pub(crate) overload: RefCell<Overload>,
     pub(crate) random_state: Cell<u64>,
     pub(crate) builds: RefCell<Builds>,
     /// Versions at which streams began at this entry.
@@ -98,6 +100,7 @@
             held_count: HeldCount::default(),
             returning_callers: RefCell::new(ReturningCallers::default()),
             quarantine: RefCell::new(Quarantine::default()),
+            overload: RefCell::default(),
             random_state: Cell::new(monotonic::unix_ms()),
             builds: RefCell::default(),
             origins: RefCell::new(Origins::new(monotonic::now())),
--- a/crates/verbenaslip-relay/src/policy.rs
+++ b/crates/verbenaslip-relay/src/policy.rs
@@ -13,7 +13,8 @@
 //! retry from new ones. [`versions`] chooses the version of a service during a rollout, and
 //! [`quarantine`] holds back poison requests. [`builds`] tells when all streams of a service are at
 //! one software version, and [`reservation`] keeps room for those of a version that is replaced. [`waiting`] orders the requests that wait for an
-//! upstream, and [`return_schedule`] tells refused callers when to retry.
+//! upstream, and [`return_schedule`] tells refused callers when to retry. [`overload`] tells when an
+//! entry has more connections than it can serve.
 
 pub mod allowance;
 pub mod brittleness;
@@ -24,6 +25,7 @@
 pub mod limiter;
 pub(crate) mod load_shedding;
 pub(crate) mod measured;
+pub mod overload;
 pub mod pace;
 pub mod path;
 pub mod placement;
--- a/crates/verbenaslip-relay/src/server.rs
+++ b/crates/verbenaslip-relay/src/server.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use bytes::Buf;
+use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
@@ -18,18 +19,23 @@
 use verbenaslip_fleet::route_table::RequestLimits;
 
 use crate::dialect::Dialect;
+use crate::event_log::{self, Kind};
 use crate::forward::answer;
 use crate::forward::context::Context;
 use crate::forward::crash;
 use crate::forward::dial;
 use crate::forward::lifecycle::{self, Disposition};
 use crate::http::{Connection, reader};
+use crate::policy::overload::{Change, Verdict};
 use crate::policy::placement::{Placement, Sharing};
 use crate::policy::retry::Bounds;
 use crate::shared::SharedState;
 use crate::tunnel::gateway;
 use crate::{monotonic, socket};
 
+/// The entry closes new connections unread, since it has more than it can serve, or no longer does.
+const OVERLOAD: Kind = Kind { number: 958, name: "entry_overload" };
+
 /// Time between two removals of expired idle connections.
 const POOL_SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -132,13 +138,42 @@
         open_connections.set(open_connections.get() + 1);
         let (context, active_requests, open_connections) =
             (context.clone(), active_requests.clone(), open_connections.clone());
+        let accepted_at = Instant::now();
         tokio::task::spawn_local(async move {
-            serve_connection(&context, stream, &active_requests).await;
+            if admits(&context, accepted_at.elapsed()) {
+                serve_connection(&context, stream, &active_requests).await;
+            }
             open_connections.set(open_connections.get() - 1);
         });
     }
 }
 
+/// Returns whether a new connection is served, by how long it has waited for its task. If not, its
+/// caller turns to another entry, since nothing of the request was read.
+fn admits(context: &Context, delay: Duration) -> bool {
+    let (verdict, change) = context.overload.borrow_mut().admit(monotonic::now(), delay);
+    if let Some(change) = change {
+        log_overload(change);
+    }
+    if verdict == Verdict::Closed {
+        metrics::counter!("verbenaslip_connections_closed_unread_total").increment(1);
+    }
+    verdict == Verdict::Served
+}
+
+fn log_overload(change: Change) {
+    let (delay, closed) = match change {
+        Change::Began(delay) => (Some(delay.as_millis()), None),
+        Change::Ended(closed) => (None, Some(closed)),
+    };
+    let fields = [
+        ("overloaded", json!(closed.is_none())),
+        ("delay_ms", json!(delay)),
+        ("closed", json!(closed)),
+    ];
+    event_log::emit(OVERLOAD, fields);
+}
+
 async fn sweep_pool(context: Rc<Context>) {
     loop {
         tokio::time::sleep(POOL_SWEEP_INTERVAL).await;
