--- a/crates/verbenaslip-fleet/tests/quarantine.rs
+++ b/crates/verbenaslip-fleet/tests/quarantine.rs
@@ -399,3 +399,113 @@
         assert!(leader.is_quarantined(poison), "{order:?}");
     }
 }
+
+fn part(number: u64) -> Fingerprint {
+    Fingerprint::of_part(7, "model", number)
+}
+
+#[test]
+fn parts_are_told_from_contents() {
+    assert!(part(1).is_part() && !fingerprint("bad").is_part());
+    assert_ne!(part(1), part(2));
+    assert_ne!(part(1), Fingerprint::of_part(7, "other", 1), "upstreams of a service are alike");
+    assert_ne!(part(1), Fingerprint::of_part(8, "model", 1));
+    assert_eq!(part(1).to_string().parse(), Ok(part(1)));
+}
+
+#[test]
+fn a_part_is_quarantined_and_no_other_part_of_its_prompts() {
+    // All prompts begin with the same part, and nothing was answered yet.
+    let mut leader = Leader::new(QuarantinePolicy::default());
+    for upstream in 1..=4_u32 {
+        leader.advance(SECOND / 4);
+        let content = fingerprint(&format!("request {upstream}"));
+        let own = part(100 + u64::from(upstream));
+        let crashed = [content, part(1), own, part(2)].map(|it| (it, CRASH_DELAY_MS));
+        leader.crash(upstream, &crashed);
+    }
+    leader.advance(SECOND);
+    let quarantined = &leader.quarantine.blocklist().quarantined;
+    assert_eq!(quarantined.keys().copied().collect::<Vec<_>>(), [part(2)], "{:?}", leader.findings);
+    assert_eq!(leader.clearing_cause(part(1)), Some(Cause::Explained));
+}
+
+#[test]
+fn an_answered_part_is_not_quarantined_before_one_that_never_was() {
+    // The part that all share crashed more upstreams, and was answered five seconds ago.
+    let mut leader = Leader::new(QuarantinePolicy::default());
+    let (shared, poison) = (part(9), part(2));
+    for upstream in 1..=3_u32 {
+        leader.crash(upstream, &[(shared, CRASH_DELAY_MS)]);
+    }
+    leader.answer(shared);
+    leader.advance(SECOND * 5);
+    for upstream in 4..=7_u32 {
+        leader.crash(upstream, &[(poison, CRASH_DELAY_MS), (shared, CRASH_DELAY_MS)]);
+    }
+    leader.advance(SECOND);
+    assert!(leader.is_quarantined(poison) && !leader.is_quarantined(shared));
+}
+
+#[test]
+fn an_answer_speaks_for_a_part_in_the_crashes_right_after_it() {
+    // Guards against the quarantine of a part that all share when all upstreams crash within a moment.
+    let mut leader = Leader::new(QuarantinePolicy::default());
+    leader.crash(1, &[(part(1), CRASH_DELAY_MS)]);
+    leader.advance(SECOND / 10);
+    leader.answer(part(1));
+    for upstream in 2..=20 {
+        leader.advance(SECOND / 20);
+        leader.crash(upstream, &[(part(1), CRASH_DELAY_MS)]);
+    }
+    leader.advance(SECOND * 30);
+    assert!(!leader.is_quarantined(part(1)), "{:?}", leader.findings);
+}
+
+#[test]
+fn a_repeated_request_is_quarantined_and_its_parts_are_not() {
+    // The same request comes again and again; nobody else has asked for its part yet.
+    let mut leader = Leader::new(QuarantinePolicy::default());
+    let poison = fingerprint("bad");
+    for upstream in 1..=8 {
+        leader.advance(SECOND / 2);
+        // Requests that were on their way when it was quarantined.
+        leader.crash(upstream, &[(poison, CRASH_DELAY_MS), (part(1), CRASH_DELAY_MS)]);
+    }
+    leader.advance(SECOND);
+    assert!(leader.is_quarantined(poison) && !leader.is_quarantined(part(1)));
+}
+
+#[test]
+fn a_part_is_found_though_each_request_with_it_is_tried_at_several_upstreams() {
+    let mut leader = Leader::new(QuarantinePolicy::default());
+    for upstream in 1..=9 {
+        leader.advance(SECOND / 5);
+        let content = fingerprint(&format!("request {}", (upstream - 1) / 3));
+        leader.crash(upstream, &[(content, CRASH_DELAY_MS), (part(1), CRASH_DELAY_MS)]);
+    }
+    leader.advance(SECOND);
+    assert!(leader.is_quarantined(part(1)));
+    let contents = leader.quarantine.blocklist().quarantined.keys().filter(|it| !it.is_part());
+    assert_eq!(contents.count(), 0, "the part explains their crashes");
+}
+
+#[test]
+fn trials_of_a_part_follow_its_own_hold() {
+    let mut leader = Leader::new(QuarantinePolicy::default());
+    for upstream in 1..=4 {
+        leader.crash(upstream, &[(part(1), CRASH_DELAY_MS)]);
+    }
+    leader.advance(SECOND);
+    let block = |leader: &Leader| leader.quarantine.blocklist().quarantined.get(&part(1)).cloned();
+    assert_eq!(block(&leader).and_then(|it| it.trial_entry), None);
+    leader.advance(SECOND * 60);
+    assert!(block(&leader).is_some_and(|it| it.trial_entry.is_some()));
+    leader.crash(9, &[(part(1), CRASH_DELAY_MS)]);
+    leader.advance(SECOND * 300);
+    let held = block(&leader).expect("held back for six minutes");
+    assert_eq!((held.failed_trials, held.trial_entry), (1, None));
+    leader.advance(SECOND * 61);
+    leader.answer(part(1));
+    assert!(!leader.is_quarantined(part(1)));
+}
