--- a/crates/verbenaslip-fleet/tests/quarantine.rs
+++ b/crates/verbenaslip-fleet/tests/quarantine.rs
@@ -443,10 +443,24 @@
     for upstream in 4..=7_u32 {
         leader.crash(upstream, &[(poison, CRASH_DELAY_MS), (shared, CRASH_DELAY_MS)]);
     }
+    leader.crash(8, &[(shared, CRASH_DELAY_MS)]);
     leader.advance(SECOND);
     assert!(leader.is_quarantined(poison) && !leader.is_quarantined(shared));
 }
 
+#[test]
+fn a_part_that_ran_on_most_upstreams_that_crashed_is_not_quarantined_before_one_that_ran_on_all() {
+    let mut leader = Leader::new(QuarantinePolicy::default());
+    let (poison, unlucky) = (part(2), part(3));
+    for upstream in 1..=5_u32 {
+        let both = [(poison, CRASH_DELAY_MS), (unlucky, CRASH_DELAY_MS)];
+        leader.crash(upstream, if upstream == 1 { &both[..1] } else { &both });
+    }
+    leader.advance(SECOND);
+    assert!(leader.is_quarantined(poison) && !leader.is_quarantined(unlucky));
+    assert_eq!(leader.clearing_cause(unlucky), Some(Cause::Explained));
+}
+
 #[test]
 fn an_answer_speaks_for_a_part_in_the_crashes_right_after_it() {
     // Guards against the quarantine of a part that all share when all upstreams crash within a moment.
--- a/crates/verbenaslip-relay/tests/record.rs
+++ b/crates/verbenaslip-relay/tests/record.rs
@@ -126,6 +126,50 @@
     assert!(record_answer(&mut record, SECOND * 2, popular, &blocklist));
 }
 
+#[test]
+fn answers_to_a_watched_request_are_reported_at_intervals() {
+    // Guards against hundreds of entries that report each answer to a part which most prompts share.
+    let mut record = Quarantine::default();
+    let popular = Fingerprint::of_part(7, "model", 1);
+    let blocklist = blocklist_watching(&[popular]);
+    record.update(SECOND, &blocklist);
+    let reported = (0..1_000).filter(|millis| {
+        let now = SECOND + Duration::from_millis(*millis);
+        record_answer(&mut record, now, popular, &blocklist)
+    });
+    assert_eq!(reported.count(), 4);
+}
+
+#[test]
+fn parts_answered_around_a_crash_are_no_suspects() {
+    let mut record = Quarantine::default();
+    let (shared, content) = (Fingerprint::of_part(7, "model", 1), fingerprint("content"));
+    let none = blocklist_watching(&[]);
+    assert!(record.is_suspect(shared, SECOND), "it was never answered");
+    for fingerprint in [shared, content] {
+        record_answer(&mut record, SECOND * 10, fingerprint, &none);
+    }
+    assert!(!record.is_suspect(shared, SECOND * 9), "answered since");
+    assert!(!record.is_suspect(shared, SECOND * 12), "answered a moment before");
+    assert!(record.is_suspect(shared, SECOND * 13));
+    assert!(record.is_suspect(content, SECOND * 9), "the leader decides on contents");
+}
+
+#[test]
+fn a_trial_is_not_spent_while_another_fingerprint_is_quarantined() {
+    let mut record = Quarantine::default();
+    let (tried, held) = (fingerprint("tried"), Fingerprint::of_part(7, "model", 1));
+    let mut view = view_with_quarantined(tried, 61_000, Some(OWN_ADDRESS.into()));
+    let mut blocklist = Blocklist::clone(&view.blocklist);
+    let block = Block { since: 0, until: 900_000, failed_trials: 0, trial_entry: None };
+    blocklist.quarantined.insert(held, block);
+    view.blocklist = Arc::new(blocklist);
+    let both = || [tried, held].into_iter();
+    let refused = record.quarantined_for(SECOND * 70, both(), &view);
+    assert_eq!(refused.map(|it| it.0), Some(held));
+    assert_eq!(quarantined_for(&mut record, SECOND * 70, tried, &view), None);
+}
+
 #[test]
 fn quarantined_request_is_refused_with_retry_time() {
     let mut record = Quarantine::default();
