Let time slots and places of upstreams follow the load of entries

Each entry had one slot, whatever came to it. One that gets 1.6 times and four deviations more than over the last minute asks for a power of two near the ratio, in a field at the end of its report, and learns its part from the end of the answer; builds without the field ignore it and have one slot. Slots go round in steps, so that several are spread over time. The places of brittle upstreams follow the same positions, and nobody takes more of them until the others have had 0.75 s to learn.

--- a/crates/verbenaslip-fleet/src/core/aggregator.rs
+++ b/crates/verbenaslip-fleet/src/core/aggregator.rs
@@ -139,7 +139,7 @@
         else {
             return;
         };
-        update.figures = self.answer_figures(to);
+        update.extension.0.figures = self.answer_figures(to);
         self.send(to, Frame::Update(Box::new(update)));
         let Version { change, .. } = self.link.view().version;
         if self.hub.is_behind(to, change, self.newest_revision()) {
--- a/crates/verbenaslip-fleet/src/core/leader.rs
+++ b/crates/verbenaslip-fleet/src/core/leader.rs
@@ -269,7 +269,7 @@
             hub.heartbeat_answer(to, source, fleet_status)
         });
         if let Some(mut update) = update.flatten() {
-            update.figures = self.answer_figures(to);
+            update.extension.0.figures = self.answer_figures(to);
             self.send(to, Frame::Update(Box::new(update)));
         }
     }
@@ -286,7 +286,7 @@
             entry_count: u32::try_from(self.hub.entry_count()).unwrap_or(u32::MAX),
             plans_change: self.rollout_plans_change,
             plans_age: Some(Duration::ZERO),
-            time_slot: Some(TimeSlot { index: 0, count: slot_count }),
+            time_slot: Some(TimeSlot::single(0, slot_count)),
             list_entries: self.needs_entry_list(),
         }
     }
--- a/crates/verbenaslip-fleet/src/core/measurement.rs
+++ b/crates/verbenaslip-fleet/src/core/measurement.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::core::{Core, Event};
-use crate::frame::{Heartbeat, Trailing};
+use crate::frame::Heartbeat;
 use crate::measurement::summary::summarize;
 use crate::measurement::{self, FigureReport, Figures, RunKey};
 use crate::upstream::{Record, Status};
@@ -35,13 +35,13 @@
     }
 
     /// Returns the figures for the answer to a heartbeat.
-    pub(crate) fn answer_figures(&mut self, to: SocketAddr) -> Trailing<Vec<FigureReport>> {
+    pub(crate) fn answer_figures(&mut self, to: SocketAddr) -> Vec<FigureReport> {
         if self.is_leading() {
             self.hub.publish_measured_figures(self.now);
         } else {
             self.hub.publish_received_figures(self.now, &self.link.view().figures);
         }
-        Trailing(self.hub.answer_figures(self.now, to))
+        self.hub.answer_figures(self.now, to)
     }
 
     /// Drops the measurements of runs that no longer exist, and emits the leader's summary.
--- a/crates/verbenaslip-fleet/src/frame.rs
+++ b/crates/verbenaslip-fleet/src/frame.rs
@@ -220,8 +220,18 @@
     pub departing: Vec<Run>,
     /// Reports of the entries below this core.
     pub aggregate: Option<Aggregate>,
+    /// What later builds have added.
+    pub extension: Trailing<HeartbeatExtension>,
+}
+
+/// Holds the fields of a heartbeat that were added later, in the order in which they were.
+#[data(float, default)]
+pub struct HeartbeatExtension {
     /// Measurements of upstreams that changed after the acknowledged heartbeat.
-    pub measurements: Trailing<Vec<Totals>>,
+    pub measurements: Vec<Totals>,
+    /// Number of time slots that an entry asks for under upstreams' rate limits; zero stands for
+    /// one.
+    pub slots: Trailing<u32>,
 }
 
 /// Holds a field that was added at the end of a frame; empty if it is missing or unreadable.
@@ -253,7 +263,7 @@
 pub struct Aggregate {
     /// Number of entries.
     pub entry_count: u32,
-    /// Number of recently heard entries; each needs a time slot under an upstream's rate limit.
+    /// Number of time slots under upstreams' rate limits that the recently heard entries need.
     pub slot_count: u32,
     /// Addresses of the reachable entries, while the leader asks for them.
     pub entry_addresses: Vec<SocketAddr>,
@@ -308,8 +318,18 @@
     pub unix_ms: u64,
     /// Whether the sender waits for an acknowledgement of this update.
     pub ack_requested: bool,
+    /// What later builds have added.
+    pub extension: Trailing<UpdateExtension>,
+}
+
+/// Holds the fields of an update that were added later, in the order in which they were.
+#[data(float, default)]
+pub struct UpdateExtension {
     /// Figures of runs that changed since the last answer to the receiver's heartbeat.
-    pub figures: Trailing<Vec<FigureReport>>,
+    pub figures: Vec<FigureReport>,
+    /// Number of time slots under upstreams' rate limits that belong to the receiver, in the answer
+    /// to an entry's heartbeat; zero stands for one.
+    pub slots: Trailing<u32>,
 }
 
 /// Describes the state of the fleet in the answer to a heartbeat.
--- a/crates/verbenaslip-fleet/src/hub.rs
+++ b/crates/verbenaslip-fleet/src/hub.rs
@@ -45,6 +45,9 @@
 /// leader, within [`STARTUP_GRACE`], were reachable before.
 const STABLE_CORE_TIME: Duration = Duration::from_secs(2);
 
+/// Limit on the time slots of one entry, so that a broken one cannot take all of them.
+const MAX_SLOTS: u32 = 64;
+
 /// How long a silent instance is remembered, since it may be cut off and still serving.
 const SUBSCRIBER_RETENTION: Duration = Duration::from_secs(30);
 
@@ -213,7 +216,8 @@
             subscriber.route_table_sent = None;
         }
         subscriber.entry_count = u32::from(peer.voter.is_none());
-        subscriber.slot_count = subscriber.entry_count;
+        let slots = heartbeat.extension.0.slots.0.clamp(1, MAX_SLOTS);
+        subscriber.slot_count = subscriber.entry_count * slots;
         subscriber.progress = Progress { change, revision };
         subscriber.entry_addresses.clear();
         subscriber.peer = peer;
@@ -335,6 +339,7 @@
         let mut next_index = first_index;
         for subscriber in self.subscribers.values_mut() {
             subscriber.slot_index = Some(next_index);
+            subscriber.slot_width = subscriber.slot_count;
             next_index += subscriber.slot_count;
         }
         self.slot_count = next_index - first_index;
--- a/crates/verbenaslip-fleet/src/hub/measurements.rs
+++ b/crates/verbenaslip-fleet/src/hub/measurements.rs
@@ -14,7 +14,8 @@
     /// as this instance knows them.
     pub fn record_measurements(&mut self, now: Duration, heartbeat: &Heartbeat, known: &Figures) {
         let (address, incarnation) = (heartbeat.peer.address, heartbeat.peer.incarnation);
-        let (origin, reports) = (EntryRun { address, incarnation }, &heartbeat.measurements.0);
+        let (origin, reports) =
+            (EntryRun { address, incarnation }, &heartbeat.extension.0.measurements);
         self.measurements.record(now, origin, heartbeat.sequence, reports, known);
     }
 
--- a/crates/verbenaslip-fleet/src/hub/push.rs
+++ b/crates/verbenaslip-fleet/src/hub/push.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::frame::{FleetStatus, Update};
+use crate::frame::{FleetStatus, Trailing, Update, UpdateExtension};
 use crate::hub::source::Missing;
 use crate::hub::subscriber::Subscriber;
 use crate::hub::{
@@ -54,8 +54,14 @@
             .zip(subscriber.slot_index)
             .map(|(slots, index)| TimeSlot { index, ..slots });
         let status = FleetStatus { sequence: subscriber.last_sequence, time_slot, ..status };
+        let is_entry = subscriber.peer.voter.is_none();
+        // A single slot takes no bytes.
+        let slots = subscriber.slot_width;
+        let slots = if is_entry && slots > 1 { slots } else { 0 };
+        let extension = UpdateExtension { slots: Trailing(slots), ..UpdateExtension::default() };
         Some(Update {
             fleet_status: Some(status),
+            extension: Trailing(extension),
             ..source.empty_update(subscriber.acknowledged_change)
         })
     }
--- a/crates/verbenaslip-fleet/src/hub/source.rs
+++ b/crates/verbenaslip-fleet/src/hub/source.rs
@@ -123,7 +123,7 @@
             fleet_status: None,
             unix_ms: self.unix_ms,
             ack_requested: false,
-            figures: Trailing::default(),
+            extension: Trailing::default(),
         }
     }
 
--- a/crates/verbenaslip-fleet/src/hub/subscriber.rs
+++ b/crates/verbenaslip-fleet/src/hub/subscriber.rs
@@ -46,6 +46,8 @@
     pub(super) counted_until: u64,
     /// Time slot of the entry, or the first one of the entries below a core.
     pub(super) slot_index: Option<u32>,
+    /// Number of time slots that were assigned from there on.
+    pub(super) slot_width: u32,
     /// Number of entries that the instance stands for: itself, or the entries that report to it.
     pub(super) entry_count: u32,
     /// Number of time slots that the instance needs.
@@ -78,6 +80,7 @@
             time_offset_ms: 0,
             counted_until: 0,
             slot_index: None,
+            slot_width: 0,
             entry_count: 0,
             slot_count: 0,
             entry_addresses: Vec::new(),
--- a/crates/verbenaslip-fleet/src/limit.rs
+++ b/crates/verbenaslip-fleet/src/limit.rs
@@ -40,13 +40,28 @@
 /// Rate limits of all runs that have recently asked for one.
 pub type Limits = BTreeMap<Run, Limit>;
 
-/// Assigns to an entry every `count`th request under a rate limit.
+/// Assigns to an entry `width` of each `count` requests under a rate limit.
 #[data(copy)]
 pub struct TimeSlot {
-    /// Index of the entry, starting at zero.
+    /// Index of the first slot of the entry, starting at zero.
     pub index: u32,
-    /// Number of entries.
+    /// Number of slots of all entries.
     pub count: u32,
+    /// Number of slots of the entry; one unless it gets far more requests than usual. Builds that
+    /// do not know it have one slot.
+    #[serde(skip, default = "single_slot")]
+    pub width: u32,
+}
+
+fn single_slot() -> u32 {
+    1
+}
+
+impl TimeSlot {
+    /// Returns the only slot at this index of so many.
+    pub fn single(index: u32, count: u32) -> Self {
+        Self { index, count, width: 1 }
+    }
 }
 
 impl Limit {
--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -106,6 +106,9 @@
     pub departing: Vec<Run>,
     /// What this instance has measured at upstreams.
     pub measurements: Vec<Totals>,
+    /// At an entry: number of time slots that it asks for under upstreams' rate limits; zero stands
+    /// for one.
+    pub slots: u32,
     /// At a core: the reports of the entries below it.
     pub aggregate: Option<Aggregate>,
     /// Time up to which the counts of those entries are complete, in Unix milliseconds; `None`
--- a/crates/verbenaslip-fleet/src/link/report.rs
+++ b/crates/verbenaslip-fleet/src/link/report.rs
@@ -4,7 +4,7 @@
 
 use verbenaslip_base::name::Team;
 
-use crate::frame::{Heartbeat, Trailing};
+use crate::frame::{Heartbeat, HeartbeatExtension, Trailing};
 use crate::link::{
     HEARTBEAT_INTERVAL, LOST_PARENT_AVOIDANCE, Link, MAX_SEARCH_INTERVAL, MAX_TRACKED_REPORTS,
     MIN_SEARCH_INTERVAL, Report, SentReport, Targets,
@@ -46,7 +46,7 @@
         targets.extend(self.previous_parent.take());
         let Report { counts, refunds, engine_work, marks, rollouts, limits, departing, .. } =
             report;
-        let Report { aggregate, counted_until, measurements, .. } = report;
+        let Report { aggregate, counted_until, measurements, slots, .. } = report;
         self.last_sequence += 1;
         let counts = self.changed_counts(acknowledged, counts);
         let measurements = self.measurements.select(self.last_sequence, acknowledged, measurements);
@@ -59,6 +59,9 @@
         if self.sent_reports.len() > MAX_TRACKED_REPORTS {
             self.sent_reports.pop_front();
         }
+        // A single slot takes no bytes.
+        let slots = Trailing(if slots > 1 { slots } else { 0 });
+        let extension = HeartbeatExtension { measurements, slots };
         let heartbeat = Heartbeat {
             peer: self.local_peer.clone(),
             parent,
@@ -76,7 +79,7 @@
             limits,
             departing,
             aggregate,
-            measurements: Trailing(measurements),
+            extension: Trailing(extension),
         };
         (!targets.is_empty()).then_some((targets, heartbeat))
     }
--- a/crates/verbenaslip-fleet/src/link/update.rs
+++ b/crates/verbenaslip-fleet/src/link/update.rs
@@ -6,7 +6,7 @@
 
 use crate::frame::{FleetStatus, Update};
 use crate::history::History;
-use crate::limit::Limits;
+use crate::limit::{Limits, TimeSlot};
 use crate::link::{Link, MAX_PROMPT_ANSWER_AGE};
 use crate::quarantine::Blocklist;
 use crate::rollout::Plans;
@@ -26,8 +26,9 @@
             blocklist,
             ..
         } = update;
-        let Update { rollout_plans, limits, fleet_status, unix_ms, ack_requested, figures, .. } =
-            update;
+        let Update {
+            rollout_plans, limits, fleet_status, unix_ms, ack_requested, extension, ..
+        } = update;
         // A leader that was cut off and does not know it yet sends outdated facts.
         if version.term < self.view.version.term {
             return false;
@@ -67,9 +68,10 @@
         }
         if let Some(fleet_status) = fleet_status {
             if self.target == Some(from) {
-                self.apply_figures(now, fleet_status.sequence, &figures.0);
+                self.apply_figures(now, fleet_status.sequence, &extension.0.figures);
             }
-            self.handle_fleet_status(from, version.term, fleet_status);
+            let slots = extension.0.slots.0.max(1);
+            self.handle_fleet_status(from, version.term, slots, fleet_status);
         }
         ack_requested
     }
@@ -93,8 +95,15 @@
         }
     }
 
-    /// Handles the fleet status in the answer to a heartbeat.
-    fn handle_fleet_status(&mut self, from: SocketAddr, term: u64, status: FleetStatus) {
+    /// Handles the fleet status in the answer to a heartbeat; `slots` is the number of time slots
+    /// of this instance.
+    fn handle_fleet_status(
+        &mut self,
+        from: SocketAddr,
+        term: u64,
+        slots: u32,
+        status: FleetStatus,
+    ) {
         self.confirm_plans(&status, term);
         let previous = self.last_answer.filter(|it| (it.0, it.1) == (from, status.incarnation));
         let is_complete =
@@ -107,7 +116,8 @@
         self.view.cores = status.cores;
         self.learned_cores.clear();
         self.view.entry_count = status.entry_count;
-        self.view.time_slot = status.time_slot.or(self.view.time_slot);
+        let time_slot = status.time_slot.map(|it| TimeSlot { width: slots, ..it });
+        self.view.time_slot = time_slot.or(self.view.time_slot);
         (self.parent_cores, self.entry_list_requested) = (status.parent_cores, status.list_entries);
     }
 
--- a/crates/verbenaslip-fleet/tests/entry.rs
+++ b/crates/verbenaslip-fleet/tests/entry.rs
@@ -99,7 +99,7 @@
         fleet_status: None,
         unix_ms: unix(SECOND),
         ack_requested: false,
-        figures: Trailing::default(),
+        extension: Trailing::default(),
     }))
 }
 
--- a/crates/verbenaslip-fleet/tests/hub.rs
+++ b/crates/verbenaslip-fleet/tests/hub.rs
@@ -41,7 +41,7 @@
         parent: None,
         lost_parent: None,
         aggregate: None,
-        measurements: Trailing::default(),
+        extension: Trailing::default(),
         engine_work: Vec::new(),
         marks: Vec::new(),
         rollouts: Vec::new(),
--- a/crates/verbenaslip-fleet/tests/limit.rs
+++ b/crates/verbenaslip-fleet/tests/limit.rs
@@ -124,3 +124,31 @@
     assert!(limit(Some(1.0), 30).supersedes(Some(&ended)));
     assert!(!limit(Some(1.05), 30).supersedes(Some(&limit(Some(1.0), 20))));
 }
+
+#[test]
+fn an_entry_that_asks_for_more_time_slots_gets_its_own() {
+    // Guards against slots that two entries hold, and against slots of entries that no longer ask for them.
+    let mut net = fleet();
+    let owners = |net: &Network| {
+        let slots: Vec<TimeSlot> = net.entries().filter_map(|view| view.time_slot).collect();
+        let owned = |slot: &TimeSlot| slot.index..slot.index + slot.width;
+        let owned: BTreeSet<u32> = slots.iter().flat_map(owned).collect();
+        let widths: Vec<u32> = slots.iter().map(|slot| slot.width).collect();
+        assert!(slots.iter().all(|slot| slot.count == widths.iter().sum()), "{slots:?}");
+        assert_eq!(owned.len(), widths.iter().sum::<u32>() as usize, "{slots:?}");
+        widths
+    };
+    assert_eq!(owners(&net), [1; ENTRIES]);
+    net.want_slots(3, 8);
+    net.run(SECOND * 2);
+    let mut wanted = [1; ENTRIES];
+    wanted[3] = 8;
+    assert_eq!(owners(&net), wanted);
+    let leader = net.leaders()[0];
+    net.stop(leader);
+    net.run(SECOND * 5);
+    assert_eq!(owners(&net), wanted);
+    net.want_slots(3, 1);
+    net.run(SECOND * 2);
+    assert_eq!(owners(&net), [1; ENTRIES]);
+}
--- a/crates/verbenaslip-fleet/tests/measurement.rs
+++ b/crates/verbenaslip-fleet/tests/measurement.rs
@@ -13,7 +13,7 @@
 use verbenaslip_fleet::Entry;
 use verbenaslip_fleet::core::Event;
 use verbenaslip_fleet::frame::{
-    Aggregate, FleetStatus, Frame, Heartbeat, Peer, Request, Trailing, Update,
+    Aggregate, FleetStatus, Frame, Heartbeat, Peer, Request, Trailing, Update, UpdateExtension,
 };
 use verbenaslip_fleet::hub::Hub;
 use verbenaslip_fleet::limit::{Limits, Observation};
@@ -339,7 +339,10 @@
         base: None,
         records: vec![record],
         fleet_status: Some(status),
-        figures: Trailing(reports.to_vec()),
+        extension: Trailing(UpdateExtension {
+            figures: reports.to_vec(),
+            ..UpdateExtension::default()
+        }),
         ..*update
     }))
 }
@@ -652,7 +655,7 @@
     let Ok(OldFrame::Heartbeat(old)) = postcard::from_bytes(&with) else { panic!("unreadable") };
     assert_eq!(encode(&OldFrame::Heartbeat(old)), without, "nothing to report costs no byte");
     let measurements = |bytes: &[u8]| match postcard::from_bytes(bytes) {
-        Ok(Frame::Heartbeat(heartbeat)) => heartbeat.measurements.0,
+        Ok(Frame::Heartbeat(heartbeat)) => heartbeat.extension.0.measurements,
         other => panic!("{other:?}"),
     };
     assert_eq!(measurements(&with), [totals]);
@@ -660,14 +663,13 @@
     assert_eq!(measurements(&with[..with.len() - 1]), [], "an unreadable field is empty");
     let old = encode(&old_update());
     let Ok(Frame::Update(mut update)) = postcard::from_bytes(&old) else { panic!("unreadable") };
-    let Update { figures, ack_requested, .. } = &mut *update;
-    assert!(figures.0.is_empty() && *ack_requested);
+    assert!(update.extension.0.figures.is_empty() && update.ack_requested);
     let mut collector = Collector::default();
     collector.record(SECOND, origin(1, 1), 1, &[totals], &Figures::default());
     let (mut publisher, mut sent) = (Publisher::default(), SentFigures::default());
     publisher.update(SECOND, &collector.figures(SECOND));
-    figures.0 = publisher.select(SECOND, &mut sent);
-    assert_eq!(figures.0.len(), 1);
+    update.extension.0.figures = publisher.select(SECOND, &mut sent);
+    assert_eq!(update.extension.0.figures.len(), 1);
     let with = encode(&Frame::Update(update.clone()));
     assert!(with.len() > old.len());
     let Ok(read @ OldFrame::Update(_)) = postcard::from_bytes(&with) else { panic!("unreadable") };
@@ -686,3 +688,27 @@
     let summary = |(_, event): &(usize, Event)| matches!(event, Event::UpstreamFigures(_));
     assert!(!net.take_events().iter().any(summary));
 }
+
+#[test]
+fn builds_with_and_without_time_slots_read_each_others_frames() {
+    // The build before ended its heartbeats with the measurements, and its updates with the figures.
+    type Before = (u32, OldHeartbeat, Trailing<Vec<Totals>>);
+    let totals = Totals { active: 3, ..Totals::new(RunKey::of(&run("u", 1))) };
+    let slots = |bytes: &[u8]| match postcard::from_bytes(bytes) {
+        Ok(Frame::Heartbeat(it)) => (it.extension.0.measurements, it.extension.0.slots.0),
+        other => panic!("{other:?}"),
+    };
+    for measurements in [vec![], vec![totals]] {
+        let mut heartbeat = heartbeat(measurements.clone());
+        let without = encode(&Frame::Heartbeat(Box::new(heartbeat.clone())));
+        heartbeat.extension.0.slots = Trailing(8);
+        let with = encode(&Frame::Heartbeat(Box::new(heartbeat)));
+        assert_eq!(slots(&with), (measurements.clone(), 8));
+        for bytes in [&with, &without] {
+            let before: Before = postcard::from_bytes(bytes).expect("readable");
+            assert_eq!(before.2.0, measurements);
+        }
+        let before: Before = postcard::from_bytes(&with).expect("readable");
+        assert_eq!(slots(&encode(&before)), (measurements, 0));
+    }
+}
--- a/crates/verbenaslip-fleet/tests/net/mod.rs
+++ b/crates/verbenaslip-fleet/tests/net/mod.rs
@@ -119,6 +119,7 @@
     counts: BTreeMap<usize, Counts>,
     /// What each entry has measured, by run.
     measurements: BTreeMap<usize, BTreeMap<RunKey, Totals>>,
+    wanted_slots: BTreeMap<usize, u32>,
     /// Bytes of figures that each entry has received, while traffic is counted.
     figure_bytes: BTreeMap<SocketAddr, usize>,
     /// Traffic of each core, while it is counted.
@@ -185,6 +186,7 @@
             order_timing,
             counts: BTreeMap::new(),
             measurements: BTreeMap::new(),
+            wanted_slots: BTreeMap::new(),
             figure_bytes: BTreeMap::new(),
             traffic: None,
         };
@@ -353,6 +355,11 @@
             .insert(run, Limit { rate, reported_at_ms: at });
     }
 
+    /// Makes an entry ask for so many time slots under upstreams' rate limits.
+    pub fn want_slots(&mut self, entry: usize, slots: u32) {
+        self.wanted_slots.insert(entry, slots);
+    }
+
     /// Makes a run announce its departure in an answer to an entry.
     pub fn observe_departure(&mut self, entry: usize, run: Run) {
         self.observed_departures.entry(entry).or_default().push(run);
@@ -490,7 +497,9 @@
             let (limits, counts) = (self.unreported_limits(index), self.usage_counts(index));
             let measurements = self.measurements.get(&index).into_iter().flat_map(BTreeMap::values);
             let measurements = measurements.copied().collect();
-            let report = Report { limits, departing, counts, measurements, ..Report::default() };
+            let slots = self.wanted_slots.get(&index).copied().unwrap_or_default();
+            let report =
+                Report { limits, departing, counts, measurements, slots, ..Report::default() };
             let envelope = self.entries[index].next_heartbeat(self.now, unix_ms, report);
             self.send_envelope(entry_address(index), envelope);
             let envelope = self.entries[index].next_crash_report(self.now);
@@ -522,7 +531,7 @@
         }
         if let Some(index) = (0..self.entries.len()).find(|it| entry_address(*it) == to) {
             if let (Frame::Update(update), true) = (&frame, self.traffic.is_some()) {
-                let bytes = postcard::to_stdvec(&update.figures).expect("figures are encodable");
+                let bytes = postcard::to_stdvec(&update.extension).expect("figures are encodable");
                 *self.figure_bytes.entry(to).or_default() += bytes.len();
             }
             let envelope = self.entries[index].handle_frame(self.now, frame);
--- a/crates/verbenaslip-relay/src/policy/brittleness.rs
+++ b/crates/verbenaslip-relay/src/policy/brittleness.rs
@@ -20,6 +20,10 @@
 /// Minimum time between two divisions of a service's places.
 const DIVISION_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time after a change of its position in which an entry sends only what its earlier position allows
+/// as well: others learn of the change up to two reports later.
+const TRANSITION_TIME: Duration = Duration::from_millis(750);
+
 /// Fraction of an upstream's places that stays free, since new connections and health checks also
 /// take one for a moment.
 const SPARE_DIVISOR: u32 = 8;
@@ -48,15 +52,20 @@
 struct BrittleService {
     told_at: Duration,
     divided_at: Option<Duration>,
-    shares: BTreeMap<Run, Share>,
+    position: Option<TimeSlot>,
+    shares: Shares,
+    /// What the earlier position allows, and until when it counts.
+    earlier: Option<(Duration, Shares)>,
 }
 
+type Shares = BTreeMap<Run, Share>;
+
 /// What an entry may send to an upstream.
 #[derive(Debug)]
 enum Share {
     /// Number of requests at once.
     Places(u32),
-    /// One request at once in each turn that belongs to the entry.
+    /// One request at once in each turn of which a position belongs to the entry.
     Turns(Turns),
 }
 
@@ -105,8 +114,13 @@
                 true
             }
             None if is_brittle => {
-                let state =
-                    BrittleService { told_at: now, divided_at: None, shares: BTreeMap::new() };
+                let state = BrittleService {
+                    told_at: now,
+                    divided_at: None,
+                    position: None,
+                    shares: Shares::new(),
+                    earlier: None,
+                };
                 self.services.insert(service.clone(), state);
                 true
             }
@@ -137,17 +151,23 @@
         position: Option<TimeSlot>,
     ) {
         let Some(state) = self.services.get_mut(service) else { return };
-        state.divided_at = Some(now);
-        state.shares.clear();
-        let Some(TimeSlot { index, count }) = position else { return };
-        let position = TimeSlot { index: index % count.max(1), count: count.max(1) };
+        let is_first = state.divided_at.replace(now).is_none();
+        let shares = std::mem::take(&mut state.shares);
+        if state.position != position && !is_first {
+            state.earlier = Some((now + TRANSITION_TIME, shares));
+        }
+        state.earlier = state.earlier.take().filter(|(until, _)| now < *until);
+        state.position = position;
+        let Some(TimeSlot { index, count, width }) = position else { return };
+        let count = count.max(1);
+        let position = TimeSlot { index: index % count, count, width: width.clamp(1, count) };
         let total: u32 = capacities.iter().map(|it| usable_places(it.slots)).sum();
         let mut before = 0;
         for Capacity { run, slots, answer_time } in capacities {
             let usable = usable_places(*slots);
             let share = if total >= position.count {
-                let is_next = distance(before, position) < usable % position.count;
-                Share::Places(usable / position.count + u32::from(is_next))
+                let next = own_positions(before, usable % position.count, position);
+                Share::Places(usable / position.count * position.width + next)
             } else {
                 Share::Turns(Turns::new(position, (before, usable, total), *answer_time))
             };
@@ -159,10 +179,19 @@
     /// Returns whether this entry, with `active` requests in progress there, may send one more to an
     /// upstream of a brittle service; `wall_clock` is the agreed time of day.
     pub fn admits(&self, service: &str, run: &Run, active: u32, wall_clock: Duration) -> bool {
-        match self.services.get(service).and_then(|it| it.shares.get(run)) {
-            Some(Share::Places(places)) => active < *places,
-            Some(Share::Turns(turns)) => active == 0 && turns.may_start(wall_clock),
-            None => false,
+        let Some(state) = self.services.get(service) else { return false };
+        let admits = |share: &Share| share.admits(active, wall_clock);
+        // An upstream that came after the change has no earlier share.
+        let earlier = state.earlier.as_ref().and_then(|(_, shares)| shares.get(run));
+        state.shares.get(run).is_some_and(admits) && earlier.is_none_or(admits)
+    }
+}
+
+impl Share {
+    fn admits(&self, active: u32, wall_clock: Duration) -> bool {
+        match self {
+            Self::Places(places) => active < *places,
+            Self::Turns(turns) => active == 0 && turns.may_start(wall_clock),
         }
     }
 }
@@ -185,15 +214,17 @@
         let count = u128::from(self.position.count);
         // Below the number of entries.
         let first = u32::try_from((number * u128::from(total) + u128::from(before)) % count);
-        let is_own = first.is_ok_and(|first| distance(first, self.position) < usable);
+        let is_own = first.is_ok_and(|first| own_positions(first, usable, self.position) > 0);
         is_own && elapsed + self.guard.as_nanos() <= self.length.as_nanos()
     }
 }
 
-/// Returns how many entries are between the one at `first`, modulo their number, and the one at
-/// `position`.
-fn distance(first: u32, position: TimeSlot) -> u32 {
-    (position.index + position.count - first % position.count) % position.count
+/// Returns how many of the `length` positions from `first` on, modulo their number, belong to an
+/// entry.
+fn own_positions(first: u32, length: u32, position: TimeSlot) -> u32 {
+    let TimeSlot { index, count, width } = position;
+    let own = (0..width).map(|offset| (index + offset + count - first % count) % count);
+    u32::try_from(own.filter(|distance| *distance < length).count()).unwrap_or(u32::MAX)
 }
 
 /// Returns how many places of an upstream all entries together may use.
--- a/crates/verbenaslip-relay/src/server.rs
+++ b/crates/verbenaslip-relay/src/server.rs
@@ -210,6 +210,7 @@
             }
         };
         let closes = message.head.closes_connection() || context.shared.is_draining();
+        context.shared.count_arrival();
         active_requests.fetch_add(1, Ordering::Relaxed);
         let disposition = lifecycle::serve(context, &mut caller, &message, closes).await;
         active_requests.fetch_sub(1, Ordering::Relaxed);
--- a/crates/verbenaslip-relay/src/shared.rs
+++ b/crates/verbenaslip-relay/src/shared.rs
@@ -2,10 +2,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use serde_json::json;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{Notify, oneshot};
 use verbenaslip_base::name::Team;
@@ -20,9 +21,14 @@
 use verbenaslip_fleet::usage::{self, UsageCounter};
 use verbenaslip_fleet::view::View;
 
+use crate::event_log::{self, Kind};
 use crate::monotonic;
+use crate::policy::demand::Demand;
 use crate::policy::versions::Versions;
 
+/// The entry asks for another number of time slots under upstreams' rate limits.
+const SLOTS_WANTED: Kind = Kind { number: 959, name: "slots_wanted" };
+
 /// Sums by service.
 type ServiceTotals = BTreeMap<Arc<str>, f64>;
 
@@ -39,6 +45,9 @@
     engine_ms: Mutex<ServiceTotals>,
     /// What this instance has measured at upstreams, as totals.
     measurements: Mutex<BTreeMap<RunKey, Totals>>,
+    /// Requests that arrived since the last report.
+    arrivals: AtomicU64,
+    demand: Mutex<Demand>,
     observations: Mutex<Observations>,
     versions: Mutex<Versions>,
     /// Rate limits of upstreams that this instance has learnt.
@@ -314,6 +323,7 @@
         let counts = lock(&self.usage).counts();
         let departing = self.unshared_departures();
         let measurements = lock(&self.measurements).values().copied().collect();
+        let slots = self.wanted_slots();
         Report {
             counts,
             refunds,
@@ -322,10 +332,35 @@
             limits,
             departing,
             measurements,
+            slots,
             ..Report::default()
         }
     }
 
+    /// Counts a request that a caller has sent.
+    pub(crate) fn count_arrival(&self) {
+        self.arrivals.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the number of time slots to ask for under upstreams' rate limits.
+    fn wanted_slots(&self) -> u32 {
+        let (now, arrivals) = (monotonic::now(), self.arrivals.swap(0, Ordering::Relaxed));
+        let mut demand = lock(&self.demand);
+        let before = demand.slots(now);
+        demand.record(now, arrivals);
+        let slots = demand.slots(now);
+        if slots != before {
+            let (present, usual) = demand.rates();
+            let fields = [
+                ("slots", json!(slots)),
+                ("per_second", json!(present.round())),
+                ("usual_per_second", json!(usual.round())),
+            ];
+            event_log::emit(SLOTS_WANTED, fields);
+        }
+        slots
+    }
+
     /// Starts the planned stop: readiness probes fail from now on, so that no new connections
     /// arrive.
     pub fn start_draining(&self) {
--- a/crates/verbenaslip-relay/tests/brittleness.rs
+++ b/crates/verbenaslip-relay/tests/brittleness.rs
@@ -24,7 +24,7 @@
     let entry = |index| {
         let mut brittleness = Brittleness::default();
         assert!(brittleness.record_answer(SECOND, &service(), SECOND, true));
-        let position = Some(TimeSlot { index, count });
+        let position = Some(TimeSlot::single(index, count));
         brittleness.divide(SECOND, &service(), capacities, position);
         brittleness
     };
@@ -104,3 +104,48 @@
     assert!(!brittleness.is_division_due(SECOND, &service()));
     assert!(!brittleness.admits(&service(), &capacities[0].run, 0, 100 * SECOND));
 }
+
+#[test]
+fn an_entry_with_several_positions_has_as_many_parts_of_the_places() {
+    let capacities = capacities(8, 8);
+    let divide = |position| {
+        let mut brittleness = Brittleness::default();
+        brittleness.record_answer(SECOND, &service(), SECOND, true);
+        brittleness.divide(SECOND, &service(), &capacities, Some(position));
+        brittleness
+    };
+    let mut entries = vec![divide(TimeSlot { index: 0, count: 13, width: 8 })];
+    entries.extend((8..13).map(|index| divide(TimeSlot::single(index, 13))));
+    for Capacity { run, .. } in &capacities {
+        let sum: u32 = entries.iter().map(|it| places(it, run)).sum();
+        assert_eq!(sum, usable_places(8));
+    }
+    let of = |entry| capacities.iter().map(|it| places(entry, &it.run)).sum::<u32>();
+    assert!((33..=36).contains(&of(&entries[0])), "{} of 56 places", of(&entries[0]));
+}
+
+#[test]
+fn no_upstream_has_too_many_while_entries_learn_of_new_positions() {
+    // Guards against an entry that takes places before the others have given them up.
+    let capacities = capacities(8, 8);
+    let mut entries = entries(6, &capacities);
+    let position = |entry: u32| match entry {
+        0 => TimeSlot { index: 0, count: 13, width: 8 },
+        _ => TimeSlot::single(7 + entry, 13),
+    };
+    for step in 1..=8_u32 {
+        let now = SECOND + Duration::from_millis(250) * step;
+        for (index, entry) in (0_u32..).zip(&mut entries) {
+            // The others learn one after the other, up to half a second later.
+            let knows = step > index.div_ceil(3);
+            let position = if knows { position(index) } else { TimeSlot::single(index, 6) };
+            entry.divide(now, &service(), &capacities, Some(position));
+        }
+        for Capacity { run, .. } in &capacities {
+            let sum: u32 = entries.iter().map(|it| places(it, run)).sum();
+            assert!(sum <= usable_places(8), "{sum} places at {now:?}");
+        }
+    }
+    let of = |entry| capacities.iter().map(|it| places(entry, &it.run)).sum::<u32>();
+    assert!(of(&entries[0]) >= 33, "the places are taken in the end");
+}
--- a/crates/verbenaslip-relay/tests/limit.rs
+++ b/crates/verbenaslip-relay/tests/limit.rs
@@ -30,7 +30,7 @@
 fn view(runs: impl IntoIterator<Item = Run>) -> View {
     View {
         time_offset_ms: TIME_OFFSET_MS,
-        time_slot: Some(TimeSlot { index: 0, count: 1 }),
+        time_slot: Some(TimeSlot::single(0, 1)),
         ..common::view(runs)
     }
 }
@@ -60,10 +60,7 @@
     fn new(entries: u32, upstreams: u16) -> Self {
         let runs = || (1..=upstreams).map(|number| run(number, 1));
         let views: Vec<View> = (0..entries)
-            .map(|place| View {
-                time_slot: Some(TimeSlot { index: place, count: entries }),
-                ..view(runs())
-            })
+            .map(|place| View { time_slot: Some(TimeSlot::single(place, entries)), ..view(runs()) })
             .collect();
         let mut world = Self {
             entries: Vec::new(),
@@ -92,12 +89,19 @@
 
     /// Sends `per_second` requests a second to all entries together for `seconds`.
     fn simulate(&mut self, seconds: f64, per_second: f64) {
+        self.simulate_concentrated(seconds, per_second, 0.0);
+    }
+
+    /// Sends a part of the requests to the first entry, and the others to all entries.
+    fn simulate_concentrated(&mut self, seconds: f64, per_second: f64, part: f64) {
         let end = self.now + Duration::from_secs_f64(seconds);
         while self.now < end {
             let draw: f64 = self.rng.random();
             self.now += Duration::from_secs_f64(-(1.0 - draw).ln() / per_second);
             self.propagate_limits();
-            let entry = self.rng.random_range(0..self.entries.len());
+            let is_concentrated = part > 0.0 && self.rng.random::<f64>() < part;
+            let entry =
+                if is_concentrated { 0 } else { self.rng.random_range(0..self.entries.len()) };
             self.send_request(entry);
         }
     }
@@ -380,7 +384,7 @@
             // Entries learn their new position one after the other.
             if index % 2 == step % 2 {
                 world.views[index as usize].time_slot =
-                    Some(TimeSlot { index: index.min(entry_count - 1), count: entry_count });
+                    Some(TimeSlot::single(index.min(entry_count - 1), entry_count));
                 world.update_view(index as usize);
             }
         }
@@ -396,7 +400,7 @@
 #[test]
 fn clock_jump_neither_blocks_nor_unlimits_an_entry() {
     // Guards against a limit that follows the clock of one machine.
-    let time_slot = Some(TimeSlot { index: 2, count: 9 });
+    let time_slot = Some(TimeSlot::single(2, 9));
     let start = Duration::from_secs(1_800_000_000);
     let mut limiter = Limiter::new(2.0, time_slot, start);
     let mut sent = 0;
@@ -410,3 +414,39 @@
     }
     assert!((7..=11).contains(&sent), "{sent} in 40 s at a ninth of 2/s");
 }
+
+#[test]
+fn an_entry_with_most_requests_uses_the_limits_of_all() {
+    // Guards against an entry that refuses what the others no longer get, and against a sum beyond the limits while the
+    // entries learn of the new slots one after the other.
+    for (entry_count, slots) in [(2_u32, 2_u32), (6, 8), (9, 16)] {
+        let mut world = World::new(entry_count, 6);
+        (1..=6).for_each(|number| {
+            world.limits.insert(number, 10.0);
+        });
+        world.simulate(6.0, 45.0);
+        let began_at = world.now;
+        for index in 0..entry_count {
+            let slot = if index == 0 {
+                TimeSlot { index: 0, count: entry_count - 1 + slots, width: slots }
+            } else {
+                TimeSlot::single(slots - 1 + index, entry_count - 1 + slots)
+            };
+            world.views[index as usize].time_slot = Some(slot);
+            world.update_view(index as usize);
+            world.simulate_concentrated(0.1, 45.0, 0.9);
+        }
+        let (refused, sent) = (world.refused_retry_after.len(), world.request_count);
+        world.simulate_concentrated(8.0, 45.0, 0.9);
+        let refused = world.refused_retry_after.len() - refused;
+        let served = 1.0 - refused as f64 / (world.request_count - sent) as f64;
+        println!(
+            "{entry_count} entries, {slots} slots: {served:.3} served at three quarters of the limits"
+        );
+        assert!(served >= 0.75, "{entry_count} entries: {served:.3}");
+        for number in 1..=6 {
+            let most = world.max_arrivals(number, began_at);
+            assert!(most <= max_allowed_arrivals(10.0), "{entry_count} entries: {most} in 4 s");
+        }
+    }
+}
--- a/crates/verbenaslip-relay/tests/queue.rs
+++ b/crates/verbenaslip-relay/tests/queue.rs
@@ -230,7 +230,7 @@
         routes: Some(Arc::new(Index::new(Arc::new(route_table())))),
         upstreams: Arc::new(BTreeMap::from([(run.upstream.clone(), record)])),
         limits: Arc::new(BTreeMap::from([(run, limit)])),
-        time_slot: Some(TimeSlot { index: 0, count: 1 }),
+        time_slot: Some(TimeSlot::single(0, 1)),
         ..View::default()
     }
 }
