--- a/crates/verbenaslip-fleet/src/frame.rs
+++ b/crates/verbenaslip-fleet/src/frame.rs
@@ -220,7 +220,7 @@
     pub departing: Vec<Run>,
     /// Reports of the entries below this core.
     pub aggregate: Option<Aggregate>,
-    /// What later builds have added.
+    /// Fields that were added later.
     pub extension: Trailing<HeartbeatExtension>,
 }
 
@@ -318,7 +318,7 @@
     pub unix_ms: u64,
     /// Whether the sender waits for an acknowledgement of this update.
     pub ack_requested: bool,
-    /// What later builds have added.
+    /// Fields that were added later.
     pub extension: Trailing<UpdateExtension>,
 }
 
--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -349,15 +349,16 @@
     record_delivery(context, request, attempts, (&choice, &response, sent_at), delivered);
     match outcome {
         Outcome::Complete if proves_execution => context.record_answer(request, status),
+        // Such an answer may be what is left after the upstream crashed.
+        Outcome::Complete if framing == Some(Framing::UntilClose) => {
+            context.signal_unconfirmed(request, &choice, sent_at);
+        }
         Outcome::Broken => {
             let first_byte_at = attempts.delivery.first_byte_at;
             let began_at = first_byte_at.filter(|_| first_byte_before.is_none());
             context.signal_interrupted(request, &choice, sent_at, began_at);
         }
         Outcome::CallerGone => context.signal_unconfirmed(request, &choice, sent_at),
-        Outcome::Complete if framing == Some(Framing::UntilClose) => {
-            context.signal_unconfirmed(request, &choice, sent_at);
-        }
         Outcome::Complete | Outcome::Unresponsive | Outcome::Slow | Outcome::TimedOut => {}
     }
     match outcome {
