--- a/crates/verbenaslip-relay/src/policy/brittleness.rs
+++ b/crates/verbenaslip-relay/src/policy/brittleness.rs
@@ -24,6 +24,10 @@
 /// as well: others learn of the change up to two reports later.
 const TRANSITION_TIME: Duration = Duration::from_millis(750);
 
+/// Time for which an entry sends nothing to an upstream that has refused a request although the entry
+/// had a place there: requests of another entry take longer than it has allowed for.
+const REFUSAL_PAUSE: Duration = Duration::from_secs(1);
+
 /// Fraction of an upstream's places that stays free, since new connections and health checks also
 /// take one for a moment.
 const SPARE_DIVISOR: u32 = 8;
@@ -56,6 +60,8 @@
     shares: Shares,
     /// What the earlier position allows, and until when it counts.
     earlier: Option<(Duration, Shares)>,
+    /// Until when nothing is sent to upstreams that have refused a request.
+    paused_until: BTreeMap<Run, Duration>,
 }
 
 type Shares = BTreeMap<Run, Share>;
@@ -120,6 +126,7 @@
                     position: None,
                     shares: Shares::new(),
                     earlier: None,
+                    paused_until: BTreeMap::new(),
                 };
                 self.services.insert(service.clone(), state);
                 true
@@ -128,6 +135,20 @@
         }
     }
 
+    /// Records that an upstream has refused a request.
+    pub fn record_refusal(&mut self, now: Duration, service: &str, run: &Run) {
+        if let Some(state) = self.services.get_mut(service) {
+            state.paused_until.retain(|_, until| now < *until);
+            state.paused_until.insert(run.clone(), now + REFUSAL_PAUSE);
+        }
+    }
+
+    /// Returns whether nothing is sent to an upstream, since it has just refused a request.
+    pub fn is_paused(&self, now: Duration, service: &str, run: &Run) -> bool {
+        let until = self.services.get(service).and_then(|it| it.paused_until.get(run));
+        until.is_some_and(|until| now < *until)
+    }
+
     /// Returns whether a service is brittle.
     pub fn is_brittle(&self, service: &str) -> bool {
         self.services.contains_key(service)
--- a/crates/verbenaslip-relay/src/policy/placement/recording.rs
+++ b/crates/verbenaslip-relay/src/policy/placement/recording.rs
@@ -42,6 +42,9 @@
             self.admitted_share(now, &choice.service_rank.0)
                 .record_latency(now, FULL_QUEUE_LATENCY);
         }
+        if ending == Ending::Full {
+            self.brittleness.record_refusal(now, &choice.service_rank.0, &choice.run);
+        }
         let Some(state) = self.state_mut(choice) else { return };
         if duration.is_none() {
             state.pending_prefill = state.pending_prefill.saturating_sub(choice.uncached_tokens);
--- a/crates/verbenaslip-relay/src/policy/placement/restrictions.rs
+++ b/crates/verbenaslip-relay/src/policy/placement/restrictions.rs
@@ -82,7 +82,8 @@
             return true;
         }
         let wall_clock = self.moment(now).wall_clock;
-        self.brittleness.admits(service, state.run(), state.active_requests, wall_clock)
+        !self.brittleness.is_paused(now, service, state.run())
+            && self.brittleness.admits(service, state.run(), state.active_requests, wall_clock)
     }
 
     /// Returns a refusal with a retry time, if no upstream of a brittle service has room.
--- a/crates/verbenaslip-relay/tests/brittleness.rs
+++ b/crates/verbenaslip-relay/tests/brittleness.rs
@@ -149,3 +149,15 @@
     let of = |entry| capacities.iter().map(|it| places(entry, &it.run)).sum::<u32>();
     assert!(of(&entries[0]) >= 33, "the places are taken in the end");
 }
+
+#[test]
+fn an_entry_that_was_refused_pauses() {
+    // Guards against dozens of refusals in a second while the requests of another entry take longer than usual.
+    let capacities = capacities(2, 8);
+    let mut entry = entries(1, &capacities).remove(0);
+    let (service, run) = (service(), capacities[0].run.clone());
+    entry.record_refusal(3 * SECOND, &service, &run);
+    assert!(entry.is_paused(3 * SECOND + SECOND / 2, &service, &run));
+    assert!(!entry.is_paused(3 * SECOND, &service, &capacities[1].run));
+    assert!(!entry.is_paused(4 * SECOND, &service, &run));
+}
