Simplify how time slots are told and listed fingerprints are looked up

Reports and updates hold the slots beyond the first one, so that one slot is zero without a case for it on either side. The limit on slots stands once. The rush of an entry is decided once for a report, not twice, and what is asked for is only read. Whether entries report answers to a fingerprint is asked of the blocklist in both places.

--- a/crates/verbenaslip-fleet/src/frame.rs
+++ b/crates/verbenaslip-fleet/src/frame.rs
@@ -229,9 +229,9 @@
 pub struct HeartbeatExtension {
     /// Measurements of upstreams that changed after the acknowledged heartbeat.
     pub measurements: Vec<Totals>,
-    /// Number of time slots that an entry asks for under upstreams' rate limits; zero stands for
+    /// Number of time slots under upstreams' rate limits that an entry asks for beyond its first
     /// one.
-    pub slots: Trailing<u32>,
+    pub extra_slots: Trailing<u32>,
 }
 
 /// Holds a field that was added at the end of a frame; empty if it is missing or unreadable.
@@ -327,9 +327,9 @@
 pub struct UpdateExtension {
     /// Figures of runs that changed since the last answer to the receiver's heartbeat.
     pub figures: Vec<FigureReport>,
-    /// Number of time slots under upstreams' rate limits that belong to the receiver, in the answer
-    /// to an entry's heartbeat; zero stands for one.
-    pub slots: Trailing<u32>,
+    /// Number of time slots under upstreams' rate limits that belong to the receiver beyond its first
+    /// one, in the answer to an entry's heartbeat.
+    pub extra_slots: Trailing<u32>,
 }
 
 /// Describes the state of the fleet in the answer to a heartbeat.
--- a/crates/verbenaslip-fleet/src/hub.rs
+++ b/crates/verbenaslip-fleet/src/hub.rs
@@ -21,6 +21,7 @@
 pub use crate::hub::source::{ChangeNumbers, ChangeSource, UpdateSource};
 use crate::hub::subscriber::Subscriber;
 use crate::hub::totals::EntryTotals;
+use crate::limit::MAX_SLOTS;
 use crate::load::{LoadEstimator, WorkReport};
 use crate::measurement::collector::Collector as MeasurementCollector;
 use crate::measurement::publisher::{Publisher, SentFigures};
@@ -45,9 +46,6 @@
 /// leader, within [`STARTUP_GRACE`], were reachable before.
 const STABLE_CORE_TIME: Duration = Duration::from_secs(2);
 
-/// Limit on the time slots of one entry, so that a broken one cannot take all of them.
-const MAX_SLOTS: u32 = 64;
-
 /// How long a silent instance is remembered, since it may be cut off and still serving.
 const SUBSCRIBER_RETENTION: Duration = Duration::from_secs(30);
 
@@ -216,7 +214,7 @@
             subscriber.route_table_sent = None;
         }
         subscriber.entry_count = u32::from(peer.voter.is_none());
-        let slots = heartbeat.extension.0.slots.0.clamp(1, MAX_SLOTS);
+        let slots = heartbeat.extension.0.extra_slots.0.saturating_add(1).min(MAX_SLOTS);
         subscriber.slot_count = subscriber.entry_count * slots;
         subscriber.progress = Progress { change, revision };
         subscriber.entry_addresses.clear();
--- a/crates/verbenaslip-fleet/src/hub/push.rs
+++ b/crates/verbenaslip-fleet/src/hub/push.rs
@@ -55,10 +55,9 @@
             .map(|(slots, index)| TimeSlot { index, ..slots });
         let status = FleetStatus { sequence: subscriber.last_sequence, time_slot, ..status };
         let is_entry = subscriber.peer.voter.is_none();
-        // A single slot takes no bytes.
-        let slots = subscriber.slot_width;
-        let slots = if is_entry && slots > 1 { slots } else { 0 };
-        let extension = UpdateExtension { slots: Trailing(slots), ..UpdateExtension::default() };
+        let extra_slots = if is_entry { subscriber.slot_width.saturating_sub(1) } else { 0 };
+        let extra_slots = Trailing(extra_slots);
+        let extension = UpdateExtension { extra_slots, ..UpdateExtension::default() };
         Some(Update {
             fleet_status: Some(status),
             extension: Trailing(extension),
--- a/crates/verbenaslip-fleet/src/limit.rs
+++ b/crates/verbenaslip-fleet/src/limit.rs
@@ -40,6 +40,9 @@
 /// Rate limits of all runs that have recently asked for one.
 pub type Limits = BTreeMap<Run, Limit>;
 
+/// Limit on the time slots of one entry, so that a broken one cannot take all of them.
+pub const MAX_SLOTS: u32 = 64;
+
 /// Assigns to an entry `width` of each `count` requests under a rate limit.
 #[data(copy)]
 pub struct TimeSlot {
--- a/crates/verbenaslip-fleet/src/link/report.rs
+++ b/crates/verbenaslip-fleet/src/link/report.rs
@@ -59,9 +59,8 @@
         if self.sent_reports.len() > MAX_TRACKED_REPORTS {
             self.sent_reports.pop_front();
         }
-        // A single slot takes no bytes.
-        let slots = Trailing(if slots > 1 { slots } else { 0 });
-        let extension = HeartbeatExtension { measurements, slots };
+        let extra_slots = Trailing(slots.saturating_sub(1));
+        let extension = HeartbeatExtension { measurements, extra_slots };
         let heartbeat = Heartbeat {
             peer: self.local_peer.clone(),
             parent,
--- a/crates/verbenaslip-fleet/src/link/update.rs
+++ b/crates/verbenaslip-fleet/src/link/update.rs
@@ -70,7 +70,7 @@
             if self.target == Some(from) {
                 self.apply_figures(now, fleet_status.sequence, &extension.0.figures);
             }
-            let slots = extension.0.slots.0.max(1);
+            let slots = extension.0.extra_slots.0.saturating_add(1);
             self.handle_fleet_status(from, version.term, slots, fleet_status);
         }
         ack_requested
--- a/crates/verbenaslip-fleet/src/quarantine/record.rs
+++ b/crates/verbenaslip-fleet/src/quarantine/record.rs
@@ -81,6 +81,13 @@
     pub quarantined: BTreeMap<Fingerprint, Block>,
 }
 
+impl Blocklist {
+    /// Returns whether entries report answers to a request or part.
+    pub fn contains(&self, fingerprint: &Fingerprint) -> bool {
+        self.watched.contains(fingerprint) || self.quarantined.contains_key(fingerprint)
+    }
+}
+
 /// Describes a decision about a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Finding {
--- a/crates/verbenaslip-fleet/tests/measurement.rs
+++ b/crates/verbenaslip-fleet/tests/measurement.rs
@@ -695,13 +695,13 @@
     type Before = (u32, OldHeartbeat, Trailing<Vec<Totals>>);
     let totals = Totals { active: 3, ..Totals::new(RunKey::of(&run("u", 1))) };
     let slots = |bytes: &[u8]| match postcard::from_bytes(bytes) {
-        Ok(Frame::Heartbeat(it)) => (it.extension.0.measurements, it.extension.0.slots.0),
+        Ok(Frame::Heartbeat(it)) => (it.extension.0.measurements, it.extension.0.extra_slots.0),
         other => panic!("{other:?}"),
     };
     for measurements in [vec![], vec![totals]] {
         let mut heartbeat = heartbeat(measurements.clone());
         let without = encode(&Frame::Heartbeat(Box::new(heartbeat.clone())));
-        heartbeat.extension.0.slots = Trailing(8);
+        heartbeat.extension.0.extra_slots = Trailing(8);
         let with = encode(&Frame::Heartbeat(Box::new(heartbeat)));
         assert_eq!(slots(&with), (measurements.clone(), 8));
         for bytes in [&with, &without] {
--- a/crates/verbenaslip-relay/src/policy/demand.rs
+++ b/crates/verbenaslip-relay/src/policy/demand.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use verbenaslip_fleet::limit::MAX_SLOTS;
+
 /// Time over which the present rate of requests is averaged.
 const PRESENT: Duration = Duration::from_millis(800);
 
@@ -26,9 +28,6 @@
 /// Smallest difference, in requests per second; at low rates, single requests deviate by more.
 const MIN_DIFFERENCE: f64 = 5.0;
 
-/// Limit on the slots of one entry.
-const MAX_SLOTS: u32 = 64;
-
 /// Lowest usual rate, in requests per second; below it, single requests look like a rush.
 const MIN_USUAL_RATE: f64 = 1.0;
 
@@ -66,6 +65,7 @@
             weight(USUAL)
         };
         self.usual_rate += usual_weight * (rate - self.usual_rate);
+        self.update_slots(now);
     }
 
     /// Returns the present and the usual rate, in requests per second.
@@ -75,7 +75,12 @@
 
     /// Returns the number of slots that this entry asks for: one, or a power of two near the ratio
     /// of its present to its usual rate.
-    pub fn slots(&mut self, now: Duration) -> u32 {
+    pub fn slots(&self) -> u32 {
+        self.slots.max(1)
+    }
+
+    /// Decides on the number of slots after a report.
+    fn update_slots(&mut self, now: Duration) {
         let is_known =
             self.began_at.is_some_and(|began_at| now.saturating_sub(began_at) >= LEARNING_TIME);
         let ratio = self.present_rate / self.usual_rate.max(MIN_USUAL_RATE);
@@ -98,7 +103,6 @@
             // The usual rate rises during a rush, and the ratio falls.
             self.slots = nearest;
         }
-        self.slots.max(1)
     }
 }
 
--- a/crates/verbenaslip-relay/src/policy/overload.rs
+++ b/crates/verbenaslip-relay/src/policy/overload.rs
@@ -23,7 +23,7 @@
 /// Time without a closed connection after which an overload has ended.
 const END_DELAY: Duration = Duration::from_secs(2);
 
-/// Says what becomes of a new connection.
+/// Whether a new connection is served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// It is served.
--- a/crates/verbenaslip-relay/src/policy/quarantine.rs
+++ b/crates/verbenaslip-relay/src/policy/quarantine.rs
@@ -81,10 +81,7 @@
         if previous.key != blocklist.key {
             (self.contents, self.parts) = (Answers::default(), Answers::default());
         }
-        let is_listed = |it: &Fingerprint| {
-            blocklist.watched.contains(it) || blocklist.quarantined.contains_key(it)
-        };
-        self.reported_at.retain(|fingerprint, _| is_listed(fingerprint));
+        self.reported_at.retain(|fingerprint, _| blocklist.contains(fingerprint));
         self.trials.retain(|fingerprint, _| blocklist.quarantined.contains_key(fingerprint));
         let new = blocklist.watched.difference(&previous.watched).copied();
         let known: Vec<ObservedAnswer> = new
@@ -108,8 +105,7 @@
         for fingerprint in fingerprints {
             let answers = if fingerprint.is_part() { &mut self.parts } else { &mut self.contents };
             answers.record(now, fingerprint);
-            let is_listed = blocklist.watched.contains(&fingerprint)
-                || blocklist.quarantined.contains_key(&fingerprint);
+            let is_listed = blocklist.contains(&fingerprint);
             let reported_at = self.reported_at.get(&fingerprint).filter(|_| is_listed);
             let is_new = reported_at.is_none_or(|at| now.saturating_sub(*at) >= REPORT_INTERVAL);
             if is_listed && is_new {
--- a/crates/verbenaslip-relay/src/shared.rs
+++ b/crates/verbenaslip-relay/src/shared.rs
@@ -346,9 +346,9 @@
     fn wanted_slots(&self) -> u32 {
         let (now, arrivals) = (monotonic::now(), self.arrivals.swap(0, Ordering::Relaxed));
         let mut demand = lock(&self.demand);
-        let before = demand.slots(now);
+        let before = demand.slots();
         demand.record(now, arrivals);
-        let slots = demand.slots(now);
+        let slots = demand.slots();
         if slots != before {
             let (present, usual) = demand.rates();
             let fields = [
--- a/crates/verbenaslip-relay/tests/demand.rs
+++ b/crates/verbenaslip-relay/tests/demand.rs
@@ -31,7 +31,7 @@
             let chance = rate * REPORT_INTERVAL.as_secs_f64() / 1_000.0;
             let requests = (0..1_000).filter(|_| self.rng.random::<f64>() < chance).count();
             self.demand.record(self.now, requests as u64);
-            slots.push(self.demand.slots(self.now));
+            slots.push(self.demand.slots());
         }
         slots
     }
