Keep a forbidden request forbidden that was watched before

A request or part that entries watched when an operator forbade it was held back again by the next crash, for its usual time and no longer. The check that what is held back is not decided on again got lost when decisions moved into one loop over all that is watched. What is forbidden is no longer watched. The test failed before: held back until 600 s later in place of for good.

--- a/crates/verbenaslip-fleet/src/quarantine.rs
+++ b/crates/verbenaslip-fleet/src/quarantine.rs
@@ -483,11 +483,12 @@
         for fingerprint in freed.map(|(fingerprint, _)| *fingerprint).collect::<Vec<_>>() {
             self.release(fingerprint, Cause::Lifted);
         }
-        for fingerprint in &self.policy.forbidden {
+        for fingerprint in self.policy.forbidden.clone() {
+            self.unwatch(fingerprint);
             let block = Block { since: 0, until: u64::MAX, failed_trials: 0, trial_entry: None };
-            if self.quarantined.insert(*fingerprint, block.clone()).as_ref() != Some(&block) {
+            if self.quarantined.insert(fingerprint, block.clone()).as_ref() != Some(&block) {
                 self.findings.push(Finding::Quarantined {
-                    fingerprint: *fingerprint,
+                    fingerprint,
                     runs: Vec::new(),
                     held: block,
                 });
--- a/crates/verbenaslip-fleet/tests/quarantine.rs
+++ b/crates/verbenaslip-fleet/tests/quarantine.rs
@@ -523,3 +523,20 @@
     leader.answer(part(1));
     assert!(!leader.is_quarantined(part(1)));
 }
+
+#[test]
+fn a_forbidden_request_stays_forbidden_while_upstreams_crash() {
+    // Guards against a request that was watched when an operator forbade it, and is then held back for a time only.
+    let mut leader = Leader::new(QuarantinePolicy::default());
+    let poison = fingerprint("bad");
+    for upstream in 1..=2 {
+        leader.advance(SECOND / 10);
+        leader.crash(upstream, &[(poison, CRASH_DELAY_MS)]);
+    }
+    let forbidden = BTreeSet::from([poison]);
+    leader.quarantine.set_policy(QuarantinePolicy { forbidden, ..QuarantinePolicy::default() });
+    leader.advance(SECOND / 10);
+    leader.crash(3, &[(poison, CRASH_DELAY_MS)]);
+    leader.advance(SECOND);
+    assert_eq!(leader.quarantine.blocklist().quarantined[&poison].until, u64::MAX);
+}
