Find once when an upstream began to answer

No behaviour changes: the time of the first byte, if this upstream sent it, was worked out for the measurements and again for the check of a crash.

--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -345,7 +345,8 @@
     let failover = Failover { slow_at, silence_limit, may_switch };
     let outcome = attempts.delivery.deliver(caller, request, &mut response, failover).await;
     trace.status = status;
-    let delivered = Delivered { outcome, status, had_first_byte: first_byte_before.is_some() };
+    let began_at = attempts.delivery.first_byte_at.filter(|_| first_byte_before.is_none());
+    let delivered = Delivered { outcome, status, began_at };
     record_delivery(context, request, attempts, (&choice, &response, sent_at), delivered);
     match outcome {
         Outcome::Complete if proves_execution => context.record_answer(request, status),
@@ -353,11 +354,7 @@
         Outcome::Complete if framing == Some(Framing::UntilClose) => {
             context.signal_unconfirmed(request, &choice, sent_at);
         }
-        Outcome::Broken => {
-            let first_byte_at = attempts.delivery.first_byte_at;
-            let began_at = first_byte_at.filter(|_| first_byte_before.is_none());
-            context.signal_interrupted(request, &choice, sent_at, began_at);
-        }
+        Outcome::Broken => context.signal_interrupted(request, &choice, sent_at, began_at),
         Outcome::CallerGone => context.signal_unconfirmed(request, &choice, sent_at),
         Outcome::Complete | Outcome::Unresponsive | Outcome::Slow | Outcome::TimedOut => {}
     }
@@ -384,8 +381,8 @@
 struct Delivered {
     outcome: Outcome,
     status: u16,
-    /// Whether an earlier upstream had sent the first byte of the body.
-    had_first_byte: bool,
+    /// When the first byte of the body arrived, if this upstream sent it.
+    began_at: Option<Instant>,
 }
 
 /// Records at which version an answer has begun, and what it says about the upstream.
@@ -394,24 +391,23 @@
     request: &AdmittedRequest<'_>,
     attempts: &mut Attempts,
     (choice, response, sent_at): (&Choice, &Response, Instant),
-    Delivered { outcome, status, had_first_byte }: Delivered,
+    Delivered { outcome, status, began_at }: Delivered,
 ) {
     if attempts.delivery.has_events && request.is_resumable() {
         attempts.version.get_or_insert_with(|| choice.version.clone());
     }
-    let first_byte_at = attempts.delivery.first_byte_at.filter(|_| !had_first_byte);
     let lacks_path = context.lacks_path(response.connection.gateway(), &choice.run);
     // How long a connection took to open, or an answer on a path that is lost, says nothing about
     // the upstream.
-    if let Some(first_byte_at) = first_byte_at.filter(|_| !lacks_path) {
-        context.record_first_event(choice, first_byte_at - response.connected_at);
+    if let Some(began_at) = began_at.filter(|_| !lacks_path) {
+        context.record_first_event(choice, began_at - response.connected_at);
     }
     if let Some(pace) = attempts.delivery.gaps.take_pace() {
         context.record_pace(choice, pace);
     }
     let keeps_pending = outcome != Outcome::Slow && !queue::is_shared(context, request);
     // Where measurements are shared, a prompt without a first event must not stay pending in them.
-    let is_measured = !lacks_path && (first_byte_at.is_some() || keeps_pending);
+    let is_measured = !lacks_path && (began_at.is_some() || keeps_pending);
     let duration = is_measured.then(|| sent_at.elapsed());
     let is_lost = lacks_path && matches!(outcome, Outcome::Broken | Outcome::Unresponsive);
     let ending = if is_lost { Ending::Abandoned } else { outcome.ending(status) };
