--- a/crates/verbenaslip-relay/tests/overload.rs
+++ b/crates/verbenaslip-relay/tests/overload.rs
@@ -5,7 +5,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use verbenaslip_base::hash;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
 use verbenaslip_relay::policy::overload::{Change, Overload, Verdict};
 
 /// Processor time of one step of a request, at an eighth of a core.
@@ -46,7 +47,7 @@
 struct EventLoop {
     overload: Overload,
     now: Duration,
-    random: u64,
+    rng: Pcg64,
     arriving: VecDeque<Duration>,
     ready: VecDeque<Call>,
     waiting: BTreeMap<(Duration, u64), Call>,
@@ -58,7 +59,7 @@
         Self {
             overload: Overload::default(),
             now: SECOND,
-            random: 82,
+            rng: Pcg64::seed_from_u64(82),
             arriving: VecDeque::new(),
             ready: VecDeque::new(),
             waiting: BTreeMap::new(),
@@ -70,9 +71,7 @@
     fn add_calls(&mut self, rate: u64, time: Duration) {
         let mut arrivals = Vec::new();
         for _ in 0..rate * time.as_secs() {
-            self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
-            let fraction = (hash::mix(self.random) >> 11) as f64 / (1_u64 << 53) as f64;
-            arrivals.push(self.now + time.mul_f64(fraction));
+            arrivals.push(self.now + time.mul_f64(self.rng.random()));
         }
         arrivals.sort_unstable();
         self.arriving.extend(arrivals);
--- a/crates/verbenaslip-relay/tests/prompt_part.rs
+++ b/crates/verbenaslip-relay/tests/prompt_part.rs
@@ -8,7 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use verbenaslip_base::hash;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
 use verbenaslip_base::name::Upstream;
 use verbenaslip_fleet::View;
 use verbenaslip_fleet::fingerprint::Fingerprint;
@@ -126,7 +127,7 @@
 
 struct Simulation {
     config: Config,
-    random: u64,
+    rng: Pcg64,
     now: Duration,
     leader: LeaderQuarantine,
     entries: Vec<Quarantine>,
@@ -154,7 +155,7 @@
         };
         let machines = (0..config.upstreams).map(|_| Machine::default()).collect();
         Self {
-            random: 82,
+            rng: Pcg64::seed_from_u64(82),
             now: Duration::from_secs(100),
             leader,
             entries: (0..config.entries).map(|_| Quarantine::default()).collect(),
@@ -173,10 +174,9 @@
         }
     }
 
-    /// Returns a random number below a bound (the SplitMix64 sequence).
+    /// Returns a random number below a bound.
     fn random(&mut self, below: u64) -> u64 {
-        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        hash::mix(self.random) % below
+        self.rng.random_range(0..below)
     }
 
     fn index(&mut self, below: usize) -> usize {
