--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -24,7 +24,7 @@
     }
     let runner_address = fleet.stand_in_address(8_080);
     let control = cores.iter().map(|core| fleet.control(*core)).collect();
-    let answer = std::sync::Arc::new(|_: u64, message: &Message, id: &str| {
+    let answer = std::sync::Arc::new(|_: u64, _: u64, message: &Message, id: &str| {
         regular_answer(message, id, "confirmed")
     });
     let _runner = Runner::start("i-0bd818ced3", runner_address, "arendal", control, answer);
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -35,7 +35,7 @@
     record(format!("{} seems to lead", fleet.machines[leader].name));
     let runner_address = fleet.stand_in_address(8_080);
     let control = vec![fleet.control(leader), fleet.control(third)];
-    let answer = std::sync::Arc::new(|_: u64, message: &Message, id: &str| {
+    let answer = std::sync::Arc::new(|_: u64, _: u64, message: &Message, id: &str| {
         regular_answer(message, id, "confirmed")
     });
     let _runner = Runner::start("i-0bd818ced3", runner_address, "arendal", control, answer);
--- a/review/kit/kit.rs
+++ b/review/kit/kit.rs
@@ -604,9 +604,9 @@
     pub body_bytes: usize,
 }
 
-/// Decides how a runner answers: gets the number of the request on its channel and the request, and returns the
-/// bytes to send; an empty answer closes the channel.
-pub type Answering = dyn Fn(u64, &Message, &str) -> Vec<u8> + Send + Sync;
+/// Decides how a runner answers: gets the number of the channel, that of the request on it, the request, and the id of
+/// the runner, and returns the bytes to send; an empty answer closes the channel.
+pub type Answering = dyn Fn(u64, u64, &Message, &str) -> Vec<u8> + Send + Sync;
 
 pub struct Runner {
     pub id: String,
@@ -631,9 +631,9 @@
         thread::spawn({
             let (runs, id) = (runs.clone(), id.to_owned());
             move || {
-                for stream in listener.incoming().flatten() {
+                for (channel, stream) in (1..).zip(listener.incoming().flatten()) {
                     let (runs, id, answer) = (runs.clone(), id.clone(), answer.clone());
-                    thread::spawn(move || serve_channel(stream, &id, &runs, &*answer));
+                    thread::spawn(move || serve_channel(channel, stream, &id, &runs, &*answer));
                 }
             }
         });
@@ -645,7 +645,13 @@
     }
 }
 
-fn serve_channel(stream: TcpStream, id: &str, runs: &Mutex<Vec<Run>>, answer: &Answering) {
+fn serve_channel(
+    channel: u64,
+    stream: TcpStream,
+    id: &str,
+    runs: &Mutex<Vec<Run>>,
+    answer: &Answering,
+) {
     let _ = stream.set_nodelay(true);
     let Ok(mut writer) = stream.try_clone() else { return };
     let mut reader = BufReader::new(stream);
@@ -668,7 +674,7 @@
         }
         let body_bytes = message.body.len();
         runs.lock().unwrap().push(Run { id: request_id, at: Instant::now(), body_bytes });
-        let bytes = answer(number, &message, id);
+        let bytes = answer(channel, number, &message, id);
         if bytes.is_empty() || writer.write_all(&bytes).is_err() {
             return;
         }
