--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -58,7 +58,8 @@
     let mut newest = 0;
     if trouble() {
         // herd_kill: a core and an entry are killed at the same moment.
-        sleep_ms(KILL_AFTER_MS);
+        let kill_after_ms = std::env::var("KILL_AFTER_MS").ok().and_then(|it| it.parse().ok());
+        sleep_ms(kill_after_ms.unwrap_or(KILL_AFTER_MS));
         let killed_at = Instant::now();
         let only_core = std::env::var("ONLY_CORE").is_ok_and(|it| it == "1");
         if !only_core {
