--- a/review/kit/kit.rs
+++ b/review/kit/kit.rs
@@ -20,6 +20,7 @@
 }
 
 pub const SIGKILL: i32 = 9;
+pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
 const PR_SET_PDEATHSIG: i32 = 1;
