--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -78,7 +78,10 @@
 
     // Three cores run. The operator reads the configuration back at all of them.
     let names: Vec<&str> = cores.iter().map(|core| fleet.machines[*core].name.as_str()).collect();
-    record(format!("after the last disruption the core is {}; {name} has acknowledged version 19", names.join(", ")));
+    record(format!(
+        "after the last disruption the core is {}; {name} has acknowledged version 19",
+        names.join(", ")
+    ));
     let back_at = Instant::now();
     let mut read_since: Option<Instant> = None;
     let mut last = Vec::new();
@@ -135,7 +138,10 @@
     if fleet.runs(old) {
         fleet.kill(old);
     }
-    record(format!("{name} has ended after {} ms and is gone for good", since.elapsed().as_millis()));
+    record(format!(
+        "{name} has ended after {} ms and is gone for good",
+        since.elapsed().as_millis()
+    ));
     cores.push(successor);
 }
 
--- a/review/kit/kit.rs
+++ b/review/kit/kit.rs
@@ -183,7 +183,8 @@
             exit(COULD_NOT_RUN)
         });
         let _ = RECORD.set(Record { since: Instant::now(), file: Mutex::new(file) });
-        let folder = std::env::temp_dir().join(format!("verbenaslip-review-{}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("verbenaslip-review-{}", std::process::id()));
         fs::create_dir_all(&folder).unwrap_or_else(|error| {
             record(format!("no temporary folder: {error}"));
             exit(COULD_NOT_RUN)
@@ -415,10 +416,9 @@
         let number = id.wrapping_add(attempt * 7_919);
         let network = format!("127.{}.{}", 20 + number % 200, 1 + number / 200 % 250);
         let base = 20_000 + u16::try_from(number % 10_000).unwrap_or(0);
-        let ports =
-            Ports { front: base, ready: base + 1, control: base + 2, internal: base + 10 };
-        let is_free = (base..base + 26)
-            .all(|port| TcpListener::bind(format!("{network}.11:{port}")).is_ok());
+        let ports = Ports { front: base, ready: base + 1, control: base + 2, internal: base + 10 };
+        let is_free =
+            (base..base + 26).all(|port| TcpListener::bind(format!("{network}.11:{port}")).is_ok());
         if is_free {
             return (network, ports);
         }
@@ -531,14 +531,21 @@
 const OPERATOR_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Sends a configuration to one node; the record shows the call and its outcome.
-pub fn put_config(fleet_name: &str, address: SocketAddr, version: u64, document: &str) -> Option<u16> {
+pub fn put_config(
+    fleet_name: &str,
+    address: SocketAddr,
+    version: u64,
+    document: &str,
+) -> Option<u16> {
     record(format!("operator: PUT /config version {version} to {fleet_name}"));
     let fields = [("Content-Type", "application/json")];
     let outcome = call(address, "PUT /config", &fields, document.as_bytes(), OPERATOR_WAIT);
     match outcome {
         Ok(answer) => {
             let (status, body) = (answer.status(), answer.text());
-            record(format!("operator: {fleet_name} answers version {version} with {status} {body}"));
+            record(format!(
+                "operator: {fleet_name} answers version {version} with {status} {body}"
+            ));
             Some(status)
         }
         Err(error) => {
@@ -705,8 +712,7 @@
         let line = format!("PUT /instances/{id}");
         let fields = [("Content-Type", "application/json")];
         for _ in 0..control.len() {
-            let answer =
-                call(control[node], &line, &fields, body.as_bytes(), ms(1_000));
+            let answer = call(control[node], &line, &fields, body.as_bytes(), ms(1_000));
             if answer.is_ok_and(|answer| (200..300).contains(&answer.status())) {
                 break;
             }
