--- a/review/kit/kit.rs
+++ b/review/kit/kit.rs
@@ -41,9 +41,16 @@
     thread::sleep(ms(millis));
 }
 
-/// Whether the disruption takes place; `TROUBLE=0` leaves it out.
+/// Whether the disruption takes place: the script of a case reads `TROUBLE` and says so in the first argument.
 pub fn trouble() -> bool {
-    std::env::var("TROUBLE").map_or(true, |it| it != "0")
+    match std::env::args().nth(1).as_deref() {
+        Some("with-disruption") => true,
+        Some("without-disruption") => false,
+        _ => {
+            eprintln!("say with-disruption or without-disruption");
+            exit(COULD_NOT_RUN)
+        }
+    }
 }
 
 // ---- Record ----
