Log which edit a core answers, and under which number

The lines of a core could not tell whether a wrong acknowledgement came from the leader's dedupe of forwarded calls or from the core itself. Event 960 names the edit, the revision in force and the call's number at both cores.

--- a/crates/verbenaslip-fleet/src/core/call.rs
+++ b/crates/verbenaslip-fleet/src/core/call.rs
@@ -48,6 +48,16 @@
     Remote { address: SocketAddr, token: u64 },
 }
 
+impl Caller {
+    /// Returns the core that has forwarded the call, with its token there.
+    fn forwarded_by(self) -> Option<(SocketAddr, u64)> {
+        match self {
+            Self::Local(_) => None,
+            Self::Remote { address, token } => Some((address, token)),
+        }
+    }
+}
+
 /// Describes what a call waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
@@ -483,6 +493,16 @@
         {
             self.voucher.acknowledge(self.now, departure);
         }
+        if let (Request::AdoptRouteTable(requested), Response::RouteTableAdopted { revision }) =
+            (&request, &response)
+        {
+            self.emit(Event::EditAnswered {
+                requested: requested.table.revision,
+                revision: *revision,
+                forwarded_by: caller.forwarded_by(),
+                token: key,
+            });
+        }
         self.respond(caller, response);
     }
 
--- a/crates/verbenaslip-fleet/src/core/event.rs
+++ b/crates/verbenaslip-fleet/src/core/event.rs
@@ -1,5 +1,6 @@
 //! Decisions and state changes of a core, for the event log.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -36,6 +37,18 @@
         /// Number of routes.
         routes: usize,
     },
+    /// The caller of an edit was told that a route table is in force.
+    EditAnswered {
+        /// Revision that the caller sent.
+        requested: u64,
+        /// Revision in force.
+        revision: u64,
+        /// Core that has forwarded the call and the token of the call there; `None` if the caller
+        /// called this core.
+        forwarded_by: Option<(SocketAddr, u64)>,
+        /// Token of the call at this core, under which it was forwarded if this core did not lead.
+        token: u64,
+    },
     /// The status of an upstream has changed.
     Upstream {
         /// Record of the upstream.
--- a/crates/verbenaslip-instance/src/event.rs
+++ b/crates/verbenaslip-instance/src/event.rs
@@ -25,6 +25,8 @@
 pub(crate) const ROLE: Kind = Kind { number: 910, name: "log_role" };
 /// A route table has been committed.
 pub(crate) const ROUTE_TABLE_COMMITTED: Kind = Kind { number: 911, name: "routes_in_force" };
+/// The caller of an edit has been told that a route table is in force.
+pub(crate) const EDIT_ANSWERED: Kind = Kind { number: 960, name: "edit_answered" };
 /// The leader's record of an upstream has changed.
 pub(crate) const UPSTREAM_CHANGED: Kind = Kind { number: 912, name: "upstream_changed" };
 /// An upstream has announced its departure.
--- a/crates/verbenaslip-instance/src/logging.rs
+++ b/crates/verbenaslip-instance/src/logging.rs
@@ -35,6 +35,19 @@
                 [("revision", json!(revision)), ("routes", json!(routes))],
             );
         }
+        Event::EditAnswered { requested, revision, forwarded_by, token } => {
+            let (core, core_token) = forwarded_by.unzip();
+            emit(
+                event::EDIT_ANSWERED,
+                [
+                    ("requested", json!(requested)),
+                    ("revision", json!(revision)),
+                    ("token", json!(token)),
+                    ("forwarded_by", json!(core.map(|core| core.to_string()))),
+                    ("forwarded_token", json!(core_token)),
+                ],
+            );
+        }
         Event::Upstream { record } => log_upstream(&record),
         Event::UpstreamWithdrawn(run) => log_run(event::UPSTREAM_WITHDRAWN, &run),
         Event::StaleAnnouncement(stale) => log_stale(&stale),
