--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -26,7 +26,7 @@
 use crate::clock;
 use crate::core::aggregator::Aggregator;
 use crate::core::call::PendingCall;
-pub use crate::core::event::Event;
+pub use crate::core::event::{EditAnswer, Event};
 pub use crate::core::io::{Input, Output, Setup};
 use crate::core::leadership::LeaderSeeker;
 use crate::departure::Departure;
--- a/crates/verbenaslip-fleet/src/core/call.rs
+++ b/crates/verbenaslip-fleet/src/core/call.rs
@@ -5,7 +5,7 @@
 
 use verbenaslip_base::name::Upstream;
 
-use crate::core::{Core, Event, Output, address_of};
+use crate::core::{Core, EditAnswer, Event, Output, address_of};
 use crate::departure::Departure;
 use crate::frame::{Frame, Request, Response};
 use crate::registry::{Announcement, Change, Run, Status};
@@ -496,12 +496,12 @@
         if let (Request::AdoptRouteTable(requested), Response::RouteTableAdopted { revision }) =
             (&request, &response)
         {
-            self.emit(Event::EditAnswered {
+            self.emit(Event::EditAnswered(EditAnswer {
                 requested: requested.table.revision,
                 revision: *revision,
                 forwarded_by: caller.forwarded_by(),
                 token: key,
-            });
+            }));
         }
         self.respond(caller, response);
     }
--- a/crates/verbenaslip-fleet/src/core/event.rs
+++ b/crates/verbenaslip-fleet/src/core/event.rs
@@ -18,6 +18,20 @@
 use crate::upstream::Run;
 use crate::view::Version;
 
+/// Describes the answer to an edit.
+#[derive(Clone, Debug)]
+pub struct EditAnswer {
+    /// Revision that the caller sent.
+    pub requested: u64,
+    /// Revision in force.
+    pub revision: u64,
+    /// Core that has forwarded the call and the token of the call there; `None` if the caller
+    /// called this core.
+    pub forwarded_by: Option<(SocketAddr, u64)>,
+    /// Token of the call at this core, under which it was forwarded if this core did not lead.
+    pub token: u64,
+}
+
 /// Describes a decision or state change.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -38,17 +52,7 @@
         routes: usize,
     },
     /// The caller of an edit was told that a route table is in force.
-    EditAnswered {
-        /// Revision that the caller sent.
-        requested: u64,
-        /// Revision in force.
-        revision: u64,
-        /// Core that has forwarded the call and the token of the call there; `None` if the caller
-        /// called this core.
-        forwarded_by: Option<(SocketAddr, u64)>,
-        /// Token of the call at this core, under which it was forwarded if this core did not lead.
-        token: u64,
-    },
+    EditAnswered(EditAnswer),
     /// The status of an upstream has changed.
     Upstream {
         /// Record of the upstream.
--- a/crates/verbenaslip-instance/src/logging.rs
+++ b/crates/verbenaslip-instance/src/logging.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde_json::{Value, json};
-use verbenaslip_fleet::core::Event;
+use verbenaslip_fleet::core::{EditAnswer, Event};
 use verbenaslip_fleet::departure::Departure;
 use verbenaslip_fleet::fingerprint::Fingerprint;
 use verbenaslip_fleet::hub::AckCounts;
@@ -35,19 +35,7 @@
                 [("revision", json!(revision)), ("routes", json!(routes))],
             );
         }
-        Event::EditAnswered { requested, revision, forwarded_by, token } => {
-            let (core, core_token) = forwarded_by.unzip();
-            emit(
-                event::EDIT_ANSWERED,
-                [
-                    ("requested", json!(requested)),
-                    ("revision", json!(revision)),
-                    ("token", json!(token)),
-                    ("forwarded_by", json!(core.map(|core| core.to_string()))),
-                    ("forwarded_token", json!(core_token)),
-                ],
-            );
-        }
+        Event::EditAnswered(answer) => log_edit(&answer),
         Event::Upstream { record } => log_upstream(&record),
         Event::UpstreamWithdrawn(run) => log_run(event::UPSTREAM_WITHDRAWN, &run),
         Event::StaleAnnouncement(stale) => log_stale(&stale),
@@ -141,6 +129,22 @@
     );
 }
 
+/// Logs the answer to an edit.
+fn log_edit(answer: &EditAnswer) {
+    let EditAnswer { requested, revision, forwarded_by, token } = answer;
+    let (core, core_token) = forwarded_by.unzip();
+    emit(
+        event::EDIT_ANSWERED,
+        [
+            ("requested", json!(requested)),
+            ("revision", json!(revision)),
+            ("token", json!(token)),
+            ("forwarded_by", json!(core.map(|core| core.to_string()))),
+            ("forwarded_token", json!(core_token)),
+        ],
+    );
+}
+
 /// Logs an acknowledged departure.
 fn log_departure(departure: &Departure, waited: Duration, version: Version, acks: AckCounts) {
     let complete = acks.acknowledged >= acks.reachable;
