Move the vote of a core that stops or falls silent before the next may be lost

Cause: a voter that had gone was replaced by a spare core only after 6 s of silence, counted anew by each leader and only while there was a spare.

Change: a core that stops says so in its heartbeat and stays until the leader has committed its replacement by a core that stays, or answers that there is no such core; half of the time for a planned stop bounds the wait. A change whose new voter falls silent before it has caught up is given up after four election timeouts, not after the whole catch-up time, since it keeps other voters from being replaced. The new fields follow the last ones of their frames; a test reads them as the build before.

--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -12,6 +12,7 @@
 mod orders;
 mod quarantine;
 mod rollout;
+mod voters;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -275,9 +276,10 @@
         self.leadership.is_some()
     }
 
-    /// Returns whether the process may exit: the core is not the leader and no call is pending.
+    /// Returns whether the process may exit: the core is not the leader, its vote has been handed
+    /// over if another core could take it, and no call is pending.
     pub fn is_idle(&self) -> bool {
-        !self.replica.is_leader() && self.pending_calls.is_empty()
+        !self.replica.is_leader() && self.pending_calls.is_empty() && self.may_stop()
     }
 
     fn handle_input(&mut self, input: Input) {
@@ -381,10 +383,15 @@
         }
     }
 
-    /// Forgets an entry that has stopped, so that acknowledgements no longer wait for it.
+    /// Forgets an entry that has stopped.
     fn handle_entry_stopped(&mut self, entry: SocketAddr) {
-        self.hub.forget(entry);
         self.gateways.remove(entry);
+        self.forget_stopped(entry);
+    }
+
+    /// Forgets an instance that has stopped, so that acknowledgements no longer wait for it.
+    pub(crate) fn forget_stopped(&mut self, instance: SocketAddr) {
+        self.hub.forget(instance);
         if self.is_leading() {
             self.advance_acknowledged_calls();
         } else {
@@ -392,15 +399,6 @@
         }
     }
 
-    /// Hands leadership and entries over to other cores before shutdown.
-    fn handle_stop(&mut self) {
-        self.stopping = true;
-        if !self.is_leading() {
-            self.redirect_entries();
-        }
-        self.step_log(replica::Input::TransferLeadership);
-    }
-
     pub(crate) fn send(&mut self, to: SocketAddr, frame: Frame) {
         if to != self.link.local_peer().address {
             self.outputs.push(Output::Send { to, frame });
--- a/crates/verbenaslip-fleet/src/core/aggregator.rs
+++ b/crates/verbenaslip-fleet/src/core/aggregator.rs
@@ -331,6 +331,7 @@
             aggregate: Some(aggregate),
             counted_until: self.hub.counted_until(self.now),
             measurements: self.hub.measured_totals(self.now),
+            is_stopping: self.stopping,
             ..Report::default()
         }
     }
--- a/crates/verbenaslip-fleet/src/core/leader.rs
+++ b/crates/verbenaslip-fleet/src/core/leader.rs
@@ -3,13 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use verbenaslip_base::name::Instance;
-use verbenaslip_replica::config::Change;
-use verbenaslip_replica::voter::Voter;
+use verbenaslip_replica::input as replica;
 
 use crate::clock;
 use crate::core::{Core, Output, address_of};
-use crate::frame::{FleetStatus, Frame, Heartbeat};
+use crate::frame::{FleetStatus, Frame, Heartbeat, Trailing};
 use crate::hub::{Hub, PendingPush, UpdateSource};
 use crate::limit::TimeSlot;
 use crate::parent::{self, MAX_DIRECT_ENTRIES};
@@ -19,10 +17,6 @@
 use crate::view::Version;
 use crate::voucher::RenewalMark;
 
-/// Absence after which a voter is replaced by a core that is not a voter. Killed machines return
-/// within a few seconds, and a replacement costs a copy of the log, so it must be worth it.
-const VOTER_REPLACEMENT_DELAY: Duration = Duration::from_secs(6);
-
 /// How long a new leader waits before it considers its subscribers complete; instances look for a
 /// new leader after three missed heartbeats.
 pub(super) const REPORT_GATHERING_TIME: Duration = Duration::from_millis(700);
@@ -112,6 +106,9 @@
         self.hub.handle_heartbeat(self.now, leadership.term, self.link.last_sequence(), heartbeat);
         self.check_gathered();
         self.advance_acknowledged_calls();
+        if self.hub.stopping_core(to).is_some() {
+            self.maintain_voters();
+        }
         self.answer_heartbeat(to);
         if self.hub.is_new(to, leadership.term) {
             self.next_push = self.next_push.min(self.now + NEW_SUBSCRIBER_PUSH_DELAY);
@@ -255,6 +252,10 @@
                 .for_each(|upstream| self.emit_upstream(upstream));
         }
         self.maintain_voters();
+        if self.stopping {
+            // A transfer may have failed, and a stopping core may have been elected.
+            self.step_log(replica::Input::TransferLeadership);
+        }
         self.maintain_quarantine();
         self.maintain_rollouts();
         self.remove_expired_limits();
@@ -269,8 +270,13 @@
             hub.heartbeat_answer(to, source, fleet_status)
         });
         if let Some(mut update) = update.flatten() {
+            let released = self.released_incarnation(to);
             update.extension.0.figures = self.answer_figures(to);
+            update.extension.0.later.0.released = Trailing(released);
             self.send(to, Frame::Update(Box::new(update)));
+            if released.is_some() {
+                self.forget_stopped(to);
+            }
         }
     }
 
@@ -346,64 +352,4 @@
         cores.dedup();
         cores
     }
-
-    /// Keeps the wanted number of voters, on cores that are reachable.
-    ///
-    /// When another machine replaces a core, the log has one reachable voter less. Unless the new
-    /// core becomes a voter, the next loss stops all changes, and edits are never acknowledged.
-    fn maintain_voters(&mut self) {
-        if self.voter_change.is_some() || self.replica.voters().is_joint() {
-            return;
-        }
-        let voters: Vec<Voter> = self.replica.voters().voters.clone();
-        if let Some(new) = self.find_wiped_voter(&voters) {
-            return self.change_voters(Change::Replace { old: new.instance.clone(), new });
-        }
-        let is_voter =
-            |voter: &Voter| voters.iter().any(|member| member.instance == voter.instance);
-        let spare = self.hub.reachable_cores(self.now).filter_map(|peer| peer.voter.clone());
-        let Some(spare) = spare.into_iter().find(|voter| !is_voter(voter)) else {
-            self.absent_since.clear();
-            return;
-        };
-        if voters.len() < self.settings.target_voter_count {
-            return self.change_voters(Change::Add(spare));
-        }
-        if let Some(old) = self.find_absent_voter(&voters) {
-            self.change_voters(Change::Replace { old, new: spare });
-        }
-    }
-
-    /// Finds a voter whose instance now has a different data directory, so its disk was lost.
-    ///
-    /// The log reports this as well, but only once, and possibly before the leader's lease has
-    /// begun. If it were missed, the next lost disk would leave one of three voters.
-    fn find_wiped_voter(&self, voters: &[Voter]) -> Option<Voter> {
-        let reachable = self.hub.reachable_cores(self.now).filter_map(|peer| peer.voter.as_ref());
-        let is_replacement = |candidate: &&Voter| {
-            voters.iter().any(|voter| voter.instance == candidate.instance && voter != *candidate)
-        };
-        reachable.into_iter().find(is_replacement).cloned()
-    }
-
-    fn find_absent_voter(&mut self, voters: &[Voter]) -> Option<Instance> {
-        let own_instance = self.replica.voter().instance;
-        let reachable: Vec<SocketAddr> =
-            self.hub.reachable_cores(self.now).map(|peer| peer.address).collect();
-        let is_present = |instance: &Instance| {
-            address_of(instance).is_some_and(|address| reachable.contains(&address))
-        };
-        for voter in voters {
-            if voter.instance == own_instance || is_present(&voter.instance) {
-                self.absent_since.remove(&voter.instance);
-            } else {
-                self.absent_since.entry(voter.instance.clone()).or_insert(self.now);
-            }
-        }
-        let now = self.now;
-        let is_overdue = |since: &Duration| now.saturating_sub(*since) >= VOTER_REPLACEMENT_DELAY;
-        let found = self.absent_since.iter().find(|(_, since)| is_overdue(since));
-        let found = found.map(|(instance, _)| instance.clone());
-        found.filter(|instance| voters.iter().any(|voter| voter.instance == *instance))
-    }
 }
--- a/crates/verbenaslip-fleet/src/core/leadership.rs
+++ b/crates/verbenaslip-fleet/src/core/leadership.rs
@@ -64,6 +64,7 @@
         // the reports as complete.
         self.leadership = Some(Leadership { term, since: self.now });
         (self.expected_entries, self.all_reported) = (None, false);
+        self.absent_since.clear();
         self.acknowledged_by_all = self.hub.acknowledged_by_all(self.now);
         self.emit(Event::LeadershipResumed { term });
         self.notify_seekers();
--- a/crates/verbenaslip-fleet/src/frame.rs
+++ b/crates/verbenaslip-fleet/src/frame.rs
@@ -229,9 +229,18 @@
 pub struct HeartbeatExtension {
     /// Measurements of upstreams that changed after the acknowledged heartbeat.
     pub measurements: Vec<Totals>,
+    /// Fields that were added after that.
+    pub later: Trailing<LaterHeartbeatExtension>,
+}
+
+/// Holds the fields of a heartbeat that were added after its measurements.
+#[data(default)]
+pub struct LaterHeartbeatExtension {
     /// Number of time slots under upstreams' rate limits that an entry asks for beyond its first
     /// one.
-    pub extra_slots: Trailing<u32>,
+    pub extra_slots: u32,
+    /// Whether a core is about to stop, and waits until the leader releases it.
+    pub is_stopping: Trailing<bool>,
 }
 
 /// Holds a field that was added at the end of a frame; empty if it is missing or unreadable.
@@ -327,9 +336,19 @@
 pub struct UpdateExtension {
     /// Figures of runs that changed since the last answer to the receiver's heartbeat.
     pub figures: Vec<FigureReport>,
+    /// Fields that were added after that.
+    pub later: Trailing<LaterUpdateExtension>,
+}
+
+/// Holds the fields of an update that were added after its figures.
+#[data(default)]
+pub struct LaterUpdateExtension {
     /// Number of time slots under upstreams' rate limits that belong to the receiver beyond its first
     /// one, in the answer to an entry's heartbeat.
-    pub extra_slots: Trailing<u32>,
+    pub extra_slots: u32,
+    /// Incarnation of the receiver in the answer to a stopping core's heartbeat, once the core may
+    /// stop: it is no voter any more, or there is no other core for its vote.
+    pub released: Trailing<Option<u64>>,
 }
 
 /// Describes the state of the fleet in the answer to a heartbeat.
--- a/crates/verbenaslip-fleet/src/hub.rs
+++ b/crates/verbenaslip-fleet/src/hub.rs
@@ -214,10 +214,12 @@
             subscriber.route_table_sent = None;
         }
         subscriber.entry_count = u32::from(peer.voter.is_none());
-        let slots = heartbeat.extension.0.extra_slots.0.saturating_add(1).min(MAX_SLOTS);
+        let later = &heartbeat.extension.0.later.0;
+        let slots = later.extra_slots.saturating_add(1).min(MAX_SLOTS);
         subscriber.slot_count = subscriber.entry_count * slots;
         subscriber.progress = Progress { change, revision };
         subscriber.entry_addresses.clear();
+        subscriber.is_stopping = later.is_stopping.0;
         subscriber.peer = peer;
         subscriber.mark_heard(now);
         subscriber.acknowledged_change = change;
@@ -366,10 +368,21 @@
         reachable.map(|it| &it.peer).filter(|peer| peer.voter.is_some())
     }
 
+    /// Returns the reachable cores that are not about to stop.
+    pub fn staying_cores(&self, now: Duration) -> impl Iterator<Item = &Peer> {
+        self.reachable_cores(now).filter(|peer| self.stopping_core(peer.address).is_none())
+    }
+
+    /// Returns the core at an address if it is about to stop, as it has said last.
+    pub fn stopping_core(&self, address: SocketAddr) -> Option<&Peer> {
+        self.subscribers.get(&address).filter(|it| it.is_stopping).map(|it| &it.peer)
+    }
+
     /// Returns the cores that entries may report to.
     pub fn parent_cores(&self, now: Duration) -> Vec<ParentCore> {
         let is_stable = |subscriber: &&Subscriber| {
             subscriber.is_heard_within(now, SILENCE_TIMEOUT)
+                && !subscriber.is_stopping
                 && (subscriber.heard_since <= self.leading_since + STARTUP_GRACE
                     || now.saturating_sub(subscriber.heard_since) >= STABLE_CORE_TIME)
         };
--- a/crates/verbenaslip-fleet/src/hub/push.rs
+++ b/crates/verbenaslip-fleet/src/hub/push.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::frame::{FleetStatus, Trailing, Update, UpdateExtension};
+use crate::frame::{FleetStatus, LaterUpdateExtension, Trailing, Update, UpdateExtension};
 use crate::hub::source::Missing;
 use crate::hub::subscriber::Subscriber;
 use crate::hub::{
@@ -56,8 +56,8 @@
         let status = FleetStatus { sequence: subscriber.last_sequence, time_slot, ..status };
         let is_entry = subscriber.peer.voter.is_none();
         let extra_slots = if is_entry { subscriber.slot_width.saturating_sub(1) } else { 0 };
-        let extra_slots = Trailing(extra_slots);
-        let extension = UpdateExtension { extra_slots, ..UpdateExtension::default() };
+        let later = LaterUpdateExtension { extra_slots, ..LaterUpdateExtension::default() };
+        let extension = UpdateExtension { later: Trailing(later), ..UpdateExtension::default() };
         Some(Update {
             fleet_status: Some(status),
             extension: Trailing(extension),
--- a/crates/verbenaslip-fleet/src/hub/subscriber.rs
+++ b/crates/verbenaslip-fleet/src/hub/subscriber.rs
@@ -22,6 +22,8 @@
 #[derive(Debug)]
 pub(super) struct Subscriber {
     pub(super) peer: Peer,
+    /// Whether the instance is a core that is about to stop.
+    pub(super) is_stopping: bool,
     pub(super) last_heard: Duration,
     /// Start of the current period in which the instance has been reachable.
     pub(super) heard_since: Duration,
@@ -67,6 +69,7 @@
     pub(super) fn new(peer: Peer, now: Duration) -> Self {
         Self {
             peer,
+            is_stopping: false,
             last_heard: now,
             heard_since: now,
             acknowledged_change: 0,
--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -106,6 +106,8 @@
     pub departing: Vec<Run>,
     /// What this instance has measured at upstreams.
     pub measurements: Vec<Totals>,
+    /// At a core: whether it is about to stop.
+    pub is_stopping: bool,
     /// At an entry: number of time slots that it asks for under upstreams' rate limits; zero stands
     /// for one.
     pub slots: u32,
@@ -196,6 +198,8 @@
     parent_cores: Vec<ParentCore>,
     /// Whether the leader asks this core for the list of its entries.
     entry_list_requested: bool,
+    /// Whether the leader has released this core, which is about to stop.
+    is_released: bool,
     /// Change with which the blocklist, rollout plans and limits were each last received.
     change_numbers: hub::ChangeNumbers,
 }
@@ -233,6 +237,7 @@
             last_answer: None,
             parent_cores: Vec::new(),
             entry_list_requested: false,
+            is_released: false,
             change_numbers: hub::ChangeNumbers::default(),
         }
     }
@@ -287,6 +292,21 @@
         }
     }
 
+    /// Makes the next heartbeat due.
+    pub(crate) fn hasten_heartbeat(&mut self, now: Duration) {
+        self.next_report = self.next_report.min(now);
+    }
+
+    /// Releases this core, which is about to stop.
+    pub(crate) fn release(&mut self) {
+        self.is_released = true;
+    }
+
+    /// Returns whether the leader has released this core, which is about to stop.
+    pub(crate) fn is_released(&self) -> bool {
+        self.is_released
+    }
+
     /// Replaces the known gateways.
     pub(crate) fn set_gateways(&mut self, gateways: Arc<[Gateway]>) {
         self.view.gateways = gateways;
--- a/crates/verbenaslip-fleet/src/link/report.rs
+++ b/crates/verbenaslip-fleet/src/link/report.rs
@@ -4,7 +4,7 @@
 
 use verbenaslip_base::name::Team;
 
-use crate::frame::{Heartbeat, HeartbeatExtension, Trailing};
+use crate::frame::{Heartbeat, HeartbeatExtension, LaterHeartbeatExtension, Trailing};
 use crate::link::{
     HEARTBEAT_INTERVAL, LOST_PARENT_AVOIDANCE, Link, MAX_SEARCH_INTERVAL, MAX_TRACKED_REPORTS,
     MIN_SEARCH_INTERVAL, Report, SentReport, Targets,
@@ -46,7 +46,7 @@
         targets.extend(self.previous_parent.take());
         let Report { counts, refunds, engine_work, marks, rollouts, limits, departing, .. } =
             report;
-        let Report { aggregate, counted_until, measurements, slots, .. } = report;
+        let Report { aggregate, counted_until, measurements, slots, is_stopping, .. } = report;
         self.last_sequence += 1;
         let counts = self.changed_counts(acknowledged, counts);
         let measurements = self.measurements.select(self.last_sequence, acknowledged, measurements);
@@ -59,8 +59,11 @@
         if self.sent_reports.len() > MAX_TRACKED_REPORTS {
             self.sent_reports.pop_front();
         }
-        let extra_slots = Trailing(slots.saturating_sub(1));
-        let extension = HeartbeatExtension { measurements, extra_slots };
+        let later = LaterHeartbeatExtension {
+            extra_slots: slots.saturating_sub(1),
+            is_stopping: Trailing(is_stopping),
+        };
+        let extension = HeartbeatExtension { measurements, later: Trailing(later) };
         let heartbeat = Heartbeat {
             peer: self.local_peer.clone(),
             parent,
--- a/crates/verbenaslip-fleet/src/link/update.rs
+++ b/crates/verbenaslip-fleet/src/link/update.rs
@@ -70,7 +70,9 @@
             if self.target == Some(from) {
                 self.apply_figures(now, fleet_status.sequence, &extension.0.figures);
             }
-            let slots = extension.0.extra_slots.0.saturating_add(1);
+            let later = &extension.0.later.0;
+            self.is_released |= later.released.0 == Some(self.local_peer.incarnation);
+            let slots = later.extra_slots.saturating_add(1);
             self.handle_fleet_status(from, version.term, slots, fleet_status);
         }
         ack_requested
--- a/crates/verbenaslip-fleet/tests/cluster.rs
+++ b/crates/verbenaslip-fleet/tests/cluster.rs
@@ -10,6 +10,12 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
+/// Time after its start from which a core no longer counts as lost, so that another one may be.
+const CATCH_UP_TIME: Duration = Duration::from_secs(4);
+
+/// Time after which a stopping process is killed.
+const STOP_LIMIT: Duration = Duration::from_secs(8);
+
 fn adopt_table(revision: u64) -> Request {
     Request::AdoptRouteTable(Box::new(route_table(revision)))
 }
@@ -140,6 +146,77 @@
     assert_eq!(net.call(new, adopt_table(8)), Some(Response::RouteTableAdopted { revision: 8 }));
 }
 
+#[test]
+fn another_core_may_be_lost_as_soon_as_a_stopping_core_has_ended() {
+    // Guards against a core that stops for good and keeps its vote: the loss of the next core would
+    // leave one of three voters.
+    for (stopping, lost) in (0..3).flat_map(|stopping| (0..3).map(move |lost| (stopping, lost))) {
+        let mut net = Network::new(3, 1);
+        net.run(SECOND * 4);
+        let new = net.add_core();
+        net.run(CATCH_UP_TIME);
+        let time = net.terminate(stopping, STOP_LIMIT);
+        assert!(time < SECOND * 2, "core {stopping} stopped after {time:?}");
+        let lost = if lost == stopping { new } else { lost };
+        assert!(net.call(lost, adopt_table(4)).is_some());
+        net.stop(lost);
+        net.run(SECOND * 3);
+        let left = (0..4).find(|it| *it != stopping && *it != lost).expect("a core is left");
+        let read = net.call(left, Request::ReadRouteTable);
+        assert_eq!(read, Some(document(4)), "{stopping} stopped, {lost} lost");
+    }
+}
+
+#[test]
+fn cores_are_replaced_one_after_the_other_without_a_pause() {
+    // Guards against an absence that is counted anew by each leader: planned replacements of all
+    // cores in series would leave one voter.
+    let mut net = Network::new(3, 1);
+    net.run(SECOND * 4);
+    for (old, revision) in [(0, 4), (1, 6), (2, 8), (3, 10), (4, 12)] {
+        let new = net.add_core();
+        net.run(CATCH_UP_TIME);
+        net.terminate(old, STOP_LIMIT);
+        let mut answers = (0..3).map(|_| net.call(new, adopt_table(revision)));
+        let expected = Some(Response::RouteTableAdopted { revision });
+        assert!(answers.any(|it| it == expected), "core {old} stopped");
+    }
+}
+
+#[test]
+fn as_many_cores_as_tolerated_may_be_lost_once_successors_had_time() {
+    // Guards against a voter that is lost without notice and replaced only after the next loss.
+    for (cores, losses) in [(3, 1), (6, 2)] {
+        for first in 0..cores {
+            let mut net = Network::with_voters(cores, 2, losses * 2 + 1);
+            net.run(SECOND * 8);
+            let lost = |wave: usize, it: usize| (first + wave * losses + it) % cores;
+            (0..losses).for_each(|it| net.stop(lost(0, it)));
+            net.run(SECOND);
+            (0..losses).for_each(|_| _ = net.add_core());
+            net.run(CATCH_UP_TIME);
+            let left = lost(2, 0);
+            assert!(net.call(left, adopt_table(4)).is_some(), "{cores} cores, from {first}");
+            (0..losses).for_each(|it| net.restart_with_empty_disk(lost(1, it)));
+            net.run(SECOND * 4);
+            let read = net.call(left, Request::ReadRouteTable);
+            assert_eq!(read, Some(document(4)), "{cores} cores, from {first}");
+        }
+    }
+}
+
+#[test]
+fn a_core_without_a_successor_stops_at_once() {
+    // Guards against a planned stop that waits for a core that could take over the vote while there
+    // is none.
+    for core in 0..3 {
+        let mut net = Network::new(3, 1);
+        net.run(SECOND * 4);
+        let time = net.terminate(core, STOP_LIMIT);
+        assert!(time <= SECOND / 5, "core {core} stopped after {time:?}");
+    }
+}
+
 #[test]
 fn cores_with_empty_disks_never_form_a_second_log() {
     // Guards against cores with empty disks that form a log of their own, with an older table or
--- a/crates/verbenaslip-fleet/tests/measurement.rs
+++ b/crates/verbenaslip-fleet/tests/measurement.rs
@@ -695,13 +695,15 @@
     type Before = (u32, OldHeartbeat, Trailing<Vec<Totals>>);
     let totals = Totals { active: 3, ..Totals::new(RunKey::of(&run("u", 1))) };
     let slots = |bytes: &[u8]| match postcard::from_bytes(bytes) {
-        Ok(Frame::Heartbeat(it)) => (it.extension.0.measurements, it.extension.0.extra_slots.0),
+        Ok(Frame::Heartbeat(it)) => {
+            (it.extension.0.measurements, it.extension.0.later.0.extra_slots)
+        }
         other => panic!("{other:?}"),
     };
     for measurements in [vec![], vec![totals]] {
         let mut heartbeat = heartbeat(measurements.clone());
         let without = encode(&Frame::Heartbeat(Box::new(heartbeat.clone())));
-        heartbeat.extension.0.extra_slots = Trailing(8);
+        heartbeat.extension.0.later.0.extra_slots = 8;
         let with = encode(&Frame::Heartbeat(Box::new(heartbeat)));
         assert_eq!(slots(&with), (measurements.clone(), 8));
         for bytes in [&with, &without] {
@@ -712,3 +714,27 @@
         assert_eq!(slots(&encode(&before)), (measurements, 0));
     }
 }
+
+#[test]
+fn builds_without_handed_over_votes_read_the_frames_of_those_with_them() {
+    // Guards against a fleet that is upgraded one core at a time, and an old leader that can't read
+    // the heartbeat of a new core that stops.
+    type Before = (u32, OldHeartbeat, Trailing<(Vec<Totals>, Trailing<u32>)>);
+    for extra_slots in [0, 8] {
+        let mut heartbeat = heartbeat(vec![]);
+        heartbeat.extension.0.later.0.extra_slots = extra_slots;
+        let without = encode(&Frame::Heartbeat(Box::new(heartbeat.clone())));
+        heartbeat.extension.0.later.0.is_stopping = Trailing(true);
+        let with = encode(&Frame::Heartbeat(Box::new(heartbeat)));
+        for (bytes, is_stopping) in [(&without, false), (&with, true)] {
+            let before: Before = postcard::from_bytes(bytes).expect("readable");
+            assert_eq!(before.2.0.1.0, extra_slots);
+            let Ok(Frame::Heartbeat(read)) = postcard::from_bytes(bytes) else {
+                panic!("no frame")
+            };
+            assert_eq!(read.extension.0.later.0.is_stopping.0, is_stopping);
+        }
+        let before: Before = postcard::from_bytes(&without).expect("readable");
+        assert_eq!(encode(&before), without, "frames without a stop are as before");
+    }
+}
--- a/crates/verbenaslip-fleet/tests/net/mod.rs
+++ b/crates/verbenaslip-fleet/tests/net/mod.rs
@@ -107,6 +107,8 @@
     last_call: u64,
     last_identity: u128,
     voters: usize,
+    /// Number of cores that have started together.
+    initial_cores: usize,
     /// Rate limits that each entry has observed itself.
     observed_limits: BTreeMap<usize, Limits>,
     /// Runs that have announced their departure in an answer to an entry.
@@ -167,6 +169,7 @@
     ) -> Self {
         let mut network = Self {
             voters,
+            initial_cores: cores,
             now: Duration::from_secs(1),
             ticks: 0,
             cores: Vec::new(),
@@ -226,6 +229,7 @@
 
     fn start_core(&mut self, index: usize, is_founder: bool) {
         let address = core_address(index);
+        let seeds = self.current_seeds(index);
         let machine = &mut self.cores[index];
         machine.pending_writes.clear();
         machine.start_count += 1;
@@ -235,8 +239,8 @@
             local_peer: peer(address, machine.start_count, Some(voter)),
             quarantine_policy: QuarantinePolicy::default(),
             fingerprint_secret: 7,
-            seeds: seeds(),
-            founders: if is_founder { seeds() } else { vec![] },
+            founders: if is_founder { seeds.clone() } else { vec![] },
+            seeds,
             recovered: machine.disk.clone(),
             target_voter_count: self.voters,
             announce_interval: Duration::from_millis(1_200),
@@ -248,10 +252,33 @@
         machine.core = Some(Core::new(setup, self.now));
     }
 
+    /// Returns the seeds of a core that starts: the first three cores, or for a core that was added
+    /// later, three that run.
+    fn current_seeds(&self, core: usize) -> Vec<SocketAddr> {
+        if core < self.initial_cores {
+            return seeds();
+        }
+        let running = (0..self.cores.len()).filter(|it| self.cores[*it].core.is_some());
+        running.rev().take(3).map(core_address).collect()
+    }
+
     pub fn stop(&mut self, core: usize) {
         self.cores[core].core = None;
     }
 
+    /// Stops a core as planned, and ends its process once it is idle or after `limit`; returns how
+    /// long the process has run on.
+    pub fn terminate(&mut self, core: usize, limit: Duration) -> Duration {
+        let since = self.now;
+        self.step_core(core, Input::Stop);
+        let is_idle = |machine: &Machine| machine.core.as_ref().is_none_or(Core::is_idle);
+        while !is_idle(&self.cores[core]) && self.now < since + limit {
+            self.tick();
+        }
+        self.stop(core);
+        self.now - since
+    }
+
     /// Simulates a power loss and restart of a core: only synced data remains.
     pub fn restart(&mut self, core: usize) {
         self.stop(core);
--- a/crates/verbenaslip-instance/src/core.rs
+++ b/crates/verbenaslip-instance/src/core.rs
@@ -38,8 +38,9 @@
 /// Time between two attempts to reopen a data directory that has failed.
 const REOPEN_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Maximum time that a stop waits for another core to become leader and for pending calls.
-const HANDOVER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Fraction of the time for a planned stop after which a core ends in any case. Until then it waits for another core
+/// to become leader, for another one to take over its vote, and for pending calls.
+const HANDOVER_TIMEOUT_DIVISOR: u32 = 2;
 
 /// Time that the connections get to send the last messages of a stopping core.
 const FLUSH_TIME: Duration = Duration::from_millis(20);
@@ -264,7 +265,8 @@
             }
             Wakeup::Signal(Signal::Stop) => {
                 event_log::emit(event::STOPPING, []);
-                self.stop_deadline = Some(monotonic::now() + HANDOVER_TIMEOUT);
+                let timeout = self.settings.stop.grace / HANDOVER_TIMEOUT_DIVISOR;
+                self.stop_deadline = Some(monotonic::now() + timeout);
                 self.step(Input::Stop);
             }
             Wakeup::Signal(Signal::Reload) => {
--- a/crates/verbenaslip-replica/src/change.rs
+++ b/crates/verbenaslip-replica/src/change.rs
@@ -16,6 +16,7 @@
 pub(crate) struct PendingChange {
     token: u64,
     change: Change,
+    requested_at: Duration,
     deadline: Duration,
     /// The first round that begins after the change was requested.
     first_round: u64,
@@ -56,7 +57,7 @@
             self.outputs.push(Output::Answer { token, answer });
             return;
         }
-        let deadline = self.now + self.setup.timing.catch_up_timeout;
+        let (requested_at, deadline) = (self.now, self.now + self.setup.timing.catch_up_timeout);
         let next = self.log.last().index + 1;
         let State::Leader(leader_state) = &mut self.state else { return };
         if let Some(voter) = change.added_voter() {
@@ -67,20 +68,30 @@
         leader_state.voter_change = Some(PendingChange {
             token,
             change,
+            requested_at,
             deadline,
             first_round: round,
             stage: Stage::CatchUp,
         });
     }
 
-    /// Gives up a change whose new voter does not catch up in time.
+    /// Gives up a change whose new voter does not catch up in time, or falls silent before it has.
+    ///
+    /// Another voter may be lost in the meantime, and no other core can take its place until this
+    /// change has ended.
     pub(crate) fn tick_change(&mut self) {
+        let silence_limit = self.setup.timing.catch_up_silence();
         let State::Leader(leader_state) = &mut self.state else { return };
-        let Some(change) =
-            leader_state.voter_change.take_if(|change| self.now >= change.deadline())
-        else {
-            return;
+        let peers = &leader_state.peers;
+        let is_silent = |change: &PendingChange| {
+            let voter = change.change.added_voter().filter(|_| change.stage == Stage::CatchUp);
+            let peer = voter.and_then(|voter| peers.get(&voter.identity));
+            let heard_at = peer.map(|peer| peer.last_heard.max(Some(change.requested_at)));
+            heard_at.flatten().is_some_and(|heard_at| self.now >= heard_at + silence_limit)
         };
+        let is_over =
+            |change: &mut PendingChange| self.now >= change.deadline() || is_silent(change);
+        let Some(change) = leader_state.voter_change.take_if(is_over) else { return };
         self.outputs.push(change.abort_answer(Rejection::CatchUpFailed));
         self.remove_former_peers();
     }
--- a/crates/verbenaslip-replica/src/setup.rs
+++ b/crates/verbenaslip-replica/src/setup.rs
@@ -74,6 +74,12 @@
         let drift = self.clock_drift_per_mille.min(PER_MILLE - 1);
         self.election_timeout * (PER_MILLE - drift) / (PER_MILLE + drift)
     }
+
+    /// Returns the silence after which a new voter that has not caught up is given up. A voter that
+    /// installs a large snapshot does not answer for a while.
+    pub(crate) fn catch_up_silence(&self) -> Duration {
+        self.election_timeout * 4
+    }
 }
 
 /// Holds limits on sizes and counts.
--- a/crates/verbenaslip-replica/tests/fault.rs
+++ b/crates/verbenaslip-replica/tests/fault.rs
@@ -580,6 +580,27 @@
     simulation.recover_and_verify();
 }
 
+// Guards against a spare that dies while it copies the log and blocks the replacement of a lost
+// voter by another spare until the time for catching up has passed.
+#[test]
+fn a_new_voter_that_falls_silent_makes_way_for_another() {
+    let mut simulation = Simulation::with_leader(3, 5);
+    let (silent, spare) = (simulation.join(), simulation.join());
+    let leader = simulation.wait_for_leader();
+    let lost = simulation.others(leader)[0];
+    let [first, second] = [silent, spare]
+        .map(|new| Change::Replace { old: instance(lost), new: simulation.replica(new).voter() });
+    simulation.crash(lost);
+    simulation.crash(silent);
+    let first = simulation.change(leader, first);
+    simulation.run(ms(6_000));
+    assert_eq!(simulation.answers.get(&first), Some(&Answer::Rejected(Rejection::CatchUpFailed)));
+    let second = simulation.change(leader, second);
+    simulation.run(ms(3_000));
+    assert!(matches!(simulation.answers.get(&second), Some(Answer::Committed(_))));
+    simulation.recover_and_verify();
+}
+
 // The leader is isolated, another one is elected and commits, and the old one is asked for a read
 // before it notices. Guards against a stale read that is answered without a quorum.
 #[test]
