Let a stopping core wait until its replacement is committed

A stopping core ended as soon as its own log named other voters, committed or not. Had the leader been lost before the commit, the others could only have been elected with its vote. It now waits for the leader's answer, which comes after the commit, and asks each 60 ms.

--- a/crates/verbenaslip-fleet/src/core/voters.rs
+++ b/crates/verbenaslip-fleet/src/core/voters.rs
@@ -53,8 +53,11 @@
 
     /// Returns whether this core may stop without reducing the number of losses that the log
     /// tolerates.
+    ///
+    /// Its replacement must be committed. If the leader was lost before, the others could only be
+    /// elected with the vote of this core.
     pub(crate) fn may_stop(&self) -> bool {
-        self.link.is_released() || !self.replica.voters().contains(self.replica.identity())
+        self.link.is_released() || !self.replica.may_campaign()
     }
 
     /// Hands leadership and entries over to other cores before shutdown.
--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -40,6 +40,9 @@
 /// must move between entries, at a cost of 4 datagrams a second.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Interval between heartbeats of a core that waits for its release.
+const STOPPING_INTERVAL: Duration = Duration::from_millis(60);
+
 /// Silence of the leader after which the instance asks every core; three heartbeats.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(750);
 
--- a/crates/verbenaslip-fleet/src/link/report.rs
+++ b/crates/verbenaslip-fleet/src/link/report.rs
@@ -7,7 +7,7 @@
 use crate::frame::{Heartbeat, HeartbeatExtension, LaterHeartbeatExtension, Trailing};
 use crate::link::{
     HEARTBEAT_INTERVAL, LOST_PARENT_AVOIDANCE, Link, MAX_SEARCH_INTERVAL, MAX_TRACKED_REPORTS,
-    MIN_SEARCH_INTERVAL, Report, SentReport, Targets,
+    MIN_SEARCH_INTERVAL, Report, STOPPING_INTERVAL, SentReport, Targets,
 };
 use crate::usage::Count;
 
@@ -41,7 +41,8 @@
         self.clock.follow_local(now, unix_ms);
         let acknowledged = self.acknowledged_sequence(now);
         let mut targets = self.report_targets(now);
-        self.next_report = now + self.report_interval(targets.len());
+        let interval = self.report_interval(targets.len());
+        self.next_report = now + if report.is_stopping { STOPPING_INTERVAL } else { interval };
         let parent = self.target.filter(|_| self.target_is_parent);
         targets.extend(self.previous_parent.take());
         let Report { counts, refunds, engine_work, marks, rollouts, limits, departing, .. } =
--- a/crates/verbenaslip-fleet/tests/cluster.rs
+++ b/crates/verbenaslip-fleet/tests/cluster.rs
@@ -150,20 +150,25 @@
 fn another_core_may_be_lost_as_soon_as_a_stopping_core_has_ended() {
     // Guards against a core that stops for good and keeps its vote: the loss of the next core would
     // leave one of three voters.
-    for (stopping, lost) in (0..3).flat_map(|stopping| (0..3).map(move |lost| (stopping, lost))) {
-        let mut net = Network::new(3, 1);
-        net.run(SECOND * 4);
-        let new = net.add_core();
-        net.run(CATCH_UP_TIME);
-        let time = net.terminate(stopping, STOP_LIMIT);
-        assert!(time < SECOND * 2, "core {stopping} stopped after {time:?}");
-        let lost = if lost == stopping { new } else { lost };
-        assert!(net.call(lost, adopt_table(4)).is_some());
-        net.stop(lost);
-        net.run(SECOND * 3);
-        let left = (0..4).find(|it| *it != stopping && *it != lost).expect("a core is left");
-        let read = net.call(left, Request::ReadRouteTable);
-        assert_eq!(read, Some(document(4)), "{stopping} stopped, {lost} lost");
+    let pairs = (0..3).flat_map(|stopping| (0..3).map(move |lost| (stopping, lost)));
+    for (stopping, lost) in pairs {
+        for has_edit in [true, false] {
+            let mut net = Network::new(3, 1);
+            net.run(SECOND * 4);
+            assert!(net.call(1, adopt_table(2)).is_some());
+            let new = net.add_core();
+            net.run(CATCH_UP_TIME);
+            let time = net.terminate(stopping, STOP_LIMIT);
+            assert!(time < SECOND * 2, "core {stopping} stopped after {time:?}");
+            let lost = if lost == stopping { new } else { lost };
+            let revision = if has_edit { 4 } else { 2 };
+            assert!(!has_edit || net.call(lost, adopt_table(revision)).is_some());
+            net.stop(lost);
+            net.run(SECOND * 4);
+            let left = (0..4).find(|it| *it != stopping && *it != lost).expect("a core is left");
+            let read = net.call(left, Request::ReadRouteTable);
+            assert_eq!(read, Some(document(revision)), "{stopping} stopped, {lost} lost");
+        }
     }
 }
 
--- a/crates/verbenaslip-replica/src/replica.rs
+++ b/crates/verbenaslip-replica/src/replica.rs
@@ -308,7 +308,7 @@
     /// A leader that removes itself can lose power while it is the only voter with that log entry.
     /// The others can't be elected without its vote, and it grants no vote to a candidate with a
     /// shorter log. So it has to campaign itself until its removal is committed.
-    pub(crate) fn may_campaign(&self) -> bool {
+    pub fn may_campaign(&self) -> bool {
         self.hard_state.group.is_some() && self.log.is_voter_since(self.identity, self.commit_index)
     }
 
