Give calls numbers that no earlier process of a core has used

Callers saw: an edit was answered with 200 and no core ever had it.

Cause: each process of a core counted its calls from one, and the leader knows a forwarded call by the core's address and that number. It took the call of the new process for a repetition of the one that it still waited to answer, and the new process took the answer to that one for its own.

Change: the numbers of a process begin at an unpredictable one, from its seed, which now also holds random bits: the time of day may be set back. Calls, proposals, changes of voters, the loan requests of a parent core and the orders to the cloud share this start, also when a data directory is opened anew in the same process; so the late result of an order doesn't count for another order of the next state machine. That one also has an incarnation of its own, since the instances that it serves would otherwise not send it again what it has lost. A leader replaces a call that has the number of another one and other content, so that cores of the build before get their own answers while the fleet is upgraded. Frames are as before.

--- a/crates/verbenaslip-base/src/hash.rs
+++ b/crates/verbenaslip-base/src/hash.rs
@@ -1,7 +1,12 @@
-//! Stable hash functions, which give the same result on every instance.
+//! Stable hash functions, which give the same result on every instance, and unpredictable numbers.
+
+use std::hash::{BuildHasher, Hasher, RandomState};
 
 use siphasher::sip128::{Hasher128, SipHasher13};
-use std::hash::Hasher;
+
+/// Number of bits by which first numbers are shorter than 64: smaller numbers are encoded in fewer
+/// bytes.
+const FIRST_NUMBER_SHIFT: u32 = 16;
 
 /// Returns a 128-bit hash of the parts; each part is hashed together with its length.
 pub fn wide(parts: &[&[u8]]) -> u128 {
@@ -23,6 +28,20 @@
     wide(parts) as u64
 }
 
+/// Returns an unpredictable number, from the system's random numbers as the standard library exposes
+/// them.
+pub fn unpredictable() -> u64 {
+    RandomState::new().hash_one(0_u64)
+}
+
+/// Returns the number before the first one that a process gives out to others.
+///
+/// Others remember the numbers of a process beyond its end. With a different `seed` at each start,
+/// no two processes give out the same ones.
+pub fn first_number(seed: u64) -> u64 {
+    mix(seed) >> FIRST_NUMBER_SHIFT
+}
+
 /// Mixes the bits of a number with the finalizer of SplitMix64, the same on every instance.
 pub fn mix(value: u64) -> u64 {
     let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -19,6 +19,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use verbenaslip_base::hash;
 use verbenaslip_base::name::{Instance, Upstream};
 use verbenaslip_replica::Replica;
 use verbenaslip_replica::input as replica;
@@ -66,6 +67,7 @@
     pub(crate) dispatcher: Dispatcher,
     pub(crate) planners: BTreeMap<Arc<str>, Planner>,
     pub(crate) pending_calls: BTreeMap<u64, PendingCall>,
+    /// Number of the last call, proposal or loan request.
     pub(crate) last_token: u64,
     /// Present while this core leads under an uninterrupted lease.
     pub(crate) leadership: Option<Leadership>,
@@ -166,6 +168,7 @@
         } = setup;
         let Setup { log_timing, order_timing, quarantine_policy, fingerprint_secret, .. } = setup;
         let Setup { seed, unix_ms, .. } = setup;
+        let first = hash::first_number(seed);
         let founders = founders.iter().map(|address| name_of(*address)).collect();
         let mut log = LogSetup::new(name_of(local_peer.address), founders, seed);
         log.timing = log_timing;
@@ -191,10 +194,10 @@
             voucher: Voucher::default(),
             hub: Hub::default(),
             link: Link::new(local_peer, seeds, now, unix_ms),
-            dispatcher: Dispatcher::default(),
+            dispatcher: Dispatcher::starting_at(first),
             planners: BTreeMap::new(),
             pending_calls: BTreeMap::new(),
-            last_token: 0,
+            last_token: first,
             leadership: None,
             lapsed_term: None,
             voter_change: None,
--- a/crates/verbenaslip-fleet/src/core/call.rs
+++ b/crates/verbenaslip-fleet/src/core/call.rs
@@ -111,9 +111,14 @@
         request: Request,
     ) {
         let caller = Caller::Remote { address, token };
-        // The other core forwards a call again when the answer takes long.
-        if self.pending_calls.values().any(|call| call.caller == caller) {
-            return;
+        // The other core forwards a call again when the answer takes long. A different call under
+        // the same token comes from a later process, of a build that counts calls from one.
+        let known = self.pending_calls.iter().find(|(_, call)| call.caller == caller);
+        let known = known.map(|(key, call)| (*key, call.request == request));
+        match known {
+            Some((_, true)) => return,
+            Some((key, false)) => _ = self.pending_calls.remove(&key),
+            None => {}
         }
         // Forwarding again could loop between cores that each consider another one the leader.
         if self.is_leading() {
@@ -455,7 +460,7 @@
         call.stage = Stage::Forwarded { retry_at };
         let request = Box::new(call.request.clone());
         // The token stays the same on each attempt, so the answer to an earlier attempt also
-        // counts.
+        // counts. An answer to another process of this core does not: it has another token.
         self.send(leader, Frame::Request { from: own_address, token: key, request });
     }
 
--- a/crates/verbenaslip-fleet/src/core/io.rs
+++ b/crates/verbenaslip-fleet/src/core/io.rs
@@ -34,7 +34,7 @@
     /// Secret that makes request fingerprints unpredictable; used if this core is the first to
     /// lead.
     pub fingerprint_secret: u128,
-    /// Seed of all random choices.
+    /// Seed of all random choices, which must differ between any two starts of any instances.
     pub seed: u64,
     /// The machine's clock, in Unix milliseconds.
     pub unix_ms: u64,
--- a/crates/verbenaslip-fleet/src/order.rs
+++ b/crates/verbenaslip-fleet/src/order.rs
@@ -94,6 +94,11 @@
 }
 
 impl Dispatcher {
+    /// Creates a dispatcher whose first order has the ID after `last_id`.
+    pub fn starting_at(last_id: u64) -> Self {
+        Self { reports: BTreeMap::new(), last_id }
+    }
+
     /// Returns the recent windows that have ended and are not closed yet.
     pub fn windows_to_close(
         state: &ReplicatedState,
--- a/crates/verbenaslip-fleet/tests/cluster.rs
+++ b/crates/verbenaslip-fleet/tests/cluster.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use net::{Network, announcement, route_table, run, withdraw};
-use verbenaslip_fleet::frame::{Request, Response};
+use verbenaslip_fleet::frame::{Frame, Request, Response};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -222,6 +222,47 @@
     }
 }
 
+#[test]
+fn an_edit_is_not_answered_with_the_edit_of_an_earlier_process() {
+    // Guards against calls that are known by the core's address and a number that starts anew with
+    // its process: a restarted core would take the answer to its last call for that to its next.
+    for milliseconds in (5..=300).step_by(5) {
+        let mut net = Network::new(3, 2);
+        net.run(SECOND * 4);
+        let leader = net.leaders()[0];
+        let follower = (leader + 1) % 3;
+        net.start_call(follower, adopt_table(12));
+        net.run(Duration::from_millis(milliseconds));
+        // The leader waits for the lost entry before it answers the first edit.
+        net.disconnect_entry(0);
+        net.restart(follower);
+        net.run(SECOND / 100);
+        let answer = net.call(follower, adopt_table(19));
+        net.run(SECOND * 2);
+        if answer != Some(Response::Unavailable) {
+            let expected = Some(Response::RouteTableAdopted { revision: 19 });
+            assert_eq!(answer, expected, "restarted after {milliseconds} ms");
+            assert_eq!(net.call(leader, Request::ReadRouteTable), Some(document(19)));
+        }
+    }
+}
+
+#[test]
+fn a_core_of_an_older_build_that_restarted_gets_its_own_answer() {
+    // Guards against a leader that takes the first call of a process for a repetition, while the
+    // fleet is upgraded and some cores still count their calls from one.
+    let mut net = Network::new(3, 1);
+    net.run(SECOND * 4);
+    let leader = net.leaders()[0];
+    let from = ([10, 1, 0, 99], 7_000).into();
+    for revision in [12, 19] {
+        let request = Box::new(adopt_table(revision));
+        net.deliver_to_core(leader, Frame::Request { from, token: 1, request });
+    }
+    net.run(SECOND * 2);
+    assert_eq!(net.call(leader, Request::ReadRouteTable), Some(document(19)));
+}
+
 #[test]
 fn cores_with_empty_disks_never_form_a_second_log() {
     // Guards against cores with empty disks that form a log of their own, with an older table or
--- a/crates/verbenaslip-fleet/tests/net/mod.rs
+++ b/crates/verbenaslip-fleet/tests/net/mod.rs
@@ -545,6 +545,11 @@
         self.frames_in_transit = remaining;
     }
 
+    /// Delivers a frame to a core as if another instance had sent it.
+    pub fn deliver_to_core(&mut self, core: usize, frame: Frame) {
+        self.deliver(core_address(core), frame);
+    }
+
     fn deliver(&mut self, to: SocketAddr, frame: Frame) {
         if self.disconnected.contains(&to) || self.unreachable_entries.contains(&to) {
             return;
--- a/crates/verbenaslip-instance/src/core.rs
+++ b/crates/verbenaslip-instance/src/core.rs
@@ -1,6 +1,5 @@
 //! The control thread of a core.
 
-use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,6 +8,7 @@
 use displaydoc::Display;
 use serde_json::json;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use verbenaslip_base::hash;
 use verbenaslip_disk::DataDirectory;
 use verbenaslip_fleet::Core as StateMachine;
 use verbenaslip_fleet::core::{Input, Output, Setup};
@@ -92,6 +92,7 @@
     control: ControlServer,
     cloud: Option<Rc<Cloud>>,
     reopen_at: Duration,
+    /// Incarnation of the state machine, which rises whenever one starts.
     incarnation: u64,
     stop_deadline: Option<Duration>,
     load: LoadStats,
@@ -157,7 +158,7 @@
         control,
         cloud,
         reopen_at: Duration::ZERO,
-        incarnation: monotonic::unix_ms(),
+        incarnation: 0,
         stop_deadline: None,
         load: LoadStats::default(),
         had_figures: false,
@@ -209,6 +210,8 @@
         let disk =
             Disk::spawn(data_directory, self.disk_outcomes.clone()).map_err(Error::Thread)?;
         let (now, unix_ms) = (monotonic::now(), monotonic::unix_ms());
+        // What others know of the state machine before this one does not hold for it.
+        self.incarnation = unix_ms.max(self.incarnation + 1);
         let settings = &self.settings;
         let instance = verbenaslip_fleet::core::name_of(settings.peers);
         let local_peer = Peer {
@@ -399,18 +402,18 @@
     }
 }
 
-/// Returns an unpredictable number, from the system's random numbers as the standard library exposes them.
+/// Returns an unpredictable number.
 fn secret() -> u128 {
-    let random_word = |it: u64| u128::from(RandomState::new().hash_one(it));
-    random_word(1) << 64 | random_word(2)
+    u128::from(hash::unpredictable()) << 64 | u128::from(hash::unpredictable())
 }
 
-/// Returns a seed for random choices that differs between instances and starts.
+/// Returns a seed for random choices that differs between instances and starts, also if the clock has been set back.
 fn seed(settings: &Settings, unix_ms: u64) -> u64 {
     let name = settings.name.as_str().as_bytes();
-    verbenaslip_base::hash::narrow(&[
+    hash::narrow(&[
         name,
         &unix_ms.to_le_bytes(),
         &std::process::id().to_le_bytes(),
+        &hash::unpredictable().to_le_bytes(),
     ])
 }
