Give loan requests and crash reports numbers of their process

Cause: both began at one with each process of an entry, as the calls of cores did. A late grant for an earlier process could be taken for that of another team's request, and a late confirmation kept the first crashes that a restarted entry saw from the leader.

Change: the numbers of both begin at one that differs with each process.

Before the change, a_late_confirmation_for_an_earlier_process_confirms_nothing fails: the report counts as confirmed.

--- a/crates/verbenaslip-fleet/src/crash_report.rs
+++ b/crates/verbenaslip-fleet/src/crash_report.rs
@@ -90,6 +90,11 @@
 }
 
 impl CrashReporter {
+    /// Creates a reporter whose first report has the number after `number`.
+    pub fn starting_at(number: u64) -> Self {
+        Self { number, ..Self::default() }
+    }
+
     /// Records what was observed about requests.
     pub fn record(
         &mut self,
--- a/crates/verbenaslip-fleet/src/entry.rs
+++ b/crates/verbenaslip-fleet/src/entry.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use verbenaslip_base::hash;
+
 use crate::crash_report::{CrashReporter, ObservedAnswer, ObservedCrash};
 use crate::frame::{Frame, Peer};
 use crate::gateway::{Membership, Registration};
@@ -39,11 +41,12 @@
 impl Entry {
     /// Creates an entry without a view; `unix_ms` is the machine's clock in Unix milliseconds.
     pub fn new(local_peer: Peer, seeds: Vec<SocketAddr>, now: Duration, unix_ms: u64) -> Self {
+        let first_report = hash::first_number(local_peer.incarnation);
         Self {
             membership: None,
             next_origin_acknowledgement: Duration::ZERO,
             link: Link::new(local_peer, seeds, now, unix_ms),
-            crash_reporter: CrashReporter::default(),
+            crash_reporter: CrashReporter::starting_at(first_report),
         }
     }
 
--- a/crates/verbenaslip-relay/src/shared.rs
+++ b/crates/verbenaslip-relay/src/shared.rs
@@ -9,6 +9,7 @@
 use serde_json::json;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{Notify, oneshot};
+use verbenaslip_base::hash;
 use verbenaslip_base::name::Team;
 use verbenaslip_fleet::crash_report::{ObservedAnswer, ObservedCrash};
 use verbenaslip_fleet::limit::{self, Limit, Limits};
@@ -473,13 +474,20 @@
 }
 
 /// Holds loan requests and the requests that wait for their grants.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct LoanQueue {
     last_id: u64,
     unsent: Vec<LoanRequest>,
     waiters: BTreeMap<u64, LoanWaiter>,
 }
 
+impl Default for LoanQueue {
+    fn default() -> Self {
+        let last_id = hash::first_number(hash::unpredictable());
+        Self { last_id, unsent: Vec::new(), waiters: BTreeMap::new() }
+    }
+}
+
 /// Time after which a loan request no longer waits for its grant; a later grant is refunded.
 const LOAN_ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 
