Measure entries that restart with their clock set back

Cause: the incarnation of an entry is the time of day at its start. The reports of a process with a lower one were all taken for late ones of the process before, until that one was forgotten.

Change: a report is late only if it is one of the same process. One that arrives late from an earlier process begins a new baseline, which counts nothing.

--- a/crates/verbenaslip-fleet/src/measurement/collector.rs
+++ b/crates/verbenaslip-fleet/src/measurement/collector.rs
@@ -72,7 +72,7 @@
         let EntryRun { address, incarnation } = origin;
         match self.senders.get(&address) {
             None if reports.is_empty() => return,
-            Some(sender) if (incarnation, sequence) <= (sender.incarnation, sender.sequence) => {
+            Some(sender) if incarnation == sender.incarnation && sequence <= sender.sequence => {
                 return;
             }
             Some(sender) if sender.incarnation != incarnation => {
--- a/crates/verbenaslip-fleet/tests/measurement.rs
+++ b/crates/verbenaslip-fleet/tests/measurement.rs
@@ -128,6 +128,24 @@
     assert!(expected > 900, "{expected} of 1,000");
 }
 
+#[test]
+fn an_entry_that_restarts_with_its_clock_set_back_is_measured() {
+    // Guards against taking all reports of a process for late ones of the process before, whose
+    // incarnation was higher.
+    let (mut core, mut entry) = (Collector::default(), Sender::new());
+    (0..9).for_each(|_| entry.report(&mut core));
+    let before = counted(&core);
+    let mut restarted = Sender { now: entry.now, ..Sender::new() };
+    for _ in 0..9 {
+        add_answer(&mut restarted.totals, 40);
+        restarted.sequence += 1;
+        restarted.now += HEARTBEAT;
+        let (sequence, totals) = (restarted.sequence, restarted.totals);
+        core.record(restarted.now, origin(1, 0), sequence, &[totals], &Figures::default());
+    }
+    assert_eq!(counted(&core), before + 8, "the first report is the baseline");
+}
+
 #[test]
 fn an_entry_that_changes_its_parent_core_back_and_forth_is_not_counted_twice() {
     // The notice to the former core may be lost, so that both still hold totals of the entry.
