--- a/crates/verbenaslip-fleet/tests/random.rs
+++ b/crates/verbenaslip-fleet/tests/random.rs
@@ -11,6 +11,7 @@
 mod losses;
 mod net;
 
+use std::thread;
 use std::time::Duration;
 
 use losses::Losses;
@@ -55,12 +56,15 @@
     let bounds = seeds.as_deref().and_then(|text| text.split_once(".."));
     let parse = |text: &str| text.parse::<u64>().expect("a number");
     let seeds = bounds.map_or(0..24, |(from, to)| parse(from)..parse(to));
-    let runs = seeds.chain(REGRESSIONS).flat_map(|seed| SHAPES.map(|shape| (seed, shape)));
-    let failures: Vec<String> = runs
-        .filter_map(|(seed, shape)| {
-            run_seed(seed, shape).err().map(|it| format!("{shape:?}: {it}"))
-        })
-        .collect();
+    let seeds: Vec<u64> = seeds.chain(REGRESSIONS).collect();
+    let run_shape = |shape: Shape| {
+        let failures = seeds.iter().filter_map(move |seed| run_seed(*seed, shape).err());
+        failures.map(|it| format!("{shape:?}: {it}")).collect::<Vec<_>>()
+    };
+    let failures: Vec<String> = thread::scope(|scope| {
+        let runs = SHAPES.map(|shape| scope.spawn(move || run_shape(shape)));
+        runs.into_iter().flat_map(|run| run.join().expect("no run panics")).collect()
+    });
     assert!(failures.is_empty(), "{failures:#?}");
 }
 
