--- a/crates/verbenaslip-fleet/tests/net/losses.rs
+++ b/crates/verbenaslip-fleet/tests/net/losses.rs
@@ -1,5 +1,7 @@
 //! Which cores count as lost, for tests that may not lose more than is tolerated.
 
+#![allow(dead_code)] // Each test target uses a different part of this module.
+
 use std::time::Duration;
 
 /// How long a core counts as lost after it is back or, if it is new, after it has started
