--- a/crates/verbenaslip-base/src/hash.rs
+++ b/crates/verbenaslip-base/src/hash.rs
@@ -4,9 +4,9 @@
 
 use siphasher::sip128::{Hasher128, SipHasher13};
 
-/// Number of bits by which first numbers are shorter than 64: smaller numbers are encoded in fewer
+/// Number of bits by which number bases are shorter than 64: smaller numbers are encoded in fewer
 /// bytes.
-const FIRST_NUMBER_SHIFT: u32 = 16;
+const NUMBER_BASE_SHIFT: u32 = 16;
 
 /// Returns a 128-bit hash of the parts; each part is hashed together with its length.
 pub fn wide(parts: &[&[u8]]) -> u128 {
@@ -38,8 +38,8 @@
 ///
 /// Others remember the numbers of a process beyond its end. With a different `seed` at each start,
 /// no two processes give out the same ones.
-pub fn first_number(seed: u64) -> u64 {
-    mix(seed) >> FIRST_NUMBER_SHIFT
+pub fn number_base(seed: u64) -> u64 {
+    mix(seed) >> NUMBER_BASE_SHIFT
 }
 
 /// Mixes the bits of a number with the finalizer of SplitMix64, the same on every instance.
--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -168,7 +168,7 @@
         } = setup;
         let Setup { log_timing, order_timing, quarantine_policy, fingerprint_secret, .. } = setup;
         let Setup { seed, unix_ms, .. } = setup;
-        let first = hash::first_number(seed);
+        let number_base = hash::number_base(seed);
         let founders = founders.iter().map(|address| name_of(*address)).collect();
         let mut log = LogSetup::new(name_of(local_peer.address), founders, seed);
         log.timing = log_timing;
@@ -194,10 +194,10 @@
             voucher: Voucher::default(),
             hub: Hub::default(),
             link: Link::new(local_peer, seeds, now, unix_ms),
-            dispatcher: Dispatcher::starting_at(first),
+            dispatcher: Dispatcher::starting_after(number_base),
             planners: BTreeMap::new(),
             pending_calls: BTreeMap::new(),
-            last_token: first,
+            last_token: number_base,
             leadership: None,
             lapsed_term: None,
             voter_change: None,
--- a/crates/verbenaslip-fleet/src/crash_report.rs
+++ b/crates/verbenaslip-fleet/src/crash_report.rs
@@ -91,7 +91,7 @@
 
 impl CrashReporter {
     /// Creates a reporter whose first report has the number after `number`.
-    pub fn starting_at(number: u64) -> Self {
+    pub fn starting_after(number: u64) -> Self {
         Self { number, ..Self::default() }
     }
 
--- a/crates/verbenaslip-fleet/src/entry.rs
+++ b/crates/verbenaslip-fleet/src/entry.rs
@@ -41,12 +41,12 @@
 impl Entry {
     /// Creates an entry without a view; `unix_ms` is the machine's clock in Unix milliseconds.
     pub fn new(local_peer: Peer, seeds: Vec<SocketAddr>, now: Duration, unix_ms: u64) -> Self {
-        let first_report = hash::first_number(local_peer.incarnation);
+        let number_base = hash::number_base(local_peer.incarnation);
         Self {
             membership: None,
             next_origin_acknowledgement: Duration::ZERO,
             link: Link::new(local_peer, seeds, now, unix_ms),
-            crash_reporter: CrashReporter::starting_at(first_report),
+            crash_reporter: CrashReporter::starting_after(number_base),
         }
     }
 
--- a/crates/verbenaslip-fleet/src/order.rs
+++ b/crates/verbenaslip-fleet/src/order.rs
@@ -95,7 +95,7 @@
 
 impl Dispatcher {
     /// Creates a dispatcher whose first order has the ID after `last_id`.
-    pub fn starting_at(last_id: u64) -> Self {
+    pub fn starting_after(last_id: u64) -> Self {
         Self { reports: BTreeMap::new(), last_id }
     }
 
--- a/crates/verbenaslip-fleet/tests/account.rs
+++ b/crates/verbenaslip-fleet/tests/account.rs
@@ -1,15 +1,11 @@
 //! Reports of an entry to the leader, until the leader has confirmed them.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use verbenaslip_base::name::{AvailabilityZone, Instance, Upstream};
-use verbenaslip_fleet::Entry;
+use verbenaslip_base::name::Upstream;
 use verbenaslip_fleet::crash_report::{CrashReport, CrashReporter, ObservedCrash};
 use verbenaslip_fleet::fingerprint::Fingerprint;
-use verbenaslip_fleet::frame::{Frame, Peer, Trailing, Update};
 use verbenaslip_fleet::registry::Run;
-use verbenaslip_fleet::view::Version;
 
 const SECOND: Duration = Duration::from_secs(1);
 const ENTRY_ADDRESS: ([u8; 4], u16) = ([10, 2, 0, 1], 7_000);
@@ -20,26 +16,6 @@
     ObservedCrash { fingerprint, run, sent: SECOND, ended: SECOND * 2 }
 }
 
-/// Returns an update of the leader of term 3.
-fn update(leader: SocketAddr) -> Update {
-    Update {
-        from: leader,
-        leader,
-        leader_contact_age: Duration::ZERO,
-        version: Version { term: 3, change: 1 },
-        base: None,
-        records: Vec::new(),
-        route_table: None,
-        blocklist: None,
-        rollout_plans: None,
-        limits: None,
-        fleet_status: None,
-        unix_ms: 0,
-        ack_requested: false,
-        extension: Trailing::default(),
-    }
-}
-
 fn next_report(reporter: &mut CrashReporter, now: Duration) -> Option<CrashReport> {
     reporter.next_report(now, ENTRY_ADDRESS.into())
 }
@@ -84,31 +60,3 @@
     reporter.set_term(SECOND * 70, 5);
     assert_eq!(next_report(&mut reporter, SECOND * 70), None, "the observation has expired");
 }
-
-#[test]
-fn a_late_confirmation_for_an_earlier_process_confirms_nothing() {
-    // Guards against an entry that restarts and believes that the leader knows its first crashes.
-    let peer = |incarnation| Peer {
-        address: ENTRY_ADDRESS.into(),
-        name: Instance::from("entry-1"),
-        zone: AvailabilityZone::from("north"),
-        incarnation,
-        voter: None,
-    };
-    let leader = ([10, 1, 0, 1], 7_000).into();
-    let reports = [1_000, 2_000].map(|incarnation| {
-        let mut entry = Entry::new(peer(incarnation), vec![leader], SECOND, 0);
-        entry.handle_frame(SECOND, Frame::NewLeader { leader });
-        entry.handle_frame(SECOND, Frame::Update(Box::new(update(leader))));
-        entry.record_outcomes(SECOND, vec![observed_crash(1)], vec![]);
-        let report = entry.next_crash_report(SECOND + SECOND / 10);
-        (entry, report.expect("a report is due").frame)
-    });
-    let [(_, Frame::CrashReport(earlier)), (mut entry, Frame::CrashReport(_))] = reports else {
-        panic!("expected crash reports")
-    };
-    let confirmation = Frame::CrashReportReceived { term: 3, number: earlier.number };
-    entry.handle_frame(SECOND + SECOND / 10, confirmation);
-    let repeated = entry.next_crash_report(SECOND + SECOND / 2);
-    assert!(repeated.is_some(), "the leader has not confirmed this report");
-}
--- a/crates/verbenaslip-fleet/tests/cluster.rs
+++ b/crates/verbenaslip-fleet/tests/cluster.rs
@@ -5,17 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use net::losses::CATCH_UP_TIME;
 use net::{Network, announcement, route_table, run, withdraw};
 use verbenaslip_fleet::frame::{Frame, Request, Response};
 
 const SECOND: Duration = Duration::from_secs(1);
 
-/// Time after its start from which a core no longer counts as lost, so that another one may be.
-const CATCH_UP_TIME: Duration = Duration::from_secs(4);
-
-/// Time after which a stopping process is killed.
-const STOP_LIMIT: Duration = Duration::from_secs(8);
-
 fn adopt_table(revision: u64) -> Request {
     Request::AdoptRouteTable(Box::new(route_table(revision)))
 }
@@ -158,7 +153,7 @@
             assert!(net.call(1, adopt_table(2)).is_some());
             let new = net.add_core();
             net.run(CATCH_UP_TIME);
-            let time = net.terminate(stopping, STOP_LIMIT);
+            let time = net.terminate(stopping);
             assert!(time < SECOND * 2, "core {stopping} stopped after {time:?}");
             let lost = if lost == stopping { new } else { lost };
             let revision = if has_edit { 4 } else { 2 };
@@ -181,7 +176,7 @@
     for (old, revision) in [(0, 4), (1, 6), (2, 8), (3, 10), (4, 12)] {
         let new = net.add_core();
         net.run(CATCH_UP_TIME);
-        net.terminate(old, STOP_LIMIT);
+        net.terminate(old);
         let mut answers = (0..3).map(|_| net.call(new, adopt_table(revision)));
         let expected = Some(Response::RouteTableAdopted { revision });
         assert!(answers.any(|it| it == expected), "core {old} stopped");
@@ -217,7 +212,7 @@
     for core in 0..3 {
         let mut net = Network::new(3, 1);
         net.run(SECOND * 4);
-        let time = net.terminate(core, STOP_LIMIT);
+        let time = net.terminate(core);
         assert!(time <= SECOND / 5, "core {core} stopped after {time:?}");
     }
 }
--- a/crates/verbenaslip-fleet/tests/entry.rs
+++ b/crates/verbenaslip-fleet/tests/entry.rs
@@ -4,8 +4,11 @@
 use std::time::Duration;
 
 use verbenaslip_base::name::{AvailabilityZone, Instance};
+use verbenaslip_fleet::crash_report::ObservedCrash;
+use verbenaslip_fleet::fingerprint::Fingerprint;
 use verbenaslip_fleet::frame::{FleetStatus, Frame, Peer, Trailing, Update};
 use verbenaslip_fleet::link::Report;
+use verbenaslip_fleet::registry::Run;
 use verbenaslip_fleet::view::Version;
 use verbenaslip_fleet::{Entry, clock};
 
@@ -21,11 +24,16 @@
 }
 
 fn entry() -> Entry {
+    entry_with(1)
+}
+
+/// Creates an entry of the given incarnation.
+fn entry_with(incarnation: u64) -> Entry {
     let local_peer = Peer {
         address: ([10, 2, 0, 1], 7_000).into(),
         name: Instance::from("entry-1"),
         zone: AvailabilityZone::from("north"),
-        incarnation: 1,
+        incarnation,
         voter: None,
     };
     Entry::new(local_peer, vec![SocketAddr::from(LEADER)], SECOND, unix(SECOND))
@@ -133,3 +141,26 @@
     );
     assert_eq!(answered(SECOND * 4, 3, 1), Some(SECOND * 4));
 }
+
+#[test]
+fn a_late_confirmation_for_an_earlier_process_confirms_nothing() {
+    // Guards against an entry that restarts and believes that the leader knows its first crashes.
+    let reports = [1_000, 2_000].map(|incarnation| {
+        let mut entry = entry_with(incarnation);
+        entry.handle_frame(SECOND, Frame::NewLeader { leader: LEADER.into() });
+        entry.handle_frame(SECOND, empty_update());
+        let run = Run { upstream: "i-1".into(), incarnation: 0 };
+        let fingerprint = Fingerprint::of(7, "red", "h", "/x", b"1");
+        let crash = ObservedCrash { fingerprint, run, sent: SECOND, ended: SECOND * 2 };
+        entry.record_outcomes(SECOND, vec![crash], vec![]);
+        let report = entry.next_crash_report(SECOND + SECOND / 10);
+        (entry, report.expect("a report is due").frame)
+    });
+    let [(_, Frame::CrashReport(earlier)), (mut entry, Frame::CrashReport(_))] = reports else {
+        panic!("expected crash reports")
+    };
+    let confirmation = Frame::CrashReportReceived { term: 3, number: earlier.number };
+    entry.handle_frame(SECOND + SECOND / 10, confirmation);
+    let repeated = entry.next_crash_report(SECOND + SECOND / 2);
+    assert!(repeated.is_some(), "the leader has not confirmed this report");
+}
--- a/crates/verbenaslip-fleet/tests/net/mod.rs
+++ b/crates/verbenaslip-fleet/tests/net/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)] // Each test target uses a different part of this module.
 
+pub mod losses;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -32,6 +34,8 @@
 const FRAME_DELAY_TICKS: u64 = 1;
 /// Number of frames from and to a core that are kept, to be delivered again after its restart.
 const KEPT_FRAMES: usize = 64;
+/// Time after which a stopping process is killed (`GraceS` on the platform's pages).
+const STOP_LIMIT: Duration = Duration::from_secs(8);
 /// How long a call may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -290,13 +294,13 @@
         self.cores[core].core = None;
     }
 
-    /// Stops a core as planned, and ends its process once it is idle or after `limit`; returns how
-    /// long the process has run on.
-    pub fn terminate(&mut self, core: usize, limit: Duration) -> Duration {
+    /// Stops a core as planned, and ends its process once it is idle or after [`STOP_LIMIT`];
+    /// returns how long the process has run on.
+    pub fn terminate(&mut self, core: usize) -> Duration {
         let since = self.now;
         self.step_core(core, Input::Stop);
         let is_idle = |machine: &Machine| machine.core.as_ref().is_none_or(Core::is_idle);
-        while !is_idle(&self.cores[core]) && self.now < since + limit {
+        while !is_idle(&self.cores[core]) && self.now < since + STOP_LIMIT {
             self.tick();
         }
         self.stop(core);
--- a/crates/verbenaslip-fleet/tests/random.rs
+++ b/crates/verbenaslip-fleet/tests/random.rs
@@ -7,15 +7,13 @@
 //!
 //!     RANDOM_SEEDS=0..2000 cargo test --release -p verbenaslip-fleet --test random
 
-#[path = "net/losses.rs"]
-mod losses;
 mod net;
 
 use std::collections::BTreeSet;
 use std::thread;
 use std::time::Duration;
 
-use losses::Losses;
+use net::losses::Losses;
 use net::{Network, announcement, route_table, route_table_with_service, run};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -28,7 +26,7 @@
 /// How long an upstream still serves after its departure was acknowledged.
 const SERVING_TIME: Duration = Duration::from_secs(2);
 /// Timing of the log in the programs, with which a core takes part again within
-/// [`losses::CATCH_UP_TIME`].
+/// [`net::losses::CATCH_UP_TIME`].
 const TIMING: Timing = Timing {
     heartbeat_interval: Duration::from_millis(100),
     election_timeout: Duration::from_millis(400),
@@ -39,8 +37,6 @@
 const UPSTREAMS: usize = 4;
 /// Time for which the core must have been stable for machines to be in touch (`StableWindowMs`).
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
-/// Time after which a stopping process is killed (`GraceS`).
-const STOP_LIMIT: Duration = Duration::from_secs(8);
 
 /// Seeds that once found a fault, each with its cause.
 const REGRESSIONS: [u64; 6] = [
@@ -401,7 +397,7 @@
         {
             let old = std::mem::replace(&mut self.cores[place], core);
             self.note(format!("core {old} stops, {core} is its successor"));
-            let time = self.net.terminate(old, STOP_LIMIT);
+            let time = self.net.terminate(old);
             self.note(format!("core {old} has stopped after {time:?}"));
         }
     }
--- a/crates/verbenaslip-relay/src/shared.rs
+++ b/crates/verbenaslip-relay/src/shared.rs
@@ -483,7 +483,7 @@
 
 impl Default for LoanQueue {
     fn default() -> Self {
-        let last_id = hash::first_number(hash::unpredictable());
+        let last_id = hash::number_base(hash::unpredictable());
         Self { last_id, unsent: Vec::new(), waiters: BTreeMap::new() }
     }
 }
