Take no answer that names no request

Cause: an answer without an identity counted for whatever request was on the connection. Upstreams repeat the identity in all answers to requests, and bytes without one belong to none.

Such an answer now ends the connection, and the request counts as one that may have run.

--- a/crates/verbenaslip-relay/src/dialect.rs
+++ b/crates/verbenaslip-relay/src/dialect.rs
@@ -74,11 +74,22 @@
     Unreadable,
 }
 
+/// States which request a response names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Correlation {
+    /// The request with the given identity.
+    Matching,
+    /// Another request.
+    Other,
+    /// No request.
+    Missing,
+}
+
 /// Holds what the header fields of a response say beyond HTTP.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ResponseInfo {
     /// Whether the response answers the request with the given identity.
-    pub matches_request: bool,
+    pub correlation: Correlation,
     /// Whether the upstream states that it has not run the request and never will.
     pub not_run: bool,
     /// Whether a different run than the intended one has answered, so that the intended one is no
--- a/crates/verbenaslip-relay/src/forward/exchange.rs
+++ b/crates/verbenaslip-relay/src/forward/exchange.rs
@@ -6,7 +6,7 @@
 use bytes::Buf;
 use tokio::time::Instant;
 
-use crate::dialect::ResponseInfo;
+use crate::dialect::{Correlation, ResponseInfo};
 use crate::forward::admission::AdmittedRequest;
 use crate::forward::context::Context;
 use crate::forward::dial;
@@ -60,6 +60,8 @@
     Unreachable,
     /// The connection broke or the answer was malformed; the request may have run.
     Broken,
+    /// An answer that names no request came; the request may have run.
+    Unidentified,
     /// Nothing arrived in time; the request may have run.
     Unresponsive,
     /// The request leaves an upstream that is only slow; it may have run.
@@ -107,14 +109,22 @@
             if is_direct {
                 context.record_heard(&choice.run);
             }
-            if info.matches_request {
-                let reusable = in_sync && written == bytes.len() && !head.closes_connection();
-                return Ok(Response { connection, head, info, reusable, connected_at });
+            match info.correlation {
+                Correlation::Matching => {
+                    let reusable = in_sync && written == bytes.len() && !head.closes_connection();
+                    return Ok(Response { connection, head, info, reusable, connected_at });
+                }
+                // This is a late answer to an earlier request on the connection. Passing it on
+                // would give the caller what another caller asked for.
+                Correlation::Other => {
+                    skip_body(&mut connection, &head, request, deadline).await?;
+                    in_sync = false;
+                }
+                // Bytes that belong to no request need not be a whole answer, so nothing tells
+                // where the next one begins.
+                Correlation::Missing if written == 0 => return Err(Failure::Unreachable),
+                Correlation::Missing => return Err(Failure::Unidentified),
             }
-            // This is a late answer to an earlier request on the connection. Passing it on would
-            // give the caller what another caller asked for.
-            skip_body(&mut connection, &head, request, deadline).await?;
-            in_sync = false;
         }
         if connection.buffer.len() > MAX_HEAD_BYTES {
             return Err(Failure::Broken);
--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -434,6 +434,7 @@
     let (ending, cause) = match failure {
         Failure::Unreachable => (Ending::Unreachable, "unreached"),
         Failure::Broken => (Ending::Failed, "broken"),
+        Failure::Unidentified => (Ending::Failed, "unidentified"),
         Failure::Unresponsive => (Ending::Failed, "silent"),
         Failure::Slow => (Ending::Slow, "slow"),
         Failure::CallerGone => (Ending::Abandoned, "caller_gone"),
@@ -446,7 +447,8 @@
         Failure::Broken => context.signal_interrupted(request, choice, sent, None),
         Failure::CallerGone => context.signal_unconfirmed(request, choice, sent),
         Failure::Unreachable => context.signal_unreachable(choice),
-        Failure::Unresponsive | Failure::Slow => {}
+        // The upstream still answers, so there is no sign of a crash.
+        Failure::Unidentified | Failure::Unresponsive | Failure::Slow => {}
     }
     trace.causes.push(cause);
     match failure {
@@ -463,11 +465,11 @@
                 Next::Refuse(exhausted_rejection(attempts))
             }
         }
-        Failure::Broken | Failure::Unresponsive | Failure::Slow => {
+        Failure::Broken | Failure::Unidentified | Failure::Unresponsive | Failure::Slow => {
             attempts.may_have_run = true;
-            if failure == Failure::Broken {
-                // An upstream that closes the connection without an answer has usually run the
-                // request.
+            if matches!(failure, Failure::Broken | Failure::Unidentified) {
+                // An upstream that closes the connection without an answer, or sends one that
+                // names no request, has usually run the request.
                 count_usage(context, request, attempts);
             }
             if request.route.kind.may_repeat() {
--- a/crates/verbenaslip-relay/tests/common/mod.rs
+++ b/crates/verbenaslip-relay/tests/common/mod.rs
@@ -9,13 +9,13 @@
 use verbenaslip_base::name::{AvailabilityZone, Upstream};
 use verbenaslip_fleet::View;
 use verbenaslip_fleet::registry::{Announcement, Record, Run, Status};
-use verbenaslip_relay::dialect::{RateLimit, ResponseInfo};
+use verbenaslip_relay::dialect::{Correlation, RateLimit, ResponseInfo};
 use verbenaslip_relay::policy::placement::{Choice, Decision, Placement, Query};
 use verbenaslip_relay::policy::versions::Tracks;
 
 /// An answer that asks for nothing.
 pub const REPLY: ResponseInfo = ResponseInfo {
-    matches_request: true,
+    correlation: Correlation::Matching,
     not_run: false,
     other_run: false,
     brittle: None,
--- a/crates/verbenaslip-relay/tests/queue.rs
+++ b/crates/verbenaslip-relay/tests/queue.rs
@@ -21,8 +21,8 @@
 use verbenaslip_fleet::route_table::{RequestKind, Route, RouteTable, Service, Target};
 use verbenaslip_relay::Server;
 use verbenaslip_relay::dialect::{
-    Dialect, ForwardedFields, PromptPart, RateLimit, RequestInfo, ResponseInfo, TokenCounts,
-    WriteField,
+    Correlation, Dialect, ForwardedFields, PromptPart, RateLimit, RequestInfo, ResponseInfo,
+    TokenCounts, WriteField,
 };
 use verbenaslip_relay::http::{RequestHead, ResponseHead};
 use verbenaslip_relay::monotonic;
@@ -67,7 +67,7 @@
     fn response_info(&self, _: &ResponseHead, id: &str) -> ResponseInfo {
         let cooldown = (id == COOLDOWN_ID.to_string()).then_some(Duration::from_secs(20));
         ResponseInfo {
-            matches_request: true,
+            correlation: Correlation::Matching,
             not_run: cooldown.is_some(),
             other_run: false,
             brittle: None,
