Bound the memory that the bodies of requests take at an entry

An entry held the body of each request twice, and nothing bounded how many: 40 requests of 4 MB at once took 355 MB and 80 took 709 MB, on machines with 256. The platform kills a process with more, and each request in it is lost.

Bytes are now reserved before a body is read, from half of the machine's memory, which the settings state. A body that does not fit is refused at once with 503 and a time to come back, and the line 961 says what was held. Bodies over 64 KB leave a quarter of that to small ones, and a caller's take no more than they leave free, so that one who sends many, or sends slowly, does not keep others out. A large body that hasn't come when its caller no longer waits is given up. A body over 16 KB is sent from where it was read instead of being copied behind its head. A body that is longer than allowed by its stated length is refused before it is read.

--- a/crates/verbenaslip-instance/src/entry.rs
+++ b/crates/verbenaslip-instance/src/entry.rs
@@ -76,6 +76,7 @@
         readiness_address: entry.ready,
         zone: settings.zone.clone(),
         max_connections: entry.connections as usize,
+        memory_bytes: usize::try_from(entry.memory.0).unwrap_or(usize::MAX),
         retry_bounds: Bounds {
             ratio: settings.upstreams.retry_ratio,
             allowance: settings.upstreams.retry_allowance,
--- a/crates/verbenaslip-instance/src/settings.rs
+++ b/crates/verbenaslip-instance/src/settings.rs
@@ -9,7 +9,7 @@
 
 use verbenaslip::settings::reader::{Place, Reader};
 use verbenaslip::settings::section::ANY;
-use verbenaslip::settings::value::Value;
+use verbenaslip::settings::value::{Size, Value};
 use verbenaslip::settings::{self, Collected, Invalid};
 use verbenaslip_base::name::{AvailabilityZone, Instance as Name};
 use verbenaslip_fleet::fingerprint::Fingerprint;
@@ -53,6 +53,8 @@
     pub ready: SocketAddr,
     /// Maximum number of concurrent connections of callers.
     pub connections: u32,
+    /// Memory of the machine, in bytes.
+    pub memory: Size,
     /// Address at which the entry opens connections to upstreams for other entries, if it does.
     pub tunnels: Option<SocketAddr>,
     /// Maximum number of such connections.
@@ -245,12 +247,20 @@
 
 impl Entry {
     fn read_from(reader: &mut Reader<'_>) -> Self {
-        let mut entry =
-            Self { callers: ANY, ready: ANY, connections: 3_000, tunnels: None, max_tunnels: 256 };
+        let mut entry = Self {
+            callers: ANY,
+            ready: ANY,
+            connections: 3_000,
+            memory: Size(256 << 20),
+            tunnels: None,
+            max_tunnels: 256,
+        };
         let mut tunnels = ANY;
         reader.need(Place("entry", "callers"), &mut entry.callers);
         reader.need(Place("entry", "ready"), &mut entry.ready);
         reader.take(Place("entry", "connections"), &mut entry.connections);
+        let sizes = Size(32 << 20)..=Size(1 << 40);
+        reader.within(Place("entry", "memory"), &mut entry.memory, sizes);
         reader.take(Place("entry", "tunnels"), &mut tunnels);
         entry.tunnels = (tunnels != ANY).then_some(tunnels);
         reader.take(Place("entry", "max_tunnels"), &mut entry.max_tunnels);
--- a/crates/verbenaslip-instance/tests/settings.rs
+++ b/crates/verbenaslip-instance/tests/settings.rs
@@ -33,6 +33,11 @@
     for (from, to, reason) in [
         ("zone = north\n", "", "[instance] zone - it is missing"),
         ("10.0.0.7:8221", "somewhere", "[entry] callers = `somewhere` - it must be an IP number"),
+        (
+            "ready = 10.0.0.7:8224",
+            "ready = 10.0.0.7:8224\nmemory = 1MB",
+            "[entry] memory = `1MB` - it must be",
+        ),
         ("grace = 8s", "grace = 8", "[stop] grace = `8` - it must be a number with a unit"),
         ("retry_ratio = 0.2", "retry_ratio = -1", "[upstreams] retry_ratio = `-1`"),
         (
--- a/crates/verbenaslip-relay/src/forward.rs
+++ b/crates/verbenaslip-relay/src/forward.rs
@@ -1,6 +1,6 @@
 //! Takes one request from its caller to an upstream and back.
 //!
-//! [`admission`] determines the team and the route of a request. [`lifecycle`] runs the request:
+//! [`intake`] reads a request if there is memory for its body. [`admission`] determines the team and the route of a request. [`lifecycle`] runs the request:
 //! whether it is retried, and what its caller gets. [`queue`] holds it while no upstream accepts it, and
 //! [`place`] while this entry has no place at a brittle one,
 //! and [`upstream_choice`] selects the upstream. [`origin`] keeps streams that are taken up at the
@@ -23,6 +23,7 @@
 pub mod events;
 pub mod exchange;
 pub(crate) mod failover;
+pub(crate) mod intake;
 pub mod lifecycle;
 pub(crate) mod origin;
 pub(crate) mod path_log;
--- a/crates/verbenaslip-relay/src/forward/answer.rs
+++ b/crates/verbenaslip-relay/src/forward/answer.rs
@@ -28,6 +28,8 @@
     NoRouteTable,
     /// No upstream can take the request now; it was not run.
     NoUpstream,
+    /// The body of the request does not fit into this instance's memory; the request was not run.
+    OutOfMemory,
     /// All upstreams are busy; the request was not run.
     Busy,
     /// All upstreams limit their request rate; the request was not run.
@@ -62,6 +64,7 @@
             Self::Failed => 502,
             Self::NoRouteTable
             | Self::NoUpstream
+            | Self::OutOfMemory
             | Self::Busy
             | Self::RateLimited
             | Self::CoolingDown
@@ -87,6 +90,7 @@
             Self::Stopping => "stopping",
             Self::NoRouteTable => "no_table",
             Self::NoUpstream => "no_upstream",
+            Self::OutOfMemory => "no_memory",
             Self::Busy => "busy",
             Self::RateLimited => "limited",
             Self::CoolingDown => "resting",
@@ -120,6 +124,7 @@
         match fault {
             MessageError::HeadTooLong => Self::HeadTooLarge,
             MessageError::BodyTooLarge => Self::BodyTooLarge,
+            MessageError::OutOfMemory => Self::OutOfMemory,
             MessageError::Timeout => Self::RequestTimeout,
             _ => Self::Malformed,
         }
--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -29,6 +29,7 @@
 use crate::http::Connection;
 use crate::monotonic;
 use crate::policy::allowance::Allowances;
+use crate::policy::body_memory::BodyMemory;
 use crate::policy::builds::Builds;
 use crate::policy::gateways::Gateways;
 use crate::policy::overload::Overload;
@@ -37,10 +38,11 @@
 use crate::policy::placement::{Choice, Ending, Placement, Query};
 use crate::policy::quarantine::Quarantine;
 use crate::policy::restriction::Change;
-use crate::policy::retry::{Bounds, RetryBudget};
+use crate::policy::retry::RetryBudget;
 use crate::policy::returning::ReturningCallers;
 use crate::policy::switching::{self, Reason, SlowRequest};
 use crate::policy::versions::Tracks;
+use crate::server::Config;
 use crate::shared::SharedState;
 
 /// Holds the state that all requests share; only the traffic thread uses it.
@@ -62,6 +64,7 @@
     pub(crate) returning_callers: RefCell<ReturningCallers>,
     pub(crate) quarantine: RefCell<Quarantine>,
     pub(crate) overload: RefCell<Overload>,
+    pub(crate) body_memory: RefCell<BodyMemory>,
     pub(crate) random_state: Cell<u64>,
     pub(crate) builds: RefCell<Builds>,
     /// Versions at which streams began at this entry.
@@ -79,28 +82,23 @@
 
 impl Context {
     /// Creates the state without any requests.
-    pub(crate) fn new(
-        shared: Arc<SharedState>,
-        dialect: Arc<dyn Dialect>,
-        placement: Placement,
-        bounds: Bounds,
-        usage_window: Duration,
-        crash_signals: UnboundedSender<Signal>,
-    ) -> Self {
+    pub(crate) fn new(config: &Config, crash_signals: UnboundedSender<Signal>) -> Self {
+        let placement = Placement::new(config.zone.clone()).with_sharing(config.sharing);
         Self {
-            shared,
-            dialect,
-            usage_window,
+            shared: config.shared.clone(),
+            dialect: config.dialect.clone(),
+            usage_window: config.usage_window,
             started_at: Instant::now(),
             placement: RefCell::new(placement),
             allowances: RefCell::new(Allowances::new(monotonic::now())),
-            retry_budget: RefCell::new(RetryBudget::new(bounds)),
+            retry_budget: RefCell::new(RetryBudget::new(config.retry_bounds)),
             pool: RefCell::new(Pool::default()),
             queue: RefCell::new(Queue::default()),
             held_count: HeldCount::default(),
             returning_callers: RefCell::new(ReturningCallers::default()),
             quarantine: RefCell::new(Quarantine::default()),
             overload: RefCell::default(),
+            body_memory: RefCell::new(BodyMemory::new(config.memory_bytes)),
             random_state: Cell::new(monotonic::unix_ms()),
             builds: RefCell::default(),
             origins: RefCell::new(Origins::new(monotonic::now())),
--- a/crates/verbenaslip-relay/src/forward/exchange.rs
+++ b/crates/verbenaslip-relay/src/forward/exchange.rs
@@ -12,6 +12,7 @@
 use crate::forward::dial;
 use crate::forward::failover::Failover;
 use crate::forward::pool;
+use crate::forward::upstream_request::UpstreamRequest;
 use crate::http::connection::Progress;
 use crate::http::{Connection, Decoder, ResponseHead, Step};
 use crate::monotonic;
@@ -48,11 +49,29 @@
     /// Where the request goes.
     pub choice: &'a Choice,
     /// The request as the upstream gets it.
-    pub bytes: &'a [u8],
+    pub request: &'a UpstreamRequest<'a>,
     /// Gateway through which the request has been sent; `None` for a direct connection.
     pub gateway: Option<SocketAddr>,
 }
 
+/// Holds the bytes of a request on one connection.
+struct Unsent<'a> {
+    head: &'a [u8],
+    body: &'a [u8],
+}
+
+impl<'a> Unsent<'a> {
+    fn len(&self) -> usize {
+        self.head.len() + self.body.len()
+    }
+
+    /// Returns what can be written next after so many bytes; empty at the end.
+    fn after(&self, written: usize) -> &'a [u8] {
+        let rest_of_body = || self.body.get(written - self.head.len()..).unwrap_or_default();
+        self.head.get(written..).filter(|rest| !rest.is_empty()).unwrap_or_else(rest_of_body)
+    }
+}
+
 /// Describes why an upstream gave no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -92,8 +111,9 @@
     let connected_at = Instant::now();
     outgoing.gateway = connection.gateway();
     let is_direct = outgoing.gateway.is_none();
-    let wrapped = (!is_direct).then(|| Prefix::wrap(&request.info.id, outgoing.bytes));
-    let bytes = wrapped.as_deref().unwrap_or(outgoing.bytes);
+    let UpstreamRequest { head, body } = outgoing.request;
+    let wrapped = (!is_direct).then(|| Prefix::wrap(&request.info.id, head, body.len()));
+    let out = Unsent { head: wrapped.as_deref().unwrap_or(head), body };
     let mut suspect_at = is_direct.then(|| Instant::now() + SUSPICION_TIME);
     let mut written = 0;
     let mut in_sync = true;
@@ -111,7 +131,7 @@
             }
             match info.correlation {
                 Correlation::Matching => {
-                    let reusable = in_sync && written == bytes.len() && !head.closes_connection();
+                    let reusable = in_sync && written == out.len() && !head.closes_connection();
                     return Ok(Response { connection, head, info, reusable, connected_at });
                 }
                 // This is a late answer to an earlier request on the connection. Passing it on
@@ -131,7 +151,7 @@
         }
         let next_check = failover.next_check(deadline);
         tokio::select! {
-            progress = connection.write_or_read(&bytes[written..]) => match progress {
+            progress = connection.write_or_read(out.after(written)) => match progress {
                 Ok(Progress::Wrote(count)) => written += count,
                 Ok(Progress::Read(count)) if count > 0 => {}
                 Ok(Progress::Read(_)) | Err(_) if written == 0 && reused => {
--- /dev/null
+++ b/crates/verbenaslip-relay/src/forward/intake.rs
@@ -0,0 +1,129 @@
+//! Reads requests of callers, as far as there is memory for their bodies.
+
+use std::cell::RefCell;
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::time::Instant;
+use verbenaslip_fleet::route_table::RequestLimits;
+
+use crate::event_log::{self, Kind};
+use crate::forward::answer::{self, Refusal};
+use crate::forward::context::Context;
+use crate::forward::lifecycle::{self, RETRY_AFTER_FULL};
+use crate::http::reader::{self, UnreadMessage};
+use crate::http::{Connection, Message, MessageError};
+use crate::policy::body_memory::{BodyMemory, Caller, Reservation, SMALL_BODY_BYTES, Shortage};
+
+/// A request was refused since its body did not fit into memory.
+const BODY_REFUSED: Kind = Kind { number: 961, name: "body_refused" };
+
+/// Holds a request together with the memory for its body.
+pub(crate) struct Request<'a> {
+    /// The complete request.
+    pub(crate) message: Message,
+    _room: Room<'a>,
+}
+
+/// Describes why a request was not read.
+pub(crate) struct Fault {
+    refusal: Refusal,
+    /// Identity of the request, or empty.
+    id: Arc<str>,
+    retry_after: Option<Duration>,
+}
+
+impl Fault {
+    /// Writes the answer, after which the connection is closed.
+    pub(crate) fn write_answer(&self, context: &Context) -> Vec<u8> {
+        let Self { refusal, id, retry_after } = self;
+        answer::write_refusal(&*context.dialect, *refusal, id, *retry_after, true)
+    }
+}
+
+impl From<MessageError> for Fault {
+    fn from(error: MessageError) -> Self {
+        Self { refusal: error.into(), id: "".into(), retry_after: None }
+    }
+}
+
+/// Memory that is reserved for a body; given back when dropped.
+struct Room<'a> {
+    memory: &'a RefCell<BodyMemory>,
+    reservation: Reservation,
+}
+
+impl Drop for Room<'_> {
+    fn drop(&mut self) {
+        self.memory.borrow_mut().release(&self.reservation);
+    }
+}
+
+/// Reads one request; returns `None` if the caller closes or stays idle.
+pub(crate) async fn read_request<'a>(
+    context: &'a Context,
+    caller: &mut Connection,
+    limits: &RequestLimits,
+) -> Result<Option<Request<'a>>, Fault> {
+    let Some(unread) = reader::read_head(caller, limits).await? else { return Ok(None) };
+    let memory = &context.body_memory;
+    let max_body_bytes = limits.max_body_bytes.min(memory.borrow().max_body_bytes());
+    let limits = RequestLimits { max_body_bytes, ..*limits };
+    let sender = Sender::of(context, &unread, caller);
+    let mut room = Room { memory, reservation: Reservation::default() };
+    let mut shortage = None;
+    let reserve = |bytes: usize| {
+        let mut memory = memory.borrow_mut();
+        let extended = memory.extend(&mut room.reservation, bytes, || sender.caller.clone());
+        extended.map_err(|it| {
+            shortage = Some(it);
+            MessageError::OutOfMemory
+        })
+    };
+    let read = unread.read_body(caller, &limits, sender.deadline, reserve).await;
+    if let Some(shortage) = shortage {
+        return Err(refuse(context, &unread, shortage));
+    }
+    let message = read?.map(|body| unread.into_message(body));
+    Ok(message.map(|message| Request { message, _room: room }))
+}
+
+fn refuse(context: &Context, unread: &UnreadMessage, shortage: Shortage) -> Fault {
+    let info = context.dialect.request_info(&unread.head);
+    let id = info.map_or_else(|| "".into(), |info| info.id);
+    let Shortage { wanted, held, caller_held } = shortage;
+    let fields = [
+        ("id", json!(&*id)),
+        ("bytes", json!(wanted)),
+        ("held", json!(held)),
+        ("caller_held", json!(caller_held)),
+        ("capacity", json!(context.body_memory.borrow().capacity())),
+    ];
+    event_log::emit(BODY_REFUSED, fields);
+    metrics::counter!("verbenaslip_bodies_refused_total").increment(1);
+    let retry_after = Some(lifecycle::add_jitter(context, RETRY_AFTER_FULL));
+    Fault { refusal: Refusal::OutOfMemory, id, retry_after }
+}
+
+/// Describes who sends a body.
+struct Sender {
+    caller: Caller,
+    /// When the caller no longer waits for an answer, so its body need not be held.
+    deadline: Option<Instant>,
+}
+
+impl Sender {
+    /// Returns the sender of a request; for one whose body is small, nothing is looked up.
+    fn of(context: &Context, unread: &UnreadMessage, connection: &Connection) -> Self {
+        if unread.body_length().is_some_and(|length| length <= SMALL_BODY_BYTES) {
+            return Self { caller: Caller::Address(Ipv4Addr::UNSPECIFIED.into()), deadline: None };
+        }
+        let info = context.dialect.request_info(&unread.head);
+        let timeout = info.as_ref().and_then(|info| info.caller_timeout);
+        let key = info.and_then(|info| info.api_key);
+        let caller = key.map_or_else(|| Caller::Address(connection.peer_ip()), Caller::Key);
+        Self { caller, deadline: timeout.map(|timeout| Instant::now() + timeout) }
+    }
+}
--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -238,7 +238,7 @@
     let is_last_attempt = attempts.sends + 1 >= request.route.max_attempts;
     let silence_limit = (!is_last_attempt && request.route.kind.may_repeat())
         .then(|| silence_limit(request, &choice));
-    let bytes = upstream_request::write(
+    let upstream_request = upstream_request::write(
         context,
         request,
         &choice,
@@ -257,7 +257,7 @@
         context.may_switch(reason, request, &choice, (version, tried_runs), retry_paid)
     };
     let failover = Failover { slow_at, silence_limit, may_switch };
-    let mut outgoing = Outgoing { choice: &choice, bytes: &bytes, gateway: None };
+    let mut outgoing = Outgoing { choice: &choice, request: &upstream_request, gateway: None };
     let response = exchange::send(context, caller, request, &mut outgoing, failover).await;
     let gateway = outgoing.gateway;
     if !matches!(response, Err(Failure::Unreachable)) {
@@ -560,7 +560,7 @@
 }
 
 /// Spreads a retry time at random.
-fn add_jitter(context: &Context, retry_after: Duration) -> Duration {
+pub(super) fn add_jitter(context: &Context, retry_after: Duration) -> Duration {
     /// Number of steps between the shortest and the longest time.
     const STEPS: u32 = 1_000;
     let step = u32::try_from(context.next_random() % u64::from(STEPS)).unwrap_or(0);
--- a/crates/verbenaslip-relay/src/forward/upstream_request.rs
+++ b/crates/verbenaslip-relay/src/forward/upstream_request.rs
@@ -9,16 +9,30 @@
 use crate::http::head;
 use crate::policy::placement::Choice;
 
+/// Bytes up to which a body is sent together with its head. A larger one is not copied.
+const INLINE_BODY_BYTES: usize = 16 << 10;
+
+/// Holds a request as an upstream gets it.
+pub struct UpstreamRequest<'a> {
+    /// Head of the request, and its body if that is short.
+    pub head: Vec<u8>,
+    /// Body that follows the head, if it does.
+    pub body: &'a [u8],
+}
+
 /// Writes a request for an upstream: the caller's own words, but for what concerns one connection
 /// and what the system sets itself.
-pub fn write(
+pub fn write<'a>(
     context: &Context,
-    request: &AdmittedRequest<'_>,
+    request: &AdmittedRequest<'a>,
     choice: &Choice,
     remaining: Duration,
     last_event_id: Option<u64>,
-) -> Vec<u8> {
-    let mut out = Vec::with_capacity(512 + request.body.len());
+) -> UpstreamRequest<'a> {
+    let body = &request.body[..];
+    let is_inline = body.len() <= INLINE_BODY_BYTES;
+    let (inline, later) = if is_inline { (body, &[][..]) } else { (&[][..], body) };
+    let mut out = Vec::with_capacity(512 + inline.len());
     let line = format!("{} {} HTTP/1.1\r\n", request.head.method, request.head.target);
     out.extend_from_slice(line.as_bytes());
     let fields = &request.head.fields;
@@ -44,6 +58,6 @@
         answer::write_field(&mut out, "Content-Length", request.body.len().to_string().as_bytes());
     }
     out.extend_from_slice(b"\r\n");
-    out.extend_from_slice(request.body);
-    out
+    out.extend_from_slice(inline);
+    UpstreamRequest { head: out, body: later }
 }
--- a/crates/verbenaslip-relay/src/http.rs
+++ b/crates/verbenaslip-relay/src/http.rs
@@ -11,7 +11,7 @@
 pub use body::{Decoder, Framing, Step};
 pub use connection::Connection;
 pub use head::{Field, RequestHead, ResponseHead};
-pub use reader::Message;
+pub use reader::{Message, UnreadMessage};
 
 use displaydoc::Display;
 
@@ -36,6 +36,8 @@
     Chunk,
     /// the body is larger than allowed
     BodyTooLarge,
+    /// there is no memory left for the body
+    OutOfMemory,
     /// the request did not arrive in time
     Timeout,
 }
--- a/crates/verbenaslip-relay/src/http/connection.rs
+++ b/crates/verbenaslip-relay/src/http/connection.rs
@@ -1,7 +1,7 @@
 //! A connection with its unread bytes.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -39,6 +39,11 @@
         Self { stream, buffer: BytesMut::new(), tunnel: Some(Box::new(decoder)) }
     }
 
+    /// Returns the IP address of the peer, or the unspecified one if the connection has failed.
+    pub fn peer_ip(&self) -> IpAddr {
+        self.stream.peer_addr().map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |it| it.ip())
+    }
+
     /// Returns the address of the entry through which the connection goes, if it does.
     pub fn gateway(&self) -> Option<SocketAddr> {
         self.tunnel.as_ref().map(|it| it.gateway())
--- a/crates/verbenaslip-relay/src/http/reader.rs
+++ b/crates/verbenaslip-relay/src/http/reader.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 use verbenaslip_fleet::route_table::RequestLimits;
 
-use crate::http::{Connection, Decoder, MessageError, RequestHead, Step, head};
+use crate::http::{Connection, Decoder, Framing, MessageError, RequestHead, Step, head};
 
 /// Extra time that a caller's idle connection stays open beyond the timeout that callers know of,
 /// so that a request sent in time does not meet a closed connection.
@@ -24,6 +24,14 @@
     pub received_at: Instant,
 }
 
+/// Holds the head of a request whose body has not been read yet.
+#[derive(Debug)]
+pub struct UnreadMessage {
+    /// Head of the request.
+    pub head: RequestHead,
+    framing: Framing,
+}
+
 /// Waits for the first byte of a request; returns false if the caller closes or stays idle.
 pub async fn wait_for_first_byte(caller: &mut Connection, limits: &RequestLimits) -> bool {
     let filled = with_timeout(limits.idle_timeout + IDLE_GRACE, caller.fill()).await;
@@ -40,6 +48,24 @@
     caller: &mut Connection,
     limits: &RequestLimits,
 ) -> Result<Option<Message>, MessageError> {
+    match read_head(caller, limits).await? {
+        Some(unread) => {
+            let body = unread.read_body(caller, limits, None, |_| Ok(())).await?;
+            Ok(body.map(|body| unread.into_message(body)))
+        }
+        None => Ok(None),
+    }
+}
+
+/// Reads the head of a request; returns `None` if the caller closes or stays idle.
+///
+/// # Errors
+///
+/// Fails if the head is malformed, too large or too slow; the connection cannot be used afterwards.
+pub async fn read_head(
+    caller: &mut Connection,
+    limits: &RequestLimits,
+) -> Result<Option<UnreadMessage>, MessageError> {
     if caller.buffer.is_empty() && !wait_for_first_byte(caller, limits).await {
         return Ok(None);
     }
@@ -47,27 +73,77 @@
     let Some(end) = read_head_length(caller, limits, started).await? else { return Ok(None) };
     let head = RequestHead::parse(&caller.buffer[..end])?;
     caller.buffer.advance(end);
-    let mut decoder = Decoder::new(head.framing()?);
-    if head::has_list_item(&head.fields, "expect", "100-continue") {
-        // If the caller is gone, the next read reports that.
-        let _ = caller.send(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+    let framing = head.framing()?;
+    Ok(Some(UnreadMessage { head, framing }))
+}
+
+impl UnreadMessage {
+    /// Returns the length of the body if the head states it.
+    pub fn body_length(&self) -> Option<usize> {
+        match self.framing {
+            Framing::Empty => Some(0),
+            Framing::Length(length) => Some(usize::try_from(length).unwrap_or(usize::MAX)),
+            Framing::Chunked | Framing::UntilClose => None,
+        }
     }
-    let mut body = BytesMut::new();
-    loop {
-        match decoder.step(&mut caller.buffer)? {
-            Step::Data(piece) if body.len() + piece.len() > limits.max_body_bytes => {
+
+    /// Puts the request together once its body has been read.
+    pub fn into_message(self, body: Bytes) -> Message {
+        Message { head: self.head, body, received_at: Instant::now() }
+    }
+
+    /// Reads the body until `deadline`; returns `None` if the caller closes.
+    ///
+    /// `reserve` is called with the number of bytes that are to be held from now on, before they are
+    /// read.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is malformed, too large or too slow, or `reserve` fails; the connection
+    /// cannot be used afterwards.
+    pub async fn read_body(
+        &self,
+        caller: &mut Connection,
+        limits: &RequestLimits,
+        deadline: Option<Instant>,
+        mut reserve: impl FnMut(usize) -> Result<(), MessageError>,
+    ) -> Result<Option<Bytes>, MessageError> {
+        let mut body = BytesMut::new();
+        if let Some(length) = self.body_length() {
+            if length > limits.max_body_bytes {
                 return Err(MessageError::BodyTooLarge);
             }
-            Step::Data(piece) => body.extend_from_slice(&piece),
-            Step::End => break,
-            Step::NeedMore => match with_timeout(limits.idle_timeout, caller.fill()).await {
-                Some(Ok(count)) if count > 0 => {}
-                Some(_) => return Ok(None),
-                None => return Err(MessageError::Timeout),
-            },
+            reserve(length)?;
+            body.reserve(length);
+        }
+        if head::has_list_item(&self.head.fields, "expect", "100-continue") {
+            // If the caller is gone, the next read reports that.
+            let _ = caller.send(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+        }
+        let mut decoder = Decoder::new(self.framing);
+        loop {
+            match decoder.step(&mut caller.buffer)? {
+                Step::Data(piece) if body.len() + piece.len() > limits.max_body_bytes => {
+                    return Err(MessageError::BodyTooLarge);
+                }
+                Step::Data(piece) => {
+                    reserve(body.len() + piece.len())?;
+                    body.extend_from_slice(&piece);
+                }
+                Step::End => break,
+                Step::NeedMore => {
+                    let left = deadline.map(|it| it.saturating_duration_since(Instant::now()));
+                    let limit = limits.idle_timeout.min(left.unwrap_or(Duration::MAX));
+                    match with_timeout(limit, caller.fill()).await {
+                        Some(Ok(count)) if count > 0 => {}
+                        Some(_) => return Ok(None),
+                        None => return Err(MessageError::Timeout),
+                    }
+                }
+            }
         }
+        Ok(Some(body.freeze()))
     }
-    Ok(Some(Message { head, body: body.freeze(), received_at: Instant::now() }))
 }
 
 /// Waits for a complete head and returns its length; returns `None` if the caller closes.
--- a/crates/verbenaslip-relay/src/policy.rs
+++ b/crates/verbenaslip-relay/src/policy.rs
@@ -14,9 +14,10 @@
 //! [`quarantine`] holds back poison requests. [`builds`] tells when all streams of a service are at
 //! one software version, and [`reservation`] keeps room for those of a version that is replaced. [`waiting`] orders the requests that wait for an
 //! upstream, and [`return_schedule`] tells refused callers when to retry. [`overload`] tells when an
-//! entry has more connections than it can serve, and [`demand`] when it gets more requests than usual.
+//! entry has more connections than it can serve, [`body_memory`] whether a request's body fits, and [`demand`] when it gets more requests than usual.
 
 pub mod allowance;
+pub mod body_memory;
 pub mod brittleness;
 pub mod builds;
 pub mod cache;
--- a/crates/verbenaslip-relay/src/server.rs
+++ b/crates/verbenaslip-relay/src/server.rs
@@ -20,14 +20,14 @@
 
 use crate::dialect::Dialect;
 use crate::event_log::{self, Kind};
-use crate::forward::answer;
 use crate::forward::context::Context;
 use crate::forward::crash;
 use crate::forward::dial;
+use crate::forward::intake;
 use crate::forward::lifecycle::{self, Disposition};
 use crate::http::{Connection, reader};
 use crate::policy::overload::{Change, Verdict};
-use crate::policy::placement::{Placement, Sharing};
+use crate::policy::placement::Sharing;
 use crate::policy::retry::Bounds;
 use crate::shared::SharedState;
 use crate::tunnel::gateway;
@@ -53,6 +53,8 @@
     pub zone: AvailabilityZone,
     /// Limit on simultaneous connections of callers.
     pub max_connections: usize,
+    /// Memory of the machine, in bytes.
+    pub memory_bytes: usize,
     /// Limits on retries.
     pub retry_bounds: Bounds,
     /// When the fleet's measurements of upstreams are used.
@@ -108,20 +110,11 @@
 
 async fn run(config: Config, listeners: Listeners, active_requests: Arc<AtomicUsize>) {
     let Listeners { caller_listener, readiness_listener, tunnel_listener } = listeners;
-    let max_tunnels = config.max_tunnels;
-    let Config { zone, max_connections, retry_bounds, usage_window, shared, dialect, .. } = config;
-    let placement = Placement::new(zone).with_sharing(config.sharing);
+    let Config { max_connections, max_tunnels, .. } = config;
     let (crash_signals, crash_receiver) = mpsc::unbounded_channel();
-    let context = Rc::new(Context::new(
-        shared.clone(),
-        dialect,
-        placement,
-        retry_bounds,
-        usage_window,
-        crash_signals,
-    ));
+    let context = Rc::new(Context::new(&config, crash_signals));
     tokio::task::spawn_local(crash::watch_for_crashes(crash_receiver, context.clone()));
-    tokio::task::spawn_local(serve_readiness_probes(readiness_listener, shared));
+    tokio::task::spawn_local(serve_readiness_probes(readiness_listener, config.shared));
     tokio::task::spawn_local(sweep_pool(context.clone()));
     tokio::task::spawn_local(dial::probe_paths(context.clone()));
     if let Some(listener) = tunnel_listener {
@@ -178,6 +171,8 @@
     loop {
         tokio::time::sleep(POOL_SWEEP_INTERVAL).await;
         context.pool.borrow_mut().remove_expired(monotonic::now());
+        let body_bytes = context.body_memory.borrow().held();
+        metrics::gauge!("verbenaslip_body_bytes").set(body_bytes as f64);
     }
 }
 
@@ -198,21 +193,22 @@
                 () = context.shared.wait_until_admission_stops() => return caller.shutdown().await,
             }
         }
-        let message = match reader::read_request(&mut caller, &limits).await {
-            Ok(Some(message)) => message,
+        let request = match intake::read_request(context, &mut caller, &limits).await {
+            Ok(Some(request)) => request,
             Ok(None) => return,
-            Err(error) => {
-                let bytes = answer::write_refusal(&*context.dialect, error.into(), "", None, true);
+            Err(fault) => {
+                let bytes = fault.write_answer(context);
                 // The caller broke the protocol and may no longer read; a failed write does not
                 // matter.
                 let _ = caller.send(&bytes).await;
                 return drain_after_error(&mut caller).await;
             }
         };
+        let message = &request.message;
         let closes = message.head.closes_connection() || context.shared.is_draining();
         context.shared.count_arrival();
         active_requests.fetch_add(1, Ordering::Relaxed);
-        let disposition = lifecycle::serve(context, &mut caller, &message, closes).await;
+        let disposition = lifecycle::serve(context, &mut caller, message, closes).await;
         active_requests.fetch_sub(1, Ordering::Relaxed);
         match disposition {
             Disposition::KeepOpen => {}
--- a/crates/verbenaslip-relay/src/tunnel/wire.rs
+++ b/crates/verbenaslip-relay/src/tunnel/wire.rs
@@ -136,11 +136,12 @@
 }
 
 impl Prefix {
-    /// Puts the prefix in front of a request.
-    pub fn wrap(id: &str, request: &[u8]) -> Vec<u8> {
+    /// Puts the prefix in front of the first bytes of a request, which `later` more bytes follow.
+    pub fn wrap(id: &str, request: &[u8], later: usize) -> Vec<u8> {
         let id = &id.as_bytes()[..id.len().min(MAX_ID_BYTES)];
         let mut bytes = Vec::with_capacity(request.len() + id.len() + 5);
-        bytes.extend_from_slice(&u32::try_from(request.len()).unwrap_or(u32::MAX).to_le_bytes());
+        let length = u32::try_from(request.len() + later).unwrap_or(u32::MAX);
+        bytes.extend_from_slice(&length.to_le_bytes());
         bytes.push(u8::try_from(id.len()).unwrap_or(0));
         bytes.extend_from_slice(id);
         bytes.extend_from_slice(request);
--- a/crates/verbenaslip-relay/tests/queue.rs
+++ b/crates/verbenaslip-relay/tests/queue.rs
@@ -116,6 +116,7 @@
                 readiness_address: free_address(),
                 zone: AvailabilityZone::from("north"),
                 max_connections: 100,
+                memory_bytes: 64 << 20,
                 retry_bounds: Bounds { ratio: 0.1, allowance: 10.0 },
                 sharing,
                 usage_window: Duration::from_secs(60),
--- a/crates/verbenaslip-relay/tests/tunnel.rs
+++ b/crates/verbenaslip-relay/tests/tunnel.rs
@@ -32,12 +32,12 @@
         assert_eq!(Reply::decode(reply.encode()), Some(reply));
     }
     assert_eq!(Reply::decode([9, 0, 0]), None);
-    let bytes = Prefix::wrap("r-1", b"POST");
+    let bytes = Prefix::wrap("r-1", b"POST", 300);
     for split in 0..bytes.len() - 4 {
         assert_eq!(Prefix::take(&mut BytesMut::from(&bytes[..split])), None);
     }
     let mut buffer = BytesMut::from(&bytes[..]);
-    assert_eq!(Prefix::take(&mut buffer), Some(Prefix { id: "r-1".to_owned(), length: 4 }));
+    assert_eq!(Prefix::take(&mut buffer), Some(Prefix { id: "r-1".to_owned(), length: 304 }));
     assert_eq!(&buffer[..], b"POST");
 }
 
