--- a/crates/verbenaslip-relay/src/forward.rs
+++ b/crates/verbenaslip-relay/src/forward.rs
@@ -1,9 +1,9 @@
 //! Takes one request from its caller to an upstream and back.
 //!
-//! [`intake`] reads a request if there is memory for its body. [`admission`] determines the team and the route of a request. [`lifecycle`] runs the request:
-//! whether it is retried, and what its caller gets. [`queue`] holds it while no upstream accepts it, and
-//! [`place`] while this entry has no place at a brittle one,
-//! and [`upstream_choice`] selects the upstream. [`origin`] keeps streams that are taken up at the
+//! [`intake`] reads a request if there is memory for its body. [`admission`] determines the team and
+//! the route of a request. [`lifecycle`] runs the request: whether it is retried, and what its caller
+//! gets. [`queue`] holds it while no upstream accepts it, and [`place`] while this entry has no place
+//! at a brittle one, and [`upstream_choice`] selects the upstream. [`origin`] keeps streams that are taken up at the
 //! software version that began them.
 //! [`upstream_request`] writes the request for an upstream, [`exchange`] sends it over a connection
 //! that [`dial`] opens, and reads the head of the answer. [`delivery`] passes the answer on and, for a resumable stream, continues
