Keep what is reserved for a body while others take their part

A body whose memory was reserved could be refused while it arrived: each piece asks for what it needs, and although nothing had to be added, the caller's part was looked at again. If others had taken theirs meanwhile, the caller held more than what was left. Found by reading; the test fails before, at its first piece.

--- a/crates/verbenaslip-relay/src/policy/body_memory.rs
+++ b/crates/verbenaslip-relay/src/policy/body_memory.rs
@@ -101,6 +101,9 @@
         caller: impl FnOnce() -> Caller,
     ) -> Result<(), Shortage> {
         let added = bytes.saturating_sub(reservation.bytes);
+        if added == 0 {
+            return Ok(());
+        }
         let large = (bytes > SMALL_BODY_BYTES).then(|| match &reservation.caller {
             Some(caller) => (caller.clone(), added),
             None => (caller(), bytes),
--- a/crates/verbenaslip-relay/tests/body_memory.rs
+++ b/crates/verbenaslip-relay/tests/body_memory.rs
@@ -68,3 +68,16 @@
     }
     assert_eq!(fill(&mut memory, &key(0)).len(), memory.max_body_bytes() / LARGE_BYTES / 2);
 }
+
+// Guards against a body that is refused while it arrives, since others have taken their part meanwhile.
+#[test]
+fn what_is_reserved_stays_reserved() {
+    let mut memory = BodyMemory::new(MACHINE_BYTES);
+    let mut first = fill(&mut memory, &key(0));
+    assert!(!fill(&mut memory, &key(1)).is_empty());
+    for reservation in &mut first {
+        for bytes in [1, SMALL_BODY_BYTES + 1, LARGE_BYTES] {
+            assert!(memory.extend(reservation, bytes, || key(0)).is_ok());
+        }
+    }
+}
