Review case 6: a replaced core leaves with its vote while its successor is silent

Seen with review/6/run.sh, five times: the old core ends 0.3 s after SIGTERM, its successor was frozen for a second; then one of the two others loses its disk. For 20 s, from RecoverS after all are back, 0 of 10 reads returned what was acknowledged, and 0 of 10 calls with a new change were acknowledged.

TROUBLE=0 review/6/run.sh, the planned replacement alone: holds. FREEZE=0 review/6/run.sh, the lost disk as well, but no freeze: holds.

--- a/review/kit-2/kit.rs
+++ b/review/kit-2/kit.rs
@@ -290,6 +290,12 @@
         children.iter_mut().for_each(|it| _ = it.wait());
     }
 
+    /// Empties the disk of a machine whose process does not run.
+    pub fn wipe(&self, number: usize) {
+        let data = self.directory.join(format!("{}.data", self.machines[number].name));
+        std::fs::remove_dir_all(data).expect("the data folder can be removed");
+    }
+
     /// Sends a signal, given by its name, to the process of a machine.
     pub fn signal(&self, number: usize, signal: &str) {
         if let Some(child) = &self.machines[number].child {
