Keep when versions came and left in the log of the cores

Cause: an entry knew versions only from what it had seen since its start. One that has just started took the versions in its first list for all that there were: the only one of them got every stream of which no core had been told, and three seconds later the service counted as settled, so that the cores were not asked at all. Streams that begin while one version serves alone are recorded nowhere, so the history of versions is all that tells about them.

Change: the history is part of the replicated state. Each core derives it from the commands that add and remove upstreams, which bear the time of day now; the leader sends it with the list of upstreams. policy::Builds goes by it and by the upstreams in the list, and knows nothing while it has none. An entry that takes up a stream always asks the cores, also where one version serves, since another entry may have heard of a version first; there it waits for all cores but one, and doesn't ask again. If only one version has served since the stream may have begun, it goes on there even where the cores have forgotten all.

Cores are upgraded before entries.

The fixture of builds.rs keeps a history as the cores do; its checks are unchanged.

--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -44,6 +44,7 @@
 use crate::registry::Registry;
 use crate::replicated_state::ReplicatedState;
 use crate::rollout::{Controller, Plans};
+use crate::version_history::VersionHistory;
 use crate::voucher::Voucher;
 
 /// Maximum size of a log command: an operator's largest route table together with its original
@@ -129,6 +130,10 @@
     /// Rate limits requested by upstreams, and the change with which they were published.
     pub(crate) limits: Arc<Limits>,
     pub(crate) limits_change: u64,
+    /// When each version of each service came and left, and the change with which that was
+    /// published.
+    pub(crate) version_history: Arc<VersionHistory>,
+    pub(crate) version_history_change: u64,
     /// When the work on measurements is due.
     pub(crate) measurement_schedule: measurement::Schedule,
     /// Tokens of proposed rollout verdicts, by rollout.
@@ -230,6 +235,8 @@
             rollout_plans_change: 0,
             limits: Arc::default(),
             limits_change: 0,
+            version_history: Arc::default(),
+            version_history_change: 0,
             measurement_schedule: measurement::Schedule::default(),
             verdict_proposals: BTreeMap::new(),
         }
--- a/crates/verbenaslip-fleet/src/core/aggregator.rs
+++ b/crates/verbenaslip-fleet/src/core/aggregator.rs
@@ -379,6 +379,7 @@
             blocklist: &view.blocklist,
             rollout_plans: &view.rollout_plans,
             limits: &view.limits,
+            version_history: &view.version_history,
             changes: link.change_numbers(),
             ack_requested,
             unix_ms,
--- a/crates/verbenaslip-fleet/src/core/leader.rs
+++ b/crates/verbenaslip-fleet/src/core/leader.rs
@@ -70,7 +70,10 @@
         });
         let records: Vec<Record> = records.cloned().collect();
         if !records.is_empty() {
-            self.joins_proposal = Some(self.propose(&Command::AddUpstreams { records }));
+            self.joins_proposal = Some(self.propose(&Command::AddUpstreams {
+                records,
+                unix: Trailing(self.agreed_unix_ms()),
+            }));
         }
     }
 
@@ -82,7 +85,7 @@
         let runs: Vec<Run> =
             lost.into_iter().filter(|run| self.replicated_state.contains_run(run)).collect();
         if !runs.is_empty() {
-            self.propose(&Command::RemoveRuns { runs });
+            self.propose(&Command::RemoveRuns { runs, unix: Trailing(self.agreed_unix_ms()) });
         }
     }
 
@@ -272,7 +275,7 @@
         if let Some(mut update) = update.flatten() {
             let released = self.released_incarnation(to);
             update.extension.0.figures = self.answer_figures(to);
-            update.extension.0.later.0.released = Trailing(released);
+            update.extension.0.later.0.latest.0.released = released;
             self.send(to, Frame::Update(Box::new(update)));
             if released.is_some() {
                 self.forget_stopped(to);
@@ -333,6 +336,7 @@
             blocklist: self.quarantine.blocklist(),
             rollout_plans: &self.rollout_plans,
             limits: &self.limits,
+            version_history: &self.version_history,
             changes: self.change_numbers(),
             ack_requested,
             unix_ms,
--- a/crates/verbenaslip-fleet/src/core/leadership.rs
+++ b/crates/verbenaslip-fleet/src/core/leadership.rs
@@ -113,6 +113,8 @@
         self.restore_quarantine();
         self.restore_rollouts();
         self.restore_limits();
+        self.version_history = self.replicated_state.version_history().clone();
+        self.version_history_change = self.registry.last_change();
         self.emit(Event::LeadershipStarted {
             term,
             upstreams,
@@ -196,10 +198,11 @@
         self.hub.refresh(self.now, route_table.as_deref());
     }
 
-    /// Returns with which changes the blocklist, rollout plans and limits were published.
+    /// Returns with which changes the parts beside the upstreams were published.
     pub(crate) fn change_numbers(&self) -> ChangeNumbers {
         let (blocklist, plans) = (self.blocklist_change, self.rollout_plans_change);
-        ChangeNumbers { blocklist, plans, limits: self.limits_change }
+        let (limits, version_history) = (self.limits_change, self.version_history_change);
+        ChangeNumbers { blocklist, plans, limits, version_history }
     }
 
     /// Ends the leadership and hands its state to the link, which continues from it.
@@ -216,6 +219,7 @@
             blocklist: self.quarantine.blocklist().clone(),
             rollout_plans: self.rollout_plans.clone(),
             limits: self.limits.clone(),
+            version_history: self.version_history.clone(),
             change_numbers: self.change_numbers(),
         });
         self.hub.release_subscribers();
--- a/crates/verbenaslip-fleet/src/core/log.rs
+++ b/crates/verbenaslip-fleet/src/core/log.rs
@@ -86,11 +86,22 @@
                 if self.replicated_state.revision() != before {
                     self.emit_route_table();
                 }
+                self.publish_version_history();
             }
             Err(error) => self.mark_unreadable(&format!("log entry {}: {error}", position.index)),
         }
     }
 
+    /// Sends instances the history of versions if it has changed.
+    fn publish_version_history(&mut self) {
+        let history = self.replicated_state.version_history();
+        if self.is_leading() && *history != self.version_history {
+            self.version_history = history.clone();
+            self.version_history_change = self.registry.record_external_change();
+            self.schedule_push();
+        }
+    }
+
     fn install_snapshot(&mut self, snapshot: &Snapshot) {
         self.applied_index = snapshot.position.index;
         match ReplicatedState::restore(&snapshot.state) {
--- a/crates/verbenaslip-fleet/src/frame.rs
+++ b/crates/verbenaslip-fleet/src/frame.rs
@@ -26,6 +26,7 @@
 use crate::rollout::{Order, Plans, Rollout};
 use crate::route_table::RouteTable;
 use crate::usage::{Count, EntryCounts, EntryRun};
+use crate::version_history::VersionHistory;
 use crate::view::Version;
 use crate::voucher::RenewalMark;
 
@@ -346,9 +347,18 @@
     /// Number of time slots under upstreams' rate limits that belong to the receiver beyond its first
     /// one, in the answer to an entry's heartbeat.
     pub extra_slots: u32,
+    /// Fields that were added after that.
+    pub latest: Trailing<LatestUpdateExtension>,
+}
+
+/// Holds the fields of an update that were added after its time slots.
+#[data(default)]
+pub struct LatestUpdateExtension {
     /// Incarnation of the receiver in the answer to a stopping core's heartbeat, once the core may
     /// stop: it is no voter any more, or there is no other core for its vote.
-    pub released: Trailing<Option<u64>>,
+    pub released: Option<u64>,
+    /// When each version of each service came and left, if changed.
+    pub version_history: Trailing<Option<Arc<VersionHistory>>>,
 }
 
 /// Describes the state of the fleet in the answer to a heartbeat.
--- a/crates/verbenaslip-fleet/src/hub/source.rs
+++ b/crates/verbenaslip-fleet/src/hub/source.rs
@@ -4,13 +4,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::frame::{Trailing, Update};
+use crate::frame::{
+    LaterUpdateExtension, LatestUpdateExtension, Trailing, Update, UpdateExtension,
+};
 use crate::limit::Limits;
 use crate::quarantine::Blocklist;
 use crate::registry::Registry;
 use crate::rollout::Plans;
 use crate::route_table::RouteTable;
 use crate::upstream::Record;
+use crate::version_history::VersionHistory;
 use crate::view::Version;
 
 /// Provides the upstreams and the change number of each: the leader's registry, or the view of a
@@ -65,6 +68,8 @@
     pub rollout_plans: &'a Arc<Plans>,
     /// Rate limits requested by upstreams.
     pub limits: &'a Arc<Limits>,
+    /// When each version of each service came and left.
+    pub version_history: &'a Arc<VersionHistory>,
     /// Change with which each of these three was last published.
     pub changes: ChangeNumbers,
     /// Whether a call waits until all instances have acknowledged the changes.
@@ -82,6 +87,8 @@
     pub plans: u64,
     /// Rate limits requested by upstreams.
     pub limits: u64,
+    /// When each version of each service came and left.
+    pub version_history: u64,
 }
 
 /// Describes what an instance lacks.
@@ -132,6 +139,11 @@
         let base = missing.base.map(|base| base.change);
         let changed = base.and_then(|base| self.records.changes_since(base));
         let is_missing = |change: u64| base.is_none_or(|base| base < change);
+        let has_history = is_missing(self.changes.version_history);
+        let history = has_history.then(|| self.version_history.clone());
+        let latest =
+            LatestUpdateExtension { version_history: Trailing(history), ..Default::default() };
+        let later = LaterUpdateExtension { latest: Trailing(latest), ..Default::default() };
         Update {
             version: self.version(),
             base: missing.base,
@@ -141,6 +153,7 @@
             rollout_plans: is_missing(self.changes.plans).then(|| self.rollout_plans.clone()),
             limits: is_missing(self.changes.limits).then(|| self.limits.clone()),
             ack_requested: missing.ack_requested,
+            extension: Trailing(UpdateExtension { later: Trailing(later), ..Default::default() }),
             ..self.empty_update(0)
         }
     }
--- a/crates/verbenaslip-fleet/src/lib.rs
+++ b/crates/verbenaslip-fleet/src/lib.rs
@@ -35,7 +35,8 @@
 //! 10. [`gateway`] tells entries through which others they reach upstreams if their own paths are
 //!     cut.
 //! 11. [`origin`] remembers at which software version streams began.
-//! 12. [`core`] and [`entry`] compose these parts.
+//! 12. [`version_history`] tells when each software version of each service came and left.
+//! 13. [`core`] and [`entry`] compose these parts.
 //!
 //! Messages may be lost, delayed, duplicated or reordered; each of them can be sent again.
 
@@ -68,6 +69,7 @@
 pub mod transition;
 pub mod upstream;
 pub mod usage;
+pub mod version_history;
 pub mod view;
 pub mod voucher;
 
--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -33,6 +33,7 @@
 use crate::rollout::report::Report as RolloutReport;
 use crate::transition::Transitions;
 use crate::usage::Count;
+use crate::version_history::VersionHistory;
 use crate::view::{Version, View};
 use crate::voucher::RenewalMark;
 
@@ -138,7 +139,9 @@
     pub(crate) rollout_plans: Arc<Plans>,
     /// Rate limits requested by upstreams.
     pub(crate) limits: Arc<Limits>,
-    /// Change with which each of these three was last published.
+    /// When each version of each service came and left.
+    pub(crate) version_history: Arc<VersionHistory>,
+    /// Change with which each of these four was last published.
     pub(crate) change_numbers: hub::ChangeNumbers,
 }
 
@@ -271,6 +274,7 @@
         let LeaderState { blocklist, rollout_plans, limits, change_numbers, .. } = state;
         (self.view.version, self.view.blocklist, self.view.limits) = (version, blocklist, limits);
         (self.view.rollout_plans, self.change_numbers) = (rollout_plans, change_numbers);
+        self.view.version_history = state.version_history;
         let keyed = |record: Record| (record.announcement.run.upstream.clone(), record);
         self.view.upstreams = Arc::new(records.into_iter().map(keyed).collect());
         self.departures = departures;
@@ -377,7 +381,7 @@
         self.entry_list_requested
     }
 
-    /// Returns with which changes the blocklist, rollout plans and limits were last received.
+    /// Returns with which changes each of these parts was last received.
     pub(crate) fn change_numbers(&self) -> hub::ChangeNumbers {
         self.change_numbers
     }
--- a/crates/verbenaslip-fleet/src/link/update.rs
+++ b/crates/verbenaslip-fleet/src/link/update.rs
@@ -64,6 +64,10 @@
             }
             self.merge_records(now, base.is_none(), version.change, records);
             self.update_sections(version.change, blocklist, rollout_plans, limits);
+            if let Some(history) = &extension.0.later.0.latest.0.version_history.0 {
+                self.view.version_history = history.clone();
+                self.change_numbers.version_history = version.change;
+            }
             self.view.version = version;
         }
         if let Some(fleet_status) = fleet_status {
@@ -71,7 +75,7 @@
                 self.apply_figures(now, fleet_status.sequence, &extension.0.figures);
             }
             let later = &extension.0.later.0;
-            self.is_released |= later.released.0 == Some(self.local_peer.incarnation);
+            self.is_released |= later.latest.0.released == Some(self.local_peer.incarnation);
             let slots = later.extra_slots.saturating_add(1);
             self.handle_fleet_status(from, version.term, slots, fleet_status);
         }
--- a/crates/verbenaslip-fleet/src/replicated_state.rs
+++ b/crates/verbenaslip-fleet/src/replicated_state.rs
@@ -10,10 +10,12 @@
 use verbenaslip_base::name::{Team, Upstream};
 
 use crate::departure::{Departure, RETENTION};
+use crate::frame::Trailing;
 use crate::quarantine::PersistedState;
 use crate::registry::{Record, Run, Status};
 use crate::rollout::{Order, Rollouts, State};
 use crate::route_table::RouteTable;
+use crate::version_history::VersionHistory;
 
 /// Number of closed windows that are kept: with windows of 5 s more than a minute, far longer than
 /// a report may still be sent.
@@ -52,11 +54,15 @@
     AddUpstreams {
         /// The records of the upstreams.
         records: Vec<Record>,
+        /// The agreed time of day, in Unix milliseconds.
+        unix: Trailing<u64>,
     },
     /// Removes runs that were silent for long; they may register again.
     RemoveRuns {
         /// The runs.
         runs: Vec<Run>,
+        /// The agreed time of day, in Unix milliseconds.
+        unix: Trailing<u64>,
     },
     /// Records which requests are quarantined, so that the next leader knows them.
     SetQuarantine(PersistedState),
@@ -115,6 +121,9 @@
     /// The last rollout of each service; stored separately as well.
     #[serde(skip)]
     rollouts: Rollouts,
+    /// When each version of each service came and left; stored separately as well.
+    #[serde(skip)]
+    version_history: Arc<VersionHistory>,
 }
 
 /// Holds the last departure of an upstream.
@@ -204,6 +213,11 @@
         &self.rollouts
     }
 
+    /// Returns when each version of each service came and left.
+    pub fn version_history(&self) -> &Arc<VersionHistory> {
+        &self.version_history
+    }
+
     /// Applies a command; every core applies the same commands in the same order.
     ///
     /// A route table whose revision is not the highest changes nothing. A command that is repeated,
@@ -230,10 +244,17 @@
                     self.windows.pop_first();
                 }
             }
-            Command::AddDepartures { departures, unix } => self.add_departures(departures, unix),
-            Command::AddUpstreams { records } => self.add_upstreams(records),
-            Command::RemoveRuns { runs } => {
+            Command::AddDepartures { departures, unix } => {
+                self.add_departures(departures, unix);
+                self.update_version_history(unix);
+            }
+            Command::AddUpstreams { records, unix } => {
+                self.add_upstreams(records);
+                self.update_version_history(unix.0);
+            }
+            Command::RemoveRuns { runs, unix } => {
                 self.upstreams.retain(|_, it| !runs.contains(&it.announcement.run));
+                self.update_version_history(unix.0);
             }
             Command::SetQuarantine(persisted) => {
                 // Fingerprints are only valid with the key that they were made with, so the first
@@ -279,11 +300,23 @@
         self.departures.retain(|_, it| unix.saturating_sub(it.unix) <= retention);
     }
 
+    /// Records which versions have upstreams at this time, in Unix milliseconds.
+    ///
+    /// Leaders of earlier builds give no time with some commands; the next command with one records
+    /// their effect.
+    fn update_version_history(&mut self, unix: u64) {
+        if unix > 0 {
+            let announcements = self.upstreams.values().map(|record| &record.announcement);
+            let present = announcements.map(|it| (&it.service, &it.version));
+            Arc::make_mut(&mut self.version_history).update(unix, present);
+        }
+    }
+
     /// Encodes the whole state.
     pub fn snapshot(&self) -> Vec<u8> {
         // Encoding to memory can't fail for these types.
         let parts = (self, &self.departures, &self.upstreams, &self.quarantine, &self.rollouts);
-        postcard::to_stdvec(&parts).unwrap_or_default()
+        postcard::to_stdvec(&(parts, &self.version_history)).unwrap_or_default()
     }
 
     /// Decodes what [`snapshot`](Self::snapshot) has encoded.
@@ -297,9 +330,11 @@
         // Snapshots of earlier versions lack some of these parts.
         let ((departures, upstreams), rest) = decode_part(rest)?;
         let (quarantine, rest) = decode_part(rest)?;
-        let (rollouts, _) = decode_part(rest)?;
+        let (rollouts, rest) = decode_part(rest)?;
+        let (version_history, _) = decode_part(rest)?;
         (state.departures, state.upstreams) = (departures, upstreams);
         (state.quarantine, state.rollouts) = (quarantine, rollouts);
+        state.version_history = version_history;
         Ok(state)
     }
 }
--- a/crates/verbenaslip-fleet/src/view.rs
+++ b/crates/verbenaslip-fleet/src/view.rs
@@ -16,6 +16,7 @@
 use crate::registry::{Record, Run};
 use crate::rollout::Plans;
 use crate::route_table::RouteTable;
+use crate::version_history::VersionHistory;
 
 /// Orders the states that leaders publish: by term, then by change.
 #[data(copy, ord, default, hash)]
@@ -41,6 +42,8 @@
     pub rollout_plans: Arc<Plans>,
     /// Rate limits requested by upstreams.
     pub limits: Arc<Limits>,
+    /// When each version of each service came and left.
+    pub version_history: Arc<VersionHistory>,
     /// Measurements of upstreams by all entries together.
     pub figures: Arc<Figures>,
     /// Time slot of this instance under such limits, or `None` while unknown.
@@ -70,6 +73,7 @@
             blocklist: Arc::default(),
             rollout_plans: Arc::default(),
             limits: Arc::default(),
+            version_history: Arc::default(),
             figures: Arc::default(),
             time_slot: None,
             own_address: None,
--- a/crates/verbenaslip-fleet/tests/hub.rs
+++ b/crates/verbenaslip-fleet/tests/hub.rs
@@ -87,6 +87,7 @@
         blocklist: &Arc::default(),
         rollout_plans: &Arc::default(),
         limits: &Arc::default(),
+        version_history: &Arc::default(),
         changes: ChangeNumbers::default(),
         ack_requested: false,
         unix_ms: 0,
--- a/crates/verbenaslip-fleet/tests/ledger.rs
+++ b/crates/verbenaslip-fleet/tests/ledger.rs
@@ -5,6 +5,7 @@
 use net::{announcement, route_table, run};
 use verbenaslip_fleet::departure::{Departure, RETENTION};
 use verbenaslip_fleet::fingerprint::Fingerprint;
+use verbenaslip_fleet::frame::Trailing;
 use verbenaslip_fleet::quarantine::{Block, PersistedState};
 use verbenaslip_fleet::registry::{Record, Status};
 use verbenaslip_fleet::replicated_state::{Command, ReplicatedState};
@@ -21,11 +22,15 @@
     Command::AddDepartures { departures: vec![departure], unix }
 }
 
+fn joined(records: Vec<Record>, unix: u64) -> Command {
+    Command::AddUpstreams { records, unix: Trailing(unix) }
+}
+
 #[test]
 fn a_snapshot_restores_registered_and_departed_upstreams() {
     let mut state = ReplicatedState::default();
     state.apply(Command::SetRouteTable(Box::new(route_table(3))));
-    state.apply(Command::AddUpstreams { records: vec![record("u", 1), record("v", 2)] });
+    state.apply(joined(vec![record("u", 1), record("v", 2)], 500));
     state.apply(departure_of("v", 1_000));
     let restored =
         ReplicatedState::restore(&state.snapshot()).expect("the snapshot can be decoded");
@@ -58,17 +63,39 @@
 #[test]
 fn a_snapshot_without_quarantine_can_be_decoded() {
     let mut state = ReplicatedState::default();
-    state.apply(Command::AddUpstreams { records: vec![record("u", 1)] });
+    state.apply(joined(vec![record("u", 1)], 500));
     state.apply(departure_of("v", 1_000));
     let snapshot = state.snapshot();
-    // Without rollouts, the snapshot ends with three zeros: none started, none known, none
-    // rejected. Without a quarantine, two zeros precede them: no key, no requests.
+    let history = postcard::to_stdvec(state.version_history()).expect("it can be encoded");
+    let before_history =
+        snapshot.strip_suffix(&*history).expect("the snapshot ends with the history of versions");
+    // Without rollouts, three zeros precede it: none started, none known, none rejected. Without a
+    // quarantine, two zeros precede these: no key, no requests.
     let before_rollouts =
-        snapshot.strip_suffix(&[0, 0, 0]).expect("the snapshot ends with the rollouts");
+        before_history.strip_suffix(&[0, 0, 0]).expect("the rollouts precede the history");
     let before =
         before_rollouts.strip_suffix(&[0, 0]).expect("the quarantine precedes the rollouts");
-    assert_eq!(ReplicatedState::restore(before_rollouts), Ok(state.clone()));
-    assert_eq!(ReplicatedState::restore(before), Ok(state));
+    // A history without a begin and without services takes two zeros.
+    let expected = [before_history, &[0, 0]].concat();
+    for snapshot in [before_history, before_rollouts, before] {
+        let restored = ReplicatedState::restore(snapshot).expect("the snapshot can be decoded");
+        assert_eq!(restored.snapshot(), expected);
+    }
+}
+
+// Guards against a core that ends the presence of a version at a time that the command does not give.
+#[test]
+fn a_command_of_an_earlier_build_leaves_the_history_of_versions_to_the_next() {
+    let mut state = ReplicatedState::default();
+    let bytes = joined(vec![record("u", 1)], 0).encode();
+    state.apply(Command::decode(&bytes).expect("the command can be decoded"));
+    assert_eq!(state.version_history().begin_ms(), None);
+    state.apply(departure_of("v", 1_000));
+    assert_eq!(state.version_history().begin_ms(), Some(1_000));
+    assert_eq!(
+        state.version_history().only_version(2_000, "pool", 1_000).map(|it| &**it),
+        Some("v1")
+    );
 }
 
 #[test]
--- a/crates/verbenaslip-instance/src/entry.rs
+++ b/crates/verbenaslip-instance/src/entry.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 use tokio::sync::mpsc::{self, UnboundedReceiver};
 use verbenaslip_fleet::Entry as StateMachine;
+use verbenaslip_fleet::clock;
 use verbenaslip_fleet::entry::Envelope;
 use verbenaslip_fleet::frame::{Frame, Peer};
 use verbenaslip_fleet::measurement;
@@ -241,6 +242,8 @@
             self.logged_view = Some(logged_view);
             let Transitions { changed, unlisted } = self.state_machine.take_transitions();
             let view = self.state_machine.view();
+            let unix_ms = clock::unix_ms(monotonic::now(), view.time_offset_ms);
+            let begin_ms = view.version_history.begin_ms();
             event_log::emit(
                 event::VIEW_CHANGED,
                 [
@@ -251,6 +254,7 @@
                     ("changed", logging::statuses(&changed)),
                     ("unlisted", json!(unlisted)),
                     ("entries", json!(view.entry_count)),
+                    ("history_ms", json!(begin_ms.map(|it| unix_ms.saturating_sub(it)))),
                 ],
             );
         }
--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -132,7 +132,7 @@
             self.gateways.borrow_mut().update(&view.gateways);
             *self.known_gateways.borrow_mut() = view.gateways.clone();
         }
-        self.builds.borrow_mut().update(monotonic::now(), &view);
+        self.builds.borrow_mut().update(&view);
         let answers = self.quarantine.borrow_mut().update(monotonic::now(), &view.blocklist);
         answers.into_iter().for_each(|it| self.shared.add_answer(it));
         view
@@ -261,7 +261,7 @@
 
     /// Returns the software version at which all streams of a service are, if there is only one.
     pub(crate) fn settled_version(&self, service: &str) -> Option<Arc<str>> {
-        self.builds.borrow_mut().settled(monotonic::now(), service)
+        self.builds.borrow().settled(monotonic::now(), service)
     }
 
     /// Returns the software version at which a stream may begin while cores are out of reach, if
--- a/crates/verbenaslip-relay/src/forward/origin.rs
+++ b/crates/verbenaslip-relay/src/forward/origin.rs
@@ -26,6 +26,10 @@
 /// connection had to be opened first.
 const RECORD_DELAY: Duration = Duration::from_millis(60);
 
+/// Time for which another entry may not have heard of a version: the longest silence of the leader
+/// that it tolerates, and the time until the next update.
+const MAX_NEWS_DELAY: Duration = Duration::from_secs(2);
+
 /// Time by which an origin outlasts the patience of its caller, who may take the stream up just
 /// before that ends.
 const LIFETIME_MARGIN: Duration = Duration::from_secs(1);
@@ -56,9 +60,12 @@
         attempts.version = context.unrecorded_version(&request.service, max_age(request));
         return Ok(());
     }
-    let Some(found) = find(context, request).await else {
-        trace.origin = Some(OriginUse { source: "unknown", age: None });
-        return Err((Refusal::UnknownVersion, Some(RETRY_AFTER_UNKNOWN)));
+    let found = match find(context, request).await {
+        Ok(found) => found,
+        Err(unknown) => {
+            trace.origin = Some(OriginUse { source: unknown.name(), age: None });
+            return Err((Refusal::UnknownVersion, Some(RETRY_AFTER_UNKNOWN)));
+        }
     };
     if found.service != request.service {
         request.set_service(found.service, &context.shared.view());
@@ -118,68 +125,113 @@
     origin: OriginUse,
 }
 
-async fn find(context: &Context, request: &AdmittedRequest<'_>) -> Option<Found> {
-    let (service, now) = (request.service.clone(), monotonic::now());
-    if let Some(version) = settled(context, request) {
-        let origin = OriginUse { source: "settled", age: None };
-        return Some(Found { service, version, origin });
+/// Says why the version at which a stream began is not known.
+#[derive(Clone, Copy, Debug)]
+enum UnknownReason {
+    /// The stream was recorded at a version that has left, or at a service that its route lacks.
+    Left,
+    /// Several versions have served, and no record tells which one began the stream.
+    NotRecorded,
+    /// Several versions have served, and a core that may have been told of the stream is silent or
+    /// has started meanwhile.
+    Uncertain,
+}
+
+impl UnknownReason {
+    /// Returns the name of the reason, for logs.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Left => "left",
+            Self::NotRecorded => "unknown",
+            Self::Uncertain => "uncertain",
+        }
     }
+}
+
+async fn find(context: &Context, request: &AdmittedRequest<'_>) -> Result<Found, UnknownReason> {
+    let now = monotonic::now();
     let resumes = request.info.resumes.as_deref();
     let own = resumes.map(|id| context.origins.borrow().find(now, Stream::of(id)));
     if let Some(origin) = own.and_then(|own| own.origin) {
-        return named(context, request, "entry", origin);
+        return named(context, request, "entry", origin).ok_or(UnknownReason::Left);
     }
     let max_age = max_age(request);
     // Without a first request, no core can find the origin, but each answer states how far back the
     // core's records are complete.
     let stream = Stream::of(resumes.unwrap_or(&request.info.id));
+    // A settled service has no records, unless another entry has heard of a version first.
+    let is_settled = settled(context, request).is_some();
     let asked_at = Instant::now();
-    let mut found = ask_cores(context, stream, max_age).await?;
-    if found.is_none() && resumes.is_some() {
+    let mut answer = ask_cores(context, stream, max_age, is_settled).await;
+    if answer == Answer::NotTold && resumes.is_some() && !is_settled {
         tokio::time::sleep_until(asked_at + RECORD_DELAY).await;
-        found = ask_cores(context, stream, max_age).await?;
+        answer = ask_cores(context, stream, max_age, false).await;
     }
-    if let Some(origin) = found {
-        return named(context, request, "core", origin);
+    if let Answer::Told(build, age_ms) = answer {
+        return named(context, request, "core", (build, age_ms)).ok_or(UnknownReason::Left);
     }
+    let unknown = match answer {
+        Answer::NotTold => UnknownReason::NotRecorded,
+        _ => UnknownReason::Uncertain,
+    };
     if request.route.targets.len() != 1 {
-        return None;
+        return Err(unknown);
     }
-    let (now, builds) = (monotonic::now(), context.builds.borrow());
-    if let Some(version) = builds.only_version(now, &service) {
+    let (service, now, builds) =
+        (request.service.clone(), monotonic::now(), context.builds.borrow());
+    let max_age = max_age + MAX_NEWS_DELAY;
+    // Where no other version has served, it does not matter what cores have forgotten.
+    let is_known = answer == Answer::NotTold || builds.is_current(now);
+    if let Some(version) = builds.only_version(now, &service, max_age).filter(|_| is_known) {
         let origin = OriginUse { source: "only", age: None };
-        return Some(Found { service, version, origin });
+        return Ok(Found { service, version, origin });
     }
-    let settled = builds.unrecorded(now, &service, max_age).filter(|_| resumes.is_some())?;
-    let origin = OriginUse { source: "history", age: Some(now.saturating_sub(settled.at)) };
-    Some(Found { service, version: settled.version.clone(), origin })
+    let is_unrecorded = answer == Answer::NotTold && resumes.is_some();
+    let settled = builds.unrecorded(now, &service, max_age).filter(|_| is_unrecorded);
+    let settled = settled.ok_or(unknown)?;
+    let origin = OriginUse { source: "history", age: Some(settled.age) };
+    Ok(Found { service, version: settled.version, origin })
+}
+
+/// Says what cores know of the origin of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Answer {
+    /// A core was told of the origin, and how many milliseconds ago.
+    Told(Build, u32),
+    /// No core was told of the stream.
+    NotTold,
+    /// A core may have been told of the stream that is silent, or has forgotten it.
+    Uncertain,
 }
 
-/// Asks all cores for the origin of a stream; returns `None` if it is not certain that none of
-/// them was told of a stream of at most this age.
+/// Asks all cores for the origin of a stream that is at most `max_age` old; `takes_few` says whether
+/// to wait only for so many that one of those is among them that would have been told.
 ///
 /// Each origin was told to several cores, so one fewer may be silent, or have started meanwhile.
 async fn ask_cores(
     context: &Context,
     stream: Stream,
     max_age: Duration,
-) -> Option<Option<(Build, u32)>> {
+    takes_few: bool,
+) -> Answer {
     let core_count = context.shared.view().cores.len();
+    let wanted_count =
+        if takes_few { (core_count + 1).saturating_sub(KEEPER_COUNT) } else { core_count };
     let mut findings = context.shared.find_origin(stream);
     let deadline = Instant::now() + LOOKUP_TIMEOUT;
     let (mut answered, mut complete_count) = (BTreeSet::new(), 0);
-    while answered.len() < core_count {
+    while answered.len() < wanted_count {
         let finding = tokio::time::timeout_at(deadline, findings.recv()).await;
         let Ok(Some(CoreFinding { core, finding })) = finding else { break };
-        if finding.origin.is_some() {
-            return Some(finding.origin);
+        if let Some((build, age_ms)) = finding.origin {
+            return Answer::Told(build, age_ms);
         }
         let remembered = Duration::from_millis(finding.complete_ms.into());
         let is_new = answered.insert(core);
         complete_count += usize::from(is_new && remembered >= max_age);
     }
     let is_certain = complete_count > 0 && complete_count + KEEPER_COUNT > core_count;
-    is_certain.then_some(None)
+    if is_certain { Answer::NotTold } else { Answer::Uncertain }
 }
 
 /// Returns the service and version that a recorded origin names, among those of the route.
--- a/crates/verbenaslip-relay/src/policy/builds.rs
+++ b/crates/verbenaslip-relay/src/policy/builds.rs
@@ -5,38 +5,38 @@
 use std::time::Duration;
 
 use verbenaslip_base::name::Upstream;
-use verbenaslip_fleet::View;
 use verbenaslip_fleet::origin::{Build, MAX_LIFETIME};
 use verbenaslip_fleet::registry::{Announcement, Record};
+use verbenaslip_fleet::version_history::VersionHistory;
+use verbenaslip_fleet::{View, clock};
 
 /// Time without news of the leader after which another version may have come unnoticed.
 const MAX_LEADER_SILENCE: Duration = Duration::from_secs(1);
 
-/// Time after the first news of a leader until all upstreams have announced themselves, even if the
-/// whole fleet has just started: two announcements.
+/// Time after the start of the history until all upstreams of a fleet that has just started are in
+/// it: two announcements.
 const SETTLING_TIME: Duration = Duration::from_secs(3);
 
 type UpstreamRecords = BTreeMap<Upstream, Record>;
+type VersionsByService = BTreeMap<Arc<str>, Vec<Arc<str>>>;
 
-/// Tracks the software versions of services.
+/// Tracks the software versions of services, by the history that cores keep.
 ///
 /// A service is *settled* while one version has served for as long as any stream lasts. All streams
 /// are then at this version, and no entry needs to remember it for each of them.
+///
+/// This entry's own start says nothing about versions: those of the history that left before it
+/// count as well, and without a history nothing is known.
 #[derive(Debug, Default)]
 pub struct Builds {
-    /// When this entry first heard of a leader.
-    first_heard_at: Option<Duration>,
     leader_heard_at: Option<Duration>,
+    /// Offset of the agreed time of day, in milliseconds.
+    time_offset_ms: i64,
+    history: Arc<VersionHistory>,
     /// Upstreams of the last update.
     records: Arc<UpstreamRecords>,
-    services: BTreeMap<Arc<str>, Service>,
-}
-
-#[derive(Debug, Default)]
-struct Service {
-    /// Versions with the time at which the last upstream of each left; `None` while one is known.
-    versions: BTreeMap<Arc<str>, Option<Duration>>,
-    settled: Option<Settled>,
+    /// Versions of these upstreams by service; the history may not contain the newest yet.
+    present: VersionsByService,
 }
 
 /// Says at which version a service was last settled.
@@ -44,37 +44,26 @@
 pub struct Settled {
     /// The version.
     pub version: Arc<str>,
-    /// When the service was last known to be settled.
-    pub at: Duration,
+    /// Time since the service was last known to be settled.
+    pub age: Duration,
 }
 
 impl Builds {
     /// Updates the versions from a newer view.
-    pub fn update(&mut self, now: Duration, view: &View) {
+    pub fn update(&mut self, view: &View) {
         self.leader_heard_at = view.leader_heard_at;
-        self.first_heard_at = self.first_heard_at.or(view.leader_heard_at);
+        self.time_offset_ms = view.time_offset_ms;
+        self.history = view.version_history.clone();
         if Arc::ptr_eq(&self.records, &view.upstreams) {
             return;
         }
         self.records = view.upstreams.clone();
-        // Services were settled until this change, which may bring another version.
-        let names: Vec<Arc<str>> = self.services.keys().cloned().collect();
-        for service in &names {
-            self.settled(now, service);
-        }
-        for service in self.services.values_mut() {
-            service.versions.values_mut().for_each(|left_at| {
-                left_at.get_or_insert(now);
-            });
-            service.versions.retain(|_, left_at| is_recent(now, *left_at));
-        }
+        self.present.clear();
         let announcements = view.upstreams.values().map(|record| &record.announcement);
         for VersionCount { announcement, .. } in count_versions(announcements) {
             let Announcement { service, version, .. } = announcement;
-            let service = self.services.entry(service.clone()).or_default();
-            service.versions.insert(version.clone(), None);
+            self.present.entry(service.clone()).or_default().push(version.clone());
         }
-        self.services.retain(|_, service| !service.versions.is_empty());
     }
 
     /// Returns the version at which a stream may begin although no core can be told of it; `None` if
@@ -86,55 +75,75 @@
         service: &str,
         max_age: Duration,
     ) -> Option<Arc<str>> {
-        let is_concerned = !self.is_current(now) && self.only_version(now, service).is_none();
+        let is_concerned =
+            !self.is_current(now) && self.only_version(now, service, MAX_LIFETIME).is_none();
         let settled = self.unrecorded(now, service, max_age).filter(|_| is_concerned)?;
-        Some(settled.version.clone())
+        Some(settled.version)
     }
 
     /// Returns whether the leader was heard recently.
-    fn is_current(&self, now: Duration) -> bool {
+    pub fn is_current(&self, now: Duration) -> bool {
         self.leader_heard_at.is_some_and(|at| now.saturating_sub(at) <= MAX_LEADER_SILENCE)
     }
 
     /// Returns the version at which all streams of a service are, if the service is settled.
-    pub fn settled(&mut self, now: Duration, service: &str) -> Option<Arc<str>> {
-        let is_current = self.is_current(now);
-        let has_all_upstreams =
-            self.first_heard_at.is_some_and(|at| now.saturating_sub(at) >= SETTLING_TIME);
-        if !is_current || !has_all_upstreams {
+    pub fn settled(&self, now: Duration, service: &str) -> Option<Arc<str>> {
+        let has_begun = self.history_age(now).is_some_and(|age| age >= SETTLING_TIME);
+        if !self.is_current(now) || !has_begun {
             return None;
         }
-        let version = self.only_version(now, service)?;
-        let service = self.services.get_mut(service)?;
-        service.settled = Some(Settled { version: version.clone(), at: now });
-        Some(version)
+        self.only_version(now, service, MAX_LIFETIME)
     }
 
-    /// Returns the version of a service if this entry has known only one for as long as any stream
-    /// lasts; others may know more.
-    pub fn only_version(&self, now: Duration, service: &str) -> Option<Arc<str>> {
-        let versions = self.services.get(service)?.versions.iter();
-        let mut recent = versions.filter(|(_, left_at)| is_recent(now, **left_at));
-        let (Some((version, _)), None) = (recent.next(), recent.next()) else { return None };
-        Some(version.clone())
+    /// Returns the version of a service if this entry knows of no other within `max_age`; others may
+    /// know more.
+    pub fn only_version(
+        &self,
+        now: Duration,
+        service: &str,
+        max_age: Duration,
+    ) -> Option<Arc<str>> {
+        let now_ms = self.unix_ms(now);
+        let version = self.history.only_version(now_ms, service, before(now_ms, max_age))?;
+        let present = self.present.get(service).into_iter().flatten();
+        present.into_iter().all(|it| it == version).then(|| version.clone())
     }
 
     /// Returns the version of a service at which a stream began that no entry has recorded; `None`
     /// if the service was not settled within `max_age`, the time in which the stream has begun.
     ///
     /// Entries record the streams of services that are not settled.
-    pub fn unrecorded(&self, now: Duration, service: &str, max_age: Duration) -> Option<&Settled> {
-        let settled = self.services.get(service)?.settled.as_ref()?;
-        (now.saturating_sub(settled.at) <= max_age).then_some(settled)
+    pub fn unrecorded(&self, now: Duration, service: &str, max_age: Duration) -> Option<Settled> {
+        let now_ms = self.unix_ms(now);
+        let since_ms = before(now_ms, max_age);
+        let lone = self.history.lone_version(now_ms, service, since_ms)?;
+        let age = Duration::from_millis(now_ms.saturating_sub(lone.until_ms));
+        Some(Settled { version: lone.version, age })
     }
 
     /// Returns the version of a service that a recorded origin names.
     pub fn version(&self, service: &str, build: Build) -> Option<Arc<str>> {
-        let mut versions = self.services.get(service)?.versions.keys();
-        versions.find(|version| Build::of(service, version) == build).cloned()
+        let present = self.present.get(service).into_iter().flatten();
+        let mut present = present.filter(|version| Build::of(service, version) == build);
+        present.next().or_else(|| self.history.version(service, build)).cloned()
+    }
+
+    /// Returns how far back the history of versions reaches; `None` without one.
+    pub fn history_age(&self, now: Duration) -> Option<Duration> {
+        let begin_ms = self.history.begin_ms()?;
+        Some(Duration::from_millis(self.unix_ms(now).saturating_sub(begin_ms)))
+    }
+
+    fn unix_ms(&self, time: Duration) -> u64 {
+        clock::unix_ms(time, self.time_offset_ms)
     }
 }
 
+/// Returns the time in milliseconds that was `age` ago.
+fn before(now_ms: u64, age: Duration) -> u64 {
+    now_ms.saturating_sub(u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
+}
+
 /// Counts the upstreams of a version.
 pub(crate) struct VersionCount<'a> {
     /// Announcement of one of them.
@@ -161,7 +170,3 @@
     }
     counts
 }
-
-fn is_recent(now: Duration, left_at: Option<Duration>) -> bool {
-    left_at.is_none_or(|left_at| now.saturating_sub(left_at) <= MAX_LIFETIME)
-}
--- a/crates/verbenaslip-relay/tests/builds.rs
+++ b/crates/verbenaslip-relay/tests/builds.rs
@@ -16,13 +16,17 @@
     Duration::from_secs(seconds)
 }
 
-/// A service whose upstreams change, as one entry sees it.
+/// A service whose upstreams change, as one entry sees it; the agreed time of day is zero at first.
 #[derive(Default)]
 struct Fixture {
     builds: Builds,
     view: View,
 }
 
+fn unix_ms(now: Duration) -> u64 {
+    u64::try_from(now.as_millis()).expect("a short time")
+}
+
 impl Fixture {
     fn set_versions(&mut self, now: Duration, versions: &[&str]) {
         let named = (1..).zip(versions).map(|(number, version)| {
@@ -31,12 +35,21 @@
             (record.announcement.run.upstream.clone(), record)
         });
         self.view.upstreams = Arc::new(named.collect::<BTreeMap<_, _>>());
+        let announcements = self.view.upstreams.values().map(|it| &it.announcement);
+        let present = announcements.map(|it| (&it.service, &it.version));
+        Arc::make_mut(&mut self.view.version_history).update(unix_ms(now), present);
         self.hear_leader(now);
     }
 
     fn hear_leader(&mut self, now: Duration) {
         self.view.leader_heard_at = Some(now);
-        self.builds.update(now, &self.view);
+        self.builds.update(&self.view);
+    }
+
+    /// Starts the entry anew, which hears the leader at once.
+    fn restart(&mut self, now: Duration) {
+        self.builds = Builds::default();
+        self.hear_leader(now);
     }
 
     fn settled(&mut self, now: Duration) -> Option<String> {
@@ -124,5 +137,32 @@
     entry.set_versions(s(0), &["v1", "v2"]);
     assert_eq!(entry.settled(s(10)), None);
     assert_eq!(entry.unrecorded(s(10), s(60)), None);
-    assert_eq!(entry.builds.only_version(s(10), "desk"), None);
+    assert_eq!(entry.builds.only_version(s(10), "desk", s(60)), None);
+}
+
+// Guards against taking the versions of the first list for all that there were.
+#[test]
+fn an_entry_that_has_restarted_knows_the_versions_that_left_before() {
+    let mut entry = Fixture::default();
+    entry.set_versions(s(0), &["v1"]);
+    entry.set_versions(s(100), &["v1", "v2"]);
+    entry.set_versions(s(101), &["v2"]);
+    entry.restart(s(104));
+    assert_eq!(entry.settled(s(108)), None);
+    assert_eq!(entry.builds.only_version(s(108), "desk", s(6)).as_deref(), Some("v2"));
+    assert_eq!(entry.builds.only_version(s(108), "desk", s(7)), None);
+    assert_eq!(entry.unrecorded(s(108), s(8)).as_deref(), Some("v1"));
+    assert_eq!(entry.builds.version("desk", Build::of("desk", "v1")).as_deref(), Some("v1"));
+}
+
+// Guards against guesses of an entry that has heard of no leader since its start.
+#[test]
+fn an_entry_without_a_history_knows_no_version() {
+    let mut entry = Fixture::default();
+    entry.set_versions(s(0), &["v1"]);
+    entry.view.version_history = Arc::default();
+    entry.restart(s(100));
+    assert_eq!(entry.settled(s(104)), None);
+    assert_eq!(entry.builds.only_version(s(104), "desk", s(6)), None);
+    assert_eq!(entry.unrecorded(s(104), s(6)), None);
 }
