Keep in a founder's data directory that it is one

Cause: who forms the group was a setting of the first process only. One that started again before the group was formed neither asked nor confirmed, and the others waited for it.

Change: the data directory stores the founders before its identity. A founder that loses its disk meanwhile confirms with a new directory, and the one that forms the group is told by another who the founders are. Founders that voted in a group whose only log was lost leave it while their own logs are empty, which takes away a limit that founding.rs named.

--- a/crates/verbenaslip-disk/src/directory.rs
+++ b/crates/verbenaslip-disk/src/directory.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::sync::Arc;
 
+use verbenaslip_base::name::Instance;
 use verbenaslip_replica::entry::{Entry, Position};
 use verbenaslip_replica::storage::{
     Error, FileOperation, HardState, Recovered, Snapshot, Storage, Write,
@@ -30,6 +31,8 @@
 pub struct DataDirectory {
     pub(crate) files: Box<dyn Files>,
     pub(crate) identity: Identity,
+    /// The instances that form the group, until they are stored in a new data directory.
+    pub(crate) new_founders: Vec<Instance>,
     pub(crate) segments: Vec<Segment>,
     /// Records that are not yet written to the last log file.
     buffer: Vec<u8>,
@@ -71,6 +74,19 @@
     ///
     /// Returns an error if the directory is in use, can't be read, or is damaged.
     pub fn open(path: impl AsRef<Path>) -> Result<(Self, Recovered), Error> {
+        Self::open_for(path, Vec::new())
+    }
+
+    /// Opens a data directory like [`open`](Self::open), and stores the instances that form the
+    /// group if it is new.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the directory is in use, can't be read, or is damaged.
+    pub fn open_for(
+        path: impl AsRef<Path>,
+        founders: Vec<Instance>,
+    ) -> Result<(Self, Recovered), Error> {
         let path = path.as_ref();
         let files = SystemFiles::open(path).map_err(|error| match error.kind() {
             ErrorKind::WouldBlock => {
@@ -78,10 +94,9 @@
             }
             _ => storage_error(FileOperation::Open, &path.display().to_string(), &error),
         })?;
-        Self::open_on(
-            files,
-            Options { new_identity: random_identity(path), segment_bytes: DEFAULT_SEGMENT_BYTES },
-        )
+        let options =
+            Options { new_identity: random_identity(path), segment_bytes: DEFAULT_SEGMENT_BYTES };
+        Self::open_on_for(files, options, founders)
     }
 
     /// Opens a data directory on given files.
@@ -92,10 +107,24 @@
     pub fn open_on(
         files: impl Files + 'static,
         options: Options,
+    ) -> Result<(Self, Recovered), Error> {
+        Self::open_on_for(files, options, Vec::new())
+    }
+
+    /// Opens a data directory like [`open_for`](Self::open_for) on given files.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the directory can't be read or is damaged.
+    pub fn open_on_for(
+        files: impl Files + 'static,
+        options: Options,
+        founders: Vec<Instance>,
     ) -> Result<(Self, Recovered), Error> {
         let mut directory = Self {
             files: Box::new(files),
             identity: options.new_identity,
+            new_founders: founders,
             segments: Vec::new(),
             buffer: Vec::new(),
             next_index: None,
--- a/crates/verbenaslip-disk/src/file_name.rs
+++ b/crates/verbenaslip-disk/src/file_name.rs
@@ -2,6 +2,8 @@
 
 /// The file with the identity of the data directory.
 pub(crate) const IDENTITY: &str = "identity";
+/// The file with the instances that form the group, at one of them.
+pub(crate) const FOUNDERS: &str = "founders";
 /// The file with the term, vote and group.
 pub(crate) const HARD_STATE: &str = "hard";
 /// The suffix of a file that is not completely written yet.
--- a/crates/verbenaslip-disk/src/lib.rs
+++ b/crates/verbenaslip-disk/src/lib.rs
@@ -7,6 +7,7 @@
 //! |---|---|---|
 //! | `lock` | nothing; locked while the directory is open | never |
 //! | `identity` | the random identity of the directory | never |
+//! | `founders` | the instances that form the group, if this is one of them | never |
 //! | `hard` | term, vote and group | replaced by rename |
 //! | `snapshot-…` | the state up to the index in the name | replaced by rename; older ones are then removed |
 //! | `log-…` | records, starting at the index in the name | appended; truncated at the end |
--- a/crates/verbenaslip-disk/src/load.rs
+++ b/crates/verbenaslip-disk/src/load.rs
@@ -3,6 +3,7 @@
 use std::io::ErrorKind;
 use std::sync::Arc;
 
+use verbenaslip_base::name::Instance;
 use verbenaslip_replica::entry::Entry;
 use verbenaslip_replica::storage::{
     Error, FileOperation, HardState, Recovered, Snapshot, TornTail,
@@ -23,6 +24,7 @@
     /// Reads everything, and truncates what never became durable.
     pub(crate) fn read_all(&mut self) -> Result<Recovered, Error> {
         let names = self.list_files()?;
+        let founders = self.read_founders(&names)?;
         self.identity = self.read_identity(&names)?;
         let hard_state = self.read_hard_state(&names)?;
         let snapshot = self.read_snapshot(&names)?;
@@ -30,9 +32,15 @@
         let snapshot_index = snapshot.as_ref().map_or(0, |snapshot| snapshot.position.index);
         check_no_gap(snapshot_index, &entries)?;
         let count = entries.len();
-        let recovered =
-            Recovered { identity: self.identity, hard_state, snapshot, entries, torn_tail }
-                .without_stale_entries();
+        let recovered = Recovered {
+            identity: self.identity,
+            founders,
+            hard_state,
+            snapshot,
+            entries,
+            torn_tail,
+        }
+        .without_stale_entries();
         if recovered.entries.is_empty() && (count > 0 || !self.segments.is_empty()) {
             self.remove_log()?;
         }
@@ -71,6 +79,25 @@
         Ok(names)
     }
 
+    /// Reads the founders, or stores those given if the data directory is new.
+    ///
+    /// They are stored before the identity: a directory that has one and no founders has never been
+    /// a founder's.
+    fn read_founders(&mut self, names: &[String]) -> Result<Vec<Instance>, Error> {
+        if let Some(content) = self.read_checksummed(file_name::FOUNDERS)? {
+            let founders = postcard::from_bytes(&content);
+            return founders.map_err(|_| damaged(file_name::FOUNDERS, 0, &"it can't be decoded"));
+        }
+        let is_new = !names.iter().any(|name| name == file_name::IDENTITY);
+        let founders = std::mem::take(&mut self.new_founders);
+        if !is_new || founders.is_empty() {
+            return Ok(Vec::new());
+        }
+        let content = postcard::to_stdvec(&founders).unwrap_or_default();
+        self.replace_file(file_name::FOUNDERS, &checksummed::encode(&content))?;
+        Ok(founders)
+    }
+
     /// Reads the identity, or stores the random one if the data directory is new.
     fn read_identity(&mut self, names: &[String]) -> Result<Identity, Error> {
         if let Some(content) = self.read_checksummed(file_name::IDENTITY)? {
--- a/crates/verbenaslip-disk/tests/system.rs
+++ b/crates/verbenaslip-disk/tests/system.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use verbenaslip_base::name::Instance;
 use verbenaslip_disk::DataDirectory;
 use verbenaslip_replica::entry::{Entry, Payload, Position};
 use verbenaslip_replica::storage::{Error, HardState, Storage, Write};
@@ -48,3 +49,19 @@
     drop(first);
     DataDirectory::open(&path).expect("the directory opens after the first is dropped");
 }
+
+// Guards against a founder that does not know that it is one after a restart.
+#[test]
+fn a_directory_keeps_the_founders_that_it_was_new_with() {
+    let names = |names: &[&str]| names.iter().map(|it| Instance::new(*it)).collect::<Vec<_>>();
+    let founders = names(&["a", "b", "c"]);
+    let path = new_directory_path("founders");
+    let open = |founders| DataDirectory::open_for(&path, founders).expect("it opens").1.founders;
+    assert_eq!(open(founders.clone()), founders);
+    assert_eq!(open(Vec::new()), founders);
+    assert_eq!(open(names(&["d"])), founders);
+    let path = new_directory_path("joined");
+    let open = |founders| DataDirectory::open_for(&path, founders).expect("it opens").1.founders;
+    assert_eq!(open(Vec::new()), []);
+    assert_eq!(open(founders), [], "it was not a founder's when it was new");
+}
--- a/crates/verbenaslip-instance/src/core.rs
+++ b/crates/verbenaslip-instance/src/core.rs
@@ -204,15 +204,22 @@
 impl Core {
     /// Opens the data directory and starts the state machine from its contents.
     fn open_data_directory(&mut self, first: bool) -> Result<(), Error> {
+        let settings = &self.settings;
+        // Only the seeds create the log, and only at the first start of the fleet: an instance that joins later or
+        // returns with an empty data directory must not create a second log.
+        let is_founder =
+            first && self.core_settings.found && settings.seeds.contains(&settings.peers);
+        let founders = if is_founder { settings.seeds.clone() } else { Vec::new() };
+        let names = founders.iter().map(|it| verbenaslip_fleet::core::name_of(*it)).collect();
         let (data_directory, recovered) =
-            DataDirectory::open(&self.core_settings.folder).map_err(Error::DataDirectory)?;
+            DataDirectory::open_for(&self.core_settings.folder, names)
+                .map_err(Error::DataDirectory)?;
         let identity = recovered.identity;
         let disk =
             Disk::spawn(data_directory, self.disk_outcomes.clone()).map_err(Error::Thread)?;
         let (now, unix_ms) = (monotonic::now(), monotonic::unix_ms());
         // What others know of the state machine before this one does not hold for it.
         self.incarnation = unix_ms.max(self.incarnation + 1);
-        let settings = &self.settings;
         let instance = verbenaslip_fleet::core::name_of(settings.peers);
         let local_peer = Peer {
             address: settings.peers,
@@ -221,14 +228,10 @@
             incarnation: self.incarnation,
             voter: Some(Voter { instance, identity }),
         };
-        // Only the seeds create the log, and only at the first start of the fleet: an instance that joins later or
-        // returns with an empty data directory must not create a second log.
-        let is_founder =
-            first && self.core_settings.found && settings.seeds.contains(&settings.peers);
         let setup = Setup {
             local_peer,
             seeds: settings.seeds.clone(),
-            founders: if is_founder { settings.seeds.clone() } else { Vec::new() },
+            founders,
             recovered,
             target_voter_count: usize::try_from(self.core_settings.losses * 2 + 1).unwrap_or(3),
             announce_interval: settings.upstreams.announce,
--- a/crates/verbenaslip-replica/src/founding.rs
+++ b/crates/verbenaslip-replica/src/founding.rs
@@ -1,9 +1,13 @@
 //! Forming a group from new data directories at the first start.
 //!
+//! A founder's data directory names all founders, so that one which restarts before the group is
+//! formed still takes part. One whose data directory is lost by then has a new one without them: it
+//! confirms that it is new to whoever counts it among the founders, and if it is the one that forms
+//! the group, another founder tells it who they are.
+//!
 //! If the data directory of the founder that forms the group is lost before its first log entry is
-//! committed, the other founders wait for it forever with empty logs: they may have voted, so they
-//! are not new. No command has been accepted at that time. An operator has to move their data
-//! directories away and restart the instances.
+//! committed, the others may have voted in a group that no longer exists. While their logs are empty,
+//! nothing was committed in it, so they leave it for the one that the new data directory forms.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -13,7 +17,8 @@
 use crate::config::Config;
 use crate::entry::{Entry, Payload, Position};
 use crate::message::Body;
-use crate::replica::Replica;
+use crate::replica::{Replica, State};
+use crate::storage::HardState;
 use crate::voter::{Group, Identity, Voter};
 
 /// The time between two queries to the other founders.
@@ -52,7 +57,7 @@
         }
         self.founding.next_query = self.now + QUERY_INTERVAL;
         if !self.is_group_founder() {
-            return;
+            return self.query_group_founder();
         }
         self.founding.new_founders.clear();
         for instance in self.setup.founders.clone() {
@@ -64,12 +69,38 @@
         self.form_group();
     }
 
+    /// Queries the founder that forms the group, which may have lost its data directory and not know
+    /// that it does.
+    fn query_group_founder(&mut self) {
+        let first = self.setup.founders.iter().min();
+        let Some(first) = first.filter(|_| self.has_empty_log()) else { return };
+        let (first, query) = (first.clone(), self.new_message(None, Body::FoundingQuery));
+        self.send(&first, query);
+    }
+
     /// Answers the query whether this data directory is new.
+    ///
+    /// A data directory that names no founders may be the new one of a founder. No group can exist
+    /// then: the one founder that forms it asks only while its own data directory is new.
     pub(crate) fn handle_founding_query(&mut self, from: &Instance, sender: Identity) {
-        if self.is_new() && self.setup.founders.contains(from) {
-            let answer = self.new_message(Some(sender), Body::FoundingResponse);
-            self.send(from, answer);
+        let founders = &self.setup.founders;
+        let is_asked_as_founder = founders.is_empty() || founders.contains(from);
+        if !is_asked_as_founder || !self.has_empty_log() {
+            return;
         }
+        if !self.is_new() {
+            // The query may be a late one of the founder that has formed this group meanwhile.
+            let is_own_group = self.hard_state.group == Some(Group(sender.0));
+            if founders.is_empty() || is_own_group || founders.iter().min() != Some(from) {
+                return;
+            }
+            self.outbox.discard_held();
+            self.hard_state = HardState::default();
+            self.hard_state_changed = true;
+            (self.state, self.leader) = (State::Follower, None);
+        }
+        let answer = self.new_message(Some(sender), Body::FoundingResponse);
+        self.send_after_hard_state(from, answer);
     }
 
     /// Handles the report that another founder's data directory is new.
@@ -77,6 +108,19 @@
         if self.is_group_founder() && self.setup.founders.contains(from) {
             self.founding.new_founders.insert(from.clone(), sender);
             self.form_group();
+        } else if self.has_empty_log() && self.setup.founders.iter().min() == Some(from) {
+            let founders = Body::Founders(self.setup.founders.clone());
+            let message = self.new_message(Some(sender), founders);
+            self.send(from, message);
+        }
+    }
+
+    /// Handles the founders that another one names to this replica, whose data directory was lost.
+    pub(crate) fn handle_founders(&mut self, from: &Instance, founders: &[Instance]) {
+        let names_both = founders.contains(from) && founders.contains(&self.setup.instance);
+        if self.is_new() && self.setup.founders.is_empty() && names_both {
+            self.setup.founders = founders.to_vec();
+            self.founding.next_query = self.now;
         }
     }
 
@@ -108,6 +152,10 @@
 
     /// Returns whether this data directory has never been in a group.
     fn is_new(&self) -> bool {
-        self.hard_state.group.is_none() && self.hard_state.term == 0 && self.log.last().index == 0
+        self.hard_state.group.is_none() && self.hard_state.term == 0 && self.has_empty_log()
+    }
+
+    fn has_empty_log(&self) -> bool {
+        self.log.last().index == 0
     }
 }
--- a/crates/verbenaslip-replica/src/message.rs
+++ b/crates/verbenaslip-replica/src/message.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use verbenaslip_base::data;
+use verbenaslip_base::name::Instance;
 
 use crate::config::Config;
 use crate::entry::{Entry, Position};
@@ -117,6 +118,8 @@
     FoundingResponse,
     /// Answers that the instance has another data directory than the addressed one.
     IdentityChanged,
+    /// Tells the founder that forms the group, whose data directory is new, who the founders are.
+    Founders(Vec<Instance>),
 }
 
 /// Describes a snapshot that is sent in chunks.
--- a/crates/verbenaslip-replica/src/receive.rs
+++ b/crates/verbenaslip-replica/src/receive.rs
@@ -38,6 +38,7 @@
             Body::FoundingQuery => self.handle_founding_query(from, message.sender),
             Body::FoundingResponse => self.handle_founding_response(from, message.sender),
             Body::IdentityChanged => self.handle_identity_changed(from, &message),
+            Body::Founders(founders) => self.handle_founders(from, founders),
         }
     }
 
@@ -45,7 +46,10 @@
     fn accepts(&mut self, from: &Instance, message: &Message) -> bool {
         if matches!(
             message.body,
-            Body::FoundingQuery | Body::FoundingResponse | Body::IdentityChanged
+            Body::FoundingQuery
+                | Body::FoundingResponse
+                | Body::Founders(_)
+                | Body::IdentityChanged
         ) {
             return message.target.is_none_or(|target| target == self.identity);
         }
--- a/crates/verbenaslip-replica/src/replica.rs
+++ b/crates/verbenaslip-replica/src/replica.rs
@@ -70,6 +70,10 @@
     /// The first call of [`Replica::step`] returns [`Output::Install`] if there is a snapshot.
     pub fn open(setup: Setup, recovered: Recovered, now: Duration) -> Self {
         let recovered = recovered.without_stale_entries();
+        let mut setup = setup;
+        if setup.founders.is_empty() {
+            setup.founders.clone_from(&recovered.founders);
+        }
         let (base, config) = log_base(&recovered);
         let hard_state = if is_partially_founded(&recovered) {
             HardState::default()
--- a/crates/verbenaslip-replica/src/setup.rs
+++ b/crates/verbenaslip-replica/src/setup.rs
@@ -14,7 +14,7 @@
     /// This instance.
     pub instance: Instance,
     /// The instances that form the group at its first start, including this one. Empty for an
-    /// instance that only joins an existing group.
+    /// instance that only joins an existing group, or whose data directory names them.
     pub founders: Vec<Instance>,
     /// The seed for the random election timeouts; must differ between instances.
     pub seed: u64,
--- a/crates/verbenaslip-replica/src/storage.rs
+++ b/crates/verbenaslip-replica/src/storage.rs
@@ -4,6 +4,7 @@
 
 use displaydoc::Display;
 use verbenaslip_base::data;
+use verbenaslip_base::name::Instance;
 
 use crate::config::Config;
 use crate::entry::{Entry, Position};
@@ -87,6 +88,8 @@
 pub struct Recovered {
     /// The identity of the data directory.
     pub identity: Identity,
+    /// The instances that form the group, if this is the directory of one of them.
+    pub founders: Vec<Instance>,
     /// The term, vote and group.
     pub hard_state: HardState,
     /// The newest complete snapshot.
@@ -102,6 +105,7 @@
     pub fn empty(identity: Identity) -> Self {
         Self {
             identity,
+            founders: Vec::new(),
             hard_state: HardState::default(),
             snapshot: None,
             entries: Vec::new(),
