Measure the history of versions on the wire

An update with the history holds it whole. For 40 services with 1, 2 and 4 versions each within the retention, the history takes 1,608, 2,728 and 4,968 bytes encoded, and an update for one new upstream 1,715, 2,835 and 5,075 (103 without a history).

--- a/crates/verbenaslip-fleet/tests/version_history.rs
+++ b/crates/verbenaslip-fleet/tests/version_history.rs
@@ -1,8 +1,17 @@
 //! When versions of services came and left.
 
+mod net;
+
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use verbenaslip_fleet::frame::{
+    Frame, LaterUpdateExtension, LatestUpdateExtension, Trailing, Update, UpdateExtension,
+};
+use verbenaslip_fleet::registry::{Announcement, Record, Status};
 use verbenaslip_fleet::version_history::VersionHistory;
+use verbenaslip_fleet::view::Version;
 
 /// The history of one service, in seconds.
 #[derive(Default)]
@@ -90,3 +99,73 @@
     history.set(2_000, &[]);
     assert_eq!(history.only(2_000, 0), None);
 }
+
+const SERVICES: usize = 40;
+const EPOCH_MS: u64 = 1_800_000_000_000;
+/// Target for control at a node, in bytes a second.
+const MAX_CONTROL_RATE: usize = 12_000;
+
+/// Returns the history of many services that have each had this many versions, the last of which
+/// serves.
+fn history_of(versions: usize) -> VersionHistory {
+    let names: Vec<Arc<str>> =
+        (0..SERVICES).map(|it| format!("assistant-llm-{it:02}").into()).collect();
+    let mut history = VersionHistory::default();
+    for number in 1..=versions {
+        let version: Arc<str> = format!("v1.{number}.0+5f2a91c").into();
+        let now_ms = EPOCH_MS + u64::try_from(number).expect("a small number") * 90_000;
+        history.update(now_ms, names.iter().map(|name| (name, &version)));
+    }
+    history
+}
+
+fn encoded_update(history: Option<VersionHistory>) -> usize {
+    let address: SocketAddr = ([10, 0, 0, 1], 7_000).into();
+    let announcement = Announcement {
+        service: "assistant-llm-00".into(),
+        version: "v1.4.0+5f2a91c".into(),
+        ..net::announcement("i-9252d35259", 1, false)
+    };
+    let latest = LatestUpdateExtension {
+        version_history: Trailing(history.map(Arc::new)),
+        ..Default::default()
+    };
+    let later = LaterUpdateExtension { latest: Trailing(latest), ..Default::default() };
+    let version = Version { term: 3, change: 5_000 };
+    let update = Update {
+        from: address,
+        leader: address,
+        leader_contact_age: Duration::ZERO,
+        version,
+        base: Some(version),
+        records: vec![Record { announcement, status: Status::Ready }],
+        route_table: None,
+        blocklist: None,
+        rollout_plans: None,
+        limits: None,
+        fleet_status: None,
+        unix_ms: EPOCH_MS,
+        ack_requested: false,
+        extension: Trailing(UpdateExtension { later: Trailing(later), ..Default::default() }),
+    };
+    let frame = Frame::Update(Box::new(update));
+    postcard::to_stdvec(&frame).expect("frames are encodable").len()
+}
+
+// Guards against releases for which the history takes a node's traffic for control.
+#[test]
+fn a_release_fits_in_the_traffic_of_a_second() {
+    let plain = encoded_update(None);
+    for versions in [1, 2, 4] {
+        let history = history_of(versions);
+        let size = postcard::to_stdvec(&history).expect("encoded").len();
+        let update = encoded_update(Some(history));
+        // One update when the version comes, and one when the one before it has left.
+        let release = 2 * update;
+        println!(
+            "{SERVICES} services, {versions} versions: history {size} bytes, update {update} \
+             ({plain} without), release {release}"
+        );
+        assert!(release <= MAX_CONTROL_RATE, "{versions} versions: {release} bytes");
+    }
+}
