Fail where a loss of all hides a version that served or just left

Cores that have just started can't say whether a stream was recorded, and an entry that hears a leader then goes by the history of versions alone.

Entries hear of the first upstream of a version when it is announced, not once AddUpstreams is committed. With disks that stall for half a second in between, the version has served and no core remembers it: an entry takes the older one for the only one 50 ms after the new leader's start.

--- /dev/null
+++ b/crates/verbenaslip-fleet/tests/version_history_net.rs
@@ -0,0 +1,153 @@
+//! What entries know of the versions of services after losses of cores and entries.
+
+mod net;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use net::{Network, announcement, route_table, run, withdraw};
+use verbenaslip_fleet::frame::{Request, Response};
+use verbenaslip_fleet::registry::Announcement;
+use verbenaslip_fleet::{View, clock};
+
+const SECOND: Duration = Duration::from_secs(1);
+const CORES: usize = 3;
+
+/// A fleet of three cores and two entries whose service has had one upstream, of version `v1`, for
+/// longer than any stream lasts.
+struct Fleet {
+    net: Network,
+    sequence: u64,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let mut net = Network::new(CORES, 2);
+        net.run(SECOND * 4);
+        net.call(0, Request::AdoptRouteTable(Box::new(route_table(4))));
+        let mut fleet = Self { net, sequence: 0 };
+        for _ in 0..70 {
+            fleet.announce("old");
+            fleet.net.run(SECOND);
+        }
+        fleet
+    }
+
+    /// Announces the upstream `old` of version `v1`, or `new` of version `v2`, at each core.
+    fn announce(&mut self, name: &str) {
+        self.sequence += 1;
+        let is_old = name == "old";
+        let announcement = Announcement {
+            version: if is_old { "v1" } else { "v2" }.into(),
+            address: ([10, 9, 0, if is_old { 1 } else { 2 }], 80).into(),
+            ..announcement(name, self.sequence, false)
+        };
+        for core in 0..CORES {
+            self.net.start_call(core, Request::Announce(Box::new(announcement.clone())));
+        }
+    }
+
+    fn lose_power(&mut self) {
+        (0..CORES).for_each(|core| self.net.restart(core));
+        (0..2).for_each(|entry| self.net.restart_entry(entry));
+    }
+
+    /// Returns the version that an entry takes for the only one in the last ten seconds, by the
+    /// history and by its list, if it hears a leader.
+    fn only_version(&self, entry: usize) -> Option<Arc<str>> {
+        let (view, now): (&View, _) = (self.net.entry(entry), self.net.now());
+        let heard_at = view.leader_heard_at?;
+        if now.saturating_sub(heard_at) > SECOND {
+            return None;
+        }
+        let now_ms = clock::unix_ms(now, view.time_offset_ms);
+        let version = view.version_history.only_version(now_ms, "pool", now_ms - 10_000)?;
+        let mut present = view.upstreams.values().map(|it| &it.announcement.version);
+        present.all(|it| it == version).then(|| version.clone())
+    }
+
+    /// Runs for four seconds, with an announcement of these upstreams in each; returns after what time
+    /// an entry took this version for the only one.
+    fn time_to_claim(&mut self, version: &str, announced: &[&str]) -> Option<Duration> {
+        let since = self.net.now();
+        for _ in 0..4 {
+            for _ in 0..100 {
+                self.net.run(SECOND / 100);
+                if (0..2).any(|it| self.only_version(it).as_deref() == Some(version)) {
+                    return Some(self.net.now() - since);
+                }
+            }
+            announced.iter().for_each(|name| self.announce(name));
+        }
+        None
+    }
+
+    fn run_until_led(&mut self) {
+        while self.net.leaders().is_empty() {
+            self.net.run(SECOND / 200);
+        }
+    }
+}
+
+// Guards against a history read by the clock of one machine, which alone leads just after a loss of all.
+#[test]
+fn a_clock_that_jumped_ahead_hides_no_version_that_has_just_left() {
+    for jumped in 0..CORES {
+        let mut fleet = Fleet::new();
+        fleet.announce("new");
+        fleet.net.run(SECOND);
+        assert_eq!(fleet.net.call(0, withdraw("old")), Some(Response::Acknowledged));
+        fleet.net.run(SECOND);
+        assert_eq!(fleet.only_version(0), None);
+        fleet.net.set_clock_skew(jumped, 15_000);
+        fleet.lose_power();
+        let claimed = fleet.time_to_claim("v2", &["new"]);
+        assert_eq!(claimed, None, "clock of core {jumped}: v2 is taken for the only version");
+    }
+}
+
+// Guards against a time that the log takes from one machine, which alone leads just after a loss of all.
+#[test]
+fn a_version_that_leaves_by_a_clock_that_jumped_back_left_no_earlier() {
+    for jumped in 0..CORES {
+        let mut fleet = Fleet::new();
+        fleet.announce("new");
+        fleet.net.run(SECOND);
+        fleet.net.set_clock_skew(jumped, -15_000);
+        fleet.lose_power();
+        fleet.run_until_led();
+        let leader = fleet.net.leaders()[0];
+        assert_eq!(fleet.net.call(leader, withdraw("old")), Some(Response::Acknowledged));
+        let claimed = fleet.time_to_claim("v2", &["new"]);
+        assert_eq!(claimed, None, "clock of core {jumped}: v2 is taken for the only version");
+    }
+}
+
+// Guards against a version that serves before the log has it and is forgotten in a loss of all.
+#[test]
+fn a_version_that_has_served_is_known_after_a_loss_of_all() {
+    let new = run("new", 0).upstream;
+    for stall in [Duration::ZERO, SECOND / 2] {
+        let mut fleet = Fleet::new();
+        if stall > Duration::ZERO {
+            (0..CORES).for_each(|core| fleet.net.stall_disk(core));
+        }
+        fleet.announce("new");
+        let until = fleet.net.now() + stall.max(SECOND / 2);
+        let serves =
+            |fleet: &Fleet| (0..2).any(|entry| fleet.net.entry(entry).upstreams.contains_key(&new));
+        while !serves(&fleet) && fleet.net.now() < until {
+            fleet.net.run(SECOND / 200);
+        }
+        let has_served = serves(&fleet);
+        fleet.net.run(if has_served { stall } else { Duration::ZERO });
+        (0..CORES).for_each(|core| fleet.net.resume_disk(core));
+        fleet.lose_power();
+        fleet.run_until_led();
+        let claimed = fleet.time_to_claim("v1", &["old", "new"]);
+        assert!(
+            !has_served || claimed.is_none(),
+            "disks stalled for {stall:?}: v1 is taken for the only version after {claimed:?}"
+        );
+    }
+}
