Fail where the history of versions speaks for what cores never saw

An entry and the upstreams of v1 are cut off from the cores together, and serve on: nothing is recorded, since the entry knows one version. The cores remove the runs 60 s after they last heard them, which ends the version in the history; ten seconds later, another entry takes v2 for the only one in that time. A state of an earlier build has no history. It begins with the next command, and only_version doesn't ask whether it reaches back as far as the stream may: v2 is the only one since a time at which v1, which left before the upgrade, served too. A log that begins anew after all disks were lost is the same case.

--- a/crates/verbenaslip-fleet/tests/ledger.rs
+++ b/crates/verbenaslip-fleet/tests/ledger.rs
@@ -7,7 +7,7 @@
 use verbenaslip_fleet::fingerprint::Fingerprint;
 use verbenaslip_fleet::frame::Trailing;
 use verbenaslip_fleet::quarantine::{Block, PersistedState};
-use verbenaslip_fleet::registry::{Record, Status};
+use verbenaslip_fleet::registry::{Announcement, Record, Status};
 use verbenaslip_fleet::replicated_state::{Command, ReplicatedState};
 
 fn record(name: &str, port: u16) -> Record {
@@ -119,3 +119,23 @@
         ReplicatedState::restore(&state.snapshot()).expect("the snapshot can be decoded");
     assert_eq!(restored.quarantine(), state.quarantine());
 }
+
+// Guards against taking the versions in the log at an upgrade of the cores for all that there were.
+#[test]
+fn a_history_that_begins_with_an_upgrade_says_nothing_of_the_time_before() {
+    let mut state = ReplicatedState::default();
+    let with_version = |name, version: &str| {
+        let announcement = Announcement { version: version.into(), ..announcement(name, 1, false) };
+        Record { announcement, status: Status::Ready }
+    };
+    state.apply(joined(vec![with_version("u", "v1"), with_version("v", "v2")], 0));
+    state.apply(departure_of("u", 100_000));
+    let snapshot = state.snapshot();
+    let history = postcard::to_stdvec(state.version_history()).expect("it can be encoded");
+    let earlier = snapshot.strip_suffix(&*history).expect("the snapshot ends with the history");
+    let mut upgraded = ReplicatedState::restore(earlier).expect("the snapshot can be decoded");
+    upgraded.apply(joined(vec![with_version("w", "v2")], 105_000));
+    let history = upgraded.version_history();
+    assert_eq!(history.only_version(106_000, "pool", 105_500).map(|it| &**it), Some("v2"));
+    assert_eq!(history.only_version(106_000, "pool", 96_000), None, "v1 served then");
+}
--- a/crates/verbenaslip-fleet/tests/version_history_net.rs
+++ b/crates/verbenaslip-fleet/tests/version_history_net.rs
@@ -7,7 +7,7 @@
 
 use net::{Network, announcement, route_table, run, withdraw};
 use verbenaslip_fleet::frame::{Request, Response};
-use verbenaslip_fleet::registry::Announcement;
+use verbenaslip_fleet::registry::{Announcement, Status};
 use verbenaslip_fleet::{View, clock};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -151,3 +151,19 @@
         );
     }
 }
+
+// Guards against taking a version that the cores no longer hear for one that no entry sends to.
+#[test]
+fn a_version_that_a_cut_off_entry_still_uses_has_not_left() {
+    let mut fleet = Fleet::new();
+    fleet.announce("new");
+    fleet.net.run(SECOND);
+    fleet.net.disconnect_entry(0);
+    for _ in 0..80 {
+        fleet.announce("new");
+        fleet.net.run(SECOND);
+        let old = fleet.net.entry(0).upstreams.get(&run("old", 0).upstream);
+        assert_eq!(old.map(|it| it.status), Some(Status::Ready), "the cut-off entry uses v1");
+        assert_ne!(fleet.only_version(1).as_deref(), Some("v2"), "v1 serves at the other entry");
+    }
+}
