Fail where a new leader's list lacks cores that were told of streams

With five cores, two of them no voters, the list of a new leader holds the voters and those that have sent it a heartbeat since it leads. An entry asks the cores of the list and counts their answers against its length: three voters that weren't told are enough for "nobody was told", though the two keepers of the record run. The stream then goes to the version that served alone before.

Measured on, stepped: after a restart of the leader of five cores, both others are missing from an entry's list.

--- a/crates/verbenaslip-fleet/tests/version_history_net.rs
+++ b/crates/verbenaslip-fleet/tests/version_history_net.rs
@@ -7,6 +7,7 @@
 
 use net::{Network, announcement, route_table, run, withdraw};
 use verbenaslip_fleet::frame::{Request, Response};
+use verbenaslip_fleet::origin::Build;
 use verbenaslip_fleet::registry::{Announcement, Status};
 use verbenaslip_fleet::{View, clock};
 
@@ -167,3 +168,46 @@
         assert_ne!(fleet.only_version(1).as_deref(), Some("v2"), "v1 serves at the other entry");
     }
 }
+
+// Guards against a history that is committed while the lease lapses, and kept from entries after that.
+#[test]
+fn a_version_that_joined_during_a_lapse_of_the_lease_is_in_the_history() {
+    for delay in (0..1_080).step_by(240) {
+        let mut fleet = Fleet::new();
+        let leader = fleet.net.leaders()[0];
+        let followers = || (0..CORES).filter(|core| *core != leader);
+        followers().for_each(|core| fleet.net.pause(core));
+        fleet.net.run(Duration::from_millis(delay));
+        fleet.announce("new");
+        // Longer than a lease, and shorter than the time after which another core starts an election.
+        fleet.net.run(Duration::from_millis(1_080 - delay));
+        assert!(fleet.net.leaders().is_empty());
+        followers().for_each(|core| fleet.net.resume(core));
+        fleet.net.run(SECOND * 2);
+        assert_eq!(fleet.net.leaders(), [leader]);
+        for entry in 0..2 {
+            let view = fleet.net.entry(entry);
+            let is_known = view.version_history.version("pool", Build::of("pool", "v2")).is_some();
+            assert!(is_known, "announced {delay} ms after the followers were paused");
+        }
+    }
+}
+
+// Guards against an entry that asks only some cores for a record, and takes the others for untold.
+#[test]
+fn cores_that_were_told_of_streams_are_asked_under_a_new_leader_too() {
+    let mut net = Network::new(5, 2);
+    net.run(SECOND * 4);
+    net.call(0, Request::AdoptRouteTable(Box::new(route_table(4))));
+    net.run(SECOND * 2);
+    let told = net.entry(0).cores.clone();
+    assert_eq!(told.len(), 5);
+    let leader = net.leaders()[0];
+    net.restart(leader);
+    for _ in 0..600 {
+        net.run(SECOND / 200);
+        let asked = &net.entry(1).cores;
+        let forgotten: Vec<_> = told.iter().filter(|core| !asked.contains(core)).collect();
+        assert!(forgotten.is_empty(), "{forgotten:?} serve and are not asked");
+    }
+}
