List a version once the log has it, and end it by the agreed time only

What callers may see: after a loss of all cores and entries, a stream is taken up with 200 at another version than the one that began it. Now its announcement waits until the log has the version; later upstreams of it don't. What joins is proposed at once, in place of every 100 ms. - The leader's own clock, before others have reported to it, said when a version left.

Beside that, a stream of which certainly no core was told goes on at the only version of the last 60 s, as before, in place of the last seconds: within these, streams are recorded, and one that isn't began at an entry that was cut off.

--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -44,7 +44,7 @@
 use crate::registry::Registry;
 use crate::replicated_state::ReplicatedState;
 use crate::rollout::{Controller, Plans};
-use crate::version_history::VersionHistory;
+use crate::version_history::{ServiceVersion, VersionHistory};
 use crate::voucher::Voucher;
 
 /// Maximum size of a log command: an operator's largest route table together with its original
@@ -82,6 +82,8 @@
     pub(crate) departures_proposal: Option<u64>,
     /// Announced upstreams that may not be in the log yet.
     pub(crate) unproposed_joins: BTreeSet<Upstream>,
+    /// Announced versions that are not in the log yet, each with its service.
+    pub(crate) unlogged_versions: BTreeSet<ServiceVersion>,
     /// Token of the uncommitted proposal that contains earlier joins.
     pub(crate) joins_proposal: Option<u64>,
     pub(crate) closing_windows: BTreeSet<u64>,
@@ -209,6 +211,7 @@
             unproposed_departures: Vec::new(),
             departures_proposal: None,
             unproposed_joins: BTreeSet::new(),
+            unlogged_versions: BTreeSet::new(),
             joins_proposal: None,
             closing_windows: BTreeSet::new(),
             initial_count_proposed_at: BTreeMap::new(),
--- a/crates/verbenaslip-fleet/src/core/call.rs
+++ b/crates/verbenaslip-fleet/src/core/call.rs
@@ -330,6 +330,14 @@
     fn handle_announcement(&mut self, key: u64, announcement: Announcement) {
         let run = announcement.run.clone();
         let (is_departing, sequence) = (announcement.draining, announcement.sequence);
+        // Entries hear of a version once the log has it: streams that begin at a version which the
+        // next leader does not know would be taken for those of another.
+        let Announcement { service, version, .. } = &announcement;
+        if !is_departing && !self.replicated_state.version_history().contains(service, version) {
+            self.unlogged_versions.insert((service.clone(), version.clone()));
+            self.set_stage(key, Stage::AwaitingLeader);
+            return self.propose_versions();
+        }
         let table = self.replicated_state.current_table().map(|current| &current.table);
         // Before the first route table, any service may turn out to be listed.
         let is_listed = table.is_none_or(|table| table.service(&announcement.service).is_some());
@@ -350,6 +358,7 @@
                 self.schedule_push();
                 if !self.replicated_state.contains_run(&run) {
                     self.unproposed_joins.insert(run.upstream.clone());
+                    self.propose_joins();
                 }
                 self.emit_upstream(&run.upstream);
             }
--- a/crates/verbenaslip-fleet/src/core/leader.rs
+++ b/crates/verbenaslip-fleet/src/core/leader.rs
@@ -13,7 +13,7 @@
 use crate::parent::{self, MAX_DIRECT_ENTRIES};
 use crate::quota::LoanRequest;
 use crate::registry::{Change as RegistryChange, Record, Run, Status};
-use crate::replicated_state::Command;
+use crate::replicated_state::{Command, VersionNews};
 use crate::view::Version;
 use crate::voucher::RenewalMark;
 
@@ -57,7 +57,7 @@
     }
 
     /// Proposes the newly announced upstreams, one command at a time.
-    fn propose_joins(&mut self) {
+    pub(crate) fn propose_joins(&mut self) {
         if self.joins_proposal.is_some() || self.unproposed_joins.is_empty() {
             return;
         }
@@ -70,10 +70,26 @@
         });
         let records: Vec<Record> = records.cloned().collect();
         if !records.is_empty() {
-            self.joins_proposal = Some(self.propose(&Command::AddUpstreams {
-                records,
-                unix: Trailing(self.agreed_unix_ms()),
-            }));
+            self.joins_proposal = Some(self.propose_upstreams(records));
+        }
+    }
+
+    /// Proposes upstreams for the log, with what is known of versions; returns the token.
+    fn propose_upstreams(&mut self, records: Vec<Record>) -> u64 {
+        let announced = self.unlogged_versions.iter().cloned().collect();
+        // The time of day is this instance's own until others have reported. A version that left by
+        // a clock that is behind would have left before its last streams began.
+        let is_complete = self.has_gathered_reports() && !self.hub.is_empty();
+        let versions = VersionNews { unix: self.agreed_unix_ms(), announced, is_complete };
+        self.propose(&Command::AddUpstreams { records, versions: Trailing(versions) })
+    }
+
+    /// Proposes the versions that have announced themselves, and those that have left.
+    pub(crate) fn propose_versions(&mut self) {
+        let is_behind = !self.unlogged_versions.is_empty()
+            || (self.has_gathered_reports() && self.replicated_state.is_version_history_behind());
+        if is_behind && self.joins_proposal.is_none() {
+            self.joins_proposal = Some(self.propose_upstreams(Vec::new()));
         }
     }
 
@@ -85,7 +101,7 @@
         let runs: Vec<Run> =
             lost.into_iter().filter(|run| self.replicated_state.contains_run(run)).collect();
         if !runs.is_empty() {
-            self.propose(&Command::RemoveRuns { runs, unix: Trailing(self.agreed_unix_ms()) });
+            self.propose(&Command::RemoveRuns { runs });
         }
     }
 
@@ -246,6 +262,7 @@
         self.propose_lost(expirations.lost);
         self.propose_departures();
         self.propose_joins();
+        self.propose_versions();
         if expirations.changed {
             self.schedule_push();
             expirations
--- a/crates/verbenaslip-fleet/src/core/leadership.rs
+++ b/crates/verbenaslip-fleet/src/core/leadership.rs
@@ -87,6 +87,7 @@
         self.unproposed_departures.clear();
         self.departures_proposal = None;
         self.joins_proposal = None;
+        self.unlogged_versions.clear();
         let previous = self.link.view().version;
         let floor = self.link.history().map_or(previous.change, History::floor);
         let propagation = Propagation { last_change: previous.change, oldest_change: floor };
--- a/crates/verbenaslip-fleet/src/core/log.rs
+++ b/crates/verbenaslip-fleet/src/core/log.rs
@@ -86,7 +86,9 @@
                 if self.replicated_state.revision() != before {
                     self.emit_route_table();
                 }
-                self.publish_version_history();
+                if self.is_leading() {
+                    self.publish_version_history();
+                }
             }
             Err(error) => self.mark_unreadable(&format!("log entry {}: {error}", position.index)),
         }
@@ -95,10 +97,14 @@
     /// Sends instances the history of versions if it has changed.
     fn publish_version_history(&mut self) {
         let history = self.replicated_state.version_history();
-        if self.is_leading() && *history != self.version_history {
+        if *history != self.version_history {
             self.version_history = history.clone();
             self.version_history_change = self.registry.record_external_change();
             self.schedule_push();
+            let history = &self.version_history;
+            self.unlogged_versions.retain(|it| !history.contains(&it.0, &it.1));
+            // Announcements of these versions wait.
+            self.advance_calls();
         }
     }
 
@@ -121,7 +127,8 @@
         }
         if self.joins_proposal == Some(token) {
             self.joins_proposal = None;
-            return;
+            self.propose_joins();
+            return self.propose_versions();
         }
         if self.quarantine_proposal == Some(token) {
             self.quarantine_proposal = None;
--- a/crates/verbenaslip-fleet/src/replicated_state.rs
+++ b/crates/verbenaslip-fleet/src/replicated_state.rs
@@ -15,7 +15,7 @@
 use crate::registry::{Record, Run, Status};
 use crate::rollout::{Order, Rollouts, State};
 use crate::route_table::RouteTable;
-use crate::version_history::VersionHistory;
+use crate::version_history::{ServiceVersion, VersionHistory};
 
 /// Number of closed windows that are kept: with windows of 5 s more than a minute, far longer than
 /// a report may still be sent.
@@ -54,15 +54,13 @@
     AddUpstreams {
         /// The records of the upstreams.
         records: Vec<Record>,
-        /// The agreed time of day, in Unix milliseconds.
-        unix: Trailing<u64>,
+        /// What is known of versions.
+        versions: Trailing<VersionNews>,
     },
     /// Removes runs that were silent for long; they may register again.
     RemoveRuns {
         /// The runs.
         runs: Vec<Run>,
-        /// The agreed time of day, in Unix milliseconds.
-        unix: Trailing<u64>,
     },
     /// Records which requests are quarantined, so that the next leader knows them.
     SetQuarantine(PersistedState),
@@ -84,6 +82,20 @@
     },
 }
 
+/// Contains what a leader knows of the versions of services, beside the upstreams in the log.
+///
+/// Leaders of earlier builds send none.
+#[data(default)]
+pub struct VersionNews {
+    /// The time of day in Unix milliseconds; the agreed one where versions have left. Zero if there
+    /// are no news.
+    pub unix: u64,
+    /// Versions that have announced themselves, each with its service.
+    pub announced: Vec<ServiceVersion>,
+    /// Whether versions without upstreams have left.
+    pub is_complete: bool,
+}
+
 /// Pairs a route table with the operator's document that it was read from.
 #[data(float)]
 pub struct RouteTableRevision {
@@ -244,17 +256,14 @@
                     self.windows.pop_first();
                 }
             }
-            Command::AddDepartures { departures, unix } => {
-                self.add_departures(departures, unix);
-                self.update_version_history(unix);
-            }
-            Command::AddUpstreams { records, unix } => {
+            Command::AddDepartures { departures, unix } => self.add_departures(departures, unix),
+            Command::AddUpstreams { records, versions } => {
+                let is_first = self.upstreams.is_empty() && self.departures.is_empty();
                 self.add_upstreams(records);
-                self.update_version_history(unix.0);
+                self.update_version_history(&versions.0, is_first);
             }
-            Command::RemoveRuns { runs, unix } => {
+            Command::RemoveRuns { runs } => {
                 self.upstreams.retain(|_, it| !runs.contains(&it.announcement.run));
-                self.update_version_history(unix.0);
             }
             Command::SetQuarantine(persisted) => {
                 // Fingerprints are only valid with the key that they were made with, so the first
@@ -300,15 +309,32 @@
         self.departures.retain(|_, it| unix.saturating_sub(it.unix) <= retention);
     }
 
-    /// Records which versions have upstreams at this time, in Unix milliseconds.
-    ///
-    /// Leaders of earlier builds give no time with some commands; the next command with one records
-    /// their effect.
-    fn update_version_history(&mut self, unix: u64) {
-        if unix > 0 {
-            let announcements = self.upstreams.values().map(|record| &record.announcement);
-            let present = announcements.map(|it| (&it.service, &it.version));
-            Arc::make_mut(&mut self.version_history).update(unix, present);
+    /// Returns whether the history has versions without upstreams, or lacks some with upstreams.
+    pub fn is_version_history_behind(&self) -> bool {
+        let history = &self.version_history;
+        let mut announcements = self.upstreams.values().map(|record| &record.announcement);
+        let present: BTreeSet<(&Arc<str>, &Arc<str>)> =
+            announcements.clone().map(|it| (&it.service, &it.version)).collect();
+        announcements.any(|it| !history.contains(&it.service, &it.version))
+            || history.present().any(|it| !present.contains(&it))
+    }
+
+    /// Records the versions that are there, and those that have left if the news are complete;
+    /// `is_first` tells whether no upstream has joined before.
+    fn update_version_history(&mut self, news: &VersionNews, is_first: bool) {
+        if news.unix == 0 {
+            return;
+        }
+        let history = Arc::make_mut(&mut self.version_history);
+        if !is_first {
+            history.begin_within(news.unix);
+        }
+        let announcements = self.upstreams.values().map(|record| &record.announcement);
+        let logged = announcements.map(|it| (&it.service, &it.version));
+        let announced = news.announced.iter().map(|it| (&it.0, &it.1));
+        history.add(news.unix, logged.clone().chain(announced.clone()));
+        if news.is_complete {
+            history.retain(news.unix, logged.chain(announced));
         }
     }
 
--- a/crates/verbenaslip-fleet/src/version_history.rs
+++ b/crates/verbenaslip-fleet/src/version_history.rs
@@ -24,13 +24,15 @@
 /// Holds the versions that serve, and those that have left recently.
 #[data(default)]
 pub struct VersionHistory {
-    /// When the first upstream joined; nothing is known of the time before.
+    /// When the first upstream joined.
     begin_ms: Option<u64>,
+    /// Since when the history is complete; zero if no upstream has ever joined before it began.
+    complete_since_ms: u64,
     services: BTreeMap<Arc<str>, Vec<Presence>>,
 }
 
 /// A service and one of its versions.
-type ServiceVersion = (Arc<str>, Arc<str>);
+pub type ServiceVersion = (Arc<str>, Arc<str>);
 
 /// Says which version had been alone for the lifetime of a stream, and until when.
 #[data]
@@ -63,17 +65,33 @@
 }
 
 impl VersionHistory {
-    /// Records the versions that have upstreams now, each with its service.
-    pub fn update<'a>(
+    /// Begins at a time before which versions came and left that this history does not tell of.
+    pub fn begin_within(&mut self, now_ms: u64) {
+        if self.begin_ms.is_none() {
+            (self.begin_ms, self.complete_since_ms) = (Some(now_ms), now_ms);
+        }
+    }
+
+    /// Records that versions are there, each with its service.
+    pub fn add<'a>(
         &mut self,
         now_ms: u64,
         present: impl IntoIterator<Item = (&'a Arc<str>, &'a Arc<str>)>,
     ) {
-        let present: BTreeSet<ServiceVersion> =
-            present.into_iter().map(|it| (it.0.clone(), it.1.clone())).collect();
-        if !present.is_empty() {
+        for (service, version) in present {
             self.begin_ms.get_or_insert(now_ms);
+            self.add_version(now_ms, service, version);
         }
+    }
+
+    /// Records that all other versions than these have left.
+    pub fn retain<'a>(
+        &mut self,
+        now_ms: u64,
+        present: impl IntoIterator<Item = (&'a Arc<str>, &'a Arc<str>)>,
+    ) {
+        let present: BTreeSet<ServiceVersion> =
+            present.into_iter().map(|it| (it.0.clone(), it.1.clone())).collect();
         for (service, presences) in &mut self.services {
             for presence in presences.iter_mut().filter(|it| it.left_ms.is_none()) {
                 if !present.contains(&(service.clone(), presence.version.clone())) {
@@ -81,16 +99,27 @@
                 }
             }
         }
-        for (service, version) in &present {
-            self.add(now_ms, service, version);
-        }
         self.services.retain(|_, presences| {
             forget_former(now_ms, presences);
             !presences.is_empty()
         });
     }
 
-    fn add(&mut self, now_ms: u64, service: &Arc<str>, version: &Arc<str>) {
+    /// Returns whether a version is there.
+    pub fn contains(&self, service: &str, version: &str) -> bool {
+        let presences = self.services.get(service).into_iter().flatten();
+        presences.into_iter().any(|it| it.left_ms.is_none() && *it.version == *version)
+    }
+
+    /// Iterates over the versions that are there, each with its service.
+    pub fn present(&self) -> impl Iterator<Item = (&Arc<str>, &Arc<str>)> {
+        self.services.iter().flat_map(|(service, presences)| {
+            let present = presences.iter().filter(|it| it.left_ms.is_none());
+            present.map(move |it| (service, &it.version))
+        })
+    }
+
+    fn add_version(&mut self, now_ms: u64, service: &Arc<str>, version: &Arc<str>) {
         let presences = self.services.entry(service.clone()).or_default();
         // No other version has been alone for the lifetime of a stream since one left so recently.
         let returns = |it: &&mut Presence| {
@@ -114,6 +143,9 @@
 
     /// Returns the version of a service if it has had no other since `since_ms`.
     pub fn only_version(&self, now_ms: u64, service: &str, since_ms: u64) -> Option<&Arc<str>> {
+        if since_ms < self.complete_since_ms {
+            return None;
+        }
         let recent = |it: &&Presence| it.end(now_ms) >= since_ms;
         let mut versions = self.services.get(service)?.iter().filter(recent).map(|it| &it.version);
         let version = versions.next()?;
@@ -123,6 +155,9 @@
     /// Returns the version of a service that had been alone for the lifetime of a stream at some
     /// time since `since_ms`, and when that was last so; `None` if there is none, or more than one.
     pub fn lone_version(&self, now_ms: u64, service: &str, since_ms: u64) -> Option<LoneVersion> {
+        if since_ms.saturating_sub(settling_ms()) < self.complete_since_ms {
+            return None;
+        }
         let presences = self.services.get(service)?;
         let mut found: Option<LoneVersion> = None;
         for presence in presences {
--- a/crates/verbenaslip-fleet/tests/ledger.rs
+++ b/crates/verbenaslip-fleet/tests/ledger.rs
@@ -8,7 +8,7 @@
 use verbenaslip_fleet::frame::Trailing;
 use verbenaslip_fleet::quarantine::{Block, PersistedState};
 use verbenaslip_fleet::registry::{Announcement, Record, Status};
-use verbenaslip_fleet::replicated_state::{Command, ReplicatedState};
+use verbenaslip_fleet::replicated_state::{Command, ReplicatedState, VersionNews};
 
 fn record(name: &str, port: u16) -> Record {
     let address = ([10, 9, 0, 1], port).into();
@@ -23,7 +23,8 @@
 }
 
 fn joined(records: Vec<Record>, unix: u64) -> Command {
-    Command::AddUpstreams { records, unix: Trailing(unix) }
+    let versions = VersionNews { unix, is_complete: true, ..VersionNews::default() };
+    Command::AddUpstreams { records, versions: Trailing(versions) }
 }
 
 #[test]
@@ -75,8 +76,8 @@
         before_history.strip_suffix(&[0, 0, 0]).expect("the rollouts precede the history");
     let before =
         before_rollouts.strip_suffix(&[0, 0]).expect("the quarantine precedes the rollouts");
-    // A history without a begin and without services takes two zeros.
-    let expected = [before_history, &[0, 0]].concat();
+    // A history without a begin and without services takes three zeros.
+    let expected = [before_history, &[0, 0, 0]].concat();
     for snapshot in [before_history, before_rollouts, before] {
         let restored = ReplicatedState::restore(snapshot).expect("the snapshot can be decoded");
         assert_eq!(restored.snapshot(), expected);
@@ -90,7 +91,7 @@
     let bytes = joined(vec![record("u", 1)], 0).encode();
     state.apply(Command::decode(&bytes).expect("the command can be decoded"));
     assert_eq!(state.version_history().begin_ms(), None);
-    state.apply(departure_of("v", 1_000));
+    state.apply(joined(Vec::new(), 1_000));
     assert_eq!(state.version_history().begin_ms(), Some(1_000));
     assert_eq!(
         state.version_history().only_version(2_000, "pool", 1_000).map(|it| &**it),
--- a/crates/verbenaslip-fleet/tests/version_history.rs
+++ b/crates/verbenaslip-fleet/tests/version_history.rs
@@ -21,7 +21,9 @@
     fn set(&mut self, now: u64, versions: &[&str]) {
         let service: Arc<str> = "desk".into();
         let versions: Vec<Arc<str>> = versions.iter().map(|it| Arc::from(*it)).collect();
-        self.0.update(now * 1_000, versions.iter().map(|it| (&service, it)));
+        let present = versions.iter().map(|it| (&service, it));
+        self.0.add(now * 1_000, present.clone());
+        self.0.retain(now * 1_000, present);
     }
 
     fn only(&self, now: u64, since: u64) -> Option<&str> {
@@ -114,7 +116,9 @@
     for number in 1..=versions {
         let version: Arc<str> = format!("v1.{number}.0+5f2a91c").into();
         let now_ms = EPOCH_MS + u64::try_from(number).expect("a small number") * 90_000;
-        history.update(now_ms, names.iter().map(|name| (name, &version)));
+        let present = names.iter().map(|name| (name, &version));
+        history.add(now_ms, present.clone());
+        history.retain(now_ms, present);
     }
     history
 }
--- a/crates/verbenaslip-relay/src/forward/origin.rs
+++ b/crates/verbenaslip-relay/src/forward/origin.rs
@@ -180,13 +180,16 @@
     let (service, now, builds) =
         (request.service.clone(), monotonic::now(), context.builds.borrow());
     let max_age = max_age + MAX_NEWS_DELAY;
-    // Where no other version has served, it does not matter what cores have forgotten.
+    // Streams are recorded for a time after another version has left. One of which the cores were
+    // not told then began at an entry that was cut off from them, at either version. Where no other
+    // has served since the stream may have begun, it does not matter what the cores have forgotten.
+    let is_unrecorded = answer == Answer::NotTold && resumes.is_some();
+    let lone_time = if is_unrecorded { MAX_LIFETIME } else { max_age };
     let is_known = answer == Answer::NotTold || builds.is_current(now);
-    if let Some(version) = builds.only_version(now, &service, max_age).filter(|_| is_known) {
+    if let Some(version) = builds.only_version(now, &service, lone_time).filter(|_| is_known) {
         let origin = OriginUse { source: "only", age: None };
         return Ok(Found { service, version, origin });
     }
-    let is_unrecorded = answer == Answer::NotTold && resumes.is_some();
     let settled = builds.unrecorded(now, &service, max_age).filter(|_| is_unrecorded);
     let settled = settled.ok_or(unknown)?;
     let origin = OriginUse { source: "history", age: Some(settled.age) };
--- a/crates/verbenaslip-relay/tests/builds.rs
+++ b/crates/verbenaslip-relay/tests/builds.rs
@@ -37,7 +37,9 @@
         self.view.upstreams = Arc::new(named.collect::<BTreeMap<_, _>>());
         let announcements = self.view.upstreams.values().map(|it| &it.announcement);
         let present = announcements.map(|it| (&it.service, &it.version));
-        Arc::make_mut(&mut self.view.version_history).update(unix_ms(now), present);
+        let history = Arc::make_mut(&mut self.view.version_history);
+        history.add(unix_ms(now), present.clone());
+        history.retain(unix_ms(now), present);
         self.hear_leader(now);
     }
 
