List the cores of the last leader until all have reported to the new one

Cause: a new leader listed the voters and the cores that it had heard since its start. Entries ask the listed cores and take their silence about a stream, all but one of them, for "nobody was told"; the cores that were told may be the ones that aren't listed yet.

Not covered: a core that is no voter and that the leader doesn't hear for longer.

--- a/crates/verbenaslip-fleet/src/core/leader.rs
+++ b/crates/verbenaslip-fleet/src/core/leader.rs
@@ -347,11 +347,17 @@
     }
 
     /// Returns the addresses of the voters and of the cores that may become voters.
+    ///
+    /// A new leader includes those of the last leader's list until they have had time to report:
+    /// entries take cores that are not listed for cores that were told of no stream.
     pub(crate) fn reachable_core_addresses(&self) -> Vec<SocketAddr> {
         let voters = self.replica.voters().members();
         let mut cores: Vec<SocketAddr> =
             voters.filter_map(|voter| address_of(&voter.instance)).collect();
         cores.extend(self.hub.reachable_cores(self.now).map(|peer| peer.address));
+        if self.now < self.gathering_ends_at() {
+            cores.extend(&self.link.view().cores);
+        }
         cores.sort_unstable();
         cores.dedup();
         cores
