--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -84,6 +84,8 @@
     pub(crate) unproposed_joins: BTreeSet<Upstream>,
     /// Announced versions that are not in the log yet, each with its service.
     pub(crate) unlogged_versions: BTreeSet<ServiceVersion>,
+    /// Index of the log at which the history of versions was last compared with the upstreams.
+    pub(crate) versions_checked_index: u64,
     /// Token of the uncommitted proposal that contains earlier joins.
     pub(crate) joins_proposal: Option<u64>,
     pub(crate) closing_windows: BTreeSet<u64>,
@@ -212,6 +214,7 @@
             departures_proposal: None,
             unproposed_joins: BTreeSet::new(),
             unlogged_versions: BTreeSet::new(),
+            versions_checked_index: 0,
             joins_proposal: None,
             closing_windows: BTreeSet::new(),
             initial_count_proposed_at: BTreeMap::new(),
--- a/crates/verbenaslip-fleet/src/core/leader.rs
+++ b/crates/verbenaslip-fleet/src/core/leader.rs
@@ -79,16 +79,23 @@
         let announced = self.unlogged_versions.iter().cloned().collect();
         // The time of day is this instance's own until others have reported. A version that left by
         // a clock that is behind would have left before its last streams began.
-        let is_complete = self.has_gathered_reports() && !self.hub.is_empty();
+        let is_complete = records.is_empty() && self.has_gathered_reports() && !self.hub.is_empty();
         let versions = VersionNews { unix: self.agreed_unix_ms(), announced, is_complete };
         self.propose(&Command::AddUpstreams { records, versions: Trailing(versions) })
     }
 
     /// Proposes the versions that have announced themselves, and those that have left.
     pub(crate) fn propose_versions(&mut self) {
+        if self.joins_proposal.is_some() {
+            return;
+        }
+        // There are thousands of upstreams, which change only with the log.
+        let has_changed = self.has_gathered_reports()
+            && std::mem::replace(&mut self.versions_checked_index, self.applied_index)
+                != self.applied_index;
         let is_behind = !self.unlogged_versions.is_empty()
-            || (self.has_gathered_reports() && self.replicated_state.is_version_history_behind());
-        if is_behind && self.joins_proposal.is_none() {
+            || (has_changed && self.replicated_state.is_version_history_behind());
+        if is_behind {
             self.joins_proposal = Some(self.propose_upstreams(Vec::new()));
         }
     }
@@ -364,11 +371,17 @@
     }
 
     /// Returns the addresses of the voters and of the cores that may become voters.
+    ///
+    /// A new leader includes those of the last leader's list until they have had time to report:
+    /// entries take cores that are not listed for cores that were told of no stream.
     pub(crate) fn reachable_core_addresses(&self) -> Vec<SocketAddr> {
         let voters = self.replica.voters().members();
         let mut cores: Vec<SocketAddr> =
             voters.filter_map(|voter| address_of(&voter.instance)).collect();
         cores.extend(self.hub.reachable_cores(self.now).map(|peer| peer.address));
+        if self.now < self.gathering_ends_at() {
+            cores.extend(&self.link.view().cores);
+        }
         cores.sort_unstable();
         cores.dedup();
         cores
--- a/crates/verbenaslip-fleet/src/core/leadership.rs
+++ b/crates/verbenaslip-fleet/src/core/leadership.rs
@@ -88,6 +88,7 @@
         self.departures_proposal = None;
         self.joins_proposal = None;
         self.unlogged_versions.clear();
+        self.versions_checked_index = 0;
         let previous = self.link.view().version;
         let floor = self.link.history().map_or(previous.change, History::floor);
         let propagation = Propagation { last_change: previous.change, oldest_change: floor };
--- a/crates/verbenaslip-fleet/src/replicated_state.rs
+++ b/crates/verbenaslip-fleet/src/replicated_state.rs
@@ -259,8 +259,11 @@
             Command::AddDepartures { departures, unix } => self.add_departures(departures, unix),
             Command::AddUpstreams { records, versions } => {
                 let is_first = self.upstreams.is_empty() && self.departures.is_empty();
+                let announcements = records.iter().map(|record| &record.announcement);
+                let joined: Vec<ServiceVersion> =
+                    announcements.map(|it| (it.service.clone(), it.version.clone())).collect();
                 self.add_upstreams(records);
-                self.update_version_history(&versions.0, is_first);
+                self.update_version_history(&versions.0, &joined, is_first);
             }
             Command::RemoveRuns { runs } => {
                 self.upstreams.retain(|_, it| !runs.contains(&it.announcement.run));
@@ -311,30 +314,43 @@
 
     /// Returns whether the history has versions without upstreams, or lacks some with upstreams.
     pub fn is_version_history_behind(&self) -> bool {
+        let present = self.logged_versions();
         let history = &self.version_history;
-        let mut announcements = self.upstreams.values().map(|record| &record.announcement);
-        let present: BTreeSet<(&Arc<str>, &Arc<str>)> =
-            announcements.clone().map(|it| (&it.service, &it.version)).collect();
-        announcements.any(|it| !history.contains(&it.service, &it.version))
-            || history.present().any(|it| !present.contains(&it))
+        present.iter().any(|(service, version)| !history.contains(service, version))
+            || history
+                .present()
+                .any(|(service, version)| !present.contains(&(service.clone(), version.clone())))
     }
 
-    /// Records the versions that are there, and those that have left if the news are complete;
+    /// Returns the versions of the upstreams in the log.
+    fn logged_versions(&self) -> BTreeSet<ServiceVersion> {
+        let announcements = self.upstreams.values().map(|record| &record.announcement);
+        announcements.map(|it| (it.service.clone(), it.version.clone())).collect()
+    }
+
+    /// Records the versions that have joined, and those that have left if the news are complete;
     /// `is_first` tells whether no upstream has joined before.
-    fn update_version_history(&mut self, news: &VersionNews, is_first: bool) {
+    fn update_version_history(
+        &mut self,
+        news: &VersionNews,
+        joined: &[ServiceVersion],
+        is_first: bool,
+    ) {
         if news.unix == 0 {
             return;
         }
+        let is_begin = self.version_history.begin_ms().is_none();
+        let reads_all = news.is_complete || (is_begin && !is_first);
+        let logged = if reads_all { self.logged_versions() } else { BTreeSet::new() };
         let history = Arc::make_mut(&mut self.version_history);
         if !is_first {
             history.begin_within(news.unix);
         }
-        let announcements = self.upstreams.values().map(|record| &record.announcement);
-        let logged = announcements.map(|it| (&it.service, &it.version));
-        let announced = news.announced.iter().map(|it| (&it.0, &it.1));
-        history.add(news.unix, logged.clone().chain(announced.clone()));
+        let present = logged.iter().chain(joined).chain(&news.announced);
+        let present = present.map(|(service, version)| (service, version));
+        history.add(news.unix, present.clone());
         if news.is_complete {
-            history.retain(news.unix, logged.chain(announced));
+            history.retain(news.unix, present);
         }
     }
 
