Take no version for the only one until no older stream can be left

What callers saw: a stream whose version had left went on at the version that came since, if it was older than its route's timeout and what was left of its caller's patience, as after an edit of the timeout: 40 of 40 in the test.

Cause: the entry asks whether another version has served within the longer of both, plus 3 s. Neither tells the age of the stream: the timeout may have been edited since, and what is left of a caller's patience shrinks as it waits.

Change: no other version may have served for as long as any stream lasts.

Measured: 28 of 28 tests of resume.rs pass (debug, one run); the test failed before.

--- a/crates/verbenaslip-relay/src/forward/origin.rs
+++ b/crates/verbenaslip-relay/src/forward/origin.rs
@@ -182,7 +182,9 @@
     let max_age = max_age + MAX_NEWS_DELAY;
     // Where no other version has served, it does not matter what cores have forgotten.
     let is_known = answer == Answer::NotTold || builds.is_current(now);
-    if let Some(version) = builds.only_version(now, &service, max_age).filter(|_| is_known) {
+    // A caller who has waited long says only what is left of its patience, not the age of its stream.
+    let longest = MAX_LIFETIME + LIFETIME_MARGIN + MAX_NEWS_DELAY;
+    if let Some(version) = builds.only_version(now, &service, longest).filter(|_| is_known) {
         let origin = OriginUse { source: "only", age: None };
         return Ok(Found { service, version, origin });
     }
