Copy where streams began from the other cores at each start of a core

Callers whose entry had ended got 503 unknown_version when the cores had been restarted in turn within the life of their streams: each core forgot its records at its restart, and each record was at two cores only. An entry takes the answer from a copy only once no core can have been told of a later version. Line 962 says what a core has copied. Cores and entries of older builds send and get the frames as before; an answer without a page completes no copy.

--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -10,6 +10,7 @@
 mod log;
 mod measurement;
 mod orders;
+mod origins;
 mod quarantine;
 mod rollout;
 mod voters;
@@ -39,6 +40,7 @@
 use crate::link::Link;
 use crate::order::{self, Dispatcher};
 use crate::origin::Origins;
+use crate::origin::copy::Copier;
 use crate::plan::Planner;
 use crate::quarantine::{Quarantine, QuarantinePolicy};
 use crate::registry::Registry;
@@ -111,6 +113,10 @@
     gateways: Directory,
     /// Versions at which streams began.
     origins: Origins,
+    /// Copies the origins that other cores have after a start.
+    pub(crate) origin_copier: Copier,
+    /// Until when this core waits for further questions of a core that copies its origins.
+    pub(crate) origins_served_until: Duration,
     /// Whether this instance is shutting down.
     pub(crate) stopping: bool,
     /// Addresses of the cores, as the leader sends them to other instances.
@@ -225,6 +231,8 @@
             aggregator: Aggregator::default(),
             gateways: Directory::default(),
             origins: Origins::new(now),
+            origin_copier: Copier::new(now, number_base),
+            origins_served_until: Duration::ZERO,
             stopping: false,
             core_addresses: Vec::new(),
             quarantine: Quarantine::default(),
@@ -257,6 +265,7 @@
             self.next_maintenance = self.now + MAINTENANCE_INTERVAL;
             self.maintain();
         }
+        self.copy_origins();
         self.push_updates();
         self.flush_to_leader();
         self.send_heartbeat();
@@ -274,6 +283,7 @@
             .min(maintenance)
             .min(self.next_push)
             .min(self.aggregator.next_wakeup())
+            .min(self.origin_copier.next_wakeup())
     }
 
     /// Returns the log replica, for status output.
@@ -287,9 +297,12 @@
     }
 
     /// Returns whether the process may exit: the core is not the leader, its vote has been handed
-    /// over if another core could take it, and no call is pending.
+    /// over if another core could take it, no call is pending, and no core copies its origins.
     pub fn is_idle(&self) -> bool {
-        !self.replica.is_leader() && self.pending_calls.is_empty() && self.may_stop()
+        !self.replica.is_leader()
+            && self.pending_calls.is_empty()
+            && self.may_stop()
+            && self.now >= self.origins_served_until
     }
 
     fn handle_input(&mut self, input: Input) {
@@ -343,23 +356,18 @@
                 self.send(to, Frame::Gateways(gateways));
             }
             Frame::RecordOrigins { acknowledge_to, origins } => {
-                origins.iter().for_each(|it| self.origins.record(self.now, it));
-                if let Some(count) = self.origins.take_loss(self.now) {
-                    self.outputs.push(Output::Event(Event::OriginsLost { count }));
-                }
-                if let Some(to) = acknowledge_to {
-                    self.send(to, Frame::OriginsRecorded);
-                }
+                self.record_origins(acknowledge_to, &origins);
             }
-            Frame::FindOrigins { from, streams } => {
-                let find = |stream| self.origins.find(self.now, stream);
-                let findings = streams.into_iter().map(find).collect();
-                let local_address = self.link.local_peer().address;
-                self.send(from, Frame::OriginsFound { from: local_address, findings });
+            Frame::FindOrigins { from, streams, copy } => {
+                self.find_origins(from, streams, copy.0);
+            }
+            Frame::OriginsFound { from, extension, .. } => {
+                if let Some(page) = extension.0.page.0 {
+                    self.handle_origins_page(from, &page);
+                }
             }
             Frame::Gateways(_)
             | Frame::OriginsRecorded
-            | Frame::OriginsFound { .. }
             | Frame::Update(_)
             | Frame::CrashReportReceived { .. }
             | Frame::ReportTo { .. } => {}
--- a/crates/verbenaslip-fleet/src/core/event.rs
+++ b/crates/verbenaslip-fleet/src/core/event.rs
@@ -11,6 +11,7 @@
 use crate::hub::AckCounts;
 use crate::limit::Observation;
 use crate::measurement::summary::Summary;
+use crate::origin::copy::CopyOutcome;
 use crate::quarantine::Finding;
 use crate::registry::StaleAnnouncement;
 use crate::rollout::Rollout;
@@ -67,6 +68,8 @@
         /// Number since the last such event.
         count: usize,
     },
+    /// The copy of the origins that other cores have has ended.
+    OriginsCopied(CopyOutcome),
     /// A departure was acknowledged.
     DepartureAcknowledged {
         /// The run and its new status.
--- a/crates/verbenaslip-fleet/src/entry.rs
+++ b/crates/verbenaslip-fleet/src/entry.rs
@@ -6,7 +6,7 @@
 use verbenaslip_base::hash;
 
 use crate::crash_report::{CrashReporter, ObservedAnswer, ObservedCrash};
-use crate::frame::{Frame, Peer};
+use crate::frame::{Frame, Peer, Trailing};
 use crate::gateway::{Membership, Registration};
 use crate::link::{Link, Report, Targets};
 use crate::origin::{self, Origin, Stream};
@@ -150,7 +150,8 @@
         let to = self.view().cores.clone();
         let from = self.link.local_peer().address;
         let is_useful = !streams.is_empty() && !to.is_empty();
-        is_useful.then_some(Envelope { to, frame: Frame::FindOrigins { from, streams } })
+        let frame = Frame::FindOrigins { from, streams, copy: Trailing(None) };
+        is_useful.then_some(Envelope { to, frame })
     }
 
     /// Builds the notice that this entry stops.
--- a/crates/verbenaslip-fleet/src/frame.rs
+++ b/crates/verbenaslip-fleet/src/frame.rs
@@ -16,6 +16,7 @@
 use crate::limit::{Limits, Observation, TimeSlot};
 use crate::load::WorkReport;
 use crate::measurement::{FigureReport, Totals};
+use crate::origin::copy::{Page, PageRequest};
 use crate::origin::{Finding, Origin, Stream};
 use crate::parent::ParentCore;
 use crate::quarantine::Blocklist;
@@ -132,6 +133,8 @@
         from: SocketAddr,
         /// The streams.
         streams: Vec<Stream>,
+        /// The wanted page of the core's whole table, if the sender is a core that has started.
+        copy: Trailing<Option<PageRequest>>,
     },
     /// Answers with what a core knows about the origins of streams.
     OriginsFound {
@@ -139,6 +142,8 @@
         from: SocketAddr,
         /// What it knows, one item for each stream.
         findings: Vec<Finding>,
+        /// Fields that were added later.
+        extension: Trailing<OriginsFoundExtension>,
     },
 }
 
@@ -244,6 +249,15 @@
     pub is_stopping: Trailing<bool>,
 }
 
+/// Holds the fields of the findings about origins that were added later.
+#[data(default)]
+pub struct OriginsFoundExtension {
+    /// Streams whose origins the core has from other cores.
+    pub copied: Vec<Stream>,
+    /// The page that was asked for.
+    pub page: Trailing<Option<Box<Page>>>,
+}
+
 /// Holds a field that was added at the end of a frame; empty if it is missing or unreadable.
 ///
 /// A fleet is upgraded one instance at a time. Builds without the field ignore the trailing bytes,
--- a/crates/verbenaslip-fleet/tests/net/mod.rs
+++ b/crates/verbenaslip-fleet/tests/net/mod.rs
@@ -16,6 +16,7 @@
 use verbenaslip_fleet::link::Report;
 use verbenaslip_fleet::measurement::{RunKey, Totals};
 use verbenaslip_fleet::order;
+use verbenaslip_fleet::origin::{Finding, Origin, Stream};
 use verbenaslip_fleet::quarantine::QuarantinePolicy;
 use verbenaslip_fleet::registry::{Announcement, Run, Status};
 use verbenaslip_fleet::replicated_state::RouteTableRevision;
@@ -138,6 +139,8 @@
     wanted_slots: BTreeMap<usize, u32>,
     /// Bytes of figures that each entry has received, while traffic is counted.
     figure_bytes: BTreeMap<SocketAddr, usize>,
+    /// What cores have found for entries.
+    findings: Vec<(SocketAddr, Finding)>,
     /// Traffic of each core, while it is counted.
     traffic: Option<BTreeMap<SocketAddr, Traffic>>,
 }
@@ -219,6 +222,7 @@
             measurements: BTreeMap::new(),
             wanted_slots: BTreeMap::new(),
             figure_bytes: BTreeMap::new(),
+            findings: Vec::new(),
             traffic: None,
         };
         for index in 0..cores {
@@ -615,11 +619,31 @@
                 let bytes = postcard::to_stdvec(&update.extension).expect("figures are encodable");
                 *self.figure_bytes.entry(to).or_default() += bytes.len();
             }
+            if let Frame::OriginsFound { from, findings, .. } = &frame {
+                self.findings.extend(findings.iter().map(|it| (*from, *it)));
+            }
             let envelope = self.entries[index].handle_frame(self.now, frame);
             self.send_envelope(to, envelope);
         }
     }
 
+    /// Lets an entry tell two cores where streams begin.
+    pub fn record_origins(&mut self, entry: usize, origins: Vec<Origin>) {
+        let envelope = self.entries[entry].record_origins(self.now, origins);
+        self.send_envelope(entry_address(entry), envelope);
+    }
+
+    /// Lets an entry ask all cores where a stream began, and returns their answers by core.
+    pub fn find_origin(&mut self, entry: usize, stream: Stream) -> BTreeMap<usize, Finding> {
+        self.findings.clear();
+        let envelope = self.entries[entry].find_origins(vec![stream]);
+        self.send_envelope(entry_address(entry), envelope);
+        self.run(4 * TICK);
+        let index = |core| (0..self.cores.len()).find(|it| core_address(*it) == core);
+        let findings = self.findings.iter();
+        findings.filter_map(|(core, finding)| Some((index(*core)?, *finding))).collect()
+    }
+
     fn send_envelope(
         &mut self,
         from: SocketAddr,
--- a/crates/verbenaslip-instance/src/entry.rs
+++ b/crates/verbenaslip-instance/src/entry.rs
@@ -228,8 +228,8 @@
     fn handle_frame(&mut self, frame: Frame) {
         match frame {
             Frame::GrantLoans(grants) => return self.shared.deliver_loan_grants(grants),
-            Frame::OriginsFound { from, findings } => {
-                return self.shared.deliver_findings(from, &findings);
+            Frame::OriginsFound { from, findings, extension } => {
+                return self.shared.deliver_findings(from, &findings, &extension.0.copied);
             }
             _ => {}
         }
--- a/crates/verbenaslip-instance/src/event.rs
+++ b/crates/verbenaslip-instance/src/event.rs
@@ -79,5 +79,7 @@
 pub(crate) const SCALING_PLANNED: Kind = Kind { number: 929, name: "upstreams_planned" };
 /// A core has no room for the origins of streams; taking up these streams fails.
 pub(crate) const ORIGINS_LOST: Kind = Kind { number: 957, name: "origins_lost" };
+/// A core that has started has copied what others know of the origins of streams, or could not.
+pub(crate) const ORIGINS_COPIED: Kind = Kind { number: 962, name: "origins_copied" };
 /// An order has been sent to the cloud, or had expired before it could be sent.
 pub(crate) const CLOUD_ORDERED: Kind = Kind { number: 930, name: "cloud_ordered" };
--- a/crates/verbenaslip-instance/src/logging.rs
+++ b/crates/verbenaslip-instance/src/logging.rs
@@ -9,6 +9,7 @@
 use verbenaslip_fleet::hub::AckCounts;
 use verbenaslip_fleet::measurement::Figure;
 use verbenaslip_fleet::measurement::summary::Summary;
+use verbenaslip_fleet::origin::copy::CopyOutcome;
 use verbenaslip_fleet::quarantine::Finding;
 use verbenaslip_fleet::registry::{Record, Run, StaleAnnouncement};
 use verbenaslip_fleet::rollout::Rollout;
@@ -96,6 +97,7 @@
         ),
         Event::UpstreamFigures(summary) => log_figures(&summary),
         Event::OriginsLost { count } => emit(event::ORIGINS_LOST, [("count", json!(count))]),
+        Event::OriginsCopied(outcome) => log_copy(&outcome),
         Event::CallTimedOut { call } => emit(event::CALL_TIMED_OUT, [("asked", json!(call))]),
         Event::UnreadableLog(cause) => emit(event::LOG_UNREADABLE, [("cause", json!(cause))]),
     }
@@ -129,6 +131,21 @@
     );
 }
 
+/// Logs the end of a copy of the origins of streams.
+fn log_copy(outcome: &CopyOutcome) {
+    let missing: Vec<String> = outcome.missing.iter().map(ToString::to_string).collect();
+    emit(
+        event::ORIGINS_COPIED,
+        [
+            ("cores", json!(outcome.cores)),
+            ("missing", json!(missing)),
+            ("count", json!(outcome.origins)),
+            ("complete_ms", json!(outcome.complete.as_millis())),
+            ("elapsed_ms", json!(outcome.elapsed.as_millis())),
+        ],
+    );
+}
+
 /// Logs the answer to an edit.
 fn log_edit(answer: &EditAnswer) {
     let EditAnswer { requested, revision, forwarded_by, token } = answer;
--- a/crates/verbenaslip-relay/src/forward/origin.rs
+++ b/crates/verbenaslip-relay/src/forward/origin.rs
@@ -207,7 +207,9 @@
 /// Asks all cores for the origin of a stream that is at most `max_age` old; `takes_few` says whether
 /// to wait only for so many that one of those is among them that would have been told.
 ///
-/// Each origin was told to several cores, so one fewer may be silent, or have started meanwhile.
+/// Each origin was told to several cores, so one fewer may be silent, or have started meanwhile. A
+/// core that was told of the origin decides at once; a copy of it counts only if no core can have
+/// been told of a later one.
 async fn ask_cores(
     context: &Context,
     stream: Stream,
@@ -219,19 +221,39 @@
         if takes_few { (core_count + 1).saturating_sub(KEEPER_COUNT) } else { core_count };
     let mut findings = context.shared.find_origin(stream);
     let deadline = Instant::now() + LOOKUP_TIMEOUT;
-    let (mut answered, mut complete_count) = (BTreeSet::new(), 0);
+    let (mut answered, mut complete_times) = (BTreeSet::new(), Vec::new());
+    let mut copied: Option<(Build, u32)> = None;
+    let is_certain = |complete_times: &[u32], age: Duration| {
+        let is_complete = |it: &&u32| Duration::from_millis((**it).into()) >= age;
+        let complete_count = complete_times.iter().filter(is_complete).count();
+        complete_count > 0 && complete_count + KEEPER_COUNT > core_count
+    };
+    // Another core may have been told of a later version than the one that was copied.
+    let is_newest = |complete_times: &[u32], (_, age_ms): &(Build, u32)| {
+        is_certain(complete_times, Duration::from_millis((*age_ms).into()))
+    };
     while answered.len() < wanted_count {
         let finding = tokio::time::timeout_at(deadline, findings.recv()).await;
-        let Ok(Some(CoreFinding { core, finding })) = finding else { break };
-        if let Some((build, age_ms)) = finding.origin {
-            return Answer::Told(build, age_ms);
+        let Ok(Some(CoreFinding { core, finding, is_copy })) = finding else { break };
+        match finding.origin {
+            Some((build, age_ms)) if !is_copy => return Answer::Told(build, age_ms),
+            Some(origin) if copied.is_none_or(|it| origin.1 < it.1) => copied = Some(origin),
+            _ => {}
+        }
+        if answered.insert(core) {
+            complete_times.push(finding.complete_ms);
+        }
+        if copied.is_some_and(|it| is_newest(&complete_times, &it)) {
+            break;
+        }
+    }
+    match copied {
+        Some((build, age_ms)) if is_newest(&complete_times, &(build, age_ms)) => {
+            Answer::Told(build, age_ms)
         }
-        let remembered = Duration::from_millis(finding.complete_ms.into());
-        let is_new = answered.insert(core);
-        complete_count += usize::from(is_new && remembered >= max_age);
+        None if is_certain(&complete_times, max_age) => Answer::NotTold,
+        _ => Answer::Uncertain,
     }
-    let is_certain = complete_count > 0 && complete_count + KEEPER_COUNT > core_count;
-    if is_certain { Answer::NotTold } else { Answer::Uncertain }
 }
 
 /// Returns the service and version that a recorded origin names, among those of the route.
--- a/crates/verbenaslip-relay/src/shared.rs
+++ b/crates/verbenaslip-relay/src/shared.rs
@@ -299,14 +299,15 @@
         std::mem::take(&mut lock(&self.origins).wanted)
     }
 
-    /// Passes on what a core has found.
-    pub fn deliver_findings(&self, core: SocketAddr, findings: &[Finding]) {
+    /// Passes on what a core has found; `copied` names the streams that it knows from other cores.
+    pub fn deliver_findings(&self, core: SocketAddr, findings: &[Finding], copied: &[Stream]) {
         let origins = lock(&self.origins);
         for finding in findings {
             let waiters = origins.waiters.iter().filter(|it| it.stream == finding.stream);
+            let is_copy = copied.contains(&finding.stream);
             // A request that has found its origin no longer waits.
             for waiter in waiters {
-                let _ = waiter.findings.send(CoreFinding { core, finding: *finding });
+                let _ = waiter.findings.send(CoreFinding { core, finding: *finding, is_copy });
             }
         }
     }
@@ -471,6 +472,8 @@
     pub core: SocketAddr,
     /// What it knows.
     pub finding: Finding,
+    /// Whether it knows that from another core.
+    pub is_copy: bool,
 }
 
 /// Holds loan requests and the requests that wait for their grants.
