Limit interim and late answers before an answer

Callers of an upstream that sent "102 Processing" or answers to other requests without end got 504 at their deadline, and the entry read all the time: up to 6 of 9 sound requests beside four of these were closed unread. Through a gateway, the body of a late answer held requests for 6.1 s of a deadline of 0.8 s, since bytes that are always there left the deadline unlooked at.

An entry reads 64 interim answers of 64 KB together, and 16 late ones of 1 MB together with their framing; beyond that the connection is given up as broken, so a request that may have run gets 502. It also notices a caller that leaves during a late answer.

--- a/crates/verbenaslip-relay/src/forward/exchange.rs
+++ b/crates/verbenaslip-relay/src/forward/exchange.rs
@@ -27,8 +27,18 @@
 /// Limit on the bytes of an answer's head.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
-/// Limit on the bytes of an answer to another request that is skipped.
-const MAX_SKIPPED_BYTES: usize = 1 << 20;
+/// Limit on the interim answers (status 1xx) before an answer.
+const MAX_INTERIM_ANSWERS: u32 = 64;
+
+/// Limit on the bytes of all interim answers before an answer.
+const MAX_INTERIM_BYTES: usize = 64 << 10;
+
+/// Limit on the answers to other requests that are skipped before an answer.
+const MAX_LATE_ANSWERS: u32 = 16;
+
+/// Limit on the bytes of all answers to other requests that are skipped before an answer, with
+/// their framing.
+const MAX_LATE_BYTES: usize = 1 << 20;
 
 /// Holds a connection on which the head of an answer has arrived.
 pub struct Response {
@@ -72,6 +82,36 @@
     }
 }
 
+/// Counts what has arrived before the answer to the present request.
+#[derive(Default)]
+struct Skipped {
+    interim_answers: u32,
+    interim_bytes: usize,
+    late_answers: u32,
+    late_bytes: usize,
+}
+
+impl Skipped {
+    fn count_interim(&mut self, bytes: usize) -> Result<(), Failure> {
+        self.interim_answers += 1;
+        self.interim_bytes += bytes;
+        let fits =
+            self.interim_answers <= MAX_INTERIM_ANSWERS && self.interim_bytes <= MAX_INTERIM_BYTES;
+        if fits { Ok(()) } else { Err(Failure::Broken) }
+    }
+
+    fn count_late(&mut self, bytes: usize) -> Result<(), Failure> {
+        self.late_answers += 1;
+        self.count_late_bytes(bytes)?;
+        if self.late_answers <= MAX_LATE_ANSWERS { Ok(()) } else { Err(Failure::Broken) }
+    }
+
+    fn count_late_bytes(&mut self, bytes: usize) -> Result<(), Failure> {
+        self.late_bytes += bytes;
+        if self.late_bytes <= MAX_LATE_BYTES { Ok(()) } else { Err(Failure::Broken) }
+    }
+}
+
 /// Describes why an upstream gave no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -117,12 +157,14 @@
     let mut suspect_at = is_direct.then(|| Instant::now() + SUSPICION_TIME);
     let mut written = 0;
     let mut in_sync = true;
+    let mut skipped = Skipped::default();
     loop {
         while let Some(end) = connection.head_length() {
             let head =
                 ResponseHead::parse(&connection.buffer[..end]).map_err(|_| Failure::Broken)?;
             connection.buffer.advance(end);
             if head.status < 200 {
+                skipped.count_interim(end)?;
                 continue;
             }
             let info = context.dialect.response_info(&head, &request.info.id);
@@ -137,7 +179,11 @@
                 // This is a late answer to an earlier request on the connection. Passing it on
                 // would give the caller what another caller asked for.
                 Correlation::Other => {
-                    skip_body(&mut connection, &head, request, deadline).await?;
+                    skipped.count_late(end)?;
+                    let method = &request.head.method;
+                    let framing = head.framing(method).map_err(|_| Failure::Broken)?;
+                    let decoder = Decoder::new(framing);
+                    skip_body(&mut connection, caller, decoder, deadline, &mut skipped).await?;
                     in_sync = false;
                 }
                 // Bytes that belong to no request need not be a whole answer, so nothing tells
@@ -206,29 +252,26 @@
 /// Skips the body of an answer that belongs to another request.
 async fn skip_body(
     connection: &mut Connection,
-    head: &ResponseHead,
-    request: &AdmittedRequest<'_>,
+    caller: &mut Connection,
+    mut decoder: Decoder,
     deadline: Instant,
+    skipped: &mut Skipped,
 ) -> Result<(), Failure> {
-    let framing = head.framing(&request.head.method).map_err(|_| Failure::Broken)?;
-    let mut decoder = Decoder::new(framing);
-    let mut skipped = 0;
     loop {
-        match decoder.step(&mut connection.buffer) {
-            Ok(Step::End) => return Ok(()),
-            Ok(Step::Data(piece)) => skipped += piece.len(),
-            Ok(Step::NeedMore) => {
-                let filled = tokio::time::timeout_at(deadline, connection.fill()).await;
-                match filled {
-                    Ok(Ok(count)) if count > 0 => {}
-                    Ok(_) => return Err(Failure::Broken),
-                    Err(_) => return Err(Failure::Unresponsive),
-                }
-            }
-            Err(_) => return Err(Failure::Broken),
-        }
-        if skipped > MAX_SKIPPED_BYTES {
-            return Err(Failure::Broken);
+        let available = connection.buffer.len();
+        let step = decoder.step(&mut connection.buffer).map_err(|_| Failure::Broken)?;
+        skipped.count_late_bytes(available - connection.buffer.len())?;
+        match step {
+            Step::End => return Ok(()),
+            Step::Data(_) => {}
+            Step::NeedMore => tokio::select! {
+                filled = connection.fill() => match filled {
+                    Ok(count) if count > 0 => {}
+                    Ok(_) | Err(_) => return Err(Failure::Broken),
+                },
+                () = caller.closed_by_peer() => return Err(Failure::CallerGone),
+                () = tokio::time::sleep_until(deadline) => return Err(Failure::Unresponsive),
+            },
         }
     }
 }
