Let other tasks run after 16 KB of a connection

Sound requests beside four bodies without end in small chunks: 4 of 7 to 4 of 9 were closed unread (958), or answered after up to 138 ms. A connection that always has bytes kept the thread of the entry for as many reads as the runtime allows a task.

After 16 KB a task that reads a connection, or a tunnel of another entry, lets the others run first.

--- a/crates/verbenaslip-relay/src/http/connection.rs
+++ b/crates/verbenaslip-relay/src/http/connection.rs
@@ -15,6 +15,10 @@
 /// Bytes that a read can take at once; a head and a small body fit.
 const READ_BYTES: usize = 8 << 10;
 
+/// Bytes read from one connection after which other tasks run; a peer that is always ready would
+/// hold them up otherwise.
+pub(crate) const YIELD_BYTES: usize = 16 << 10;
+
 /// Limit on the unread bytes while a connection is only watched for its end.
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
 
@@ -26,17 +30,20 @@
     pub buffer: BytesMut,
     /// Decodes what arrives, if the connection goes through another entry.
     tunnel: Option<Box<Decoder>>,
+    /// Bytes read since other tasks could run.
+    bytes_since_yield: usize,
 }
 
 impl Connection {
     /// Takes over a connection.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, buffer: BytesMut::new(), tunnel: None }
+        Self { stream, buffer: BytesMut::new(), tunnel: None, bytes_since_yield: 0 }
     }
 
     /// Takes over a connection that goes through another entry.
     pub(crate) fn through(stream: TcpStream, decoder: Decoder) -> Self {
-        Self { stream, buffer: BytesMut::new(), tunnel: Some(Box::new(decoder)) }
+        let tunnel = Some(Box::new(decoder));
+        Self { stream, buffer: BytesMut::new(), tunnel, bytes_since_yield: 0 }
     }
 
     /// Returns the IP address of the peer, or the unspecified one if the connection has failed.
@@ -60,6 +67,16 @@
     ///
     /// Fails if the connection fails.
     pub async fn fill(&mut self) -> io::Result<usize> {
+        if self.bytes_since_yield >= YIELD_BYTES {
+            self.bytes_since_yield = 0;
+            tokio::task::yield_now().await;
+        }
+        let count = self.fill_available().await?;
+        self.bytes_since_yield += count;
+        Ok(count)
+    }
+
+    async fn fill_available(&mut self) -> io::Result<usize> {
         let Some(tunnel) = &mut self.tunnel else {
             self.buffer.reserve(READ_BYTES);
             return self.stream.read_buf(&mut self.buffer).await;
--- a/crates/verbenaslip-relay/src/tunnel/gateway.rs
+++ b/crates/verbenaslip-relay/src/tunnel/gateway.rs
@@ -16,6 +16,7 @@
 
 use crate::event_log::{self, Kind};
 use crate::forward::context::Context;
+use crate::http::connection::YIELD_BYTES;
 use crate::socket;
 use crate::tunnel::wire::{self, Opening, Prefix, Reply, Status};
 
@@ -149,7 +150,12 @@
         let (mut from_upstream, mut to_upstream) = upstream.split();
         let mut answer = BytesMut::new();
         let (mut has_ended, mut is_retiring) = (false, false);
+        let mut bytes_since_yield = 0;
         loop {
+            if bytes_since_yield >= YIELD_BYTES {
+                bytes_since_yield = 0;
+                tokio::task::yield_now().await;
+            }
             self.decode_requests();
             if has_ended && self.to_entry.is_empty() {
                 return to_entry.shutdown().await;
@@ -170,6 +176,7 @@
                         has_ended = true;
                         wire::write_end(&mut self.to_entry);
                     }
+                    bytes_since_yield += answer.len();
                     wire::write_chunks(&answer, &mut self.to_entry);
                     answer.clear();
                 }
