Close idle connections on which bytes arrive

A direct connection at rest was looked at only before the next request, so one on which an upstream sent without end stayed open for as long as its keep-alive time said.

a_connection_at_rest_on_which_bytes_arrive_is_closed failed before: still open after 3 s, with a stated time of 600 s; so did the case "after an answer without body", one byte a second.

--- a/crates/verbenaslip-relay/src/forward/pool.rs
+++ b/crates/verbenaslip-relay/src/forward/pool.rs
@@ -139,13 +139,13 @@
         }
     }
 
-    /// Drops the connections that have been idle for too long.
+    /// Drops the connections that have been idle for too long, have ended, or have received bytes,
+    /// which belong to no request.
     pub fn remove_expired(&mut self, now: Duration) {
         for idle in self.idle.values_mut() {
             // A gateway that is stopping waits for the end of the connections through it.
             idle.retain_mut(|kept| {
-                let is_direct = kept.connection.gateway().is_none();
-                kept.is_usable(now, false) && (is_direct || kept.connection.is_open_and_empty())
+                kept.is_usable(now, false) && kept.connection.is_open_and_empty()
             });
         }
         self.idle.retain(|_, idle| !idle.is_empty());
