--- a/crates/verbenaslip-relay/src/forward/exchange.rs
+++ b/crates/verbenaslip-relay/src/forward/exchange.rs
@@ -92,18 +92,31 @@
 }
 
 impl Skipped {
-    fn count_interim(&mut self, bytes: usize) -> Result<(), Failure> {
+    /// Counts an answer if it is an interim one, and returns whether it is.
+    fn count_interim(&mut self, head: &ResponseHead, bytes: usize) -> Result<bool, Failure> {
+        if head.status >= 200 {
+            return Ok(false);
+        }
         self.interim_answers += 1;
         self.interim_bytes += bytes;
         let fits =
             self.interim_answers <= MAX_INTERIM_ANSWERS && self.interim_bytes <= MAX_INTERIM_BYTES;
-        if fits { Ok(()) } else { Err(Failure::Broken) }
+        if fits { Ok(true) } else { Err(Failure::Broken) }
     }
 
-    fn count_late(&mut self, bytes: usize) -> Result<(), Failure> {
+    /// Counts an answer to another request, and returns the decoder of its body.
+    fn count_late(
+        &mut self,
+        head: &ResponseHead,
+        method: &str,
+        bytes: usize,
+    ) -> Result<Decoder, Failure> {
         self.late_answers += 1;
         self.count_late_bytes(bytes)?;
-        if self.late_answers <= MAX_LATE_ANSWERS { Ok(()) } else { Err(Failure::Broken) }
+        if self.late_answers > MAX_LATE_ANSWERS {
+            return Err(Failure::Broken);
+        }
+        head.framing(method).map(Decoder::new).map_err(|_| Failure::Broken)
     }
 
     fn count_late_bytes(&mut self, bytes: usize) -> Result<(), Failure> {
@@ -155,16 +168,13 @@
     let wrapped = (!is_direct).then(|| Prefix::wrap(&request.info.id, head, body.len()));
     let out = Unsent { head: wrapped.as_deref().unwrap_or(head), body };
     let mut suspect_at = is_direct.then(|| Instant::now() + SUSPICION_TIME);
-    let mut written = 0;
-    let mut in_sync = true;
-    let mut skipped = Skipped::default();
+    let (mut written, mut skipped) = (0, Skipped::default());
     loop {
         while let Some(end) = connection.head_length() {
             let head =
                 ResponseHead::parse(&connection.buffer[..end]).map_err(|_| Failure::Broken)?;
             connection.buffer.advance(end);
-            if head.status < 200 {
-                skipped.count_interim(end)?;
+            if skipped.count_interim(&head, end)? {
                 continue;
             }
             let info = context.dialect.response_info(&head, &request.info.id);
@@ -173,18 +183,15 @@
             }
             match info.correlation {
                 Correlation::Matching => {
+                    let in_sync = skipped.late_answers == 0;
                     let reusable = in_sync && written == out.len() && !head.closes_connection();
                     return Ok(Response { connection, head, info, reusable, connected_at });
                 }
                 // This is a late answer to an earlier request on the connection. Passing it on
                 // would give the caller what another caller asked for.
                 Correlation::Other => {
-                    skipped.count_late(end)?;
-                    let method = &request.head.method;
-                    let framing = head.framing(method).map_err(|_| Failure::Broken)?;
-                    let decoder = Decoder::new(framing);
+                    let decoder = skipped.count_late(&head, &request.head.method, end)?;
                     skip_body(&mut connection, caller, decoder, deadline, &mut skipped).await?;
-                    in_sync = false;
                 }
                 // Bytes that belong to no request need not be a whole answer, so nothing tells
                 // where the next one begins.
