--- a/crates/verbenaslip-relay/tests/http.rs
+++ b/crates/verbenaslip-relay/tests/http.rs
@@ -114,3 +114,19 @@
         );
     }
 }
+
+// Guards against limits on lines alone: their number would be unbounded.
+#[test]
+fn trailers_and_chunk_extensions_have_limits() {
+    let trailers = |count: usize| format!("0\r\n{}\r\n", "ab: cdef\r\n".repeat(count));
+    assert!(decode(Framing::Chunked, trailers(2_048).as_bytes()).is_ok());
+    assert!(decode(Framing::Chunked, trailers(2_049).as_bytes()).is_err());
+    let extension = "x".repeat(1_000);
+    let chunks = |count: usize, data: &str| {
+        let chunk = format!("{:x};{extension}\r\n{data}\r\n", data.len());
+        chunk.repeat(count) + "0\r\n\r\n"
+    };
+    assert!(decode(Framing::Chunked, chunks(65, "a").as_bytes()).is_ok());
+    assert!(decode(Framing::Chunked, chunks(66, "a").as_bytes()).is_err());
+    assert!(decode(Framing::Chunked, chunks(100, &extension).as_bytes()).is_ok());
+}
