Renew the division of a brittle service's places without its answers

Cause: places were divided only while an answer of the service was handled, and a run without a share gets no request. Once every run of the last division had ended there was no request, so no answer, so no division. An entry that learnt of brittleness before it had heard a leader divided without a position and was shut out in the same way; so were upstreams with one slot, whose only place was the one that is kept free.

New runs have their share at once, within what they run at once. An upstream has at least one usable place.

--- a/crates/verbenaslip-relay/src/policy/brittleness.rs
+++ b/crates/verbenaslip-relay/src/policy/brittleness.rs
@@ -4,6 +4,9 @@
 //! together. Its places are therefore divided among the entries, so that the sum never exceeds what
 //! it runs at once. The division follows from the positions of the entries and needs no messages.
 //! Where entries outnumber the places of a service, they send in turns instead.
+//!
+//! Without a share in the division no request is sent, so it must not depend on answers: it is
+//! renewed when the upstreams or the positions change, and before requests when it is old.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -149,6 +152,11 @@
         until.is_some_and(|until| now < *until)
     }
 
+    /// Returns the brittle services.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.services.keys()
+    }
+
     /// Returns whether a service is brittle.
     pub fn is_brittle(&self, service: &str) -> bool {
         self.services.contains_key(service)
@@ -248,7 +256,7 @@
     u32::try_from(own.filter(|distance| *distance < length).count()).unwrap_or(u32::MAX)
 }
 
-/// Returns how many places of an upstream all entries together may use.
+/// Returns how many places of an upstream all entries together may use, at least one.
 pub fn usable_places(slots: u32) -> u32 {
-    slots - slots.div_ceil(SPARE_DIVISOR)
+    (slots - slots.div_ceil(SPARE_DIVISOR)).max(1)
 }
--- a/crates/verbenaslip-relay/src/policy/placement.rs
+++ b/crates/verbenaslip-relay/src/policy/placement.rs
@@ -220,6 +220,7 @@
         if let Some(busy) = self.shed(now, query) {
             return Decision::Refuse(busy);
         }
+        self.renew_division(now, query.service);
         let Some(mut choice) = self.choose_on_tracks(now, query) else {
             return self
                 .refuse_restricted(now, query)
--- a/crates/verbenaslip-relay/src/policy/placement/restrictions.rs
+++ b/crates/verbenaslip-relay/src/policy/placement/restrictions.rs
@@ -24,18 +24,26 @@
 const MAX_RETRY_AFTER_LIMITED: Duration = Duration::from_secs(2);
 
 impl Placement {
-    /// Updates the rate limits from a newer view; returns those that are new here.
+    /// Updates the rate limits and the places at brittle upstreams from a newer view; returns the
+    /// limits that are new here.
     pub fn update_limits(&mut self, now: Duration, view: &View) -> Vec<Observation> {
         let at = self.moment(now);
-        if std::mem::take(&mut self.records_changed) {
+        let records_changed = std::mem::take(&mut self.records_changed);
+        let position_changed = self.time_slot != view.time_slot;
+        if records_changed {
             let is_present =
                 |run: &Run| self.states.get(&run.upstream).is_some_and(|it| it.run() == run);
             self.restrictions.prune(at, is_present);
         }
-        if Arc::ptr_eq(&self.limits, &view.limits) && self.time_slot == view.time_slot {
+        let limits_changed = !Arc::ptr_eq(&self.limits, &view.limits);
+        (self.limits, self.time_slot) = (view.limits.clone(), view.time_slot);
+        if records_changed || position_changed {
+            let services: Vec<Arc<str>> = self.brittleness.services().cloned().collect();
+            services.iter().for_each(|it| self.divide_places(now, it));
+        }
+        if !limits_changed && !position_changed {
             return Vec::new();
         }
-        (self.limits, self.time_slot) = (view.limits.clone(), view.time_slot);
         self.restrictions.update_from_view(at, view)
     }
 
@@ -54,10 +62,15 @@
         if self.brittleness.record_answer(now, service, sent_at, info.brittle.is_some()) {
             changes.push(Change::Brittle(info.brittle));
         }
+        self.renew_division(now, service);
+        changes
+    }
+
+    /// Divides the places of a service again if it is brittle and the last division is old.
+    pub(super) fn renew_division(&mut self, now: Duration, service: &str) {
         if self.brittleness.is_division_due(now, service) {
             self.divide_places(now, service);
         }
-        changes
     }
 
     /// Divides the places of a brittle service among the entries.
