Forget the lateness of upstreams once all of them are replaced

What callers saw: after a service had answered ten times later than wanted and all its upstreams were replaced, prompts were refused for a second and more, and nine in ten plain requests.

Cause: the lag of first events and the admitted share belong to the service and fade with time only, while no new answer could correct them. Answers of runs that had ended counted as well.

Change: both are forgotten once no measured run may take work, and only answers of runs that may are counted.

--- a/crates/verbenaslip-relay/src/policy/placement.rs
+++ b/crates/verbenaslip-relay/src/policy/placement.rs
@@ -361,6 +361,7 @@
             self.rebuild_services();
         }
         self.find_scarce_versions();
+        self.forget_replaced_services();
         removed
     }
 
--- a/crates/verbenaslip-relay/src/policy/placement/recording.rs
+++ b/crates/verbenaslip-relay/src/policy/placement/recording.rs
@@ -1,5 +1,6 @@
 //! Records what became of requests, and what this entry has measured at their upstreams.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use verbenaslip_base::name::AvailabilityZone;
@@ -12,12 +13,8 @@
 impl Placement {
     /// Records the first event of an answer; `latency` is the time since the request was sent.
     pub fn record_first_event(&mut self, now: Duration, choice: &Choice, latency: Duration) {
-        if let Some(objective) = choice.plain_objective {
-            let part = latency.as_secs_f64() / objective.as_secs_f64().max(f64::MIN_POSITIVE);
-            self.admitted_share(now, &choice.service_rank.0).record_latency(now, part);
-        } else {
-            let lag = self.lags.entry(choice.service_rank.clone()).or_default();
-            lag.record_sample(now, latency.as_secs_f64() * 1_000.0 - choice.expected_ms);
+        if self.counts_for_service(choice) {
+            self.record_service_latency(now, choice, latency);
         }
         self.measure_first_event(choice, latency);
         let Some(state) = self.state_mut(choice) else { return };
@@ -38,7 +35,8 @@
     ) {
         // An upstream that refuses everything says nothing about the others.
         let refuses_all = self.state_mut(choice).is_some_and(|state| state.is_refusing());
-        if ending == Ending::Full && choice.plain_objective.is_some() && !refuses_all {
+        let tells_load = ending == Ending::Full && choice.plain_objective.is_some();
+        if tells_load && !refuses_all && self.counts_for_service(choice) {
             self.admitted_share(now, &choice.service_rank.0)
                 .record_latency(now, FULL_QUEUE_LATENCY);
         }
@@ -95,6 +93,36 @@
         }
     }
 
+    /// Adds a first event to what is measured of its service as a whole.
+    fn record_service_latency(&mut self, now: Duration, choice: &Choice, latency: Duration) {
+        if let Some(objective) = choice.plain_objective {
+            let part = latency.as_secs_f64() / objective.as_secs_f64().max(f64::MIN_POSITIVE);
+            self.admitted_share(now, &choice.service_rank.0).record_latency(now, part);
+        } else {
+            let lag = self.lags.entry(choice.service_rank.clone()).or_default();
+            lag.record_sample(now, latency.as_secs_f64() * 1_000.0 - choice.expected_ms);
+        }
+    }
+
+    /// Counts the run of a request among those of which its service is measured; returns whether it
+    /// is still one that takes requests.
+    fn counts_for_service(&mut self, choice: &Choice) -> bool {
+        let Some(state) = self.state_mut(choice).filter(|it| it.may_take_work()) else {
+            return false;
+        };
+        state.counts_for_service = true;
+        true
+    }
+
+    /// Forgets what was measured of services of which no measured upstream is left.
+    pub(super) fn forget_replaced_services(&mut self) {
+        let states = self.states.values();
+        let counted = states.filter(|it| it.counts_for_service && it.may_take_work());
+        let services: BTreeSet<&str> = counted.map(|it| &*it.record.announcement.service).collect();
+        self.lags.retain(|(service, _), _| services.contains(&**service));
+        self.admitted_shares.retain(|service, _| services.contains(&**service));
+    }
+
     /// Adds a first event to what is measured for the fleet.
     fn measure_first_event(&mut self, choice: &Choice, latency: Duration) {
         let Some(state) = self.state_mut(choice) else { return };
--- a/crates/verbenaslip-relay/src/policy/upstream_state.rs
+++ b/crates/verbenaslip-relay/src/policy/upstream_state.rs
@@ -73,6 +73,8 @@
     pub(crate) key: RunKey,
     /// What this entry reports about the run to the fleet.
     pub(crate) measured: Measured,
+    /// Whether what is measured of the service as a whole includes the run.
+    pub(crate) counts_for_service: bool,
     figure: Option<Figure>,
     /// This entry's requests in progress when the figure arrived.
     own_in_figure: u32,
@@ -104,6 +106,7 @@
             speed: Speed::default(),
             key,
             measured: Measured::default(),
+            counts_for_service: false,
             figure: None,
             own_in_figure: 0,
             slow_until: Duration::ZERO,
@@ -255,9 +258,13 @@
         has_spare_attempt: bool,
     ) -> bool {
         let paused = self.paused_until(has_spare_attempt);
+        self.may_take_work() && (!strict || (self.record.status == Status::Ready && paused <= now))
+    }
+
+    /// Returns whether the upstream has neither left nor been lost.
+    pub(crate) fn may_take_work(&self) -> bool {
         match self.record.status {
-            Status::Ready => !strict || paused <= now,
-            Status::Silent => !strict,
+            Status::Ready | Status::Silent => true,
             Status::Leaving | Status::Gone | Status::Lost => false,
         }
     }
--- a/crates/verbenaslip-relay/tests/replaced.rs
+++ b/crates/verbenaslip-relay/tests/replaced.rs
@@ -271,6 +271,37 @@
     }
 }
 
+/// Plays a service that answers ten times later than is wanted, until all its upstreams are replaced.
+fn check_late(query: &Query<'_>) {
+    for gap in GAPS {
+        let mut fleet = Fleet::new(1, 16);
+        let end = fleet.now + 20 * SECOND;
+        while fleet.now < end {
+            if let Decision::Send(choice) = fleet.entries[0].choose(fleet.now, query) {
+                let now = fleet.now;
+                answer(&mut fleet.entries[0], now, &choice, 10 * query.objective, &REPLY);
+            }
+            fleet.now += STEP;
+        }
+        fleet.replace(gap, query);
+        let served = fleet.serve(SECOND, query, &REPLY);
+        println!("late, replaced after {gap:?}: {served:.2} served");
+        assert!(served >= MIN_SERVED, "{served} served, replaced after {gap:?}");
+    }
+}
+
+#[test]
+fn a_service_with_late_first_events_is_served_again_once_all_its_upstreams_are_replaced() {
+    // Guards against a lag that is expected of upstreams which have had no part in it.
+    check_late(&prompt());
+}
+
+#[test]
+fn an_overloaded_plain_service_is_served_again_once_all_its_upstreams_are_replaced() {
+    // Guards against a refused share that is kept for upstreams which have had no part in it.
+    check_late(&query(true));
+}
+
 #[test]
 fn a_cut_path_is_whole_within_a_second_once_all_its_upstreams_are_replaced() {
     // Guards against a path that is probed only by the runs by which it was cut.
