--- a/crates/verbenaslip-fleet/src/core.rs
+++ b/crates/verbenaslip-fleet/src/core.rs
@@ -13,6 +13,7 @@
 mod origins;
 mod quarantine;
 mod rollout;
+mod version;
 mod voters;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -46,7 +47,6 @@
 use crate::registry::Registry;
 use crate::replicated_state::ReplicatedState;
 use crate::rollout::{Controller, Plans};
-use crate::version_history::{ServiceVersion, VersionHistory};
 use crate::voucher::Voucher;
 
 /// Maximum size of a log command: an operator's largest route table together with its original
@@ -84,10 +84,6 @@
     pub(crate) departures_proposal: Option<u64>,
     /// Announced upstreams that may not be in the log yet.
     pub(crate) unproposed_joins: BTreeSet<Upstream>,
-    /// Announced versions that are not in the log yet, each with its service.
-    pub(crate) unlogged_versions: BTreeSet<ServiceVersion>,
-    /// Index of the log at which the history of versions was last compared with the upstreams.
-    pub(crate) versions_checked_index: u64,
     /// Token of the uncommitted proposal that contains earlier joins.
     pub(crate) joins_proposal: Option<u64>,
     pub(crate) closing_windows: BTreeSet<u64>,
@@ -140,10 +136,8 @@
     /// Rate limits requested by upstreams, and the change with which they were published.
     pub(crate) limits: Arc<Limits>,
     pub(crate) limits_change: u64,
-    /// When each version of each service came and left, and the change with which that was
-    /// published.
-    pub(crate) version_history: Arc<VersionHistory>,
-    pub(crate) version_history_change: u64,
+    /// Versions of services, as this leader publishes them.
+    pub(crate) versions: version::State,
     /// When the work on measurements is due.
     pub(crate) measurement_schedule: measurement::Schedule,
     /// Tokens of proposed rollout verdicts, by rollout.
@@ -219,8 +213,6 @@
             unproposed_departures: Vec::new(),
             departures_proposal: None,
             unproposed_joins: BTreeSet::new(),
-            unlogged_versions: BTreeSet::new(),
-            versions_checked_index: 0,
             joins_proposal: None,
             closing_windows: BTreeSet::new(),
             initial_count_proposed_at: BTreeMap::new(),
@@ -249,8 +241,7 @@
             rollout_plans_change: 0,
             limits: Arc::default(),
             limits_change: 0,
-            version_history: Arc::default(),
-            version_history_change: 0,
+            versions: version::State::default(),
             measurement_schedule: measurement::Schedule::default(),
             verdict_proposals: BTreeMap::new(),
         }
--- a/crates/verbenaslip-fleet/src/core/call.rs
+++ b/crates/verbenaslip-fleet/src/core/call.rs
@@ -334,7 +334,7 @@
         // next leader does not know would be taken for those of another.
         let Announcement { service, version, .. } = &announcement;
         if !is_departing && !self.replicated_state.version_history().contains(service, version) {
-            self.unlogged_versions.insert((service.clone(), version.clone()));
+            self.versions.unlogged.insert((service.clone(), version.clone()));
             self.set_stage(key, Stage::AwaitingLeader);
             return self.propose_versions();
         }
--- a/crates/verbenaslip-fleet/src/core/leader.rs
+++ b/crates/verbenaslip-fleet/src/core/leader.rs
@@ -75,8 +75,8 @@
     }
 
     /// Proposes upstreams for the log, with what is known of versions; returns the token.
-    fn propose_upstreams(&mut self, records: Vec<Record>) -> u64 {
-        let announced = self.unlogged_versions.iter().cloned().collect();
+    pub(crate) fn propose_upstreams(&mut self, records: Vec<Record>) -> u64 {
+        let announced = self.versions.unlogged.iter().cloned().collect();
         // The time of day is this instance's own until others have reported. A version that left by
         // a clock that is behind would have left before its last streams began.
         let is_complete = records.is_empty() && self.has_gathered_reports() && !self.hub.is_empty();
@@ -84,22 +84,6 @@
         self.propose(&Command::AddUpstreams { records, versions: Trailing(versions) })
     }
 
-    /// Proposes the versions that have announced themselves, and those that have left.
-    pub(crate) fn propose_versions(&mut self) {
-        if self.joins_proposal.is_some() {
-            return;
-        }
-        // There are thousands of upstreams, which change only with the log.
-        let has_changed = self.has_gathered_reports()
-            && std::mem::replace(&mut self.versions_checked_index, self.applied_index)
-                != self.applied_index;
-        let is_behind = !self.unlogged_versions.is_empty()
-            || (has_changed && self.replicated_state.is_version_history_behind());
-        if is_behind {
-            self.joins_proposal = Some(self.propose_upstreams(Vec::new()));
-        }
-    }
-
     /// Proposes that the log forget lost runs.
     ///
     /// A departure would be wrong here, since the next leader would refuse these runs when they
@@ -360,7 +344,7 @@
             blocklist: self.quarantine.blocklist(),
             rollout_plans: &self.rollout_plans,
             limits: &self.limits,
-            version_history: &self.version_history,
+            version_history: &self.versions.published,
             changes: self.change_numbers(),
             ack_requested,
             unix_ms,
--- a/crates/verbenaslip-fleet/src/core/leadership.rs
+++ b/crates/verbenaslip-fleet/src/core/leadership.rs
@@ -87,8 +87,6 @@
         self.unproposed_departures.clear();
         self.departures_proposal = None;
         self.joins_proposal = None;
-        self.unlogged_versions.clear();
-        self.versions_checked_index = 0;
         let previous = self.link.view().version;
         let floor = self.link.history().map_or(previous.change, History::floor);
         let propagation = Propagation { last_change: previous.change, oldest_change: floor };
@@ -115,8 +113,7 @@
         self.restore_quarantine();
         self.restore_rollouts();
         self.restore_limits();
-        self.version_history = self.replicated_state.version_history().clone();
-        self.version_history_change = self.registry.last_change();
+        self.restore_versions();
         self.emit(Event::LeadershipStarted {
             term,
             upstreams,
@@ -203,7 +200,7 @@
     /// Returns with which changes the parts beside the upstreams were published.
     pub(crate) fn change_numbers(&self) -> ChangeNumbers {
         let (blocklist, plans) = (self.blocklist_change, self.rollout_plans_change);
-        let (limits, version_history) = (self.limits_change, self.version_history_change);
+        let (limits, version_history) = (self.limits_change, self.versions.published_change);
         ChangeNumbers { blocklist, plans, limits, version_history }
     }
 
@@ -221,7 +218,7 @@
             blocklist: self.quarantine.blocklist().clone(),
             rollout_plans: self.rollout_plans.clone(),
             limits: self.limits.clone(),
-            version_history: self.version_history.clone(),
+            version_history: self.versions.published.clone(),
             change_numbers: self.change_numbers(),
         });
         self.hub.release_subscribers();
--- a/crates/verbenaslip-fleet/src/core/log.rs
+++ b/crates/verbenaslip-fleet/src/core/log.rs
@@ -94,20 +94,6 @@
         }
     }
 
-    /// Sends instances the history of versions if it has changed.
-    fn publish_version_history(&mut self) {
-        let history = self.replicated_state.version_history();
-        if *history != self.version_history {
-            self.version_history = history.clone();
-            self.version_history_change = self.registry.record_external_change();
-            self.schedule_push();
-            let history = &self.version_history;
-            self.unlogged_versions.retain(|it| !history.contains(&it.0, &it.1));
-            // Announcements of these versions wait.
-            self.advance_calls();
-        }
-    }
-
     fn install_snapshot(&mut self, snapshot: &Snapshot) {
         self.applied_index = snapshot.position.index;
         match ReplicatedState::restore(&snapshot.state) {
