--- a/crates/verbenaslip-fleet/src/hub/source.rs
+++ b/crates/verbenaslip-fleet/src/hub/source.rs
@@ -70,7 +70,7 @@
     pub limits: &'a Arc<Limits>,
     /// When each version of each service came and left.
     pub version_history: &'a Arc<VersionHistory>,
-    /// Change with which each of these three was last published.
+    /// Change with which each of these was last published.
     pub changes: ChangeNumbers,
     /// Whether a call waits until all instances have acknowledged the changes.
     pub ack_requested: bool,
--- a/crates/verbenaslip-fleet/src/link.rs
+++ b/crates/verbenaslip-fleet/src/link.rs
@@ -141,7 +141,7 @@
     pub(crate) limits: Arc<Limits>,
     /// When each version of each service came and left.
     pub(crate) version_history: Arc<VersionHistory>,
-    /// Change with which each of these four was last published.
+    /// Change with which each of these was last published.
     pub(crate) change_numbers: hub::ChangeNumbers,
 }
 
--- a/crates/verbenaslip-fleet/src/version_history.rs
+++ b/crates/verbenaslip-fleet/src/version_history.rs
@@ -5,7 +5,9 @@
 //! replicated state, so that instances which start, all of them at once too, know the versions that
 //! left before.
 //!
-//! Times are in milliseconds of the agreed time of day since 1970.
+//! A version is the *only* one of a time in which no other was there. It was *alone* at a time if it
+//! had been the only one for the lifetime of a stream by then. Times are in milliseconds of the agreed
+//! time of day since 1970.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -121,10 +123,11 @@
 
     fn add_version(&mut self, now_ms: u64, service: &Arc<str>, version: &Arc<str>) {
         let presences = self.services.entry(service.clone()).or_default();
-        // No other version has been alone for the lifetime of a stream since one left so recently.
+        // A version that is back within the lifetime of a stream counts as never gone: no other can
+        // have been alone for that long meanwhile.
         let returns = |it: &&mut Presence| {
             it.version == *version
-                && it.left_ms.is_none_or(|left| now_ms.saturating_sub(left) < settling_ms())
+                && it.left_ms.is_none_or(|left| now_ms.saturating_sub(left) < stream_lifetime_ms())
         };
         match presences.iter_mut().find(returns) {
             Some(presence) => presence.left_ms = None,
@@ -155,7 +158,7 @@
     /// Returns the version of a service that had been alone for the lifetime of a stream at some
     /// time since `since_ms`, and when that was last so; `None` if there is none, or more than one.
     pub fn lone_version(&self, now_ms: u64, service: &str, since_ms: u64) -> Option<LoneVersion> {
-        if since_ms.saturating_sub(settling_ms()) < self.complete_since_ms {
+        if since_ms.saturating_sub(stream_lifetime_ms()) < self.complete_since_ms {
             return None;
         }
         let presences = self.services.get(service)?;
@@ -182,12 +185,14 @@
 }
 
 /// Returns the end of the last time in which a version had been alone for the lifetime of a stream.
+///
+/// Walks back over the times in which others were there, or had left too recently.
 fn last_alone(now_ms: u64, presence: &Presence, all: &[Presence]) -> Option<u64> {
     let others = || all.iter().filter(|it| it.version != presence.version);
     let mut end = presence.end(now_ms);
     while end > presence.start(now_ms) {
         let is_beside = |it: &&Presence| {
-            it.start(now_ms) < end && end <= it.end(now_ms).saturating_add(settling_ms())
+            it.start(now_ms) < end && end <= it.end(now_ms).saturating_add(stream_lifetime_ms())
         };
         let Some(other) = others().find(is_beside) else { return Some(end) };
         end = other.start(now_ms);
@@ -206,7 +211,7 @@
     }
 }
 
-/// Returns the time after which no stream of a version that has left is taken up, in milliseconds.
-fn settling_ms() -> u64 {
+/// Returns the longest lifetime of a stream, in milliseconds.
+fn stream_lifetime_ms() -> u64 {
     u64::try_from(MAX_LIFETIME.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/verbenaslip-relay/src/policy/builds.rs
+++ b/crates/verbenaslip-relay/src/policy/builds.rs
@@ -15,7 +15,7 @@
 
 /// Time after the start of the history until all upstreams of a fleet that has just started are in
 /// it: two announcements.
-const SETTLING_TIME: Duration = Duration::from_secs(3);
+const STARTUP_TIME: Duration = Duration::from_secs(3);
 
 type UpstreamRecords = BTreeMap<Upstream, Record>;
 type VersionsByService = BTreeMap<Arc<str>, Vec<Arc<str>>>;
@@ -88,7 +88,7 @@
 
     /// Returns the version at which all streams of a service are, if the service is settled.
     pub fn settled(&self, now: Duration, service: &str) -> Option<Arc<str>> {
-        let has_begun = self.history_age(now).is_some_and(|age| age >= SETTLING_TIME);
+        let has_begun = self.history_age(now).is_some_and(|age| age >= STARTUP_TIME);
         if !self.is_current(now) || !has_begun {
             return None;
         }
