Log bytes that do not continue a stream

The 901 line names them in `foreign`, and a counter counts them by fault. What callers get is as before.

--- a/crates/verbenaslip-base/src/event_stream.rs
+++ b/crates/verbenaslip-base/src/event_stream.rs
@@ -1,8 +1,79 @@
-//! Where events end in a `text/event-stream`.
+//! Where events end in a `text/event-stream`, and which numbers they have.
 //!
 //! Lines end with LF, CRLF or CR; an empty line ends an event. Lines that begin with a colon are
 //! comments and belong to no event.
 
+/// Byte order mark with which a stream may begin.
+pub const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
+
+/// Describes why bytes between two ends of events are no event of a numbered stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// No line names an `id`.
+    NoId,
+    /// The `id` is empty.
+    EmptyId,
+    /// The `id` is not a decimal number of at most 64 bits.
+    InvalidId,
+    /// Several lines name an `id`.
+    SeveralIds,
+    /// The `id` is not above that of the event before.
+    StaleId,
+    /// The bytes are not UTF-8.
+    Encoding,
+    /// The event is longer than its reader holds.
+    TooLong,
+}
+
+impl Fault {
+    /// Returns the name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoId => "no_id",
+            Self::EmptyId => "empty_id",
+            Self::InvalidId => "invalid_id",
+            Self::SeveralIds => "several_ids",
+            Self::StaleId => "stale_id",
+            Self::Encoding => "encoding",
+            Self::TooLong => "too_long",
+        }
+    }
+}
+
+/// Returns the number of the event in bytes that end between two events, or `None` if they hold
+/// only comments and empty lines.
+///
+/// # Errors
+///
+/// Fails if the bytes are not UTF-8, or have other than one line with an `id` that is a number.
+pub fn event_id(block: &[u8]) -> Result<Option<u64>, Fault> {
+    let text = std::str::from_utf8(block).map_err(|_| Fault::Encoding)?;
+    let lines = text.split(['\n', '\r']);
+    let mut fields = lines.filter(|line| !line.is_empty() && !line.starts_with(':')).peekable();
+    if fields.peek().is_none() {
+        return Ok(None);
+    }
+    let mut ids = fields.filter_map(|line| match line.split_once(':') {
+        Some(("id", value)) => Some(value.strip_prefix(' ').unwrap_or(value)),
+        None if line == "id" => Some(""),
+        _ => None,
+    });
+    let id = ids.next().ok_or(Fault::NoId)?;
+    if ids.next().is_some() {
+        return Err(Fault::SeveralIds);
+    }
+    parse_id(id).map(Some)
+}
+
+fn parse_id(text: &str) -> Result<u64, Fault> {
+    match text {
+        "" => Err(Fault::EmptyId),
+        // The standard parser allows a sign.
+        _ if !text.bytes().all(|byte| byte.is_ascii_digit()) => Err(Fault::InvalidId),
+        _ => text.parse().map_err(|_| Fault::InvalidId),
+    }
+}
+
 /// Tracks whether a stream stands between two events.
 ///
 /// A stream that ends elsewhere has been broken off: inside a line (of a comment, too), inside a
@@ -36,6 +107,15 @@
     /// between two events, if they contain one.
     pub fn advance(&mut self, bytes: &[u8]) -> Option<usize> {
         let mut end = None;
+        while let Some(length) = self.advance_to_end(&bytes[end.unwrap_or(0)..]) {
+            end = Some(end.unwrap_or(0) + length);
+        }
+        end
+    }
+
+    /// Moves past bytes of the stream up to the first point between two events; returns how many
+    /// of them there are, or `None` if they contain no such point and are all passed.
+    pub fn advance_to_end(&mut self, bytes: &[u8]) -> Option<usize> {
         for (index, byte) in bytes.iter().enumerate() {
             match byte {
                 b'\n' if self.line == Line::AfterReturn => {
@@ -52,10 +132,10 @@
                 }
             }
             if self.is_between_events() {
-                end = Some(index + 1);
+                return Some(index + 1);
             }
         }
-        end
+        None
     }
 
     /// Returns whether the last event is whole.
--- a/crates/verbenaslip-base/tests/event_stream.rs
+++ b/crates/verbenaslip-base/tests/event_stream.rs
@@ -1,6 +1,6 @@
 //! Streams of events that end at any position.
 
-use verbenaslip_base::event_stream::Position;
+use verbenaslip_base::event_stream::{Fault, Position, event_id};
 
 /// Returns the lengths after which a stream may end.
 fn ends(stream: &str) -> Vec<usize> {
@@ -39,3 +39,36 @@
     assert_eq!(between.count(), 4);
     assert_eq!(by_byte, whole);
 }
+
+#[test]
+fn an_event_has_one_number() {
+    assert_eq!(event_id(b"id: 7\ndata: a\n\n"), Ok(Some(7)));
+    assert_eq!(event_id(b"weight-versions: 3\r\ndata: a\r\nid:007\r\n\r\n"), Ok(Some(7)));
+    assert_eq!(event_id(b": id: 3\rid: 18446744073709551615\r\r"), Ok(Some(u64::MAX)));
+    assert_eq!(event_id(b": a comment\n\n"), Ok(None));
+    assert_eq!(event_id(b"\r\n"), Ok(None));
+}
+
+#[test]
+fn bytes_without_a_number_are_no_event() {
+    let faults = [
+        (&b"data: a\n\n"[..], Fault::NoId),
+        (b"ID: 7\n\n", Fault::NoId),
+        (b" id: 7\n\n", Fault::NoId),
+        (b"\xef\xbb\xbfid: 7\n\n", Fault::NoId),
+        (b"id:\ndata: a\n\n", Fault::EmptyId),
+        (b"id\ndata: a\n\n", Fault::EmptyId),
+        (b"id: x\n\n", Fault::InvalidId),
+        (b"id: +7\n\n", Fault::InvalidId),
+        (b"id: -7\n\n", Fault::InvalidId),
+        (b"id: 7 \n\n", Fault::InvalidId),
+        (b"id:  7\n\n", Fault::InvalidId),
+        (b"id: 7\0\n\n", Fault::InvalidId),
+        (b"id: 18446744073709551616\n\n", Fault::InvalidId),
+        (b"id: 7\nid: 7\n\n", Fault::SeveralIds),
+        (b"id: 7\ndata: \xff\n\n", Fault::Encoding),
+    ];
+    for (block, fault) in faults {
+        assert_eq!(event_id(block), Err(fault), "{:?}", String::from_utf8_lossy(block));
+    }
+}
--- a/crates/verbenaslip-relay/src/forward/delivery.rs
+++ b/crates/verbenaslip-relay/src/forward/delivery.rs
@@ -8,7 +8,7 @@
 
 use crate::forward::admission::AdmittedRequest;
 use crate::forward::answer;
-use crate::forward::events::Splitter;
+use crate::forward::events::{Foreign, Sequence, Splitter};
 use crate::forward::exchange::Response;
 use crate::forward::failover::Failover;
 use crate::http::body::{LAST_CHUNK, write_chunk};
@@ -29,6 +29,10 @@
     splitter: Splitter,
     /// Whether the present upstream's body is a stream of events.
     is_event_stream: bool,
+    /// Follows the numbers of the events.
+    sequence: Sequence,
+    /// First bytes of the present upstream that do not continue the stream.
+    pub foreign: Option<Foreign>,
     /// Whether the caller has received a part of the body.
     pub has_events: bool,
     /// When the first byte of the body arrived.
@@ -127,6 +131,8 @@
             return Outcome::Broken;
         };
         self.is_event_stream = is_event_stream(request, &response.head, framing);
+        self.sequence.begin_answer(events_of_caller(request));
+        self.foreign = None;
         let mut out = Vec::new();
         if self.framing.is_none() {
             let framing_to_caller = caller_framing(request, framing, self.is_event_stream);
@@ -238,6 +244,9 @@
             }
         }
         self.has_piece = true;
+        if self.is_event_stream && self.foreign.is_none() {
+            self.foreign = self.sequence.push(data).foreign;
+        }
         if request.is_resumable() {
             let complete = self.splitter.push(data);
             self.append_framed(&complete, out);
@@ -337,6 +346,12 @@
     is_success && content_types.any(|field| event_stream::is_content_type(&field.value))
 }
 
+/// Returns the number of the last event that the caller has from an earlier answer.
+fn events_of_caller(request: &AdmittedRequest<'_>) -> Option<u64> {
+    let last_event_id = request.info.last_event_id.filter(|id| *id > 0);
+    last_event_id.filter(|_| request.is_resumable())
+}
+
 /// Returns how a body is framed for the caller.
 ///
 /// A body that ends with the upstream's connection is sent in chunks. Otherwise the caller would
--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -18,7 +18,7 @@
 use crate::forward::origin;
 use crate::forward::place;
 use crate::forward::queue;
-use crate::forward::request_log::{self, Trace, ViewInfo};
+use crate::forward::request_log::{self, ForeignEvent, Trace, ViewInfo};
 use crate::forward::upstream_choice;
 use crate::forward::upstream_request;
 use crate::http::{Connection, Framing, Message};
@@ -346,6 +346,7 @@
     let failover = Failover { slow_at, silence_limit, may_switch };
     let outcome = attempts.delivery.deliver(caller, request, &mut response, failover).await;
     trace.status = status;
+    trace.foreign.extend(take_foreign(attempts, &choice, framing));
     let began_at = attempts.delivery.first_byte_at.filter(|_| first_byte_before.is_none());
     let delivered = Delivered { outcome, status, began_at };
     record_delivery(context, request, attempts, (&choice, &response, sent_at), delivered);
@@ -378,6 +379,18 @@
     }
 }
 
+/// Counts and returns what an upstream sent that does not continue its stream.
+fn take_foreign(
+    attempts: &mut Attempts,
+    choice: &Choice,
+    framing: Option<Framing>,
+) -> Option<ForeignEvent> {
+    let foreign = attempts.delivery.foreign.take()?;
+    let fault = foreign.fault.name();
+    metrics::counter!("verbenaslip_foreign_events_total", "fault" => fault).increment(1);
+    Some(ForeignEvent { upstream: choice.run.upstream.clone(), framing: framing?, foreign })
+}
+
 /// Describes what was passed on of an upstream's answer.
 #[derive(Clone, Copy)]
 struct Delivered {
--- a/crates/verbenaslip-relay/src/forward/request_log.rs
+++ b/crates/verbenaslip-relay/src/forward/request_log.rs
@@ -14,6 +14,8 @@
 
 use crate::event_log::{self, Kind};
 use crate::forward::admission::AdmittedRequest;
+use crate::forward::events::Foreign;
+use crate::http::Framing;
 use crate::monotonic;
 use crate::policy::placement::FigureUse;
 
@@ -53,6 +55,8 @@
     /// Whether the last upstream's body has neither a length nor chunks, so that it ends with its
     /// connection.
     pub ends_with_connection: bool,
+    /// Bytes that did not continue the stream, in order of the upstreams that sent them.
+    pub foreign: Vec<ForeignEvent>,
     /// When the first piece of the body arrived, after the arrival of the request.
     pub first_piece_after: Option<Duration>,
     /// When the caller may retry.
@@ -75,6 +79,30 @@
     pub queue_left: Option<&'static str>,
 }
 
+/// Describes bytes of an upstream that did not continue the stream.
+#[derive(Debug)]
+pub struct ForeignEvent {
+    /// The upstream.
+    pub upstream: Upstream,
+    /// How its body was framed.
+    pub framing: Framing,
+    /// What was wrong, and where.
+    pub foreign: Foreign,
+}
+
+impl ForeignEvent {
+    fn describe(&self) -> Value {
+        let Foreign { fault, after, events } = self.foreign;
+        json!({
+            "upstream": self.upstream.as_str(),
+            "framing": self.framing.name(),
+            "fault": fault.name(),
+            "after": after,
+            "events": events,
+        })
+    }
+}
+
 /// Holds one attempt of a request at an upstream.
 #[derive(Debug)]
 pub struct Attempt {
@@ -139,6 +167,7 @@
         trace.attempts.iter().filter_map(|it| it.gateway).map(|it| it.to_string()).collect();
     let sent_after: Vec<u128> =
         trace.attempts.iter().map(|attempt| attempt.sent_after.as_millis()).collect();
+    let foreign: Vec<Value> = trace.foreign.iter().map(ForeignEvent::describe).collect();
     // Most requests are answered, and need not be traced to what they share with others.
     let parts = request.filter(|_| outcome != "answered").map(|it| &*it.part_fingerprints);
     let parts: Vec<String> = parts.unwrap_or_default().iter().map(ToString::to_string).collect();
@@ -182,6 +211,7 @@
         ("limit", json!(trace.rate_limit)),
         ("brittle", json!(trace.brittle)),
         ("ends_with_connection", json!(trace.ends_with_connection)),
+        ("foreign", json!(foreign)),
         ("first_ms", json!(trace.first_piece_after.map(|first| first.as_millis()))),
         ("back_ms", json!(trace.retry_after.map(|retry_after| retry_after.as_millis()))),
         ("pause_ms", json!(trace.longest_pause.as_millis())),
--- a/crates/verbenaslip-relay/src/http/body.rs
+++ b/crates/verbenaslip-relay/src/http/body.rs
@@ -26,6 +26,18 @@
     UntilClose,
 }
 
+impl Framing {
+    /// Returns the name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Empty => "empty",
+            Self::Length(_) => "length",
+            Self::Chunked => "chunked",
+            Self::UntilClose => "until_close",
+        }
+    }
+}
+
 /// Extracts a body from the bytes of a connection.
 #[derive(Clone, Debug)]
 pub struct Decoder {
