Pass on only events that continue their stream

Callers got pieces without an id in streams whose upstreams had sent bytes of no run in the middle of an answer.

Cause: an entry took whatever the framing of an answer yields for events of its stream. Streams that may not be resumed were passed on byte by byte; the others were split at empty lines, and nobody compared an event with the one before it.

Change: on a stream route an answer with success is read event by event. An event is passed on once it is whole and has one number above that of the event before it, in this answer, at an earlier upstream, or in the Last-Event-Id of its caller. Anything else ends the answer at the last sound event: the upstream's connection is closed, a resumable stream goes on elsewhere, any other is cut. The head of a stream waits for the first event or comment, so that before it another upstream can give the whole answer, and any other request gets 502.

The test that a rest without an end is passed on at a clean end is gone, since no such rest is part of a whole stream; one that it is held takes its place.

--- a/crates/verbenaslip-base/src/event_stream.rs
+++ b/crates/verbenaslip-base/src/event_stream.rs
@@ -21,6 +21,8 @@
     StaleId,
     /// The bytes are not UTF-8.
     Encoding,
+    /// A line is no field: it has neither a colon after a name nor the name of a known field.
+    Field,
     /// The event is longer than its reader holds.
     TooLong,
 }
@@ -35,34 +37,49 @@
             Self::SeveralIds => "several_ids",
             Self::StaleId => "stale_id",
             Self::Encoding => "encoding",
+            Self::Field => "field",
             Self::TooLong => "too_long",
         }
     }
 }
 
+/// Fields that the format defines; they may lack a colon and a value.
+const KNOWN_FIELDS: [&str; 4] = ["id", "event", "data", "retry"];
+
 /// Returns the number of the event in bytes that end between two events, or `None` if they hold
 /// only comments and empty lines.
 ///
 /// # Errors
 ///
-/// Fails if the bytes are not UTF-8, or have other than one line with an `id` that is a number.
+/// Fails if the bytes are not UTF-8, if a line is no field, or if not exactly one line has an `id`
+/// that is a number.
 pub fn event_id(block: &[u8]) -> Result<Option<u64>, Fault> {
     let text = std::str::from_utf8(block).map_err(|_| Fault::Encoding)?;
-    let lines = text.split(['\n', '\r']);
-    let mut fields = lines.filter(|line| !line.is_empty() && !line.starts_with(':')).peekable();
-    if fields.peek().is_none() {
-        return Ok(None);
+    let (mut has_fields, mut id) = (false, None);
+    for line in text.split(['\n', '\r']).filter(|it| !it.is_empty() && !it.starts_with(':')) {
+        has_fields = true;
+        let (name, value) = parse_field(line)?;
+        if name == "id" && id.replace(value).is_some() {
+            return Err(Fault::SeveralIds);
+        }
+    }
+    match id {
+        Some(id) => parse_id(id).map(Some),
+        None if has_fields => Err(Fault::NoId),
+        None => Ok(None),
     }
-    let mut ids = fields.filter_map(|line| match line.split_once(':') {
-        Some(("id", value)) => Some(value.strip_prefix(' ').unwrap_or(value)),
-        None if line == "id" => Some(""),
-        _ => None,
-    });
-    let id = ids.next().ok_or(Fault::NoId)?;
-    if ids.next().is_some() {
-        return Err(Fault::SeveralIds);
+}
+
+/// Parses the name and the value of a field.
+fn parse_field(line: &str) -> Result<(&str, &str), Fault> {
+    let is_in_name = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_');
+    match line.split_once(':') {
+        Some((name, value)) if name.bytes().all(is_in_name) => {
+            Ok((name, value.strip_prefix(' ').unwrap_or(value)))
+        }
+        None if KNOWN_FIELDS.contains(&line) => Ok((line, "")),
+        _ => Err(Fault::Field),
     }
-    parse_id(id).map(Some)
 }
 
 fn parse_id(text: &str) -> Result<u64, Fault> {
--- a/crates/verbenaslip-base/tests/event_stream.rs
+++ b/crates/verbenaslip-base/tests/event_stream.rs
@@ -45,6 +45,7 @@
     assert_eq!(event_id(b"id: 7\ndata: a\n\n"), Ok(Some(7)));
     assert_eq!(event_id(b"weight-versions: 3\r\ndata: a\r\nid:007\r\n\r\n"), Ok(Some(7)));
     assert_eq!(event_id(b": id: 3\rid: 18446744073709551615\r\r"), Ok(Some(u64::MAX)));
+    assert_eq!(event_id(b"event\nid: 7\ndata\nx_y-2: z\n\n"), Ok(Some(7)));
     assert_eq!(event_id(b": a comment\n\n"), Ok(None));
     assert_eq!(event_id(b"\r\n"), Ok(None));
 }
@@ -54,8 +55,10 @@
     let faults = [
         (&b"data: a\n\n"[..], Fault::NoId),
         (b"ID: 7\n\n", Fault::NoId),
-        (b" id: 7\n\n", Fault::NoId),
-        (b"\xef\xbb\xbfid: 7\n\n", Fault::NoId),
+        (b" id: 7\n\n", Fault::Field),
+        (b"\xef\xbb\xbfid: 7\n\n", Fault::Field),
+        (b"5\r\nhello\r\nid: 7\n\n", Fault::Field),
+        (b"HTTP/1.1 200 OK\r\nServer: x\r\n\r\n", Fault::Field),
         (b"id:\ndata: a\n\n", Fault::EmptyId),
         (b"id\ndata: a\n\n", Fault::EmptyId),
         (b"id: x\n\n", Fault::InvalidId),
--- a/crates/verbenaslip-relay/src/forward/delivery.rs
+++ b/crates/verbenaslip-relay/src/forward/delivery.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use verbenaslip_base::event_stream;
+use verbenaslip_base::event_stream::{self, Position};
 use verbenaslip_fleet::route_table::RequestKind;
 
 use crate::forward::admission::AdmittedRequest;
 use crate::forward::answer;
-use crate::forward::events::{Foreign, Sequence, Splitter};
+use crate::forward::events::{Foreign, Sequence, Split};
 use crate::forward::exchange::Response;
 use crate::forward::failover::Failover;
 use crate::http::body::{LAST_CHUNK, write_chunk};
@@ -23,19 +23,21 @@
 /// Tracks how much of an answer the caller has received.
 #[derive(Debug, Default)]
 pub struct Delivery {
-    /// How the body is framed for the caller; `None` until the head is written.
+    /// How the body is framed for the caller; `None` until an upstream has answered.
     framing: Option<Framing>,
-    /// Splits a resumable stream into whole events, and tracks where any other stands.
-    splitter: Splitter,
-    /// Whether the present upstream's body is a stream of events.
-    is_event_stream: bool,
-    /// Follows the numbers of the events.
+    /// Whether the caller has received the head.
+    has_started: bool,
+    /// What the present upstream's body holds.
+    content: Content,
+    /// Splits a numbered stream into whole events.
     sequence: Sequence,
-    /// First bytes of the present upstream that do not continue the stream.
+    /// Where any other stream of events stands.
+    position: Position,
+    /// What the present upstream has sent that does not continue the stream.
     pub foreign: Option<Foreign>,
     /// Whether the caller has received a part of the body.
     pub has_events: bool,
-    /// When the first byte of the body arrived.
+    /// When the first piece of the body that was passed on arrived.
     pub first_byte_at: Option<Instant>,
     /// When the last piece of the body arrived.
     last_piece_at: Option<Instant>,
@@ -47,6 +49,27 @@
     pub gaps: Gaps,
 }
 
+/// Describes what a body holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Content {
+    /// Anything.
+    #[default]
+    Opaque,
+    /// Events that need not be numbered, since the route does not ask for a stream.
+    Events,
+    /// Events with increasing numbers.
+    NumberedEvents,
+}
+
+/// Holds what is under way from an upstream to the caller.
+struct Transfer {
+    decoder: Decoder,
+    /// Head of the answer, if the caller has none yet.
+    head: Option<Vec<u8>>,
+    /// Framed pieces of the body that can be passed on.
+    out: Vec<u8>,
+}
+
 /// Describes how an answer ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -54,6 +77,8 @@
     Complete,
     /// The upstream broke off.
     Broken,
+    /// The upstream sent bytes that do not continue the stream.
+    Foreign,
     /// The upstream sent nothing for too long.
     Unresponsive,
     /// The request leaves an upstream that is only slow to send the first event.
@@ -70,7 +95,7 @@
         match self {
             Self::Complete if status >= 500 => Ending::Failed,
             Self::Complete => Ending::Complete,
-            Self::Broken | Self::Unresponsive => Ending::Failed,
+            Self::Broken | Self::Foreign | Self::Unresponsive => Ending::Failed,
             Self::Slow => Ending::Slow,
             Self::TimedOut | Self::CallerGone => Ending::Abandoned,
         }
@@ -80,6 +105,7 @@
     pub(super) fn cause(self) -> &'static str {
         match self {
             Self::Broken => "broke_off",
+            Self::Foreign => "foreign_event",
             Self::Slow => "slow",
             _ => "went_silent",
         }
@@ -89,12 +115,22 @@
 impl Delivery {
     /// Returns whether the caller has received the head of an answer.
     pub fn has_started(&self) -> bool {
-        self.framing.is_some()
+        self.has_started
     }
 
     /// Returns the identity of the last event that the caller has received.
     pub fn last_event_id(&self) -> Option<u64> {
-        self.splitter.last_id
+        self.sequence.last_id()
+    }
+
+    /// Returns whether the answer of another upstream can go on where the present one has ended.
+    pub fn may_go_on(&self) -> bool {
+        !self.has_started || self.content == Content::NumberedEvents
+    }
+
+    /// Returns whether an answer with this head can go on with a stream that another upstream began.
+    pub fn goes_on_with(&self, request: &AdmittedRequest<'_>, head: &ResponseHead) -> bool {
+        head.status == 200 && content(request, head) == Content::NumberedEvents
     }
 
     /// Passes on an answer, or the rest of an answer that another upstream began.
@@ -126,111 +162,109 @@
         mut failover: Failover<impl FnMut(Reason, bool) -> bool>,
     ) -> Outcome {
         let deadline = request.deadline;
-        self.has_piece = false;
         let Ok(framing) = response.head.framing(&request.head.method) else {
             return Outcome::Broken;
         };
-        self.is_event_stream = is_event_stream(request, &response.head, framing);
-        self.sequence.begin_answer(events_of_caller(request));
-        self.foreign = None;
-        let mut out = Vec::new();
-        if self.framing.is_none() {
-            let framing_to_caller = caller_framing(request, framing, self.is_event_stream);
-            out = answer::write_head(&response.head, framing_to_caller, request.closes_connection);
-            self.framing = Some(framing_to_caller);
-            // The caller would take an orderly end of its connection for the end of the body.
-            if framing_to_caller == Framing::UntilClose && caller.set_reset_on_close(true).is_err()
-            {
-                return Outcome::CallerGone;
-            }
+        let mut transfer = self.begin(request, &response.head, framing);
+        if self.content != Content::NumberedEvents {
+            (failover.slow_at, failover.silence_limit) = (None, None);
         }
-        let mut decoder = Decoder::new(framing);
         loop {
-            let complete = match self.decode_available(
-                &mut decoder,
-                &mut response.connection,
-                request,
-                &mut out,
-            ) {
-                Ok(complete) => complete,
-                Err(()) => {
-                    return self.flush_partial(caller, &out, deadline, Outcome::Broken).await;
-                }
-            };
-            if complete && !self.is_whole(framing) {
-                return self.flush_partial(caller, &out, deadline, Outcome::Broken).await;
-            }
-            if complete {
-                self.finish_body(request, &mut out);
-            }
-            if !out.is_empty() {
-                let sent = tokio::time::timeout_at(deadline, caller.send(&out)).await;
-                match sent {
-                    Ok(Ok(())) => out.clear(),
-                    Ok(Err(_)) => return Outcome::CallerGone,
-                    Err(_) => return Outcome::TimedOut,
+            let is_stream = matches!(request.route.kind, RequestKind::Stream { .. });
+            let decoded = self.decode_available(&mut transfer, &mut response.connection, is_stream);
+            let decoded = decoded.and_then(|complete| {
+                if complete && !self.is_whole(framing) {
+                    Err(Outcome::Broken)
+                } else {
+                    Ok(complete)
                 }
+            });
+            let complete = decoded == Ok(true);
+            if let Err(outcome) = self.send(caller, &mut transfer, complete, deadline).await {
+                return outcome;
             }
-            if complete {
-                return Outcome::Complete;
+            match decoded {
+                Ok(true) => return Outcome::Complete,
+                Ok(false) => {}
+                Err(outcome) => return outcome,
             }
             if self.first_byte_at.is_some() {
                 failover.slow_at = None;
             }
-            if let Some(outcome) =
-                wait_for_more(caller, &mut response.connection, &decoder, deadline, &mut failover)
-                    .await
-            {
-                if outcome == Outcome::Unresponsive
-                    && !(failover.may_switch)(Reason::Silent, self.has_events)
-                {
-                    continue;
-                }
-                if outcome == Outcome::Complete && !self.is_whole(framing) {
-                    self.splitter.discard_partial();
-                    return Outcome::Broken;
-                }
-                if outcome == Outcome::Complete {
-                    self.finish_body(request, &mut out);
-                    let sent = tokio::time::timeout_at(deadline, caller.send(&out)).await;
-                    let caller_gone = !matches!(sent, Ok(Ok(())));
-                    return if caller_gone { Outcome::CallerGone } else { Outcome::Complete };
+            let (connection, decoder) = (&mut response.connection, &transfer.decoder);
+            match wait_for_more(caller, connection, decoder, deadline, &mut failover).await {
+                None => {}
+                Some(Outcome::Unresponsive)
+                    if !(failover.may_switch)(Reason::Silent, self.has_events) => {}
+                Some(Outcome::Complete) if !self.is_whole(framing) => return Outcome::Broken,
+                Some(Outcome::Complete) => {
+                    let sent = self.send(caller, &mut transfer, true, deadline).await;
+                    return sent.err().unwrap_or(Outcome::Complete);
                 }
-                self.splitter.discard_partial();
-                return outcome;
+                Some(outcome) => return outcome,
             }
         }
     }
 
+    /// Prepares to pass on the body of an upstream's answer.
+    fn begin(
+        &mut self,
+        request: &AdmittedRequest<'_>,
+        head: &ResponseHead,
+        framing: Framing,
+    ) -> Transfer {
+        self.has_piece = false;
+        self.foreign = None;
+        self.content = content(request, head);
+        self.position = Position::default();
+        self.sequence.begin_answer(events_of_caller(request));
+        if !self.has_started {
+            self.framing = Some(caller_framing(request, framing, self.content));
+        }
+        let framing_to_caller = self.framing.filter(|_| !self.has_started);
+        let head =
+            framing_to_caller.map(|it| answer::write_head(head, it, request.closes_connection));
+        Transfer { decoder: Decoder::new(framing), head, out: Vec::new() }
+    }
+
     /// Decodes all bytes that have arrived; returns whether the body is complete.
     fn decode_available(
         &mut self,
-        decoder: &mut Decoder,
+        transfer: &mut Transfer,
         connection: &mut Connection,
-        request: &AdmittedRequest<'_>,
-        out: &mut Vec<u8>,
-    ) -> Result<bool, ()> {
+        is_stream: bool,
+    ) -> Result<bool, Outcome> {
         let mut data = Vec::new();
-        while data.len() < MAX_BATCH_BYTES {
-            match decoder.step(&mut connection.buffer) {
+        let decoded = loop {
+            if data.len() >= MAX_BATCH_BYTES {
+                break Ok(false);
+            }
+            match transfer.decoder.step(&mut connection.buffer) {
                 Ok(Step::Data(piece)) => data.extend_from_slice(&piece),
-                Ok(Step::NeedMore) => break,
-                Ok(Step::End) => {
-                    self.append(request, &data, out);
-                    return Ok(true);
-                }
-                Err(_) => {
-                    self.append(request, &data, out);
-                    return Err(());
-                }
+                Ok(Step::NeedMore) => break Ok(false),
+                Ok(Step::End) => break Ok(true),
+                Err(_) => break Err(Outcome::Broken),
             }
+        };
+        self.append(&data, is_stream, &mut transfer.out)?;
+        decoded
+    }
+
+    /// Appends what can be passed on of a body; fails if the rest does not continue the stream.
+    fn append(&mut self, data: &[u8], is_stream: bool, out: &mut Vec<u8>) -> Result<(), Outcome> {
+        if self.content != Content::NumberedEvents {
+            self.position.advance(data);
+            self.append_framed(data, is_stream, out);
+            return Ok(());
         }
-        self.append(request, &data, out);
-        Ok(false)
+        let Split { sound, foreign } = self.sequence.push(data);
+        self.append_framed(&sound, is_stream, out);
+        self.foreign = foreign;
+        if foreign.is_some() { Err(Outcome::Foreign) } else { Ok(()) }
     }
 
-    fn append(&mut self, request: &AdmittedRequest<'_>, data: &[u8], out: &mut Vec<u8>) {
-        if data.is_empty() {
+    fn append_framed(&mut self, bytes: &[u8], is_stream: bool, out: &mut Vec<u8>) {
+        if bytes.is_empty() {
             return;
         }
         let now = Instant::now();
@@ -239,63 +273,63 @@
             self.longest_pause = self.longest_pause.max(now - last);
             // The pieces of other answers follow the network, and the first piece from another
             // upstream follows its queue and prefill.
-            if self.has_piece && matches!(request.route.kind, RequestKind::Stream { .. }) {
+            if self.has_piece && is_stream {
                 self.gaps.record(now - last);
             }
         }
         self.has_piece = true;
-        if self.is_event_stream && self.foreign.is_none() {
-            self.foreign = self.sequence.push(data).foreign;
-        }
-        if request.is_resumable() {
-            let complete = self.splitter.push(data);
-            self.append_framed(&complete, out);
-        } else {
-            if self.is_event_stream {
-                self.splitter.skip(data);
-            }
-            self.append_framed(data, out);
-        }
-    }
-
-    /// Returns whether an upstream's body that has ended here is whole.
-    fn is_whole(&self, framing: Framing) -> bool {
-        let ends_with_connection = framing == Framing::UntilClose;
-        !self.is_event_stream || self.splitter.position().is_whole(ends_with_connection)
-    }
-
-    fn append_framed(&mut self, bytes: &[u8], out: &mut Vec<u8>) {
-        self.has_events |= !bytes.is_empty();
+        self.has_events = true;
         match self.framing {
-            _ if bytes.is_empty() => {}
             Some(Framing::Chunked) => write_chunk(bytes, out),
             _ => out.extend_from_slice(bytes),
         }
     }
 
-    fn finish_body(&mut self, request: &AdmittedRequest<'_>, out: &mut Vec<u8>) {
-        if request.is_resumable() {
-            let rest = self.splitter.take_rest();
-            self.append_framed(&rest, out);
-        }
-        if self.framing == Some(Framing::Chunked) {
-            out.extend_from_slice(LAST_CHUNK);
+    /// Returns whether an upstream's body that has ended here is whole.
+    fn is_whole(&self, framing: Framing) -> bool {
+        let ends_with_connection = framing == Framing::UntilClose;
+        match self.content {
+            Content::Opaque => true,
+            Content::Events => self.position.is_whole(ends_with_connection),
+            Content::NumberedEvents => self.sequence.position().is_whole(ends_with_connection),
         }
     }
 
-    /// Passes on what was decoded before the body became malformed.
-    async fn flush_partial(
+    /// Sends what can be passed on to the caller, and the end of the body if it is complete.
+    ///
+    /// The head of a numbered stream waits for its first piece: until then another upstream can
+    /// still give the whole answer.
+    async fn send(
         &mut self,
         caller: &mut Connection,
-        out: &[u8],
+        transfer: &mut Transfer,
+        is_complete: bool,
         deadline: Instant,
-        outcome: Outcome,
-    ) -> Outcome {
-        self.splitter.discard_partial();
+    ) -> Result<(), Outcome> {
+        let Transfer { head, out, .. } = transfer;
+        if is_complete && self.framing == Some(Framing::Chunked) {
+            out.extend_from_slice(LAST_CHUNK);
+        }
+        let needs_head = is_complete || !out.is_empty() || self.content != Content::NumberedEvents;
+        if let Some(head) = head.take_if(|_| needs_head) {
+            out.splice(0..0, head);
+            self.has_started = true;
+            // The caller would take an orderly end of its connection for the end of the body.
+            let ends_with_connection = self.framing == Some(Framing::UntilClose);
+            if ends_with_connection && caller.set_reset_on_close(true).is_err() {
+                return Err(Outcome::CallerGone);
+            }
+        }
+        if out.is_empty() {
+            return Ok(());
+        }
         match tokio::time::timeout_at(deadline, caller.send(out)).await {
-            Ok(Ok(())) => outcome,
-            Ok(Err(_)) => Outcome::CallerGone,
-            Err(_) => Outcome::TimedOut,
+            Ok(Ok(())) => {
+                out.clear();
+                Ok(())
+            }
+            Ok(Err(_)) => Err(Outcome::CallerGone),
+            Err(_) => Err(Outcome::TimedOut),
         }
     }
 }
@@ -334,16 +368,19 @@
     }
 }
 
-/// Returns whether an answer is a stream of events; one without a content type is, if its route
-/// asks for streams and nothing else tells where it ends.
-fn is_event_stream(request: &AdmittedRequest<'_>, head: &ResponseHead, framing: Framing) -> bool {
-    let is_success = (200..300).contains(&head.status);
+/// Returns what the body of an answer holds. Without a content type it is what its route asks for.
+fn content(request: &AdmittedRequest<'_>, head: &ResponseHead) -> Content {
+    let is_stream_route = matches!(request.route.kind, RequestKind::Stream { .. });
     let mut content_types = head.all("content-type").peekable();
-    if content_types.peek().is_none() {
-        let is_stream_route = matches!(request.route.kind, RequestKind::Stream { .. });
-        return is_success && is_stream_route && framing == Framing::UntilClose;
+    let is_event_stream = match content_types.peek() {
+        None => is_stream_route,
+        Some(_) => content_types.any(|field| event_stream::is_content_type(&field.value)),
+    };
+    match ((200..300).contains(&head.status) && is_event_stream, is_stream_route) {
+        (false, _) => Content::Opaque,
+        (true, false) => Content::Events,
+        (true, true) => Content::NumberedEvents,
     }
-    is_success && content_types.any(|field| event_stream::is_content_type(&field.value))
 }
 
 /// Returns the number of the last event that the caller has from an earlier answer.
@@ -357,16 +394,10 @@
 /// A body that ends with the upstream's connection is sent in chunks. Otherwise the caller would
 /// take the end of its own connection for the end of the body even if the upstream broke off. So is
 /// a stream of events, which may have been broken off although it has its length.
-fn caller_framing(
-    request: &AdmittedRequest<'_>,
-    framing: Framing,
-    is_event_stream: bool,
-) -> Framing {
+fn caller_framing(request: &AdmittedRequest<'_>, framing: Framing, content: Content) -> Framing {
     match framing {
         Framing::Empty => Framing::Empty,
-        Framing::Length(length) if !request.is_resumable() && !is_event_stream => {
-            Framing::Length(length)
-        }
+        Framing::Length(length) if content == Content::Opaque => Framing::Length(length),
         _ if request.head.minor_version == 0 => Framing::UntilClose,
         _ => Framing::Chunked,
     }
--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -320,7 +320,8 @@
     let continues = attempts.delivery.has_started();
     let retry =
         failed && request.route.kind.may_repeat() && attempts.sends < request.route.max_attempts;
-    if retry || response.info.unrequested_encoding || (continues && status != 200) {
+    let goes_on = !continues || attempts.delivery.goes_on_with(request, &response.head);
+    if retry || response.info.unrequested_encoding || !goes_on {
         trace.causes.push(if failed { "upstream_failed" } else { "no_resume" });
         context.record_end(&choice, Ending::Failed, None);
         exchange::drain_and_keep(context, request, &choice, response).await;
@@ -335,7 +336,6 @@
     let first_byte_before = attempts.delivery.first_byte_at;
     let framing = response.head.framing(&request.head.method).ok();
     trace.ends_with_connection = framing == Some(Framing::UntilClose);
-    let proves_execution = quarantine::proves_execution(status, framing);
     let slow_at = silence_limit.and_then(|_| context.slow_at(request, &choice, sent_at));
     let (tried_runs, retry_paid) = (&attempts.tried_runs, &mut attempts.retry_paid);
     let version = attempts.version.as_deref();
@@ -350,26 +350,20 @@
     let began_at = attempts.delivery.first_byte_at.filter(|_| first_byte_before.is_none());
     let delivered = Delivered { outcome, status, began_at };
     record_delivery(context, request, attempts, (&choice, &response, sent_at), delivered);
-    match outcome {
-        Outcome::Complete if proves_execution => {
-            context.record_answer(monotonic::now(), request.fingerprints(), status);
-        }
-        Outcome::Complete if framing == Some(Framing::UntilClose) => {
-            context.signal_ended(request, &choice, sent_at, status);
-        }
-        Outcome::Broken => context.signal_interrupted(request, &choice, sent_at, began_at),
-        Outcome::CallerGone => context.signal_unconfirmed(request, &choice, sent_at),
-        Outcome::Complete | Outcome::Unresponsive | Outcome::Slow | Outcome::TimedOut => {}
-    }
+    signal_outcome(context, request, (&choice, framing, sent_at), delivered);
     match outcome {
         Outcome::Complete => {
             exchange::keep_connection(context, request, &choice, response);
             trace.outcome = "answered";
             Next::Done(Disposition::KeepOpen)
         }
-        Outcome::Broken | Outcome::Unresponsive | Outcome::Slow => {
+        Outcome::Broken | Outcome::Foreign | Outcome::Unresponsive | Outcome::Slow => {
             trace.causes.push(outcome.cause());
-            if request.is_resumable() { Next::Retry } else { Next::Refuse((Refusal::Failed, None)) }
+            if request.is_resumable() && attempts.delivery.may_go_on() {
+                Next::Retry
+            } else {
+                Next::Refuse((Refusal::Failed, None))
+            }
         }
         Outcome::TimedOut => Next::Refuse((Refusal::TimedOut, None)),
         Outcome::CallerGone => {
@@ -379,6 +373,29 @@
     }
 }
 
+/// Reports what the end of an answer says about the request, and about its upstream.
+fn signal_outcome(
+    context: &Context,
+    request: &AdmittedRequest<'_>,
+    (choice, framing, sent_at): (&Choice, Option<Framing>, Instant),
+    Delivered { outcome, status, began_at }: Delivered,
+) {
+    match outcome {
+        Outcome::Complete if quarantine::proves_execution(status, framing) => {
+            context.record_answer(monotonic::now(), request.fingerprints(), status);
+        }
+        Outcome::Complete if framing == Some(Framing::UntilClose) => {
+            context.signal_ended(request, choice, sent_at, status);
+        }
+        Outcome::Broken => context.signal_interrupted(request, choice, sent_at, began_at),
+        // The connection is closed before the upstream can break off, and it may crash still.
+        Outcome::CallerGone | Outcome::Foreign => {
+            context.signal_unconfirmed(request, choice, sent_at);
+        }
+        Outcome::Complete | Outcome::Unresponsive | Outcome::Slow | Outcome::TimedOut => {}
+    }
+}
+
 /// Counts and returns what an upstream sent that does not continue its stream.
 fn take_foreign(
     attempts: &mut Attempts,
--- a/crates/verbenaslip-relay/tests/events.rs
+++ b/crates/verbenaslip-relay/tests/events.rs
@@ -1,42 +1,100 @@
-//! Event streams that break off at any position.
+//! Streams that break off or hold foreign bytes at any position.
 
-use verbenaslip_relay::forward::events::Splitter;
+use verbenaslip_base::event_stream::Fault;
+use verbenaslip_relay::forward::events::{Foreign, Sequence, Split};
 
 const STREAM: &[u8] = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
 
+/// Returns what a stream that begins with these bytes passes on, and what is foreign in it.
+fn split(bytes: &[u8]) -> Split {
+    Sequence::default().push(bytes)
+}
+
+fn text(split: &Split) -> String {
+    String::from_utf8_lossy(&split.sound).into_owned()
+}
+
 #[test]
 fn stream_cut_anywhere_yields_only_whole_events() {
     // Guards against passing on a partial event. An upstream breaks off in the middle of an event
     // and another one continues after the last whole event; the caller would read the partial
     // event and the next whole one as one event.
     for cut in 0..=STREAM.len() {
-        let mut splitter = Splitter::default();
+        let mut sequence = Sequence::default();
         let mut output = Vec::new();
         for byte in &STREAM[..cut] {
-            output.extend_from_slice(&splitter.push(&[*byte]));
+            let split = sequence.push(&[*byte]);
+            assert_eq!(split.foreign, None, "cut at {cut}");
+            output.extend_from_slice(&split.sound);
         }
-        splitter.discard_partial();
+        sequence.begin_answer(None);
         let event_count = output.windows(2).filter(|pair| pair == b"\n\n").count();
         assert!(STREAM.starts_with(&output), "cut at {cut}");
         assert!(output.is_empty() || output.ends_with(b"\n\n"), "cut at {cut}");
         assert_eq!(
-            splitter.last_id,
+            sequence.last_id(),
             (event_count > 0).then_some(event_count as u64),
             "cut at {cut}"
         );
+        let rest = &STREAM[output.len()..];
+        assert_eq!(&sequence.push(rest).sound[..], rest, "cut at {cut}");
     }
 }
 
 #[test]
-fn rest_is_returned_at_a_clean_end() {
-    let mut splitter = Splitter::default();
-    assert!(splitter.push(b"id: 1\ndata: a").is_empty());
-    assert_eq!(&splitter.take_rest()[..], b"id: 1\ndata: a");
+fn event_without_its_end_is_not_passed_on() {
+    let mut sequence = Sequence::default();
+    assert!(sequence.push(b"id: 1\ndata: a").sound.is_empty());
+    assert!(!sequence.position().is_between_events());
 }
 
 #[test]
 fn crlf_line_ends_are_accepted() {
-    let mut splitter = Splitter::default();
-    assert_eq!(splitter.push(b"id: 7\r\ndata: a\r\n\r\nid: 8").len(), 18);
-    assert_eq!(splitter.last_id, Some(7));
+    let mut sequence = Sequence::default();
+    assert_eq!(sequence.push(b"id: 7\r\ndata: a\r\n\r\nid: 8").sound.len(), 18);
+    assert_eq!(sequence.last_id(), Some(7));
+}
+
+#[test]
+fn nothing_is_believed_after_foreign_bytes() {
+    let split = split(b"id: 4\ndata: a\n\n: c\ndata: b\n\nid: 5\ndata: c\n\n");
+    assert_eq!(text(&split), "id: 4\ndata: a\n\n: c\n");
+    assert_eq!(split.foreign, Some(Foreign { fault: Fault::NoId, after: Some(4), events: 1 }));
+}
+
+#[test]
+fn numbers_only_increase() {
+    assert_eq!(split(b"id: 0\n\nid: 3\n\nid: 900\n\n").foreign, None);
+    for stream in [&b"id: 3\n\nid: 3\n\n"[..], b"id: 3\n\nid: 2\n\n"] {
+        let foreign = split(stream).foreign;
+        assert_eq!(foreign, Some(Foreign { fault: Fault::StaleId, after: Some(3), events: 1 }));
+    }
+}
+
+#[test]
+fn numbers_go_on_from_those_that_the_caller_has() {
+    let mut sequence = Sequence::default();
+    sequence.begin_answer(Some(3));
+    assert_eq!(sequence.push(b"id: 4\n\nid: 5").foreign, None);
+    sequence.begin_answer(Some(3));
+    let split = sequence.push(b"id: 4\n\n");
+    let foreign = Foreign { fault: Fault::StaleId, after: Some(4), events: 1 };
+    assert_eq!(split, Split { sound: Default::default(), foreign: Some(foreign) });
+}
+
+#[test]
+fn an_answer_may_begin_with_a_byte_order_mark() {
+    let mut sequence = Sequence::default();
+    assert_eq!(text(&sequence.push("\u{feff}id: 1\n\n".as_bytes())), "\u{feff}id: 1\n\n");
+    assert!(sequence.push("\u{feff}id: 2\n\n".as_bytes()).foreign.is_some());
+    sequence.begin_answer(None);
+    assert_eq!(text(&sequence.push("\u{feff}id: 2\n\n".as_bytes())), "id: 2\n\n");
+}
+
+#[test]
+fn event_is_held_up_to_a_limit() {
+    let long = |length: usize| format!("id: 1\ndata: {}", "x".repeat(length));
+    assert_eq!(split(long(200 << 10).as_bytes()).foreign, None);
+    let fault = split(long(256 << 10).as_bytes()).foreign.map(|it| it.fault);
+    assert_eq!(fault, Some(Fault::TooLong));
 }
