Skip interim answers of the cloud

A cloud that sent 102 or 103 before its answer had the order's fate unknown: read_status took the first head for the answer. Interim answers are skipped now; they and the head have 16 KB together, and 1 s as before.

--- a/crates/verbenaslip-instance/src/cloud.rs
+++ b/crates/verbenaslip-instance/src/cloud.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Buf;
 use serde_json::json;
 use tokio::sync::mpsc::UnboundedSender;
 use verbenaslip_base::name::Instance;
@@ -18,7 +19,7 @@
 /// Time limit for the connection to the cloud, and again for its answer.
 const TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Maximum size of the head of an answer.
+/// Maximum size of the head of an answer, together with interim answers (status 1xx) before it.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 
 /// HTTP POST request to the cloud.
@@ -107,11 +108,20 @@
 }
 
 async fn read_status(connection: &mut Connection) -> Option<u16> {
+    let mut interim_bytes = 0;
     loop {
-        if let Some(end) = connection.head_length() {
-            return ResponseHead::parse(&connection.buffer[..end]).ok().map(|head| head.status);
+        while let Some(end) = connection.head_length() {
+            let status = ResponseHead::parse(&connection.buffer[..end]).ok()?.status;
+            interim_bytes += end;
+            if interim_bytes > MAX_HEAD_BYTES {
+                return None;
+            }
+            if status >= 200 {
+                return Some(status);
+            }
+            connection.buffer.advance(end);
         }
-        if connection.buffer.len() > MAX_HEAD_BYTES
+        if interim_bytes + connection.buffer.len() > MAX_HEAD_BYTES
             || !matches!(connection.fill().await, Ok(count) if count > 0)
         {
             return None;
--- a/crates/verbenaslip-instance/tests/cloud.rs
+++ b/crates/verbenaslip-instance/tests/cloud.rs
@@ -132,3 +132,47 @@
         }
     });
 }
+
+/// Sends an order to a cloud that answers with `before` and then `repeated` without end; returns the outcome.
+fn outcome_of(before: &'static str, repeated: &'static str) -> Outcome {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("a runtime");
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    let address = listener.local_addr().expect("the listener is bound");
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a call");
+        let _ = stream.read(&mut [0; 1_024]);
+        let mut is_open = stream.write_all(before.as_bytes()).is_ok();
+        while is_open && !repeated.is_empty() {
+            is_open = stream.write_all(repeated.as_bytes()).is_ok();
+        }
+    });
+    LocalSet::new().block_on(&runtime, async {
+        let (results, mut received) = mpsc::unbounded_channel();
+        let holder = Instance::new("core-1");
+        let cloud = Rc::new(Cloud { address, holder, codec: Arc::new(TestCodec), results });
+        cloud.send_order(order(1));
+        let result = tokio::time::timeout(RESULT_TIMEOUT, received.recv()).await;
+        result.ok().flatten().expect("an outcome in time").outcome
+    })
+}
+
+// Guards against an interim answer that is taken for the answer.
+#[test]
+fn interim_answers_precede_the_answer() {
+    const INTERIM: &str = "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    assert_eq!(outcome_of(INTERIM, ""), Outcome::Done);
+}
+
+// Guards against answers without end that hold an order, or are taken for its answer.
+#[test]
+fn bytes_without_end_leave_the_outcome_unknown() {
+    for (before, repeated) in [
+        ("", "HTTP/1.1 102 Processing\r\n\r\n"),
+        ("HTTP/1.1 200 OK\r\n", "x: y\r\n"),
+        ("HTTP/1.1 ", "2"),
+        ("", "\0"),
+    ] {
+        assert_eq!(outcome_of(before, repeated), Outcome::Unknown, "{before:?} {repeated:?}");
+    }
+}
