Bound what all streams of an entry hold of events under way

No part of an event goes out before its end, so each stream held up to 256 KB of one, without a limit for all streams: what an entry took rose with the number of streams whose event did not end, up to its limit on connections. All events under way share a sixteenth of the machine's memory now. A stream may hold no more than it leaves free, 16 KB at least, and is broken off as too long beyond that.

--- a/crates/verbenaslip-relay/src/forward.rs
+++ b/crates/verbenaslip-relay/src/forward.rs
@@ -11,7 +11,7 @@
 //! upstream, and [`crash`] checks whether an upstream that broke off has crashed. [`upstream_log`]
 //! logs what an upstream asks for in the head of its answer, and [`path_log`] when paths to
 //! upstreams are lost. [`pool`] keeps connections,
-//! [`events`] finds the ends of events, [`answer`] writes answers that this instance makes itself,
+//! [`events`] finds the ends of events, [`event_memory`] bounds what is held of them, [`answer`] writes answers that this instance makes itself,
 //! and [`request_log`] logs each request.
 
 pub mod admission;
@@ -20,6 +20,7 @@
 pub(crate) mod crash;
 pub mod delivery;
 pub(crate) mod dial;
+pub mod event_memory;
 pub mod events;
 pub mod exchange;
 pub(crate) mod failover;
--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -21,6 +21,7 @@
 use crate::dialect::{Dialect, ResponseInfo};
 use crate::forward::admission::AdmittedRequest;
 use crate::forward::crash::Signal;
+use crate::forward::event_memory::EventMemory;
 use crate::forward::path_log;
 use crate::forward::place::HeldCount;
 use crate::forward::pool::Pool;
@@ -65,6 +66,7 @@
     pub(crate) quarantine: RefCell<Quarantine>,
     pub(crate) overload: RefCell<Overload>,
     pub(crate) body_memory: RefCell<BodyMemory>,
+    pub(crate) event_memory: EventMemory,
     pub(crate) random_state: Cell<u64>,
     pub(crate) builds: RefCell<Builds>,
     /// Versions at which streams began at this entry.
@@ -99,6 +101,7 @@
             quarantine: RefCell::new(Quarantine::default()),
             overload: RefCell::default(),
             body_memory: RefCell::new(BodyMemory::new(config.memory_bytes)),
+            event_memory: EventMemory::new(config.memory_bytes),
             random_state: Cell::new(monotonic::unix_ms()),
             builds: RefCell::default(),
             origins: RefCell::new(Origins::new(monotonic::now())),
--- a/crates/verbenaslip-relay/src/forward/delivery.rs
+++ b/crates/verbenaslip-relay/src/forward/delivery.rs
@@ -8,6 +8,7 @@
 
 use crate::forward::admission::AdmittedRequest;
 use crate::forward::answer;
+use crate::forward::event_memory::EventMemory;
 use crate::forward::events::{Foreign, Sequence, Split};
 use crate::forward::exchange::Response;
 use crate::forward::failover::Failover;
@@ -113,6 +114,11 @@
 }
 
 impl Delivery {
+    /// Creates the delivery of an answer whose events take a share of the memory for them.
+    pub fn new(memory: EventMemory) -> Self {
+        Self { sequence: Sequence::new(memory), ..Self::default() }
+    }
+
     /// Returns whether the caller has received the head of an answer.
     pub fn has_started(&self) -> bool {
         self.has_started
--- a/crates/verbenaslip-relay/src/forward/events.rs
+++ b/crates/verbenaslip-relay/src/forward/events.rs
@@ -3,6 +3,8 @@
 use bytes::{Buf, Bytes, BytesMut};
 use verbenaslip_base::event_stream::{self, BYTE_ORDER_MARK, Fault, Position};
 
+use crate::forward::event_memory::{EventMemory, Share};
+
 /// Limit on the bytes of an event.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
@@ -11,6 +13,8 @@
 pub struct Sequence {
     /// Bytes of the present upstream after the last sound event.
     pending: BytesMut,
+    /// Counts the pending bytes among those of all streams.
+    share: Share,
     position: Position,
     /// Whether anything of the present upstream's answer has been returned.
     has_begun: bool,
@@ -42,10 +46,15 @@
 }
 
 impl Sequence {
+    /// Creates the sequence of a stream whose pending bytes take a share of the memory for events.
+    pub fn new(memory: EventMemory) -> Self {
+        Self { share: Share::new(memory), ..Self::default() }
+    }
+
     /// Starts to read the answer of another upstream, which continues after the last sound event.
     /// The caller may have events up to `last_id` from an earlier answer.
     pub fn begin_answer(&mut self, last_id: Option<u64>) {
-        self.pending.clear();
+        self.discard_pending();
         self.position = Position::default();
         self.has_begun = false;
         self.last_id = self.last_id.max(last_id);
@@ -67,7 +76,8 @@
             }
             end = scanned;
         }
-        if checked.is_ok() && self.pending.len() - end > MAX_EVENT_BYTES {
+        let held = self.pending.len() - end;
+        if checked.is_ok() && (held > MAX_EVENT_BYTES || !self.share.set(held)) {
             checked = Err(Fault::TooLong);
         }
         let mut sound = self.pending.split_to(end).freeze();
@@ -78,7 +88,7 @@
         self.has_begun |= end > 0;
         self.has_passed |= end > 0;
         let foreign = checked.err().map(|fault| {
-            self.pending.clear();
+            self.discard_pending();
             Foreign { fault, after: self.last_id, events: self.events }
         });
         Split { sound, foreign }
@@ -94,6 +104,12 @@
         self.last_id
     }
 
+    /// Forgets the pending bytes, and gives their memory back.
+    fn discard_pending(&mut self) {
+        self.pending = BytesMut::new();
+        self.share.set(0);
+    }
+
     /// Counts the event in pending bytes that end between two events, if they hold one.
     fn check(&mut self, start: usize, end: usize) -> Result<(), Fault> {
         let mut block = &self.pending[start..end];
--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -132,7 +132,8 @@
     request: &mut AdmittedRequest<'_>,
     trace: &mut Trace,
 ) -> Disposition {
-    let mut attempts = Attempts::default();
+    let delivery = Delivery::new(context.event_memory.clone());
+    let mut attempts = Attempts { delivery, ..Attempts::default() };
     let restricted = origin::restrict(context, request, &mut attempts, trace).await;
     let request = &*request;
     let rejection = loop {
--- a/crates/verbenaslip-relay/src/server.rs
+++ b/crates/verbenaslip-relay/src/server.rs
@@ -173,6 +173,7 @@
         context.pool.borrow_mut().remove_expired(monotonic::now());
         let body_bytes = context.body_memory.borrow().held();
         metrics::gauge!("verbenaslip_body_bytes").set(body_bytes as f64);
+        metrics::gauge!("verbenaslip_event_bytes").set(context.event_memory.held() as f64);
     }
 }
 
--- a/crates/verbenaslip-relay/tests/events.rs
+++ b/crates/verbenaslip-relay/tests/events.rs
@@ -1,6 +1,7 @@
 //! Streams that break off or hold foreign bytes at any position.
 
 use verbenaslip_base::event_stream::Fault;
+use verbenaslip_relay::forward::event_memory::EventMemory;
 use verbenaslip_relay::forward::events::{Foreign, Sequence, Split};
 
 const STREAM: &[u8] = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
@@ -98,3 +99,28 @@
     let fault = split(long(256 << 10).as_bytes()).foreign.map(|it| it.fault);
     assert_eq!(fault, Some(Fault::TooLong));
 }
+
+// Guards against streams whose events do not end, and which together take the memory of the machine.
+#[test]
+fn events_that_do_not_end_share_the_memory_for_events() {
+    const MACHINE_BYTES: usize = 128 << 20;
+    const LIMIT: usize = MACHINE_BYTES / 16;
+    let memory = EventMemory::new(MACHINE_BYTES);
+    let mut streams: Vec<Sequence> = (0..200).map(|_| Sequence::new(memory.clone())).collect();
+    let mut broken_off = 0;
+    for piece in 0..62 {
+        let text = if piece == 0 { "id: 1\ndata: ".to_owned() } else { "x".repeat(4 << 10) };
+        streams.retain_mut(|it| {
+            let foreign = it.push(text.as_bytes()).foreign;
+            assert!(foreign.is_none_or(|it| it.fault == Fault::TooLong), "{foreign:?}");
+            broken_off += usize::from(foreign.is_some());
+            foreign.is_none()
+        });
+        assert!(memory.held() <= LIMIT, "{} bytes", memory.held());
+        let short = format!("id: 1\ndata: {}", "x".repeat(16_000));
+        assert_eq!(Sequence::new(memory.clone()).push(short.as_bytes()).foreign, None);
+    }
+    assert!(broken_off > 0 && !streams.is_empty(), "{broken_off} broken off");
+    drop(streams);
+    assert_eq!(memory.held(), 0);
+}
