Count comments between events towards the limit of an event

verbenaslipd took comments with empty lines between them without a limit: each empty line began the count anew and each piece ended the silence of the stall, so that a run was held until its deadline. The bytes since the last event count now, 1 MB as before.

tests/traffic: bytes_without_end_end_a_run. Before, comments without end: cause Deadline; after: Error. Sound before and after: interim answers (Silent after the stall), header fields, a head line, comment and data lines without end, chunk extensions, trailers.

--- a/crates/verbenaslip/src/traffic/sse.rs
+++ b/crates/verbenaslip/src/traffic/sse.rs
@@ -1,6 +1,6 @@
 //! Server-sent events, read from bytes as they come.
 
-/// The most bytes of one event.
+/// The most bytes of one event, with the comments before it.
 const EVENT_MAX: usize = 1 << 20;
 
 /// Holds one event.
@@ -22,6 +22,7 @@
     line: Vec<u8>,
     event: Event,
     filled: bool,
+    /// Bytes since the last event.
     size: usize,
     ready: Vec<Event>,
 }
@@ -71,7 +72,7 @@
         let event = std::mem::take(&mut self.event);
         if std::mem::take(&mut self.filled) {
             self.ready.push(event);
+            self.size = 0;
         }
-        self.size = 0;
     }
 }
--- a/crates/verbenaslip/tests/traffic/script.rs
+++ b/crates/verbenaslip/tests/traffic/script.rs
@@ -29,6 +29,8 @@
     Pause,
     /// Keeps the connection open and silent.
     Silence,
+    /// Repeats bytes until the other end closes.
+    Endless(String),
 }
 
 /// Runs the scripts, one a connection in the order of connections.
@@ -83,6 +85,11 @@
                 let _ = go.recv();
                 continue;
             }
+            Act::Endless(text) => {
+                let block = text.repeat((16 << 10) / text.len() + 1);
+                while stream.write_all(block.as_bytes()).is_ok() {}
+                return;
+            }
             Act::Silence => {
                 // Ends when the other end closes.
                 let _ = stream.read(&mut [0]);
--- a/crates/verbenaslip/tests/traffic/upstream.rs
+++ b/crates/verbenaslip/tests/traffic/upstream.rs
@@ -1,5 +1,6 @@
 //! What upstreams do wrong, and what a run reports.
 
+use std::thread;
 use std::time::Duration;
 
 use verbenaslip::traffic::Report;
@@ -32,6 +33,11 @@
 const BUSY: &str = "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
 const BROKEN: &str = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n";
 
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+                       transfer-encoding: chunked\r\n\r\n";
+const TRAILERS: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+                        transfer-encoding: chunked\r\n\r\n0\r\n";
+
 fn cases() -> Vec<Case> {
     use Act::{Done, Finish, Head, Say, Silence, Tokens};
     vec![
@@ -113,6 +119,42 @@
     }
 }
 
+/// Symptom: a run is held until its deadline, or takes more memory than an answer may.
+/// Sequence: bytes without end in each part of an answer.
+/// Cause: a limit on each of something whose number has none.
+#[test]
+fn bytes_without_end_end_a_run() {
+    let chunk = |text: &str| format!("{:x}\r\n{}\r\n", text.len() * 100, text.repeat(100));
+    let (comments, comment, lines) = (chunk(": x\n\n"), chunk(": x"), chunk("data: x\n"));
+    let failures = [
+        ("", "HTTP/1.1 102 Processing\r\n\r\n", Step::Head, Cause::Silent),
+        ("HTTP/1.1 200 OK\r\n", "x: y\r\n", Step::Head, Cause::Closed),
+        ("HTTP/1.1 200 ", "a", Step::Head, Cause::Closed),
+        (CHUNKED, &comments, Step::Read, Cause::Error),
+        (CHUNKED, &comment, Step::Read, Cause::Error),
+        (CHUNKED, &lines, Step::Read, Cause::Error),
+        (CHUNKED, "1;xxxxxxxxxxxxxxxxxxxxxxxx\r\n:\r\n", Step::Read, Cause::Cut),
+        (TRAILERS, "a: b\r\n", Step::Read, Cause::Cut),
+    ];
+    thread::scope(|scope| {
+        for (before, repeated, step, cause) in failures {
+            scope.spawn(move || {
+                let bench = bench();
+                let _caller = bench.post("", STREAMED);
+                let arrival = bench.arrival();
+                let script = vec![Act::Say(before.into()), Act::Endless(repeated.into())];
+                let upstream = Script::spawn(vec![script]);
+                let mut run = run(&arrival, 1, upstream.address, Start::Fresh);
+                run.stall = Duration::from_millis(300);
+                run.deadline = bench.traffic.now() + Duration::from_secs(8);
+                bench.traffic.run(run);
+                let failure = Failure { step, cause, not_run: false };
+                assert_eq!(bench.ended(), Event::Failed(failure), "{before:?} {repeated:.40?}");
+            });
+        }
+    });
+}
+
 /// Symptom: a request is called "not run" though it ran, or "may have run" though nothing was sent.
 /// Sequence: an upstream that refuses the connection.
 /// Cause: a failure before the first byte is not told from one after it.
