Bound the memory for calls of a core, and the time of their bodies

A core held up to 8 MB of each call that it read, without a limit for all of them and for as long as a byte came in 15 s: 120 calls without end at once took 69 MB more, and 34 of them were still open after 12 s. Bodies of calls have 32 MB together now, as those of requests at an entry, and 5 s each; what does not fit is answered with 503.

--- a/crates/verbenaslip-instance/src/control.rs
+++ b/crates/verbenaslip-instance/src/control.rs
@@ -13,9 +13,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Semaphore, oneshot};
+use tokio::time::Instant;
 use verbenaslip_fleet::frame::{Request, Response};
 use verbenaslip_fleet::route_table::RequestLimits;
 use verbenaslip_relay::http::{Connection, Message, MessageError, reader};
+use verbenaslip_relay::policy::body_memory::{BodyMemory, Caller, Room};
 use verbenaslip_relay::{event_log, monotonic, socket};
 
 use crate::event;
@@ -41,6 +43,12 @@
 /// Maximum size of the body of a call.
 const MAX_BODY_BYTES: usize = 8 << 20;
 
+/// Time within which the body of a call arrives.
+const BODY_TIME: Duration = Duration::from_secs(5);
+
+/// Memory of which half is for the bodies of all calls.
+const MEMORY_BYTES: usize = 64 << 20;
+
 /// HTTP answer to a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Answer {
@@ -96,6 +104,13 @@
     last_id: Cell<u64>,
     refusal_log: RefusalLog,
     read_permits: Semaphore,
+    body_memory: RefCell<BodyMemory>,
+}
+
+/// Call together with the memory for its body.
+struct ReadCall<'a> {
+    message: Message,
+    _room: Room<'a>,
 }
 
 /// Maximum number of refused calls logged per second; a caller may repeat a malformed call many times.
@@ -157,6 +172,7 @@
             last_id: Cell::new(0),
             refusal_log: RefusalLog::default(),
             read_permits: Semaphore::new(MAX_CONCURRENT_READS),
+            body_memory: RefCell::new(BodyMemory::new(MEMORY_BYTES)),
         };
         let shared = Rc::new(shared);
         tokio::task::spawn_local(accept(listener, shared.clone()));
@@ -191,7 +207,7 @@
             return;
         }
         let (bytes, closes) = match shared.read_call(&mut connection, &limits).await {
-            Ok(Some(call)) => {
+            Ok(Some(ReadCall { message: call, _room })) => {
                 let (answer, closes) = (shared.handle(&call).await, call.head.closes_connection());
                 let mut bytes = encode_head(&answer, closes);
                 if &*call.head.method != "HEAD" {
@@ -202,7 +218,8 @@
             Ok(None) => return,
             Err(error) => {
                 let body = format!("{{\"error\":\"{error}\"}}\n").into_bytes();
-                let answer = Answer { status: 400, body };
+                let status = if error == MessageError::OutOfMemory { 503 } else { 400 };
+                let answer = Answer { status, body };
                 ([encode_head(&answer, true), answer.body].concat(), true)
             }
         };
@@ -222,14 +239,14 @@
         &self,
         connection: &mut Connection,
         limits: &RequestLimits,
-    ) -> Result<Option<Message>, MessageError> {
+    ) -> Result<Option<ReadCall<'_>>, MessageError> {
         let since = monotonic::now();
         // The semaphore is never closed.
         let permit = self.read_permits.acquire().await;
         if monotonic::now().saturating_sub(since) > MAX_CALL_AGE {
             return Ok(None);
         }
-        let mut read = pin!(reader::read_request(connection, limits));
+        let mut read = pin!(self.read_message(connection, limits));
         if let Ok(call) = tokio::time::timeout(READ_PERMIT_TIME, &mut read).await {
             return call;
         }
@@ -237,6 +254,23 @@
         read.await
     }
 
+    async fn read_message(
+        &self,
+        connection: &mut Connection,
+        limits: &RequestLimits,
+    ) -> Result<Option<ReadCall<'_>>, MessageError> {
+        let Some(unread) = reader::read_head(connection, limits).await? else { return Ok(None) };
+        let mut room = Room::new(&self.body_memory);
+        let address = connection.peer_ip();
+        let reserve = |bytes: usize| {
+            let extended = room.extend(bytes, || Caller::Address(address));
+            extended.map_err(|_| MessageError::OutOfMemory)
+        };
+        let deadline = Instant::now() + BODY_TIME;
+        let body = unread.read_body(connection, limits, Some(deadline), reserve).await?;
+        Ok(body.map(|body| ReadCall { message: unread.into_message(body), _room: room }))
+    }
+
     async fn handle(&self, call: &Message) -> Answer {
         let request = match self.codec.decode(call) {
             Ok(request) => request,
--- a/crates/verbenaslip-relay/src/forward/intake.rs
+++ b/crates/verbenaslip-relay/src/forward/intake.rs
@@ -1,6 +1,5 @@
 //! Reads requests of callers, as far as there is memory for their bodies.
 
-use std::cell::RefCell;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,7 +14,7 @@
 use crate::forward::lifecycle::{self, RETRY_AFTER_FULL};
 use crate::http::reader::{self, UnreadMessage};
 use crate::http::{Connection, Message, MessageError};
-use crate::policy::body_memory::{BodyMemory, Caller, Reservation, SMALL_BODY_BYTES, Shortage};
+use crate::policy::body_memory::{Caller, Room, SMALL_BODY_BYTES, Shortage};
 
 /// A request was refused since its body did not fit into memory.
 const BODY_REFUSED: Kind = Kind { number: 961, name: "body_refused" };
@@ -52,18 +51,6 @@
     }
 }
 
-/// Memory that is reserved for a body; given back when dropped.
-struct Room<'a> {
-    memory: &'a RefCell<BodyMemory>,
-    reservation: Reservation,
-}
-
-impl Drop for Room<'_> {
-    fn drop(&mut self) {
-        self.memory.borrow_mut().release(&self.reservation);
-    }
-}
-
 /// Reads one request; returns `None` if the caller closes or stays idle.
 pub(crate) async fn read_request<'a>(
     context: &'a Context,
@@ -75,12 +62,10 @@
     let max_body_bytes = limits.max_body_bytes.min(memory.borrow().max_body_bytes());
     let limits = RequestLimits { max_body_bytes, ..*limits };
     let sender = Sender::of(context, &unread, caller);
-    let mut room = Room { memory, reservation: Reservation::default() };
+    let mut room = Room::new(memory);
     let mut shortage = None;
     let reserve = |bytes: usize| {
-        let mut memory = memory.borrow_mut();
-        let extended = memory.extend(&mut room.reservation, bytes, || sender.caller.clone());
-        extended.map_err(|it| {
+        room.extend(bytes, || sender.caller.clone()).map_err(|it| {
             shortage = Some(it);
             MessageError::OutOfMemory
         })
--- a/crates/verbenaslip-relay/src/policy/body_memory.rs
+++ b/crates/verbenaslip-relay/src/policy/body_memory.rs
@@ -10,6 +10,7 @@
 //! alone gets half of the memory for large bodies. A caller that sends slowly holds its part for
 //! longer, but no more than that.
 
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -52,6 +53,39 @@
     }
 }
 
+/// Memory that is reserved for a body; given back when dropped.
+#[derive(Debug)]
+pub struct Room<'a> {
+    memory: &'a RefCell<BodyMemory>,
+    reservation: Reservation,
+}
+
+impl<'a> Room<'a> {
+    /// Creates the room of a body for which nothing is reserved yet.
+    pub fn new(memory: &'a RefCell<BodyMemory>) -> Self {
+        Self { memory, reservation: Reservation::default() }
+    }
+
+    /// Extends the reservation to `bytes`; `caller` is called for a large body.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`BodyMemory::extend`].
+    pub fn extend(
+        &mut self,
+        bytes: usize,
+        caller: impl FnOnce() -> Caller,
+    ) -> Result<(), Shortage> {
+        self.memory.borrow_mut().extend(&mut self.reservation, bytes, caller)
+    }
+}
+
+impl Drop for Room<'_> {
+    fn drop(&mut self) {
+        self.memory.borrow_mut().release(&self.reservation);
+    }
+}
+
 /// Reserves memory for bodies.
 #[derive(Debug)]
 pub struct BodyMemory {
