Let only events end the silence of a stream

A byte a second in trailers, chunk extensions, or an event or a comment that did not end kept a resumable stream at its upstream until the deadline of its caller, since each read ended the silence. Silence counts from the last event that was passed on now; bytes of an event that comes slowly extend it to twice its limit, framing does not. Where the request may not leave, the silence counts anew.

--- a/crates/verbenaslip-relay/src/forward/delivery.rs
+++ b/crates/verbenaslip-relay/src/forward/delivery.rs
@@ -1,5 +1,6 @@
 //! Passes an answer on to its caller as it arrives.
 
+use std::io;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -21,6 +22,9 @@
 /// Limit on the bytes of an answer that are collected before a write.
 const MAX_BATCH_BYTES: usize = 64 << 10;
 
+/// Longest time that an upstream may take to send an event, as a multiple of the silence limit.
+const EVENT_FACTOR: u32 = 2;
+
 /// Tracks how much of an answer the caller has received.
 #[derive(Debug, Default)]
 pub struct Delivery {
@@ -69,6 +73,31 @@
     head: Option<Vec<u8>>,
     /// Framed pieces of the body that can be passed on.
     out: Vec<u8>,
+    /// Whether a part of the body was decoded last.
+    has_part: bool,
+}
+
+/// Tracks since when an upstream has sent nothing of a stream.
+///
+/// Bytes of an event that comes slowly end the silence for a while, and an event that is passed on
+/// ends it. The framing between events does neither.
+struct Silence {
+    /// When a part of an event arrived.
+    part_at: Instant,
+    /// When an event was passed on.
+    event_at: Instant,
+}
+
+impl Silence {
+    fn begin() -> Self {
+        let now = Instant::now();
+        Self { part_at: now, event_at: now }
+    }
+
+    /// Returns when the silence has lasted too long.
+    fn end(&self, limit: Duration) -> Instant {
+        (self.part_at + limit).min(self.event_at + limit * EVENT_FACTOR)
+    }
 }
 
 /// Describes how an answer ended.
@@ -175,6 +204,7 @@
         if self.content != Content::NumberedEvents {
             (failover.slow_at, failover.silence_limit) = (None, None);
         }
+        let mut silence = Silence::begin();
         loop {
             let is_stream = matches!(request.route.kind, RequestKind::Stream { .. });
             let decoded = self.decode_available(&mut transfer, &mut response.connection, is_stream);
@@ -186,6 +216,7 @@
                 }
             });
             let complete = decoded == Ok(true);
+            let has_event = !transfer.out.is_empty();
             if let Err(outcome) = self.send(caller, &mut transfer, complete, deadline).await {
                 return outcome;
             }
@@ -197,11 +228,21 @@
             if self.first_byte_at.is_some() {
                 failover.slow_at = None;
             }
+            // The caller may have taken its time to read, which is no silence of the upstream.
+            if has_event {
+                silence = Silence::begin();
+            } else if transfer.has_part {
+                silence.part_at = Instant::now();
+            }
             let (connection, decoder) = (&mut response.connection, &transfer.decoder);
-            match wait_for_more(caller, connection, decoder, deadline, &mut failover).await {
+            let ends = (deadline, failover.silence_limit.map(|limit| silence.end(limit)));
+            match wait_for_more(caller, connection, decoder, ends, &mut failover).await {
                 None => {}
                 Some(Outcome::Unresponsive)
-                    if !(failover.may_switch)(Reason::Silent, self.has_events) => {}
+                    if !(failover.may_switch)(Reason::Silent, self.has_events) =>
+                {
+                    silence = Silence::begin();
+                }
                 Some(Outcome::Complete) if !self.is_whole(framing) => return Outcome::Broken,
                 Some(Outcome::Complete) => {
                     let sent = self.send(caller, &mut transfer, true, deadline).await;
@@ -230,7 +271,7 @@
         let framing_to_caller = self.framing.filter(|_| !self.has_started);
         let head =
             framing_to_caller.map(|it| answer::write_head(head, it, request.closes_connection));
-        Transfer { decoder: Decoder::new(framing), head, out: Vec::new() }
+        Transfer { decoder: Decoder::new(framing), head, out: Vec::new(), has_part: false }
     }
 
     /// Decodes all bytes that have arrived; returns whether the body is complete.
@@ -252,6 +293,7 @@
                 Err(_) => break Err(Outcome::Broken),
             }
         };
+        transfer.has_part = !data.is_empty();
         self.append(&data, is_stream, &mut transfer.out)?;
         decoded
     }
@@ -340,26 +382,21 @@
     }
 }
 
-/// Waits for more of the body; returns how the answer ended, if it did.
+/// Waits for more of the body, up to the deadline of the request and the end of the upstream's
+/// silence; returns how the answer ended, if it did.
 async fn wait_for_more(
     caller: &mut Connection,
     connection: &mut Connection,
     decoder: &Decoder,
-    deadline: Instant,
+    (deadline, silent_until): (Instant, Option<Instant>),
     failover: &mut Failover<impl FnMut(Reason, bool) -> bool>,
 ) -> Option<Outcome> {
-    let silent_until =
-        failover.silence_limit.map_or(deadline, |silence_limit| Instant::now() + silence_limit);
+    let silent_until = silent_until.unwrap_or(deadline);
     let end = deadline.min(silent_until);
     loop {
         let next_check = failover.next_check(end);
         return tokio::select! {
-            filled = connection.fill() => match filled {
-                Ok(count) if count > 0 => None,
-                // An answer without a length is complete when its connection is closed cleanly.
-                Ok(_) if decoder.may_end_with_connection() => Some(Outcome::Complete),
-                Ok(_) | Err(_) => Some(Outcome::Broken),
-            },
+            filled = connection.fill() => filled_outcome(&filled, decoder),
             () = caller.closed_by_peer() => Some(Outcome::CallerGone),
             () = tokio::time::sleep_until(next_check), if next_check < end => {
                 if !failover.leaves_slow_upstream() {
@@ -368,12 +405,29 @@
                 Some(Outcome::Slow)
             }
             () = tokio::time::sleep_until(end) => {
-                Some(if silent_until < deadline { Outcome::Unresponsive } else { Outcome::TimedOut })
+                if silent_until >= deadline {
+                    return Some(Outcome::TimedOut);
+                }
+                // Bytes that wait to be read are no silence, however late this task runs.
+                match tokio::time::timeout(Duration::ZERO, connection.fill()).await {
+                    Ok(filled) => filled_outcome(&filled, decoder),
+                    Err(_) => Some(Outcome::Unresponsive),
+                }
             }
         };
     }
 }
 
+/// Returns how an answer ended with a read from its connection, if it did.
+fn filled_outcome(filled: &io::Result<usize>, decoder: &Decoder) -> Option<Outcome> {
+    match filled {
+        Ok(count) if *count > 0 => None,
+        // An answer without a length is complete when its connection is closed cleanly.
+        Ok(_) if decoder.may_end_with_connection() => Some(Outcome::Complete),
+        Ok(_) | Err(_) => Some(Outcome::Broken),
+    }
+}
+
 /// Returns what the body of an answer holds. Without a content type it is what its route asks for.
 fn content(request: &AdmittedRequest<'_>, head: &ResponseHead) -> Content {
     let is_stream_route = matches!(request.route.kind, RequestKind::Stream { .. });
