Judge the lines of an event as they arrive

- After a foreign event with a number far above the others, the next one of the run looked stale, the stream went on elsewhere after the foreign number, and an empty rest ended it as whole.
Such a number lies between the two before it: the last event is doubtful, and the stream is cut.
- In a stream that has used CRLF, an empty line by a CR alone did not end an event, so that a piece without an id went out together with one that had its own.
- A line that can't belong to an event was judged at the end of the event, so that its caller waited for bytes that did not come.
- A byte order mark counted as an event where only the end of the connection ends a stream.
- The limit on an event depended on the pieces in which it arrived.
- Streams with another text type were not read event by event, and could not go on elsewhere; an empty content type is none now.

--- a/crates/verbenaslip-base/src/event_stream.rs
+++ b/crates/verbenaslip-base/src/event_stream.rs
@@ -19,6 +19,8 @@
     SeveralIds,
     /// The `id` is not above that of the event before.
     StaleId,
+    /// The `id` lies between those of the two events before, so that the last of these is doubtful.
+    SkippedId,
     /// The bytes are not UTF-8.
     Encoding,
     /// A line is no field: it has neither a colon after a name nor the name of a known field.
@@ -36,6 +38,7 @@
             Self::InvalidId => "invalid_id",
             Self::SeveralIds => "several_ids",
             Self::StaleId => "stale_id",
+            Self::SkippedId => "skipped_id",
             Self::Encoding => "encoding",
             Self::Field => "field",
             Self::TooLong => "too_long",
@@ -46,30 +49,52 @@
 /// Fields that the format defines; they may lack a colon and a value.
 const KNOWN_FIELDS: [&str; 4] = ["id", "event", "data", "retry"];
 
-/// Returns the number of the event in bytes that end between two events, or `None` if they hold
-/// only comments and empty lines.
-///
-/// # Errors
-///
-/// Fails if the bytes are not UTF-8, if a line is no field, or if not exactly one line has an `id`
-/// that is a number.
-pub fn event_id(block: &[u8]) -> Result<Option<u64>, Fault> {
-    let text = std::str::from_utf8(block).map_err(|_| Fault::Encoding)?;
-    let (mut has_fields, mut id) = (false, None);
-    for line in text.split(['\n', '\r']).filter(|it| !it.is_empty() && !it.starts_with(':')) {
-        has_fields = true;
+/// Collects the lines of an event as they arrive.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Block {
+    has_fields: bool,
+    id: Option<u64>,
+}
+
+impl Block {
+    /// Adds a line, without its end; returns the number of the event if the line names it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the line is not UTF-8 or no field, or if it names another `id` or one that is not a
+    /// number.
+    pub fn add_line(&mut self, line: &[u8]) -> Result<Option<u64>, Fault> {
+        if line.is_empty() {
+            return Ok(None);
+        }
+        let line = std::str::from_utf8(line).map_err(|_| Fault::Encoding)?;
+        if line.starts_with(':') {
+            return Ok(None);
+        }
+        self.has_fields = true;
         let (name, value) = parse_field(line)?;
-        if name == "id" && id.replace(value).is_some() {
-            return Err(Fault::SeveralIds);
+        if name != "id" {
+            return Ok(None);
         }
+        let id = parse_id(value)?;
+        if self.id.replace(id).is_some() { Err(Fault::SeveralIds) } else { Ok(Some(id)) }
     }
-    match id {
-        Some(id) => parse_id(id).map(Some),
-        None if has_fields => Err(Fault::NoId),
-        None => Ok(None),
+
+    /// Ends the event; returns its number, or `None` if there were only comments and empty lines.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no line has named an `id`.
+    pub fn end(self) -> Result<Option<u64>, Fault> {
+        if self.has_fields && self.id.is_none() { Err(Fault::NoId) } else { Ok(self.id) }
     }
 }
 
+/// Returns whether a byte ends a line; the two of a CRLF end one line and an empty one.
+pub fn is_line_end(byte: u8) -> bool {
+    matches!(byte, b'\n' | b'\r')
+}
+
 /// Parses the name and the value of a field.
 fn parse_field(line: &str) -> Result<(&str, &str), Fault> {
     let is_in_name = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_');
@@ -134,6 +159,13 @@
     /// of them there are, or `None` if they contain no such point and are all passed.
     pub fn advance_to_end(&mut self, bytes: &[u8]) -> Option<usize> {
         for (index, byte) in bytes.iter().enumerate() {
+            // In a stream that uses CRLF, only the next byte tells that a CR alone has ended a line.
+            if self.line == Line::AfterReturn && self.uses_crlf && *byte != b'\n' {
+                self.line = Line::Start;
+                if self.is_between_events() {
+                    return Some(index);
+                }
+            }
             match byte {
                 b'\n' if self.line == Line::AfterReturn => {
                     self.uses_crlf = true;
--- a/crates/verbenaslip-base/tests/event_stream.rs
+++ b/crates/verbenaslip-base/tests/event_stream.rs
@@ -1,6 +1,6 @@
 //! Streams of events that end at any position.
 
-use verbenaslip_base::event_stream::{Fault, Position, event_id};
+use verbenaslip_base::event_stream::{Block, Fault, Position, is_line_end};
 
 /// Returns the lengths after which a stream may end.
 fn ends(stream: &str) -> Vec<usize> {
@@ -40,6 +40,22 @@
     assert_eq!(by_byte, whole);
 }
 
+fn event_id(bytes: &[u8]) -> Result<Option<u64>, Fault> {
+    let mut block = Block::default();
+    for line in bytes.split(|byte| is_line_end(*byte)) {
+        block.add_line(line)?;
+    }
+    block.end()
+}
+
+#[test]
+fn carriage_returns_end_events_of_a_stream_that_has_used_both_characters() {
+    assert_eq!(ends("data: a\r\n\r\ndata: b\r\rdata: c\r\n\r\n"), [0, 11, 31]);
+    let mut position = Position::default();
+    assert_eq!(position.advance_to_end(b"data: a\r\n\r\n"), Some(11));
+    assert_eq!(position.advance_to_end(b"data: b\r\rdata: c"), Some(9));
+}
+
 #[test]
 fn an_event_has_one_number() {
     assert_eq!(event_id(b"id: 7\ndata: a\n\n"), Ok(Some(7)));
--- a/crates/verbenaslip-relay/src/forward/delivery.rs
+++ b/crates/verbenaslip-relay/src/forward/delivery.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use verbenaslip_base::event_stream::{self, Position};
+use verbenaslip_base::event_stream::{self, Fault, Position};
 use verbenaslip_fleet::route_table::RequestKind;
 
 use crate::forward::admission::AdmittedRequest;
@@ -160,7 +160,9 @@
 
     /// Returns whether the answer of another upstream can go on where the present one has ended.
     pub fn may_go_on(&self) -> bool {
-        !self.has_started || self.content == Content::NumberedEvents
+        // What a doubtful event has skipped would be missing.
+        let is_doubtful = self.foreign.is_some_and(|it| it.fault == Fault::SkippedId);
+        !self.has_started || self.content == Content::NumberedEvents && !is_doubtful
     }
 
     /// Returns whether an answer with this head can go on with a stream that another upstream began.
@@ -339,7 +341,7 @@
         match self.content {
             Content::Opaque => true,
             Content::Events => self.position.is_whole(ends_with_connection),
-            Content::NumberedEvents => self.sequence.position().is_whole(ends_with_connection),
+            Content::NumberedEvents => self.sequence.is_whole(ends_with_connection),
         }
     }
 
@@ -428,13 +430,17 @@
     }
 }
 
-/// Returns what the body of an answer holds. Without a content type it is what its route asks for.
+/// Returns what the body of an answer holds.
+///
+/// On a route that asks for streams it holds events, unless its content type says that it is no
+/// text.
 fn content(request: &AdmittedRequest<'_>, head: &ResponseHead) -> Content {
     let is_stream_route = matches!(request.route.kind, RequestKind::Stream { .. });
-    let mut content_types = head.all("content-type").peekable();
+    let mut content_types = head.all("content-type").map(|field| &field.value[..]).peekable();
     let is_event_stream = match content_types.peek() {
         None => is_stream_route,
-        Some(_) => content_types.any(|field| event_stream::is_content_type(&field.value)),
+        Some(_) if is_stream_route => content_types.any(may_be_event_stream),
+        Some(_) => content_types.any(event_stream::is_content_type),
     };
     match ((200..300).contains(&head.status) && is_event_stream, is_stream_route) {
         (false, _) => Content::Opaque,
@@ -443,6 +449,12 @@
     }
 }
 
+/// Returns whether a body with this content type may be a stream of events where one is due.
+fn may_be_event_stream(content_type: &[u8]) -> bool {
+    let text = content_type.trim_ascii_start();
+    text.is_empty() || text.get(..5).is_some_and(|it| it.eq_ignore_ascii_case(b"text/"))
+}
+
 /// Returns the number of the last event that the caller has from an earlier answer.
 fn events_of_caller(request: &AdmittedRequest<'_>) -> Option<u64> {
     let last_event_id = request.info.last_event_id.filter(|id| *id > 0);
--- a/crates/verbenaslip-relay/src/forward/events.rs
+++ b/crates/verbenaslip-relay/src/forward/events.rs
@@ -1,7 +1,7 @@
 //! Splits a stream into events.
 
 use bytes::{Buf, Bytes, BytesMut};
-use verbenaslip_base::event_stream::{self, BYTE_ORDER_MARK, Fault, Position};
+use verbenaslip_base::event_stream::{BYTE_ORDER_MARK, Block, Fault, Position, is_line_end};
 
 use crate::forward::event_memory::{EventMemory, Share};
 
@@ -16,11 +16,19 @@
     /// Counts the pending bytes among those of all streams.
     share: Share,
     position: Position,
+    /// The event under way, as far as its lines have been read.
+    block: Block,
+    /// Length of these lines.
+    read_bytes: usize,
     /// Whether anything of the present upstream's answer has been returned.
-    has_begun: bool,
+    has_answer: bool,
+    /// Whether an event of the present upstream's answer has been returned.
+    has_event: bool,
     /// Whether anything of the stream has been returned.
-    has_passed: bool,
+    has_stream: bool,
     last_id: Option<u64>,
+    /// Number of the event before the last one.
+    previous_id: Option<u64>,
     /// Number of sound events so far.
     events: u64,
 }
@@ -56,8 +64,10 @@
     pub fn begin_answer(&mut self, last_id: Option<u64>) {
         self.discard_pending();
         self.position = Position::default();
-        self.has_begun = false;
-        self.last_id = self.last_id.max(last_id);
+        (self.has_answer, self.has_event) = (false, false);
+        if last_id > self.last_id {
+            (self.last_id, self.previous_id) = (last_id, last_id);
+        }
     }
 
     /// Takes a piece of the stream and returns what can be passed on.
@@ -70,23 +80,26 @@
         let mut checked = Ok(());
         while let Some(length) = self.position.advance_to_end(&self.pending[scanned..]) {
             scanned += length;
-            checked = self.check(end, scanned);
+            checked = self.end_block(end, scanned);
             if checked.is_err() {
                 break;
             }
             end = scanned;
         }
-        let held = self.pending.len() - end;
-        if checked.is_ok() && (held > MAX_EVENT_BYTES || !self.share.set(held)) {
-            checked = Err(Fault::TooLong);
+        if checked.is_ok() {
+            let last_line_end = piece.iter().rposition(|byte| is_line_end(*byte));
+            let unfinished = last_line_end.map_or(0, |it| piece.len() - it - 1);
+            let lines_end = self.pending.len() - unfinished;
+            let lines = last_line_end.map_or(Ok(()), |_| self.read_lines(end, lines_end.max(end)));
+            checked = lines.and_then(|()| self.hold(self.pending.len() - end));
         }
         let mut sound = self.pending.split_to(end).freeze();
         // A byte order mark belongs at the beginning of what the caller gets, and nowhere else.
-        if self.has_passed && !self.has_begun && sound.starts_with(BYTE_ORDER_MARK) {
+        if self.has_stream && !self.has_answer && sound.starts_with(BYTE_ORDER_MARK) {
             sound.advance(BYTE_ORDER_MARK.len());
         }
-        self.has_begun |= end > 0;
-        self.has_passed |= end > 0;
+        self.has_answer |= end > 0;
+        self.has_stream |= end > 0;
         let foreign = checked.err().map(|fault| {
             self.discard_pending();
             Foreign { fault, after: self.last_id, events: self.events }
@@ -94,9 +107,12 @@
         Split { sound, foreign }
     }
 
-    /// Returns where the stream stands.
-    pub fn position(&self) -> Position {
-        self.position
+    /// Returns whether an upstream's answer that ends here is whole.
+    ///
+    /// An upstream that crashes may close its connection in order. Where only that ends a stream,
+    /// one without a single event is not whole either.
+    pub fn is_whole(&self, ends_with_connection: bool) -> bool {
+        self.position.is_between_events() && (self.has_event || !ends_with_connection)
     }
 
     /// Returns the number of the last event that the caller has, if it has one.
@@ -107,21 +123,54 @@
     /// Forgets the pending bytes, and gives their memory back.
     fn discard_pending(&mut self) {
         self.pending = BytesMut::new();
+        (self.block, self.read_bytes) = (Block::default(), 0);
         self.share.set(0);
     }
 
-    /// Counts the event in pending bytes that end between two events, if they hold one.
-    fn check(&mut self, start: usize, end: usize) -> Result<(), Fault> {
-        let mut block = &self.pending[start..end];
-        if !self.has_begun && start == 0 {
-            block = block.strip_prefix(BYTE_ORDER_MARK).unwrap_or(block);
+    /// Ends the event in pending bytes that end between two events, if they hold one.
+    fn end_block(&mut self, start: usize, end: usize) -> Result<(), Fault> {
+        if end - start > MAX_EVENT_BYTES {
+            return Err(Fault::TooLong);
+        }
+        self.read_lines(start, end)?;
+        self.read_bytes = 0;
+        if let Some(id) = std::mem::take(&mut self.block).end()? {
+            self.previous_id = self.last_id.replace(id);
+            self.events += 1;
+            self.has_event = true;
+        }
+        Ok(())
+    }
+
+    /// Reads the lines of the event under way up to an end of a line. They are judged before the
+    /// event ends, so that nobody waits for the end of bytes that are none.
+    fn read_lines(&mut self, start: usize, end: usize) -> Result<(), Fault> {
+        let from = start + std::mem::take(&mut self.read_bytes);
+        self.read_bytes = end - start;
+        let mut bytes = &self.pending[from..end];
+        if from == 0 && !self.has_answer {
+            bytes = bytes.strip_prefix(BYTE_ORDER_MARK).unwrap_or(bytes);
         }
-        let Some(id) = event_stream::event_id(block)? else { return Ok(()) };
-        if self.last_id.is_some_and(|last| id <= last) {
-            return Err(Fault::StaleId);
+        for line in bytes.split(|byte| is_line_end(*byte)) {
+            if let Some(id) = self.block.add_line(line)? {
+                self.compare(id)?;
+            }
         }
-        self.last_id = Some(id);
-        self.events += 1;
         Ok(())
     }
+
+    /// Counts the pending bytes of an event that has not ended.
+    fn hold(&mut self, held: usize) -> Result<(), Fault> {
+        if held > MAX_EVENT_BYTES || !self.share.set(held) { Err(Fault::TooLong) } else { Ok(()) }
+    }
+
+    fn compare(&self, id: u64) -> Result<(), Fault> {
+        match self.last_id {
+            Some(last) if id < last && self.previous_id.is_none_or(|it| id > it) => {
+                Err(Fault::SkippedId)
+            }
+            Some(last) if id <= last => Err(Fault::StaleId),
+            _ => Ok(()),
+        }
+    }
 }
--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -403,7 +403,7 @@
     choice: &Choice,
     framing: Option<Framing>,
 ) -> Option<ForeignEvent> {
-    let foreign = attempts.delivery.foreign.take()?;
+    let foreign = attempts.delivery.foreign?;
     let fault = foreign.fault.name();
     metrics::counter!("verbenaslip_foreign_events_total", "fault" => fault).increment(1);
     Some(ForeignEvent { upstream: choice.run.upstream.clone(), framing: framing?, foreign })
--- a/crates/verbenaslip-relay/tests/events.rs
+++ b/crates/verbenaslip-relay/tests/events.rs
@@ -46,7 +46,7 @@
 fn event_without_its_end_is_not_passed_on() {
     let mut sequence = Sequence::default();
     assert!(sequence.push(b"id: 1\ndata: a").sound.is_empty());
-    assert!(!sequence.position().is_between_events());
+    assert!(!sequence.is_whole(false));
 }
 
 #[test]
@@ -66,9 +66,14 @@
 #[test]
 fn numbers_only_increase() {
     assert_eq!(split(b"id: 0\n\nid: 3\n\nid: 900\n\n").foreign, None);
-    for stream in [&b"id: 3\n\nid: 3\n\n"[..], b"id: 3\n\nid: 2\n\n"] {
+    for stream in [&b"id: 1\n\nid: 3\n\nid: 3\n\n"[..], b"id: 1\n\nid: 3\n\nid: 1\n\n"] {
         let foreign = split(stream).foreign;
-        assert_eq!(foreign, Some(Foreign { fault: Fault::StaleId, after: Some(3), events: 1 }));
+        assert_eq!(foreign, Some(Foreign { fault: Fault::StaleId, after: Some(3), events: 2 }));
+    }
+    for stream in [&b"id: 1\n\nid: 9000\n\nid: 2\n\n"[..], b"id: 8\n\nid: 9000\n\nid: 9\n\n"] {
+        let foreign = split(stream).foreign;
+        let after = Some(9000);
+        assert_eq!(foreign, Some(Foreign { fault: Fault::SkippedId, after, events: 2 }));
     }
 }
 
--- a/crates/verbenaslip-relay/tests/sequence.rs
+++ b/crates/verbenaslip-relay/tests/sequence.rs
@@ -149,7 +149,7 @@
     fn stream_that_ends_with_its_connection_is_whole_only_after_an_event(bytes in any_stream()) {
         let mut sequence = Sequence::default();
         let (passed, foreign) = pass(&mut sequence, [&bytes[..]]);
-        if foreign.is_none() && sequence.position().is_whole(true) {
+        if foreign.is_none() && sequence.is_whole(true) {
             prop_assert_eq!(&passed, &bytes);
             prop_assert!(!read(&passed).events.is_empty(), "{:?}", String::from_utf8_lossy(&passed));
         }
