Fail a run whose engine contradicts itself about its end

Text without a position was left out of the answer in silence.

Each event names its request, attempt and position, but only a reason beyond the last position was compared. Now a reason at any other position is a gap, and a second, different reason, tokens behind a reason and text without a position are errors of the run, which goes on elsewhere from what is held.

--- a/crates/verbenaslip/src/traffic/client.rs
+++ b/crates/verbenaslip/src/traffic/client.rs
@@ -248,14 +248,23 @@
             return Ok(false);
         }
         let (text, finish) = chunk.content();
-        if let Some(piece) = chunk.piece(text) {
-            self.piece(&piece)?;
+        match chunk.piece(text) {
+            // An answer has no tokens behind its reason.
+            Some(piece) if reason.is_some() && piece.position > self.shelf.position() => {
+                return Err(Cause::Error.into());
+            }
+            Some(piece) => self.piece(&piece)?,
+            // Text without a place would be missing in an answer that looks whole.
+            None if !text.is_empty() => return Err(Cause::Error.into()),
+            None => {}
         }
         if let Some(finish) = finish {
-            if chunk.position.is_some_and(|position| position > self.shelf.position()) {
+            if chunk.position.is_some_and(|position| position != self.shelf.position()) {
                 return Err(Cause::Gap.into());
             }
-            *reason = Some(finish);
+            if reason.replace(finish.clone()).is_some_and(|earlier| earlier != finish) {
+                return Err(Cause::Error.into());
+            }
         }
         Ok(false)
     }
--- /dev/null
+++ b/crates/verbenaslip/tests/traffic/foreign.rs
@@ -0,0 +1,103 @@
+//! Upstreams that send bytes of no run within an answer whose framing is right.
+
+use std::time::Duration;
+
+use verbenaslip_base::attempt::Attempt;
+use verbenaslip_request::run::{Event, Start};
+
+use crate::bench::{WHOLE, bench, read_all, run};
+use crate::script::{Act, Script, words};
+
+/// Tokens of each answer.
+const TOKENS: u32 = 4;
+
+/// Events that an engine sends within the stream of a run; `{ours}` stands for its identity, and `{next}` for the
+/// position that is due.
+const EVENTS: [&str; 24] = [
+    "\0\x01garbage\n\n",
+    "garbage",
+    ": comment\n\n",
+    "data: none\n\n",
+    "data: {}\n\n",
+    "data: [DONE]\n\n",
+    "event: error\ndata: {}\n\n",
+    "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}\n\n",
+    r#"data: {"attempt":1,"position":{next},"tokens":1,"choices":[{"delta":{"content":"foreign"}}]}"#,
+    r#"data: {"request":"00","attempt":1,"position":{next},"tokens":1,"choices":[{"delta":{"content":"foreign"}}]}"#,
+    r#"data: {"request":"00","attempt":1,"choices":[{"finish_reason":"foreign"}]}"#,
+    r#"data: {{ours},"position":1,"tokens":1,"choices":[{"delta":{"content":"foreign"}}]}"#,
+    r#"data: {{ours},"position":9,"tokens":1,"choices":[{"delta":{"content":"foreign"}}]}"#,
+    r#"data: {{ours},"position":{next},"tokens":4294967295,"choices":[{"delta":{"content":"foreign"}}]}"#,
+    r#"data: {{ours},"position":4294967295,"tokens":1,"choices":[{"delta":{"content":"foreign"}}]}"#,
+    r#"data: {{ours},"position":4294967296,"tokens":1,"choices":[{"delta":{"content":"foreign"}}]}"#,
+    r#"data: {{ours},"position":-1,"tokens":1,"choices":[{"delta":{"content":"foreign"}}]}"#,
+    r#"data: {{ours},"position":"{next}","tokens":1,"choices":[{"delta":{"content":"foreign"}}]}"#,
+    r#"data: {{ours},"position":{next},"tokens":0,"choices":[{"delta":{"content":"foreign"}}]}"#,
+    r#"data: {{ours},"tokens":1,"choices":[{"delta":{"content":"foreign"}}]}"#,
+    r#"data: {{ours},"choices":[{"delta":{"content":"foreign"}}]}"#,
+    r#"data: {{ours},"position":9,"choices":[{"finish_reason":"foreign"}]}"#,
+    r#"data: {{ours},"position":0,"choices":[{"finish_reason":"foreign"}]}"#,
+    r#"data: {{ours},"choices":[{"finish_reason":"foreign"}]}"#,
+];
+
+/// Events that are skipped, since they name another run or hold nothing.
+const SKIPPED: [&str; 5] = [EVENTS[2], EVENTS[8], EVENTS[9], EVENTS[10], EVENTS[11]];
+
+fn chunk(text: &str) -> Act {
+    Act::Say(format!("{:x}\r\n{text}\r\n", text.len()))
+}
+
+/// Returns an answer with an event of no run after some of its tokens; after the last one, there is the reason too.
+fn script(event: &str, attempt: Attempt, place: u32) -> Vec<Act> {
+    let ours = format!(r#""request":"{}","attempt":{}"#, attempt.request, attempt.number);
+    let next = (place + 1).to_string();
+    let mut text = event.replace("{ours}", &ours).replace("{next}", &next);
+    if event.starts_with("data: ") && !text.ends_with('\n') {
+        text.push_str("\n\n");
+    }
+    let mut acts = vec![Act::Head];
+    acts.extend((1..=TOKENS).map(|at| Act::Tokens(attempt, at, at)));
+    acts.extend([Act::Finish(attempt), Act::Done]);
+    acts.insert(1 + usize::try_from(place).expect("few tokens"), chunk(&text));
+    acts
+}
+
+// Guards against events of no run that an engine sends, and that become a part or the end of an answer.
+#[test]
+fn foreign_event_of_an_engine_becomes_no_part_of_an_answer() {
+    let mut wrong = Vec::new();
+    for event in EVENTS {
+        // The first token could not be told from the one that is due.
+        let first = u32::from(event == EVENTS[11]);
+        for place in first..=TOKENS + 1 {
+            let bench = bench();
+            let mut caller = bench.post("connection: close\r\n", WHOLE);
+            let arrival = bench.arrival();
+            bench.serve(&arrival);
+            let attempt = Attempt { request: arrival.head.request, number: 1 };
+            let upstream = Script::spawn(vec![script(event, attempt, place)]);
+            let mut run = run(&arrival, 1, upstream.address, Start::Fresh);
+            run.stall = Duration::from_secs(1);
+            bench.traffic.run(run);
+            let ended = bench.ended();
+            let is_sound = match &ended {
+                Event::Ended { position } => {
+                    let answer = read_all(&mut caller);
+                    *position == TOKENS
+                        && answer.contains(&format!(r#""content":"{}""#, words(TOKENS)))
+                        && answer.contains(r#""finish_reason":"stop""#)
+                }
+                Event::Failed(failure) => {
+                    // The next run goes on from what is held.
+                    let held = bench.traffic.position(attempt.request).unwrap_or(0);
+                    !failure.not_run && held <= TOKENS && !SKIPPED.contains(&event)
+                }
+                _ => false,
+            };
+            if !is_sound {
+                wrong.push(format!("{event:?} after {place}: {ended:?}"));
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
--- a/crates/verbenaslip/tests/traffic/main.rs
+++ b/crates/verbenaslip/tests/traffic/main.rs
@@ -2,6 +2,7 @@
 
 mod bench;
 mod caller;
+mod foreign;
 mod mutate;
 mod plane;
 mod script;
