Take no event stream of a service that holds other bytes

A stream with a line that is no field, or that is not UTF-8, is an error of the run now, as bytes of no run are at the entries of the fleet. Numbers are not compared: a service may name its events as it likes.

--- a/crates/verbenaslip/src/traffic/client.rs
+++ b/crates/verbenaslip/src/traffic/client.rs
@@ -13,7 +13,7 @@
 use serde_json::{Value, json};
 use verbenaslip_base::announce::Kind;
 use verbenaslip_base::attempt::Attempt;
-use verbenaslip_base::event_stream::{self, Position};
+use verbenaslip_base::event_stream::{self, BYTE_ORDER_MARK, Fault, Position};
 use verbenaslip_request::answer::{AppendResult, ServiceResponse, TokenBatch};
 use verbenaslip_request::message::ActiveRun;
 use verbenaslip_request::run::{Cause, Event, Failure, Run, Start, Step};
@@ -315,11 +315,7 @@
             bytes.extend_from_slice(&data);
         }
         if event_stream::is_content_type(content.as_bytes()) {
-            let mut position = Position::default();
-            position.advance(&bytes);
-            if !position.is_whole(ends_with_connection) {
-                return Err(Cause::Cut.into());
-            }
+            check_events(&bytes, ends_with_connection)?;
         }
         let whole = ServiceResponse { status: status.as_u16(), content, bytes: bytes.into() };
         match self.shelf.fill(self.run.attempt, whole) {
@@ -353,6 +349,21 @@
     tokio::time::timeout(limit, step).await.map_err(|_| Halt::from(Cause::Silent))
 }
 
+/// Fails if a service's stream of events ends within one, or holds a line that is no field of one.
+fn check_events(bytes: &[u8], ends_with_connection: bool) -> Result<(), Cause> {
+    let mut position = Position::default();
+    position.advance(bytes);
+    if !position.is_whole(ends_with_connection) {
+        return Err(Cause::Cut);
+    }
+    let events = bytes.strip_prefix(BYTE_ORDER_MARK).unwrap_or(bytes);
+    // A service may name its events as it likes, or not at all.
+    let is_foreign =
+        |line| matches!(event_stream::event_id(line), Err(Fault::Field | Fault::Encoding));
+    let mut lines = events.split(|byte| matches!(byte, b'\n' | b'\r'));
+    if lines.any(is_foreign) { Err(Cause::Error) } else { Ok(()) }
+}
+
 fn not_run(status: StatusCode, headers: &HeaderMap) -> bool {
     let outcome = headers.get(OUTCOME).is_some_and(|value| value == NOT_RUN);
     status == StatusCode::SERVICE_UNAVAILABLE && outcome
--- a/crates/verbenaslip/tests/traffic/foreign.rs
+++ b/crates/verbenaslip/tests/traffic/foreign.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
+use verbenaslip_base::announce::Kind;
 use verbenaslip_base::attempt::Attempt;
-use verbenaslip_request::run::{Event, Start};
+use verbenaslip_request::run::{Cause, Event, Failure, Start, Step};
 
 use crate::bench::{WHOLE, bench, read_all, run};
 use crate::script::{Act, Script, words};
@@ -101,3 +102,58 @@
     }
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
+
+/// What a plain service sends within a stream of events.
+const FOREIGN: [&[u8]; 7] = [
+    b"\0\xff\x01garbage\n\n",
+    b"garbage\n\n",
+    b"data: \xff\xfe\n\n",
+    b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello\n\n",
+    b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+    b"5\r\ndata: x\r\n\r\n",
+    b"a line: without a field\n\n",
+];
+
+// Guards against a service's stream of events that holds bytes that are no event, and is kept as a whole answer.
+#[test]
+fn foreign_bytes_in_an_event_stream_of_a_plain_service_are_a_failure() {
+    let bench = bench();
+    let ask = "POST /v1/services/stock/orders HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+               authorization: Bearer secret\r\ncontent-length: 3\r\n\r\nabc";
+    let mut wrong = Vec::new();
+    let sound: [&[u8]; 3] =
+        [b": comment\n\n", b"id: a\nevent: b\nx-y: c\ndata\n\n", b"id: 1\nid: 2\r\n\r\n"];
+    let cases = FOREIGN.iter().map(|it| (*it, false)).chain(sound.map(|it| (it, true)));
+    for (bytes, is_sound) in cases {
+        for (before, after) in
+            [("", "data: b\n\n"), ("data: a\n\n", "data: b\n\n"), ("data: a\n\n", "")]
+        {
+            for has_length in [true, false] {
+                let body = [before.as_bytes(), bytes, after.as_bytes()].concat();
+                let length = if has_length {
+                    format!("content-length: {}\r\n", body.len())
+                } else {
+                    String::new()
+                };
+                let head =
+                    format!("HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{length}\r\n");
+                let _caller = bench.send(ask);
+                let arrival = bench.arrival();
+                bench.serve(&arrival);
+                let acts = vec![Act::Say(head), Act::Bytes(body)];
+                let upstream = Script::spawn(vec![acts]);
+                let mut run = run(&arrival, 1, upstream.address, Start::Fresh);
+                run.kind = Kind::Service;
+                bench.traffic.run(run);
+                let failure = Failure { step: Step::Read, cause: Cause::Error, not_run: false };
+                let expected =
+                    if is_sound { Event::Ended { position: 0 } } else { Event::Failed(failure) };
+                let ended = bench.ended();
+                if ended != expected {
+                    wrong.push(format!("{:?}: {ended:?}", String::from_utf8_lossy(bytes)));
+                }
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
