--- a/crates/verbenaslip-relay/tests/tunnel.rs
+++ b/crates/verbenaslip-relay/tests/tunnel.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 use verbenaslip_base::name::{AvailabilityZone, Upstream};
 use verbenaslip_fleet::gateway::Gateway;
 use verbenaslip_fleet::registry::Run;
+use verbenaslip_relay::http::connection::Progress;
 use verbenaslip_relay::policy::gateways::{Gateways, Refusal};
-use verbenaslip_relay::tunnel::{Opening, Prefix, Reply, Status};
+use verbenaslip_relay::tunnel::{self, Opening, Prefix, Reply, Status};
 
 fn opening() -> Opening {
     let run = Run { upstream: Upstream::new("i-7"), incarnation: 9 };
@@ -94,3 +97,29 @@
     let later = Duration::from_secs(2);
     assert_eq!(gateways.choose(later, &zone, &[address(2)], 0.0), Some(address(1)));
 }
+
+// Guards against a request that is not sent on, because its gateway says meanwhile that it is stopping.
+#[tokio::test]
+async fn request_is_written_although_its_gateway_is_stopping() {
+    let retiring = u16::MAX.to_le_bytes();
+    for _ in 0..20 {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let gateway = listener.local_addr().expect("the listener is bound");
+        let serve = async {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let opening = opening().encode();
+            stream.read_exact(&mut vec![0; opening.len()]).await.expect("an opening");
+            let reply = Reply { status: Status::Open, load: 0 }.encode();
+            stream.write_all(&[&reply[..], &retiring[..]].concat()).await.expect("it is read");
+            stream
+        };
+        let run = opening().run;
+        let opened = tunnel::connect(gateway, &run, Duration::from_secs(1));
+        let (opened, mut stream) = tokio::join!(opened, serve);
+        let (mut connection, _) = opened.expect("the gateway opens it");
+        let limit = Duration::from_secs(2);
+        let written = tokio::time::timeout(limit, connection.write_or_read(b"request")).await;
+        assert_eq!(written.expect("no wait").expect("no failure"), Progress::Wrote(7));
+        stream.read_exact(&mut [0; 7]).await.expect("the request");
+    }
+}
