Take no head that begins within another

Callers got an answer that no run made: if an upstream had sent the first part of another answer's head ("HTTP/1.1 404 ", or lines and a field without its end), this and the head of the right answer were read as one. The caller got the foreign status and fields with the body of its request, and the entry believed the fields: a foreign "Server-Leaving" took the upstream out of use. On any route, directly and through a gateway.

The identity of the request stands behind the joint, so that it proved nothing of what was before it. A head in which the status line of another stands inside a field or a reason phrase is malformed now.

--- a/crates/verbenaslip-relay/src/http/head.rs
+++ b/crates/verbenaslip-relay/src/http/head.rs
@@ -129,7 +129,14 @@
             .ok_or(MessageError::StartLine)?;
         let (minor, reason) =
             (parse_minor_version(version)?, words.next().unwrap_or_default().into());
-        Ok(Self { status, minor_version: minor, reason, fields: parse_fields(lines)? })
+        let fields = parse_fields(lines)?;
+        let response = Self { status, minor_version: minor, reason, fields };
+        // Without this, the first part of another head and this one would be read as one.
+        let values = response.fields.iter().map(|field| &*field.value);
+        if values.chain([response.reason.as_bytes()]).any(ends_with_status_line) {
+            return Err(MessageError::StartLine);
+        }
+        Ok(response)
     }
 
     /// Returns all fields with a name.
@@ -239,6 +246,19 @@
     }
 }
 
+/// Returns whether the last part of a line is the first line of a response.
+fn ends_with_status_line(line: &[u8]) -> bool {
+    const VERSION: &[u8] = b"HTTP/1.";
+    let starts = (0..line.len()).filter(|start| line[*start..].starts_with(VERSION));
+    starts.map(|start| &line[start + VERSION.len()..]).any(|rest| match rest {
+        [b'0' | b'1', b' ', status @ ..] => {
+            let digits = status.iter().take_while(|it| it.is_ascii_digit()).count();
+            digits == 3 && status.get(3).is_none_or(|it| *it == b' ')
+        }
+        _ => false,
+    })
+}
+
 fn content_length(fields: &[Field]) -> Result<Option<u64>, MessageError> {
     let mut values = all(fields, "content-length");
     let Some(field) = values.next() else { return Ok(None) };
--- a/crates/verbenaslip-relay/tests/http.rs
+++ b/crates/verbenaslip-relay/tests/http.rs
@@ -130,3 +130,18 @@
     assert!(decode(Framing::Chunked, chunks(66, "a").as_bytes()).is_err());
     assert!(decode(Framing::Chunked, chunks(100, &extension).as_bytes()).is_ok());
 }
+
+// Guards against the first part of another answer that is read as a part of the head behind it.
+#[test]
+fn head_that_begins_within_another_is_refused() {
+    let head = "HTTP/1.1 200 OK\r\nRequest-Id: 7\r\n\r\n";
+    let other = "HTTP/1.1 404 Not Found\r\nA: b\r\nC: d\r\n";
+    for end in 1..other.len() {
+        let joined = format!("{}{head}", &other[..end]);
+        assert!(ResponseHead::parse(joined.as_bytes()).is_err(), "{joined:?}");
+    }
+    for value in ["HTTP/1.1 proxy", "HTTP/1.1 2000", "HTTP/2 200", "HTTP/1.1 20", "HTTP/1.1"] {
+        let sound = format!("HTTP/1.1 200 OK\r\nVia: {value}\r\n\r\n");
+        assert!(ResponseHead::parse(sound.as_bytes()).is_ok(), "{sound:?}");
+    }
+}
