Keep no connection of an upstream that sends bytes after an answer

An upstream that sends bytes behind a whole answer spoiled one request after the other: the connection was kept before the bytes had arrived, the next request went out on it, and read them in place of its answer.

- Whether bytes have arrived on an idle connection is asked of the operating system.
The runtime learns of them only once it has polled, so a connection with bytes on it was taken for a silent one.
- Bytes before any of a request has been written are no answer to it: it has not run, and goes elsewhere.
- No connection serves two requests of one identity: a second answer to the first could not be told from one to the other.

What stays: the first bytes that arrive while a request is under way fail it, since nothing tells whether it ran.

--- a/crates/verbenaslip-relay/src/forward/exchange.rs
+++ b/crates/verbenaslip-relay/src/forward/exchange.rs
@@ -5,13 +5,14 @@
 
 use bytes::Buf;
 use tokio::time::Instant;
+use verbenaslip_fleet::registry::Run;
 
 use crate::dialect::{Correlation, ResponseInfo};
 use crate::forward::admission::AdmittedRequest;
 use crate::forward::context::Context;
 use crate::forward::dial;
 use crate::forward::failover::Failover;
-use crate::forward::pool;
+use crate::forward::pool::{self, Purpose};
 use crate::forward::upstream_request::UpstreamRequest;
 use crate::http::connection::Progress;
 use crate::http::{Connection, Decoder, ResponseHead, Step};
@@ -171,9 +172,7 @@
     let (mut written, mut skipped) = (0, Skipped::default());
     loop {
         while let Some(end) = connection.head_length() {
-            let head =
-                ResponseHead::parse(&connection.buffer[..end]).map_err(|_| Failure::Broken)?;
-            connection.buffer.advance(end);
+            let head = take_head(context, &choice.run, &mut connection, end)?;
             if skipped.count_interim(&head, end)? {
                 continue;
             }
@@ -190,13 +189,16 @@
                 // This is a late answer to an earlier request on the connection. Passing it on
                 // would give the caller what another caller asked for.
                 Correlation::Other => {
+                    record_stray(context, &choice.run);
                     let decoder = skipped.count_late(&head, &request.head.method, end)?;
                     skip_body(&mut connection, caller, decoder, deadline, &mut skipped).await?;
                 }
                 // Bytes that belong to no request need not be a whole answer, so nothing tells
                 // where the next one begins.
-                Correlation::Missing if written == 0 => return Err(Failure::Unreachable),
-                Correlation::Missing => return Err(Failure::Unidentified),
+                Correlation::Missing => {
+                    record_stray(context, &choice.run);
+                    return Err(Failure::Unidentified);
+                }
             }
         }
         if connection.buffer.len() > MAX_HEAD_BYTES {
@@ -204,14 +206,9 @@
         }
         let next_check = failover.next_check(deadline);
         tokio::select! {
-            progress = connection.write_or_read(out.after(written)) => match progress {
-                Ok(Progress::Wrote(count)) => written += count,
-                Ok(Progress::Read(count)) if count > 0 => {}
-                Ok(Progress::Read(_)) | Err(_) if written == 0 && reused => {
-                    return Err(Failure::Unreachable);
-                }
-                Ok(Progress::Read(_)) | Err(_) => return Err(Failure::Broken),
-            },
+            progress = connection.write_or_read(out.after(written)) => {
+                written += count_written(context, &choice.run, progress.ok(), (written, reused))?;
+            }
             () = caller.closed_by_peer() => return Err(Failure::CallerGone),
             () = tokio::time::sleep_until(suspect_at.unwrap_or(deadline)), if suspect_at.is_some() => {
                 suspect_at = None;
@@ -243,10 +240,9 @@
     choice: &Choice,
     deadline: Instant,
 ) -> Result<(Connection, bool), Failure> {
-    let run_once = !request.route.kind.may_repeat();
+    let purpose = Purpose { id: &request.info.id, run_once: !request.route.kind.may_repeat() };
     let is_trusted = |connection: &Connection| context.trusts_connection(&choice.run, connection);
-    let reused =
-        context.pool.borrow_mut().take(monotonic::now(), &choice.run, run_once, is_trusted);
+    let reused = context.pool.borrow_mut().take(monotonic::now(), &choice.run, purpose, is_trusted);
     if let Some(connection) = reused {
         return Ok((connection, true));
     }
@@ -256,6 +252,47 @@
     connected.map(|connection| (connection, false)).map_err(|_| Failure::Unreachable)
 }
 
+/// Returns how many bytes of a request have been written in addition to the `written` ones; without
+/// progress, the connection has failed.
+fn count_written(
+    context: &Context,
+    run: &Run,
+    progress: Option<Progress>,
+    (written, reused): (usize, bool),
+) -> Result<usize, Failure> {
+    match progress {
+        Some(Progress::Wrote(count)) => Ok(count),
+        Some(Progress::Read(1..)) if written > 0 => Ok(0),
+        // Nothing of the request has been sent to which the bytes could be an answer.
+        Some(Progress::Read(1..)) => {
+            record_stray(context, run);
+            Err(Failure::Unreachable)
+        }
+        Some(Progress::Read(0)) | None if written == 0 && reused => Err(Failure::Unreachable),
+        Some(Progress::Read(0)) | None => Err(Failure::Broken),
+    }
+}
+
+/// Takes a head of so many bytes from the start of what has arrived.
+fn take_head(
+    context: &Context,
+    run: &Run,
+    connection: &mut Connection,
+    length: usize,
+) -> Result<ResponseHead, Failure> {
+    let head = ResponseHead::parse(&connection.buffer[..length]);
+    connection.buffer.advance(length);
+    head.map_err(|_| {
+        record_stray(context, run);
+        Failure::Broken
+    })
+}
+
+/// Records that an upstream has sent bytes that belong to no request.
+fn record_stray(context: &Context, run: &Run) {
+    context.pool.borrow_mut().record_stray(monotonic::now(), run);
+}
+
 /// Skips the body of an answer that belongs to another request.
 async fn skip_body(
     connection: &mut Connection,
@@ -316,14 +353,17 @@
     choice: &Choice,
     response: Response,
 ) {
-    let is_free = response.connection.buffer.is_empty() && response.connection.is_lasting();
-    if !response.reusable || !is_free {
+    if !response.connection.buffer.is_empty() {
+        return record_stray(context, &choice.run);
+    }
+    if !response.reusable || !response.connection.is_lasting() {
         return;
     }
     let keep_alive = response.head.text("keep-alive").and_then(keep_alive_timeout);
     let now = monotonic::now();
     let max_idle = pool::idle_share(request.upstream_connections, request.entries);
-    context.pool.borrow_mut().put(now, &choice.run, response.connection, keep_alive, max_idle);
+    let kept = (response.connection, &*request.info.id);
+    context.pool.borrow_mut().put(now, &choice.run, kept, keep_alive, max_idle);
 }
 
 /// Returns how long an upstream keeps an idle connection, according to its `Keep-Alive` field.
--- a/crates/verbenaslip-relay/src/http/connection.rs
+++ b/crates/verbenaslip-relay/src/http/connection.rs
@@ -1,6 +1,6 @@
 //! A connection with its unread bytes.
 
-use std::io;
+use std::io::{self, Read};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -19,6 +19,9 @@
 /// hold them up otherwise.
 pub(crate) const YIELD_BYTES: usize = 16 << 10;
 
+/// Bytes that are read from an idle connection to tell whether they belong to an answer.
+const IDLE_READ_BYTES: usize = 64;
+
 /// Limit on the unread bytes while a connection is only watched for its end.
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
 
@@ -160,12 +163,32 @@
         }
     }
 
-    /// Returns whether an idle connection is still open and has received nothing.
-    pub fn is_open_and_empty(&mut self) -> bool {
-        let mut byte = [0; 1];
-        let read = self.stream.try_read(&mut byte);
-        let is_open = matches!(&read, Err(error) if error.kind() == io::ErrorKind::WouldBlock);
-        self.buffer.is_empty() && is_open && self.is_lasting()
+    /// Returns what has happened on an idle connection, and discards what has been received.
+    ///
+    /// The operating system is asked, since bytes that have just arrived are not yet known to the
+    /// runtime.
+    pub fn check_idle(&mut self) -> IdleState {
+        let mut bytes = [0; IDLE_READ_BYTES];
+        let read = (&*SockRef::from(&self.stream)).read(&mut bytes);
+        let count = match read {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => 0,
+            Ok(count) if count > 0 => count,
+            Ok(_) | Err(_) => return IdleState::Ended,
+        };
+        match &mut self.tunnel {
+            Some(tunnel) => {
+                tunnel.received.extend_from_slice(&bytes[..count]);
+                let _ = tunnel.decode(&mut self.buffer);
+            }
+            None => self.buffer.extend_from_slice(&bytes[..count]),
+        }
+        if !self.buffer.is_empty() {
+            IdleState::Stray
+        } else if self.is_lasting() {
+            IdleState::Silent
+        } else {
+            IdleState::Ended
+        }
     }
 
     /// Sets whether the peer sees a reset when this side closes the connection, or its process
@@ -185,6 +208,17 @@
     }
 }
 
+/// Describes what has happened on a connection while no request used it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IdleState {
+    /// Nothing.
+    Silent,
+    /// The connection has ended or is about to.
+    Ended,
+    /// Bytes have arrived, which belong to no request.
+    Stray,
+}
+
 /// Describes what one exchange did.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Progress {
