Fail at once behind an answer to another request without an end

A request whose upstream first answered another one, with neither a length nor chunks, waited until its deadline and got 504: all that follows belongs to that answer, until the connection ends. The failure is known with the head, so the request fails with it (502), or goes elsewhere.

--- a/crates/verbenaslip-relay/src/forward/exchange.rs
+++ b/crates/verbenaslip-relay/src/forward/exchange.rs
@@ -15,7 +15,7 @@
 use crate::forward::pool::{self, Purpose};
 use crate::forward::upstream_request::UpstreamRequest;
 use crate::http::connection::Progress;
-use crate::http::{Connection, Decoder, ResponseHead, Step};
+use crate::http::{Connection, Decoder, Framing, ResponseHead, Step};
 use crate::monotonic;
 use crate::policy::placement::Choice;
 use crate::policy::switching::Reason;
@@ -117,7 +117,11 @@
         if self.late_answers > MAX_LATE_ANSWERS {
             return Err(Failure::Broken);
         }
-        head.framing(method).map(Decoder::new).map_err(|_| Failure::Broken)
+        match head.framing(method) {
+            // Whatever follows belongs to that answer.
+            Ok(Framing::UntilClose) | Err(_) => Err(Failure::Broken),
+            Ok(framing) => Ok(Decoder::new(framing)),
+        }
     }
 
     fn count_late_bytes(&mut self, bytes: usize) -> Result<(), Failure> {
