Skip interim answers of the cloud

An interim answer (status 1xx) was taken for the cloud's decision: an order that was carried out counted as one whose outcome is not known. They are skipped now, up to the limit on a head.

--- a/crates/verbenaslip-instance/src/cloud.rs
+++ b/crates/verbenaslip-instance/src/cloud.rs
@@ -18,7 +18,7 @@
 /// Time limit for the connection to the cloud, and again for its answer.
 const TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Maximum size of the head of an answer.
+/// Maximum size of the head of an answer, with the interim answers before it.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 
 /// HTTP POST request to the cloud.
@@ -107,11 +107,16 @@
 }
 
 async fn read_status(connection: &mut Connection) -> Option<u16> {
+    let mut interim_bytes = 0;
     loop {
         if let Some(end) = connection.head_length() {
-            return ResponseHead::parse(&connection.buffer[..end]).ok().map(|head| head.status);
-        }
-        if connection.buffer.len() > MAX_HEAD_BYTES
+            let head = connection.buffer.split_to(end);
+            let status = ResponseHead::parse(&head).ok()?.status;
+            if status >= 200 {
+                return Some(status);
+            }
+            interim_bytes += end;
+        } else if interim_bytes + connection.buffer.len() > MAX_HEAD_BYTES
             || !matches!(connection.fill().await, Ok(count) if count > 0)
         {
             return None;
--- a/crates/verbenaslip-instance/tests/cloud.rs
+++ b/crates/verbenaslip-instance/tests/cloud.rs
@@ -26,6 +26,8 @@
     Reset,
     /// Sends so many bytes of [`ANSWER`].
     Cut(usize),
+    /// Sends interim answers, so many of them, and [`ANSWER`].
+    Interim(usize),
 }
 
 const ANSWER: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
@@ -55,6 +57,10 @@
         Behavior::Cut(length) => {
             let _ = stream.write_all(&ANSWER.as_bytes()[..length]);
         }
+        Behavior::Interim(count) => {
+            let interim = "HTTP/1.1 102 Processing\r\n\r\n".repeat(count);
+            let _ = stream.write_all((interim + ANSWER).as_bytes());
+        }
     }
 }
 
@@ -132,3 +138,25 @@
         }
     });
 }
+
+// Guards against an interim answer that is taken for the cloud's decision.
+#[test]
+fn an_interim_answer_decides_nothing() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        for (count, expected) in
+            [(1, Outcome::Done), (10, Outcome::Done), (100_000, Outcome::Unknown)]
+        {
+            let address = port::free().expect("a free port");
+            serve(address, Behavior::Interim(count));
+            let (results, mut received) = mpsc::unbounded_channel();
+            let holder = Instance::new("core-1");
+            let cloud = Rc::new(Cloud { address, holder, codec: Arc::new(TestCodec), results });
+            cloud.send_order(order(1));
+            let result = tokio::time::timeout(RESULT_TIMEOUT, received.recv()).await;
+            let outcome = result.ok().flatten().expect("an outcome in time").outcome;
+            assert_eq!(outcome, expected, "{count} interim answers");
+        }
+    });
+}
