Let the engine stand-in send bytes of no run

The stand-in of an engine plays seven kinds of foreign bytes in a stream after any token: no text, no JSON, another answer, events of another run, without a position, ahead, and a reason at another position. traffic answer_goes_on_behind_foreign_bytes_of_its_engine: in 28 cases the caller gets the whole text and the right reason.

--- a/crates/verbenaslip-lab/src/engine/fault.rs
+++ b/crates/verbenaslip-lab/src/engine/fault.rs
@@ -86,10 +86,37 @@
         /// The last position sent.
         after: u32,
     },
+    /// Bytes of no run come after a position, and the run goes on.
+    Foreign {
+        /// The position after which they come; zero stands for the start.
+        after: u32,
+        /// The bytes.
+        bytes: Foreign,
+    },
     /// A cancel is answered but not obeyed: the stream goes on.
     Deaf,
 }
 
+/// Names bytes that belong to no run.
+#[data(copy)]
+#[serde(rename_all = "snake_case")]
+pub enum Foreign {
+    /// Bytes that are no text.
+    Binary,
+    /// An event that is no JSON.
+    Text,
+    /// Another answer.
+    Answer,
+    /// An event of another run.
+    OtherRun,
+    /// An event of this run that has a text and no position.
+    NoPosition,
+    /// An event of this run from which positions are missing.
+    Ahead,
+    /// The reason of an end, at another position.
+    Reason,
+}
+
 /// Holds the faults in force.
 #[derive(Default)]
 pub(crate) struct Faults {
--- a/crates/verbenaslip-lab/src/engine/stream.rs
+++ b/crates/verbenaslip-lab/src/engine/stream.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{mpsc, watch};
 
 use super::core::Core;
-use super::fault::Flaw;
+use super::fault::{Flaw, Foreign};
 use super::run::{Key, Progress};
 use super::truth::End;
 use crate::text;
@@ -78,6 +78,10 @@
             self.core.thaw().await;
             let position = self.cursor + 1;
             match self.flaw {
+                Some(Flaw::Foreign { after, bytes }) if position > after => {
+                    self.flaw = None;
+                    sender.send(Ok(self.foreign(bytes, position))).await.ok()?;
+                }
                 Some(Flaw::Cut { after }) if position > after => return None,
                 Some(Flaw::Reset { after }) if position > after => {
                     sender.send(Err(io::Error::other("reset"))).await.ok();
@@ -126,6 +130,22 @@
         format!("id: {position}\ndata: {chunk}\n\n").into()
     }
 
+    /// Returns bytes of no run, where the token at a position is due.
+    fn foreign(&self, foreign: Foreign, position: u32) -> Bytes {
+        let content = json!({"content": "foreign"});
+        let mut chunk = self.chunk(&content, None, position, 1);
+        match foreign {
+            Foreign::Binary => return Bytes::from_static(b"\0\xff\n\n"),
+            Foreign::Text => return Bytes::from_static(b"data: foreign\n\n"),
+            Foreign::Answer => return Bytes::from_static(b"HTTP/1.1 200 OK\r\nx: y\r\n\r\n"),
+            Foreign::OtherRun => chunk["attempt"] = json!(self.key.1 + 1),
+            Foreign::NoPosition => chunk["position"] = json!(null),
+            Foreign::Ahead => chunk["position"] = json!(position + 1),
+            Foreign::Reason => chunk = self.chunk(&json!({}), Some("foreign"), position + 1, 0),
+        }
+        format!("data: {chunk}\n\n").into()
+    }
+
     fn chunk(
         &self,
         delta: &serde_json::Value,
--- a/crates/verbenaslip/tests/traffic/foreign.rs
+++ b/crates/verbenaslip/tests/traffic/foreign.rs
@@ -4,6 +4,11 @@
 
 use verbenaslip_base::announce::Kind;
 use verbenaslip_base::attempt::Attempt;
+use verbenaslip_base::name::Model;
+use verbenaslip_lab::engine::Engine;
+use verbenaslip_lab::engine::fault::{Fault, Flaw, Foreign};
+use verbenaslip_lab::engine::setup::{Pace, Setup};
+use verbenaslip_lab::text;
 use verbenaslip_request::run::{Cause, Event, Failure, Start, Step};
 
 use crate::bench::{WHOLE, bench, read_all, run};
@@ -103,6 +108,47 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
+/// Tokens of an answer to [`WHOLE`].
+const ASKED: u32 = 9;
+
+// Guards against bytes of no run that reach the caller of an answer which goes on at the same engine.
+#[test]
+fn answer_goes_on_behind_foreign_bytes_of_its_engine() {
+    let kinds = [
+        Foreign::Binary,
+        Foreign::Text,
+        Foreign::Answer,
+        Foreign::OtherRun,
+        Foreign::NoPosition,
+        Foreign::Ahead,
+        Foreign::Reason,
+    ];
+    let expected = format!(r#""content":"{}""#, text::expect("user\nhi\n", ASKED));
+    for (bytes, after) in kinds.into_iter().flat_map(|it| [0, 1, 4, 8].map(|after| (it, after))) {
+        let mut setup = Setup::new("engine-1", "north");
+        setup.models = vec![Model::from("m")];
+        setup.pace = Pace { token: Duration::from_millis(1), ..Pace::default() };
+        let engine = Engine::spawn(setup).expect("the engine starts");
+        engine.fault(Fault::Flaw { count: 1, flaw: Flaw::Foreign { after, bytes } });
+        let bench = bench();
+        let mut caller = bench.post("connection: close\r\n", WHOLE);
+        let arrival = bench.arrival();
+        bench.serve(&arrival);
+        bench.run(&arrival, 1, engine.address(), Start::Fresh);
+        if let Event::Failed(failure) = bench.ended() {
+            assert!(!failure.not_run, "{bytes:?} after {after}: {failure:?}");
+            bench.run(&arrival, 1, engine.address(), Start::Rejoin);
+            assert_eq!(bench.ended(), Event::Ended { position: ASKED }, "{bytes:?} after {after}");
+        }
+        let answer = read_all(&mut caller);
+        assert!(answer.contains(&expected), "{bytes:?} after {after}: {answer}");
+        assert!(
+            answer.contains(r#""finish_reason":"length""#),
+            "{bytes:?} after {after}: {answer}"
+        );
+    }
+}
+
 /// What a plain service sends within a stream of events.
 const FOREIGN: [&[u8]; 7] = [
     b"\0\xff\x01garbage\n\n",
