--- a/crates/verbenaslip-relay/src/http/connection.rs
+++ b/crates/verbenaslip-relay/src/http/connection.rs
@@ -1,6 +1,6 @@
 //! A connection with its unread bytes.
 
-use std::io;
+use std::io::{self, Read};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -19,6 +19,9 @@
 /// hold them up otherwise.
 pub(crate) const YIELD_BYTES: usize = 16 << 10;
 
+/// Bytes that are read from an idle connection to tell whether they belong to an answer.
+const IDLE_READ_BYTES: usize = 64;
+
 /// Limit on the unread bytes while a connection is only watched for its end.
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
 
@@ -142,25 +145,50 @@
         if out.is_empty() {
             return Ok(Progress::Read(self.fill().await?));
         }
-        let (mut reader, mut writer) = self.stream.split();
-        let received = self.tunnel.as_mut().map_or(&mut self.buffer, |it| &mut it.received);
-        received.reserve(READ_BYTES);
-        let read = tokio::select! {
-            written = writer.write(out) => return Ok(Progress::Wrote(written?)),
-            read = reader.read_buf(received) => read?,
-        };
-        if read > 0 && self.tunnel.is_some() {
-            return Ok(Progress::Read(self.fill().await?));
+        loop {
+            let (mut reader, mut writer) = self.stream.split();
+            let received = self.tunnel.as_mut().map_or(&mut self.buffer, |it| &mut it.received);
+            received.reserve(READ_BYTES);
+            let read = tokio::select! {
+                written = writer.write(out) => return Ok(Progress::Wrote(written?)),
+                read = reader.read_buf(received) => read?,
+            };
+            let Some(tunnel) = self.tunnel.as_mut().filter(|_| read > 0) else {
+                return Ok(Progress::Read(read));
+            };
+            // A notice of the gateway holds no bytes of the upstream.
+            if let Some(count) = tunnel.decode(&mut self.buffer) {
+                return Ok(Progress::Read(count));
+            }
         }
-        Ok(Progress::Read(read))
     }
 
-    /// Returns whether an idle connection is still open and has received nothing.
-    pub fn is_open_and_empty(&mut self) -> bool {
-        let mut byte = [0; 1];
-        let read = self.stream.try_read(&mut byte);
-        let is_open = matches!(&read, Err(error) if error.kind() == io::ErrorKind::WouldBlock);
-        self.buffer.is_empty() && is_open && self.is_lasting()
+    /// Returns what has happened on an idle connection, and discards what has been received.
+    ///
+    /// The operating system is asked, since bytes that have just arrived are not yet known to the
+    /// runtime.
+    pub fn check_idle(&mut self) -> IdleState {
+        let mut bytes = [0; IDLE_READ_BYTES];
+        let read = (&*SockRef::from(&self.stream)).read(&mut bytes);
+        let count = match read {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => 0,
+            Ok(count) if count > 0 => count,
+            Ok(_) | Err(_) => return IdleState::Ended,
+        };
+        match &mut self.tunnel {
+            Some(tunnel) => {
+                tunnel.received.extend_from_slice(&bytes[..count]);
+                let _ = tunnel.decode(&mut self.buffer);
+            }
+            None => self.buffer.extend_from_slice(&bytes[..count]),
+        }
+        if !self.buffer.is_empty() {
+            IdleState::Stray
+        } else if self.is_lasting() {
+            IdleState::Silent
+        } else {
+            IdleState::Ended
+        }
     }
 
     /// Sets whether the peer sees a reset when this side closes the connection, or its process
@@ -180,6 +208,17 @@
     }
 }
 
+/// Describes what has happened on a connection while no request used it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IdleState {
+    /// Nothing.
+    Silent,
+    /// The connection has ended or is about to.
+    Ended,
+    /// Bytes have arrived, which belong to no request.
+    Stray,
+}
+
 /// Describes what one exchange did.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Progress {
