Send a request though its gateway says that it stops

Callers of an entry behind a gateway that stops: requests sent from the SIGTERM of the gateway on were held until it ended 7.3 s later and then answered 502, though no upstream had got them.

Cause: a gateway that stops says so at once on each connection. An entry that read this notice while it wrote its request waited for bytes of the answer, and never wrote the request. Reading and writing go on together now until there is progress on one side.

--- a/crates/verbenaslip-relay/src/http/connection.rs
+++ b/crates/verbenaslip-relay/src/http/connection.rs
@@ -142,17 +142,21 @@
         if out.is_empty() {
             return Ok(Progress::Read(self.fill().await?));
         }
-        let (mut reader, mut writer) = self.stream.split();
-        let received = self.tunnel.as_mut().map_or(&mut self.buffer, |it| &mut it.received);
-        received.reserve(READ_BYTES);
-        let read = tokio::select! {
-            written = writer.write(out) => return Ok(Progress::Wrote(written?)),
-            read = reader.read_buf(received) => read?,
-        };
-        if read > 0 && self.tunnel.is_some() {
-            return Ok(Progress::Read(self.fill().await?));
+        loop {
+            let (mut reader, mut writer) = self.stream.split();
+            let received = self.tunnel.as_mut().map_or(&mut self.buffer, |it| &mut it.received);
+            received.reserve(READ_BYTES);
+            let read = tokio::select! {
+                written = writer.write(out) => return Ok(Progress::Wrote(written?)),
+                read = reader.read_buf(received) => read?,
+            };
+            let tunnel = self.tunnel.as_mut().filter(|_| read > 0);
+            let Some(tunnel) = tunnel else { return Ok(Progress::Read(read)) };
+            // A notice of the gateway is no progress, and more may come only after the request.
+            if let Some(count) = tunnel.decode(&mut self.buffer) {
+                return Ok(Progress::Read(count));
+            }
         }
-        Ok(Progress::Read(read))
     }
 
     /// Returns whether an idle connection is still open and has received nothing.
--- a/crates/verbenaslip-relay/tests/tunnel.rs
+++ b/crates/verbenaslip-relay/tests/tunnel.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 use verbenaslip_base::name::{AvailabilityZone, Upstream};
 use verbenaslip_fleet::gateway::Gateway;
 use verbenaslip_fleet::registry::Run;
+use verbenaslip_relay::http::connection::Progress;
 use verbenaslip_relay::policy::gateways::{Gateways, Refusal};
-use verbenaslip_relay::tunnel::{Opening, Prefix, Reply, Status};
+use verbenaslip_relay::tunnel::{self, Opening, Prefix, Reply, Status};
 
 fn opening() -> Opening {
     let run = Run { upstream: Upstream::new("i-7"), incarnation: 9 };
@@ -94,3 +97,36 @@
     let later = Duration::from_secs(2);
     assert_eq!(gateways.choose(later, &zone, &[address(2)], 0.0), Some(address(1)));
 }
+
+#[test]
+fn a_request_goes_out_though_the_gateway_says_that_it_stops() {
+    // Guards against an entry that waits for an answer after the notice, before it has sent the request.
+    const REQUEST: &[u8] = b"POST";
+    const RETIRING: [u8; 2] = [0xff, 0xff];
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("a runtime").block_on(async {
+        for attempt in 0..20 {
+            let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port is free");
+            let address = listener.local_addr().expect("the listener is bound");
+            let gateway = tokio::spawn(async move {
+                let (mut entry, _) = listener.accept().await.expect("an entry");
+                let mut opening = vec![0; opening().encode().len()];
+                entry.read_exact(&mut opening).await.expect("an opening");
+                let reply = Reply { status: Status::Open, load: 1_001 }.encode();
+                entry.write_all(&[&reply[..], &RETIRING].concat()).await.expect("an entry");
+                let mut request = [0; REQUEST.len()];
+                entry.read_exact(&mut request).await.expect("a request");
+                request
+            });
+            let run = opening().run;
+            let opened = tunnel::connect(address, &run, Duration::from_secs(1)).await;
+            let (mut connection, _) = opened.expect("the gateway opens the connection");
+            connection.readable().await.expect("the notice has arrived");
+            let written = connection.write_or_read(REQUEST);
+            let written = tokio::time::timeout(Duration::from_secs(2), written).await;
+            let progress = written.unwrap_or_else(|_| panic!("attempt {attempt}: nothing written"));
+            assert_eq!(progress.expect("the connection is open"), Progress::Wrote(REQUEST.len()));
+            assert_eq!(gateway.await.expect("the gateway runs"), REQUEST);
+        }
+    });
+}
