Close connections before the log is flushed

Operators and upstreams that call a core as it ends: a call that came in its last 20 ms was read and kept for over 0.3 s until the connection closed without an answer; connections opened after that closed unread.

Cause: the process waits 0.3 s for its log while its sockets are open and nobody serves them. They close first now.

--- a/crates/verbenaslip-instance/src/instance.rs
+++ b/crates/verbenaslip-instance/src/instance.rs
@@ -68,6 +68,9 @@
             event::STOPPED,
             [("cause", json!(result.as_ref().err().map(ToString::to_string)))],
         );
+        // Peers and callers need not wait for the log to see that the connections have ended.
+        drop(local);
+        drop(runtime);
         event_log::flush();
         result
     }
