Lead requests that wait at a brittle service away from an entry that stops

Callers whose requests waited for a place at a brittle service as the entry stopped admitting: refused as "busy", to return in 0.23 to 0.37 s (at once elsewhere is possible), and those who had begun to wait before the SIGTERM without Connection: close.

Cause: the stop ended the wait, and the refusal was that of a full service. It is that of a stopping entry now, with its 50 ms; any refusal of an entry that stops says that the connection ends.

--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -582,8 +582,12 @@
     trace.status = refusal.status();
     trace.outcome = refusal.name();
     trace.retry_after = retry_after;
+    // The stop may have begun while the request waited.
+    let closes_connection = request.closes_connection || context.shared.is_draining();
+    let request = RefusedRequest { closes_connection, ..request };
     let bytes = answer::write_refusal(&*context.dialect, request, refusal, retry_after);
     match caller.send(&bytes).await {
+        Ok(()) if closes_connection => Disposition::Close,
         Ok(()) => Disposition::KeepOpen,
         Err(_) => Disposition::Abort,
     }
--- a/crates/verbenaslip-relay/src/forward/place.rs
+++ b/crates/verbenaslip-relay/src/forward/place.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use crate::forward::admission::{self, AdmittedRequest};
+use crate::forward::answer::Refusal;
 use crate::forward::context::Context;
 use crate::forward::lifecycle::{Attempts, Disposition, Next};
 use crate::forward::request_log::Trace;
@@ -78,7 +79,10 @@
     loop {
         tokio::select! {
             () = tokio::time::sleep(CHECK_INTERVAL) => {}
-            () = context.shared.wait_until_admission_stops() => return None,
+            () = context.shared.wait_until_admission_stops() => {
+                let retry_after = Some(admission::RETRY_AFTER_STOP);
+                return Some(Next::Refuse((Refusal::Stopping, retry_after)));
+            }
             () = caller.closed_by_peer() => {
                 admission::refund_quota(context, request);
                 trace.outcome = "caller_gone";
