Refuse requests that are incomplete once an entry stops admitting

Callers that send a body slowly to an entry that stops: it read on, and refused the request once it was whole; if the entry ended first, since nothing else kept it, the connection closed within the body without an answer. A caller that may not repeat such a request can't tell whether it ran.

Cause: a stop waits for requests in progress, which counted only once they were whole. They count from their first byte on now, and what is incomplete as admission stops is answered 503 at once, as not run.

--- a/crates/verbenaslip-relay/src/forward/intake.rs
+++ b/crates/verbenaslip-relay/src/forward/intake.rs
@@ -10,6 +10,7 @@
 use verbenaslip_fleet::route_table::RequestLimits;
 
 use crate::event_log::{self, Kind};
+use crate::forward::admission;
 use crate::forward::answer::{self, Refusal, RefusedRequest};
 use crate::forward::context::Context;
 use crate::forward::lifecycle::{self, RETRY_AFTER_FULL};
@@ -38,6 +39,11 @@
 }
 
 impl Fault {
+    fn stopping(context: &Context, id: Arc<str>, method: Box<str>) -> Self {
+        let retry_after = Some(lifecycle::add_jitter(context, admission::RETRY_AFTER_STOP));
+        Self { refusal: Refusal::Stopping, id, method, retry_after }
+    }
+
     /// Writes the answer, after which the connection is closed.
     pub(crate) fn write_answer(&self, context: &Context) -> Vec<u8> {
         let Self { refusal, id, method, retry_after } = self;
@@ -65,12 +71,21 @@
 }
 
 /// Reads one request; returns `None` if the caller closes or stays idle.
+///
+/// A request that is incomplete once new requests are refused is refused without its rest.
 pub(crate) async fn read_request<'a>(
     context: &'a Context,
     caller: &mut Connection,
     limits: &RequestLimits,
 ) -> Result<Option<Request<'a>>, Fault> {
-    let Some(unread) = reader::read_head(caller, limits).await? else { return Ok(None) };
+    let unread = tokio::select! {
+        biased;
+        unread = reader::read_head(caller, limits) => unread?,
+        () = context.shared.wait_until_admission_stops() => {
+            return Err(Fault::stopping(context, "".into(), "".into()));
+        }
+    };
+    let Some(unread) = unread else { return Ok(None) };
     let memory = &context.body_memory;
     let max_body_bytes = limits.max_body_bytes.min(memory.borrow().max_body_bytes());
     let limits = RequestLimits { max_body_bytes, ..*limits };
@@ -85,7 +100,14 @@
             MessageError::OutOfMemory
         })
     };
-    let read = unread.read_body(caller, &limits, sender.deadline, reserve).await;
+    let read = tokio::select! {
+        biased;
+        read = unread.read_body(caller, &limits, sender.deadline, reserve) => read,
+        () = context.shared.wait_until_admission_stops() => {
+            let id = request_id(context, &unread);
+            return Err(Fault::stopping(context, id, unread.head.method.clone()));
+        }
+    };
     if let Some(shortage) = shortage {
         return Err(refuse(context, &unread, shortage));
     }
@@ -95,9 +117,13 @@
     Ok(message.map(|message| Request { message, _room: room }))
 }
 
-fn refuse(context: &Context, unread: &UnreadMessage, shortage: Shortage) -> Fault {
+fn request_id(context: &Context, unread: &UnreadMessage) -> Arc<str> {
     let info = context.dialect.request_info(&unread.head);
-    let id = info.map_or_else(|| "".into(), |info| info.id);
+    info.map_or_else(|| "".into(), |info| info.id)
+}
+
+fn refuse(context: &Context, unread: &UnreadMessage, shortage: Shortage) -> Fault {
+    let id = request_id(context, unread);
     let Shortage { wanted, held, caller_held } = shortage;
     let fields = [
         ("id", json!(&*id)),
--- a/crates/verbenaslip-relay/src/server.rs
+++ b/crates/verbenaslip-relay/src/server.rs
@@ -184,8 +184,8 @@
     }
     let mut caller = Connection::new(stream);
     loop {
-        let limits = request_limits(context);
         if caller.buffer.is_empty() {
+            let limits = request_limits(context);
             // An idle connection is closed once new requests are refused; its caller reconnects
             // through another instance.
             tokio::select! {
@@ -193,24 +193,8 @@
                 () = context.shared.wait_until_admission_stops() => return caller.shutdown().await,
             }
         }
-        let request = match intake::read_request(context, &mut caller, &limits).await {
-            Ok(Some(request)) => request,
-            Ok(None) => return,
-            Err(fault) => {
-                let bytes = fault.write_answer(context);
-                // The caller broke the protocol and may no longer read; a failed write does not
-                // matter.
-                let _ = caller.send(&bytes).await;
-                return drain_after_error(&mut caller).await;
-            }
-        };
-        let message = &request.message;
-        let closes = message.head.closes_connection() || context.shared.is_draining();
-        context.shared.count_arrival();
-        active_requests.fetch_add(1, Ordering::Relaxed);
-        let disposition = lifecycle::serve(context, &mut caller, message, closes).await;
-        active_requests.fetch_sub(1, Ordering::Relaxed);
-        match disposition {
+        let _active = ActiveRequest::count(active_requests);
+        match serve_request(context, &mut caller).await {
             Disposition::KeepOpen => {}
             Disposition::Close => return caller.shutdown().await,
             Disposition::Abort => return,
@@ -218,6 +202,42 @@
     }
 }
 
+/// Counts a request, from its first byte on, among those for which a planned stop waits.
+struct ActiveRequest<'a>(&'a AtomicUsize);
+
+impl<'a> ActiveRequest<'a> {
+    fn count(active_requests: &'a AtomicUsize) -> Self {
+        active_requests.fetch_add(1, Ordering::Relaxed);
+        Self(active_requests)
+    }
+}
+
+impl Drop for ActiveRequest<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Reads and serves a request of which some bytes have arrived.
+async fn serve_request(context: &Context, caller: &mut Connection) -> Disposition {
+    let limits = request_limits(context);
+    let request = match intake::read_request(context, caller, &limits).await {
+        Ok(Some(request)) => request,
+        Ok(None) => return Disposition::Abort,
+        Err(fault) => {
+            let bytes = fault.write_answer(context);
+            // The caller broke the protocol and may no longer read; a failed write does not matter.
+            let _ = caller.send(&bytes).await;
+            drain_after_error(caller).await;
+            return Disposition::Abort;
+        }
+    };
+    let message = &request.message;
+    let closes = message.head.closes_connection() || context.shared.is_draining();
+    context.shared.count_arrival();
+    lifecycle::serve(context, caller, message, closes).await
+}
+
 fn request_limits(context: &Context) -> RequestLimits {
     let view = context.shared.view();
     view.routes.as_ref().map(|routes| routes.route_table().limits).unwrap_or_default()
