Count active requests only once no more are admitted

An entry without requests ends as it stops admitting. It counted them first and stopped admitting then: a request that came in between was admitted, passed on, and cut when the process ended. Found by reading; the moment is some microseconds, and no run showed it.

Now it stops admitting first. A request counts itself before it looks whether it is admitted, in one order with the entry's two steps: it is refused, or the entry waits for it.

--- a/crates/verbenaslip-instance/src/entry.rs
+++ b/crates/verbenaslip-instance/src/entry.rs
@@ -318,10 +318,12 @@
     /// Advances a planned stop, and returns whether the entry may end.
     fn advance_stop(&self) -> bool {
         let Some(stop) = self.stop else { return false };
-        let phase = stop.phase(monotonic::now(), self.server.active_requests());
-        if phase != Phase::Accepting && !self.shared.has_stopped_admitting() {
+        let now = monotonic::now();
+        // Requests are counted only once no more are admitted: one that came in between would be cut off.
+        if stop.phase(now, usize::MAX) != Phase::Accepting && !self.shared.has_stopped_admitting() {
             self.shared.stop_admitting();
         }
+        let phase = stop.phase(now, self.server.active_requests());
         let ended = phase == Phase::Ended;
         if ended {
             event_log::emit(event::DRAINED, [("active", json!(self.server.active_requests()))]);
--- a/crates/verbenaslip-relay/src/server.rs
+++ b/crates/verbenaslip-relay/src/server.rs
@@ -98,7 +98,7 @@
 
     /// Returns the number of requests in progress.
     pub fn active_requests(&self) -> usize {
-        self.active_requests.load(Ordering::Relaxed)
+        self.active_requests.load(Ordering::SeqCst)
     }
 }
 
@@ -207,14 +207,15 @@
 
 impl<'a> ActiveRequest<'a> {
     fn count(active_requests: &'a AtomicUsize) -> Self {
-        active_requests.fetch_add(1, Ordering::Relaxed);
+        // Ordered before the check whether requests are still admitted.
+        active_requests.fetch_add(1, Ordering::SeqCst);
         Self(active_requests)
     }
 }
 
 impl Drop for ActiveRequest<'_> {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.0.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
--- a/crates/verbenaslip-relay/src/shared.rs
+++ b/crates/verbenaslip-relay/src/shared.rs
@@ -406,13 +406,13 @@
     /// off when the process ends. A request that is refused as not run is answered by another
     /// instance.
     pub fn stop_admitting(&self) {
-        self.stopped_admitting.store(true, Ordering::Relaxed);
+        self.stopped_admitting.store(true, Ordering::SeqCst);
         self.admission_stopped.notify_waiters();
     }
 
     /// Returns whether new requests are refused.
     pub fn has_stopped_admitting(&self) -> bool {
-        self.stopped_admitting.load(Ordering::Relaxed)
+        self.stopped_admitting.load(Ordering::SeqCst)
     }
 
     /// Returns once new requests are refused.
