Answer requests that were sent ahead to an entry that stops

Callers that send a request before the answer to the one before it, to an entry that stops: the first answer said Connection: close, and the entry dropped the second, which it had read up to 6 s before (LOST).

Cause: the connection ended with the first answer after the SIGTERM, whatever had arrived behind it. It ends with the last request that was read now.

--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -105,6 +105,13 @@
     }
 }
 
+/// Returns whether the caller's connection ends with its present answer since this instance stops.
+///
+/// Requests that the caller has sent ahead have been read, so they are answered as well.
+pub(crate) fn is_last_before_stop(context: &Context, caller: &Connection) -> bool {
+    context.shared.is_draining() && caller.buffer.is_empty()
+}
+
 /// Waits a short time for a route table; returns whether the caller has left meanwhile.
 ///
 /// After a power loss of the whole fleet, entries are back before the cores have elected a leader.
@@ -583,7 +590,7 @@
     trace.outcome = refusal.name();
     trace.retry_after = retry_after;
     // The stop may have begun while the request waited.
-    let closes_connection = request.closes_connection || context.shared.is_draining();
+    let closes_connection = request.closes_connection || is_last_before_stop(context, caller);
     let request = RefusedRequest { closes_connection, ..request };
     let bytes = answer::write_refusal(&*context.dialect, request, refusal, retry_after);
     match caller.send(&bytes).await {
--- a/crates/verbenaslip-relay/src/server.rs
+++ b/crates/verbenaslip-relay/src/server.rs
@@ -234,7 +234,8 @@
         }
     };
     let message = &request.message;
-    let closes = message.head.closes_connection() || context.shared.is_draining();
+    let closes =
+        message.head.closes_connection() || lifecycle::is_last_before_stop(context, caller);
     context.shared.count_arrival();
     lifecycle::serve(context, caller, message, closes).await
 }
