--- a/crates/verbenaslip/src/traffic/client.rs
+++ b/crates/verbenaslip/src/traffic/client.rs
@@ -13,7 +13,7 @@
 use serde_json::{Value, json};
 use verbenaslip_base::announce::Kind;
 use verbenaslip_base::attempt::Attempt;
-use verbenaslip_base::event_stream::{self, BYTE_ORDER_MARK, Fault, Position};
+use verbenaslip_base::event_stream::{self, BYTE_ORDER_MARK, Block, Fault, Position};
 use verbenaslip_request::answer::{AppendResult, ServiceResponse, TokenBatch};
 use verbenaslip_request::message::ActiveRun;
 use verbenaslip_request::run::{Cause, Event, Failure, Run, Start, Step};
@@ -359,8 +359,8 @@
     let events = bytes.strip_prefix(BYTE_ORDER_MARK).unwrap_or(bytes);
     // A service may name its events as it likes, or not at all.
     let is_foreign =
-        |line| matches!(event_stream::event_id(line), Err(Fault::Field | Fault::Encoding));
-    let mut lines = events.split(|byte| matches!(byte, b'\n' | b'\r'));
+        |line| matches!(Block::default().add_line(line), Err(Fault::Field | Fault::Encoding));
+    let mut lines = events.split(|byte| event_stream::is_line_end(*byte));
     if lines.any(is_foreign) { Err(Cause::Error) } else { Ok(()) }
 }
 
