Count a version as present while a cut-off entry may use it

An entry that was cut off from the cores together with all upstreams of a version went on with them; its streams, taken up at another entry, would have gone on at the newer version.

Cause: a version left once the cores had not heard its upstreams for 60 s, although nobody had withdrawn them. What is not heard was taken for what is not there.

Change: the command that removes silent runs from the log carries the agreed time of day, and the versions of these runs count as there for ten minutes more, unless they come back and are withdrawn. Withdrawn ones leave at once, as before. Leaders of earlier builds send no time, so nothing changes under them; cores of both builds beside each other differ in this part of their state until all are upgraded.

Cost: for that time the service is not settled, its streams are recorded, and those that begin at an entry that is cut off are refused elsewhere. An entry is still asked to serve on however long it is cut off, so beyond ten minutes the fault remains (docs/design/origin.md).

--- a/crates/verbenaslip-fleet/src/core/leader.rs
+++ b/crates/verbenaslip-fleet/src/core/leader.rs
@@ -93,7 +93,8 @@
         let runs: Vec<Run> =
             lost.into_iter().filter(|run| self.replicated_state.contains_run(run)).collect();
         if !runs.is_empty() {
-            self.propose(&Command::RemoveRuns { runs });
+            let unix = Trailing(self.agreed_unix_ms());
+            self.propose(&Command::RemoveRuns { runs, unix });
         }
     }
 
