Show no events of a stream before cores have confirmed its version

Streams of an entry that had just been cut off from the cores, or was behind a slow link, were taken up elsewhere and went on at another software version.

Cause: a stream counted as recorded once the record had been handed to a connection. That the connection leads nowhere shows after a second; until then the entry began streams at the newer version, and other entries, which found no record, looked for them at the one that had served alone. For two seconds of the time in which they still do, the entry did not keep to that version even when it knew that it was cut off.

Where others would look for an unrecorded stream at another version, or an earlier record names another one, its caller gets no event before two cores have confirmed.

Cost: while others may look at another version, the first event of a stream at the newer one waits for a round trip to the cores, counted from the sending of the request; not measured.

--- a/crates/verbenaslip-relay/src/forward/origin.rs
+++ b/crates/verbenaslip-relay/src/forward/origin.rs
@@ -14,7 +14,7 @@
 use crate::forward::request_log::{OriginUse, Trace};
 use crate::monotonic;
 use crate::policy::placement::Choice;
-use crate::shared::CoreFinding;
+use crate::shared::{CoreFinding, confirmation};
 
 /// Longest time that cores get to answer: several round trips to a core.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(150);
@@ -30,6 +30,10 @@
 /// that it tolerates, and the time until the next update.
 const MAX_NEWS_DELAY: Duration = Duration::from_secs(2);
 
+/// Time for which an entry expects others to look longer for a stream that was not recorded: they
+/// look back for [`MAX_NEWS_DELAY`] more, and their clocks may be behind.
+const UNRECORDED_MARGIN: Duration = Duration::from_secs(4);
+
 /// Time by which an origin outlasts the patience of its caller, who may take the stream up just
 /// before that ends.
 const LIFETIME_MARGIN: Duration = Duration::from_secs(1);
@@ -57,7 +61,8 @@
     }
     let has_events = request.info.last_event_id.is_some_and(|id| id > 0);
     if !has_events && request.info.resumes.is_none() {
-        attempts.version = context.unrecorded_version(&request.service, max_age(request));
+        let max_age = max_age(request) + UNRECORDED_MARGIN;
+        attempts.version = context.unrecorded_version(&request.service, max_age);
         return Ok(());
     }
     let found = match find(context, request).await {
@@ -99,17 +104,34 @@
     if context.shared.view().cores.is_empty() {
         return;
     }
+    let previous = attempts.recorded_version.replace(choice.version.clone());
+    attempts.has_conflicting_record |= previous.is_some_and(|it| it != choice.version);
     attempts.origin_number = Some(context.shared.add_origin(origin));
 }
 
 /// Waits until cores have been told where the stream begins, before its caller gets an event: the
 /// caller may take it up as soon as it has one.
-pub(super) async fn wait_until_recorded(context: &Context, attempts: &mut Attempts) {
-    if let Some(number) = attempts.origin_number.take() {
-        let sent = context.shared.wait_until_origin_sent(number);
-        // The caller does not wait for a control thread that is late.
-        let _ = tokio::time::timeout(RECORD_TIMEOUT, sent).await;
+///
+/// Returns whether the stream may begin: not if other entries would look for it at another version,
+/// and cores have not confirmed that they know better.
+pub(super) async fn wait_until_recorded(
+    context: &Context,
+    request: &AdmittedRequest<'_>,
+    attempts: &mut Attempts,
+    choice: &Choice,
+) -> bool {
+    let Some(number) = attempts.origin_number.take() else { return true };
+    let lone = context.lone_version(&request.service, max_age(request) + UNRECORDED_MARGIN);
+    let is_misleading =
+        attempts.has_conflicting_record || lone.is_some_and(|it| it != choice.version);
+    if is_misleading {
+        let confirmed = context.shared.wait_until_origin_confirmed(number);
+        return tokio::time::timeout(confirmation::TIMEOUT, confirmed).await.is_ok();
     }
+    let sent = context.shared.wait_until_origin_sent(number);
+    // The caller does not wait for a control thread that is late.
+    let _ = tokio::time::timeout(RECORD_TIMEOUT, sent).await;
+    true
 }
 
 /// Returns the time after which a caller no longer takes up a stream that it began now.
