Go by the list of versions only after the leader has answered

During a release an entry was cut off from the cores while upstreams of a new version joined. Streams that had begun on these through other entries broke, were taken up there and went on at the older version.

Cause: without a certain answer of the cores, an entry took the one version that it knew for the only one for as long as it counted the leader as heard, which is a second. A version can come, and a stream of it begin and break, within that time. The second was meant for cores that answer but have forgotten.

Change: without a certain answer the leader must be among the cores that have answered this very question; what it announced before came over the same connection. An entry that is settled asks on until all cores have answered if the first ones don't decide. Otherwise the stream is refused as not run, as it was from one second on.

Cost: streams that are taken up at an entry within the first second of a cut are refused, also where one version serves.

--- a/crates/verbenaslip-relay/src/forward/origin.rs
+++ b/crates/verbenaslip-relay/src/forward/origin.rs
@@ -1,6 +1,7 @@
 //! Finds the software version at which a stream began, and records those that begin here.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -184,10 +185,10 @@
     // A settled service has no records, unless another entry has heard of a version first.
     let is_settled = settled(context, request).is_some();
     let asked_at = Instant::now();
-    let mut answer = ask_cores(context, stream, max_age, is_settled).await;
+    let (mut answer, mut answered) = ask_cores(context, stream, max_age, is_settled).await;
     if answer == Answer::NotTold && resumes.is_some() && !is_settled {
         tokio::time::sleep_until(asked_at + RECORD_DELAY).await;
-        answer = ask_cores(context, stream, max_age, false).await;
+        (answer, answered) = ask_cores(context, stream, max_age, false).await;
     }
     if let Answer::Told(build, age_ms) = answer {
         return named(context, request, "core", (build, age_ms)).ok_or(UnknownReason::Left);
@@ -202,7 +203,11 @@
     let (service, now, builds) =
         (request.service.clone(), monotonic::now(), context.builds.borrow());
     let max_age = max_age + MAX_NEWS_DELAY;
-    let is_known = answer == Answer::NotTold || builds.is_current(now);
+    // The leader may have announced another version since it was last heard, but its answer came
+    // after that.
+    let has_news = builds.is_current(now)
+        && context.shared.view().leader.is_some_and(|leader| answered.contains(&leader));
+    let is_known = answer == Answer::NotTold || has_news;
     // Where no other version has served, it does not matter what cores have forgotten.
     // A caller who has waited long says only what is left of its patience, not the age of its stream.
     let longest = MAX_LIFETIME + LIFETIME_MARGIN + MAX_NEWS_DELAY;
@@ -233,13 +238,13 @@
 ///
 /// Each origin was told to several cores, so one fewer may be silent, or have started meanwhile. A
 /// core that was told of the origin decides at once; a copy of it counts only if no core can have
-/// been told of a later one.
+/// been told of a later one. Returns also which cores have answered.
 async fn ask_cores(
     context: &Context,
     stream: Stream,
     max_age: Duration,
     takes_few: bool,
-) -> Answer {
+) -> (Answer, BTreeSet<SocketAddr>) {
     let core_count = context.shared.view().cores.len();
     let wanted_count =
         if takes_few { (core_count + 1).saturating_sub(KEEPER_COUNT) } else { core_count };
@@ -256,11 +261,13 @@
     let is_newest = |complete_times: &[u32], (_, age_ms): &(Build, u32)| {
         is_certain(complete_times, Duration::from_millis((*age_ms).into()))
     };
-    while answered.len() < wanted_count {
+    while answered.len() < wanted_count
+        || (answered.len() < core_count && !is_certain(&complete_times, max_age))
+    {
         let finding = tokio::time::timeout_at(deadline, findings.recv()).await;
         let Ok(Some(CoreFinding { core, finding, is_copy })) = finding else { break };
         match finding.origin {
-            Some((build, age_ms)) if !is_copy => return Answer::Told(build, age_ms),
+            Some((build, age_ms)) if !is_copy => return (Answer::Told(build, age_ms), answered),
             Some(origin) if copied.is_none_or(|it| origin.1 < it.1) => copied = Some(origin),
             _ => {}
         }
@@ -271,13 +278,14 @@
             break;
         }
     }
-    match copied {
+    let answer = match copied {
         Some((build, age_ms)) if is_newest(&complete_times, &(build, age_ms)) => {
             Answer::Told(build, age_ms)
         }
         None if is_certain(&complete_times, max_age) => Answer::NotTold,
         _ => Answer::Uncertain,
-    }
+    };
+    (answer, answered)
 }
 
 /// Returns the service and version that a recorded origin names, among those of the route.
