--- a/crates/verbenaslip-relay/src/forward/exchange.rs
+++ b/crates/verbenaslip-relay/src/forward/exchange.rs
@@ -39,7 +39,7 @@
 
 /// Limit on the bytes of all answers to other requests that are skipped before an answer, with
 /// their framing.
-const MAX_LATE_BYTES: usize = 1 << 20;
+const MAX_LATE_BYTES: usize = 256 << 10;
 
 /// Holds a connection on which the head of an answer has arrived.
 pub struct Response {
