--- a/crates/verbenaslip-fleet/src/core/leader.rs
+++ b/crates/verbenaslip-fleet/src/core/leader.rs
@@ -93,8 +93,7 @@
         let runs: Vec<Run> =
             lost.into_iter().filter(|run| self.replicated_state.contains_run(run)).collect();
         if !runs.is_empty() {
-            let unix = Trailing(self.agreed_unix_ms());
-            self.propose(&Command::RemoveRuns { runs, unix });
+            self.propose(&Command::RemoveRuns { runs });
         }
     }
 
--- a/crates/verbenaslip-fleet/src/entry.rs
+++ b/crates/verbenaslip-fleet/src/entry.rs
@@ -144,24 +144,6 @@
         Some(Envelope { to, frame: Frame::RecordOrigins { acknowledge_to, origins } })
     }
 
-    /// Builds the question whether the cores that were told of a stream know it, which they answer
-    /// once they have handled the records sent before; returns `None` without cores.
-    pub fn confirm_origin(&self, stream: Stream) -> Option<Envelope> {
-        let from = self.link.local_peer().address;
-        let to = origin::keepers(from, &self.view().cores);
-        let frame = Frame::FindOrigins { from, streams: vec![stream], copy: Trailing(None) };
-        (!to.is_empty()).then_some(Envelope { to, frame })
-    }
-
-    /// Builds the frame that tells all cores of streams that too few have confirmed; returns `None`
-    /// without origins or cores.
-    pub fn repeat_origins(&self, origins: Vec<Origin>) -> Option<Envelope> {
-        let to = self.view().cores.clone();
-        let is_useful = !origins.is_empty() && !to.is_empty();
-        let frame = Frame::RecordOrigins { acknowledge_to: None, origins };
-        is_useful.then_some(Envelope { to, frame })
-    }
-
     /// Builds the question for the origins of streams, to all cores; returns `None` without
     /// streams or cores.
     pub fn find_origins(&self, streams: Vec<Stream>) -> Option<Envelope> {
--- a/crates/verbenaslip-fleet/src/link/update.rs
+++ b/crates/verbenaslip-fleet/src/link/update.rs
@@ -38,7 +38,6 @@
             self.last_contact = now;
             self.target = Some(from);
             self.last_leader = Some(leader);
-            self.view.leader = Some(leader);
             self.view.leader_heard_at =
                 self.view.leader_heard_at.max(Some(now.saturating_sub(leader_contact_age)));
             let sent_at = fleet_status
--- a/crates/verbenaslip-fleet/src/replicated_state.rs
+++ b/crates/verbenaslip-fleet/src/replicated_state.rs
@@ -12,7 +12,7 @@
 use crate::departure::{Departure, RETENTION};
 use crate::frame::Trailing;
 use crate::quarantine::PersistedState;
-use crate::registry::{Announcement, Record, Run, Status};
+use crate::registry::{Record, Run, Status};
 use crate::rollout::{Order, Rollouts, State};
 use crate::route_table::RouteTable;
 use crate::version_history::{ServiceVersion, VersionHistory};
@@ -61,8 +61,6 @@
     RemoveRuns {
         /// The runs.
         runs: Vec<Run>,
-        /// The agreed time of day, in Unix milliseconds; leaders of earlier builds send none.
-        unix: Trailing<u64>,
     },
     /// Records which requests are quarantined, so that the next leader knows them.
     SetQuarantine(PersistedState),
@@ -267,7 +265,9 @@
                 self.add_upstreams(records);
                 self.update_version_history(&versions.0, &joined, is_first);
             }
-            Command::RemoveRuns { runs, unix } => self.remove_runs(&runs, unix.0),
+            Command::RemoveRuns { runs } => {
+                self.upstreams.retain(|_, it| !runs.contains(&it.announcement.run));
+            }
             Command::SetQuarantine(persisted) => {
                 // Fingerprints are only valid with the key that they were made with, so the first
                 // key stays.
@@ -296,20 +296,6 @@
         }
     }
 
-    /// Removes runs that were silent for long. An entry that is cut off together with them may still
-    /// send requests to them, so that their versions have not left yet.
-    fn remove_runs(&mut self, runs: &[Run], unix: u64) {
-        let is_lost = |it: &Record| runs.contains(&it.announcement.run);
-        if unix > 0 {
-            let history = Arc::make_mut(&mut self.version_history);
-            for record in self.upstreams.values().filter(|it| is_lost(it)) {
-                let Announcement { service, version, .. } = &record.announcement;
-                history.add_silent(unix, service, version);
-            }
-        }
-        self.upstreams.retain(|_, it| !is_lost(it));
-    }
-
     /// Records departures, and removes those older than any announcement that may still arrive.
     fn add_departures(&mut self, departures: Vec<Departure>, unix: u64) {
         for Departure { run, status } in departures {
--- a/crates/verbenaslip-fleet/src/view.rs
+++ b/crates/verbenaslip-fleet/src/view.rs
@@ -58,8 +58,6 @@
     pub plans_confirmed_at: Option<Duration>,
     /// Number of entries.
     pub entry_count: u32,
-    /// The leader, as last heard.
-    pub leader: Option<SocketAddr>,
     /// When the leader was last heard.
     pub leader_heard_at: Option<Duration>,
     /// Offset of the agreed time of day from the local steady clock, in milliseconds.
@@ -83,7 +81,6 @@
             gateways: Arc::default(),
             plans_confirmed_at: None,
             entry_count: 1,
-            leader: None,
             leader_heard_at: None,
             time_offset_ms: 0,
         }
--- a/crates/verbenaslip-instance/src/entry.rs
+++ b/crates/verbenaslip-instance/src/entry.rs
@@ -20,7 +20,7 @@
 use verbenaslip_relay::policy::placement::Sharing;
 use verbenaslip_relay::policy::retry::Bounds;
 use verbenaslip_relay::server::{Config, Server};
-use verbenaslip_relay::shared::{Observations, SharedState, Unconfirmed};
+use verbenaslip_relay::shared::{Observations, SharedState};
 
 use crate::event;
 use crate::links::Links;
@@ -164,7 +164,6 @@
 
 impl RunningEntry {
     fn send_due_reports(&mut self) {
-        self.repeat_origins();
         let now = monotonic::now();
         if now < self.state_machine.next_wakeup() {
             return;
@@ -216,17 +215,8 @@
             self.next_origins = now + ORIGIN_INTERVAL;
         }
         self.origins_due = false;
-        let last = origins.last().map(|it| it.stream);
         let envelope = self.state_machine.record_origins(now, origins);
         self.send(envelope);
-        self.send(last.and_then(|it| self.state_machine.confirm_origin(it)));
-    }
-
-    /// Tells all cores of the streams that too few have confirmed in time.
-    fn repeat_origins(&self) {
-        let Unconfirmed { origins, last_streams } = self.shared.take_unconfirmed_origins();
-        self.send(self.state_machine.repeat_origins(origins));
-        self.send(self.state_machine.find_origins(last_streams));
     }
 
     fn send(&self, envelope: Option<Envelope>) {
@@ -307,8 +297,7 @@
         let next_phase = self.stop.map(|stop| stop.next_phase_at(monotonic::now()));
         let next_origins = if self.origins_due { self.next_origins } else { Duration::MAX };
         let next_wakeup = self.state_machine.next_wakeup().min(next_origins);
-        let next_repetition = self.shared.next_origin_repetition().unwrap_or(Duration::MAX);
-        next_wakeup.min(next_phase.unwrap_or(Duration::MAX)).min(next_repetition)
+        next_wakeup.min(next_phase.unwrap_or(Duration::MAX))
     }
 
     fn begin_stop(&mut self, grace: Duration) {
--- a/crates/verbenaslip-relay/src/forward/context.rs
+++ b/crates/verbenaslip-relay/src/forward/context.rs
@@ -270,18 +270,7 @@
     /// Returns the software version at which a stream may begin while cores are out of reach, if
     /// other entries take those that were not recorded for streams of one version.
     pub(crate) fn unrecorded_version(&self, service: &str, max_age: Duration) -> Option<Arc<str>> {
-        let now = monotonic::now();
-        if self.shared.origins_are_overdue() {
-            return self.lone_version(service, max_age);
-        }
-        self.builds.borrow().without_cores(now, service, max_age)
-    }
-
-    /// Returns the software version at which other entries look for a stream that began within
-    /// `max_age` and that no core was told of.
-    pub(crate) fn lone_version(&self, service: &str, max_age: Duration) -> Option<Arc<str>> {
-        let settled = self.builds.borrow().unrecorded(monotonic::now(), service, max_age);
-        settled.map(|it| it.version)
+        self.builds.borrow().without_cores(monotonic::now(), service, max_age)
     }
 
     /// Chooses the versions that may take a request; `continues` tells whether its answer has begun.
--- a/crates/verbenaslip-relay/src/forward/lifecycle.rs
+++ b/crates/verbenaslip-relay/src/forward/lifecycle.rs
@@ -185,10 +185,6 @@
     pub(super) version: Option<Arc<str>>,
     /// Number of the record of the version to which the request was sent last, if that was new.
     pub(super) origin_number: Option<u64>,
-    /// Version that was recorded last.
-    pub(super) recorded_version: Option<Arc<str>>,
-    /// Whether an earlier record names another version than the last one.
-    pub(super) has_conflicting_record: bool,
     /// Runs of upstreams that received the request or could not be reached.
     pub(super) tried_runs: Vec<Run>,
     /// Number of upstreams that received the request.
@@ -343,11 +339,7 @@
             Next::Refuse((Refusal::Failed, None))
         };
     }
-    if !origin::wait_until_recorded(context, request, attempts, &choice).await {
-        trace.causes.push("unrecorded");
-        context.record_end(&choice, Ending::Abandoned, None);
-        return Next::Refuse((Refusal::Failed, None));
-    }
+    origin::wait_until_recorded(context, attempts).await;
     let silence_limit = pause_limit(request, attempts);
     let first_byte_before = attempts.delivery.first_byte_at;
     let framing = response.head.framing(&request.head.method).ok();
--- a/crates/verbenaslip-relay/src/forward/origin.rs
+++ b/crates/verbenaslip-relay/src/forward/origin.rs
@@ -1,7 +1,6 @@
 //! Finds the software version at which a stream began, and records those that begin here.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,7 +14,7 @@
 use crate::forward::request_log::{OriginUse, Trace};
 use crate::monotonic;
 use crate::policy::placement::Choice;
-use crate::shared::{CoreFinding, confirmation};
+use crate::shared::CoreFinding;
 
 /// Longest time that cores get to answer: several round trips to a core.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(150);
@@ -31,10 +30,6 @@
 /// that it tolerates, and the time until the next update.
 const MAX_NEWS_DELAY: Duration = Duration::from_secs(2);
 
-/// Time for which an entry expects others to look longer for a stream that was not recorded: they
-/// look back for [`MAX_NEWS_DELAY`] more, and their clocks may be behind.
-const UNRECORDED_MARGIN: Duration = Duration::from_secs(4);
-
 /// Time by which an origin outlasts the patience of its caller, who may take the stream up just
 /// before that ends.
 const LIFETIME_MARGIN: Duration = Duration::from_secs(1);
@@ -62,8 +57,7 @@
     }
     let has_events = request.info.last_event_id.is_some_and(|id| id > 0);
     if !has_events && request.info.resumes.is_none() {
-        let max_age = max_age(request) + UNRECORDED_MARGIN;
-        attempts.version = context.unrecorded_version(&request.service, max_age);
+        attempts.version = context.unrecorded_version(&request.service, max_age(request));
         return Ok(());
     }
     let found = match find(context, request).await {
@@ -105,34 +99,17 @@
     if context.shared.view().cores.is_empty() {
         return;
     }
-    let previous = attempts.recorded_version.replace(choice.version.clone());
-    attempts.has_conflicting_record |= previous.is_some_and(|it| it != choice.version);
     attempts.origin_number = Some(context.shared.add_origin(origin));
 }
 
 /// Waits until cores have been told where the stream begins, before its caller gets an event: the
 /// caller may take it up as soon as it has one.
-///
-/// Returns whether the stream may begin: not if other entries would look for it at another version,
-/// and cores have not confirmed that they know better.
-pub(super) async fn wait_until_recorded(
-    context: &Context,
-    request: &AdmittedRequest<'_>,
-    attempts: &mut Attempts,
-    choice: &Choice,
-) -> bool {
-    let Some(number) = attempts.origin_number.take() else { return true };
-    let lone = context.lone_version(&request.service, max_age(request) + UNRECORDED_MARGIN);
-    let is_misleading =
-        attempts.has_conflicting_record || lone.is_some_and(|it| it != choice.version);
-    if is_misleading {
-        let confirmed = context.shared.wait_until_origin_confirmed(number);
-        return tokio::time::timeout(confirmation::TIMEOUT, confirmed).await.is_ok();
+pub(super) async fn wait_until_recorded(context: &Context, attempts: &mut Attempts) {
+    if let Some(number) = attempts.origin_number.take() {
+        let sent = context.shared.wait_until_origin_sent(number);
+        // The caller does not wait for a control thread that is late.
+        let _ = tokio::time::timeout(RECORD_TIMEOUT, sent).await;
     }
-    let sent = context.shared.wait_until_origin_sent(number);
-    // The caller does not wait for a control thread that is late.
-    let _ = tokio::time::timeout(RECORD_TIMEOUT, sent).await;
-    true
 }
 
 /// Returns the time after which a caller no longer takes up a stream that it began now.
@@ -185,10 +162,10 @@
     // A settled service has no records, unless another entry has heard of a version first.
     let is_settled = settled(context, request).is_some();
     let asked_at = Instant::now();
-    let (mut answer, mut answered) = ask_cores(context, stream, max_age, is_settled).await;
+    let mut answer = ask_cores(context, stream, max_age, is_settled).await;
     if answer == Answer::NotTold && resumes.is_some() && !is_settled {
         tokio::time::sleep_until(asked_at + RECORD_DELAY).await;
-        (answer, answered) = ask_cores(context, stream, max_age, false).await;
+        answer = ask_cores(context, stream, max_age, false).await;
     }
     if let Answer::Told(build, age_ms) = answer {
         return named(context, request, "core", (build, age_ms)).ok_or(UnknownReason::Left);
@@ -203,11 +180,7 @@
     let (service, now, builds) =
         (request.service.clone(), monotonic::now(), context.builds.borrow());
     let max_age = max_age + MAX_NEWS_DELAY;
-    // The leader may have announced another version since it was last heard, but its answer came
-    // after that.
-    let has_news = builds.is_current(now)
-        && context.shared.view().leader.is_some_and(|leader| answered.contains(&leader));
-    let is_known = answer == Answer::NotTold || has_news;
+    let is_known = answer == Answer::NotTold || builds.is_current(now);
     // Where no other version has served, it does not matter what cores have forgotten.
     // A caller who has waited long says only what is left of its patience, not the age of its stream.
     let longest = MAX_LIFETIME + LIFETIME_MARGIN + MAX_NEWS_DELAY;
@@ -238,13 +211,13 @@
 ///
 /// Each origin was told to several cores, so one fewer may be silent, or have started meanwhile. A
 /// core that was told of the origin decides at once; a copy of it counts only if no core can have
-/// been told of a later one. Returns also which cores have answered.
+/// been told of a later one.
 async fn ask_cores(
     context: &Context,
     stream: Stream,
     max_age: Duration,
     takes_few: bool,
-) -> (Answer, BTreeSet<SocketAddr>) {
+) -> Answer {
     let core_count = context.shared.view().cores.len();
     let wanted_count =
         if takes_few { (core_count + 1).saturating_sub(KEEPER_COUNT) } else { core_count };
@@ -261,13 +234,11 @@
     let is_newest = |complete_times: &[u32], (_, age_ms): &(Build, u32)| {
         is_certain(complete_times, Duration::from_millis((*age_ms).into()))
     };
-    while answered.len() < wanted_count
-        || (answered.len() < core_count && !is_certain(&complete_times, max_age))
-    {
+    while answered.len() < wanted_count {
         let finding = tokio::time::timeout_at(deadline, findings.recv()).await;
         let Ok(Some(CoreFinding { core, finding, is_copy })) = finding else { break };
         match finding.origin {
-            Some((build, age_ms)) if !is_copy => return (Answer::Told(build, age_ms), answered),
+            Some((build, age_ms)) if !is_copy => return Answer::Told(build, age_ms),
             Some(origin) if copied.is_none_or(|it| origin.1 < it.1) => copied = Some(origin),
             _ => {}
         }
@@ -278,14 +249,13 @@
             break;
         }
     }
-    let answer = match copied {
+    match copied {
         Some((build, age_ms)) if is_newest(&complete_times, &(build, age_ms)) => {
             Answer::Told(build, age_ms)
         }
         None if is_certain(&complete_times, max_age) => Answer::NotTold,
         _ => Answer::Uncertain,
-    };
-    (answer, answered)
+    }
 }
 
 /// Returns the service and version that a recorded origin names, among those of the route.
--- a/crates/verbenaslip-relay/src/shared.rs
+++ b/crates/verbenaslip-relay/src/shared.rs
@@ -1,7 +1,5 @@
 //! State that the control thread and the traffic thread share.
 
-pub(crate) mod confirmation;
-
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -28,7 +26,6 @@
 use crate::monotonic;
 use crate::policy::demand::Demand;
 use crate::policy::versions::Versions;
-pub use crate::shared::confirmation::Unconfirmed;
 
 /// The entry asks for another number of time slots under upstreams' rate limits.
 const SLOTS_WANTED: Kind = Kind { number: 959, name: "slots_wanted" };
@@ -62,7 +59,6 @@
     origins: Mutex<OriginQueue>,
     origin_added: Notify,
     origins_sent: Notify,
-    origins_confirmed: Notify,
     is_draining_flag: AtomicBool,
     draining_started: Notify,
     /// Whether this instance has lost a path to upstreams.
@@ -293,46 +289,11 @@
         origins.last_sent = origins.last_number;
         origins.is_urgent = false;
         let unsent = std::mem::take(&mut origins.unsent);
-        let last_number = origins.last_number;
-        origins.sent.add(monotonic::now(), last_number, &unsent);
         drop(origins);
         self.origins_sent.notify_waiters();
         unsent
     }
 
-    /// Returns once enough cores have confirmed the origin with this number, and has it sent at once.
-    pub async fn wait_until_origin_confirmed(&self, number: u64) {
-        self.wait_until_origin_sent(number).await;
-        loop {
-            let confirmed = self.origins_confirmed.notified();
-            tokio::pin!(confirmed);
-            confirmed.as_mut().enable();
-            let core_count = self.view().cores.len();
-            if lock(&self.origins).sent.is_confirmed(number, core_count) {
-                return;
-            }
-            confirmed.await;
-        }
-    }
-
-    /// Returns whether origins that were sent last are not confirmed in time.
-    pub fn origins_are_overdue(&self) -> bool {
-        let core_count = self.view().cores.len();
-        lock(&self.origins).sent.is_overdue(monotonic::now(), core_count)
-    }
-
-    /// Returns when origins that too few cores have confirmed are next due for all cores.
-    pub fn next_origin_repetition(&self) -> Option<Duration> {
-        let core_count = self.view().cores.len();
-        lock(&self.origins).sent.next_repetition(core_count)
-    }
-
-    /// Takes the origins that too few cores have confirmed in time; each is returned once.
-    pub fn take_unconfirmed_origins(&self) -> Unconfirmed {
-        let core_count = self.view().cores.len();
-        lock(&self.origins).sent.take_unconfirmed(monotonic::now(), core_count)
-    }
-
     /// Takes the streams for whose origins cores have not been asked.
     pub fn take_wanted_streams(&self) -> Vec<Stream> {
         std::mem::take(&mut lock(&self.origins).wanted)
@@ -340,12 +301,7 @@
 
     /// Passes on what a core has found; `copied` names the streams that it knows from other cores.
     pub fn deliver_findings(&self, core: SocketAddr, findings: &[Finding], copied: &[Stream]) {
-        let mut origins = lock(&self.origins);
-        for finding in findings.iter().filter(|it| it.origin.is_some()) {
-            if origins.sent.confirm(core, finding.stream) {
-                self.origins_confirmed.notify_waiters();
-            }
-        }
+        let origins = lock(&self.origins);
         for finding in findings {
             let waiters = origins.waiters.iter().filter(|it| it.stream == finding.stream);
             let is_copy = copied.contains(&finding.stream);
@@ -497,8 +453,6 @@
     last_number: u64,
     /// Number of the last origin that was sent.
     last_sent: u64,
-    /// Origins that were sent recently.
-    sent: confirmation::Tracker,
     is_urgent: bool,
     wanted: Vec<Stream>,
     waiters: Vec<OriginWaiter>,
